--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside each endpoint.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process that callers talk to.
--- /dev/null
+++ b/components/journal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Following and appending to the log.
--- /dev/null
+++ b/components/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load, faults, promise checks and reports.
--- /dev/null
+++ b/components/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control messages between processes over nng.
--- /dev/null
+++ b/components/planner/src/lib.rs
@@ -0,0 +1,1 @@
+//! The planner role that any entry can hold.
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Edges to the platform: log service, instance list, engines and services.
--- /dev/null
+++ b/components/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions: placement, sizing, waking, keeping warm, series.
--- /dev/null
+++ b/components/process/src/lib.rs
@@ -0,0 +1,13 @@
+//! What every process shares: settings files, logs, signals and the admin server.
+
+mod admin;
+mod args;
+mod settings;
+mod shutdown;
+mod start;
+
+pub use admin::Status;
+pub use args::{Args, ArgsError, parse_args};
+pub use settings::{Identity, SettingsError, load, parse};
+pub use shutdown::{Phase, Shutdown};
+pub use start::{EXIT_FAILURE, EXIT_USAGE, Process, StartError, run, spawn_admin};
--- /dev/null
+++ b/components/record/src/lib.rs
@@ -0,0 +1,1 @@
+//! Records of the log.
--- /dev/null
+++ b/components/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, for tests and experiments.
--- /dev/null
+++ b/components/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The state folded from the log.
--- /dev/null
+++ b/components/tree/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings tree: schema, inheritance, edits.
--- /dev/null
+++ b/components/units/src/lib.rs
@@ -0,0 +1,12 @@
+//! Newtypes for ids, sizes, rates and positions, each with `Display` and `FromStr`.
+
+mod ids;
+mod position;
+mod quantity;
+
+pub use ids::{
+    AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath, ParseIdError,
+    RequestId, ServiceName, SettingName,
+};
+pub use position::{Epoch, Incarnation, Offset, ParsePositionError, ReplicaIndex, Revision};
+pub use quantity::{ParseQuantityError, Rate, Size, Span};
--- /dev/null
+++ b/components/units/src/position.rs
@@ -0,0 +1,88 @@
+//! Positions in the log and numbers derived from them.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Why a text is not a position.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("`{text}` is not a {kind}; write a whole number")]
+pub struct ParsePositionError {
+    kind: &'static str,
+    text: String,
+}
+
+macro_rules! position {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// The number after this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParsePositionError;
+
+            fn from_str(text: &str) -> Result<Self, ParsePositionError> {
+                let bad = |_| ParsePositionError { kind: $kind, text: text.to_owned() };
+                text.parse().map(Self).map_err(bad)
+            }
+        }
+    };
+}
+
+position!(
+    /// The place of a record in a stream of the log; the first record has offset 1, and 0 means "none yet".
+    Offset, u64, "log offset"
+);
+position!(
+    /// The offset of the claim that made a process the planner.
+    Epoch, u64, "planner epoch"
+);
+position!(
+    /// The offset of the edit that a setting's value came from; it only grows.
+    Revision, u64, "revision"
+);
+position!(
+    /// The offset of an agent's attach record; also the fencing number of its orders.
+    Incarnation, u64, "incarnation"
+);
+position!(
+    /// Which replica of a model a grant is for, from 0.
+    ReplicaIndex, u32, "replica index"
+);
+
+impl From<Offset> for Epoch {
+    fn from(offset: Offset) -> Self {
+        Self(offset.0)
+    }
+}
+
+impl From<Offset> for Revision {
+    fn from(offset: Offset) -> Self {
+        Self(offset.0)
+    }
+}
+
+impl From<Offset> for Incarnation {
+    fn from(offset: Offset) -> Self {
+        Self(offset.0)
+    }
+}
--- /dev/null
+++ b/components/web/src/body.rs
@@ -0,0 +1,79 @@
+//! Bodies of requests and responses.
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Channel, Empty, Full, Limited, channel::Sender};
+use serde::Serialize;
+use thiserror::Error;
+
+/// A body of either direction; an error ends it early, which the other side sees.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// How many frames a streamed body holds before its writer waits.
+const CHANNEL_FRAMES: usize = 16;
+
+/// Why a body could not be read whole.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// It is larger than allowed.
+    #[error("the body is over {limit} bytes; send less")]
+    Large {
+        /// The most bytes allowed.
+        limit: usize,
+    },
+    /// The connection ended within it.
+    #[error("the body ended early: {0}")]
+    Cut(String),
+}
+
+/// A body of no bytes.
+pub fn empty() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body whose bytes are all here.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body that a task writes; dropping the sender ends it, `abort` cuts it.
+pub fn channel() -> (Sender<Bytes, std::io::Error>, Body) {
+    let (sender, body) = Channel::new(CHANNEL_FRAMES);
+    (sender, body.boxed_unsync())
+}
+
+/// A response of plain text.
+pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    let plain = header::HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response
+}
+
+/// A response of JSON; a value that can't be written becomes a 500.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let bytes = match serde_json::to_vec(value) {
+        Ok(bytes) => bytes,
+        Err(error) => return text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    };
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Reads a body whole, up to a limit in bytes.
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, ReadError>
+where
+    B: http_body_util::BodyExt<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(ReadError::Large { limit }),
+        Err(error) => Err(ReadError::Cut(error.to_string())),
+    }
+}
--- /dev/null
+++ b/components/web/src/server.rs
@@ -0,0 +1,139 @@
+//! Servers: one task for each connection, ended by a shutdown signal after the requests in flight.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::Body;
+
+/// A bound socket.
+pub type Listener = TcpListener;
+
+/// Why a server could not be bound.
+#[derive(Debug, Error)]
+#[error("cannot listen on {addr}: {cause}; choose another port or stop the process that has it")]
+pub struct BindError {
+    addr: SocketAddr,
+    cause: std::io::Error,
+}
+
+/// The version of HTTP a server speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Protocol {
+    /// HTTP/1.1, for callers and the platform.
+    Http1,
+    /// HTTP/2 without negotiation, between processes of the system.
+    Http2,
+}
+
+/// How a server treats its connections.
+#[derive(Debug, Clone, Copy)]
+pub struct ServeOptions {
+    /// The version of HTTP.
+    pub protocol: Protocol,
+    /// HTTP/1: longest wait for a request's header. HTTP/2: pause between pings.
+    pub patience: Duration,
+    /// HTTP/2: the most streams that one connection may have open.
+    pub max_streams: u32,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self { protocol: Protocol::Http1, patience: Duration::from_secs(10), max_streams: 10_000 }
+    }
+}
+
+/// Binds an address; port 0 takes any free one.
+pub async fn bind(addr: SocketAddr) -> Result<Listener, BindError> {
+    TcpListener::bind(addr).await.map_err(|cause| BindError { addr, cause })
+}
+
+/// Serves until `stop` turns true, then closes each connection after its requests in flight.
+pub async fn serve<H, F>(listener: Listener, options: ServeOptions, mut stop: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = stopped(&mut stop) => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => {
+                    connections.spawn(connection(stream, peer, options, stop.clone(), handler.clone()));
+                }
+                Err(error) => {
+                    log::warn!("web: accept failed: {error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Waits until the signal is true or its sender is gone.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    options: ServeOptions,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let io = TokioIo::new(stream);
+    macro_rules! drive {
+        ($connection:expr) => {{
+            let mut connection = std::pin::pin!($connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = stopped(&mut stop) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
+                log::debug!("web: connection from {peer} ended: {error}");
+            }
+        }};
+    }
+    match options.protocol {
+        Protocol::Http1 => {
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(options.patience);
+            drive!(builder.serve_connection(io, service));
+        }
+        Protocol::Http2 => {
+            let mut builder = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
+            builder
+                .timer(TokioTimer::new())
+                .keep_alive_interval(options.patience)
+                .keep_alive_timeout(options.patience)
+                .max_concurrent_streams(options.max_streams);
+            drive!(builder.serve_connection(io, service));
+        }
+    }
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between the processes of the system.
