--- a/components/process/src/admin.rs
+++ b/components/process/src/admin.rs
@@ -20,7 +20,11 @@
 }
 
 impl Admin {
-    pub(crate) async fn answer(self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+    pub(crate) async fn answer(
+        self,
+        request: Request<Incoming>,
+        _peer: SocketAddr,
+    ) -> Response<Body> {
         if request.method() != Method::GET {
             return web::text(StatusCode::METHOD_NOT_ALLOWED, "use GET\n");
         }
@@ -30,7 +34,8 @@
             "/timeline" => web::text(StatusCode::OK, self.recorder.to_lines()),
             "/status" => web::json(StatusCode::OK, &(self.status)()),
             path => {
-                let hint = format!("no `{path}` here; try /healthz, /metrics, /timeline or /status\n");
+                let hint =
+                    format!("no `{path}` here; try /healthz, /metrics, /timeline or /status\n");
                 web::text(StatusCode::NOT_FOUND, hint)
             }
         }
--- a/components/process/src/settings.rs
+++ b/components/process/src/settings.rs
@@ -40,6 +40,20 @@
     },
 }
 
+/// JSON with comments and trailing commas, and nothing looser, so that a slip is an error.
+const DIALECT: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_trailing_commas: true,
+    allow_loose_object_property_names: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
 /// Who a process is and where it is managed.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -94,7 +108,7 @@
 /// Reads the text of a settings file; `file` only appears in errors.
 pub fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T, SettingsError> {
     let file = file.to_owned();
-    let value: serde_json::Value = match jsonc_parser::parse_to_serde_value(text, &ParseOptions::default()) {
+    let value: serde_json::Value = match jsonc_parser::parse_to_serde_value(text, &DIALECT) {
         Ok(value) => value,
         Err(cause) => return Err(SettingsError::Syntax { file, cause: cause.to_string() }),
     };
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -52,7 +52,9 @@
 {
     let file = match parse_args(std::env::args_os()) {
         Ok(Args::Help) => {
-            println!("{about}\n\nUsage: PROGRAM [--check-config] FILE\n       PROGRAM --help | --version");
+            println!(
+                "{about}\n\nUsage: PROGRAM [--check-config] FILE\n       PROGRAM --help | --version"
+            );
             return ExitCode::SUCCESS;
         }
         Ok(Args::Version) => {
@@ -106,7 +108,8 @@
 /// Binds and starts the admin server, which lives until the runtime ends, so that a drain can be watched.
 pub async fn spawn_admin(process: &Process, status: Status) -> Result<JoinHandle<()>, StartError> {
     let listener = web::bind(process.identity.admin).await.map_err(StartError::new)?;
-    let admin = Admin { metrics: process.metrics.clone(), recorder: process.recorder.clone(), status };
+    let admin =
+        Admin { metrics: process.metrics.clone(), recorder: process.recorder.clone(), status };
     let (keep, never) = tokio::sync::watch::channel(false);
     Ok(tokio::spawn(async move {
         let handler = move |request, peer| admin.clone().answer(request, peer);
@@ -142,7 +145,8 @@
         .set_thread_level(simplelog::LevelFilter::Off)
         .set_location_level(simplelog::LevelFilter::Off)
         .build();
-    let started = TermLogger::init(identity.log.into(), config, TerminalMode::Stderr, ColorChoice::Never);
+    let started =
+        TermLogger::init(identity.log.into(), config, TerminalMode::Stderr, ColorChoice::Never);
     if started.is_err() {
         eprintln!("process: the logger is set already");
     }
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -5,8 +5,8 @@
 mod quantity;
 
 pub use ids::{
-    AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath, ParseIdError,
-    RequestId, ServiceName, SettingName,
+    AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath,
+    ParseIdError, RequestId, ServiceName, SettingName,
 };
 pub use position::{Epoch, Incarnation, Offset, ParsePositionError, ReplicaIndex, Revision};
 pub use quantity::{ParseQuantityError, Rate, Size, Span};
--- a/components/units/src/quantity.rs
+++ b/components/units/src/quantity.rs
@@ -17,7 +17,9 @@
 }
 
 /// A number of bytes, written as `512MiB`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(try_from = "String", into = "String")]
 pub struct Size(pub u64);
 
@@ -58,7 +60,8 @@
 
 impl fmt::Display for Size {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let whole = SIZE_UNITS.iter().find(|(_, unit)| self.0 >= *unit && self.0.is_multiple_of(*unit));
+        let whole =
+            SIZE_UNITS.iter().find(|(_, unit)| self.0 >= *unit && self.0.is_multiple_of(*unit));
         let (name, unit) = whole.copied().unwrap_or(("B", 1));
         write!(f, "{}{name}", self.0 / unit)
     }
@@ -69,7 +72,8 @@
 
     fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
         let bad = || ParseQuantityError { kind: "size", text: text.to_owned(), example: "6GiB" };
-        let (name, unit) = SIZE_UNITS.iter().find(|(name, _)| text.ends_with(name)).ok_or_else(bad)?;
+        let (name, unit) =
+            SIZE_UNITS.iter().find(|(name, _)| text.ends_with(name)).ok_or_else(bad)?;
         let number = text.trim_end_matches(name).trim();
         let count: u64 = number.parse().map_err(|_| bad())?;
         count.checked_mul(*unit).map(Self).ok_or_else(bad)
@@ -77,7 +81,9 @@
 }
 
 /// A span of time, written as `30s` or `1h 30m`; precise to the millisecond in text.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(try_from = "String", into = "String")]
 pub struct Span(pub Duration);
 
@@ -103,7 +109,8 @@
     type Err = ParseQuantityError;
 
     fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
-        let bad = |_| ParseQuantityError { kind: "span of time", text: text.to_owned(), example: "30s" };
+        let bad =
+            |_| ParseQuantityError { kind: "span of time", text: text.to_owned(), example: "30s" };
         humantime::parse_duration(text).map(Self).map_err(bad)
     }
 }
--- a/components/web/src/body.rs
+++ b/components/web/src/body.rs
@@ -73,7 +73,9 @@
 {
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(ReadError::Large { limit }),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(ReadError::Large { limit })
+        }
         Err(error) => Err(ReadError::Cut(error.to_string())),
     }
 }
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -96,10 +96,12 @@
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
         let exchange = async {
-            let response = self.inner.request(request).await.map_err(|error| fault(addr, &error))?;
+            let response =
+                self.inner.request(request).await.map_err(|error| fault(addr, &error))?;
             let status = response.status();
             let read = body::read(response.into_body(), ANSWER_LIMIT).await;
-            let bytes = read.map_err(|error| CallError::Broken { addr, cause: error.to_string() })?;
+            let bytes =
+                read.map_err(|error| CallError::Broken { addr, cause: error.to_string() })?;
             Ok((status, bytes))
         };
         match tokio::time::timeout(limit, exchange).await {
@@ -120,7 +122,12 @@
     }
 
     /// Sends `GET path` and reads the answer as text.
-    pub async fn get_text(&self, addr: SocketAddr, path: &str, limit: Duration) -> Result<String, CallError> {
+    pub async fn get_text(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<String, CallError> {
         let request = build(addr, Method::GET, path, body::empty())?;
         let (status, bytes) = self.call(addr, request, limit).await?;
         let text = String::from_utf8_lossy(&bytes).into_owned();
@@ -135,31 +142,54 @@
         value: &impl Serialize,
         limit: Duration,
     ) -> Result<T, CallError> {
-        let bytes =
-            serde_json::to_vec(value).map_err(|error| CallError::Answer { addr, cause: error.to_string() })?;
+        let bytes = serde_json::to_vec(value)
+            .map_err(|error| CallError::Answer { addr, cause: error.to_string() })?;
         let request = build(addr, Method::POST, path, body::full(bytes))?;
         decode(addr, self.call(addr, request, limit).await?)
     }
 }
 
-fn build(addr: SocketAddr, method: Method, path: &str, body: Body) -> Result<Request<Body>, CallError> {
+fn build(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Body,
+) -> Result<Request<Body>, CallError> {
     let bad = |error: http::Error| CallError::Answer { addr, cause: error.to_string() };
-    let uri = Uri::builder().scheme("http").authority(addr.to_string()).path_and_query(path).build().map_err(bad)?;
-    Request::builder().method(method).uri(uri).header("content-type", "application/json").body(body).map_err(bad)
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(addr.to_string())
+        .path_and_query(path)
+        .build()
+        .map_err(bad)?;
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .header("content-type", "application/json")
+        .body(body)
+        .map_err(bad)
 }
 
-fn decode<T: DeserializeOwned>(addr: SocketAddr, answer: (StatusCode, Bytes)) -> Result<T, CallError> {
+fn decode<T: DeserializeOwned>(
+    addr: SocketAddr,
+    answer: (StatusCode, Bytes),
+) -> Result<T, CallError> {
     let (status, bytes) = answer;
     if !status.is_success() {
         let text = String::from_utf8_lossy(&bytes).into_owned();
         return Err(CallError::Status { addr, status, text });
     }
-    serde_json::from_slice(&bytes).map_err(|error| CallError::Answer { addr, cause: error.to_string() })
+    serde_json::from_slice(&bytes)
+        .map_err(|error| CallError::Answer { addr, cause: error.to_string() })
 }
 
 fn fault(addr: SocketAddr, error: &legacy::Error) -> CallError {
     let cause = chain(error);
-    if error.is_connect() { CallError::Connect { addr, cause } } else { CallError::Broken { addr, cause } }
+    if error.is_connect() {
+        CallError::Connect { addr, cause }
+    } else {
+        CallError::Broken { addr, cause }
+    }
 }
 
 fn chain(error: &dyn std::error::Error) -> String {
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -59,8 +59,12 @@
 }
 
 /// Serves until `stop` turns true, then closes each connection after its requests in flight.
-pub async fn serve<H, F>(listener: Listener, options: ServeOptions, mut stop: watch::Receiver<bool>, handler: H)
-where
+pub async fn serve<H, F>(
+    listener: Listener,
+    options: ServeOptions,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
