--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -1,1 +1,9 @@
-//! Control messages between processes over nng.
+//! Control messages between processes over nng's request/reply sockets.
+//!
+//! nng resends a request by itself when a connection is lost, so everything that travels here is idempotent.
+
+mod client;
+mod server;
+
+pub use client::{AskError, Client};
+pub use server::{ServeError, serve};
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -1,1 +1,12 @@
 //! The state folded from the log.
+//!
+//! Every process applies the same records in the same order with the same rules, so all agree on the tree,
+//! the planner lease, the members and the grants without a message. A record that breaks a rule is void for all.
+
+mod fold;
+mod snapshot;
+mod verdict;
+
+pub use fold::{Grant, Lease, Member, State};
+pub use snapshot::{SnapshotError, chunks, join};
+pub use verdict::{Applied, Verdict, Void};
--- /dev/null
+++ b/components/wire/src/control.rs
@@ -0,0 +1,76 @@
+//! Control messages between processes; all idempotent, so they may be repeated or lost.
+
+use serde::{Deserialize, Serialize};
+use timeline::Tick;
+use units::{InstanceId, ModelName, Offset, ReplicaIndex};
+
+/// A control message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "control")]
+pub enum Control {
+    /// Compares positions in the log and spreads demand.
+    Heartbeat {
+        /// The sender.
+        from: InstanceId,
+        /// The newest offset it has applied.
+        applied: Offset,
+        /// Its logical clock.
+        tick: Tick,
+        /// Demand that it has seen since its last heartbeat; entries send it to the planner.
+        demand: Vec<Demand>,
+    },
+    /// Asks for records that the sender misses.
+    Fetch {
+        /// The first offset it misses.
+        from: Offset,
+    },
+    /// Asks for the whole folded state, when the log no longer has what the sender needs.
+    FetchState,
+    /// Wakes a replica before requests reach it.
+    Wake {
+        /// The model.
+        model: ModelName,
+        /// Which replica.
+        index: ReplicaIndex,
+        /// The sender's logical clock.
+        tick: Tick,
+    },
+}
+
+/// Demand for one model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The model.
+    pub model: ModelName,
+    /// Requests that came.
+    pub requests: u32,
+    /// Requests that were refused for lack of capacity.
+    pub refused: u32,
+}
+
+/// The answer to a control message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "reply")]
+pub enum Reply {
+    /// To a heartbeat or a wake.
+    Position {
+        /// The newest offset the answerer has applied.
+        applied: Offset,
+        /// Its logical clock.
+        tick: Tick,
+    },
+    /// To a fetch: records with their offsets, in order, with no gap; empty if it does not keep them.
+    Records {
+        /// Offsets and the records' text.
+        records: Vec<(Offset, String)>,
+    },
+    /// To a fetch of the state: a snapshot's text, folded up to `upto`.
+    State {
+        /// The newest offset in it.
+        upto: Offset,
+        /// The snapshot's text.
+        data: String,
+    },
+    /// The message was not understood.
+    Unknown,
+}
--- a/src/bin/hyssop-load.rs
+++ b/src/bin/hyssop-load.rs
@@ -1,1 +1,3 @@
+//! `hyssop-load`.
+
 fn main() {}
--- a/src/bin/hyssop-standin.rs
+++ b/src/bin/hyssop-standin.rs
@@ -1,1 +1,3 @@
+//! `hyssop-standin`.
+
 fn main() {}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,3 @@
+//! `hyssopctl`.
+
 fn main() {}
