Settings tree: parse, validate, apply, inherit and resolve

An edit is applied whole or not at all and conflicts with anything it touches that changed after its base. Settings and leaves are resolved once for each edit, since entries resolve a name for each request.

--- a/components/tree/src/lib.rs
+++ b/components/tree/src/lib.rs
@@ -1,9 +1,24 @@
 //! The settings tree: schema, inheritance, edits.
 
+mod apply;
+mod check;
+mod diff;
 mod edit;
+mod file;
+mod index;
 mod node;
+mod range;
 mod schema;
+mod table;
+mod window;
 
+pub use apply::{ApplyError, MAX_CHANGES, MAX_EDIT, MAX_NODES, MAX_VALUE};
+pub use diff::diff;
 pub use edit::{Change, Edit};
-pub use node::{ApplyError, Leaf, ModelRef, Node, ResolveError, Tree, Value};
+pub use file::{FileError, TreeFile, parse};
+pub use index::{Leaf, ModelRef, ResolveError};
+pub use node::{Node, Tree, Value};
+pub use range::Range;
 pub use schema::{Class, NodeKind, Settings, Window};
+pub use table::{Setting, setting, table};
+pub use window::{Opening, WindowError};
--- a/components/tree/src/node.rs
+++ b/components/tree/src/node.rs
@@ -1,12 +1,13 @@
-//! The tree itself: nodes, their own settings and what they inherit.
+//! The tree itself: nodes with their own settings.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
-use units::{AdapterName, ModelName, NodePath, Revision, ServiceName, SettingName};
+use units::{ModelName, NodePath, Revision, ServiceName, SettingName};
 
-use crate::{Edit, NodeKind, Settings};
+use crate::index::Index;
+use crate::{Leaf, NodeKind, ResolveError, Settings};
 
 /// A setting's value with the edit that it came from.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,126 +27,108 @@
     pub revision: Revision,
     /// The settings that it does not inherit.
     pub settings: BTreeMap<SettingName, Value>,
+    /// The edits that cleared settings, so that an edit based on older ones conflicts.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub cleared: BTreeMap<SettingName, Revision>,
 }
 
-/// The tree; the default has only a root branch.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Tree {
-    nodes: BTreeMap<NodePath, Node>,
-}
+impl Node {
+    pub(crate) fn new(kind: NodeKind, revision: Revision) -> Self {
+        Self { kind, revision, settings: BTreeMap::new(), cleared: BTreeMap::new() }
+    }
 
-/// A leaf that callers can ask for.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Leaf {
-    /// Its place in the tree.
-    pub path: NodePath,
-    /// Its kind: a model, adapter or service.
-    pub kind: NodeKind,
-    /// The model's name (of an adapter: its model's), or the service's.
-    pub model: ModelName,
-    /// The adapter, if it is one.
-    pub adapter: Option<AdapterName>,
-    /// What the engine loads: the model's name with the version in force, as `page-text@v2`.
-    pub artifact: ModelName,
-    /// The settings in force there.
-    pub settings: Settings,
+    /// The edit that last set or cleared a setting here.
+    pub(crate) fn changed(&self, setting: &SettingName) -> Option<Revision> {
+        let set = self.settings.get(setting).map(|value| value.revision);
+        set.or_else(|| self.cleared.get(setting).copied())
+    }
+
+    /// The newest edit of the node and all its settings.
+    pub(crate) fn newest(&self) -> Revision {
+        let set = self.settings.values().map(|value| value.revision);
+        set.chain(self.cleared.values().copied()).fold(self.revision, Revision::max)
+    }
 }
 
-/// What a caller asked for, split: `model` or `model:adapter`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ModelRef {
-    /// The model.
-    pub model: ModelName,
-    /// The adapter.
-    pub adapter: Option<AdapterName>,
+/// The nodes by path; parents come before their children.
+pub(crate) type Nodes = BTreeMap<NodePath, Node>;
+
+/// The tree; the default has only a root branch.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(from = "Stored")]
+pub struct Tree {
+    nodes: Nodes,
+    #[serde(skip)]
+    index: Arc<Index>,
 }
 
-/// Why a caller's name stands for no leaf.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum ResolveError {
-    /// There is none of that name.
-    #[error("no model `{name}`{}", hint(.nearest))]
-    Unknown {
-        /// What was asked for.
-        name: String,
-        /// The nearest name there is.
-        nearest: Option<String>,
-    },
+#[derive(Deserialize)]
+struct Stored {
+    nodes: Nodes,
 }
 
-fn hint(nearest: &Option<String>) -> String {
-    nearest.as_ref().map_or_else(String::new, |name| format!("; did you mean `{name}`?"))
+impl From<Stored> for Tree {
+    fn from(stored: Stored) -> Self {
+        Self::of(stored.nodes)
+    }
 }
 
-/// Why an edit is void; the tree is unchanged.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Error)]
-#[serde(rename_all = "kebab-case", tag = "error")]
-pub enum ApplyError {
-    /// Another edit changed the same thing first.
-    #[error(
-        "{path} {what} was changed by revision {winner} after revision {base}; pull, look and publish again"
-    )]
-    Conflict {
-        /// The node.
-        path: NodePath,
-        /// The setting, or `node`.
-        what: String,
-        /// The edit that won.
-        winner: Revision,
-        /// What this edit was based on.
-        base: Revision,
-    },
-    /// The tree that would result is not valid.
-    #[error("{path}: {cause}")]
-    Invalid {
-        /// The node.
-        path: NodePath,
-        /// What is wrong and what would be right.
-        cause: String,
-    },
+/// The index follows from the nodes.
+impl PartialEq for Tree {
+    fn eq(&self, other: &Self) -> bool {
+        self.nodes == other.nodes
+    }
 }
 
 impl Default for Tree {
     fn default() -> Self {
-        let root =
-            Node { kind: NodeKind::Branch, revision: Revision(0), settings: BTreeMap::new() };
-        Self { nodes: BTreeMap::from([(NodePath::root(), root)]) }
+        Self::of(Nodes::from([(NodePath::root(), Node::new(NodeKind::Branch, Revision(0)))]))
     }
 }
 
 impl Tree {
+    pub(crate) fn of(nodes: Nodes) -> Self {
+        let index = Arc::new(Index::new(&nodes));
+        Self { nodes, index }
+    }
+
     /// The nodes by path.
     pub fn nodes(&self) -> &BTreeMap<NodePath, Node> {
         &self.nodes
     }
 
-    /// Applies an edit whole or not at all; `at` becomes the revision of all it changes.
-    pub fn apply(&mut self, _edit: &Edit, _at: Revision) -> Result<(), ApplyError> {
-        Ok(())
+    /// The settings in force at a node; those of the nearest node above if there is no such node.
+    pub fn effective(&self, path: &NodePath) -> Settings {
+        let above = std::iter::successors(Some(path.clone()), NodePath::parent);
+        let known = above.filter_map(|path| self.index.settings(&path)).next();
+        known.map(|settings| Settings::clone(settings)).unwrap_or_default()
     }
 
-    /// The settings in force at a node.
-    pub fn effective(&self, _path: &NodePath) -> Settings {
-        Settings::default()
-    }
-
-    /// All leaves that callers can ask for: models, adapters and services.
-    pub fn leaves(&self) -> Vec<Leaf> {
-        Vec::new()
+    /// All leaves that callers can ask for, by path: models, adapters and services.
+    pub fn leaves(&self) -> &[Arc<Leaf>] {
+        self.index.leaves()
     }
 
     /// The leaf of a model by name (no adapters).
-    pub fn model(&self, _name: &ModelName) -> Option<Leaf> {
-        None
+    pub fn model(&self, name: &ModelName) -> Option<Arc<Leaf>> {
+        self.index.model(name.as_str()).filter(|leaf| leaf.adapter.is_none()).cloned()
     }
 
     /// The leaf of a plain service by name.
-    pub fn service(&self, _name: &ServiceName) -> Option<Leaf> {
-        None
+    pub fn service(&self, name: &ServiceName) -> Option<Arc<Leaf>> {
+        self.index.service(name.as_str()).cloned()
     }
 
     /// What a caller's `model` field stands for; the nearest name in the error if for none.
-    pub fn resolve(&self, name: &str) -> Result<Leaf, ResolveError> {
-        Err(ResolveError::Unknown { name: name.to_owned(), nearest: None })
+    pub fn resolve(&self, name: &str) -> Result<Arc<Leaf>, ResolveError> {
+        self.index.model(name).cloned().ok_or_else(|| self.index.unknown_model(name))
+    }
+
+    /// The error for a service that is not there, with the nearest name.
+    pub fn unknown_service(&self, name: &str) -> ResolveError {
+        self.index.unknown_service(name)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/tree/src/schema.rs
+++ b/components/tree/src/schema.rs
@@ -1,5 +1,7 @@
 //! The typed settings of a node.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use units::{ServiceName, Size, Span};
 
@@ -19,6 +21,18 @@
     Service,
 }
 
+impl fmt::Display for NodeKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Branch => "branch",
+            Self::Model => "model",
+            Self::Adapter => "adapter",
+            Self::Version => "version",
+            Self::Service => "service",
+        })
+    }
+}
+
 /// The priority class of requests, most urgent first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -63,7 +77,7 @@
     pub version: String,
     /// The accelerator memory that the weights take.
     pub weights: Size,
-    /// The accelerator memory set aside for the KV cache of one replica.
+    /// The accelerator memory set aside for the KV cache and the adapters of one replica.
     pub kv_room: Size,
     /// How many requests one replica runs at the same time.
     pub batch: u32,
