--- /dev/null
+++ b/components/fake/src/lib.rs
@@ -0,0 +1,10 @@
+//! In-memory stand-ins for the platform's edges, with faults that can be set while they run.
+//!
+//! Tests use them directly; the stand-in program serves them over HTTP.
+
+mod list;
+mod log;
+mod stream;
+
+pub use list::List;
+pub use log::{Counters, Faults, Log};
