--- a/components/process/src/shutdown.rs
+++ b/components/process/src/shutdown.rs
@@ -71,3 +71,6 @@
         flag
     }
 }
+
+#[cfg(test)]
+mod tests;
