--- a/components/web/tests/server.rs
+++ b/components/web/tests/server.rs
@@ -38,7 +38,8 @@
         }
     };
     let server = tokio::spawn(web::serve(listener, ServeOptions::default(), stopped, handler));
-    let call = tokio::spawn(async move { Client::default().call(addr, get(addr, "/"), LIMIT).await });
+    let call =
+        tokio::spawn(async move { Client::default().call(addr, get(addr, "/"), LIMIT).await });
     arrivals.recv().await.expect("the request arrives");
     stop.send(true).expect("the server runs");
     release.send(true).expect("the handler waits");
