--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Targets for a checkout of hyssoplock; `make help` lists them.
+
+CARGO ?= cargo
+# Extra flags for every build, such as `--locked` or `-j4`.
+FLAGS ?=
+# Where `make try` leaves its settings files and logs.
+OUT ?= try-logs
+# How many cases each property gets from `make fuzz`, and the seed they start from.
+CASES ?= 20000
+SEED ?= 1
+
+.PHONY: help setup build try test lint bench fuzz
+
+help:
+	@echo "make setup   install what the build needs (cmake)"
+	@echo "make build   build the programs"
+	@echo "make try     start a sample deployment, send it a burst and check the promises"
+	@echo "make test    run all tests"
+	@echo "make lint    check format and lints"
+	@echo "make bench   measure overhead and goodput, beside the last result"
+	@echo "make fuzz    run the property tests with many more cases (CASES, SEED)"
+
+setup:
+	@.ci/setup
+
+build: setup
+	$(CARGO) build $(FLAGS) --workspace --bins
+
+try: build
+	$(CARGO) run $(FLAGS) --quiet --bin hyssop-load -- try --out $(OUT)
+
+test: setup
+	@FLAGS="$(FLAGS)" .ci/test
+
+lint: setup
+	$(CARGO) fmt --all -- --check
+	$(CARGO) clippy $(FLAGS) --workspace --all-targets -- -D warnings
+
+bench: setup
+	$(CARGO) build $(FLAGS) --release --workspace --bins
+	$(CARGO) run $(FLAGS) --release --quiet --bin hyssop-load -- bench
+
+fuzz: setup
+	PROPTEST_CASES=$(CASES) PROPTEST_RNG_SEED=$(SEED) FLAGS="$(FLAGS)" .ci/test
