Records name what their writer had seen, and an attach the incarnation before it

The ids of records can only be remembered for a while. With `seen` a record that surfaces later than that is void for all, so no repeat can have a second effect. An attach names its predecessor, so that a late copy does not displace a newer incarnation.

--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -13,9 +13,12 @@
     RequestId, ServiceName, Size,
 };
 
-/// The version of the record format that this code writes.
+/// The newest version of the record format that this code can apply.
 pub const FORMAT: u32 = 1;
 
+/// For how many offsets the ids of records are remembered, and how long a record may be on its way.
+pub const WINDOW: u64 = 4096;
+
 /// One record with its envelope.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -27,6 +30,10 @@
     pub from: InstanceId,
     /// The writer's logical clock.
     pub tick: u64,
+    /// The newest offset that the writer had applied when it made the record; a record that surfaces
+    /// more than [`WINDOW`] offsets later is void.
+    #[serde(default)]
+    pub seen: Offset,
     /// What it says.
     pub body: Body,
 }
@@ -147,6 +154,10 @@
     pub cached: Vec<ModelName>,
     /// Whether the endpoint refuses orders with an old fencing number.
     pub fenced: bool,
+    /// The endpoint's incarnation that the agent saw before, 0 if it is no member; an attach that surfaces
+    /// after a newer one is void.
+    #[serde(default)]
+    pub previous: Incarnation,
 }
 
 /// One part of a snapshot.
@@ -177,9 +188,26 @@
     pub digest: String,
 }
 
+impl Body {
+    /// The format version that brought this kind of record; a record that needs less is malformed.
+    pub fn since(&self) -> u32 {
+        match self {
+            Self::Edit(_)
+            | Self::Claim { .. }
+            | Self::Renew { .. }
+            | Self::Resign { .. }
+            | Self::Decide { .. }
+            | Self::Attach(_)
+            | Self::Leave { .. }
+            | Self::Release { .. }
+            | Self::Snapshot(_) => 1,
+        }
+    }
+}
+
 impl Record {
-    /// A record of this format version.
-    pub fn new(id: String, from: InstanceId, tick: u64, body: Body) -> Self {
-        Self { needs: FORMAT, id, from, tick, body }
+    /// A record of this format version by a writer that had applied the log up to `seen`.
+    pub fn new(id: String, from: InstanceId, tick: u64, seen: Offset, body: Body) -> Self {
+        Self { needs: body.since(), id, from, tick, seen, body }
     }
 }
--- a/components/state/src/verdict.rs
+++ b/components/state/src/verdict.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tree::ApplyError;
-use units::{Epoch, Incarnation, Offset, Revision};
+use units::{Epoch, Incarnation, InstanceId, Offset, Revision};
 
 /// What became of one record.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,7 +26,7 @@
 
 /// Why a record or decision is void.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Error)]
-#[serde(rename_all = "kebab-case", tag = "void")]
+#[serde(rename_all = "kebab-case", tag = "void", content = "why")]
 pub enum Void {
     /// The same record was applied before, at this offset.
     #[error("a repeat of the record at offset {first}")]
@@ -34,6 +34,15 @@
         /// The first one.
         first: Offset,
     },
+    /// The record was on its way for longer than ids are remembered.
+    #[error("the writer had applied only offset {seen}; look again and write a new record")]
+    Stale {
+        /// What its writer had applied.
+        seen: Offset,
+    },
+    /// The text is no record.
+    #[error("the text is no record: {0}")]
+    Malformed(String),
     /// The epoch is not the current one.
     #[error("epoch {named} is not the current epoch {current}")]
     Epoch {
@@ -48,6 +57,18 @@
         /// The current one, if the endpoint is a member.
         current: Option<Incarnation>,
     },
+    /// The holder of the epoch gave it up.
+    #[error("the holder of epoch {epoch} gave it up")]
+    Resigned {
+        /// The epoch.
+        epoch: Epoch,
+    },
+    /// The endpoint still belongs to another instance.
+    #[error("the endpoint belongs to instance {current} until the planner declares that one gone")]
+    Instance {
+        /// The instance.
+        current: InstanceId,
+    },
     /// The edit lost a race or would make an invalid tree.
     #[error("{0}")]
     Edit(ApplyError),
