--- a/components/state/src/fold.rs
+++ b/components/state/src/fold.rs
@@ -1,13 +1,17 @@
-//! The state and the rules by which records change it.
+//! The folded state and what can be asked of it.
 
-use record::{Attach, GrantId, Record};
+use std::collections::BTreeMap;
+
+use record::{Attach, GrantId};
 use serde::{Deserialize, Serialize};
 use tree::Tree;
 use units::{
-    EndpointId, Epoch, Incarnation, InstanceId, ModelName, Offset, ReplicaIndex, Revision,
+    EditId, EndpointId, Epoch, Incarnation, InstanceId, ModelName, Offset, ReplicaIndex, Revision,
 };
 
 use crate::Applied;
+use crate::grants::Grants;
+use crate::recent::Recent;
 
 /// The planner lease.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -50,22 +54,34 @@
     pub reason: String,
 }
 
+/// The record at which this program stopped, because it needs a newer one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Frozen {
+    /// The offset of the record.
+    pub at: Offset,
+    /// The format that it needs.
+    pub needs: u32,
+}
+
 /// The state folded from the log.
+///
+/// Its serialized form is the snapshot: two processes that have folded the same records write the same bytes.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
-    offset: Offset,
-    revision: Revision,
-    tree: Tree,
-    lease: Lease,
+    pub(crate) offset: Offset,
+    pub(crate) revision: Revision,
+    pub(crate) lease: Lease,
+    pub(crate) tree: Tree,
+    #[serde(with = "crate::members")]
+    pub(crate) members: BTreeMap<EndpointId, Member>,
+    pub(crate) grants: Grants,
+    pub(crate) recent: Recent,
+    pub(crate) edits: Recent,
+    #[serde(skip)]
+    pub(crate) frozen: Option<Frozen>,
 }
 
 impl State {
-    /// Applies the record at an offset; offsets that were applied before are ignored by the caller.
-    pub fn apply(&mut self, offset: Offset, _record: &Record) -> Applied {
-        self.offset = offset;
-        Applied { offset, verdicts: Vec::new() }
-    }
-
     /// The newest offset applied.
     pub fn offset(&self) -> Offset {
         self.offset
@@ -86,28 +102,55 @@
         &self.lease
     }
 
+    /// Where the fold of this process stopped for lack of a newer program; it must then decide and
+    /// append nothing.
+    pub fn frozen(&self) -> Option<Frozen> {
+        self.frozen
+    }
+
     /// All members.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        std::iter::empty()
+        self.members.values()
     }
 
     /// One member.
-    pub fn member(&self, _endpoint: &EndpointId) -> Option<&Member> {
-        None
+    pub fn member(&self, endpoint: &EndpointId) -> Option<&Member> {
+        self.members.get(endpoint)
+    }
+
+    /// One grant.
+    pub fn grant(&self, id: GrantId) -> Option<&Grant> {
+        self.grants.get(id)
     }
 
     /// All grants in force, with the revoked that are not released yet.
     pub fn grants(&self) -> impl Iterator<Item = &Grant> {
-        std::iter::empty()
+        self.grants.all()
     }
 
     /// The grants of a model, by replica index.
-    pub fn grants_of(&self, _model: &ModelName) -> impl Iterator<Item = &Grant> {
-        std::iter::empty()
+    pub fn grants_of(&self, model: &ModelName) -> impl Iterator<Item = &Grant> {
+        self.grants.of(model)
     }
 
     /// The grants at an endpoint.
-    pub fn grants_at(&self, _endpoint: &EndpointId) -> impl Iterator<Item = &Grant> {
-        std::iter::empty()
+    pub fn grants_at(&self, endpoint: &EndpointId) -> impl Iterator<Item = &Grant> {
+        self.grants.at(endpoint)
+    }
+
+    /// The grants of a model that are not revoked, by replica index, with the members that hold them.
+    pub fn holders(&self, model: &ModelName) -> impl Iterator<Item = (&Grant, &Member)> {
+        let standing = self.grants.of(model).filter(|grant| !grant.revoked);
+        standing.filter_map(|grant| Some((grant, self.members.get(&grant.endpoint)?)))
+    }
+
+    /// What became of a record of the last [`record::WINDOW`] offsets.
+    pub fn verdict_of(&self, id: &str) -> Option<&Applied> {
+        self.recent.get(id)
+    }
+
+    /// What became of an edit of the last [`record::WINDOW`] offsets.
+    pub fn edit_verdict(&self, id: &EditId) -> Option<&Applied> {
+        self.edits.get(id.as_str())
     }
 }
--- a/components/state/src/verdict.rs
+++ b/components/state/src/verdict.rs
@@ -14,6 +14,17 @@
     pub verdicts: Vec<Verdict>,
 }
 
+impl Applied {
+    pub(crate) fn void(offset: Offset, void: Void) -> Self {
+        Self { offset, verdicts: vec![Verdict::Void(void)] }
+    }
+
+    /// Whether all of the record took effect.
+    pub fn is_done(&self) -> bool {
+        self.verdicts.iter().all(|verdict| *verdict == Verdict::Done)
+    }
+}
+
 /// Whether a record or decision took effect.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
