--- /dev/null
+++ b/components/planner/src/demand.rs
@@ -0,0 +1,35 @@
+//! Demand as the entries see it.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use units::ModelName;
+use wire::Demand;
+
+/// Requests and refusals of one model since they were last taken.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Tally {
+    pub(crate) requests: u64,
+    pub(crate) refused: u64,
+}
+
+/// Demand that this process has seen or been told of; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct DemandLog(Arc<Mutex<BTreeMap<ModelName, Tally>>>);
+
+impl DemandLog {
+    /// Adds demand.
+    pub fn add(&self, demand: &[Demand]) {
+        let mut tallies = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for one in demand {
+            let tally = tallies.entry(one.model.clone()).or_default();
+            tally.requests += u64::from(one.requests);
+            tally.refused += u64::from(one.refused);
+        }
+    }
+
+    /// Takes what has come since the last time.
+    pub(crate) fn take(&self) -> BTreeMap<ModelName, Tally> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/components/planner/src/listing.rs
@@ -0,0 +1,82 @@
+//! Reading the platform's list, and asking agents that it lacks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{StreamExt, stream};
+use platform::{Instance, InstanceList};
+use state::Member;
+use tokio::sync::watch::Sender;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::Probe;
+use crate::membership::{Sightings, Suspect};
+use crate::run::Shared;
+
+/// How long a reading of the list may take.
+const READ_LIMIT: Duration = Duration::from_secs(2);
+/// How many agents are asked at the same time, and between two readings.
+const ASKED_AT_ONCE: usize = 128;
+
+/// Watches the list while the lease is held and publishes what is seen; starts anew with each epoch.
+pub(crate) async fn watch(
+    shared: &Shared,
+    list: Arc<dyn InstanceList>,
+    probe: Arc<dyn Probe>,
+    sightings: Sender<Sightings>,
+) {
+    let mut epoch = None;
+    loop {
+        let held = shared.journal.read(|state| shared.held(state));
+        if held != epoch {
+            epoch = held;
+            sightings.send_replace(Sightings::default());
+        }
+        if held.is_some() {
+            look(shared, &*list, &*probe, &sightings).await;
+        }
+        sleep(shared.options.listing).await;
+    }
+}
+
+async fn look(
+    shared: &Shared,
+    list: &dyn InstanceList,
+    probe: &dyn Probe,
+    sightings: &Sender<Sightings>,
+) {
+    let Some(instances) = read(list).await else { return };
+    let members: Vec<Member> = shared.journal.read(|state| state.members().cloned().collect());
+    sightings.send_modify(|seen| seen.note(&members, &instances, Instant::now()));
+    let suspects =
+        sightings.borrow().suspects(&members, shared.options.guard, Instant::now());
+    let asked = suspects.into_iter().take(ASKED_AT_ONCE);
+    let answers = stream::iter(asked).map(|suspect| ask(probe, suspect));
+    let answers: Vec<(Suspect, bool)> = answers.buffer_unordered(ASKED_AT_ONCE).collect().await;
+    sightings.send_if_modified(|seen| {
+        for (suspect, answered) in &answers {
+            seen.note_answer(&suspect.endpoint, *answered, Instant::now());
+        }
+        !answers.is_empty()
+    });
+}
+
+async fn read(list: &dyn InstanceList) -> Option<Vec<Instance>> {
+    let cause = match timeout(READ_LIMIT, list.instances()).await {
+        Ok(Ok(instances)) if instances.is_empty() => "the instance list is empty".to_owned(),
+        Ok(Ok(instances)) => return Some(instances),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => format!("no answer from the instance list within {READ_LIMIT:?}"),
+    };
+    log::warn!("planner: {cause}; nobody is dropped by it");
+    metrics::counter!("planner_list_unusable_total").increment(1);
+    None
+}
+
+async fn ask(probe: &dyn Probe, suspect: Suspect) -> (Suspect, bool) {
+    let answered = probe.answers(suspect.control).await;
+    if answered {
+        log::warn!("planner: {} is off the list, but its agent answers", suspect.endpoint);
+    }
+    (suspect, answered)
+}
--- a/components/planner/src/run.rs
+++ b/components/planner/src/run.rs
@@ -1,22 +1,20 @@
-//! Taking, holding and losing the planner lease.
+//! Taking, holding and losing the planner role.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use journal::Journal;
 use platform::InstanceList;
+use state::State;
 use timeline::Recorder;
-use units::InstanceId;
-use wire::Demand;
+use tokio::sync::watch;
+use units::{Epoch, InstanceId, Offset};
 
-/// Demand that this process has seen or been told of; cheap to clone.
-#[derive(Debug, Clone, Default)]
-pub struct DemandLog {}
+use crate::membership::Sightings;
+use crate::{DemandLog, PeerProbe, Probe, lease, listing, rounds};
 
-impl DemandLog {
-    /// Adds demand.
-    pub fn add(&self, _demand: &[Demand]) {}
-}
+/// How long a probed agent may take to answer.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
 
 /// How the planner works.
 #[derive(Debug, Clone)]
@@ -29,6 +27,8 @@
     pub round: Duration,
     /// The most decisions that one round appends.
     pub batch: usize,
+    /// The pause between two readings of the instance list.
+    pub listing: Duration,
 }
 
 impl Default for Options {
@@ -38,17 +38,65 @@
             guard: Duration::from_secs(10),
             round: Duration::from_millis(250),
             batch: 200,
+            listing: Duration::from_secs(1),
         }
     }
 }
 
+/// What the loops of one planner share.
+pub(crate) struct Shared {
+    pub(crate) instance: InstanceId,
+    pub(crate) journal: Journal,
+    pub(crate) recorder: Recorder,
+    pub(crate) options: Options,
+    /// The newest offset when this process started: claims up to it are not its own.
+    pub(crate) started: Offset,
+}
+
+impl Shared {
+    /// The epoch that this process holds, as the folded state shows it.
+    pub(crate) fn held(&self, state: &State) -> Option<Epoch> {
+        let lease = state.lease();
+        let own = lease.holder.as_ref() == Some(&self.instance);
+        (own && lease.epoch.0 > self.started.0).then_some(lease.epoch)
+    }
+
+    /// The epoch under which this process may append now: none while the log is down.
+    pub(crate) fn may_append(&self) -> Option<Epoch> {
+        self.journal.read(|state| self.held(state)).filter(|_| self.journal.log_up())
+    }
+}
+
 /// Runs the planner role until the journal ends; it decides only while this process holds the lease.
 pub async fn run(
-    _instance: InstanceId,
-    _journal: Journal,
-    _list: Arc<dyn InstanceList>,
-    _demand: DemandLog,
-    _recorder: Recorder,
-    _options: Options,
+    instance: InstanceId,
+    journal: Journal,
+    list: Arc<dyn InstanceList>,
+    demand: DemandLog,
+    recorder: Recorder,
+    options: Options,
+) {
+    let probe = Arc::new(PeerProbe::new(instance.clone(), recorder.clone(), PROBE_LIMIT));
+    run_with(probe, instance, journal, list, demand, recorder, options).await;
+}
+
+/// Like [`run`], with another way to ask agents whether they live.
+pub async fn run_with(
+    probe: Arc<dyn Probe>,
+    instance: InstanceId,
+    journal: Journal,
+    list: Arc<dyn InstanceList>,
+    demand: DemandLog,
+    recorder: Recorder,
+    options: Options,
 ) {
+    journal.ready().await;
+    let started = journal.read(State::offset);
+    let shared = Shared { instance, journal, recorder, options, started };
+    let (sender, sightings) = watch::channel(Sightings::default());
+    tokio::select! {
+        () = lease::keep(&shared) => {}
+        () = listing::watch(&shared, list, probe, sender) => {}
+        () = rounds::decide(&shared, demand, sightings) => {}
+    }
 }
--- /dev/null
+++ b/components/policy/src/placement/tests.rs
@@ -0,0 +1,83 @@
+use super::{Held, Host, Weights, Wish, place};
+use units::{Domain, ModelName, ReplicaIndex, ServiceName, Size};
+
+fn host(name: &str, domain: &str) -> Host {
+    Host {
+        endpoint: name.parse().expect("an endpoint id"),
+        domain: domain.parse().expect("a domain"),
+        service: service(),
+        memory: Size::gib(80),
+        cached: Vec::new(),
+        held: Vec::new(),
+        open: true,
+    }
+}
+
+fn service() -> ServiceName {
+    "likhari".parse().expect("a service")
+}
+
+fn model(name: &str) -> ModelName {
+    name.parse().expect("a model")
+}
+
+fn held(name: &str, gib: u64, opens: Option<i64>) -> Held {
+    Held { model: model(name), need: Size::gib(gib), opens }
+}
+
+fn best(hosts: &[Host], domains: &[Domain], opens: Option<i64>) -> Option<String> {
+    let (name, service) = (model("page-text"), service());
+    let wish = Wish {
+        model: &name,
+        index: ReplicaIndex(0),
+        artifact: &name,
+        service: &service,
+        need: Size::gib(10),
+        opens,
+        domains,
+    };
+    place(hosts, &wish, &Weights::default()).map(|i| hosts[i].endpoint.to_string())
+}
+
+#[test]
+fn can_prefer_a_cached_checkpoint() {
+    let mut hosts = vec![host("e1", "saddar"), host("e2", "lyari"), host("e3", "clifton")];
+    hosts[2].cached.push(model("page-text"));
+    hosts[2].held.push(held("other", 20, None));
+    assert_eq!(best(&hosts, &[], None).as_deref(), Some("e3"));
+}
+
+#[test]
+fn can_spread_replicas_over_failure_domains() {
+    let mut hosts = vec![host("e1", "saddar"), host("e2", "lyari")];
+    hosts[0].cached.push(model("page-text"));
+    hosts[1].held.extend([held("a", 70, None), held("b", 70, None)]);
+    let taken = ["saddar".parse().expect("a domain")];
+    assert_eq!(best(&hosts, &taken, None).as_deref(), Some("e2"));
+}
+
+#[test]
+fn can_keep_models_of_one_window_apart_if_they_do_not_fit_together() {
+    let mut hosts = vec![host("e1", "saddar"), host("e2", "saddar")];
+    hosts[0].held.push(held("bills", 75, Some(1000)));
+    hosts[1].held.extend([held("term", 50, Some(2000)), held("kiosk", 40, None)]);
+    assert_eq!(best(&hosts, &[], Some(1000)).as_deref(), Some("e2"));
+    assert_eq!(best(&hosts, &[], None).as_deref(), Some("e1"));
+}
+
+#[test]
+fn errors_on_no_endpoint_that_fits() {
+    let mut hosts = vec![host("e1", "saddar"), host("e2", "saddar"), host("e3", "lyari")];
+    hosts[0].open = false;
+    hosts[1].memory = Size::gib(9);
+    hosts[2].held.push(held("page-text", 10, None));
+    assert_eq!(best(&hosts, &[], None), None);
+}
+
+#[test]
+fn can_break_ties_the_same_in_any_order_of_hosts() {
+    let mut hosts: Vec<Host> = (0..20).map(|i| host(&format!("e{i}"), "saddar")).collect();
+    let first = best(&hosts, &[], None);
+    hosts.reverse();
+    assert_eq!(best(&hosts, &[], None), first);
+}
