--- /dev/null
+++ b/components/planner/src/lease/tests.rs
@@ -0,0 +1,63 @@
+use std::time::Duration;
+
+use state::Lease;
+use tokio::time::{Instant, advance};
+use units::{Epoch, InstanceId, Offset};
+
+use super::{Watch, jitter};
+
+const LEASE: Duration = Duration::from_secs(5);
+
+fn lease(renewed: u64) -> Lease {
+    let holder = Some("entry-1".parse().expect("an instance"));
+    Lease { epoch: Epoch(3), holder, renewed: Offset(renewed) }
+}
+
+fn is_lapsed(watch: &Watch) -> bool {
+    watch.is_lapsed(LEASE, Duration::ZERO, Instant::now())
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_see_a_lease_lapse() {
+    let mut watch = Watch::new(&lease(3), Instant::now());
+    advance(LEASE / 2).await;
+    watch.observe(&lease(7), true, Instant::now());
+    advance(LEASE - Duration::from_millis(1)).await;
+    watch.observe(&lease(7), true, Instant::now());
+    assert!(!is_lapsed(&watch));
+    advance(Duration::from_millis(1)).await;
+    assert!(is_lapsed(&watch));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_wait_a_full_lease_after_an_outage() {
+    let mut watch = Watch::new(&lease(3), Instant::now());
+    advance(LEASE / 2).await;
+    watch.observe(&lease(3), false, Instant::now());
+    advance(LEASE * 10).await;
+    watch.observe(&lease(3), false, Instant::now());
+    watch.observe(&lease(3), true, Instant::now());
+    assert!(!is_lapsed(&watch));
+    advance(LEASE).await;
+    assert!(is_lapsed(&watch));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_claim_a_lease_that_was_given_up_after_jitter() {
+    let mut watch = Watch::new(&lease(3), Instant::now());
+    watch.observe(&Lease { holder: None, ..lease(3) }, true, Instant::now());
+    assert!(is_lapsed(&watch));
+    assert!(!watch.is_lapsed(LEASE, Duration::from_millis(1), Instant::now()));
+}
+
+#[test]
+fn can_spread_claims_differently_in_each_epoch() {
+    let names: Vec<InstanceId> =
+        (1..=4).map(|i| format!("entry-{i}").parse().expect("an instance")).collect();
+    let mut waits: Vec<Duration> = names.iter().map(|name| jitter(name, Epoch(7), LEASE)).collect();
+    assert!(waits.iter().all(|wait| *wait < LEASE / 2));
+    waits.sort();
+    waits.dedup();
+    assert_eq!(waits.len(), 4);
+    assert_ne!(jitter(&names[0], Epoch(7), LEASE), jitter(&names[0], Epoch(8), LEASE));
+}
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -13,6 +13,8 @@
 mod probe;
 mod rounds;
 mod run;
+#[cfg(test)]
+mod sample;
 
 pub use demand::DemandLog;
 pub use probe::{PeerProbe, Probe};
--- a/components/planner/src/listing.rs
+++ b/components/planner/src/listing.rs
@@ -48,8 +48,7 @@
     let Some(instances) = read(list).await else { return };
     let members: Vec<Member> = shared.journal.read(|state| state.members().cloned().collect());
     sightings.send_modify(|seen| seen.note(&members, &instances, Instant::now()));
-    let suspects =
-        sightings.borrow().suspects(&members, shared.options.guard, Instant::now());
+    let suspects = sightings.borrow().suspects(&members, shared.options.guard, Instant::now());
     let asked = suspects.into_iter().take(ASKED_AT_ONCE);
     let answers = stream::iter(asked).map(|suspect| ask(probe, suspect));
     let answers: Vec<(Suspect, bool)> = answers.buffer_unordered(ASKED_AT_ONCE).collect().await;
--- a/components/planner/src/membership.rs
+++ b/components/planner/src/membership.rs
@@ -58,8 +58,7 @@
         }
         self.read = Some(now);
         let listed: HashSet<&InstanceId> = list.iter().map(|instance| &instance.id).collect();
-        let missing =
-            members.iter().filter(|member| !listed.contains(&member.attach.instance));
+        let missing = members.iter().filter(|member| !listed.contains(&member.attach.instance));
         let missing: Vec<&Member> = missing.collect();
         let mass = missing.len() * MASS_PART > members.len();
         let mut absent = HashMap::with_capacity(missing.len());
--- a/components/policy/src/placement.rs
+++ b/components/policy/src/placement.rs
@@ -121,8 +121,7 @@
 /// The best endpoint for a replica, as an index into `hosts`; `None` if none can hold it.
 pub fn place(hosts: &[Host], wish: &Wish<'_>, weights: &Weights) -> Option<usize> {
     let fit = hosts.iter().enumerate().filter(|(_, host)| host.can_hold(wish));
-    let scored =
-        fit.map(|(i, host)| (host.cost(wish, weights), tie(wish, &host.endpoint), i));
+    let scored = fit.map(|(i, host)| (host.cost(wish, weights), tie(wish, &host.endpoint), i));
     let best = scored.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     best.map(|(_, _, i)| i)
 }
