--- a/components/planner/src/decide.rs
+++ b/components/planner/src/decide.rs
@@ -6,14 +6,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use policy::{Held, Host, Wanted, Weights, Wish, place};
+use jiff::Timestamp;
+use policy::{Held, Host, Weights, Wish, place};
 use record::Decision;
 use state::{Grant, Member};
 use tree::Leaf;
 use units::{Domain, EndpointId, ModelName, ReplicaIndex, Size};
 
 use crate::membership::Sightings;
-use crate::picture::Picture;
+use crate::picture::{Model, Picture};
 
 /// At most this part of a batch declares endpoints gone, so that new grants need not wait for all of them.
 const GONE_PART: usize = 2;
@@ -25,10 +26,14 @@
     pub(crate) sightings: &'a Sightings,
     pub(crate) guard: Duration,
     pub(crate) batch: usize,
-    /// How many replicas a model is to have, given how many it has.
-    pub(crate) sizes: &'a dyn Fn(&Leaf, u32) -> Wanted,
-    /// When a model's next closing window opens, in seconds since 1970.
-    pub(crate) opens: &'a dyn Fn(&Leaf) -> Option<i64>,
+}
+
+/// What one round came to.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct Round {
+    pub(crate) decisions: Vec<Decision>,
+    /// Models with fewer grants than wanted, because no endpoint can hold another.
+    pub(crate) unplaced: usize,
 }
 
 /// What is to become of a grant.
@@ -51,32 +56,31 @@
     members: HashMap<&'a EndpointId, &'a Member>,
     hosts: Vec<Host>,
     places: HashMap<&'a EndpointId, usize>,
-    decisions: Vec<Decision>,
+    round: Round,
 }
 
 /// The decisions of one round, at most `rules.batch`.
-pub(crate) fn decide(picture: &Picture, rules: &Rules<'_>) -> Vec<Decision> {
+pub(crate) fn decide(picture: &Picture, models: &[Model], rules: &Rules<'_>) -> Round {
     let (gone, staying) = split_gone(picture, rules);
-    let mut draft = Draft::new(picture, rules, &staying);
-    draft.decisions.extend(gone);
+    let mut draft = Draft::new(rules, &staying);
+    draft.round.decisions.extend(gone);
     let mut of_model: BTreeMap<&ModelName, Vec<&Grant>> = BTreeMap::new();
     for grant in picture.grants.iter().filter(|grant| draft.members.contains_key(&grant.endpoint)) {
         of_model.entry(&grant.model).or_default().push(grant);
     }
-    let mut models: Vec<(&Leaf, Vec<&Grant>)> = Vec::with_capacity(picture.models.len());
-    for leaf in picture.models.iter() {
-        models.push((leaf, of_model.remove(&leaf.model).unwrap_or_default()));
+    let mut all: Vec<(&Model, Vec<&Grant>)> = Vec::with_capacity(models.len());
+    for model in models {
+        all.push((model, of_model.remove(&model.leaf.model).unwrap_or_default()));
     }
-    draft.note_held(&models);
+    draft.note_held(&all);
     for grant in of_model.into_values().flatten().filter(|grant| !grant.revoked) {
         draft.revoke(grant, "the model is not in the tree");
     }
-    models.sort_by_cached_key(|(leaf, grants)| draft.urgency(leaf, grants));
-    for (leaf, grants) in &models {
-        draft.settle(leaf, grants);
+    all.sort_by_cached_key(|(model, grants)| draft.urgency(model, grants));
+    for (model, grants) in &all {
+        draft.settle(model, grants);
     }
-    draft.decisions.truncate(rules.batch);
-    draft.decisions
+    draft.round
 }
 
 /// Decides which endpoints are gone, and returns them and the members that stay.
@@ -109,7 +113,7 @@
 }
 
 impl<'a> Draft<'a> {
-    fn new(picture: &'a Picture, rules: &'a Rules<'a>, staying: &[&'a Member]) -> Self {
+    fn new(rules: &'a Rules<'a>, staying: &[&'a Member]) -> Self {
         let hosts: Vec<Host> = staying.iter().map(|member| host(member, rules)).collect();
         let members = staying.iter().map(|member| (&member.attach.endpoint, *member));
         let places = staying.iter().enumerate().map(|(i, member)| (&member.attach.endpoint, i));
@@ -118,31 +122,29 @@
             members: members.collect(),
             hosts,
             places: places.collect(),
-            decisions: Vec::with_capacity(rules.batch.min(picture.grants.len() + 16)),
+            round: Round::default(),
         }
     }
 
-    fn note_held(&mut self, models: &[(&Leaf, Vec<&'a Grant>)]) {
-        for (leaf, grants) in models {
-            let opens = (self.rules.opens)(leaf);
+    fn note_held(&mut self, models: &[(&Model, Vec<&'a Grant>)]) {
+        for (model, grants) in models {
             for grant in grants {
                 if let Some(&i) = self.places.get(&grant.endpoint) {
-                    let held = Held { model: leaf.model.clone(), need: need(leaf), opens };
-                    self.hosts[i].held.push(held);
+                    self.hosts[i].held.push(held(model));
                 }
             }
         }
     }
 
     /// Models that nobody serves come first, then those whose window opens first.
-    fn urgency(&self, leaf: &Leaf, grants: &[&Grant]) -> (bool, i64, ModelName) {
-        let served = grants.iter().any(|grant| self.fate(leaf, grant) == Fate::Keep);
-        let opens = (self.rules.opens)(leaf).unwrap_or(i64::MAX);
-        (served, opens, leaf.model.clone())
+    fn urgency(&self, model: &Model, grants: &[&Grant]) -> (bool, Timestamp, ModelName) {
+        let served = grants.iter().any(|grant| self.fate(&model.leaf, grant) == Fate::Keep);
+        let opens = model.closing.opens.unwrap_or(Timestamp::MAX);
+        (served, opens, model.leaf.model.clone())
     }
 
     fn is_full(&self) -> bool {
-        self.decisions.len() >= self.rules.batch
+        self.round.decisions.len() >= self.rules.batch
     }
 
     fn fate(&self, leaf: &Leaf, grant: &Grant) -> Fate {
@@ -172,21 +174,21 @@
     }
 
     /// Brings the grants of one model nearer to what is wanted.
-    fn settle(&mut self, leaf: &Leaf, grants: &[&'a Grant]) {
+    fn settle(&mut self, model: &Model, grants: &[&'a Grant]) {
         if self.is_full() {
             return;
         }
+        let (leaf, wanted) = (&model.leaf, &model.wanted);
         let mut grants: Vec<(&Grant, Fate)> =
             grants.iter().map(|grant| (*grant, self.fate(leaf, grant))).collect();
         grants.sort_by_key(|(grant, _)| grant.index);
         let kept = with_fate(&grants, |fate| fate == Fate::Keep);
-        let wanted = (self.rules.sizes)(leaf, size(kept.len()));
         self.revoke_leaving(&grants);
         self.revoke_stale(leaf, &grants, wanted.replicas);
         self.revoke_surplus(leaf, &grants, wanted.replicas);
         let short = wanted.replicas.saturating_sub(size(kept.len()));
         let room = leaf.settings.replicas_most.saturating_sub(size(grants.len()));
-        self.grant(leaf, &grants, short.min(room), &wanted.reason);
+        self.grant(model, &grants, short.min(room));
     }
 
     fn revoke_leaving(&mut self, grants: &[(&Grant, Fate)]) {
@@ -225,43 +227,46 @@
 
     fn revoke(&mut self, grant: &Grant, reason: &str) {
         if !self.is_full() {
-            self.decisions.push(Decision::Revoke { grant: grant.id, reason: reason.to_owned() });
+            self.round
+                .decisions
+                .push(Decision::Revoke { grant: grant.id, reason: reason.to_owned() });
         }
     }
 
-    fn grant(&mut self, leaf: &Leaf, grants: &[(&Grant, Fate)], count: u32, reason: &str) {
+    fn grant(&mut self, model: &Model, grants: &[(&Grant, Fate)], count: u32) {
+        let leaf = &model.leaf;
         let Some(service) = &leaf.settings.service else { return };
-        let opens = (self.rules.opens)(leaf);
         let mut taken: Vec<ReplicaIndex> = grants.iter().map(|(grant, _)| grant.index).collect();
         let kept = with_fate(grants, |fate| fate == Fate::Keep);
         let mut domains: Vec<Domain> =
             kept.iter().filter_map(|grant| self.domain(&grant.endpoint)).collect();
         for _ in 0..count {
-            let index = free_index(&taken);
+            if self.is_full() {
+                return;
+            }
             let wish = Wish {
                 model: &leaf.model,
-                index,
+                index: free_index(&taken),
                 artifact: &leaf.artifact,
                 service,
                 need: need(leaf),
-                opens,
+                opens: model.closing.opens,
                 domains: &domains,
             };
-            let Some(i) = place(&self.hosts, &wish, &Weights::default()) else { return };
-            if self.is_full() {
+            let Some(i) = place(&self.hosts, &wish, &Weights::default()) else {
+                self.round.unplaced += 1;
                 return;
-            }
-            let held = Held { model: leaf.model.clone(), need: need(leaf), opens };
-            self.hosts[i].held.push(held);
-            self.decisions.push(Decision::Grant {
+            };
+            taken.push(wish.index);
+            self.round.decisions.push(Decision::Grant {
                 model: leaf.model.clone(),
-                index,
+                index: wish.index,
                 artifact: leaf.artifact.clone(),
                 endpoint: self.hosts[i].endpoint.clone(),
-                reason: reason.to_owned(),
+                reason: format!("{}: {} wanted", model.wanted.reason, model.wanted.replicas),
             });
             domains.push(self.hosts[i].domain.clone());
-            taken.push(index);
+            self.hosts[i].held.push(held(model));
         }
     }
 
@@ -291,6 +296,11 @@
     grants.iter().filter(|(_, fate)| is(*fate)).map(|(grant, _)| *grant).collect()
 }
 
+fn held(model: &Model) -> Held {
+    let leaf = &model.leaf;
+    Held { model: leaf.model.clone(), need: need(leaf), opens: model.closing.opens }
+}
+
 fn need(leaf: &Leaf) -> Size {
     leaf.settings.weights + leaf.settings.kv_room
 }
--- a/components/planner/src/decide/tests.rs
+++ b/components/planner/src/decide/tests.rs
@@ -1,8 +1,9 @@
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use platform::InstanceState;
-use policy::Wanted;
+use policy::{Closing, Wanted};
 use record::Decision;
 use rstest::rstest;
 use state::{Grant, Member};
@@ -12,23 +13,28 @@
 
 use super::{Rules, decide};
 use crate::membership::Sightings;
-use crate::picture::Picture;
-use crate::sample::{domain, grant, listed, member, model};
+use crate::picture::{Model, Picture};
+use crate::sample::{domain, grant, leaf as model, listed, member};
 
 const GUARD: Duration = Duration::from_secs(10);
 const BATCH: usize = 200;
 
 fn picture(models: &[Leaf], members: Vec<Member>, grants: Vec<Grant>) -> Picture {
-    Picture { epoch: Epoch(1), models: models.into(), members, grants }
+    let leaves = models.iter().cloned().map(Arc::new).collect();
+    Picture { epoch: Epoch(1), leaves, members, grants }
 }
 
-fn least(leaf: &Leaf, _now: u32) -> Wanted {
-    Wanted { replicas: leaf.settings.replicas_least, reason: "least".to_owned() }
+/// A model of which the least is wanted.
+fn least(leaf: &Arc<Leaf>) -> Model {
+    let replicas = leaf.settings.replicas_least;
+    let wanted = Wanted { replicas, reason: "least" };
+    Model { leaf: leaf.clone(), closing: Closing::default(), wanted }
 }
 
 fn round(picture: &Picture, sightings: &Sightings, batch: usize) -> Vec<Decision> {
-    let rules = Rules { sightings, guard: GUARD, batch, sizes: &least, opens: &|_| None };
-    decide(picture, &rules)
+    let rules = Rules { sightings, guard: GUARD, batch };
+    let models: Vec<Model> = picture.leaves.iter().map(least).collect();
+    decide(picture, &models, &rules).decisions
 }
 
 fn decisions(picture: &Picture) -> Vec<Decision> {
@@ -132,7 +138,7 @@
                 found.expect("a grant in force").revoked = true;
             }
             Decision::Grant { model, index, endpoint, .. } => {
-                let leaf = picture.models.iter().find(|leaf| leaf.model == *model);
+                let leaf = picture.leaves.iter().find(|leaf| leaf.model == *model);
                 let mut made = grant(leaf.expect("a model"), index.0, *number);
                 *number += 1;
                 made.endpoint = endpoint.clone();
--- a/components/planner/src/demand.rs
+++ b/components/planner/src/demand.rs
@@ -13,6 +13,14 @@
     pub(crate) refused: u64,
 }
 
+impl Tally {
+    /// Requests a second over a span of seconds.
+    #[expect(clippy::cast_precision_loss, reason = "counts of a few seconds are small")]
+    pub(crate) fn rate(self, span: f64) -> f64 {
+        self.requests as f64 / span
+    }
+}
+
 /// Demand that this process has seen or been told of; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct DemandLog(Arc<Mutex<BTreeMap<ModelName, Tally>>>);
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod decide;
 mod demand;
+mod forecast;
 mod lease;
 mod listing;
 mod membership;
--- a/components/planner/src/rounds.rs
+++ b/components/planner/src/rounds.rs
@@ -1,21 +1,24 @@
 //! Rounds of decisions while the lease is held, one append each at most.
 
+use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use journal::AppendError;
-use policy::{Bounds, Forecast, Wanted, wanted};
+use policy::Closing;
 use record::{Body, Decision};
 use state::{Applied, Verdict};
 use timeline::Kind;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 use tree::Leaf;
-use units::Epoch;
+use units::{Epoch, ModelName};
 
 use crate::DemandLog;
 use crate::decide::{Rules, decide as decide_round};
+use crate::forecast::Forecasts;
 use crate::membership::Sightings;
-use crate::picture::{Models, Picture};
+use crate::picture::{Model, Picture};
 use crate::run::Shared;
 
 /// The longest pause between two looks when nothing changes.
@@ -23,6 +26,14 @@
 /// The longest pause after rounds whose decisions were all void.
 const BACKOFF_MOST: Duration = Duration::from_secs(5);
 
+/// What the rounds of one epoch remember.
+#[derive(Default)]
+struct Memory {
+    epoch: Epoch,
+    forecasts: Forecasts,
+    unplaced: usize,
+}
+
 /// Decides round by round until the journal ends; at most one append in [`Options::round`](crate::Options).
 pub(crate) async fn decide(
     shared: &Shared,
@@ -30,27 +41,21 @@
     mut sightings: watch::Receiver<Sightings>,
 ) {
     let mut changes = shared.journal.changes();
-    let mut models = Models::default();
+    let mut memory = Memory::default();
     let mut pause = shared.options.round;
     loop {
         let began = Instant::now();
         changes.borrow_and_update();
         let seen = sightings.borrow_and_update().clone();
-        demand.take();
-        let decisions = match picture(shared, &mut models) {
-            Some(picture) => (picture.epoch, decide_at(shared, &picture, &seen)),
-            None => (Epoch::default(), Vec::new()),
+        let outcome = match picture(shared) {
+            Some(picture) => one_round(shared, &picture, &seen, &demand, &mut memory).await,
+            None => Ok(true),
+        };
+        pause = match outcome {
+            Ok(true) | Err(AppendError::Unknown { .. }) => shared.options.round,
+            Ok(false) => (pause * 2).min(BACKOFF_MOST),
+            Err(AppendError::Closed) => return,
         };
-        metrics::histogram!("planner_round_seconds").record(began.elapsed());
-        let (epoch, decisions) = decisions;
-        if !decisions.is_empty() {
-            match append(shared, epoch, decisions).await {
-                Ok(true) => pause = shared.options.round,
-                Ok(false) => pause = (pause * 2).min(BACKOFF_MOST),
-                Err(AppendError::Unknown { .. }) => pause = shared.options.round,
-                Err(AppendError::Closed) => return,
-            }
-        }
         sleep_until(began + pause).await;
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
@@ -60,30 +65,59 @@
     }
 }
 
-fn picture(shared: &Shared, models: &mut Models) -> Option<Picture> {
+fn picture(shared: &Shared) -> Option<Picture> {
     let epoch = shared.may_append()?;
-    Some(shared.journal.read(|state| Picture::take(epoch, state, models)))
+    Some(shared.journal.read(|state| Picture::take(epoch, state)))
 }
 
-fn decide_at(shared: &Shared, picture: &Picture, sightings: &Sightings) -> Vec<Decision> {
-    let rules = Rules {
-        sightings,
-        guard: shared.options.guard,
-        batch: shared.options.batch,
-        sizes: &sizes,
-        opens: &|_| None,
-    };
-    decide_round(picture, &rules)
+/// Decides and appends once; whether there is no cause to slow down.
+async fn one_round(
+    shared: &Shared,
+    picture: &Picture,
+    sightings: &Sightings,
+    demand: &DemandLog,
+    memory: &mut Memory,
+) -> Result<bool, AppendError> {
+    let began = Instant::now();
+    if memory.epoch != picture.epoch {
+        *memory = Memory { epoch: picture.epoch, ..Memory::default() };
+    }
+    if memory.forecasts.is_due(began) {
+        memory.forecasts.note(&demand.take(), began);
+    }
+    let models = sized(shared, picture, &mut memory.forecasts);
+    let rules = Rules { sightings, guard: shared.options.guard, batch: shared.options.batch };
+    let round = decide_round(picture, &models, &rules);
+    metrics::histogram!("planner_round_seconds").record(began.elapsed());
+    note_unplaced(memory, round.unplaced);
+    if round.decisions.is_empty() {
+        return Ok(true);
+    }
+    append(shared, picture.epoch, round.decisions).await
 }
 
-fn sizes(leaf: &Leaf, now: u32) -> Wanted {
-    let bounds = Bounds {
-        least: leaf.settings.replicas_least,
-        most: leaf.settings.replicas_most,
-        batch: leaf.settings.batch,
-        now,
+/// Works out how many replicas each model is to have.
+fn sized(shared: &Shared, picture: &Picture, forecasts: &mut Forecasts) -> Vec<Model> {
+    let (now, today) = (Instant::now(), shared.options.calendar.now());
+    let granted = picture.granted();
+    let size = |leaf: &Arc<Leaf>| {
+        let closing = Closing::at(&leaf.settings.windows, today);
+        let count = granted.get(&leaf.model).copied().unwrap_or_default();
+        let wanted = forecasts.size(leaf, count, &closing, now);
+        Model { leaf: leaf.clone(), closing, wanted }
     };
-    wanted(&bounds, &Forecast::default())
+    let models: Vec<Model> = picture.leaves.iter().map(size).collect();
+    let names: HashSet<&ModelName> = picture.leaves.iter().map(|leaf| &leaf.model).collect();
+    forecasts.retain(|model| names.contains(model));
+    models
+}
+
+fn note_unplaced(memory: &mut Memory, unplaced: usize) {
+    metrics::gauge!("planner_unplaced").set(u32::try_from(unplaced).unwrap_or(u32::MAX));
+    if unplaced > memory.unplaced {
+        log::warn!("planner: no endpoint has room for another replica of {unplaced} models");
+    }
+    memory.unplaced = unplaced;
 }
 
 /// Appends one batch; whether any decision of it took effect.
--- a/components/planner/src/run.rs
+++ b/components/planner/src/run.rs
@@ -5,6 +5,8 @@
 
 use journal::Journal;
 use platform::InstanceList;
+use policy::Calendar;
+use record::Body;
 use state::State;
 use timeline::Recorder;
 use tokio::sync::watch;
@@ -16,6 +18,9 @@
 /// How long a probed agent may take to answer.
 const PROBE_LIMIT: Duration = Duration::from_secs(1);
 
+/// How long a shutdown waits until the lease is given up.
+const RESIGN_LIMIT: Duration = Duration::from_secs(1);
+
 /// How the planner works.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -29,6 +34,10 @@
     pub batch: usize,
     /// The pause between two readings of the instance list.
     pub listing: Duration,
+    /// What closing windows are read against.
+    pub calendar: Calendar,
+    /// Turns true when the process shuts down: the planner then gives its lease up and ends.
+    pub stop: Option<watch::Receiver<bool>>,
 }
 
 impl Default for Options {
@@ -39,6 +48,8 @@
             round: Duration::from_millis(250),
             batch: 200,
             listing: Duration::from_secs(1),
+            calendar: Calendar::system(),
+            stop: None,
         }
     }
 }
@@ -98,5 +109,22 @@
         () = lease::keep(&shared) => {}
         () = listing::watch(&shared, list, probe, sender) => {}
         () = rounds::decide(&shared, demand, sightings) => {}
+        () = stopped(shared.options.stop.clone()) => resign(&shared).await,
+    }
+}
+
+async fn stopped(stop: Option<watch::Receiver<bool>>) {
+    match stop {
+        Some(mut stop) => drop(stop.wait_for(|stop| *stop).await),
+        None => std::future::pending().await,
+    }
+}
+
+/// Gives the lease up, so that another process need not wait for it to lapse.
+async fn resign(shared: &Shared) {
+    let Some(epoch) = shared.may_append() else { return };
+    log::info!("planner: giving epoch {epoch} up");
+    if let Err(error) = shared.journal.append(Body::Resign { epoch }, RESIGN_LIMIT).await {
+        log::warn!("planner: {error}");
     }
 }
--- a/components/planner/src/sample.rs
+++ b/components/planner/src/sample.rs
@@ -49,7 +49,7 @@
 }
 
 /// A model with bounds on its replicas.
-pub(crate) fn model(name: &str, least: u32, most: u32) -> Leaf {
+pub(crate) fn leaf(name: &str, least: u32, most: u32) -> Leaf {
     let settings = Settings {
         service: Some("likhari".parse().expect("a service")),
         replicas_least: least,
--- a/components/policy/src/placement.rs
+++ b/components/policy/src/placement.rs
@@ -1,5 +1,6 @@
 //! Choosing the endpoint for a grant.
 
+use jiff::Timestamp;
 use units::{Domain, EndpointId, ModelName, ReplicaIndex, ServiceName, Size};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -10,8 +11,8 @@
     pub model: ModelName,
     /// The accelerator memory it takes when loaded.
     pub need: Size,
-    /// When its next closing window opens, in seconds since 1970.
-    pub opens: Option<i64>,
+    /// When its next closing window opens.
+    pub opens: Option<Timestamp>,
 }
 
 /// What placement knows of an endpoint.
@@ -46,8 +47,8 @@
     pub service: &'a ServiceName,
     /// The accelerator memory it takes.
     pub need: Size,
-    /// When its next closing window opens, in seconds since 1970.
-    pub opens: Option<i64>,
+    /// When its next closing window opens.
+    pub opens: Option<Timestamp>,
     /// The failure domains of the model's other replicas, one entry for each.
     pub domains: &'a [Domain],
 }
--- a/components/policy/src/placement/tests.rs
+++ b/components/policy/src/placement/tests.rs
@@ -1,4 +1,5 @@
 use super::{Held, Host, Weights, Wish, place};
+use jiff::Timestamp;
 use units::{Domain, ModelName, ReplicaIndex, ServiceName, Size};
 
 fn host(name: &str, domain: &str) -> Host {
@@ -21,11 +22,15 @@
     name.parse().expect("a model")
 }
 
-fn held(name: &str, gib: u64, opens: Option<i64>) -> Held {
+fn held(name: &str, gib: u64, opens: Option<Timestamp>) -> Held {
     Held { model: model(name), need: Size::gib(gib), opens }
 }
 
-fn best(hosts: &[Host], domains: &[Domain], opens: Option<i64>) -> Option<String> {
+fn at(seconds: i64) -> Option<Timestamp> {
+    Timestamp::from_second(seconds).ok()
+}
+
+fn best(hosts: &[Host], domains: &[Domain], opens: Option<Timestamp>) -> Option<String> {
     let (name, service) = (model("page-text"), service());
     let wish = Wish {
         model: &name,
@@ -59,9 +64,9 @@
 #[test]
 fn can_keep_models_of_one_window_apart_if_they_do_not_fit_together() {
     let mut hosts = vec![host("e1", "saddar"), host("e2", "saddar")];
-    hosts[0].held.push(held("bills", 75, Some(1000)));
-    hosts[1].held.extend([held("term", 50, Some(2000)), held("kiosk", 40, None)]);
-    assert_eq!(best(&hosts, &[], Some(1000)).as_deref(), Some("e2"));
+    hosts[0].held.push(held("bills", 75, at(1000)));
+    hosts[1].held.extend([held("term", 50, at(2000)), held("kiosk", 40, None)]);
+    assert_eq!(best(&hosts, &[], at(1000)).as_deref(), Some("e2"));
     assert_eq!(best(&hosts, &[], None).as_deref(), Some("e1"));
 }
 
