--- a/components/policy/src/series.rs
+++ b/components/policy/src/series.rs
@@ -46,14 +46,21 @@
         let best = match self {
             Self::Arrival => open.min_by_key(|(i, one)| (one.queued, *i)),
             Self::Edf => open.min_by_key(|(i, one)| (one.deadline, *i)),
-            Self::Lag => open.max_by(|(i, a), (j, b)| {
-                let by_lag = a.lag(now, each).total_cmp(&b.lag(now, each));
-                by_lag.then(b.deadline.cmp(&a.deadline)).then(j.cmp(i))
-            }),
+            Self::Lag => furthest(open, |one| one.lag(now, each)),
         };
         best.map(|(i, _)| i)
     }
 }
 
+/// The series with the greatest lag; of equals the one with the earlier deadline.
+fn furthest<'a>(
+    open: impl Iterator<Item = (usize, &'a Series)>,
+    lag: impl Fn(&Series) -> f64,
+) -> Option<(usize, &'a Series)> {
+    open.max_by(|(i, a), (j, b)| {
+        lag(a).total_cmp(&lag(b)).then(b.deadline.cmp(&a.deadline)).then(j.cmp(i))
+    })
+}
+
 #[cfg(test)]
 mod tests;
