--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -3,7 +3,8 @@
 //! nng resends a request by itself when a connection is lost, so everything that travels here is idempotent.
 
 mod client;
+mod operation;
 mod server;
 
 pub use client::{AskError, Client};
-pub use server::{ServeError, serve};
+pub use server::{Listener, ServeError, listen, serve};
--- a/components/peer/src/server.rs
+++ b/components/peer/src/server.rs
@@ -4,9 +4,17 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use nng::options::transport::tcp::KeepAlive;
+use nng::options::{Options, RecvMaxSize, Url};
+use nng::{ListenerBuilder, Protocol, Socket};
 use thiserror::Error;
 use tokio::sync::watch;
 
+use crate::operation::{MESSAGE_LIMIT, Operation};
+
+/// How many messages are answered at the same time.
+const WORKERS: usize = 16;
+
 /// Why the control socket can't be opened.
 #[derive(Debug, Error)]
 #[error(
@@ -17,15 +25,106 @@
     cause: String,
 }
 
+/// A bound control socket.
+#[derive(Debug)]
+pub struct Listener {
+    socket: Socket,
+    listener: nng::Listener,
+    addr: SocketAddr,
+}
+
+/// Binds a control socket.
+pub fn listen(addr: SocketAddr) -> Result<Listener, ServeError> {
+    bind(addr).map_err(|error| ServeError { addr, cause: error.to_string() })
+}
+
+fn bind(addr: SocketAddr) -> nng::Result<Listener> {
+    let socket = Socket::new(Protocol::Rep0)?;
+    socket.set_opt::<RecvMaxSize>(MESSAGE_LIMIT)?;
+    let builder = ListenerBuilder::new(&socket, &format!("tcp://{addr}"))?;
+    builder.set_opt::<KeepAlive>(true)?;
+    let listener = builder.start().map_err(|(_, error)| error)?;
+    // The listener's URL has the real port; its address option has the port's bytes swapped.
+    let url = listener.get_opt::<Url>()?;
+    let bound = url.strip_prefix("tcp://").and_then(|bound| bound.parse().ok());
+    let addr = bound.unwrap_or(addr);
+    Ok(Listener { socket, listener, addr })
+}
+
+impl Listener {
+    /// Where it listens; port 0 has become a real one.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Answers messages with the handler until `stop` turns true, or its sender is dropped.
+    pub fn serve<H, F>(self, stop: watch::Receiver<bool>, handler: H) -> Result<(), ServeError>
+    where
+        H: Fn(Bytes) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Bytes> + Send + 'static,
+    {
+        let failed = |error: nng::Error| ServeError { addr: self.addr, cause: error.to_string() };
+        let workers = (0..WORKERS).map(|_| Operation::new(&self.socket));
+        let workers = workers.collect::<nng::Result<Vec<_>>>().map_err(failed)?;
+        for operation in workers {
+            let (stop, handler) = (stop.clone(), handler.clone());
+            tokio::spawn(work(operation, stop, handler));
+        }
+        tokio::spawn(async move {
+            stopped(stop).await;
+            self.listener.close();
+            self.socket.close();
+        });
+        Ok(())
+    }
+}
+
+async fn stopped(mut stop: watch::Receiver<bool>) {
+    // An error means that the sender is gone, which ends the server too.
+    let _ended = stop.wait_for(|stop| *stop).await;
+}
+
+async fn work<H, F>(operation: Operation, stop: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Bytes) -> F,
+    F: Future<Output = Bytes>,
+{
+    tokio::select! {
+        () = stopped(stop) => {}
+        () = answer_all(operation, handler) => {}
+    }
+}
+
+async fn answer_all<H, F>(mut operation: Operation, handler: H)
+where
+    H: Fn(Bytes) -> F,
+    F: Future<Output = Bytes>,
+{
+    loop {
+        let message = match operation.receive().await {
+            Ok(message) => message,
+            Err(nng::Error::Closed) => return,
+            Err(error) => {
+                log::warn!("peer: a message was lost: {error}");
+                continue;
+            }
+        };
+        let answer = handler(message).await;
+        if let Err(error) = operation.send(&answer).await {
+            log::debug!("peer: an answer was not sent: {error}");
+        }
+    }
+}
+
 /// Answers messages with the handler until `stop` turns true; returns once the socket is bound.
 pub async fn serve<H, F>(
-    _addr: SocketAddr,
-    _stop: watch::Receiver<bool>,
-    _handler: H,
+    addr: SocketAddr,
+    stop: watch::Receiver<bool>,
+    handler: H,
 ) -> Result<(), ServeError>
 where
     H: Fn(Bytes) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Bytes> + Send + 'static,
 {
-    Ok(())
+    listen(addr)?.serve(stop, handler)
 }
