Follow, append to and spread the log

A task folds the control stream; appends are gathered, and repeated with the same id until they are read back, so a lost answer has one effect. A new process asks seeds before it believes an empty log, and a process that meets a shorter or another log stops folding and says so.

--- a/components/fake/src/lib.rs
+++ b/components/fake/src/lib.rs
@@ -4,7 +4,9 @@
 
 mod list;
 mod log;
+mod net;
 mod stream;
 
 pub use list::List;
 pub use log::{Counters, Faults, Log};
+pub use net::{Net, Port};
--- /dev/null
+++ b/components/journal/src/begin.rs
@@ -0,0 +1,131 @@
+//! How a new process gets its first state.
+//!
+//! An empty log is not an empty configuration: its records may have expired or been lost while other
+//! processes still hold what they folded. So seeds are asked first.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform::{LogError, LogService, Page};
+use rand::seq::IteratorRandom;
+use tokio::time::{Instant, sleep};
+use units::Offset;
+
+use crate::backoff::jitter;
+use crate::folded::{Health, Shared, Source};
+use crate::peers::Peers;
+use crate::reader::{bridge, read};
+
+/// The pause between two rounds of questions.
+const PAUSE: Duration = Duration::from_millis(500);
+/// How many peers are asked in one round.
+const ASKED: usize = 8;
+
+/// What the seeds said.
+#[derive(Debug, Default)]
+struct Answers {
+    silent: usize,
+    best: Option<(Offset, SocketAddr)>,
+}
+
+/// Returns once there is a state to follow the log from, which may be the empty one, and says so.
+pub(crate) async fn begin(shared: &Shared, service: &dyn LogService, peers: &Peers) {
+    let mut empty_since = None;
+    while !try_begin(shared, service, peers, &mut empty_since).await {
+        sleep(jitter(PAUSE)).await;
+    }
+    shared.ready.send_replace(true);
+    log::info!("journal: ready at offset {}", shared.offset());
+}
+
+async fn try_begin(
+    shared: &Shared,
+    service: &dyn LogService,
+    peers: &Peers,
+    empty_since: &mut Option<Instant>,
+) -> bool {
+    let answers = ask_seeds(shared, peers).await;
+    if let Some((theirs, addr)) = answers.best {
+        peers.fetch_state(addr).await;
+        log::debug!("journal: the peer at {addr} is at offset {theirs}");
+    }
+    let folded = shared.offset();
+    let page = read(shared, service, folded.next(), Duration::ZERO).await;
+    match page {
+        Ok(page) if page.last == Offset(0) && folded == Offset(0) => {
+            shared.set_health(Health::Up);
+            let since = *empty_since.get_or_insert_with(Instant::now);
+            let known = answers.silent == 0 && answers.best.is_none();
+            known || since.elapsed() >= shared.options.grace
+        }
+        Ok(page) => catch_up(shared, service, page).await,
+        Err(LogError::Expired { first }) => {
+            *empty_since = None;
+            shared.set_health(Health::Up);
+            if bridge(shared, service, peers, first).await.is_err() {
+                return false;
+            }
+            let next = shared.offset().next();
+            match read(shared, service, next, Duration::ZERO).await {
+                Ok(page) => catch_up(shared, service, page).await,
+                Err(_) => false,
+            }
+        }
+        Err(_) => {
+            *empty_since = None;
+            shared.set_health(Health::Down);
+            shared.offset() > Offset(0)
+        }
+    }
+}
+
+/// Folds the log up to where it ends now.
+async fn catch_up(shared: &Shared, service: &dyn LogService, mut page: Page) -> bool {
+    let target = page.last;
+    if target < shared.offset() {
+        shared.set_health(Health::Behind);
+        return true;
+    }
+    shared.set_health(Health::Up);
+    loop {
+        if shared.fold(&page.entries, Source::Log).is_err() {
+            shared.set_health(Health::Forked);
+            return true;
+        }
+        if shared.offset() >= target || shared.state().frozen().is_some() {
+            return true;
+        }
+        match read(shared, service, shared.offset().next(), Duration::ZERO).await {
+            Ok(next) if !next.entries.is_empty() => page = next,
+            _ => return false,
+        }
+    }
+}
+
+async fn ask_seeds(shared: &Shared, peers: &Peers) -> Answers {
+    let asks = shared.options.seeds.iter().map(|addr| {
+        let (peers, addr) = (peers.clone(), *addr);
+        tokio::spawn(async move { (addr, peers.position(addr).await) })
+    });
+    let asks: Vec<_> = asks.collect();
+    let mut answers = Answers::default();
+    for ask in asks {
+        match ask.await {
+            Ok((addr, Some(theirs))) if theirs > shared.offset() => {
+                answers.best = answers.best.max(Some((theirs, addr)));
+            }
+            Ok((_, Some(_))) => {}
+            Ok((_, None)) | Err(_) => answers.silent += 1,
+        }
+    }
+    answers
+}
+
+/// A few peers that may know more: seeds and members.
+pub(crate) fn known(shared: &Shared) -> Vec<SocketAddr> {
+    let state = shared.state();
+    let others = state.members().filter(|member| member.attach.instance != shared.instance);
+    let addrs = others.map(|member| member.attach.control);
+    let addrs = addrs.chain(shared.options.seeds.iter().copied());
+    addrs.sample(&mut rand::rng(), ASKED)
+}
--- /dev/null
+++ b/components/journal/src/folded.rs
@@ -0,0 +1,313 @@
+//! The folded state that the tasks of a journal share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+
+use platform::Entry;
+use record::{Body, Record};
+use serde::Deserialize;
+use state::{Applied, State, Verdict};
+use timeline::{Kind, Recorder};
+use tokio::sync::{Notify, oneshot, watch};
+use units::{InstanceId, Offset};
+
+use crate::Options;
+use crate::ring::Ring;
+use crate::snapshots::Tracker;
+
+/// Kinds of records that say nothing new on a time line.
+const ROUTINE: [&str; 2] = ["renew", SNAPSHOT];
+/// The kind of the chunks of a snapshot.
+const SNAPSHOT: &str = "snapshot";
+
+/// What is known of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It was read lately.
+    Up,
+    /// It can't be read.
+    Down,
+    /// It ends before what this process has folded: a stale read, or the log has lost records.
+    Behind,
+    /// It holds another record than the one folded at the same offset: it is another log.
+    Forked,
+}
+
+/// Which offsets the log held when it was read last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Bounds {
+    pub(crate) first: Offset,
+    pub(crate) last: Offset,
+}
+
+/// Where records came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    Log,
+    Peer,
+}
+
+/// A record that differs from the one folded at its offset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Fork(pub(crate) Offset);
+
+#[derive(Debug)]
+struct Side {
+    ring: Ring,
+    waiters: HashMap<String, oneshot::Sender<Applied>>,
+    text: Option<(Offset, Arc<str>)>,
+    bounds: Option<Bounds>,
+    snapshots: Tracker,
+}
+
+/// What the tasks of a journal share.
+pub(crate) struct Shared {
+    pub(crate) instance: InstanceId,
+    pub(crate) recorder: Recorder,
+    pub(crate) options: Options,
+    pub(crate) changes: watch::Sender<Offset>,
+    pub(crate) ready: watch::Sender<bool>,
+    pub(crate) health: watch::Sender<Health>,
+    /// Wakes the heartbeat when a peer brought records.
+    pub(crate) news: Notify,
+    state: RwLock<State>,
+    side: Mutex<Side>,
+}
+
+impl Shared {
+    pub(crate) fn new(instance: InstanceId, recorder: Recorder, options: Options) -> Self {
+        let ring = Ring::new(options.kept);
+        let side = Side {
+            ring,
+            waiters: HashMap::new(),
+            text: None,
+            bounds: None,
+            snapshots: Tracker::default(),
+        };
+        Self {
+            instance,
+            recorder,
+            options,
+            changes: watch::Sender::new(Offset(0)),
+            ready: watch::Sender::new(false),
+            health: watch::Sender::new(Health::Down),
+            news: Notify::new(),
+            state: RwLock::default(),
+            side: Mutex::new(side),
+        }
+    }
+
+    pub(crate) fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn state_mut(&self) -> RwLockWriteGuard<'_, State> {
+        self.state.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn side(&self) -> MutexGuard<'_, Side> {
+        self.side.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn offset(&self) -> Offset {
+        self.state().offset()
+    }
+
+    /// Folds those of the records that come next; skips what was folded before and stops at a gap.
+    pub(crate) fn fold(&self, entries: &[Entry], source: Source) -> Result<(), Fork> {
+        let mut state = self.state_mut();
+        let mut side = self.side();
+        let before = state.offset();
+        let mut applied = Vec::new();
+        for entry in entries {
+            if entry.offset <= state.offset() {
+                side.compare(entry)?;
+                continue;
+            }
+            if entry.offset != state.offset().next() || state.frozen().is_some() {
+                break;
+            }
+            let verdict = state.apply_bytes(entry.offset, &entry.data);
+            if state.frozen().is_some() {
+                log::error!("journal: stopped at offset {}: upgrade this program", entry.offset);
+                break;
+            }
+            side.ring.push(entry.data.clone());
+            applied.push((entry, verdict));
+        }
+        let after = state.offset();
+        side.settle(&state);
+        drop(side);
+        drop(state);
+        applied.iter().for_each(|(entry, verdict)| self.note(entry, verdict));
+        if after > before {
+            self.changes.send_replace(after);
+            if source == Source::Peer {
+                self.news.notify_one();
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes over a state that is newer than the own one; says whether it did.
+    pub(crate) fn adopt(&self, newer: State) -> bool {
+        let mut state = self.state_mut();
+        if newer.offset() <= state.offset() || state.frozen().is_some() {
+            return false;
+        }
+        let upto = newer.offset();
+        *state = newer;
+        let mut side = self.side();
+        side.ring.restart(upto);
+        side.settle(&state);
+        drop(side);
+        drop(state);
+        log::info!("journal: took over a state folded up to offset {upto}");
+        self.changes.send_replace(upto);
+        self.news.notify_one();
+        true
+    }
+
+    pub(crate) fn wait_for(&self, id: &str) -> oneshot::Receiver<Applied> {
+        let (sender, receiver) = oneshot::channel();
+        self.side().waiters.insert(id.to_owned(), sender);
+        receiver
+    }
+
+    pub(crate) fn stop_waiting(&self, id: &str) {
+        self.side().waiters.remove(id);
+    }
+
+    pub(crate) fn is_waited_for(&self, id: &str) -> bool {
+        self.side().waiters.contains_key(id)
+    }
+
+    /// The kept records from an offset on, of at most about `limit` bytes.
+    pub(crate) fn kept(&self, from: Offset, limit: usize) -> Vec<(Offset, String)> {
+        let found = self.side().ring.from(from, limit);
+        found.into_iter().map(|(offset, data)| (offset, text(&data))).collect()
+    }
+
+    pub(crate) fn is_kept(&self, offset: Offset) -> bool {
+        self.side().ring.get(offset).is_some()
+    }
+
+    /// The state's text; made once for all who ask at the same offset.
+    pub(crate) fn text(&self) -> (Offset, Arc<str>) {
+        let state = self.state();
+        let upto = state.offset();
+        if let Some(found) = self.side().text.clone().filter(|(offset, _)| *offset == upto) {
+            return found;
+        }
+        let made = (upto, Arc::from(state::to_text(&state)));
+        self.side().text = Some(made.clone());
+        made
+    }
+
+    pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        self.side().bounds = Some(bounds);
+    }
+
+    /// Whether the log needs a new snapshot, as far as this process knows.
+    pub(crate) fn snapshot_due(&self) -> bool {
+        let folded = self.offset();
+        let side = self.side();
+        let due = |bounds| side.snapshots.is_due(self.options.snapshot, folded, bounds);
+        side.bounds.is_some_and(due)
+    }
+
+    pub(crate) fn set_health(&self, health: Health) {
+        let before = self.health.send_replace(health);
+        if before == health {
+            return;
+        }
+        metrics::gauge!("hyssop_log_up").set(if health == Health::Up { 1.0 } else { 0.0 });
+        let (kind, note) = match health {
+            Health::Up => (Kind::LogUp, "the log is read"),
+            Health::Down => (Kind::LogDown, "the log can't be read"),
+            Health::Behind => (Kind::LogDown, "the log ends before what is folded"),
+            Health::Forked => (Kind::LogDown, "the log is not the one that was folded"),
+        };
+        match health {
+            Health::Up => log::info!("journal: {note}"),
+            Health::Down => log::warn!("journal: {note}"),
+            Health::Behind | Health::Forked => {
+                log::error!("journal: {note}; see docs/LOG-OUTAGE.md")
+            }
+        }
+        self.recorder.record(self.recorder.event(kind).note(note));
+    }
+
+    fn note(&self, entry: &Entry, applied: &Applied) {
+        let kind = kind_of(&entry.data);
+        if kind == SNAPSHOT {
+            self.note_snapshot(entry);
+        }
+        if ROUTINE.contains(&kind.as_str()) {
+            return;
+        }
+        let void = applied.verdicts.iter().find_map(|verdict| match verdict {
+            Verdict::Done => None,
+            Verdict::Void(void) => Some(void),
+        });
+        let offset = entry.offset;
+        let event = match void {
+            None => self.recorder.event(Kind::Applied).note(format!("{offset} {kind}")),
+            Some(void) => {
+                let note = format!("{offset} {kind}: {void}");
+                self.recorder.event(Kind::Voided).note(note)
+            }
+        };
+        self.recorder.record(event);
+    }
+}
+
+impl Shared {
+    fn note_snapshot(&self, entry: &Entry) {
+        let record = serde_json::from_slice::<Record>(&entry.data);
+        if let Ok(Record { body: Body::Snapshot(chunk), .. }) = record {
+            self.side().snapshots.note(entry.offset, &chunk);
+        }
+    }
+}
+
+impl Side {
+    /// Tells the writers whose records are folded.
+    fn settle(&mut self, state: &State) {
+        let settled: Vec<String> =
+            self.waiters.keys().filter(|id| state.verdict_of(id).is_some()).cloned().collect();
+        for id in settled {
+            let verdict = state.verdict_of(&id).cloned();
+            if let (Some(waiter), Some(applied)) = (self.waiters.remove(&id), verdict) {
+                // A writer that has given up is not told.
+                let _unread = waiter.send(applied);
+            }
+        }
+    }
+
+    fn compare(&self, entry: &Entry) -> Result<(), Fork> {
+        match self.ring.get(entry.offset) {
+            Some(data) if *data != entry.data => Err(Fork(entry.offset)),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn text(data: &[u8]) -> String {
+    String::from_utf8_lossy(data).into_owned()
+}
+
+#[derive(Deserialize)]
+struct KindOnly {
+    kind: String,
+}
+
+#[derive(Deserialize)]
+struct BodyOnly {
+    body: KindOnly,
+}
+
+fn kind_of(data: &[u8]) -> String {
+    let body = serde_json::from_slice::<BodyOnly>(data);
+    body.map_or_else(|_| "unreadable".to_owned(), |record| record.body.kind)
+}
--- /dev/null
+++ b/components/journal/src/peers.rs
@@ -0,0 +1,163 @@
+//! Asking and answering peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use platform::Entry;
+use units::Offset;
+use wire::{Control, Reply};
+
+use crate::folded::{Shared, Source};
+
+/// How long a peer may take to answer.
+pub(crate) const ASK_LIMIT: Duration = Duration::from_secs(2);
+/// How long a peer may take to send its whole state.
+const STATE_LIMIT: Duration = Duration::from_secs(10);
+/// The most bytes of records in one message.
+const RECORDS_LIMIT: usize = 64 << 10;
+
+/// The other processes that follow the same log.
+#[derive(Clone)]
+pub(crate) struct Peers {
+    shared: Arc<Shared>,
+}
+
+impl Peers {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn ask(&self, addr: SocketAddr, control: &Control, limit: Duration) -> Option<Reply> {
+        let message = Bytes::from(serde_json::to_vec(control).ok()?);
+        count("out", message.len());
+        let answer = self.shared.options.network.ask(addr, message, limit).await;
+        let answer = answer.inspect_err(|error| log::debug!("journal: {error}")).ok()?;
+        count("in", answer.len());
+        serde_json::from_slice(&answer).ok()
+    }
+
+    /// The newest offset that a peer has applied.
+    pub(crate) async fn position(&self, addr: SocketAddr) -> Option<Offset> {
+        let heartbeat = Control::Heartbeat {
+            from: self.shared.instance.clone(),
+            applied: self.shared.offset(),
+            tick: self.shared.recorder.clock().tick(),
+            demand: Vec::new(),
+        };
+        self.placed(addr, &heartbeat).await
+    }
+
+    async fn placed(&self, addr: SocketAddr, control: &Control) -> Option<Offset> {
+        match self.ask(addr, control, ASK_LIMIT).await? {
+            Reply::Position { applied, tick } => {
+                self.shared.recorder.clock().observe(tick);
+                Some(applied)
+            }
+            _ => None,
+        }
+    }
+
+    /// Fetches what a peer has and this process misses; says whether it got all up to `target`.
+    pub(crate) async fn fetch(&self, addr: SocketAddr, target: Offset) -> bool {
+        while self.shared.offset() < target {
+            let from = self.shared.offset().next();
+            let Some(Reply::Records { records }) =
+                self.ask(addr, &Control::Fetch { from }, ASK_LIMIT).await
+            else {
+                return false;
+            };
+            if records.is_empty() {
+                return self.fetch_state(addr).await && self.shared.offset() >= target;
+            }
+            self.take(records);
+            if self.shared.offset() < from {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Takes over a peer's state if it is newer.
+    pub(crate) async fn fetch_state(&self, addr: SocketAddr) -> bool {
+        match self.ask(addr, &Control::FetchState, STATE_LIMIT).await {
+            Some(Reply::State { upto, data }) => self.take_state(upto, &data),
+            _ => false,
+        }
+    }
+
+    /// Gives a peer what it misses.
+    pub(crate) async fn offer(&self, addr: SocketAddr, from: Offset) {
+        let records = self.shared.kept(from, RECORDS_LIMIT);
+        if !records.is_empty() {
+            self.placed(addr, &Control::Offer { records }).await;
+        }
+    }
+
+    /// Gives a peer the whole state.
+    pub(crate) async fn offer_state(&self, addr: SocketAddr) {
+        let (upto, data) = self.shared.text();
+        let offer = Control::OfferState { upto, data: data.to_string() };
+        if let Some(reached) = self.placed(addr, &offer).await {
+            log::info!(
+                "journal: gave the state to the peer at {addr}, which is at offset {reached}"
+            );
+        }
+    }
+
+    pub(crate) fn answer(&self, control: Control) -> Reply {
+        match control {
+            Control::Heartbeat { tick, .. } => {
+                self.shared.recorder.clock().observe(tick);
+                self.here()
+            }
+            Control::Fetch { from } => {
+                Reply::Records { records: self.shared.kept(from, RECORDS_LIMIT) }
+            }
+            Control::FetchState => {
+                let (upto, data) = self.shared.text();
+                Reply::State { upto, data: data.to_string() }
+            }
+            Control::Offer { records } => {
+                self.take(records);
+                self.here()
+            }
+            Control::OfferState { upto, data } => {
+                if !*self.shared.ready.borrow() {
+                    self.take_state(upto, &data);
+                }
+                self.here()
+            }
+            Control::Wake { .. } => Reply::Unknown,
+        }
+    }
+
+    fn here(&self) -> Reply {
+        Reply::Position { applied: self.shared.offset(), tick: self.shared.recorder.clock().tick() }
+    }
+
+    fn take(&self, records: Vec<(Offset, String)>) {
+        let entry = |(offset, text): (Offset, String)| Entry { offset, data: text.into() };
+        let entries: Vec<Entry> = records.into_iter().map(entry).collect();
+        if let Err(fork) = self.shared.fold(&entries, Source::Peer) {
+            log::error!("journal: a peer has another record at offset {}", fork.0);
+        }
+    }
+
+    fn take_state(&self, upto: Offset, data: &str) -> bool {
+        match state::from_text(data) {
+            Ok(state) if state.offset() == upto => self.shared.adopt(state),
+            Ok(_) => false,
+            Err(error) => {
+                log::warn!("journal: a peer's state can't be taken over: {error}");
+                false
+            }
+        }
+    }
+}
+
+fn count(direction: &'static str, bytes: usize) {
+    metrics::counter!("hyssop_control_bytes_total", "direction" => direction)
+        .increment(bytes as u64);
+}
--- /dev/null
+++ b/components/journal/tests/outage.rs
@@ -0,0 +1,163 @@
+//! Outages, expiry, and processes that are replaced.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Node, Site, attach, claim, pass};
+use journal::Health;
+use platform::Stream;
+use units::{Epoch, Offset};
+
+/// A site whose processes have all folded the same few records.
+async fn settled(count: u16) -> (Site, Vec<Node>) {
+    let site = Site::default();
+    let nodes: Vec<Node> = (1..=count).map(|number| site.node(number, &[1, 2])).collect();
+    for node in &nodes {
+        node.ready().await;
+    }
+    nodes[0].append(claim(0)).await.expect("the log is up");
+    for (number, node) in (1..).zip(&nodes) {
+        node.append(attach(number)).await.expect("the log is up");
+    }
+    for node in &nodes {
+        node.reaches(u64::from(count) + 1).await;
+    }
+    (site, nodes)
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_spread_a_record_when_the_log_goes_down_right_after_it() {
+    let (site, nodes) = settled(12).await;
+    // Only the first process can read the record: the others' reads are cut at the moment it is accepted.
+    site.log.set(|faults| faults.outage = true);
+    pass(10).await;
+    let extra = serde_json::to_vec(&record::Record::new(
+        "extra".to_owned(),
+        "likhari-1".parse().expect("a right id"),
+        0,
+        Offset(13),
+        claim(1),
+    ));
+    let offset = site.log.put(Stream::Control, extra.expect("records are text"));
+    let page = site.log.records(Stream::Control);
+    let text = String::from_utf8_lossy(&page.entries[13].data).into_owned();
+    let offer = wire::Control::Offer { records: vec![(offset, text)] };
+    nodes[0].journal.answer(offer).await;
+    assert_eq!(nodes[0].offset(), 14);
+    let began = tokio::time::Instant::now();
+    for node in &nodes {
+        node.reaches(14).await;
+        assert_eq!(node.journal.read(|state| state.lease().epoch), Epoch(14));
+    }
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    assert!(nodes.iter().all(|node| !node.journal.log_up()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_start_during_an_outage_from_a_peer() {
+    let (site, nodes) = settled(3).await;
+    site.log.set(|faults| faults.outage = true);
+    let late = site.node(9, &[1, 2]);
+    late.ready().await;
+    assert_eq!(late.text(), nodes[0].text());
+    assert_eq!(late.journal.health(), Health::Down);
+    site.log.set(|faults| faults.outage = false);
+    late.append(attach(9)).await.expect("the log is up again");
+    nodes[0].reaches(5).await;
+    assert_eq!(late.text(), nodes[0].text());
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_starting_alone_during_an_outage() {
+    let site = Site::default();
+    site.log.set(|faults| faults.outage = true);
+    let node = site.node(1, &[2]);
+    pass(300).await;
+    assert!(!node.is_ready());
+    site.log.set(|faults| faults.outage = false);
+    node.ready().await;
+    assert_eq!(node.offset(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_take_a_peer_s_state_over_an_empty_log() {
+    let (site, nodes) = settled(3).await;
+    site.log.expire(Stream::Control, Offset(5));
+    let late = site.node(9, &[1, 2]);
+    late.ready().await;
+    assert_eq!(late.text(), nodes[0].text());
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_an_expired_log_without_a_snapshot_or_peers() {
+    let (site, nodes) = settled(3).await;
+    nodes.into_iter().for_each(Node::end);
+    site.log.expire(Stream::Control, Offset(5));
+    let late = site.node(9, &[1, 2]);
+    pass(300).await;
+    assert!(!late.is_ready(), "it must not take an expired log for an empty configuration");
+    assert_eq!(late.offset(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_get_the_state_from_a_process_that_is_no_seed() {
+    let (site, mut nodes) = settled(4).await;
+    let survivor = nodes.pop().expect("there are four");
+    let expected = survivor.text();
+    nodes.into_iter().for_each(Node::end);
+    site.log.expire(Stream::Control, Offset(6));
+    let replaced = [site.node(1, &[2]), site.node(2, &[1])];
+    for node in &replaced {
+        node.ready().await;
+        assert_eq!(node.text(), expected);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_replace_all_processes_at_once_with_the_log_up() {
+    let (site, nodes) = settled(3).await;
+    let expected = nodes[0].text();
+    nodes.into_iter().for_each(Node::end);
+    let replaced = [site.node(21, &[22, 23]), site.node(22, &[21, 23]), site.node(23, &[21, 22])];
+    for node in &replaced {
+        node.ready().await;
+        assert_eq!(node.text(), expected);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_a_log_that_lost_its_records() {
+    let (site, nodes) = settled(3).await;
+    site.log.wipe(Stream::Control);
+    pass(30).await;
+    assert!(nodes.iter().all(|node| node.journal.health() == Health::Behind));
+    let late = site.node(9, &[1, 2]);
+    late.ready().await;
+    assert_eq!(late.text(), nodes[0].text(), "a new process joins the living, not the empty log");
+    // The new log grows past the old one: it is still another log.
+    for _ in 0..9 {
+        site.log.put(Stream::Control, "{}");
+    }
+    pass(30).await;
+    for node in &nodes {
+        assert_eq!((node.offset(), node.journal.health()), (4, Health::Forked));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_wait_for_a_log_that_answers_with_an_old_end() {
+    let (site, nodes) = settled(3).await;
+    let records = site.log.records(Stream::Control);
+    site.log.wipe(Stream::Control);
+    site.log.put(Stream::Control, records.entries[0].data.clone());
+    pass(30).await;
+    assert_eq!(nodes[0].journal.health(), Health::Behind);
+    for entry in &records.entries[1..] {
+        site.log.put(Stream::Control, entry.data.clone());
+    }
+    pass(30).await;
+    assert!(nodes.iter().all(|node| node.journal.log_up()));
+    nodes[0].append(claim(1)).await.expect("the log is up again");
+    assert_eq!(nodes[0].offset(), 5);
+}
--- a/components/peer/src/client.rs
+++ b/components/peer/src/client.rs
@@ -1,10 +1,12 @@
 //! Asking peers.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use nng::options::protocol::reqrep::ResendTime;
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize};
@@ -54,6 +56,37 @@
     open: Arc<Mutex<HashMap<SocketAddr, Open>>>,
 }
 
+impl AskError {
+    /// No answer from a peer, and why.
+    pub fn new(addr: SocketAddr, cause: impl Into<String>) -> Self {
+        Self { addr, cause: cause.into() }
+    }
+}
+
+/// The network between peers; tests put one in memory in its place.
+#[async_trait]
+pub trait Ask: fmt::Debug + Send + Sync {
+    /// Sends a message and waits for the answer within the limit.
+    async fn ask(
+        &self,
+        addr: SocketAddr,
+        message: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, AskError>;
+}
+
+#[async_trait]
+impl Ask for Client {
+    async fn ask(
+        &self,
+        addr: SocketAddr,
+        message: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, AskError> {
+        Client::ask(self, addr, message, limit).await
+    }
+}
+
 impl Client {
     /// Sends a message and waits for the answer within the limit.
     pub async fn ask(
@@ -62,7 +95,7 @@
         message: Bytes,
         limit: Duration,
     ) -> Result<Bytes, AskError> {
-        let failed = |cause: String| AskError { addr, cause };
+        let failed = |cause: String| AskError::new(addr, cause);
         let connection = self.connection(addr).map_err(|error| failed(error.to_string()))?;
         match timeout(limit, connection.ask(&message)).await {
             Ok(Ok(answer)) => Ok(answer),
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -6,5 +6,5 @@
 mod operation;
 mod server;
 
-pub use client::{AskError, Client};
+pub use client::{Ask, AskError, Client};
 pub use server::{Listener, ServeError, listen, serve};
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -26,6 +26,18 @@
     },
     /// Asks for the whole folded state, when the log no longer has what the sender needs.
     FetchState,
+    /// Gives records to a peer that misses them; answered by the peer's position.
+    Offer {
+        /// Offsets and the records' text, in order, with no gap.
+        records: Vec<(Offset, String)>,
+    },
+    /// Gives the folded state to a peer that has none; answered by the peer's position.
+    OfferState {
+        /// The newest offset in it.
+        upto: Offset,
+        /// The snapshot's text.
+        data: String,
+    },
     /// Wakes a replica before requests reach it.
     Wake {
         /// The model.
@@ -52,7 +64,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "reply")]
 pub enum Reply {
-    /// To a heartbeat or a wake.
+    /// To a heartbeat, an offer or a wake.
     Position {
         /// The newest offset the answerer has applied.
         applied: Offset,
