--- a/components/planner/src/rounds.rs
+++ b/components/planner/src/rounds.rs
@@ -53,7 +53,7 @@
         };
         pause = match outcome {
             Ok(true) | Err(AppendError::Unknown { .. }) => shared.options.round,
-            Ok(false) => (pause * 2).min(BACKOFF_MOST),
+            Ok(false) | Err(AppendError::Frozen) => (pause * 2).min(BACKOFF_MOST),
             Err(AppendError::Closed) => return,
         };
         sleep_until(began + pause).await;
