Claim idempotency keys on their own stream

Many claims share an append, and the log's order decides. An entry that gives a claim up withdraws it, so a claim that surfaces late does not hold the key for a request that never runs; a withdrawn claim can't be undone and a claim that won is never withdrawn, so no key wins twice within its window even where processes started at different times. Both streams gather more per append while the service refuses.

--- a/components/journal/src/append.rs
+++ b/components/journal/src/append.rs
@@ -9,21 +9,22 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::backoff::{Backoff, jitter};
-use crate::folded::Shared;
+use crate::backoff::jitter;
 
 /// How long an append gathers others that come at the same time.
-const GATHER: Duration = Duration::from_millis(2);
+const GATHER_MIN: Duration = Duration::from_millis(2);
+/// How long it gathers at most while the service refuses.
+const GATHER_MAX: Duration = Duration::from_secs(10);
+/// How fast it gathers less again, with each append that is accepted.
+const EASE: f64 = 0.8;
 /// How long the service may take for one append.
 const SERVICE_LIMIT: Duration = Duration::from_secs(5);
 /// The most records of one append.
 const BATCH_RECORDS: usize = 500;
 /// The most bytes of one append, if it has more than one record.
 const BATCH_BYTES: usize = 512 << 10;
-/// The shortest pause after the service refused.
-const REFUSED_MIN: Duration = Duration::from_millis(200);
-/// The longest pause after the service refused.
-const REFUSED_MAX: Duration = Duration::from_secs(10);
+/// How long it gathers at least after the service refused.
+const REFUSED_MIN: Duration = Duration::from_millis(100);
 /// A record's pauses double up to this many times.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -66,55 +67,78 @@
     }
 }
 
-/// Appends what comes until the channel is closed; one append is under way at a time.
-pub(crate) async fn append_all(
-    shared: Arc<Shared>,
-    service: Arc<dyn LogService>,
-    mut incoming: UnboundedReceiver<Pending>,
-) {
-    let mut pending: Vec<Pending> = Vec::new();
-    let mut refused = Backoff::new(REFUSED_MIN, REFUSED_MAX);
-    loop {
-        let due = pending.iter().filter_map(|record| record.due).min();
-        tokio::select! {
-            next = incoming.recv() => match next {
-                Some(record) => pending.push(record),
-                None => return,
-            },
-            () = wait_until(due) => {}
-        }
-        sleep(GATHER).await;
-        while let Ok(record) = incoming.try_recv() {
-            pending.push(record);
-        }
-        pending.retain(|record| shared.is_waited_for(&record.id));
-        let mut batch = due_now(&mut pending);
-        if batch.is_empty() {
-            continue;
+/// How long to gather before an append: longer when the service refuses, so that all writers together
+/// stay within what it takes.
+#[derive(Debug)]
+struct Pace(Duration);
+
+impl Pace {
+    fn accepted(&mut self) {
+        self.0 = self.0.mul_f64(EASE).max(GATHER_MIN);
+    }
+
+    fn refused(&mut self) {
+        self.0 = (self.0 * 2).clamp(REFUSED_MIN, GATHER_MAX);
+    }
+}
+
+/// Appends to one stream what comes through a channel, until the channel is closed.
+pub(crate) struct Appender<W> {
+    pub(crate) service: Arc<dyn LogService>,
+    pub(crate) stream: Stream,
+    pub(crate) repeat: Duration,
+    /// Whether a record with this id is still to be repeated.
+    pub(crate) is_wanted: W,
+}
+
+impl<W: Fn(&str) -> bool> Appender<W> {
+    /// One append is under way at a time; what comes meanwhile goes into the next.
+    pub(crate) async fn run(self, mut incoming: UnboundedReceiver<Pending>) {
+        let mut pending: Vec<Pending> = Vec::new();
+        let mut pace = Pace(GATHER_MIN);
+        loop {
+            let due = pending.iter().filter_map(|record| record.due).min();
+            tokio::select! {
+                next = incoming.recv() => match next {
+                    Some(record) => pending.push(record),
+                    None => return,
+                },
+                () = wait_until(due) => {}
+            }
+            sleep(jitter(pace.0)).await;
+            while let Ok(record) = incoming.try_recv() {
+                pending.push(record);
+            }
+            pending.retain(|record| (self.is_wanted)(&record.id));
+            let mut batch = due_now(&mut pending);
+            if !batch.is_empty() {
+                self.append(&mut batch, &mut pace).await;
+            }
+            pending.extend(batch.into_iter().filter(|record| record.due.is_some()));
         }
+    }
+
+    async fn append(&self, batch: &mut [Pending], pace: &mut Pace) {
         let records = batch.iter().map(|record| record.data.clone()).collect();
-        let append = service.append(Stream::Control, records);
-        match timeout(SERVICE_LIMIT, append).await {
+        let append = timeout(SERVICE_LIMIT, self.service.append(self.stream, records)).await;
+        let cause = match append {
             Ok(Ok(_)) => {
-                refused.reset();
-                // It is in the log: nothing is left but to read it.
+                pace.accepted();
+                // They are in the log: nothing is left but to read them.
                 batch.iter_mut().for_each(|record| record.due = None);
+                return;
             }
             Ok(Err(LogError::Refused(cause))) => {
                 log::debug!("journal: an append was refused: {cause}");
                 metrics::counter!("hyssop_appends_refused_total").increment(1);
-                sleep(refused.pause()).await;
-            }
-            Ok(Err(error)) => {
-                log::debug!("journal: {error}");
-                batch.iter_mut().for_each(|record| record.postpone(shared.options.repeat));
+                pace.refused();
+                return;
             }
-            Err(_) => {
-                log::debug!("journal: an append got no answer in {SERVICE_LIMIT:?}");
-                batch.iter_mut().for_each(|record| record.postpone(shared.options.repeat));
-            }
-        }
-        pending.extend(batch.into_iter().filter(|record| record.due.is_some()));
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => format!("no answer in {SERVICE_LIMIT:?}"),
+        };
+        log::debug!("journal: an append may have failed: {cause}");
+        batch.iter_mut().for_each(|record| record.postpone(self.repeat));
     }
 }
 
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use peer::Ask;
-use platform::LogService;
+use platform::{LogService, Stream};
 use record::{Body, Record};
 use state::{Applied, State};
 use timeline::Recorder;
@@ -17,7 +17,7 @@
 use units::{InstanceId, Offset};
 use wire::{Control, Reply};
 
-use crate::append::{AppendError, Pending, append_all};
+use crate::append::{AppendError, Appender, Pending};
 use crate::folded::{Health, Shared};
 use crate::heartbeat::keep_in_touch;
 use crate::peers::Peers;
@@ -108,10 +108,16 @@
     incoming: mpsc::UnboundedReceiver<Pending>,
 ) {
     let peers = Peers::new(shared.clone());
+    let appender = Appender {
+        service: service.clone(),
+        stream: Stream::Control,
+        repeat: shared.options.repeat,
+        is_wanted: |id: &str| shared.is_waited_for(id),
+    };
     tokio::select! {
-        () = append_all(shared.clone(), service.clone(), incoming) => {}
+        () = appender.run(incoming) => {}
         () = read_all(shared.clone(), service, peers.clone()) => {}
-        () = keep_in_touch(shared, peers) => {}
+        () = keep_in_touch(shared.clone(), peers) => {}
     }
 }
 
--- a/components/journal/src/lib.rs
+++ b/components/journal/src/lib.rs
@@ -6,6 +6,7 @@
 mod append;
 mod backoff;
 mod begin;
+mod claims;
 mod folded;
 mod follow;
 mod heartbeat;
--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -175,7 +175,22 @@
     pub data: String,
 }
 
-/// A record of the key stream: the first claim of a key wins.
+/// A record of the key stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub enum KeyRecord {
+    /// A request claims a key; the first claim that is not withdrawn wins.
+    Claim(KeyClaim),
+    /// The entry that claimed says that the request has not run and never will.
+    Withdraw {
+        /// The key.
+        key: KeyHash,
+        /// The request.
+        request: RequestId,
+    },
+}
+
+/// A claim of an idempotency key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyClaim {
     /// The digest of caller group, route and key.
