--- a/components/tree/src/apply.rs
+++ b/components/tree/src/apply.rs
@@ -1,13 +1,11 @@
 //! Applying an edit, whole or not at all.
 
-use std::ops::Bound;
-
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use units::{NodePath, Revision, SettingName};
 
 use crate::check;
-use crate::node::{Node, Nodes, Value};
+use crate::node::{Node, Nodes, Value, below};
 use crate::{Change, Edit, NodeKind, Settings, Tree, table};
 
 /// The most changes that one edit may have.
@@ -66,6 +64,19 @@
         *self = Self::of(draft.nodes);
         Ok(())
     }
+
+    /// The tree with changes made whatever their base; what is so already is left as it is.
+    pub fn overlay(&self, changes: &[Change]) -> Result<Self, ApplyError> {
+        let (base, at) = (Revision(u64::MAX), Revision(0));
+        let mut draft = Draft { nodes: self.nodes().clone(), base, at };
+        for change in changes {
+            if !draft.has(change) {
+                draft.change(change)?;
+            }
+        }
+        check::nodes(&draft.nodes)?;
+        Ok(Self::of(draft.nodes))
+    }
 }
 
 fn limits(edit: &Edit, at: Revision) -> Result<(), ApplyError> {
@@ -109,6 +120,19 @@
 }
 
 impl Draft {
+    /// Whether a change would change nothing.
+    fn has(&self, change: &Change) -> bool {
+        let node = self.nodes.get(change.path());
+        match change {
+            Change::Add { kind, .. } => node.is_some_and(|node| node.kind == *kind),
+            Change::Remove { .. } => node.is_none(),
+            Change::Clear { setting, .. } => {
+                node.is_some_and(|node| !node.settings.contains_key(setting))
+            }
+            Change::Set { .. } => false,
+        }
+    }
+
     fn change(&mut self, change: &Change) -> Result<(), ApplyError> {
         match change {
             Change::Add { path, kind } => self.add(path, *kind),
@@ -160,12 +184,13 @@
             ));
         }
         self.node(path)?;
-        let below = below(&self.nodes, path);
-        for path in &below {
+        let mut gone = vec![path.clone()];
+        gone.extend(below(&self.nodes, path).map(|(path, _)| path.clone()));
+        for path in &gone {
             let newest = self.nodes.get(path).map_or(Revision(0), Node::newest);
             self.seen(path, "node", newest)?;
         }
-        for path in &below {
+        for path in &gone {
             self.nodes.remove(path);
         }
         Ok(())
@@ -209,15 +234,5 @@
     }
 }
 
-/// A node's path and those of all nodes below it.
-fn below(nodes: &Nodes, path: &NodePath) -> Vec<NodePath> {
-    let prefix = format!("{path}/");
-    let mut found = vec![path.clone()];
-    let range = (Bound::Included(prefix.as_str()), Bound::Unbounded);
-    let after = nodes.range::<str, _>(range).map(|(path, _)| path);
-    found.extend(after.take_while(|path| path.as_str().starts_with(&prefix)).cloned());
-    found
-}
-
 #[cfg(test)]
 mod tests;
--- a/components/tree/src/apply/tests.rs
+++ b/components/tree/src/apply/tests.rs
@@ -3,7 +3,7 @@
 use units::{EditId, NodePath, Revision};
 
 use super::{ApplyError, MAX_CHANGES, MAX_VALUE};
-use crate::{Change, Edit, NodeKind, Tree};
+use crate::{Change, Edit, NodeKind, Tree, diff};
 
 fn path(text: &str) -> NodePath {
     text.parse().expect("a path")
@@ -166,3 +166,17 @@
     let future = edit(2, vec![set("/hall", "queue", json!(7))]);
     assert!(cause(tree.apply(&future, Revision(2))).contains("not before 2"));
 }
+
+#[test]
+fn can_lay_changes_over_a_tree_that_has_some_of_them() {
+    let tree = hall();
+    let changes = [
+        add("/hall", NodeKind::Branch),
+        set("/hall", "service", json!("likhari")),
+        clear("/hall", "queue"),
+        remove("/annex"),
+        set("/hall", "deadline", json!("9s")),
+    ];
+    let over = tree.overlay(&changes).expect("a valid tree");
+    assert_eq!(diff(&tree, &over), [set("/hall", "deadline", json!("9s"))]);
+}
--- a/components/tree/src/diff.rs
+++ b/components/tree/src/diff.rs
@@ -68,3 +68,6 @@
 fn usual(name: &SettingName, value: &serde_json::Value) -> serde_json::Value {
     table::setting(name.as_str()).map_or_else(|| value.clone(), |setting| setting.usual(value))
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/tree/src/edit.rs
+++ b/components/tree/src/edit.rs
@@ -1,5 +1,7 @@
 //! Edits of the tree, as they are published on the log.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use units::{EditId, NodePath, Revision, SettingName};
 
@@ -51,3 +53,26 @@
         setting: SettingName,
     },
 }
+
+impl Change {
+    /// The node that it changes.
+    pub fn path(&self) -> &NodePath {
+        match self {
+            Self::Add { path, .. }
+            | Self::Remove { path }
+            | Self::Set { path, .. }
+            | Self::Clear { path, .. } => path,
+        }
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Add { path, kind } => write!(f, "add {kind} {path}"),
+            Self::Remove { path } => write!(f, "remove {path} with all below it"),
+            Self::Set { path, setting, value } => write!(f, "set {path} {setting} = {value}"),
+            Self::Clear { path, setting } => write!(f, "clear {path} {setting}"),
+        }
+    }
+}
--- a/components/tree/src/file.rs
+++ b/components/tree/src/file.rs
@@ -85,6 +85,20 @@
     Ok(TreeFile { tree: Tree::of(reader.nodes), revision: reader.revision })
 }
 
+/// The text of a settings file with another revision, and all else as it was.
+pub fn with_revision(text: &str, revision: Revision) -> String {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &DIALECT).ok();
+    let Some(Ast::Object(root)) = parsed.and_then(|parsed| parsed.value) else {
+        return text.to_owned();
+    };
+    if let Some(entry) = root.get("revision") {
+        let (start, end) = (entry.value.start(), entry.value.end());
+        return format!("{}{revision}{}", &text[..start], &text[end..]);
+    }
+    let (before, after) = text.split_at(root.start() + 1);
+    format!("{before}\n  \"revision\": {revision},{after}")
+}
+
 struct Reader<'a> {
     file: &'a Path,
     text: &'a str,
--- a/components/tree/src/file/tests.rs
+++ b/components/tree/src/file/tests.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use units::{ModelName, Revision};
 
-use super::{FileError, TreeFile, parse};
+use super::{FileError, TreeFile, parse, with_revision};
 
 fn read(text: &str) -> Result<TreeFile, FileError> {
     parse(Path::new("tree.jsonc"), text)
@@ -67,3 +67,13 @@
     let message = read(text).expect_err("a wrong file").to_string();
     assert!(message.contains(expected), "{message}");
 }
+
+#[rstest]
+#[case("{ // Kept.\n \"revision\": 4 , }", "{ // Kept.\n \"revision\": 12 , }")]
+#[case("// Kept.\n{ \"children\": {} }", "// Kept.\n{\n  \"revision\": 12, \"children\": {} }")]
+#[case("{}", "{\n  \"revision\": 12,}")]
+fn can_change_the_revision_and_keep_the_rest(#[case] text: &str, #[case] expected: &str) {
+    let changed = with_revision(text, Revision(12));
+    assert_eq!(changed, expected);
+    assert_eq!(read(&changed).expect("a tree").revision, Some(Revision(12)));
+}
--- a/components/tree/src/node.rs
+++ b/components/tree/src/node.rs
@@ -1,6 +1,7 @@
 //! The tree itself: nodes with their own settings.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -53,6 +54,17 @@
 /// The nodes by path; parents come before their children.
 pub(crate) type Nodes = BTreeMap<NodePath, Node>;
 
+/// All nodes below one, however deep.
+pub(crate) fn below<'a>(
+    nodes: &'a Nodes,
+    path: &NodePath,
+) -> impl Iterator<Item = (&'a NodePath, &'a Node)> {
+    let prefix = format!("{}/", path.as_str().trim_end_matches('/'));
+    let after = (Bound::Excluded(prefix.as_str()), Bound::Unbounded);
+    let after = nodes.range::<str, _>(after);
+    after.take_while(move |(path, _)| path.as_str().starts_with(&prefix))
+}
+
 /// The tree; the default has only a root branch.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(from = "Stored")]
