hyssopctl: check, diff, pull, publish, set, explain, status and timeline

A publish is the difference between the operator's file and what it was pulled as, so that it touches only what the operator changed; its base is the pulled revision. The file and its base carry the revision, so that one of them alone is refused rather than taken for a wish to undo others' edits.

--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,38 @@
+//! `hyssopctl diff`.
+
+use std::io::Write;
+use std::path::Path;
+
+use units::Revision;
+
+use crate::cmd::publish::{self, Plan};
+use crate::error::{CmdError, Exit};
+use crate::files;
+use crate::session::Session;
+
+/// Shows what a publish of a file would change, and whether it would be accepted now.
+pub(crate) fn run(session: &Session, file: &Path, out: &mut dyn Write) -> Result<Exit, CmdError> {
+    let (tree, revision) = session.tree();
+    let working = files::read_working(file, revision)?;
+    let Plan { changes, base } = publish::plan(file, &working, &tree, revision, true)?;
+    publish::show(&tree, &changes, out)?;
+    if changes.is_empty() {
+        writeln!(out, "no change against revision {revision}")?;
+        return Ok(Exit::Done);
+    }
+    let edit = tree::Edit {
+        id: "diff"
+            .parse()
+            .map_err(|error: units::ParseIdError| CmdError::Name(error.to_string()))?,
+        author: String::new(),
+        base,
+        changes,
+    };
+    match tree.clone().apply(&edit, Revision(u64::MAX)) {
+        Ok(()) => {
+            writeln!(out, "would be accepted on revision {revision}")?;
+            Ok(Exit::Done)
+        }
+        Err(error) => Err(CmdError::Rejected(error)),
+    }
+}
--- /dev/null
+++ b/src/cmd/help.rs
@@ -0,0 +1,53 @@
+//! `hyssopctl --help` and `--version`.
+
+use std::io::Write;
+
+use crate::error::{CmdError, Exit};
+
+const HELP: &str = "\
+hyssopctl: checks, publishes and explains the settings tree, and shows what the system does
+
+Usage: hyssopctl [OPTIONS] COMMAND
+
+Commands:
+  check FILE               check a settings file; needs no network
+  diff FILE                show what a publish of the file would change
+  pull FILE                write the tree in force to the file, with FILE.base beside it;
+                           keeps your changes that are not published; --force drops them
+  publish FILE             publish what you changed since the pull, and wait until it is in force;
+                           --replace puts a file that was never pulled in place of all there is
+  set PATH KEY=VALUE...    publish settings of one node; `KEY=` clears the setting
+  explain PATH             show the settings in force at a node or a model, and where they come from
+  status                   show the planner, the grants and every process with its revision
+  timeline [ADDR...]       show the events of all processes in causal order;
+                           --request ID, --model M and --endpoint E choose
+
+Options:
+  --settings FILE          read the options below from a JSON file with comments:
+                           { \"log\": ADDR, \"seeds\": [ADDR], \"entries\": [ADDR], \"author\": NAME, \"wait\": SPAN }
+  --log ADDR               the log service
+  --seed ADDR              control address of a process to ask while the log is down; may be repeated
+  --entry ADDR             admin address of an entry; may be repeated
+  --author NAME            who publishes; default $USER
+  --wait SPAN              the longest wait for the log, and for an edit to be in force; default 10s
+  -h, --help               show this
+  -V, --version            show the version
+
+Exit codes:
+  0  done
+  1  the network or the system failed; nothing was published
+  2  the command line or a file is wrong; nothing was published
+  3  rejected: another edit won, or the tree would be wrong; nothing was published
+  4  not known whether the edit is accepted; publish again to learn it
+  5  accepted, but not seen in force everywhere in time
+";
+
+pub(crate) fn run(out: &mut dyn Write) -> Result<Exit, CmdError> {
+    write!(out, "{HELP}")?;
+    Ok(Exit::Done)
+}
+
+pub(crate) fn version(out: &mut dyn Write) -> Result<Exit, CmdError> {
+    writeln!(out, "hyssopctl {}", env!("CARGO_PKG_VERSION"))?;
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,11 @@
+//! The subcommands, one in a file.
+
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod explain;
+pub(crate) mod help;
+pub(crate) mod publish;
+pub(crate) mod pull;
+pub(crate) mod set;
+pub(crate) mod status;
+pub(crate) mod timeline;
--- /dev/null
+++ b/src/cmd/timeline.rs
@@ -0,0 +1,58 @@
+//! `hyssopctl timeline`.
+
+use std::io::Write;
+
+use timeline::Event;
+
+use crate::cli::Filter;
+use crate::error::{CmdError, Exit};
+use crate::session::Session;
+
+/// Shows the events of all processes in causal order.
+pub(crate) async fn run(
+    session: &Session,
+    filter: &Filter,
+    out: &mut dyn Write,
+) -> Result<Exit, CmdError> {
+    let mut processes = session.fleet.processes(&session.journal);
+    for addr in &filter.addrs {
+        processes.entry(*addr).or_insert_with(|| addr.to_string());
+    }
+    let mut exit = Exit::Done;
+    let mut events = Vec::new();
+    for (name, answer) in session.fleet.events(&processes).await {
+        match answer {
+            Ok(found) => events.extend(found.into_iter().filter(|event| wanted(filter, event))),
+            Err(error) => {
+                exit = Exit::Lagging;
+                writeln!(out, "{name}: {error}")?;
+            }
+        }
+    }
+    Event::sort(&mut events);
+    events.iter().try_for_each(|event| writeln!(out, "{}", line(event)))?;
+    Ok(exit)
+}
+
+fn wanted(filter: &Filter, event: &Event) -> bool {
+    fn fits<T: PartialEq>(wanted: &Option<T>, found: &Option<T>) -> bool {
+        wanted.is_none() || wanted == found
+    }
+    fits(&filter.request, &event.request)
+        && fits(&filter.model, &event.model)
+        && fits(&filter.endpoint, &event.endpoint)
+}
+
+fn line(event: &Event) -> String {
+    let millis = i64::try_from(event.wall).unwrap_or(i64::MAX);
+    let wall = jiff::Timestamp::from_millisecond(millis).unwrap_or_default();
+    let mut line = format!("{:>8} {wall:.3} {:<20} {:<12}", event.tick, event.instance, event.kind);
+    let words = [
+        event.request.as_ref().map(|id| format!(" request {id}")),
+        event.model.as_ref().map(|name| format!(" model {name}")),
+        event.endpoint.as_ref().map(|id| format!(" endpoint {id}")),
+        (!event.note.is_empty()).then(|| format!(" {}", event.note)),
+    ];
+    line.extend(words.into_iter().flatten());
+    line
+}
