Golden sessions of hyssopctl: turns, races, lost answers, outages

After a lost race the winner's value is shown. A wait for an edit asks only the processes that are still behind, a few at a time, so that a large fleet is not flooded.

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -14,7 +14,7 @@
     let count = |kind| leaves.iter().filter(|leaf| leaf.kind == kind).count();
     writeln!(
         out,
-        "{}: right; {} models, {} adapters, {} services",
+        "{}: right; models {}, adapters {}, services {}",
         file.display(),
         count(NodeKind::Model),
         count(NodeKind::Adapter),
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -39,7 +39,7 @@
   2  the command line or a file is wrong; nothing was published
   3  rejected: another edit won, or the tree would be wrong; nothing was published
   4  not known whether the edit is accepted; publish again to learn it
-  5  accepted, but not seen in force everywhere in time
+  5  accepted, but not seen in force everywhere in time; of status and timeline: a process did not answer
 ";
 
 pub(crate) fn run(out: &mut dyn Write) -> Result<Exit, CmdError> {
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -4,11 +4,13 @@
 use std::path::Path;
 
 use tokio::time::{Duration, Instant, sleep};
-use tree::{Change, Tree};
+use tree::{ApplyError, Change, Tree};
 use units::Revision;
+use web::CallError;
 
 use crate::error::{CmdError, Exit};
 use crate::files::{self, Working};
+use crate::fleet::{Status, Target};
 use crate::session::Session;
 
 /// The pause before the processes are asked again.
@@ -34,13 +36,43 @@
         writeln!(out, "no change: revision {revision} has all of it; nothing was published")?;
         return Ok(Exit::Done);
     }
-    show(&tree, &changes, out)?;
-    let accepted = session.publish(changes, base).await?;
-    writeln!(out, "accepted as revision {accepted}")?;
+    let accepted = send(session, &tree, changes, base, out).await?;
     keep(session, file, &working, accepted, out)?;
     in_force(session, accepted, out).await
 }
 
+/// Appends changes and shows what became of them.
+pub(crate) async fn send(
+    session: &Session,
+    tree: &Tree,
+    changes: Vec<Change>,
+    base: Revision,
+    out: &mut dyn Write,
+) -> Result<Revision, CmdError> {
+    show(tree, &changes, out)?;
+    let sent = session.publish(changes, base).await;
+    match &sent {
+        Ok(accepted) => writeln!(out, "accepted as revision {accepted}")?,
+        Err(CmdError::Rejected(error)) => winner(session, error, out)?,
+        Err(_) => {}
+    }
+    sent
+}
+
+/// Shows the value that won, if a race over a setting was lost.
+fn winner(session: &Session, error: &ApplyError, out: &mut dyn Write) -> Result<(), CmdError> {
+    let ApplyError::Conflict { path, what, winner, .. } = error else { return Ok(()) };
+    let (tree, _) = session.tree();
+    let node = tree.nodes().get(path);
+    let value = node.and_then(|node| node.settings.get(what.as_str()));
+    match (node, value) {
+        (_, Some(value)) => writeln!(out, "revision {winner} set {path} {what} = {}", value.value)?,
+        (Some(_), None) => writeln!(out, "revision {winner} changed {path} {what}")?,
+        (None, None) => writeln!(out, "revision {winner} removed {path}")?,
+    }
+    Ok(())
+}
+
 /// What the operator changed since the pull, less what is in force already.
 pub(crate) fn plan(
     file: &Path,
@@ -109,23 +141,32 @@
     out: &mut dyn Write,
 ) -> Result<Exit, CmdError> {
     let until = Instant::now() + session.wait;
-    loop {
-        let processes = session.fleet.processes(&session.journal);
-        let statuses = session.fleet.statuses(&processes).await;
-        let behind: Vec<String> = statuses
-            .iter()
-            .filter_map(|(name, status)| match status {
-                Ok(status) if status.revision >= accepted => None,
-                Ok(status) => Some(format!("{name} is at revision {}", status.revision)),
-                Err(error) => Some(format!("{name}: {error}")),
-            })
-            .collect();
+    let targets = session.fleet.targets(&session.journal);
+    let mut behind = targets.clone();
+    let mut reasons = Vec::new();
+    while !behind.is_empty() {
+        let statuses = session.fleet.statuses(&behind).await;
+        let late = statuses.into_iter().filter_map(|(target, status)| {
+            let reason = lag(&target, status, accepted)?;
+            Some((target, reason))
+        });
+        (behind, reasons) = late.unzip();
         if behind.is_empty() || Instant::now() >= until {
-            let count = statuses.len();
-            writeln!(out, "in force on {} of {count} instances", count - behind.len())?;
-            behind.iter().try_for_each(|line| writeln!(out, "  {line}"))?;
-            return Ok(if behind.is_empty() { Exit::Done } else { Exit::Lagging });
+            break;
         }
         sleep(ASK_AGAIN).await;
     }
+    let count = targets.len();
+    writeln!(out, "in force on {} of {count} instances", count - behind.len())?;
+    reasons.iter().try_for_each(|reason| writeln!(out, "  {reason}"))?;
+    Ok(if behind.is_empty() { Exit::Done } else { Exit::Lagging })
+}
+
+/// Why an edit was not seen in force at a process, if it was not.
+fn lag(target: &Target, status: Result<Status, CallError>, accepted: Revision) -> Option<String> {
+    match status {
+        Ok(status) if status.revision >= accepted => None,
+        Ok(status) => Some(format!("{} is at revision {}", target.name, status.revision)),
+        Err(error) => Some(format!("{}: {error}", target.name)),
+    }
 }
--- a/src/cmd/set.rs
+++ b/src/cmd/set.rs
@@ -25,9 +25,7 @@
         writeln!(out, "no change: revision {revision} has all of it; nothing was published")?;
         return Ok(Exit::Done);
     }
-    publish::show(&tree, &changes, out)?;
-    let accepted = session.publish(changes, revision).await?;
-    writeln!(out, "accepted as revision {accepted}")?;
+    let accepted = publish::send(session, &tree, changes, revision, out).await?;
     publish::in_force(session, accepted, out).await
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -14,11 +14,12 @@
     let lines = session.journal.read(folded);
     writeln!(out, "log: {log}")?;
     lines.iter().try_for_each(|line| writeln!(out, "{line}"))?;
-    let processes = session.fleet.processes(&session.journal);
-    let statuses = session.fleet.statuses(&processes).await;
+    let targets = session.fleet.targets(&session.journal);
+    let statuses = session.fleet.statuses(&targets).await;
     writeln!(out, "processes: {}", statuses.len())?;
     let mut exit = Exit::Done;
-    for (name, status) in &statuses {
+    for (target, status) in &statuses {
+        let name = &target.name;
         match status {
             Ok(status) => writeln!(out, "  {name}: {}", words(status))?,
             Err(error) => {
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -6,6 +6,7 @@
 
 use crate::cli::Filter;
 use crate::error::{CmdError, Exit};
+use crate::fleet::Target;
 use crate::session::Session;
 
 /// Shows the events of all processes in causal order.
@@ -14,18 +15,20 @@
     filter: &Filter,
     out: &mut dyn Write,
 ) -> Result<Exit, CmdError> {
-    let mut processes = session.fleet.processes(&session.journal);
-    for addr in &filter.addrs {
-        processes.entry(*addr).or_insert_with(|| addr.to_string());
+    let mut targets = session.fleet.targets(&session.journal);
+    for admin in &filter.addrs {
+        if targets.iter().all(|target| target.admin != *admin) {
+            targets.push(Target { name: admin.to_string(), admin: *admin });
+        }
     }
     let mut exit = Exit::Done;
     let mut events = Vec::new();
-    for (name, answer) in session.fleet.events(&processes).await {
+    for (target, answer) in session.fleet.events(&targets).await {
         match answer {
             Ok(found) => events.extend(found.into_iter().filter(|event| wanted(filter, event))),
             Err(error) => {
                 exit = Exit::Lagging;
-                writeln!(out, "{name}: {error}")?;
+                writeln!(out, "{}: {error}", target.name)?;
             }
         }
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -21,7 +21,7 @@
     Rejected = 3,
     /// It is not known whether the edit is accepted; publish again to learn it.
     Unknown = 4,
-    /// The edit is accepted, but was not seen in force everywhere in time.
+    /// A process did not answer, or the accepted edit was not seen in force there in time.
     Lagging = 5,
 }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,19 +1,28 @@
 //! Asking every process of the system.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt, stream};
 use journal::Journal;
 use serde::Deserialize;
 use serde_json::{Map, Value};
+use state::State;
 use timeline::Event;
 use units::Revision;
-use web::Client;
+use web::{CallError, Client};
 
 /// The longest wait for one answer.
 const ASK_LIMIT: Duration = Duration::from_secs(2);
+/// How many processes are asked at the same time.
+const ASKED_AT_ONCE: usize = 64;
+
+/// A process with an admin server.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Target {
+    pub(crate) name: String,
+    pub(crate) admin: SocketAddr,
+}
 
 /// What a process says of itself at `/status`.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -25,7 +34,7 @@
     pub(crate) more: Map<String, Value>,
 }
 
-/// The admin addresses of all processes, with a name for each.
+/// Asks the admin servers of all processes.
 #[derive(Debug, Clone)]
 pub(crate) struct Fleet {
     client: Client,
@@ -37,42 +46,52 @@
         Self { client: Client::default(), entries }
     }
 
-    /// The processes known now: the entries that were given, and the agents of all members.
-    pub(crate) fn processes(&self, journal: &Journal) -> BTreeMap<SocketAddr, String> {
-        let entries = self.entries.iter().map(|addr| (*addr, format!("entry {addr}")));
-        let mut processes: BTreeMap<_, _> = entries.collect();
-        journal.read(|state| {
-            for member in state.members() {
-                let attach = &member.attach;
-                processes.insert(attach.admin, attach.instance.to_string());
-            }
-        });
-        processes
+    /// The processes known now, by name: the entries that were given, and the agents of all members.
+    pub(crate) fn targets(&self, journal: &Journal) -> Vec<Target> {
+        let entries = self.entries.iter().map(|admin| (format!("entry {admin}"), *admin));
+        let mut targets = journal.read(members);
+        targets.extend(entries.map(|(name, admin)| Target { name, admin }));
+        targets.sort();
+        targets
     }
 
-    /// Asks all processes for their status, at the same time.
+    /// Asks processes for their status.
     pub(crate) async fn statuses(
         &self,
-        processes: &BTreeMap<SocketAddr, String>,
-    ) -> Vec<(String, Result<Status, web::CallError>)> {
-        let ask = |addr: SocketAddr, name: String| async move {
-            (name, self.client.get(addr, "/status", ASK_LIMIT).await)
-        };
-        join_all(processes.iter().map(|(addr, name)| ask(*addr, name.clone()))).await
+        targets: &[Target],
+    ) -> Vec<(Target, Result<Status, CallError>)> {
+        self.ask_all(targets, |target| self.client.get(target.admin, "/status", ASK_LIMIT)).await
     }
 
-    /// Asks all processes for their events, at the same time.
+    /// Asks processes for their events.
     pub(crate) async fn events(
         &self,
-        processes: &BTreeMap<SocketAddr, String>,
-    ) -> Vec<(String, Result<Vec<Event>, String>)> {
-        let ask = |addr: SocketAddr, name: String| async move {
-            let lines = self.client.get_text(addr, "/timeline", ASK_LIMIT).await;
-            let events = lines.map_err(|error| error.to_string());
-            let parse =
-                |lines: String| Event::from_lines(&lines).map_err(|error| error.to_string());
-            (name, events.and_then(parse))
+        targets: &[Target],
+    ) -> Vec<(Target, Result<Vec<Event>, String>)> {
+        let ask = async |target: Target| {
+            let lines = self.client.get_text(target.admin, "/timeline", ASK_LIMIT).await;
+            let lines = lines.map_err(|error| error.to_string())?;
+            Event::from_lines(&lines).map_err(|error| error.to_string())
         };
-        join_all(processes.iter().map(|(addr, name)| ask(*addr, name.clone()))).await
+        self.ask_all(targets, ask).await
     }
+
+    async fn ask_all<T, F>(&self, targets: &[Target], ask: impl Fn(Target) -> F) -> Vec<(Target, T)>
+    where
+        F: Future<Output = T>,
+    {
+        let asks = targets.iter().map(|target| {
+            let answer = ask(target.clone());
+            async move { (target.clone(), answer.await) }
+        });
+        stream::iter(asks).buffered(ASKED_AT_ONCE).collect().await
+    }
+}
+
+fn members(state: &State) -> Vec<Target> {
+    let target = |member: &state::Member| {
+        let (name, admin) = (member.attach.instance.to_string(), member.attach.admin);
+        Target { name, admin }
+    };
+    state.members().map(target).collect()
 }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1,1 +1,175 @@
+//! Golden sessions of operators at a site in memory.
 
+mod site;
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use platform::Stream;
+use site::{Site, TREE};
+use tokio::time::sleep;
+
+#[tokio::test]
+async fn can_publish_in_turns() {
+    let site = Site::with_processes().await;
+    let (asma, bilal) = (site.operator("asma"), site.operator("bilal"));
+    site.write("tree.jsonc", TREE);
+    asma.run("check tree.jsonc").await;
+    asma.run("publish tree.jsonc").await;
+    asma.run("publish tree.jsonc").await;
+    bilal.run("pull bilal.jsonc").await;
+    site.edit("bilal.jsonc", "\"queue\": 8", "\"queue\": 16");
+    site.edit("tree.jsonc", "\"deadline\": \"9s\"", "\"deadline\": \"7s\"");
+    bilal.run("diff bilal.jsonc").await;
+    bilal.run("publish bilal.jsonc").await;
+    asma.run("publish tree.jsonc").await;
+    asma.run("pull tree.jsonc").await;
+    asma.run("diff tree.jsonc").await;
+    asma.run("explain page-text").await;
+    assert_snapshot!(site.transcript());
+}
+
+#[tokio::test]
+async fn can_lose_a_race_and_publish_again() {
+    let site = Site::with_processes().await;
+    let (asma, bilal) = (site.operator("asma"), site.operator("bilal"));
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    bilal.run("pull bilal.jsonc").await;
+    site.edit("tree.jsonc", "\"deadline\": \"9s\"", "\"deadline\": \"7s\"");
+    site.edit("bilal.jsonc", "\"deadline\": \"9s\"", "\"deadline\": \"8s\"");
+    site.edit("bilal.jsonc", "\"queue\": 8", "\"queue\": 16");
+    asma.run("publish tree.jsonc").await;
+    bilal.run("publish bilal.jsonc").await;
+    bilal.run("diff bilal.jsonc").await;
+    bilal.run("pull bilal.jsonc").await;
+    bilal.run("publish bilal.jsonc").await;
+    bilal.run("set /hall deadline=6s queue=").await;
+    bilal.run("set /hall queue=").await;
+    assert_snapshot!(site.transcript());
+}
+
+#[tokio::test]
+async fn can_see_the_processes() {
+    let site = Site::with_processes().await;
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.grant("page-text", "endpoint-1").await;
+    asma.run("status").await;
+    site.record_request();
+    asma.run("timeline --request r-1").await;
+    site.stop_following(1);
+    asma.run("--wait 300ms set /hall queue=9").await;
+    asma.run("status").await;
+    assert_snapshot!(site.transcript());
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_learn_what_became_of_an_edit_without_an_answer() {
+    let site = Site::default();
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    site.log.set(|faults| faults.lost = 1);
+    asma.run("publish tree.jsonc").await;
+    site.note("the log holds the next append back for a minute");
+    site.log.set(|faults| faults.late = Some(Duration::from_secs(60)));
+    site.edit("tree.jsonc", "\"queue\": 8", "\"queue\": 16");
+    asma.run("publish tree.jsonc").await;
+    site.log.set(|faults| faults.late = None);
+    site.note("published again before the first try surfaces");
+    asma.run("publish tree.jsonc").await;
+    sleep(Duration::from_secs(120)).await;
+    site.note("the first try has surfaced: void");
+    asma.run("explain /hall").await;
+    site.note("the same, but the first try surfaces before the second");
+    site.log.set(|faults| faults.late = Some(Duration::from_secs(60)));
+    site.edit("tree.jsonc", "\"queue\": 16", "\"queue\": 32");
+    asma.run("publish tree.jsonc").await;
+    site.log.set(|faults| faults.late = None);
+    sleep(Duration::from_secs(120)).await;
+    asma.run("publish tree.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_wait_out_a_short_outage_and_give_up_in_a_long_one() {
+    let site = Site::default();
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.edit("tree.jsonc", "\"queue\": 8", "\"queue\": 16");
+    site.note("the log refuses appends for five seconds");
+    site.refuse_for(Duration::from_secs(5));
+    asma.run("publish tree.jsonc").await;
+    site.note("the log is down");
+    site.log.set(|faults| faults.outage = true);
+    asma.run("publish tree.jsonc").await;
+    asma.run("status").await;
+    assert_snapshot!(site.transcript());
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_what_must_not_be_published() {
+    let site = Site::default();
+    let asma = site.operator("asma");
+    site.write("wrong.jsonc", &TREE.replace("\"9s\"", "9"));
+    asma.run("publish wrong.jsonc").await;
+    site.write("wrong.jsonc", &TREE.replace("\"likhari\"", "\"\""));
+    asma.run("check wrong.jsonc").await;
+    asma.run("publish missing.jsonc").await;
+    assert_eq!(site.log.counters().records, 0);
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.write("other.jsonc", &TREE.replace("\"9s\"", "\"5s\""));
+    asma.run("publish other.jsonc").await;
+    asma.run("pull other.jsonc").await;
+    asma.run("set /hall version=v1").await;
+    asma.run("set /hal queue=1").await;
+    asma.run("explain page-txt").await;
+    site.write("tree.jsonc.base", &tree::with_revision(TREE, units::Revision(9)));
+    asma.run("publish tree.jsonc").await;
+    assert_eq!(site.log.counters().records, 1);
+    site.note("with --replace the file stands for all there is");
+    asma.run("--replace publish other.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_a_log_that_has_lost_everything() {
+    let site = Site::default();
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.log.wipe(Stream::Control);
+    site.edit("tree.jsonc", "\"queue\": 8", "\"queue\": 16");
+    asma.run("publish tree.jsonc").await;
+    asma.run("pull tree.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_keep_unpublished_changes_over_a_pull() {
+    let site = Site::default();
+    let (asma, bilal) = (site.operator("asma"), site.operator("bilal"));
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    bilal.run("set /hall deadline=5s").await;
+    site.edit("tree.jsonc", "\"queue\": 8", "\"queue\": 16");
+    asma.run("pull tree.jsonc").await;
+    site.show("tree.jsonc");
+    bilal.run("pull bilal.jsonc").await;
+    site.edit("bilal.jsonc", "\"urdu\": { \"kind\": \"adapter\" },", "");
+    bilal.run("publish bilal.jsonc").await;
+    site.edit(
+        "tree.jsonc",
+        "\"urdu\": { \"kind\"",
+        "\"urdu\": { \"settings\": { \"deadline\": \"4s\" }, \"kind\"",
+    );
+    site.note("asma changes what bilal has removed");
+    asma.run("pull tree.jsonc").await;
+    asma.run("publish tree.jsonc").await;
+    asma.run("--force pull tree.jsonc").await;
+    asma.run("publish tree.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
