--- /dev/null
+++ b/components/entry/src/flight.rs
@@ -0,0 +1,277 @@
+//! One request under way: from candidate to candidate until it has an outcome, and settled by its deadline.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use process::Phase;
+use timeline::Kind;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use units::{EndpointId, Incarnation, RequestId, Span};
+use wire::{Outcome, Refusal};
+
+use crate::answer::Message;
+use crate::attempt::Step;
+use crate::call::Call;
+use crate::candidate::{Candidate, candidates};
+use crate::core::Core;
+use crate::keys;
+use crate::pick::{Choice, Policy, pick};
+use crate::prefix::Prefix;
+use crate::load::Place;
+use crate::relay::Received;
+
+/// The most dispatches of one request.
+const ATTEMPTS: u32 = 6;
+/// How long a request waits for an endpoint to appear where none may serve it.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The pause before endpoints whose agents lag behind the log are tried again.
+const LAG_PAUSE: Duration = Duration::from_millis(100);
+/// How long a forced shutdown waits for proofs.
+const FORCE_LIMIT: Duration = Duration::from_millis(500);
+/// The part of the time allowed that is kept to settle a request, as a divisor.
+const RESERVE_PART: u32 = 10;
+const RESERVE_LEAST: Duration = Duration::from_millis(20);
+const RESERVE_MOST: Duration = Duration::from_millis(400);
+/// When a caller that no endpoint could serve should come back.
+const RETRY: Span = Span::secs(2);
+
+/// An agent that may have the request.
+#[derive(Debug, Clone)]
+pub(crate) struct Placed {
+    pub(crate) target: Candidate,
+    /// The id under which the agent has it.
+    pub(crate) id: RequestId,
+}
+
+/// One request under way.
+pub(crate) struct Flight {
+    pub(crate) core: Arc<Core>,
+    pub(crate) call: Call,
+    pub(crate) messages: mpsc::Sender<Message>,
+    /// When the request is settled if it has no outcome yet.
+    pub(crate) cutoff: Instant,
+    /// The agents that may have it.
+    pub(crate) placed: Vec<Placed>,
+    /// What has come of the answer.
+    pub(crate) received: Received,
+    prefix: Option<Prefix>,
+    tried: Vec<(EndpointId, Incarnation)>,
+    newer: Vec<(EndpointId, Incarnation)>,
+    barred: Vec<EndpointId>,
+    attempts: u32,
+}
+
+impl Flight {
+    pub(crate) fn new(core: Arc<Core>, call: Call, messages: mpsc::Sender<Message>) -> Self {
+        let allowed = call.allowed();
+        let reserve = (allowed / RESERVE_PART).clamp(RESERVE_LEAST, RESERVE_MOST).min(allowed / 2);
+        let prefix = call.model().and_then(|_| Prefix::of(&call.leaf.path, &call.body));
+        Self {
+            cutoff: call.deadline - reserve,
+            core,
+            call,
+            messages,
+            placed: Vec::new(),
+            received: Received::default(),
+            prefix,
+            tried: Vec::new(),
+            newer: Vec::new(),
+            barred: Vec::new(),
+            attempts: 0,
+        }
+    }
+
+    /// Carries the request to its outcome and tells the caller.
+    pub(crate) async fn run(mut self) {
+        let caller = self.messages.clone();
+        let shutdown = self.core.shutdown.clone();
+        let cutoff = tokio::time::sleep_until(self.cutoff);
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.drive() => outcome,
+            () = caller.closed() => return self.hang_up().await,
+            () = shutdown.reached(Phase::Force) => {
+                let until = self.call.deadline.min(Instant::now() + FORCE_LIMIT);
+                self.settle(Refusal::Shutdown, until).await
+            }
+            () = cutoff => {
+                let until = self.call.deadline - (self.call.deadline - self.cutoff) / 4;
+                self.settle(Refusal::Late, until).await
+            }
+        };
+        drop(caller);
+        self.finish(outcome).await;
+    }
+
+    async fn finish(self, outcome: Outcome<()>) {
+        self.core.note_end(&self.call, &outcome);
+        // A caller that does not read until its deadline gets a cut answer.
+        let _ = tokio::time::timeout_at(
+            self.call.deadline,
+            self.messages.send(Message::End(outcome)),
+        )
+        .await;
+    }
+
+    async fn drive(&mut self) -> Outcome<()> {
+        let claimed = keys::claim(&self.call, &self.core.instance, &self.core.keys).await;
+        if let Err(refusal) = claimed {
+            return Outcome::NotRun(refusal);
+        }
+        self.core.budget.first();
+        let mut last = Refusal::NoEndpoint { retry: RETRY };
+        let mut cause = None;
+        let patience = Instant::now() + PATIENCE;
+        loop {
+            let Some(target) = self.next_target() else {
+                if is_lag(&last) && Instant::now() < patience {
+                    self.await_change().await;
+                    continue;
+                }
+                break;
+            };
+            if self.attempts == ATTEMPTS || self.attempts > 0 && !self.core.budget.retry() {
+                break;
+            }
+            if self.attempts > 0 {
+                metrics::counter!("entry_retries").increment(1);
+            }
+            self.attempts += 1;
+            match self.attempt(&target).await {
+                Step::Ended(outcome) => return outcome,
+                Step::NotRun(refusal) => {
+                    self.note_refusal(&target, &refusal);
+                    last = refusal;
+                }
+                Step::Lost(lost) => {
+                    self.tried.push((target.endpoint, target.incarnation));
+                    cause = Some(lost);
+                }
+            }
+        }
+        match cause {
+            Some(cause) if !self.placed.is_empty() => Outcome::Unknown(cause),
+            _ => Outcome::NotRun(last),
+        }
+    }
+
+    /// Whether there is another endpoint that could take the request.
+    pub(crate) fn has_other(&self, than: &EndpointId) -> bool {
+        self.open_candidates().iter().any(|candidate| candidate.endpoint != *than)
+    }
+
+    /// The id under which an agent gets the request: another one where the agent has barred the first.
+    pub(crate) fn id_for(&self, endpoint: &EndpointId) -> RequestId {
+        let barred = self.barred.iter().filter(|other| *other == endpoint).count();
+        if barred == 0 {
+            return self.call.request.clone();
+        }
+        let text = format!("{}.{barred}", self.call.request);
+        text.parse().expect("a request id with a short suffix is one")
+    }
+
+    /// The place whose load the request adds to.
+    pub(crate) fn place(&self, endpoint: &EndpointId) -> Place {
+        Place { endpoint: endpoint.clone(), model: self.call.leaf.model.clone() }
+    }
+
+    /// Notes which endpoint has the request's prefix in its cache.
+    pub(crate) fn note_prefix(&self, endpoint: &EndpointId) {
+        if let Some(prefix) = self.prefix {
+            self.core.prefixes.note(prefix, endpoint);
+        }
+    }
+
+    fn open_candidates(&self) -> Vec<Candidate> {
+        let mut all = self.core.journal.read(|state| candidates(state, &self.call.leaf));
+        for candidate in &mut all {
+            let newer = self.newer.iter().filter(|(endpoint, _)| *endpoint == candidate.endpoint);
+            let newest = newer.map(|(_, incarnation)| *incarnation).max();
+            candidate.incarnation = newest.unwrap_or_default().max(candidate.incarnation);
+        }
+        let is_tried = |candidate: &Candidate| {
+            let tried = self.tried.iter();
+            tried.clone().any(|(endpoint, incarnation)| {
+                *endpoint == candidate.endpoint && *incarnation == candidate.incarnation
+            })
+        };
+        all.retain(|candidate| !is_tried(candidate));
+        all
+    }
+
+    fn next_target(&self) -> Option<Candidate> {
+        let mut open = self.open_candidates();
+        let loads: Vec<_> = open
+            .iter()
+            .map(|candidate| self.core.loads.look(&self.place(&candidate.endpoint)))
+            .collect();
+        let awake = loads.iter().filter_map(|load| load.awake).max().unwrap_or(1).max(1);
+        let choices: Vec<Choice> = open
+            .iter()
+            .zip(&loads)
+            .map(|(candidate, load)| Choice {
+                endpoint: candidate.endpoint.clone(),
+                near: candidate.domain == self.core.domain,
+                requests: load.requests,
+                admission: self.core.breakers.admission(&candidate.endpoint),
+            })
+            .collect();
+        let cached = self.prefix.and_then(|prefix| self.core.prefixes.get(prefix));
+        let policy = Policy {
+            awake: open.iter().filter(|candidate| candidate.index < awake).count(),
+            batch: self.call.leaf.settings.batch,
+            cached: cached.as_ref(),
+            probes: self.call.repeatable,
+        };
+        let at = pick(&choices, &policy, &mut rand::rng())?;
+        Some(open.swap_remove(at))
+    }
+
+    fn note_refusal(&mut self, target: &Candidate, refusal: &Refusal) {
+        match refusal {
+            Refusal::Incarnation { current } if *current > target.incarnation => {
+                self.newer.push((target.endpoint.clone(), *current));
+            }
+            Refusal::Cancelled => self.barred.push(target.endpoint.clone()),
+            _ => self.tried.push((target.endpoint.clone(), target.incarnation)),
+        }
+    }
+
+    /// Waits for news from the log, or a moment for agents to catch up with it; then all may be tried again.
+    async fn await_change(&mut self) {
+        let mut changes = self.core.journal.changes();
+        changes.mark_unchanged();
+        let _ = tokio::time::timeout(LAG_PAUSE, changes.changed()).await;
+        self.tried.clear();
+    }
+
+    /// Frees what the request holds at agents, since nobody waits for it.
+    async fn hang_up(self) {
+        let event = self.core.recorder.event(Kind::Cancelled).request(&self.call.request);
+        self.core.recorder.record(event.note("the caller hung up"));
+        metrics::counter!("entry_hang_ups").increment(1);
+        if self.call.repeatable {
+            self.cancel_all(Instant::now() + FORCE_LIMIT).await;
+        }
+    }
+}
+
+/// Whether the refusal may only mean that an entry or agent has not read the log yet.
+fn is_lag(refusal: &Refusal) -> bool {
+    match refusal {
+        Refusal::NoEndpoint { .. }
+        | Refusal::NoGrant
+        | Refusal::Leaving
+        | Refusal::Incarnation { .. }
+        | Refusal::Shutdown => true,
+        Refusal::Late
+        | Refusal::Hopeless { .. }
+        | Refusal::Full { .. }
+        | Refusal::LoadFailed { .. }
+        | Refusal::Cancelled
+        | Refusal::NoClaim { .. }
+        | Refusal::KeyTaken
+        | Refusal::Endpoint { .. } => false,
+    }
+}
--- /dev/null
+++ b/components/entry/src/load.rs
@@ -0,0 +1,131 @@
+//! How busy endpoints are: own requests, and what agents say of the others; older news counts less.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::{EndpointId, ModelName};
+use wire::Report;
+
+/// A report of this age counts half.
+const HALF_LIFE: Duration = Duration::from_secs(1);
+/// How long a report says which replicas are awake.
+const AWAKE_AGE: Duration = Duration::from_secs(5);
+/// Places with no request and no report for this long are forgotten.
+const FORGET: Duration = Duration::from_secs(120);
+
+/// A model or service at an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Place {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) model: ModelName,
+}
+
+/// What is known of a place now.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Load {
+    /// Requests that run or wait there, as far as this entry can tell.
+    pub(crate) requests: f64,
+    /// How many replicas are awake, if a new enough report said so.
+    pub(crate) awake: Option<u32>,
+}
+
+/// What the entry knows of its endpoints; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Loads {
+    places: Arc<Mutex<HashMap<Place, News>>>,
+}
+
+#[derive(Debug)]
+struct News {
+    own: u32,
+    touched: Instant,
+    told: Option<Told>,
+}
+
+#[derive(Debug)]
+struct Told {
+    others: u32,
+    awake: u32,
+    at: Instant,
+}
+
+/// Counts a request at a place until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    loads: Loads,
+    place: Place,
+}
+
+impl Loads {
+    /// Counts a request at a place.
+    pub(crate) fn start(&self, place: Place) -> Ticket {
+        let mut places = self.lock();
+        let news = places.entry(place.clone()).or_insert_with(News::new);
+        news.own += 1;
+        news.touched = Instant::now();
+        drop(places);
+        Ticket { loads: self.clone(), place }
+    }
+
+    /// Keeps what an agent says of a place.
+    pub(crate) fn note(&self, place: &Place, report: &Report) {
+        let mut places = self.lock();
+        let news = places.entry(place.clone()).or_insert_with(News::new);
+        let others = (report.waiting + report.running).saturating_sub(news.own);
+        let now = Instant::now();
+        news.touched = now;
+        news.told = Some(Told { others, awake: report.awake, at: now });
+    }
+
+    /// What is known of a place.
+    pub(crate) fn look(&self, place: &Place) -> Load {
+        self.lock().get(place).map_or_else(Load::default, News::load)
+    }
+
+    /// How many of a model's replicas are awake, by the newest reports of these endpoints; 0 if none is new.
+    pub(crate) fn awake(&self, model: &ModelName, endpoints: &[EndpointId]) -> u32 {
+        let places = endpoints
+            .iter()
+            .map(|endpoint| Place { endpoint: endpoint.clone(), model: model.clone() });
+        places.filter_map(|place| self.look(&place).awake).max().unwrap_or(0)
+    }
+
+    /// Forgets places that are not in use.
+    pub(crate) fn prune(&self) {
+        self.lock().retain(|_, news| news.own > 0 || news.touched.elapsed() < FORGET);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Place, News>> {
+        self.places.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl News {
+    fn new() -> Self {
+        Self { own: 0, touched: Instant::now(), told: None }
+    }
+
+    fn load(&self) -> Load {
+        let own = f64::from(self.own);
+        let Some(told) = &self.told else { return Load { requests: own, awake: None } };
+        let age = told.at.elapsed();
+        let weight = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let awake = (age <= AWAKE_AGE).then_some(told.awake);
+        Load { requests: own + weight * f64::from(told.others), awake }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut places = self.loads.lock();
+        if let Some(news) = places.get_mut(&self.place) {
+            news.own = news.own.saturating_sub(1);
+            news.touched = Instant::now();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/entry/src/pick.rs
@@ -0,0 +1,102 @@
+//! Choosing among the endpoints that may serve a request.
+
+use rand::{Rng, RngExt};
+use units::EndpointId;
+
+use crate::breaker::Admission;
+
+/// What it costs to leave the failure domain, as a share of a replica's batch: a far endpoint is
+/// chosen once the near ones are busier by this much.
+const FAR: f64 = 0.25;
+/// How much busier an endpoint with the request's prefix in its cache may be, as a share of the batch.
+const CACHED: f64 = 0.5;
+
+/// One endpoint to choose from.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Choice {
+    pub(crate) endpoint: EndpointId,
+    /// Whether it is in the entry's failure domain.
+    pub(crate) near: bool,
+    /// Requests that run or wait there.
+    pub(crate) requests: f64,
+    pub(crate) admission: Admission,
+}
+
+/// How to choose.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Policy<'a> {
+    /// How many choices, from the first on, are awake; all requests go to the first while none is.
+    pub(crate) awake: usize,
+    /// How many requests one replica runs at the same time.
+    pub(crate) batch: u32,
+    /// The endpoint that served the request's prefix last.
+    pub(crate) cached: Option<&'a EndpointId>,
+    /// Whether the request may serve as the probe of an ejected endpoint.
+    pub(crate) probes: bool,
+}
+
+/// Chooses one: the first of a cold model, else the cheapest of two near ones and a far one.
+pub(crate) fn pick(
+    choices: &[Choice],
+    policy: &Policy<'_>,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let open = admitted(choices, policy);
+    let awake: Vec<usize> = open.iter().copied().filter(|&at| at < policy.awake).collect();
+    if awake.is_empty() {
+        return open.first().copied();
+    }
+    let sampled = sample(choices, &awake, rng);
+    let best = cheapest(choices, &sampled, policy)?;
+    let cached = awake.iter().copied().find(|&at| Some(&choices[at].endpoint) == policy.cached);
+    let Some(cached) = cached else { return Some(best) };
+    let room = CACHED * f64::from(policy.batch);
+    let worth = cost(&choices[cached], policy) <= cost(&choices[best], policy) + room;
+    Some(if worth { cached } else { best })
+}
+
+/// The choices that are not ejected; all of them if each one is, since a refusal helps nobody.
+fn admitted(choices: &[Choice], policy: &Policy<'_>) -> Vec<usize> {
+    let every = 0..choices.len();
+    let open = every.clone().filter(|&at| match choices[at].admission {
+        Admission::Closed => true,
+        Admission::Probe => policy.probes,
+        Admission::Open => false,
+    });
+    let open: Vec<usize> = open.collect();
+    if open.is_empty() { every.collect() } else { open }
+}
+
+/// Up to two near choices and one far one; two far ones where none is near.
+fn sample(choices: &[Choice], among: &[usize], rng: &mut impl Rng) -> Vec<usize> {
+    let (near, far): (Vec<usize>, Vec<usize>) =
+        among.iter().copied().partition(|&at| choices[at].near);
+    let far_count = if near.is_empty() { 2 } else { 1 };
+    let mut sampled = draw(near, 2, rng);
+    sampled.extend(draw(far, far_count, rng));
+    sampled
+}
+
+fn draw(mut from: Vec<usize>, count: usize, rng: &mut impl Rng) -> Vec<usize> {
+    let count = count.min(from.len());
+    for place in 0..count {
+        let other = rng.random_range(place..from.len());
+        from.swap(place, other);
+    }
+    from.truncate(count);
+    from
+}
+
+fn cheapest(choices: &[Choice], sampled: &[usize], policy: &Policy<'_>) -> Option<usize> {
+    let costs = sampled.iter().map(|&at| (at, cost(&choices[at], policy)));
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+}
+
+/// Requests ahead, with the way there counted as requests.
+fn cost(choice: &Choice, policy: &Policy<'_>) -> f64 {
+    let way = if choice.near { 0.0 } else { FAR * f64::from(policy.batch) };
+    choice.requests + way
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/entry/src/pick/tests.rs
@@ -0,0 +1,179 @@
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::*;
+
+fn choice(name: usize, near: bool, requests: f64) -> Choice {
+    Choice {
+        endpoint: format!("likhari-{name}").parse().expect("an endpoint id"),
+        near,
+        requests,
+        admission: Admission::Closed,
+    }
+}
+
+fn policy(awake: usize) -> Policy<'static> {
+    Policy { awake, batch: 8, cached: None, probes: true }
+}
+
+fn rng(seed: u64) -> SmallRng {
+    SmallRng::seed_from_u64(seed)
+}
+
+#[test]
+fn can_send_a_burst_for_a_cold_model_to_one_endpoint() {
+    let choices = [choice(0, false, 50.0), choice(1, true, 0.0), choice(2, true, 0.0)];
+    for seed in 0..50 {
+        assert_eq!(pick(&choices, &policy(0), &mut rng(seed)), Some(0));
+        assert_eq!(pick(&choices, &policy(1), &mut rng(seed)), Some(0));
+    }
+}
+
+#[test]
+fn can_stay_near_until_spilling_is_worth_it() {
+    let near_idle = [choice(0, false, 0.0), choice(1, true, 1.0)];
+    assert_eq!(pick(&near_idle, &policy(2), &mut rng(1)), Some(1));
+    let near_busy = [choice(0, false, 0.0), choice(1, true, 4.0)];
+    assert_eq!(pick(&near_busy, &policy(2), &mut rng(1)), Some(0));
+}
+
+#[test]
+fn can_prefer_a_cached_prefix_within_reason() {
+    let choices = [choice(0, true, 0.0), choice(1, true, 3.0)];
+    let cached = choices[1].endpoint.clone();
+    let with_cache = Policy { cached: Some(&cached), ..policy(2) };
+    assert_eq!(pick(&choices, &with_cache, &mut rng(1)), Some(1));
+    let busy = [choice(0, true, 0.0), choice(1, true, 9.0)];
+    assert_eq!(pick(&busy, &with_cache, &mut rng(1)), Some(0));
+}
+
+#[test]
+fn can_leave_ejected_endpoints_out() {
+    let mut choices = [choice(0, true, 0.0), choice(1, true, 9.0)];
+    choices[0].admission = Admission::Open;
+    assert_eq!(pick(&choices, &policy(2), &mut rng(1)), Some(1));
+    choices[0].admission = Admission::Probe;
+    let no_probes = Policy { probes: false, ..policy(2) };
+    assert_eq!(pick(&choices, &no_probes, &mut rng(1)), Some(1));
+    choices[0].admission = Admission::Open;
+    choices[1].admission = Admission::Open;
+    assert!(pick(&choices, &policy(2), &mut rng(1)).is_some());
+}
+
+/// The endpoints that a plain reading of the rules allows, whatever the dice say.
+fn naive(choices: &[Choice], policy: &Policy<'_>) -> Vec<usize> {
+    let is_open = |choice: &Choice| {
+        choice.admission == Admission::Closed
+            || choice.admission == Admission::Probe && policy.probes
+    };
+    let mut open: Vec<usize> = (0..choices.len()).filter(|&at| is_open(&choices[at])).collect();
+    if open.is_empty() {
+        open = (0..choices.len()).collect();
+    }
+    let awake: Vec<usize> = open.iter().copied().filter(|&at| at < policy.awake).collect();
+    if awake.is_empty() {
+        return open.into_iter().take(1).collect();
+    }
+    let far = f64::from(policy.batch) * FAR;
+    let cost = |at: usize| choices[at].requests + if choices[at].near { 0.0 } else { far };
+    let is_cached = |at: usize| Some(&choices[at].endpoint) == policy.cached;
+    let near = awake.iter().filter(|&&at| choices[at].near).count();
+    let rank = |at: usize, same_side: bool| {
+        let others = awake.iter().filter(|&&other| other != at);
+        let beaten = others.filter(|&&other| cost(other) >= cost(at));
+        beaten.filter(|&&other| !same_side || choices[other].near == choices[at].near).count()
+    };
+    let may_win = |at: usize| {
+        // Two are drawn from its side, or one where it is far and some are near: it must beat that many there.
+        let side = if choices[at].near { near } else { awake.len() - near };
+        let drawn = if choices[at].near || near == 0 { 2.min(side) } else { 1 };
+        let wins_side = rank(at, true) >= drawn - 1;
+        // Of the other side the cheapest drawn may be as dear as the second dearest, or the only one.
+        let other: Vec<f64> = awake
+            .iter()
+            .filter(|&&other| choices[other].near != choices[at].near)
+            .map(|&other| cost(other))
+            .collect();
+        let other_drawn = if near == 0 { 0 } else if choices[at].near { 1 } else { 2 };
+        let other_drawn = other_drawn.min(other.len());
+        let beaten = other.iter().filter(|&&other| other >= cost(at)).count();
+        wins_side && beaten >= other_drawn
+    };
+    let best: Vec<usize> = awake.iter().copied().filter(|&at| may_win(at)).collect();
+    let Some(cached) = awake.iter().copied().find(|&at| is_cached(at)) else { return best };
+    let room = CACHED * f64::from(policy.batch);
+    let mut allowed: Vec<usize> =
+        best.iter().copied().filter(|&at| cost(cached) > cost(at) + room).collect();
+    if best.iter().any(|&at| cost(cached) <= cost(at) + room) {
+        allowed.push(cached);
+    }
+    allowed
+}
+
+fn any_choice() -> impl Strategy<Value = (bool, u8, u8)> {
+    (any::<bool>(), 0..20_u8, 0..6_u8)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        cases: 2000,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn can_choose_only_what_a_naive_reading_allows(
+        raw in proptest::collection::vec(any_choice(), 0..8),
+        awake in 0..9_usize,
+        cached in proptest::option::of(0..8_usize),
+        probes: bool,
+        seed: u64,
+    ) {
+        let choices: Vec<Choice> = raw
+            .iter()
+            .enumerate()
+            .map(|(name, &(near, requests, admission))| Choice {
+                admission: match admission {
+                    0 => Admission::Open,
+                    1 => Admission::Probe,
+                    _ => Admission::Closed,
+                },
+                ..choice(name, near, f64::from(requests))
+            })
+            .collect();
+        let cached = cached.and_then(|at| choices.get(at)).map(|choice| choice.endpoint.clone());
+        let policy = Policy { awake, batch: 8, cached: cached.as_ref(), probes };
+        let allowed = naive(&choices, &policy);
+        match pick(&choices, &policy, &mut rng(seed)) {
+            None => prop_assert!(choices.is_empty()),
+            Some(at) => prop_assert!(allowed.contains(&at), "{at} is not of {allowed:?}"),
+        }
+    }
+
+    #[test]
+    fn can_reach_every_allowed_choice(
+        requests in proptest::collection::vec(0..6_u8, 1..5),
+        near in proptest::collection::vec(any::<bool>(), 5),
+    ) {
+        let choices: Vec<Choice> = requests
+            .iter()
+            .enumerate()
+            .map(|(name, &requests)| choice(name, near[name], f64::from(requests)))
+            .collect();
+        let policy = policy(choices.len());
+        let mut reached: Vec<usize> =
+            (0..400).filter_map(|seed| pick(&choices, &policy, &mut rng(seed))).collect();
+        reached.sort_unstable();
+        reached.dedup();
+        // Equal costs are settled by the order of the draw, so only strict winners must be reached.
+        let costs: Vec<f64> = choices.iter().map(|choice| cost(choice, &policy)).collect();
+        let distinct = costs.iter().enumerate().all(|(at, cost)| {
+            costs.iter().skip(at + 1).all(|other| (other - cost).abs() > 0.01)
+        });
+        if distinct {
+            prop_assert_eq!(reached, naive(&choices, &policy));
+        }
+    }
+}
--- a/components/entry/src/settings.rs
+++ b/components/entry/src/settings.rs
@@ -25,6 +25,12 @@
     /// The largest body of a caller's request.
     #[serde(default = "default_body")]
     pub body_limit: Size,
+    /// The most callers' requests in flight.
+    #[serde(default = "default_in_flight")]
+    pub in_flight: u32,
+    /// How long an idempotency key is remembered.
+    #[serde(default = "default_key_window")]
+    pub key_window: Span,
     /// How long the balancer may still send connections after a shutdown began.
     #[serde(default = "default_lag")]
     pub balancer_lag: Span,
@@ -37,6 +43,14 @@
     Size::mib(1)
 }
 
+fn default_in_flight() -> u32 {
+    10_000
+}
+
+fn default_key_window() -> Span {
+    Span::secs(3600)
+}
+
 fn default_lag() -> Span {
     Span::secs(3)
 }
--- /dev/null
+++ b/components/entry/tests/kit/mod.rs
@@ -0,0 +1,10 @@
+//! An entry over an in-memory log and network, with scripted agents.
+#![allow(dead_code)]
+
+mod agent;
+mod net;
+mod world;
+
+pub(crate) use agent::{Act, Agent, report};
+pub(crate) use net::Net;
+pub(crate) use world::{Answer, World, ask, id};
