--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -39,14 +39,9 @@
     }
 
     async fn reply(&self, control: Control) -> Reply {
-        match &control {
-            Control::Heartbeat { demand, tick, .. } => {
-                self.recorder.clock().observe(*tick);
-                self.demand.add(demand);
-            }
-            Control::Fetch { .. } | Control::FetchState => {}
-            // Only agents hold replicas.
-            Control::Wake { .. } => return Reply::Unknown,
+        if let Control::Heartbeat { demand, tick, .. } = &control {
+            self.recorder.clock().observe(*tick);
+            self.demand.add(demand);
         }
         self.journal.answer(control).await
     }
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,10 +1,120 @@
 //! The entry's supervisor.
 
-use process::{Process, StartError};
+use std::sync::Arc;
+use std::time::Duration;
 
-use crate::Settings;
+use journal::{Journal, Keys};
+use planner::DemandLog;
+use platform::{HttpList, HttpLog, LogService};
+use process::{Phase, Process, StartError};
+use tokio::sync::watch;
+
+use crate::control::{Answerer, spread_demand};
+use crate::core::{Core, Parts};
+use crate::link::TcpDial;
+use crate::settings::Settings;
+
+/// The pause between two clean-ups of what is known of endpoints.
+const PRUNE_PAUSE: Duration = Duration::from_secs(10);
+/// How long connections may take to close once everything in flight was ended by force.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Runs an entry until its shutdown is done.
-pub async fn run(_settings: Settings, _process: Process) -> Result<(), StartError> {
+pub async fn run(settings: Settings, process: Process) -> Result<(), StartError> {
+    let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log));
+    let identity = process.identity.clone();
+    let options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+    let journal =
+        journal::start(log.clone(), identity.instance.clone(), process.recorder.clone(), options);
+    let core = Core::new(Parts {
+        instance: identity.instance.clone(),
+        domain: identity.domain,
+        journal: journal.clone(),
+        keys: Keys::start(log, settings.key_window.0),
+        recorder: process.recorder.clone(),
+        shutdown: process.shutdown.clone(),
+        dial: Arc::new(TcpDial),
+        body_limit: settings.body_limit,
+        in_flight: settings.in_flight,
+    });
+    let demand = DemandLog::default();
+    serve_control(&settings, &process, &journal, &demand).await?;
+    let status = core.clone();
+    process::spawn_admin(&process, Arc::new(move || status.status())).await?;
+    let planner = planner::run(
+        identity.instance,
+        journal,
+        Arc::new(HttpList::new(settings.list)),
+        demand.clone(),
+        process.recorder.clone(),
+        planner::Options { lease: settings.lease.0, ..Default::default() },
+    );
+    let tasks = [
+        tokio::spawn(planner),
+        tokio::spawn(spread_demand(core.clone(), demand, settings.seeds.clone())),
+        tokio::spawn(prune(core.clone())),
+    ];
+    let served = serve_callers(&settings, &process, core).await;
+    for task in tasks {
+        task.abort();
+    }
+    served
+}
+
+async fn serve_control(
+    settings: &Settings,
+    process: &Process,
+    journal: &Journal,
+    demand: &DemandLog,
+) -> Result<(), StartError> {
+    let answerer = Answerer {
+        journal: journal.clone(),
+        demand: demand.clone(),
+        recorder: process.recorder.clone(),
+    };
+    // Peers may ask until the process ends.
+    let stop = process.shutdown.flag(Phase::Force);
+    let handler = move |message| answerer.clone().answer(message);
+    peer::serve(settings.control, stop, handler).await.map_err(StartError::new)
+}
+
+/// Serves callers; the state is known before the first is accepted.
+async fn serve_callers(
+    settings: &Settings,
+    process: &Process,
+    core: Arc<Core>,
+) -> Result<(), StartError> {
+    let shutdown = &process.shutdown;
+    tokio::select! {
+        () = core.journal.ready() => {}
+        () = shutdown.reached(Phase::Drain) => return Ok(()),
+    }
+    let listener = web::bind(settings.listen).await.map_err(StartError::new)?;
+    log::info!("entry: callers are served on {}", settings.listen);
+    let (sender, stop) = watch::channel(false);
+    let handler = move |request, _peer| core.clone().answer(request);
+    let serving = web::serve(listener, web::ServeOptions::default(), stop, handler);
+    let stopping = async {
+        shutdown.reached(Phase::Drain).await;
+        tokio::select! {
+            () = tokio::time::sleep(settings.balancer_lag.0) => {}
+            () = shutdown.reached(Phase::Force) => {}
+        }
+        let _ = sender.send(true);
+        shutdown.reached(Phase::Force).await;
+        tokio::time::sleep(CLOSE_LIMIT).await;
+    };
+    tokio::select! {
+        () = serving => {}
+        () = stopping => log::warn!("entry: connections are cut by a forced shutdown"),
+    }
     Ok(())
 }
+
+/// Forgets endpoints that are gone.
+async fn prune(core: Arc<Core>) {
+    loop {
+        tokio::time::sleep(PRUNE_PAUSE).await;
+        core.prune();
+    }
+}
--- a/components/entry/tests/kit/agent.rs
+++ b/components/entry/tests/kit/agent.rs
@@ -67,7 +67,6 @@
     resumes: Vec<Resume>,
     report: Report,
     dead: bool,
-    late: bool,
 }
 
 /// A scripted agent; clones share it.
@@ -182,27 +181,32 @@
 
     async fn dispatch(&self, dispatch: Dispatch, body: Bytes) -> Response<Body> {
         let id = dispatch.request.clone();
-        let act = {
-            let mut inner = self.lock();
-            let act = inner.acts.pop_front();
-            if matches!(act, Some(Act::Lose)) {
-                drop(inner);
-                return self.vanish().await;
-            }
-            inner.dispatches.push(dispatch.clone());
-            inner.bodies.push(body);
-            if inner.rows.contains_key(&id) {
-                drop(inner);
-                return self.refuse(&Refusal::Cancelled);
-            }
-            act.unwrap_or(Act::Answer { content: "application/json", body: r#"{"ok":true}"# })
-        };
+        let Some(act) = self.arrive(&dispatch, body) else { return self.vanish().await };
+        if matches!(act, Act::Refuse(Refusal::Cancelled)) {
+            return self.refuse(&Refusal::Cancelled);
+        }
         if dispatch.incarnation != self.incarnation {
             return self.refuse(&Refusal::Incarnation { current: self.incarnation });
         }
         self.act(&id, act).await
     }
 
+    /// What to do with a dispatch; nothing if it shall be as if it had not arrived.
+    fn arrive(&self, dispatch: &Dispatch, body: Bytes) -> Option<Act> {
+        let mut inner = self.lock();
+        let act = inner.acts.pop_front();
+        if matches!(act, Some(Act::Lose)) {
+            return None;
+        }
+        inner.dispatches.push(dispatch.clone());
+        inner.bodies.push(body);
+        if inner.rows.contains_key(&dispatch.request) {
+            return Some(Act::Refuse(Refusal::Cancelled));
+        }
+        let ok = Act::Answer { content: "application/json", body: r#"{"ok":true}"# };
+        Some(act.unwrap_or(ok))
+    }
+
     async fn act(&self, id: &RequestId, act: Act) -> Response<Body> {
         match act {
             Act::Answer { content, body } => self.run(id, 200, content, body),
--- a/components/entry/tests/kit/world.rs
+++ b/components/entry/tests/kit/world.rs
@@ -122,8 +122,7 @@
     /// Writes a record.
     pub(crate) fn put(&mut self, body: Body) -> Offset {
         self.next += 1;
-        let mut record = Record::new(format!("r{}", self.next), id("planner"), 0, body);
-        record.seen = self.last();
+        let record = Record::new(format!("r{}", self.next), id("planner"), 0, self.last(), body);
         let text = serde_json::to_vec(&record).expect("records can be written");
         self.log.put(Stream::Control, text)
     }
