--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -227,6 +227,5 @@
     }
 }
 
-
 #[cfg(test)]
 mod tests;
--- a/components/entry/src/answer/tests.rs
+++ b/components/entry/src/answer/tests.rs
@@ -42,7 +42,8 @@
     drop(sender);
     let body = respond(&id(), receiver).await.into_body();
     let read = web::read(body, 10_000).await;
-    read.map(|bytes| String::from_utf8_lossy(&bytes).into_owned()).map_err(|error| error.to_string())
+    read.map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
+        .map_err(|error| error.to_string())
 }
 
 fn head(content: &'static str) -> AnswerHead {
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -31,7 +31,7 @@
 /// A dispatch that was sent.
 enum Sent {
     /// The agent answers.
-    Open(Reply),
+    Open(Box<Reply>),
     /// The stream was lost with the connection of this generation.
     Lost(u64),
 }
@@ -62,7 +62,7 @@
                 Sent::Lost(generation) => generation,
             };
             sent = match self.recover(&placed, generation).await {
-                Ok(reply) => Sent::Open(reply),
+                Ok(reply) => Sent::Open(Box::new(reply)),
                 Err(cause) => return self.give_up(cause),
             };
         }
@@ -98,7 +98,7 @@
         self.placed.push(Placed { target: target.clone(), id: id.clone() });
         self.note(Kind::Dispatched, target);
         match line.send(request).await {
-            Ok(response) => Ok(Sent::Open(Reply { line, response })),
+            Ok(response) => Ok(Sent::Open(Box::new(Reply { line, response }))),
             Err(SendError::Lost { .. }) => Ok(Sent::Lost(line.generation)),
             Err(SendError::NotSent { .. }) => {
                 self.placed.pop();
@@ -146,7 +146,8 @@
                 Step::Ended(Outcome::Served(()))
             }
             Relayed::Refused(refusal) => {
-                let same = |other: &Placed| other.target.endpoint == *endpoint && other.id == placed.id;
+                let same =
+                    |other: &Placed| other.target.endpoint == *endpoint && other.id == placed.id;
                 self.placed.retain(|other| !same(other));
                 self.core.breakers.note_success(endpoint);
                 Step::NotRun(refusal)
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -158,10 +158,18 @@
     let wrong = |allowed| Err(Invalid::Method { path: path.to_owned(), method: allowed });
     match path {
         "/v1/completions" | "/v1/chat/completions" => {
-            if *method == Method::POST { Ok(Route::Completion) } else { wrong("POST") }
+            if *method == Method::POST {
+                Ok(Route::Completion)
+            } else {
+                wrong("POST")
+            }
         }
         "/v1/models" => {
-            if *method == Method::GET { Ok(Route::Models) } else { wrong("GET") }
+            if *method == Method::GET {
+                Ok(Route::Models)
+            } else {
+                wrong("GET")
+            }
         }
         _ => service_route(path, query),
     }
@@ -211,7 +219,8 @@
 fn group(headers: &HeaderMap) -> Result<CallerGroup, Invalid> {
     let named = parsed(headers, GROUP)?;
     let fallback = || DEFAULT_GROUP.parse();
-    let cause = |error: units::ParseIdError| Invalid::Header { name: GROUP, cause: error.to_string() };
+    let cause =
+        |error: units::ParseIdError| Invalid::Header { name: GROUP, cause: error.to_string() };
     named.map_or_else(fallback, Ok).map_err(cause)
 }
 
--- a/components/entry/src/flight.rs
+++ b/components/entry/src/flight.rs
@@ -16,9 +16,9 @@
 use crate::candidate::{Candidate, candidates};
 use crate::core::Core;
 use crate::keys;
+use crate::load::Place;
 use crate::pick::{Choice, Policy, pick};
 use crate::prefix::Prefix;
-use crate::load::Place;
 use crate::relay::Received;
 
 /// The most dispatches of one request.
@@ -107,11 +107,9 @@
     async fn finish(self, outcome: Outcome<()>) {
         self.core.note_end(&self.call, &outcome);
         // A caller that does not read until its deadline gets a cut answer.
-        let _ = tokio::time::timeout_at(
-            self.call.deadline,
-            self.messages.send(Message::End(outcome)),
-        )
-        .await;
+        let _ =
+            tokio::time::timeout_at(self.call.deadline, self.messages.send(Message::End(outcome)))
+                .await;
     }
 
     async fn drive(&mut self) -> Outcome<()> {
--- a/components/entry/src/pick.rs
+++ b/components/entry/src/pick.rs
@@ -36,11 +36,7 @@
 }
 
 /// Chooses one: the first of a cold model, else the cheapest of two near ones and a far one.
-pub(crate) fn pick(
-    choices: &[Choice],
-    policy: &Policy<'_>,
-    rng: &mut impl Rng,
-) -> Option<usize> {
+pub(crate) fn pick(choices: &[Choice], policy: &Policy<'_>, rng: &mut impl Rng) -> Option<usize> {
     let open = admitted(choices, policy);
     let awake: Vec<usize> = open.iter().copied().filter(|&at| at < policy.awake).collect();
     if awake.is_empty() {
--- a/components/entry/src/pick/tests.rs
+++ b/components/entry/src/pick/tests.rs
@@ -95,7 +95,13 @@
             .filter(|&&other| choices[other].near != choices[at].near)
             .map(|&other| cost(other))
             .collect();
-        let other_drawn = if near == 0 { 0 } else if choices[at].near { 1 } else { 2 };
+        let other_drawn = if near == 0 {
+            0
+        } else if choices[at].near {
+            1
+        } else {
+            2
+        };
         let other_drawn = other_drawn.min(other.len());
         let beaten = other.iter().filter(|&&other| other >= cost(at)).count();
         wins_side && beaten >= other_drawn
--- a/components/entry/src/recover.rs
+++ b/components/entry/src/recover.rs
@@ -44,7 +44,7 @@
     /// It may have run.
     Unknown,
     /// It had been answered already.
-    Answered(Reply),
+    Answered(Box<Reply>),
 }
 
 impl Flight {
@@ -107,7 +107,7 @@
                 Proof::NotRun => continue,
                 Proof::Unknown => {}
                 Proof::Answered(reply) => {
-                    if self.finish_answer(placed, reply).await {
+                    if self.finish_answer(placed, *reply).await {
                         return Outcome::Served(());
                     }
                 }
@@ -158,10 +158,11 @@
         StatusCode::GONE => Proof::Unknown,
         StatusCode::CONFLICT => {
             let bytes = web::read(reply.response.into_body(), REFUSAL_LIMIT).await;
-            let refused = bytes.is_ok_and(|bytes| serde_json::from_slice::<Refusal>(&bytes).is_ok());
+            let refused =
+                bytes.is_ok_and(|bytes| serde_json::from_slice::<Refusal>(&bytes).is_ok());
             if refused { Proof::NotRun } else { Proof::Unknown }
         }
-        _ => Proof::Answered(reply),
+        _ => Proof::Answered(Box::new(reply)),
     }
 }
 
--- a/components/entry/tests/kit/agent.rs
+++ b/components/entry/tests/sessions/kit/agent.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
-use http::{HeaderMap, Request, Response, StatusCode};
+use futures_util::stream::{self, StreamExt};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
@@ -67,6 +67,7 @@
     resumes: Vec<Resume>,
     report: Report,
     dead: bool,
+    dying: bool,
 }
 
 /// A scripted agent; clones share it.
@@ -132,6 +133,16 @@
         self.cut_all();
     }
 
+    /// Kills the agent right after the next dispatch; what it has sent by then still arrives.
+    pub(crate) fn set_dead_after_dispatch(&self) {
+        self.lock().dying = true;
+    }
+
+    /// The same agent under a new incarnation, which knows nothing of earlier requests.
+    pub(crate) fn reborn(&self, incarnation: Incarnation) -> Self {
+        Self::new(self.addr, incarnation)
+    }
+
     /// Cuts all open connections.
     pub(crate) fn cut_all(&self) {
         self.cut.notify_waiters();
@@ -200,6 +211,7 @@
         }
         inner.dispatches.push(dispatch.clone());
         inner.bodies.push(body);
+        inner.dead = inner.dead || inner.dying;
         if inner.rows.contains_key(&dispatch.request) {
             return Some(Act::Refuse(Refusal::Cancelled));
         }
@@ -213,8 +225,12 @@
             Act::Status { status, content, body } => self.run(id, status, content, body),
             Act::After(pause, body) => {
                 self.lock().rows.insert(id.clone(), Row::Queued);
-                tokio::time::sleep(pause).await;
-                self.run(id, 200, "application/json", body)
+                let (agent, id) = (self.clone(), id.clone());
+                let run = tokio::spawn(async move {
+                    tokio::time::sleep(pause).await;
+                    agent.run(&id, 200, "application/json", body)
+                });
+                run.await.expect("a run does not panic")
             }
             Act::CutAt { content, body, at } => {
                 self.run(id, 200, content, body);
@@ -259,7 +275,9 @@
     async fn resume(&self, resume: Resume) -> Response<Body> {
         let row = {
             let mut inner = self.lock();
-            inner.resumes.push(resume.clone());
+            if inner.resumes.last() != Some(&resume) {
+                inner.resumes.push(resume.clone());
+            }
             let row = inner.rows.get(&resume.request).cloned();
             if matches!(row, None | Some(Row::Queued)) && (resume.cancel || row.is_none()) {
                 inner.rows.insert(resume.request.clone(), Row::Tombstone);
@@ -273,7 +291,10 @@
             None | Some(Row::Tombstone) => self.refuse(&Refusal::Cancelled),
             Some(Row::Queued) if resume.cancel => self.refuse(&Refusal::Cancelled),
             Some(Row::Running) if resume.cancel => self.unknown(&UnknownCause::Deadline),
-            Some(Row::Queued | Row::Running) => std::future::pending().await,
+            Some(Row::Queued | Row::Running) => {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                Box::pin(self.resume(resume)).await
+            }
             Some(Row::Failed) => self.unknown(&UnknownCause::AnswerDropped),
             Some(Row::Answered { status, content, body }) => {
                 let from = usize::try_from(resume.from).unwrap_or(usize::MAX);
@@ -314,13 +335,20 @@
     }
 
     fn stream(&self, status: u16, content: &str, bytes: &[u8], last: Last) -> Response<Body> {
-        let mut frames: Vec<std::io::Result<Frame<Bytes>>> =
+        let frames: Vec<std::io::Result<Frame<Bytes>>> =
             bytes.chunks(7).map(|chunk| Ok(Frame::data(Bytes::copy_from_slice(chunk)))).collect();
-        frames.push(match last {
-            Last::End(end) => Ok(Frame::trailers(trailers(&end))),
-            Last::Cut => Err(std::io::Error::other("cut")),
-        });
-        let mut response = Response::new(StreamBody::new(stream::iter(frames)).boxed_unsync());
+        let last = async move {
+            match last {
+                Last::End(end) => Ok(Frame::trailers(end_trailers(&end))),
+                Last::Cut => {
+                    // A reset overtakes bytes on their way.
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    Err(std::io::Error::other("cut"))
+                }
+            }
+        };
+        let frames = stream::iter(frames).chain(stream::once(last));
+        let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
         *response.status_mut() = StatusCode::from_u16(status).expect("a test's status is valid");
         let content = content.parse().expect("a test's content type is valid");
         response.headers_mut().insert("content-type", content);
@@ -337,7 +365,3 @@
 fn whole(body: &str) -> Last {
     Last::End(End::Whole { length: body.len() as u64 })
 }
-
-fn trailers(end: &End) -> HeaderMap {
-    end_trailers(end)
-}
--- a/components/entry/tests/kit/mod.rs
+++ b/components/entry/tests/sessions/kit/mod.rs
@@ -1,5 +1,4 @@
 //! An entry over an in-memory log and network, with scripted agents.
-#![allow(dead_code)]
 
 mod agent;
 mod net;
@@ -7,4 +6,4 @@
 
 pub(crate) use agent::{Act, Agent, report};
 pub(crate) use net::Net;
-pub(crate) use world::{Answer, World, ask, id};
+pub(crate) use world::{World, ask, id, service_call};
--- a/components/entry/tests/kit/world.rs
+++ b/components/entry/tests/sessions/kit/world.rs
@@ -66,6 +66,20 @@
     request.body(Full::from(body)).expect("the test's requests are valid")
 }
 
+/// A call of the service `darwaza` with more headers.
+pub(crate) fn service_call(
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Request<Full<Bytes>> {
+    let uri = format!("/services/darwaza{path}");
+    let mut request = Request::builder().method(method).uri(uri);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(Full::from("{}")).expect("the test's requests are valid")
+}
+
 /// An entry with all it needs.
 pub(crate) struct World {
     pub(crate) log: fake::Log,
--- /dev/null
+++ b/components/entry/tests/sessions/main.rs
@@ -0,0 +1,11 @@
+//! Whole requests through an entry, over a fake log and scripted agents.
+
+mod bad_input;
+mod deadline;
+mod drain;
+mod keys;
+mod kit;
+mod lost;
+mod refused;
+mod routing;
+mod serve;
--- /dev/null
+++ b/components/entry/tests/sessions/routing.rs
@@ -0,0 +1,135 @@
+//! Where requests go.
+
+use std::time::Duration;
+
+use crate::kit::{Act, World, ask, id, report, service_call};
+
+#[tokio::test(start_paused = true)]
+async fn can_join_a_burst_through_several_entries_at_one_replica() {
+    let mut world = World::new().await;
+    let agents = [
+        world.replica(0, "korangi").await,
+        world.replica(1, "saddar").await,
+        world.replica(2, "clifton").await,
+    ];
+    let twin = world.twin("entry-1").await;
+    agents[0].script((0..40).map(|_| Act::After(Duration::from_secs(2), "warm now")));
+    let calls: Vec<_> =
+        (0..20).flat_map(|_| [world.call_later(ask(&[])), twin.call_later(ask(&[]))]).collect();
+    for call in calls {
+        assert_eq!(call.await.expect("the call ends").outcome(), "served");
+    }
+    let runs: Vec<usize> = agents.iter().map(|agent| agent.runs().len()).collect();
+    assert_eq!(runs, [40, 0, 0]);
+    assert_eq!(world.net.dials(), 2, "one connection for each entry");
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_spread_over_the_replicas_that_are_awake() {
+    let mut world = World::new().await;
+    let agents = [
+        world.replica(0, "saddar").await,
+        world.replica(1, "saddar").await,
+        world.replica(2, "saddar").await,
+    ];
+    agents[0].set_report(report(0, 4, 2));
+    agents[1].set_report(report(0, 4, 2));
+    for _ in 0..40 {
+        world.call(ask(&[])).await;
+    }
+    assert!(agents[0].runs().len() > 5);
+    assert!(agents[1].runs().len() > 5);
+    assert!(agents[2].runs().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_prefer_the_less_busy_of_two() {
+    let mut world = World::new().await;
+    let agents = [world.replica(0, "saddar").await, world.replica(1, "saddar").await];
+    agents[0].set_report(report(20, 8, 2));
+    agents[1].set_report(report(0, 1, 2));
+    for _ in 0..20 {
+        world.call(ask(&[])).await;
+    }
+    assert!(agents[0].runs().len() <= 2, "only until its load is known");
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_send_nothing_to_a_leaving_endpoint() {
+    let mut world = World::new().await;
+    let agents = [world.replica(0, "saddar").await, world.replica(1, "saddar").await];
+    world.leave("likhari-0", &agents[0]).await;
+    for _ in 0..10 {
+        assert_eq!(world.call(ask(&[])).await.outcome(), "served");
+    }
+    assert_eq!(agents[0].dispatches().len(), 0);
+    assert_eq!(agents[1].runs().len(), 10);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_eject_a_dead_endpoint_and_take_it_back() {
+    let mut world = World::new().await;
+    let agents = [world.replica(0, "saddar").await, world.replica(1, "saddar").await];
+    agents[0].set_dead(true);
+    for _ in 0..10 {
+        assert_eq!(world.call(ask(&[])).await.outcome(), "served");
+    }
+    assert_eq!(world.net.dials(), 3 + 1, "three failures eject it, one connection to the other");
+    agents[0].set_dead(false);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    world.call(ask(&[])).await;
+    assert_eq!(agents[0].runs().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_follow_a_prompts_prefix_to_its_cache() {
+    let mut world = World::new().await;
+    let agents = [world.replica(0, "saddar").await, world.replica(1, "saddar").await];
+    agents.iter().for_each(|agent| agent.set_report(report(0, 1, 2)));
+    let start = "the same long start of a picture book about a fox and a hen ".repeat(8);
+    for page in 0..20 {
+        let body = serde_json::json!({"model": "page-text", "prompt": format!("{start}{page}")});
+        let request = http::Request::post("/v1/completions")
+            .body(http_body_util::Full::from(body.to_string()))
+            .expect("a request");
+        world.call(request).await;
+    }
+    let mut runs: Vec<usize> = agents.iter().map(|agent| agent.runs().len()).collect();
+    runs.sort_unstable();
+    assert_eq!(runs, [0, 20]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_spread_service_calls_over_all_members() {
+    let mut world = World::new().await;
+    let near = world.attach("darwaza-0", "darwaza", "saddar").await;
+    let far = world.attach("darwaza-1", "darwaza", "korangi").await;
+    let other = world.attach("likhari-9", "likhari", "saddar").await;
+    near.script(vec![Act::After(Duration::from_secs(1), "ok"); 100]);
+    far.script(vec![Act::After(Duration::from_secs(1), "ok"); 100]);
+    let calls: Vec<_> =
+        (0..20).map(|_| world.call_later(service_call("GET", "/doors", &[]))).collect();
+    for call in calls {
+        assert_eq!(call.await.expect("the call ends").outcome(), "served");
+    }
+    assert_eq!(near.runs().len() + far.runs().len(), 20);
+    assert!(near.runs().len() > far.runs().len(), "the near one goes first");
+    assert!(far.runs().len() > 5, "and spills");
+    assert!(other.runs().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_give_each_request_an_id_of_its_own() {
+    let mut world = World::new().await;
+    let agent = world.replica(0, "saddar").await;
+    let twin = world.twin("entry-0").await;
+    for _ in 0..5 {
+        world.call(ask(&[])).await;
+        twin.call(ask(&[])).await;
+    }
+    let mut runs = agent.runs();
+    runs.sort();
+    runs.dedup();
+    assert_eq!(runs.len(), 10, "even from a process that was restarted");
+    assert_eq!(agent.dispatches()[0].entry, id("entry-0"));
+}
