--- a/components/entry/tests/sessions/bad_input.rs
+++ b/components/entry/tests/sessions/bad_input.rs
@@ -91,10 +91,7 @@
     "POST /v1/completions HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
     "HTTP/1.1 400"
 )]
-#[case(
-    "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}",
-    "HTTP/1.1 400"
-)]
+#[case("POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}", "HTTP/1.1 400")]
 #[case("GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n", "HTTP/1.1 200")]
 #[tokio::test]
 async fn can_answer_any_bytes(#[case] bytes: &str, #[case] start: &str) {
--- a/components/entry/tests/sessions/deadline.rs
+++ b/components/entry/tests/sessions/deadline.rs
@@ -77,7 +77,11 @@
 async fn errors_on_a_stream_that_outlasts_its_deadline() {
     let mut world = World::new().await;
     let agent = world.replica(0, "saddar").await;
-    agent.script([Act::CutAt { content: "text/event-stream", body: "data: a\n\ndata: b\n\n", at: 9 }]);
+    agent.script([Act::CutAt {
+        content: "text/event-stream",
+        body: "data: a\n\ndata: b\n\n",
+        at: 9,
+    }]);
     agent.set_dead_after_dispatch();
     let began = Instant::now();
     let answer = world.call(ask(SHORT)).await;
