--- a/components/planner/src/decide.rs
+++ b/components/planner/src/decide.rs
@@ -17,7 +17,7 @@
 use crate::picture::{Model, Picture};
 
 /// At most this part of a batch declares endpoints gone, so that new grants need not wait for all of them.
-const GONE_PART: usize = 2;
+pub(crate) const GONE_PART: usize = 2;
 /// While replicas are replaced, at least this part of those wanted stays granted.
 const KEPT_PART: u32 = 2;
 
--- a/components/planner/src/lease.rs
+++ b/components/planner/src/lease.rs
@@ -69,7 +69,8 @@
     let mut renew_at = Instant::now();
     loop {
         changes.borrow_and_update();
-        let up = shared.journal.log_up();
+        let frozen = shared.journal.read(|state| state.frozen().is_some());
+        let up = shared.journal.log_up() && !frozen;
         let seen = shared.journal.read(|state| state.lease().clone());
         watch.observe(&seen, up, Instant::now());
         let epoch = shared.journal.read(|state| shared.held(state));
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -1,8 +1,9 @@
 //! The planner role that any entry can hold.
 //!
-//! Three loops share one [`run`]: [`lease`] claims and renews the planner lease, [`listing`] watches the
-//! platform's instance list, and [`rounds`] decides while the lease is held. What is decided, and that it is
-//! decided by the holder of the lease, is checked again by every process when the record is folded.
+//! A few loops share one [`run`]: [`lease`] claims and renews the planner lease, and while it is held
+//! [`listing`] watches the platform's instance list, [`rounds`] decides and [`snapshots`] writes snapshots.
+//! What is decided, and that the holder of the lease decides it, is checked again by every process that
+//! folds the record.
 
 mod decide;
 mod demand;
@@ -16,7 +17,7 @@
 mod run;
 #[cfg(test)]
 mod sample;
+mod snapshots;
 
 pub use demand::DemandLog;
-pub use probe::{PeerProbe, Probe};
-pub use run::{Options, run, run_with};
+pub use run::{Options, rounds_for, run};
--- a/components/planner/src/listing.rs
+++ b/components/planner/src/listing.rs
@@ -9,8 +9,8 @@
 use tokio::sync::watch::Sender;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::Probe;
 use crate::membership::{Sightings, Suspect};
+use crate::probe::answers;
 use crate::run::Shared;
 
 /// How long a reading of the list may take.
@@ -22,7 +22,6 @@
 pub(crate) async fn watch(
     shared: &Shared,
     list: Arc<dyn InstanceList>,
-    probe: Arc<dyn Probe>,
     sightings: Sender<Sightings>,
 ) {
     let mut epoch = None;
@@ -33,30 +32,25 @@
             sightings.send_replace(Sightings::default());
         }
         if held.is_some() {
-            look(shared, &*list, &*probe, &sightings).await;
+            look(shared, &*list, &sightings).await;
         }
         sleep(shared.options.listing).await;
     }
 }
 
-async fn look(
-    shared: &Shared,
-    list: &dyn InstanceList,
-    probe: &dyn Probe,
-    sightings: &Sender<Sightings>,
-) {
+async fn look(shared: &Shared, list: &dyn InstanceList, sightings: &Sender<Sightings>) {
     let Some(instances) = read(list).await else { return };
     let members: Vec<Member> = shared.journal.read(|state| state.members().cloned().collect());
     sightings.send_modify(|seen| seen.note(&members, &instances, Instant::now()));
     let suspects = sightings.borrow().suspects(&members, shared.options.guard, Instant::now());
     let asked = suspects.into_iter().take(ASKED_AT_ONCE);
-    let answers = stream::iter(asked).map(|suspect| ask(probe, suspect));
-    let answers: Vec<(Suspect, bool)> = answers.buffer_unordered(ASKED_AT_ONCE).collect().await;
+    let heard = stream::iter(asked).map(|suspect| ask(shared, suspect));
+    let heard: Vec<(Suspect, bool)> = heard.buffer_unordered(ASKED_AT_ONCE).collect().await;
     sightings.send_if_modified(|seen| {
-        for (suspect, answered) in &answers {
+        for (suspect, answered) in &heard {
             seen.note_answer(&suspect.endpoint, *answered, Instant::now());
         }
-        !answers.is_empty()
+        !heard.is_empty()
     });
 }
 
@@ -72,8 +66,8 @@
     None
 }
 
-async fn ask(probe: &dyn Probe, suspect: Suspect) -> (Suspect, bool) {
-    let answered = probe.answers(suspect.control).await;
+async fn ask(shared: &Shared, suspect: Suspect) -> (Suspect, bool) {
+    let answered = answers(shared, suspect.control).await;
     if answered {
         log::warn!("planner: {} is off the list, but its agent answers", suspect.endpoint);
     }
--- a/components/planner/src/probe.rs
+++ b/components/planner/src/probe.rs
@@ -3,47 +3,25 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use bytes::Bytes;
-use peer::Client;
-use timeline::Recorder;
-use units::{InstanceId, Offset};
+use units::Offset;
 use wire::{Control, Reply};
 
-/// Asks agents whether they live.
-#[async_trait]
-pub trait Probe: Send + Sync {
-    /// Whether a process answers at a control address.
-    async fn answers(&self, control: SocketAddr) -> bool;
-}
-
-/// Asks with a heartbeat over the control socket.
-pub struct PeerProbe {
-    client: Client,
-    instance: InstanceId,
-    recorder: Recorder,
-    limit: Duration,
-}
+use crate::run::Shared;
 
-impl PeerProbe {
-    /// A probe that waits for an answer up to `limit`.
-    pub fn new(instance: InstanceId, recorder: Recorder, limit: Duration) -> Self {
-        Self { client: Client::default(), instance, recorder, limit }
-    }
-}
+/// How long an agent may take to answer.
+const LIMIT: Duration = Duration::from_secs(1);
 
-#[async_trait]
-impl Probe for PeerProbe {
-    async fn answers(&self, control: SocketAddr) -> bool {
-        let heartbeat = Control::Heartbeat {
-            from: self.instance.clone(),
-            applied: Offset(0),
-            tick: self.recorder.clock().tick(),
-            demand: Vec::new(),
-        };
-        let message = serde_json::to_vec(&heartbeat).unwrap_or_default();
-        let answer = self.client.ask(control, Bytes::from(message), self.limit).await;
-        let reply = answer.ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
-        matches!(reply, Some(Reply::Position { .. }))
-    }
+/// Whether a process answers a heartbeat at a control address.
+pub(crate) async fn answers(shared: &Shared, control: SocketAddr) -> bool {
+    let heartbeat = Control::Heartbeat {
+        from: shared.instance.clone(),
+        applied: Offset(0),
+        tick: shared.recorder.clock().tick(),
+        demand: Vec::new(),
+    };
+    let Ok(message) = serde_json::to_vec(&heartbeat) else { return false };
+    let answer = shared.options.network.ask(control, Bytes::from(message), LIMIT).await;
+    let reply = answer.ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
+    matches!(reply, Some(Reply::Position { .. }))
 }
--- a/components/planner/src/run.rs
+++ b/components/planner/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use journal::Journal;
+use peer::{Ask, Client};
 use platform::InstanceList;
 use policy::Calendar;
 use record::Body;
@@ -12,11 +13,9 @@
 use tokio::sync::watch;
 use units::{Epoch, InstanceId, Offset};
 
+use crate::decide::GONE_PART;
 use crate::membership::Sightings;
-use crate::{DemandLog, PeerProbe, Probe, lease, listing, rounds};
-
-/// How long a probed agent may take to answer.
-const PROBE_LIMIT: Duration = Duration::from_secs(1);
+use crate::{DemandLog, lease, listing, rounds, snapshots};
 
 /// How long a shutdown waits until the lease is given up.
 const RESIGN_LIMIT: Duration = Duration::from_secs(1);
@@ -38,6 +37,8 @@
     pub calendar: Calendar,
     /// Turns true when the process shuts down: the planner then gives its lease up and ends.
     pub stop: Option<watch::Receiver<bool>>,
+    /// The network to the agents, which are asked before they are taken for gone.
+    pub network: Arc<dyn Ask>,
 }
 
 impl Default for Options {
@@ -50,10 +51,17 @@
             listing: Duration::from_secs(1),
             calendar: Calendar::system(),
             stop: None,
+            network: Arc::new(Client::default()),
         }
     }
 }
 
+/// The most rounds, and so appends, that a number of decisions needs: half of a batch may go to dropping
+/// endpoints, and the other half to new grants.
+pub fn rounds_for(decisions: usize, batch: usize) -> usize {
+    decisions.div_ceil((batch / GONE_PART).max(1))
+}
+
 /// What the loops of one planner share.
 pub(crate) struct Shared {
     pub(crate) instance: InstanceId,
@@ -69,7 +77,8 @@
     pub(crate) fn held(&self, state: &State) -> Option<Epoch> {
         let lease = state.lease();
         let own = lease.holder.as_ref() == Some(&self.instance);
-        (own && lease.epoch.0 > self.started.0).then_some(lease.epoch)
+        let live = own && lease.epoch.0 > self.started.0 && state.frozen().is_none();
+        live.then_some(lease.epoch)
     }
 
     /// The epoch under which this process may append now: none while the log is down.
@@ -86,20 +95,6 @@
     demand: DemandLog,
     recorder: Recorder,
     options: Options,
-) {
-    let probe = Arc::new(PeerProbe::new(instance.clone(), recorder.clone(), PROBE_LIMIT));
-    run_with(probe, instance, journal, list, demand, recorder, options).await;
-}
-
-/// Like [`run`], with another way to ask agents whether they live.
-pub async fn run_with(
-    probe: Arc<dyn Probe>,
-    instance: InstanceId,
-    journal: Journal,
-    list: Arc<dyn InstanceList>,
-    demand: DemandLog,
-    recorder: Recorder,
-    options: Options,
 ) {
     journal.ready().await;
     let started = journal.read(State::offset);
@@ -107,8 +102,9 @@
     let (sender, sightings) = watch::channel(Sightings::default());
     tokio::select! {
         () = lease::keep(&shared) => {}
-        () = listing::watch(&shared, list, probe, sender) => {}
+        () = listing::watch(&shared, list, sender) => {}
         () = rounds::decide(&shared, demand, sightings) => {}
+        () = snapshots::write(&shared) => {}
         () = stopped(shared.options.stop.clone()) => resign(&shared).await,
     }
 }
--- /dev/null
+++ b/components/planner/tests/common/agents.rs
@@ -0,0 +1,143 @@
+//! Agents that attach, release what is revoked, leave, and die.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use journal::Journal;
+use platform::{Instance, InstanceState};
+use record::{Attach, Body, GrantId};
+use state::{State, Verdict};
+use tokio::task::JoinHandle;
+use units::{Domain, EndpointId, Incarnation, InstanceId, Size};
+
+use super::{LIMIT, Site, addr, serve};
+
+const DOMAINS: [&str; 4] = ["saddar", "clifton", "lyari", "korangi"];
+/// Control addresses of agents begin here.
+const BASE: usize = 1000;
+
+/// Many agents behind one journal.
+pub(crate) struct Agents {
+    site: Site,
+    pub(crate) journal: Journal,
+    live: Arc<Mutex<BTreeSet<usize>>>,
+    task: JoinHandle<()>,
+}
+
+pub(crate) fn endpoint(number: usize) -> EndpointId {
+    format!("engine-{number}").parse().expect("an endpoint")
+}
+
+pub(crate) fn instance(number: usize) -> InstanceId {
+    format!("server-{number}").parse().expect("an instance")
+}
+
+pub(crate) fn domain(number: usize) -> Domain {
+    DOMAINS[number % DOMAINS.len()].parse().expect("a domain")
+}
+
+fn attach(number: usize, previous: Incarnation) -> Attach {
+    Attach {
+        endpoint: endpoint(number),
+        instance: instance(number),
+        domain: domain(number),
+        service: "likhari".parse().expect("a service"),
+        dispatch: addr(BASE + number),
+        control: addr(BASE + number),
+        admin: addr(BASE + number),
+        memory: Size::gib(80),
+        cached: Vec::new(),
+        fenced: true,
+        previous,
+    }
+}
+
+impl Agents {
+    /// Attaches agents 0 to `count` and puts them on the list.
+    pub(crate) async fn start(site: &Site, count: usize) -> Self {
+        let journal = site.journal("agents", Arc::new(site.log.clone()));
+        journal.ready().await;
+        let live = Arc::<Mutex<BTreeSet<usize>>>::default();
+        let task = tokio::spawn(release_all(journal.clone(), live.clone()));
+        let agents = Self { site: site.clone(), journal, live, task };
+        let mut list = site.list.newest();
+        list.extend((0..count).map(|number| agents.listed(number)));
+        site.list.set(list);
+        let attaches = (0..count).map(|number| agents.attach(number));
+        futures_util::future::join_all(attaches).await;
+        agents
+    }
+
+    fn listed(&self, number: usize) -> Instance {
+        let service = "likhari".parse().expect("a service");
+        let state = InstanceState::Live;
+        Instance { id: instance(number), service, domain: domain(number), state }
+    }
+
+    /// Attaches an agent, or its next incarnation.
+    pub(crate) async fn attach(&self, number: usize) -> Verdict {
+        serve(&self.site.net, addr(BASE + number), self.journal.clone());
+        let endpoint = endpoint(number);
+        let previous = self.journal.read(|state| state.member(&endpoint).map(|m| m.incarnation));
+        let body = Body::Attach(attach(number, previous.unwrap_or_default()));
+        let applied = self.journal.append(body, LIMIT).await.expect("the log is up");
+        self.with_live(|live| live.insert(number));
+        applied.verdicts[0].clone()
+    }
+
+    fn with_live<R>(&self, change: impl FnOnce(&mut BTreeSet<usize>) -> R) -> R {
+        change(&mut self.live.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// The process dies, and the platform notices.
+    pub(crate) fn lose(&self, numbers: impl Iterator<Item = usize>) {
+        let lost: BTreeSet<usize> = numbers.collect();
+        lost.iter().for_each(|number| self.die(*number));
+        let mut list = self.site.list.newest();
+        list.retain(|one| !lost.iter().any(|number| one.id == instance(*number)));
+        self.site.list.set(list);
+    }
+
+    /// The process dies, but the list still shows it.
+    pub(crate) fn die(&self, number: usize) {
+        self.with_live(|live| live.remove(&number));
+        self.site.net.remove(addr(BASE + number));
+    }
+
+    /// The agent says that it leaves.
+    pub(crate) async fn leave(&self, number: usize) {
+        let endpoint = endpoint(number);
+        let member = self.journal.read(|state| state.member(&endpoint).cloned());
+        let incarnation = member.expect("a member").incarnation;
+        let leave = Body::Leave { endpoint, incarnation };
+        self.journal.append(leave, LIMIT).await.expect("the log is up");
+    }
+}
+
+impl Drop for Agents {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Releases revoked grants of agents that live.
+async fn release_all(journal: Journal, live: Arc<Mutex<BTreeSet<usize>>>) {
+    let mut changes = journal.changes();
+    while changes.changed().await.is_ok() {
+        let live = live.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let releases = journal.read(|state| revoked(state, &live));
+        let appends = releases.into_iter().map(|body| journal.append(body, LIMIT));
+        futures_util::future::join_all(appends).await;
+    }
+}
+
+fn revoked(state: &State, live: &BTreeSet<usize>) -> Vec<Body> {
+    let members = live.iter().filter_map(|number| state.member(&endpoint(*number)));
+    let release = members.filter_map(|member| {
+        let at = state.grants_at(&member.attach.endpoint);
+        let grants: Vec<GrantId> = at.filter(|grant| grant.revoked).map(|grant| grant.id).collect();
+        let (endpoint, incarnation) = (member.attach.endpoint.clone(), member.incarnation);
+        (!grants.is_empty()).then_some(Body::Release { endpoint, incarnation, grants })
+    });
+    release.collect()
+}
--- /dev/null
+++ b/components/planner/tests/lease.rs
@@ -0,0 +1,149 @@
+//! Who holds the planner lease when processes die, pause, race or lose the log.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    Agents, Entry, LEASE, Site, TAKEOVER, add, add_branch, epoch, pass, publish, take_holder,
+};
+use state::State;
+
+/// Entries of which one holds the lease.
+async fn entries(site: &Site, count: usize) -> Vec<Entry> {
+    let entries: Vec<Entry> = (1..=count).map(|number| site.entry(number)).collect();
+    site.until("a holder", |state| state.lease().holder.is_some()).await;
+    entries
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_elect_one_of_several_that_start_together() {
+    let site = Site::default();
+    let _entries = entries(&site, 4).await;
+    pass(60).await;
+    let history = site.history();
+    assert_eq!(history.elected, 1);
+    assert!(history.claims <= 4, "{} claims", history.claims);
+    assert!((30..=40).contains(&history.renewals), "{} renewals", history.renewals);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_take_over_from_a_planner_that_died() {
+    let site = Site::default();
+    let mut entries = entries(&site, 4).await;
+    let agents = Agents::start(&site, 4).await;
+    pass(10).await;
+    let before = site.state();
+    take_holder(&mut entries, &before).kill();
+    let took = site.until("another holder", |state| epoch(state) > epoch(&before)).await;
+    assert!(took >= LEASE / 2 && took < TAKEOVER, "{took:?}");
+    publish(&agents.journal, "e1", [add_branch(), vec![add("m")]].concat()).await;
+    let took = site.until("a grant", |state| state.grants().count() == 1).await;
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    assert_eq!(site.history().elected, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_take_over_at_once_from_a_planner_that_shuts_down() {
+    let site = Site::default();
+    let mut entries = entries(&site, 4).await;
+    pass(10).await;
+    let before = site.state();
+    take_holder(&mut entries, &before).shut_down().await;
+    let took = site.until("another holder", |state| epoch(state) > epoch(&before)).await;
+    assert!(took < LEASE, "{took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_wake_a_paused_holder_that_does_no_harm() {
+    let site = Site::default();
+    let mut entries = entries(&site, 3).await;
+    let agents = Agents::start(&site, 4).await;
+    pass(10).await;
+    let before = site.state();
+    let paused = take_holder(&mut entries, &before);
+    // The holder has still read the edit and decides on it, but its append hangs.
+    paused.gate.shut_appends(true);
+    publish(&agents.journal, "e1", [add_branch(), vec![add("m")]].concat()).await;
+    pass(1).await;
+    paused.gate.shut_reads(true);
+    let took = site.until("another holder", |state| epoch(state) > epoch(&before)).await;
+    assert!(took < TAKEOVER, "{took:?}");
+    site.until("a grant", |state| state.grants().count() == 1).await;
+    let granted = site.history().grants;
+    paused.gate.shut_appends(false);
+    pass(3).await;
+    paused.gate.shut_reads(false);
+    pass(30).await;
+    let history = site.history();
+    assert!(history.void > 0, "the old decision came and is void");
+    assert_eq!(history.grants, granted);
+    assert_eq!(history.elected, 2);
+    assert!(!paused.is_holder(&history.state));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_keep_the_role_through_an_outage_without_a_rush_of_claims() {
+    let site = Site::default();
+    let entries = entries(&site, 8).await;
+    let agents = Agents::start(&site, 4).await;
+    pass(10).await;
+    let before = site.history();
+    site.log.set(|faults| faults.outage = true);
+    pass(120).await;
+    assert_eq!(site.log.counters().records, before.state.offset().0);
+    site.log.set(|faults| faults.outage = false);
+    let back = site.log.counters().appends;
+    pass(60).await;
+    let after = site.history();
+    assert_eq!(after.claims, before.claims);
+    assert_eq!(epoch(&after.state), epoch(&before.state));
+    let appends = site.log.counters().appends - back;
+    assert!(appends <= 45, "{appends} appends in the minute after the outage");
+    publish(&agents.journal, "e1", [add_branch(), vec![add("m")]].concat()).await;
+    site.until("a grant", |state| state.grants().count() == 1).await;
+    assert_eq!(entries.len(), 8);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_replace_a_holder_that_died_in_an_outage_with_few_claims() {
+    let site = Site::default();
+    let mut entries = entries(&site, 8).await;
+    pass(10).await;
+    let before = site.history();
+    site.log.set(|faults| faults.outage = true);
+    pass(60).await;
+    take_holder(&mut entries, &before.state).kill();
+    pass(60).await;
+    site.log.set(|faults| faults.outage = false);
+    let took = site.until("another holder", |state| epoch(state) > epoch(&before.state)).await;
+    assert!(took >= LEASE, "{took:?}");
+    assert!(took < TAKEOVER + Duration::from_secs(3), "{took:?}");
+    pass(60).await;
+    let after = site.history();
+    assert_eq!(after.elected, before.elected + 1);
+    assert!(after.claims <= before.claims + 3, "{} claims", after.claims - before.claims);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_claim_once_although_answers_are_lost() {
+    let site = Site::default();
+    site.log.set(|faults| faults.lost = 3);
+    let _entries = entries(&site, 4).await;
+    pass(60).await;
+    let history = site.history();
+    assert_eq!(history.elected, 1);
+    assert!(history.claims <= 8, "{} claims", history.claims);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_write_snapshots_from_one_process_only() {
+    let site = Site::default();
+    let entries = entries(&site, 4).await;
+    pass(2 * 3600).await;
+    let history = site.history();
+    // The first comes after 2000 records, mostly renewals, the others every quarter of an hour.
+    assert!((4..=6).contains(&history.snapshots), "{} snapshots", history.snapshots);
+    let offsets: Vec<_> = entries.iter().map(|e| e.journal.read(State::offset)).collect();
+    assert!(offsets.iter().all(|offset| *offset == history.state.offset()));
+}
--- /dev/null
+++ b/components/planner/tests/membership.rs
@@ -0,0 +1,195 @@
+//! Who counts as gone when the platform's list lags, flaps, fails or shrinks.
+
+mod common;
+
+use common::{Agents, Entry, Site, add, add_branch, pass, publish, set};
+use record::{Body, Decision, Record};
+use serde_json::json;
+use state::{State, Verdict, Void};
+use tree::Change;
+
+/// A planner, agents, and models that are all granted.
+async fn settled(site: &Site, agents: usize, models: usize) -> (Entry, Agents) {
+    let entry = site.entry(1);
+    let agents = Agents::start(site, agents).await;
+    let mut changes = add_branch();
+    changes.extend((0..models).map(|i| add(&format!("m{i}"))));
+    publish(&agents.journal, "e1", changes).await;
+    site.until("all grants", |state| state.grants().count() == models).await;
+    pass(5).await;
+    (entry, agents)
+}
+
+fn members(state: &State) -> usize {
+    state.members().count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_drop_a_lost_endpoint_after_the_guard_time_and_grant_elsewhere() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    agents.lose(0..1);
+    let took = site.until("a member less", |state| members(state) == 3).await;
+    assert!((10..14).contains(&took.as_secs()), "{took:?}");
+    site.until("all grants", |state| state.grants().count() == 8).await;
+    let history = site.history();
+    assert_eq!((history.gone, history.over), (1, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_keep_an_endpoint_that_answers_although_the_list_lacks_it() {
+    let site = Site::default();
+    let (_entry, _agents) = settled(&site, 4, 8).await;
+    let mut list = site.list.newest();
+    list.remove(0);
+    site.list.set(list);
+    pass(300).await;
+    let history = site.history();
+    assert_eq!((history.gone, members(&history.state)), (0, 4));
+    assert_eq!(history.grants, 8);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_keep_an_endpoint_that_is_silent_but_listed() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    agents.die(0);
+    pass(300).await;
+    assert_eq!(site.history().gone, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_keep_all_while_the_list_is_empty_or_down() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    let list = site.list.newest();
+    site.list.set(Vec::new());
+    (0..4).for_each(|number| agents.die(number));
+    pass(120).await;
+    site.list.set_outage(true);
+    pass(120).await;
+    assert_eq!(site.history().gone, 0);
+    site.list.set_outage(false);
+    site.list.set(list);
+    pass(60).await;
+    assert_eq!(site.history().gone, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_keep_a_dead_endpoint_while_a_flapping_list_shows_it_now_and_then() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    agents.die(0);
+    let whole = site.list.newest();
+    for _ in 0..20 {
+        site.list.set(whole[1..].to_vec());
+        pass(8).await;
+        site.list.set(whole.clone());
+        pass(2).await;
+    }
+    assert_eq!(site.history().gone, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_start_with_a_list_that_lags_behind_the_agents() {
+    let site = Site::default();
+    site.list.set_lag(std::time::Duration::from_secs(30));
+    let (_entry, _agents) = settled(&site, 4, 8).await;
+    pass(120).await;
+    assert_eq!(site.history().gone, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_wait_for_the_guard_time_again_after_a_takeover() {
+    let site = Site::default();
+    let (entry, agents) = settled(&site, 4, 8).await;
+    let second = site.entry(2);
+    pass(5).await;
+    agents.lose(0..1);
+    pass(8).await;
+    entry.kill();
+    let took = site.until("a member less", |state| members(state) == 3).await;
+    assert!(second.is_holder(&site.state()));
+    assert!(took.as_secs() >= 15, "a lease and a guard time, {took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_let_an_agent_leave_and_move_its_grants() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    agents.leave(0).await;
+    let took = site.until("a member less", |state| members(state) == 3).await;
+    assert!(took.as_secs() < 3, "{took:?}");
+    site.until("all grants", |state| state.grants().count() == 8).await;
+    let history = site.history();
+    assert_eq!((history.gone, history.over), (1, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_void_an_old_gone_that_surfaces_after_a_new_attach() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    let lost = site.state().members().next().cloned().expect("a member");
+    agents.lose(0..1);
+    site.until("a member less", |state| members(state) == 3).await;
+    assert_eq!(agents.attach(0).await, Verdict::Done);
+    let state = site.state();
+    let decisions = vec![Decision::Gone {
+        endpoint: lost.attach.endpoint.clone(),
+        incarnation: lost.incarnation,
+    }];
+    let body = Body::Decide { epoch: state.lease().epoch, decisions };
+    let name = "entry-1".parse().expect("an instance");
+    let record = Record::new("late".to_owned(), name, 0, state.offset(), body);
+    let text = serde_json::to_vec(&record).expect("text");
+    site.log.put(platform::Stream::Control, text);
+    pass(1).await;
+    assert_eq!(members(&site.state()), 4);
+    let applied = agents.journal.read(|state| state.verdict_of("late").cloned()).expect("folded");
+    assert!(matches!(applied.verdicts[0], Verdict::Void(Void::Incarnation { .. })));
+}
+
+/// Models with two replicas each.
+fn pairs(count: usize) -> Vec<Change> {
+    let mut changes = add_branch();
+    for i in 0..count {
+        let name = format!("m{i}");
+        changes.push(add(&name));
+        changes.push(set(&name, "replicas-least", json!(2)));
+    }
+    changes
+}
+
+/// A quarter of 100 endpoints goes at once: every model keeps a replica in another failure domain, the
+/// lost ones are dropped and their replicas granted elsewhere, in rounds of bounded size and number.
+#[tokio::test(start_paused = true)]
+async fn can_lose_a_failure_domain_within_the_bound_on_appends() {
+    let site = Site::default();
+    let entry = site.entry(1);
+    let agents = Agents::start(&site, 100).await;
+    let models = 230;
+    publish(&agents.journal, "e1", pairs(models)).await;
+    site.until("all grants", |state| state.grants().count() == 2 * models).await;
+    pass(5).await;
+    let before = site.history();
+    let lost: Vec<usize> = (0..100).filter(|number| number % 4 == 0).collect();
+    let held = before
+        .state
+        .grants()
+        .filter(|grant| lost.iter().any(|n| grant.endpoint == common::agents::endpoint(*n)));
+    let held = held.count();
+    agents.lose(lost.iter().copied());
+    let took = site.until("the lost are dropped", |state| members(state) == 75).await;
+    assert!(took.as_secs() <= 20, "{took:?}");
+    site.until("all grants", |state| state.grants().count() == 2 * models).await;
+    let after = site.history();
+    let (gone, grants) = (after.gone - before.gone, after.grants - before.grants);
+    assert_eq!((gone, grants, after.over), (25, held, 0));
+    let rounds = after.rounds - before.rounds;
+    let bound = planner::rounds_for(gone + grants, entry.options.batch) + 1;
+    println!(
+        "{held} grants lost; {gone} gone and {grants} granted in {rounds} rounds within {took:?}"
+    );
+    assert!(rounds <= bound, "{rounds} rounds, the bound is {bound}");
+    assert_eq!(after.void, before.void);
+}
