--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -140,6 +140,10 @@
     fn conclude(&mut self, placed: &Placed, relayed: Relayed) -> Step {
         let endpoint = &placed.target.endpoint;
         match relayed {
+            Relayed::Whole if self.received.is_server_error() => {
+                self.note_failure(&placed.target);
+                Step::Ended(Outcome::Served(()))
+            }
             Relayed::Whole => {
                 self.core.breakers.note_success(endpoint);
                 self.note_prefix(endpoint);
@@ -150,6 +154,7 @@
                     |other: &Placed| other.target.endpoint == *endpoint && other.id == placed.id;
                 self.placed.retain(|other| !same(other));
                 self.core.breakers.note_success(endpoint);
+                self.core.loads.hold(&self.place(endpoint), &refusal);
                 Step::NotRun(refusal)
             }
             Relayed::Unknown(cause) => {
--- a/components/entry/src/flight.rs
+++ b/components/entry/src/flight.rs
@@ -7,16 +7,18 @@
 use timeline::Kind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tree::NodeKind;
 use units::{EndpointId, Incarnation, RequestId, Span};
 use wire::{Outcome, Refusal};
 
 use crate::answer::Message;
 use crate::attempt::Step;
+use crate::breaker::Admission;
 use crate::call::Call;
 use crate::candidate::{Candidate, candidates};
 use crate::core::Core;
 use crate::keys;
-use crate::load::Place;
+use crate::load::{Load, Place};
 use crate::pick::{Choice, Policy, pick};
 use crate::prefix::Prefix;
 use crate::relay::Received;
@@ -141,6 +143,9 @@
                 Step::NotRun(refusal) => {
                     self.note_refusal(&target, &refusal);
                     last = refusal;
+                    if last == Refusal::Late {
+                        break;
+                    }
                 }
                 Step::Lost(lost) => {
                     self.tried.push((target.endpoint, target.incarnation));
@@ -200,24 +205,17 @@
 
     fn next_target(&self) -> Option<Candidate> {
         let mut open = self.open_candidates();
-        let loads: Vec<_> = open
+        let loads: Vec<Load> = open
             .iter()
             .map(|candidate| self.core.loads.look(&self.place(&candidate.endpoint)))
             .collect();
-        let awake = loads.iter().filter_map(|load| load.awake).max().unwrap_or(1).max(1);
-        let choices: Vec<Choice> = open
-            .iter()
-            .zip(&loads)
-            .map(|(candidate, load)| Choice {
-                endpoint: candidate.endpoint.clone(),
-                near: candidate.domain == self.core.domain,
-                requests: load.requests,
-                admission: self.core.breakers.admission(&candidate.endpoint),
-            })
-            .collect();
+        let choices: Vec<Choice> =
+            open.iter().zip(&loads).map(|(candidate, load)| self.choice(candidate, load)).collect();
         let cached = self.prefix.and_then(|prefix| self.core.prefixes.get(prefix));
+        let known = loads.iter().filter_map(|load| load.awake).max().unwrap_or(1).max(1);
         let policy = Policy {
-            awake: open.iter().filter(|candidate| candidate.index < awake).count(),
+            awake: open.iter().filter(|candidate| candidate.index < known).count(),
+            packed: self.call.leaf.kind != NodeKind::Service,
             batch: self.call.leaf.settings.batch,
             cached: cached.as_ref(),
             probes: self.call.repeatable,
@@ -226,6 +224,17 @@
         Some(open.swap_remove(at))
     }
 
+    fn choice(&self, candidate: &Candidate, load: &Load) -> Choice {
+        let admission = self.core.breakers.admission(&candidate.endpoint);
+        Choice {
+            endpoint: candidate.endpoint.clone(),
+            near: candidate.domain == self.core.domain,
+            requests: load.requests,
+            lasting: load.lasting,
+            admission: if load.held { Admission::Open } else { admission },
+        }
+    }
+
     fn note_refusal(&mut self, target: &Candidate, refusal: &Refusal) {
         match refusal {
             Refusal::Incarnation { current } if *current > target.incarnation => {
--- a/components/entry/src/link.rs
+++ b/components/entry/src/link.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
@@ -83,6 +83,8 @@
 #[derive(Default)]
 struct Slot {
     open: tokio::sync::Mutex<Option<Open>>,
+    /// How many tries to open one have failed.
+    failures: AtomicU64,
 }
 
 struct Open {
@@ -117,6 +119,7 @@
         broken: Option<u64>,
     ) -> Result<Line, SendError> {
         let slot = self.shared.slot(addr);
+        let failures = slot.failures.load(Ordering::Relaxed);
         let mut open = slot.open.lock().await;
         let usable = open.as_ref().filter(|open| {
             let outlived = broken.is_some_and(|broken| open.generation <= broken);
@@ -125,10 +128,17 @@
         if let Some(open) = usable {
             return Ok(open.line(addr));
         }
+        if slot.failures.load(Ordering::Relaxed) != failures {
+            // Those who waited for a try share its failure: trying one after another would take them too long.
+            return Err(SendError::NotSent { addr, cause: "a try just failed".to_owned() });
+        }
         let last = open.as_ref().map_or(0, |open| open.generation);
         let generation = last.max(broken.unwrap_or(0)) + 1;
         *open = None;
-        let fresh = self.open(addr, generation, Arc::downgrade(&slot)).await?;
+        let fresh = self.open(addr, generation, Arc::downgrade(&slot)).await;
+        let fresh = fresh.inspect_err(|_| {
+            slot.failures.fetch_add(1, Ordering::Relaxed);
+        })?;
         let line = fresh.line(addr);
         *open = Some(fresh);
         Ok(line)
--- a/components/entry/src/load.rs
+++ b/components/entry/src/load.rs
@@ -6,10 +6,12 @@
 
 use tokio::time::Instant;
 use units::{EndpointId, ModelName};
-use wire::Report;
+use wire::{Refusal, Report};
 
-/// A report of this age counts half.
+/// A report of this age counts half where replicas are compared.
 const HALF_LIFE: Duration = Duration::from_secs(1);
+/// A report of this age counts half where it is decided whether a replica has room.
+const LASTING: Duration = Duration::from_secs(10);
 /// How long a report says which replicas are awake.
 const AWAKE_AGE: Duration = Duration::from_secs(5);
 /// Places with no request and no report for this long are forgotten.
@@ -27,8 +29,12 @@
 pub(crate) struct Load {
     /// Requests that run or wait there, as far as this entry can tell.
     pub(crate) requests: f64,
+    /// The same, with older news counted more: an upper estimate.
+    pub(crate) lasting: f64,
     /// How many replicas are awake, if a new enough report said so.
     pub(crate) awake: Option<u32>,
+    /// Whether the place has refused a request for a cause that lasts.
+    pub(crate) held: bool,
 }
 
 /// What the entry knows of its endpoints; cheap to clone.
@@ -42,6 +48,7 @@
     own: u32,
     touched: Instant,
     told: Option<Told>,
+    held: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -79,6 +86,16 @@
         news.told = Some(Told { others, awake: report.awake, at: now });
     }
 
+    /// Leaves a place out for a while after a refusal, so that requests are not wasted on it one by one.
+    pub(crate) fn hold(&self, place: &Place, refusal: &Refusal) {
+        let Some(pause) = pause(refusal) else { return };
+        let mut places = self.lock();
+        let news = places.entry(place.clone()).or_insert_with(News::new);
+        let now = Instant::now();
+        news.touched = now;
+        news.held = Some(now + pause);
+    }
+
     /// What is known of a place.
     pub(crate) fn look(&self, place: &Place) -> Load {
         self.lock().get(place).map_or_else(Load::default, News::load)
@@ -102,21 +119,50 @@
     }
 }
 
+/// How long a place that refused is left out where there is another one.
+fn pause(refusal: &Refusal) -> Option<Duration> {
+    match refusal {
+        Refusal::Leaving | Refusal::LoadFailed { .. } => Some(Duration::from_secs(5)),
+        Refusal::NoGrant | Refusal::Shutdown | Refusal::Endpoint { .. } => {
+            Some(Duration::from_secs(1))
+        }
+        Refusal::Full { .. } | Refusal::Hopeless { .. } => Some(Duration::from_millis(250)),
+        Refusal::Late
+        | Refusal::Incarnation { .. }
+        | Refusal::Cancelled
+        | Refusal::NoEndpoint { .. }
+        | Refusal::NoClaim { .. }
+        | Refusal::KeyTaken => None,
+    }
+}
+
 impl News {
     fn new() -> Self {
-        Self { own: 0, touched: Instant::now(), told: None }
+        Self { own: 0, touched: Instant::now(), told: None, held: None }
     }
 
     fn load(&self) -> Load {
         let own = f64::from(self.own);
-        let Some(told) = &self.told else { return Load { requests: own, awake: None } };
+        let held = self.held.is_some_and(|until| Instant::now() < until);
+        let Some(told) = &self.told else {
+            return Load { requests: own, lasting: own, awake: None, held };
+        };
         let age = told.at.elapsed();
-        let weight = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        let awake = (age <= AWAKE_AGE).then_some(told.awake);
-        Load { requests: own + weight * f64::from(told.others), awake }
+        let others = f64::from(told.others);
+        Load {
+            requests: own + others * weight(age, HALF_LIFE),
+            lasting: own + others * weight(age, LASTING),
+            awake: (age <= AWAKE_AGE).then_some(told.awake),
+            held,
+        }
     }
 }
 
+/// What news of an age counts.
+fn weight(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
+
 impl Drop for Ticket {
     fn drop(&mut self) {
         let mut places = self.loads.lock();
--- a/components/entry/src/pick.rs
+++ b/components/entry/src/pick.rs
@@ -8,6 +8,9 @@
 /// What it costs to leave the failure domain, as a share of a replica's batch: a far endpoint is
 /// chosen once the near ones are busier by this much.
 const FAR: f64 = 0.25;
+/// How full the first replicas may be, as a share of their batches, before requests spread to the next:
+/// replicas that are not needed get no request, fall idle and free their accelerator.
+const PACKED: f64 = 0.75;
 /// How much busier an endpoint with the request's prefix in its cache may be, as a share of the batch.
 const CACHED: f64 = 0.5;
 
@@ -19,6 +22,8 @@
     pub(crate) near: bool,
     /// Requests that run or wait there.
     pub(crate) requests: f64,
+    /// The same, as an upper estimate.
+    pub(crate) lasting: f64,
     pub(crate) admission: Admission,
 }
 
@@ -27,6 +32,8 @@
 pub(crate) struct Policy<'a> {
     /// How many choices, from the first on, are awake; all requests go to the first while none is.
     pub(crate) awake: usize,
+    /// Whether requests stay at the first replicas that have room for them.
+    pub(crate) packed: bool,
     /// How many requests one replica runs at the same time.
     pub(crate) batch: u32,
     /// The endpoint that served the request's prefix last.
@@ -42,6 +49,7 @@
     if awake.is_empty() {
         return open.first().copied();
     }
+    let awake = if policy.packed { needed(choices, &awake, policy) } else { awake };
     let sampled = sample(choices, &awake, rng);
     let best = cheapest(choices, &sampled, policy)?;
     let cached = awake.iter().copied().find(|&at| Some(&choices[at].endpoint) == policy.cached);
@@ -63,6 +71,21 @@
     if open.is_empty() { every.collect() } else { open }
 }
 
+/// The fewest of the awake replicas, from the first on, that have room for one request more.
+fn needed(choices: &[Choice], awake: &[usize], policy: &Policy<'_>) -> Vec<usize> {
+    let room = PACKED * f64::from(policy.batch);
+    let mut free = 0.0;
+    let mut chosen = Vec::new();
+    for &at in awake {
+        chosen.push(at);
+        free += room - choices[at].lasting;
+        if free > 0.0 {
+            break;
+        }
+    }
+    chosen
+}
+
 /// Up to two near choices and one far one; two far ones where none is near.
 fn sample(choices: &[Choice], among: &[usize], rng: &mut impl Rng) -> Vec<usize> {
     let (near, far): (Vec<usize>, Vec<usize>) =
--- a/components/entry/src/pick/tests.rs
+++ b/components/entry/src/pick/tests.rs
@@ -9,12 +9,13 @@
         endpoint: format!("likhari-{name}").parse().expect("an endpoint id"),
         near,
         requests,
+        lasting: requests,
         admission: Admission::Closed,
     }
 }
 
 fn policy(awake: usize) -> Policy<'static> {
-    Policy { awake, batch: 8, cached: None, probes: true }
+    Policy { awake, packed: false, batch: 8, cached: None, probes: true }
 }
 
 fn rng(seed: u64) -> SmallRng {
@@ -48,6 +49,17 @@
     assert_eq!(pick(&busy, &with_cache, &mut rng(1)), Some(0));
 }
 
+#[test]
+fn can_stay_at_the_first_replicas_that_have_room() {
+    let packed = Policy { packed: true, ..policy(3) };
+    let some_room = [choice(0, false, 5.0), choice(1, true, 0.0), choice(2, true, 0.0)];
+    let no_room = [choice(0, false, 6.0), choice(1, true, 0.0), choice(2, true, 0.0)];
+    for seed in 0..50 {
+        assert_eq!(pick(&some_room, &packed, &mut rng(seed)), Some(0));
+        assert_eq!(pick(&no_room, &packed, &mut rng(seed)), Some(1));
+    }
+}
+
 #[test]
 fn can_leave_ejected_endpoints_out() {
     let mut choices = [choice(0, true, 0.0), choice(1, true, 9.0)];
@@ -61,6 +73,16 @@
     assert!(pick(&choices, &policy(2), &mut rng(1)).is_some());
 }
 
+/// The fewest replicas whose load together is below three quarters of their batches.
+fn naive_needed(choices: &[Choice], awake: &[usize], policy: &Policy<'_>) -> Vec<usize> {
+    let has_room = |count: &usize| {
+        let load: f64 = awake[..*count].iter().map(|&at| choices[at].lasting).sum();
+        load < 0.75 * f64::from(policy.batch) * *count as f64
+    };
+    let count = (1..=awake.len()).find(has_room).unwrap_or(awake.len());
+    awake[..count].to_vec()
+}
+
 /// The endpoints that a plain reading of the rules allows, whatever the dice say.
 fn naive(choices: &[Choice], policy: &Policy<'_>) -> Vec<usize> {
     let is_open = |choice: &Choice| {
@@ -75,6 +97,7 @@
     if awake.is_empty() {
         return open.into_iter().take(1).collect();
     }
+    let awake = if policy.packed { naive_needed(choices, &awake, policy) } else { awake };
     let far = f64::from(policy.batch) * FAR;
     let cost = |at: usize| choices[at].requests + if choices[at].near { 0.0 } else { far };
     let is_cached = |at: usize| Some(&choices[at].endpoint) == policy.cached;
@@ -134,6 +157,7 @@
         raw in proptest::collection::vec(any_choice(), 0..8),
         awake in 0..9_usize,
         cached in proptest::option::of(0..8_usize),
+        packed: bool,
         probes: bool,
         seed: u64,
     ) {
@@ -150,7 +174,7 @@
             })
             .collect();
         let cached = cached.and_then(|at| choices.get(at)).map(|choice| choice.endpoint.clone());
-        let policy = Policy { awake, batch: 8, cached: cached.as_ref(), probes };
+        let policy = Policy { awake, packed, batch: 8, cached: cached.as_ref(), probes };
         let allowed = naive(&choices, &policy);
         match pick(&choices, &policy, &mut rng(seed)) {
             None => prop_assert!(choices.is_empty()),
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Whether the endpoint answered that it failed.
+    pub(crate) fn is_server_error(&self) -> bool {
+        self.head.as_ref().is_some_and(|head| head.status.is_server_error())
+    }
+
     fn mode(&self) -> Mode {
         let content = self.head.as_ref().and_then(|head| head.content.as_ref());
         match content {
--- a/components/entry/tests/sessions/kit/net.rs
+++ b/components/entry/tests/sessions/kit/net.rs
@@ -24,6 +24,7 @@
     wires: Arc<Mutex<Vec<Arc<AtomicBool>>>>,
     silent: Arc<AtomicBool>,
     dials: Arc<AtomicUsize>,
+    swallowed: Arc<Mutex<Vec<SocketAddr>>>,
 }
 
 impl Net {
@@ -43,6 +44,11 @@
         self.silent.store(silent, Ordering::Relaxed);
     }
 
+    /// Lets no connection to an agent be opened, nor refused.
+    pub(crate) fn swallow(&self, agent: &Agent) {
+        self.swallowed.lock().expect("unpoisoned").push(agent.addr);
+    }
+
     /// How many connections were opened or tried.
     pub(crate) fn dials(&self) -> usize {
         self.dials.load(Ordering::Relaxed)
@@ -53,6 +59,9 @@
 impl Dial for Net {
     async fn dial(&self, addr: SocketAddr) -> io::Result<Box<dyn Socket>> {
         self.dials.fetch_add(1, Ordering::Relaxed);
+        if self.swallowed.lock().expect("unpoisoned").contains(&addr) {
+            std::future::pending::<()>().await;
+        }
         let agent = self.agents.lock().expect("unpoisoned").get(&addr).cloned();
         let agent = agent.filter(|agent| !agent.is_dead());
         let agent = agent.ok_or_else(|| io::Error::from(io::ErrorKind::ConnectionRefused))?;
