--- a/components/entry/tests/sessions/keys.rs
+++ b/components/entry/tests/sessions/keys.rs
@@ -6,6 +6,52 @@
 
 const KEY: &[(&str, &str)] = &[("idempotency-key", "badge-7-december")];
 
+#[tokio::test(start_paused = true)]
+async fn can_run_once_for_one_key() {
+    let mut world = World::new().await;
+    let agent = world.attach("darwaza-0", "darwaza", "saddar").await;
+    let first = world.call(service_call("POST", "/badges", KEY)).await;
+    let second = world.call(service_call("POST", "/badges", KEY)).await;
+    assert_eq!(first.outcome(), "served");
+    assert_eq!((second.status.as_u16(), second.error().as_str()), (409, "key-taken"));
+    assert_eq!(second.outcome(), "not-run");
+    assert_eq!(agent.runs().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_run_once_for_a_key_that_races_through_two_entries() {
+    let mut world = World::new().await;
+    let agent = world.attach("darwaza-0", "darwaza", "saddar").await;
+    let twin = world.twin("entry-1").await;
+    let calls: Vec<_> = (0..10)
+        .flat_map(|_| {
+            let call = || service_call("POST", "/badges", KEY);
+            [world.call_later(call()), twin.call_later(call())]
+        })
+        .collect();
+    let mut served = 0;
+    for call in calls {
+        let answer = call.await.expect("the call ends");
+        match answer.status.as_u16() {
+            200 => served += 1,
+            409 => assert_eq!(answer.outcome(), "not-run"),
+            other => panic!("{other}: {}", answer.text()),
+        }
+    }
+    assert_eq!((served, agent.runs().len()), (1, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_tell_keys_of_groups_and_routes_apart() {
+    let mut world = World::new().await;
+    let agent = world.attach("darwaza-0", "darwaza", "saddar").await;
+    let grouped = [KEY[0], ("hyssop-group", "other")];
+    world.call(service_call("POST", "/badges", KEY)).await;
+    world.call(service_call("POST", "/badges", &grouped)).await;
+    world.call(service_call("POST", "/badges/8", KEY)).await;
+    assert_eq!(agent.runs().len(), 3);
+}
+
 #[tokio::test(start_paused = true)]
 async fn errors_on_a_key_while_the_log_is_down() {
     let mut world = World::new().await;
