--- a/components/entry/src/flight.rs
+++ b/components/entry/src/flight.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use process::Phase;
+use record::KeyClaim;
 use timeline::Kind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -57,6 +58,7 @@
     pub(crate) placed: Vec<Placed>,
     /// What has come of the answer.
     pub(crate) received: Received,
+    claim: Option<KeyClaim>,
     prefix: Option<Prefix>,
     tried: Vec<(EndpointId, Incarnation)>,
     newer: Vec<(EndpointId, Incarnation)>,
@@ -76,6 +78,7 @@
             messages,
             placed: Vec::new(),
             received: Received::default(),
+            claim: None,
             prefix,
             tried: Vec::new(),
             newer: Vec::new(),
@@ -108,6 +111,9 @@
 
     async fn finish(self, outcome: Outcome<()>) {
         self.core.note_end(&self.call, &outcome);
+        if matches!(outcome, Outcome::NotRun(_)) {
+            self.withdraw_claim();
+        }
         // A caller that does not read until its deadline gets a cut answer.
         let _ =
             tokio::time::timeout_at(self.call.deadline, self.messages.send(Message::End(outcome)))
@@ -115,9 +121,9 @@
     }
 
     async fn drive(&mut self) -> Outcome<()> {
-        let claimed = keys::claim(&self.call, &self.core.instance, &self.core.keys).await;
-        if let Err(refusal) = claimed {
-            return Outcome::NotRun(refusal);
+        match keys::claim(&self.call, &self.core.instance, &self.core.keys).await {
+            Ok(claim) => self.claim = claim,
+            Err(refusal) => return Outcome::NotRun(refusal),
         }
         self.core.budget.first();
         let mut last = Refusal::NoEndpoint { retry: RETRY };
@@ -253,11 +259,21 @@
         self.tried.clear();
     }
 
+    /// Lets another request use the key, since this one has not run and never will.
+    fn withdraw_claim(&self) {
+        if let Some(claim) = &self.claim {
+            self.core.keys.withdraw(claim);
+        }
+    }
+
     /// Frees what the request holds at agents, since nobody waits for it.
     async fn hang_up(self) {
         let event = self.core.recorder.event(Kind::Cancelled).request(&self.call.request);
         self.core.recorder.record(event.note("the caller hung up"));
         metrics::counter!("entry_hang_ups").increment(1);
+        if self.placed.is_empty() {
+            self.withdraw_claim();
+        }
         if self.call.repeatable {
             self.cancel_all(Instant::now() + FORCE_LIMIT).await;
         }
--- a/components/entry/src/keys.rs
+++ b/components/entry/src/keys.rs
@@ -16,9 +16,13 @@
 /// When a caller whose key can't be claimed should come back.
 const RETRY: Span = Span::secs(5);
 
-/// Claims the call's key, if it has one; a refusal proves that the call has not run.
-pub(crate) async fn claim(call: &Call, entry: &InstanceId, keys: &Keys) -> Result<(), Refusal> {
-    let Some(key) = &call.key else { return Ok(()) };
+/// Claims the call's key, if it has one, and returns the claim; a refusal proves that the call has not run.
+pub(crate) async fn claim(
+    call: &Call,
+    entry: &InstanceId,
+    keys: &Keys,
+) -> Result<Option<KeyClaim>, Refusal> {
+    let Some(key) = &call.key else { return Ok(None) };
     let left = call.deadline.saturating_duration_since(Instant::now());
     let claim = KeyClaim {
         key: key_hash(call, key),
@@ -26,8 +30,8 @@
         entry: entry.clone(),
         digest: format!("{:032x}", xxh3_128(&call.body)),
     };
-    match keys.claim(claim, LIMIT.min(left / 2)).await {
-        Ok(KeyOutcome::Won) => Ok(()),
+    match keys.claim(claim.clone(), LIMIT.min(left / 2)).await {
+        Ok(KeyOutcome::Won) => Ok(Some(claim)),
         Ok(KeyOutcome::Taken { .. }) => Err(Refusal::KeyTaken),
         Err(ClaimError::Undecided { .. } | ClaimError::NotReady | ClaimError::Partial) => {
             Err(Refusal::NoClaim { retry: RETRY })
--- a/components/entry/tests/sessions/keys.rs
+++ b/components/entry/tests/sessions/keys.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::kit::{World, service_call};
+use wire::Refusal;
+
+use crate::kit::{Act, World, service_call};
 
 const KEY: &[(&str, &str)] = &[("idempotency-key", "badge-7-december")];
 
@@ -41,6 +43,33 @@
     assert_eq!((served, agent.runs().len()), (1, 1));
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_use_a_key_again_after_a_proof_that_it_did_not_run() {
+    let mut world = World::new().await;
+    let agent = world.attach("darwaza-0", "darwaza", "saddar").await;
+    let twin = world.twin("entry-1").await;
+    agent.script([Act::Refuse(Refusal::Full { retry: units::Span::secs(1) })]);
+    let refused = world.call(service_call("POST", "/badges", KEY)).await;
+    assert_eq!((refused.status.as_u16(), refused.outcome()), (429, "not-run"));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let again = twin.call(service_call("POST", "/badges", KEY)).await;
+    assert_eq!(again.outcome(), "served");
+    assert_eq!(agent.runs().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_a_key_whose_request_has_an_unknown_outcome() {
+    let mut world = World::new().await;
+    let agent = world.attach("darwaza-0", "darwaza", "saddar").await;
+    agent.script([Act::Never]);
+    let headers = [KEY[0], ("hyssop-deadline", "2s")];
+    let first = world.call(service_call("POST", "/badges", &headers)).await;
+    assert_eq!(first.outcome(), "unknown");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let again = world.call(service_call("POST", "/badges", KEY)).await;
+    assert_eq!((again.status.as_u16(), agent.runs().len()), (409, 1));
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_tell_keys_of_groups_and_routes_apart() {
     let mut world = World::new().await;
