--- a/components/entry/src/keys.rs
+++ b/components/entry/src/keys.rs
@@ -29,7 +29,7 @@
     match keys.claim(claim, LIMIT.min(left / 2)).await {
         Ok(KeyOutcome::Won) => Ok(()),
         Ok(KeyOutcome::Taken { .. }) => Err(Refusal::KeyTaken),
-        Err(ClaimError::Undecided { .. } | ClaimError::NotReady) => {
+        Err(ClaimError::Undecided { .. } | ClaimError::NotReady | ClaimError::Partial) => {
             Err(Refusal::NoClaim { retry: RETRY })
         }
     }
