--- a/components/peer/src/operation.rs
+++ b/components/peer/src/operation.rs
@@ -12,6 +12,8 @@
     results: UnboundedReceiver<(Aio, AioResult)>,
     context: Context,
     aio: Aio,
+    /// Closed by the last to drop it, so never under a context: nng frees the socket beneath it.
+    _socket: Socket,
 }
 
 impl Operation {
@@ -20,7 +22,7 @@
         let (done, results) = unbounded_channel();
         // The callback hands its clone of the handle over: freeing the last one in a callback would deadlock.
         let aio = Aio::new(move |aio, result| drop(done.send((aio, result))))?;
-        Ok(Self { results, context, aio })
+        Ok(Self { results, context, aio, _socket: socket.clone() })
     }
 
     pub(crate) async fn send(&mut self, message: &[u8]) -> nng::Result<()> {
--- a/components/peer/src/server.rs
+++ b/components/peer/src/server.rs
@@ -73,7 +73,8 @@
         tokio::spawn(async move {
             stopped(stop).await;
             self.listener.close();
-            self.socket.close();
+            // The socket closes with the last worker.
+            drop(self.socket);
         });
         Ok(())
     }
