--- /dev/null
+++ b/components/standin/src/store.rs
@@ -0,0 +1,323 @@
+//! The weight store: starts so many fetches a second, the urgent first, and shares its bandwidth.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep, sleep_until};
+use units::{ModelName, Rate, Size, Span};
+use web::{BindError, Body};
+
+use crate::clock::wall_ms;
+use crate::gate::{Age, Silence};
+use crate::server::{self, Answer, Running, done, refuse};
+
+/// How often the share of a running fetch is worked out again.
+const STEP: Duration = Duration::from_millis(10);
+
+/// The settings of a weight store.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StoreSettings {
+    /// How many fetches are started a second.
+    pub rate: Rate,
+    /// How many fetches run at full speed; more share that speed.
+    pub full: u32,
+    /// Bytes a second of a fetch at full speed.
+    pub bandwidth: Size,
+    /// The size of an artifact when a fetch does not say it.
+    pub size: Size,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self { rate: Rate(7.0), full: 4, bandwidth: Size::mib(3277), size: Size::gib(8) }
+    }
+}
+
+/// A fault of a weight store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "fault", deny_unknown_fields)]
+pub enum StoreFault {
+    /// No faults from now on.
+    None,
+    /// Fetches take so many times as long.
+    Slow {
+        /// How many times as long.
+        factor: f64,
+    },
+    /// Fetches are answered 503.
+    Outage,
+    /// Fetches are taken and make no progress for a while.
+    Freeze {
+        /// How long.
+        span: Span,
+    },
+    /// Connections that exist deliver nothing any more; new ones work.
+    Silence,
+}
+
+/// The body of `POST /v1/fetch`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Fetch {
+    /// The model with its version.
+    pub artifact: ModelName,
+    /// Whether somebody waits for it.
+    #[serde(default)]
+    pub urgent: bool,
+    /// Its size.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub size: Option<Size>,
+}
+
+/// One fetch that was done.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fetched {
+    /// When it began to move, in milliseconds since 1970.
+    pub wall_ms: u64,
+    /// The model with its version.
+    pub artifact: ModelName,
+    /// Whether somebody waited for it.
+    pub urgent: bool,
+    /// How long it waited for its start.
+    pub waited: Span,
+    /// How long it moved; nothing while it still does.
+    pub took: Option<Span>,
+}
+
+/// What really happened at a weight store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreTruth {
+    /// Fetches in the order of their starts.
+    pub fetches: Vec<Fetched>,
+    /// The most that ran at the same time.
+    pub most: u32,
+    /// How many wait for their start.
+    pub waiting: u32,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    urgent: bool,
+    seq: Reverse<u64>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    place: Place,
+    start: oneshot::Sender<()>,
+}
+
+impl PartialEq for Waiting {
+    fn eq(&self, other: &Self) -> bool {
+        self.place == other.place
+    }
+}
+
+impl Eq for Waiting {}
+
+impl PartialOrd for Waiting {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Waiting {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.place.cmp(&other.place)
+    }
+}
+
+#[derive(Debug)]
+struct Core {
+    queue: BinaryHeap<Waiting>,
+    seq: u64,
+    running: u32,
+    slow: f64,
+    outage: bool,
+    thaw: Instant,
+    truth: StoreTruth,
+}
+
+#[derive(Debug)]
+struct Shared {
+    core: Mutex<Core>,
+    queued: Notify,
+    settings: StoreSettings,
+    silence: Silence,
+}
+
+/// A stand-in for the weight store.
+#[derive(Debug, Clone)]
+pub struct Store(Arc<Shared>);
+
+impl Store {
+    /// Starts it.
+    pub async fn start(addr: SocketAddr, settings: StoreSettings) -> Result<Running, BindError> {
+        let core = Core {
+            queue: BinaryHeap::new(),
+            seq: 0,
+            running: 0,
+            slow: 1.0,
+            outage: false,
+            thaw: Instant::now(),
+            truth: StoreTruth::default(),
+        };
+        let silence = Silence::default();
+        let store = Self(Arc::new(Shared {
+            core: Mutex::new(core),
+            queued: Notify::new(),
+            settings,
+            silence: silence.clone(),
+        }));
+        tokio::spawn(dispense(Arc::downgrade(&store.0)));
+        server::start(addr, silence, move |request| store.clone().answer(request)).await
+    }
+
+    fn core(&self) -> MutexGuard<'_, Core> {
+        self.0.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Answer {
+        Ok(match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/fetch") => match server::body(request).await {
+                Ok(fetch) => self.fetch(fetch).await,
+                Err(refusal) => refusal,
+            },
+            (&Method::GET, "/truth") => web::json(StatusCode::OK, &self.truth()),
+            (&Method::POST, "/faults") => self.fault(request).await,
+            _ => refuse(StatusCode::NOT_FOUND, "a weight store has POST /v1/fetch"),
+        })
+    }
+
+    fn truth(&self) -> StoreTruth {
+        let core = self.core();
+        let waiting = core.queue.iter().filter(|one| !one.start.is_closed()).count();
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        StoreTruth { waiting, ..core.truth.clone() }
+    }
+
+    async fn fetch(&self, fetch: Fetch) -> Response<Body> {
+        let queued = Instant::now();
+        let (start, started) = oneshot::channel();
+        {
+            let mut core = self.core();
+            if core.outage {
+                return refuse(StatusCode::SERVICE_UNAVAILABLE, "the store is down");
+            }
+            core.seq += 1;
+            let place = Place { urgent: fetch.urgent, seq: Reverse(core.seq) };
+            core.queue.push(Waiting { place, start });
+        }
+        self.0.queued.notify_one();
+        if started.await.is_err() {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "the store ends");
+        }
+        let running = Moving::new(self.clone());
+        let index = self.note_start(&fetch, queued.elapsed());
+        let began = Instant::now();
+        running.copy(fetch.size.unwrap_or(self.0.settings.size)).await;
+        if let Some(fetched) = self.core().truth.fetches.get_mut(index) {
+            fetched.took = Some(Span(began.elapsed()));
+        }
+        done()
+    }
+
+    fn note_start(&self, fetch: &Fetch, waited: Duration) -> usize {
+        let mut core = self.core();
+        core.truth.most = core.truth.most.max(core.running);
+        core.truth.fetches.push(Fetched {
+            wall_ms: wall_ms(),
+            artifact: fetch.artifact.clone(),
+            urgent: fetch.urgent,
+            waited: Span(waited),
+            took: None,
+        });
+        core.truth.fetches.len() - 1
+    }
+
+    async fn fault(&self, request: Request<Incoming>) -> Response<Body> {
+        let age = request.extensions().get::<Age>().cloned();
+        let fault = match server::body(request).await {
+            Ok(fault) => fault,
+            Err(refusal) => return refusal,
+        };
+        let mut core = self.core();
+        match fault {
+            StoreFault::None => {
+                core.slow = 1.0;
+                core.outage = false;
+                core.thaw = Instant::now();
+            }
+            StoreFault::Slow { factor } => core.slow = factor.max(f64::MIN_POSITIVE),
+            StoreFault::Outage => core.outage = true,
+            StoreFault::Freeze { span } => core.thaw = Instant::now() + span.0,
+            StoreFault::Silence => server::silence(&self.0.silence, age.as_ref()),
+        }
+        done()
+    }
+}
+
+/// Starts the fetches that wait, the urgent first, as often as the rate allows.
+async fn dispense(shared: std::sync::Weak<Shared>) {
+    loop {
+        let Some(shared) = shared.upgrade() else { return };
+        let store = Store(shared);
+        let next = store.core().queue.pop();
+        let Some(next) = next else {
+            store.0.queued.notified().await;
+            continue;
+        };
+        if next.start.send(()).is_ok() {
+            let pause = Duration::from_secs_f64(1.0 / store.0.settings.rate.0.max(0.001));
+            sleep(pause).await;
+        }
+    }
+}
+
+/// A fetch that moves; it stops counting when it is dropped.
+#[derive(Debug)]
+struct Moving(Store);
+
+impl Moving {
+    fn new(store: Store) -> Self {
+        store.core().running += 1;
+        Self(store)
+    }
+
+    async fn copy(&self, size: Size) {
+        let bandwidth = self.0.0.settings.bandwidth.0.max(1);
+        let mut left = size.0 as f64 / bandwidth as f64;
+        let mut last = Instant::now();
+        while left > 0.0 {
+            let thaw = self.0.core().thaw;
+            if thaw > last {
+                sleep_until(thaw).await;
+                last = Instant::now();
+            }
+            let speed = self.speed();
+            sleep(STEP.min(Duration::from_secs_f64(left / speed))).await;
+            left -= last.elapsed().as_secs_f64() * speed;
+            last = Instant::now();
+        }
+    }
+
+    /// The part of the full speed that this fetch gets.
+    fn speed(&self) -> f64 {
+        let core = self.0.core();
+        let share = f64::from(self.0.0.settings.full) / f64::from(core.running.max(1));
+        share.clamp(0.001, 1.0) / core.slow
+    }
+}
+
+impl Drop for Moving {
+    fn drop(&mut self) {
+        self.0.core().running -= 1;
+    }
+}
