--- a/components/fake/src/list.rs
+++ b/components/fake/src/list.rs
@@ -9,9 +9,16 @@
 use tokio::time::Instant;
 use units::InstanceId;
 
+/// A list, and since when it holds; the first one holds from the start.
+#[derive(Debug)]
+struct Version {
+    since: Option<Instant>,
+    all: Vec<Instance>,
+}
+
 #[derive(Debug, Default)]
 struct Core {
-    versions: VecDeque<(Instant, Vec<Instance>)>,
+    versions: VecDeque<Version>,
     lag: Duration,
     outage: bool,
 }
@@ -25,6 +32,13 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// A list that readers see from the start, whatever the lag.
+    pub fn new(all: Vec<Instance>) -> Self {
+        let list = Self::default();
+        list.core().versions.push_back(Version { since: None, all });
+        list
+    }
+
     /// How long a change takes until readers see it.
     pub fn set_lag(&self, lag: Duration) {
         self.core().lag = lag;
@@ -37,7 +51,8 @@
 
     /// Replaces the list.
     pub fn set(&self, instances: Vec<Instance>) {
-        self.core().versions.push_back((Instant::now(), instances));
+        let since = Some(Instant::now());
+        self.core().versions.push_back(Version { since, all: instances });
     }
 
     /// Adds an instance, or replaces the one with its id.
@@ -66,7 +81,13 @@
 
     /// The list as it is, without lag or faults.
     pub fn newest(&self) -> Vec<Instance> {
-        self.core().versions.back().map(|(_, all)| all.clone()).unwrap_or_default()
+        self.core().versions.back().map(|version| version.all.clone()).unwrap_or_default()
+    }
+}
+
+impl Version {
+    fn in_sight(&self, lag: Duration) -> bool {
+        self.since.is_none_or(|since| since.elapsed() >= lag)
     }
 }
 
@@ -74,10 +95,10 @@
     /// Drops versions that no reader will see again and returns the one in sight.
     fn visible(&mut self) -> Vec<Instance> {
         let lag = self.lag;
-        let seen = self.versions.iter().filter(|(since, _)| since.elapsed() >= lag).count();
+        let seen = self.versions.iter().filter(|version| version.in_sight(lag)).count();
         self.versions.drain(..seen.saturating_sub(1));
         let front = self.versions.front().filter(|_| seen > 0);
-        front.map(|(_, all)| all.clone()).unwrap_or_default()
+        front.map(|version| version.all.clone()).unwrap_or_default()
     }
 }
 
--- a/components/standin/src/service.rs
+++ b/components/standin/src/service.rs
@@ -15,6 +15,7 @@
 use web::{BindError, Body};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::execution::Execution;
 use crate::gate::{Age, Silence};
 use crate::server::{self, Answer, Running, done, header, refuse};
 
@@ -51,17 +52,6 @@
     Silence,
 }
 
-/// What became of one request id.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Execution {
-    /// How many times it was run.
-    pub runs: u32,
-    /// How many runs came to their end.
-    pub finished: u32,
-    /// How many runs were cancelled or cut.
-    pub cancelled: u32,
-}
-
 /// What really happened at a plain service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceTruth {
--- a/components/standin/src/store.rs
+++ b/components/standin/src/store.rs
@@ -3,13 +3,13 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, sleep_until};
 use units::{ModelName, Rate, Size, Span};
 use web::{BindError, Body};
@@ -21,6 +21,9 @@
 /// How often the share of a running fetch is worked out again.
 const STEP: Duration = Duration::from_millis(10);
 
+/// The slowest start of fetches, so that the pause between them is finite.
+const MIN_RATE: f64 = 0.001;
+
 /// The settings of a weight store.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -148,7 +151,7 @@
 #[derive(Debug)]
 struct Shared {
     core: Mutex<Core>,
-    queued: Notify,
+    queued: mpsc::UnboundedSender<()>,
     settings: StoreSettings,
     silence: Silence,
 }
@@ -160,6 +163,12 @@
 impl Store {
     /// Starts it.
     pub async fn start(addr: SocketAddr, settings: StoreSettings) -> Result<Running, BindError> {
+        let store = Self::new(settings);
+        let silence = store.0.silence.clone();
+        server::start(addr, silence, move |request| store.clone().answer(request)).await
+    }
+
+    fn new(settings: StoreSettings) -> Self {
         let core = Core {
             queue: BinaryHeap::new(),
             seq: 0,
@@ -169,15 +178,11 @@
             thaw: Instant::now(),
             truth: StoreTruth::default(),
         };
-        let silence = Silence::default();
-        let store = Self(Arc::new(Shared {
-            core: Mutex::new(core),
-            queued: Notify::new(),
-            settings,
-            silence: silence.clone(),
-        }));
-        tokio::spawn(dispense(Arc::downgrade(&store.0)));
-        server::start(addr, silence, move |request| store.clone().answer(request)).await
+        let (queued, next) = mpsc::unbounded_channel();
+        let core = Mutex::new(core);
+        let store = Self(Arc::new(Shared { core, queued, settings, silence: Silence::default() }));
+        tokio::spawn(dispense(Arc::downgrade(&store.0), next));
+        store
     }
 
     fn core(&self) -> MutexGuard<'_, Core> {
@@ -215,7 +220,7 @@
             let place = Place { urgent: fetch.urgent, seq: Reverse(core.seq) };
             core.queue.push(Waiting { place, start });
         }
-        self.0.queued.notify_one();
+        let _ = self.0.queued.send(());
         if started.await.is_err() {
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "the store ends");
         }
@@ -244,10 +249,14 @@
 
     async fn fault(&self, request: Request<Incoming>) -> Response<Body> {
         let age = request.extensions().get::<Age>().cloned();
-        let fault = match server::body(request).await {
-            Ok(fault) => fault,
+        match server::body(request).await {
+            Ok(fault) => self.set(fault, age.as_ref()),
             Err(refusal) => return refusal,
-        };
+        }
+        done()
+    }
+
+    fn set(&self, fault: StoreFault, age: Option<&Age>) {
         let mut core = self.core();
         match fault {
             StoreFault::None => {
@@ -258,25 +267,20 @@
             StoreFault::Slow { factor } => core.slow = factor.max(f64::MIN_POSITIVE),
             StoreFault::Outage => core.outage = true,
             StoreFault::Freeze { span } => core.thaw = Instant::now() + span.0,
-            StoreFault::Silence => server::silence(&self.0.silence, age.as_ref()),
+            StoreFault::Silence => server::silence(&self.0.silence, age),
         }
-        done()
     }
 }
 
 /// Starts the fetches that wait, the urgent first, as often as the rate allows.
-async fn dispense(shared: std::sync::Weak<Shared>) {
-    loop {
-        let Some(shared) = shared.upgrade() else { return };
-        let store = Store(shared);
+async fn dispense(shared: Weak<Shared>, mut queued: mpsc::UnboundedReceiver<()>) {
+    while queued.recv().await.is_some() {
+        let Some(store) = shared.upgrade().map(Store) else { return };
         let next = store.core().queue.pop();
-        let Some(next) = next else {
-            store.0.queued.notified().await;
-            continue;
-        };
-        if next.start.send(()).is_ok() {
-            let pause = Duration::from_secs_f64(1.0 / store.0.settings.rate.0.max(0.001));
-            sleep(pause).await;
+        let rate = store.0.settings.rate.0.max(MIN_RATE);
+        drop(store);
+        if next.is_some_and(|next| next.start.send(()).is_ok()) {
+            sleep(Duration::from_secs_f64(1.0 / rate)).await;
         }
     }
 }
@@ -321,3 +325,6 @@
         self.0.core().running -= 1;
     }
 }
+
+#[cfg(test)]
+mod tests;
