--- a/components/standin/src/store.rs
+++ b/components/standin/src/store.rs
@@ -21,6 +21,9 @@
 /// How often the share of a running fetch is worked out again.
 const STEP: Duration = Duration::from_millis(10);
 
+/// Seconds of a fetch that are nothing but rounding.
+const ROUNDING: f64 = 1e-6;
+
 /// The slowest start of fetches, so that the pause between them is finite.
 const MIN_RATE: f64 = 0.001;
 
@@ -299,7 +302,7 @@
         let bandwidth = self.0.0.settings.bandwidth.0.max(1);
         let mut left = size.0 as f64 / bandwidth as f64;
         let mut last = Instant::now();
-        while left > 0.0 {
+        while left > ROUNDING {
             let thaw = self.0.core().thaw;
             if thaw > last {
                 sleep_until(thaw).await;
