--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod recover;
 mod relay;
 mod run;
+mod serve;
 mod settings;
 mod status;
 mod tally;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -7,7 +7,6 @@
 use planner::DemandLog;
 use platform::{HttpList, HttpLog, LogService};
 use process::{Phase, Process, StartError};
-use tokio::sync::watch;
 
 use crate::control::{Answerer, spread_demand};
 use crate::core::{Core, Parts};
@@ -16,8 +15,6 @@
 
 /// The pause between two clean-ups of what is known of endpoints.
 const PRUNE_PAUSE: Duration = Duration::from_secs(10);
-/// How long connections may take to close once everything in flight was ended by force.
-const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Runs an entry until its shutdown is done.
 pub async fn run(settings: Settings, process: Process) -> Result<(), StartError> {
@@ -61,6 +58,22 @@
     served
 }
 
+/// Serves callers; the state is known before the first is accepted.
+async fn serve_callers(
+    settings: &Settings,
+    process: &Process,
+    core: Arc<Core>,
+) -> Result<(), StartError> {
+    tokio::select! {
+        () = core.journal.ready() => {}
+        () = process.shutdown.reached(Phase::Drain) => return Ok(()),
+    }
+    let listener = web::bind(settings.listen).await.map_err(StartError::new)?;
+    log::info!("entry: callers are served on {}", settings.listen);
+    core.serve(listener, settings.balancer_lag.0).await;
+    Ok(())
+}
+
 async fn serve_control(
     settings: &Settings,
     process: &Process,
@@ -78,39 +91,6 @@
     peer::serve(settings.control, stop, handler).await.map_err(StartError::new)
 }
 
-/// Serves callers; the state is known before the first is accepted.
-async fn serve_callers(
-    settings: &Settings,
-    process: &Process,
-    core: Arc<Core>,
-) -> Result<(), StartError> {
-    let shutdown = &process.shutdown;
-    tokio::select! {
-        () = core.journal.ready() => {}
-        () = shutdown.reached(Phase::Drain) => return Ok(()),
-    }
-    let listener = web::bind(settings.listen).await.map_err(StartError::new)?;
-    log::info!("entry: callers are served on {}", settings.listen);
-    let (sender, stop) = watch::channel(false);
-    let handler = move |request, _peer| core.clone().answer(request);
-    let serving = web::serve(listener, web::ServeOptions::default(), stop, handler);
-    let stopping = async {
-        shutdown.reached(Phase::Drain).await;
-        tokio::select! {
-            () = tokio::time::sleep(settings.balancer_lag.0) => {}
-            () = shutdown.reached(Phase::Force) => {}
-        }
-        let _ = sender.send(true);
-        shutdown.reached(Phase::Force).await;
-        tokio::time::sleep(CLOSE_LIMIT).await;
-    };
-    tokio::select! {
-        () = serving => {}
-        () = stopping => log::warn!("entry: connections are cut by a forced shutdown"),
-    }
-    Ok(())
-}
-
 /// Forgets endpoints that are gone.
 async fn prune(core: Arc<Core>) {
     loop {
--- a/components/entry/tests/sessions/kit/agent.rs
+++ b/components/entry/tests/sessions/kit/agent.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use super::Transcript;
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use http::{Request, Response, StatusCode};
@@ -25,6 +26,8 @@
     Answer { content: &'static str, body: &'static str },
     /// Runs it, and answers with this status.
     Status { status: u16, content: &'static str, body: &'static str },
+    /// Runs it once it is released.
+    Hold(&'static str),
     /// Runs it after a time.
     After(Duration, &'static str),
     /// Runs it, and cuts the stream after so many bytes; a resume gets the rest.
@@ -73,10 +76,13 @@
 /// A scripted agent; clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct Agent {
+    name: String,
     pub(crate) addr: SocketAddr,
     pub(crate) incarnation: Incarnation,
     inner: Arc<Mutex<Inner>>,
     cut: Arc<Notify>,
+    release: Arc<Notify>,
+    transcript: Transcript,
 }
 
 /// A report of load.
@@ -87,9 +93,27 @@
 const SSE: &str = "text/event-stream";
 
 impl Agent {
-    pub(crate) fn new(addr: SocketAddr, incarnation: Incarnation) -> Self {
+    pub(crate) fn new(
+        name: &str,
+        addr: SocketAddr,
+        incarnation: Incarnation,
+        transcript: Transcript,
+    ) -> Self {
         let inner = Inner { report: report(0, 0, 1), ..Inner::default() };
-        Self { addr, incarnation, inner: Arc::new(Mutex::new(inner)), cut: Arc::default() }
+        Self {
+            name: name.to_owned(),
+            addr,
+            incarnation,
+            inner: Arc::new(Mutex::new(inner)),
+            cut: Arc::default(),
+            release: Arc::default(),
+            transcript,
+        }
+    }
+
+    /// Lets a request that is held run.
+    pub(crate) fn release(&self) {
+        self.release.notify_one();
     }
 
     /// Sets what the next dispatches meet; later ones are answered with `ok`.
@@ -140,7 +164,7 @@
 
     /// The same agent under a new incarnation, which knows nothing of earlier requests.
     pub(crate) fn reborn(&self, incarnation: Incarnation) -> Self {
-        Self::new(self.addr, incarnation)
+        Self::new(&self.name, self.addr, incarnation, self.transcript.clone())
     }
 
     /// Cuts all open connections.
@@ -179,11 +203,14 @@
         match parts.uri.path() {
             wire::DISPATCH_PATH => {
                 let dispatch = Dispatch::read(&parts.headers).expect("a dispatch has a head");
+                self.say(&describe(&dispatch));
                 let body = body.collect().await.map(http_body_util::Collected::to_bytes);
                 self.dispatch(dispatch, body.unwrap_or_default()).await
             }
             wire::RESUME_PATH => {
                 let resume = Resume::read(&parts.headers).expect("a resume has a head");
+                let verb = if resume.cancel { "cancel" } else { "resume" };
+                self.say(&format!("gets {verb} {} from byte {}", resume.request, resume.from));
                 self.resume(resume).await
             }
             other => panic!("no path {other}"),
@@ -223,11 +250,18 @@
         match act {
             Act::Answer { content, body } => self.run(id, 200, content, body),
             Act::Status { status, content, body } => self.run(id, status, content, body),
+            Act::Hold(body) => {
+                self.release.notified().await;
+                self.run(id, 200, "application/json", body)
+            }
             Act::After(pause, body) => {
                 self.lock().rows.insert(id.clone(), Row::Queued);
                 let (agent, id) = (self.clone(), id.clone());
                 let run = tokio::spawn(async move {
                     tokio::time::sleep(pause).await;
+                    if agent.is_barred(&id) {
+                        return agent.refuse(&Refusal::Cancelled);
+                    }
                     agent.run(&id, 200, "application/json", body)
                 });
                 run.await.expect("a run does not panic")
@@ -267,6 +301,10 @@
         }
     }
 
+    fn is_barred(&self, id: &RequestId) -> bool {
+        matches!(self.lock().rows.get(id), Some(Row::Tombstone))
+    }
+
     async fn vanish(&self) -> Response<Body> {
         self.cut_all();
         std::future::pending().await
@@ -304,7 +342,12 @@
         }
     }
 
+    fn say(&self, what: &str) {
+        self.transcript.add(&self.name, what);
+    }
+
     fn start(&self, id: &RequestId, row: Row) {
+        self.say(&format!("runs {id}"));
         let mut inner = self.lock();
         inner.runs.push(id.clone());
         inner.rows.insert(id.clone(), row);
@@ -322,6 +365,7 @@
     }
 
     fn refuse(&self, refusal: &Refusal) -> Response<Body> {
+        self.say(&format!("refuses: {refusal}"));
         let (response, bytes) = wire::refusal_response(refusal);
         let mut response = response.map(|()| web::full(bytes));
         self.lock().report.write(response.headers_mut());
@@ -329,6 +373,7 @@
     }
 
     fn unknown(&self, cause: &UnknownCause) -> Response<Body> {
+        self.say(&format!("can't tell: {cause}"));
         let mut response = web::json(StatusCode::GONE, cause);
         self.lock().report.write(response.headers_mut());
         response
@@ -357,6 +402,13 @@
     }
 }
 
+fn describe(dispatch: &Dispatch) -> String {
+    let Dispatch { request, method, path, model, budget, repeatable, .. } = dispatch;
+    let model = model.as_ref().map(|model| format!(" for {model}")).unwrap_or_default();
+    let once = if *repeatable { "" } else { ", once" };
+    format!("gets {request}: {method} {path}{model} within {budget}{once}")
+}
+
 enum Last {
     End(End),
     Cut,
--- a/components/entry/tests/sessions/kit/mod.rs
+++ b/components/entry/tests/sessions/kit/mod.rs
@@ -2,8 +2,10 @@
 
 mod agent;
 mod net;
+mod transcript;
 mod world;
 
 pub(crate) use agent::{Act, Agent, report};
 pub(crate) use net::Net;
+pub(crate) use transcript::Transcript;
 pub(crate) use world::{World, ask, id, service_call};
--- a/components/entry/tests/sessions/kit/world.rs
+++ b/components/entry/tests/sessions/kit/world.rs
@@ -19,7 +19,7 @@
 use tree::{Change, Edit, NodeKind};
 use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size};
 
-use super::{Agent, Net};
+use super::{Agent, Net, Transcript};
 
 /// Text as an id of the wanted kind.
 pub(crate) fn id<T: FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
@@ -88,6 +88,8 @@
     pub(crate) core: Arc<Core>,
     pub(crate) recorder: Recorder,
     pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) transcript: Transcript,
+    name: String,
     next: u64,
     epoch: Epoch,
 }
@@ -97,7 +99,7 @@
     /// service `darwaza` whose badges are granted once.
     pub(crate) async fn new() -> Self {
         let log = fake::Log::default();
-        let mut world = Self::over(log, Net::default(), "entry-0");
+        let mut world = Self::over(log, Net::default(), "entry-0", Transcript::new());
         world.edit(base_tree());
         world.epoch = Epoch(world.put(Body::Claim { previous: Epoch(0) }).0);
         world.settle().await;
@@ -106,14 +108,15 @@
 
     /// Another entry over the same log and network.
     pub(crate) async fn twin(&self, name: &str) -> Self {
-        let mut twin = Self::over(self.log.clone(), self.net.clone(), name);
+        let mut twin =
+            Self::over(self.log.clone(), self.net.clone(), name, self.transcript.clone());
         twin.next = 1_000_000;
         twin.epoch = self.epoch;
         twin.settle().await;
         twin
     }
 
-    fn over(log: fake::Log, net: Net, name: &str) -> Self {
+    fn over(log: fake::Log, net: Net, name: &str, transcript: Transcript) -> Self {
         let service: Arc<dyn LogService> = Arc::new(log.clone());
         let recorder = Recorder::new(id(name));
         let options = journal::Options::default();
@@ -130,7 +133,18 @@
             body_limit: Size(4096),
             in_flight: 100,
         });
-        Self { log, net, journal, core, recorder, phase, next: 0, epoch: Epoch(0) }
+        Self {
+            log,
+            net,
+            journal,
+            core,
+            recorder,
+            phase,
+            transcript,
+            name: name.to_owned(),
+            next: 0,
+            epoch: Epoch(0),
+        }
     }
 
     /// Writes a record.
@@ -191,7 +205,7 @@
             previous: Incarnation(previous),
         };
         let offset = self.put(Body::Attach(attach));
-        let agent = Agent::new(addr, offset.into());
+        let agent = Agent::new(endpoint, addr, offset.into(), self.transcript.clone());
         self.net.add(&agent);
         self.settle().await;
         agent
@@ -233,7 +247,7 @@
 
     /// Sends a request and reads the whole answer.
     pub(crate) async fn call(&self, request: Request<Full<Bytes>>) -> Answer {
-        read(self.core.clone().answer(request).await).await
+        exchange(self.core.clone(), request, self.transcript.clone(), self.name.clone()).await
     }
 
     /// Sends a request from a task of its own.
@@ -241,9 +255,36 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> tokio::task::JoinHandle<Answer> {
-        let core = self.core.clone();
-        tokio::spawn(async move { read(core.answer(request).await).await })
+        let (core, transcript) = (self.core.clone(), self.transcript.clone());
+        tokio::spawn(exchange(core, request, transcript, self.name.clone()))
+    }
+}
+
+/// Sends a request to an entry and reads the whole answer.
+async fn exchange(
+    core: Arc<Core>,
+    request: Request<Full<Bytes>>,
+    transcript: Transcript,
+    entry: String,
+) -> Answer {
+    let shown: Vec<String> = request
+        .headers()
+        .iter()
+        .filter(|(name, _)| *name != "content-type")
+        .map(|(name, value)| format!(" {name}={}", value.to_str().unwrap_or("?")))
+        .collect();
+    let line = format!("asks {entry}: {} {}{}", request.method(), request.uri(), shown.concat());
+    transcript.add("caller", &line);
+    let answer = read(core.answer(request).await).await;
+    let retry = answer.header("retry-after");
+    let retry = if retry.is_empty() { String::new() } else { format!(", retry after {retry} s") };
+    let cut = if answer.cut { ", cut" } else { "" };
+    let line = format!("gets {} {}{retry}{cut}", answer.status, answer.outcome());
+    transcript.add("caller", &line);
+    for line in answer.text().lines().filter(|line| !line.is_empty()) {
+        transcript.add("", line);
     }
+    answer
 }
 
 async fn read(response: http::Response<web::Body>) -> Answer {
--- a/components/entry/tests/sessions/main.rs
+++ b/components/entry/tests/sessions/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod deadline;
 mod drain;
+mod golden;
 mod keys;
 mod kit;
 mod lost;
