--- /dev/null
+++ b/components/entry/tests/sessions/kit/mod.rs
@@ -0,0 +1,9 @@
+//! An entry over an in-memory log and network, with scripted agents.
+
+mod agent;
+mod net;
+mod world;
+
+pub(crate) use agent::{Act, Agent, report};
+pub(crate) use net::Net;
+pub(crate) use world::{World, ask, id, service_call};
