--- a/components/policy/examples/series.rs
+++ b/components/policy/examples/series.rs
@@ -59,10 +59,9 @@
 }
 
 fn serve(mut all: Vec<Series>, order: SeriesOrder, rng: &mut ChaCha8Rng, tally: &mut Tally) {
-    let mut slots = vec![Duration::ZERO; SLOTS];
+    let mut slots = [Duration::ZERO; SLOTS];
     let mut done = vec![Duration::ZERO; all.len()];
-    loop {
-        let Some(slot) = (0..SLOTS).min_by_key(|i| slots[*i]) else { break };
+    while let Some(slot) = (0..SLOTS).min_by_key(|i| slots[*i]) {
         let now = slots[slot];
         let known = all.iter().take_while(|one| one.queued <= now).count();
         if let Some(i) = order.next(&all[..known], now, EACH) {
