--- a/components/policy/examples/keepwarm.rs
+++ b/components/policy/examples/keepwarm.rs
@@ -94,8 +94,8 @@
         arrive(at, &traces[i], &mut replicas[i], &mut store, chooser, &mut tally);
     }
     for (replica, trace) in replicas.iter().zip(traces) {
-        // The last stay runs out; one that knows the future does not stay at all.
-        if replica.started && matches!(chooser, Chooser::Policy(_)) {
+        // The last stay runs out; one that knows the future had none.
+        if replica.started {
             tally.idle += replica.stay;
             tally.cost += replica.stay * costs(trace).idle_weight;
         }
@@ -140,9 +140,11 @@
     replica.started = true;
     replica.ready = at + wait;
     replica.free = at + wait + BUSY;
-    if let Chooser::Policy(policy) = chooser {
-        replica.stay = policy.stay(&replica.gaps, &costs, MOST).as_secs_f64();
-    }
+    let stay = match chooser {
+        Chooser::Policy(policy) => policy.stay(&replica.gaps, &costs, MOST),
+        Chooser::Clairvoyant => Duration::ZERO,
+    };
+    replica.stay = stay.as_secs_f64();
 }
 
 fn quantile(values: &mut [f64], part: f64) -> f64 {
@@ -162,7 +164,9 @@
     let fixed = |seconds| Chooser::Policy(KeepWarm::Fixed(Duration::from_secs(seconds)));
     let choosers = [
         ("fixed 0 s", fixed(0)),
+        ("fixed 30 s", fixed(30)),
         ("fixed 60 s", fixed(60)),
+        ("fixed 120 s", fixed(120)),
         ("fixed 300 s", fixed(300)),
         ("fixed 900 s", fixed(900)),
         ("fixed 3600 s", fixed(3600)),
