--- a/src/cli.rs
+++ b/src/cli.rs
@@ -52,6 +52,7 @@
     Publish { file: PathBuf, replace: bool },
     Set { path: NodePath, values: Vec<Assignment> },
     Explain { path: String },
+    Reference,
     Status,
     Timeline(Filter),
 }
@@ -88,8 +89,8 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 8] =
-    ["check", "diff", "pull", "publish", "set", "explain", "status", "timeline"];
+const COMMANDS: [&str; 9] =
+    ["check", "diff", "pull", "publish", "set", "explain", "reference", "status", "timeline"];
 
 /// What was read so far.
 #[derive(Debug, Default)]
@@ -182,6 +183,7 @@
             Command::Set { path, values: values.collect::<Result<_, CliError>>()? }
         }
         "explain" => Command::Explain { path: next("PATH", &mut values)?.string()? },
+        "reference" => Command::Reference,
         "status" => Command::Status,
         "timeline" => {
             let mut filter = std::mem::take(&mut words.filter);
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -1,4 +1,4 @@
-//! `hyssopctl --help` and `--version`.
+//! `hyssopctl --help`, `--version` and `reference`.
 
 use std::io::Write;
 
@@ -18,6 +18,7 @@
                            --replace puts a file that was never pulled in place of all there is
   set PATH KEY=VALUE...    publish settings of one node; `KEY=` clears the setting
   explain PATH             show the settings in force at a node or a model, and where they come from
+  reference                write the reference page of all settings
   status                   show the planner, the grants and every process with its revision
   timeline [ADDR...]       show the events of all processes in causal order;
                            --request ID, --model M and --endpoint E choose
@@ -51,3 +52,8 @@
     writeln!(out, "hyssopctl {}", env!("CARGO_PKG_VERSION"))?;
     Ok(Exit::Done)
 }
+
+pub(crate) fn reference(out: &mut dyn Write) -> Result<Exit, CmdError> {
+    write!(out, "{}", tree::reference())?;
+    Ok(Exit::Done)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -51,6 +51,7 @@
     match command {
         Command::Help => cmd::help::run(out),
         Command::Version => cmd::help::version(out),
+        Command::Reference => cmd::help::reference(out),
         Command::Check { file } => cmd::check::run(file, out),
         Command::Diff { file } => cmd::diff::run(&connect().await?, file, out),
         Command::Pull { file, force } => cmd::pull::run(&connect().await?, file, *force, out),
