--- a/components/tree/src/apply.rs
+++ b/components/tree/src/apply.rs
@@ -1,12 +1,15 @@
 //! Applying an edit, whole or not at all.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use units::{NodePath, Revision, SettingName};
 
 use crate::check;
-use crate::node::{Node, Nodes, Value, below};
-use crate::{Change, Edit, NodeKind, Settings, Tree, table};
+use crate::node::{Node, Nodes, Value, at_and_below};
+use crate::{Change, Edit, NodeKind, Settings, Tree};
 
 /// The most changes that one edit may have.
 pub const MAX_CHANGES: usize = 4096;
@@ -58,24 +61,41 @@
     /// even if to the same value. Edits of different settings do not conflict.
     pub fn apply(&mut self, edit: &Edit, at: Revision) -> Result<(), ApplyError> {
         limits(edit, at)?;
-        let mut draft = Draft { nodes: self.nodes().clone(), base: edit.base, at };
-        edit.changes.iter().try_for_each(|change| draft.change(change))?;
-        check::nodes(&draft.nodes)?;
-        *self = Self::of(draft.nodes);
-        Ok(())
+        self.change(&edit.changes, edit.base, at, |_, _| true)
     }
 
     /// The tree with changes made whatever their base; what is so already is left as it is.
     pub fn overlay(&self, changes: &[Change]) -> Result<Self, ApplyError> {
-        let (base, at) = (Revision(u64::MAX), Revision(0));
-        let mut draft = Draft { nodes: self.nodes().clone(), base, at };
-        for change in changes {
-            if !draft.has(change) {
-                draft.change(change)?;
+        let mut tree = self.clone();
+        tree.change(changes, Revision(u64::MAX), Revision(0), |nodes, change| !has(nodes, change))?;
+        Ok(tree)
+    }
+
+    /// Makes those changes that are wanted, all of them or none.
+    fn change(
+        &mut self,
+        changes: &[Change],
+        base: Revision,
+        at: Revision,
+        wanted: impl Fn(&Nodes, &Change) -> bool,
+    ) -> Result<(), ApplyError> {
+        let (nodes, index) = self.parts();
+        let mut draft = Draft { nodes, before: BTreeMap::new(), base, at };
+        let made = changes.iter().try_for_each(|change| {
+            if wanted(draft.nodes, change) { draft.change(change) } else { Ok(()) }
+        });
+        let touched = draft.before.keys().cloned().collect();
+        let update = made.and_then(|()| index.update(draft.nodes, &touched));
+        match update {
+            Ok(update) => {
+                Arc::make_mut(index).commit(update);
+                Ok(())
+            }
+            Err(error) => {
+                draft.undo();
+                Err(error)
             }
         }
-        check::nodes(&draft.nodes)?;
-        Ok(Self::of(draft.nodes))
     }
 }
 
@@ -112,24 +132,41 @@
     Ok(())
 }
 
+/// Whether a change would change nothing.
+fn has(nodes: &Nodes, change: &Change) -> bool {
+    let node = nodes.get(change.path());
+    match change {
+        Change::Add { kind, .. } => node.is_some_and(|node| node.kind == *kind),
+        Change::Remove { .. } => node.is_none(),
+        Change::Clear { setting, .. } => {
+            node.is_some_and(|node| !node.settings.contains_key(setting))
+        }
+        Change::Set { .. } => false,
+    }
+}
+
 /// The nodes while an edit is being applied.
-struct Draft {
-    nodes: Nodes,
+struct Draft<'a> {
+    nodes: &'a mut Nodes,
+    /// What the changed nodes were before.
+    before: BTreeMap<NodePath, Option<Node>>,
     base: Revision,
     at: Revision,
 }
 
-impl Draft {
-    /// Whether a change would change nothing.
-    fn has(&self, change: &Change) -> bool {
-        let node = self.nodes.get(change.path());
-        match change {
-            Change::Add { kind, .. } => node.is_some_and(|node| node.kind == *kind),
-            Change::Remove { .. } => node.is_none(),
-            Change::Clear { setting, .. } => {
-                node.is_some_and(|node| !node.settings.contains_key(setting))
-            }
-            Change::Set { .. } => false,
+impl Draft<'_> {
+    /// Remembers a node that is about to change.
+    fn remember(&mut self, path: &NodePath) {
+        let now = self.nodes.get(path);
+        self.before.entry(path.clone()).or_insert_with(|| now.cloned());
+    }
+
+    fn undo(self) {
+        for (path, node) in self.before {
+            match node {
+                Some(node) => self.nodes.insert(path, node),
+                None => self.nodes.remove(&path),
+            };
         }
     }
 
@@ -151,13 +188,17 @@
         Err(ApplyError::Conflict { path: path.clone(), what, winner: changed, base })
     }
 
-    fn node(&mut self, path: &NodePath) -> Result<&mut Node, ApplyError> {
-        let Some(node) = self.nodes.get(path) else {
-            let cause = "there is no such node; add it first, or it was removed";
-            return Err(ApplyError::invalid(path, cause));
-        };
+    /// A node that must be there and that the edit's author must have seen.
+    fn node(&self, path: &NodePath) -> Result<&Node, ApplyError> {
+        let node = self.nodes.get(path).ok_or_else(|| missing(path))?;
         self.seen(path, "node", node.revision)?;
-        self.nodes.get_mut(path).ok_or_else(|| ApplyError::invalid(path, "there is no such node"))
+        Ok(node)
+    }
+
+    /// A node that is about to change.
+    fn node_mut(&mut self, path: &NodePath) -> Result<&mut Node, ApplyError> {
+        self.remember(path);
+        self.nodes.get_mut(path).ok_or_else(|| missing(path))
     }
 
     fn add(&mut self, path: &NodePath, kind: NodeKind) -> Result<(), ApplyError> {
@@ -172,6 +213,7 @@
         if let Some(parent) = path.parent() {
             self.node(&parent)?;
         }
+        self.remember(path);
         self.nodes.insert(path.clone(), Node::new(kind, self.at));
         Ok(())
     }
@@ -184,13 +226,13 @@
             ));
         }
         self.node(path)?;
-        let mut gone = vec![path.clone()];
-        gone.extend(below(&self.nodes, path).map(|(path, _)| path.clone()));
-        for path in &gone {
-            let newest = self.nodes.get(path).map_or(Revision(0), Node::newest);
-            self.seen(path, "node", newest)?;
+        let mut gone = Vec::new();
+        for (path, node) in at_and_below(self.nodes, path) {
+            self.seen(path, "node", node.newest())?;
+            gone.push(path.clone());
         }
         for path in &gone {
+            self.remember(path);
             self.nodes.remove(path);
         }
         Ok(())
@@ -205,7 +247,7 @@
         let kind = self.touch(path, name)?;
         check::value(path, kind, name.as_str(), value, &mut Settings::default())?;
         let value = Value { value: value.clone(), revision: self.at };
-        let node = self.node(path)?;
+        let node = self.node_mut(path)?;
         node.settings.insert(name.clone(), value);
         node.cleared.remove(name);
         Ok(())
@@ -214,19 +256,17 @@
     fn clear(&mut self, path: &NodePath, name: &SettingName) -> Result<(), ApplyError> {
         self.touch(path, name)?;
         let at = self.at;
-        let node = self.node(path)?;
+        let node = self.node_mut(path)?;
         if node.settings.remove(name).is_none() {
             let cause = format!("`{name}` is not set here, so it can't be cleared");
             return Err(ApplyError::invalid(path, cause));
         }
-        if table::setting(name.as_str()).is_some() {
-            node.cleared.insert(name.clone(), at);
-        }
+        node.cleared.insert(name.clone(), at);
         Ok(())
     }
 
     /// Checks that the edit's author had seen the setting's last change.
-    fn touch(&mut self, path: &NodePath, name: &SettingName) -> Result<NodeKind, ApplyError> {
+    fn touch(&self, path: &NodePath, name: &SettingName) -> Result<NodeKind, ApplyError> {
         let node = self.node(path)?;
         let (kind, changed) = (node.kind, node.changed(name));
         self.seen(path, name.as_str(), changed.unwrap_or_default())?;
@@ -234,5 +274,9 @@
     }
 }
 
+fn missing(path: &NodePath) -> ApplyError {
+    ApplyError::invalid(path, "there is no such node; add it first, or it was removed")
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/tree/src/check.rs
+++ b/components/tree/src/check.rs
@@ -1,11 +1,8 @@
 //! What makes a tree valid.
 
-use std::collections::HashMap;
-
 use units::NodePath;
 
 use crate::apply::{ApplyError, MAX_NODES};
-use crate::index::Index;
 use crate::node::{Node, Nodes};
 use crate::{NodeKind, Settings, table};
 
@@ -59,30 +56,17 @@
     format!("there is no setting `{name}`; did you mean `{}`?", nearest.unwrap_or_default())
 }
 
-/// Checks what concerns more than one setting: places, names, bounds, versions.
-pub(crate) fn nodes(nodes: &Nodes) -> Result<(), ApplyError> {
-    if nodes.len() > MAX_NODES {
-        let cause = format!("{} nodes; a tree may have {MAX_NODES}", nodes.len());
-        return Err(ApplyError::invalid(&NodePath::root(), cause));
-    }
-    let index = Index::new(nodes);
-    let mut names = HashMap::new();
-    for (path, node) in nodes {
-        place(nodes, path, node)?;
-        let unique = matches!(node.kind, NodeKind::Model | NodeKind::Service);
-        if let Some(first) = unique.then(|| names.insert((node.kind, path.name()), path)).flatten()
-        {
-            let cause = format!("{first} is a {} of the same name; rename one", node.kind);
-            return Err(ApplyError::invalid(path, cause));
-        }
-        if let Some(settings) = index.settings(path) {
-            bounds(nodes, path, node, settings)?;
-        }
+/// Checks that there are not too many nodes.
+pub(crate) fn size(nodes: &Nodes) -> Result<(), ApplyError> {
+    if nodes.len() <= MAX_NODES {
+        return Ok(());
     }
-    Ok(())
+    let cause = format!("{} nodes; a tree may have {MAX_NODES}", nodes.len());
+    Err(ApplyError::invalid(&NodePath::root(), cause))
 }
 
-fn place(nodes: &Nodes, path: &NodePath, node: &Node) -> Result<(), ApplyError> {
+/// Checks that a node's kind fits the node above.
+pub(crate) fn place(nodes: &Nodes, path: &NodePath, node: &Node) -> Result<(), ApplyError> {
     let Some(parent) = path.parent() else { return Ok(()) };
     let above = nodes.get(&parent).map(|node| node.kind);
     let fits = match node.kind {
@@ -99,7 +83,8 @@
     Err(ApplyError::invalid(path, format!("a {} can only be below a {right}", node.kind)))
 }
 
-fn bounds(
+/// Checks what concerns more than one setting in force at a node.
+pub(crate) fn bounds(
     nodes: &Nodes,
     path: &NodePath,
     node: &Node,
--- a/components/tree/src/file.rs
+++ b/components/tree/src/file.rs
@@ -80,9 +80,9 @@
     };
     let mut reader = Reader { file, text, nodes: Nodes::new(), revision: None };
     reader.node(&NodePath::root(), &root)?;
-    check::nodes(&reader.nodes)
-        .map_err(|cause| FileError::Tree { file: file.to_owned(), cause })?;
-    Ok(TreeFile { tree: Tree::of(reader.nodes), revision: reader.revision })
+    let tree =
+        Tree::of(reader.nodes).map_err(|cause| FileError::Tree { file: file.to_owned(), cause })?;
+    Ok(TreeFile { tree, revision: reader.revision })
 }
 
 /// The text of a settings file with another revision, and all else as it was.
--- a/components/tree/src/index.rs
+++ b/components/tree/src/index.rs
@@ -1,95 +1,117 @@
-//! What callers can ask for, resolved once for each edit.
+//! What is in force at each node and what callers can ask for, kept up to date edit by edit.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use thiserror::Error;
-use units::{AdapterName, ModelName, NodePath};
-
-use crate::node::{Node, Nodes};
-use crate::{NodeKind, Settings, table};
-
-/// A leaf that callers can ask for.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Leaf {
-    /// Its place in the tree.
-    pub path: NodePath,
-    /// Its kind: a model, adapter or service.
-    pub kind: NodeKind,
-    /// The model's name (of an adapter: its model's), or the service's.
-    pub model: ModelName,
-    /// The adapter, if it is one.
-    pub adapter: Option<AdapterName>,
-    /// What the engine loads: the model's name with the version in force, as `page-text@v2`.
-    pub artifact: ModelName,
-    /// The settings in force there.
-    pub settings: Settings,
-}
-
-/// What a caller asked for, split: `model` or `model:adapter`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ModelRef {
-    /// The model.
-    pub model: ModelName,
-    /// The adapter.
-    pub adapter: Option<AdapterName>,
-}
-
-/// Why a caller's name stands for no leaf.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum ResolveError {
-    /// There is none of that name.
-    #[error("no model `{name}`{}", hint(.nearest))]
-    Unknown {
-        /// What was asked for.
-        name: String,
-        /// The nearest name there is.
-        nearest: Option<String>,
-    },
-    /// There is no plain service of that name.
-    #[error("no service `{name}`{}", hint(.nearest))]
-    UnknownService {
-        /// What was asked for.
-        name: String,
-        /// The nearest name there is.
-        nearest: Option<String>,
-    },
-}
+use units::{ModelName, NodePath};
 
-fn hint(nearest: &Option<String>) -> String {
-    nearest.as_ref().map_or_else(String::new, |name| format!("; did you mean `{name}`?"))
-}
-
-/// How alike two names must be for one to be offered for the other.
-const ALIKE: f64 = 0.6;
-/// A longer name is not compared with all others.
-const LONGEST_ASKED: usize = 200;
+use crate::leaf::{cut, nearest};
+use crate::node::{Node, Nodes, at_and_below};
+use crate::{ApplyError, Leaf, NodeKind, ResolveError, Settings, check, table};
 
 /// The settings in force at each node, and the leaves by the names that callers use.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Index {
     settings: BTreeMap<NodePath, Arc<Settings>>,
+    /// By path.
     leaves: Vec<Arc<Leaf>>,
     models: HashMap<String, Arc<Leaf>>,
     services: HashMap<String, Arc<Leaf>>,
 }
 
+/// What an edit makes of some subtrees; checked, but not in force yet.
+#[derive(Debug, Default)]
+pub(crate) struct Update {
+    /// The subtrees, none within another.
+    roots: Vec<NodePath>,
+    settings: BTreeMap<NodePath, Arc<Settings>>,
+    leaves: BTreeMap<(bool, String), Arc<Leaf>>,
+}
+
 impl Index {
-    pub(crate) fn new(nodes: &Nodes) -> Self {
+    /// The index of all nodes; an error if they make no valid tree.
+    pub(crate) fn new(nodes: &Nodes) -> Result<Self, ApplyError> {
         let mut index = Self::default();
-        for (path, node) in nodes {
-            let settings = index.inherit(path, node);
-            index.settings.insert(path.clone(), settings);
+        let update = index.update(nodes, &BTreeSet::from([NodePath::root()]))?;
+        index.commit(update);
+        Ok(index)
+    }
+
+    /// Works out what becomes of the subtrees at some nodes; an error if the tree is not valid.
+    pub(crate) fn update(
+        &self,
+        nodes: &Nodes,
+        touched: &BTreeSet<NodePath>,
+    ) -> Result<Update, ApplyError> {
+        check::size(nodes)?;
+        let mut update = Update { roots: self.roots(nodes, touched), ..Update::default() };
+        for root in update.roots.clone() {
+            for (path, node) in at_and_below(nodes, &root) {
+                check::place(nodes, path, node)?;
+                let settings = self.inherit(&update, path, node);
+                check::bounds(nodes, path, node, &settings)?;
+                update.settings.insert(path.clone(), settings);
+            }
         }
-        for (path, node) in nodes {
-            index.add_leaf(path, node);
+        for root in update.roots.clone() {
+            for (path, node) in at_and_below(nodes, &root) {
+                self.add_leaf(&mut update, path, node)?;
+            }
         }
-        index
+        Ok(update)
     }
 
-    fn inherit(&self, path: &NodePath, node: &Node) -> Arc<Settings> {
-        let above = path.parent().and_then(|parent| self.settings.get(&parent));
-        let above = above.cloned().unwrap_or_default();
+    /// Puts an update in force.
+    pub(crate) fn commit(&mut self, update: Update) {
+        let Update { roots, settings, leaves } = update;
+        for root in &roots {
+            let old = at_and_below(&self.settings, root).map(|(path, _)| path.clone());
+            for path in old.collect::<Vec<_>>() {
+                self.settings.remove(&path);
+            }
+        }
+        let within = |leaf: &Arc<Leaf>| roots.iter().any(|root| is_within(&leaf.path, root));
+        for leaf in self.leaves.extract_if(.., |leaf| within(leaf)) {
+            match leaf.kind {
+                NodeKind::Service => self.services.remove(&leaf.name()),
+                _ => self.models.remove(&leaf.name()),
+            };
+        }
+        self.settings.extend(settings);
+        for ((service, name), leaf) in leaves {
+            self.leaves.push(leaf.clone());
+            let names = if service { &mut self.services } else { &mut self.models };
+            names.insert(name, leaf);
+        }
+        // Nearly sorted, which the sort makes use of.
+        self.leaves.sort_by(|a, b| a.path.cmp(&b.path));
+    }
+
+    /// The subtrees that changes of some nodes can concern, none within another.
+    ///
+    /// What is below a model concerns the model too: it names its version.
+    fn roots(&self, nodes: &Nodes, touched: &BTreeSet<NodePath>) -> Vec<NodePath> {
+        let root = |path: &NodePath| {
+            let parent = path.parent();
+            let above = parent.as_ref().and_then(|parent| nodes.get(parent));
+            match (above, parent) {
+                (Some(node), Some(parent)) if node.kind == NodeKind::Model => parent,
+                _ => path.clone(),
+            }
+        };
+        let all: BTreeSet<NodePath> = touched.iter().map(root).collect();
+        let covered = |path: &NodePath| {
+            std::iter::successors(path.parent(), NodePath::parent).any(|above| all.contains(&above))
+        };
+        all.iter().filter(|path| !covered(path)).cloned().collect()
+    }
+
+    fn inherit(&self, update: &Update, path: &NodePath, node: &Node) -> Arc<Settings> {
+        let above = path.parent();
+        let above = above.and_then(|parent| {
+            update.settings.get(&parent).or_else(|| self.settings.get(&parent)).cloned()
+        });
+        let above = above.unwrap_or_default();
         if node.settings.is_empty() {
             return above;
         }
@@ -103,39 +125,26 @@
         Arc::new(settings)
     }
 
-    fn add_leaf(&mut self, path: &NodePath, node: &Node) {
-        let Some(leaf) = self.leaf(path, node).map(Arc::new) else { return };
-        self.leaves.push(leaf.clone());
-        match node.kind {
-            NodeKind::Service => self.services.insert(leaf.model.to_string(), leaf),
-            _ => self.models.insert(leaf.name(), leaf),
-        };
-    }
-
-    /// The leaf of a node; `None` for branches and versions.
-    fn leaf(&self, path: &NodePath, node: &Node) -> Option<Leaf> {
-        let own = match node.kind {
-            NodeKind::Branch | NodeKind::Version => return None,
-            NodeKind::Model | NodeKind::Service => path.clone(),
-            NodeKind::Adapter => path.parent()?,
-        };
-        let adapter = match node.kind {
-            NodeKind::Adapter => Some(path.name().parse().ok()?),
-            _ => None,
-        };
-        let model: ModelName = own.name().parse().ok()?;
-        let version = &self.settings.get(&own)?.version;
-        let serves = node.kind != NodeKind::Service && !version.is_empty();
-        let mut settings = Settings::clone(self.settings.get(path)?);
-        let mut artifact = model.clone();
-        if serves {
-            artifact = format!("{model}@{version}").parse().ok()?;
-            let version = self.settings.get(&own.child(version).ok()?)?;
-            settings.weights = version.weights;
-            settings.kv_room = version.kv_room;
-            settings.batch = version.batch;
+    fn add_leaf(
+        &self,
+        update: &mut Update,
+        path: &NodePath,
+        node: &Node,
+    ) -> Result<(), ApplyError> {
+        let Some(leaf) = update.leaf(path, node) else { return Ok(()) };
+        let (service, name) = (leaf.kind == NodeKind::Service, leaf.name());
+        let known = if service { self.services.get(&name) } else { self.models.get(&name) };
+        let stays =
+            |leaf: &&Arc<Leaf>| !update.roots.iter().any(|root| is_within(&leaf.path, root));
+        if let Some(first) = known.filter(stays) {
+            return Err(same_name(&leaf, first));
         }
-        Some(Leaf { path: path.clone(), kind: node.kind, model, adapter, artifact, settings })
+        let key = (service, name);
+        if let Some(first) = update.leaves.get(&key) {
+            return Err(same_name(&leaf, first));
+        }
+        update.leaves.insert(key, Arc::new(leaf));
+        Ok(())
     }
 
     pub(crate) fn settings(&self, path: &NodePath) -> Option<&Arc<Settings>> {
@@ -164,27 +173,39 @@
     }
 }
 
-impl Leaf {
-    /// The name that callers use: `model`, `model:adapter` or the service's.
-    pub fn name(&self) -> String {
-        match &self.adapter {
-            Some(adapter) => format!("{}:{adapter}", self.model),
-            None => self.model.to_string(),
+impl Update {
+    /// The leaf of a node; `None` for branches and versions.
+    fn leaf(&self, path: &NodePath, node: &Node) -> Option<Leaf> {
+        let own = match node.kind {
+            NodeKind::Branch | NodeKind::Version => return None,
+            NodeKind::Model | NodeKind::Service => path.clone(),
+            NodeKind::Adapter => path.parent()?,
+        };
+        let adapter = match node.kind {
+            NodeKind::Adapter => Some(path.name().parse().ok()?),
+            _ => None,
+        };
+        let model: ModelName = own.name().parse().ok()?;
+        let version = &self.settings.get(&own)?.version;
+        let mut settings = Settings::clone(self.settings.get(path)?);
+        let mut artifact = model.clone();
+        if node.kind != NodeKind::Service && !version.is_empty() {
+            artifact = format!("{model}@{version}").parse().ok()?;
+            let version = self.settings.get(&own.child(version).ok()?)?;
+            settings.weights = version.weights;
+            settings.kv_room = version.kv_room;
+            settings.batch = version.batch;
         }
+        Some(Leaf { path: path.clone(), kind: node.kind, model, adapter, artifact, settings })
     }
 }
 
-fn cut(name: &str) -> String {
-    name.chars().take(LONGEST_ASKED).collect()
+fn is_within(path: &NodePath, root: &NodePath) -> bool {
+    let rest = path.as_str().strip_prefix(root.as_str().trim_end_matches('/'));
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
-fn nearest<'a>(name: &str, names: impl Iterator<Item = &'a String>) -> Option<String> {
-    if name.len() > LONGEST_ASKED {
-        return None;
-    }
-    let scored = names.map(|known| (strsim::jaro_winkler(name, known), known));
-    let alike = scored.filter(|(score, _)| *score >= ALIKE);
-    // Of equals the first by name, so that all processes say the same.
-    let best = alike.max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
-    best.map(|(_, known)| known.clone())
+fn same_name(leaf: &Leaf, first: &Leaf) -> ApplyError {
+    let cause = format!("{} is a {} of the same name; rename one", first.path, first.kind);
+    ApplyError::invalid(&leaf.path, cause)
 }
--- a/components/tree/src/node.rs
+++ b/components/tree/src/node.rs
@@ -8,7 +8,7 @@
 use units::{ModelName, NodePath, Revision, ServiceName, SettingName};
 
 use crate::index::Index;
-use crate::{Leaf, NodeKind, ResolveError, Settings};
+use crate::{ApplyError, Leaf, NodeKind, ResolveError, Settings};
 
 /// A setting's value with the edit that it came from.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -54,20 +54,21 @@
 /// The nodes by path; parents come before their children.
 pub(crate) type Nodes = BTreeMap<NodePath, Node>;
 
-/// All nodes below one, however deep.
-pub(crate) fn below<'a>(
-    nodes: &'a Nodes,
+/// All that a map has at or below a node, however deep; parents come before their children.
+pub(crate) fn at_and_below<'a, T>(
+    map: &'a BTreeMap<NodePath, T>,
     path: &NodePath,
-) -> impl Iterator<Item = (&'a NodePath, &'a Node)> {
+) -> impl Iterator<Item = (&'a NodePath, &'a T)> + use<'a, T> {
     let prefix = format!("{}/", path.as_str().trim_end_matches('/'));
     let after = (Bound::Excluded(prefix.as_str()), Bound::Unbounded);
-    let after = nodes.range::<str, _>(after);
-    after.take_while(move |(path, _)| path.as_str().starts_with(&prefix))
+    let below = map.range::<str, _>(after);
+    let below = below.take_while(move |(path, _)| path.as_str().starts_with(&prefix));
+    map.get_key_value(path).into_iter().chain(below)
 }
 
 /// The tree; the default has only a root branch.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(from = "Stored")]
+#[serde(try_from = "Stored")]
 pub struct Tree {
     nodes: Nodes,
     #[serde(skip)]
@@ -79,8 +80,10 @@
     nodes: Nodes,
 }
 
-impl From<Stored> for Tree {
-    fn from(stored: Stored) -> Self {
+impl TryFrom<Stored> for Tree {
+    type Error = ApplyError;
+
+    fn try_from(stored: Stored) -> Result<Self, ApplyError> {
         Self::of(stored.nodes)
     }
 }
@@ -94,14 +97,20 @@
 
 impl Default for Tree {
     fn default() -> Self {
-        Self::of(Nodes::from([(NodePath::root(), Node::new(NodeKind::Branch, Revision(0)))]))
+        let root = Node::new(NodeKind::Branch, Revision(0));
+        Self::of(Nodes::from([(NodePath::root(), root)])).expect("a root alone is a valid tree")
     }
 }
 
 impl Tree {
-    pub(crate) fn of(nodes: Nodes) -> Self {
-        let index = Arc::new(Index::new(&nodes));
-        Self { nodes, index }
+    pub(crate) fn of(nodes: Nodes) -> Result<Self, ApplyError> {
+        let index = Arc::new(Index::new(&nodes)?);
+        Ok(Self { nodes, index })
+    }
+
+    /// The nodes, to be changed, and the index that has to follow.
+    pub(crate) fn parts(&mut self) -> (&mut Nodes, &mut Arc<Index>) {
+        (&mut self.nodes, &mut self.index)
     }
 
     /// The nodes by path.
--- a/components/tree/src/render.rs
+++ b/components/tree/src/render.rs
@@ -4,7 +4,7 @@
 
 use units::{NodePath, Revision};
 
-use crate::node::{Node, below};
+use crate::node::{Node, at_and_below};
 use crate::{NodeKind, Tree, table};
 
 /// The longest line that holds a whole node.
@@ -28,7 +28,7 @@
 
     /// The nodes right below one.
     fn below<'a>(&'a self, path: &'a NodePath) -> impl Iterator<Item = (&'a NodePath, &'a Node)> {
-        let all = below(self.nodes(), path);
+        let all = at_and_below(self.nodes(), path);
         all.filter(move |(child, _)| child.parent().as_ref() == Some(path))
     }
 
--- a/components/tree/tests/naive.rs
+++ b/components/tree/tests/naive.rs
@@ -208,6 +208,16 @@
     }
 }
 
+/// What is kept up to date edit by edit is what is worked out anew from the nodes.
+fn compare_anew(tree: &Tree) {
+    let text = serde_json::to_string(tree).expect("JSON");
+    let anew: Tree = serde_json::from_str(&text).expect("a valid tree");
+    assert_eq!(anew.leaves(), tree.leaves());
+    for path in tree.nodes().keys() {
+        assert_eq!(anew.effective(path), tree.effective(path), "{path}");
+    }
+}
+
 fn verdict(result: Result<(), ApplyError>) -> Verdict {
     match result {
         Ok(()) => Verdict::Done,
@@ -277,7 +287,10 @@
                 let found = verdict(tree.apply(&edit, Revision(at)));
                 assert_eq!(found, expected, "{edit:?}");
                 match found {
-                    Verdict::Done => counts[0].update(|n| n + 1),
+                    Verdict::Done => {
+                        compare_anew(&tree);
+                        counts[0].update(|n| n + 1);
+                    }
                     Verdict::Conflict(..) => counts[1].update(|n| n + 1),
                     Verdict::Invalid => counts[2].update(|n| n + 1),
                 }
