--- a/components/entry/tests/sessions/kit/agent.rs
+++ b/components/entry/tests/sessions/kit/agent.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use super::Transcript;
+use super::transcript::{Transcript, rounded};
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use http::{Request, Response, StatusCode};
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::sync::Notify;
-use units::{Incarnation, RequestId};
+use units::{Incarnation, RequestId, Span};
 use web::Body;
 use wire::{Dispatch, End, Refusal, Report, Resume, UnknownCause, end_trailers};
 
@@ -406,6 +406,7 @@
     let Dispatch { request, method, path, model, budget, repeatable, .. } = dispatch;
     let model = model.as_ref().map(|model| format!(" for {model}")).unwrap_or_default();
     let once = if *repeatable { "" } else { ", once" };
+    let budget = Span(rounded(budget.0));
     format!("gets {request}: {method} {path}{model} within {budget}{once}")
 }
 
