--- /dev/null
+++ b/components/load/src/cli.rs
@@ -0,0 +1,124 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::{Arg, ValueExt};
+use thiserror::Error;
+
+use crate::site::{Sample, UnknownSample};
+use crate::trial::{self, Trial, TrialError};
+
+const HELP: &str = "\
+hyssop-load: starts a sample deployment on loopback, sends load and faults, checks every promise
+
+Usage: hyssop-load try [--deployment press|trust] [--bin DIR] [--out DIR]
+       hyssop-load --help | --version
+
+  --deployment  the sample to start; press unless given
+  --bin         the folder with the programs; that of hyssop-load unless given
+  --out         the folder for settings files, logs and results; try-logs unless given
+
+The exit code is 0 if every promise held, 1 if not or if something failed, 2 for a wrong command line.";
+
+const EXIT_BROKEN: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+/// What the tool was asked to do.
+#[derive(Debug)]
+enum Task {
+    Help,
+    Version,
+    Try(Trial),
+}
+
+/// What is wrong with the command line.
+#[derive(Debug, Error)]
+enum UsageError {
+    #[error("{0}; `--help` lists what there is")]
+    Argument(#[from] lexopt::Error),
+    #[error(transparent)]
+    Sample(#[from] UnknownSample),
+    #[error("no command; use `try`, or `--help`")]
+    NoCommand,
+    #[error("no command `{0}`; use `try`, or `--help`")]
+    Unknown(String),
+}
+
+/// Why a task failed.
+#[derive(Debug, Error)]
+enum TaskError {
+    #[error(transparent)]
+    Trial(#[from] TrialError),
+    #[error("the runtime can't be started: {0}")]
+    Runtime(#[from] std::io::Error),
+}
+
+/// Runs the tool with the words of a command line, the program's name first.
+pub fn run(words: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let task = match parse(words) {
+        Ok(task) => task,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match carry_out(task) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => {
+            println!("NOT ALL PROMISES HELD");
+            ExitCode::from(EXIT_BROKEN)
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(EXIT_BROKEN)
+        }
+    }
+}
+
+fn parse(words: impl IntoIterator<Item = OsString>) -> Result<Task, UsageError> {
+    let mut parser = lexopt::Parser::from_iter(words);
+    let command = match parser.next()? {
+        None => return Err(UsageError::NoCommand),
+        Some(Arg::Short('h') | Arg::Long("help")) => return Ok(Task::Help),
+        Some(Arg::Short('V') | Arg::Long("version")) => return Ok(Task::Version),
+        Some(Arg::Value(command)) => command.string()?,
+        Some(other) => return Err(other.unexpected().into()),
+    };
+    match command.as_str() {
+        "try" => parse_try(parser),
+        _ => Err(UsageError::Unknown(command)),
+    }
+}
+
+fn parse_try(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let mut trial = Trial {
+        sample: Sample::Press,
+        bin: trial::own_folder(),
+        out: PathBuf::from("try-logs"),
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("deployment") => trial.sample = parser.value()?.string()?.parse()?,
+            Arg::Long("bin") => trial.bin = parser.value()?.into(),
+            Arg::Long("out") => trial.out = parser.value()?.into(),
+            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Task::Try(trial))
+}
+
+fn carry_out(task: Task) -> Result<bool, TaskError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    match task {
+        Task::Help => println!("{HELP}"),
+        Task::Version => println!("hyssoplock {}", env!("CARGO_PKG_VERSION")),
+        Task::Try(trial) => return Ok(runtime.block_on(trial::run(trial))?),
+    }
+    Ok(true)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/load/src/trial.rs
@@ -0,0 +1,296 @@
+//! `hyssop-load try`: a sample deployment, a burst to a cold model, and every promise checked.
+
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use thiserror::Error;
+use timeline::Event;
+use tokio::process::Command;
+use tokio::time::{Instant, sleep, timeout};
+use units::ModelName;
+use web::{CallError, Client};
+
+use crate::caller::{Caller, Door};
+use crate::checks::{self, Row};
+use crate::children::ChildError;
+use crate::clock::Clock;
+use crate::evidence::{Call, Ending, Evidence, Publish};
+use crate::fleet::Fleet;
+use crate::ledger::Ledger;
+use crate::probe::{Probe, Probed, completion, unrepeatable};
+use crate::site::{Sample, Scale, Site, SiteError};
+use crate::truth::Truth;
+use crate::watch::Watch;
+use crate::{lines, table};
+
+/// How many requests the burst has.
+const BURST: usize = 30;
+/// How many tokens each asks for.
+const TOKENS: u32 = 12;
+/// How long publishing and granting may take.
+const GRANT_LIMIT: Duration = Duration::from_secs(20);
+const GRANT_PAUSE: Duration = Duration::from_millis(50);
+/// How long the end of the trial waits, so that late executions would be seen.
+const SETTLE: Duration = Duration::from_secs(1);
+/// How many events of the time line are printed.
+const EVENTS: usize = 40;
+
+const SCALE: Scale = Scale { engines: 6, services: 2, entries: 3 };
+
+/// What to try.
+#[derive(Debug)]
+pub(crate) struct Trial {
+    /// The sample deployment.
+    pub(crate) sample: Sample,
+    /// Where the programs are.
+    pub(crate) bin: PathBuf,
+    /// Where settings files and logs go.
+    pub(crate) out: PathBuf,
+}
+
+/// Why a trial could not be carried through.
+#[derive(Debug, Error)]
+pub(crate) enum TrialError {
+    /// The deployment could not be written down.
+    #[error(transparent)]
+    Site(#[from] SiteError),
+    /// A process failed.
+    #[error(transparent)]
+    Child(#[from] ChildError),
+    /// A stand-in did not tell the truth.
+    #[error("cannot read what really happened: {0}")]
+    Truth(#[from] CallError),
+    /// The configuration could not be published.
+    #[error("publishing {} failed: {cause}", tree.display())]
+    Publish {
+        /// The tree of settings.
+        tree: PathBuf,
+        /// What was printed.
+        cause: String,
+    },
+    /// Nothing was granted.
+    #[error("no grant for `{model}` within {limit:?}; see the entries' logs in {}", out.display())]
+    NoGrant {
+        /// The model.
+        model: ModelName,
+        /// How long the trial waited.
+        limit: Duration,
+        /// Where the logs are.
+        out: PathBuf,
+    },
+}
+
+/// What a trial found.
+struct Found {
+    evidence: Evidence,
+    probes: Vec<Probed>,
+    rows: Vec<Row>,
+    events: Vec<Event>,
+    truth: Truth,
+    decided: usize,
+    model: ModelName,
+}
+
+/// Runs a trial, prints what it found, and says whether all promises held.
+pub(crate) async fn run(trial: Trial) -> Result<bool, TrialError> {
+    let begun = Instant::now();
+    let clock = Clock::start();
+    let site = Site::write(trial.sample, SCALE, &trial.bin, &trial.out)?;
+    let mut fleet = Fleet::start(site, clock).await?;
+    println!("started {} processes after {}", fleet.len(), table::millis(begun.elapsed()));
+    let found = carry_through(&trial, &mut fleet, clock).await;
+    fleet.stop_rest().await;
+    let found = found?;
+    found.print();
+    println!("took {:.1} s", begun.elapsed().as_secs_f64());
+    Ok(found.sound())
+}
+
+async fn carry_through(
+    trial: &Trial,
+    fleet: &mut Fleet,
+    clock: Clock,
+) -> Result<Found, TrialError> {
+    let client = Client::default();
+    let caller = Caller::new(clock);
+    let model = trial.sample.cold_model();
+    let watch = Watch::start(&fleet.site, clock);
+    let mut evidence = Evidence::default();
+
+    publish(trial, &fleet.site).await?;
+    let mut ledger = Ledger::new(fleet.site.log);
+    ledger.catch_up().await;
+    evidence.publishes.push(Publish { at: clock.now(), revision: ledger.revision() });
+    println!("published {} as revision {}", trial.sample.tree().display(), ledger.revision());
+    let decided = granted(&mut ledger, &model, trial).await?;
+    println!("{decided} replicas of `{model}` are decided");
+
+    let doors = fleet.site.doors.clone();
+    evidence.calls = burst(&caller, &doors, &model, clock).await;
+    let events = lines::collect(&fleet.site, &client).await;
+    evidence.calls.extend(keyed(&caller, &doors, trial.sample, clock).await);
+    let mut probes = Vec::new();
+    for probe in Probe::ALL {
+        probes.push(probe.send(&caller, clock, &doors[0], model.as_str()).await);
+    }
+    evidence.calls.extend(probes.iter().filter_map(|probed| probed.call.clone()));
+
+    evidence.stops = fleet.stop_system().await;
+    sleep(SETTLE).await;
+    let samples = watch.finish().await;
+    evidence.replicas = samples.replicas;
+    evidence.revisions = samples.revisions;
+    let truth = Truth::read(&fleet.site, &client).await?;
+    truth.tell(&mut evidence);
+    let rows = checks::all(&evidence);
+    Ok(Found { evidence, probes, rows, events, truth, decided, model })
+}
+
+/// Publishes the sample's tree as an operator does.
+async fn publish(trial: &Trial, site: &Site) -> Result<(), TrialError> {
+    let tree = trial.sample.tree();
+    let failed = |cause: String| TrialError::Publish { tree: tree.to_owned(), cause };
+    let run = Command::new(trial.bin.join("hyssopctl"))
+        .arg("publish")
+        .arg("--log")
+        .arg(site.log.to_string())
+        .arg(tree)
+        .stdin(Stdio::null())
+        .kill_on_drop(true)
+        .output();
+    let output = match timeout(GRANT_LIMIT, run).await {
+        Ok(Ok(output)) => output,
+        Ok(Err(error)) => return Err(failed(error.to_string())),
+        Err(_) => return Err(failed(format!("no end within {GRANT_LIMIT:?}"))),
+    };
+    if output.status.success() {
+        return Ok(());
+    }
+    let text = [output.stdout, output.stderr].concat();
+    Err(failed(String::from_utf8_lossy(&text).into_owned()))
+}
+
+/// Waits until replicas of the model and of every plain service's agent are decided.
+async fn granted(
+    ledger: &mut Ledger,
+    model: &ModelName,
+    trial: &Trial,
+) -> Result<usize, TrialError> {
+    let end = Instant::now() + GRANT_LIMIT;
+    while Instant::now() < end {
+        ledger.catch_up().await;
+        let decided = ledger.state().grants_of(model).count();
+        if decided > 0 {
+            return Ok(decided);
+        }
+        sleep(GRANT_PAUSE).await;
+    }
+    let (model, out) = (model.clone(), trial.out.clone());
+    Err(TrialError::NoGrant { model, limit: GRANT_LIMIT, out })
+}
+
+/// Sends many requests to one cold model through all entries at once.
+async fn burst(caller: &Caller, doors: &[Door], model: &ModelName, clock: Clock) -> Vec<Call> {
+    let asks: Vec<_> = (0..BURST)
+        .map(|n| completion(model.as_str(), &format!("page {n} of the picture book"), TOKENS))
+        .collect();
+    let at = clock.now();
+    let calls = asks.iter().enumerate().map(|(n, ask)| {
+        let door = &doors[n % doors.len()];
+        caller.send(std::slice::from_ref(door), ask, at)
+    });
+    join_all(calls).await
+}
+
+/// Sends a call that may not be repeated, and at the same time a repeat of it through another entry.
+async fn keyed(caller: &Caller, doors: &[Door], sample: Sample, clock: Clock) -> Vec<Call> {
+    let ask = unrepeatable(sample.service(), sample.unrepeatable(), "try-1", "{\"page\":7}");
+    let at = clock.now();
+    join_all(doors.iter().take(2).map(|door| caller.send(std::slice::from_ref(door), &ask, at))).await
+}
+
+impl Found {
+    fn sound(&self) -> bool {
+        let kept = self.rows.iter().all(|row| row.violations.is_empty());
+        let probed = self.probes.iter().all(|probed| probed.right);
+        let keyed = self.evidence.calls.iter().filter(|call| call.key.is_some());
+        let keyed = keyed.filter(|call| call.ending == Ending::Served).count() == 1;
+        let served = self.burst().any(|call| call.ending == Ending::Served);
+        kept && probed && keyed && served
+    }
+
+    fn burst(&self) -> impl Iterator<Item = &Call> {
+        self.evidence.calls.iter().take(BURST)
+    }
+
+    fn print(&self) {
+        self.print_answers();
+        self.print_truth();
+        self.print_events();
+        println!("\n{}", table::promises(&self.rows));
+    }
+
+    fn print_answers(&self) {
+        let burst: Vec<Call> = self.burst().cloned().collect();
+        println!("\nburst of {BURST} to `{}`: {}", self.model, table::endings(&burst));
+        for call in burst.iter().take(3) {
+            let id = call.request.as_ref().map_or("-", |id| id.as_str());
+            println!("  {id} through {}: {}", call.entry, call.text);
+        }
+        let served = burst.iter().filter(|call| call.ending == Ending::Served);
+        let mut firsts: Vec<Duration> =
+            served.filter_map(|call| Some(call.first?.saturating_sub(call.at))).collect();
+        firsts.sort();
+        let show = |part| table::quantile(&firsts, part).map_or("-".to_owned(), table::millis);
+        println!("cold start, first request to first token: p50 {}, max {}", show(0.5), show(1.0));
+        println!("not repeatable, sent twice with one key:");
+        for call in self.evidence.calls.iter().filter(|call| call.key.is_some()) {
+            println!("  {} ({}) {}", table::word(call.ending), call.status, call.text);
+        }
+        println!("bad requests:");
+        for probed in &self.probes {
+            let verdict = if probed.right { "right" } else { "WRONG" };
+            let (wanted, got) = (probed.probe.status(), probed.status);
+            println!("  {:<16} {got} (wanted {wanted}) {verdict}: {}", probed.probe, probed.text);
+        }
+    }
+
+    fn print_truth(&self) {
+        let name = self.model.as_str();
+        let own = |artifact: &ModelName| artifact.as_str().split('@').next() == Some(name);
+        let samples = self.evidence.replicas.iter().filter(|sample| own(&sample.artifact));
+        let loaded = samples.map(|sample| sample.loaded.len()).max().unwrap_or(0);
+        println!("\nreplicas of `{name}`: at most {loaded} loaded, {} decided", self.decided);
+        println!("memory, most held of capacity:");
+        for mark in &self.evidence.memory {
+            let part = mark.high as f64 / mark.capacity.max(1) as f64 * 100.0;
+            println!("  {:<14} {part:>5.1} %", mark.endpoint);
+        }
+        let runs = self.truth.runs(&self.evidence);
+        let runs: Vec<String> =
+            runs.iter().map(|(runs, ids)| format!("{ids} ids ran {runs} times")).collect();
+        println!("executions: {}", runs.join(", "));
+    }
+
+    fn print_events(&self) {
+        let first = self.burst().filter_map(|call| Some((call.first?, call.request.as_ref()?))).min();
+        let request = first.map(|(_, id)| id);
+        let events = lines::about(&self.events, &self.model, request);
+        let start = events.first().map_or(0, |event| event.wall);
+        println!("\ntime line of the cold start:");
+        for event in events.iter().take(EVENTS) {
+            println!("  {}", lines::line(event, start));
+        }
+        if events.len() > EVENTS {
+            println!("  and {} more", events.len() - EVENTS);
+        }
+    }
+}
+
+/// Where the programs are, unless the command line says so: beside this one.
+pub(crate) fn own_folder() -> PathBuf {
+    let own = std::env::current_exe().ok();
+    own.as_deref().and_then(Path::parent).unwrap_or(Path::new(".")).to_owned()
+}
--- a/src/bin/hyssop-load.rs
+++ b/src/bin/hyssop-load.rs
@@ -1,3 +1,7 @@
 //! `hyssop-load`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    load::run(std::env::args_os())
+}
