--- a/components/load/src/checks.rs
+++ b/components/load/src/checks.rs
@@ -112,9 +112,11 @@
     let mut row = Row::new(Promise::Memory);
     for mark in &evidence.memory {
         let broken = mark.high > mark.capacity;
-        row.case(broken.then(|| {
-            format!("{} held {} bytes of {}", mark.endpoint, mark.high, mark.capacity)
-        }));
+        row.case(
+            broken.then(|| {
+                format!("{} held {} bytes of {}", mark.endpoint, mark.high, mark.capacity)
+            }),
+        );
     }
     row
 }
@@ -206,8 +208,7 @@
         row.case((!stop.clean).then(|| format!("{name} did not end with exit code 0")));
     }
     for call in &evidence.calls {
-        let during =
-            evidence.stops.iter().any(|stop| stop.period.overlaps(call.at, call.done));
+        let during = evidence.stops.iter().any(|stop| stop.period.overlaps(call.at, call.done));
         let crashed = evidence.crashes.iter().any(|crash| crash.overlaps(call.at, call.done));
         if !during {
             continue;
@@ -227,9 +228,8 @@
     for publish in &evidence.publishes {
         let due = publish.at + CONFIG_LIMIT;
         for (process, samples) in by_process(evidence) {
-            let mut bound = samples.iter().filter(|sample| {
-                sample.at >= due.max(sample.up + CONFIG_LIMIT)
-            });
+            let mut bound =
+                samples.iter().filter(|sample| sample.at >= due.max(sample.up + CONFIG_LIMIT));
             let behind = bound.find(|sample| sample.revision < publish.revision);
             row.case(behind.map(|sample| {
                 format!(
@@ -240,9 +240,9 @@
         }
     }
     for (process, samples) in by_process(evidence) {
-        let back = samples.windows(2).find(|pair| {
-            pair[0].up == pair[1].up && pair[1].revision < pair[0].revision
-        });
+        let back = samples
+            .windows(2)
+            .find(|pair| pair[0].up == pair[1].up && pair[1].revision < pair[0].revision);
         row.case(back.map(|pair| {
             format!(
                 "{process} went back from revision {} to {}",
--- a/components/load/src/children.rs
+++ b/components/load/src/children.rs
@@ -142,11 +142,6 @@
         Err(ChildError::Unhealthy { name, limit, log })
     }
 
-    /// Whether it still runs.
-    pub(crate) fn runs(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// Sends a signal to it, if it has not ended.
     pub(crate) fn signal(&self, signal: Signal) -> Result<(), ChildError> {
         let failed = |cause: String| ChildError::Signal { name: self.launch.name.clone(), cause };
--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -7,6 +7,8 @@
 use lexopt::{Arg, ValueExt};
 use thiserror::Error;
 
+use crate::bench::{self, BenchError};
+use crate::run::{self, RunError};
 use crate::site::{Sample, UnknownSample};
 use crate::trial::{self, Trial, TrialError};
 
@@ -14,11 +16,13 @@
 hyssop-load: starts a sample deployment on loopback, sends load and faults, checks every promise
 
 Usage: hyssop-load try [--deployment press|trust] [--bin DIR] [--out DIR]
+       hyssop-load run EXPERIMENT.jsonc [--bin DIR] [--out DIR]
+       hyssop-load bench [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
   --deployment  the sample to start; press unless given
   --bin         the folder with the programs; that of hyssop-load unless given
-  --out         the folder for settings files, logs and results; try-logs unless given
+  --out         the folder for settings files, logs and results; try-logs or results unless given
 
 The exit code is 0 if every promise held, 1 if not or if something failed, 2 for a wrong command line.";
 
@@ -31,6 +35,8 @@
     Help,
     Version,
     Try(Trial),
+    Run(run::Job),
+    Bench(bench::Job),
 }
 
 /// What is wrong with the command line.
@@ -40,10 +46,14 @@
     Argument(#[from] lexopt::Error),
     #[error(transparent)]
     Sample(#[from] UnknownSample),
-    #[error("no command; use `try`, or `--help`")]
+    #[error("no command; use `try`, `run` or `bench`, or `--help`")]
     NoCommand,
-    #[error("no command `{0}`; use `try`, or `--help`")]
+    #[error("no command `{0}`; use `try`, `run` or `bench`, or `--help`")]
     Unknown(String),
+    #[error(
+        "no experiment; name one, as in `hyssop-load run examples/experiments/log-outage.jsonc`"
+    )]
+    NoExperiment,
 }
 
 /// Why a task failed.
@@ -51,12 +61,16 @@
 enum TaskError {
     #[error(transparent)]
     Trial(#[from] TrialError),
+    #[error(transparent)]
+    Run(#[from] RunError),
+    #[error(transparent)]
+    Bench(#[from] BenchError),
     #[error("the runtime can't be started: {0}")]
     Runtime(#[from] std::io::Error),
 }
 
 /// Runs the tool with the words of a command line, the program's name first.
-pub fn run(words: impl IntoIterator<Item = OsString>) -> ExitCode {
+pub fn main(words: impl IntoIterator<Item = OsString>) -> ExitCode {
     let task = match parse(words) {
         Ok(task) => task,
         Err(error) => {
@@ -88,16 +102,15 @@
     };
     match command.as_str() {
         "try" => parse_try(parser),
+        "run" => parse_run(parser),
+        "bench" => parse_bench(parser),
         _ => Err(UsageError::Unknown(command)),
     }
 }
 
 fn parse_try(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
-    let mut trial = Trial {
-        sample: Sample::Press,
-        bin: trial::own_folder(),
-        out: PathBuf::from("try-logs"),
-    };
+    let mut trial =
+        Trial { sample: Sample::Press, bin: trial::own_folder(), out: PathBuf::from("try-logs") };
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("deployment") => trial.sample = parser.value()?.string()?.parse()?,
@@ -110,12 +123,42 @@
     Ok(Task::Try(trial))
 }
 
+fn parse_run(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let (mut file, mut bin, mut out) = (None, trial::own_folder(), PathBuf::from("results"));
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("bin") => bin = parser.value()?.into(),
+            Arg::Long("out") => out = parser.value()?.into(),
+            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            Arg::Value(path) if file.is_none() => file = Some(PathBuf::from(path)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let file = file.ok_or(UsageError::NoExperiment)?;
+    Ok(Task::Run(run::Job { file, bin, out }))
+}
+
+fn parse_bench(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let mut job = bench::Job { bin: trial::own_folder(), out: PathBuf::from("results") };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("bin") => job.bin = parser.value()?.into(),
+            Arg::Long("out") => job.out = parser.value()?.into(),
+            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Task::Bench(job))
+}
+
 fn carry_out(task: Task) -> Result<bool, TaskError> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     match task {
         Task::Help => println!("{HELP}"),
         Task::Version => println!("hyssoplock {}", env!("CARGO_PKG_VERSION")),
         Task::Try(trial) => return Ok(runtime.block_on(trial::run(trial))?),
+        Task::Run(job) => return Ok(runtime.block_on(run::run(job))?),
+        Task::Bench(job) => runtime.block_on(bench::run(job))?,
     }
     Ok(true)
 }
--- a/components/load/src/clock.rs
+++ b/components/load/src/clock.rs
@@ -29,7 +29,7 @@
     }
 
     /// A wall-clock time in milliseconds since 1970, as time since the start; nothing if before it.
-    pub(crate) fn from_wall(&self, millis: u64) -> Duration {
+    pub(crate) fn at_wall(&self, millis: u64) -> Duration {
         Duration::from_millis(millis).saturating_sub(self.wall)
     }
 }
--- a/components/load/src/fleet.rs
+++ b/components/load/src/fleet.rs
@@ -44,7 +44,18 @@
 
     /// How the processes of the system itself are started: entries and agents.
     fn system(&self) -> Vec<Launch> {
-        self.site.entries.iter().chain(self.site.places().map(|place| &place.agent)).cloned().collect()
+        self.site
+            .entries
+            .iter()
+            .chain(self.site.places().map(|place| &place.agent))
+            .cloned()
+            .collect()
+    }
+
+    /// How all processes are started.
+    pub(crate) fn launches(&self) -> Vec<Launch> {
+        let standins = self.site.platform.iter().chain(self.site.places().map(|p| &p.standin));
+        standins.cloned().chain(self.system()).collect()
     }
 
     async fn launch(&mut self, launches: Vec<Launch>) -> Result<(), ChildError> {
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -3,21 +3,30 @@
 //! The system itself starts no processes; this tool does, on loopback, and ends only those it started.
 
 mod answer;
+mod bench;
 mod caller;
 mod checks;
 mod children;
 mod cli;
 mod clock;
 mod evidence;
+mod experiment;
+mod faults;
 mod fleet;
 mod ledger;
 mod lines;
+mod plot;
 mod ports;
 mod probe;
+mod publish;
+mod report;
+mod run;
 mod site;
 mod table;
+mod trace;
 mod trial;
 mod truth;
+mod warmth;
 mod watch;
 
-pub use cli::run;
+pub use cli::main;
--- a/components/load/src/lines.rs
+++ b/components/load/src/lines.rs
@@ -50,6 +50,9 @@
     let model = event.model.as_ref().map_or("", ModelName::as_str);
     let millis = event.wall.saturating_sub(start);
     let (tick, process, kind) = (event.tick, &event.instance, event.kind);
-    let text = format!("{millis:>7} ms {tick:>6} {process:<12} {kind:<15} {model} {request} {}", event.note);
+    let text = format!(
+        "{millis:>7} ms {tick:>6} {process:<12} {kind:<15} {model} {request} {}",
+        event.note
+    );
     text.trim_end().to_owned()
 }
--- a/components/load/src/ports.rs
+++ b/components/load/src/ports.rs
@@ -6,7 +6,8 @@
 ///
 /// Another process may take one before it is used; the process that was to have it then says so and ends.
 pub(crate) fn free(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let held: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).collect::<Result<_, _>>()?;
+    let held: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+        .collect::<Result<_, _>>()?;
     held.iter().map(TcpListener::local_addr).collect()
 }
--- a/components/load/src/probe.rs
+++ b/components/load/src/probe.rs
@@ -76,7 +76,13 @@
     }
 
     /// Sends it.
-    pub(crate) async fn send(self, caller: &Caller, clock: Clock, door: &Door, model: &str) -> Probed {
+    pub(crate) async fn send(
+        self,
+        caller: &Caller,
+        clock: Clock,
+        door: &Door,
+        model: &str,
+    ) -> Probed {
         if self == Self::BadHttp {
             let text = raw(door.addr).await;
             let status = text.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
--- a/components/load/src/site.rs
+++ b/components/load/src/site.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
+use serde::Deserialize;
 use serde_json::{Value, json};
 use thiserror::Error;
 use units::{ModelName, Size};
@@ -17,7 +18,8 @@
 const ENGINE_MEMORY: Size = Size::gib(80);
 
 /// The users' deployments that a sample can be made of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub(crate) enum Sample {
     /// Sindhu Nagar Civic Press Works, karachi-south.
     Press,
@@ -31,7 +33,8 @@
 pub(crate) struct UnknownSample(String);
 
 /// How large a site is.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub(crate) struct Scale {
     /// Model engines.
     pub(crate) engines: usize,
@@ -41,6 +44,17 @@
     pub(crate) entries: usize,
 }
 
+/// What a site is made of.
+#[derive(Debug, Clone)]
+pub(crate) struct Layout {
+    /// The sample whose names it has.
+    pub(crate) sample: Sample,
+    /// How large it is.
+    pub(crate) scale: Scale,
+    /// Settings of the engines' stand-ins that are not the usual ones.
+    pub(crate) engine: serde_json::Map<String, Value>,
+}
+
 /// An endpoint with its agent.
 #[derive(Debug, Clone)]
 pub(crate) struct Place {
@@ -152,6 +166,7 @@
 
 /// Writes settings files one after the other.
 struct Writer<'a> {
+    layout: &'a Layout,
     sample: Sample,
     bin: &'a Path,
     out: &'a Path,
@@ -172,19 +187,14 @@
 
 impl Site {
     /// Chooses free ports and writes a settings file for each process to `out`.
-    pub(crate) fn write(
-        sample: Sample,
-        scale: Scale,
-        bin: &Path,
-        out: &Path,
-    ) -> Result<Self, SiteError> {
+    pub(crate) fn write(layout: &Layout, bin: &Path, out: &Path) -> Result<Self, SiteError> {
         let failed = |cause| SiteError { out: out.to_owned(), cause };
         std::fs::create_dir_all(out).map_err(failed)?;
+        let scale = layout.scale;
         let endpoints = scale.engines + scale.services;
-        let count =
-            PORTS_PLATFORM + PORTS_ENDPOINT * endpoints + PORTS_ENTRY * scale.entries;
+        let count = PORTS_PLATFORM + PORTS_ENDPOINT * endpoints + PORTS_ENTRY * scale.entries;
         let ports = ports::free(count).map_err(failed)?.into_iter();
-        Writer { sample, bin, out, ports }.site(scale).map_err(failed)
+        Writer { layout, sample: layout.sample, bin, out, ports }.site().map_err(failed)
     }
 
     /// All endpoints.
@@ -194,7 +204,8 @@
 }
 
 impl Writer<'_> {
-    fn site(mut self, scale: Scale) -> std::io::Result<Site> {
+    fn site(mut self) -> std::io::Result<Site> {
+        let scale = self.layout.scale;
         let (log, list, store) = (self.port()?, self.port()?, self.port()?);
         let doors: Vec<Door> = (1..=scale.entries)
             .map(|n| Ok(Door { name: format!("entry-{n}"), addr: self.port()? }))
@@ -241,11 +252,8 @@
     ) -> std::io::Result<Place> {
         let name = format!("{service}-{}", index + 1);
         let endpoint = self.port()?;
-        let role = if engine {
-            json!({ "engine": { "memory": ENGINE_MEMORY, "store": shared.store } })
-        } else {
-            json!({ "service": { "delay": "20ms" } })
-        };
+        let role =
+            if engine { self.engine(shared) } else { json!({ "service": { "delay": "20ms" } }) };
         let domain = self.sample.domain(index);
         let standin = self.standin(&format!("standin-{name}"), domain, endpoint, role)?;
         let admin = self.port()?;
@@ -267,6 +275,14 @@
         Ok(Place { name, endpoint, standin, agent })
     }
 
+    fn engine(&self, shared: &Shared) -> Value {
+        let mut engine = serde_json::Map::new();
+        engine.insert("memory".to_owned(), json!(ENGINE_MEMORY));
+        engine.insert("store".to_owned(), json!(shared.store));
+        engine.extend(self.layout.engine.clone());
+        json!({ "engine": engine })
+    }
+
     fn entry(&mut self, index: usize, door: &Door, shared: &Shared) -> std::io::Result<Launch> {
         let control = shared.seeds[index];
         let others: Vec<_> = shared.seeds.iter().filter(|seed| **seed != control).collect();
@@ -308,7 +324,10 @@
     ) -> std::io::Result<Launch> {
         let file = self.out.join(format!("{name}.jsonc"));
         let text = serde_json::to_string_pretty(settings)?;
-        std::fs::write(&file, format!("// {program}: {name} of the sample `{}`\n{text}\n", self.sample))?;
+        std::fs::write(
+            &file,
+            format!("// {program}: {name} of the sample `{}`\n{text}\n", self.sample),
+        )?;
         Ok(Launch {
             name: name.to_owned(),
             program: self.bin.join(program),
--- a/components/load/src/table.rs
+++ b/components/load/src/table.rs
@@ -11,7 +11,8 @@
 
 /// The promises with tries and violations.
 pub(crate) fn promises(rows: &[Row]) -> String {
-    let mut text = format!("{:<42} {:>7} {:>10} {:>8}\n", "promise", "tries", "violations", "excused");
+    let mut text =
+        format!("{:<42} {:>7} {:>10} {:>8}\n", "promise", "tries", "violations", "excused");
     for row in rows {
         let broken = row.violations.len();
         text += &format!("{:<42} {:>7} {broken:>10} {:>8}\n", row.promise, row.tries, row.excused);
--- a/components/load/src/trial.rs
+++ b/components/load/src/trial.rs
@@ -1,14 +1,12 @@
 //! `hyssop-load try`: a sample deployment, a burst to a cold model, and every promise checked.
 
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use thiserror::Error;
 use timeline::Event;
-use tokio::process::Command;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 use units::ModelName;
 use web::{CallError, Client};
 
@@ -16,22 +14,19 @@
 use crate::checks::{self, Row};
 use crate::children::ChildError;
 use crate::clock::Clock;
-use crate::evidence::{Call, Ending, Evidence, Publish};
+use crate::evidence::{Call, Ending, Evidence};
 use crate::fleet::Fleet;
-use crate::ledger::Ledger;
 use crate::probe::{Probe, Probed, completion, unrepeatable};
-use crate::site::{Sample, Scale, Site, SiteError};
+use crate::publish::PublishError;
+use crate::site::{Layout, Sample, Scale, Site, SiteError};
 use crate::truth::Truth;
 use crate::watch::Watch;
-use crate::{lines, table};
+use crate::{lines, publish, table};
 
 /// How many requests the burst has.
 const BURST: usize = 30;
 /// How many tokens each asks for.
 const TOKENS: u32 = 12;
-/// How long publishing and granting may take.
-const GRANT_LIMIT: Duration = Duration::from_secs(20);
-const GRANT_PAUSE: Duration = Duration::from_millis(50);
 /// How long the end of the trial waits, so that late executions would be seen.
 const SETTLE: Duration = Duration::from_secs(1);
 /// How many events of the time line are printed.
@@ -62,24 +57,9 @@
     /// A stand-in did not tell the truth.
     #[error("cannot read what really happened: {0}")]
     Truth(#[from] CallError),
-    /// The configuration could not be published.
-    #[error("publishing {} failed: {cause}", tree.display())]
-    Publish {
-        /// The tree of settings.
-        tree: PathBuf,
-        /// What was printed.
-        cause: String,
-    },
-    /// Nothing was granted.
-    #[error("no grant for `{model}` within {limit:?}; see the entries' logs in {}", out.display())]
-    NoGrant {
-        /// The model.
-        model: ModelName,
-        /// How long the trial waited.
-        limit: Duration,
-        /// Where the logs are.
-        out: PathBuf,
-    },
+    /// The configuration is not in force.
+    #[error(transparent)]
+    Publish(#[from] PublishError),
 }
 
 /// What a trial found.
@@ -97,7 +77,8 @@
 pub(crate) async fn run(trial: Trial) -> Result<bool, TrialError> {
     let begun = Instant::now();
     let clock = Clock::start();
-    let site = Site::write(trial.sample, SCALE, &trial.bin, &trial.out)?;
+    let layout = Layout { sample: trial.sample, scale: SCALE, engine: Default::default() };
+    let site = Site::write(&layout, &trial.bin, &trial.out)?;
     let mut fleet = Fleet::start(site, clock).await?;
     println!("started {} processes after {}", fleet.len(), table::millis(begun.elapsed()));
     let found = carry_through(&trial, &mut fleet, clock).await;
@@ -119,12 +100,11 @@
     let watch = Watch::start(&fleet.site, clock);
     let mut evidence = Evidence::default();
 
-    publish(trial, &fleet.site).await?;
-    let mut ledger = Ledger::new(fleet.site.log);
-    ledger.catch_up().await;
-    evidence.publishes.push(Publish { at: clock.now(), revision: ledger.revision() });
-    println!("published {} as revision {}", trial.sample.tree().display(), ledger.revision());
-    let decided = granted(&mut ledger, &model, trial).await?;
+    let publish = publish::tree(trial.sample, &fleet.site, &trial.bin, clock).await?;
+    println!("published {} as revision {}", trial.sample.tree().display(), publish.revision);
+    evidence.publishes.push(publish);
+    let decided = publish::granted(&fleet.site, std::slice::from_ref(&model)).await?;
+    let decided = decided.iter().sum();
     println!("{decided} replicas of `{model}` are decided");
 
     let doors = fleet.site.doors.clone();
@@ -148,49 +128,6 @@
     Ok(Found { evidence, probes, rows, events, truth, decided, model })
 }
 
-/// Publishes the sample's tree as an operator does.
-async fn publish(trial: &Trial, site: &Site) -> Result<(), TrialError> {
-    let tree = trial.sample.tree();
-    let failed = |cause: String| TrialError::Publish { tree: tree.to_owned(), cause };
-    let run = Command::new(trial.bin.join("hyssopctl"))
-        .arg("publish")
-        .arg("--log")
-        .arg(site.log.to_string())
-        .arg(tree)
-        .stdin(Stdio::null())
-        .kill_on_drop(true)
-        .output();
-    let output = match timeout(GRANT_LIMIT, run).await {
-        Ok(Ok(output)) => output,
-        Ok(Err(error)) => return Err(failed(error.to_string())),
-        Err(_) => return Err(failed(format!("no end within {GRANT_LIMIT:?}"))),
-    };
-    if output.status.success() {
-        return Ok(());
-    }
-    let text = [output.stdout, output.stderr].concat();
-    Err(failed(String::from_utf8_lossy(&text).into_owned()))
-}
-
-/// Waits until replicas of the model and of every plain service's agent are decided.
-async fn granted(
-    ledger: &mut Ledger,
-    model: &ModelName,
-    trial: &Trial,
-) -> Result<usize, TrialError> {
-    let end = Instant::now() + GRANT_LIMIT;
-    while Instant::now() < end {
-        ledger.catch_up().await;
-        let decided = ledger.state().grants_of(model).count();
-        if decided > 0 {
-            return Ok(decided);
-        }
-        sleep(GRANT_PAUSE).await;
-    }
-    let (model, out) = (model.clone(), trial.out.clone());
-    Err(TrialError::NoGrant { model, limit: GRANT_LIMIT, out })
-}
-
 /// Sends many requests to one cold model through all entries at once.
 async fn burst(caller: &Caller, doors: &[Door], model: &ModelName, clock: Clock) -> Vec<Call> {
     let asks: Vec<_> = (0..BURST)
@@ -208,7 +145,8 @@
 async fn keyed(caller: &Caller, doors: &[Door], sample: Sample, clock: Clock) -> Vec<Call> {
     let ask = unrepeatable(sample.service(), sample.unrepeatable(), "try-1", "{\"page\":7}");
     let at = clock.now();
-    join_all(doors.iter().take(2).map(|door| caller.send(std::slice::from_ref(door), &ask, at))).await
+    join_all(doors.iter().take(2).map(|door| caller.send(std::slice::from_ref(door), &ask, at)))
+        .await
 }
 
 impl Found {
@@ -275,7 +213,8 @@
     }
 
     fn print_events(&self) {
-        let first = self.burst().filter_map(|call| Some((call.first?, call.request.as_ref()?))).min();
+        let first =
+            self.burst().filter_map(|call| Some((call.first?, call.request.as_ref()?))).min();
         let request = first.map(|(_, id)| id);
         let events = lines::about(&self.events, &self.model, request);
         let start = events.first().map_or(0, |event| event.wall);
--- a/components/load/src/watch.rs
+++ b/components/load/src/watch.rs
@@ -1,5 +1,6 @@
 //! Samples of what is loaded, decided and in force while a deployment runs.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,9 +30,18 @@
     revision: Revision,
 }
 
+/// All replicas at one moment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Total {
+    pub(crate) at: Duration,
+    pub(crate) loaded: usize,
+    pub(crate) decided: usize,
+}
+
 /// What was sampled.
 #[derive(Debug, Default)]
 pub(crate) struct Samples {
+    pub(crate) totals: Vec<Total>,
     pub(crate) replicas: Vec<ReplicaSample>,
     pub(crate) revisions: Vec<RevisionSample>,
 }
@@ -106,6 +116,9 @@
         let inventories: Vec<(String, Inventory)> =
             join_all(reads).await.into_iter().flatten().collect();
         let after = self.ledger.catch_up().await;
+        let held = inventories.iter().map(|(_, inventory)| inventory.loaded.len());
+        let decided = after.values().map(BTreeSet::len).sum();
+        self.samples.totals.push(Total { at, loaded: held.sum(), decided });
         for artifact in loaded(&inventories) {
             self.samples.replicas.push(ReplicaSample {
                 at,
@@ -124,14 +137,11 @@
             read.ok().map(|status| (name.clone(), status.revision))
         });
         for (process, revision) in join_all(reads).await.into_iter().flatten() {
-            let up = self.up(&process);
+            // Restarts are put in afterwards, from the log of faults.
+            let up = Duration::ZERO;
             self.samples.revisions.push(RevisionSample { at, process, up, revision });
         }
     }
-
-    fn up(&self, _process: &str) -> Duration {
-        Duration::ZERO
-    }
 }
 
 fn loaded(inventories: &[(String, Inventory)]) -> Vec<ModelName> {
@@ -143,8 +153,13 @@
 }
 
 fn holders(inventories: &[(String, Inventory)], artifact: &ModelName) -> Vec<String> {
-    let holds = |inventory: &Inventory| inventory.loaded.iter().any(|held| held.artifact == *artifact);
-    inventories.iter().filter(|(_, inventory)| holds(inventory)).map(|(name, _)| name.clone()).collect()
+    let holds =
+        |inventory: &Inventory| inventory.loaded.iter().any(|held| held.artifact == *artifact);
+    inventories
+        .iter()
+        .filter(|(_, inventory)| holds(inventory))
+        .map(|(name, _)| name.clone())
+        .collect()
 }
 
 fn granted(before: &Placements, after: &Placements, artifact: &ModelName) -> Vec<String> {
--- a/src/bin/hyssop-load.rs
+++ b/src/bin/hyssop-load.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    load::run(std::env::args_os())
+    load::main(std::env::args_os())
 }
