--- a/components/load/src/publish.rs
+++ b/components/load/src/publish.rs
@@ -16,6 +16,9 @@
 
 /// How long publishing may take, and granting after it.
 const LIMIT: Duration = Duration::from_secs(20);
+/// The operator's working copy of the tree, and what it was based on.
+const TREE: &str = "tree.jsonc";
+const TREE_BASE: &str = "tree.jsonc.base";
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Why a configuration is not in force.
@@ -37,20 +40,23 @@
     },
 }
 
-/// Publishes the sample's tree with `hyssopctl`.
+/// Publishes a copy of the sample's tree with `hyssopctl`, which keeps its base beside it.
 pub(crate) async fn tree(
     sample: Sample,
     site: &Site,
     bin: &Path,
     clock: Clock,
 ) -> Result<Publish, PublishError> {
-    let tree = sample.tree();
-    let failed = |cause: String| PublishError::Failed { tree: tree.to_owned(), cause };
+    let tree = site.out.join(TREE);
+    let failed = |cause: String| PublishError::Failed { tree: tree.clone(), cause };
+    let _ = std::fs::remove_file(site.out.join(TREE_BASE));
+    std::fs::copy(sample.tree(), &tree)
+        .map_err(|error| failed(format!("cannot copy {}: {error}", sample.tree().display())))?;
     let run = Command::new(bin.join("hyssopctl"))
         .arg("publish")
         .arg("--log")
         .arg(site.log.to_string())
-        .arg(tree)
+        .arg(&tree)
         .stdin(Stdio::null())
         .kill_on_drop(true)
         .output();
--- a/components/load/src/site.rs
+++ b/components/load/src/site.rs
@@ -71,6 +71,8 @@
 /// A sample deployment, written down and ready to start.
 #[derive(Debug, Clone)]
 pub(crate) struct Site {
+    /// Where settings files and logs are.
+    pub(crate) out: PathBuf,
     /// The log service.
     pub(crate) log: SocketAddr,
     /// The instance list.
@@ -226,7 +228,17 @@
             .enumerate()
             .map(|(index, door)| self.entry(index, door, &shared))
             .collect::<std::io::Result<_>>()?;
-        Ok(Site { log, list, store, platform, engines, services, entries, doors })
+        Ok(Site {
+            out: self.out.to_owned(),
+            log,
+            list,
+            store,
+            platform,
+            engines,
+            services,
+            entries,
+            doors,
+        })
     }
 
     fn port(&mut self) -> std::io::Result<SocketAddr> {
@@ -328,11 +340,15 @@
             &file,
             format!("// {program}: {name} of the sample `{}`\n{text}\n", self.sample),
         )?;
+        let log = self.out.join(format!("{name}.log"));
+        if log.exists() {
+            std::fs::remove_file(&log)?;
+        }
         Ok(Launch {
             name: name.to_owned(),
             program: self.bin.join(program),
             settings: file,
-            log: self.out.join(format!("{name}.log")),
+            log,
             admin,
         })
     }
