--- a/components/load/src/publish.rs
+++ b/components/load/src/publish.rs
@@ -19,6 +19,8 @@
 /// The operator's working copy of the tree, and what it was based on.
 const TREE: &str = "tree.jsonc";
 const TREE_BASE: &str = "tree.jsonc.base";
+/// How many lines of a failed publish are shown.
+const SHOWN: usize = 12;
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Why a configuration is not in force.
@@ -67,7 +69,7 @@
     };
     if !output.status.success() {
         let text = [output.stdout, output.stderr].concat();
-        return Err(failed(String::from_utf8_lossy(&text).into_owned()));
+        return Err(failed(last_lines(&String::from_utf8_lossy(&text))));
     }
     let mut ledger = Ledger::new(site.log);
     ledger.catch_up().await;
@@ -89,3 +91,9 @@
         sleep(PAUSE).await;
     }
 }
+
+/// The end of what a program printed.
+fn last_lines(text: &str) -> String {
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(SHOWN)..].join("\n")
+}
