--- a/components/load/src/experiment.rs
+++ b/components/load/src/experiment.rs
@@ -142,3 +142,6 @@
     /// Starts a process that has ended.
     Start,
 }
+
+#[cfg(test)]
+mod tests;
