--- a/src/bin/hyssop-load.rs
+++ b/src/bin/hyssop-load.rs
@@ -1,3 +1,7 @@
 //! `hyssop-load`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    load::main(std::env::args_os())
+}
