--- /dev/null
+++ b/components/policy/src/prewarm/tests.rs
@@ -0,0 +1,93 @@
+use jiff::Timestamp;
+use record::{Attach, Body, Decision, Record};
+use serde_json::json;
+use state::{State, Verdict};
+use tree::{Change, Edit, NodeKind};
+use units::{Epoch, Incarnation, NodePath, Offset, ReplicaIndex, Revision, Size};
+
+use super::prewarm;
+use crate::Store;
+
+fn apply(state: &mut State, body: Body) {
+    let offset = state.offset().next();
+    let name = "entry-1".parse().expect("an instance");
+    let record = Record::new(format!("r{offset}"), name, 0, state.offset(), body);
+    let applied = state.apply(offset, &record);
+    let done = applied.verdicts.iter().all(|verdict| *verdict == Verdict::Done);
+    assert!(done, "{:?}", applied.verdicts);
+}
+
+fn attach(number: u16, cached: &[&str]) -> Body {
+    let addr = ([127, 0, 0, 1], 9000 + number).into();
+    Body::Attach(Attach {
+        endpoint: format!("engine-{number}").parse().expect("an endpoint"),
+        instance: format!("server-{number}").parse().expect("an instance"),
+        domain: "saddar".parse().expect("a domain"),
+        service: "likhari".parse().expect("a service"),
+        dispatch: addr,
+        control: addr,
+        admin: addr,
+        memory: Size::gib(80),
+        cached: cached.iter().map(|name| name.parse().expect("a model")).collect(),
+        fenced: true,
+        previous: Incarnation(0),
+    })
+}
+
+fn grant(model: &str, index: u32, number: u16) -> Decision {
+    Decision::Grant {
+        model: model.parse().expect("a model"),
+        index: ReplicaIndex(index),
+        artifact: model.parse().expect("a model"),
+        endpoint: format!("engine-{number}").parse().expect("an endpoint"),
+        reason: "least".to_owned(),
+    }
+}
+
+/// Two models whose window opens on the last of the month at 08:00, needing one replica.
+fn state() -> State {
+    let mut state = State::default();
+    let path = |name: &str| NodePath::root().child(name).expect("a path");
+    let set = |name: &str, setting: &str, value| Change::Set {
+        path: path(name),
+        setting: setting.parse().expect("a setting"),
+        value,
+    };
+    let window =
+        json!([{ "opens": "monthly last 08:00", "lasts": "8h", "zone": "UTC", "replicas": 1 }]);
+    let mut changes = Vec::new();
+    for name in ["bills", "terms"] {
+        changes.push(Change::Add { path: path(name), kind: NodeKind::Model });
+        changes.push(set(name, "service", json!("likhari")));
+        changes.push(set(name, "replicas-most", json!(2)));
+        changes.push(set(name, "windows", window.clone()));
+    }
+    let id = "e1".parse().expect("an id");
+    let author = "amal".to_owned();
+    apply(&mut state, Body::Edit(Edit { id, author, base: Revision(0), changes }));
+    apply(&mut state, attach(1, &[]));
+    apply(&mut state, attach(2, &["terms"]));
+    apply(&mut state, Body::Claim { previous: Epoch(0) });
+    let epoch = state.lease().epoch;
+    let decisions = vec![grant("bills", 0, 1), grant("bills", 1, 2), grant("terms", 0, 2)];
+    apply(&mut state, Body::Decide { epoch, decisions });
+    assert_eq!(state.offset(), Offset(5));
+    state
+}
+
+#[test]
+fn can_load_what_the_next_window_needs() {
+    let now: Timestamp = "2026-12-31T07:30:00Z".parse().expect("a time");
+    let opens: Timestamp = "2026-12-31T08:00:00Z".parse().expect("a time");
+    let slots = prewarm(&state(), now, &Store::default());
+    let names: Vec<_> = slots.iter().map(|slot| (slot.model.as_str(), slot.index.0)).collect();
+    assert_eq!(names, [("bills", 0), ("terms", 0)], "the cached one starts later");
+    assert_eq!(opens.duration_since(slots[0].starts).as_secs(), 25, "8 GiB with slack, and 5 s");
+    assert_eq!(opens.duration_since(slots[1].starts).as_secs(), 5);
+}
+
+#[test]
+fn can_load_nothing_long_before_a_window() {
+    let now: Timestamp = "2026-12-31T06:59:59Z".parse().expect("a time");
+    assert_eq!(prewarm(&state(), now, &Store::default()), vec![]);
+}
--- a/components/policy/src/schedule.rs
+++ b/components/policy/src/schedule.rs
@@ -25,7 +25,8 @@
     pub speed: Size,
     /// The part of a load that does not wait for the store, such as the engine's own start.
     pub fixed: Duration,
-    /// How many times longer than computed a load is planned for, so that urgent loads find room.
+    /// How many times longer than computed a load is planned for, so that urgent loads find room and a store
+    /// at half its speed is still fast enough; see `docs/POLICY.md`.
     pub slack: f64,
 }
 
@@ -36,7 +37,7 @@
             lanes: 4,
             speed: Size::gib(1),
             fixed: Duration::from_secs(5),
-            slack: 1.5,
+            slack: 2.5,
         }
     }
 }
