--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -20,4 +20,5 @@
 mod snapshots;
 
 pub use demand::DemandLog;
+pub use rounds::preview;
 pub use run::{Options, rounds_for, run};
--- a/components/planner/src/rounds.rs
+++ b/components/planner/src/rounds.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jiff::Timestamp;
 use journal::AppendError;
 use policy::Closing;
 use record::{Body, Decision};
-use state::{Applied, Verdict};
+use state::{Applied, State, Verdict};
 use timeline::Kind;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -85,7 +86,8 @@
     if memory.forecasts.is_due(began) {
         memory.forecasts.note(&demand.take(), began);
     }
-    let models = sized(shared, picture, &mut memory.forecasts);
+    let today = shared.options.calendar.now();
+    let models = sized(picture, &mut memory.forecasts, began, today);
     let rules = Rules { sightings, guard: shared.options.guard, batch: shared.options.batch };
     let round = decide_round(picture, &models, &rules);
     metrics::histogram!("planner_round_seconds").record(began.elapsed());
@@ -97,8 +99,12 @@
 }
 
 /// Works out how many replicas each model is to have.
-fn sized(shared: &Shared, picture: &Picture, forecasts: &mut Forecasts) -> Vec<Model> {
-    let (now, today) = (Instant::now(), shared.options.calendar.now());
+fn sized(
+    picture: &Picture,
+    forecasts: &mut Forecasts,
+    now: Instant,
+    today: Timestamp,
+) -> Vec<Model> {
     let granted = picture.granted();
     let size = |leaf: &Arc<Leaf>| {
         let closing = Closing::at(&leaf.settings.windows, today);
@@ -120,6 +126,15 @@
     memory.unplaced = unplaced;
 }
 
+/// What a planner that has just taken over would decide on a state: at most `batch` decisions.
+pub fn preview(state: &State, today: Timestamp, batch: usize) -> Vec<Decision> {
+    let picture = Picture::take(state.lease().epoch, state);
+    let models = sized(&picture, &mut Forecasts::default(), Instant::now(), today);
+    let sightings = Sightings::default();
+    let rules = Rules { sightings: &sightings, guard: Duration::MAX, batch };
+    decide_round(&picture, &models, &rules).decisions
+}
+
 /// Appends one batch; whether any decision of it took effect.
 async fn append(
     shared: &Shared,
--- a/components/planner/tests/common/mod.rs
+++ b/components/planner/tests/common/mod.rs
@@ -185,6 +185,11 @@
     Change::Add { path: path(model), kind: NodeKind::Model }
 }
 
+/// Adds an adapter to a model.
+pub(crate) fn add_adapter(model: &str, name: &str) -> Change {
+    Change::Add { path: path(model).child(name).expect("a path"), kind: NodeKind::Adapter }
+}
+
 /// Publishes an edit that is based on everything in force.
 pub(crate) async fn publish(journal: &Journal, id: &str, changes: Vec<Change>) -> Applied {
     let base = journal.read(State::revision);
--- a/components/policy/src/placement.rs
+++ b/components/policy/src/placement.rs
@@ -2,7 +2,7 @@
 
 use jiff::Timestamp;
 use units::{Domain, EndpointId, ModelName, ReplicaIndex, ServiceName, Size};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A grant that an endpoint holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -115,16 +115,20 @@
 }
 
 /// Breaks ties: all planners order the endpoints of a replica alike, each replica differently.
-fn tie(wish: &Wish<'_>, endpoint: &EndpointId) -> u64 {
-    xxh3_64(format!("{}#{} {endpoint}", wish.model, wish.index).as_bytes())
+fn tie(seed: u64, endpoint: &EndpointId) -> u64 {
+    xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed)
 }
 
 /// The best endpoint for a replica, as an index into `hosts`; `None` if none can hold it.
 pub fn place(hosts: &[Host], wish: &Wish<'_>, weights: &Weights) -> Option<usize> {
+    let seed = xxh3_64_with_seed(wish.model.as_str().as_bytes(), u64::from(wish.index.0));
     let fit = hosts.iter().enumerate().filter(|(_, host)| host.can_hold(wish));
-    let scored = fit.map(|(i, host)| (host.cost(wish, weights), tie(wish, &host.endpoint), i));
-    let best = scored.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-    best.map(|(_, _, i)| i)
+    let scored = fit.map(|(i, host)| (host.cost(wish, weights), i));
+    let best = scored.min_by(|a, b| {
+        let tied = || tie(seed, &hosts[a.1].endpoint).cmp(&tie(seed, &hosts[b.1].endpoint));
+        a.0.total_cmp(&b.0).then_with(tied)
+    });
+    best.map(|(_, i)| i)
 }
 
 #[cfg(test)]
