--- a/components/standin/src/engine/orders.rs
+++ b/components/standin/src/engine/orders.rs
@@ -70,7 +70,7 @@
                 self.unload_adapter(&artifact, &adapter);
             }
             OrderKind::Role { role } => self.change(|core| {
-                core.role = role;
+                core.truth.role = role;
                 core.version += 1;
             }),
         }
--- a/components/standin/src/engine/settings.rs
+++ b/components/standin/src/engine/settings.rs
@@ -40,6 +40,12 @@
     pub token: Span,
     /// How much longer tokens take for each other request that runs, as a share.
     pub crowding: f64,
+    /// The part of `first_token` that a cached prefix takes.
+    pub hit: f64,
+    /// How many prompt prefixes are cached.
+    pub prefixes: usize,
+    /// How late cache events are told.
+    pub cache_lag: Span,
     /// How old the usage report is.
     pub usage_lag: Span,
     /// How many requests are remembered for a resume.
@@ -64,6 +70,9 @@
             first_token: Span::millis(50),
             token: Span::millis(20),
             crowding: 0.02,
+            hit: 0.3,
+            prefixes: 256,
+            cache_lag: Span::millis(500),
             usage_lag: Span::millis(500),
             kept: 10_000,
         }
--- a/components/standin/src/engine/tokens.rs
+++ b/components/standin/src/engine/tokens.rs
@@ -1,7 +1,7 @@
 //! Answers that are a function of the request alone, so that a checker can tell a whole answer from a part.
 
 use bytes::Bytes;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -35,14 +35,14 @@
     Some(call.chunks(path).concat())
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct Message {
     #[serde(default)]
     content: String,
 }
 
 /// The body of a completion or chat.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Call {
     pub(crate) model: String,
     #[serde(default)]
--- a/components/standin/src/engine/truth.rs
+++ b/components/standin/src/engine/truth.rs
@@ -55,12 +55,16 @@
     pub unloads: u32,
     /// Adapters that were loaded.
     pub adapters: u32,
+    /// The role it was last ordered to have.
+    pub role: String,
     /// Crashes.
     pub crashes: u32,
     /// Completions that were refused because their model was not ready.
     pub refused: u64,
     /// Requests that were cut because their model was unloaded.
     pub cut: u64,
+    /// Requests whose prefix was cached.
+    pub hits: u64,
     /// Tokens that were made.
     pub tokens: u64,
     /// Milliseconds in which at least one request ran, by model.
--- a/components/standin/src/list.rs
+++ b/components/standin/src/list.rs
@@ -11,8 +11,8 @@
 use web::{BindError, Body};
 
 use crate::clock::wall_ms;
-use crate::gate::{Age, Silence};
-use crate::server::{self, Answer, Cut, Running, done, refuse};
+use crate::gate::Silence;
+use crate::server::{self, Answer, Cut, Running, Wanted, done, refuse};
 
 /// The settings of an instance list.
 #[derive(Debug, Clone, Deserialize)]
@@ -135,7 +135,7 @@
                 self.change(|list| list.set(instances));
                 done()
             }
-            Err(refusal) => refusal,
+            Err(bad) => bad.answer(),
         }
     }
 
@@ -151,10 +151,9 @@
     }
 
     async fn fault(&self, request: Request<Incoming>) -> Response<Body> {
-        let age = request.extensions().get::<Age>().cloned();
-        let fault = match server::body(request).await {
-            Ok(fault) => fault,
-            Err(refusal) => return refusal,
+        let Wanted { fault, age } = match server::wanted(request).await {
+            Ok(wanted) => wanted,
+            Err(bad) => return bad.answer(),
         };
         match fault {
             ListFault::None => {
--- a/components/standin/src/log.rs
+++ b/components/standin/src/log.rs
@@ -15,8 +15,8 @@
 use web::{BindError, Body};
 
 use crate::clock::wall_ms;
-use crate::gate::{Age, Silence};
-use crate::server::{self, Answer, Cut, Running, done, query, refuse};
+use crate::gate::Silence;
+use crate::server::{self, Answer, Cut, Running, Wanted, done, query, refuse};
 
 /// The settings of a log service.
 #[derive(Debug, Clone, Deserialize)]
@@ -156,7 +156,7 @@
     async fn append(&self, stream: Stream, request: Request<Incoming>) -> Answer {
         let body: AppendBody = match server::body(request).await {
             Ok(body) => body,
-            Err(refusal) => return Ok(refusal),
+            Err(bad) => return Ok(bad.answer()),
         };
         self.count();
         let records = body.records.into_iter().map(Into::into).collect();
@@ -203,10 +203,9 @@
     }
 
     async fn fault(&self, request: Request<Incoming>) -> Response<Body> {
-        let age = request.extensions().get::<Age>().cloned();
-        let fault = match server::body(request).await {
-            Ok(fault) => fault,
-            Err(refusal) => return refusal,
+        let Wanted { fault, age } = match server::wanted(request).await {
+            Ok(wanted) => wanted,
+            Err(bad) => return bad.answer(),
         };
         match fault {
             LogFault::None => self.reset(),
--- a/components/standin/src/run.rs
+++ b/components/standin/src/run.rs
@@ -14,7 +14,7 @@
         Role::Log(settings) => Log::start(addr, settings).await,
         Role::List(settings) => List::start(addr, settings).await,
         Role::Store(settings) => Store::start(addr, settings).await,
-        Role::Engine(settings) => Engine::start(addr, settings).await,
+        Role::Engine(settings) => Engine::start(addr, *settings).await,
         Role::Service(settings) => Service::start(addr, settings).await,
     };
     let running: Running = started.map_err(StartError::new)?;
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -18,7 +18,7 @@
 use crate::gate::{Age, Gate, Silence};
 
 /// The largest body that a stand-in takes.
-const BODY_LIMIT: usize = 16 << 20;
+pub(crate) const BODY_LIMIT: usize = 16 << 20;
 
 /// The handler wants the connection cut without an answer.
 #[derive(Debug, Error)]
@@ -109,14 +109,43 @@
     }
 }
 
-/// Reads a JSON body, or makes the answer that refuses it.
-pub(crate) async fn body<T: DeserializeOwned>(
+/// A body that is not what it should be.
+#[derive(Debug, Error)]
+#[error("{0}")]
+pub(crate) struct BadBody(String);
+
+impl BadBody {
+    /// The answer that refuses it.
+    pub(crate) fn answer(self) -> Response<Body> {
+        refuse(StatusCode::BAD_REQUEST, self.0)
+    }
+}
+
+/// A fault that somebody wants, and the connection on which it came.
+#[derive(Debug)]
+pub(crate) struct Wanted<T> {
+    pub(crate) fault: T,
+    pub(crate) age: Option<Age>,
+}
+
+/// Reads the body of `POST /faults`.
+pub(crate) async fn wanted<T: DeserializeOwned>(
     request: Request<Incoming>,
-) -> Result<T, Response<Body>> {
+) -> Result<Wanted<T>, BadBody> {
+    let age = request.extensions().get::<Age>().cloned();
+    let fault = body(request).await?;
+    Ok(Wanted { fault, age })
+}
+
+/// Reads a JSON body.
+pub(crate) async fn body<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, BadBody> {
     let bytes = web::read(request.into_body(), BODY_LIMIT).await;
-    let bytes = bytes.map_err(|error| refuse(StatusCode::BAD_REQUEST, error.to_string()))?;
-    serde_json::from_slice(&bytes)
-        .map_err(|error| refuse(StatusCode::BAD_REQUEST, error.to_string()))
+    parse(&bytes.map_err(|error| BadBody(error.to_string()))?)
+}
+
+/// Reads JSON.
+pub(crate) fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, BadBody> {
+    serde_json::from_slice(bytes).map_err(|error| BadBody(error.to_string()))
 }
 
 /// The value of a number in the query.
--- a/components/standin/src/settings.rs
+++ b/components/standin/src/settings.rs
@@ -30,7 +30,7 @@
     /// The weight store.
     Store(StoreSettings),
     /// A model engine.
-    Engine(EngineSettings),
+    Engine(Box<EngineSettings>),
     /// A plain service.
     Service(ServiceSettings),
 }
