--- a/components/standin/src/engine/core.rs
+++ b/components/standin/src/engine/core.rs
@@ -12,7 +12,7 @@
 use super::replica::{Replica, Ticket};
 use super::run::Run;
 use super::{EngineSettings, EngineTruth, LoadEvent, LoadPhase};
-use crate::clock::wall_ms;
+use crate::clock::{millis, wall_ms};
 
 /// How many failed orders the inventory lists.
 const FAILED_KEPT: usize = 32;
@@ -180,7 +180,7 @@
 
     pub(crate) fn add_busy(&mut self, artifact: &ModelName, since: Option<Instant>) {
         let Some(since) = since else { return };
-        let spent = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let spent = millis(since.elapsed());
         *self.truth.busy_ms.entry(artifact.clone()).or_default() += spent;
     }
 
@@ -260,7 +260,7 @@
         let mut truth = self.truth.clone();
         for (artifact, replica) in &self.replicas {
             let Some(since) = replica.busy else { continue };
-            let spent = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let spent = millis(since.elapsed());
             *truth.busy_ms.entry(artifact.clone()).or_default() += spent;
         }
         truth
--- a/components/standin/src/store.rs
+++ b/components/standin/src/store.rs
@@ -14,7 +14,7 @@
 use units::{ModelName, Rate, Size, Span};
 use web::{BindError, Body};
 
-use crate::clock::wall_ms;
+use crate::clock::{millis, wall_ms};
 use crate::freeze::Freeze;
 use crate::gate::{Age, Silence};
 use crate::server::{self, Answer, Running, Wanted, done, refuse};
@@ -92,10 +92,10 @@
     pub artifact: ModelName,
     /// Whether somebody waited for it.
     pub urgent: bool,
-    /// How long it waited for its start.
-    pub waited: Span,
-    /// How long it moved; nothing while it still does.
-    pub took: Option<Span>,
+    /// Milliseconds that it waited for its start.
+    pub waited_ms: u64,
+    /// Milliseconds that it moved; nothing while it still does, or if its reader went away.
+    pub took_ms: Option<u64>,
 }
 
 /// What really happened at a weight store.
@@ -233,7 +233,7 @@
         let began = Instant::now();
         running.copy(fetch.size.unwrap_or(self.0.settings.size)).await;
         if let Some(fetched) = self.core().truth.fetches.get_mut(index) {
-            fetched.took = Some(Span(began.elapsed()));
+            fetched.took_ms = Some(millis(began.elapsed()));
         }
         done()
     }
@@ -245,8 +245,8 @@
             wall_ms: wall_ms(),
             artifact: fetch.artifact.clone(),
             urgent: fetch.urgent,
-            waited: Span(waited),
-            took: None,
+            waited_ms: millis(waited),
+            took_ms: None,
         });
         core.truth.fetches.len() - 1
     }
--- a/components/standin/src/store/tests.rs
+++ b/components/standin/src/store/tests.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use rstest::rstest;
 use tokio::task::JoinSet;
 use units::{Rate, Size};
@@ -25,12 +23,12 @@
     fetches.join_all().await;
 }
 
-fn took(store: &Store) -> Vec<Duration> {
-    store.truth().fetches.iter().filter_map(|one| one.took).map(|took| took.0).collect()
+fn took(store: &Store) -> Vec<u64> {
+    store.truth().fetches.iter().filter_map(|one| one.took_ms).collect()
 }
 
-fn near(span: Duration, millis: u64) -> bool {
-    span.abs_diff(Duration::from_millis(millis)) <= Duration::from_millis(40)
+fn near(millis: u64, wanted: u64) -> bool {
+    millis.abs_diff(wanted) <= 40
 }
 
 #[rstest]
@@ -49,7 +47,7 @@
 async fn can_start_so_many_a_second() {
     let store = store(2.0, 100);
     fetch(&store, 4).await;
-    let waited: Vec<_> = store.truth().fetches.iter().map(|one| one.waited.0).collect();
+    let waited: Vec<_> = store.truth().fetches.iter().map(|one| one.waited_ms).collect();
     for (span, millis) in waited.iter().zip([0, 500, 1000, 1500]) {
         assert!(near(*span, millis), "{waited:?}");
     }
