Appends go soon after an outage, and a burst of records makes few reads

What waits for a later try goes as soon as the log is read again; a process reads at most ten pages a second, so that thousands of long polls stay bearable in a burst.

--- a/components/journal/src/append.rs
+++ b/components/journal/src/append.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use platform::{LogError, LogService, Stream};
 use thiserror::Error;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -77,6 +78,10 @@
         self.0 = self.0.mul_f64(EASE).max(GATHER_MIN);
     }
 
+    fn restarted(&mut self) {
+        self.0 = self.0.min(REFUSED_MIN);
+    }
+
     fn refused(&mut self) {
         self.0 = (self.0 * 2).clamp(REFUSED_MIN, GATHER_MAX);
     }
@@ -89,6 +94,8 @@
     pub(crate) repeat: Duration,
     /// Whether a record with this id is still to be repeated.
     pub(crate) is_wanted: W,
+    /// Told when the log is read again after an outage: what waits for a later try goes now.
+    pub(crate) revived: Arc<Notify>,
 }
 
 impl<W: Fn(&str) -> bool> Appender<W> {
@@ -104,8 +111,12 @@
                     None => return,
                 },
                 () = wait_until(due) => {}
+                () = self.revived.notified() => restart(&mut pending, &mut pace),
+            }
+            tokio::select! {
+                () = sleep(jitter(pace.0)) => {}
+                () = self.revived.notified() => restart(&mut pending, &mut pace),
             }
-            sleep(jitter(pace.0)).await;
             while let Ok(record) = incoming.try_recv() {
                 pending.push(record);
             }
@@ -142,6 +153,14 @@
     }
 }
 
+fn restart(pending: &mut [Pending], pace: &mut Pace) {
+    pace.restarted();
+    for record in pending {
+        record.due = Some(Instant::now() + jitter(REFUSED_MIN));
+        record.tries = 0;
+    }
+}
+
 async fn wait_until(due: Option<Instant>) {
     match due {
         Some(due) => sleep_until(due).await,
--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -70,6 +70,8 @@
     pub(crate) health: watch::Sender<Health>,
     /// Wakes the heartbeat when a peer brought records.
     pub(crate) news: Notify,
+    /// Wakes the appender when the log is read again.
+    pub(crate) revived: Arc<Notify>,
     state: RwLock<State>,
     side: Mutex<Side>,
 }
@@ -92,6 +94,7 @@
             ready: watch::Sender::new(false),
             health: watch::Sender::new(Health::Down),
             news: Notify::new(),
+            revived: Arc::default(),
             state: RwLock::default(),
             side: Mutex::new(side),
         }
@@ -221,6 +224,9 @@
         if before == health {
             return;
         }
+        if health == Health::Up {
+            self.revived.notify_one();
+        }
         metrics::gauge!("hyssop_log_up").set(if health == Health::Up { 1.0 } else { 0.0 });
         let (kind, note) = match health {
             Health::Up => (Kind::LogUp, "the log is read"),
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -113,6 +113,7 @@
         stream: Stream::Control,
         repeat: shared.options.repeat,
         is_wanted: |id: &str| shared.is_waited_for(id),
+        revived: shared.revived.clone(),
     };
     tokio::select! {
         () = appender.run(incoming) => {}
--- a/components/journal/src/keys.rs
+++ b/components/journal/src/keys.rs
@@ -14,7 +14,7 @@
 use record::{KeyClaim, KeyRecord};
 use thiserror::Error;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 use units::{Offset, RequestId};
 
@@ -96,6 +96,7 @@
     reach: Reach,
     read: Instant,
     window: Duration,
+    revived: Arc<Notify>,
 }
 
 /// A handle on the claimed keys; cheap to clone.
@@ -117,6 +118,7 @@
             reach: Reach::Starting,
             read: Instant::now(),
             window,
+            revived: Arc::default(),
         };
         let core = Arc::new(Mutex::new(core));
         let (appends, incoming) = mpsc::unbounded_channel();
@@ -236,6 +238,7 @@
         stream: Stream::Keys,
         repeat: REPEAT,
         is_wanted: |id: &str| lock(&core).is_wanted(id),
+        revived: lock(&core).revived.clone(),
     };
     tokio::select! {
         () = appender.run(incoming) => {}
@@ -293,6 +296,9 @@
                     }
                 }
                 if self.next > page.last {
+                    if self.reach != Reach::Current {
+                        self.revived.notify_one();
+                    }
                     self.reach = Reach::Current;
                     self.read = Instant::now();
                 }
--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -20,6 +20,9 @@
 /// The longest pause after a failed read.
 const RETRY_MAX: Duration = Duration::from_secs(3);
 
+/// The shortest pause between two reads that bring records, so that a burst of appends makes few reads.
+const BURST_PAUSE: Duration = Duration::from_millis(100);
+
 /// Why the next records can't be folded now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Stop {
@@ -39,8 +42,12 @@
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     let mut verify = true;
     loop {
+        let before = shared.offset();
         match step(&shared, &*service, &peers, verify).await {
             Ok(()) => {
+                if shared.offset() > before {
+                    sleep(BURST_PAUSE).await;
+                }
                 verify = false;
                 backoff.reset();
                 shared.set_health(Health::Up);
--- a/components/journal/tests/append.rs
+++ b/components/journal/tests/append.rs
@@ -8,6 +8,7 @@
 use journal::AppendError;
 use platform::Stream;
 use state::{Verdict, Void};
+use tokio::time::Instant;
 use units::{Epoch, Offset};
 
 #[tokio::test(start_paused = true)]
@@ -129,6 +130,37 @@
     assert!(append.await.expect("the task ended").expect("the log is up again").is_done());
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_append_soon_after_a_long_outage() {
+    let site = Site::default();
+    let node = site.node(1, &[]);
+    node.ready().await;
+    site.log.set(|faults| faults.outage = true);
+    let journal = node.journal.clone();
+    let append =
+        tokio::spawn(async move { journal.append(claim(0), Duration::from_secs(900)).await });
+    pass(600).await;
+    site.log.set(|faults| faults.outage = false);
+    let began = Instant::now();
+    assert!(append.await.expect("the task ended").expect("the log is up again").is_done());
+    assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_read_a_burst_of_records_with_few_reads() {
+    let site = Site::default();
+    let node = site.node(1, &[]);
+    node.ready().await;
+    let reads = site.log.counters().reads;
+    for number in 0..500 {
+        site.log.put(Stream::Control, format!("{number}"));
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    node.reaches(500).await;
+    let reads = site.log.counters().reads - reads;
+    assert!(reads <= 12, "{reads} reads in a second");
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_end_its_tasks_with_the_last_handle() {
     let site = Site::default();
