--- a/components/journal/src/append.rs
+++ b/components/journal/src/append.rs
@@ -88,17 +88,19 @@
 }
 
 /// Appends to one stream what comes through a channel, until the channel is closed.
-pub(crate) struct Appender<W> {
+pub(crate) struct Appender<W, O> {
     pub(crate) service: Arc<dyn LogService>,
     pub(crate) stream: Stream,
     pub(crate) repeat: Duration,
     /// Whether a record with this id is still to be repeated.
     pub(crate) is_wanted: W,
+    /// Whether the stream is the one that is followed; nothing is written into another.
+    pub(crate) is_open: O,
     /// Told when the log is read again after an outage: what waits for a later try goes now.
     pub(crate) revived: Arc<Notify>,
 }
 
-impl<W: Fn(&str) -> bool> Appender<W> {
+impl<W: Fn(&str) -> bool, O: Fn() -> bool> Appender<W, O> {
     /// One append is under way at a time; what comes meanwhile goes into the next.
     pub(crate) async fn run(self, mut incoming: UnboundedReceiver<Pending>) {
         let mut pending: Vec<Pending> = Vec::new();
@@ -130,6 +132,10 @@
     }
 
     async fn append(&self, batch: &mut [Pending], pace: &mut Pace) {
+        if !(self.is_open)() {
+            batch.iter_mut().for_each(|record| record.postpone(self.repeat));
+            return;
+        }
         let records = batch.iter().map(|record| record.data.clone()).collect();
         let append = timeout(SERVICE_LIMIT, self.service.append(self.stream, records)).await;
         let cause = match append {
--- a/components/journal/src/begin.rs
+++ b/components/journal/src/begin.rs
@@ -55,8 +55,8 @@
         Ok(page) if page.last == Offset(0) && folded == Offset(0) => {
             shared.set_health(Health::Up);
             let since = *empty_since.get_or_insert_with(Instant::now);
-            let known = answers.silent == 0 && answers.best.is_none();
-            known || since.elapsed() >= shared.options.grace
+            let waited = since.elapsed() >= shared.options.grace;
+            answers.best.is_none() && (answers.silent == 0 || waited)
         }
         Ok(page) => catch_up(shared, service, page).await,
         Err(LogError::Expired { first }) => {
@@ -88,6 +88,7 @@
     }
     shared.set_health(Health::Up);
     loop {
+        let before = shared.offset();
         if shared.fold(&page.entries, Source::Log).is_err() {
             shared.set_health(Health::Forked);
             return true;
@@ -95,9 +96,12 @@
         if shared.offset() >= target || shared.state().frozen().is_some() {
             return true;
         }
+        if shared.offset() == before {
+            return false;
+        }
         match read(shared, service, shared.offset().next(), Duration::ZERO).await {
-            Ok(next) if !next.entries.is_empty() => page = next,
-            _ => return false,
+            Ok(next) => page = next,
+            Err(_) => return false,
         }
     }
 }
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -113,6 +113,7 @@
         stream: Stream::Control,
         repeat: shared.options.repeat,
         is_wanted: |id: &str| shared.is_waited_for(id),
+        is_open: || !matches!(*shared.health.borrow(), Health::Behind | Health::Forked),
         revived: shared.revived.clone(),
     };
     tokio::select! {
--- a/components/journal/src/keys.rs
+++ b/components/journal/src/keys.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::{LogError, LogService, Page, Stream};
+use platform::{Entry, LogError, LogService, Page, Stream};
 use record::{KeyClaim, KeyRecord};
 use thiserror::Error;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -238,6 +238,7 @@
         stream: Stream::Keys,
         repeat: REPEAT,
         is_wanted: |id: &str| lock(&core).is_wanted(id),
+        is_open: || lock(&core).reach != Reach::Behind,
         revived: lock(&core).revived.clone(),
     };
     tokio::select! {
@@ -290,10 +291,7 @@
             }
             Ok(page) => {
                 for entry in &page.entries {
-                    if entry.offset == self.next {
-                        self.fold(&entry.data);
-                        self.next = entry.offset.next();
-                    }
+                    self.fold(entry);
                 }
                 if self.next > page.last {
                     if self.reach != Reach::Current {
@@ -323,8 +321,15 @@
         }
     }
 
-    fn fold(&mut self, data: &[u8]) {
-        match serde_json::from_slice(data) {
+    fn fold(&mut self, entry: &Entry) {
+        if entry.offset < self.next {
+            return;
+        }
+        if entry.offset > self.next {
+            self.claims.skip();
+        }
+        self.next = entry.offset.next();
+        match serde_json::from_slice(&entry.data) {
             Ok(KeyRecord::Claim(claim)) => {
                 let Some(outcome) = self.claims.claim(&claim) else { return };
                 self.decide(&claim.request, outcome);
--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -34,6 +34,8 @@
     Forked,
     /// The next records have expired, and nobody could give them.
     Expired,
+    /// The next record is left out, or needs a newer program.
+    Stuck,
 }
 
 /// Follows the log; never ends.
@@ -72,6 +74,9 @@
                 shared.offset()
             );
         }
+        Stop::Stuck => {
+            log::error!("journal: can't go on after offset {}", shared.offset());
+        }
     }
 }
 
@@ -93,15 +98,21 @@
     }
     match page {
         Ok(page) if page.last < folded => Err(Stop::Behind),
-        Ok(page) => shared.fold(&page.entries, Source::Log).map_err(|fork| {
-            log::error!("journal: the log has another record at offset {}", fork.0);
-            Stop::Forked
-        }),
+        Ok(page) => fold(shared, &page, folded),
         Err(LogError::Expired { first }) => bridge(shared, service, peers, first).await,
         Err(_) => Err(Stop::Down),
     }
 }
 
+fn fold(shared: &Shared, page: &Page, folded: Offset) -> Result<(), Stop> {
+    if let Err(fork) = shared.fold(&page.entries, Source::Log) {
+        log::error!("journal: the log has another record at offset {}", fork.0);
+        return Err(Stop::Forked);
+    }
+    let is_stuck = page.last > folded && shared.offset() == folded;
+    if is_stuck { Err(Stop::Stuck) } else { Ok(()) }
+}
+
 /// Reads a page and keeps its bounds.
 pub(crate) async fn read(
     shared: &Shared,
--- a/components/journal/tests/outage.rs
+++ b/components/journal/tests/outage.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{Node, Site, attach, claim, pass};
-use journal::Health;
+use journal::{AppendError, Health};
 use platform::Stream;
 use units::{Epoch, Offset};
 
@@ -161,3 +161,24 @@
     nodes[0].append(claim(1)).await.expect("the log is up again");
     assert_eq!(nodes[0].offset(), 5);
 }
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_appends_into_a_log_that_is_not_the_one_followed() {
+    let (site, nodes) = settled(3).await;
+    site.log.wipe(Stream::Control);
+    pass(30).await;
+    assert!(nodes[0].append(claim(1)).await.is_err());
+    assert_eq!(site.log.records(Stream::Control).last, Offset(0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_a_record_of_a_newer_program_and_appends_no_more() {
+    let (site, nodes) = settled(2).await;
+    site.log.put(Stream::Control, r#"{"needs":99}"#);
+    pass(5).await;
+    assert_eq!(nodes[0].offset(), 3);
+    assert_eq!(nodes[0].append(claim(1)).await, Err(AppendError::Frozen));
+    let reads = site.log.counters().reads;
+    pass(60).await;
+    assert!(site.log.counters().reads - reads < 120, "it does not read in a tight loop");
+}
