--- a/components/entry/src/flight.rs
+++ b/components/entry/src/flight.rs
@@ -4,19 +4,22 @@
 use std::time::Duration;
 
 use process::Phase;
+use record::KeyClaim;
 use timeline::Kind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tree::NodeKind;
 use units::{EndpointId, Incarnation, RequestId, Span};
 use wire::{Outcome, Refusal};
 
 use crate::answer::Message;
 use crate::attempt::Step;
+use crate::breaker::Admission;
 use crate::call::Call;
 use crate::candidate::{Candidate, candidates};
 use crate::core::Core;
 use crate::keys;
-use crate::load::Place;
+use crate::load::{Load, Place};
 use crate::pick::{Choice, Policy, pick};
 use crate::prefix::Prefix;
 use crate::relay::Received;
@@ -55,6 +58,7 @@
     pub(crate) placed: Vec<Placed>,
     /// What has come of the answer.
     pub(crate) received: Received,
+    claim: Option<KeyClaim>,
     prefix: Option<Prefix>,
     tried: Vec<(EndpointId, Incarnation)>,
     newer: Vec<(EndpointId, Incarnation)>,
@@ -74,6 +78,7 @@
             messages,
             placed: Vec::new(),
             received: Received::default(),
+            claim: None,
             prefix,
             tried: Vec::new(),
             newer: Vec::new(),
@@ -106,6 +111,9 @@
 
     async fn finish(self, outcome: Outcome<()>) {
         self.core.note_end(&self.call, &outcome);
+        if matches!(outcome, Outcome::NotRun(_)) {
+            self.withdraw_claim();
+        }
         // A caller that does not read until its deadline gets a cut answer.
         let _ =
             tokio::time::timeout_at(self.call.deadline, self.messages.send(Message::End(outcome)))
@@ -113,9 +121,9 @@
     }
 
     async fn drive(&mut self) -> Outcome<()> {
-        let claimed = keys::claim(&self.call, &self.core.instance, &self.core.keys).await;
-        if let Err(refusal) = claimed {
-            return Outcome::NotRun(refusal);
+        match keys::claim(&self.call, &self.core.instance, &self.core.keys).await {
+            Ok(claim) => self.claim = claim,
+            Err(refusal) => return Outcome::NotRun(refusal),
         }
         self.core.budget.first();
         let mut last = Refusal::NoEndpoint { retry: RETRY };
@@ -141,6 +149,9 @@
                 Step::NotRun(refusal) => {
                     self.note_refusal(&target, &refusal);
                     last = refusal;
+                    if last == Refusal::Late {
+                        break;
+                    }
                 }
                 Step::Lost(lost) => {
                     self.tried.push((target.endpoint, target.incarnation));
@@ -200,24 +211,17 @@
 
     fn next_target(&self) -> Option<Candidate> {
         let mut open = self.open_candidates();
-        let loads: Vec<_> = open
+        let loads: Vec<Load> = open
             .iter()
             .map(|candidate| self.core.loads.look(&self.place(&candidate.endpoint)))
             .collect();
-        let awake = loads.iter().filter_map(|load| load.awake).max().unwrap_or(1).max(1);
-        let choices: Vec<Choice> = open
-            .iter()
-            .zip(&loads)
-            .map(|(candidate, load)| Choice {
-                endpoint: candidate.endpoint.clone(),
-                near: candidate.domain == self.core.domain,
-                requests: load.requests,
-                admission: self.core.breakers.admission(&candidate.endpoint),
-            })
-            .collect();
+        let choices: Vec<Choice> =
+            open.iter().zip(&loads).map(|(candidate, load)| self.choice(candidate, load)).collect();
         let cached = self.prefix.and_then(|prefix| self.core.prefixes.get(prefix));
+        let known = loads.iter().filter_map(|load| load.awake).max().unwrap_or(1).max(1);
         let policy = Policy {
-            awake: open.iter().filter(|candidate| candidate.index < awake).count(),
+            awake: open.iter().filter(|candidate| candidate.index < known).count(),
+            packed: self.call.leaf.kind != NodeKind::Service,
             batch: self.call.leaf.settings.batch,
             cached: cached.as_ref(),
             probes: self.call.repeatable,
@@ -226,6 +230,17 @@
         Some(open.swap_remove(at))
     }
 
+    fn choice(&self, candidate: &Candidate, load: &Load) -> Choice {
+        let admission = self.core.breakers.admission(&candidate.endpoint);
+        Choice {
+            endpoint: candidate.endpoint.clone(),
+            near: candidate.domain == self.core.domain,
+            requests: load.requests,
+            lasting: load.lasting,
+            admission: if load.held { Admission::Open } else { admission },
+        }
+    }
+
     fn note_refusal(&mut self, target: &Candidate, refusal: &Refusal) {
         match refusal {
             Refusal::Incarnation { current } if *current > target.incarnation => {
@@ -244,11 +259,21 @@
         self.tried.clear();
     }
 
+    /// Lets another request use the key, since this one has not run and never will.
+    fn withdraw_claim(&self) {
+        if let Some(claim) = &self.claim {
+            self.core.keys.withdraw(claim);
+        }
+    }
+
     /// Frees what the request holds at agents, since nobody waits for it.
     async fn hang_up(self) {
         let event = self.core.recorder.event(Kind::Cancelled).request(&self.call.request);
         self.core.recorder.record(event.note("the caller hung up"));
         metrics::counter!("entry_hang_ups").increment(1);
+        if self.placed.is_empty() {
+            self.withdraw_claim();
+        }
         if self.call.repeatable {
             self.cancel_all(Instant::now() + FORCE_LIMIT).await;
         }
