--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use platform::{LogError, LogService, Page, Stream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use units::Offset;
 
 use crate::backoff::Backoff;
@@ -20,8 +20,11 @@
 /// The longest pause after a failed read.
 const RETRY_MAX: Duration = Duration::from_secs(3);
 
-/// The shortest pause between two reads that bring records, so that a burst of appends makes few reads.
-const BURST_PAUSE: Duration = Duration::from_millis(100);
+/// How many reads that bring records a process may make a second over time, so that a long burst of
+/// appends makes few reads.
+const READ_RATE: f64 = 10.0;
+/// How many it may make at once.
+const READ_BURST: f64 = 10.0;
 
 /// Why the next records can't be folded now.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,17 +41,41 @@
     Stuck,
 }
 
+/// Reads that may still be made without a pause.
+#[derive(Debug)]
+struct Allowance {
+    reads: f64,
+    since: Instant,
+}
+
+impl Allowance {
+    fn new() -> Self {
+        Self { reads: READ_BURST, since: Instant::now() }
+    }
+
+    /// Takes one read, and waits while there is none.
+    async fn take(&mut self) {
+        let gained = self.since.elapsed().as_secs_f64() * READ_RATE;
+        self.since = Instant::now();
+        self.reads = (self.reads + gained).min(READ_BURST) - 1.0;
+        if self.reads < 0.0 {
+            sleep(Duration::from_secs_f64(-self.reads / READ_RATE)).await;
+        }
+    }
+}
+
 /// Follows the log; never ends.
 pub(crate) async fn read_all(shared: Arc<Shared>, service: Arc<dyn LogService>, peers: Peers) {
     begin(&shared, &*service, &peers).await;
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     let mut verify = true;
+    let mut allowance = Allowance::new();
     loop {
         let before = shared.offset();
         match step(&shared, &*service, &peers, verify).await {
             Ok(()) => {
                 if shared.offset() > before {
-                    sleep(BURST_PAUSE).await;
+                    allowance.take().await;
                 }
                 verify = false;
                 backoff.reset();
