--- a/components/standin/src/engine/core.rs
+++ b/components/standin/src/engine/core.rs
@@ -126,6 +126,17 @@
         self.replicas.values().map(Replica::memory).sum()
     }
 
+    /// Whether there is no room for so much more; that it was asked for is a violation.
+    pub(crate) fn lacks(&mut self, need: Size, memory: Size) -> bool {
+        let asked = self.taken() + need;
+        let lacks = asked > memory;
+        if lacks {
+            self.truth.overcommits += 1;
+            self.truth.high_water = self.truth.high_water.max(asked);
+        }
+        lacks
+    }
+
     /// The replica of a ticket, unless it is gone.
     pub(crate) fn replica(&mut self, ticket: &Ticket) -> Option<&mut Replica> {
         let replica = self.replicas.get_mut(&ticket.artifact)?;
--- a/components/standin/src/engine/orders.rs
+++ b/components/standin/src/engine/orders.rs
@@ -94,8 +94,7 @@
             }
             None => {}
         }
-        if core.taken() + need > self.0.settings.memory {
-            core.truth.overcommits += 1;
+        if core.lacks(need, self.0.settings.memory) {
             core.fail(order, "out of memory");
             core.note(artifact, LoadPhase::Failed, fence);
             return None;
@@ -209,9 +208,7 @@
 
     fn load_adapter(&self, order: &str, artifact: &ModelName, adapter: AdapterName, weights: Size) {
         let serial = self.change(|core| {
-            let room = core.taken() + weights <= self.0.settings.memory;
-            if !room {
-                core.truth.overcommits += 1;
+            if core.lacks(weights, self.0.settings.memory) {
                 core.fail(order, "out of memory");
                 return None;
             }
--- a/components/standin/src/engine/truth.rs
+++ b/components/standin/src/engine/truth.rs
@@ -45,7 +45,7 @@
     pub events: Vec<LoadEvent>,
     /// Accelerator memory in all.
     pub memory: Size,
-    /// The most memory that was taken at one time.
+    /// The most memory that was taken, or would have been by an order that was refused for it.
     pub high_water: Size,
     /// Orders that would have taken more memory than there is.
     pub overcommits: u32,
--- a/components/standin/tests/engine.rs
+++ b/components/standin/tests/engine.rs
@@ -60,7 +60,7 @@
     assert_eq!(inventory.failed[0].0, "third");
     let truth: EngineTruth = truth(engine.addr).await;
     assert_eq!(truth.overcommits, 1);
-    assert_eq!(truth.high_water, Size::gib(4));
+    assert_eq!(truth.high_water, Size::gib(6));
 }
 
 #[tokio::test]
