--- a/components/platform/src/streaming.rs
+++ b/components/platform/src/streaming.rs
@@ -1,4 +1,7 @@
 //! Streaming calls: a connection for each, and a watchdog that ends a stream that stays without a byte.
+//!
+//! A call that may not be repeated can't be tried again when a pooled connection turns out to be silent, so none
+//! begins on a connection that has idled.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -1,5 +1,6 @@
 //! A model engine: memory, cached checkpoints, orders, batching and streams of tokens.
 
+mod adapters;
 mod core;
 mod kv;
 mod orders;
@@ -88,7 +89,6 @@
     settings: EngineSettings,
     freeze: Freeze,
     silence: Silence,
-    client: web::Client,
 }
 
 /// A stand-in for a model engine.
@@ -110,7 +110,6 @@
             settings,
             freeze: Freeze::default(),
             silence: Silence::default(),
-            client: web::Client::default(),
         }))
     }
 
--- a/components/standin/src/engine/core.rs
+++ b/components/standin/src/engine/core.rs
@@ -20,6 +20,14 @@
 /// A crash begins again with a version that no reader has seen.
 const CRASH_STEP: u64 = 1 << 32;
 
+/// How a load ends.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Fate {
+    Good,
+    Fail,
+    Die,
+}
+
 #[derive(Debug)]
 pub(crate) struct Faults {
     pub(crate) up: Instant,
@@ -36,6 +44,17 @@
 }
 
 impl Faults {
+    /// How the next load ends; counts it.
+    pub(crate) fn fate(&mut self) -> Fate {
+        if take(&mut self.die) {
+            Fate::Die
+        } else if take(&mut self.fail) {
+            Fate::Fail
+        } else {
+            Fate::Good
+        }
+    }
+
     pub(crate) fn is_down(&self) -> bool {
         Instant::now() < self.up
     }
--- a/components/standin/src/engine/orders.rs
+++ b/components/standin/src/engine/orders.rs
@@ -5,14 +5,14 @@
 
 use http::{Response, StatusCode};
 use platform::{CacheTier, Order, OrderKind, ReplicaPhase, SeenBody};
+use serde_json::json;
 use tokio::time::sleep;
-use units::{AdapterName, Incarnation, ModelName, Size, Span};
-use web::Body;
+use units::{Incarnation, ModelName, Size, Span};
+use web::{Body, Client};
 
-use super::core::{Core, take};
-use super::replica::{Adapter, Replica, Ticket};
+use super::core::{Core, Fate};
+use super::replica::{Replica, Ticket};
 use super::{Engine, LoadPhase};
-use crate::server::refuse;
 use crate::store::Fetch;
 
 /// The longest that a fetch may take.
@@ -29,14 +29,6 @@
     urgent: bool,
 }
 
-/// How a load will end.
-#[derive(Debug, Clone, Copy)]
-enum Fate {
-    Good,
-    Fail,
-    Die,
-}
-
 impl Engine {
     pub(super) fn order(&self, order: Order) -> Response<Body> {
         let fenced = self.0.settings.fenced;
@@ -119,17 +111,7 @@
     async fn load(self, load: Load) {
         let (tier, fate) = {
             let mut core = self.core();
-            let tier = core.tier(&load.ticket.artifact);
-            let die = take(&mut core.faults.die);
-            let fail = !die && take(&mut core.faults.fail);
-            let fate = if die {
-                Fate::Die
-            } else if fail {
-                Fate::Fail
-            } else {
-                Fate::Good
-            };
-            (tier, fate)
+            (core.tier(&load.ticket.artifact), core.faults.fate())
         };
         if tier == CacheTier::Remote
             && let Err(reason) = self.fetch(&load).await
@@ -148,6 +130,7 @@
             Fate::Die => return self.crash(Duration::ZERO),
         }
         sleep(time / 2).await;
+        self.0.freeze.thawed().await;
         self.finish_load(&load.ticket);
     }
 
@@ -158,7 +141,8 @@
         };
         let artifact = load.ticket.artifact.clone();
         let fetch = Fetch { artifact, urgent: load.urgent, size: Some(load.weights) };
-        let answer = self.0.client.post(store, "/v1/fetch", &fetch, FETCH_LIMIT).await;
+        // A connection of its own: one from a pool may have gone silent.
+        let answer = Client::default().post(store, "/v1/fetch", &fetch, FETCH_LIMIT).await;
         answer.map(|_: serde_json::Value| ()).map_err(|error| error.to_string())
     }
 
@@ -205,58 +189,10 @@
             engine.change(|core| core.remove(&ticket, LoadPhase::Gone));
         });
     }
-
-    fn load_adapter(&self, order: &str, artifact: &ModelName, adapter: AdapterName, weights: Size) {
-        let serial = self.change(|core| {
-            if core.lacks(weights, self.0.settings.memory) {
-                core.fail(order, "out of memory");
-                return None;
-            }
-            if core.is_ready(artifact).is_none() {
-                core.fail(order, "the adapter's model is not ready");
-                return None;
-            }
-            let replica = core.replicas.get_mut(artifact)?;
-            let known = replica.adapters.contains_key(&adapter);
-            if known {
-                return None;
-            }
-            replica.adapters.insert(adapter.clone(), Adapter { weights, ready: false });
-            let serial = replica.serial;
-            core.truth.high_water = core.truth.high_water.max(core.taken());
-            core.version += 1;
-            Some(serial)
-        });
-        let Some(serial) = serial else { return };
-        let ticket = Ticket { artifact: artifact.clone(), serial };
-        let engine = self.clone();
-        tokio::spawn(async move {
-            sleep(engine.0.settings.adapter_load.0).await;
-            engine.change(|core| {
-                let Some(replica) = core.replica(&ticket) else { return };
-                if let Some(adapter) = replica.adapters.get_mut(&adapter) {
-                    adapter.ready = true;
-                    core.truth.adapters += 1;
-                    core.version += 1;
-                }
-            });
-        });
-    }
-
-    fn unload_adapter(&self, artifact: &ModelName, adapter: &AdapterName) {
-        self.change(|core| {
-            let replica = core.replicas.get_mut(artifact);
-            if replica.is_some_and(|replica| replica.adapters.remove(adapter).is_some()) {
-                core.version += 1;
-            }
-        });
-    }
 }
 
 fn accepted() -> Response<Body> {
-    let mut response = refuse(StatusCode::ACCEPTED, "");
-    *response.body_mut() = web::full("{}");
-    response
+    web::json(StatusCode::ACCEPTED, &json!({}))
 }
 
 fn per_gib(pace: Span, size: Size) -> Duration {
--- a/components/standin/tests/engine.rs
+++ b/components/standin/tests/engine.rs
@@ -89,6 +89,28 @@
     assert_eq!(read(answer).await, (whole(&body), true));
 }
 
+#[tokio::test]
+async fn errors_on_an_adapter_without_model_or_room() {
+    let (engine, endpoint) = ready(quick(), "a").await;
+    let adapter = |order_id: &str, artifact: &str, weights: Size| {
+        let adapter = "urdu".parse().expect("a name");
+        order(order_id, OrderKind::LoadAdapter { artifact: model(artifact), adapter, weights })
+    };
+    for given in [
+        adapter("no-model", "b", Size::gib(1)),
+        adapter("no-room", "a", Size::gib(3)),
+        adapter("fits", "a", Size::gib(2)),
+        adapter("again", "a", Size::gib(2)),
+    ] {
+        endpoint.order(given).await.expect("it is taken");
+    }
+    let with = until(&endpoint, |inventory| !inventory.loaded[0].adapters.is_empty()).await;
+    let failed: Vec<&str> = with.failed.iter().map(|(id, _)| id.as_str()).collect();
+    assert_eq!(failed, ["no-model", "no-room"]);
+    let truth: EngineTruth = truth(engine.addr).await;
+    assert_eq!((truth.overcommits, truth.adapters), (1, 1));
+}
+
 #[tokio::test]
 async fn can_resume_from_a_byte_after_the_reader_went_away() {
     let (engine, endpoint) = ready(quick(), "a").await;
