--- a/components/tree/src/apply.rs
+++ b/components/tree/src/apply.rs
@@ -13,10 +13,10 @@
 
 /// The most changes that one edit may have.
 pub const MAX_CHANGES: usize = 4096;
-/// The most bytes that all values of one edit may have as text.
+/// The most bytes that the paths, names and values of one edit may have.
 pub const MAX_EDIT: usize = 512 << 10;
-/// The most bytes that one value may have as text.
-pub const MAX_VALUE: usize = 16 << 10;
+/// The most bytes that the path, name and value of one change may have.
+pub const MAX_CHANGE: usize = 16 << 10;
 /// The most nodes that a tree may have.
 pub const MAX_NODES: usize = 20_000;
 
@@ -117,21 +117,31 @@
     }
     let mut total = 0;
     for change in &edit.changes {
-        let Change::Set { path, setting, value } = change else { continue };
-        let size = value.to_string().len();
+        let size = size(change);
         total += size;
-        if size > MAX_VALUE {
-            let cause =
-                format!("a value of {size} bytes for `{setting}`; at most {MAX_VALUE} are allowed");
-            return Err(ApplyError::invalid(path, cause));
+        if size > MAX_CHANGE {
+            let cause = format!("a change of {size} bytes; at most {MAX_CHANGE} are allowed");
+            return Err(ApplyError::invalid(change.path(), cause));
         }
     }
     if total > MAX_EDIT {
-        return invalid(format!("values of {total} bytes; publish at most {MAX_EDIT} at a time"));
+        return invalid(format!("changes of {total} bytes; publish at most {MAX_EDIT} at a time"));
     }
     Ok(())
 }
 
+/// About how many bytes a change has as text.
+fn size(change: &Change) -> usize {
+    let path = change.path().as_str().len();
+    match change {
+        Change::Add { .. } | Change::Remove { .. } => path,
+        Change::Clear { setting, .. } => path + setting.as_str().len(),
+        Change::Set { setting, value, .. } => {
+            path + setting.as_str().len() + value.to_string().len()
+        }
+    }
+}
+
 /// Whether a change would change nothing.
 fn has(nodes: &Nodes, change: &Change) -> bool {
     let node = nodes.get(change.path());
--- a/components/tree/src/apply/tests.rs
+++ b/components/tree/src/apply/tests.rs
@@ -2,7 +2,7 @@
 use serde_json::json;
 use units::{EditId, NodePath, Revision};
 
-use super::{ApplyError, MAX_CHANGES, MAX_VALUE};
+use super::{ApplyError, MAX_CHANGE, MAX_CHANGES};
 use crate::{Change, Edit, NodeKind, Tree, diff};
 
 fn path(text: &str) -> NodePath {
@@ -152,7 +152,7 @@
 #[case(vec![add("/hall/page-text/deep", NodeKind::Branch)], "can only be below a branch")]
 #[case(vec![add("/hall/urdu", NodeKind::Adapter)], "can only be below a model")]
 #[case(vec![set("/hall", "windows", json!([{"opens": "monthly last 08:00", "lasts": "1h", "zone": "UTC", "replicas": 2}]))], "needs 2 replicas, but `replicas-most` is 1")]
-#[case(vec![set("/hall", "not-repeatable", json!([format!("POST /{}", "x".repeat(MAX_VALUE))]))], "at most 16384 are allowed")]
+#[case(vec![set("/hall", "not-repeatable", json!([format!("POST /{}", "x".repeat(MAX_CHANGE))]))], "at most 16384 are allowed")]
 #[case(vec![clear("/hall", "service"); MAX_CHANGES + 1], "publish at most 4096")]
 fn errors_on_a_tree_that_would_be_wrong(#[case] changes: Vec<Change>, #[case] expected: &str) {
     let mut tree = hall();
--- a/components/tree/src/lib.rs
+++ b/components/tree/src/lib.rs
@@ -16,7 +16,7 @@
 mod table;
 mod window;
 
-pub use apply::{ApplyError, MAX_CHANGES, MAX_EDIT, MAX_NODES, MAX_VALUE};
+pub use apply::{ApplyError, MAX_CHANGE, MAX_CHANGES, MAX_EDIT, MAX_NODES};
 pub use diff::diff;
 pub use edit::{Change, Edit};
 pub use explain::Row;
--- a/components/tree/src/reference.rs
+++ b/components/tree/src/reference.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use crate::table::{self, Setting};
-use crate::{MAX_CHANGES, MAX_EDIT, MAX_NODES, MAX_VALUE};
+use crate::{MAX_CHANGE, MAX_CHANGES, MAX_EDIT, MAX_NODES};
 
 const INTRO: &str = "\
 # Settings of the tree
@@ -85,8 +85,8 @@
         "
 ## Limits
 
-A tree has at most {MAX_NODES} nodes. One edit has at most {MAX_CHANGES} changes, a value at most
-{MAX_VALUE} bytes, and the values of an edit together at most {MAX_EDIT} bytes; publish more in parts.
+A tree has at most {MAX_NODES} nodes. One edit has at most {MAX_CHANGES} changes; one change has
+at most {MAX_CHANGE} bytes of path, name and value, and an edit {MAX_EDIT}. Publish more in parts.
 "
     );
     page
