--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 
+use serde_json::Value;
 use state::State;
 
 use crate::error::{CmdError, Exit};
@@ -61,6 +62,22 @@
 
 /// What a process says, on one line.
 fn words(status: &Status) -> String {
-    let more = status.more.iter().map(|(key, value)| format!(", {key} {value}"));
+    let more = status.more.iter().map(|(key, value)| format!(", {key} {}", brief(value)));
     more.fold(format!("revision {}", status.revision), |line, word| line + &word)
 }
+
+/// A value in a few words: of lists only the length, of what has a phase only that.
+fn brief(value: &Value) -> String {
+    match value {
+        Value::Array(list) => list.len().to_string(),
+        Value::String(text) => text.clone(),
+        Value::Object(object) => match object.get("phase") {
+            Some(phase) => brief(phase),
+            None => {
+                let parts = object.iter().map(|(key, value)| format!("{key} {}", brief(value)));
+                format!("({})", parts.collect::<Vec<_>>().join(", "))
+            }
+        },
+        plain => plain.to_string(),
+    }
+}
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -118,7 +118,15 @@
                     }
                     let stuck = *stuck.lock().expect("no panic");
                     let revision = stuck.unwrap_or(journal.read(State::revision));
-                    web::json(StatusCode::OK, &json!({ "revision": revision, "replicas": {} }))
+                    web::json(
+                        StatusCode::OK,
+                        &json!({
+                            "revision": revision,
+                            "memory": { "total": "48GiB", "taken": "10GiB" },
+                            "replicas": { "page-text": { "phase": "loading", "waiting": 3 } },
+                            "routes": [1, 2],
+                        }),
+                    )
                 }
             },
         ));
