--- a/components/tree/src/file.rs
+++ b/components/tree/src/file.rs
@@ -57,7 +57,7 @@
 }
 
 /// JSON with comments and trailing commas, and nothing looser, so that a slip is an error.
-const DIALECT: ParseOptions = ParseOptions {
+pub(crate) const DIALECT: ParseOptions = ParseOptions {
     allow_comments: true,
     allow_trailing_commas: true,
     allow_loose_object_property_names: false,
--- a/components/tree/tests/naive.rs
+++ b/components/tree/tests/naive.rs
@@ -2,12 +2,13 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::path::Path;
 
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use serde_json::{Value, json};
-use tree::{ApplyError, Change, Edit, NodeKind, Tree, diff};
+use tree::{ApplyError, Change, Edit, NodeKind, Tree, diff, rewrite};
 use units::{NodePath, Revision, SettingName};
 
 const CASES: u32 = 400;
@@ -218,6 +219,14 @@
     }
 }
 
+/// A change of a settings file's text says the same as the change of its tree.
+fn compare_text(before: &Tree, after: &Tree) {
+    let changes = diff(before, after);
+    let text = rewrite(&before.render(None), &changes).expect("a place for each change");
+    let file = tree::parse(Path::new("tree.jsonc"), &text).expect("a valid file");
+    assert_eq!(diff(&file.tree, after), [], "{text}");
+}
+
 fn verdict(result: Result<(), ApplyError>) -> Verdict {
     match result {
         Ok(()) => Verdict::Done,
@@ -289,6 +298,7 @@
                 match found {
                     Verdict::Done => {
                         compare_anew(&tree);
+                        compare_text(&before, &tree);
                         counts[0].update(|n| n + 1);
                     }
                     Verdict::Conflict(..) => counts[1].update(|n| n + 1),
--- a/src/cmd/pull.rs
+++ b/src/cmd/pull.rs
@@ -27,7 +27,7 @@
     let working = files::read_working(file, revision)?;
     let merged = merge(file, &working, &tree)?;
     let mine = tree::diff(&tree, &merged);
-    let text = text(&working, &merged, revision);
+    let text = text(file, &working, &merged, revision);
     files::write_working(file, &text, &base)?;
     writeln!(out, "{}: revision {revision}", file.display())?;
     if !mine.is_empty() {
@@ -46,10 +46,16 @@
     tree.overlay(&mine).map_err(|cause| CmdError::Unpublished { file: file.to_owned(), cause })
 }
 
-/// The operator's own text where it says the same, with its comments; else the tree written anew.
-fn text(working: &Working, merged: &Tree, revision: Revision) -> String {
-    if tree::diff(&working.file.tree, merged).is_empty() {
-        return tree::with_revision(&working.text, revision);
+/// The operator's own text with what others changed, and with its comments; else the tree written anew.
+fn text(file: &Path, working: &Working, merged: &Tree, revision: Revision) -> String {
+    let changes = tree::diff(&working.file.tree, merged);
+    let kept = tree::rewrite(&working.text, &changes);
+    let same = |text: &String| {
+        let parsed = tree::parse(file, text);
+        parsed.is_ok_and(|parsed| tree::diff(&parsed.tree, merged).is_empty())
+    };
+    match kept.filter(same) {
+        Some(text) => tree::with_revision(&text, revision),
+        None => merged.render(Some(revision)),
     }
-    merged.render(Some(revision))
 }
