--- a/components/load/src/publish.rs
+++ b/components/load/src/publish.rs
@@ -1,5 +1,6 @@
 //! Publishing a sample's tree of settings, as an operator does, and waiting for what it brings about.
 
+use std::ffi::OsStr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use thiserror::Error;
 use tokio::process::Command;
 use tokio::time::{Instant, sleep, timeout};
-use units::ModelName;
+use units::{ModelName, Span};
 
 use crate::clock::Clock;
 use crate::evidence::Publish;
@@ -16,6 +17,10 @@
 
 /// How long publishing may take, and granting after it.
 const LIMIT: Duration = Duration::from_secs(20);
+/// The change of one setting.
+const CHANGE: &str = "deadline=40s";
+/// How long the configuration may take to be in force everywhere.
+const IN_FORCE: Span = Span::secs(10);
 /// The operator's working copy of the tree, and what it was based on.
 const TREE: &str = "tree.jsonc";
 const TREE_BASE: &str = "tree.jsonc.base";
@@ -26,11 +31,19 @@
 /// Why a configuration is not in force.
 #[derive(Debug, Error)]
 pub(crate) enum PublishError {
-    /// The configuration could not be published.
-    #[error("publishing {} failed: {cause}", tree.display())]
-    Failed {
+    /// The sample's tree can't be copied.
+    #[error("cannot copy {}: {cause}; start in the folder of the checkout", tree.display())]
+    Copy {
         /// The tree of settings.
         tree: PathBuf,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The operator's command failed.
+    #[error("hyssopctl {command} failed: {cause}")]
+    Failed {
+        /// The command.
+        command: String,
         /// What was printed.
         cause: String,
     },
@@ -50,15 +63,39 @@
     clock: Clock,
 ) -> Result<Publish, PublishError> {
     let tree = site.out.join(TREE);
-    let failed = |cause: String| PublishError::Failed { tree: tree.clone(), cause };
     let _ = std::fs::remove_file(site.out.join(TREE_BASE));
-    std::fs::copy(sample.tree(), &tree)
-        .map_err(|error| failed(format!("cannot copy {}: {error}", sample.tree().display())))?;
+    let copied = std::fs::copy(sample.tree(), &tree);
+    copied.map_err(|cause| PublishError::Copy { tree: sample.tree().to_owned(), cause })?;
+    let words = ["publish".as_ref(), tree.as_os_str()];
+    operate(site, bin, clock, &words).await
+}
+
+/// Changes one setting of the sample's tree.
+pub(crate) async fn change(
+    sample: Sample,
+    site: &Site,
+    bin: &Path,
+    clock: Clock,
+) -> Result<Publish, PublishError> {
+    let words = ["set", sample.branch(), CHANGE].map(OsStr::new);
+    operate(site, bin, clock, &words).await
+}
+
+/// Runs `hyssopctl` until its edit is in force.
+async fn operate(
+    site: &Site,
+    bin: &Path,
+    clock: Clock,
+    words: &[&OsStr],
+) -> Result<Publish, PublishError> {
+    let command = || words.join(OsStr::new(" ")).to_string_lossy().into_owned();
+    let failed = |cause: String| PublishError::Failed { command: command(), cause };
     let run = Command::new(bin.join("hyssopctl"))
-        .arg("publish")
+        .args(words)
         .arg("--log")
         .arg(site.log.to_string())
-        .arg(&tree)
+        .arg("--wait")
+        .arg(IN_FORCE.to_string())
         .stdin(Stdio::null())
         .kill_on_drop(true)
         .output();
@@ -97,3 +134,12 @@
     let lines: Vec<&str> = text.lines().collect();
     lines[lines.len().saturating_sub(SHOWN)..].join("\n")
 }
+
+/// The endpoint that has the first grant of a model.
+pub(crate) async fn holder(site: &Site, model: &ModelName) -> Result<String, PublishError> {
+    let mut ledger = Ledger::new(site.log);
+    ledger.catch_up().await;
+    let first = ledger.state().grants_of(model).next();
+    let first = first.ok_or_else(|| PublishError::NoGrant { model: model.clone() })?;
+    Ok(first.endpoint.to_string())
+}
--- a/components/load/src/site.rs
+++ b/components/load/src/site.rs
@@ -151,6 +151,14 @@
         }
     }
 
+    /// The branch above that model.
+    pub(crate) fn branch(self) -> &'static str {
+        match self {
+            Self::Press => "/karachi-south/likhari/draft-pages",
+            Self::Trust => "/khomas/assist-llm/contracts",
+        }
+    }
+
     /// A model that nobody uses before the trial does.
     pub(crate) fn cold_model(self) -> ModelName {
         let name = match self {
--- a/components/load/src/trial.rs
+++ b/components/load/src/trial.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use thiserror::Error;
 use timeline::Event;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use units::ModelName;
 use web::{CallError, Client};
 
@@ -14,8 +14,8 @@
 use crate::checks::{self, Row};
 use crate::children::ChildError;
 use crate::clock::Clock;
-use crate::evidence::{Call, Ending, Evidence};
-use crate::fleet::Fleet;
+use crate::evidence::{Call, Ending, Evidence, Period};
+use crate::fleet::{Fleet, terminate};
 use crate::probe::{Probe, Probed, completion, unrepeatable};
 use crate::publish::PublishError;
 use crate::site::{Layout, Sample, Scale, Site, SiteError};
@@ -27,6 +27,11 @@
 const BURST: usize = 30;
 /// How many tokens each asks for.
 const TOKENS: u32 = 12;
+/// Calls while an agent stops, and the pause between them.
+const LOAD_CALLS: u32 = 60;
+const LOAD_PAUSE: Duration = Duration::from_millis(150);
+/// How long they come before the stop.
+const LOAD_LEAD: Duration = Duration::from_secs(1);
 /// How long the end of the trial waits, so that late executions would be seen.
 const SETTLE: Duration = Duration::from_secs(1);
 /// How many events of the time line are printed.
@@ -110,6 +115,9 @@
     let doors = fleet.site.doors.clone();
     evidence.calls = burst(&caller, &doors, &model, clock).await;
     let events = lines::collect(&fleet.site, &client).await;
+    println!("stopping an agent under load");
+    let leaving = Departure { trial, caller: &caller, model: &model, clock };
+    leaving.carry_through(fleet, &mut evidence).await?;
     evidence.calls.extend(keyed(&caller, &doors, trial.sample, clock).await);
     let mut probes = Vec::new();
     for probe in Probe::ALL {
@@ -117,7 +125,7 @@
     }
     evidence.calls.extend(probes.iter().filter_map(|probed| probed.call.clone()));
 
-    evidence.stops = fleet.stop_system().await;
+    evidence.stops.extend(fleet.stop_system().await);
     sleep(SETTLE).await;
     let samples = watch.finish().await;
     evidence.replicas = samples.replicas;
@@ -141,6 +149,58 @@
     join_all(calls).await
 }
 
+/// The stop of an agent that serves, and a change of the configuration, under load.
+struct Departure<'a> {
+    trial: &'a Trial,
+    caller: &'a Caller,
+    model: &'a ModelName,
+    clock: Clock,
+}
+
+impl Departure<'_> {
+    async fn carry_through(
+        &self,
+        fleet: &mut Fleet,
+        evidence: &mut Evidence,
+    ) -> Result<(), TrialError> {
+        let name = publish::holder(&fleet.site, self.model).await?;
+        let agent = fleet.take(&name);
+        let doors = fleet.site.doors.clone();
+        let load = self.load(&doors);
+        let stop = async {
+            sleep(LOAD_LEAD).await;
+            let from = self.clock.now();
+            match agent {
+                Some(agent) => Some((from, terminate(agent, self.clock).await)),
+                None => None,
+            }
+        };
+        let site = &fleet.site;
+        let change = publish::change(self.trial.sample, site, &self.trial.bin, self.clock);
+        let (calls, stop, publish) = tokio::join!(load, stop, change);
+        evidence.calls.extend(calls);
+        evidence.publishes.push(publish?);
+        if let Some((from, stop)) = stop {
+            evidence.departures.push(Period { name, from, to: self.clock.now() });
+            evidence.stops.push(stop);
+        }
+        Ok(())
+    }
+
+    /// Calls at a steady rate, for longer than a leaving endpoint may get new work.
+    async fn load(&self, doors: &[Door]) -> Vec<Call> {
+        let start = self.clock.now();
+        let calls = (0..LOAD_CALLS).map(|n| async move {
+            let at = start + LOAD_PAUSE * n;
+            sleep_until(self.clock.instant(at)).await;
+            let ask = completion(self.model.as_str(), &format!("line {n}"), TOKENS);
+            let door = &doors[n as usize % doors.len()];
+            self.caller.send(std::slice::from_ref(door), &ask, at).await
+        });
+        join_all(calls).await
+    }
+}
+
 /// Sends a call that may not be repeated, and at the same time a repeat of it through another entry.
 async fn keyed(caller: &Caller, doors: &[Door], sample: Sample, clock: Clock) -> Vec<Call> {
     let ask = unrepeatable(sample.service(), sample.unrepeatable(), "try-1", "{\"page\":7}");
@@ -183,6 +243,9 @@
         firsts.sort();
         let show = |part| table::quantile(&firsts, part).map_or("-".to_owned(), table::millis);
         println!("cold start, first request to first token: p50 {}, max {}", show(0.5), show(1.0));
+        let rest: Vec<Call> =
+            self.evidence.calls.iter().skip(BURST).take(LOAD_CALLS as usize).cloned().collect();
+        println!("{LOAD_CALLS} calls while an agent stopped: {}", table::endings(&rest));
         println!("not repeatable, sent twice with one key:");
         for call in self.evidence.calls.iter().filter(|call| call.key.is_some()) {
             println!("  {} ({}) {}", table::word(call.ending), call.status, call.text);
