--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,4 @@
 
 fuzz: setup
 	PROPTEST_CASES=$(CASES) PROPTEST_RNG_SEED=$(SEED) FLAGS="$(FLAGS)" .ci/test
+	FUZZ_CASES=$(CASES) FUZZ_SEED=$(SEED) $(CARGO) test $(FLAGS) --release -p state --test fuzz -- --ignored
--- a/components/state/tests/differential.rs
+++ b/components/state/tests/differential.rs
@@ -20,22 +20,24 @@
 
 const STEPS: usize = 120;
 const CASES: u32 = 300;
+const SEED: u64 = 20_260_331;
 /// How many steps pass between two restores from a snapshot.
 const RESTORE: usize = 7;
 
-fn config(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_260_331),
-        ..ProptestConfig::default()
-    }
+/// `PROPTEST_CASES` and `PROPTEST_RNG_SEED` ask for more or other cases.
+fn config() -> ProptestConfig {
+    let asked = ProptestConfig::default();
+    let rng_seed = match asked.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(SEED),
+        seed => seed,
+    };
+    ProptestConfig { cases: asked.cases.max(CASES), rng_seed, failure_persistence: None, ..asked }
 }
 
 #[test]
 fn can_judge_like_the_naive_version() {
     let mut counts = Counts::default();
-    let mut runner = TestRunner::new(config(CASES));
+    let mut runner = TestRunner::new(config());
     let shared = RefCell::new(&mut counts);
     let result = runner.run(&steps(STEPS), |steps| run(&steps, &mut shared.borrow_mut()));
     result.unwrap_or_else(|e| panic!("{e}"));
