--- a/components/tree/src/file.rs
+++ b/components/tree/src/file.rs
@@ -80,9 +80,23 @@
     };
     let mut reader = Reader { file, text, nodes: Nodes::new(), revision: None };
     reader.node(&NodePath::root(), &root)?;
-    check::nodes(&reader.nodes)
-        .map_err(|cause| FileError::Tree { file: file.to_owned(), cause })?;
-    Ok(TreeFile { tree: Tree::of(reader.nodes), revision: reader.revision })
+    let tree =
+        Tree::of(reader.nodes).map_err(|cause| FileError::Tree { file: file.to_owned(), cause })?;
+    Ok(TreeFile { tree, revision: reader.revision })
+}
+
+/// The text of a settings file with another revision, and all else as it was.
+pub fn with_revision(text: &str, revision: Revision) -> String {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &DIALECT).ok();
+    let Some(Ast::Object(root)) = parsed.and_then(|parsed| parsed.value) else {
+        return text.to_owned();
+    };
+    if let Some(entry) = root.get("revision") {
+        let (start, end) = (entry.value.start(), entry.value.end());
+        return format!("{}{revision}{}", &text[..start], &text[end..]);
+    }
+    let (before, after) = text.split_at(root.start() + 1);
+    format!("{before}\n  \"revision\": {revision},{after}")
 }
 
 struct Reader<'a> {
