--- a/components/journal/src/keys.rs
+++ b/components/journal/src/keys.rs
@@ -10,11 +10,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::{LogError, LogService, Page, Stream};
+use platform::{Entry, LogError, LogService, Page, Stream};
 use record::{KeyClaim, KeyRecord};
 use thiserror::Error;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 use units::{Offset, RequestId};
 
@@ -96,6 +96,7 @@
     reach: Reach,
     read: Instant,
     window: Duration,
+    revived: Arc<Notify>,
 }
 
 /// A handle on the claimed keys; cheap to clone.
@@ -117,6 +118,7 @@
             reach: Reach::Starting,
             read: Instant::now(),
             window,
+            revived: Arc::default(),
         };
         let core = Arc::new(Mutex::new(core));
         let (appends, incoming) = mpsc::unbounded_channel();
@@ -236,6 +238,8 @@
         stream: Stream::Keys,
         repeat: REPEAT,
         is_wanted: |id: &str| lock(&core).is_wanted(id),
+        is_open: || lock(&core).reach != Reach::Behind,
+        revived: lock(&core).revived.clone(),
     };
     tokio::select! {
         () = appender.run(incoming) => {}
@@ -287,12 +291,12 @@
             }
             Ok(page) => {
                 for entry in &page.entries {
-                    if entry.offset == self.next {
-                        self.fold(&entry.data);
-                        self.next = entry.offset.next();
-                    }
+                    self.fold(entry);
                 }
                 if self.next > page.last {
+                    if self.reach != Reach::Current {
+                        self.revived.notify_one();
+                    }
                     self.reach = Reach::Current;
                     self.read = Instant::now();
                 }
@@ -317,8 +321,15 @@
         }
     }
 
-    fn fold(&mut self, data: &[u8]) {
-        match serde_json::from_slice(data) {
+    fn fold(&mut self, entry: &Entry) {
+        if entry.offset < self.next {
+            return;
+        }
+        if entry.offset > self.next {
+            self.claims.skip();
+        }
+        self.next = entry.offset.next();
+        match serde_json::from_slice(&entry.data) {
             Ok(KeyRecord::Claim(claim)) => {
                 let Some(outcome) = self.claims.claim(&claim) else { return };
                 self.decide(&claim.request, outcome);
