--- a/components/journal/src/append.rs
+++ b/components/journal/src/append.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use platform::{LogError, LogService, Stream};
 use thiserror::Error;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -77,21 +78,29 @@
         self.0 = self.0.mul_f64(EASE).max(GATHER_MIN);
     }
 
+    fn restarted(&mut self) {
+        self.0 = self.0.min(REFUSED_MIN);
+    }
+
     fn refused(&mut self) {
         self.0 = (self.0 * 2).clamp(REFUSED_MIN, GATHER_MAX);
     }
 }
 
 /// Appends to one stream what comes through a channel, until the channel is closed.
-pub(crate) struct Appender<W> {
+pub(crate) struct Appender<W, O> {
     pub(crate) service: Arc<dyn LogService>,
     pub(crate) stream: Stream,
     pub(crate) repeat: Duration,
     /// Whether a record with this id is still to be repeated.
     pub(crate) is_wanted: W,
+    /// Whether the stream is the one that is followed; nothing is written into another.
+    pub(crate) is_open: O,
+    /// Told when the log is read again after an outage: what waits for a later try goes now.
+    pub(crate) revived: Arc<Notify>,
 }
 
-impl<W: Fn(&str) -> bool> Appender<W> {
+impl<W: Fn(&str) -> bool, O: Fn() -> bool> Appender<W, O> {
     /// One append is under way at a time; what comes meanwhile goes into the next.
     pub(crate) async fn run(self, mut incoming: UnboundedReceiver<Pending>) {
         let mut pending: Vec<Pending> = Vec::new();
@@ -104,8 +113,12 @@
                     None => return,
                 },
                 () = wait_until(due) => {}
+                () = self.revived.notified() => restart(&mut pending, &mut pace),
+            }
+            tokio::select! {
+                () = sleep(jitter(pace.0)) => {}
+                () = self.revived.notified() => restart(&mut pending, &mut pace),
             }
-            sleep(jitter(pace.0)).await;
             while let Ok(record) = incoming.try_recv() {
                 pending.push(record);
             }
@@ -119,6 +132,10 @@
     }
 
     async fn append(&self, batch: &mut [Pending], pace: &mut Pace) {
+        if !(self.is_open)() {
+            batch.iter_mut().for_each(|record| record.postpone(self.repeat));
+            return;
+        }
         let records = batch.iter().map(|record| record.data.clone()).collect();
         let append = timeout(SERVICE_LIMIT, self.service.append(self.stream, records)).await;
         let cause = match append {
@@ -142,6 +159,14 @@
     }
 }
 
+fn restart(pending: &mut [Pending], pace: &mut Pace) {
+    pace.restarted();
+    for record in pending {
+        record.due = Some(Instant::now() + jitter(REFUSED_MIN));
+        record.tries = 0;
+    }
+}
+
 async fn wait_until(due: Option<Instant>) {
     match due {
         Some(due) => sleep_until(due).await,
