A diff removes two branches of which one's name begins with the other's

Paths sort with `-` before `/`, so that /hall-east came between /hall and what is below it, and what was below /hall was removed a second time: the publish was rejected as wrong. The racing edits now also make each tree from the one before by its diff, as an edit and in the text of a file.

--- a/components/tree/src/diff.rs
+++ b/components/tree/src/diff.rs
@@ -1,5 +1,7 @@
 //! The changes from one tree to another.
 
+use std::collections::BTreeSet;
+
 use units::{NodePath, SettingName};
 
 use crate::node::{Node, Nodes};
@@ -22,24 +24,26 @@
 
 /// Whether a node above has become of another kind, so that all below it is removed and added again.
 fn replaced(from: &Nodes, to: &Nodes, path: &NodePath) -> bool {
-    let above = std::iter::successors(path.parent(), NodePath::parent);
-    above
-        .into_iter()
+    above(path)
         .any(|path| from.get(&path).map(|node| node.kind) != to.get(&path).map(|node| node.kind))
 }
 
+/// The nodes to remove; what is below another of them goes with it.
 fn removed(from: &Nodes, to: &Nodes) -> Vec<Change> {
     let gone = |path: &NodePath, node: &Node| to.get(path).is_none_or(|new| new.kind != node.kind);
-    let mut changes: Vec<Change> = Vec::new();
-    let mut last = String::new();
+    let mut paths: BTreeSet<&NodePath> = BTreeSet::new();
     for (path, node) in from {
-        let covered = !last.is_empty() && path.as_str().starts_with(&last);
+        let covered = above(path).any(|above| paths.contains(&above));
         if !covered && gone(path, node) {
-            last = format!("{path}/");
-            changes.push(Change::Remove { path: path.clone() });
+            paths.insert(path);
         }
     }
-    changes
+    paths.into_iter().map(|path| Change::Remove { path: path.clone() }).collect()
+}
+
+/// The paths of the nodes above one.
+fn above(path: &NodePath) -> impl Iterator<Item = NodePath> {
+    std::iter::successors(path.parent(), NodePath::parent)
 }
 
 fn added(path: &NodePath, node: &Node, changes: &mut Vec<Change>) {
--- a/components/tree/src/diff/tests.rs
+++ b/components/tree/src/diff/tests.rs
@@ -33,6 +33,10 @@
     r#"{"settings": {"service": "s", "deadline": "1h"}, "children": {"a-b": {"settings": {"queue": 3}}}}"#,
     &["remove /a with all below it"]
 )]
+#[case::branches_of_which_one_name_begins_with_the_other(
+    r#"{"settings": {"service": "s", "deadline": "1h"}}"#,
+    &["remove /a with all below it", "remove /a-b with all below it"]
+)]
 #[case::another_kind(
     r#"{"settings": {"service": "s", "deadline": "1h"}, "children": {
     "a": {"children": {"m": {"kind": "service"}}},
--- a/components/tree/src/rewrite.rs
+++ b/components/tree/src/rewrite.rs
@@ -44,8 +44,8 @@
 
 /// The object of a node.
 fn find(root: &CstObject, path: &NodePath) -> Option<CstObject> {
-    let names = path.as_str().split('/').filter(|name| !name.is_empty());
-    names.fold(Some(root.clone()), |node, name| node?.object_value("children")?.object_value(name))
+    let mut names = path.as_str().split('/').filter(|name| !name.is_empty());
+    names.try_fold(root.clone(), |node, name| node.object_value("children")?.object_value(name))
 }
 
 fn input(value: &Value) -> CstInputValue {
--- a/components/tree/tests/naive.rs
+++ b/components/tree/tests/naive.rs
@@ -12,6 +12,8 @@
 use units::{NodePath, Revision, SettingName};
 
 const CASES: u32 = 400;
+/// After all edits of a case.
+const LATE: u64 = 1_000;
 /// What there is before the edits race.
 const START: [(&str, NodeKind); 8] = [
     ("/a", NodeKind::Branch),
@@ -219,12 +221,18 @@
     }
 }
 
-/// A change of a settings file's text says the same as the change of its tree.
-fn compare_text(before: &Tree, after: &Tree) {
+/// The difference between two trees makes the one from the other, as an edit and in a file's text.
+fn compare_diff(before: &Tree, after: &Tree) {
     let changes = diff(before, after);
+    if changes.is_empty() {
+        return;
+    }
     let text = rewrite(&before.render(None), &changes).expect("a place for each change");
     let file = tree::parse(Path::new("tree.jsonc"), &text).expect("a valid file");
     assert_eq!(diff(&file.tree, after), [], "{text}");
+    let mut made = before.clone();
+    made.apply(&edit(LATE, changes), Revision(LATE + 1)).expect("a valid edit");
+    assert_eq!(diff(&made, after), []);
 }
 
 fn verdict(result: Result<(), ApplyError>) -> Verdict {
@@ -298,7 +306,7 @@
                 match found {
                     Verdict::Done => {
                         compare_anew(&tree);
-                        compare_text(&before, &tree);
+                        compare_diff(&before, &tree);
                         counts[0].update(|n| n + 1);
                     }
                     Verdict::Conflict(..) => counts[1].update(|n| n + 1),
