--- /dev/null
+++ b/components/agent/src/pending.rs
@@ -0,0 +1,64 @@
+//! An order that was sent, as far as its effect is known.
+
+use std::time::Duration;
+
+use platform::OrderKind;
+use tokio::time::Instant;
+
+/// The pause before an order without an answer is sent again.
+const REPEAT: Duration = Duration::from_millis(500);
+
+/// How often one order is sent before only the inventory is waited for.
+const MOST_SENDS: u32 = 3;
+
+/// What the endpoint said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reply {
+    /// The order is on its way.
+    Underway,
+    /// It was taken.
+    Accepted { at: Instant },
+    /// No answer came; the order may take effect until `order_limit` after it was sent.
+    Lost { at: Instant },
+}
+
+/// An order that was sent and whose effect the inventory has not shown yet.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Pending {
+    pub(crate) id: String,
+    pub(crate) kind: OrderKind,
+    pub(crate) first: Instant,
+    pub(crate) sent: Instant,
+    pub(crate) reply: Reply,
+    sends: u32,
+}
+
+impl Pending {
+    pub(crate) fn new(id: String, kind: OrderKind, now: Instant) -> Self {
+        Self { id, kind, first: now, sent: now, reply: Reply::Underway, sends: 1 }
+    }
+
+    /// Whether an inventory whose reading began at `begun` shows all that this order will ever do.
+    pub(crate) fn settled(&self, begun: Instant, limit: Duration) -> bool {
+        match self.reply {
+            Reply::Underway => false,
+            Reply::Accepted { at } => begun > at,
+            Reply::Lost { .. } => begun > self.sent + limit,
+        }
+    }
+
+    /// Whether it is time to send the order again, under the same id.
+    pub(crate) fn repeats(&self, now: Instant) -> bool {
+        match self.reply {
+            Reply::Lost { at } => self.sends < MOST_SENDS && now >= at + REPEAT,
+            Reply::Underway | Reply::Accepted { .. } => false,
+        }
+    }
+
+    /// Notes that it is sent again.
+    pub(crate) fn again(&mut self, now: Instant) {
+        self.sent = now;
+        self.sends += 1;
+        self.reply = Reply::Underway;
+    }
+}
--- /dev/null
+++ b/components/agent/src/settle.rs
@@ -0,0 +1,312 @@
+//! What the inventory and the replies to orders say of the replicas.
+
+use std::time::Duration;
+
+use platform::{EndpointError, Inventory, Loaded, OrderKind, ReplicaPhase};
+use tokio::time::Instant;
+use units::{AdapterName, ModelName};
+use wire::Refusal;
+
+use crate::desk::Desk;
+use crate::pending::{Pending, Reply};
+use crate::replica::{Adapter, Phase, Replica};
+
+/// Loads that fail this often in a row fail what waits for them.
+const MOST_FAILURES: u32 = 2;
+
+/// The pause after a first failure; it doubles with each.
+const BACKOFF: Duration = Duration::from_millis(500);
+
+/// The longest pause between tries.
+const MOST_BACKOFF: Duration = Duration::from_secs(30);
+
+/// An adapter load that shows no effect for this long has failed.
+const ADAPTER_LIMIT: Duration = Duration::from_secs(60);
+
+/// An inventory with the time at which its reading began.
+#[derive(Debug, Clone)]
+pub(crate) struct Seen {
+    pub(crate) inventory: Inventory,
+    pub(crate) begun: Instant,
+}
+
+/// What the inventory showed to have happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Change {
+    /// A replica became ready.
+    Loaded(ModelName),
+    /// A replica is gone.
+    Unloaded(ModelName),
+    /// A load has failed.
+    Failed { artifact: ModelName, cause: String },
+}
+
+/// How sending an order ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// It was not sent, because the agent may not order now.
+    Held,
+    /// The endpoint's reply.
+    Replied(Result<(), EndpointError>),
+}
+
+impl Desk {
+    /// Takes over an inventory; `limit` is the longest that an order can stay under way.
+    pub(crate) fn settle(&mut self, seen: &Seen, limit: Duration) -> Vec<Change> {
+        self.ledger.show(&seen.inventory);
+        for loaded in &seen.inventory.loaded {
+            self.replica(&loaded.artifact);
+        }
+        let mut changes = Vec::new();
+        for replica in self.replicas.values_mut() {
+            let loaded = seen.inventory.loaded.iter().find(|l| l.artifact == replica.artifact);
+            let change = match loaded {
+                Some(loaded) => replica.shown(loaded),
+                None => replica.missing(seen, limit),
+            };
+            let Some(change) = change else { continue };
+            if let (Change::Loaded(_), Some(span)) = (&change, replica.load_span()) {
+                self.times.add(replica.source, span);
+            }
+            changes.push(change);
+        }
+        for replica in self.replicas.values_mut() {
+            if replica.gone() {
+                self.ledger.free_all(&replica.artifact);
+            }
+            for size in replica.settle_adapters(seen, limit) {
+                self.ledger.free(&replica.artifact, size);
+            }
+            replica.pump();
+        }
+        self.cache(&seen.inventory);
+        changes
+    }
+
+    /// Takes over how sending an order ended.
+    pub(crate) fn replied(&mut self, id: &str, kind: &OrderKind, sent: &Sent) -> Option<Change> {
+        let replica = self.replicas.get_mut(artifact_of(kind)?)?;
+        match adapter_of(kind) {
+            Some(name) => {
+                let adapter = replica.adapters.get_mut(name)?;
+                let cause = take_reply(&mut adapter.pending, id, sent)?;
+                adapter.retry = Instant::now() + BACKOFF;
+                let weights = adapter.weights;
+                if matches!(kind, OrderKind::LoadAdapter { .. }) {
+                    replica.fail_adapter(&name.clone(), cause);
+                    let artifact = replica.artifact.clone();
+                    self.ledger.free(&artifact, weights);
+                }
+                None
+            }
+            None => {
+                let cause = take_reply(&mut replica.pending, id, sent)?;
+                let change = replica.not_taken(kind, cause);
+                if replica.gone() {
+                    let artifact = replica.artifact.clone();
+                    self.ledger.free_all(&artifact);
+                }
+                change
+            }
+        }
+    }
+}
+
+/// The artifact an order is about.
+pub(crate) fn artifact_of(kind: &OrderKind) -> Option<&ModelName> {
+    match kind {
+        OrderKind::Load { artifact, .. }
+        | OrderKind::Unload { artifact }
+        | OrderKind::LoadAdapter { artifact, .. }
+        | OrderKind::UnloadAdapter { artifact, .. } => Some(artifact),
+        OrderKind::Role { .. } => None,
+    }
+}
+
+fn adapter_of(kind: &OrderKind) -> Option<&AdapterName> {
+    match kind {
+        OrderKind::LoadAdapter { adapter, .. } | OrderKind::UnloadAdapter { adapter, .. } => {
+            Some(adapter)
+        }
+        OrderKind::Load { .. } | OrderKind::Unload { .. } | OrderKind::Role { .. } => None,
+    }
+}
+
+/// Notes a reply; gives back why the order certainly has no effect, if it has none, with the pending taken.
+fn take_reply(pending: &mut Option<Pending>, id: &str, sent: &Sent) -> Option<Option<String>> {
+    let order = pending.as_mut().filter(|pending| pending.id == id)?;
+    let at = Instant::now();
+    let cause = match sent {
+        Sent::Replied(Ok(())) => {
+            order.reply = Reply::Accepted { at };
+            return None;
+        }
+        Sent::Replied(Err(EndpointError::Unknown(_))) => {
+            order.reply = Reply::Lost { at };
+            return None;
+        }
+        Sent::Replied(Err(error)) => Some(error.to_string()),
+        Sent::Held => None,
+    };
+    if order.repeated() {
+        order.reply = Reply::Lost { at };
+        return None;
+    }
+    *pending = None;
+    Some(cause)
+}
+
+impl Replica {
+    /// The inventory shows the replica.
+    fn shown(&mut self, loaded: &Loaded) -> Option<Change> {
+        let unload = matches!(
+            self.pending.as_ref().map(|pending| &pending.kind),
+            Some(OrderKind::Unload { .. })
+        );
+        match (loaded.phase, self.phase) {
+            (ReplicaPhase::Loading, Phase::Cold | Phase::Ready | Phase::Draining) => {
+                self.enter(Phase::Loading);
+                None
+            }
+            (ReplicaPhase::Ready, Phase::Cold | Phase::Loading) if !unload => {
+                let known = self.phase == Phase::Loading;
+                self.enter(Phase::Ready);
+                self.used = Instant::now();
+                self.woken = false;
+                self.failures = 0;
+                known.then(|| Change::Loaded(self.artifact.clone()))
+            }
+            (ReplicaPhase::Unloading, _) => {
+                self.enter(Phase::Unloading);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// The inventory does not show the replica.
+    fn missing(&mut self, seen: &Seen, limit: Duration) -> Option<Change> {
+        let failed = self.pending.as_ref().and_then(|pending| pending.failure(seen));
+        let settled =
+            self.pending.as_ref().is_none_or(|pending| pending.settled(seen.begun, limit));
+        match self.phase {
+            Phase::Cold => None,
+            Phase::Loading if failed.is_some() => self.fail_load(failed),
+            Phase::Loading if settled => self.fail_load(Some("the load has vanished".to_owned())),
+            Phase::Ready | Phase::Draining | Phase::Unloading if settled => {
+                self.reset();
+                Some(Change::Unloaded(self.artifact.clone()))
+            }
+            Phase::Loading | Phase::Ready | Phase::Draining | Phase::Unloading => None,
+        }
+    }
+
+    fn reset(&mut self) {
+        self.enter(Phase::Cold);
+        self.pending = None;
+        self.adapters.clear();
+    }
+
+    fn fail_load(&mut self, cause: Option<String>) -> Option<Change> {
+        self.reset();
+        let cause = cause?;
+        self.retry = Instant::now() + backoff(self.failures);
+        self.failures += 1;
+        if self.failures >= MOST_FAILURES {
+            self.refuse_all(&Refusal::LoadFailed { cause: cause.clone() });
+            self.woken = false;
+        }
+        Some(Change::Failed { artifact: self.artifact.clone(), cause })
+    }
+
+    /// An order was certainly not taken.
+    fn not_taken(&mut self, kind: &OrderKind, cause: Option<String>) -> Option<Change> {
+        match kind {
+            OrderKind::Load { .. } => self.fail_load(cause),
+            _ => {
+                self.enter(Phase::Draining);
+                self.retry = Instant::now() + BACKOFF;
+                None
+            }
+        }
+    }
+
+    /// How long the load took that has just ended; the order is over with it.
+    fn load_span(&mut self) -> Option<Duration> {
+        let pending = self.pending.take()?;
+        Some(pending.first.elapsed())
+    }
+
+    /// Takes over which adapters are ready; gives back the sizes that are confirmed unused.
+    fn settle_adapters(&mut self, seen: &Seen, limit: Duration) -> Vec<units::Size> {
+        let loaded = seen.inventory.loaded.iter().find(|l| l.artifact == self.artifact);
+        let Some(loaded) = loaded else { return Vec::new() };
+        for name in &loaded.adapters {
+            self.adapters.entry(name.clone()).or_insert_with(|| Adapter::new(units::Size(0)));
+        }
+        let mut freed = Vec::new();
+        let names: Vec<AdapterName> = self.adapters.keys().cloned().collect();
+        for name in names {
+            let ready = loaded.adapters.contains(&name);
+            freed.extend(self.settle_adapter(&name, ready, seen, limit));
+        }
+        freed
+    }
+
+    fn settle_adapter(
+        &mut self,
+        name: &AdapterName,
+        ready: bool,
+        seen: &Seen,
+        limit: Duration,
+    ) -> Option<units::Size> {
+        let adapter = self.adapters.get_mut(name)?;
+        adapter.ready = ready;
+        let Some(pending) = &adapter.pending else {
+            return None;
+        };
+        let settled = pending.settled(seen.begun, limit);
+        let failed = pending.failure(seen);
+        let late = pending.first.elapsed() >= ADAPTER_LIMIT;
+        let weights = adapter.weights;
+        match &pending.kind {
+            OrderKind::UnloadAdapter { .. } if ready => {
+                adapter.ready = false;
+                None
+            }
+            OrderKind::UnloadAdapter { .. } => {
+                settled.then(|| self.adapters.remove(name)).map(|_| weights)
+            }
+            _ if ready => {
+                adapter.pending = None;
+                None
+            }
+            _ if failed.is_some() || (settled && late) => {
+                adapter.pending = None;
+                let cause = failed.unwrap_or_else(|| "the adapter did not become ready".to_owned());
+                self.fail_adapter(name, Some(cause));
+                Some(weights)
+            }
+            _ => None,
+        }
+    }
+
+    fn fail_adapter(&mut self, name: &AdapterName, cause: Option<String>) {
+        if let Some(cause) = cause {
+            self.refuse_adapter(name, &Refusal::LoadFailed { cause });
+            self.adapters.remove(name);
+        }
+    }
+}
+
+impl Pending {
+    /// Why the endpoint says that the order failed.
+    fn failure(&self, seen: &Seen) -> Option<String> {
+        let failed = seen.inventory.failed.iter().find(|(id, _)| *id == self.id);
+        failed.map(|(_, cause)| cause.clone())
+    }
+}
+
+fn backoff(failures: u32) -> Duration {
+    BACKOFF.saturating_mul(1 << failures.min(10)).min(MOST_BACKOFF)
+}
--- /dev/null
+++ b/components/agent/src/slot.rs
@@ -0,0 +1,318 @@
+//! One request and its answer, shared by the task that runs it and the readers of its answer.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use http::{HeaderValue, StatusCode};
+use tokio::sync::Notify;
+use units::RequestId;
+use wire::{End, Refusal, UnknownCause};
+
+/// How many bytes of answers are kept by all slots of a table.
+pub(crate) type KeptBytes = Arc<AtomicU64>;
+
+/// How far a request is.
+#[derive(Debug)]
+pub(crate) enum Stage {
+    /// It waits for its turn; it may still be refused.
+    Queued,
+    /// It may have reached the endpoint.
+    Running,
+    /// The endpoint answers.
+    Answering(Answer),
+    /// The answer has ended.
+    Answered(Answer, End),
+    /// It did not run and never will.
+    Refused(Refusal),
+    /// It may have run; its outcome is lost.
+    Unknown(UnknownCause),
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct AnswerHead {
+    pub(crate) status: StatusCode,
+    pub(crate) content: Option<HeaderValue>,
+}
+
+/// An answer as far as it is here.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    head: AnswerHead,
+    chunks: Vec<Bytes>,
+    length: u64,
+    dropped: bool,
+}
+
+/// What a reader finds.
+#[derive(Debug)]
+pub(crate) enum Progress {
+    /// Nothing yet.
+    Pending,
+    /// The head and the bytes that follow the reader's position.
+    Bytes(AnswerHead, Vec<Bytes>),
+    /// All bytes were read, and the answer has ended.
+    Ended(AnswerHead, End),
+    /// The request did not run and never will.
+    Refused(Refusal),
+    /// It may have run; its outcome is lost.
+    Unknown(UnknownCause),
+}
+
+/// What came of asking for a cancellation.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Cancel {
+    /// The request has not run and won't.
+    Refused,
+    /// It runs and its task has been told to end it.
+    Stopping,
+    /// It runs on, because it may not be repeated.
+    RunsOn,
+    /// It has ended already.
+    Over,
+}
+
+#[derive(Debug)]
+struct Inner {
+    stage: Stage,
+    stopping: bool,
+    delivered: bool,
+}
+
+/// One request and its answer.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub(crate) id: RequestId,
+    pub(crate) repeatable: bool,
+    inner: Mutex<Inner>,
+    changed: Notify,
+    kept: KeptBytes,
+}
+
+impl Slot {
+    pub(crate) fn new(id: RequestId, repeatable: bool, stage: Stage, kept: KeptBytes) -> Self {
+        let inner = Mutex::new(Inner { stage, stopping: false, delivered: false });
+        Self { id, repeatable, inner, changed: Notify::new(), kept }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Moves on if `step` gives a new stage for the present one; says whether it did.
+    fn advance(&self, step: impl FnOnce(&Stage) -> Option<Stage>) -> bool {
+        let mut inner = self.lock();
+        let Some(next) = step(&inner.stage) else { return false };
+        inner.stage = next;
+        drop(inner);
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Takes a queued request to running; false if it was refused meanwhile.
+    pub(crate) fn start(&self) -> bool {
+        self.advance(|stage| matches!(stage, Stage::Queued).then_some(Stage::Running))
+    }
+
+    /// Refuses a request that waits; false if it has started or is over.
+    pub(crate) fn refuse(&self, refusal: Refusal) -> bool {
+        self.advance(|stage| matches!(stage, Stage::Queued).then_some(Stage::Refused(refusal)))
+    }
+
+    /// Records that the endpoint proved that it did not run the request.
+    pub(crate) fn disprove(&self, refusal: Refusal) -> bool {
+        self.advance(|stage| matches!(stage, Stage::Running).then_some(Stage::Refused(refusal)))
+    }
+
+    /// Records the head of the answer.
+    pub(crate) fn head(&self, head: AnswerHead) -> bool {
+        let answer = Answer { head, chunks: Vec::new(), length: 0, dropped: false };
+        self.advance(|stage| matches!(stage, Stage::Running).then_some(Stage::Answering(answer)))
+    }
+
+    /// Adds bytes to the answer.
+    pub(crate) fn push(&self, bytes: Bytes) {
+        let mut inner = self.lock();
+        let Stage::Answering(answer) = &mut inner.stage else { return };
+        let count = bytes.len() as u64;
+        answer.length += count;
+        answer.chunks.push(bytes);
+        self.kept.fetch_add(count, Ordering::Relaxed);
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// Ends the request: whole if `failure` is `None`.
+    pub(crate) fn end(&self, failure: Option<UnknownCause>) {
+        let mut inner = self.lock();
+        let stage = std::mem::replace(&mut inner.stage, Stage::Queued);
+        inner.stage = match (stage, failure) {
+            (Stage::Answering(answer), None) => {
+                let length = answer.length;
+                Stage::Answered(answer, End::Whole { length })
+            }
+            (Stage::Answering(answer), Some(cause)) => Stage::Answered(answer, End::Failed(cause)),
+            (Stage::Running, Some(cause)) => Stage::Unknown(cause),
+            (other, _) => other,
+        };
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// Asks that the request be cancelled.
+    pub(crate) fn cancel(&self) -> Cancel {
+        if self.refuse(Refusal::Cancelled) {
+            return Cancel::Refused;
+        }
+        let mut inner = self.lock();
+        match inner.stage {
+            Stage::Running | Stage::Answering(_) if !self.repeatable => Cancel::RunsOn,
+            Stage::Running | Stage::Answering(_) => {
+                inner.stopping = true;
+                drop(inner);
+                self.changed.notify_waiters();
+                Cancel::Stopping
+            }
+            Stage::Queued | Stage::Answered(..) | Stage::Refused(_) | Stage::Unknown(_) => {
+                Cancel::Over
+            }
+        }
+    }
+
+    /// Waits until `done` holds.
+    async fn until<R>(&self, mut done: impl FnMut(&Inner) -> Option<R>) -> R {
+        let mut changed = std::pin::pin!(self.changed.notified());
+        loop {
+            changed.as_mut().enable();
+            if let Some(found) = done(&self.lock()) {
+                return found;
+            }
+            changed.as_mut().await;
+            changed.set(self.changed.notified());
+        }
+    }
+
+    /// Waits until the request is no longer queued; true if it shall run.
+    pub(crate) async fn turn(&self) -> bool {
+        self.until(|inner| match inner.stage {
+            Stage::Queued => None,
+            Stage::Running => Some(true),
+            _ => Some(false),
+        })
+        .await
+    }
+
+    /// Waits until somebody has asked for the cancellation of the running request.
+    pub(crate) async fn stopped(&self) {
+        self.until(|inner| inner.stopping.then_some(())).await;
+    }
+
+    /// Waits until the request is over.
+    pub(crate) async fn over(&self) {
+        self.until(|inner| inner.stage.is_over().then_some(())).await;
+    }
+
+    /// Waits for what follows byte `from`.
+    pub(crate) async fn next(&self, from: u64) -> Progress {
+        self.until(|inner| match inner.stage.after(from) {
+            Progress::Pending => None,
+            found => Some(found),
+        })
+        .await
+    }
+
+    /// What follows byte `from` now.
+    #[cfg(test)]
+    pub(crate) fn now(&self, from: u64) -> Progress {
+        self.lock().stage.after(from)
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        self.lock().stage.is_over()
+    }
+
+    pub(crate) fn is_queued(&self) -> bool {
+        matches!(self.lock().stage, Stage::Queued)
+    }
+
+    /// Notes that a reader was given the whole answer.
+    pub(crate) fn delivered(&self) {
+        self.lock().delivered = true;
+    }
+
+    /// Drops the bytes of an answer that has ended and was delivered; says how many.
+    pub(crate) fn shrink(&self) -> u64 {
+        let mut inner = self.lock();
+        if !inner.delivered {
+            return 0;
+        }
+        match &mut inner.stage {
+            Stage::Answered(answer, _) => self.forget(answer),
+            _ => 0,
+        }
+    }
+
+    fn forget(&self, answer: &mut Answer) -> u64 {
+        if answer.dropped {
+            return 0;
+        }
+        answer.dropped = true;
+        answer.chunks = Vec::new();
+        self.kept.fetch_sub(answer.length, Ordering::Relaxed);
+        answer.length
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut inner = self.lock();
+        let stage = std::mem::replace(&mut inner.stage, Stage::Queued);
+        drop(inner);
+        if let Stage::Answering(mut answer) | Stage::Answered(mut answer, _) = stage {
+            self.forget(&mut answer);
+        }
+    }
+}
+
+impl Stage {
+    fn is_over(&self) -> bool {
+        match self {
+            Self::Queued | Self::Running | Self::Answering(_) => false,
+            Self::Answered(..) | Self::Refused(_) | Self::Unknown(_) => true,
+        }
+    }
+
+    fn after(&self, from: u64) -> Progress {
+        match self {
+            Self::Queued | Self::Running => Progress::Pending,
+            Self::Refused(refusal) => Progress::Refused(refusal.clone()),
+            Self::Unknown(cause) => Progress::Unknown(cause.clone()),
+            Self::Answering(answer) if answer.length > from || from == 0 => answer.after(from),
+            Self::Answering(_) => Progress::Pending,
+            Self::Answered(answer, _) if answer.length > from => answer.after(from),
+            Self::Answered(answer, end) => Progress::Ended(answer.head.clone(), end.clone()),
+        }
+    }
+}
+
+impl Answer {
+    fn after(&self, from: u64) -> Progress {
+        if self.dropped {
+            return Progress::Unknown(UnknownCause::AnswerDropped);
+        }
+        let mut skip = usize::try_from(from).unwrap_or(usize::MAX);
+        let mut bytes = Vec::new();
+        for chunk in &self.chunks {
+            let start = skip.min(chunk.len());
+            skip -= start;
+            if start < chunk.len() {
+                bytes.push(chunk.slice(start..));
+            }
+        }
+        Progress::Bytes(self.head.clone(), bytes)
+    }
+}
+
+#[cfg(test)]
+mod tests;
