--- /dev/null
+++ b/components/agent/src/agent.rs
@@ -0,0 +1,101 @@
+//! What the tasks of an agent share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use journal::Journal;
+use platform::Endpoint;
+use process::Shutdown;
+use timeline::{Event, Kind, Recorder};
+use tokio::sync::Notify;
+use units::{Incarnation, ModelName, RequestId};
+use wire::Report;
+
+use crate::Settings;
+use crate::authority::Authority;
+use crate::desk::Desk;
+use crate::table::{RequestTable, TableLimits};
+
+/// What the tasks of an agent share.
+pub(crate) struct Agent {
+    pub(crate) settings: Settings,
+    pub(crate) journal: Journal,
+    pub(crate) endpoint: Arc<dyn Endpoint>,
+    pub(crate) recorder: Recorder,
+    pub(crate) shutdown: Shutdown,
+    pub(crate) peers: peer::Client,
+    pub(crate) authority: Authority,
+    /// Wakes the keeper.
+    pub(crate) nudge: Notify,
+    table: Mutex<RequestTable>,
+    desk: Mutex<Desk>,
+}
+
+impl Agent {
+    pub(crate) fn new(
+        settings: Settings,
+        journal: Journal,
+        endpoint: Arc<dyn Endpoint>,
+        recorder: Recorder,
+        shutdown: Shutdown,
+    ) -> Self {
+        let lease = (!settings.fenced).then(|| settings.order_limit.0 / 2);
+        let authority = Authority::new(settings.endpoint.clone(), journal.clone(), lease);
+        let limits = TableLimits {
+            count: settings.table,
+            bytes: settings.table_bytes,
+            grace: settings.grace.0,
+        };
+        let desk = Mutex::new(Desk::new(settings.memory));
+        Self {
+            settings,
+            journal,
+            endpoint,
+            recorder,
+            shutdown,
+            peers: peer::Client::default(),
+            authority,
+            nudge: Notify::new(),
+            table: Mutex::new(RequestTable::new(limits)),
+            desk,
+        }
+    }
+
+    /// The request table.
+    pub(crate) fn table(&self) -> MutexGuard<'_, RequestTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The replicas, with the grants and settings in force.
+    pub(crate) fn desk(&self) -> MutexGuard<'_, Desk> {
+        let mut desk = self.desk.lock().unwrap_or_else(PoisonError::into_inner);
+        self.journal.read(|state| desk.sync(state, &self.settings));
+        desk
+    }
+
+    /// What the agent says of a model on an answer.
+    pub(crate) fn report(&self, model: Option<&ModelName>) -> Report {
+        let report = model.map(|model| self.desk().report(model)).unwrap_or_default();
+        Report { tick: self.recorder.clock().tick(), ..report }
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.authority.incarnation()
+    }
+
+    /// The longest that the agent waits for a reply to an order.
+    pub(crate) fn reply_limit(&self) -> Duration {
+        self.settings.order_limit.0 / 2
+    }
+
+    /// Records an event of the time line.
+    pub(crate) fn record(&self, kind: Kind, fill: impl FnOnce(Event) -> Event) {
+        let event = self.recorder.event(kind).endpoint(&self.settings.endpoint);
+        self.recorder.record(fill(event));
+    }
+
+    /// Records an event of a request.
+    pub(crate) fn record_request(&self, kind: Kind, id: &RequestId, model: &ModelName) {
+        self.record(kind, |event| event.request(id).model(model));
+    }
+}
--- a/components/agent/src/desk.rs
+++ b/components/agent/src/desk.rs
@@ -9,9 +9,10 @@
 use state::State;
 use tokio::time::Instant;
 use tree::Settings as TreeSettings;
-use units::{EndpointId, ModelName, Offset, ReplicaIndex, Size};
+use units::{AdapterName, EndpointId, ModelName, Offset, ReplicaIndex, Size};
 use wire::{Refusal, Report};
 
+use crate::{EndpointKind, Settings};
 use crate::estimate::LoadTimes;
 use crate::memory::Ledger;
 use crate::queue::Waiting;
@@ -59,7 +60,7 @@
     pub(crate) times: LoadTimes,
     pub(crate) closed: Option<Closed>,
     tiers: BTreeMap<ModelName, CacheTier>,
-    synced: Offset,
+    synced: Option<Offset>,
 }
 
 impl Desk {
@@ -70,22 +71,41 @@
             times: LoadTimes::default(),
             closed: None,
             tiers: BTreeMap::new(),
-            synced: Offset(0),
+            synced: None,
         }
     }
 
     /// Takes over the grants and settings in force.
-    pub(crate) fn sync(&mut self, state: &State, endpoint: &EndpointId) {
-        if state.offset() == self.synced {
+    pub(crate) fn sync(&mut self, state: &State, settings: &Settings) {
+        if self.synced == Some(state.offset()) {
             return;
         }
-        self.synced = state.offset();
+        self.synced = Some(state.offset());
+        match settings.kind {
+            EndpointKind::Engine => self.sync_grants(state, &settings.endpoint),
+            EndpointKind::Service => self.sync_service(state, settings),
+        }
+    }
+
+    fn sync_service(&mut self, state: &State, settings: &Settings) {
+        let name = settings.service_model();
+        let leaf = state.tree().service(&settings.service);
+        let limits = leaf.map(|leaf| Limits::from(&*leaf.settings)).unwrap_or_default();
+        match self.replicas.get_mut(&name) {
+            Some(replica) => replica.limits = limits,
+            None => {
+                self.replicas.insert(name.clone(), Replica::pinned(name, limits));
+            }
+        }
+    }
+
+    fn sync_grants(&mut self, state: &State, endpoint: &EndpointId) {
         for replica in self.replicas.values_mut() {
             replica.grant = None;
         }
         for grant in state.grants_at(endpoint) {
             let leaf = state.tree().model(&grant.model);
-            let limits = leaf.map(|leaf| Limits::from(&leaf.settings));
+            let limits = leaf.map(|leaf| Limits::from(&*leaf.settings));
             let replica = self.replica(&grant.artifact);
             replica.model = grant.model.clone();
             replica.grant = Some(Held { id: grant.id, index: grant.index, revoked: grant.revoked });
@@ -99,8 +119,7 @@
     /// The replica of an artifact; a new one is cold and has no grant.
     pub(crate) fn replica(&mut self, artifact: &ModelName) -> &mut Replica {
         self.replicas.entry(artifact.clone()).or_insert_with(|| {
-            let limits = Limits::from(&TreeSettings::default());
-            Replica::new(artifact.clone(), artifact.clone(), limits)
+            Replica::new(artifact.clone(), artifact.clone(), Limits::default())
         })
     }
 
@@ -157,9 +176,14 @@
     }
 
     /// Notes that a running request has ended.
-    pub(crate) fn finish(&mut self, artifact: &ModelName, took: Duration) {
+    pub(crate) fn finish(
+        &mut self,
+        artifact: &ModelName,
+        adapter: Option<&AdapterName>,
+        took: Option<Duration>,
+    ) {
         if let Some(replica) = self.replicas.get_mut(artifact) {
-            replica.finish(took);
+            replica.finish(adapter, took);
             replica.pump();
         }
     }
--- /dev/null
+++ b/components/agent/src/dispatch.rs
@@ -0,0 +1,169 @@
+//! The requests that entries send.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use timeline::Kind;
+use tokio::time::Instant;
+use units::ModelName;
+use web::Body;
+use wire::{DISPATCH_PATH, Dispatch, RESUME_PATH, Refusal, Resume, UnknownCause};
+
+use crate::agent::Agent;
+use crate::answer;
+use crate::queue::{AdapterNeed, Waiting};
+use crate::serve::{self, Job};
+use crate::slot::Cancel;
+use crate::table::Begin;
+use crate::wake;
+
+/// The largest body of a call, in bytes; entries refuse larger ones before.
+const BODY_LIMIT: usize = 16 << 20;
+
+/// Answers a request of an entry.
+pub(crate) async fn handle(
+    agent: Arc<Agent>,
+    request: Request<Incoming>,
+    _peer: SocketAddr,
+) -> Response<Body> {
+    match request.uri().path() {
+        DISPATCH_PATH => dispatch(agent, request).await,
+        RESUME_PATH => resume(agent, request).await,
+        path => web::text(StatusCode::NOT_FOUND, format!("no `{path}` here\n")),
+    }
+}
+
+async fn dispatch(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let head = match Dispatch::read(request.headers()) {
+        Ok(head) => head,
+        Err(error) => return web::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    };
+    agent.recorder.clock().observe(head.tick);
+    let model = agent.model_of(&head);
+    let current = agent.incarnation();
+    if head.incarnation != current {
+        return refuse(&agent, &model, &Refusal::Incarnation { current });
+    }
+    let body = match web::read(request.into_body(), BODY_LIMIT).await {
+        Ok(body) => body,
+        Err(error) => return web::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    };
+    let begin = agent.table().begin(&head.request, &model, head.repeatable, head.budget.0);
+    match begin {
+        Begin::Known(slot) => answer::from_slot(&agent, slot, 0).await,
+        Begin::Full => refuse(&agent, &model, &agent.full()),
+        Begin::New(slot) => {
+            let deadline = arrived + head.budget.0;
+            start(&agent, &model, Job { slot: slot.clone(), head, body, deadline });
+            answer::from_slot(&agent, slot, 0).await
+        }
+    }
+}
+
+/// Queues a new request, or refuses it.
+fn start(agent: &Arc<Agent>, model: &ModelName, job: Job) {
+    let slot = job.slot.clone();
+    agent.record_request(Kind::Queued, &slot.id, model);
+    let waiting = Waiting {
+        slot: slot.clone(),
+        adapter: agent.adapter_of(&job.head),
+        class: job.head.class,
+        group: job.head.group.clone(),
+        since: Instant::now(),
+        deadline: job.deadline,
+    };
+    let admission = agent.desk().admit(model, waiting);
+    agent.nudge.notify_one();
+    if let Some(next) = admission.wake {
+        wake::next(agent, model, next);
+    }
+    match admission.outcome {
+        Ok(artifact) => {
+            tokio::spawn(serve::run(agent.clone(), job, artifact));
+        }
+        Err(refusal) => {
+            agent.count_refusal(&refusal);
+            agent.record(Kind::Answered, |event| {
+                event.request(&slot.id).model(model).note(format!("not run: {refusal}"))
+            });
+            slot.refuse(refusal);
+        }
+    }
+}
+
+async fn resume(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
+    let head = match Resume::read(request.headers()) {
+        Ok(head) => head,
+        Err(error) => return web::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    };
+    agent.recorder.clock().observe(head.tick);
+    if head.incarnation != agent.incarnation() {
+        return answer::unknown(&UnknownCause::AgentGone);
+    }
+    let found = agent.table().find(&head.request);
+    match found {
+        Begin::Full => web::text(StatusCode::SERVICE_UNAVAILABLE, "the request table is full\n"),
+        Begin::New(slot) => {
+            agent.record(Kind::Cancelled, |event| event.request(&slot.id).note("tombstone"));
+            answer::from_slot(&agent, slot, head.from).await
+        }
+        Begin::Known(slot) if head.cancel => match slot.cancel() {
+            Cancel::RunsOn => answer::unknown(&UnknownCause::Deadline),
+            Cancel::Stopping => {
+                slot.over().await;
+                answer::unknown(&UnknownCause::Deadline)
+            }
+            Cancel::Refused | Cancel::Over => answer::from_slot(&agent, slot, head.from).await,
+        },
+        Begin::Known(slot) => answer::from_slot(&agent, slot, head.from).await,
+    }
+}
+
+fn refuse(agent: &Agent, model: &ModelName, refusal: &Refusal) -> Response<Body> {
+    agent.count_refusal(refusal);
+    let mut response = answer::refused(refusal);
+    agent.report(Some(model)).write(response.headers_mut());
+    response
+}
+
+impl Agent {
+    /// The model of a request; for plain services the service stands in its place.
+    fn model_of(&self, head: &Dispatch) -> ModelName {
+        head.model.clone().unwrap_or_else(|| self.settings.service_model())
+    }
+
+    /// The adapter that a request needs, with the memory that the tree gives it.
+    fn adapter_of(&self, head: &Dispatch) -> Option<AdapterNeed> {
+        let (model, name) = (head.model.as_ref()?, head.adapter.clone()?);
+        let leaf = self.journal.read(|state| state.tree().resolve(&format!("{model}:{name}")));
+        let weights = leaf.map(|leaf| leaf.settings.weights).unwrap_or_default();
+        Some(AdapterNeed { name, weights })
+    }
+
+    fn full(&self) -> Refusal {
+        Refusal::Full { retry: self.settings.grace }
+    }
+
+    /// Counts a refusal by its kind.
+    pub(crate) fn count_refusal(&self, refusal: &Refusal) {
+        let kind = match refusal {
+            Refusal::Late => "late",
+            Refusal::Hopeless { .. } => "hopeless",
+            Refusal::Full { .. } => "full",
+            Refusal::Leaving => "leaving",
+            Refusal::Incarnation { .. } => "incarnation",
+            Refusal::NoGrant => "no-grant",
+            Refusal::LoadFailed { .. } => "load-failed",
+            Refusal::Cancelled => "cancelled",
+            Refusal::Endpoint { .. } => "endpoint",
+            Refusal::NoEndpoint { .. } => "no-endpoint",
+            Refusal::NoClaim { .. } => "no-claim",
+            Refusal::KeyTaken => "key-taken",
+            Refusal::Shutdown => "shutdown",
+        };
+        metrics::counter!("hyssop_agent_refusals_total", "kind" => kind).increment(1);
+    }
+}
--- /dev/null
+++ b/components/agent/src/drain.rs
@@ -0,0 +1,114 @@
+//! Leaving: no new work, the work at hand finished, everything unloaded, all grants given back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::{InstanceList, InstanceState};
+use process::Phase;
+use record::Body;
+
+use crate::EndpointKind;
+use crate::agent::Agent;
+use crate::desk::Closed;
+
+/// The pause between two looks at the platform's list.
+const LIST_PAUSE: Duration = Duration::from_secs(1);
+
+/// The pause between two looks at what still runs.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long unloading and giving back grants may take once nothing runs.
+const UNLOAD_LIMIT: Duration = Duration::from_secs(10);
+
+/// How long the record of leaving is repeated.
+const LEAVE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Waits until the platform's list says that this instance is leaving.
+pub(crate) async fn listed_leaving(agent: &Agent, list: &dyn InstanceList) {
+    let ours = &agent.settings.identity.instance;
+    loop {
+        tokio::time::sleep(LIST_PAUSE).await;
+        let instances = match list.instances().await {
+            Ok(instances) => instances,
+            Err(error) => {
+                log::debug!("drain: {error}");
+                continue;
+            }
+        };
+        let leaving = |state| state == InstanceState::Leaving;
+        if instances.iter().any(|instance| instance.id == *ours && leaving(instance.state)) {
+            return;
+        }
+    }
+}
+
+/// Leaves: refuses what waits, finishes what runs within the drain, unloads and gives the grants back. A second
+/// signal ends it early.
+pub(crate) async fn drain(agent: &Arc<Agent>) {
+    let limit = agent.desk().drain_limit();
+    agent.desk().close(Closed::Leaving);
+    agent.nudge.notify_one();
+    let leave = tokio::spawn(leave(agent.clone()));
+    tokio::select! {
+        () = finish(agent, limit) => {}
+        () = agent.shutdown.reached(Phase::Force) => {
+            log::warn!("drain: cut short by a second signal");
+        }
+    }
+    give_up(agent).await;
+    leave.abort();
+}
+
+async fn leave(agent: Arc<Agent>) {
+    let endpoint = agent.settings.endpoint.clone();
+    let body = Body::Leave { endpoint, incarnation: agent.incarnation() };
+    if let Err(error) = agent.journal.append(body, LEAVE_LIMIT).await {
+        log::warn!("drain: the log does not know yet that this agent leaves: {error}");
+    }
+}
+
+async fn finish(agent: &Agent, limit: Duration) {
+    let quiet = until(|| agent.desk().running() == 0);
+    if tokio::time::timeout(limit, quiet).await.is_err() {
+        log::warn!("drain: {} requests still run after {limit:?}", agent.desk().running());
+        return;
+    }
+    if agent.settings.kind == EndpointKind::Service {
+        return;
+    }
+    let given = until(|| agent.desk().empty() && !holds_grants(agent));
+    if tokio::time::timeout(UNLOAD_LIMIT, given).await.is_err() {
+        log::warn!("drain: replicas are not confirmed gone, or the log has no release of the grants");
+    }
+}
+
+fn holds_grants(agent: &Agent) -> bool {
+    agent.journal.read(|state| state.grants_at(&agent.settings.endpoint).next().is_some())
+}
+
+async fn until(done: impl Fn() -> bool) {
+    while !done() {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Refuses what waits and lets what runs end; another incarnation has taken over, so nothing is ordered.
+pub(crate) async fn finish_running(agent: &Agent) {
+    let limit = agent.desk().drain_limit();
+    tokio::select! {
+        _ = tokio::time::timeout(limit, until(|| agent.desk().running() == 0)) => {}
+        () = agent.shutdown.reached(Phase::Force) => {}
+    }
+    give_up(agent).await;
+}
+
+/// Gives requests that still run their true outcome, unknown, so that nobody waits for a process that is gone.
+async fn give_up(agent: &Agent) {
+    let open = agent.table().open();
+    for slot in open {
+        if !slot.refuse(wire::Refusal::Shutdown) {
+            slot.end(Some(wire::UnknownCause::AgentGone));
+        }
+    }
+    tokio::time::sleep(LOOK).await;
+}
--- a/components/agent/src/memory.rs
+++ b/components/agent/src/memory.rs
@@ -46,6 +46,11 @@
         self.held.values().map(|held| held.taken()).sum()
     }
 
+    /// The memory taken by one artifact.
+    pub(crate) fn of(&self, artifact: &ModelName) -> Size {
+        self.held.get(artifact).map_or(Size(0), |held| held.taken())
+    }
+
     /// The memory in all.
     pub(crate) fn total(&self) -> Size {
         self.total
--- a/components/agent/src/pending.rs
+++ b/components/agent/src/pending.rs
@@ -47,6 +47,21 @@
         }
     }
 
+    /// Whether the endpoint has taken it.
+    pub(crate) fn accepted(&self) -> bool {
+        matches!(self.reply, Reply::Accepted { .. })
+    }
+
+    /// Whether it was sent more than once, so that a refusal says nothing of the first time.
+    pub(crate) fn repeated(&self) -> bool {
+        self.sends > 1
+    }
+
+    /// Whether an inventory whose reading began at `begun` would show its effect, had it one.
+    pub(crate) fn overdue(&self, begun: Instant, limit: Duration) -> bool {
+        self.reply != Reply::Underway && begun > self.sent + limit
+    }
+
     /// Whether it is time to send the order again, under the same id.
     pub(crate) fn repeats(&self, now: Instant) -> bool {
         match self.reply {
--- a/components/agent/src/plan.rs
+++ b/components/agent/src/plan.rs
@@ -171,6 +171,9 @@
     /// Moves the replica towards what its grant and its idle time ask for.
     fn steer(&mut self, open: bool, ids: &mut OrderIds) -> Option<Draft> {
         let now = Instant::now();
+        if self.pinned {
+            return None;
+        }
         let stays = open && self.granted();
         match self.phase {
             Phase::Cold if !stays => {
--- a/components/agent/src/queue.rs
+++ b/components/agent/src/queue.rs
@@ -165,9 +165,9 @@
     pub(crate) fn take(&mut self, matches: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
         let mut taken = Vec::new();
         for lane in [&mut self.urgent, &mut self.interactive, &mut self.series] {
-            let (out, stay) = std::mem::take(lane).into_iter().partition(&matches);
-            *lane = stay;
-            taken.extend::<Vec<Waiting>>(out);
+            let (out, stay): (Vec<_>, Vec<_>) = lane.drain(..).partition(&matches);
+            lane.extend(stay);
+            taken.extend(out);
         }
         taken
     }
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -5,6 +5,7 @@
 
 use platform::CacheTier;
 use record::GrantId;
+use serde::Serialize;
 use tokio::time::Instant;
 use tree::Settings as TreeSettings;
 use units::{AdapterName, ModelName, ReplicaIndex, Size, Span};
@@ -21,7 +22,8 @@
 const WAKE_HOLD: Duration = Duration::from_secs(10);
 
 /// How far a replica is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub(crate) enum Phase {
     /// Not in the endpoint's memory.
     Cold,
@@ -54,6 +56,12 @@
     pub(crate) queue: QueueLimits,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Self::from(&TreeSettings::default())
+    }
+}
+
 impl From<&TreeSettings> for Limits {
     fn from(settings: &TreeSettings) -> Self {
         Self {
@@ -76,6 +84,7 @@
 pub(crate) struct Adapter {
     pub(crate) weights: Size,
     pub(crate) ready: bool,
+    pub(crate) running: usize,
     pub(crate) used: Instant,
     pub(crate) retry: Instant,
     pub(crate) pending: Option<Pending>,
@@ -84,7 +93,7 @@
 impl Adapter {
     pub(crate) fn new(weights: Size) -> Self {
         let now = Instant::now();
-        Self { weights, ready: false, used: now, retry: now, pending: None }
+        Self { weights, ready: false, running: 0, used: now, retry: now, pending: None }
     }
 }
 
@@ -94,6 +103,8 @@
     pub(crate) artifact: ModelName,
     pub(crate) model: ModelName,
     pub(crate) grant: Option<Held>,
+    /// Whether it is a plain service, which needs no grant and is always ready.
+    pub(crate) pinned: bool,
     pub(crate) phase: Phase,
     pub(crate) since: Instant,
     pub(crate) source: CacheTier,
@@ -117,6 +128,7 @@
             artifact,
             model,
             grant: None,
+            pinned: false,
             phase: Phase::Cold,
             since: now,
             source: CacheTier::Remote,
@@ -134,6 +146,11 @@
         }
     }
 
+    /// The stand-in for a plain service.
+    pub(crate) fn pinned(name: ModelName, limits: Limits) -> Self {
+        Self { pinned: true, phase: Phase::Ready, ..Self::new(name.clone(), name, limits) }
+    }
+
     /// Moves on to a phase.
     pub(crate) fn enter(&mut self, phase: Phase) {
         if self.phase != phase {
@@ -144,7 +161,7 @@
 
     /// Whether a grant in force covers it.
     pub(crate) fn granted(&self) -> bool {
-        self.grant.as_ref().is_some_and(|grant| !grant.revoked)
+        self.pinned || self.grant.as_ref().is_some_and(|grant| !grant.revoked)
     }
 
     /// Whether nothing waits or runs.
@@ -231,8 +248,7 @@
             };
             let Some(waiting) = self.queue.pop(can) else { return };
             if waiting.slot.start() {
-                self.running += 1;
-                self.touch(waiting.adapter.as_ref().map(|need| &need.name));
+                self.began(waiting.adapter.as_ref().map(|need| &need.name));
             }
         }
     }
@@ -251,19 +267,26 @@
         }
     }
 
-    fn touch(&mut self, adapter: Option<&AdapterName>) {
-        let now = Instant::now();
-        self.used = now;
+    fn began(&mut self, adapter: Option<&AdapterName>) {
+        self.used = Instant::now();
+        self.running += 1;
         if let Some(adapter) = adapter.and_then(|name| self.adapters.get_mut(name)) {
-            adapter.used = now;
+            adapter.used = self.used;
+            adapter.running += 1;
         }
     }
 
     /// Notes that a running request has ended.
-    pub(crate) fn finish(&mut self, took: Duration) {
-        self.running = self.running.saturating_sub(1);
+    pub(crate) fn finish(&mut self, adapter: Option<&AdapterName>, took: Option<Duration>) {
         self.used = Instant::now();
-        self.service.add(took);
+        self.running = self.running.saturating_sub(1);
+        if let Some(adapter) = adapter.and_then(|name| self.adapters.get_mut(name)) {
+            adapter.used = self.used;
+            adapter.running = adapter.running.saturating_sub(1);
+        }
+        if let Some(took) = took {
+            self.service.add(took);
+        }
     }
 
     /// Refuses all that waits.
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -1,10 +1,118 @@
 //! The agent's supervisor.
 
-use process::{Process, StartError};
+use std::sync::Arc;
+use std::time::Duration;
 
-use crate::Settings;
+use bytes::Bytes;
+use platform::{Endpoint, HttpEndpoint, HttpList, HttpLog, InstanceList, LogService};
+use process::{Phase, Process, Shutdown, StartError};
+use timeline::Recorder;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use web::{Protocol, ServeOptions};
+
+use crate::agent::Agent;
+use crate::table::SWEEP;
+use crate::{EndpointKind, Settings, attach, dispatch, drain, keeper, lease, status, wake};
+
+/// The edges of the process.
+#[derive(Clone)]
+pub(crate) struct Edges {
+    pub(crate) log: Arc<dyn LogService>,
+    pub(crate) list: Arc<dyn InstanceList>,
+    pub(crate) endpoint: Arc<dyn Endpoint>,
+}
 
 /// Runs an agent until its shutdown is done.
-pub async fn run(_settings: Settings, _process: Process) -> Result<(), StartError> {
+pub async fn run(settings: Settings, process: Process) -> Result<(), StartError> {
+    let edges = Edges {
+        log: Arc::new(HttpLog::new(settings.log)),
+        list: Arc::new(HttpList::new(settings.list)),
+        endpoint: Arc::new(HttpEndpoint::new(settings.address)),
+    };
+    let agent = build(settings, &edges, process.recorder.clone(), process.shutdown.clone());
+    process::spawn_admin(&process, status::of(&agent)).await?;
+    supervise(agent, edges.list).await
+}
+
+/// Starts following the log and makes what the tasks share.
+pub(crate) fn build(
+    settings: Settings,
+    edges: &Edges,
+    recorder: Recorder,
+    shutdown: Shutdown,
+) -> Arc<Agent> {
+    let options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+    let instance = settings.identity.instance.clone();
+    let journal = journal::start(edges.log.clone(), instance, recorder.clone(), options);
+    Arc::new(Agent::new(settings, journal, edges.endpoint.clone(), recorder, shutdown))
+}
+
+/// Takes charge of the endpoint, serves, and leaves when told to.
+pub(crate) async fn supervise(
+    agent: Arc<Agent>,
+    list: Arc<dyn InstanceList>,
+) -> Result<(), StartError> {
+    let (stop, stopped) = watch::channel(false);
+    let control = agent.settings.control;
+    let answering = agent.clone();
+    let answer = move |message: Bytes| wake::answer(answering.clone(), message);
+    peer::serve(control, stopped.clone(), answer).await.map_err(StartError::new)?;
+    let listener = web::bind(agent.settings.dispatch).await.map_err(StartError::new)?;
+    tokio::select! {
+        attached = attach::attach(&agent) => { attached.map_err(StartError::new)?; }
+        () = agent.shutdown.reached(Phase::Drain) => return Ok(()),
+    }
+    let mut tasks = JoinSet::new();
+    tasks.spawn(sweep(agent.clone()));
+    tasks.spawn(lease::keep(agent.clone()));
+    let server = tokio::spawn(serve(agent.clone(), listener, stopped));
+    work(&agent, list.as_ref(), &mut tasks).await;
+    let _ = stop.send(true);
+    let _ = tokio::time::timeout(CLOSE_LIMIT, server).await;
     Ok(())
 }
+
+/// How long connections may take to close once every request has its outcome.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Keeps the replicas until the agent has left or another incarnation has taken over.
+async fn work(agent: &Arc<Agent>, list: &dyn InstanceList, tasks: &mut JoinSet<()>) {
+    let keeper = async {
+        match agent.settings.kind {
+            EndpointKind::Engine => {
+                let (sender, seen) = watch::channel(None);
+                tasks.spawn(keeper::follow_inventory(agent.clone(), sender));
+                keeper::run(agent.clone(), seen).await
+            }
+            EndpointKind::Service => keeper::watch_takeover(agent).await,
+        }
+    };
+    let leaving = async {
+        tokio::select! {
+            () = agent.shutdown.reached(Phase::Drain) => {}
+            () = drain::listed_leaving(agent, list) => {}
+        }
+        drain::drain(agent).await;
+    };
+    tokio::select! {
+        barred = keeper => {
+            log::warn!("agent: {barred}; this process ends");
+            drain::finish_running(agent).await;
+        }
+        () = leaving => {}
+    }
+}
+
+async fn serve(agent: Arc<Agent>, listener: web::Listener, stop: watch::Receiver<bool>) {
+    let options = ServeOptions { protocol: Protocol::Http2, ..Default::default() };
+    let handler = move |request, peer| dispatch::handle(agent.clone(), request, peer);
+    web::serve(listener, options, stop, handler).await;
+}
+
+async fn sweep(agent: Arc<Agent>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        agent.table().sweep();
+    }
+}
--- /dev/null
+++ b/components/agent/src/serve.rs
@@ -0,0 +1,194 @@
+//! One request from its place in the queue to its outcome.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, header};
+use process::Phase;
+use serde_json::value::RawValue;
+use timeline::Kind;
+use tokio::time::Instant;
+use tree::Class;
+use units::{AdapterName, ModelName};
+use web::Body;
+use wire::{Dispatch, Refusal, UnknownCause};
+
+use crate::agent::Agent;
+use crate::slot::Slot;
+use crate::stream::{self, CopyEnd};
+
+/// A call that may not be repeated runs on for this long after its deadline, before its outcome is given up.
+const RUN_ON: Duration = Duration::from_secs(600);
+
+/// How long a cancellation at the endpoint may take.
+const CANCEL_LIMIT: Duration = Duration::from_secs(2);
+
+/// The header that gives a request's priority at an engine.
+const PRIORITY: &str = "x-priority";
+
+/// A request to be run.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) slot: Arc<Slot>,
+    pub(crate) head: Dispatch,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Instant,
+}
+
+/// A running request's place in its replica's batch, given back when dropped.
+struct Turn<'a> {
+    agent: &'a Agent,
+    artifact: &'a ModelName,
+    adapter: Option<&'a AdapterName>,
+    took: Option<Duration>,
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.agent.desk().finish(self.artifact, self.adapter, self.took);
+        self.agent.nudge.notify_one();
+    }
+}
+
+/// Runs a request that was given a place in the queue of an artifact.
+pub(crate) async fn run(agent: Arc<Agent>, job: Job, artifact: ModelName) {
+    let queued = Instant::now();
+    if wait(&agent, &job, &artifact).await {
+        metrics::histogram!("hyssop_agent_wait_seconds").record(queued.elapsed().as_secs_f64());
+        let adapter = job.head.adapter.as_ref();
+        let mut turn = Turn { agent: &agent, artifact: &artifact, adapter, took: None };
+        let began = Instant::now();
+        let whole = call(&agent, &job, &artifact).await;
+        turn.took = whole.then(|| began.elapsed());
+    }
+    agent.record(Kind::Answered, |event| {
+        event.request(&job.slot.id).model(&artifact).note(job.slot.summary())
+    });
+}
+
+/// Waits for the request's turn until its deadline; true if it shall run.
+async fn wait(agent: &Agent, job: &Job, artifact: &ModelName) -> bool {
+    let slot = &job.slot;
+    let turn = tokio::select! {
+        biased;
+        turn = slot.turn() => turn,
+        () = tokio::time::sleep_until(job.deadline) => {
+            slot.refuse(Refusal::Late);
+            slot.turn().await
+        }
+    };
+    if !turn {
+        agent.desk().forget(artifact, slot);
+        agent.nudge.notify_one();
+        if let Some(refusal) = slot.refusal() {
+            agent.count_refusal(&refusal);
+        }
+    }
+    turn
+}
+
+/// Hands the request to the endpoint; true if its whole answer came.
+async fn call(agent: &Agent, job: &Job, artifact: &ModelName) -> bool {
+    let slot = &job.slot;
+    if let Err(barred) = agent.authority.current() {
+        slot.disprove(barred.refusal());
+        return false;
+    }
+    if Instant::now() >= job.deadline {
+        slot.disprove(Refusal::Late);
+        return false;
+    }
+    let request = match request(job, artifact) {
+        Ok(request) => request,
+        Err(cause) => {
+            slot.disprove(Refusal::Endpoint { cause });
+            return false;
+        }
+    };
+    agent.record_request(Kind::Running, &slot.id, artifact);
+    let end = tokio::select! {
+        end = stream::copy(agent, slot, request) => end,
+        cause = stop(agent, job) => {
+            if job.head.repeatable {
+                cancel(agent, slot).await;
+            }
+            CopyEnd::Failed(cause)
+        }
+    };
+    match end {
+        CopyEnd::Whole => {
+            slot.end(None);
+            true
+        }
+        CopyEnd::Refused(cause) => {
+            slot.disprove(Refusal::Endpoint { cause });
+            false
+        }
+        CopyEnd::Failed(cause) => {
+            slot.end(Some(cause));
+            false
+        }
+    }
+}
+
+/// Waits until a running request must be given up.
+async fn stop(agent: &Agent, job: &Job) -> UnknownCause {
+    let last = if job.head.repeatable { job.deadline } else { job.deadline + RUN_ON };
+    tokio::select! {
+        () = tokio::time::sleep_until(last) => UnknownCause::Deadline,
+        () = job.slot.stopped() => UnknownCause::Deadline,
+        () = agent.shutdown.reached(Phase::Force) => UnknownCause::AgentGone,
+    }
+}
+
+/// Cancels a request at the endpoint, as well as can be done.
+pub(crate) async fn cancel(agent: &Agent, slot: &Slot) {
+    agent.record(Kind::Cancelled, |event| event.request(&slot.id));
+    let cancelled = tokio::time::timeout(CANCEL_LIMIT, agent.endpoint.cancel(&slot.id)).await;
+    if !matches!(cancelled, Ok(Ok(()))) {
+        log::debug!("agent: {} could not be cancelled at the endpoint", slot.id);
+    }
+}
+
+/// The call as the endpoint gets it.
+fn request(job: &Job, artifact: &ModelName) -> Result<Request<Body>, String> {
+    let head = &job.head;
+    let body = match head.model {
+        Some(_) => rename(&job.body, artifact, head.adapter.as_ref())?,
+        None => job.body.clone(),
+    };
+    Request::builder()
+        .method(head.method.as_str())
+        .uri(head.path.as_str())
+        .header(header::CONTENT_TYPE, head.content.as_str())
+        .header(PRIORITY, priority(head.class))
+        .body(web::full(body))
+        .map_err(|error| error.to_string())
+}
+
+fn priority(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "0",
+        Class::Interactive => "1",
+        Class::Series => "2",
+    }
+}
+
+/// Puts the artifact into the call in place of the model; the rest of it stays as it is.
+fn rename(
+    body: &Bytes,
+    artifact: &ModelName,
+    adapter: Option<&AdapterName>,
+) -> Result<Bytes, String> {
+    let read = serde_json::from_slice::<BTreeMap<String, Box<RawValue>>>(body);
+    let mut call = read.map_err(|error| error.to_string())?;
+    let name = match adapter {
+        None => artifact.to_string(),
+        Some(adapter) => format!("{artifact}:{adapter}"),
+    };
+    let name = serde_json::value::to_raw_value(&name).map_err(|error| error.to_string())?;
+    call.insert("model".to_owned(), name);
+    serde_json::to_vec(&call).map(Bytes::from).map_err(|error| error.to_string())
+}
--- a/components/agent/src/settings.rs
+++ b/components/agent/src/settings.rs
@@ -4,7 +4,7 @@
 
 use process::Identity;
 use serde::Deserialize;
-use units::{EndpointId, ServiceName, Size, Span};
+use units::{EndpointId, ModelName, ServiceName, Size, Span};
 
 /// What the endpoint is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -47,6 +47,12 @@
     /// The most requests that the table remembers.
     #[serde(default = "default_table")]
     pub table: usize,
+    /// The most bytes of answers that are kept before new requests are refused.
+    #[serde(default = "default_bytes")]
+    pub table_bytes: Size,
+    /// How long a request is remembered beyond its deadline.
+    #[serde(default = "default_grace")]
+    pub grace: Span,
     /// The longest that an order to the endpoint can stay under way.
     #[serde(default = "default_order")]
     pub order_limit: Span,
@@ -56,6 +62,22 @@
     20_000
 }
 
+fn default_bytes() -> Size {
+    Size::mib(64)
+}
+
+fn default_grace() -> Span {
+    Span::secs(60)
+}
+
+impl Settings {
+    /// What stands for the model where the endpoint is a plain service.
+    pub(crate) fn service_model(&self) -> ModelName {
+        let name = self.service.as_str().parse();
+        name.expect("every service name is a model name")
+    }
+}
+
 fn default_order() -> Span {
     Span::secs(5)
 }
--- a/components/agent/src/settle.rs
+++ b/components/agent/src/settle.rs
@@ -61,11 +61,13 @@
         for replica in self.replicas.values_mut() {
             let loaded = seen.inventory.loaded.iter().find(|l| l.artifact == replica.artifact);
             let change = match loaded {
-                Some(loaded) => replica.shown(loaded),
+                Some(loaded) => replica.shown(loaded, seen.begun, limit),
                 None => replica.missing(seen, limit),
             };
             let Some(change) = change else { continue };
-            if let (Change::Loaded(_), Some(span)) = (&change, replica.load_span()) {
+            if matches!(change, Change::Loaded(_))
+                && let Some(span) = replica.load_span()
+            {
                 self.times.add(replica.source, span);
             }
             changes.push(change);
@@ -158,17 +160,13 @@
 
 impl Replica {
     /// The inventory shows the replica.
-    fn shown(&mut self, loaded: &Loaded) -> Option<Change> {
-        let unload = matches!(
-            self.pending.as_ref().map(|pending| &pending.kind),
-            Some(OrderKind::Unload { .. })
-        );
+    fn shown(&mut self, loaded: &Loaded, begun: Instant, limit: Duration) -> Option<Change> {
         match (loaded.phase, self.phase) {
             (ReplicaPhase::Loading, Phase::Cold | Phase::Ready | Phase::Draining) => {
                 self.enter(Phase::Loading);
                 None
             }
-            (ReplicaPhase::Ready, Phase::Cold | Phase::Loading) if !unload => {
+            (ReplicaPhase::Ready, Phase::Cold | Phase::Loading) => {
                 let known = self.phase == Phase::Loading;
                 self.enter(Phase::Ready);
                 self.used = Instant::now();
@@ -180,6 +178,13 @@
                 self.enter(Phase::Unloading);
                 None
             }
+            (_, Phase::Unloading) => {
+                if self.pending.as_ref().is_none_or(|pending| pending.overdue(begun, limit)) {
+                    self.pending = None;
+                    self.enter(Phase::Draining);
+                }
+                None
+            }
             _ => None,
         }
     }
@@ -275,7 +280,14 @@
                 None
             }
             OrderKind::UnloadAdapter { .. } => {
-                settled.then(|| self.adapters.remove(name)).map(|_| weights)
+                if !settled {
+                    return None;
+                }
+                adapter.pending = None;
+                if !self.needs(name) {
+                    self.adapters.remove(name);
+                }
+                Some(weights)
             }
             _ if ready => {
                 adapter.pending = None;
--- a/components/agent/src/slot.rs
+++ b/components/agent/src/slot.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode};
 use tokio::sync::Notify;
-use units::RequestId;
+use units::{ModelName, RequestId};
 use wire::{End, Refusal, UnknownCause};
 
 /// How many bytes of answers are kept by all slots of a table.
@@ -84,6 +84,8 @@
 #[derive(Debug)]
 pub(crate) struct Slot {
     pub(crate) id: RequestId,
+    /// The model; tombstones have none.
+    pub(crate) model: Option<ModelName>,
     pub(crate) repeatable: bool,
     inner: Mutex<Inner>,
     changed: Notify,
@@ -91,9 +93,30 @@
 }
 
 impl Slot {
-    pub(crate) fn new(id: RequestId, repeatable: bool, stage: Stage, kept: KeptBytes) -> Self {
+    /// A slot of a new request.
+    pub(crate) fn queued(
+        id: RequestId,
+        model: ModelName,
+        repeatable: bool,
+        kept: KeptBytes,
+    ) -> Self {
+        Self::new(id, Some(model), repeatable, Stage::Queued, kept)
+    }
+
+    /// A slot that keeps an id from ever running.
+    pub(crate) fn tombstone(id: RequestId, kept: KeptBytes) -> Self {
+        Self::new(id, None, true, Stage::Refused(Refusal::Cancelled), kept)
+    }
+
+    fn new(
+        id: RequestId,
+        model: Option<ModelName>,
+        repeatable: bool,
+        stage: Stage,
+        kept: KeptBytes,
+    ) -> Self {
         let inner = Mutex::new(Inner { stage, stopping: false, delivered: false });
-        Self { id, repeatable, inner, changed: Notify::new(), kept }
+        Self { id, model, repeatable, inner, changed: Notify::new(), kept }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -232,8 +255,32 @@
         self.lock().stage.is_over()
     }
 
-    pub(crate) fn is_queued(&self) -> bool {
-        matches!(self.lock().stage, Stage::Queued)
+    /// Why the request did not run, if it is known not to have.
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
+        match &self.lock().stage {
+            Stage::Refused(refusal) => Some(refusal.clone()),
+            _ => None,
+        }
+    }
+
+    /// The outcome in a few words, for the time line.
+    pub(crate) fn summary(&self) -> String {
+        match &self.lock().stage {
+            Stage::Queued | Stage::Running | Stage::Answering(_) => "not over".to_owned(),
+            Stage::Answered(_, End::Whole { length }) => format!("served, {length} bytes"),
+            Stage::Answered(_, End::Failed(cause)) | Stage::Unknown(cause) => {
+                format!("unknown: {cause}")
+            }
+            Stage::Refused(refusal) => format!("not run: {refusal}"),
+        }
+    }
+
+    /// How many bytes of the answer are here; `None` before its head.
+    pub(crate) fn length(&self) -> Option<u64> {
+        match &self.lock().stage {
+            Stage::Answering(answer) | Stage::Answered(answer, _) => Some(answer.length),
+            Stage::Queued | Stage::Running | Stage::Refused(_) | Stage::Unknown(_) => None,
+        }
     }
 
     /// Notes that a reader was given the whole answer.
--- a/components/agent/src/table.rs
+++ b/components/agent/src/table.rs
@@ -5,10 +5,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use units::{RequestId, Size};
-use wire::Refusal;
+use units::{ModelName, RequestId, Size};
 
-use crate::slot::{KeptBytes, Slot, Stage};
+use crate::slot::{KeptBytes, Slot};
 
 /// Sweeps follow each other at this pause; a process that was paused makes one sweep for the whole pause,
 /// so that what waits in its sockets still meets the tombstones written before.
@@ -61,7 +60,13 @@
     }
 
     /// Remembers a dispatched request, unless its id is known.
-    pub(crate) fn begin(&mut self, id: &RequestId, repeatable: bool, budget: Duration) -> Begin {
+    pub(crate) fn begin(
+        &mut self,
+        id: &RequestId,
+        model: &ModelName,
+        repeatable: bool,
+        budget: Duration,
+    ) -> Begin {
         if let Some(slot) = self.slots.get(id) {
             return Begin::Known(slot.clone());
         }
@@ -69,7 +74,8 @@
         if self.slots.len() >= places || !self.has_room() {
             return Begin::Full;
         }
-        Begin::New(self.insert(id, repeatable, Stage::Queued, budget + self.limits.grace))
+        let slot = Slot::queued(id.clone(), model.clone(), repeatable, self.kept.clone());
+        Begin::New(self.insert(slot, budget + self.limits.grace))
     }
 
     /// Finds a request for a resume; an id never seen gets a tombstone.
@@ -80,25 +86,14 @@
         if self.slots.len() >= self.limits.count {
             return Begin::Full;
         }
-        let tombstone = Stage::Refused(Refusal::Cancelled);
-        Begin::New(self.insert(id, true, tombstone, self.limits.grace))
-    }
-
-    /// The request, if it is known.
-    pub(crate) fn get(&self, id: &RequestId) -> Option<Arc<Slot>> {
-        self.slots.get(id).cloned()
+        let tombstone = Slot::tombstone(id.clone(), self.kept.clone());
+        Begin::New(self.insert(tombstone, self.limits.grace))
     }
 
-    fn insert(
-        &mut self,
-        id: &RequestId,
-        repeatable: bool,
-        stage: Stage,
-        keep: Duration,
-    ) -> Arc<Slot> {
-        let slot = Arc::new(Slot::new(id.clone(), repeatable, stage, self.kept.clone()));
-        self.slots.insert(id.clone(), slot.clone());
-        self.expiry.insert((self.sweeps + sweeps(keep), id.clone()));
+    fn insert(&mut self, slot: Slot, keep: Duration) -> Arc<Slot> {
+        let slot = Arc::new(slot);
+        self.slots.insert(slot.id.clone(), slot.clone());
+        self.expiry.insert((self.sweeps + sweeps(keep), slot.id.clone()));
         slot
     }
 
