--- a/components/agent/src/desk.rs
+++ b/components/agent/src/desk.rs
@@ -12,12 +12,12 @@
 use units::{AdapterName, EndpointId, ModelName, Offset, ReplicaIndex, Size};
 use wire::{Refusal, Report};
 
-use crate::{EndpointKind, Settings};
 use crate::estimate::LoadTimes;
 use crate::memory::Ledger;
 use crate::queue::Waiting;
 use crate::replica::{Held, Limits, Phase, Replica};
 use crate::slot::Slot;
+use crate::{EndpointKind, Settings};
 
 /// Why the agent takes no new work.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -90,7 +90,7 @@
     fn sync_service(&mut self, state: &State, settings: &Settings) {
         let name = settings.service_model();
         let leaf = state.tree().service(&settings.service);
-        let limits = leaf.map(|leaf| Limits::from(&*leaf.settings)).unwrap_or_default();
+        let limits = leaf.map(|leaf| Limits::from(&leaf.settings)).unwrap_or_default();
         match self.replicas.get_mut(&name) {
             Some(replica) => replica.limits = limits,
             None => {
@@ -105,7 +105,7 @@
         }
         for grant in state.grants_at(endpoint) {
             let leaf = state.tree().model(&grant.model);
-            let limits = leaf.map(|leaf| Limits::from(&*leaf.settings));
+            let limits = leaf.map(|leaf| Limits::from(&leaf.settings));
             let replica = self.replica(&grant.artifact);
             replica.model = grant.model.clone();
             replica.grant = Some(Held { id: grant.id, index: grant.index, revoked: grant.revoked });
@@ -118,9 +118,9 @@
 
     /// The replica of an artifact; a new one is cold and has no grant.
     pub(crate) fn replica(&mut self, artifact: &ModelName) -> &mut Replica {
-        self.replicas.entry(artifact.clone()).or_insert_with(|| {
-            Replica::new(artifact.clone(), artifact.clone(), Limits::default())
-        })
+        self.replicas
+            .entry(artifact.clone())
+            .or_insert_with(|| Replica::new(artifact.clone(), artifact.clone(), Limits::default()))
     }
 
     fn serving(&self, model: &ModelName) -> Option<&Replica> {
@@ -195,7 +195,10 @@
         }
         let held = |replica: &&mut Replica| {
             replica.model == *model
-                && replica.grant.as_ref().is_some_and(|grant| !grant.revoked && grant.index == index)
+                && replica
+                    .grant
+                    .as_ref()
+                    .is_some_and(|grant| !grant.revoked && grant.index == index)
         };
         let Some(replica) = self.replicas.values_mut().find(held) else { return false };
         replica.used = Instant::now();
--- a/components/agent/src/drain.rs
+++ b/components/agent/src/drain.rs
@@ -78,7 +78,9 @@
     }
     let given = until(|| agent.desk().empty() && !holds_grants(agent));
     if tokio::time::timeout(UNLOAD_LIMIT, given).await.is_err() {
-        log::warn!("drain: replicas are not confirmed gone, or the log has no release of the grants");
+        log::warn!(
+            "drain: replicas are not confirmed gone, or the log has no release of the grants"
+        );
     }
 }
 
--- a/components/agent/src/estimate/tests.rs
+++ b/components/agent/src/estimate/tests.rs
@@ -1,1 +1,42 @@
+use std::time::Duration;
 
+use platform::CacheTier;
+use rstest::rstest;
+
+use super::{Average, LoadTimes, Wait};
+
+#[test]
+fn learns_slowly() {
+    let mut average = Average::default();
+    assert_eq!(average.get(), None);
+    average.add(Duration::from_secs(4));
+    average.add(Duration::from_secs(8));
+    assert_eq!(average.get(), Some(Duration::from_secs(5)));
+}
+
+#[test]
+fn learns_loads_by_tier() {
+    let mut times = LoadTimes::default();
+    assert_eq!(times.get(CacheTier::Remote), Duration::ZERO);
+    times.add(CacheTier::Disk, Duration::from_secs(3));
+    assert_eq!(times.get(CacheTier::Remote), Duration::from_secs(3));
+    times.add(CacheTier::Remote, Duration::from_secs(20));
+    assert_eq!(times.get(CacheTier::Remote), Duration::from_secs(20));
+    assert_eq!(times.get(CacheTier::Disk), Duration::from_secs(3));
+    assert_eq!(times.get(CacheTier::Memory), Duration::ZERO);
+}
+
+#[rstest]
+#[case(0, 0, 0)]
+#[case(0, 3, 0)]
+#[case(0, 4, 500)]
+#[case(4, 4, 2500)]
+fn estimates_by_rounds_of_the_batch(
+    #[case] ahead: usize,
+    #[case] running: usize,
+    #[case] millis: u64,
+) {
+    let service = Duration::from_secs(2);
+    let wait = Wait { load: Duration::ZERO, ahead, running, batch: 4, service };
+    assert_eq!(wait.estimate(), Duration::from_millis(millis));
+}
--- a/components/agent/src/plan.rs
+++ b/components/agent/src/plan.rs
@@ -227,10 +227,8 @@
     fn unload_adapter(&mut self, name: &AdapterName, ids: &mut OrderIds) -> Option<Draft> {
         let adapter = self.adapters.get_mut(name)?;
         adapter.ready = false;
-        let kind = OrderKind::UnloadAdapter {
-            artifact: self.artifact.clone(),
-            adapter: name.clone(),
-        };
+        let kind =
+            OrderKind::UnloadAdapter { artifact: self.artifact.clone(), adapter: name.clone() };
         Some(draft(&mut adapter.pending, ids, false, kind))
     }
 
--- a/components/agent/src/queue.rs
+++ b/components/agent/src/queue.rs
@@ -90,14 +90,18 @@
 
     /// Gives a request a place within the limits.
     pub(crate) fn push(&mut self, waiting: Waiting, limits: &QueueLimits) -> Place {
-        if waiting.class != Class::Series && self.of_group(&waiting.group) >= limits.group_places() {
-            return Place::Full;
-        }
-        if self.len() < limits.count {
+        let group = waiting.group.clone();
+        let bounded = waiting.class != Class::Series;
+        let victim = if bounded && self.of_group(&group) >= limits.group_places() {
+            let same = |other: &Waiting| other.class != Class::Series && other.group == group;
+            self.shed_for(waiting.class, &limits.shed, same)
+        } else if self.len() < limits.count {
             self.insert(waiting);
             return Place::Taken;
-        }
-        match self.shed_for(waiting.class, &limits.shed) {
+        } else {
+            self.shed_for(waiting.class, &limits.shed, |_| true)
+        };
+        match victim {
             Some(other) => {
                 self.insert(waiting);
                 Place::Instead(other)
@@ -121,11 +125,17 @@
     }
 
     /// Takes out the newest request of a class that is refused before `class`.
-    fn shed_for(&mut self, class: Class, shed: &[Class]) -> Option<Waiting> {
+    fn shed_for(
+        &mut self,
+        class: Class,
+        shed: &[Class],
+        may_go: impl Fn(&Waiting) -> bool,
+    ) -> Option<Waiting> {
         let earlier = shed.iter().take_while(|other| **other != class);
         for victim in earlier {
-            if let Some(waiting) = self.lane(*victim).pop_back() {
-                return Some(waiting);
+            let lane = self.lane(*victim);
+            if let Some(place) = lane.iter().rposition(&may_go) {
+                return lane.remove(place);
             }
         }
         None
@@ -174,7 +184,11 @@
 }
 
 impl QueueLimits {
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a share of a count")]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a share of a count"
+    )]
     fn group_places(&self) -> usize {
         let places = (self.count as f64 * self.group_share.clamp(0.0, 1.0)).ceil();
         (places as usize).max(1)
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -261,7 +261,8 @@
 
     /// Refuses what waits for an adapter.
     pub(crate) fn refuse_adapter(&mut self, name: &AdapterName, refusal: &Refusal) {
-        let of = |waiting: &Waiting| waiting.adapter.as_ref().is_some_and(|need| need.name == *name);
+        let of =
+            |waiting: &Waiting| waiting.adapter.as_ref().is_some_and(|need| need.name == *name);
         for waiting in self.queue.take(of) {
             waiting.slot.refuse(refusal.clone());
         }
--- a/components/agent/src/stream.rs
+++ b/components/agent/src/stream.rs
@@ -10,10 +10,10 @@
 use web::Body;
 use wire::UnknownCause;
 
+use crate::EndpointKind;
 use crate::agent::Agent;
 use crate::serve;
 use crate::slot::{AnswerHead, Slot};
-use crate::EndpointKind;
 
 /// A connection to an engine that gives no byte for this long is taken for lost.
 pub(crate) const SILENCE: Duration = Duration::from_secs(5);
