--- a/components/agent/src/attach.rs
+++ b/components/agent/src/attach.rs
@@ -16,6 +16,9 @@
 /// One append of an attach is repeated for this long; a new one would make a second incarnation.
 const APPEND_LIMIT: Duration = Duration::from_secs(24 * 3600);
 
+/// The pause before an attach that was void is tried again, if nothing has changed.
+const RETRY: Duration = Duration::from_secs(10);
+
 /// The pause before an endpoint that does not answer is asked again.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -36,14 +39,15 @@
     let inventory = inventory(agent).await;
     loop {
         let attach = record(agent, inventory.as_ref());
+        let previous = attach.previous;
         let applied = agent.journal.append(Body::Attach(attach), APPEND_LIMIT).await?;
         if let Some(incarnation) = taken(&applied) {
             agent.authority.attach(incarnation, first_order(agent));
             log::info!("attach: this is incarnation {incarnation}");
             return Ok(incarnation);
         }
-        log::info!("attach: another agent attached first; trying again");
-        tokio::time::sleep(PAUSE).await;
+        log::info!("attach: the endpoint is another agent's; waiting until that changes");
+        let _ = tokio::time::timeout(RETRY, moved(agent, previous)).await;
     }
 }
 
@@ -52,6 +56,19 @@
     done.then(|| Incarnation::from(applied.offset))
 }
 
+/// Waits until the endpoint's incarnation is not the one that was tried to replace.
+async fn moved(agent: &Agent, previous: Incarnation) {
+    let mut changes = agent.journal.changes();
+    while current(agent) == previous && changes.changed().await.is_ok() {}
+    tokio::time::sleep(PAUSE).await;
+}
+
+fn current(agent: &Agent) -> Incarnation {
+    let endpoint = &agent.settings.endpoint;
+    let member = |state: &state::State| state.member(endpoint).map(|m| m.incarnation);
+    agent.journal.read(member).unwrap_or_default()
+}
+
 /// When the first order may go out: orders of an older incarnation must have ended by then.
 fn first_order(agent: &Agent) -> Instant {
     let now = Instant::now();
@@ -60,7 +77,6 @@
 
 fn record(agent: &Agent, inventory: Option<&Inventory>) -> Attach {
     let settings = &agent.settings;
-    let member = |state: &state::State| state.member(&settings.endpoint).map(|m| m.incarnation);
     Attach {
         endpoint: settings.endpoint.clone(),
         instance: settings.identity.instance.clone(),
@@ -72,7 +88,7 @@
         memory: inventory.map_or(Size(0), |inventory| inventory.memory),
         cached: inventory.map(cached).unwrap_or_default(),
         fenced: settings.fenced,
-        previous: agent.journal.read(member).unwrap_or_default(),
+        previous: current(agent),
     }
 }
 
--- a/components/agent/src/desk.rs
+++ b/components/agent/src/desk.rs
@@ -61,6 +61,7 @@
     pub(crate) closed: Option<Closed>,
     tiers: BTreeMap<ModelName, CacheTier>,
     synced: Option<Offset>,
+    left: bool,
 }
 
 impl Desk {
@@ -72,6 +73,7 @@
             closed: None,
             tiers: BTreeMap::new(),
             synced: None,
+            left: false,
         }
     }
 
@@ -81,6 +83,7 @@
             return;
         }
         self.synced = Some(state.offset());
+        self.left = state.member(&settings.endpoint).is_some_and(|member| member.leaving);
         match settings.kind {
             EndpointKind::Engine => self.sync_grants(state, &settings.endpoint),
             EndpointKind::Service => self.sync_service(state, settings),
@@ -237,11 +240,10 @@
         self.replicas.values().all(Replica::gone)
     }
 
-    /// The grants that are to be released: revoked, or any when leaving, with the replica confirmed gone.
+    /// The grants that are to be released: revoked, or any once the log knows that this agent leaves, with the replica confirmed gone.
     pub(crate) fn released(&self) -> Vec<GrantId> {
-        let leaving = self.closed == Some(Closed::Leaving);
         let gone = self.replicas.values().filter(|replica| replica.gone());
         let held = gone.filter_map(|replica| replica.grant.as_ref());
-        held.filter(|grant| grant.revoked || leaving).map(|grant| grant.id).collect()
+        held.filter(|grant| grant.revoked || self.left).map(|grant| grant.id).collect()
     }
 }
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use timeline::Kind;
 use tokio::time::Instant;
 use units::ModelName;
@@ -23,11 +23,15 @@
 const BODY_LIMIT: usize = 16 << 20;
 
 /// Answers a request of an entry.
-pub(crate) async fn handle(
+pub(crate) async fn handle<B>(
     agent: Arc<Agent>,
-    request: Request<Incoming>,
+    request: Request<B>,
     _peer: SocketAddr,
-) -> Response<Body> {
+) -> Response<Body>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     match request.uri().path() {
         DISPATCH_PATH => dispatch(agent, request).await,
         RESUME_PATH => resume(agent, request).await,
@@ -35,7 +39,11 @@
     }
 }
 
-async fn dispatch(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
+async fn dispatch<B>(agent: Arc<Agent>, request: Request<B>) -> Response<Body>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let arrived = Instant::now();
     let head = match Dispatch::read(request.headers()) {
         Ok(head) => head,
@@ -94,7 +102,7 @@
     }
 }
 
-async fn resume(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
+async fn resume<B>(agent: Arc<Agent>, request: Request<B>) -> Response<Body> {
     let head = match Resume::read(request.headers()) {
         Ok(head) => head,
         Err(error) => return web::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -48,17 +48,23 @@
     Arc::new(Agent::new(settings, journal, edges.endpoint.clone(), recorder, shutdown))
 }
 
-/// Takes charge of the endpoint, serves, and leaves when told to.
-pub(crate) async fn supervise(
-    agent: Arc<Agent>,
-    list: Arc<dyn InstanceList>,
-) -> Result<(), StartError> {
+/// Opens the sockets, leads the endpoint until the agent ends, and closes the connections politely.
+async fn supervise(agent: Arc<Agent>, list: Arc<dyn InstanceList>) -> Result<(), StartError> {
     let (stop, stopped) = watch::channel(false);
     let control = agent.settings.control;
     let answering = agent.clone();
     let answer = move |message: Bytes| wake::answer(answering.clone(), message);
     peer::serve(control, stopped.clone(), answer).await.map_err(StartError::new)?;
     let listener = web::bind(agent.settings.dispatch).await.map_err(StartError::new)?;
+    let server = tokio::spawn(serve(agent.clone(), listener, stopped));
+    let ended = lead(agent, list.as_ref()).await;
+    let _ = stop.send(true);
+    let _ = tokio::time::timeout(CLOSE_LIMIT, server).await;
+    ended
+}
+
+/// Takes charge of the endpoint, and leaves when told to or when another incarnation takes over.
+pub(crate) async fn lead(agent: Arc<Agent>, list: &dyn InstanceList) -> Result<(), StartError> {
     tokio::select! {
         attached = attach::attach(&agent) => { attached.map_err(StartError::new)?; }
         () = agent.shutdown.reached(Phase::Drain) => return Ok(()),
@@ -66,10 +72,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(sweep(agent.clone()));
     tasks.spawn(lease::keep(agent.clone()));
-    let server = tokio::spawn(serve(agent.clone(), listener, stopped));
-    work(&agent, list.as_ref(), &mut tasks).await;
-    let _ = stop.send(true);
-    let _ = tokio::time::timeout(CLOSE_LIMIT, server).await;
+    work(&agent, list, &mut tasks).await;
     Ok(())
 }
 
@@ -116,3 +119,6 @@
         agent.table().sweep();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/agent/src/run/tests.rs
@@ -0,0 +1,3 @@
+mod engine;
+mod serving;
+mod world;
--- /dev/null
+++ b/components/agent/src/run/tests/world.rs
@@ -0,0 +1,351 @@
+//! An agent in a small world: an in-memory log, list and engine, and the test as planner and entry.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use platform::Stream;
+use process::{Identity, Phase, Shutdown};
+use record::{Attach, Body, Decision, GrantId, Record};
+use serde_json::{Value, json};
+use state::State;
+use timeline::{Recorder, Tick};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tree::{Change, Class, Edit, NodeKind};
+use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size, Span};
+use wire::{Dispatch, End, Refusal, Report, Resume, UnknownCause};
+
+use super::engine::Engine;
+use crate::agent::Agent;
+use crate::run::{Edges, build, lead};
+use crate::{EndpointKind, Settings, dispatch};
+
+/// Text as an id of the wanted kind.
+pub(crate) fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("the test's ids are valid")
+}
+
+/// The endpoint of all tests.
+pub(crate) const ENDPOINT: &str = "likhari-1";
+
+/// A log with settings and a planner, and the edges of an endpoint.
+#[derive(Clone)]
+pub(crate) struct World {
+    pub(crate) log: fake::Log,
+    pub(crate) list: fake::List,
+    pub(crate) engine: Engine,
+    edges: Edges,
+    numbers: Arc<AtomicU64>,
+}
+
+/// An agent that runs in the world.
+pub(crate) struct Running {
+    pub(crate) agent: Arc<Agent>,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) task: JoinHandle<()>,
+}
+
+/// How an exchange with the agent ended.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Answer {
+    Served { text: String, end: Option<End>, report: Report },
+    NotRun { refusal: Refusal, report: Option<Report> },
+    Unknown(UnknownCause),
+    Other(StatusCode),
+}
+
+impl Answer {
+    /// The whole text, if it came whole.
+    pub(crate) fn whole(&self) -> Option<&str> {
+        match self {
+            Self::Served { text, end: Some(End::Whole { length }), .. }
+                if *length == text.len() as u64 =>
+            {
+                Some(text)
+            }
+            _ => None,
+        }
+    }
+
+    pub(crate) fn refusal(&self) -> Option<&Refusal> {
+        match self {
+            Self::NotRun { refusal, .. } => Some(refusal),
+            _ => None,
+        }
+    }
+}
+
+pub(crate) fn settings(kind: EndpointKind) -> Settings {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    Settings {
+        identity: Identity {
+            instance: id("instance-1"),
+            domain: id("saddar"),
+            admin: addr,
+            log: serde_json::from_value(json!("info")).expect("a level"),
+        },
+        endpoint: id(ENDPOINT),
+        kind,
+        service: id("likhari"),
+        address: addr,
+        fenced: true,
+        memory: Size::gib(24),
+        dispatch: addr,
+        control: addr,
+        seeds: Vec::new(),
+        log: addr,
+        list: addr,
+        table: 64,
+        table_bytes: Size::mib(1),
+        grace: Span::secs(5),
+        order_limit: Span::secs(4),
+    }
+}
+
+impl World {
+    /// A world with the models `page-text` and `read-aloud` of 10 GiB each in 24 GiB, and a planner.
+    pub(crate) fn new() -> Self {
+        let engine = Engine::new(Size::gib(24));
+        let log = fake::Log::default();
+        let list = fake::List::default();
+        let edges = Edges {
+            log: Arc::new(log.clone()),
+            list: Arc::new(list.clone()),
+            endpoint: Arc::new(engine.clone()),
+        };
+        let world = Self { log, list, engine, edges, numbers: Arc::default() };
+        let mut changes = Vec::new();
+        for name in ["page-text", "read-aloud", "glossary"] {
+            changes.extend(model(name));
+        }
+        changes.push(add("/page-text/urdu", NodeKind::Adapter));
+        changes.push(set("/page-text/urdu", "weights", json!("3GiB")));
+        changes.push(add("/page-text/sindhi", NodeKind::Adapter));
+        changes.push(set("/page-text/sindhi", "weights", json!("3GiB")));
+        world.edit(changes);
+        world.put(Body::Claim { previous: Epoch(0) });
+        world
+    }
+
+    /// Appends a record of the test and gives its offset.
+    pub(crate) fn put(&self, body: Body) -> Offset {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let seen = self.log.records(Stream::Control).last;
+        let record = Record::new(format!("test-{number}"), id("entry-1"), 0, seen, body);
+        let text = serde_json::to_vec(&record).expect("a record");
+        self.log.put(Stream::Control, text)
+    }
+
+    pub(crate) fn edit(&self, changes: Vec<Change>) -> Offset {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let base = Revision(self.log.records(Stream::Control).last.0);
+        let edit =
+            Edit { id: id(&format!("edit-{number}")), author: "amna".to_owned(), base, changes };
+        self.put(Body::Edit(edit))
+    }
+
+    /// The folded state of all records.
+    pub(crate) fn state(&self) -> State {
+        let mut state = State::default();
+        for entry in self.log.records(Stream::Control).entries {
+            let record: Record = serde_json::from_slice(&entry.data).expect("a record");
+            state.apply(entry.offset, &record);
+        }
+        state
+    }
+
+    fn decide(&self, decision: Decision) -> Offset {
+        let epoch = self.state().lease().epoch;
+        self.put(Body::Decide { epoch, decisions: vec![decision] })
+    }
+
+    /// Grants a replica of a model's version at the endpoint.
+    pub(crate) fn grant(&self, model: &str, version: &str) -> GrantId {
+        let offset = self.decide(Decision::Grant {
+            model: id(model),
+            index: ReplicaIndex(0),
+            artifact: id(&format!("{model}@{version}")),
+            endpoint: id(ENDPOINT),
+            reason: "test".to_owned(),
+        });
+        let grant = GrantId { offset, part: 0 };
+        assert!(self.state().grant(grant).is_some(), "the grant of {model} is void");
+        grant
+    }
+
+    pub(crate) fn revoke(&self, grant: GrantId) {
+        self.decide(Decision::Revoke { grant, reason: "test".to_owned() });
+    }
+
+    /// Starts an agent and waits until it has attached.
+    pub(crate) async fn start(&self) -> Running {
+        self.start_with(settings(EndpointKind::Engine)).await
+    }
+
+    pub(crate) async fn start_with(&self, settings: Settings) -> Running {
+        let before = self.member().map(|member| member.1);
+        let (phase, shutdown) = Shutdown::manual();
+        let recorder = Recorder::new(settings.identity.instance.clone());
+        let agent = build(settings, &self.edges, recorder, shutdown);
+        let (leading, list) = (agent.clone(), self.edges.list.clone());
+        let task = tokio::spawn(async move {
+            lead(leading, list.as_ref()).await.expect("an agent that can attach");
+        });
+        let running = Running { agent, phase, task };
+        until(|| running.agent.incarnation() != Incarnation(0)).await;
+        assert_ne!(before, self.member().map(|member| member.1));
+        running
+    }
+
+    /// The attach of the endpoint's member and its incarnation.
+    pub(crate) fn member(&self) -> Option<(Attach, Incarnation)> {
+        let state = self.state();
+        let member = state.member(&id(ENDPOINT))?;
+        Some((member.attach.clone(), member.incarnation))
+    }
+
+    /// Puts an attach of another agent of the endpoint into the log.
+    pub(crate) fn attach_other(&self) -> Offset {
+        let (attach, incarnation) = self.member().expect("a member");
+        self.put(Body::Attach(Attach { previous: incarnation, ..attach }))
+    }
+}
+
+impl Running {
+    /// The head of a dispatch for `page-text`, with a budget of 30 seconds.
+    pub(crate) fn head(&self, request: &str) -> Dispatch {
+        Dispatch {
+            request: id(request),
+            entry: id("entry-1"),
+            incarnation: self.agent.incarnation(),
+            model: Some(id("page-text")),
+            adapter: None,
+            class: Class::Interactive,
+            group: id("default"),
+            budget: Span::secs(30),
+            repeatable: true,
+            method: "POST".to_owned(),
+            path: "/v1/completions".to_owned(),
+            content: "application/json".to_owned(),
+            tick: Tick(1),
+        }
+    }
+
+    /// Dispatches and reads the answer to its end.
+    pub(crate) fn dispatch(&self, head: &Dispatch) -> JoinHandle<Answer> {
+        let body = Bytes::from_static(br#"{"model":"page-text","prompt":"a kite","seed":1.50}"#);
+        let mut request =
+            Request::post(wire::DISPATCH_PATH).body(web::full(body)).expect("a request");
+        head.write(request.headers_mut());
+        self.exchange(request)
+    }
+
+    pub(crate) fn resume(&self, request: &str, from: u64, cancel: bool) -> JoinHandle<Answer> {
+        let head = Resume {
+            request: id(request),
+            incarnation: self.agent.incarnation(),
+            from,
+            cancel,
+            tick: Tick(1),
+        };
+        self.resume_with(&head)
+    }
+
+    pub(crate) fn resume_with(&self, head: &Resume) -> JoinHandle<Answer> {
+        let mut request = Request::post(wire::RESUME_PATH).body(web::empty()).expect("a request");
+        head.write(request.headers_mut());
+        self.exchange(request)
+    }
+
+    fn exchange(&self, request: Request<web::Body>) -> JoinHandle<Answer> {
+        let agent = self.agent.clone();
+        tokio::spawn(async move {
+            let peer = "127.0.0.1:1".parse().expect("an address");
+            read(dispatch::handle(agent, request, peer).await).await
+        })
+    }
+
+    /// The phase of an artifact, as the status shows it.
+    pub(crate) fn phase_of(&self, artifact: &str) -> Option<crate::replica::Phase> {
+        self.agent.desk().replicas.get(artifact).map(|replica| replica.phase)
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.agent.desk().running()
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.agent.desk().waiting()
+    }
+}
+
+async fn read(response: http::Response<web::Body>) -> Answer {
+    let report = Report::read(response.headers()).ok();
+    let (parts, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let mut end = None;
+    while let Some(Ok(frame)) = body.frame().await {
+        match frame.into_data() {
+            Ok(data) => bytes.extend(data),
+            Err(frame) => {
+                let trailers = frame.into_trailers().expect("data or trailers");
+                end = wire::end_from(&trailers).ok();
+            }
+        }
+    }
+    match parts.status {
+        StatusCode::CONFLICT => {
+            let refusal = serde_json::from_slice(&bytes).expect("a refusal");
+            Answer::NotRun { refusal, report }
+        }
+        StatusCode::GONE => Answer::Unknown(serde_json::from_slice(&bytes).expect("a cause")),
+        StatusCode::OK => {
+            let text = String::from_utf8(bytes).expect("text");
+            Answer::Served { text, end, report: report.expect("a report") }
+        }
+        status => Answer::Other(status),
+    }
+}
+
+/// Waits until something holds, for a minute of the test's clock.
+pub(crate) async fn until(holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(60), waiting).await.expect("it holds within a minute");
+}
+
+pub(crate) async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+pub(crate) fn add(path: &str, kind: NodeKind) -> Change {
+    Change::Add { path: id(path), kind }
+}
+
+pub(crate) fn set(path: &str, setting: &str, value: Value) -> Change {
+    Change::Set { path: id(path), setting: id(setting), value }
+}
+
+fn model(name: &str) -> Vec<Change> {
+    let path = format!("/{name}");
+    vec![
+        add(&path, NodeKind::Model),
+        add(&format!("{path}/v1"), NodeKind::Version),
+        add(&format!("{path}/v2"), NodeKind::Version),
+        set(&path, "service", json!("likhari")),
+        set(&path, "version", json!("v1")),
+        set(&path, "weights", json!("8GiB")),
+        set(&path, "kv-room", json!("2GiB")),
+        set(&path, "keep-warm", json!("20s")),
+        set(&path, "batch", json!(2)),
+        set(&path, "queue", json!(8)),
+        set(&path, "group-share", json!(1.0)),
+    ]
+}
