An agent's status shows the revision in force

hyssopctl and the load tool count the instances in force by it; without it publish said 0 of 8 and try stopped.

--- a/components/agent/src/status.rs
+++ b/components/agent/src/status.rs
@@ -5,7 +5,8 @@
 
 use process::Status;
 use serde::Serialize;
-use units::{AdapterName, Incarnation, ModelName, Offset, Size};
+use state::State;
+use units::{AdapterName, Incarnation, ModelName, Offset, Revision, Size};
 
 use crate::agent::Agent;
 use crate::replica::{Phase, Replica};
@@ -15,6 +16,7 @@
     endpoint: String,
     incarnation: Incarnation,
     applied: Offset,
+    revision: Revision,
     log: bool,
     orders: Option<String>,
     memory: MemoryStatus,
@@ -62,6 +64,7 @@
     };
     AgentStatus {
         endpoint: agent.settings.endpoint.to_string(),
+        revision: agent.journal.read(State::revision),
         incarnation: agent.incarnation(),
         applied: agent.journal.read(state::State::offset),
         log: agent.journal.log_up(),
