--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -54,23 +54,30 @@
     let sent = session.publish(changes, base).await;
     match &sent {
         Ok(accepted) => writeln!(out, "accepted as revision {accepted}")?,
-        Err(CmdError::Rejected(error)) => winner(session, error, out)?,
+        Err(CmdError::Rejected(error)) => winner(session, error, out).await?,
         Err(_) => {}
     }
     sent
 }
 
-/// Shows the value that won, if a race over a setting was lost.
-fn winner(session: &Session, error: &ApplyError, out: &mut dyn Write) -> Result<(), CmdError> {
+/// Shows who won a race, and with what value.
+async fn winner(
+    session: &Session,
+    error: &ApplyError,
+    out: &mut dyn Write,
+) -> Result<(), CmdError> {
     let ApplyError::Conflict { path, what, winner, .. } = error else { return Ok(()) };
+    let author = session.author(*winner).await;
+    let author = author.map_or_else(String::new, |author| format!(" by {author}"));
     let (tree, _) = session.tree();
     let node = tree.nodes().get(path);
     let value = node.and_then(|node| node.settings.get(what.as_str()));
-    match (node, value) {
-        (_, Some(value)) => writeln!(out, "revision {winner} set {path} {what} = {}", value.value)?,
-        (Some(_), None) => writeln!(out, "revision {winner} changed {path} {what}")?,
-        (None, None) => writeln!(out, "revision {winner} removed {path}")?,
-    }
+    let change = match (node, value) {
+        (_, Some(value)) => format!("set {path} {what} = {}", value.value),
+        (Some(_), None) => format!("changed {path} {what}"),
+        (None, None) => format!("removed {path}"),
+    };
+    writeln!(out, "revision {winner}{author} {change}")?;
     Ok(())
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -38,7 +38,7 @@
     File { file: PathBuf, cause: std::io::Error },
     #[error("{0}")]
     Tree(#[from] FileError),
-    #[error("{}: it is at revision {}, but {} is at {}; pull again", file.display(), show(*revision), base.display(), show(*other))]
+    #[error("{}: it is at revision {}, but {} is at {}; keep a copy and run `hyssopctl pull --force`", file.display(), show(*revision), base.display(), show(*other))]
     Mixed { file: PathBuf, revision: Option<Revision>, base: PathBuf, other: Option<Revision> },
     #[error(
         "{}: it was never pulled, so it is not known what you changed; `hyssopctl pull` into another file and edit that, or `publish --replace` to put this file in place of all there is",
--- a/src/session.rs
+++ b/src/session.rs
@@ -4,23 +4,28 @@
 use std::time::Duration;
 
 use journal::{Journal, Options};
-use platform::LogService;
-use record::Body;
+use platform::{LogService, Stream};
+use record::{Body, Record};
 use state::{Applied, Verdict, Void};
 use timeline::Recorder;
+use tokio::time::timeout;
 use tree::{Change, Edit, Tree};
-use units::{EditId, InstanceId, Revision};
+use units::{EditId, InstanceId, Offset, Revision};
 
 use crate::cli::Link;
 use crate::error::CmdError;
 use crate::fleet::Fleet;
 
+/// The longest wait for one record of the log.
+const READ_LIMIT: Duration = Duration::from_secs(2);
+
 /// A command's view of the system.
 pub(crate) struct Session {
     pub(crate) journal: Journal,
     pub(crate) fleet: Fleet,
     pub(crate) wait: Duration,
     author: String,
+    service: Arc<dyn LogService>,
 }
 
 impl Session {
@@ -40,12 +45,12 @@
         let instance: InstanceId = unique("hyssopctl", &link.author)?;
         let options = Options { seeds: link.seeds.clone(), ..options };
         let recorder = Recorder::new(instance.clone());
-        let journal = journal::start(service, instance, recorder, options);
+        let journal = journal::start(service.clone(), instance, recorder, options);
         let (wait, author) = (link.wait.0, link.author.clone());
-        if tokio::time::timeout(wait, journal.ready()).await.is_err() {
+        if timeout(wait, journal.ready()).await.is_err() {
             return Err(CmdError::NotReady { limit: wait });
         }
-        Ok(Self { journal, fleet: Fleet::new(link.entries.clone()), wait, author })
+        Ok(Self { journal, fleet: Fleet::new(link.entries.clone()), wait, author, service })
     }
 
     /// The tree in force and its revision.
@@ -53,6 +58,18 @@
         self.journal.read(|state| (state.tree().clone(), state.revision()))
     }
 
+    /// Who published a revision, if the log still has it.
+    pub(crate) async fn author(&self, revision: Revision) -> Option<String> {
+        let read = self.service.read(Stream::Control, Offset(revision.0), Duration::ZERO);
+        let page = timeout(READ_LIMIT, read).await.ok()?.ok()?;
+        let entry = page.entries.first().filter(|entry| entry.offset.0 == revision.0)?;
+        let record: Record = serde_json::from_slice(&entry.data).ok()?;
+        match record.body {
+            Body::Edit(edit) => Some(edit.author),
+            _ => None,
+        }
+    }
+
     /// Publishes changes that are based on a revision; returns the revision of the accepted edit.
     pub(crate) async fn publish(
         &self,
