Operators who race while the log fails are told the truth

Six operators publish at the same time while answers are lost, appends surface late, are refused or the log is down; each accepted revision is in force, and what else is in force was told as unknown.

--- a/components/tree/examples/cost.rs
+++ b/components/tree/examples/cost.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use tree::{Change, Edit, NodeKind, Tree};
+use tree::{Change, Edit, NodeKind, Tree, Window};
 use units::{NodePath, Revision, SettingName};
 
 const BRANCHES: usize = 20;
@@ -97,4 +97,21 @@
         black_box(tree.resolve(black_box("model-1l")).expect_err("no leaf"));
     }
     println!("resolve of a wrong name, with the nearest: {:?} each", per(began.elapsed(), 1_000));
+    let window = Window {
+        opens: "monthly last 08:00".to_owned(),
+        lasts: "10h".parse().expect("a span"),
+        zone: "Africa/Windhoek".to_owned(),
+        replicas: 1,
+    };
+    let now = "2026-12-02T18:00:00Z".parse().expect("a timestamp");
+    let began = Instant::now();
+    for _ in 0..10_000 {
+        black_box(window.next_opening(black_box(now)));
+    }
+    println!("next opening of a window: {:?} each", per(began.elapsed(), 10_000));
+    let began = Instant::now();
+    for _ in 0..10_000 {
+        black_box(window.open_at(black_box(now)));
+    }
+    println!("whether a window is open: {:?} each", per(began.elapsed(), 10_000));
 }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1,5 +1,6 @@
 //! Golden sessions of operators at a site in memory.
 
+mod races;
 mod site;
 
 use std::time::Duration;
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -248,8 +248,17 @@
 }
 
 impl Operator<'_> {
+    pub(super) fn site(&self) -> &Site {
+        self.site
+    }
+
     /// Runs one command as a process of its own would, with its files in the site's folder.
     pub(super) async fn run(&self, line: &str) -> Exit {
+        self.run_and_read(line).await.0
+    }
+
+    /// Runs one command and returns what it printed, too.
+    pub(super) async fn run_and_read(&self, line: &str) -> (Exit, String) {
         let in_folder = |word: &str| match word.ends_with(".jsonc") {
             true => self.site.dir.path().join(word).into_os_string(),
             false => word.into(),
@@ -269,7 +278,7 @@
             error.exit()
         });
         self.site.add(&format!("{text}[exit {}]\n", exit as u8));
-        exit
+        (exit, text)
     }
 
     async fn connect(&self, link: &Link) -> Result<Session, CmdError> {
