Bench of what each role takes at several sizes

hyssop-load scale starts up to 160 agents with their stand-ins in its own process, and smaller deployments whose log holds up to 2600 members, and measures processor time, memory and control bytes by role, and appends by cause. Bytes between peers are counted where they are sent, so that answers count too.

--- a/components/load/src/children.rs
+++ b/components/load/src/children.rs
@@ -142,10 +142,15 @@
         Err(ChildError::Unhealthy { name, limit, log })
     }
 
+    /// The system's id of it, until it has ended.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal to it, if it has not ended.
     pub(crate) fn signal(&self, signal: Signal) -> Result<(), ChildError> {
         let failed = |cause: String| ChildError::Signal { name: self.launch.name.clone(), cause };
-        let pid = self.child.id().ok_or_else(|| failed("it has ended".to_owned()))?;
+        let pid = self.id().ok_or_else(|| failed("it has ended".to_owned()))?;
         let pid = i32::try_from(pid).map_err(|error| failed(error.to_string()))?;
         kill(Pid::from_raw(pid), signal).map_err(|error| failed(error.to_string()))
     }
--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -9,6 +9,7 @@
 
 use crate::bench::{self, BenchError};
 use crate::run::{self, RunError};
+use crate::scale::{self, ScaleError};
 use crate::site::{Sample, UnknownSample};
 use crate::trial::{self, Trial, TrialError};
 
@@ -18,6 +19,7 @@
 Usage: hyssop-load try [--deployment press|trust] [--bin DIR] [--out DIR]
        hyssop-load run EXPERIMENT.jsonc [--bin DIR] [--out DIR]
        hyssop-load bench [--bin DIR] [--out DIR]
+       hyssop-load scale [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
   --deployment  the sample to start; press unless given
@@ -37,6 +39,7 @@
     Try(Trial),
     Run(run::Job),
     Bench(bench::Job),
+    Scale(scale::Job),
 }
 
 /// What is wrong with the command line.
@@ -46,9 +49,9 @@
     Argument(#[from] lexopt::Error),
     #[error(transparent)]
     Sample(#[from] UnknownSample),
-    #[error("no command; use `try`, `run` or `bench`, or `--help`")]
+    #[error("no command; use `try`, `run`, `bench` or `scale`, or `--help`")]
     NoCommand,
-    #[error("no command `{0}`; use `try`, `run` or `bench`, or `--help`")]
+    #[error("no command `{0}`; use `try`, `run`, `bench` or `scale`, or `--help`")]
     Unknown(String),
     #[error(
         "no experiment; name one, as in `hyssop-load run examples/experiments/log-outage.jsonc`"
@@ -65,6 +68,8 @@
     Run(#[from] RunError),
     #[error(transparent)]
     Bench(#[from] BenchError),
+    #[error(transparent)]
+    Scale(#[from] ScaleError),
     #[error("the runtime can't be started: {0}")]
     Runtime(#[from] std::io::Error),
 }
@@ -103,7 +108,10 @@
     match command.as_str() {
         "try" => parse_try(parser),
         "run" => parse_run(parser),
-        "bench" => parse_bench(parser),
+        "bench" => Ok(parse_folders(parser)?
+            .map_or(Task::Help, |Folders { bin, out }| Task::Bench(bench::Job { bin, out }))),
+        "scale" => Ok(parse_folders(parser)?
+            .map_or(Task::Help, |Folders { bin, out }| Task::Scale(scale::Job { bin, out }))),
         _ => Err(UsageError::Unknown(command)),
     }
 }
@@ -138,17 +146,24 @@
     Ok(Task::Run(run::Job { file, bin, out }))
 }
 
-fn parse_bench(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
-    let mut job = bench::Job { bin: trial::own_folder(), out: PathBuf::from("results") };
+/// Where the programs are and results go.
+struct Folders {
+    bin: PathBuf,
+    out: PathBuf,
+}
+
+/// Reads the options of a task that has no others; nothing if help is asked for.
+fn parse_folders(mut parser: lexopt::Parser) -> Result<Option<Folders>, UsageError> {
+    let mut folders = Folders { bin: trial::own_folder(), out: PathBuf::from("results") };
     while let Some(arg) = parser.next()? {
         match arg {
-            Arg::Long("bin") => job.bin = parser.value()?.into(),
-            Arg::Long("out") => job.out = parser.value()?.into(),
-            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            Arg::Long("bin") => folders.bin = parser.value()?.into(),
+            Arg::Long("out") => folders.out = parser.value()?.into(),
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
             other => return Err(other.unexpected().into()),
         }
     }
-    Ok(Task::Bench(job))
+    Ok(Some(folders))
 }
 
 fn carry_out(task: Task) -> Result<bool, TaskError> {
@@ -159,6 +174,7 @@
         Task::Try(trial) => return Ok(runtime.block_on(trial::run(trial))?),
         Task::Run(job) => return Ok(runtime.block_on(run::run(job))?),
         Task::Bench(job) => runtime.block_on(bench::run(job))?,
+        Task::Scale(job) => runtime.block_on(scale::run(job))?,
     }
     Ok(true)
 }
--- a/components/load/src/fleet.rs
+++ b/components/load/src/fleet.rs
@@ -37,6 +37,20 @@
         Ok(fleet)
     }
 
+    /// Starts entries and agents only; the caller has the stand-ins in its own process.
+    pub(crate) async fn start_system(site: Site, clock: Clock) -> Result<Self, ChildError> {
+        let client = Client::default();
+        let mut fleet = Self { site, processes: BTreeMap::new(), client, clock };
+        fleet.launch(fleet.system()).await?;
+        Ok(fleet)
+    }
+
+    /// The running processes with their system ids.
+    pub(crate) fn running(&self) -> impl Iterator<Item = (&Launch, u32)> {
+        let running = self.processes.values();
+        running.filter_map(|process| Some((&process.launch, process.id()?)))
+    }
+
     /// How many processes run.
     pub(crate) fn len(&self) -> usize {
         self.processes.len()
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -21,6 +21,7 @@
 mod publish;
 mod report;
 mod run;
+mod scale;
 mod site;
 mod table;
 mod trace;
--- a/components/load/src/site.rs
+++ b/components/load/src/site.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
+use platform::{Instance, InstanceState};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use thiserror::Error;
@@ -66,6 +67,8 @@
     pub(crate) standin: Launch,
     /// The agent.
     pub(crate) agent: Launch,
+    /// Where the agent takes control messages.
+    pub(crate) control: SocketAddr,
 }
 
 /// A sample deployment, written down and ready to start.
@@ -89,6 +92,8 @@
     pub(crate) entries: Vec<Launch>,
     /// Where callers reach them, in the same order.
     pub(crate) doors: Vec<Door>,
+    /// What the list says at the start.
+    pub(crate) instances: Vec<Instance>,
 }
 
 impl FromStr for Sample {
@@ -246,6 +251,7 @@
             services,
             entries,
             doors,
+            instances,
         })
     }
 
@@ -276,7 +282,7 @@
             if engine { self.engine(shared) } else { json!({ "service": { "delay": "20ms" } }) };
         let domain = self.sample.domain(index);
         let standin = self.standin(&format!("standin-{name}"), domain, endpoint, role)?;
-        let admin = self.port()?;
+        let (admin, control) = (self.port()?, self.port()?);
         let settings = json!({
             "identity": identity(&name, domain, admin),
             "endpoint": name,
@@ -286,13 +292,13 @@
             "fenced": engine,
             "memory": if engine { ENGINE_MEMORY } else { Size(0) },
             "dispatch": self.port()?,
-            "control": self.port()?,
+            "control": control,
             "seeds": shared.seeds,
             "log": shared.log,
             "list": shared.list,
         });
         let agent = self.launch("hyssop-agent", &name, admin, &settings)?;
-        Ok(Place { name, endpoint, standin, agent })
+        Ok(Place { name, endpoint, standin, agent, control })
     }
 
     fn engine(&self, shared: &Shared) -> Value {
@@ -361,7 +367,7 @@
         })
     }
 
-    fn instances(&self, engines: &[Place], services: &[Place], doors: &[Door]) -> Vec<Value> {
+    fn instances(&self, engines: &[Place], services: &[Place], doors: &[Door]) -> Vec<Instance> {
         let endpoints = [(self.sample.engines(), engines), (self.sample.service(), services)];
         let endpoints = endpoints.into_iter().flat_map(|(service, places)| {
             places.iter().enumerate().map(move |(index, place)| (service, index, &place.name))
@@ -370,9 +376,15 @@
             doors.iter().enumerate().map(|(index, door)| ("hyssop-entry", index, &door.name));
         endpoints
             .chain(entries)
-            .map(|(service, index, name)| {
-                let domain = self.sample.domain(index);
-                json!({ "id": name, "service": service, "domain": domain, "state": "live" })
+            .map(|(service, index, name)| Instance {
+                id: name.parse().expect("names of the samples are ids"),
+                service: service.parse().expect("names of the samples are service names"),
+                domain: self
+                    .sample
+                    .domain(index)
+                    .parse()
+                    .expect("domains of the samples are right"),
+                state: InstanceState::Live,
             })
             .collect()
     }
--- a/components/peer/src/operation.rs
+++ b/components/peer/src/operation.rs
@@ -7,6 +7,9 @@
 /// The largest message that is taken from a peer; a snapshot of the state is the largest that is sent.
 pub(crate) const MESSAGE_LIMIT: usize = 64 << 20;
 
+/// What nng puts before each message: its length and the number of the question.
+const FRAME: usize = 12;
+
 /// A context of a socket with its own nng callback.
 pub(crate) struct Operation {
     results: UnboundedReceiver<(Aio, AioResult)>,
@@ -26,6 +29,7 @@
     }
 
     pub(crate) async fn send(&mut self, message: &[u8]) -> nng::Result<()> {
+        count("out", message.len());
         self.context.send(&self.aio, Message::from(message)).map_err(|(_, error)| error)?;
         self.finish().await.map(drop)
     }
@@ -33,7 +37,9 @@
     pub(crate) async fn receive(&mut self) -> nng::Result<Bytes> {
         self.context.recv(&self.aio)?;
         let message = self.finish().await?;
-        Ok(message.map(|message| Bytes::copy_from_slice(&message)).unwrap_or_default())
+        let message = message.map(|message| Bytes::copy_from_slice(&message)).unwrap_or_default();
+        count("in", message.len());
+        Ok(message)
     }
 
     async fn finish(&mut self) -> nng::Result<Option<Message>> {
@@ -51,3 +57,8 @@
         self.aio.wait();
     }
 }
+
+fn count(direction: &'static str, bytes: usize) {
+    metrics::counter!("hyssop_control_bytes_total", "direction" => direction)
+        .increment((bytes + FRAME) as u64);
+}
