--- a/src/tests.rs
+++ b/src/tests.rs
@@ -66,6 +66,18 @@
     assert_snapshot!(site.transcript());
 }
 
+#[tokio::test]
+async fn can_bring_an_edit_to_all_when_the_log_goes_down_right_after_it() {
+    let site = Site::with_processes().await;
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.note("no process can read the log, and it goes down for all once the edit is accepted");
+    site.cut_off_processes();
+    asma.run("set /hall queue=9").await;
+    assert_snapshot!(site.transcript());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_publish_again_before_the_first_try_surfaces() {
     let site = Site::default();
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -1,12 +1,16 @@
 //! A site in memory: the log, processes that follow it, and operators with their files.
 
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_trait::async_trait;
+use bytes::Bytes;
 use fake::{Log, Net};
 use http::StatusCode;
 use journal::{Journal, Options};
+use platform::{LogError, LogService, Page, Stream};
 use record::{Attach, Body, Decision};
 use serde_json::json;
 use state::State;
@@ -14,7 +18,7 @@
 use timeline::{Kind, Recorder, Tick};
 use tokio::sync::watch;
 use tokio::time::sleep;
-use units::{Epoch, Incarnation, ReplicaIndex, Revision, Size};
+use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size};
 
 use crate::cli::{Link, parse_args};
 use crate::error::{CmdError, Exit};
@@ -37,6 +41,7 @@
 
 const LIMIT: Duration = Duration::from_secs(5);
 const FIRST_PORT: u16 = 20_000;
+const HEARTBEAT: Duration = Duration::from_millis(20);
 
 type Stuck = Arc<Mutex<Option<Revision>>>;
 
@@ -53,11 +58,56 @@
 pub(super) struct Site {
     pub(super) log: Log,
     net: Net,
+    /// Whether the processes are cut off from the log, which then goes down with the next accepted edit.
+    cut: watch::Sender<bool>,
     dir: TempDir,
     processes: Vec<Process>,
     transcript: Mutex<String>,
 }
 
+/// The log as the processes see it, which can be cut off from it while operators are not.
+struct Reader {
+    log: Log,
+    cut: watch::Receiver<bool>,
+}
+
+#[async_trait]
+impl LogService for Reader {
+    async fn append(&self, stream: Stream, records: Vec<Bytes>) -> Result<Offset, LogError> {
+        self.log.append(stream, records).await
+    }
+
+    async fn read(&self, stream: Stream, from: Offset, wait: Duration) -> Result<Page, LogError> {
+        let mut cut = self.cut.clone();
+        tokio::select! {
+            biased;
+            _ = cut.wait_for(|cut| *cut) => Err(LogError::Unreadable("cut off".to_owned())),
+            page = self.log.read(stream, from, wait) => page,
+        }
+    }
+}
+
+/// What a command prints; the log goes down once it prints that an edit was accepted, if that is wanted.
+struct Output<'a> {
+    site: &'a Site,
+    text: Vec<u8>,
+}
+
+impl Write for Output<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.text.extend_from_slice(bytes);
+        let accepted = String::from_utf8_lossy(&self.text).contains("accepted as");
+        if accepted && *self.site.cut.borrow() {
+            self.site.log.set(|faults| faults.outage = true);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 pub(super) struct Operator<'a> {
     site: &'a Site,
     name: &'static str,
@@ -67,7 +117,8 @@
     fn default() -> Self {
         let dir = tempfile::tempdir().expect("a folder for the operators' files");
         let (log, net) = (Log::default(), Net::default());
-        Self { log, net, dir, processes: Vec::new(), transcript: Mutex::default() }
+        let cut = watch::Sender::new(false);
+        Self { log, net, cut, dir, processes: Vec::new(), transcript: Mutex::default() }
     }
 }
 
@@ -94,13 +145,24 @@
     async fn start(&self, name: &str) -> Process {
         let instance: units::InstanceId = name.parse().expect("a right id");
         let recorder = Recorder::new(instance.clone());
+        let control = control(self.processes.len());
         let options = Options {
-            network: Arc::new(self.net.port(control(self.processes.len()))),
+            network: Arc::new(self.net.port(control)),
+            heartbeat: HEARTBEAT,
             ..Options::default()
         };
-        let journal =
-            journal::start(Arc::new(self.log.clone()), instance, recorder.clone(), options);
+        let log = Reader { log: self.log.clone(), cut: self.cut.subscribe() };
+        let journal = journal::start(Arc::new(log), instance, recorder.clone(), options);
         journal.ready().await;
+        let peer = journal.clone();
+        self.net.serve(control, move |message| {
+            let peer = peer.clone();
+            async move {
+                let message = serde_json::from_slice(&message).expect("a control message");
+                let reply = peer.answer(message).await;
+                serde_json::to_vec(&reply).expect("a reply").into()
+            }
+        });
         let listener = web::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a free port");
         let admin = listener.local_addr().expect("a bound socket");
         let (keep, stop) = watch::channel(false);
@@ -194,6 +256,11 @@
         *process.stuck.lock().expect("no panic") = Some(revision);
     }
 
+    /// Cuts the processes off from the log, which goes down for all with the next accepted edit.
+    pub(super) fn cut_off_processes(&self) {
+        self.cut.send_replace(true);
+    }
+
     /// Has the log refuse appends for a while.
     pub(super) fn refuse_for(&self, time: Duration) {
         self.log.set(|faults| faults.refuse = true);
@@ -268,11 +335,11 @@
         let mut cli = parse_args(words).expect("a right command line");
         cli.link.entries =
             self.site.processes.iter().map(|process| process.admin).take(1).collect();
-        let mut out = Vec::new();
+        let mut out = Output { site: self.site, text: Vec::new() };
         let ended =
             crate::run(&cli.command, async || self.connect(&cli.link).await, &mut out).await;
         let mut text = format!("{}$ hyssopctl {line}\n", self.name);
-        text.push_str(&String::from_utf8_lossy(&out));
+        text.push_str(&String::from_utf8_lossy(&out.text));
         let exit = ended.unwrap_or_else(|error| {
             text.push_str(&format!("error: {error}\n"));
             error.exit()
@@ -283,7 +350,7 @@
 
     async fn connect(&self, link: &Link) -> Result<Session, CmdError> {
         let network = Arc::new(self.site.net.port(control(99)));
-        let options = Options { network, ..Options::default() };
+        let options = Options { network, heartbeat: HEARTBEAT, ..Options::default() };
         Session::start(Arc::new(self.site.log.clone()), link, options).await
     }
 }
