--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -9,6 +9,7 @@
 use state::{Applied, State, Verdict};
 use timeline::{Kind, Recorder};
 use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
 use units::{InstanceId, Offset};
 
 use crate::Options;
@@ -57,6 +58,7 @@
     waiters: HashMap<String, oneshot::Sender<Applied>>,
     text: Option<(Offset, Arc<str>)>,
     bounds: Option<Bounds>,
+    fresh: Option<Instant>,
     snapshots: Tracker,
 }
 
@@ -84,6 +86,7 @@
             waiters: HashMap::new(),
             text: None,
             bounds: None,
+            fresh: None,
             snapshots: Tracker::default(),
         };
         Self {
@@ -211,6 +214,15 @@
         self.side().bounds = Some(bounds);
     }
 
+    /// Notes that the fold was as new as the log at a time.
+    pub(crate) fn set_fresh(&self, at: Instant) {
+        self.side().fresh = Some(at);
+    }
+
+    pub(crate) fn fresh(&self) -> Option<Instant> {
+        self.side().fresh
+    }
+
     /// Whether the log needs a new snapshot, as far as this process knows.
     pub(crate) fn snapshot_due(&self) -> bool {
         let folded = self.offset();
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -13,7 +13,7 @@
 use timeline::Recorder;
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use units::{InstanceId, Offset};
 use wire::{Control, Reply};
 
@@ -158,6 +158,14 @@
         self.health() == Health::Up
     }
 
+    /// The newest time at which the state is known to have been as new as the log; `None` before the first.
+    ///
+    /// It is the start of a read that found nothing newer, so it is at least as old as that read took:
+    /// a process that was paused, or whose connection to the log is silent, sees it grow old.
+    pub fn fresh(&self) -> Option<Instant> {
+        self.shared.fresh()
+    }
+
     /// What is known of the log.
     pub fn health(&self) -> Health {
         *self.shared.health.borrow()
--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -116,6 +116,7 @@
     verify: bool,
 ) -> Result<(), Stop> {
     let folded = shared.offset();
+    let begun = Instant::now();
     let check = verify && shared.is_kept(folded);
     let wait = if verify { Duration::ZERO } else { shared.options.poll };
     let mut page = read(shared, service, if check { folded } else { folded.next() }, wait).await;
@@ -125,7 +126,13 @@
     }
     match page {
         Ok(page) if page.last < folded => Err(Stop::Behind),
-        Ok(page) => fold(shared, &page, folded),
+        Ok(page) => {
+            fold(shared, &page, folded)?;
+            if shared.offset() >= page.last {
+                shared.set_fresh(begun);
+            }
+            Ok(())
+        }
         Err(LogError::Expired { first }) => bridge(shared, service, peers, first).await,
         Err(_) => Err(Stop::Down),
     }
--- a/components/journal/tests/outage.rs
+++ b/components/journal/tests/outage.rs
@@ -7,6 +7,7 @@
 use common::{Node, Site, attach, claim, pass};
 use journal::{AppendError, Health};
 use platform::Stream;
+use tokio::time::Instant;
 use units::{Epoch, Offset};
 
 /// A site whose processes have all folded the same few records.
@@ -182,3 +183,21 @@
     pass(60).await;
     assert!(site.log.counters().reads - reads < 120, "it does not read in a tight loop");
 }
+
+#[tokio::test(start_paused = true)]
+async fn can_tell_how_fresh_the_state_is() {
+    let site = Site::default();
+    let node = site.node(1, &[]);
+    node.ready().await;
+    pass(30).await;
+    let poll = journal::Options::default().poll;
+    assert!(node.journal.fresh().is_some_and(|at| at.elapsed() <= poll * 2));
+    site.log.set(|faults| faults.outage = true);
+    let down = Instant::now();
+    pass(60).await;
+    assert!(node.journal.fresh().is_some_and(|at| at <= down), "nothing was read since");
+    site.log.set(|faults| faults.outage = false);
+    let up = Instant::now();
+    pass(60).await;
+    assert!(node.journal.fresh().is_some_and(|at| at >= up));
+}
