--- a/components/state/src/rules.rs
+++ b/components/state/src/rules.rs
@@ -46,6 +46,9 @@
     }
 
     fn judge(&mut self, offset: Offset, record: &Record) -> Applied {
+        if record.seen >= offset {
+            return Applied::void(offset, Void::Ahead { seen: record.seen });
+        }
         if expired(record.seen, offset) {
             return Applied::void(offset, Void::Stale { seen: record.seen });
         }
--- a/components/state/src/verdict.rs
+++ b/components/state/src/verdict.rs
@@ -51,6 +51,12 @@
         /// What its writer had applied.
         seen: Offset,
     },
+    /// The record lands before what its writer claims to have applied.
+    #[error("the writer had applied offset {seen} of another log")]
+    Ahead {
+        /// What its writer had applied.
+        seen: Offset,
+    },
     /// The text is no record.
     #[error("the text is no record: {0}")]
     Malformed(String),
--- a/components/state/tests/common/naive.rs
+++ b/components/state/tests/common/naive.rs
@@ -57,6 +57,9 @@
         if known.into_iter().any(|past| past.record.id == record.id) {
             return vec![Some("repeat")];
         }
+        if record.seen.0 >= offset {
+            return vec![Some("ahead")];
+        }
         if offset - record.seen.0 > WINDOW {
             return vec![Some("stale")];
         }
@@ -354,7 +357,8 @@
     /// Judges the kinds of edit that the tests write: whole models, their end, and single settings.
     fn edit(&self, offset: u64, edit: &Edit) -> Option<&'static str> {
         let same = self.past.iter().filter(|p| offset - p.offset <= WINDOW).any(|past| {
-            let judged = !matches!(past.findings[..], [Some("repeat" | "again" | "stale")]);
+            let judged =
+                !matches!(past.findings[..], [Some("repeat" | "again" | "stale" | "ahead")]);
             judged && matches!(&past.record.body, Body::Edit(old) if old.id == edit.id)
         });
         if same {
--- a/components/state/tests/common/steps.rs
+++ b/components/state/tests/common/steps.rs
@@ -54,6 +54,10 @@
     Again {
         record: Index,
     },
+    /// A claim by a writer that follows another, longer log.
+    Astray {
+        ahead: u64,
+    },
 }
 
 /// What a planner decides.
@@ -101,6 +105,7 @@
         3 => model.clone().prop_map(|model| Intent::Add { model }),
         1 => model.prop_map(|model| Intent::Remove { model }),
         1 => any::<Index>().prop_map(|record| Intent::Again { record }),
+        1 => (0..9_u64).prop_map(|ahead| Intent::Astray { ahead }),
     ]
 }
 
@@ -185,7 +190,12 @@
             _ => body(view, &name, intent),
         };
         let from = id(&format!("writer-{writer}"));
-        self.written.push(Record::new(name, from, 0, view.offset(), body));
+        let ahead = match intent {
+            Intent::Astray { ahead } => *ahead,
+            _ => 0,
+        };
+        let seen = Offset(view.offset().0 + ahead);
+        self.written.push(Record::new(name, from, 0, seen, body));
     }
 }
 
@@ -197,7 +207,7 @@
     };
     let base = view.offset().0;
     match intent {
-        Intent::Claim | Intent::Again { .. } => claim(epoch.0),
+        Intent::Claim | Intent::Again { .. } | Intent::Astray { .. } => claim(epoch.0),
         Intent::Renew => Body::Renew { epoch },
         Intent::Resign => Body::Resign { epoch },
         Intent::Attach { endpoint, instance } => {
--- a/components/state/tests/differential.rs
+++ b/components/state/tests/differential.rs
@@ -44,7 +44,7 @@
     println!("{counts:?}");
     // The sessions must reach both sides of the rules, or their agreement says little.
     assert!(counts.done > 2000, "{counts:?}");
-    assert!(counts.void.len() >= 13, "{counts:?}");
+    assert!(counts.void.len() >= 14, "{counts:?}");
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +99,7 @@
     match void {
         Void::Repeat { .. } => "repeat",
         Void::Stale { .. } => "stale",
+        Void::Ahead { .. } => "ahead",
         Void::Malformed(_) => "malformed",
         Void::Epoch { .. } => "epoch",
         Void::Incarnation { .. } => "incarnation",
--- a/components/state/tests/repeats.rs
+++ b/components/state/tests/repeats.rs
@@ -56,6 +56,16 @@
     assert!(log.put_record(record("fresh", 2, claim(0))).is_done());
 }
 
+#[rstest]
+#[case::its_own_offset(1)]
+#[case::a_later_one(u64::MAX)]
+fn errors_on_a_record_whose_writer_follows_another_log(#[case] seen: u64) {
+    let mut log = Log::default();
+    let astray = log.put_record(record("astray", seen, claim(0)));
+    assert_eq!(void(&astray), &Void::Ahead { seen: Offset(seen) });
+    assert_eq!(log.state.lease().epoch, Epoch(0));
+}
+
 #[test]
 fn can_forget_verdicts_that_are_too_old_to_be_repeated() {
     let mut log = Log::default();
