--- a/components/agent/src/answer.rs
+++ b/components/agent/src/answer.rs
@@ -15,7 +15,7 @@
 
 /// Answers with what the request's endpoint says from byte `from` on, as soon as it says something.
 pub(crate) async fn from_slot(agent: &Agent, slot: Arc<Slot>, from: u64) -> Response<Body> {
-    let progress = slot.next(from).await;
+    let progress = slot.opened(from).await;
     let mut response = match progress {
         Progress::Refused(refusal) => refused(&refusal),
         Progress::Unknown(cause) => unknown(&cause),
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -147,7 +147,7 @@
     fn adapter_of(&self, head: &Dispatch) -> Option<AdapterNeed> {
         let (model, name) = (head.model.as_ref()?, head.adapter.clone()?);
         let leaf = self.journal.read(|state| state.tree().resolve(&format!("{model}:{name}")));
-        let weights = leaf.map(|leaf| leaf.settings.weights).unwrap_or_default();
+        let weights = leaf.map(|leaf| leaf.settings.adapter_weights).unwrap_or_default();
         Some(AdapterNeed { name, weights })
     }
 
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -11,7 +11,7 @@
 use process::{Identity, Phase, Shutdown};
 use record::{Attach, Body, Decision, GrantId, Record};
 use serde_json::{Value, json};
-use state::State;
+use state::{State, Verdict};
 use timeline::{Recorder, Tick};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -123,21 +123,29 @@
             changes.extend(model(name));
         }
         changes.push(add("/page-text/urdu", NodeKind::Adapter));
-        changes.push(set("/page-text/urdu", "weights", json!("3GiB")));
+        changes.push(set("/page-text/urdu", "adapter-weights", json!("3GiB")));
         changes.push(add("/page-text/sindhi", NodeKind::Adapter));
-        changes.push(set("/page-text/sindhi", "weights", json!("3GiB")));
+        changes.push(set("/page-text/sindhi", "adapter-weights", json!("3GiB")));
         world.edit(changes);
         world.put(Body::Claim { previous: Epoch(0) });
         world
     }
 
-    /// Appends a record of the test and gives its offset.
+    /// Appends a record of the test, which must take effect, and gives its offset.
     pub(crate) fn put(&self, body: Body) -> Offset {
+        let mut state = self.state();
+        let (offset, record) = self.append(body);
+        let applied = state.apply(offset, &record);
+        assert_eq!(applied.verdicts, [Verdict::Done], "{record:?}");
+        offset
+    }
+
+    fn append(&self, body: Body) -> (Offset, Record) {
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         let seen = self.log.records(Stream::Control).last;
         let record = Record::new(format!("test-{number}"), id("entry-1"), 0, seen, body);
         let text = serde_json::to_vec(&record).expect("a record");
-        self.log.put(Stream::Control, text)
+        (self.log.put(Stream::Control, text), record)
     }
 
     pub(crate) fn edit(&self, changes: Vec<Change>) -> Offset {
@@ -172,9 +180,7 @@
             endpoint: id(ENDPOINT),
             reason: "test".to_owned(),
         });
-        let grant = GrantId { offset, part: 0 };
-        assert!(self.state().grant(grant).is_some(), "the grant of {model} is void");
-        grant
+        GrantId { offset, part: 0 }
     }
 
     pub(crate) fn revoke(&self, grant: GrantId) {
--- a/components/agent/src/slot.rs
+++ b/components/agent/src/slot.rs
@@ -236,10 +236,20 @@
         self.until(|inner| inner.stage.is_over().then_some(())).await;
     }
 
-    /// Waits for what follows byte `from`.
+    /// Waits for the head of the answer; gives what follows byte `from` by then, which may be nothing.
+    pub(crate) async fn opened(&self, from: u64) -> Progress {
+        self.until(|inner| match inner.stage.after(from) {
+            Progress::Pending => None,
+            found => Some(found),
+        })
+        .await
+    }
+
+    /// Waits for more after byte `from`, or the end.
     pub(crate) async fn next(&self, from: u64) -> Progress {
         self.until(|inner| match inner.stage.after(from) {
             Progress::Pending => None,
+            Progress::Bytes(_, chunks) if chunks.is_empty() => None,
             found => Some(found),
         })
         .await
@@ -335,8 +345,7 @@
             Self::Queued | Self::Running => Progress::Pending,
             Self::Refused(refusal) => Progress::Refused(refusal.clone()),
             Self::Unknown(cause) => Progress::Unknown(cause.clone()),
-            Self::Answering(answer) if answer.length > from || from == 0 => answer.after(from),
-            Self::Answering(_) => Progress::Pending,
+            Self::Answering(answer) => answer.after(from),
             Self::Answered(answer, _) if answer.length > from => answer.after(from),
             Self::Answered(answer, end) => Progress::Ended(answer.head.clone(), end.clone()),
         }
--- a/components/tree/src/schema.rs
+++ b/components/tree/src/schema.rs
@@ -77,8 +77,10 @@
     pub version: String,
     /// The accelerator memory that the weights take.
     pub weights: Size,
-    /// The accelerator memory set aside for the KV cache and the adapters of one replica.
+    /// The accelerator memory set aside for the KV cache of one replica.
     pub kv_room: Size,
+    /// The accelerator memory that one adapter takes beside its replica while it is loaded.
+    pub adapter_weights: Size,
     /// How many requests one replica runs at the same time.
     pub batch: u32,
     /// How many requests may wait at one replica.
@@ -116,6 +118,7 @@
             version: String::new(),
             weights: Size::gib(8),
             kv_room: Size::gib(2),
+            adapter_weights: Size::mib(256),
             batch: 8,
             queue: 64,
             cold_weight: 1.0,
--- a/components/tree/src/table.rs
+++ b/components/tree/src/table.rs
@@ -69,6 +69,7 @@
 const ALL: &[NodeKind] = &[NodeKind::Branch, NodeKind::Model, NodeKind::Adapter, NodeKind::Service];
 const SERVED: &[NodeKind] = &[NodeKind::Branch, NodeKind::Model, NodeKind::Service];
 const LOADED: &[NodeKind] = &[NodeKind::Branch, NodeKind::Model];
+const ADAPTED: &[NodeKind] = &[NodeKind::Branch, NodeKind::Model, NodeKind::Adapter];
 const SIZED: &[NodeKind] = &[NodeKind::Branch, NodeKind::Model, NodeKind::Version];
 const MODEL: &[NodeKind] = &[NodeKind::Model];
 
@@ -87,7 +88,7 @@
 const DAY: Span = Span::secs(24 * 3600);
 const WEEK: Span = Span::secs(7 * 24 * 3600);
 
-static TABLE: [Setting; 20] = [
+static TABLE: [Setting; 21] = [
     of(
         "service",
         Range::Text("service name"),
@@ -141,9 +142,16 @@
         "kv-room",
         Range::Size(Size(0), Size::gib(4096)),
         SIZED,
-        "The accelerator memory set aside for the KV cache and the adapters of one replica.",
+        "The accelerator memory set aside for the KV cache of one replica.",
         field!(kv_room),
     ),
+    of(
+        "adapter-weights",
+        Range::Size(Size::mib(1), Size::gib(4096)),
+        ADAPTED,
+        "The accelerator memory that one adapter takes beside its replica while it is loaded.",
+        field!(adapter_weights),
+    ),
     of(
         "batch",
         Range::Count(1, 4096),
