--- a/components/tree/tests/naive.rs
+++ b/components/tree/tests/naive.rs
@@ -2,15 +2,18 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::path::Path;
 
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use serde_json::{Value, json};
-use tree::{ApplyError, Change, Edit, NodeKind, Tree, diff};
+use tree::{ApplyError, Change, Edit, NodeKind, Tree, diff, rewrite};
 use units::{NodePath, Revision, SettingName};
 
 const CASES: u32 = 400;
+/// After all edits of a case.
+const LATE: u64 = 1_000;
 /// What there is before the edits race.
 const START: [(&str, NodeKind); 8] = [
     ("/a", NodeKind::Branch),
@@ -208,6 +211,30 @@
     }
 }
 
+/// What is kept up to date edit by edit is what is worked out anew from the nodes.
+fn compare_anew(tree: &Tree) {
+    let text = serde_json::to_string(tree).expect("JSON");
+    let anew: Tree = serde_json::from_str(&text).expect("a valid tree");
+    assert_eq!(anew.leaves(), tree.leaves());
+    for path in tree.nodes().keys() {
+        assert_eq!(anew.effective(path), tree.effective(path), "{path}");
+    }
+}
+
+/// The difference between two trees makes the one from the other, as an edit and in a file's text.
+fn compare_diff(before: &Tree, after: &Tree) {
+    let changes = diff(before, after);
+    if changes.is_empty() {
+        return;
+    }
+    let text = rewrite(&before.render(None), &changes).expect("a place for each change");
+    let file = tree::parse(Path::new("tree.jsonc"), &text).expect("a valid file");
+    assert_eq!(diff(&file.tree, after), [], "{text}");
+    let mut made = before.clone();
+    made.apply(&edit(LATE, changes), Revision(LATE + 1)).expect("a valid edit");
+    assert_eq!(diff(&made, after), []);
+}
+
 fn verdict(result: Result<(), ApplyError>) -> Verdict {
     match result {
         Ok(()) => Verdict::Done,
@@ -277,7 +304,11 @@
                 let found = verdict(tree.apply(&edit, Revision(at)));
                 assert_eq!(found, expected, "{edit:?}");
                 match found {
-                    Verdict::Done => counts[0].update(|n| n + 1),
+                    Verdict::Done => {
+                        compare_anew(&tree);
+                        compare_diff(&before, &tree);
+                        counts[0].update(|n| n + 1);
+                    }
                     Verdict::Conflict(..) => counts[1].update(|n| n + 1),
                     Verdict::Invalid => counts[2].update(|n| n + 1),
                 }
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -1,4 +1,4 @@
-//! `hyssopctl --help` and `--version`.
+//! `hyssopctl --help`, `--version` and `reference`.
 
 use std::io::Write;
 
@@ -18,6 +18,7 @@
                            --replace puts a file that was never pulled in place of all there is
   set PATH KEY=VALUE...    publish settings of one node; `KEY=` clears the setting
   explain PATH             show the settings in force at a node or a model, and where they come from
+  reference                write the reference page of all settings
   status                   show the planner, the grants and every process with its revision
   timeline [ADDR...]       show the events of all processes in causal order;
                            --request ID, --model M and --endpoint E choose
@@ -29,7 +30,7 @@
   --seed ADDR              control address of a process to ask while the log is down; may be repeated
   --entry ADDR             admin address of an entry; may be repeated
   --author NAME            who publishes; default $USER
-  --wait SPAN              the longest wait for the log, and for an edit to be in force; default 10s
+  --wait SPAN              the longest wait for the log, and for an edit to be in force; default 30s
   -h, --help               show this
   -V, --version            show the version
 
@@ -39,7 +40,7 @@
   2  the command line or a file is wrong; nothing was published
   3  rejected: another edit won, or the tree would be wrong; nothing was published
   4  not known whether the edit is accepted; publish again to learn it
-  5  accepted, but not seen in force everywhere in time
+  5  accepted, but not seen in force everywhere in time; of status and timeline: a process did not answer
 ";
 
 pub(crate) fn run(out: &mut dyn Write) -> Result<Exit, CmdError> {
@@ -51,3 +52,8 @@
     writeln!(out, "hyssopctl {}", env!("CARGO_PKG_VERSION"))?;
     Ok(Exit::Done)
 }
+
+pub(crate) fn reference(out: &mut dyn Write) -> Result<Exit, CmdError> {
+    write!(out, "{}", tree::reference())?;
+    Ok(Exit::Done)
+}
