--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -106,7 +106,7 @@
     /// Takes over an inventory.
     fn settle(&mut self, seen: &Seen) {
         let agent = &self.agent;
-        self.reconciled |= agent.authority.start().is_some_and(|start| seen.begun > start);
+        self.reconciled |= agent.authority.start().is_some_and(|start| seen.begun >= start);
         let changes = agent.desk().settle(seen, agent.settings.order_limit.0);
         for change in changes {
             self.note(&change);
--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -1,3 +1,4 @@
+mod draining;
 mod engine;
 mod serving;
 mod world;
--- a/components/agent/src/run/tests/serving.rs
+++ b/components/agent/src/run/tests/serving.rs
@@ -1,8 +1,10 @@
 //! The way of a request: queue, load, call, answer, resume, and the unload once it is idle.
 
-use wire::Refusal;
+use timeline::Tick;
+use units::{Incarnation, Span};
+use wire::{Dispatch, End, Refusal, Resume, UnknownCause};
 
-use super::world::{World, pause, until};
+use super::world::{Answer, World, pause, until};
 use crate::replica::Phase;
 
 const WHOLE: &str = "t0 t1 t2 t3 ";
@@ -30,3 +32,111 @@
     let answer = running.dispatch(&running.head("r-1")).await.expect("an answer");
     assert_eq!(answer.refusal(), Some(&Refusal::NoGrant));
 }
+
+#[tokio::test(start_paused = true)]
+async fn can_resume_from_a_byte_on_a_new_connection() {
+    let world = World::new();
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let first = running.dispatch(&running.head("r-1"));
+    until(|| running.running() == 1).await;
+    first.abort();
+    let rest = running.resume("r-1", 3, false).await.expect("an answer");
+    let Answer::Served { text, end, .. } = rest else { panic!("{rest:?}") };
+    assert_eq!(text, &WHOLE[3..]);
+    assert_eq!(end, Some(End::Whole { length: 12 }));
+    let again = running.resume("r-1", 0, false).await.expect("an answer");
+    assert_eq!(again.whole(), Some(WHOLE));
+    assert_eq!(world.engine.truth().executions["r-1"], 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_a_dispatch_after_its_tombstone() {
+    let world = World::new();
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let never = running.resume("r-1", 0, false).await.expect("an answer");
+    assert_eq!(never.refusal(), Some(&Refusal::Cancelled));
+    let late = running.dispatch(&running.head("r-1")).await.expect("an answer");
+    assert_eq!(late.refusal(), Some(&Refusal::Cancelled));
+    assert!(world.engine.truth().executions.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn runs_a_request_that_is_dispatched_twice_once() {
+    let world = World::new();
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let head = running.head("r-1");
+    let both = [running.dispatch(&head), running.dispatch(&head)];
+    for one in both {
+        assert_eq!(one.await.expect("an answer").whole(), Some(WHOLE));
+    }
+    assert_eq!(world.engine.truth().executions["r-1"], 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_on_another_incarnation() {
+    let world = World::new();
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let current = running.agent.incarnation();
+    let old = Dispatch { incarnation: Incarnation(current.0 - 1), ..running.head("r-1") };
+    let answer = running.dispatch(&old).await.expect("an answer");
+    assert_eq!(answer.refusal(), Some(&Refusal::Incarnation { current }));
+    let resume = Resume {
+        request: old.request,
+        incarnation: old.incarnation,
+        from: 0,
+        cancel: false,
+        tick: Tick(1),
+    };
+    let answer = running.resume_with(&resume).await.expect("an answer");
+    assert_eq!(answer, Answer::Unknown(UnknownCause::AgentGone));
+}
+
+#[tokio::test(start_paused = true)]
+async fn errors_late_without_running() {
+    let world = World::new();
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let head = Dispatch { budget: Span::secs(2), ..running.head("r-1") };
+    let answer = running.dispatch(&head).await.expect("an answer");
+    assert_eq!(answer.refusal(), Some(&Refusal::Late));
+    pause(5_000).await;
+    assert!(world.engine.truth().executions.is_empty());
+    assert_eq!(running.waiting(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_cancel_while_waiting_and_while_running() {
+    let world = World::new();
+    world.engine.set(|faults| faults.tokens = 100);
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let waiting = running.dispatch(&running.head("r-1"));
+    until(|| running.waiting() == 1).await;
+    let cancelled = running.resume("r-1", 0, true).await.expect("an answer");
+    assert_eq!(cancelled.refusal(), Some(&Refusal::Cancelled));
+    assert_eq!(waiting.await.expect("an answer").refusal(), Some(&Refusal::Cancelled));
+    let _open = running.dispatch(&running.head("r-2"));
+    until(|| running.running() == 1).await;
+    let cancelled = running.resume("r-2", 0, true).await.expect("an answer");
+    assert_eq!(cancelled, Answer::Unknown(UnknownCause::Deadline));
+    assert!(world.engine.truth().cancelled.contains("r-2"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn lets_a_call_that_may_not_be_repeated_run_on() {
+    let world = World::new();
+    world.engine.set(|faults| faults.tokens = 60);
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let head = Dispatch { repeatable: false, budget: Span::secs(5), ..running.head("r-1") };
+    let answer = running.dispatch(&head);
+    until(|| running.running() == 1).await;
+    let cancelled = running.resume("r-1", 0, true).await.expect("an answer");
+    assert_eq!(cancelled, Answer::Unknown(UnknownCause::Deadline));
+    assert!(answer.await.expect("an answer").whole().is_some(), "the answer is kept");
+    assert!(world.engine.truth().cancelled.is_empty());
+}
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::{Request, header};
+use platform::PRIORITY_HEADER;
 use process::Phase;
 use serde_json::value::RawValue;
 use timeline::Kind;
@@ -25,9 +26,6 @@
 /// How long a cancellation at the endpoint may take.
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 
-/// The header that gives a request's priority at an engine.
-const PRIORITY: &str = "x-priority";
-
 /// A request to be run.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -163,7 +161,7 @@
         .method(head.method.as_str())
         .uri(head.path.as_str())
         .header(header::CONTENT_TYPE, head.content.as_str())
-        .header(PRIORITY, priority(head.class))
+        .header(PRIORITY_HEADER, priority(head.class))
         .body(web::full(body))
         .map_err(|error| error.to_string())
 }
