hyssopctl publishes an edit anew that was too long on its way

Such an edit is void for certain, so there is no reason to hand the question back to the operator. A repeat is told as unknown, not as accepted: the first copy may have been void.

--- a/src/error.rs
+++ b/src/error.rs
@@ -64,7 +64,7 @@
     #[error(
         "not known whether the edit is accepted: {cause}; publish again to learn it, it can't take effect twice"
     )]
-    Unknown { cause: journal::AppendError },
+    Unknown { cause: String },
     #[error("rejected: {0}; nothing was published")]
     Rejected(ApplyError),
     #[error("rejected: {0}")]
--- a/src/session.rs
+++ b/src/session.rs
@@ -6,9 +6,9 @@
 use journal::{Journal, Options};
 use platform::{LogService, Stream};
 use record::{Body, Record};
-use state::{Applied, Verdict, Void};
+use state::{Verdict, Void};
 use timeline::Recorder;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tree::{Change, Edit, Tree};
 use units::{EditId, InstanceId, Offset, Revision};
 
@@ -76,22 +76,39 @@
         changes: Vec<Change>,
         base: Revision,
     ) -> Result<Revision, CmdError> {
-        let id: EditId = unique("edit", &self.author)?;
-        let edit = Edit { id, author: self.author.clone(), base, changes };
+        let until = Instant::now() + self.wait;
+        loop {
+            let id: EditId = unique("edit", &self.author)?;
+            let edit = Edit { id, author: self.author.clone(), base, changes: changes.clone() };
+            match self.append(edit, until).await? {
+                (Verdict::Done, offset) => return Ok(offset.into()),
+                // It was so long on its way that it is void, and so certainly has no effect.
+                (Verdict::Void(Void::Stale { .. }), _) if Instant::now() < until => {}
+                (Verdict::Void(void), _) => return Err(rejected(void)),
+            }
+        }
+    }
+
+    async fn append(&self, edit: Edit, until: Instant) -> Result<(Verdict, Offset), CmdError> {
         let (mut tree, _) = self.tree();
         // What conflicts with the tree in force now can't become valid: revisions only grow.
         tree.apply(&edit, Revision(u64::MAX)).map_err(CmdError::Rejected)?;
-        let applied = self.journal.append(Body::Edit(edit), self.wait).await;
-        verdict(applied.map_err(|cause| CmdError::Unknown { cause })?)
+        let left = until.saturating_duration_since(Instant::now());
+        let applied = self.journal.append(Body::Edit(edit), left).await;
+        let applied = applied.map_err(|error| CmdError::Unknown { cause: error.to_string() })?;
+        let offset = applied.offset;
+        let verdict = applied.verdicts.into_iter().next();
+        let verdict = verdict.expect("an edit has one verdict");
+        Ok((verdict, offset))
     }
 }
 
-fn verdict(applied: Applied) -> Result<Revision, CmdError> {
-    match applied.verdicts.into_iter().next() {
-        Some(Verdict::Done) | None => Ok(applied.offset.into()),
-        Some(Verdict::Void(Void::Repeat { first })) => Ok(first.into()),
-        Some(Verdict::Void(Void::Edit(error))) => Err(CmdError::Rejected(error)),
-        Some(Verdict::Void(void)) => Err(CmdError::Void(void)),
+fn rejected(void: Void) -> CmdError {
+    match void {
+        Void::Edit(error) => CmdError::Rejected(error),
+        // What became of the first copy is not said here.
+        Void::Repeat { .. } => CmdError::Unknown { cause: void.to_string() },
+        void => CmdError::Void(void),
     }
 }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -113,6 +113,22 @@
     site.log.set(|faults| faults.late = None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_publish_anew_what_was_too_long_on_its_way() {
+    let site = Site::default();
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.edit("tree.jsonc", "\"queue\": 8", "\"queue\": 16");
+    site.note(
+        "appends take five seconds, in which others write more records than ids are remembered for",
+    );
+    site.log.set(|faults| faults.late = Some(Duration::from_secs(5)));
+    site.fill_after(Duration::from_secs(4));
+    asma.run("publish tree.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_wait_out_a_short_outage_and_give_up_in_a_long_one() {
     let site = Site::default();
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use journal::{Journal, Options};
 use platform::{LogError, LogService, Page, Stream};
-use record::{Attach, Body, Decision};
+use record::{Attach, Body, Decision, Record};
 use serde_json::json;
 use state::State;
 use tempfile::TempDir;
@@ -261,6 +261,22 @@
         self.cut.send_replace(true);
     }
 
+    /// Has others write many records at once; appends are quick again after that.
+    pub(super) fn fill_after(&self, time: Duration) {
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            sleep(time).await;
+            for number in 0..=record::WINDOW {
+                let (id, from) =
+                    (format!("renew-{number}"), "entry-1".parse().expect("a right id"));
+                let renew = Body::Renew { epoch: Epoch(1) };
+                let renew = Record::new(id, from, 0, Offset(1), renew);
+                log.put(Stream::Control, serde_json::to_vec(&renew).expect("a record"));
+            }
+            log.set(|faults| faults.late = None);
+        });
+    }
+
     /// Has the log refuse appends for a while.
     pub(super) fn refuse_for(&self, time: Duration) {
         self.log.set(|faults| faults.refuse = true);
