--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -39,8 +39,8 @@
         recorder: Recorder,
         shutdown: Shutdown,
     ) -> Self {
-        let lease = (!settings.fenced).then(|| settings.order_limit.0 / 2);
-        let authority = Authority::new(settings.endpoint.clone(), journal.clone(), lease);
+        let authority =
+            Authority::new(settings.endpoint.clone(), journal.clone(), settings.lease());
         let limits = TableLimits {
             count: settings.table,
             bytes: settings.table_bytes,
@@ -85,7 +85,7 @@
 
     /// The longest that the agent waits for a reply to an order.
     pub(crate) fn reply_limit(&self) -> Duration {
-        self.settings.order_limit.0 / 2
+        self.settings.order_limit.0 - self.settings.order_limit.0 / 2
     }
 
     /// Records an event of the time line.
--- a/components/agent/src/attach.rs
+++ b/components/agent/src/attach.rs
@@ -72,7 +72,7 @@
 /// When the first order may go out: orders of an older incarnation must have ended by then.
 fn first_order(agent: &Agent) -> Instant {
     let now = Instant::now();
-    if agent.settings.fenced { now } else { now + agent.settings.order_limit.0 * 2 }
+    if agent.settings.fenced { now } else { now + agent.settings.order_limit.0 }
 }
 
 fn record(agent: &Agent, inventory: Option<&Inventory>) -> Attach {
--- a/components/agent/src/authority.rs
+++ b/components/agent/src/authority.rs
@@ -1,6 +1,6 @@
 //! Whether this process may order its endpoint: it is the current incarnation and knows so recently enough.
 
-use std::sync::{Mutex, OnceLock, PoisonError};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use journal::Journal;
@@ -38,7 +38,6 @@
     journal: Journal,
     lease: Option<Duration>,
     attached: OnceLock<Attached>,
-    contact: Mutex<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -50,8 +49,7 @@
 impl Authority {
     /// `lease` is how old the last news of the log may be; `None` where the endpoint itself refuses old orders.
     pub(crate) fn new(endpoint: EndpointId, journal: Journal, lease: Option<Duration>) -> Self {
-        let contact = Mutex::new(Instant::now());
-        Self { endpoint, journal, lease, attached: OnceLock::new(), contact }
+        Self { endpoint, journal, lease, attached: OnceLock::new() }
     }
 
     /// Notes the incarnation; no order goes out before `start`.
@@ -69,12 +67,6 @@
         self.attached.get().map(|attached| attached.start)
     }
 
-    /// Notes that the log's state was known at `at`.
-    pub(crate) fn renew(&self, at: Instant) {
-        let mut contact = self.contact.lock().unwrap_or_else(PoisonError::into_inner);
-        *contact = at.max(*contact);
-    }
-
     /// Whether this is the incarnation in charge, as far as the folded state says.
     pub(crate) fn current(&self) -> Result<Incarnation, Barred> {
         let ours = self.attached.get().ok_or(Barred::Detached)?.incarnation;
@@ -90,12 +82,10 @@
         if self.start().is_none_or(|start| now < start) {
             return Err(Barred::Early);
         }
-        let contact = *self.contact.lock().unwrap_or_else(PoisonError::into_inner);
-        let age = now.saturating_duration_since(contact);
-        match self.lease {
-            Some(lease) if age > lease => Err(Barred::Lapsed { age: Span(age) }),
-            _ => Ok(ours),
-        }
+        let Some(lease) = self.lease else { return Ok(ours) };
+        let contact = self.journal.contact();
+        let age = contact.map_or(Duration::MAX, |contact| now.saturating_duration_since(contact));
+        if age > lease { Err(Barred::Lapsed { age: Span(age) }) } else { Ok(ours) }
     }
 }
 
--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use platform::OrderKind;
 use record::{Body, GrantId};
 use timeline::Kind;
 use tokio::sync::watch;
@@ -57,6 +58,9 @@
         releases: JoinSet::new(),
         reconciled: false,
     };
+    if keeper.agent.settings.fenced {
+        keeper.seal();
+    }
     let mut changes = keeper.agent.journal.changes();
     loop {
         let agent = keeper.agent.clone();
@@ -94,6 +98,9 @@
     }
 }
 
+/// The name of an artifact that there is not.
+const NOTHING: &str = "none@fence";
+
 struct Keeper {
     agent: Arc<Agent>,
     ids: OrderIds,
@@ -106,13 +113,25 @@
     /// Takes over an inventory.
     fn settle(&mut self, seen: &Seen) {
         let agent = &self.agent;
-        self.reconciled |= agent.authority.start().is_some_and(|start| seen.begun >= start);
+        self.reconciled |= agent.authority.start().is_some_and(|start| {
+            let limit = agent.settings.order_limit.0;
+            let sealed = !agent.settings.fenced || seen.inventory.fence >= agent.incarnation();
+            seen.begun >= start && (sealed || seen.begun >= start + limit)
+        });
         let changes = agent.desk().settle(seen, agent.settings.order_limit.0);
         for change in changes {
             self.note(&change);
         }
     }
 
+    /// Shows the endpoint the new fencing number with an order that has no other effect, so that orders of
+    /// older incarnations are refused before the inventory is relied on.
+    fn seal(&mut self) {
+        let artifact = NOTHING.parse().expect("a valid name");
+        let draft = self.ids.draft(OrderKind::Unload { artifact });
+        self.order(draft);
+    }
+
     fn ended(&mut self, end: &OrderEnd) {
         let change = self.agent.desk().replied(&end.id, &end.kind, &end.sent);
         if let Some(change) = change {
@@ -175,9 +194,7 @@
 impl Agent {
     fn record_order(&self, draft: &crate::plan::Draft) {
         let kind = match draft.kind {
-            platform::OrderKind::Load { .. } | platform::OrderKind::LoadAdapter { .. } => {
-                Kind::LoadOrdered
-            }
+            OrderKind::Load { .. } | OrderKind::LoadAdapter { .. } => Kind::LoadOrdered,
             _ => Kind::UnloadOrdered,
         };
         let model = crate::settle::artifact_of(&draft.kind);
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -14,7 +14,6 @@
 mod estimate;
 mod evict;
 mod keeper;
-mod lease;
 mod memory;
 mod orders;
 mod pending;
--- a/components/agent/src/plan.rs
+++ b/components/agent/src/plan.rs
@@ -31,6 +31,11 @@
         Self { prefix, count: 0 }
     }
 
+    /// A draft of an order whose effect nobody waits for.
+    pub(crate) fn draft(&mut self, kind: OrderKind) -> Draft {
+        Draft { id: self.next(), urgent: false, kind }
+    }
+
     fn next(&mut self) -> String {
         self.count += 1;
         format!("{}-{}", self.prefix, self.count)
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -13,7 +13,7 @@
 
 use crate::agent::Agent;
 use crate::table::SWEEP;
-use crate::{EndpointKind, Settings, attach, dispatch, drain, keeper, lease, status, wake};
+use crate::{EndpointKind, Settings, attach, dispatch, drain, keeper, status, wake};
 
 /// The edges of the process.
 #[derive(Clone)]
@@ -42,12 +42,21 @@
     recorder: Recorder,
     shutdown: Shutdown,
 ) -> Arc<Agent> {
-    let options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+    let options = journal_options(&settings);
     let instance = settings.identity.instance.clone();
     let journal = journal::start(edges.log.clone(), instance, recorder.clone(), options);
     Arc::new(Agent::new(settings, journal, edges.endpoint.clone(), recorder, shutdown))
 }
 
+/// An agent that needs news of the log to order its endpoint asks for it more often than its lease lasts.
+fn journal_options(settings: &Settings) -> journal::Options {
+    let mut options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+    if let Some(lease) = settings.lease() {
+        options.poll = options.poll.min(lease / 4);
+    }
+    options
+}
+
 /// Opens the sockets, leads the endpoint until the agent ends, and closes the connections politely.
 async fn supervise(agent: Arc<Agent>, list: Arc<dyn InstanceList>) -> Result<(), StartError> {
     let (stop, stopped) = watch::channel(false);
@@ -71,7 +80,6 @@
     }
     let mut tasks = JoinSet::new();
     tasks.spawn(sweep(agent.clone()));
-    tasks.spawn(lease::keep(agent.clone()));
     work(&agent, list, &mut tasks).await;
     Ok(())
 }
--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -1,4 +1,6 @@
 mod draining;
 mod engine;
+mod failures;
 mod serving;
+mod unfenced;
 mod world;
--- a/components/agent/src/run/tests/engine.rs
+++ b/components/agent/src/run/tests/engine.rs
@@ -43,6 +43,14 @@
     pub(crate) unfenced: bool,
 }
 
+impl Truth {
+    /// How many loads of an artifact were carried out.
+    pub(crate) fn loads(&self, name: &str) -> usize {
+        let load = |order: &&Order| matches!(&order.order, OrderKind::Load { artifact, .. } if artifact.as_str() == name);
+        self.orders.iter().filter(load).count()
+    }
+}
+
 impl Default for Faults {
     fn default() -> Self {
         Self {
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -1,13 +1,14 @@
 //! An agent in a small world: an in-memory log, list and engine, and the test as planner and entry.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
-use platform::Stream;
+use platform::{LogError, LogService, Page, Stream};
 use process::{Identity, Phase, Shutdown};
 use record::{Attach, Body, Decision, GrantId, Record};
 use serde_json::{Value, json};
@@ -42,11 +43,48 @@
     numbers: Arc<AtomicU64>,
 }
 
+/// One agent's way to the log, which can be cut.
+#[derive(Debug, Clone)]
+pub(crate) struct Wire {
+    log: fake::Log,
+    down: Arc<AtomicBool>,
+}
+
+impl Wire {
+    pub(crate) fn cut(&self) {
+        self.down.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn mend(&self) {
+        self.down.store(false, Ordering::Relaxed);
+    }
+
+    fn is_down(&self) -> bool {
+        self.down.load(Ordering::Relaxed)
+    }
+}
+
+#[async_trait]
+impl LogService for Wire {
+    async fn append(&self, stream: Stream, records: Vec<Bytes>) -> Result<Offset, LogError> {
+        if self.is_down() {
+            return Err(LogError::Unknown("cut".to_owned()));
+        }
+        self.log.append(stream, records).await
+    }
+
+    async fn read(&self, stream: Stream, from: Offset, wait: Duration) -> Result<Page, LogError> {
+        let read = self.log.read(stream, from, wait).await;
+        if self.is_down() { Err(LogError::Unreadable("cut".to_owned())) } else { read }
+    }
+}
+
 /// An agent that runs in the world.
 pub(crate) struct Running {
     pub(crate) agent: Arc<Agent>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) task: JoinHandle<()>,
+    pub(crate) cut: Wire,
 }
 
 /// How an exchange with the agent ended.
@@ -196,12 +234,14 @@
         let before = self.member().map(|member| member.1);
         let (phase, shutdown) = Shutdown::manual();
         let recorder = Recorder::new(settings.identity.instance.clone());
-        let agent = build(settings, &self.edges, recorder, shutdown);
+        let cut = Wire { log: self.log.clone(), down: Arc::default() };
+        let edges = Edges { log: Arc::new(cut.clone()), ..self.edges.clone() };
+        let agent = build(settings, &edges, recorder, shutdown);
         let (leading, list) = (agent.clone(), self.edges.list.clone());
         let task = tokio::spawn(async move {
             lead(leading, list.as_ref()).await.expect("an agent that can attach");
         });
-        let running = Running { agent, phase, task };
+        let running = Running { agent, phase, task, cut };
         until(|| running.agent.incarnation() != Incarnation(0)).await;
         assert_ne!(before, self.member().map(|member| member.1));
         running
--- a/components/agent/src/settings.rs
+++ b/components/agent/src/settings.rs
@@ -1,6 +1,7 @@
 //! The agent's settings file.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use process::Identity;
 use serde::Deserialize;
@@ -53,7 +54,8 @@
     /// How long a request is remembered beyond its deadline.
     #[serde(default = "default_grace")]
     pub grace: Span,
-    /// The longest that an order to the endpoint can stay under way.
+    /// The longest from the last news of the log that an order was based on to its effect; it bounds how long
+    /// a paused agent's orders can stay under way.
     #[serde(default = "default_order")]
     pub order_limit: Span,
 }
@@ -71,6 +73,12 @@
 }
 
 impl Settings {
+    /// How old the news of the log may be when an order is sent; `None` where the endpoint refuses old orders.
+    /// With the time that an order may take it makes up `order_limit`.
+    pub(crate) fn lease(&self) -> Option<Duration> {
+        (!self.fenced).then(|| self.order_limit.0 / 2)
+    }
+
     /// What stands for the model where the endpoint is a plain service.
     pub(crate) fn service_model(&self) -> ModelName {
         let name = self.service.as_str().parse();
--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -9,6 +9,7 @@
 use state::{Applied, State, Verdict};
 use timeline::{Kind, Recorder};
 use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
 use units::{InstanceId, Offset};
 
 use crate::Options;
@@ -68,6 +69,8 @@
     pub(crate) changes: watch::Sender<Offset>,
     pub(crate) ready: watch::Sender<bool>,
     pub(crate) health: watch::Sender<Health>,
+    /// When the last exchange began that showed nothing newer than what is folded.
+    contact: Mutex<Option<Instant>>,
     /// Wakes the heartbeat when a peer brought records.
     pub(crate) news: Notify,
     /// Wakes the appender when the log is read again.
@@ -93,6 +96,7 @@
             changes: watch::Sender::new(Offset(0)),
             ready: watch::Sender::new(false),
             health: watch::Sender::new(Health::Down),
+            contact: Mutex::new(None),
             news: Notify::new(),
             revived: Arc::default(),
             state: RwLock::default(),
@@ -108,6 +112,18 @@
         self.state.write().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that an exchange begun at `begun` named `newest` as the newest offset.
+    pub(crate) fn touch(&self, begun: Instant, newest: Offset) {
+        if self.offset() >= newest {
+            let mut contact = self.contact.lock().unwrap_or_else(PoisonError::into_inner);
+            *contact = contact.max(Some(begun));
+        }
+    }
+
+    pub(crate) fn contact(&self) -> Option<Instant> {
+        *self.contact.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn side(&self) -> MutexGuard<'_, Side> {
         self.side.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -13,7 +13,7 @@
 use timeline::Recorder;
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use units::{InstanceId, Offset};
 use wire::{Control, Reply};
 
@@ -158,6 +158,12 @@
         self.health() == Health::Up
     }
 
+    /// When the last exchange with the log or a peer began that showed nothing newer than the folded state;
+    /// how old it is bounds how old the state can be.
+    pub fn contact(&self) -> Option<Instant> {
+        self.shared.contact()
+    }
+
     /// What is known of the log.
     pub fn health(&self) -> Health {
         *self.shared.health.borrow()
--- a/components/journal/src/heartbeat.rs
+++ b/components/journal/src/heartbeat.rs
@@ -83,6 +83,7 @@
 
 /// Compares positions with one neighbour and evens them out; false if it gave no answer.
 async fn compare(shared: &Shared, peers: &Peers, neighbour: &mut Neighbour) -> bool {
+    let begun = Instant::now();
     let Some(theirs) = peers.position(neighbour.addr).await else { return false };
     let ours = shared.offset();
     neighbour.empty = if theirs == Offset(0) { neighbour.empty + 1 } else { 0 };
@@ -91,6 +92,7 @@
     } else if theirs < ours {
         help(shared, peers, neighbour, theirs).await;
     }
+    shared.touch(begun, theirs);
     true
 }
 
--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -118,6 +118,7 @@
     let folded = shared.offset();
     let check = verify && shared.is_kept(folded);
     let wait = if verify { Duration::ZERO } else { shared.options.poll };
+    let begun = Instant::now();
     let mut page = read(shared, service, if check { folded } else { folded.next() }, wait).await;
     if check && matches!(page, Err(LogError::Expired { .. })) {
         // The record to compare with has expired; the next may still be there.
@@ -125,7 +126,11 @@
     }
     match page {
         Ok(page) if page.last < folded => Err(Stop::Behind),
-        Ok(page) => fold(shared, &page, folded),
+        Ok(page) => {
+            let folded = fold(shared, &page, folded);
+            shared.touch(begun, page.last);
+            folded
+        }
         Err(LogError::Expired { first }) => bridge(shared, service, peers, first).await,
         Err(_) => Err(Stop::Down),
     }
--- a/components/journal/tests/outage.rs
+++ b/components/journal/tests/outage.rs
@@ -182,3 +182,19 @@
     pass(60).await;
     assert!(site.log.counters().reads - reads < 120, "it does not read in a tight loop");
 }
+
+#[tokio::test(start_paused = true)]
+async fn keeps_contact_in_an_outage_only_by_peers() {
+    let (site, nodes) = settled(3).await;
+    let alone = Site::default();
+    let lone = alone.node(1, &[]);
+    lone.ready().await;
+    assert!(lone.journal.contact().is_some());
+    for log in [&site.log, &alone.log] {
+        log.set(|faults| faults.outage = true);
+    }
+    pass(60).await;
+    let age = |node: &Node| node.journal.contact().expect("a contact").elapsed();
+    assert!(age(&nodes[0]) < Duration::from_secs(10), "{:?}", age(&nodes[0]));
+    assert!(age(&lone) >= Duration::from_secs(60), "{:?}", age(&lone));
+}
