--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -16,6 +16,9 @@
 /// The pause between two clean-ups of what is known of endpoints.
 const PRUNE_PAUSE: Duration = Duration::from_secs(10);
 
+/// How long the planner may take to give its lease up.
+const RESIGN_LIMIT: Duration = Duration::from_secs(2);
+
 /// Runs an entry until its shutdown is done.
 pub async fn run(settings: Settings, process: Process) -> Result<(), StartError> {
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log));
@@ -44,14 +47,22 @@
         Arc::new(HttpList::new(settings.list)),
         demand.clone(),
         process.recorder.clone(),
-        planner::Options { lease: settings.lease.0, ..Default::default() },
+        planner::Options {
+            lease: settings.lease.0,
+            stop: Some(process.shutdown.flag(Phase::Drain)),
+            ..Default::default()
+        },
     );
+    let planner = tokio::spawn(planner);
     let tasks = [
-        tokio::spawn(planner),
         tokio::spawn(spread_demand(core.clone(), demand, settings.seeds.clone())),
         tokio::spawn(prune(core.clone())),
     ];
     let served = serve_callers(&settings, &process, core).await;
+    let planner_abort = planner.abort_handle();
+    if tokio::time::timeout(RESIGN_LIMIT, planner).await.is_err() {
+        planner_abort.abort();
+    }
     for task in tasks {
         task.abort();
     }
