--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use platform::{LogError, LogService, Page, Stream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use units::Offset;
 
 use crate::backoff::Backoff;
@@ -20,6 +20,12 @@
 /// The longest pause after a failed read.
 const RETRY_MAX: Duration = Duration::from_secs(3);
 
+/// How many reads that bring records a process may make a second over time, so that a long burst of
+/// appends makes few reads.
+const READ_RATE: f64 = 10.0;
+/// How many it may make at once.
+const READ_BURST: f64 = 10.0;
+
 /// Why the next records can't be folded now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Stop {
@@ -31,6 +37,31 @@
     Forked,
     /// The next records have expired, and nobody could give them.
     Expired,
+    /// The next record is left out, or needs a newer program.
+    Stuck,
+}
+
+/// Reads that may still be made without a pause.
+#[derive(Debug)]
+struct Allowance {
+    reads: f64,
+    since: Instant,
+}
+
+impl Allowance {
+    fn new() -> Self {
+        Self { reads: READ_BURST, since: Instant::now() }
+    }
+
+    /// Takes one read, and waits while there is none.
+    async fn take(&mut self) {
+        let gained = self.since.elapsed().as_secs_f64() * READ_RATE;
+        self.since = Instant::now();
+        self.reads = (self.reads + gained).min(READ_BURST) - 1.0;
+        if self.reads < 0.0 {
+            sleep(Duration::from_secs_f64(-self.reads / READ_RATE)).await;
+        }
+    }
 }
 
 /// Follows the log; never ends.
@@ -38,9 +69,14 @@
     begin(&shared, &*service, &peers).await;
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     let mut verify = true;
+    let mut allowance = Allowance::new();
     loop {
+        let before = shared.offset();
         match step(&shared, &*service, &peers, verify).await {
             Ok(()) => {
+                if shared.offset() > before {
+                    allowance.take().await;
+                }
                 verify = false;
                 backoff.reset();
                 shared.set_health(Health::Up);
@@ -65,6 +101,9 @@
                 shared.offset()
             );
         }
+        Stop::Stuck => {
+            log::error!("journal: can't go on after offset {}", shared.offset());
+        }
     }
 }
 
@@ -86,15 +125,21 @@
     }
     match page {
         Ok(page) if page.last < folded => Err(Stop::Behind),
-        Ok(page) => shared.fold(&page.entries, Source::Log).map_err(|fork| {
-            log::error!("journal: the log has another record at offset {}", fork.0);
-            Stop::Forked
-        }),
+        Ok(page) => fold(shared, &page, folded),
         Err(LogError::Expired { first }) => bridge(shared, service, peers, first).await,
         Err(_) => Err(Stop::Down),
     }
 }
 
+fn fold(shared: &Shared, page: &Page, folded: Offset) -> Result<(), Stop> {
+    if let Err(fork) = shared.fold(&page.entries, Source::Log) {
+        log::error!("journal: the log has another record at offset {}", fork.0);
+        return Err(Stop::Forked);
+    }
+    let is_stuck = page.last > folded && shared.offset() == folded;
+    if is_stuck { Err(Stop::Stuck) } else { Ok(()) }
+}
+
 /// Reads a page and keeps its bounds.
 pub(crate) async fn read(
     shared: &Shared,
