--- a/components/agent/src/authority.rs
+++ b/components/agent/src/authority.rs
@@ -83,8 +83,8 @@
             return Err(Barred::Early);
         }
         let Some(lease) = self.lease else { return Ok(ours) };
-        let contact = self.journal.contact();
-        let age = contact.map_or(Duration::MAX, |contact| now.saturating_duration_since(contact));
+        let fresh = self.journal.fresh();
+        let age = fresh.map_or(Duration::MAX, |fresh| now.saturating_duration_since(fresh));
         if age > lease { Err(Barred::Lapsed { age: Span(age) }) } else { Ok(ours) }
     }
 }
--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -58,6 +58,7 @@
     waiters: HashMap<String, oneshot::Sender<Applied>>,
     text: Option<(Offset, Arc<str>)>,
     bounds: Option<Bounds>,
+    fresh: Option<Instant>,
     snapshots: Tracker,
 }
 
@@ -69,8 +70,6 @@
     pub(crate) changes: watch::Sender<Offset>,
     pub(crate) ready: watch::Sender<bool>,
     pub(crate) health: watch::Sender<Health>,
-    /// When the last exchange began that showed nothing newer than what is folded.
-    contact: Mutex<Option<Instant>>,
     /// Wakes the heartbeat when a peer brought records.
     pub(crate) news: Notify,
     /// Wakes the appender when the log is read again.
@@ -87,6 +86,7 @@
             waiters: HashMap::new(),
             text: None,
             bounds: None,
+            fresh: None,
             snapshots: Tracker::default(),
         };
         Self {
@@ -96,7 +96,6 @@
             changes: watch::Sender::new(Offset(0)),
             ready: watch::Sender::new(false),
             health: watch::Sender::new(Health::Down),
-            contact: Mutex::new(None),
             news: Notify::new(),
             revived: Arc::default(),
             state: RwLock::default(),
@@ -112,18 +111,6 @@
         self.state.write().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that an exchange begun at `begun` named `newest` as the newest offset.
-    pub(crate) fn touch(&self, begun: Instant, newest: Offset) {
-        if self.offset() >= newest {
-            let mut contact = self.contact.lock().unwrap_or_else(PoisonError::into_inner);
-            *contact = contact.max(Some(begun));
-        }
-    }
-
-    pub(crate) fn contact(&self) -> Option<Instant> {
-        *self.contact.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn side(&self) -> MutexGuard<'_, Side> {
         self.side.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -227,6 +214,15 @@
         self.side().bounds = Some(bounds);
     }
 
+    /// Notes that the fold was as new as the log at a time.
+    pub(crate) fn set_fresh(&self, at: Instant) {
+        self.side().fresh = Some(at);
+    }
+
+    pub(crate) fn fresh(&self) -> Option<Instant> {
+        self.side().fresh
+    }
+
     /// Whether the log needs a new snapshot, as far as this process knows.
     pub(crate) fn snapshot_due(&self) -> bool {
         let folded = self.offset();
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -158,10 +158,12 @@
         self.health() == Health::Up
     }
 
-    /// When the last exchange with the log or a peer began that showed nothing newer than the folded state;
-    /// how old it is bounds how old the state can be.
-    pub fn contact(&self) -> Option<Instant> {
-        self.shared.contact()
+    /// The newest time at which the state is known to have been as new as the log; `None` before the first.
+    ///
+    /// It is the start of a read that found nothing newer, so it is at least as old as that read took:
+    /// a process that was paused, or whose connection to the log is silent, sees it grow old.
+    pub fn fresh(&self) -> Option<Instant> {
+        self.shared.fresh()
     }
 
     /// What is known of the log.
--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -116,9 +116,9 @@
     verify: bool,
 ) -> Result<(), Stop> {
     let folded = shared.offset();
+    let begun = Instant::now();
     let check = verify && shared.is_kept(folded);
     let wait = if verify { Duration::ZERO } else { shared.options.poll };
-    let begun = Instant::now();
     let mut page = read(shared, service, if check { folded } else { folded.next() }, wait).await;
     if check && matches!(page, Err(LogError::Expired { .. })) {
         // The record to compare with has expired; the next may still be there.
@@ -127,9 +127,11 @@
     match page {
         Ok(page) if page.last < folded => Err(Stop::Behind),
         Ok(page) => {
-            let folded = fold(shared, &page, folded);
-            shared.touch(begun, page.last);
-            folded
+            fold(shared, &page, folded)?;
+            if shared.offset() >= page.last {
+                shared.set_fresh(begun);
+            }
+            Ok(())
         }
         Err(LogError::Expired { first }) => bridge(shared, service, peers, first).await,
         Err(_) => Err(Stop::Down),
