--- a/components/tree/tests/naive.rs
+++ b/components/tree/tests/naive.rs
@@ -6,12 +6,13 @@
 
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, prop_oneof};
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use proptest::test_runner::{Config, RngSeed, TestRunner};
 use serde_json::{Value, json};
 use tree::{ApplyError, Change, Edit, NodeKind, Tree, diff, rewrite};
 use units::{NodePath, Revision, SettingName};
 
 const CASES: u32 = 400;
+const SEED: u64 = 1;
 /// After all edits of a case.
 const LATE: u64 = 1_000;
 /// What there is before the edits race.
@@ -170,8 +171,8 @@
             if !placed || loaded && bounds[0] > bounds[1] {
                 return false;
             }
-            if *kind == NodeKind::Model {
-                names.push(path.rsplit('/').next());
+            if matches!(kind, NodeKind::Model | NodeKind::Service) {
+                names.push((*kind, path.rsplit('/').next()));
             }
         }
         let count = names.len();
@@ -280,12 +281,20 @@
     Edit { id, author: "asma".to_owned(), base: Revision(base), changes }
 }
 
+/// The same cases each time; `PROPTEST_CASES` and `PROPTEST_RNG_SEED` ask for more or other ones.
+fn config() -> Config {
+    let asked = Config::default();
+    let rng_seed = match asked.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(SEED),
+        fixed @ RngSeed::Fixed(_) => fixed,
+    };
+    Config { cases: asked.cases.max(CASES), rng_seed, failure_persistence: None, ..asked }
+}
+
 #[test]
 fn can_agree_with_a_naive_model_on_racing_edits() {
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
     let counts = [const { Cell::new(0_u32) }; 3];
-    TestRunner::new_with_rng(config, rng)
+    TestRunner::new(config())
         .run(&edits(), |edits| {
             let (mut tree, mut naive) = (Tree::default(), Naive::default());
             naive.nodes.insert("/".to_owned(), (NodeKind::Branch, 0));
