--- a/components/state/tests/common/steps.rs
+++ b/components/state/tests/common/steps.rs
@@ -220,9 +220,12 @@
         }
         Intent::Leave { endpoint } => leave(ENDPOINTS[*endpoint], incarnation(*endpoint)),
         Intent::Release { endpoint, grants } => {
-            let at: Vec<_> = view.grants_at(&id(ENDPOINTS[*endpoint])).collect();
-            let picked = grants.iter().filter(|_| !at.is_empty());
-            let picked = picked.map(|grant| at[grant.index(at.len())].id).collect();
+            let mut known: Vec<_> = view.grants_at(&id(ENDPOINTS[*endpoint])).collect();
+            if known.is_empty() {
+                known = view.grants().collect();
+            }
+            let picked = grants.iter().filter(|_| !known.is_empty());
+            let picked = picked.map(|grant| known[grant.index(known.len())].id).collect();
             release(ENDPOINTS[*endpoint], incarnation(*endpoint), picked)
         }
         Intent::Decide { choices } => decisions(view, epoch, choices),
--- a/components/state/tests/exhaustive.rs
+++ b/components/state/tests/exhaustive.rs
@@ -185,7 +185,9 @@
     check_grants(before, after, body, applied);
     check_positions(before, after);
     let effects = applied.verdicts.iter().filter(|v| **v == Verdict::Done).count();
-    if effects == 0 {
+    if effects > 0 {
+        assert!(is_current(before, body), "an outdated name had an effect: {}", context());
+    } else {
         assert_eq!(before.shape(), after.shape(), "a void record has no effect: {}", context());
     }
     if before.state.tree() != after.state.tree() {
@@ -193,6 +195,27 @@
     }
 }
 
+/// Whether a record names the epoch or incarnation that is current.
+fn is_current(before: &World, body: &Body) -> bool {
+    let epoch = before.state.lease().epoch;
+    let incarnation = |endpoint: &EndpointId| before.incarnation(endpoint.as_str());
+    match body {
+        Body::Claim { previous } => *previous == epoch,
+        Body::Renew { epoch: named } | Body::Resign { epoch: named } => *named == epoch,
+        Body::Decide { epoch: named, decisions } => {
+            let gone = decisions.iter().all(|decision| match decision {
+                Decision::Gone { endpoint, incarnation: i } => i.0 == incarnation(endpoint),
+                _ => true,
+            });
+            *named == epoch && gone
+        }
+        Body::Attach(attach) => attach.previous.0 == incarnation(&attach.endpoint),
+        Body::Leave { endpoint, incarnation: named }
+        | Body::Release { endpoint, incarnation: named, .. } => named.0 == incarnation(endpoint),
+        Body::Edit(_) | Body::Snapshot(_) => true,
+    }
+}
+
 fn check_grants(before: &World, after: &World, body: &Body, applied: &Applied) {
     let context = || format!("{body:?} on {:?} gave {applied:?}", before.shape());
     let old: BTreeMap<_, _> = before.state.grants().map(|g| (g.id, g)).collect();
@@ -218,7 +241,7 @@
     }
 }
 
-/// A grant ends only by its holder's release of it, or when its endpoint is gone.
+/// A grant ends only by its holder's release of it when that is due, or when its endpoint is gone.
 fn may_end(before: &World, grant: &state::Grant, body: &Body) -> bool {
     let current = |endpoint: &EndpointId, incarnation: &Incarnation| {
         let member = before.state.member(endpoint);
@@ -226,7 +249,9 @@
     };
     match body {
         Body::Release { endpoint, incarnation, grants } => {
-            grants.contains(&grant.id) && current(endpoint, incarnation)
+            let leaving = before.state.member(endpoint).is_some_and(|member| member.leaving);
+            let due = grant.revoked || leaving;
+            due && grants.contains(&grant.id) && current(endpoint, incarnation)
         }
         Body::Decide { decisions, .. } => decisions.iter().any(|decision| match decision {
             Decision::Gone { endpoint, incarnation } => current(endpoint, incarnation),
