--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -19,6 +19,9 @@
 /// For how many offsets the ids of records are remembered, and how long a record may be on its way.
 pub const WINDOW: u64 = 4096;
 
+/// How many cached checkpoints of an endpoint are kept; each process holds those of all endpoints.
+pub const CACHED_MOST: usize = 32;
+
 /// One record with its envelope.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -149,7 +152,8 @@
     pub admin: SocketAddr,
     /// The accelerator memory of the endpoint; nothing for plain services.
     pub memory: Size,
-    /// Checkpoints that the endpoint has in a cache faster than the store, as it said at the attach.
+    /// Checkpoints that the endpoint has in a cache faster than the store, as it said at the attach, the
+    /// fastest first; only the first [`CACHED_MOST`] count.
     #[serde(default)]
     pub cached: Vec<ModelName>,
     /// Whether the endpoint refuses orders with an old fencing number.
--- a/components/state/examples/fold-bench.rs
+++ b/components/state/examples/fold-bench.rs
@@ -7,7 +7,7 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use record::{Attach, Body, Decision, GrantId, Record, WINDOW};
+use record::{Attach, Body, CACHED_MOST, Decision, GrantId, Record, WINDOW};
 use serde_json::{Value, json};
 use state::{State, chunks, from_text, to_text};
 use tree::{Change, Edit, NodeKind};
@@ -117,7 +117,8 @@
 fn attach(number: usize) -> Body {
     let addr = format!("10.{}.{}.{}:7001", number / 62500, number / 250 % 250, number % 250 + 1);
     let addr = addr.parse().expect("an address");
-    let cached = (0..8).map(|n| id(format!("model-{:03}@v1", (number + n * 29) % 230))).collect();
+    let cached =
+        (0..CACHED_MOST).map(|n| id(format!("model-{:03}@v1", (number + n * 29) % 230))).collect();
     Body::Attach(Attach {
         endpoint: id(format!("assist-{number:04}")),
         instance: id(format!("assist-{number:04}-5f3a")),
--- a/components/state/src/rules.rs
+++ b/components/state/src/rules.rs
@@ -1,6 +1,6 @@
 //! The rules by which records change the state.
 
-use record::{Attach, Body, Decision, GrantId, Record};
+use record::{Attach, Body, CACHED_MOST, Decision, GrantId, Record};
 use tree::Edit;
 use units::{EndpointId, Epoch, Incarnation, InstanceId, Offset, Revision};
 
@@ -196,8 +196,11 @@
         if let Some(member) = member.filter(|m| m.attach.instance != attach.instance) {
             return Err(Void::Instance { current: member.attach.instance.clone() });
         }
-        let member = Member { attach: attach.clone(), incarnation: offset.into(), leaving: false };
-        self.members.insert(attach.endpoint.clone(), member);
+        let mut attach = attach.clone();
+        attach.cached.truncate(CACHED_MOST);
+        let endpoint = attach.endpoint.clone();
+        let member = Member { attach, incarnation: offset.into(), leaving: false };
+        self.members.insert(endpoint, member);
         Ok(())
     }
 
--- a/components/state/tests/members.rs
+++ b/components/state/tests/members.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Log, attach, claim, decide, gone, id, leave, release, void};
-use record::Body;
+use record::{Body, CACHED_MOST};
 use state::Void;
 use units::Incarnation;
 
@@ -89,3 +89,14 @@
     assert_eq!(void(&log.put("b-1", release("b", 2, Vec::new()))), &unknown);
     assert_eq!(void(&log.put("entry-1", decide(1, vec![gone("b", 2)]))), &unknown);
 }
+
+#[test]
+fn can_keep_no_more_cached_checkpoints_than_every_process_can_hold() {
+    let mut log = Log::default();
+    let mut attach = attach("a", "a-1", 0);
+    attach.cached = (0..=CACHED_MOST).map(|n| id(&format!("model-{n}@v1"))).collect();
+    let first = attach.cached[..CACHED_MOST].to_vec();
+    assert!(log.put("a-1", Body::Attach(attach)).is_done());
+    let member = log.state.member(&id("a"));
+    assert_eq!(member.map(|member| &member.attach.cached), Some(&first));
+}
