--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -21,8 +21,8 @@
 
 /// How much longer than its deadline a caller waits before it calls the answer silent.
 const PATIENCE: Duration = Duration::from_secs(5);
-/// How much of an answer reports show.
-const SHOWN: usize = 90;
+/// How much of an answer is kept for reports.
+const KEPT: usize = 400;
 
 /// An entry that callers can reach.
 #[derive(Debug, Clone)]
@@ -140,7 +140,7 @@
             }
         }
         let answer = Answer::read(&bytes);
-        call.text = shorten(&answer.text);
+        call.text = answer.text.chars().take(KEPT).collect();
         let id = call.request.as_ref().map_or("", RequestId::as_str);
         call.own = ask.expected.matches(id, &bytes);
         call.ending = ending(&outcome, cut, &answer);
@@ -186,11 +186,3 @@
 fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
-
-fn shorten(text: &str) -> String {
-    let line = text.replace(['\n', '\r'], " ");
-    match line.char_indices().nth(SHOWN) {
-        Some((end, _)) => format!("{}…", &line[..end]),
-        None => line,
-    }
-}
--- a/components/load/src/publish.rs
+++ b/components/load/src/publish.rs
@@ -5,6 +5,7 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use state::State;
 use thiserror::Error;
 use tokio::process::Command;
 use tokio::time::{Instant, sleep, timeout};
@@ -113,7 +114,7 @@
     Ok(Publish { at: clock.now(), revision: ledger.revision() })
 }
 
-/// Waits until each of the models has a grant; returns how many each has.
+/// Waits until each of the models that are always granted has a grant; returns how many each has.
 pub(crate) async fn granted(site: &Site, models: &[ModelName]) -> Result<Vec<usize>, PublishError> {
     let mut ledger = Ledger::new(site.log);
     let end = Instant::now() + LIMIT;
@@ -121,14 +122,22 @@
         ledger.catch_up().await;
         let counts: Vec<usize> =
             models.iter().map(|model| ledger.state().grants_of(model).count()).collect();
-        let Some(missing) = counts.iter().position(|count| *count == 0) else { return Ok(counts) };
+        let missing = models
+            .iter()
+            .zip(&counts)
+            .find(|(model, count)| **count == 0 && always_granted(ledger.state(), model));
+        let Some((missing, _)) = missing else { return Ok(counts) };
         if Instant::now() >= end {
-            return Err(PublishError::NoGrant { model: models[missing].clone() });
+            return Err(PublishError::NoGrant { model: missing.clone() });
         }
         sleep(PAUSE).await;
     }
 }
 
+fn always_granted(state: &State, model: &ModelName) -> bool {
+    state.tree().model(model).is_none_or(|leaf| leaf.settings.replicas_least > 0)
+}
+
 /// The end of what a program printed.
 fn last_lines(text: &str) -> String {
     let lines: Vec<&str> = text.lines().collect();
--- a/components/load/src/table.rs
+++ b/components/load/src/table.rs
@@ -6,6 +6,8 @@
 use crate::checks::Row;
 use crate::evidence::{Call, Ending};
 
+/// How much of a text is shown.
+const WIDTH: usize = 90;
 /// How many violations of one promise are printed.
 const SHOWN: usize = 3;
 
@@ -47,6 +49,15 @@
     }
 }
 
+/// The start of a text, on one line.
+pub(crate) fn shorten(text: &str) -> String {
+    let line = text.replace(['\n', '\r'], " ");
+    match line.char_indices().nth(WIDTH) {
+        Some((end, _)) => format!("{}…", &line[..end]),
+        None => line,
+    }
+}
+
 /// A time in milliseconds.
 pub(crate) fn millis(time: Duration) -> String {
     format!("{:.0} ms", time.as_secs_f64() * 1e3)
