--- a/components/load/src/truth.rs
+++ b/components/load/src/truth.rs
@@ -47,7 +47,7 @@
         let services = self.services.iter().map(|(name, truth)| (name, &truth.executions));
         for (endpoint, executions) in engines.chain(services) {
             for (request, execution) in executions {
-                let Ok(request) = request.parse() else { continue };
+                let Ok(request) = original(request).parse() else { continue };
                 let endpoint = endpoint.clone();
                 evidence.executions.push(Execution { request, endpoint, runs: execution.runs });
             }
@@ -68,6 +68,17 @@
     }
 }
 
+/// The request that an id at an endpoint stands for: entries add `.1` where an agent has barred the first id.
+fn original(id: &str) -> &str {
+    match id.rsplit_once('.') {
+        Some((request, number)) if number.bytes().all(|byte| byte.is_ascii_digit()) => request,
+        _ => id,
+    }
+}
+
 async fn ask<T: DeserializeOwned>(place: &Place, client: &Client) -> Result<T, CallError> {
     client.get(place.endpoint, "/truth", CALL_LIMIT).await
 }
+
+#[cfg(test)]
+mod tests;
