--- /dev/null
+++ b/components/agent/src/run/tests.rs
@@ -0,0 +1,4 @@
+mod draining;
+mod engine;
+mod serving;
+mod world;
--- a/components/standin/src/engine/core.rs
+++ b/components/standin/src/engine/core.rs
@@ -20,6 +20,14 @@
 /// A crash begins again with a version that no reader has seen.
 const CRASH_STEP: u64 = 1 << 32;
 
+/// How a load ends.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Fate {
+    Good,
+    Fail,
+    Die,
+}
+
 #[derive(Debug)]
 pub(crate) struct Faults {
     pub(crate) up: Instant,
@@ -36,6 +44,17 @@
 }
 
 impl Faults {
+    /// How the next load ends; counts it.
+    pub(crate) fn fate(&mut self) -> Fate {
+        if take(&mut self.die) {
+            Fate::Die
+        } else if take(&mut self.fail) {
+            Fate::Fail
+        } else {
+            Fate::Good
+        }
+    }
+
     pub(crate) fn is_down(&self) -> bool {
         Instant::now() < self.up
     }
@@ -126,6 +145,17 @@
         self.replicas.values().map(Replica::memory).sum()
     }
 
+    /// Whether there is no room for so much more; that it was asked for is a violation.
+    pub(crate) fn lacks(&mut self, need: Size, memory: Size) -> bool {
+        let asked = self.taken() + need;
+        let lacks = asked > memory;
+        if lacks {
+            self.truth.overcommits += 1;
+            self.truth.high_water = self.truth.high_water.max(asked);
+        }
+        lacks
+    }
+
     /// The replica of a ticket, unless it is gone.
     pub(crate) fn replica(&mut self, ticket: &Ticket) -> Option<&mut Replica> {
         let replica = self.replicas.get_mut(&ticket.artifact)?;
