--- a/components/journal/tests/outage.rs
+++ b/components/journal/tests/outage.rs
@@ -145,6 +145,21 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_start_over_from_nothing_when_all_were_stopped() {
+    let (site, nodes) = settled(3).await;
+    site.log.wipe(Stream::Control);
+    pass(30).await;
+    nodes.into_iter().for_each(Node::end);
+    let started = [site.node(1, &[2, 3]), site.node(2, &[1, 3]), site.node(3, &[1, 2])];
+    for node in &started {
+        node.ready().await;
+        assert_eq!(node.offset(), 0);
+    }
+    started[0].append(claim(0)).await.expect("the log is up");
+    started[2].reaches(1).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_wait_for_a_log_that_answers_with_an_old_end() {
     let (site, nodes) = settled(3).await;
