--- a/components/journal/benches/spread.rs
+++ b/components/journal/benches/spread.rs
@@ -25,6 +25,8 @@
 const ROUNDS: u32 = 5;
 /// How many addresses each process knows.
 const KNOWN: usize = 16;
+/// In the runs with lost peers, one in this many is cut off.
+const LOST: u16 = 10;
 /// The delay of a message one way.
 const DELAY: Duration = Duration::from_millis(1);
 /// How often the spread is looked at.
@@ -39,20 +41,22 @@
     Refusing,
     /// Calls get no answer, so that processes believe for a while that the log is up.
     Silent,
+    /// Calls get no answer, and some peers are lost at the same time.
+    WithPeers,
 }
 
 fn main() {
     let sizes: Vec<u16> = std::env::args().filter_map(|arg| arg.parse().ok()).collect();
     let sizes = if sizes.is_empty() { SIZES.to_vec() } else { sizes };
-    println!("nodes  log is    round  half ms  99% ms  all ms  bytes/node");
+    println!("nodes  failure    round  half ms  99% ms  all ms  bytes/node");
     for size in sizes {
-        for failure in [Failure::Refusing, Failure::Silent] {
+        for failure in [Failure::Refusing, Failure::Silent, Failure::WithPeers] {
             for round in 1..=ROUNDS {
                 let mut builder = Builder::new_current_thread();
                 let runtime = builder.enable_all().start_paused(true).build();
                 let runtime = runtime.expect("threads can start");
                 let line = runtime.block_on(measure(size, failure));
-                println!("{size:5}  {failure:8?}  {round:5}  {line}");
+                println!("{size:5}  {failure:9?}  {round:5}  {line}");
             }
         }
     }
@@ -106,8 +110,14 @@
     sleep(Duration::from_secs(10)).await;
     match failure {
         Failure::Refusing => log.set(|faults| faults.outage = true),
-        Failure::Silent => log.set(|faults| faults.delay = Duration::from_secs(3600)),
+        Failure::Silent | Failure::WithPeers => {
+            log.set(|faults| faults.delay = Duration::from_secs(3600));
+        }
     }
+    let is_lost = |number: u16| matches!(failure, Failure::WithPeers) && number % LOST == 1;
+    (0..size).filter(|number| is_lost(*number)).for_each(|number| net.cut(addr(number), true));
+    let nodes: Vec<Journal> =
+        (0..).zip(nodes).filter(|(number, _)| !is_lost(*number)).map(|(_, node)| node).collect();
     sleep(Duration::from_secs(2)).await;
     let (_, bytes) = net.counters();
     let began = Instant::now();
--- a/components/journal/src/heartbeat.rs
+++ b/components/journal/src/heartbeat.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rand::seq::IteratorRandom;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use units::Offset;
 
 use crate::backoff::jitter;
@@ -33,21 +34,28 @@
 pub(crate) async fn keep_in_touch(shared: Arc<Shared>, peers: Peers) {
     let mut neighbours: Vec<Neighbour> = Vec::new();
     let mut turn = 0;
+    let mut lost = 0;
     loop {
-        let pause = jitter(shared.options.heartbeat);
+        // After a silent neighbour the next is asked at once, unless all are silent.
+        let hurries = lost % NEIGHBOURS != 0;
+        let pause = if hurries { Duration::ZERO } else { jitter(shared.options.heartbeat) };
         let news = timeout(pause, shared.news.notified()).await.is_ok();
         choose(&shared, &mut neighbours);
         if neighbours.is_empty() {
             continue;
         }
         if news {
+            let told = Instant::now() + NEWS_PAUSE;
             tell_all(&shared, &peers, &neighbours).await;
-            sleep(NEWS_PAUSE).await;
+            sleep_until(told).await;
             continue;
         }
         turn = (turn + 1) % neighbours.len();
-        if !compare(&shared, &peers, &mut neighbours[turn]).await {
+        if compare(&shared, &peers, &mut neighbours[turn]).await {
+            lost = 0;
+        } else {
             neighbours.remove(turn);
+            lost += 1;
         }
     }
 }
@@ -124,9 +132,9 @@
             }
         })
     });
-    let asks: Vec<_> = asks.collect();
-    for ask in asks {
-        // Each ask has its own limit and no result.
-        let _ended = ask.await;
+    let asks = join_all(asks);
+    // A silent neighbour must not hold up the next news; its ask ends by its own limit.
+    if timeout(NEWS_PAUSE, asks).await.is_err() {
+        log::debug!("journal: a neighbour is slow to take news");
     }
 }
--- a/components/journal/src/peers.rs
+++ b/components/journal/src/peers.rs
@@ -11,8 +11,10 @@
 
 use crate::folded::{Shared, Source};
 
+/// How long a peer may take to say where it is.
+const POSITION_LIMIT: Duration = Duration::from_millis(700);
 /// How long a peer may take to answer.
-pub(crate) const ASK_LIMIT: Duration = Duration::from_secs(2);
+const ASK_LIMIT: Duration = Duration::from_secs(2);
 /// How long a peer may take to send its whole state.
 const STATE_LIMIT: Duration = Duration::from_secs(10);
 /// The most bytes of records in one message.
@@ -46,11 +48,11 @@
             tick: self.shared.recorder.clock().tick(),
             demand: Vec::new(),
         };
-        self.placed(addr, &heartbeat).await
+        self.placed(addr, &heartbeat, POSITION_LIMIT).await
     }
 
-    async fn placed(&self, addr: SocketAddr, control: &Control) -> Option<Offset> {
-        match self.ask(addr, control, ASK_LIMIT).await? {
+    async fn placed(&self, addr: SocketAddr, control: &Control, limit: Duration) -> Option<Offset> {
+        match self.ask(addr, control, limit).await? {
             Reply::Position { applied, tick } => {
                 self.shared.recorder.clock().observe(tick);
                 Some(applied)
@@ -91,7 +93,7 @@
     pub(crate) async fn offer(&self, addr: SocketAddr, from: Offset) {
         let records = self.shared.kept(from, RECORDS_LIMIT);
         if !records.is_empty() {
-            self.placed(addr, &Control::Offer { records }).await;
+            self.placed(addr, &Control::Offer { records }, ASK_LIMIT).await;
         }
     }
 
@@ -99,7 +101,7 @@
     pub(crate) async fn offer_state(&self, addr: SocketAddr) {
         let (upto, data) = self.shared.text();
         let offer = Control::OfferState { upto, data: data.to_string() };
-        if let Some(reached) = self.placed(addr, &offer).await {
+        if let Some(reached) = self.placed(addr, &offer, STATE_LIMIT).await {
             log::info!(
                 "journal: gave the state to the peer at {addr}, which is at offset {reached}"
             );
