--- a/components/planner/src/decide/tests.rs
+++ b/components/planner/src/decide/tests.rs
@@ -28,7 +28,7 @@
 fn least(leaf: &Arc<Leaf>) -> Model {
     let replicas = leaf.settings.replicas_least;
     let wanted = Wanted { replicas, reason: "least" };
-    Model { leaf: leaf.clone(), closing: Closing::default(), wanted }
+    Model { leaf: leaf.clone(), closing: Closing::default(), wanted, idle: true }
 }
 
 fn round(picture: &Picture, sightings: &Sightings, batch: usize) -> Vec<Decision> {
--- a/components/planner/src/forecast.rs
+++ b/components/planner/src/forecast.rs
@@ -19,6 +19,9 @@
 /// The pause between two additions because of refusals, so that the first can take effect.
 const STEP: Duration = Duration::from_secs(5);
 
+/// A model with a lower rate is idle: nobody has asked for it for some minutes.
+const IDLE: f64 = 1e-4;
+
 /// Demand of one model.
 #[derive(Debug, Clone)]
 struct Track {
@@ -95,6 +98,11 @@
         wanted
     }
 
+    /// Whether nobody has asked for a model for some time.
+    pub(crate) fn is_idle(&self, model: &ModelName) -> bool {
+        self.tracks.get(model).is_none_or(|track| track.rate < IDLE)
+    }
+
     /// Forgets models that are not in force any more.
     pub(crate) fn retain(&mut self, is_in_force: impl Fn(&ModelName) -> bool) {
         self.tracks.retain(|model, _| is_in_force(model));
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -5,8 +5,10 @@
 //! What is decided, and that the holder of the lease decides it, is checked again by every process that
 //! folds the record.
 
+mod balance;
 mod decide;
 mod demand;
+mod draft;
 mod forecast;
 mod lease;
 mod listing;
--- a/components/planner/src/picture.rs
+++ b/components/planner/src/picture.rs
@@ -14,6 +14,8 @@
     pub(crate) leaf: Arc<Leaf>,
     pub(crate) closing: Closing,
     pub(crate) wanted: Wanted,
+    /// Whether nobody has asked for it for some time.
+    pub(crate) idle: bool,
 }
 
 /// The state as one round sees it.
--- a/components/planner/src/rounds.rs
+++ b/components/planner/src/rounds.rs
@@ -16,6 +16,7 @@
 use units::{Epoch, ModelName};
 
 use crate::DemandLog;
+use crate::balance::{LOOKED_AT, rebalance};
 use crate::decide::{Rules, decide as decide_round};
 use crate::forecast::Forecasts;
 use crate::membership::Sightings;
@@ -27,12 +28,41 @@
 /// The longest pause after rounds whose decisions were all void.
 const BACKOFF_MOST: Duration = Duration::from_secs(5);
 
+/// How long after a takeover nothing is moved to a better place.
+const SETTLE: Duration = Duration::from_secs(600);
+/// The pause between two searches for better places, each of which moves one grant at most.
+const SEARCH: Duration = Duration::from_secs(10);
+
 /// What the rounds of one epoch remember.
 #[derive(Default)]
 struct Memory {
     epoch: Epoch,
     forecasts: Forecasts,
     unplaced: usize,
+    /// When the next search for better places is due, and the grant it begins with.
+    search: Option<Instant>,
+    cursor: usize,
+}
+
+impl Memory {
+    /// Whether to look for better places: not soon after a takeover, when it is not known yet which models
+    /// are in use, and not while a grant is moving.
+    fn is_search_due(&mut self, picture: &Picture, now: Instant) -> bool {
+        let due = *self.search.get_or_insert(now + SETTLE);
+        let moving = picture.grants.iter().any(|grant| grant.revoked);
+        if now < due || moving {
+            return false;
+        }
+        self.search = Some(now + SEARCH);
+        true
+    }
+
+    /// The grant with which this search begins.
+    fn advance(&mut self, grants: usize) -> usize {
+        let first = if self.cursor < grants { self.cursor } else { 0 };
+        self.cursor = first + LOOKED_AT;
+        first
+    }
 }
 
 /// Decides round by round until the journal ends; at most one append in [`Options::round`](crate::Options).
@@ -89,7 +119,11 @@
     let today = shared.options.calendar.now();
     let models = sized(picture, &mut memory.forecasts, began, today);
     let rules = Rules { sightings, guard: shared.options.guard, batch: shared.options.batch };
-    let round = decide_round(picture, &models, &rules);
+    let mut round = decide_round(picture, &models, &rules);
+    if round.decisions.is_empty() && memory.is_search_due(picture, began) {
+        let first = memory.advance(picture.grants.len());
+        round.decisions.extend(rebalance(picture, &models, &rules, first));
+    }
     metrics::histogram!("planner_round_seconds").record(began.elapsed());
     note_unplaced(memory, round.unplaced);
     if round.decisions.is_empty() {
@@ -110,7 +144,8 @@
         let closing = Closing::at(&leaf.settings.windows, today);
         let count = granted.get(&leaf.model).copied().unwrap_or_default();
         let wanted = forecasts.size(leaf, count, &closing, now);
-        Model { leaf: leaf.clone(), closing, wanted }
+        let idle = forecasts.is_idle(&leaf.model);
+        Model { leaf: leaf.clone(), closing, wanted, idle }
     };
     let models: Vec<Model> = picture.leaves.iter().map(size).collect();
     let names: HashSet<&ModelName> = picture.leaves.iter().map(|leaf| &leaf.model).collect();
--- a/components/planner/tests/common/agents.rs
+++ b/components/planner/tests/common/agents.rs
@@ -98,6 +98,13 @@
         self.site.list.set(list);
     }
 
+    /// The platform's list shows agents again.
+    pub(crate) fn list(&self, numbers: &[usize]) {
+        let mut list = self.site.list.newest();
+        list.extend(numbers.iter().map(|number| self.listed(*number)));
+        self.site.list.set(list);
+    }
+
     /// The process dies, but the list still shows it.
     pub(crate) fn die(&self, number: usize) {
         self.with_live(|live| live.remove(&number));
--- a/components/planner/tests/membership.rs
+++ b/components/planner/tests/membership.rs
@@ -193,3 +193,26 @@
     assert!(rounds <= bound, "{rounds} rounds, the bound is {bound}");
     assert_eq!(after.void, before.void);
 }
+
+#[tokio::test(start_paused = true)]
+async fn can_fill_a_failure_domain_again_that_came_back() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 8, 64).await;
+    agents.lose([0, 4].into_iter());
+    site.until("two members less", |state| members(state) == 6).await;
+    site.until("all grants", |state| state.grants().count() == 64).await;
+    for number in [0, 4] {
+        assert_eq!(agents.attach(number).await, Verdict::Done);
+    }
+    agents.list(&[0, 4]);
+    let before = site.history();
+    pass(1800).await;
+    let after = site.history();
+    let held = |number| after.state.grants_at(&common::agents::endpoint(number)).count();
+    assert!(held(0) >= 4 && held(4) >= 4, "{} and {} grants came back", held(0), held(4));
+    let moved = after.revokes - before.revokes;
+    assert!(moved <= 16, "{moved} grants moved");
+    assert_eq!((after.over, after.state.grants().count()), (0, 64));
+    pass(1800).await;
+    assert_eq!(site.history().revokes, after.revokes, "nothing goes to and fro");
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -19,7 +19,7 @@
 pub use evict::idle_value;
 pub use gaps::Gaps;
 pub use keepwarm::{Costs, KeepWarm};
-pub use placement::{Held, Host, Weights, Wish, place};
+pub use placement::{Held, Host, Weights, Wish, place, saving};
 pub use prewarm::prewarm;
 pub use schedule::{Load, Slot, Store, schedule};
 pub use series::{Series, SeriesOrder};
--- a/components/policy/src/placement.rs
+++ b/components/policy/src/placement.rs
@@ -131,5 +131,14 @@
     best.map(|(_, i)| i)
 }
 
+/// How much less another place would cost a replica than the host at index `at`, which holds it;
+/// `None` if no other can hold it. `wish.domains` are those of the model's other replicas.
+pub fn saving(hosts: &[Host], at: usize, wish: &Wish<'_>, weights: &Weights) -> Option<f64> {
+    let other = place(hosts, wish, weights)?;
+    let mut here = hosts[at].clone();
+    here.held.retain(|held| held.model != *wish.model);
+    Some(here.cost(wish, weights) - hosts[other].cost(wish, weights))
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/policy/src/placement/tests.rs
+++ b/components/policy/src/placement/tests.rs
@@ -1,4 +1,4 @@
-use super::{Held, Host, Weights, Wish, place};
+use super::{Held, Host, Weights, Wish, place, saving};
 use jiff::Timestamp;
 use units::{Domain, ModelName, ReplicaIndex, ServiceName, Size};
 
@@ -30,9 +30,13 @@
     Timestamp::from_second(seconds).ok()
 }
 
-fn best(hosts: &[Host], domains: &[Domain], opens: Option<Timestamp>) -> Option<String> {
+fn with_wish<R>(
+    domains: &[Domain],
+    opens: Option<Timestamp>,
+    look: impl FnOnce(&Wish<'_>) -> R,
+) -> R {
     let (name, service) = (model("page-text"), service());
-    let wish = Wish {
+    look(&Wish {
         model: &name,
         index: ReplicaIndex(0),
         artifact: &name,
@@ -40,8 +44,13 @@
         need: Size::gib(10),
         opens,
         domains,
-    };
-    place(hosts, &wish, &Weights::default()).map(|i| hosts[i].endpoint.to_string())
+    })
+}
+
+fn best(hosts: &[Host], domains: &[Domain], opens: Option<Timestamp>) -> Option<String> {
+    with_wish(domains, opens, |wish| {
+        place(hosts, wish, &Weights::default()).map(|i| hosts[i].endpoint.to_string())
+    })
 }
 
 #[test]
@@ -86,3 +95,17 @@
     hosts.reverse();
     assert_eq!(best(&hosts, &[], None), first);
 }
+
+#[test]
+fn can_tell_what_a_move_would_save() {
+    let mut hosts = vec![host("e1", "saddar"), host("e2", "lyari")];
+    hosts[0].held.extend([held("page-text", 10, None), held("a", 60, None)]);
+    let save = |hosts: &[Host], domains: &[Domain]| {
+        with_wish(domains, None, |wish| saving(hosts, 0, wish, &Weights::default()))
+    };
+    assert_eq!(save(&hosts, &[]), Some(0.75));
+    let spread = save(&hosts, &["lyari".parse().expect("a domain")]);
+    assert_eq!(spread, Some(0.75 - 8.0), "the other failure domain has a replica already");
+    hosts[1].open = false;
+    assert_eq!(save(&hosts, &[]), None);
+}
