--- a/components/planner/tests/grants.rs
+++ b/components/planner/tests/grants.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use serde_json::json;
 use state::{State, Verdict};
+use tokio::time::{Instant, sleep};
 use tree::{Change, NodeKind};
 use units::ModelName;
 use wire::Demand;
@@ -40,6 +41,24 @@
     assert_eq!(site.history().rounds, rounds, "nothing more is decided");
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_pace_rounds_while_edits_pour_in() {
+    let site = Site::default();
+    let entry = site.entry(1);
+    let agents = Agents::start(&site, 12).await;
+    publish(&agents.journal, "e0", add_branch()).await;
+    pass(10).await;
+    let (before, began) = (site.history().rounds, Instant::now());
+    for i in 1..=100 {
+        publish(&agents.journal, &format!("e{i}"), vec![add(&format!("m{i}"))]).await;
+        sleep(Duration::from_millis(50)).await;
+    }
+    site.until("all grants", |state| state.grants().count() == 100).await;
+    let took = began.elapsed().as_millis() / entry.options.round.as_millis();
+    let rounds = (site.history().rounds - before) as u128;
+    assert!(rounds <= took + 1, "{rounds} rounds in the time of {took}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_obey_the_first_of_two_edits_that_race_on_a_bound() {
     let site = Site::default();
--- a/components/planner/tests/lease.rs
+++ b/components/planner/tests/lease.rs
@@ -105,6 +105,24 @@
     assert_eq!(entries.len(), 8);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_decide_nothing_while_the_log_is_down() {
+    let site = Site::default();
+    let _entries = entries(&site, 4).await;
+    let agents = Agents::start(&site, 8).await;
+    publish(&agents.journal, "e1", [add_branch(), vec![add("m")]].concat()).await;
+    site.until("a grant", |state| state.grants().count() == 1).await;
+    pass(10).await;
+    site.log.set(|faults| faults.outage = true);
+    pass(10).await;
+    let asked = site.log.counters().appends;
+    agents.lose(0..2);
+    pass(60).await;
+    assert_eq!(site.log.counters().appends, asked, "nobody even tries");
+    site.log.set(|faults| faults.outage = false);
+    site.until("two members less", |state| state.members().count() == 6).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_replace_a_holder_that_died_in_an_outage_with_few_claims() {
     let site = Site::default();
