--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -20,7 +20,7 @@
 pub use gaps::Gaps;
 pub use keepwarm::{Costs, KeepWarm};
 pub use placement::{Held, Host, Weights, Wish, place, saving};
-pub use prewarm::prewarm;
+pub use prewarm::{Need, needs, prewarm};
 pub use schedule::{Load, Slot, Store, schedule};
 pub use series::{Series, SeriesOrder};
 pub use sizing::{Bounds, Forecast, Wanted, wanted};
--- a/components/policy/src/prewarm.rs
+++ b/components/policy/src/prewarm.rs
@@ -3,7 +3,7 @@
 use jiff::{SignedDuration, Timestamp};
 use state::{Grant, State};
 use tree::{Leaf, NodeKind, Window};
-use units::Size;
+use units::{EndpointId, ModelName, ReplicaIndex, Size};
 
 use crate::closing::GRANT_LEAD;
 use crate::{Load, Slot, Store, schedule};
@@ -15,6 +15,44 @@
     schedule(loads, store)
 }
 
+/// A replica that a closing window needs loaded now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// The model.
+    pub model: ModelName,
+    /// Which replica.
+    pub index: ReplicaIndex,
+    /// When the window opens or opened.
+    pub opens: Timestamp,
+}
+
+/// What closing windows need at an endpoint now: replicas whose latest start has come, or whose window is
+/// open.
+pub fn needs(state: &State, endpoint: &EndpointId, now: Timestamp, store: &Store) -> Vec<Need> {
+    let held: Vec<&Grant> = state.grants_at(endpoint).filter(|grant| !grant.revoked).collect();
+    let mut needs: Vec<Need> =
+        held.iter().filter_map(|grant| open_need(state, grant, now)).collect();
+    if held.iter().any(|grant| has_near(state, grant, now)) {
+        let due = prewarm(state, now, store).into_iter().take_while(|slot| slot.starts <= now);
+        let own = due.filter(|slot| slot.endpoint == *endpoint);
+        needs.extend(own.map(|Slot { model, index, opens, .. }| Need { model, index, opens }));
+    }
+    needs
+}
+
+/// What an open window needs of a grant.
+fn open_need(state: &State, grant: &Grant, now: Timestamp) -> Option<Need> {
+    let leaf = state.tree().model(&grant.model)?;
+    let windows = leaf.settings.windows.iter().filter(|window| grant.index.0 < window.replicas);
+    let opens = windows.filter_map(|window| window.open_at(now)).max()?;
+    Some(Need { model: grant.model.clone(), index: grant.index, opens })
+}
+
+fn has_near(state: &State, grant: &Grant, now: Timestamp) -> bool {
+    let leaf = state.tree().model(&grant.model);
+    leaf.is_some_and(|leaf| leaf.settings.windows.iter().any(|window| near(window, now).is_some()))
+}
+
 /// The loads of one model: each of its grants once, for the first window that needs it.
 fn loads_of(state: &State, leaf: &Leaf, now: Timestamp) -> Vec<Load> {
     let windows = leaf.settings.windows.iter();
--- a/components/policy/src/prewarm/tests.rs
+++ b/components/policy/src/prewarm/tests.rs
@@ -1,11 +1,12 @@
 use jiff::Timestamp;
 use record::{Attach, Body, Decision, Record};
+use rstest::rstest;
 use serde_json::json;
 use state::{State, Verdict};
 use tree::{Change, Edit, NodeKind};
 use units::{Epoch, Incarnation, NodePath, Offset, ReplicaIndex, Revision, Size};
 
-use super::prewarm;
+use super::{needs, prewarm};
 use crate::Store;
 
 fn apply(state: &mut State, body: Body) {
@@ -91,3 +92,19 @@
     let now: Timestamp = "2026-12-31T06:59:59Z".parse().expect("a time");
     assert_eq!(prewarm(&state(), now, &Store::default()), vec![]);
 }
+
+#[rstest]
+#[case::long_before("2026-12-31T07:30:00Z", &[])]
+#[case::when_the_load_is_due("2026-12-31T07:59:36Z", &["bills"])]
+#[case::at_the_opening("2026-12-31T08:00:00Z", &["bills"])]
+#[case::before_it_closes("2026-12-31T15:59:59Z", &["bills"])]
+#[case::after_it_closed("2026-12-31T16:00:00Z", &[])]
+fn can_tell_what_an_endpoint_must_have_loaded(#[case] now: &str, #[case] models: &[&str]) {
+    let endpoint = "engine-1".parse().expect("an endpoint");
+    let now = now.parse().expect("a time");
+    let found = needs(&state(), &endpoint, now, &Store::default());
+    let names: Vec<_> = found.iter().map(|need| need.model.as_str()).collect();
+    assert_eq!(names, models);
+    let opens: Timestamp = "2026-12-31T08:00:00Z".parse().expect("a time");
+    assert!(found.iter().all(|need| need.opens == opens && need.index.0 == 0));
+}
--- a/components/policy/src/schedule.rs
+++ b/components/policy/src/schedule.rs
@@ -70,6 +70,8 @@
     pub starts: Timestamp,
     /// When it is done.
     pub done: Timestamp,
+    /// When the window opens.
+    pub opens: Timestamp,
 }
 
 #[expect(clippy::cast_precision_loss, reason = "a plan needs no exact bytes")]
@@ -108,8 +110,8 @@
             starts = self.fetch_before(starts, fetch(&load, self.store));
         }
         self.endpoints.insert(load.endpoint.clone(), starts);
-        let Load { model, index, endpoint, .. } = load;
-        Slot { model, index, endpoint, starts, done }
+        let Load { model, index, endpoint, opens, .. } = load;
+        Slot { model, index, endpoint, starts, done, opens }
     }
 
     /// Takes the lane that is free the longest, and the last free turn to start.
