--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -5,6 +5,7 @@
 
 use journal::Journal;
 use platform::Endpoint;
+use policy::Calendar;
 use process::Shutdown;
 use timeline::{Event, Kind, Recorder};
 use tokio::sync::Notify;
@@ -21,6 +22,8 @@
     pub(crate) settings: Settings,
     pub(crate) journal: Journal,
     pub(crate) endpoint: Arc<dyn Endpoint>,
+    /// What closing windows are read against.
+    pub(crate) calendar: Calendar,
     pub(crate) recorder: Recorder,
     pub(crate) shutdown: Shutdown,
     pub(crate) peers: peer::Client,
@@ -36,6 +39,7 @@
         settings: Settings,
         journal: Journal,
         endpoint: Arc<dyn Endpoint>,
+        calendar: Calendar,
         recorder: Recorder,
         shutdown: Shutdown,
     ) -> Self {
@@ -51,6 +55,7 @@
             settings,
             journal,
             endpoint,
+            calendar,
             recorder,
             shutdown,
             peers: peer::Client::default(),
--- a/components/agent/src/desk.rs
+++ b/components/agent/src/desk.rs
@@ -59,7 +59,7 @@
     pub(crate) ledger: Ledger,
     pub(crate) times: LoadTimes,
     pub(crate) closed: Option<Closed>,
-    tiers: BTreeMap<ModelName, CacheTier>,
+    pub(crate) tiers: BTreeMap<ModelName, CacheTier>,
     synced: Option<Offset>,
     left: bool,
 }
--- a/components/agent/src/evict.rs
+++ b/components/agent/src/evict.rs
@@ -15,6 +15,8 @@
     pub(crate) idle: Duration,
     /// How long it would take to load it again.
     pub(crate) reload: Duration,
+    /// Whether a closing window needs it.
+    pub(crate) held: bool,
     /// The memory it would give back.
     pub(crate) memory: Size,
 }
@@ -32,13 +34,14 @@
 /// The candidate for a replica.
 pub(crate) fn candidate(replica: &Replica, memory: Size, reload: Duration) -> Candidate {
     let idle = Instant::now().saturating_duration_since(replica.used);
-    Candidate { artifact: replica.artifact.clone(), idle, reload, memory }
+    let held = replica.warmth.is_held();
+    Candidate { artifact: replica.artifact.clone(), idle, reload, held, memory }
 }
 
 /// Chooses who gives way for `missing` bytes, the least valuable first: idle longest for what a reload
-/// costs. Nobody goes if all together would not be enough.
+/// costs, and those that a closing window needs last. Nobody goes if all together would not be enough.
 pub(crate) fn choose(mut candidates: Vec<Candidate>, missing: Size) -> Vec<ModelName> {
-    candidates.sort_by_key(|candidate| std::cmp::Reverse(staleness(candidate)));
+    candidates.sort_by_key(|candidate| (candidate.held, std::cmp::Reverse(staleness(candidate))));
     let mut chosen = Vec::new();
     let mut freed = Size(0);
     for candidate in candidates {
--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::Store;
 use record::{Body, GrantId};
 use timeline::Kind;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::agent::Agent;
 use crate::authority::Barred;
@@ -24,6 +26,9 @@
 /// The pause after an inventory that could not be read.
 const POLL_PAUSE: Duration = Duration::from_millis(250);
 
+/// The pause between two looks at the closing windows.
+const LOOK: Duration = Duration::from_secs(1);
+
 /// How long the release of grants may take before it is tried again.
 const RELEASE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -56,6 +61,7 @@
         orders: JoinSet::new(),
         releases: JoinSet::new(),
         reconciled: false,
+        looked: None,
     };
     let mut changes = keeper.agent.journal.changes();
     loop {
@@ -100,6 +106,8 @@
     orders: JoinSet<OrderEnd>,
     releases: JoinSet<()>,
     reconciled: bool,
+    /// When it last looked at the closing windows.
+    looked: Option<Instant>,
 }
 
 impl Keeper {
@@ -138,8 +146,21 @@
         self.agent.record(kind, |event| event.model(artifact).note(note));
     }
 
+    /// Looks at what closing windows need here, now and then.
+    fn look_at_windows(&mut self) {
+        if self.looked.is_some_and(|at| at.elapsed() < LOOK) {
+            return;
+        }
+        self.looked = Some(Instant::now());
+        let (agent, store) = (&self.agent, Store::default());
+        let (endpoint, now) = (&agent.settings.endpoint, agent.calendar.now());
+        let needs = agent.journal.read(|state| policy::needs(state, endpoint, now, &store));
+        agent.desk().hold(&needs);
+    }
+
     /// Sends what is due.
     fn act(&mut self) {
+        self.look_at_windows();
         if self.reconciled && self.agent.authority.check().is_ok() {
             let drafts = self.agent.desk().plan(&mut self.ids);
             for draft in drafts {
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -30,6 +30,7 @@
 mod stream;
 mod table;
 mod wake;
+mod warm;
 
 pub use run::run;
 pub use settings::{EndpointKind, Settings};
--- a/components/agent/src/plan.rs
+++ b/components/agent/src/plan.rs
@@ -1,6 +1,8 @@
 //! Which orders the replicas need now.
 
-use platform::OrderKind;
+use std::time::Duration;
+
+use platform::{CacheTier, OrderKind};
 use tokio::time::Instant;
 use tree::Class;
 use units::{AdapterName, ModelName, Size};
@@ -43,8 +45,9 @@
         let mut drafts = Vec::new();
         let open = self.closed.is_none();
         for replica in self.replicas.values_mut() {
+            let tier = self.tiers.get(&replica.artifact).copied().unwrap_or(CacheTier::Remote);
             drafts.extend(replica.repeat());
-            drafts.extend(replica.steer(open, ids));
+            drafts.extend(replica.steer(open, self.times.get(tier), ids));
         }
         if open {
             self.plan_loads(ids, &mut drafts);
@@ -99,7 +102,9 @@
         if missing == Size(0) {
             return;
         }
+        let urgent = self.replicas.get(keep).is_some_and(Replica::urgent);
         let others = self.replicas.values().filter(|r| r.artifact != *keep && evict::may_go(r));
+        let others = others.filter(|replica| urgent || !replica.warmth.is_held());
         let candidates = others.map(|replica| {
             let reload = self.times.get(self.tier(&replica.artifact));
             evict::candidate(replica, self.ledger.of(&replica.artifact), reload)
@@ -169,8 +174,7 @@
     }
 
     /// Moves the replica towards what its grant and its idle time ask for.
-    fn steer(&mut self, open: bool, ids: &mut OrderIds) -> Option<Draft> {
-        let now = Instant::now();
+    fn steer(&mut self, open: bool, reload: Duration, ids: &mut OrderIds) -> Option<Draft> {
         if self.pinned {
             return None;
         }
@@ -194,10 +198,7 @@
                 None
             }
             Phase::Draining => self.drain(ids),
-            Phase::Ready => {
-                let cool = self.idle() && now >= self.used + self.limits.keep_warm;
-                (cool && self.orderable()).then(|| self.unload(ids))
-            }
+            Phase::Ready => (self.is_cool(reload) && self.orderable()).then(|| self.unload(ids)),
             Phase::Cold | Phase::Loading | Phase::Unloading => None,
         }
     }
@@ -257,6 +258,7 @@
     /// Who is loaded first: the most urgent class that waits, then the longest wait.
     fn urgency(&self) -> (Class, Option<Instant>) {
         let first = self.queue.iter().map(|waiting| (waiting.class, Some(waiting.since))).min();
-        first.unwrap_or((Class::Interactive, None))
+        let nobody = if self.woken { Class::Interactive } else { Class::Series };
+        first.unwrap_or((nobody, None))
     }
 }
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -14,6 +14,7 @@
 use crate::estimate::{Average, LoadTimes, Wait};
 use crate::pending::Pending;
 use crate::queue::{Place, Queue, QueueLimits, Waiting};
+use crate::warm::Warmth;
 
 /// The next replica is woken when a request would wait longer than this share of its time left.
 const WAKE_SHARE: f64 = 0.5;
@@ -52,6 +53,8 @@
     pub(crate) kv_room: Size,
     pub(crate) batch: usize,
     pub(crate) keep_warm: Duration,
+    pub(crate) cold_weight: f64,
+    pub(crate) idle_weight: f64,
     pub(crate) drain: Duration,
     pub(crate) queue: QueueLimits,
 }
@@ -69,6 +72,8 @@
             kv_room: settings.kv_room,
             batch: settings.batch.max(1) as usize,
             keep_warm: settings.keep_warm.0,
+            cold_weight: settings.cold_weight,
+            idle_weight: settings.idle_weight,
             drain: settings.drain.0,
             queue: QueueLimits {
                 count: settings.queue as usize,
@@ -114,6 +119,7 @@
     pub(crate) running: usize,
     pub(crate) woken: bool,
     pub(crate) used: Instant,
+    pub(crate) warmth: Warmth,
     pub(crate) service: Average,
     pub(crate) adapters: BTreeMap<AdapterName, Adapter>,
     pub(crate) failures: u32,
@@ -138,6 +144,7 @@
             running: 0,
             woken: false,
             used: now,
+            warmth: Warmth::default(),
             service: Average::default(),
             adapters: BTreeMap::new(),
             failures: 0,
@@ -181,7 +188,7 @@
 
     /// Whether somebody wants it loaded.
     pub(crate) fn wanted(&self) -> bool {
-        self.woken || self.queue.len() > 0
+        self.woken || self.warmth.is_due() || self.queue.len() > 0
     }
 
     /// How long a new request of a class would wait until it starts.
@@ -208,6 +215,7 @@
             return Err(Refusal::Hopeless { wait: round(wait) });
         }
         self.used = Instant::now();
+        self.warmth.came();
         if let Some(need) = &waiting.adapter {
             let adapter = Adapter::new(need.weights);
             self.adapters.entry(need.name.clone()).or_insert(adapter).used = self.used;
@@ -288,6 +296,9 @@
         if let Some(took) = took {
             self.service.add(took);
         }
+        if self.idle() {
+            self.warmth.rests();
+        }
     }
 
     /// Refuses all that waits.
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use platform::{Endpoint, HttpEndpoint, HttpList, HttpLog, InstanceList, LogService};
+use policy::Calendar;
 use process::{Phase, Process, Shutdown, StartError};
 use timeline::Recorder;
 use tokio::sync::watch;
@@ -21,6 +22,7 @@
     pub(crate) log: Arc<dyn LogService>,
     pub(crate) list: Arc<dyn InstanceList>,
     pub(crate) endpoint: Arc<dyn Endpoint>,
+    pub(crate) calendar: Calendar,
 }
 
 /// Runs an agent until its shutdown is done.
@@ -29,6 +31,7 @@
         log: Arc::new(HttpLog::new(settings.log)),
         list: Arc::new(HttpList::new(settings.list)),
         endpoint: Arc::new(HttpEndpoint::new(settings.address)),
+        calendar: Calendar::system(),
     };
     let agent = build(settings, &edges, process.recorder.clone(), process.shutdown.clone());
     process::spawn_admin(&process, status::of(&agent)).await?;
@@ -45,7 +48,8 @@
     let options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
     let instance = settings.identity.instance.clone();
     let journal = journal::start(edges.log.clone(), instance, recorder.clone(), options);
-    Arc::new(Agent::new(settings, journal, edges.endpoint.clone(), recorder, shutdown))
+    let endpoint = edges.endpoint.clone();
+    Arc::new(Agent::new(settings, journal, endpoint, edges.calendar, recorder, shutdown))
 }
 
 /// Opens the sockets, leads the endpoint until the agent ends, and closes the connections politely.
--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -1,4 +1,5 @@
 mod draining;
 mod engine;
 mod serving;
+mod windows;
 mod world;
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -8,6 +8,7 @@
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use platform::Stream;
+use policy::Calendar;
 use process::{Identity, Phase, Shutdown};
 use record::{Attach, Body, Decision, GrantId, Record};
 use serde_json::{Value, json};
@@ -29,6 +30,9 @@
     text.parse().expect("the test's ids are valid")
 }
 
+/// When the tests start.
+const TODAY: &str = "2026-12-31T07:00:00Z";
+
 /// The endpoint of all tests.
 pub(crate) const ENDPOINT: &str = "likhari-1";
 
@@ -116,6 +120,7 @@
             log: Arc::new(log.clone()),
             list: Arc::new(list.clone()),
             endpoint: Arc::new(engine.clone()),
+            calendar: Calendar::starting(TODAY.parse().expect("a time")),
         };
         let world = Self { log, list, engine, edges, numbers: Arc::default() };
         let mut changes = Vec::new();
