--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -1,5 +1,7 @@
 mod draining;
 mod engine;
+mod failures;
 mod serving;
+mod unfenced;
 mod windows;
 mod world;
