--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use platform::{Endpoint, HttpEndpoint, HttpList, HttpLog, InstanceList, LogService};
+use policy::Calendar;
 use process::{Phase, Process, Shutdown, StartError};
 use timeline::Recorder;
 use tokio::sync::watch;
@@ -13,7 +14,7 @@
 
 use crate::agent::Agent;
 use crate::table::SWEEP;
-use crate::{EndpointKind, Settings, attach, dispatch, drain, keeper, lease, status, wake};
+use crate::{EndpointKind, Settings, attach, dispatch, drain, keeper, status, wake};
 
 /// The edges of the process.
 #[derive(Clone)]
@@ -21,6 +22,7 @@
     pub(crate) log: Arc<dyn LogService>,
     pub(crate) list: Arc<dyn InstanceList>,
     pub(crate) endpoint: Arc<dyn Endpoint>,
+    pub(crate) calendar: Calendar,
 }
 
 /// Runs an agent until its shutdown is done.
@@ -29,6 +31,7 @@
         log: Arc::new(HttpLog::new(settings.log)),
         list: Arc::new(HttpList::new(settings.list)),
         endpoint: Arc::new(HttpEndpoint::new(settings.address)),
+        calendar: Calendar::system(),
     };
     let agent = build(settings, &edges, process.recorder.clone(), process.shutdown.clone());
     process::spawn_admin(&process, status::of(&agent)).await?;
@@ -42,10 +45,20 @@
     recorder: Recorder,
     shutdown: Shutdown,
 ) -> Arc<Agent> {
-    let options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+    let options = journal_options(&settings);
     let instance = settings.identity.instance.clone();
     let journal = journal::start(edges.log.clone(), instance, recorder.clone(), options);
-    Arc::new(Agent::new(settings, journal, edges.endpoint.clone(), recorder, shutdown))
+    let endpoint = edges.endpoint.clone();
+    Arc::new(Agent::new(settings, journal, endpoint, edges.calendar, recorder, shutdown))
+}
+
+/// An agent that needs news of the log to order its endpoint asks for it more often than its lease lasts.
+fn journal_options(settings: &Settings) -> journal::Options {
+    let mut options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+    if let Some(lease) = settings.lease() {
+        options.poll = options.poll.min(lease / 4);
+    }
+    options
 }
 
 /// Opens the sockets, leads the endpoint until the agent ends, and closes the connections politely.
@@ -71,7 +84,6 @@
     }
     let mut tasks = JoinSet::new();
     tasks.spawn(sweep(agent.clone()));
-    tasks.spawn(lease::keep(agent.clone()));
     work(&agent, list, &mut tasks).await;
     Ok(())
 }
