--- a/components/state/tests/repeats.rs
+++ b/components/state/tests/repeats.rs
@@ -76,14 +76,17 @@
     assert_eq!(log.state.verdict_of("one"), None);
 }
 
-#[test]
-fn can_ignore_offsets_that_were_applied_before() {
+#[rstest]
+#[case::an_earlier_one(1)]
+#[case::the_newest(2)]
+fn can_ignore_offsets_that_were_applied_before(#[case] offset: u64) {
     let mut log = Log::default();
     log.put("entry-1", claim(0));
     log.put("entry-2", claim(1));
     let before = log.state.clone();
-    let again = log.state.apply(Offset(1), &log.records[0]);
-    assert_eq!(void(&again), &Void::Old);
+    let other = record("other", 0, claim(2));
+    assert_eq!(void(&log.state.apply(Offset(offset), &other)), &Void::Old);
+    assert_eq!(void(&log.state.apply_bytes(Offset(offset), b"{")), &Void::Old);
     assert_eq!(log.state, before);
 }
 
