--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -3,4 +3,5 @@
 mod failures;
 mod serving;
 mod unfenced;
+mod windows;
 mod world;
