--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use jiff::Timestamp;
 use lexopt::Arg::{Long, Short, Value};
 use lexopt::{Parser, ValueExt};
 use serde::Deserialize;
@@ -53,6 +54,7 @@
     Set { path: NodePath, values: Vec<Assignment> },
     Explain { path: String },
     Reference,
+    Windows { file: Option<PathBuf>, from: Option<Timestamp> },
     Status,
     Timeline(Filter),
 }
@@ -89,8 +91,18 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 9] =
-    ["check", "diff", "pull", "publish", "set", "explain", "reference", "status", "timeline"];
+const COMMANDS: [&str; 10] = [
+    "check",
+    "diff",
+    "pull",
+    "publish",
+    "set",
+    "explain",
+    "reference",
+    "status",
+    "timeline",
+    "windows",
+];
 
 /// What was read so far.
 #[derive(Debug, Default)]
@@ -108,6 +120,7 @@
     entries: Vec<SocketAddr>,
     author: Option<String>,
     wait: Option<Span>,
+    from: Option<Timestamp>,
     force: bool,
     replace: bool,
     help: bool,
@@ -135,6 +148,7 @@
             Long("entry") => words.flags.entries.push(parser.value()?.parse()?),
             Long("author") => words.flags.author = Some(parser.value()?.string()?),
             Long("wait") => words.flags.wait = Some(parser.value()?.parse()?),
+            Long("from") => words.flags.from = Some(parser.value()?.parse()?),
             Long("force") => words.flags.force = true,
             Long("replace") => words.flags.replace = true,
             Long("request") => words.filter.request = Some(parser.value()?.parse()?),
@@ -184,6 +198,7 @@
         }
         "explain" => Command::Explain { path: next("PATH", &mut values)?.string()? },
         "reference" => Command::Reference,
+        "windows" => Command::Windows { file: values.next().map(PathBuf::from), from: flags.from },
         "status" => Command::Status,
         "timeline" => {
             let mut filter = std::mem::take(&mut words.filter);
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -19,6 +19,8 @@
   set PATH KEY=VALUE...    publish settings of one node; `KEY=` clears the setting
   explain PATH             show the settings in force at a node or a model, and where they come from
   reference                write the reference page of all settings
+  windows [FILE]           show which closing windows open within 40 days, in force or in the file, and
+                           whether what they need fits the endpoints; --from TIME looks from another time
   status                   show the planner, the grants and every process with its revision
   timeline [ADDR...]       show the events of all processes in causal order;
                            --request ID, --model M and --endpoint E choose
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod set;
 pub(crate) mod status;
 pub(crate) mod timeline;
+pub(crate) mod windows;
--- a/src/main.rs
+++ b/src/main.rs
@@ -60,6 +60,9 @@
         }
         Command::Set { path, values } => cmd::set::run(&connect().await?, path, values, out).await,
         Command::Explain { path } => cmd::explain::run(&connect().await?, path, out),
+        Command::Windows { file, from } => {
+            cmd::windows::run(&connect().await?, file.as_deref(), *from, out)
+        }
         Command::Status => cmd::status::run(&connect().await?, out).await,
         Command::Timeline(filter) => cmd::timeline::run(&connect().await?, filter, out).await,
     }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -185,6 +185,20 @@
     assert_snapshot!(site.transcript());
 }
 
+#[tokio::test]
+async fn can_see_whether_closing_windows_fit() {
+    const PRESS: &str = include_str!("../examples/press-karachi-south.jsonc");
+    let site = Site::with_processes().await;
+    let asma = site.operator("asma");
+    asma.run("windows").await;
+    site.write("press.jsonc", PRESS);
+    asma.run("--from 2026-12-15T00:00:00Z windows press.jsonc").await;
+    site.write("press.jsonc", &PRESS.replace("\"monthly last 08:00\"", "\"monthly last 16:00\""));
+    site.note("the windows of the draft pages are still open when those of the series open");
+    asma.run("--from 2026-12-15T00:00:00Z windows press.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_keep_unpublished_changes_over_a_pull() {
     let site = Site::default();
