--- a/components/process/src/settings.rs
+++ b/components/process/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use jsonc_parser::ParseOptions;
+use jsonc::DIALECT;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -40,20 +40,6 @@
     },
 }
 
-/// JSON with comments and trailing commas, and nothing looser, so that a slip is an error.
-const DIALECT: ParseOptions = ParseOptions {
-    allow_comments: true,
-    allow_trailing_commas: true,
-    allow_loose_object_property_names: false,
-    allow_missing_commas: false,
-    allow_single_quoted_strings: false,
-    allow_hexadecimal_numbers: false,
-    allow_unary_plus_numbers: false,
-    allow_bare_decimal_point_numbers: false,
-    allow_non_finite_numbers: false,
-    allow_extended_string_escapes: false,
-};
-
 /// Who a process is and where it is managed.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/tree/src/file.rs
+++ b/components/tree/src/file.rs
@@ -3,9 +3,10 @@
 use std::collections::HashSet;
 use std::path::{Path, PathBuf};
 
+use jsonc::DIALECT;
 use jsonc_parser::ast::{Object, Value as Ast};
 use jsonc_parser::common::Ranged;
-use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use jsonc_parser::{CollectOptions, parse_to_ast};
 use serde::Deserialize;
 use serde_json::Value as Json;
 use thiserror::Error;
@@ -56,20 +57,6 @@
     },
 }
 
-/// JSON with comments and trailing commas, and nothing looser, so that a slip is an error.
-pub(crate) const DIALECT: ParseOptions = ParseOptions {
-    allow_comments: true,
-    allow_trailing_commas: true,
-    allow_loose_object_property_names: false,
-    allow_missing_commas: false,
-    allow_single_quoted_strings: false,
-    allow_hexadecimal_numbers: false,
-    allow_unary_plus_numbers: false,
-    allow_bare_decimal_point_numbers: false,
-    allow_non_finite_numbers: false,
-    allow_extended_string_escapes: false,
-};
-
 /// Reads the text of a settings file; `file` only appears in errors.
 pub fn parse(file: &Path, text: &str) -> Result<TreeFile, FileError> {
     let syntax = |cause: String| FileError::Syntax { file: file.to_owned(), cause };
--- a/components/tree/src/rewrite.rs
+++ b/components/tree/src/rewrite.rs
@@ -5,7 +5,7 @@
 use units::NodePath;
 
 use crate::Change;
-use crate::file::DIALECT;
+use jsonc::DIALECT;
 
 /// The text with changes made in it, and all else as it was; nothing if a change finds no place.
 pub fn rewrite(text: &str, changes: &[Change]) -> Option<String> {
