--- a/src/cli.rs
+++ b/src/cli.rs
@@ -30,7 +30,7 @@
     pub(crate) entries: Vec<SocketAddr>,
     /// Who publishes.
     pub(crate) author: String,
-    /// The longest wait for the log, and for an edit to be in force everywhere.
+    /// The longest wait for the log.
     pub(crate) wait: Span,
 }
 
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -32,7 +32,8 @@
   --seed ADDR              control address of a process to ask while the log is down; may be repeated
   --entry ADDR             admin address of an entry; may be repeated
   --author NAME            who publishes; default $USER
-  --wait SPAN              the longest wait for the log, and for an edit to be in force; default 30s
+  --wait SPAN              the longest wait for the log, default 30s, and for an edit to be in force, which is
+                           at most 10s
   -h, --help               show this
   -V, --version            show the version
 
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -16,6 +16,10 @@
 /// The pause before the processes are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
+/// The longest wait until an edit is in force everywhere: twice what is promised, since an instance that is
+/// gone would otherwise hold up every publish.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
+
 /// What a publish would append.
 #[derive(Debug)]
 pub(crate) struct Plan {
@@ -148,7 +152,7 @@
     accepted: Revision,
     out: &mut dyn Write,
 ) -> Result<Exit, CmdError> {
-    let until = Instant::now() + session.wait;
+    let until = Instant::now() + session.wait.min(IN_FORCE_LIMIT);
     let targets = session.fleet.targets(&session.journal);
     let mut behind = targets.clone();
     let mut reasons = Vec::new();
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,14 +1,18 @@
 //! `hyssopctl status`.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 
-use serde_json::Value;
+use serde_json::{Map, Value};
 use state::State;
 
 use crate::error::{CmdError, Exit};
 use crate::fleet::Status;
 use crate::session::Session;
 
+/// The phase of replicas that are granted and not loaded, which are most.
+const COLD: &str = "cold";
+
 /// Shows the planner, the grants and every process.
 pub(crate) async fn run(session: &Session, out: &mut dyn Write) -> Result<Exit, CmdError> {
     let log = if session.journal.log_up() { "up" } else { "down; this is what the processes know" };
@@ -66,18 +70,30 @@
     more.fold(format!("revision {}", status.revision), |line, word| line + &word)
 }
 
-/// A value in a few words: of lists only the length, of what has a phase only that.
+/// A value in a few words: of a list only the length, of replicas their phases.
 fn brief(value: &Value) -> String {
     match value {
         Value::Array(list) => list.len().to_string(),
         Value::String(text) => text.clone(),
-        Value::Object(object) => match object.get("phase") {
-            Some(phase) => brief(phase),
-            None => {
-                let parts = object.iter().map(|(key, value)| format!("{key} {}", brief(value)));
-                format!("({})", parts.collect::<Vec<_>>().join(", "))
-            }
-        },
+        Value::Object(object) => {
+            let parts = phases(object).unwrap_or_else(|| {
+                object.iter().map(|(key, value)| format!("{key} {}", brief(value))).collect()
+            });
+            format!("({})", parts.join(", "))
+        }
         plain => plain.to_string(),
     }
 }
+
+/// Replicas by their phase, with names unless they are cold; nothing if these are no replicas.
+fn phases(object: &Map<String, Value>) -> Option<Vec<String>> {
+    let mut phases: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for (name, value) in object {
+        phases.entry(value.get("phase")?.as_str()?).or_default().push(name);
+    }
+    let part = |(phase, names): (&str, Vec<&str>)| match phase {
+        COLD => format!("{} {phase}", names.len()),
+        _ => format!("{phase}: {}", names.join(" ")),
+    };
+    Some(phases.into_iter().map(part).collect())
+}
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -42,10 +42,16 @@
         wanted.is_none() || wanted == found
     }
     fits(&filter.request, &event.request)
-        && fits(&filter.model, &event.model)
+        && (fits(&filter.model, &event.model) || is_version(filter, event))
         && fits(&filter.endpoint, &event.endpoint)
 }
 
+/// Whether an event is about a version of the model that is wanted, as engines name it.
+fn is_version(filter: &Filter, event: &Event) -> bool {
+    let (Some(wanted), Some(found)) = (&filter.model, &event.model) else { return false };
+    found.as_str().split_once('@').is_some_and(|(model, _)| model == wanted.as_str())
+}
+
 fn line(event: &Event) -> String {
     let millis = i64::try_from(event.wall).unwrap_or(i64::MAX);
     let wall = jiff::Timestamp::from_millisecond(millis).unwrap_or_default();
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -60,6 +60,8 @@
     asma.run("status").await;
     site.record_request();
     asma.run("timeline --request r-1").await;
+    asma.run("timeline --model page-text --request r-1").await;
+    asma.run("timeline --model page-titles").await;
     site.stop_following(1);
     asma.run("--wait 300ms set /hall queue=9").await;
     asma.run("status").await;
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -185,7 +185,10 @@
                         &json!({
                             "revision": revision,
                             "memory": { "total": "48GiB", "taken": "10GiB" },
-                            "replicas": { "page-text": { "phase": "loading", "waiting": 3 } },
+                            "replicas": {
+                                "page-text@v2": { "phase": "loading", "waiting": 3 },
+                                "page-titles": { "phase": "cold", "waiting": 0 },
+                            },
                             "routes": [1, 2],
                         }),
                     )
@@ -235,7 +238,8 @@
         let (entry, agent) = (&self.processes[0].recorder, &self.processes[1].recorder);
         let request = "r-1".parse().expect("a right id");
         let put = |recorder: &Recorder, kind: Kind| {
-            let mut event = recorder.event(kind).request(&request).note("page-text");
+            let model = "page-text@v2".parse().expect("a right name");
+            let mut event = recorder.event(kind).request(&request).model(&model);
             event.wall = 0;
             recorder.record(event);
         };
