--- a/components/state/examples/fold-bench.rs
+++ b/components/state/examples/fold-bench.rs
@@ -219,6 +219,17 @@
     println!("  snapshot: written in {wrote:.1?}, restored in {restored:.1?}");
 }
 
+/// What one more state takes: the growth of resident memory with several restored ones, shared out.
+fn memory(state: &State) -> u64 {
+    let text = to_text(state);
+    let first = from_text(&text);
+    let before = resident();
+    let states: Vec<_> = (0..REPEATS).map(|_| from_text(&text)).collect();
+    let grown = resident().saturating_sub(before);
+    drop((first, states));
+    grown / REPEATS as u64
+}
+
 fn run(scale: &Scale) -> Bench {
     let mut bench = Bench::new();
     build(&mut bench, scale);
@@ -246,6 +257,8 @@
         let before = resident();
         let bench = run(scale);
         let grown = resident().saturating_sub(before);
+        let before = memory(&bench.state);
+        println!("  a state takes {before} KiB");
         let others: Vec<Bench> = (1..REPEATS).map(|_| run(scale)).collect();
         for (row, (kind, count, time)) in bench.rows.iter().enumerate() {
             let best = others.iter().map(|bench| bench.rows[row].2).fold(*time, Duration::min);
--- a/components/state/src/fold.rs
+++ b/components/state/src/fold.rs
@@ -11,6 +11,7 @@
 
 use crate::Applied;
 use crate::grants::Grants;
+use crate::names::Names;
 use crate::recent::Recent;
 
 /// The planner lease.
@@ -79,6 +80,8 @@
     pub(crate) edits: Recent,
     #[serde(skip)]
     pub(crate) frozen: Option<Frozen>,
+    #[serde(skip)]
+    pub(crate) names: Names,
 }
 
 impl State {
@@ -144,6 +147,13 @@
         standing.filter_map(|grant| Some((grant, self.members.get(&grant.endpoint)?)))
     }
 
+    /// Lets members and grants share their names' memory after they were read from a snapshot.
+    pub(crate) fn share_names(&mut self) {
+        let cached = self.members.values_mut().flat_map(|member| &mut member.attach.cached);
+        cached.for_each(|name| self.names.share(name));
+        self.grants.share_names(&mut self.names);
+    }
+
     /// What became of a record of the last [`record::WINDOW`] offsets.
     pub fn verdict_of(&self, id: &str) -> Option<&Applied> {
         self.recent.get(id)
--- a/components/state/src/grants.rs
+++ b/components/state/src/grants.rs
@@ -7,6 +7,7 @@
 use units::{EndpointId, ModelName, ReplicaIndex};
 
 use crate::Grant;
+use crate::names::Names;
 
 /// Grants by id, with an index for each way they are asked for.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -80,6 +81,13 @@
         }
     }
 
+    pub(crate) fn share_names(&mut self, names: &mut Names) {
+        for grant in self.by_id.values_mut() {
+            names.share(&mut grant.model);
+            names.share(&mut grant.artifact);
+        }
+    }
+
     /// Removes all grants at an endpoint.
     pub(crate) fn clear(&mut self, endpoint: &EndpointId) {
         let ids: Vec<GrantId> = self.at(endpoint).map(|grant| grant.id).collect();
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -6,6 +6,7 @@
 mod fold;
 mod grants;
 mod members;
+mod names;
 mod recent;
 mod rules;
 mod snapshot;
--- a/components/state/src/rules.rs
+++ b/components/state/src/rules.rs
@@ -124,7 +124,7 @@
     fn decision(&mut self, id: GrantId, decision: &Decision) -> Ruling {
         match decision {
             Decision::Grant { model, index, artifact, endpoint, reason } => {
-                let grant = Grant {
+                let mut grant = Grant {
                     id,
                     model: model.clone(),
                     index: *index,
@@ -134,6 +134,8 @@
                     reason: reason.clone(),
                 };
                 self.check(&grant)?;
+                self.names.share(&mut grant.model);
+                self.names.share(&mut grant.artifact);
                 self.grants.insert(grant);
                 Ok(())
             }
@@ -198,6 +200,7 @@
         }
         let mut attach = attach.clone();
         attach.cached.truncate(CACHED_MOST);
+        attach.cached.iter_mut().for_each(|name| self.names.share(name));
         let endpoint = attach.endpoint.clone();
         let member = Member { attach, incarnation: offset.into(), leaving: false };
         self.members.insert(endpoint, member);
--- a/components/state/src/snapshot.rs
+++ b/components/state/src/snapshot.rs
@@ -74,7 +74,9 @@
         return Err(SnapshotError::Format { needs: envelope.needs });
     }
     let read: Read = serde_json::from_slice(&json).map_err(|e| unreadable(e.to_string()))?;
-    Ok(read.state)
+    let mut state = read.state;
+    state.share_names();
+    Ok(state)
 }
 
 /// Cuts the state into chunks of at most `limit` bytes of data each.
