--- a/components/journal/benches/control.rs
+++ b/components/journal/benches/control.rs
@@ -130,7 +130,8 @@
 
 async fn start(scale: Scale, log: SocketAddr, stopped: &watch::Receiver<bool>) -> Vec<Node> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listeners: Vec<_> = (0..size).map(|_| peer::listen(any).expect("a port is free")).collect();
+    let listeners: Vec<_> =
+        (0..scale.nodes).map(|_| peer::listen(any).expect("a port is free")).collect();
     let seeds: Vec<SocketAddr> = listeners.iter().take(3).map(peer::Listener::addr).collect();
     let mut nodes = Vec::new();
     for (number, listener) in listeners.into_iter().enumerate() {
