--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -5,6 +5,7 @@
 
 use journal::Journal;
 use platform::Endpoint;
+use policy::Calendar;
 use process::Shutdown;
 use timeline::{Event, Kind, Recorder};
 use tokio::sync::Notify;
@@ -21,6 +22,8 @@
     pub(crate) settings: Settings,
     pub(crate) journal: Journal,
     pub(crate) endpoint: Arc<dyn Endpoint>,
+    /// What closing windows are read against.
+    pub(crate) calendar: Calendar,
     pub(crate) recorder: Recorder,
     pub(crate) shutdown: Shutdown,
     pub(crate) peers: peer::Client,
@@ -36,11 +39,12 @@
         settings: Settings,
         journal: Journal,
         endpoint: Arc<dyn Endpoint>,
+        calendar: Calendar,
         recorder: Recorder,
         shutdown: Shutdown,
     ) -> Self {
-        let lease = (!settings.fenced).then(|| settings.order_limit.0 / 2);
-        let authority = Authority::new(settings.endpoint.clone(), journal.clone(), lease);
+        let authority =
+            Authority::new(settings.endpoint.clone(), journal.clone(), settings.lease());
         let limits = TableLimits {
             count: settings.table,
             bytes: settings.table_bytes,
@@ -51,6 +55,7 @@
             settings,
             journal,
             endpoint,
+            calendar,
             recorder,
             shutdown,
             peers: peer::Client::default(),
@@ -85,7 +90,7 @@
 
     /// The longest that the agent waits for a reply to an order.
     pub(crate) fn reply_limit(&self) -> Duration {
-        self.settings.order_limit.0 / 2
+        self.settings.order_limit.0 - self.settings.order_limit.0 / 2
     }
 
     /// Records an event of the time line.
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -14,7 +14,6 @@
 mod estimate;
 mod evict;
 mod keeper;
-mod lease;
 mod memory;
 mod orders;
 mod pending;
@@ -30,6 +29,7 @@
 mod stream;
 mod table;
 mod wake;
+mod warm;
 
 pub use run::run;
 pub use settings::{EndpointKind, Settings};
