--- a/components/planner/src/forecast.rs
+++ b/components/planner/src/forecast.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use policy::{Bounds, Closing, Forecast, Wanted, wanted};
+use policy::{Bounds, Closing, Forecast, IDLE_RATE, Wanted, wanted};
 use tokio::time::Instant;
 use tree::Leaf;
 use units::ModelName;
@@ -19,9 +19,6 @@
 /// The pause between two additions because of refusals, so that the first can take effect.
 const STEP: Duration = Duration::from_secs(5);
 
-/// A model with a lower rate is idle: nobody has asked for it for some minutes.
-const IDLE: f64 = 1e-4;
-
 /// Demand of one model.
 #[derive(Debug, Clone)]
 struct Track {
@@ -100,7 +97,7 @@
 
     /// Whether nobody has asked for a model for some time.
     pub(crate) fn is_idle(&self, model: &ModelName) -> bool {
-        self.tracks.get(model).is_none_or(|track| track.rate < IDLE)
+        self.tracks.get(model).is_none_or(|track| track.rate < IDLE_RATE)
     }
 
     /// Forgets models that are not in force any more.
--- a/components/planner/tests/grants.rs
+++ b/components/planner/tests/grants.rs
@@ -139,6 +139,26 @@
     assert_eq!(grant.reason, "requests were refused: 2 wanted");
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_grant_on_demand_and_take_back_when_nobody_asks() {
+    let site = Site::default();
+    let entry = site.entry(1);
+    let agents = Agents::start(&site, 8).await;
+    let start = vec![add("m"), set("m", "replicas-least", json!(0))];
+    publish(&agents.journal, "e1", [add_branch(), start].concat()).await;
+    pass(30).await;
+    assert_eq!(site.history().grants, 0);
+    entry.demand.add(&[Demand { model: model("m"), requests: 1, refused: 0 }]);
+    let took = site.until("a grant", |state| serving(state, "m") == 1).await;
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    pass(600).await;
+    assert_eq!(serving(&site.state(), "m"), 1);
+    pass(600).await;
+    let history = site.history();
+    assert_eq!(history.state.grants_of(&model("m")).count(), 0);
+    assert_eq!((history.grants, history.revokes), (1, 1));
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_grant_for_a_closing_window_an_hour_ahead() {
     let site = Site::default();
--- a/components/planner/tests/lease.rs
+++ b/components/planner/tests/lease.rs
@@ -54,6 +54,19 @@
     assert!(took < LEASE, "{took:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_restart_under_the_same_name_without_taking_the_old_epoch_for_its_own() {
+    let site = Site::default();
+    let mut entries = entries(&site, 1).await;
+    pass(10).await;
+    let before = site.state();
+    take_holder(&mut entries, &before).kill();
+    let again = site.entry(1);
+    let took = site.until("a new epoch", |state| epoch(state) > epoch(&before)).await;
+    assert!(took >= LEASE && took < TAKEOVER, "{took:?}");
+    assert!(again.is_holder(&site.state()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_wake_a_paused_holder_that_does_no_harm() {
     let site = Site::default();
--- a/components/policy/examples/trace/mod.rs
+++ b/components/policy/examples/trace/mod.rs
@@ -90,7 +90,7 @@
             tail: 0.5,
             rush: 2.0,
             weights: 6.0,
-            cold: 8.0,
+            cold: 50.0,
         },
         22..52 => Habit {
             sessions,
@@ -101,7 +101,7 @@
             tail: 0.4,
             rush: 4.0,
             weights: 8.0,
-            cold: 3.0,
+            cold: 20.0,
         },
         _ => Habit {
             sessions: sessions * 0.3,
@@ -129,7 +129,7 @@
             tail: 0.6,
             rush: 1.5,
             weights: 8.0,
-            cold: 8.0,
+            cold: 75.0,
         },
         20..75 => Habit {
             sessions,
@@ -140,7 +140,7 @@
             tail: 0.5,
             rush: 8.0,
             weights: 8.0,
-            cold: 2.0,
+            cold: 15.0,
         },
         _ => Habit {
             sessions: sessions * 0.5,
@@ -151,7 +151,7 @@
             tail: 0.2,
             rush: 3.0,
             weights: 16.0,
-            cold: 0.5,
+            cold: 1.5,
         },
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -23,4 +23,4 @@
 pub use prewarm::{Need, needs, prewarm};
 pub use schedule::{Load, Slot, Store, schedule};
 pub use series::{Series, SeriesOrder};
-pub use sizing::{Bounds, Forecast, Wanted, wanted};
+pub use sizing::{Bounds, Forecast, IDLE_RATE, Wanted, wanted};
--- a/components/policy/src/sizing.rs
+++ b/components/policy/src/sizing.rs
@@ -7,6 +7,9 @@
 /// The part of a replica's batch that is planned to be in use.
 const FILLED: f64 = 0.7;
 
+/// A model with a lower rate of requests a second is idle: nobody has asked for it for some minutes.
+pub const IDLE_RATE: f64 = 1e-4;
+
 /// What is expected of a model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Forecast {
@@ -45,6 +48,9 @@
 /// How many replicas a rate keeps busy.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small count")]
 fn busy(rate: f64, batch: u32) -> u32 {
+    if rate < IDLE_RATE {
+        return 0;
+    }
     let running = rate * HOLD.as_secs_f64();
     (running / (f64::from(batch.max(1)) * FILLED)).ceil() as u32
 }
--- a/components/policy/src/sizing/tests.rs
+++ b/components/policy/src/sizing/tests.rs
@@ -16,8 +16,11 @@
     assert_eq!((wanted.replicas, wanted.reason), (replicas, reason));
 }
 
-#[test]
-fn can_want_nothing() {
+#[rstest]
+#[case::never_used(0.0, 0)]
+#[case::not_used_for_long(1e-6, 0)]
+#[case::used_a_little(0.001, 1)]
+fn can_want_nothing_of_an_idle_model(#[case] rate: f64, #[case] replicas: u32) {
     let bounds = Bounds { least: 0, ..BOUNDS };
-    assert_eq!(wanted(&bounds, &Forecast::default()).replicas, 0);
+    assert_eq!(wanted(&bounds, &Forecast { rate, ..Forecast::default() }).replicas, replicas);
 }
--- a/components/tree/src/schema.rs
+++ b/components/tree/src/schema.rs
@@ -121,7 +121,7 @@
             adapter_weights: Size::mib(256),
             batch: 8,
             queue: 64,
-            cold_weight: 1.0,
+            cold_weight: 20.0,
             idle_weight: 1.0,
             keep_warm: Span::secs(300),
             windows: Vec::new(),
