--- a/components/journal/src/append.rs
+++ b/components/journal/src/append.rs
@@ -25,7 +25,7 @@
 /// The most bytes of one append, if it has more than one record.
 const BATCH_BYTES: usize = 512 << 10;
 /// How long it gathers at least after the service refused.
-const REFUSED_MIN: Duration = Duration::from_millis(100);
+const REFUSED_MIN: Duration = Duration::from_millis(500);
 /// A record's pauses double up to this many times.
 const MAX_DOUBLINGS: u32 = 5;
 
