--- a/components/journal/src/begin.rs
+++ b/components/journal/src/begin.rs
@@ -21,11 +21,23 @@
 /// How many peers are asked in one round.
 const ASKED: usize = 8;
 
+/// A seed that is less than this behind the newest is as good as it: heartbeats and the log bring the rest.
+const NEAR: u64 = 64;
+
 /// What the seeds said.
 #[derive(Debug, Default)]
 struct Answers {
     silent: usize,
-    best: Option<(Offset, SocketAddr)>,
+    ahead: Vec<(Offset, SocketAddr)>,
+}
+
+impl Answers {
+    /// One of the newest at random, so that many processes that start at once don't all ask the same.
+    fn choose(&self) -> Option<SocketAddr> {
+        let newest = self.ahead.iter().map(|(offset, _)| offset.0).max()?;
+        let near = self.ahead.iter().filter(|(offset, _)| offset.0 + NEAR > newest);
+        near.map(|(_, addr)| *addr).choose(&mut rand::rng())
+    }
 }
 
 /// Returns once there is a state to follow the log from, which may be the empty one, and says so.
@@ -45,9 +57,8 @@
     empty_since: &mut Option<Instant>,
 ) -> bool {
     let answers = ask_seeds(shared, peers).await;
-    if let Some((theirs, addr)) = answers.best {
+    if let Some(addr) = answers.choose() {
         peers.fetch_state(addr).await;
-        log::debug!("journal: the peer at {addr} is at offset {theirs}");
     }
     let folded = shared.offset();
     let page = read(shared, service, folded.next(), Duration::ZERO).await;
@@ -56,7 +67,7 @@
             shared.set_health(Health::Up);
             let since = *empty_since.get_or_insert_with(Instant::now);
             let waited = since.elapsed() >= shared.options.grace;
-            answers.best.is_none() && (answers.silent == 0 || waited)
+            answers.ahead.is_empty() && (answers.silent == 0 || waited)
         }
         Ok(page) => catch_up(shared, service, page).await,
         Err(LogError::Expired { first }) => {
@@ -116,7 +127,7 @@
     for ask in asks {
         match ask.await {
             Ok((addr, Some(theirs))) if theirs > shared.offset() => {
-                answers.best = answers.best.max(Some((theirs, addr)));
+                answers.ahead.push((theirs, addr));
             }
             Ok((_, Some(_))) => {}
             Ok((_, None)) | Err(_) => answers.silent += 1,
