--- a/components/journal/src/begin.rs
+++ b/components/journal/src/begin.rs
@@ -94,7 +94,6 @@
 async fn catch_up(shared: &Shared, service: &dyn LogService, mut page: Page) -> bool {
     let target = page.last;
     if target < shared.offset() {
-        shared.set_health(Health::Behind);
         return true;
     }
     shared.set_health(Health::Up);
--- a/components/journal/src/reader.rs
+++ b/components/journal/src/reader.rs
@@ -20,6 +20,8 @@
 /// The longest pause after a failed read.
 const RETRY_MAX: Duration = Duration::from_secs(3);
 
+/// How often in a row the log must end too early before that is more than a read from an old copy.
+const BEHIND_READS: u32 = 3;
 /// How many reads that bring records a process may make a second over time, so that a long burst of
 /// appends makes few reads.
 const READ_RATE: f64 = 10.0;
@@ -70,6 +72,7 @@
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     let mut verify = true;
     let mut allowance = Allowance::new();
+    let mut behind = 0;
     loop {
         let before = shared.offset();
         match step(&shared, &*service, &peers, verify).await {
@@ -78,12 +81,16 @@
                     allowance.take().await;
                 }
                 verify = false;
+                behind = 0;
                 backoff.reset();
                 shared.set_health(Health::Up);
             }
             Err(stop) => {
                 verify = true;
-                report(&shared, &stop);
+                behind = if stop == Stop::Behind { behind + 1 } else { 0 };
+                if !(1..BEHIND_READS).contains(&behind) {
+                    report(&shared, &stop);
+                }
                 sleep(backoff.pause()).await;
             }
         }
--- a/components/journal/tests/outage.rs
+++ b/components/journal/tests/outage.rs
@@ -2,13 +2,19 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use common::{Node, Site, attach, claim, pass};
-use journal::{AppendError, Health};
-use platform::Stream;
+use async_trait::async_trait;
+use bytes::Bytes;
+use common::{LIMIT, Node, Site, attach, claim, pass};
+use fake::Log;
+use journal::{AppendError, Health, Options};
+use platform::{LogError, LogService, Page, Stream};
+use timeline::{Event, Kind, Recorder};
 use tokio::time::Instant;
-use units::{Epoch, Offset};
+use units::{Epoch, InstanceId, Offset};
 
 /// A site whose processes have all folded the same few records.
 async fn settled(count: u16) -> (Site, Vec<Node>) {
@@ -161,6 +167,45 @@
     started[2].reaches(1).await;
 }
 
+/// A log service whose every second answer comes from a copy that lacks the last record.
+struct Lagging {
+    log: Log,
+    reads: AtomicU32,
+}
+
+#[async_trait]
+impl LogService for Lagging {
+    async fn append(&self, stream: Stream, records: Vec<Bytes>) -> Result<Offset, LogError> {
+        self.log.append(stream, records).await
+    }
+
+    async fn read(&self, stream: Stream, from: Offset, wait: Duration) -> Result<Page, LogError> {
+        let mut page = self.log.read(stream, from, wait).await?;
+        if self.reads.fetch_add(1, Ordering::Relaxed) % 2 == 1 && page.last.0 > 0 {
+            page.last = Offset(page.last.0 - 1);
+            page.entries.retain(|entry| entry.offset <= page.last);
+        }
+        Ok(page)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_read_from_copies_of_the_log_that_lag() {
+    let service = Lagging { log: Log::default(), reads: AtomicU32::new(0) };
+    let instance: InstanceId = "likhari-1".parse().expect("a right id");
+    let recorder = Recorder::new(instance.clone());
+    let options = Options::default();
+    let journal = journal::start(Arc::new(service), instance, recorder.clone(), options);
+    journal.ready().await;
+    for epoch in 0..5 {
+        let applied = journal.append(claim(epoch), LIMIT).await.expect("the log is up");
+        assert!(applied.is_done(), "{applied:?}");
+        pass(30).await;
+    }
+    let events = Event::from_lines(&recorder.to_lines()).expect("events are text");
+    assert!(events.iter().all(|event| event.kind != Kind::LogDown), "{events:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_wait_for_a_log_that_answers_with_an_old_end() {
     let (site, nodes) = settled(3).await;
