--- a/components/tree/examples/cost.rs
+++ b/components/tree/examples/cost.rs
@@ -54,11 +54,21 @@
     time / u32::try_from(count).unwrap_or(u32::MAX)
 }
 
+/// The resident memory of this process in KiB, or 0 where the system does not say.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let words = line.and_then(|line| line.split_whitespace().next());
+    words.and_then(|word| word.parse().ok()).unwrap_or_default()
+}
+
 fn main() {
+    let before = resident();
     let mut tree = Tree::default();
     let first = first();
     let began = Instant::now();
     tree.apply(&first, Revision(1)).expect("a valid edit");
+    println!("resident memory: {} KiB more", resident().saturating_sub(before));
     let text = serde_json::to_string(&tree).expect("JSON");
     println!("first edit: {} changes, {:?}", first.changes.len(), began.elapsed());
     println!(
--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -3,8 +3,6 @@
 use std::io::Write;
 use std::path::Path;
 
-use units::Revision;
-
 use crate::cmd::publish::{self, Plan};
 use crate::error::{CmdError, Exit};
 use crate::files;
@@ -20,19 +18,7 @@
         writeln!(out, "no change against revision {revision}")?;
         return Ok(Exit::Done);
     }
-    let edit = tree::Edit {
-        id: "diff"
-            .parse()
-            .map_err(|error: units::ParseIdError| CmdError::Name(error.to_string()))?,
-        author: String::new(),
-        base,
-        changes,
-    };
-    match tree.clone().apply(&edit, Revision(u64::MAX)) {
-        Ok(()) => {
-            writeln!(out, "would be accepted on revision {revision}")?;
-            Ok(Exit::Done)
-        }
-        Err(error) => Err(CmdError::Rejected(error)),
-    }
+    session.check(&session.edit(changes, base)?)?;
+    writeln!(out, "would be accepted on revision {revision}")?;
+    Ok(Exit::Done)
 }
--- a/src/session.rs
+++ b/src/session.rs
@@ -70,6 +70,19 @@
         }
     }
 
+    /// A new edit with changes that are based on a revision.
+    pub(crate) fn edit(&self, changes: Vec<Change>, base: Revision) -> Result<Edit, CmdError> {
+        let id: EditId = unique("edit", &self.author)?;
+        Ok(Edit { id, author: self.author.clone(), base, changes })
+    }
+
+    /// Errors if an edit can't be accepted: what conflicts with the tree in force now can't become valid,
+    /// since revisions only grow.
+    pub(crate) fn check(&self, edit: &Edit) -> Result<(), CmdError> {
+        let (mut tree, _) = self.tree();
+        tree.apply(edit, Revision(u64::MAX)).map_err(CmdError::Rejected)
+    }
+
     /// Publishes changes that are based on a revision; returns the revision of the accepted edit.
     pub(crate) async fn publish(
         &self,
@@ -78,8 +91,7 @@
     ) -> Result<Revision, CmdError> {
         let until = Instant::now() + self.wait;
         loop {
-            let id: EditId = unique("edit", &self.author)?;
-            let edit = Edit { id, author: self.author.clone(), base, changes: changes.clone() };
+            let edit = self.edit(changes.clone(), base)?;
             match self.append(edit, until).await? {
                 (Verdict::Done, offset) => return Ok(offset.into()),
                 // It was so long on its way that it is void, and so certainly has no effect.
@@ -90,9 +102,7 @@
     }
 
     async fn append(&self, edit: Edit, until: Instant) -> Result<(Verdict, Offset), CmdError> {
-        let (mut tree, _) = self.tree();
-        // What conflicts with the tree in force now can't become valid: revisions only grow.
-        tree.apply(&edit, Revision(u64::MAX)).map_err(CmdError::Rejected)?;
+        self.check(&edit)?;
         let left = until.saturating_duration_since(Instant::now());
         let applied = self.journal.append(Body::Edit(edit), left).await;
         let applied = applied.map_err(|error| CmdError::Unknown { cause: error.to_string() })?;
