Answers on a control address say who answers

A replacement that takes the address of a lost instance answered for it, so the lost one was never declared gone and the replacement could never attach.

--- a/components/agent/src/wake.rs
+++ b/components/agent/src/wake.rs
@@ -68,5 +68,6 @@
         agent.nudge.notify_one();
     }
     let applied = agent.journal.read(state::State::offset);
-    Reply::Position { applied, tick: agent.recorder.clock().tick() }
+    let from = Some(agent.settings.identity.instance.clone());
+    Reply::Position { applied, tick: agent.recorder.clock().tick(), from }
 }
--- a/components/journal/src/peers.rs
+++ b/components/journal/src/peers.rs
@@ -53,7 +53,7 @@
 
     async fn placed(&self, addr: SocketAddr, control: &Control, limit: Duration) -> Option<Offset> {
         match self.ask(addr, control, limit).await? {
-            Reply::Position { applied, tick } => {
+            Reply::Position { applied, tick, .. } => {
                 self.shared.recorder.clock().observe(tick);
                 Some(applied)
             }
@@ -136,7 +136,11 @@
     }
 
     fn here(&self) -> Reply {
-        Reply::Position { applied: self.shared.offset(), tick: self.shared.recorder.clock().tick() }
+        Reply::Position {
+            applied: self.shared.offset(),
+            tick: self.shared.recorder.clock().tick(),
+            from: Some(self.shared.instance.clone()),
+        }
     }
 
     fn take(&self, records: Vec<(Offset, String)>) {
--- a/components/planner/src/listing.rs
+++ b/components/planner/src/listing.rs
@@ -67,7 +67,7 @@
 }
 
 async fn ask(shared: &Shared, suspect: Suspect) -> (Suspect, bool) {
-    let answered = answers(shared, suspect.control).await;
+    let answered = answers(shared, &suspect.instance, suspect.control).await;
     if answered {
         log::warn!("planner: {} is off the list, but its agent answers", suspect.endpoint);
     }
--- a/components/planner/src/membership.rs
+++ b/components/planner/src/membership.rs
@@ -47,6 +47,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Suspect {
     pub(crate) endpoint: EndpointId,
+    pub(crate) instance: InstanceId,
     pub(crate) control: SocketAddr,
 }
 
@@ -90,6 +91,7 @@
         };
         let suspect = |member: &Member| Suspect {
             endpoint: member.attach.endpoint.clone(),
+            instance: member.attach.instance.clone(),
             control: member.attach.control,
         };
         members.iter().filter(asked).map(suspect).collect()
--- a/components/planner/src/probe.rs
+++ b/components/planner/src/probe.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use units::Offset;
+use units::{InstanceId, Offset};
 use wire::{Control, Reply};
 
 use crate::run::Shared;
@@ -12,8 +12,9 @@
 /// How long an agent may take to answer.
 const LIMIT: Duration = Duration::from_secs(1);
 
-/// Whether a process answers a heartbeat at a control address.
-pub(crate) async fn answers(shared: &Shared, control: SocketAddr) -> bool {
+/// Whether an instance answers a heartbeat at its control address. Another instance that has taken the
+/// address over proves nothing of the one before.
+pub(crate) async fn answers(shared: &Shared, instance: &InstanceId, control: SocketAddr) -> bool {
     let heartbeat = Control::Heartbeat {
         from: shared.instance.clone(),
         applied: Offset(0),
@@ -23,5 +24,9 @@
     let Ok(message) = serde_json::to_vec(&heartbeat) else { return false };
     let answer = shared.options.network.ask(control, Bytes::from(message), LIMIT).await;
     let reply = answer.ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
-    matches!(reply, Some(Reply::Position { .. }))
+    match reply {
+        Some(Reply::Position { from: Some(from), .. }) => from == *instance,
+        Some(Reply::Position { from: None, .. }) => true,
+        _ => false,
+    }
 }
--- a/components/planner/tests/common/agents.rs
+++ b/components/planner/tests/common/agents.rs
@@ -76,10 +76,16 @@
 
     /// Attaches an agent, or its next incarnation.
     pub(crate) async fn attach(&self, number: usize) -> Verdict {
-        serve(&self.site.net, addr(BASE + number), self.journal.clone());
+        self.attach_as(number, instance(number)).await
+    }
+
+    /// Attaches an agent that runs on another instance than usual, at the usual address.
+    pub(crate) async fn attach_as(&self, number: usize, instance: InstanceId) -> Verdict {
+        serve(&self.site.net, addr(BASE + number), instance.clone(), self.journal.clone());
         let endpoint = endpoint(number);
         let previous = self.journal.read(|state| state.member(&endpoint).map(|m| m.incarnation));
-        let body = Body::Attach(attach(number, previous.unwrap_or_default()));
+        let attach = Attach { instance, ..attach(number, previous.unwrap_or_default()) };
+        let body = Body::Attach(attach);
         let applied = self.journal.append(body, LIMIT).await.expect("the log is up");
         self.with_live(|live| live.insert(number));
         applied.verdicts[0].clone()
--- a/components/planner/tests/common/mod.rs
+++ b/components/planner/tests/common/mod.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, sleep};
 use tree::{Change, Edit, NodeKind};
 use units::{Epoch, InstanceId, NodePath, Revision};
+use wire::Reply;
 
 pub(crate) use agents::Agents;
 pub(crate) use gate::Gate;
@@ -208,13 +209,19 @@
     journal.append(Body::Edit(edit), LIMIT).await.expect("the log is up")
 }
 
-/// Answers control messages at an address as a live process does.
-pub(crate) fn serve(net: &Net, at: SocketAddr, journal: Journal) {
+/// Answers control messages at an address as the process of a live instance does.
+pub(crate) fn serve(net: &Net, at: SocketAddr, instance: InstanceId, journal: Journal) {
     net.serve(at, move |message: Bytes| {
-        let journal = journal.clone();
+        let (journal, name) = (journal.clone(), instance.clone());
         async move {
             let control = serde_json::from_slice(&message).expect("a control message");
-            Bytes::from(serde_json::to_vec(&journal.answer(control).await).expect("text"))
+            let reply = match journal.answer(control).await {
+                Reply::Position { applied, tick, .. } => {
+                    Reply::Position { applied, tick, from: Some(name) }
+                }
+                other => other,
+            };
+            Bytes::from(serde_json::to_vec(&reply).expect("text"))
         }
     });
 }
--- a/components/planner/tests/membership.rs
+++ b/components/planner/tests/membership.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use state::{State, Verdict, Void};
 use tree::Change;
+use units::InstanceId;
 
 /// A planner, agents, and models that are all granted.
 async fn settled(site: &Site, agents: usize, models: usize) -> (Entry, Agents) {
@@ -125,6 +126,18 @@
     assert_eq!((history.gone, history.over), (1, 0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_drop_a_lost_instance_whose_address_another_has_taken_over() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    agents.lose(0..1);
+    let other: InstanceId = "server-new".parse().expect("an instance");
+    let verdict = agents.attach_as(0, other.clone()).await;
+    assert!(matches!(verdict, Verdict::Void(Void::Instance { .. })), "{verdict:?}");
+    site.until("a member less", |state| members(state) == 3).await;
+    assert_eq!(agents.attach_as(0, other).await, Verdict::Done);
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_void_an_old_gone_that_surfaces_after_a_new_attach() {
     let site = Site::default();
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -70,6 +70,9 @@
         applied: Offset,
         /// Its logical clock.
         tick: Tick,
+        /// Who answers: an address may have passed to another instance.
+        #[serde(default)]
+        from: Option<InstanceId>,
     },
     /// To a fetch: records with their offsets, in order, with no gap; empty if it does not keep them.
     Records {
