--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use platform::OrderKind;
+use policy::Store;
 use record::{Body, GrantId};
 use timeline::Kind;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::agent::Agent;
 use crate::authority::Barred;
@@ -24,6 +27,9 @@
 /// The pause after an inventory that could not be read.
 const POLL_PAUSE: Duration = Duration::from_millis(250);
 
+/// The pause between two looks at the closing windows.
+const LOOK: Duration = Duration::from_secs(1);
+
 /// How long the release of grants may take before it is tried again.
 const RELEASE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -56,7 +62,11 @@
         orders: JoinSet::new(),
         releases: JoinSet::new(),
         reconciled: false,
+        looked: None,
     };
+    if keeper.agent.settings.fenced {
+        keeper.seal();
+    }
     let mut changes = keeper.agent.journal.changes();
     loop {
         let agent = keeper.agent.clone();
@@ -94,25 +104,42 @@
     }
 }
 
+/// The name of an artifact that there is not.
+const NOTHING: &str = "none@fence";
+
 struct Keeper {
     agent: Arc<Agent>,
     ids: OrderIds,
     orders: JoinSet<OrderEnd>,
     releases: JoinSet<()>,
     reconciled: bool,
+    /// When it last looked at the closing windows.
+    looked: Option<Instant>,
 }
 
 impl Keeper {
     /// Takes over an inventory.
     fn settle(&mut self, seen: &Seen) {
         let agent = &self.agent;
-        self.reconciled |= agent.authority.start().is_some_and(|start| seen.begun > start);
+        self.reconciled |= agent.authority.start().is_some_and(|start| {
+            let limit = agent.settings.order_limit.0;
+            let sealed = !agent.settings.fenced || seen.inventory.fence >= agent.incarnation();
+            seen.begun >= start && (sealed || seen.begun >= start + limit)
+        });
         let changes = agent.desk().settle(seen, agent.settings.order_limit.0);
         for change in changes {
             self.note(&change);
         }
     }
 
+    /// Shows the endpoint the new fencing number with an order that has no other effect, so that orders of
+    /// older incarnations are refused before the inventory is relied on.
+    fn seal(&mut self) {
+        let artifact = NOTHING.parse().expect("a valid name");
+        let draft = self.ids.draft(OrderKind::Unload { artifact });
+        self.order(draft);
+    }
+
     fn ended(&mut self, end: &OrderEnd) {
         let change = self.agent.desk().replied(&end.id, &end.kind, &end.sent);
         if let Some(change) = change {
@@ -138,8 +165,21 @@
         self.agent.record(kind, |event| event.model(artifact).note(note));
     }
 
+    /// Looks at what closing windows need here, now and then.
+    fn look_at_windows(&mut self) {
+        if self.looked.is_some_and(|at| at.elapsed() < LOOK) {
+            return;
+        }
+        self.looked = Some(Instant::now());
+        let (agent, store) = (&self.agent, Store::default());
+        let (endpoint, now) = (&agent.settings.endpoint, agent.calendar.now());
+        let needs = agent.journal.read(|state| policy::needs(state, endpoint, now, &store));
+        agent.desk().hold(&needs);
+    }
+
     /// Sends what is due.
     fn act(&mut self) {
+        self.look_at_windows();
         if self.reconciled && self.agent.authority.check().is_ok() {
             let drafts = self.agent.desk().plan(&mut self.ids);
             for draft in drafts {
@@ -175,9 +215,7 @@
 impl Agent {
     fn record_order(&self, draft: &crate::plan::Draft) {
         let kind = match draft.kind {
-            platform::OrderKind::Load { .. } | platform::OrderKind::LoadAdapter { .. } => {
-                Kind::LoadOrdered
-            }
+            OrderKind::Load { .. } | OrderKind::LoadAdapter { .. } => Kind::LoadOrdered,
             _ => Kind::UnloadOrdered,
         };
         let model = crate::settle::artifact_of(&draft.kind);
--- a/components/planner/src/forecast.rs
+++ b/components/planner/src/forecast.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use policy::{Bounds, Closing, Forecast, Wanted, wanted};
+use policy::{Bounds, Closing, Forecast, IDLE_RATE, Wanted, wanted};
 use tokio::time::Instant;
 use tree::Leaf;
 use units::ModelName;
@@ -95,6 +95,11 @@
         wanted
     }
 
+    /// Whether nobody has asked for a model for some time.
+    pub(crate) fn is_idle(&self, model: &ModelName) -> bool {
+        self.tracks.get(model).is_none_or(|track| track.rate < IDLE_RATE)
+    }
+
     /// Forgets models that are not in force any more.
     pub(crate) fn retain(&mut self, is_in_force: impl Fn(&ModelName) -> bool) {
         self.tracks.retain(|model, _| is_in_force(model));
--- a/components/planner/tests/grants.rs
+++ b/components/planner/tests/grants.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use serde_json::json;
 use state::{State, Verdict};
+use tokio::time::{Instant, sleep};
 use tree::{Change, NodeKind};
 use units::ModelName;
 use wire::Demand;
@@ -40,6 +41,24 @@
     assert_eq!(site.history().rounds, rounds, "nothing more is decided");
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_pace_rounds_while_edits_pour_in() {
+    let site = Site::default();
+    let entry = site.entry(1);
+    let agents = Agents::start(&site, 12).await;
+    publish(&agents.journal, "e0", add_branch()).await;
+    pass(10).await;
+    let (before, began) = (site.history().rounds, Instant::now());
+    for i in 1..=100 {
+        publish(&agents.journal, &format!("e{i}"), vec![add(&format!("m{i}"))]).await;
+        sleep(Duration::from_millis(50)).await;
+    }
+    site.until("all grants", |state| state.grants().count() == 100).await;
+    let took = began.elapsed().as_millis() / entry.options.round.as_millis();
+    let rounds = (site.history().rounds - before) as u128;
+    assert!(rounds <= took + 1, "{rounds} rounds in the time of {took}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_obey_the_first_of_two_edits_that_race_on_a_bound() {
     let site = Site::default();
@@ -120,6 +139,26 @@
     assert_eq!(grant.reason, "requests were refused: 2 wanted");
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_grant_on_demand_and_take_back_when_nobody_asks() {
+    let site = Site::default();
+    let entry = site.entry(1);
+    let agents = Agents::start(&site, 8).await;
+    let start = vec![add("m"), set("m", "replicas-least", json!(0))];
+    publish(&agents.journal, "e1", [add_branch(), start].concat()).await;
+    pass(30).await;
+    assert_eq!(site.history().grants, 0);
+    entry.demand.add(&[Demand { model: model("m"), requests: 1, refused: 0 }]);
+    let took = site.until("a grant", |state| serving(state, "m") == 1).await;
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    pass(600).await;
+    assert_eq!(serving(&site.state(), "m"), 1);
+    pass(600).await;
+    let history = site.history();
+    assert_eq!(history.state.grants_of(&model("m")).count(), 0);
+    assert_eq!((history.grants, history.revokes), (1, 1));
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_grant_for_a_closing_window_an_hour_ahead() {
     let site = Site::default();
--- a/components/planner/tests/lease.rs
+++ b/components/planner/tests/lease.rs
@@ -54,6 +54,19 @@
     assert!(took < LEASE, "{took:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_restart_under_the_same_name_without_taking_the_old_epoch_for_its_own() {
+    let site = Site::default();
+    let mut entries = entries(&site, 1).await;
+    pass(10).await;
+    let before = site.state();
+    take_holder(&mut entries, &before).kill();
+    let again = site.entry(1);
+    let took = site.until("a new epoch", |state| epoch(state) > epoch(&before)).await;
+    assert!(took >= LEASE && took < TAKEOVER, "{took:?}");
+    assert!(again.is_holder(&site.state()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_wake_a_paused_holder_that_does_no_harm() {
     let site = Site::default();
@@ -105,6 +118,24 @@
     assert_eq!(entries.len(), 8);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_decide_nothing_while_the_log_is_down() {
+    let site = Site::default();
+    let _entries = entries(&site, 4).await;
+    let agents = Agents::start(&site, 8).await;
+    publish(&agents.journal, "e1", [add_branch(), vec![add("m")]].concat()).await;
+    site.until("a grant", |state| state.grants().count() == 1).await;
+    pass(10).await;
+    site.log.set(|faults| faults.outage = true);
+    pass(10).await;
+    let asked = site.log.counters().appends;
+    agents.lose(0..2);
+    pass(60).await;
+    assert_eq!(site.log.counters().appends, asked, "nobody even tries");
+    site.log.set(|faults| faults.outage = false);
+    site.until("two members less", |state| state.members().count() == 6).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_replace_a_holder_that_died_in_an_outage_with_few_claims() {
     let site = Site::default();
--- a/components/planner/tests/membership.rs
+++ b/components/planner/tests/membership.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use state::{State, Verdict, Void};
 use tree::Change;
+use units::InstanceId;
 
 /// A planner, agents, and models that are all granted.
 async fn settled(site: &Site, agents: usize, models: usize) -> (Entry, Agents) {
@@ -125,6 +126,18 @@
     assert_eq!((history.gone, history.over), (1, 0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_drop_a_lost_instance_whose_address_another_has_taken_over() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    agents.lose(0..1);
+    let other: InstanceId = "server-new".parse().expect("an instance");
+    let verdict = agents.attach_as(0, other.clone()).await;
+    assert!(matches!(verdict, Verdict::Void(Void::Instance { .. })), "{verdict:?}");
+    site.until("a member less", |state| members(state) == 3).await;
+    assert_eq!(agents.attach_as(0, other).await, Verdict::Done);
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_void_an_old_gone_that_surfaces_after_a_new_attach() {
     let site = Site::default();
@@ -193,3 +206,26 @@
     assert!(rounds <= bound, "{rounds} rounds, the bound is {bound}");
     assert_eq!(after.void, before.void);
 }
+
+#[tokio::test(start_paused = true)]
+async fn can_fill_a_failure_domain_again_that_came_back() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 8, 64).await;
+    agents.lose([0, 4].into_iter());
+    site.until("two members less", |state| members(state) == 6).await;
+    site.until("all grants", |state| state.grants().count() == 64).await;
+    for number in [0, 4] {
+        assert_eq!(agents.attach(number).await, Verdict::Done);
+    }
+    agents.list(&[0, 4]);
+    let before = site.history();
+    pass(1800).await;
+    let after = site.history();
+    let held = |number| after.state.grants_at(&common::agents::endpoint(number)).count();
+    assert!(held(0) >= 4 && held(4) >= 4, "{} and {} grants came back", held(0), held(4));
+    let moved = after.revokes - before.revokes;
+    assert!(moved <= 16, "{moved} grants moved");
+    assert_eq!((after.over, after.state.grants().count()), (0, 64));
+    pass(1800).await;
+    assert_eq!(site.history().revokes, after.revokes, "nothing goes to and fro");
+}
--- a/components/state/src/rules.rs
+++ b/components/state/src/rules.rs
@@ -1,6 +1,6 @@
 //! The rules by which records change the state.
 
-use record::{Attach, Body, Decision, GrantId, Record};
+use record::{Attach, Body, CACHED_MOST, Decision, GrantId, Record};
 use tree::Edit;
 use units::{EndpointId, Epoch, Incarnation, InstanceId, Offset, Revision};
 
@@ -46,6 +46,9 @@
     }
 
     fn judge(&mut self, offset: Offset, record: &Record) -> Applied {
+        if record.seen >= offset {
+            return Applied::void(offset, Void::Ahead { seen: record.seen });
+        }
         if expired(record.seen, offset) {
             return Applied::void(offset, Void::Stale { seen: record.seen });
         }
@@ -121,7 +124,7 @@
     fn decision(&mut self, id: GrantId, decision: &Decision) -> Ruling {
         match decision {
             Decision::Grant { model, index, artifact, endpoint, reason } => {
-                let grant = Grant {
+                let mut grant = Grant {
                     id,
                     model: model.clone(),
                     index: *index,
@@ -131,6 +134,8 @@
                     reason: reason.clone(),
                 };
                 self.check(&grant)?;
+                self.names.share(&mut grant.model);
+                self.names.share(&mut grant.artifact);
                 self.grants.insert(grant);
                 Ok(())
             }
@@ -193,8 +198,12 @@
         if let Some(member) = member.filter(|m| m.attach.instance != attach.instance) {
             return Err(Void::Instance { current: member.attach.instance.clone() });
         }
-        let member = Member { attach: attach.clone(), incarnation: offset.into(), leaving: false };
-        self.members.insert(attach.endpoint.clone(), member);
+        let mut attach = attach.clone();
+        attach.cached.truncate(CACHED_MOST);
+        attach.cached.iter_mut().for_each(|name| self.names.share(name));
+        let endpoint = attach.endpoint.clone();
+        let member = Member { attach, incarnation: offset.into(), leaving: false };
+        self.members.insert(endpoint, member);
         Ok(())
     }
 
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -19,6 +19,8 @@
   set PATH KEY=VALUE...    publish settings of one node; `KEY=` clears the setting
   explain PATH             show the settings in force at a node or a model, and where they come from
   reference                write the reference page of all settings
+  windows [FILE]           show which closing windows open within 40 days, in force or in the file, and
+                           whether what they need fits the endpoints; --from TIME looks from another time
   status                   show the planner, the grants and every process with its revision
   timeline [ADDR...]       show the events of all processes in causal order;
                            --request ID, --model M and --endpoint E choose
@@ -30,7 +32,8 @@
   --seed ADDR              control address of a process to ask while the log is down; may be repeated
   --entry ADDR             admin address of an entry; may be repeated
   --author NAME            who publishes; default $USER
-  --wait SPAN              the longest wait for the log, and for an edit to be in force; default 30s
+  --wait SPAN              the longest wait for the log, default 30s, and for an edit to be in force, which is
+                           at most 10s
   -h, --help               show this
   -V, --version            show the version
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -60,12 +60,26 @@
     asma.run("status").await;
     site.record_request();
     asma.run("timeline --request r-1").await;
+    asma.run("timeline --model page-text --request r-1").await;
+    asma.run("timeline --model page-titles").await;
     site.stop_following(1);
     asma.run("--wait 300ms set /hall queue=9").await;
     asma.run("status").await;
     assert_snapshot!(site.transcript());
 }
 
+#[tokio::test]
+async fn can_bring_an_edit_to_all_when_the_log_goes_down_right_after_it() {
+    let site = Site::with_processes().await;
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.note("no process can read the log, and it goes down for all once the edit is accepted");
+    site.cut_off_processes();
+    asma.run("set /hall queue=9").await;
+    assert_snapshot!(site.transcript());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_publish_again_before_the_first_try_surfaces() {
     let site = Site::default();
@@ -101,6 +115,22 @@
     site.log.set(|faults| faults.late = None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_publish_anew_what_was_too_long_on_its_way() {
+    let site = Site::default();
+    let asma = site.operator("asma");
+    site.write("tree.jsonc", TREE);
+    asma.run("publish tree.jsonc").await;
+    site.edit("tree.jsonc", "\"queue\": 8", "\"queue\": 16");
+    site.note(
+        "appends take five seconds, in which others write more records than ids are remembered for",
+    );
+    site.log.set(|faults| faults.late = Some(Duration::from_secs(5)));
+    site.fill_after(Duration::from_secs(4));
+    asma.run("publish tree.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_wait_out_a_short_outage_and_give_up_in_a_long_one() {
     let site = Site::default();
@@ -157,6 +187,20 @@
     assert_snapshot!(site.transcript());
 }
 
+#[tokio::test]
+async fn can_see_whether_closing_windows_fit() {
+    const PRESS: &str = include_str!("../examples/press-karachi-south.jsonc");
+    let site = Site::with_processes().await;
+    let asma = site.operator("asma");
+    asma.run("windows").await;
+    site.write("press.jsonc", PRESS);
+    asma.run("--from 2026-12-15T00:00:00Z windows press.jsonc").await;
+    site.write("press.jsonc", &PRESS.replace("\"monthly last 08:00\"", "\"monthly last 16:00\""));
+    site.note("the windows of the draft pages are still open when those of the series open");
+    asma.run("--from 2026-12-15T00:00:00Z windows press.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_keep_unpublished_changes_over_a_pull() {
     let site = Site::default();
