--- a/components/load/src/scale.rs
+++ b/components/load/src/scale.rs
@@ -95,12 +95,13 @@
     }
     let calls = Calls::start(bin, logs).await?;
     scaled.calls = calls.lengths().await?;
+    println!("measured: {}", serde_json::to_string(&scaled.calls).unwrap_or_default());
     scaled.streams = calls.streams().await?;
     Ok(scaled)
 }
 
 /// Says that a size is done.
 fn note(point: Point) -> Point {
-    println!("measured {} agents, {} members", point.agents, point.members);
+    println!("measured: {}", serde_json::to_string(&point).unwrap_or_default());
     point
 }
--- a/components/load/src/scale/calls.rs
+++ b/components/load/src/scale/calls.rs
@@ -28,9 +28,12 @@
 const STREAMS: [usize; 4] = [0, 250, 500, 1000];
 /// Tokens of an open stream, and how much slower than others they come.
 const OPEN_TOKENS: u32 = 16;
-const SLOWER: f64 = 10_000.0;
+const SLOWER: f64 = 5_000.0;
 const OPEN_DEADLINE: Span = Span::secs(600);
-/// How long streams take to be opened.
+/// How many streams are opened at once, so that no listener's backlog overflows, and the pause after them.
+const BURST: usize = 25;
+const BURST_PAUSE: Duration = Duration::from_millis(100);
+/// How long open streams settle.
 const OPENING: Duration = Duration::from_secs(5);
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 /// Agents of the deployment.
@@ -115,6 +118,9 @@
                 let (caller, doors, ask) = (self.caller.clone(), self.doors.clone(), ask.clone());
                 let at = self.stage.clock.now();
                 open.spawn(async move { caller.send(&doors, &ask, at).await });
+                if open.len().is_multiple_of(BURST) {
+                    sleep(BURST_PAUSE).await;
+                }
             }
             sleep(OPENING).await;
             let usage = self.usage()?;
