The planner tells an agent that its instance is leaving

Each agent read the whole instance list each second, about 90 bytes for each instance: 3 KB/s, all that a node may spend on control, at some 35 instances. The planner reads the list anyway, so it now tells the agents whose instances are listed as leaving, until the log says that they leave.

--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -28,6 +28,8 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) peers: peer::Client,
     pub(crate) authority: Authority,
+    /// Told when the planner has seen this instance leaving on the platform's list.
+    pub(crate) told: Notify,
     /// Wakes the keeper.
     pub(crate) nudge: Notify,
     table: Mutex<RequestTable>,
@@ -60,6 +62,7 @@
             shutdown,
             peers: peer::Client::default(),
             authority,
+            told: Notify::new(),
             nudge: Notify::new(),
             table: Mutex::new(RequestTable::new(limits)),
             desk,
--- a/components/agent/src/drain.rs
+++ b/components/agent/src/drain.rs
@@ -23,11 +23,26 @@
 /// How long the record of leaving is repeated.
 const LEAVE_LIMIT: Duration = Duration::from_secs(60);
 
-/// Waits until the platform's list says that this instance is leaving.
+/// What one instance takes of the list's text, about.
+const LISTED_BYTES: u32 = 90;
+
+/// How many bytes of the list an agent reads a second, on average: the list grows with the fleet.
+const LIST_RATE: u32 = 500;
+
+/// Waits until the platform's list says that this instance is leaving. The planner, which reads all of the
+/// list anyway, tells so within seconds; the agent reads it itself too, the more seldom the longer it is.
 pub(crate) async fn listed_leaving(agent: &Agent, list: &dyn InstanceList) {
+    tokio::select! {
+        () = agent.told.notified() => log::info!("drain: the planner says that this instance leaves"),
+        () = read_leaving(agent, list) => log::info!("drain: the list says that this instance leaves"),
+    }
+}
+
+async fn read_leaving(agent: &Agent, list: &dyn InstanceList) {
     let ours = &agent.settings.identity.instance;
+    let mut pause = LIST_PAUSE;
     loop {
-        tokio::time::sleep(LIST_PAUSE).await;
+        tokio::time::sleep(pause).await;
         let instances = match list.instances().await {
             Ok(instances) => instances,
             Err(error) => {
@@ -39,9 +54,17 @@
         if instances.iter().any(|instance| instance.id == *ours && leaving(instance.state)) {
             return;
         }
+        pause = list_pause(instances.len());
     }
 }
 
+/// The pause after a reading of so many instances; fleets of the size of today read each second or two.
+fn list_pause(instances: usize) -> Duration {
+    let length = u32::try_from(instances).unwrap_or(u32::MAX).saturating_mul(LISTED_BYTES);
+    let pause = LIST_PAUSE.max(Duration::from_secs(1) * length / LIST_RATE);
+    pause.mul_f64(rand::random_range(0.75..1.25))
+}
+
 /// Leaves: refuses what waits, finishes what runs within the drain, unloads and gives the grants back. A second
 /// signal ends it early.
 pub(crate) async fn drain(agent: &Arc<Agent>) {
@@ -114,3 +137,6 @@
     }
     tokio::time::sleep(LOOK).await;
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/agent/src/run/tests/draining.rs
+++ b/components/agent/src/run/tests/draining.rs
@@ -4,9 +4,10 @@
 
 use platform::{Instance, InstanceState};
 use process::Phase;
-use wire::{Refusal, UnknownCause};
+use wire::{Control, Refusal, Reply, UnknownCause};
 
-use super::world::{Answer, ENDPOINT, World, id, until};
+use super::world::{Answer, ENDPOINT, Running, World, id, until};
+use crate::wake;
 
 #[tokio::test(start_paused = true)]
 async fn can_leave_with_work_in_hand() {
@@ -49,6 +50,31 @@
     assert_eq!(world.state().grants_at(&id(ENDPOINT)).count(), 0);
 }
 
+/// What the planner tells the agent.
+async fn tell(running: &Running, instance: &str) {
+    let control = Control::Leaving { instance: id(instance) };
+    let message = serde_json::to_vec(&control).expect("text").into();
+    let reply = serde_json::from_slice(&wake::answer(running.agent.clone(), message).await);
+    assert!(matches!(reply, Ok(Reply::Position { .. })), "{reply:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_leave_when_the_planner_says_so_while_the_list_is_down() {
+    let world = World::new();
+    world.list.set_outage(true);
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let served = running.dispatch(&running.head("r-1")).await.expect("an answer");
+    assert!(served.whole().is_some());
+    tell(&running, "instance-2").await;
+    let served = running.dispatch(&running.head("r-2")).await.expect("an answer");
+    assert!(served.whole().is_some(), "another instance was meant");
+    tell(&running, "instance-1").await;
+    until(|| running.task.is_finished()).await;
+    assert!(world.engine.loaded().is_empty());
+    assert_eq!(world.state().grants_at(&id(ENDPOINT)).count(), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn ends_with_true_outcomes_on_a_second_signal() {
     let world = World::new();
--- a/components/agent/src/wake.rs
+++ b/components/agent/src/wake.rs
@@ -56,6 +56,12 @@
             agent.recorder.clock().observe(tick);
             woken(&agent, &model, index)
         }
+        Ok(Control::Leaving { instance }) => {
+            if instance == agent.settings.identity.instance {
+                agent.told.notify_one();
+            }
+            position(&agent)
+        }
         Ok(control) => agent.journal.answer(control).await,
     };
     serde_json::to_vec(&reply).map(Bytes::from).unwrap_or_default()
@@ -67,6 +73,10 @@
         agent.record(Kind::Woken, |event| event.model(model).note("by the replica before it"));
         agent.nudge.notify_one();
     }
+    position(agent)
+}
+
+fn position(agent: &Agent) -> Reply {
     let applied = agent.journal.read(state::State::offset);
     let from = Some(agent.settings.identity.instance.clone());
     Reply::Position { applied, tick: agent.recorder.clock().tick(), from }
--- a/components/journal/src/peers.rs
+++ b/components/journal/src/peers.rs
@@ -44,7 +44,6 @@
             from: self.shared.instance.clone(),
             applied: self.shared.offset(),
             tick: self.shared.recorder.clock().tick(),
-            demand: Vec::new(),
         };
         self.placed(addr, &heartbeat, POSITION_LIMIT).await
     }
@@ -129,7 +128,7 @@
                 }
                 self.here()
             }
-            Control::Wake { .. } => Reply::Unknown,
+            Control::Wake { .. } | Control::Leaving { .. } | Control::FetchDemand => Reply::Unknown,
         }
     }
 
--- a/components/planner/src/listing.rs
+++ b/components/planner/src/listing.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use platform::{Instance, InstanceList};
 use state::Member;
 use tokio::sync::watch::Sender;
 use tokio::time::{Instant, sleep, timeout};
+use wire::Control;
 
 use crate::membership::{Sightings, Suspect};
 use crate::probe::answers;
@@ -15,6 +17,8 @@
 
 /// How long a reading of the list may take.
 const READ_LIMIT: Duration = Duration::from_secs(2);
+/// How long an agent may take to answer that it knows.
+const TELL_LIMIT: Duration = Duration::from_secs(1);
 /// How many agents are asked at the same time, and between two readings.
 const ASKED_AT_ONCE: usize = 128;
 
@@ -52,6 +56,23 @@
         }
         !heard.is_empty()
     });
+    tell_leaving(shared, &members, &sightings.borrow().clone());
+}
+
+/// Tells agents whose instances are listed as leaving, until they say in the log that they leave: they
+/// read the list too seldom themselves. A message that is lost is repeated with the next reading.
+fn tell_leaving(shared: &Shared, members: &[Member], sightings: &Sightings) {
+    let told = |member: &&Member| !member.leaving && sightings.is_leaving(&member.attach);
+    for member in members.iter().filter(told).take(ASKED_AT_ONCE) {
+        let control = Control::Leaving { instance: member.attach.instance.clone() };
+        let Ok(message) = serde_json::to_vec(&control) else { continue };
+        let (network, addr) = (shared.options.network.clone(), member.attach.control);
+        tokio::spawn(async move {
+            if let Err(error) = network.ask(addr, Bytes::from(message), TELL_LIMIT).await {
+                log::debug!("planner: {error}");
+            }
+        });
+    }
 }
 
 async fn read(list: &dyn InstanceList) -> Option<Vec<Instance>> {
--- a/components/planner/src/probe.rs
+++ b/components/planner/src/probe.rs
@@ -19,7 +19,6 @@
         from: shared.instance.clone(),
         applied: Offset(0),
         tick: shared.recorder.clock().tick(),
-        demand: Vec::new(),
     };
     let Ok(message) = serde_json::to_vec(&heartbeat) else { return false };
     let answer = shared.options.network.ask(control, Bytes::from(message), LIMIT).await;
--- a/components/planner/tests/common/agents.rs
+++ b/components/planner/tests/common/agents.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 use units::{Domain, EndpointId, Incarnation, InstanceId, Size};
 
-use super::{LIMIT, Site, addr, serve};
+use super::{LIMIT, Site, Told, addr, serve};
 
 const DOMAINS: [&str; 4] = ["saddar", "clifton", "lyari", "korangi"];
 /// Control addresses of agents begin here.
@@ -21,6 +21,7 @@
     site: Site,
     pub(crate) journal: Journal,
     live: Arc<Mutex<BTreeSet<usize>>>,
+    told: Told,
     task: JoinHandle<()>,
 }
 
@@ -59,7 +60,7 @@
         journal.ready().await;
         let live = Arc::<Mutex<BTreeSet<usize>>>::default();
         let task = tokio::spawn(release_all(journal.clone(), live.clone()));
-        let agents = Self { site: site.clone(), journal, live, task };
+        let agents = Self { site: site.clone(), journal, live, told: Told::default(), task };
         let mut list = site.list.newest();
         list.extend((0..count).map(|number| agents.listed(number)));
         site.list.set(list);
@@ -81,7 +82,13 @@
 
     /// Attaches an agent that runs on another instance than usual, at the usual address.
     pub(crate) async fn attach_as(&self, number: usize, instance: InstanceId) -> Verdict {
-        serve(&self.site.net, addr(BASE + number), instance.clone(), self.journal.clone());
+        serve(
+            &self.site.net,
+            addr(BASE + number),
+            instance.clone(),
+            self.journal.clone(),
+            self.told(),
+        );
         let endpoint = endpoint(number);
         let previous = self.journal.read(|state| state.member(&endpoint).map(|m| m.incarnation));
         let attach = Attach { instance, ..attach(number, previous.unwrap_or_default()) };
@@ -91,6 +98,11 @@
         applied.verdicts[0].clone()
     }
 
+    /// The instances that agents were told to be leaving.
+    pub(crate) fn told(&self) -> Told {
+        self.told.clone()
+    }
+
     fn with_live<R>(&self, change: impl FnOnce(&mut BTreeSet<usize>) -> R) -> R {
         change(&mut self.live.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/components/planner/tests/common/mod.rs
+++ b/components/planner/tests/common/mod.rs
@@ -7,7 +7,7 @@
 mod history;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,7 +24,7 @@
 use tokio::time::{Instant, sleep};
 use tree::{Change, Edit, NodeKind};
 use units::{Epoch, InstanceId, NodePath, Revision};
-use wire::Reply;
+use wire::{Control, Reply};
 
 pub(crate) use agents::Agents;
 pub(crate) use gate::Gate;
@@ -209,12 +209,18 @@
     journal.append(Body::Edit(edit), LIMIT).await.expect("the log is up")
 }
 
+/// The instances that agents were told to be leaving.
+pub(crate) type Told = Arc<Mutex<Vec<InstanceId>>>;
+
 /// Answers control messages at an address as the process of a live instance does.
-pub(crate) fn serve(net: &Net, at: SocketAddr, instance: InstanceId, journal: Journal) {
+pub(crate) fn serve(net: &Net, at: SocketAddr, instance: InstanceId, journal: Journal, told: Told) {
     net.serve(at, move |message: Bytes| {
-        let (journal, name) = (journal.clone(), instance.clone());
+        let (journal, name, told) = (journal.clone(), instance.clone(), told.clone());
         async move {
             let control = serde_json::from_slice(&message).expect("a control message");
+            if let Control::Leaving { instance } = &control {
+                told.lock().unwrap_or_else(PoisonError::into_inner).push(instance.clone());
+            }
             let reply = match journal.answer(control).await {
                 Reply::Position { applied, tick, .. } => {
                     Reply::Position { applied, tick, from: Some(name) }
--- a/components/planner/tests/membership.rs
+++ b/components/planner/tests/membership.rs
@@ -229,3 +229,20 @@
     pass(1800).await;
     assert_eq!(site.history().revokes, after.revokes, "nothing goes to and fro");
 }
+
+#[tokio::test(start_paused = true)]
+async fn can_tell_an_agent_that_its_instance_leaves_until_the_log_says_so() {
+    let site = Site::default();
+    let (_entry, agents) = settled(&site, 4, 8).await;
+    let leaving = common::agents::instance(1);
+    let told = agents.told();
+    site.list.mark_leaving(&leaving);
+    pass(3).await;
+    let early = told.lock().expect("no panic").clone();
+    assert!(early.len() >= 2 && early.iter().all(|instance| *instance == leaving), "{early:?}");
+    agents.leave(1).await;
+    pass(2).await;
+    let count = told.lock().expect("no panic").len();
+    pass(10).await;
+    assert_eq!(told.lock().expect("no panic").len(), count, "it knows");
+}
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "control")]
 pub enum Control {
-    /// Compares positions in the log and spreads demand.
+    /// Compares positions in the log.
     Heartbeat {
         /// The sender.
         from: InstanceId,
@@ -16,8 +16,6 @@
         applied: Offset,
         /// Its logical clock.
         tick: Tick,
-        /// Demand that it has seen since its last heartbeat; entries send it to the planner.
-        demand: Vec<Demand>,
     },
     /// Asks for records that the sender misses.
     Fetch {
@@ -47,6 +45,13 @@
         /// The sender's logical clock.
         tick: Tick,
     },
+    /// Tells an agent that the platform's list shows its instance as leaving.
+    Leaving {
+        /// The instance; another that has taken its address over is not meant.
+        instance: InstanceId,
+    },
+    /// Asks an entry for the demand that it has seen since it was asked last.
+    FetchDemand,
 }
 
 /// Demand for one model.
@@ -86,6 +91,11 @@
         /// The snapshot's text.
         data: String,
     },
+    /// To a fetch of demand.
+    Demand {
+        /// Requests since the last fetch, by model.
+        demand: Vec<Demand>,
+    },
     /// The message was not understood.
     Unknown,
 }
