The holder of the planner lease fetches demand; entries no longer tell it to each other

Only the holder needs demand, and it knows that it is the holder, so it asks; an entry answers with what came since it was last asked. At most 20 entries are asked a second. A planner that takes over now also gets what came while there was none. Left: the holder itself still gets what all entries have seen, and so grows with them.

--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -1,28 +1,31 @@
-//! Control messages: answering those of peers, and telling the other entries the demand seen here.
+//! Control messages: answering those of peers, and asking the other entries for the demand that they see.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use journal::Journal;
+use futures_util::{StreamExt, stream};
+use peer::Ask;
 use planner::DemandLog;
-use timeline::Recorder;
-use wire::{Control, Reply};
+use state::State;
+use wire::{Control, Demand, Reply};
 
 use crate::core::Core;
 
-/// The pause between two tellings of demand.
+/// The shortest pause between two gatherings of demand.
 const PAUSE: Duration = Duration::from_secs(1);
+/// How many entries are asked within that pause; with more of them the pause is longer.
+const ASKED_A_PAUSE: u32 = 20;
+/// How many are asked at the same time.
+const AT_ONCE: usize = 8;
 /// The longest wait for a peer.
 const LIMIT: Duration = Duration::from_secs(1);
 
 /// Answers control messages; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Answerer {
-    pub(crate) journal: Journal,
-    pub(crate) demand: DemandLog,
-    pub(crate) recorder: Recorder,
+    pub(crate) core: Arc<Core>,
 }
 
 impl Answerer {
@@ -39,46 +42,49 @@
     }
 
     async fn reply(&self, control: Control) -> Reply {
-        if let Control::Heartbeat { demand, tick, .. } = &control {
-            self.recorder.clock().observe(*tick);
-            self.demand.add(demand);
+        match control {
+            Control::FetchDemand => Reply::Demand { demand: self.core.tally.take() },
+            control => self.core.journal.answer(control).await,
         }
-        self.journal.answer(control).await
     }
 }
 
-/// Counts this entry's demand here and tells it to the other entries, any of which may be the planner.
-pub(crate) async fn spread_demand(core: Arc<Core>, demand: DemandLog, peers: Vec<SocketAddr>) {
-    let client = peer::Client::default();
+/// Gathers the demand of all entries while this one holds the planner lease; nobody else asks, so that what
+/// an entry sends does not grow with the number of entries.
+pub(crate) async fn gather_demand(
+    core: Arc<Core>,
+    demand: DemandLog,
+    peers: Vec<SocketAddr>,
+    network: Arc<dyn Ask>,
+) {
+    let pause = PAUSE.max(PAUSE * u32::try_from(peers.len()).unwrap_or(u32::MAX) / ASKED_A_PAUSE);
     loop {
-        tokio::time::sleep(PAUSE).await;
-        let seen = core.tally.take();
-        if seen.is_empty() {
-            continue;
-        }
-        demand.add(&seen);
-        let heartbeat = Control::Heartbeat {
-            from: core.instance.clone(),
-            applied: core.journal.read(state::State::offset),
-            tick: core.recorder.clock().tick(),
-            demand: seen,
-        };
-        let message = Bytes::from(serde_json::to_vec(&heartbeat).unwrap_or_default());
-        for peer in &peers {
-            tell(client.clone(), *peer, message.clone(), core.recorder.clone());
+        tokio::time::sleep(pause).await;
+        let holds = |state: &State| state.lease().holder.as_ref() == Some(&core.instance);
+        if core.journal.read(holds) {
+            demand.add(&core.tally.take());
+            demand.add(&fetch_all(&network, &peers).await);
         }
     }
 }
 
-fn tell(client: peer::Client, peer: SocketAddr, message: Bytes, recorder: Recorder) {
-    tokio::spawn(async move {
-        match client.ask(peer, message, LIMIT).await {
-            Ok(reply) => {
-                if let Ok(Reply::Position { tick, .. }) = serde_json::from_slice(&reply) {
-                    recorder.clock().observe(tick);
-                }
-            }
-            Err(error) => log::debug!("control: {error}"),
-        }
-    });
+/// What the peers have seen since they were asked last; what is lost on the way is not counted.
+async fn fetch_all(network: &Arc<dyn Ask>, peers: &[SocketAddr]) -> Vec<Demand> {
+    let peers = stream::iter(peers.to_vec());
+    let asks = peers.map(|peer| fetch(network.clone(), peer)).buffer_unordered(AT_ONCE);
+    let told: Vec<Vec<Demand>> = asks.collect().await;
+    told.concat()
 }
+
+async fn fetch(network: Arc<dyn Ask>, peer: SocketAddr) -> Vec<Demand> {
+    let message = serde_json::to_vec(&Control::FetchDemand).unwrap_or_default();
+    let answer = network.ask(peer, Bytes::from(message), LIMIT).await;
+    let answer = answer.inspect_err(|error| log::debug!("control: {error}"));
+    match answer.ok().and_then(|text| serde_json::from_slice(&text).ok()) {
+        Some(Reply::Demand { demand }) => demand,
+        _ => Vec::new(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use journal::{Journal, Keys};
+use journal::Keys;
 use planner::DemandLog;
 use platform::{HttpList, HttpLog, LogService};
 use process::{Phase, Process, StartError};
 
-use crate::control::{Answerer, spread_demand};
+use crate::control::{Answerer, gather_demand};
 use crate::core::{Core, Parts};
 use crate::link::TcpDial;
 use crate::settings::Settings;
@@ -38,7 +38,7 @@
         in_flight: settings.in_flight,
     });
     let demand = DemandLog::default();
-    serve_control(&settings, &process, &journal, &demand).await?;
+    serve_control(&settings, &process, core.clone()).await?;
     let status = core.clone();
     process::spawn_admin(&process, Arc::new(move || status.status())).await?;
     let planner = planner::run(
@@ -54,8 +54,9 @@
         },
     );
     let planner = tokio::spawn(planner);
+    let network = Arc::new(peer::Client::default());
     let tasks = [
-        tokio::spawn(spread_demand(core.clone(), demand, settings.seeds.clone())),
+        tokio::spawn(gather_demand(core.clone(), demand, settings.seeds.clone(), network)),
         tokio::spawn(prune(core.clone())),
     ];
     let served = serve_callers(&settings, &process, core).await;
@@ -88,14 +89,9 @@
 async fn serve_control(
     settings: &Settings,
     process: &Process,
-    journal: &Journal,
-    demand: &DemandLog,
+    core: Arc<Core>,
 ) -> Result<(), StartError> {
-    let answerer = Answerer {
-        journal: journal.clone(),
-        demand: demand.clone(),
-        recorder: process.recorder.clone(),
-    };
+    let answerer = Answerer { core };
     // Peers may ask until the process ends.
     let stop = process.shutdown.flag(Phase::Force);
     let handler = move |message| answerer.clone().answer(message);
--- a/components/entry/src/tally.rs
+++ b/components/entry/src/tally.rs
@@ -1,4 +1,4 @@
-//! Demand that this entry has seen and not told the planner yet.
+//! Demand that this entry has seen and the planner has not asked for yet.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
@@ -6,7 +6,7 @@
 use units::ModelName;
 use wire::Demand;
 
-/// Requests by model since the last heartbeat.
+/// Requests by model since they were taken last.
 #[derive(Debug, Default)]
 pub(crate) struct Tally {
     seen: Mutex<HashMap<ModelName, Seen>>,
