Stand-ins send small answers at once

Their two writes met the delayed acknowledgement of the other side, so a call straight to the engine took 44 ms and one through the entry 3 ms.

--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -76,6 +76,8 @@
             _ = stop.wait_for(|stop| *stop) => return,
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
+                    // Without it a small answer waits 40 ms for the acknowledgement of its head.
+                    let _ = stream.set_nodelay(true);
                     let gate = Gate::new(stream, silence.clone());
                     connections.spawn(connection(gate, handler.clone()));
                 }
