--- a/components/state/examples/fold-bench.rs
+++ b/components/state/examples/fold-bench.rs
@@ -1,13 +1,13 @@
 //! Measures the fold: records a second, the bytes of a snapshot and the time to restore it.
 //!
-//! `cargo run --release -p state --example fold-bench [today|half|full]`; memory is only right for the first
-//! size of a run.
+//! `cargo run --release -p state --example fold-bench [today|half|full|MODELS ADAPTERS ENDPOINTS]`; memory is
+//! only right for the first size of a run.
 
 use std::fmt::Display;
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use record::{Attach, Body, Decision, GrantId, Record, WINDOW};
+use record::{Attach, Body, CACHED_MOST, Decision, GrantId, Record, WINDOW};
 use serde_json::{Value, json};
 use state::{State, chunks, from_text, to_text};
 use tree::{Change, Edit, NodeKind};
@@ -117,7 +117,8 @@
 fn attach(number: usize) -> Body {
     let addr = format!("10.{}.{}.{}:7001", number / 62500, number / 250 % 250, number % 250 + 1);
     let addr = addr.parse().expect("an address");
-    let cached = (0..8).map(|n| id(format!("model-{:03}@v1", (number + n * 29) % 230))).collect();
+    let cached =
+        (0..CACHED_MOST).map(|n| id(format!("model-{:03}@v1", (number + n * 29) % 230))).collect();
     Body::Attach(Attach {
         endpoint: id(format!("assist-{number:04}")),
         instance: id(format!("assist-{number:04}-5f3a")),
@@ -218,6 +219,17 @@
     println!("  snapshot: written in {wrote:.1?}, restored in {restored:.1?}");
 }
 
+/// What one more state takes: the growth of resident memory with several restored ones, shared out.
+fn memory(state: &State) -> u64 {
+    let text = to_text(state);
+    let first = from_text(&text);
+    let before = resident();
+    let states: Vec<_> = (0..REPEATS).map(|_| from_text(&text)).collect();
+    let grown = resident().saturating_sub(before);
+    drop((first, states));
+    grown / REPEATS as u64
+}
+
 fn run(scale: &Scale) -> Bench {
     let mut bench = Bench::new();
     build(&mut bench, scale);
@@ -235,24 +247,30 @@
 }
 
 fn main() {
-    let asked = std::env::args().nth(1);
-    let wanted = |scale: &&Scale| asked.as_deref().is_none_or(|name| name == scale.name);
-    for scale in SCALES.iter().filter(wanted) {
-        println!(
-            "{}: {} models, {} adapters, {} endpoints",
-            scale.name, scale.models, scale.adapters, scale.endpoints
-        );
-        let before = resident();
-        let bench = run(scale);
-        let grown = resident().saturating_sub(before);
-        let others: Vec<Bench> = (1..REPEATS).map(|_| run(scale)).collect();
-        for (row, (kind, count, time)) in bench.rows.iter().enumerate() {
-            let best = others.iter().map(|bench| bench.rows[row].2).fold(*time, Duration::min);
-            let each = best / *count as u32;
-            let rate = *count as f64 / best.as_secs_f64();
-            println!("  {kind}: {count} records, {each:.1?} each, {rate:.0}/s");
-        }
-        snapshot(&bench.state);
-        println!("  resident memory grew by {grown} KiB with the first fold");
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if let [models, adapters, endpoints] = args.as_slice() {
+        let number = |text: &String| text.parse().expect("a number");
+        let (models, adapters) = (number(models), number(adapters));
+        report(&Scale { name: "asked", models, adapters, endpoints: number(endpoints) });
+        return;
+    }
+    let wanted = |scale: &&Scale| args.first().is_none_or(|name| name == scale.name);
+    SCALES.iter().filter(wanted).for_each(report);
+}
+
+fn report(scale: &Scale) {
+    println!(
+        "{}: {} models, {} adapters, {} endpoints",
+        scale.name, scale.models, scale.adapters, scale.endpoints
+    );
+    let bench = run(scale);
+    println!("  a state takes {} KiB", memory(&bench.state));
+    let others: Vec<Bench> = (1..REPEATS).map(|_| run(scale)).collect();
+    for (row, (kind, count, time)) in bench.rows.iter().enumerate() {
+        let best = others.iter().map(|bench| bench.rows[row].2).fold(*time, Duration::min);
+        let each = best / (*count).max(1) as u32;
+        let rate = *count as f64 / best.as_secs_f64();
+        println!("  {kind}: {count} records, {each:.1?} each, {rate:.0}/s");
     }
+    snapshot(&bench.state);
 }
--- a/components/state/src/rules.rs
+++ b/components/state/src/rules.rs
@@ -1,6 +1,6 @@
 //! The rules by which records change the state.
 
-use record::{Attach, Body, Decision, GrantId, Record};
+use record::{Attach, Body, CACHED_MOST, Decision, GrantId, Record};
 use tree::Edit;
 use units::{EndpointId, Epoch, Incarnation, InstanceId, Offset, Revision};
 
@@ -124,7 +124,7 @@
     fn decision(&mut self, id: GrantId, decision: &Decision) -> Ruling {
         match decision {
             Decision::Grant { model, index, artifact, endpoint, reason } => {
-                let grant = Grant {
+                let mut grant = Grant {
                     id,
                     model: model.clone(),
                     index: *index,
@@ -134,6 +134,8 @@
                     reason: reason.clone(),
                 };
                 self.check(&grant)?;
+                self.names.share(&mut grant.model);
+                self.names.share(&mut grant.artifact);
                 self.grants.insert(grant);
                 Ok(())
             }
@@ -196,8 +198,12 @@
         if let Some(member) = member.filter(|m| m.attach.instance != attach.instance) {
             return Err(Void::Instance { current: member.attach.instance.clone() });
         }
-        let member = Member { attach: attach.clone(), incarnation: offset.into(), leaving: false };
-        self.members.insert(attach.endpoint.clone(), member);
+        let mut attach = attach.clone();
+        attach.cached.truncate(CACHED_MOST);
+        attach.cached.iter_mut().for_each(|name| self.names.share(name));
+        let endpoint = attach.endpoint.clone();
+        let member = Member { attach, incarnation: offset.into(), leaving: false };
+        self.members.insert(endpoint, member);
         Ok(())
     }
 
