--- a/components/load/src/bench.rs
+++ b/components/load/src/bench.rs
@@ -67,10 +67,14 @@
 /// The result of the bench.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Bench {
+    /// The machine's load average of the last minute, as the bench itself and others caused it.
+    busy: f64,
     /// Latency of single calls straight to the engine.
     straight: Percentiles,
     /// Latency of single calls through the entry.
     through: Percentiles,
+    /// What the way through entry and agent adds to the median, in milliseconds.
+    added: f64,
     /// Median latency through the entry over that straight to the engine.
     latency_ratio: f64,
     /// Calls a second straight to the engine.
@@ -113,6 +117,8 @@
     let (straight, through) = (overhead.straight.latency(), overhead.through.latency());
     let (straight_rate, through_rate) = (overhead.straight.rate(), overhead.through.rate());
     Ok(Bench {
+        busy: busy(),
+        added: through.p50 - straight.p50,
         latency_ratio: through.p50 / straight.p50,
         rate_ratio: through_rate / straight_rate,
         straight,
@@ -282,6 +288,12 @@
     call.ending == Ending::Served && call.done.saturating_sub(call.at) <= call.deadline
 }
 
+/// The machine's load average of the last minute; nothing where it can't be read.
+fn busy() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').next().and_then(|word| word.parse().ok()).unwrap_or_default()
+}
+
 impl Bench {
     fn print(&self, last: Option<&Self>) {
         let row = |name: &str, value: fn(&Self) -> f64| {
@@ -289,9 +301,11 @@
             println!("{name:<48} {last:>10} {:>10.2}", value(self));
         };
         println!("\n{:<48} {:>10} {:>10}", "", "last", "now");
+        row("load average of the machine", |b| b.busy);
         row("straight to the engine, p50 (ms)", |b| b.straight.p50);
         row("through the entry, p50 (ms)", |b| b.through.p50);
         row("through the entry, p99 (ms)", |b| b.through.p99);
+        row("added to p50 by the way through (ms)", |b| b.added);
         row("latency p50, through over straight", |b| b.latency_ratio);
         row("straight to the engine (calls/s)", |b| b.straight_rate);
         row("through the entry (calls/s)", |b| b.through_rate);
