--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,7 +48,7 @@
     Help,
     Version,
     Check { file: PathBuf },
-    Diff { file: PathBuf },
+    Diff { file: PathBuf, replace: bool },
     Pull { file: PathBuf, force: bool },
     Publish { file: PathBuf, replace: bool },
     Set { path: NodePath, values: Vec<Assignment> },
@@ -188,7 +188,7 @@
     let flags = &words.flags;
     let command = match name.as_str() {
         "check" => Command::Check { file: file(&mut values)? },
-        "diff" => Command::Diff { file: file(&mut values)? },
+        "diff" => Command::Diff { file: file(&mut values)?, replace: flags.replace },
         "pull" => Command::Pull { file: file(&mut values)?, force: flags.force },
         "publish" => Command::Publish { file: file(&mut values)?, replace: flags.replace },
         "set" => {
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -15,7 +15,8 @@
   pull FILE                write the tree in force to the file, with FILE.base beside it;
                            keeps your changes that are not published; --force drops them
   publish FILE             publish what you changed since the pull, and wait until it is in force;
-                           --replace puts a file that was never pulled in place of all there is
+                           --replace (also of diff) puts the file in place of all there is, also of what
+                           others published; a file that was never pulled needs it
   set PATH KEY=VALUE...    publish settings of one node; `KEY=` clears the setting
   explain PATH             show the settings in force at a node or a model, and where they come from
   reference                write the reference page of all settings
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -85,7 +85,8 @@
     Ok(())
 }
 
-/// What the operator changed since the pull, less what is in force already.
+/// What the operator changed since the pull, less what is in force already; all that differs if the file is
+/// to replace all there is, or is the first.
 pub(crate) fn plan(
     file: &Path,
     working: &Working,
@@ -94,16 +95,17 @@
     replace: bool,
 ) -> Result<Plan, CmdError> {
     let wanted = &working.file.tree;
-    let Some(base) = &working.base else {
-        let first = revision == Revision(0);
-        if !first && !replace {
-            return Err(CmdError::NotPulled { file: file.to_owned() });
+    match &working.base {
+        Some(base) if !replace => {
+            let mine = tree::diff(&base.tree, wanted);
+            let merged = tree.overlay(&mine).map_err(CmdError::Rejected)?;
+            Ok(Plan { changes: tree::diff(tree, &merged), base: base.revision })
         }
-        return Ok(Plan { changes: tree::diff(tree, wanted), base: revision });
-    };
-    let mine = tree::diff(&base.tree, wanted);
-    let merged = tree.overlay(&mine).map_err(CmdError::Rejected)?;
-    Ok(Plan { changes: tree::diff(tree, &merged), base: base.revision })
+        None if !replace && revision > Revision(0) => {
+            Err(CmdError::NotPulled { file: file.to_owned() })
+        }
+        _ => Ok(Plan { changes: tree::diff(tree, wanted), base: revision }),
+    }
 }
 
 /// Shows changes with the values before them.
--- a/src/main.rs
+++ b/src/main.rs
@@ -53,7 +53,7 @@
         Command::Version => cmd::help::version(out),
         Command::Reference => cmd::help::reference(out),
         Command::Check { file } => cmd::check::run(file, out),
-        Command::Diff { file } => cmd::diff::run(&connect().await?, file, out),
+        Command::Diff { file, replace } => cmd::diff::run(&connect().await?, file, *replace, out),
         Command::Pull { file, force } => cmd::pull::run(&connect().await?, file, *force, out),
         Command::Publish { file, replace } => {
             cmd::publish::run(&connect().await?, file, *replace, out).await
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -170,7 +170,12 @@
     asma.run("publish tree.jsonc").await;
     assert_eq!(site.log.counters().records, 1);
     site.note("with --replace the file stands for all there is");
+    asma.run("diff other.jsonc").await;
+    asma.run("--replace diff other.jsonc").await;
     asma.run("--replace publish other.jsonc").await;
+    asma.run("set /hall queue=4").await;
+    asma.run("diff other.jsonc").await;
+    asma.run("--replace diff other.jsonc").await;
     assert_snapshot!(site.transcript());
 }
 
