--- a/components/tree/src/reference.rs
+++ b/components/tree/src/reference.rs
@@ -55,7 +55,7 @@
 | key | example | what it is |
 |---|---|---|
 | `opens` | `\"monthly last 08:00\"` | when it opens, in the time of `zone` |
-| `lasts` | `\"12h\"` | how long it stays open |
+| `lasts` | `\"12h\"` | how long it stays open; at most `28days` |
 | `zone` | `\"Asia/Karachi\"` | an IANA time zone, as the program knows it; the machine's files are not read |
 | `replicas` | `1` | how many replicas must be loaded when it opens; at most `replicas-most` |
 
--- a/components/tree/src/table/tests.rs
+++ b/components/tree/src/table/tests.rs
@@ -41,6 +41,7 @@
 #[case("windows", json!([{"opens": "soon", "lasts": "1h", "zone": "UTC", "replicas": 1}]), "`soon` is no opening")]
 #[case("windows", json!([{"opens": "monthly last 08:00", "lasts": "1h", "zone": "Mars", "replicas": 1}]), "`Mars` is no time zone")]
 #[case("windows", json!([{"opens": "monthly last 08:00", "lasts": "0s", "zone": "UTC", "replicas": 1}]), "lasts no time")]
+#[case("windows", json!([{"opens": "monthly last 08:00", "lasts": "29days", "zone": "UTC", "replicas": 1}]), "lasts 29days; at most 28days")]
 #[case("windows", json!([{"opens": "monthly last 08:00", "lasts": "1h", "zone": "UTC", "replicas": 0}]), "for no replica")]
 fn errors_on_a_value_and_says_what_would_be_right(
     #[case] name: &str,
--- a/components/tree/src/window.rs
+++ b/components/tree/src/window.rs
@@ -6,12 +6,16 @@
 use jiff::tz::{TimeZone, TimeZoneDatabase};
 use jiff::{Timestamp, ToSpan};
 use thiserror::Error;
+use units::Span;
 
 use crate::Window;
 
 /// The time zones that come with the program, so that all processes of one version agree.
 static ZONES: LazyLock<TimeZoneDatabase> = LazyLock::new(TimeZoneDatabase::bundled);
 
+/// The longest that a window may last.
+const LONGEST: Span = Span::secs(28 * 24 * 3600);
+
 /// How many months are looked through for the next opening, which is at most a year away.
 const MONTHS_AHEAD: usize = 14;
 
@@ -29,6 +33,9 @@
     /// It is never open.
     #[error("a window that lasts no time; write for example `12h`")]
     Empty,
+    /// It is open for so long that it would overlap with its next opening.
+    #[error("a window that lasts {0}; at most {LONGEST} are allowed")]
+    Long(Span),
     /// It needs no replica.
     #[error("a window for no replica; `replicas` must be at least 1")]
     Replicas,
@@ -126,6 +133,9 @@
     if window.lasts.0.is_zero() {
         return Err(WindowError::Empty);
     }
+    if window.lasts > LONGEST {
+        return Err(WindowError::Long(window.lasts));
+    }
     if window.replicas == 0 {
         return Err(WindowError::Replicas);
     }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -19,6 +19,20 @@
     assert_eq!(cli.command, Command::Status);
 }
 
+#[test]
+fn can_read_a_settings_file_which_flags_override() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("hyssopctl.jsonc");
+    let text = r#"{ "log": "127.0.0.1:1", "seeds": ["127.0.0.1:2"], "author": "asma" } // Ours."#;
+    std::fs::write(&file, text).expect("a file");
+    let line = format!("--settings {} --author bilal status", file.display());
+    let link = read(&line).expect("a command line").link;
+    assert_eq!((link.log, link.author.as_str()), ("127.0.0.1:1".parse().ok(), "bilal"));
+    std::fs::write(&file, r#"{ "lok": "127.0.0.1:1" }"#).expect("a file");
+    let message = read(&line).expect_err("a wrong key").to_string();
+    assert!(message.contains("at `lok`: unknown field"), "{message}");
+}
+
 #[test]
 fn can_read_values_of_settings_as_json_or_text() {
     let cli = read("set /hall deadline=9s queue=7 version= fenced=true").expect("a command line");
