--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt at one endpoint: a dispatch, its answer, and what can be learned if the stream is lost.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::Full;
@@ -17,6 +19,11 @@
 /// When a caller whose endpoint could not be reached should come back.
 const RETRY: Span = Span::secs(1);
 
+/// The most cuts of an answer at the same byte.
+const STALLS: u32 = 6;
+/// The shortest pause after such a cut.
+const STALL_PAUSE: Duration = Duration::from_millis(5);
+
 /// What came of an attempt.
 #[derive(Debug)]
 pub(crate) enum Step {
@@ -41,6 +48,28 @@
     generation: Option<u64>,
 }
 
+/// Streams of one attempt that were cut without a new byte, one after the other.
+#[derive(Debug, Default)]
+struct Stalls {
+    count: u32,
+    bytes: u64,
+}
+
+impl Stalls {
+    /// Waits a moment after the second cut at the same byte, longer after each; false once there were too many.
+    async fn pause(&mut self, bytes: u64) -> bool {
+        if bytes > self.bytes {
+            *self = Self { count: 0, bytes };
+            return true;
+        }
+        self.count += 1;
+        if self.count > 1 {
+            tokio::time::sleep(STALL_PAUSE * 2_u32.pow(self.count)).await;
+        }
+        self.count < STALLS
+    }
+}
+
 impl Flight {
     /// Sends the request to an endpoint and follows it until it ends there.
     pub(crate) async fn attempt(&mut self, target: &Candidate) -> Step {
@@ -53,6 +82,7 @@
             Err(refusal) => return Step::NotRun(refusal),
         };
         let placed = Placed { target: target.clone(), id };
+        let mut stalls = Stalls::default();
         loop {
             let generation = match sent {
                 Sent::Open(reply) => match self.relay(target, reply.response).await {
@@ -61,6 +91,9 @@
                 },
                 Sent::Lost(generation) => generation,
             };
+            if !stalls.pause(self.received.bytes).await {
+                return self.give_up(UnknownCause::AgentGone);
+            }
             sent = match self.recover(&placed, generation).await {
                 Ok(reply) => Sent::Open(Box::new(reply)),
                 Err(cause) => return self.give_up(cause),
@@ -90,7 +123,7 @@
         let mut line = match self.core.links.line(target.addr, broken).await {
             Ok(line) => line,
             Err(error) => {
-                log::info!("entry: {error}");
+                log::debug!("entry: {error}");
                 return Err(Unsent { generation: None });
             }
         };
--- a/components/entry/src/breaker.rs
+++ b/components/entry/src/breaker.rs
@@ -14,13 +14,18 @@
 /// The longest ejection.
 const LONGEST: Duration = Duration::from_secs(30);
 
+/// How long an endpoint waits for a probe that may be repeated.
+const OVERDUE: Duration = Duration::from_secs(5);
+
 /// Whether an endpoint may get a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Admission {
     /// It may.
     Closed,
-    /// Its ejection is over; it may get one request as a probe.
+    /// Its ejection is over; it may get one request that may be repeated as a probe.
     Probe,
+    /// No such request has come; it may get any.
+    Overdue,
     /// It is ejected.
     Open,
 }
@@ -47,7 +52,13 @@
         let Some(until) = entry.until else { return Admission::Closed };
         let now = Instant::now();
         let probed = entry.probing.is_some_and(|since| now < since + LONGEST);
-        if now < until || probed { Admission::Open } else { Admission::Probe }
+        if now < until || probed {
+            Admission::Open
+        } else if now < until + OVERDUE {
+            Admission::Probe
+        } else {
+            Admission::Overdue
+        }
     }
 
     /// Notes that a request goes to the endpoint; after an ejection it is the probe.
--- a/components/entry/src/breaker/tests.rs
+++ b/components/entry/src/breaker/tests.rs
@@ -35,6 +35,16 @@
     assert_eq!(breakers.admission(&endpoint()), Admission::Closed);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_take_any_request_as_a_probe_if_no_other_comes() {
+    let breakers = Breakers::default();
+    trip(&breakers);
+    tokio::time::advance(FIRST + OVERDUE).await;
+    assert_eq!(breakers.admission(&endpoint()), Admission::Overdue);
+    breakers.note_sent(&endpoint());
+    assert_eq!(breakers.admission(&endpoint()), Admission::Open);
+}
+
 #[tokio::test(start_paused = true)]
 async fn errors_on_a_failed_probe_for_twice_as_long() {
     let breakers = Breakers::default();
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -173,6 +173,7 @@
         let id = call.request.clone();
         let event = self.recorder.event(Kind::Accepted).request(&id).model(&call.leaf.model);
         self.recorder.record(event);
+        self.tally.arrived(&call.leaf.model);
         let permit = match self.limits.enter(call.class, &call.group, &call.leaf.settings) {
             Ok(permit) => permit,
             Err(refusal) => return self.shed(&call, &refusal),
@@ -201,7 +202,9 @@
         self.recorder.record(event);
         let class = class_label(call.class);
         metrics::counter!("entry_requests", "outcome" => label, "class" => class).increment(1);
-        self.tally.count(&call.leaf.model, lacks_capacity(outcome));
+        if lacks_capacity(outcome) {
+            self.tally.refused(&call.leaf.model);
+        }
     }
 
     fn shed(&self, call: &Call, refusal: &Refusal) -> Response<Body> {
--- a/components/entry/src/pick.rs
+++ b/components/entry/src/pick.rs
@@ -63,7 +63,7 @@
 fn admitted(choices: &[Choice], policy: &Policy<'_>) -> Vec<usize> {
     let every = 0..choices.len();
     let open = every.clone().filter(|&at| match choices[at].admission {
-        Admission::Closed => true,
+        Admission::Closed | Admission::Overdue => true,
         Admission::Probe => policy.probes,
         Admission::Open => false,
     });
--- a/components/entry/src/pick/tests.rs
+++ b/components/entry/src/pick/tests.rs
@@ -89,7 +89,7 @@
 /// The endpoints that a plain reading of the rules allows, whatever the dice say.
 fn naive(choices: &[Choice], policy: &Policy<'_>) -> Vec<usize> {
     let is_open = |choice: &Choice| {
-        choice.admission == Admission::Closed
+        matches!(choice.admission, Admission::Closed | Admission::Overdue)
             || choice.admission == Admission::Probe && policy.probes
     };
     let mut open: Vec<usize> = (0..choices.len()).filter(|&at| is_open(&choices[at])).collect();
@@ -176,6 +176,7 @@
                 admission: match admission {
                     0 => Admission::Open,
                     1 => Admission::Probe,
+                    2 => Admission::Overdue,
                     _ => Admission::Closed,
                 },
                 ..choice(name, near, f64::from(requests))
--- a/components/entry/src/recover.rs
+++ b/components/entry/src/recover.rs
@@ -177,7 +177,7 @@
     let mut line = match core.links.line(placed.target.addr, Some(broken)).await {
         Ok(line) => line,
         Err(error) => {
-            log::info!("entry: {error}");
+            log::debug!("entry: {error}");
             return Err(broken);
         }
     };
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,5 +1,6 @@
 //! The entry's supervisor.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
     );
     let planner = tokio::spawn(planner);
     let tasks = [
-        tokio::spawn(spread_demand(core.clone(), demand, settings.seeds.clone())),
+        tokio::spawn(spread_demand(core.clone(), demand, others(&settings))),
         tokio::spawn(prune(core.clone())),
     ];
     let served = serve_callers(&settings, &process, core).await;
@@ -85,6 +86,11 @@
     Ok(())
 }
 
+/// The other entries, should the seeds name this one, too.
+fn others(settings: &Settings) -> Vec<SocketAddr> {
+    settings.seeds.iter().copied().filter(|seed| *seed != settings.control).collect()
+}
+
 async fn serve_control(
     settings: &Settings,
     process: &Process,
--- a/components/entry/src/tally.rs
+++ b/components/entry/src/tally.rs
@@ -19,18 +19,23 @@
 }
 
 impl Tally {
-    /// Counts a request.
-    pub(crate) fn count(&self, model: &ModelName, refused: bool) {
-        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = seen.entry(model.clone()).or_default();
-        entry.requests += 1;
-        entry.refused += u32::from(refused);
+    /// Counts a request that came.
+    pub(crate) fn arrived(&self, model: &ModelName) {
+        self.seen(|seen| seen.entry(model.clone()).or_default().requests += 1);
+    }
+
+    /// Counts a request that was refused for lack of capacity.
+    pub(crate) fn refused(&self, model: &ModelName) {
+        self.seen(|seen| seen.entry(model.clone()).or_default().refused += 1);
+    }
+
+    fn seen<R>(&self, change: impl FnOnce(&mut HashMap<ModelName, Seen>) -> R) -> R {
+        change(&mut self.seen.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Takes what was counted.
     pub(crate) fn take(&self) -> Vec<Demand> {
-        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        let taken = std::mem::take(&mut *seen);
+        let taken = self.seen(std::mem::take);
         let demand = taken.into_iter().map(|(model, seen)| Demand {
             model,
             requests: seen.requests,
@@ -39,3 +44,6 @@
         demand.collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/entry/tests/sessions/deadline.rs
+++ b/components/entry/tests/sessions/deadline.rs
@@ -91,6 +91,22 @@
     assert!(!answer.text().contains("data: b"));
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_serve_others_while_a_caller_does_not_read() {
+    let mut world = World::new().await;
+    let agent = world.attach("darwaza-0", "darwaza", "saddar").await;
+    agent.script([Act::Long { kib: 1024 }, Act::Long { kib: 1024 }]);
+    let call = || service_call("GET", "/faults", SHORT);
+    // Nobody reads the body of the first.
+    let unread = world.core.clone().answer(call()).await;
+    let other = world.call(call()).await;
+    assert_eq!((other.outcome(), other.body.len()), ("served", 1024 << 10));
+    assert_eq!(world.net.dials(), 1);
+    tokio::time::sleep(ALLOWED).await;
+    let body = http_body_util::BodyExt::collect(unread.into_body()).await;
+    assert!(body.is_err(), "what is read after the deadline can't look whole");
+}
+
 #[tokio::test(start_paused = true)]
 async fn errors_on_a_deadline_shorter_than_the_way() {
     let mut world = World::new().await;
--- a/components/entry/tests/sessions/kit/agent.rs
+++ b/components/entry/tests/sessions/kit/agent.rs
@@ -32,6 +32,10 @@
     After(Duration, &'static str),
     /// Runs it, and cuts the stream after so many bytes; a resume gets the rest.
     CutAt { content: &'static str, body: &'static str, at: usize },
+    /// Runs it; every stream of its answer is cut after so many bytes.
+    CutAlways { body: &'static str, at: usize },
+    /// Runs it, and streams so many kibibytes of plain text.
+    Long { kib: usize },
     /// Runs it, and the endpoint fails after so many bytes.
     FailAt { content: &'static str, body: &'static str, at: usize },
     /// Refuses it.
@@ -56,6 +60,7 @@
     Queued,
     Running,
     Answered { status: u16, content: &'static str, body: &'static str },
+    Flaky { body: &'static str, at: usize },
     Failed,
     Tombstone,
 }
@@ -270,6 +275,16 @@
                 self.run(id, 200, content, body);
                 self.stream(200, content, &body.as_bytes()[..at], Last::Cut)
             }
+            Act::CutAlways { body, at } => {
+                self.start(id, Row::Flaky { body, at });
+                self.stream(200, SSE, &body.as_bytes()[..at], Last::Cut)
+            }
+            Act::Long { kib } => {
+                self.start(id, Row::Failed);
+                let bytes = vec![b'x'; kib << 10];
+                let end = End::Whole { length: bytes.len() as u64 };
+                self.stream(200, "text/plain", &bytes, Last::End(end))
+            }
             Act::FailAt { content, body, at } => {
                 self.start(id, Row::Failed);
                 let cause = UnknownCause::Endpoint { cause: "the engine died".to_owned() };
@@ -333,6 +348,10 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 Box::pin(self.resume(resume)).await
             }
+            Some(Row::Flaky { body, at }) => {
+                let from = usize::try_from(resume.from).unwrap_or(usize::MAX).min(at);
+                self.stream(200, SSE, &body.as_bytes()[from..at], Last::Cut)
+            }
             Some(Row::Failed) => self.unknown(&UnknownCause::AnswerDropped),
             Some(Row::Answered { status, content, body }) => {
                 let from = usize::try_from(resume.from).unwrap_or(usize::MAX);
@@ -380,8 +399,10 @@
     }
 
     fn stream(&self, status: u16, content: &str, bytes: &[u8], last: Last) -> Response<Body> {
-        let frames: Vec<std::io::Result<Frame<Bytes>>> =
-            bytes.chunks(7).map(|chunk| Ok(Frame::data(Bytes::copy_from_slice(chunk)))).collect();
+        let frames: Vec<std::io::Result<Frame<Bytes>>> = bytes
+            .chunks(if bytes.len() < 1000 { 7 } else { 8 << 10 })
+            .map(|chunk| Ok(Frame::data(Bytes::copy_from_slice(chunk))))
+            .collect();
         let last = async move {
             match last {
                 Last::End(end) => Ok(Frame::trailers(end_trailers(&end))),
--- a/components/entry/tests/sessions/lost.rs
+++ b/components/entry/tests/sessions/lost.rs
@@ -209,6 +209,18 @@
     assert!(agent.resumes().is_empty());
 }
 
+#[tokio::test(start_paused = true)]
+async fn errors_on_an_answer_that_is_cut_again_and_again() {
+    let mut world = World::new().await;
+    let agent = world.replica(0, "saddar").await;
+    agent.script([Act::CutAlways { body: EVENTS, at: 11 }]);
+    let began = Instant::now();
+    let answer = world.call(ask(&[])).await;
+    assert!(answer.text().starts_with("data: one\n\nevent: error\n"), "{}", answer.text());
+    assert!(agent.resumes().len() < 10, "{} resumes", agent.resumes().len());
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_tell_a_refusal_apart_from_a_lost_one() {
     let mut world = World::new().await;
--- a/components/entry/tests/sessions/routing.rs
+++ b/components/entry/tests/sessions/routing.rs
@@ -133,6 +133,23 @@
     assert_eq!(agents[0].runs().len(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_take_an_endpoint_back_with_calls_that_must_not_run_twice() {
+    let mut world = World::new().await;
+    let first = world.attach("darwaza-0", "darwaza", "saddar").await;
+    let _second = world.attach("darwaza-1", "darwaza", "korangi").await;
+    first.set_dead(true);
+    for _ in 0..5 {
+        let answer = world.call(service_call("POST", "/badges", &[])).await;
+        assert_eq!(answer.outcome(), "served");
+    }
+    first.set_dead(false);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    world.call(service_call("POST", "/badges", &[])).await;
+    world.call(service_call("POST", "/badges", &[])).await;
+    assert_eq!(first.runs().len(), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_follow_a_prompts_prefix_to_its_cache() {
     let mut world = World::new().await;
