--- a/components/tree/src/apply.rs
+++ b/components/tree/src/apply.rs
@@ -17,6 +17,8 @@
 pub const MAX_EDIT: usize = 512 << 10;
 /// The most bytes that the path, name and value of one change may have.
 pub const MAX_CHANGE: usize = 16 << 10;
+/// The most bytes that an author's name may have.
+const MAX_AUTHOR: usize = 200;
 /// The most nodes that a tree may have.
 pub const MAX_NODES: usize = 20_000;
 
@@ -108,6 +110,12 @@
             edit.base
         ));
     }
+    if edit.author.len() > MAX_AUTHOR {
+        return invalid(format!(
+            "an author's name of {} bytes; at most {MAX_AUTHOR}",
+            edit.author.len()
+        ));
+    }
     if edit.changes.is_empty() {
         return invalid("the edit changes nothing".to_owned());
     }
--- a/components/tree/src/apply/tests.rs
+++ b/components/tree/src/apply/tests.rs
@@ -160,6 +160,13 @@
     assert!(message.contains(expected), "{message}");
 }
 
+#[test]
+fn errors_on_a_name_of_an_author_without_end() {
+    let mut tree = hall();
+    let edit = Edit { author: "a".repeat(201), ..edit(1, vec![set("/hall", "queue", json!(7))]) };
+    assert!(cause(tree.apply(&edit, Revision(2))).contains("201 bytes; at most 200"));
+}
+
 #[test]
 fn errors_on_a_base_that_is_not_older() {
     let mut tree = hall();
