A record that landed too late is written anew; a forgotten verdict is unknown

A writer that waited while a state far ahead was taken over, or while one page held more records than the fold remembers, could be told that a record with an effect had none, or wait for its whole limit.

--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use platform::Entry;
-use record::{Body, Record};
+use record::{Body, Record, WINDOW};
 use serde::Deserialize;
 use state::{Applied, State, Verdict};
 use timeline::{Kind, Recorder};
@@ -21,6 +21,9 @@
 /// The kind of the chunks of a snapshot.
 const SNAPSHOT: &str = "snapshot";
 
+/// How many records are folded before their writers are told; fewer than the fold remembers.
+const SETTLE_EVERY: usize = 1024;
+
 /// What is known of the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Health {
@@ -140,6 +143,9 @@
             }
             side.ring.push(entry.data.clone());
             applied.push((entry, verdict));
+            if applied.len().is_multiple_of(SETTLE_EVERY) {
+                side.settle(&state);
+            }
         }
         let after = state.offset();
         side.settle(&state);
@@ -162,10 +168,15 @@
             return false;
         }
         let upto = newer.offset();
+        let skipped = upto.0 - state.offset().0;
         *state = newer;
         let mut side = self.side();
         side.ring.restart(upto);
         side.settle(&state);
+        if skipped > WINDOW {
+            // What landed in between may be forgotten: the writers learn that they can't know.
+            side.waiters.clear();
+        }
         drop(side);
         drop(state);
         log::info!("journal: took over a state folded up to offset {upto}");
@@ -329,3 +340,6 @@
     let body = serde_json::from_slice::<BodyOnly>(data);
     body.map_or_else(|_| "unreadable".to_owned(), |record| record.body.kind)
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -9,11 +9,11 @@
 use peer::Ask;
 use platform::{LogService, Stream};
 use record::{Body, Record};
-use state::{Applied, State};
+use state::{Applied, State, Verdict, Void};
 use timeline::Recorder;
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 use units::{InstanceId, Offset};
 use wire::{Control, Reply};
 
@@ -123,6 +123,14 @@
     }
 }
 
+/// Whether no copy of a record can have an effect, because it was on its way for too long.
+///
+/// This process has folded all offsets since it wrote the record, or it would not be waiting any more; so
+/// no earlier copy had one.
+fn is_stale(applied: &Applied) -> bool {
+    matches!(applied.verdicts[..], [Verdict::Void(Void::Stale { .. })])
+}
+
 /// Stops waiting for a record when the writer does.
 struct Waiting<'a> {
     shared: &'a Shared,
@@ -172,7 +180,21 @@
     }
 
     /// Appends a record, repeats it until it is read back, and says what became of its first copy in the log.
+    ///
+    /// One that was on its way for too long is void for good, so it is written anew while the time lasts.
     pub async fn append(&self, body: Body, limit: Duration) -> Result<Applied, AppendError> {
+        let until = Instant::now() + limit;
+        loop {
+            let applied = timeout_at(until, self.append_once(body.clone(), limit)).await;
+            let applied = applied.map_err(|_| AppendError::Unknown { limit })??;
+            if !is_stale(&applied) {
+                return Ok(applied);
+            }
+            log::info!("journal: offset {} came too late and is written anew", applied.offset);
+        }
+    }
+
+    async fn append_once(&self, body: Body, limit: Duration) -> Result<Applied, AppendError> {
         let seen = self.shared.offset();
         if self.shared.state().frozen().is_some() {
             return Err(AppendError::Frozen);
@@ -185,10 +207,8 @@
         let _waiting = Waiting { shared: &self.shared, id: &id };
         let pending = Pending::new(id.clone(), data);
         self.appends.send(pending).map_err(|_| AppendError::Closed)?;
-        match timeout(limit, verdict).await {
-            Ok(applied) => applied.map_err(|_| AppendError::Closed),
-            Err(_) => Err(AppendError::Unknown { limit }),
-        }
+        // Nobody tells the verdict if a state was taken over that has forgotten it.
+        verdict.await.map_err(|_| AppendError::Unknown { limit })
     }
 
     /// Whether the newest snapshot in the log is old or has come half-way to its expiry.
--- a/components/journal/tests/append.rs
+++ b/components/journal/tests/append.rs
@@ -7,6 +7,7 @@
 use common::{LIMIT, Site, attach, claim, pass};
 use journal::AppendError;
 use platform::Stream;
+use record::WINDOW;
 use state::{Verdict, Void};
 use tokio::time::Instant;
 use units::{Epoch, Offset};
@@ -172,3 +173,22 @@
     pass(60).await;
     assert_eq!(site.log.counters().reads, reads);
 }
+
+#[tokio::test(start_paused = true)]
+async fn can_write_a_record_anew_that_landed_too_late() {
+    let site = Site::default();
+    let node = site.node(1, &[]);
+    node.ready().await;
+    site.log.set(|faults| faults.outage = true);
+    let journal = node.journal.clone();
+    let late = tokio::spawn(async move { journal.append(claim(0), LIMIT).await });
+    pass(1).await;
+    for _ in 0..=WINDOW {
+        site.log.put(Stream::Control, "noise");
+    }
+    site.log.set(|faults| faults.outage = false);
+    let applied = late.await.expect("the task ended").expect("the log is up");
+    assert!(applied.is_done(), "{applied:?}");
+    assert_eq!(applied.offset, Offset(WINDOW + 3));
+    assert_eq!(node.journal.read(|state| state.lease().epoch), Epoch(WINDOW + 3));
+}
