--- a/components/journal/src/heartbeat.rs
+++ b/components/journal/src/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Comparing positions with a few peers, so that records spread without the log.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,33 +61,25 @@
     }
 }
 
-/// Drops neighbours whose term is over and fills the free places: one with a seed, the others with members.
+/// Drops neighbours whose term is over and fills the free places with members and seeds, each as likely as
+/// any other: a few seeds before thousands of agents would not bear more.
 fn choose(shared: &Shared, neighbours: &mut Vec<Neighbour>) {
     let now = Instant::now();
     neighbours.retain(|neighbour| neighbour.until > now);
-    let add = |neighbours: &mut Vec<Neighbour>, addr: SocketAddr| {
-        neighbours.push(Neighbour { addr, until: now + jitter(TERM), empty: 0 });
-    };
-    let is_new = |neighbours: &[Neighbour], addr: &SocketAddr| {
-        neighbours.iter().all(|neighbour| neighbour.addr != *addr)
-    };
-    let seeds = &shared.options.seeds;
-    if neighbours.iter().all(|neighbour| !seeds.contains(&neighbour.addr)) {
-        let seed = seeds.iter().copied().choose(&mut rand::rng());
-        seed.into_iter().for_each(|seed| add(neighbours, seed));
-    }
     let free = NEIGHBOURS.saturating_sub(neighbours.len());
     if free == 0 {
         return;
     }
-    let members: Vec<SocketAddr> = {
+    let is_new = |addr: &SocketAddr| neighbours.iter().all(|neighbour| neighbour.addr != *addr);
+    let known: BTreeSet<SocketAddr> = {
         let state = shared.state();
         let others = state.members().filter(|member| member.attach.instance != shared.instance);
         let addrs = others.map(|member| member.attach.control);
-        let addrs = addrs.chain(seeds.iter().copied());
-        addrs.filter(|addr| is_new(neighbours, addr)).sample(&mut rand::rng(), free)
+        addrs.chain(shared.options.seeds.iter().copied()).filter(is_new).collect()
     };
-    members.into_iter().for_each(|addr| add(neighbours, addr));
+    for addr in known.into_iter().sample(&mut rand::rng(), free) {
+        neighbours.push(Neighbour { addr, until: now + jitter(TERM), empty: 0 });
+    }
 }
 
 /// Compares positions with one neighbour and evens them out; false if it gave no answer.
--- a/components/peer/tests/ask.rs
+++ b/components/peer/tests/ask.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use peer::{Client, listen};
-use tokio::net::TcpListener;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 const LIMIT: Duration = Duration::from_secs(10);
@@ -78,6 +79,40 @@
     assert_eq!(answer, Ok(Bytes::from_static(b"hello")));
 }
 
+/// Passes bytes on for connections that come after the last change of `silent`, and none for older ones.
+async fn pass_on(listener: TcpListener, to: SocketAddr, silent: watch::Receiver<u32>) {
+    while let Ok((mut near, _)) = listener.accept().await {
+        let mut silent = silent.clone();
+        silent.mark_unchanged();
+        tokio::spawn(async move {
+            let mut far = TcpStream::connect(to).await.expect("the server listens");
+            tokio::select! {
+                _ = copy_bidirectional(&mut near, &mut far) => {}
+                _ = silent.changed() => std::future::pending().await,
+            }
+        });
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn can_ask_again_after_an_open_connection_went_silent() {
+    let (_stop, stopped) = watch::channel(false);
+    let server = listen(any()).expect("a free port");
+    let to = server.addr();
+    server.serve(stopped, echo).expect("the socket is bound");
+    let between = TcpListener::bind(any()).await.expect("a free port");
+    let addr = between.local_addr().expect("it is bound");
+    let (silence, silent) = watch::channel(0);
+    let proxy = tokio::spawn(pass_on(between, to, silent));
+    let client = Client::default();
+    let hello = Bytes::from_static(b"hello");
+    assert_eq!(client.ask(addr, hello.clone(), LIMIT).await, Ok(hello.clone()));
+    silence.send_replace(1);
+    assert!(client.ask(addr, hello.clone(), SHORT).await.is_err());
+    assert_eq!(client.ask(addr, hello.clone(), LIMIT).await, Ok(hello));
+    proxy.abort();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn errors_on_a_port_that_is_taken() {
     let server = listen(any()).expect("a free port");
