--- a/components/journal/src/peers.rs
+++ b/components/journal/src/peers.rs
@@ -33,10 +33,8 @@
 
     async fn ask(&self, addr: SocketAddr, control: &Control, limit: Duration) -> Option<Reply> {
         let message = Bytes::from(serde_json::to_vec(control).ok()?);
-        count("out", message.len());
         let answer = self.shared.options.network.ask(addr, message, limit).await;
         let answer = answer.inspect_err(|error| log::debug!("journal: {error}")).ok()?;
-        count("in", answer.len());
         serde_json::from_slice(&answer).ok()
     }
 
@@ -158,8 +156,3 @@
         }
     }
 }
-
-fn count(direction: &'static str, bytes: usize) {
-    metrics::counter!("hyssop_control_bytes_total", "direction" => direction)
-        .increment(bytes as u64);
-}
--- a/components/journal/tests/common/mod.rs
+++ b/components/journal/tests/common/mod.rs
@@ -10,11 +10,12 @@
 use bytes::Bytes;
 use fake::{Log, Net};
 use journal::{AppendError, Journal, Options};
+use platform::LogService;
 use record::{Attach, Body};
 use state::{Applied, State};
 use timeline::Recorder;
 use tokio::time::{sleep, timeout};
-use units::{Epoch, Incarnation, Offset, Size};
+use units::{Epoch, Incarnation, InstanceId, Offset, Size};
 
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
 /// Longer than any test waits for something that comes.
@@ -50,17 +51,26 @@
         seeds: &[u16],
         change: impl FnOnce(&mut Options),
     ) -> Node {
-        let instance = format!("likhari-{number}").parse().expect("a right id");
-        let recorder = Recorder::new(instance);
+        self.node_over(Arc::new(self.log.clone()), number, seeds, change)
+    }
+
+    /// A process that reaches the log in its own way.
+    pub(crate) fn node_over(
+        &self,
+        log: Arc<dyn LogService>,
+        number: u16,
+        seeds: &[u16],
+        change: impl FnOnce(&mut Options),
+    ) -> Node {
+        let instance: InstanceId = format!("likhari-{number}").parse().expect("a right id");
+        let recorder = Recorder::new(instance.clone());
         let mut options = Options {
             seeds: seeds.iter().map(|seed| addr(*seed)).collect(),
             network: Arc::new(self.net.port(addr(number))),
             ..Options::default()
         };
         change(&mut options);
-        let instance = format!("likhari-{number}").parse().expect("a right id");
-        let journal =
-            journal::start(Arc::new(self.log.clone()), instance, recorder.clone(), options);
+        let journal = journal::start(log, instance, recorder.clone(), options);
         let answerer = journal.clone();
         self.net.serve(addr(number), move |message: Bytes| {
             let journal = answerer.clone();
--- a/components/journal/tests/outage.rs
+++ b/components/journal/tests/outage.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -261,3 +261,71 @@
     pass(60).await;
     assert!(node.journal.fresh().is_some_and(|at| at >= up));
 }
+
+/// A way to the log that can be cut for one process.
+#[derive(Clone)]
+struct Route {
+    log: Log,
+    cut: Arc<AtomicBool>,
+}
+
+#[async_trait]
+impl LogService for Route {
+    async fn append(&self, stream: Stream, records: Vec<Bytes>) -> Result<Offset, LogError> {
+        if self.cut.load(Ordering::Relaxed) {
+            return Err(LogError::Unknown("no route".to_owned()));
+        }
+        self.log.append(stream, records).await
+    }
+
+    async fn read(&self, stream: Stream, from: Offset, wait: Duration) -> Result<Page, LogError> {
+        let page = self.log.read(stream, from, wait).await;
+        if self.cut.load(Ordering::Relaxed) {
+            return Err(LogError::Unreadable("no route".to_owned()));
+        }
+        page
+    }
+}
+
+/// Three processes, and a fourth with its own way to the log.
+async fn with_far_node() -> (Site, Vec<Node>, Node, Arc<AtomicBool>) {
+    let (site, nodes) = settled(3).await;
+    let route = Route { log: site.log.clone(), cut: Arc::default() };
+    let far = site.node_over(Arc::new(route.clone()), 9, &[1, 2], |_| {});
+    far.ready().await;
+    pass(10).await;
+    (site, nodes, far, route.cut)
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_follow_by_peers_when_only_one_process_cannot_reach_the_log() {
+    let (_site, nodes, far, cut) = with_far_node().await;
+    cut.store(true, Ordering::Relaxed);
+    pass(20).await;
+    assert_eq!(far.journal.health(), Health::Down);
+    for epoch in [1, 5, 6] {
+        nodes[0].append(claim(epoch)).await.expect("the log is up");
+        let offset = nodes[0].offset();
+        let began = Instant::now();
+        far.reaches(offset).await;
+        assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    }
+    assert_eq!(far.text(), nodes[0].text());
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_catch_up_after_a_region_was_cut_off() {
+    let (site, nodes, far, cut) = with_far_node().await;
+    cut.store(true, Ordering::Relaxed);
+    site.net.cut(far.addr, true);
+    let journal = far.journal.clone();
+    let append = tokio::spawn(async move { journal.append(claim(1), LIMIT).await });
+    nodes[0].append(claim(1)).await.expect("the log is up");
+    pass(300).await;
+    assert_eq!((far.offset(), far.journal.health()), (4, Health::Down));
+    assert!(append.await.expect("the task ended").is_err());
+    cut.store(false, Ordering::Relaxed);
+    site.net.cut(far.addr, false);
+    far.reaches(5).await;
+    assert_eq!(far.text(), nodes[0].text());
+}
--- a/components/peer/src/operation.rs
+++ b/components/peer/src/operation.rs
@@ -26,6 +26,7 @@
     }
 
     pub(crate) async fn send(&mut self, message: &[u8]) -> nng::Result<()> {
+        count("out", message.len());
         self.context.send(&self.aio, Message::from(message)).map_err(|(_, error)| error)?;
         self.finish().await.map(drop)
     }
@@ -33,7 +34,9 @@
     pub(crate) async fn receive(&mut self) -> nng::Result<Bytes> {
         self.context.recv(&self.aio)?;
         let message = self.finish().await?;
-        Ok(message.map(|message| Bytes::copy_from_slice(&message)).unwrap_or_default())
+        let message = message.map(|message| Bytes::copy_from_slice(&message)).unwrap_or_default();
+        count("in", message.len());
+        Ok(message)
     }
 
     async fn finish(&mut self) -> nng::Result<Option<Message>> {
@@ -51,3 +54,9 @@
         self.aio.wait();
     }
 }
+
+/// Counts what this process sends and gets on control sockets, as a client and as a server.
+fn count(direction: &'static str, bytes: usize) {
+    metrics::counter!("hyssop_control_bytes_total", "direction" => direction)
+        .increment(bytes as u64);
+}
