--- a/src/tests.rs
+++ b/src/tests.rs
@@ -60,6 +60,8 @@
     asma.run("status").await;
     site.record_request();
     asma.run("timeline --request r-1").await;
+    asma.run("timeline --model page-text --request r-1").await;
+    asma.run("timeline --model page-titles").await;
     site.stop_following(1);
     asma.run("--wait 300ms set /hall queue=9").await;
     asma.run("status").await;
@@ -168,7 +170,12 @@
     asma.run("publish tree.jsonc").await;
     assert_eq!(site.log.counters().records, 1);
     site.note("with --replace the file stands for all there is");
+    asma.run("diff other.jsonc").await;
+    asma.run("--replace diff other.jsonc").await;
     asma.run("--replace publish other.jsonc").await;
+    asma.run("set /hall queue=4").await;
+    asma.run("diff other.jsonc").await;
+    asma.run("--replace diff other.jsonc").await;
     assert_snapshot!(site.transcript());
 }
 
