--- a/components/tree/src/lib.rs
+++ b/components/tree/src/lib.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod diff;
+mod draft;
 mod edit;
 mod explain;
 mod file;
