--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use journal::Journal;
+use peer::Ask;
 use platform::Endpoint;
 use process::Shutdown;
 use timeline::{Event, Kind, Recorder};
@@ -14,6 +15,7 @@
 use crate::Settings;
 use crate::authority::Authority;
 use crate::desk::Desk;
+use crate::run::Edges;
 use crate::table::{RequestTable, TableLimits};
 
 /// What the tasks of an agent share.
@@ -23,7 +25,7 @@
     pub(crate) endpoint: Arc<dyn Endpoint>,
     pub(crate) recorder: Recorder,
     pub(crate) shutdown: Shutdown,
-    pub(crate) peers: peer::Client,
+    pub(crate) network: Arc<dyn Ask>,
     pub(crate) authority: Authority,
     /// Wakes the keeper.
     pub(crate) nudge: Notify,
@@ -35,7 +37,7 @@
     pub(crate) fn new(
         settings: Settings,
         journal: Journal,
-        endpoint: Arc<dyn Endpoint>,
+        edges: &Edges,
         recorder: Recorder,
         shutdown: Shutdown,
     ) -> Self {
@@ -50,10 +52,10 @@
         Self {
             settings,
             journal,
-            endpoint,
+            endpoint: edges.endpoint.clone(),
             recorder,
             shutdown,
-            peers: peer::Client::default(),
+            network: edges.network.clone(),
             authority,
             nudge: Notify::new(),
             table: Mutex::new(RequestTable::new(limits)),
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use peer::Ask;
 use platform::{Endpoint, HttpEndpoint, HttpList, HttpLog, InstanceList, LogService};
 use process::{Phase, Process, Shutdown, StartError};
 use timeline::Recorder;
@@ -21,6 +22,7 @@
     pub(crate) log: Arc<dyn LogService>,
     pub(crate) list: Arc<dyn InstanceList>,
     pub(crate) endpoint: Arc<dyn Endpoint>,
+    pub(crate) network: Arc<dyn Ask>,
 }
 
 /// Runs an agent until its shutdown is done.
@@ -29,6 +31,7 @@
         log: Arc::new(HttpLog::new(settings.log)),
         list: Arc::new(HttpList::new(settings.list)),
         endpoint: Arc::new(HttpEndpoint::new(settings.address)),
+        network: Arc::new(peer::Client::default()),
     };
     let agent = build(settings, &edges, process.recorder.clone(), process.shutdown.clone());
     process::spawn_admin(&process, status::of(&agent)).await?;
@@ -42,15 +45,16 @@
     recorder: Recorder,
     shutdown: Shutdown,
 ) -> Arc<Agent> {
-    let options = journal_options(&settings);
+    let options = journal_options(&settings, edges.network.clone());
     let instance = settings.identity.instance.clone();
     let journal = journal::start(edges.log.clone(), instance, recorder.clone(), options);
-    Arc::new(Agent::new(settings, journal, edges.endpoint.clone(), recorder, shutdown))
+    Arc::new(Agent::new(settings, journal, edges, recorder, shutdown))
 }
 
 /// An agent that needs news of the log to order its endpoint asks for it more often than its lease lasts.
-fn journal_options(settings: &Settings) -> journal::Options {
-    let mut options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+fn journal_options(settings: &Settings, network: Arc<dyn Ask>) -> journal::Options {
+    let seeds = settings.seeds.clone();
+    let mut options = journal::Options { seeds, network, ..Default::default() };
     if let Some(lease) = settings.lease() {
         options.poll = options.poll.min(lease / 4);
     }
--- a/components/agent/src/run/tests/engine.rs
+++ b/components/agent/src/run/tests/engine.rs
@@ -182,7 +182,13 @@
         self.0.changed.notify_waiters();
     }
 
-    /// Cuts or silences nothing, but puts an artifact into memory behind everybody's back.
+    /// Loses its cached checkpoints.
+    pub(crate) fn forget_caches(&self) {
+        self.core().cached.clear();
+        self.touch();
+    }
+
+    /// Puts an artifact into memory behind everybody's back.
     pub(crate) fn plant(&self, artifact: &str, memory: Size) {
         let held = Held { phase: ReplicaPhase::Ready, base: memory, adapters: BTreeMap::default() };
         self.core().loaded.insert(artifact.parse().expect("a name"), held);
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -1,14 +1,16 @@
 //! An agent in a small world: an in-memory log, list and engine, and the test as planner and entry.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
-use platform::{LogError, LogService, Page, Stream};
+use peer::{Ask, AskError};
+use platform::{Endpoint, LogError, LogService, Page, Stream};
 use process::{Identity, Phase, Shutdown};
 use record::{Attach, Body, Decision, GrantId, Record};
 use serde_json::{Value, json};
@@ -18,7 +20,7 @@
 use tokio::task::JoinHandle;
 use tree::{Change, Class, Edit, NodeKind};
 use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size, Span};
-use wire::{Dispatch, End, Refusal, Report, Resume, UnknownCause};
+use wire::{Control, Dispatch, End, Refusal, Reply, Report, Resume, UnknownCause};
 
 use super::engine::Engine;
 use crate::agent::Agent;
@@ -40,9 +42,36 @@
     pub(crate) list: fake::List,
     pub(crate) engine: Engine,
     edges: Edges,
+    network: Network,
     numbers: Arc<AtomicU64>,
 }
 
+/// What was asked of peers.
+type Asked = Arc<Mutex<Vec<(SocketAddr, Control)>>>;
+
+/// A network on which all peers only listen.
+#[derive(Debug, Clone, Default)]
+struct Network {
+    asked: Asked,
+}
+
+#[async_trait]
+impl Ask for Network {
+    async fn ask(
+        &self,
+        addr: SocketAddr,
+        message: Bytes,
+        _limit: Duration,
+    ) -> Result<Bytes, AskError> {
+        let control = serde_json::from_slice(&message).expect("a message");
+        if matches!(control, Control::Wake { .. }) {
+            self.asked.lock().expect("a lock").push((addr, control));
+        }
+        let reply = Reply::Position { applied: Offset(0), tick: Tick(0) };
+        Ok(serde_json::to_vec(&reply).expect("a reply").into())
+    }
+}
+
 /// One agent's way to the log, which can be cut.
 #[derive(Debug, Clone)]
 pub(crate) struct Wire {
@@ -154,8 +183,10 @@
             log: Arc::new(log.clone()),
             list: Arc::new(list.clone()),
             endpoint: Arc::new(engine.clone()),
+            network: Arc::new(Network::default()),
         };
-        let world = Self { log, list, engine, edges, numbers: Arc::default() };
+        let network = Network::default();
+        let world = Self { log, list, engine, edges, network, numbers: Arc::default() };
         let mut changes = Vec::new();
         for name in ["page-text", "read-aloud", "glossary"] {
             changes.extend(model(name));
@@ -225,17 +256,49 @@
         self.decide(Decision::Revoke { grant, reason: "test".to_owned() });
     }
 
+    /// Grants the second replica of a model to another endpoint; gives its control address and what it is asked.
+    pub(crate) async fn second_holder(&self, model: &str, version: &str) -> (SocketAddr, Asked) {
+        let (attach, _) = self.member().expect("a member");
+        let control = "127.0.0.2:7100".parse().expect("an address");
+        self.put(Body::Attach(Attach {
+            endpoint: id("likhari-2"),
+            instance: id("instance-2"),
+            control,
+            previous: Incarnation(0),
+            ..attach
+        }));
+        self.decide(Decision::Grant {
+            model: id(model),
+            index: ReplicaIndex(1),
+            artifact: id(&format!("{model}@{version}")),
+            endpoint: id("likhari-2"),
+            reason: "test".to_owned(),
+        });
+        (control, self.network.asked.clone())
+    }
+
     /// Starts an agent and waits until it has attached.
     pub(crate) async fn start(&self) -> Running {
         self.start_with(settings(EndpointKind::Engine)).await
     }
 
     pub(crate) async fn start_with(&self, settings: Settings) -> Running {
+        self.start_at(settings, self.edges.endpoint.clone()).await
+    }
+
+    /// Starts an agent of another endpoint than the engine.
+    pub(crate) async fn start_at(
+        &self,
+        settings: Settings,
+        endpoint: Arc<dyn Endpoint>,
+    ) -> Running {
         let before = self.member().map(|member| member.1);
         let (phase, shutdown) = Shutdown::manual();
         let recorder = Recorder::new(settings.identity.instance.clone());
         let cut = Wire { log: self.log.clone(), down: Arc::default() };
-        let edges = Edges { log: Arc::new(cut.clone()), ..self.edges.clone() };
+        let log = Arc::new(cut.clone());
+        let network = Arc::new(self.network.clone());
+        let edges = Edges { log, endpoint, network, ..self.edges.clone() };
         let agent = build(settings, &edges, recorder, shutdown);
         let (leading, list) = (agent.clone(), self.edges.list.clone());
         let task = tokio::spawn(async move {
