--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -33,9 +33,17 @@
         endpoint: Arc::new(HttpEndpoint::new(settings.address)),
         network: Arc::new(peer::Client::default()),
     };
+    let (settings, listener) = listen(settings).await?;
     let agent = build(settings, &edges, process.recorder.clone(), process.shutdown.clone());
     process::spawn_admin(&process, status::of(&agent)).await?;
-    supervise(agent, edges.list).await
+    supervise(agent, listener, edges.list).await
+}
+
+/// Opens the socket for dispatches; the settings then name the port that it has.
+async fn listen(mut settings: Settings) -> Result<(Settings, web::Listener), StartError> {
+    let listener = web::bind(settings.dispatch).await.map_err(StartError::new)?;
+    settings.dispatch = listener.local_addr().map_err(StartError::new)?;
+    Ok((settings, listener))
 }
 
 /// Starts following the log and makes what the tasks share.
@@ -61,14 +69,17 @@
     options
 }
 
-/// Opens the sockets, leads the endpoint until the agent ends, and closes the connections politely.
-async fn supervise(agent: Arc<Agent>, list: Arc<dyn InstanceList>) -> Result<(), StartError> {
+/// Serves entries and peers, leads the endpoint until the agent ends, and closes the connections politely.
+async fn supervise(
+    agent: Arc<Agent>,
+    listener: web::Listener,
+    list: Arc<dyn InstanceList>,
+) -> Result<(), StartError> {
     let (stop, stopped) = watch::channel(false);
     let control = agent.settings.control;
     let answering = agent.clone();
     let answer = move |message: Bytes| wake::answer(answering.clone(), message);
     peer::serve(control, stopped.clone(), answer).await.map_err(StartError::new)?;
-    let listener = web::bind(agent.settings.dispatch).await.map_err(StartError::new)?;
     let server = tokio::spawn(serve(agent.clone(), listener, stopped));
     let ended = lead(agent, list.as_ref()).await;
     let _ = stop.send(true);
--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -1,6 +1,7 @@
 mod draining;
 mod engine;
 mod failures;
+mod http;
 mod load;
 mod service;
 mod serving;
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -286,6 +286,11 @@
         self.start_at(settings, self.edges.endpoint.clone()).await
     }
 
+    /// The edges of an agent of the engine.
+    pub(crate) fn edges(&self) -> Edges {
+        Edges { network: Arc::new(self.network.clone()), ..self.edges.clone() }
+    }
+
     /// Starts an agent of another endpoint than the engine.
     pub(crate) async fn start_at(
         &self,
@@ -296,9 +301,7 @@
         let (phase, shutdown) = Shutdown::manual();
         let recorder = Recorder::new(settings.identity.instance.clone());
         let cut = Wire { log: self.log.clone(), down: Arc::default() };
-        let log = Arc::new(cut.clone());
-        let network = Arc::new(self.network.clone());
-        let edges = Edges { log, endpoint, network, ..self.edges.clone() };
+        let edges = Edges { log: Arc::new(cut.clone()), endpoint, ..self.edges() };
         let agent = build(settings, &edges, recorder, shutdown);
         let (leading, list) = (agent.clone(), self.edges.list.clone());
         let task = tokio::spawn(async move {
@@ -392,7 +395,12 @@
     }
 }
 
-async fn read(response: http::Response<web::Body>) -> Answer {
+/// Reads an answer of the agent to its end.
+pub(crate) async fn read<B>(response: http::Response<B>) -> Answer
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Debug,
+{
     let report = Report::read(response.headers()).ok();
     let (parts, mut body) = response.into_parts();
     let mut bytes = Vec::new();
