--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -6,6 +6,7 @@
 use journal::Journal;
 use peer::Ask;
 use platform::Endpoint;
+use policy::Calendar;
 use process::Shutdown;
 use timeline::{Event, Kind, Recorder};
 use tokio::sync::Notify;
@@ -23,6 +24,8 @@
     pub(crate) settings: Settings,
     pub(crate) journal: Journal,
     pub(crate) endpoint: Arc<dyn Endpoint>,
+    /// What closing windows are read against.
+    pub(crate) calendar: Calendar,
     pub(crate) recorder: Recorder,
     pub(crate) shutdown: Shutdown,
     pub(crate) network: Arc<dyn Ask>,
@@ -53,6 +56,7 @@
             settings,
             journal,
             endpoint: edges.endpoint.clone(),
+            calendar: edges.calendar,
             recorder,
             shutdown,
             network: edges.network.clone(),
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use peer::Ask;
 use platform::{Endpoint, HttpEndpoint, HttpList, HttpLog, InstanceList, LogService};
+use policy::Calendar;
 use process::{Phase, Process, Shutdown, StartError};
 use timeline::Recorder;
 use tokio::sync::watch;
@@ -23,6 +24,7 @@
     pub(crate) list: Arc<dyn InstanceList>,
     pub(crate) endpoint: Arc<dyn Endpoint>,
     pub(crate) network: Arc<dyn Ask>,
+    pub(crate) calendar: Calendar,
 }
 
 /// Runs an agent until its shutdown is done.
@@ -32,6 +34,7 @@
         list: Arc::new(HttpList::new(settings.list)),
         endpoint: Arc::new(HttpEndpoint::new(settings.address)),
         network: Arc::new(peer::Client::default()),
+        calendar: Calendar::system(),
     };
     let (settings, listener) = listen(settings).await?;
     let agent = build(settings, &edges, process.recorder.clone(), process.shutdown.clone());
--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -6,4 +6,5 @@
 mod service;
 mod serving;
 mod unfenced;
+mod windows;
 mod world;
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use peer::{Ask, AskError};
 use platform::{Endpoint, LogError, LogService, Page, Stream};
+use policy::Calendar;
 use process::{Identity, Phase, Shutdown};
 use record::{Attach, Body, Decision, GrantId, Record};
 use serde_json::{Value, json};
@@ -32,6 +33,9 @@
     text.parse().expect("the test's ids are valid")
 }
 
+/// When the tests start.
+const TODAY: &str = "2026-12-31T07:00:00Z";
+
 /// The endpoint of all tests.
 pub(crate) const ENDPOINT: &str = "likhari-1";
 
@@ -184,6 +188,7 @@
             list: Arc::new(list.clone()),
             endpoint: Arc::new(engine.clone()),
             network: Arc::new(Network::default()),
+            calendar: Calendar::starting(TODAY.parse().expect("a time")),
         };
         let network = Network::default();
         let world = Self { log, list, engine, edges, network, numbers: Arc::default() };
