--- a/components/agent/src/evict.rs
+++ b/components/agent/src/evict.rs
@@ -26,9 +26,8 @@
 
 /// Whether a replica may give way: ready, with nothing waiting or running, and no order under way.
 pub(crate) fn may_go(replica: &Replica) -> bool {
-    let ordered = replica.adapters.values().any(|adapter| adapter.pending.is_some());
     let idle = replica.idle() && replica.used.elapsed() >= SETTLE;
-    replica.phase == Phase::Ready && idle && replica.pending.is_none() && !ordered
+    replica.phase == Phase::Ready && idle && replica.orderable()
 }
 
 /// The candidate for a replica.
--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -141,7 +141,8 @@
     }
 
     fn ended(&mut self, end: &OrderEnd) {
-        let change = self.agent.desk().replied(&end.id, &end.kind, &end.sent);
+        let limit = self.agent.settings.order_limit.0;
+        let change = self.agent.desk().replied(&end.id, &end.kind, &end.sent, limit);
         if let Some(change) = change {
             self.note(&change);
         }
--- a/components/agent/src/memory.rs
+++ b/components/agent/src/memory.rs
@@ -28,8 +28,8 @@
     }
 }
 
-/// The reservations of an endpoint. An artifact counts with what is reserved for it or what the inventory
-/// shows, whichever is more.
+/// The reservations of an endpoint. What the inventory shows is reserved too, and stays so until it is
+/// confirmed gone.
 #[derive(Debug)]
 pub(crate) struct Ledger {
     total: Size,
@@ -82,6 +82,13 @@
         self.free(artifact, Size(u64::MAX));
     }
 
+    /// Reserves no more than the inventory shows, where no order is open.
+    pub(crate) fn trust(&mut self, artifact: &ModelName) {
+        if let Some(held) = self.held.get_mut(artifact) {
+            held.reserved = held.shown;
+        }
+    }
+
     /// Takes over what the inventory shows.
     pub(crate) fn show(&mut self, inventory: &Inventory) {
         if inventory.memory > Size(0) {
@@ -91,7 +98,10 @@
             held.shown = Size(0);
         }
         for loaded in &inventory.loaded {
-            self.held.entry(loaded.artifact.clone()).or_default().shown = loaded.memory;
+            let held = self.held.entry(loaded.artifact.clone()).or_default();
+            held.shown = loaded.memory;
+            // What an older incarnation ordered is reserved too, so that adapters come on top of it.
+            held.reserved = held.reserved.max(loaded.memory);
         }
         self.held.retain(|_, held| held.taken() > Size(0));
     }
--- a/components/agent/src/plan.rs
+++ b/components/agent/src/plan.rs
@@ -123,7 +123,7 @@
     }
 
     fn plan_adapters(&mut self, ids: &mut OrderIds, drafts: &mut Vec<Draft>) {
-        let ready = self.replicas.values().filter(|replica| replica.phase == Phase::Ready);
+        let ready = self.replicas.values_mut().filter(|replica| replica.phase == Phase::Ready);
         let needs: Vec<(ModelName, AdapterName)> = ready.flat_map(Replica::adapters_due).collect();
         for (artifact, name) in needs {
             self.plan_adapter(&artifact, &name, ids, drafts);
@@ -213,12 +213,14 @@
         if self.since.elapsed() >= self.limits.drain {
             self.refuse_all(&Refusal::NoGrant);
         }
-        let due = self.idle() && self.orderable() && self.retry <= Instant::now();
-        due.then(|| self.unload(ids))
+        (self.idle() && self.orderable()).then(|| self.unload(ids))
     }
 
-    /// Whether no order is open whose effect could come after a new one's.
-    fn orderable(&self) -> bool {
+    /// Whether no order is open whose effect could come after a new one's, and none was refused just now.
+    pub(crate) fn orderable(&self) -> bool {
+        if self.retry > Instant::now() {
+            return false;
+        }
         let open = |pending: &Pending| !pending.accepted();
         let adapters = self.adapters.values().filter_map(|adapter| adapter.pending.as_ref());
         !self.pending.iter().chain(adapters).any(open)
@@ -239,7 +241,8 @@
     }
 
     /// The adapters that waiting requests need and nobody has ordered.
-    fn adapters_due(&self) -> Vec<(ModelName, AdapterName)> {
+    fn adapters_due(&mut self) -> Vec<(ModelName, AdapterName)> {
+        self.expect_adapters();
         let now = Instant::now();
         let due = self.adapters.iter().filter(|(name, adapter)| {
             !adapter.ready && adapter.pending.is_none() && adapter.retry <= now && self.needs(name)
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -114,6 +114,8 @@
     pub(crate) since: Instant,
     pub(crate) source: CacheTier,
     pub(crate) pending: Option<Pending>,
+    /// Until when an order whose reply was lost may still take effect.
+    pub(crate) doubt: Option<Instant>,
     pub(crate) limits: Limits,
     pub(crate) queue: Queue,
     pub(crate) running: usize,
@@ -139,6 +141,7 @@
             since: now,
             source: CacheTier::Remote,
             pending: None,
+            doubt: None,
             limits,
             queue: Queue::default(),
             running: 0,
@@ -176,6 +179,11 @@
         self.running == 0 && self.queue.len() == 0
     }
 
+    /// Whether no order is open.
+    pub(crate) fn quiet(&self) -> bool {
+        self.pending.is_none() && self.adapters.values().all(|adapter| adapter.pending.is_none())
+    }
+
     /// Whether it certainly takes no memory, nor will by an order under way.
     pub(crate) fn gone(&self) -> bool {
         self.phase == Phase::Cold && self.pending.is_none() && self.running == 0
@@ -216,10 +224,6 @@
         }
         self.used = Instant::now();
         self.warmth.came();
-        if let Some(need) = &waiting.adapter {
-            let adapter = Adapter::new(need.weights);
-            self.adapters.entry(need.name.clone()).or_insert(adapter).used = self.used;
-        }
         match self.queue.push(waiting, &self.limits.queue) {
             Place::Taken => Ok(()),
             Place::Instead(other) => {
@@ -267,6 +271,14 @@
         needs.any(|need| need.name == *name)
     }
 
+    /// Notes the adapters that waiting requests need; a crash of the endpoint has made it forget them.
+    pub(crate) fn expect_adapters(&mut self) {
+        for need in self.queue.iter().filter_map(|waiting| waiting.adapter.as_ref()) {
+            let adapter = self.adapters.entry(need.name.clone());
+            adapter.or_insert_with(|| Adapter::new(need.weights));
+        }
+    }
+
     /// Refuses what waits for an adapter.
     pub(crate) fn refuse_adapter(&mut self, name: &AdapterName, refusal: &Refusal) {
         let of =
--- a/components/agent/src/run/tests/engine.rs
+++ b/components/agent/src/run/tests/engine.rs
@@ -76,6 +76,7 @@
     pub(crate) executions: BTreeMap<String, u32>,
     pub(crate) cancelled: BTreeSet<String>,
     pub(crate) orders: Vec<Order>,
+    pub(crate) refused: u32,
     pub(crate) high_water: Size,
     pub(crate) most_loaded: BTreeMap<String, usize>,
     pub(crate) cut_by_unload: u32,
@@ -175,6 +176,7 @@
         core.version = 1;
         core.loaded.clear();
         core.failed.clear();
+        core.seen.clear();
         for (_, run) in core.runs.drain() {
             run.output.send_modify(|output| output.dead = true);
         }
@@ -221,6 +223,7 @@
         }
         core.fence = core.fence.max(order.fence);
         if core.faults.refuse_orders {
+            core.truth.refused += 1;
             return Err(EndpointError::Refused("not now".to_owned()));
         }
         if !core.seen.insert(order.id.clone()) {
--- a/components/agent/src/run/tests/failures.rs
+++ b/components/agent/src/run/tests/failures.rs
@@ -285,3 +285,62 @@
     let answer = running.dispatch(&running.head("r-1")).await.expect("an answer");
     assert_eq!(answer.whole(), Some(WHOLE));
 }
+
+#[tokio::test(start_paused = true)]
+async fn counts_adapters_on_top_of_what_an_older_incarnation_loaded() {
+    let world = World::new();
+    let first = world.start().await;
+    for model in ["page-text", "read-aloud"] {
+        world.grant(model, "v1");
+    }
+    for model in ["page-text", "read-aloud"] {
+        let head = Dispatch { model: Some(id(model)), ..first.head(&format!("r-{model}")) };
+        assert!(first.dispatch(&head).await.expect("an answer").whole().is_some());
+    }
+    first.die().await;
+    let second = world.start().await;
+    for adapter in ["urdu", "sindhi"] {
+        let request = format!("r-{adapter}");
+        let head = Dispatch { adapter: Some(id(adapter)), ..second.head(&request) };
+        assert!(second.dispatch(&head).await.expect("an answer").whole().is_some());
+    }
+    let high = world.engine.truth().high_water;
+    assert!(high <= MEMORY, "{high}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn pauses_between_orders_that_are_refused() {
+    let world = World::new();
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    assert!(running.dispatch(&running.head("r-1")).await.expect("an answer").whole().is_some());
+    world.engine.set(|faults| faults.refuse_orders = true);
+    pause(30_000).await;
+    let refused = world.engine.truth().refused;
+    assert!((1..=25).contains(&refused), "{refused} in the ten seconds since it is idle");
+    world.engine.set(|faults| faults.refuse_orders = false);
+    until(|| world.engine.loaded().is_empty()).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn keeps_the_memory_of_an_adapter_that_may_arrive_after_a_crash() {
+    let world = World::new();
+    let running = world.start().await;
+    for model in ["page-text", "read-aloud"] {
+        world.grant(model, "v1");
+    }
+    assert!(running.dispatch(&running.head("r-1")).await.expect("an answer").whole().is_some());
+    world.engine.set(|faults| faults.late_orders = Some(Duration::from_millis(3500)));
+    let head = Dispatch { adapter: Some(id("urdu")), ..running.head("r-2") };
+    let adapted = running.dispatch(&head);
+    pause(100).await;
+    world.engine.set(|faults| faults.late_orders = None);
+    world.engine.crash();
+    pause(1500).await;
+    assert_eq!(running.phase_of("page-text@v1"), Some(Phase::Unloading), "an order is open");
+    let other = Dispatch { model: Some(id("read-aloud")), ..running.head("r-3") };
+    for answer in [adapted, running.dispatch(&other)] {
+        assert!(answer.await.expect("an answer").whole().is_some());
+    }
+    assert!(world.engine.truth().high_water <= MEMORY);
+}
--- a/components/agent/src/run/tests/http.rs
+++ b/components/agent/src/run/tests/http.rs
@@ -76,7 +76,8 @@
     let task = tokio::spawn(supervise(agent.clone(), listener, edges.list));
     until(|| agent.incarnation() != Incarnation(0)).await;
     assert_eq!(world.member().map(|(attach, _)| attach.dispatch), Some(addr));
-    world.grant("page-text", "v1");
+    let grant = world.grant("page-text", "v1");
+    until(|| agent.journal.read(|state| state.grant(grant).is_some())).await;
 
     let mut first = connect(addr).await;
     let answer = first.send_request(dispatch(agent.incarnation())).await.expect("a head");
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -25,6 +25,7 @@
 
 use super::engine::Engine;
 use crate::agent::Agent;
+use crate::desk::Closed;
 use crate::run::{Edges, build, lead};
 use crate::{EndpointKind, Settings, dispatch};
 
@@ -261,6 +262,11 @@
         self.decide(Decision::Revoke { grant, reason: "test".to_owned() });
     }
 
+    /// Chooses a model's version.
+    pub(crate) fn version(&self, model: &str, version: &str) {
+        self.edit(vec![set(&format!("/{model}"), "version", json!(version))]);
+    }
+
     /// Grants the second replica of a model to another endpoint; gives its control address and what it is asked.
     pub(crate) async fn second_holder(&self, model: &str, version: &str) -> (SocketAddr, Asked) {
         let (attach, _) = self.member().expect("a member");
@@ -386,6 +392,14 @@
         })
     }
 
+    /// Ends the agent at once, as if its process were killed.
+    pub(crate) async fn die(&self) {
+        self.task.abort();
+        self.agent.desk().close(Closed::Leaving);
+        self.phase.send_replace(Phase::Force);
+        until(|| self.running() == 0).await;
+    }
+
     /// The phase of an artifact, as the status shows it.
     pub(crate) fn phase_of(&self, artifact: &str) -> Option<crate::replica::Phase> {
         self.agent.desk().replicas.get(artifact).map(|replica| replica.phase)
--- a/components/agent/src/settle.rs
+++ b/components/agent/src/settle.rs
@@ -4,7 +4,7 @@
 
 use platform::{EndpointError, Inventory, Loaded, OrderKind, ReplicaPhase};
 use tokio::time::Instant;
-use units::{AdapterName, ModelName};
+use units::{AdapterName, ModelName, Size};
 use wire::Refusal;
 
 use crate::desk::Desk;
@@ -23,6 +23,9 @@
 /// An adapter load that shows no effect for this long has failed.
 const ADAPTER_LIMIT: Duration = Duration::from_secs(60);
 
+/// The size of an adapter that an older incarnation has loaded.
+const UNKNOWN: Size = Size(0);
+
 /// An inventory with the time at which its reading began.
 #[derive(Debug, Clone)]
 pub(crate) struct Seen {
@@ -78,6 +81,9 @@
             }
             for size in replica.settle_adapters(seen, limit) {
                 self.ledger.free(&replica.artifact, size);
+                if size == UNKNOWN && replica.quiet() {
+                    self.ledger.trust(&replica.artifact);
+                }
             }
             replica.pump();
         }
@@ -86,8 +92,17 @@
     }
 
     /// Takes over how sending an order ended.
-    pub(crate) fn replied(&mut self, id: &str, kind: &OrderKind, sent: &Sent) -> Option<Change> {
+    pub(crate) fn replied(
+        &mut self,
+        id: &str,
+        kind: &OrderKind,
+        sent: &Sent,
+        limit: Duration,
+    ) -> Option<Change> {
         let replica = self.replicas.get_mut(artifact_of(kind)?)?;
+        if matches!(sent, Sent::Replied(Err(EndpointError::Unknown(_)))) {
+            replica.doubt = Some(Instant::now() + limit);
+        }
         match adapter_of(kind) {
             Some(name) => {
                 let adapter = replica.adapters.get_mut(name)?;
@@ -192,8 +207,10 @@
     /// The inventory does not show the replica.
     fn missing(&mut self, seen: &Seen, limit: Duration) -> Option<Change> {
         let failed = self.pending.as_ref().and_then(|pending| pending.failure(seen));
-        let settled =
-            self.pending.as_ref().is_none_or(|pending| pending.settled(seen.begun, limit));
+        let adapters = self.adapters.values().filter_map(|adapter| adapter.pending.as_ref());
+        let mut orders = self.pending.iter().chain(adapters);
+        let doubt = self.doubt.is_some_and(|until| seen.begun <= until);
+        let settled = !doubt && orders.all(|pending| pending.settled(seen.begun, limit));
         match self.phase {
             Phase::Cold => None,
             Phase::Loading if failed.is_some() => self.fail_load(failed),
@@ -202,7 +219,11 @@
                 self.reset();
                 Some(Change::Unloaded(self.artifact.clone()))
             }
-            Phase::Loading | Phase::Ready | Phase::Draining | Phase::Unloading => None,
+            Phase::Ready | Phase::Draining => {
+                self.enter(Phase::Unloading);
+                None
+            }
+            Phase::Loading | Phase::Unloading => None,
         }
     }
 
@@ -214,6 +235,7 @@
 
     fn fail_load(&mut self, cause: Option<String>) -> Option<Change> {
         self.reset();
+        self.retry = Instant::now() + BACKOFF;
         let cause = cause?;
         self.retry = Instant::now() + backoff(self.failures);
         self.failures += 1;
@@ -243,11 +265,11 @@
     }
 
     /// Takes over which adapters are ready; gives back the sizes that are confirmed unused.
-    fn settle_adapters(&mut self, seen: &Seen, limit: Duration) -> Vec<units::Size> {
+    fn settle_adapters(&mut self, seen: &Seen, limit: Duration) -> Vec<Size> {
         let loaded = seen.inventory.loaded.iter().find(|l| l.artifact == self.artifact);
         let Some(loaded) = loaded else { return Vec::new() };
         for name in &loaded.adapters {
-            self.adapters.entry(name.clone()).or_insert_with(|| Adapter::new(units::Size(0)));
+            self.adapters.entry(name.clone()).or_insert_with(|| Adapter::new(UNKNOWN));
         }
         let mut freed = Vec::new();
         let names: Vec<AdapterName> = self.adapters.keys().cloned().collect();
@@ -264,7 +286,7 @@
         ready: bool,
         seen: &Seen,
         limit: Duration,
-    ) -> Option<units::Size> {
+    ) -> Option<Size> {
         let adapter = self.adapters.get_mut(name)?;
         adapter.ready = ready;
         let Some(pending) = &adapter.pending else {
