--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -15,10 +15,13 @@
   pull FILE                write the tree in force to the file, with FILE.base beside it;
                            keeps your changes that are not published; --force drops them
   publish FILE             publish what you changed since the pull, and wait until it is in force;
-                           --replace puts a file that was never pulled in place of all there is
+                           --replace (also of diff) puts the file in place of all there is, also of what
+                           others published; a file that was never pulled needs it
   set PATH KEY=VALUE...    publish settings of one node; `KEY=` clears the setting
   explain PATH             show the settings in force at a node or a model, and where they come from
   reference                write the reference page of all settings
+  windows [FILE]           show which closing windows open within 40 days, in force or in the file, and
+                           whether what they need fits the endpoints; --from TIME looks from another time
   status                   show the planner, the grants and every process with its revision
   timeline [ADDR...]       show the events of all processes in causal order;
                            --request ID, --model M and --endpoint E choose
@@ -30,7 +33,8 @@
   --seed ADDR              control address of a process to ask while the log is down; may be repeated
   --entry ADDR             admin address of an entry; may be repeated
   --author NAME            who publishes; default $USER
-  --wait SPAN              the longest wait for the log, and for an edit to be in force; default 30s
+  --wait SPAN              the longest wait for the log, default 30s, and for an edit to be in force, which is
+                           at most 10s
   -h, --help               show this
   -V, --version            show the version
 
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -16,6 +16,10 @@
 /// The pause before the processes are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
+/// The longest wait until an edit is in force everywhere: twice what is promised, since an instance that is
+/// gone would otherwise hold up every publish.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
+
 /// What a publish would append.
 #[derive(Debug)]
 pub(crate) struct Plan {
@@ -81,7 +85,8 @@
     Ok(())
 }
 
-/// What the operator changed since the pull, less what is in force already.
+/// What the operator changed since the pull, less what is in force already; all that differs if the file is
+/// to replace all there is, or is the first.
 pub(crate) fn plan(
     file: &Path,
     working: &Working,
@@ -90,16 +95,17 @@
     replace: bool,
 ) -> Result<Plan, CmdError> {
     let wanted = &working.file.tree;
-    let Some(base) = &working.base else {
-        let first = revision == Revision(0);
-        if !first && !replace {
-            return Err(CmdError::NotPulled { file: file.to_owned() });
+    match &working.base {
+        Some(base) if !replace => {
+            let mine = tree::diff(&base.tree, wanted);
+            let merged = tree.overlay(&mine).map_err(CmdError::Rejected)?;
+            Ok(Plan { changes: tree::diff(tree, &merged), base: base.revision })
         }
-        return Ok(Plan { changes: tree::diff(tree, wanted), base: revision });
-    };
-    let mine = tree::diff(&base.tree, wanted);
-    let merged = tree.overlay(&mine).map_err(CmdError::Rejected)?;
-    Ok(Plan { changes: tree::diff(tree, &merged), base: base.revision })
+        None if !replace && revision > Revision(0) => {
+            Err(CmdError::NotPulled { file: file.to_owned() })
+        }
+        _ => Ok(Plan { changes: tree::diff(tree, wanted), base: revision }),
+    }
 }
 
 /// Shows changes with the values before them.
@@ -148,7 +154,7 @@
     accepted: Revision,
     out: &mut dyn Write,
 ) -> Result<Exit, CmdError> {
-    let until = Instant::now() + session.wait;
+    let until = Instant::now() + session.wait.min(IN_FORCE_LIMIT);
     let targets = session.fleet.targets(&session.journal);
     let mut behind = targets.clone();
     let mut reasons = Vec::new();
--- a/src/main.rs
+++ b/src/main.rs
@@ -53,13 +53,16 @@
         Command::Version => cmd::help::version(out),
         Command::Reference => cmd::help::reference(out),
         Command::Check { file } => cmd::check::run(file, out),
-        Command::Diff { file } => cmd::diff::run(&connect().await?, file, out),
+        Command::Diff { file, replace } => cmd::diff::run(&connect().await?, file, *replace, out),
         Command::Pull { file, force } => cmd::pull::run(&connect().await?, file, *force, out),
         Command::Publish { file, replace } => {
             cmd::publish::run(&connect().await?, file, *replace, out).await
         }
         Command::Set { path, values } => cmd::set::run(&connect().await?, path, values, out).await,
         Command::Explain { path } => cmd::explain::run(&connect().await?, path, out),
+        Command::Windows { file, from } => {
+            cmd::windows::run(&connect().await?, file.as_deref(), *from, out)
+        }
         Command::Status => cmd::status::run(&connect().await?, out).await,
         Command::Timeline(filter) => cmd::timeline::run(&connect().await?, filter, out).await,
     }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -60,6 +60,8 @@
     asma.run("status").await;
     site.record_request();
     asma.run("timeline --request r-1").await;
+    asma.run("timeline --model page-text --request r-1").await;
+    asma.run("timeline --model page-titles").await;
     site.stop_following(1);
     asma.run("--wait 300ms set /hall queue=9").await;
     asma.run("status").await;
@@ -168,7 +170,12 @@
     asma.run("publish tree.jsonc").await;
     assert_eq!(site.log.counters().records, 1);
     site.note("with --replace the file stands for all there is");
+    asma.run("diff other.jsonc").await;
+    asma.run("--replace diff other.jsonc").await;
     asma.run("--replace publish other.jsonc").await;
+    asma.run("set /hall queue=4").await;
+    asma.run("diff other.jsonc").await;
+    asma.run("--replace diff other.jsonc").await;
     assert_snapshot!(site.transcript());
 }
 
@@ -185,6 +192,20 @@
     assert_snapshot!(site.transcript());
 }
 
+#[tokio::test]
+async fn can_see_whether_closing_windows_fit() {
+    const PRESS: &str = include_str!("../examples/press-karachi-south.jsonc");
+    let site = Site::with_processes().await;
+    let asma = site.operator("asma");
+    asma.run("windows").await;
+    site.write("press.jsonc", PRESS);
+    asma.run("--from 2026-12-15T00:00:00Z windows press.jsonc").await;
+    site.write("press.jsonc", &PRESS.replace("\"monthly last 08:00\"", "\"monthly last 16:00\""));
+    site.note("the windows of the draft pages are still open when those of the series open");
+    asma.run("--from 2026-12-15T00:00:00Z windows press.jsonc").await;
+    assert_snapshot!(site.transcript());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_keep_unpublished_changes_over_a_pull() {
     let site = Site::default();
