--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -1,7 +1,11 @@
 mod draining;
 mod engine;
 mod failures;
+mod http;
+mod load;
+mod service;
 mod serving;
+mod storm;
 mod unfenced;
 mod windows;
 mod world;
