--- a/components/journal/src/peers.rs
+++ b/components/journal/src/peers.rs
@@ -33,10 +33,8 @@
 
     async fn ask(&self, addr: SocketAddr, control: &Control, limit: Duration) -> Option<Reply> {
         let message = Bytes::from(serde_json::to_vec(control).ok()?);
-        count("out", message.len());
         let answer = self.shared.options.network.ask(addr, message, limit).await;
         let answer = answer.inspect_err(|error| log::debug!("journal: {error}")).ok()?;
-        count("in", answer.len());
         serde_json::from_slice(&answer).ok()
     }
 
@@ -53,7 +51,7 @@
 
     async fn placed(&self, addr: SocketAddr, control: &Control, limit: Duration) -> Option<Offset> {
         match self.ask(addr, control, limit).await? {
-            Reply::Position { applied, tick } => {
+            Reply::Position { applied, tick, .. } => {
                 self.shared.recorder.clock().observe(tick);
                 Some(applied)
             }
@@ -136,7 +134,11 @@
     }
 
     fn here(&self) -> Reply {
-        Reply::Position { applied: self.shared.offset(), tick: self.shared.recorder.clock().tick() }
+        Reply::Position {
+            applied: self.shared.offset(),
+            tick: self.shared.recorder.clock().tick(),
+            from: Some(self.shared.instance.clone()),
+        }
     }
 
     fn take(&self, records: Vec<(Offset, String)>) {
@@ -158,8 +160,3 @@
         }
     }
 }
-
-fn count(direction: &'static str, bytes: usize) {
-    metrics::counter!("hyssop_control_bytes_total", "direction" => direction)
-        .increment(bytes as u64);
-}
