--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -72,7 +72,7 @@
         if matches!(control, Control::Wake { .. }) {
             self.asked.lock().expect("a lock").push((addr, control));
         }
-        let reply = Reply::Position { applied: Offset(0), tick: Tick(0) };
+        let reply = Reply::Position { applied: Offset(0), tick: Tick(0), from: None };
         Ok(serde_json::to_vec(&reply).expect("a reply").into())
     }
 }
