--- a/components/agent/src/run/tests/storm.rs
+++ b/components/agent/src/run/tests/storm.rs
@@ -18,8 +18,6 @@
 
 const MODELS: [&str; 3] = ["page-text", "read-aloud", "glossary"];
 const ROUNDS: usize = 150;
-/// Few, since most faults last until another comes; that nothing is served would hide a standstill.
-const LEAST_SERVED: usize = 20;
 
 /// What the callers of the storm were told.
 #[derive(Default)]
@@ -166,6 +164,26 @@
         self.running = self.world.start_with(self.settings.clone()).await;
     }
 
+    /// Once no fault is left, every model is served again.
+    async fn recover(&mut self) {
+        for model in MODELS {
+            let (grant, revoked) = self.grants[model];
+            if revoked {
+                until(|| self.world.state().grant(grant).is_none()).await;
+                self.world.version(model, "v1");
+                self.world.grant(model, "v1");
+            }
+        }
+        pause(35_000).await;
+        for model in MODELS {
+            let request = format!("after-{model}");
+            let budget = Span::secs(120);
+            let head = Dispatch { model: Some(id(model)), budget, ..self.running.head(&request) };
+            let answer = self.running.dispatch(&head).await.expect("an answer");
+            assert!(answer.whole().is_some(), "{model}: {answer:?}");
+        }
+    }
+
     /// Compares what callers were told with what the engine did.
     async fn check(mut self) {
         self.world.engine.set(|faults| {
@@ -175,6 +193,7 @@
             faults.lost_orders = 0;
         });
         self.told.collect().await;
+        self.recover().await;
         let truth = self.world.engine.truth();
         let told = &self.told;
         for (request, refusal) in &told.not_run {
@@ -188,10 +207,9 @@
         assert!(truth.high_water <= Size::gib(24), "{} of memory", truth.high_water);
         assert!(truth.most_loaded.values().all(|most| *most == 1), "{:?}", truth.most_loaded);
         assert_eq!(truth.cut_by_unload, 0, "an unload has cut requests");
-        assert!(told.served.len() >= LEAST_SERVED, "only {} were served", told.served.len());
         pause(60_000).await;
         until(|| self.world.engine.loaded().is_empty()).await;
-        assert_eq!(self.running.agent.desk().ledger.taken(), Size(0));
+        until(|| self.running.agent.desk().ledger.taken() == Size(0)).await;
     }
 }
 
