--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! them, hands them to the endpoint at most once, keeps the answers for a while, and gives the grants back
 //! when they are revoked or when it leaves.
 
+mod adapters;
 mod agent;
 mod answer;
 mod attach;
--- a/components/agent/src/pending.rs
+++ b/components/agent/src/pending.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Lets it be sent again as often as at first.
+    pub(crate) fn renew(&mut self) {
+        self.sends = 1;
+    }
+
     /// Notes that it is sent again.
     pub(crate) fn again(&mut self, now: Instant) {
         self.sent = now;
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -185,8 +185,13 @@
     }
 
     /// Whether it certainly takes no memory, nor will by an order under way.
+    pub(crate) fn unloaded(&self) -> bool {
+        self.phase == Phase::Cold && self.pending.is_none()
+    }
+
+    /// Whether it is unloaded and every request that ran on it has its outcome.
     pub(crate) fn gone(&self) -> bool {
-        self.phase == Phase::Cold && self.pending.is_none() && self.running == 0
+        self.unloaded() && self.running == 0
     }
 
     /// Whether nothing is lost by forgetting it.
@@ -265,29 +270,6 @@
         }
     }
 
-    /// Whether a waiting request needs an adapter.
-    pub(crate) fn needs(&self, name: &AdapterName) -> bool {
-        let mut needs = self.queue.iter().filter_map(|waiting| waiting.adapter.as_ref());
-        needs.any(|need| need.name == *name)
-    }
-
-    /// Notes the adapters that waiting requests need; a crash of the endpoint has made it forget them.
-    pub(crate) fn expect_adapters(&mut self) {
-        for need in self.queue.iter().filter_map(|waiting| waiting.adapter.as_ref()) {
-            let adapter = self.adapters.entry(need.name.clone());
-            adapter.or_insert_with(|| Adapter::new(need.weights));
-        }
-    }
-
-    /// Refuses what waits for an adapter.
-    pub(crate) fn refuse_adapter(&mut self, name: &AdapterName, refusal: &Refusal) {
-        let of =
-            |waiting: &Waiting| waiting.adapter.as_ref().is_some_and(|need| need.name == *name);
-        for waiting in self.queue.take(of) {
-            waiting.slot.refuse(refusal.clone());
-        }
-    }
-
     fn began(&mut self, adapter: Option<&AdapterName>) {
         self.used = Instant::now();
         self.running += 1;
--- a/components/agent/src/run/tests/failures.rs
+++ b/components/agent/src/run/tests/failures.rs
@@ -344,3 +344,42 @@
     }
     assert!(world.engine.truth().high_water <= MEMORY);
 }
+
+#[tokio::test(start_paused = true)]
+async fn frees_the_memory_of_a_replica_that_vanished_with_its_requests() {
+    let world = World::new();
+    world.engine.set(|faults| faults.tokens = 100);
+    let running = world.start().await;
+    let grant = world.grant("page-text", "v1");
+    let answer = running.dispatch(&running.head("r-1"));
+    until(|| running.running() == 1).await;
+    world.revoke(grant);
+    world.engine.crash();
+    until(|| running.agent.desk().ledger.taken() == Size(0)).await;
+    assert!(answer.await.expect("an answer").whole().is_none());
+    until(|| world.state().grant(grant).is_none()).await;
+    until(|| running.phase_of("page-text@v1").is_none()).await;
+    assert_eq!(running.agent.desk().ledger.taken(), Size(0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_unload_an_adapter_although_the_first_orders_are_lost() {
+    let world = World::new();
+    let running = world.start().await;
+    for model in ["page-text", "read-aloud"] {
+        world.grant(model, "v1");
+    }
+    let head = |adapter: &str| Dispatch {
+        adapter: Some(id(adapter)),
+        budget: Span::secs(120),
+        ..running.head(&format!("r-{adapter}"))
+    };
+    assert!(running.dispatch(&head("urdu")).await.expect("an answer").whole().is_some());
+    let other = Dispatch { model: Some(id("read-aloud")), ..running.head("r-2") };
+    assert!(running.dispatch(&other).await.expect("an answer").whole().is_some());
+    world.engine.set(|faults| faults.lost_orders = 5);
+    let answer = running.dispatch(&head("sindhi")).await.expect("an answer");
+    assert!(answer.whole().is_some(), "{answer:?}");
+    until(|| world.engine.loaded().is_empty()).await;
+    until(|| running.agent.desk().ledger.taken() == Size(0)).await;
+}
--- a/components/agent/src/run/tests/storm.rs
+++ b/components/agent/src/run/tests/storm.rs
@@ -216,7 +216,7 @@
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn keeps_its_promises_in_a_storm(
-    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 1011, 1160, 1170)] seed: u64,
     #[values(true, false)] fenced: bool,
 ) {
     let mut storm = Storm::new(seed, fenced).await;
--- a/components/agent/src/settle.rs
+++ b/components/agent/src/settle.rs
@@ -4,12 +4,13 @@
 
 use platform::{EndpointError, Inventory, Loaded, OrderKind, ReplicaPhase};
 use tokio::time::Instant;
-use units::{AdapterName, ModelName, Size};
+use units::{AdapterName, ModelName};
 use wire::Refusal;
 
+use crate::adapters::UNKNOWN;
 use crate::desk::Desk;
 use crate::pending::{Pending, Reply};
-use crate::replica::{Adapter, Phase, Replica};
+use crate::replica::{Phase, Replica};
 
 /// Loads that fail this often in a row fail what waits for them.
 const MOST_FAILURES: u32 = 2;
@@ -20,12 +21,6 @@
 /// The longest pause between tries.
 const MOST_BACKOFF: Duration = Duration::from_secs(30);
 
-/// An adapter load that shows no effect for this long has failed.
-const ADAPTER_LIMIT: Duration = Duration::from_secs(60);
-
-/// The size of an adapter that an older incarnation has loaded.
-const UNKNOWN: Size = Size(0);
-
 /// An inventory with the time at which its reading began.
 #[derive(Debug, Clone)]
 pub(crate) struct Seen {
@@ -76,7 +71,7 @@
             changes.push(change);
         }
         for replica in self.replicas.values_mut() {
-            if replica.gone() {
+            if replica.unloaded() {
                 self.ledger.free_all(&replica.artifact);
             }
             for size in replica.settle_adapters(seen, limit) {
@@ -119,7 +114,7 @@
             None => {
                 let cause = take_reply(&mut replica.pending, id, sent)?;
                 let change = replica.not_taken(kind, cause);
-                if replica.gone() {
+                if replica.unloaded() {
                     let artifact = replica.artifact.clone();
                     self.ledger.free_all(&artifact);
                 }
@@ -263,79 +258,11 @@
         let pending = self.pending.take()?;
         Some(pending.first.elapsed())
     }
-
-    /// Takes over which adapters are ready; gives back the sizes that are confirmed unused.
-    fn settle_adapters(&mut self, seen: &Seen, limit: Duration) -> Vec<Size> {
-        let loaded = seen.inventory.loaded.iter().find(|l| l.artifact == self.artifact);
-        let Some(loaded) = loaded else { return Vec::new() };
-        for name in &loaded.adapters {
-            self.adapters.entry(name.clone()).or_insert_with(|| Adapter::new(UNKNOWN));
-        }
-        let mut freed = Vec::new();
-        let names: Vec<AdapterName> = self.adapters.keys().cloned().collect();
-        for name in names {
-            let ready = loaded.adapters.contains(&name);
-            freed.extend(self.settle_adapter(&name, ready, seen, limit));
-        }
-        freed
-    }
-
-    fn settle_adapter(
-        &mut self,
-        name: &AdapterName,
-        ready: bool,
-        seen: &Seen,
-        limit: Duration,
-    ) -> Option<Size> {
-        let adapter = self.adapters.get_mut(name)?;
-        adapter.ready = ready;
-        let Some(pending) = &adapter.pending else {
-            return None;
-        };
-        let settled = pending.settled(seen.begun, limit);
-        let failed = pending.failure(seen);
-        let late = pending.first.elapsed() >= ADAPTER_LIMIT;
-        let weights = adapter.weights;
-        match &pending.kind {
-            OrderKind::UnloadAdapter { .. } if ready => {
-                adapter.ready = false;
-                None
-            }
-            OrderKind::UnloadAdapter { .. } => {
-                if !settled {
-                    return None;
-                }
-                adapter.pending = None;
-                if !self.needs(name) {
-                    self.adapters.remove(name);
-                }
-                Some(weights)
-            }
-            _ if ready => {
-                adapter.pending = None;
-                None
-            }
-            _ if failed.is_some() || (settled && late) => {
-                adapter.pending = None;
-                let cause = failed.unwrap_or_else(|| "the adapter did not become ready".to_owned());
-                self.fail_adapter(name, Some(cause));
-                Some(weights)
-            }
-            _ => None,
-        }
-    }
-
-    fn fail_adapter(&mut self, name: &AdapterName, cause: Option<String>) {
-        if let Some(cause) = cause {
-            self.refuse_adapter(name, &Refusal::LoadFailed { cause });
-            self.adapters.remove(name);
-        }
-    }
 }
 
 impl Pending {
     /// Why the endpoint says that the order failed.
-    fn failure(&self, seen: &Seen) -> Option<String> {
+    pub(crate) fn failure(&self, seen: &Seen) -> Option<String> {
         let failed = seen.inventory.failed.iter().find(|(id, _)| *id == self.id);
         failed.map(|(_, cause)| cause.clone())
     }
