--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -173,6 +173,7 @@
     let count = targets.len();
     writeln!(out, "in force on {} of {count} instances", count - behind.len())?;
     reasons.iter().try_for_each(|reason| writeln!(out, "  {reason}"))?;
+    session.fleet.remark().map_or(Ok(()), |remark| writeln!(out, "  {remark}"))?;
     Ok(if behind.is_empty() { Exit::Done } else { Exit::Lagging })
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -22,6 +22,7 @@
     let targets = session.fleet.targets(&session.journal);
     let statuses = session.fleet.statuses(&targets).await;
     writeln!(out, "processes: {}", statuses.len())?;
+    session.fleet.remark().map_or(Ok(()), |remark| writeln!(out, "  {remark}"))?;
     let mut exit = Exit::Done;
     for (target, status) in &statuses {
         let name = &target.name;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -46,6 +46,12 @@
         Self { client: Client::default(), entries }
     }
 
+    /// A remark if no entry was given, for only agents are members of the log.
+    pub(crate) fn remark(&self) -> Option<&'static str> {
+        let none = self.entries.is_empty();
+        none.then_some("the entries were not asked; name their admin addresses with `--entry`")
+    }
+
     /// The processes known now, by name: the entries that were given, and the agents of all members.
     pub(crate) fn targets(&self, journal: &Journal) -> Vec<Target> {
         let entries = self.entries.iter().map(|admin| (format!("entry {admin}"), *admin));
