--- a/components/entry/src/control/tests.rs
+++ b/components/entry/src/control/tests.rs
@@ -58,8 +58,9 @@
     let (log, net) = (Log::default(), Net::default());
     let peers = [serve(&log, &net, 1), serve(&log, &net, 2)];
     for core in &peers {
-        core.tally.count(&demand(1).model, false);
-        core.tally.count(&demand(1).model, true);
+        core.tally.arrived(&demand(1).model);
+        core.tally.arrived(&demand(1).model);
+        core.tally.refused(&demand(1).model);
     }
     let asked = [addr(1), addr(2), addr(3)];
     let network: Arc<dyn Ask> = Arc::new(net.port(addr(4)));
@@ -76,12 +77,12 @@
     let network = Arc::new(net.port(addr(1)));
     let gathering = gather_demand(core.clone(), Default::default(), vec![addr(2)], network);
     let gathering = tokio::spawn(gathering);
-    other.tally.count(&demand(1).model, false);
+    other.tally.arrived(&demand(1).model);
     sleep(Duration::from_secs(5)).await;
     assert_eq!(other.tally.take().len(), 1, "nobody asked");
     let claim = Body::Claim { previous: Epoch(0) };
     core.journal.append(claim, Duration::from_secs(5)).await.expect("the log is up");
-    other.tally.count(&demand(1).model, false);
+    other.tally.arrived(&demand(1).model);
     sleep(Duration::from_secs(5)).await;
     assert_eq!(other.tally.take(), [], "the holder asked");
     gathering.abort();
--- a/components/peer/src/operation.rs
+++ b/components/peer/src/operation.rs
@@ -7,9 +7,6 @@
 /// The largest message that is taken from a peer; a snapshot of the state is the largest that is sent.
 pub(crate) const MESSAGE_LIMIT: usize = 64 << 20;
 
-/// What nng puts before each message: its length and the number of the question.
-const FRAME: usize = 12;
-
 /// A context of a socket with its own nng callback.
 pub(crate) struct Operation {
     results: UnboundedReceiver<(Aio, AioResult)>,
@@ -58,7 +55,8 @@
     }
 }
 
+/// Counts what this process sends and gets on control sockets, as a client and as a server.
 fn count(direction: &'static str, bytes: usize) {
     metrics::counter!("hyssop_control_bytes_total", "direction" => direction)
-        .increment((bytes + FRAME) as u64);
+        .increment(bytes as u64);
 }
