--- a/components/load/src/checks/tests.rs
+++ b/components/load/src/checks/tests.rs
@@ -52,7 +52,8 @@
 fn replicas(loaded: &[&str], granted: &[&str]) -> ReplicaSample {
     let own = |places: &[&str]| places.iter().map(|place| (*place).to_owned()).collect();
     let artifact = "page-text@v2".parse().expect("a right name");
-    ReplicaSample { at: secs(3), artifact, loaded: own(loaded), granted: own(granted) }
+    let decided = granted.len();
+    ReplicaSample { at: secs(3), artifact, loaded: own(loaded), granted: own(granted), decided }
 }
 
 /// A run in which every promise was tried and held.
--- a/components/load/src/evidence.rs
+++ b/components/load/src/evidence.rs
@@ -71,8 +71,10 @@
     pub(crate) artifact: ModelName,
     /// The endpoints whose engines hold it, loading and unloading included.
     pub(crate) loaded: Vec<String>,
-    /// The endpoints that have a grant for it.
+    /// The endpoints that had a grant for it at some time while the inventories were read.
     pub(crate) granted: Vec<String>,
+    /// How many grants for it there were after that.
+    pub(crate) decided: usize,
 }
 
 /// The most accelerator memory that an engine held.
--- a/components/load/src/ledger.rs
+++ b/components/load/src/ledger.rs
@@ -51,6 +51,11 @@
         &self.state
     }
 
+    /// How many grants there are for what an engine loads.
+    pub(crate) fn decided(&self, artifact: &ModelName) -> usize {
+        self.state.grants().filter(|grant| grant.artifact == *artifact).count()
+    }
+
     /// The newest configuration.
     pub(crate) fn revision(&self) -> Revision {
         self.state.revision()
--- a/components/load/src/trial.rs
+++ b/components/load/src/trial.rs
@@ -269,7 +269,7 @@
         let own = |artifact: &ModelName| artifact.as_str().split('@').next() == Some(name);
         let samples = || self.evidence.replicas.iter().filter(|sample| own(&sample.artifact));
         let loaded = samples().map(|sample| sample.loaded.len()).max().unwrap_or(0);
-        let granted = samples().map(|sample| sample.granted.len()).max().unwrap_or(0);
+        let granted = samples().map(|sample| sample.decided).max().unwrap_or(0);
         println!("\nreplicas of `{name}`: {} decided before the burst", self.decided);
         println!("  then at most {loaded} loaded and {granted} decided at one time");
         println!("memory, most held of capacity:");
--- a/components/load/src/watch.rs
+++ b/components/load/src/watch.rs
@@ -1,6 +1,5 @@
 //! Samples of what is loaded, decided and in force while a deployment runs.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -117,13 +116,14 @@
             join_all(reads).await.into_iter().flatten().collect();
         let after = self.ledger.catch_up().await;
         let held = inventories.iter().map(|(_, inventory)| inventory.loaded.len());
-        let decided = after.values().map(BTreeSet::len).sum();
+        let decided = self.ledger.state().grants().count();
         self.samples.totals.push(Total { at, loaded: held.sum(), decided });
         for artifact in loaded(&inventories) {
             self.samples.replicas.push(ReplicaSample {
                 at,
                 loaded: holders(&inventories, &artifact),
                 granted: granted(&before, &after, &artifact),
+                decided: self.ledger.decided(&artifact),
                 artifact,
             });
         }
