--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use journal::Journal;
+use peer::Ask;
 use platform::Endpoint;
 use policy::Calendar;
 use process::Shutdown;
@@ -15,6 +16,7 @@
 use crate::Settings;
 use crate::authority::Authority;
 use crate::desk::Desk;
+use crate::run::Edges;
 use crate::table::{RequestTable, TableLimits};
 
 /// What the tasks of an agent share.
@@ -26,7 +28,7 @@
     pub(crate) calendar: Calendar,
     pub(crate) recorder: Recorder,
     pub(crate) shutdown: Shutdown,
-    pub(crate) peers: peer::Client,
+    pub(crate) network: Arc<dyn Ask>,
     pub(crate) authority: Authority,
     /// Wakes the keeper.
     pub(crate) nudge: Notify,
@@ -38,8 +40,7 @@
     pub(crate) fn new(
         settings: Settings,
         journal: Journal,
-        endpoint: Arc<dyn Endpoint>,
-        calendar: Calendar,
+        edges: &Edges,
         recorder: Recorder,
         shutdown: Shutdown,
     ) -> Self {
@@ -54,11 +55,11 @@
         Self {
             settings,
             journal,
-            endpoint,
-            calendar,
+            endpoint: edges.endpoint.clone(),
+            calendar: edges.calendar,
             recorder,
             shutdown,
-            peers: peer::Client::default(),
+            network: edges.network.clone(),
             authority,
             nudge: Notify::new(),
             table: Mutex::new(RequestTable::new(limits)),
