--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -171,7 +171,7 @@
             return false;
         }
         let mut side = self.side();
-        if !self.continues(&state, &side, &newer) {
+        if !self.continues(&state, &newer) {
             log::error!("journal: the state up to offset {} is of another log", newer.offset());
             return false;
         }
@@ -192,17 +192,13 @@
         true
     }
 
-    /// Whether a newer state has folded the newest record of the own one.
-    fn continues(&self, state: &State, side: &Side, newer: &State) -> bool {
-        if state.offset() == Offset(0) {
-            return true;
-        }
-        let id = side.ring.get(state.offset()).and_then(|data| id_of(data));
-        let is_remembered = newer.offset().0 - state.offset().0 < WINDOW;
-        match id.filter(|_| is_remembered) {
-            Some(id) => newer.verdict_of(&id).is_some(),
-            None => matches!(*self.health.borrow(), Health::Up | Health::Down),
+    /// Whether a newer state has folded the newest record of the own one, as far as it remembers.
+    fn continues(&self, state: &State, newer: &State) -> bool {
+        let Some((offset, id)) = state.newest_id() else { return true };
+        if newer.offset().0 - offset.0 < WINDOW {
+            return newer.verdict_of(id) == state.verdict_of(id);
         }
+        matches!(*self.health.borrow(), Health::Up | Health::Down)
     }
 
     pub(crate) fn wait_for(&self, id: &str) -> oneshot::Receiver<Applied> {
--- a/components/journal/tests/outage.rs
+++ b/components/journal/tests/outage.rs
@@ -12,6 +12,7 @@
 use fake::Log;
 use journal::{AppendError, Health, Options};
 use platform::{LogError, LogService, Page, Stream};
+use rstest::rstest;
 use timeline::{Event, Kind, Recorder};
 use tokio::time::Instant;
 use units::{Epoch, InstanceId, Offset};
@@ -332,11 +333,11 @@
     assert_eq!(far.text(), nodes[0].text());
 }
 
-/// Two processes that have folded two different logs, the second one further.
-async fn two_worlds() -> (Node, Node) {
+/// Two processes that have folded two different logs, the second one further; it keeps so many records.
+async fn two_worlds(kept: usize) -> (Node, Node) {
     let (site, nodes) = settled(2).await;
     let other = Site { log: Log::default(), net: site.net.clone() };
-    let stranger = other.node(9, &[]);
+    let stranger = other.node_with(9, &[], |options| options.kept = kept);
     stranger.ready().await;
     for number in 1..8 {
         stranger.append(attach(number)).await.expect("the log is up");
@@ -347,7 +348,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn errors_on_records_and_states_of_another_log() {
-    let (old, stranger) = two_worlds().await;
+    let (old, stranger) = two_worlds(100).await;
     let before = old.text();
     let records = |from| stranger.journal.answer(Control::Fetch { from: Offset(from) });
     for from in [1, 3, 4] {
@@ -362,9 +363,12 @@
     assert_eq!(old.text(), before);
 }
 
+#[rstest]
+#[case::that_has_the_records(100)]
+#[case::that_has_only_the_state(1)]
 #[tokio::test(start_paused = true)]
-async fn errors_on_a_neighbour_that_follows_another_log() {
-    let (old, stranger) = two_worlds().await;
+async fn errors_on_a_neighbour_that_follows_another_log(#[case] kept: usize) {
+    let (old, stranger) = two_worlds(kept).await;
     let site = Site { log: Log::default(), net: old.net() };
     site.log.set(|faults| faults.outage = true);
     // Its first state is the old one; then it has only the stranger to ask.
--- a/components/state/src/fold.rs
+++ b/components/state/src/fold.rs
@@ -159,6 +159,12 @@
         self.recent.get(id)
     }
 
+    /// The offset and id of the newest record that is no repeat; two states of the same log that are less
+    /// than [`record::WINDOW`] apart both know it.
+    pub fn newest_id(&self) -> Option<(Offset, &str)> {
+        self.recent.newest()
+    }
+
     /// What became of an edit of the last [`record::WINDOW`] offsets.
     pub fn edit_verdict(&self, id: &EditId) -> Option<&Applied> {
         self.edits.get(id.as_str())
--- a/components/state/src/recent.rs
+++ b/components/state/src/recent.rs
@@ -22,6 +22,11 @@
         self.by_id.get(id)
     }
 
+    /// The id that was remembered last, with its offset.
+    pub(crate) fn newest(&self) -> Option<(Offset, &str)> {
+        self.order.back().map(|(offset, id)| (*offset, &**id))
+    }
+
     /// Forgets what is too old to be repeated at an offset.
     pub(crate) fn expire(&mut self, now: Offset) {
         while let Some((offset, id)) = self.order.front() {
