--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -32,6 +32,8 @@
     pub(crate) authority: Authority,
     /// Wakes the keeper.
     pub(crate) nudge: Notify,
+    /// Has the inventory read at once.
+    pub(crate) recheck: Notify,
     table: Mutex<RequestTable>,
     desk: Mutex<Desk>,
 }
@@ -62,6 +64,7 @@
             network: edges.network.clone(),
             authority,
             nudge: Notify::new(),
+            recheck: Notify::new(),
             table: Mutex::new(RequestTable::new(limits)),
             desk,
         }
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -13,11 +13,10 @@
 
 use crate::agent::Agent;
 use crate::answer;
-use crate::queue::{AdapterNeed, Waiting};
+use crate::queue::AdapterNeed;
 use crate::serve::{self, Job};
 use crate::slot::Cancel;
 use crate::table::Begin;
-use crate::wake;
 
 /// The largest body of a call, in bytes; entries refuse larger ones before.
 const BODY_LIMIT: usize = 16 << 20;
@@ -65,43 +64,16 @@
         Begin::Full => refuse(&agent, &model, &agent.full()),
         Begin::New(slot) => {
             let deadline = arrived + head.budget.0;
-            start(&agent, &model, Job { slot: slot.clone(), head, body, deadline });
+            agent.record_request(Kind::Queued, &slot.id, &model);
+            let adapter = agent.adapter_of(&head);
+            let kept = slot.clone();
+            let job = Job { slot: kept, head, model, adapter, body, arrived, deadline };
+            tokio::spawn(serve::run(agent.clone(), job));
             answer::from_slot(&agent, slot, 0).await
         }
     }
 }
 
-/// Queues a new request, or refuses it.
-fn start(agent: &Arc<Agent>, model: &ModelName, job: Job) {
-    let slot = job.slot.clone();
-    agent.record_request(Kind::Queued, &slot.id, model);
-    let waiting = Waiting {
-        slot: slot.clone(),
-        adapter: agent.adapter_of(&job.head),
-        class: job.head.class,
-        group: job.head.group.clone(),
-        since: Instant::now(),
-        deadline: job.deadline,
-    };
-    let admission = agent.desk().admit(model, waiting);
-    agent.nudge.notify_one();
-    if let Some(next) = admission.wake {
-        wake::next(agent, model, next);
-    }
-    match admission.outcome {
-        Ok(artifact) => {
-            tokio::spawn(serve::run(agent.clone(), job, artifact));
-        }
-        Err(refusal) => {
-            agent.count_refusal(&refusal);
-            agent.record(Kind::Answered, |event| {
-                event.request(&slot.id).model(model).note(format!("not run: {refusal}"))
-            });
-            slot.refuse(refusal);
-        }
-    }
-}
-
 async fn resume<B>(agent: Arc<Agent>, request: Request<B>) -> Response<Body> {
     let head = match Resume::read(request.headers()) {
         Ok(head) => head,
--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -38,7 +38,11 @@
     let mut after = 0;
     while !seen.is_closed() {
         let begun = tokio::time::Instant::now();
-        match agent.endpoint.inventory(after, POLL).await {
+        let read = tokio::select! {
+            read = agent.endpoint.inventory(after, POLL) => read,
+            () = agent.recheck.notified() => agent.endpoint.inventory(0, Duration::ZERO).await,
+        };
+        match read {
             Ok(inventory) => {
                 after = inventory.version;
                 let _ = seen.send(Some(Arc::new(Seen { inventory, begun })));
--- a/components/agent/src/pending.rs
+++ b/components/agent/src/pending.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Notes that the endpoint shows its effect, whether or not its reply came.
+    pub(crate) fn seen(&mut self) {
+        if matches!(self.reply, Reply::Lost { .. }) {
+            self.reply = Reply::Accepted { at: Instant::now() };
+        }
+    }
+
     /// Lets it be sent again as often as at first.
     pub(crate) fn renew(&mut self) {
         self.sends = 1;
--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -5,6 +5,7 @@
 mod load;
 mod service;
 mod serving;
+mod session;
 mod storm;
 mod unfenced;
 mod windows;
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -17,12 +17,20 @@
 use wire::{Dispatch, Refusal, UnknownCause};
 
 use crate::agent::Agent;
+use crate::queue::{AdapterNeed, Waiting};
 use crate::slot::Slot;
 use crate::stream::{self, CopyEnd};
+use crate::wake;
 
 /// A call that may not be repeated runs on for this long after its deadline, before its outcome is given up.
 const RUN_ON: Duration = Duration::from_secs(600);
 
+/// How often a request that the endpoint certainly did not run is tried again.
+const MOST_TRIES: u32 = 4;
+
+/// The pause before it is tried again, longer each time.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// How long a cancellation at the endpoint may take.
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -31,7 +39,10 @@
 pub(crate) struct Job {
     pub(crate) slot: Arc<Slot>,
     pub(crate) head: Dispatch,
+    pub(crate) model: ModelName,
+    pub(crate) adapter: Option<AdapterNeed>,
     pub(crate) body: Bytes,
+    pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
 }
 
@@ -50,22 +61,88 @@
     }
 }
 
-/// Runs a request that was given a place in the queue of an artifact.
-pub(crate) async fn run(agent: Arc<Agent>, job: Job, artifact: ModelName) {
-    let queued = Instant::now();
-    if wait(&agent, &job, &artifact).await {
-        metrics::histogram!("hyssop_agent_wait_seconds").record(queued.elapsed().as_secs_f64());
-        let adapter = job.head.adapter.as_ref();
-        let mut turn = Turn { agent: &agent, artifact: &artifact, adapter, took: None };
-        let began = Instant::now();
-        let whole = call(&agent, &job, &artifact).await;
-        turn.took = whole.then(|| began.elapsed());
+/// What comes after a turn.
+enum Next {
+    /// The request is over.
+    Over,
+    /// The endpoint certainly did not run it.
+    Again { cause: String },
+}
+
+/// Takes a new request to its outcome.
+pub(crate) async fn run(agent: Arc<Agent>, job: Job) {
+    let mut tries = 0;
+    while let Some(artifact) = enqueue(&agent, &job) {
+        if !wait(&agent, &job, &artifact).await {
+            break;
+        }
+        let Next::Again { cause } = turn(&agent, &job, &artifact).await else { break };
+        tries += 1;
+        if tries > MOST_TRIES || !job.slot.requeue() {
+            job.slot.disprove(Refusal::Endpoint { cause });
+            break;
+        }
+        log::info!("agent: {} is tried again: {cause}", job.slot.id);
+        agent.recheck.notify_one();
+        tokio::time::sleep(PAUSE * tries).await;
+    }
+    if let Some(refusal) = job.slot.refusal() {
+        agent.count_refusal(&refusal);
     }
     agent.record(Kind::Answered, |event| {
-        event.request(&job.slot.id).model(&artifact).note(job.slot.summary())
+        event.request(&job.slot.id).model(&job.model).note(job.slot.summary())
     });
 }
 
+/// Gives a request a place in the queue of its model, or refuses it; the artifact that it waits for.
+fn enqueue(agent: &Arc<Agent>, job: &Job) -> Option<ModelName> {
+    let waiting = Waiting {
+        slot: job.slot.clone(),
+        adapter: job.adapter.clone(),
+        class: job.head.class,
+        group: job.head.group.clone(),
+        since: Instant::now(),
+        deadline: job.deadline,
+    };
+    let admission = agent.desk().admit(&job.model, waiting);
+    agent.nudge.notify_one();
+    if let Some(next) = admission.wake {
+        wake::next(agent, &job.model, next);
+    }
+    match admission.outcome {
+        Ok(artifact) => Some(artifact),
+        Err(refusal) => {
+            job.slot.refuse(refusal);
+            None
+        }
+    }
+}
+
+/// Runs a request whose turn has come.
+async fn turn(agent: &Agent, job: &Job, artifact: &ModelName) -> Next {
+    let waited = job.arrived.elapsed();
+    metrics::histogram!("hyssop_agent_wait_seconds").record(waited.as_secs_f64());
+    let adapter = job.head.adapter.as_ref();
+    let mut turn = Turn { agent, artifact, adapter, took: None };
+    let began = Instant::now();
+    match call(agent, job, artifact).await {
+        CopyEnd::Whole => {
+            turn.took = Some(began.elapsed());
+            job.slot.end(None);
+            Next::Over
+        }
+        CopyEnd::NotSent(refusal) => {
+            job.slot.disprove(refusal);
+            Next::Over
+        }
+        CopyEnd::Refused(cause) => Next::Again { cause },
+        CopyEnd::Failed(cause) => {
+            job.slot.end(Some(cause));
+            Next::Over
+        }
+    }
+}
+
 /// Waits for the request's turn until its deadline; true if it shall run.
 async fn wait(agent: &Agent, job: &Job, artifact: &ModelName) -> bool {
     let slot = &job.slot;
@@ -80,33 +157,25 @@
     if !turn {
         agent.desk().forget(artifact, slot);
         agent.nudge.notify_one();
-        if let Some(refusal) = slot.refusal() {
-            agent.count_refusal(&refusal);
-        }
     }
     turn
 }
 
-/// Hands the request to the endpoint; true if its whole answer came.
-async fn call(agent: &Agent, job: &Job, artifact: &ModelName) -> bool {
+/// Hands the request to the endpoint, and copies the answer.
+async fn call(agent: &Agent, job: &Job, artifact: &ModelName) -> CopyEnd {
     let slot = &job.slot;
     if let Err(barred) = agent.authority.current() {
-        slot.disprove(barred.refusal());
-        return false;
+        return CopyEnd::NotSent(barred.refusal());
     }
     if Instant::now() >= job.deadline {
-        slot.disprove(Refusal::Late);
-        return false;
+        return CopyEnd::NotSent(Refusal::Late);
     }
     let request = match request(job, artifact) {
         Ok(request) => request,
-        Err(cause) => {
-            slot.disprove(Refusal::Endpoint { cause });
-            return false;
-        }
+        Err(cause) => return CopyEnd::NotSent(Refusal::Endpoint { cause }),
     };
     agent.record_request(Kind::Running, &slot.id, artifact);
-    let end = tokio::select! {
+    tokio::select! {
         end = stream::copy(agent, slot, request) => end,
         cause = stop(agent, job) => {
             if job.head.repeatable {
@@ -114,20 +183,6 @@
             }
             CopyEnd::Failed(cause)
         }
-    };
-    match end {
-        CopyEnd::Whole => {
-            slot.end(None);
-            true
-        }
-        CopyEnd::Refused(cause) => {
-            slot.disprove(Refusal::Endpoint { cause });
-            false
-        }
-        CopyEnd::Failed(cause) => {
-            slot.end(Some(cause));
-            false
-        }
     }
 }
 
--- a/components/agent/src/settle.rs
+++ b/components/agent/src/settle.rs
@@ -176,6 +176,12 @@
                 self.enter(Phase::Loading);
                 None
             }
+            (ReplicaPhase::Loading, Phase::Loading) => {
+                if let Some(pending) = &mut self.pending {
+                    pending.seen();
+                }
+                None
+            }
             (ReplicaPhase::Ready, Phase::Cold | Phase::Loading) => {
                 let known = self.phase == Phase::Loading;
                 self.enter(Phase::Ready);
--- a/components/agent/src/slot.rs
+++ b/components/agent/src/slot.rs
@@ -148,6 +148,16 @@
         self.advance(|stage| matches!(stage, Stage::Running).then_some(Stage::Refused(refusal)))
     }
 
+    /// Lets a request wait again that the endpoint certainly did not run; false if it was cancelled meanwhile.
+    pub(crate) fn requeue(&self) -> bool {
+        let mut inner = self.lock();
+        if inner.stopping || !matches!(inner.stage, Stage::Running) {
+            return false;
+        }
+        inner.stage = Stage::Queued;
+        true
+    }
+
     /// Records the head of the answer.
     pub(crate) fn head(&self, head: AnswerHead) -> bool {
         let answer = Answer { head, chunks: Vec::new(), length: 0, dropped: false };
--- a/components/agent/src/stream.rs
+++ b/components/agent/src/stream.rs
@@ -8,7 +8,7 @@
 use platform::EndpointError;
 use timeline::Kind;
 use web::Body;
-use wire::UnknownCause;
+use wire::{Refusal, UnknownCause};
 
 use crate::EndpointKind;
 use crate::agent::Agent;
@@ -29,6 +29,8 @@
 pub(crate) enum CopyEnd {
     /// The whole answer is here.
     Whole,
+    /// It was not handed to the endpoint.
+    NotSent(Refusal),
     /// The endpoint certainly did not run the request.
     Refused(String),
     /// It may have run.
@@ -101,6 +103,7 @@
 
 /// Asks an engine for the rest of the answer, on new connections.
 async fn resume(agent: &Agent, slot: &Slot, mut cause: String) -> CopyEnd {
+    agent.recheck.notify_one();
     let mut idle = 0;
     while idle < MOST_RESUMES {
         let from = slot.length().unwrap_or(0);
