--- a/components/agent/src/status.rs
+++ b/components/agent/src/status.rs
@@ -5,7 +5,7 @@
 
 use process::Status;
 use serde::Serialize;
-use state::State;
+use state::{State, Summary};
 use units::{AdapterName, Incarnation, ModelName, Offset, Revision, Size};
 
 use crate::agent::Agent;
@@ -18,6 +18,7 @@
     applied: Offset,
     revision: Revision,
     log: bool,
+    state: Summary,
     orders: Option<String>,
     memory: MemoryStatus,
     table: TableStatus,
@@ -68,6 +69,7 @@
         incarnation: agent.incarnation(),
         applied: agent.journal.read(state::State::offset),
         log: agent.journal.log_up(),
+        state: agent.journal.read(State::summary),
         orders: agent.authority.check().err().map(|barred| barred.to_string()),
         memory,
         table,
--- a/components/entry/src/status.rs
+++ b/components/entry/src/status.rs
@@ -1,6 +1,7 @@
 //! What operators see of an entry at `/status`.
 
 use serde::Serialize;
+use state::Summary;
 use units::{EndpointId, InstanceId, ModelName, Offset, Revision};
 
 use crate::candidate::candidates;
@@ -12,6 +13,7 @@
     offset: Offset,
     planner: Option<InstanceId>,
     log_up: bool,
+    state: Summary,
     in_flight: u32,
     links: usize,
     ejected: usize,
@@ -33,6 +35,7 @@
             offset: state.offset(),
             planner: state.lease().holder.clone(),
             log_up: self.journal.log_up(),
+            state: state.summary(),
             in_flight: self.limits.in_flight(),
             links: self.links.count(),
             ejected: self.breakers.ejected(),
--- a/components/entry/tests/sessions/serve.rs
+++ b/components/entry/tests/sessions/serve.rs
@@ -111,6 +111,9 @@
     assert_eq!(status["planner"], "planner");
     assert_eq!(status["revision"], 1);
     assert_eq!(status["offset"], 4);
+    assert_eq!(status["state"]["members"], 1);
+    assert_eq!(status["state"]["grants"], 1);
+    assert!(status["state"]["frozen"].is_null());
     let routes = status["routes"].as_array().expect("a list");
     let route = routes.iter().find(|route| route["model"] == "page-text").expect("the model");
     assert_eq!(route["endpoints"], serde_json::json!(["likhari-0"]));
--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -139,6 +139,7 @@
             let verdict = state.apply_bytes(entry.offset, &entry.data);
             if state.frozen().is_some() {
                 log::error!("journal: stopped at offset {}: upgrade this program", entry.offset);
+                metrics::gauge!("hyssop_frozen").set(1.0);
                 break;
             }
             side.ring.push(entry.data.clone());
