--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use peer::Ask;
 use platform::{Endpoint, HttpEndpoint, HttpList, HttpLog, InstanceList, LogService};
 use policy::Calendar;
 use process::{Phase, Process, Shutdown, StartError};
@@ -22,6 +23,7 @@
     pub(crate) log: Arc<dyn LogService>,
     pub(crate) list: Arc<dyn InstanceList>,
     pub(crate) endpoint: Arc<dyn Endpoint>,
+    pub(crate) network: Arc<dyn Ask>,
     pub(crate) calendar: Calendar,
 }
 
@@ -31,11 +33,20 @@
         log: Arc::new(HttpLog::new(settings.log)),
         list: Arc::new(HttpList::new(settings.list)),
         endpoint: Arc::new(HttpEndpoint::new(settings.address)),
+        network: Arc::new(peer::Client::default()),
         calendar: Calendar::system(),
     };
+    let (settings, listener) = listen(settings).await?;
     let agent = build(settings, &edges, process.recorder.clone(), process.shutdown.clone());
     process::spawn_admin(&process, status::of(&agent)).await?;
-    supervise(agent, edges.list).await
+    supervise(agent, listener, edges.list).await
+}
+
+/// Opens the socket for dispatches; the settings then name the port that it has.
+async fn listen(mut settings: Settings) -> Result<(Settings, web::Listener), StartError> {
+    let listener = web::bind(settings.dispatch).await.map_err(StartError::new)?;
+    settings.dispatch = listener.local_addr().map_err(StartError::new)?;
+    Ok((settings, listener))
 }
 
 /// Starts following the log and makes what the tasks share.
@@ -45,30 +56,33 @@
     recorder: Recorder,
     shutdown: Shutdown,
 ) -> Arc<Agent> {
-    let options = journal_options(&settings);
+    let options = journal_options(&settings, edges.network.clone());
     let instance = settings.identity.instance.clone();
     let journal = journal::start(edges.log.clone(), instance, recorder.clone(), options);
-    let endpoint = edges.endpoint.clone();
-    Arc::new(Agent::new(settings, journal, endpoint, edges.calendar, recorder, shutdown))
+    Arc::new(Agent::new(settings, journal, edges, recorder, shutdown))
 }
 
 /// An agent that needs news of the log to order its endpoint asks for it more often than its lease lasts.
-fn journal_options(settings: &Settings) -> journal::Options {
-    let mut options = journal::Options { seeds: settings.seeds.clone(), ..Default::default() };
+fn journal_options(settings: &Settings, network: Arc<dyn Ask>) -> journal::Options {
+    let seeds = settings.seeds.clone();
+    let mut options = journal::Options { seeds, network, ..Default::default() };
     if let Some(lease) = settings.lease() {
         options.poll = options.poll.min(lease / 4);
     }
     options
 }
 
-/// Opens the sockets, leads the endpoint until the agent ends, and closes the connections politely.
-async fn supervise(agent: Arc<Agent>, list: Arc<dyn InstanceList>) -> Result<(), StartError> {
+/// Serves entries and peers, leads the endpoint until the agent ends, and closes the connections politely.
+async fn supervise(
+    agent: Arc<Agent>,
+    listener: web::Listener,
+    list: Arc<dyn InstanceList>,
+) -> Result<(), StartError> {
     let (stop, stopped) = watch::channel(false);
     let control = agent.settings.control;
     let answering = agent.clone();
     let answer = move |message: Bytes| wake::answer(answering.clone(), message);
     peer::serve(control, stopped.clone(), answer).await.map_err(StartError::new)?;
-    let listener = web::bind(agent.settings.dispatch).await.map_err(StartError::new)?;
     let server = tokio::spawn(serve(agent.clone(), listener, stopped));
     let ended = lead(agent, list.as_ref()).await;
     let _ = stop.send(true);
