--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -34,6 +34,8 @@
     pub(crate) told: Notify,
     /// Wakes the keeper.
     pub(crate) nudge: Notify,
+    /// Has the inventory read at once.
+    pub(crate) recheck: Notify,
     table: Mutex<RequestTable>,
     desk: Mutex<Desk>,
 }
@@ -65,6 +67,7 @@
             authority,
             told: Notify::new(),
             nudge: Notify::new(),
+            recheck: Notify::new(),
             table: Mutex::new(RequestTable::new(limits)),
             desk,
         }
