--- a/components/journal/benches/control.rs
+++ b/components/journal/benches/control.rs
@@ -14,12 +14,12 @@
 use bytes::Bytes;
 use journal::{Journal, Options};
 use platform::HttpLog;
-use record::{Attach, Body};
+use record::Body;
 use timeline::Recorder;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
-use units::{Epoch, Incarnation, Size};
+use units::Epoch;
 
 /// The sizes that are measured when none is given.
 const SIZES: [Scale; 3] = [Scale::plain(50), Scale::plain(150), Scale::plain(300)];
@@ -191,19 +191,7 @@
 }
 
 fn attach(number: usize, control: SocketAddr) -> Body {
-    Body::Attach(Attach {
-        endpoint: format!("likhari-{number}").parse().expect("a right id"),
-        instance: format!("likhari-{number}").parse().expect("a right id"),
-        domain: "saddar".parse().expect("a right name"),
-        service: "likhari".parse().expect("a right name"),
-        dispatch: control,
-        control,
-        admin: control,
-        memory: Size::gib(48),
-        cached: Vec::new(),
-        fenced: true,
-        previous: Incarnation(0),
-    })
+    Body::Attach(sample::attach(&format!("likhari-{number}"), control))
 }
 
 type Sockets = HashMap<(SocketAddr, SocketAddr), Traffic>;
--- a/components/journal/tests/common/mod.rs
+++ b/components/journal/tests/common/mod.rs
@@ -12,15 +12,21 @@
 use journal::{AppendError, Journal, Options};
 use platform::LogService;
 use record::{Attach, Body};
+pub(crate) use sample::claim;
+use sample::id;
 use state::{Applied, State};
 use timeline::Recorder;
 use tokio::time::{sleep, timeout};
-use units::{Epoch, Incarnation, InstanceId, Offset, Size};
+use units::{InstanceId, Offset};
 
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
 /// Longer than any test waits for something that comes.
 const PATIENCE: Duration = Duration::from_secs(600);
 
+pub(crate) fn addr(number: u16) -> SocketAddr {
+    sample::addr(10_000 + number)
+}
+
 /// One process: its journal, its address, and its end.
 pub(crate) struct Node {
     pub(crate) journal: Journal,
@@ -36,10 +42,6 @@
     pub(crate) net: Net,
 }
 
-pub(crate) fn addr(number: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 10_000 + number))
-}
-
 impl Site {
     pub(crate) fn node(&self, number: u16, seeds: &[u16]) -> Node {
         self.node_with(number, seeds, |_| {})
@@ -123,24 +125,10 @@
     }
 }
 
-pub(crate) fn claim(previous: u64) -> Body {
-    Body::Claim { previous: Epoch(previous) }
-}
-
 pub(crate) fn attach(number: u16) -> Body {
-    Body::Attach(Attach {
-        endpoint: format!("endpoint-{number}").parse().expect("a right id"),
-        instance: format!("likhari-{number}").parse().expect("a right id"),
-        domain: "saddar".parse().expect("a right name"),
-        service: "likhari".parse().expect("a right name"),
-        dispatch: addr(number),
-        control: addr(number),
-        admin: addr(number),
-        memory: Size::gib(48),
-        cached: Vec::new(),
-        fenced: true,
-        previous: Incarnation(0),
-    })
+    let endpoint = format!("endpoint-{number}");
+    let instance = id(&format!("likhari-{number}"));
+    Body::Attach(Attach { instance, ..sample::attach(&endpoint, addr(number)) })
 }
 
 /// Something that never happens within the time.
--- a/components/planner/src/sample.rs
+++ b/components/planner/src/sample.rs
@@ -4,7 +4,7 @@
 use record::{Attach, GrantId};
 use state::{Grant, Member};
 use tree::{Leaf, NodeKind, Settings};
-use units::{Domain, Incarnation, ModelName, NodePath, Offset, ReplicaIndex, Size};
+use units::{Domain, Incarnation, ModelName, NodePath, Offset, ReplicaIndex};
 
 const DOMAINS: [&str; 4] = ["saddar", "clifton", "lyari", "korangi"];
 
@@ -16,19 +16,11 @@
 /// What the agent of endpoint `number` says of itself.
 pub(crate) fn attach(number: usize) -> Attach {
     let port = u16::try_from(20_000 + number).expect("a port");
-    let addr = ([127, 0, 0, 1], port).into();
+    let addr = sample::addr(port);
     Attach {
-        endpoint: format!("engine-{number}").parse().expect("an endpoint"),
-        instance: format!("server-{number}").parse().expect("an instance"),
+        instance: sample::id(&format!("server-{number}")),
         domain: domain(number),
-        service: "likhari".parse().expect("a service"),
-        dispatch: addr,
-        control: addr,
-        admin: addr,
-        memory: Size::gib(80),
-        cached: Vec::new(),
-        fenced: true,
-        previous: Incarnation(0),
+        ..sample::attach(&format!("engine-{number}"), addr)
     }
 }
 
--- a/components/planner/tests/common/agents.rs
+++ b/components/planner/tests/common/agents.rs
@@ -8,7 +8,7 @@
 use record::{Attach, Body, GrantId};
 use state::{State, Verdict};
 use tokio::task::JoinHandle;
-use units::{Domain, EndpointId, Incarnation, InstanceId, Size};
+use units::{Domain, EndpointId, Incarnation, InstanceId};
 
 use super::{LIMIT, Site, Told, addr, serve};
 
@@ -39,17 +39,10 @@
 
 fn attach(number: usize, previous: Incarnation) -> Attach {
     Attach {
-        endpoint: endpoint(number),
         instance: instance(number),
         domain: domain(number),
-        service: "likhari".parse().expect("a service"),
-        dispatch: addr(BASE + number),
-        control: addr(BASE + number),
-        admin: addr(BASE + number),
-        memory: Size::gib(80),
-        cached: Vec::new(),
-        fenced: true,
         previous,
+        ..sample::attach(endpoint(number).as_str(), addr(BASE + number))
     }
 }
 
--- a/components/policy/src/prewarm/tests.rs
+++ b/components/policy/src/prewarm/tests.rs
@@ -1,10 +1,11 @@
 use jiff::Timestamp;
 use record::{Attach, Body, Decision, Record};
 use rstest::rstest;
+use sample::id;
 use serde_json::{Value, json};
 use state::{State, Verdict};
 use tree::{Change, Edit, NodeKind};
-use units::{Epoch, Incarnation, NodePath, Offset, ReplicaIndex, Revision, Size};
+use units::{Epoch, NodePath, Offset, Revision};
 
 use super::{needs, prewarm};
 use crate::Store;
@@ -19,30 +20,15 @@
 }
 
 fn attach(number: u16, cached: &[&str]) -> Body {
-    let addr = ([127, 0, 0, 1], 9000 + number).into();
     Body::Attach(Attach {
-        endpoint: format!("engine-{number}").parse().expect("an endpoint"),
-        instance: format!("server-{number}").parse().expect("an instance"),
-        domain: "saddar".parse().expect("a domain"),
-        service: "likhari".parse().expect("a service"),
-        dispatch: addr,
-        control: addr,
-        admin: addr,
-        memory: Size::gib(80),
-        cached: cached.iter().map(|name| name.parse().expect("a model")).collect(),
-        fenced: true,
-        previous: Incarnation(0),
+        instance: id(&format!("server-{number}")),
+        cached: cached.iter().map(|name| id(name)).collect(),
+        ..sample::attach(&format!("engine-{number}"), sample::addr(9000 + number))
     })
 }
 
 fn grant(model: &str, index: u32, number: u16) -> Decision {
-    Decision::Grant {
-        model: model.parse().expect("a model"),
-        index: ReplicaIndex(index),
-        artifact: model.parse().expect("a model"),
-        endpoint: format!("engine-{number}").parse().expect("an endpoint"),
-        reason: "least".to_owned(),
-    }
+    sample::grant(model, index, model, &format!("engine-{number}"))
 }
 
 /// Two models whose window opens on the last of the month at 08:00, needing one replica.
--- a/components/state/examples/fold-bench.rs
+++ b/components/state/examples/fold-bench.rs
@@ -3,15 +3,14 @@
 //! `cargo run --release -p state --example fold-bench [today|half|full|MODELS ADAPTERS ENDPOINTS]`; memory is
 //! only right for the first size of a run.
 
-use std::fmt::Display;
-use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 use record::{Attach, Body, CACHED_MOST, Decision, GrantId, Record, WINDOW};
-use serde_json::{Value, json};
+use sample::{add, id, set};
+use serde_json::json;
 use state::{State, chunks, from_text, to_text};
 use tree::{Change, Edit, NodeKind};
-use units::{EndpointId, Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size};
+use units::{EndpointId, Epoch, Offset, ReplicaIndex, Revision};
 
 /// The limit of one chunk's data.
 const CHUNK: usize = 64 << 10;
@@ -36,10 +35,6 @@
     Scale { name: "full", models: 230, adapters: 1000, endpoints: 2600 },
 ];
 
-fn id<T: FromStr<Err: std::fmt::Debug>>(text: impl Display) -> T {
-    text.to_string().parse().expect("the ids are valid")
-}
-
 /// A process that applies the log's text, and the time this takes by kind of record.
 struct Bench {
     state: State,
@@ -73,23 +68,15 @@
     }
 }
 
-fn set(path: &str, setting: &str, value: Value) -> Change {
-    Change::Set { path: id(path), setting: id(setting), value }
-}
-
-fn add(path: String, kind: NodeKind) -> Change {
-    Change::Add { path: id(path), kind }
-}
-
 fn edit(base: Offset, name: String, changes: Vec<Change>) -> Body {
     let base = Revision::from(base);
-    Body::Edit(Edit { id: id(name), author: "amna".to_owned(), base, changes })
+    Body::Edit(Edit { id: id(&name), author: "amna".to_owned(), base, changes })
 }
 
 /// One branch with the settings that all models inherit.
 fn branch() -> Vec<Change> {
     vec![
-        add("/hall".to_owned(), NodeKind::Branch),
+        add("/hall", NodeKind::Branch),
         set("/hall", "service", json!("assist-llm")),
         set("/hall", "replicas-most", json!(MOST)),
         set("/hall", "weights", json!("8GiB")),
@@ -102,15 +89,15 @@
 fn model(number: usize, scale: &Scale) -> Vec<Change> {
     let path = format!("/hall/model-{number:03}");
     let mut changes = vec![
-        add(path.clone(), NodeKind::Model),
-        add(format!("{path}/v1"), NodeKind::Version),
-        add(format!("{path}/v2"), NodeKind::Version),
+        add(&path, NodeKind::Model),
+        add(&format!("{path}/v1"), NodeKind::Version),
+        add(&format!("{path}/v2"), NodeKind::Version),
         set(&path, "version", json!("v1")),
         set(&path, "queue", json!(64)),
         set(&path, "keep-warm", json!("5m")),
     ];
     let own = (0..scale.adapters).filter(|adapter| adapter % scale.models == number);
-    changes.extend(own.map(|n| add(format!("{path}/adapter-{n:04}"), NodeKind::Adapter)));
+    changes.extend(own.map(|n| add(&format!("{path}/adapter-{n:04}"), NodeKind::Adapter)));
     changes
 }
 
@@ -118,19 +105,13 @@
     let addr = format!("10.{}.{}.{}:7001", number / 62500, number / 250 % 250, number % 250 + 1);
     let addr = addr.parse().expect("an address");
     let cached =
-        (0..CACHED_MOST).map(|n| id(format!("model-{:03}@v1", (number + n * 29) % 230))).collect();
+        (0..CACHED_MOST).map(|n| id(&format!("model-{:03}@v1", (number + n * 29) % 230))).collect();
     Body::Attach(Attach {
-        endpoint: id(format!("assist-{number:04}")),
-        instance: id(format!("assist-{number:04}-5f3a")),
-        domain: id(format!("domain-{}", number % 8)),
+        instance: id(&format!("assist-{number:04}-5f3a")),
+        domain: id(&format!("domain-{}", number % 8)),
         service: id("assist-llm"),
-        dispatch: addr,
-        control: addr,
-        admin: addr,
-        memory: Size::gib(80),
         cached,
-        fenced: true,
-        previous: Incarnation(0),
+        ..sample::attach(&format!("assist-{number:04}"), addr)
     })
 }
 
@@ -143,10 +124,10 @@
 fn grant(scale: &Scale, number: usize) -> Decision {
     let model = number % scale.models;
     Decision::Grant {
-        model: id(format!("model-{model:03}")),
+        model: id(&format!("model-{model:03}")),
         index: ReplicaIndex((number / scale.models) as u32),
-        artifact: id(format!("model-{model:03}@v1")),
-        endpoint: id(format!("assist-{number:04}")),
+        artifact: id(&format!("model-{model:03}@v1")),
+        endpoint: id(&format!("assist-{number:04}")),
         reason: "demand of 3.2 requests a second".to_owned(),
     }
 }
--- a/components/state/tests/common/mod.rs
+++ b/components/state/tests/common/mod.rs
@@ -1,100 +1,29 @@
 //! A log and its state for the tests of this crate.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports, reason = "each test file uses its part")]
 
-use record::{Attach, Body, Decision, GrantId, Record};
-use serde_json::{Value, json};
+use record::{Attach, Body, Decision, Record};
+pub(crate) use sample::{
+    add, addr, claim, decide, edit, gone, grant_id, id, leave, release, remove, set,
+};
+use serde_json::json;
 use state::{Applied, State, Verdict, Void};
-use tree::{Change, Edit, NodeKind};
-use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size};
+use tree::{Change, NodeKind};
+use units::{Epoch, Incarnation, Offset};
 
-/// Text as an id of the wanted kind.
-pub(crate) fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("the test's ids are valid")
-}
-
-/// An attach of a likhari endpoint with 80 GiB.
+/// An attach of an endpoint on an instance of another name, after an earlier incarnation.
 pub(crate) fn attach(endpoint: &str, instance: &str, previous: u64) -> Attach {
-    let addr = "127.0.0.1:7000".parse().expect("a fixed address");
-    Attach {
-        endpoint: id(endpoint),
-        instance: id(instance),
-        domain: id("saddar"),
-        service: id("likhari"),
-        dispatch: addr,
-        control: addr,
-        admin: addr,
-        memory: Size::gib(80),
-        cached: Vec::new(),
-        fenced: true,
-        previous: Incarnation(previous),
-    }
+    let first = sample::attach(endpoint, addr(7000));
+    Attach { instance: id(instance), previous: Incarnation(previous), ..first }
 }
 
 /// The decision to grant replica `index` of a model's first version.
 pub(crate) fn grant(model: &str, index: u32, endpoint: &str) -> Decision {
-    Decision::Grant {
-        model: id(model),
-        index: ReplicaIndex(index),
-        artifact: id(&format!("{model}@v1")),
-        endpoint: id(endpoint),
-        reason: "demand".to_owned(),
-    }
+    sample::grant(model, index, &format!("{model}@v1"), endpoint)
 }
 
 /// The decision to revoke a grant.
 pub(crate) fn revoke(offset: u64, part: u32) -> Decision {
-    Decision::Revoke { grant: grant_id(offset, part), reason: "idle".to_owned() }
-}
-
-/// The decision that an endpoint is gone.
-pub(crate) fn gone(endpoint: &str, incarnation: u64) -> Decision {
-    Decision::Gone { endpoint: id(endpoint), incarnation: Incarnation(incarnation) }
-}
-
-/// Decisions of an epoch.
-pub(crate) fn decide(epoch: u64, decisions: Vec<Decision>) -> Body {
-    Body::Decide { epoch: Epoch(epoch), decisions }
-}
-
-/// A claim of the lease.
-pub(crate) fn claim(previous: u64) -> Body {
-    Body::Claim { previous: Epoch(previous) }
-}
-
-/// An endpoint's leave.
-pub(crate) fn leave(endpoint: &str, incarnation: u64) -> Body {
-    Body::Leave { endpoint: id(endpoint), incarnation: Incarnation(incarnation) }
-}
-
-/// An endpoint's release.
-pub(crate) fn release(endpoint: &str, incarnation: u64, grants: Vec<GrantId>) -> Body {
-    Body::Release { endpoint: id(endpoint), incarnation: Incarnation(incarnation), grants }
-}
-
-/// The name of a grant.
-pub(crate) fn grant_id(offset: u64, part: u32) -> GrantId {
-    GrantId { offset: Offset(offset), part }
-}
-
-/// An edit with an id of its own.
-pub(crate) fn edit(name: &str, base: u64, changes: Vec<Change>) -> Body {
-    let base = Revision(base);
-    Body::Edit(Edit { id: id(name), author: "amna".to_owned(), base, changes })
-}
-
-/// The change of one setting.
-pub(crate) fn set(path: &str, setting: &str, value: Value) -> Change {
-    Change::Set { path: id(path), setting: id(setting), value }
-}
-
-/// A new node.
-pub(crate) fn add(path: &str, kind: NodeKind) -> Change {
-    Change::Add { path: id(path), kind }
-}
-
-/// A node's end.
-pub(crate) fn remove(path: &str) -> Change {
-    Change::Remove { path: id(path) }
+    sample::revoke(grant_id(offset, part))
 }
 
 /// A model at the root with a version `v1`, bounds and sizes.
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -11,14 +11,14 @@
 use http::StatusCode;
 use journal::{Journal, Options};
 use platform::{LogError, LogService, Page, Stream};
-use record::{Attach, Body, Decision, Record};
+use record::{Attach, Body, Record};
 use serde_json::json;
 use state::State;
 use tempfile::TempDir;
 use timeline::{Kind, Recorder, Tick};
 use tokio::sync::watch;
 use tokio::time::sleep;
-use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size};
+use units::{Epoch, Offset, Revision};
 
 use crate::cli::{Link, parse_args};
 use crate::error::{CmdError, Exit};
@@ -200,19 +200,10 @@
 
     fn attach(&self, number: usize) -> Body {
         let process = &self.processes[number];
-        let id = |kind: &str| format!("{kind}-{number}");
         Body::Attach(Attach {
-            endpoint: id("endpoint").parse().expect("a right id"),
-            instance: id("likhari").parse().expect("a right id"),
-            domain: "saddar".parse().expect("a right name"),
-            service: "likhari".parse().expect("a right name"),
-            dispatch: control(number),
-            control: control(number),
+            instance: sample::id(&format!("likhari-{number}")),
             admin: process.admin,
-            memory: Size::gib(48),
-            cached: Vec::new(),
-            fenced: true,
-            previous: Incarnation(0),
+            ..sample::attach(&format!("endpoint-{number}"), control(number))
         })
     }
 
@@ -221,13 +212,7 @@
         let journal = &self.processes[0].journal;
         let claim = Body::Claim { previous: Epoch(0) };
         let epoch: Epoch = journal.append(claim, LIMIT).await.expect("the log is up").offset.into();
-        let grant = Decision::Grant {
-            model: model.parse().expect("a right name"),
-            index: ReplicaIndex(0),
-            artifact: model.parse().expect("a right name"),
-            endpoint: endpoint.parse().expect("a right id"),
-            reason: "always one replica".to_owned(),
-        };
+        let grant = sample::grant(model, 0, model, endpoint);
         let decide = Body::Decide { epoch, decisions: vec![grant] };
         let decided = journal.append(decide, LIMIT).await.expect("the log is up");
         assert!(decided.is_done(), "{decided:?}");
