--- a/components/journal/src/folded.rs
+++ b/components/journal/src/folded.rs
@@ -4,10 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use platform::Entry;
-use record::{Body, Record, WINDOW};
-use serde::Deserialize;
-use state::{Applied, State, Verdict};
-use timeline::{Kind, Recorder};
+use record::{Record, SnapshotChunk, WINDOW};
+use state::{Applied, State};
+use timeline::Recorder;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::Instant;
 use units::{InstanceId, Offset};
@@ -16,11 +15,6 @@
 use crate::ring::Ring;
 use crate::snapshots::Tracker;
 
-/// Kinds of records that say nothing new on a time line.
-const ROUTINE: [&str; 2] = ["renew", SNAPSHOT];
-/// The kind of the chunks of a snapshot.
-const SNAPSHOT: &str = "snapshot";
-
 /// How many records are folded before their writers are told; fewer than the fold remembers.
 const SETTLE_EVERY: usize = 1024;
 
@@ -246,6 +240,10 @@
         self.side().fresh
     }
 
+    pub(crate) fn note_chunk(&self, offset: Offset, chunk: &SnapshotChunk) {
+        self.side().snapshots.note(offset, chunk);
+    }
+
     /// Whether the log needs a new snapshot, as far as this process knows.
     pub(crate) fn snapshot_due(&self) -> bool {
         let folded = self.offset();
@@ -253,63 +251,6 @@
         let due = |bounds| side.snapshots.is_due(self.options.snapshot, folded, bounds);
         side.bounds.is_some_and(due)
     }
-
-    pub(crate) fn set_health(&self, health: Health) {
-        let before = self.health.send_replace(health);
-        if before == health {
-            return;
-        }
-        if health == Health::Up {
-            self.revived.notify_one();
-        }
-        metrics::gauge!("hyssop_log_up").set(if health == Health::Up { 1.0 } else { 0.0 });
-        let (kind, note) = match health {
-            Health::Up => (Kind::LogUp, "the log is read"),
-            Health::Down => (Kind::LogDown, "the log can't be read"),
-            Health::Behind => (Kind::LogDown, "the log ends before what is folded"),
-            Health::Forked => (Kind::LogDown, "the log is not the one that was folded"),
-        };
-        match health {
-            Health::Up => log::info!("journal: {note}"),
-            Health::Down => log::warn!("journal: {note}"),
-            Health::Behind | Health::Forked => {
-                log::error!("journal: {note}; see docs/LOG-OUTAGE.md")
-            }
-        }
-        self.recorder.record(self.recorder.event(kind).note(note));
-    }
-
-    fn note(&self, entry: &Entry, applied: &Applied) {
-        let kind = kind_of(&entry.data);
-        if kind == SNAPSHOT {
-            self.note_snapshot(entry);
-        }
-        if ROUTINE.contains(&kind.as_str()) {
-            return;
-        }
-        let void = applied.verdicts.iter().find_map(|verdict| match verdict {
-            Verdict::Done => None,
-            Verdict::Void(void) => Some(void),
-        });
-        let offset = entry.offset;
-        let event = match void {
-            None => self.recorder.event(Kind::Applied).note(format!("{offset} {kind}")),
-            Some(void) => {
-                let note = format!("{offset} {kind}: {void}");
-                self.recorder.event(Kind::Voided).note(note)
-            }
-        };
-        self.recorder.record(event);
-    }
-}
-
-impl Shared {
-    fn note_snapshot(&self, entry: &Entry) {
-        let record = serde_json::from_slice::<Record>(&entry.data);
-        if let Ok(Record { body: Body::Snapshot(chunk), .. }) = record {
-            self.side().snapshots.note(entry.offset, &chunk);
-        }
-    }
 }
 
 impl Side {
@@ -355,20 +296,5 @@
     String::from_utf8_lossy(data).into_owned()
 }
 
-#[derive(Deserialize)]
-struct KindOnly {
-    kind: String,
-}
-
-#[derive(Deserialize)]
-struct BodyOnly {
-    body: KindOnly,
-}
-
-fn kind_of(data: &[u8]) -> String {
-    let body = serde_json::from_slice::<BodyOnly>(data);
-    body.map_or_else(|_| "unreadable".to_owned(), |record| record.body.kind)
-}
-
 #[cfg(test)]
 mod tests;
--- a/components/journal/src/keys.rs
+++ b/components/journal/src/keys.rs
@@ -5,35 +5,23 @@
 //! dies before the withdrawal is in the log, the key stays taken for the window, because nobody knows
 //! whether the request ran. The log must keep the stream for longer than the window.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::{Entry, LogError, LogService, Page, Stream};
+use platform::{LogService, Stream};
 use record::{KeyClaim, KeyRecord};
 use thiserror::Error;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout};
-use units::{Offset, RequestId};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use units::RequestId;
 
 use crate::append::{Appender, Pending};
-use crate::backoff::Backoff;
-use crate::claims::Claims;
+use crate::key_stream::{Core, LIMIT_MAX, Reach, Waiting, lock, read_all, withdrawal_id};
 
-/// How long a read waits for new claims.
-const POLL: Duration = Duration::from_secs(10);
-/// How much longer than asked a read may take before it counts as failed.
-const READ_GRACE: Duration = Duration::from_secs(3);
-/// The shortest pause after a failed read.
-const RETRY_MIN: Duration = Duration::from_millis(100);
-/// The longest pause after a failed read.
-const RETRY_MAX: Duration = Duration::from_secs(2);
 /// The pause before an unanswered append is repeated.
 const REPEAT: Duration = Duration::from_millis(250);
-/// The longest that a claim may wait; keys are remembered for so much longer than the window.
-const LIMIT_MAX: Duration = Duration::from_secs(60);
 /// The most withdrawals that wait for the log; the keys of others stay taken for the window.
 const WITHDRAWALS: usize = 10_000;
 
@@ -68,37 +56,6 @@
     Partial,
 }
 
-/// How far the key stream is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Reach {
-    /// The claims of the window are still being read.
-    Starting,
-    /// All claims are read as they come.
-    Current,
-    /// The log can't be read.
-    Down,
-    /// The stream ends before what was read: claims may be lost, so none is decided.
-    Behind,
-}
-
-/// A claim or a withdrawal that waits for the log.
-#[derive(Debug)]
-enum Waiting {
-    Claim(oneshot::Sender<KeyOutcome>),
-    Withdrawal,
-}
-
-#[derive(Debug)]
-struct Core {
-    claims: Claims,
-    waiting: HashMap<RequestId, Waiting>,
-    next: Offset,
-    reach: Reach,
-    read: Instant,
-    window: Duration,
-    revived: Arc<Notify>,
-}
-
 /// A handle on the claimed keys; cheap to clone.
 #[derive(Clone)]
 pub struct Keys {
@@ -111,16 +68,7 @@
     ///
     /// The tasks end when the last handle is dropped.
     pub fn start(service: Arc<dyn LogService>, window: Duration) -> Self {
-        let core = Core {
-            claims: Claims::new(window + LIMIT_MAX),
-            waiting: HashMap::new(),
-            next: Offset(1),
-            reach: Reach::Starting,
-            read: Instant::now(),
-            window,
-            revived: Arc::default(),
-        };
-        let core = Arc::new(Mutex::new(core));
+        let core = Arc::new(Mutex::new(Core::new(window)));
         let (appends, incoming) = mpsc::unbounded_channel();
         tokio::spawn(supervise(core.clone(), service, incoming));
         Self { core, appends }
@@ -212,22 +160,10 @@
     }
 }
 
-fn lock(core: &Mutex<Core>) -> MutexGuard<'_, Core> {
-    core.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn to_bytes(record: &KeyRecord) -> Bytes {
     serde_json::to_vec(record).expect("records have only text keys").into()
 }
 
-/// The id of a withdrawal among what is to be appended.
-fn withdrawal_id(request: &RequestId) -> String {
-    format!("{request}{WITHDRAWAL}")
-}
-
-/// No request id has a slash.
-const WITHDRAWAL: &str = "/withdrawal";
-
 async fn supervise(
     core: Arc<Mutex<Core>>,
     service: Arc<dyn LogService>,
@@ -246,112 +182,3 @@
         () = read_all(&core, &*service) => {}
     }
 }
-
-async fn read_all(core: &Mutex<Core>, service: &dyn LogService) {
-    let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
-    loop {
-        let (next, wait) = {
-            let core = lock(core);
-            (core.next, if core.reach == Reach::Current { POLL } else { Duration::ZERO })
-        };
-        let page = timeout(wait + READ_GRACE, service.read(Stream::Keys, next, wait)).await;
-        let page = page.unwrap_or_else(|_| Err(LogError::Unreadable("no answer".to_owned())));
-        let is_good = lock(core).take(page);
-        if is_good {
-            backoff.reset();
-        } else {
-            sleep(backoff.pause()).await;
-        }
-    }
-}
-
-impl Core {
-    /// Whether a claim or withdrawal is still to be repeated.
-    fn is_wanted(&self, id: &str) -> bool {
-        let (request, withdrawal) = match id.strip_suffix(WITHDRAWAL) {
-            Some(request) => (request, true),
-            None => (id, false),
-        };
-        match self.waiting.get(request) {
-            Some(Waiting::Claim(_)) => !withdrawal,
-            Some(Waiting::Withdrawal) => withdrawal,
-            None => false,
-        }
-    }
-
-    /// Takes what a read brought; says whether all is well.
-    fn take(&mut self, page: Result<Page, LogError>) -> bool {
-        match page {
-            Ok(page) if page.last.next() < self.next => {
-                if self.reach != Reach::Behind {
-                    log::error!("keys: the log has lost claims; see docs/LOG-OUTAGE.md");
-                }
-                self.reach = Reach::Behind;
-                false
-            }
-            Ok(page) => {
-                for entry in &page.entries {
-                    self.fold(entry);
-                }
-                if self.next > page.last {
-                    if self.reach != Reach::Current {
-                        self.revived.notify_one();
-                    }
-                    self.reach = Reach::Current;
-                    self.read = Instant::now();
-                }
-                true
-            }
-            Err(LogError::Expired { first }) => {
-                // What has expired is older than the window, unless the log drops records too early.
-                let missed = self.reach != Reach::Starting && self.read.elapsed() < self.window;
-                if missed {
-                    self.claims.skip();
-                }
-                self.next = first;
-                true
-            }
-            Err(error) => {
-                if self.reach == Reach::Current {
-                    log::warn!("keys: {error}");
-                    self.reach = Reach::Down;
-                }
-                false
-            }
-        }
-    }
-
-    fn fold(&mut self, entry: &Entry) {
-        if entry.offset < self.next {
-            return;
-        }
-        if entry.offset > self.next {
-            self.claims.skip();
-        }
-        self.next = entry.offset.next();
-        match serde_json::from_slice(&entry.data) {
-            Ok(KeyRecord::Claim(claim)) => {
-                let Some(outcome) = self.claims.claim(&claim) else { return };
-                self.decide(&claim.request, outcome);
-            }
-            Ok(KeyRecord::Withdraw { key, request }) => {
-                self.claims.withdraw(&key, &request);
-                self.waiting.remove(&request);
-            }
-            Err(error) => log::warn!("keys: a record can't be read: {error}"),
-        }
-    }
-
-    fn decide(&mut self, request: &RequestId, outcome: KeyOutcome) {
-        match self.waiting.remove(request) {
-            Some(Waiting::Claim(decided)) => {
-                // A claim that was dropped meanwhile is withdrawn by its guard.
-                let _unread = decided.send(outcome);
-            }
-            Some(Waiting::Withdrawal) => {
-                self.waiting.insert(request.clone(), Waiting::Withdrawal);
-            }
-            None => {}
-        }
-    }
-}
