--- a/components/journal/tests/common/mod.rs
+++ b/components/journal/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use state::{Applied, State};
 use timeline::Recorder;
 use tokio::time::{sleep, timeout};
-use units::{InstanceId, Offset};
+use units::{InstanceId, Offset, Size};
 
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
 /// Longer than any test waits for something that comes.
@@ -128,7 +128,11 @@
 pub(crate) fn attach(number: u16) -> Body {
     let endpoint = format!("endpoint-{number}");
     let instance = id(&format!("likhari-{number}"));
-    Body::Attach(Attach { instance, ..sample::attach(&endpoint, addr(number)) })
+    Body::Attach(Attach {
+        instance,
+        memory: Size::gib(48),
+        ..sample::attach(&endpoint, addr(number))
+    })
 }
 
 /// Something that never happens within the time.
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -11,14 +11,14 @@
 use http::StatusCode;
 use journal::{Journal, Options};
 use platform::{LogError, LogService, Page, Stream};
-use record::{Attach, Body, Record};
+use record::{Attach, Body, Decision, Record};
 use serde_json::json;
 use state::State;
 use tempfile::TempDir;
 use timeline::{Kind, Recorder, Tick};
 use tokio::sync::watch;
 use tokio::time::sleep;
-use units::{Epoch, Offset, Revision};
+use units::{Epoch, Offset, ReplicaIndex, Revision, Size};
 
 use crate::cli::{Link, parse_args};
 use crate::error::{CmdError, Exit};
@@ -203,6 +203,7 @@
         Body::Attach(Attach {
             instance: sample::id(&format!("likhari-{number}")),
             admin: process.admin,
+            memory: Size::gib(48),
             ..sample::attach(&format!("endpoint-{number}"), control(number))
         })
     }
@@ -212,7 +213,13 @@
         let journal = &self.processes[0].journal;
         let claim = Body::Claim { previous: Epoch(0) };
         let epoch: Epoch = journal.append(claim, LIMIT).await.expect("the log is up").offset.into();
-        let grant = sample::grant(model, 0, model, endpoint);
+        let grant = Decision::Grant {
+            model: sample::id(model),
+            index: ReplicaIndex(0),
+            artifact: sample::id(model),
+            endpoint: sample::id(endpoint),
+            reason: "always one replica".to_owned(),
+        };
         let decide = Body::Decide { epoch, decisions: vec![grant] };
         let decided = journal.append(decide, LIMIT).await.expect("the log is up");
         assert!(decided.is_done(), "{decided:?}");
