--- a/components/planner/src/forecast.rs
+++ b/components/planner/src/forecast.rs
@@ -12,8 +12,6 @@
 
 /// How fast the average rate follows: it forgets two thirds in this time.
 const MEMORY: Duration = Duration::from_secs(30);
-/// The shortest time over which a rate is measured.
-const SAMPLE: Duration = Duration::from_secs(1);
 /// How long a number of replicas is kept after demand has fallen.
 const COOL: Duration = Duration::from_secs(600);
 /// The pause between two additions because of refusals, so that the first can take effect.
@@ -38,15 +36,12 @@
 }
 
 impl Forecasts {
-    /// Whether enough time has passed for the next sample.
-    pub(crate) fn is_due(&self, now: Instant) -> bool {
-        self.sampled.is_none_or(|last| now.duration_since(last) >= SAMPLE)
-    }
-
     /// Takes in what has come since the last sample.
     pub(crate) fn note(&mut self, tallies: &BTreeMap<ModelName, Tally>, now: Instant) {
         let since = self.sampled.replace(now).map(|last| now.duration_since(last));
-        let Some(span) = since.map(|span| span.as_secs_f64()) else { return };
+        let Some(span) = since.map(|span| span.as_secs_f64()).filter(|span| *span > 0.0) else {
+            return;
+        };
         let weight = 1.0 - (-span / MEMORY.as_secs_f64()).exp();
         for (model, track) in &mut self.tracks {
             let tally = tallies.get(model).copied().unwrap_or_default();
--- a/components/planner/src/rounds.rs
+++ b/components/planner/src/rounds.rs
@@ -91,6 +91,7 @@
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
             _ = sightings.changed() => {}
+            () = demand.news() => {}
             () = sleep(IDLE) => {}
         }
     }
@@ -113,9 +114,7 @@
     if memory.epoch != picture.epoch {
         *memory = Memory { epoch: picture.epoch, ..Memory::default() };
     }
-    if memory.forecasts.is_due(began) {
-        memory.forecasts.note(&demand.take(), began);
-    }
+    memory.forecasts.note(&demand.take(), began);
     let today = shared.options.calendar.now();
     let models = sized(picture, &mut memory.forecasts, began, today);
     let rules = Rules { sightings, guard: shared.options.guard, batch: shared.options.batch };
--- a/components/planner/tests/grants.rs
+++ b/components/planner/tests/grants.rs
@@ -150,7 +150,7 @@
     assert_eq!(site.history().grants, 0);
     entry.demand.add(&[Demand { model: model("m"), requests: 1, refused: 0 }]);
     let took = site.until("a grant", |state| serving(state, "m") == 1).await;
-    assert!(took < Duration::from_secs(3), "{took:?}");
+    assert!(took < Duration::from_millis(500), "{took:?}");
     pass(600).await;
     assert_eq!(serving(&site.state(), "m"), 1);
     pass(600).await;
