--- a/components/planner/tests/lease.rs
+++ b/components/planner/tests/lease.rs
@@ -7,6 +7,8 @@
 use common::{
     Agents, Entry, LEASE, Site, TAKEOVER, add, add_branch, epoch, pass, publish, take_holder,
 };
+use platform::Stream;
+use record::{Body, Record};
 use state::State;
 
 /// Entries of which one holds the lease.
@@ -136,6 +138,22 @@
     site.until("two members less", |state| state.members().count() == 6).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_stop_planning_at_a_record_that_needs_a_newer_program() {
+    let site = Site::default();
+    let _entries = entries(&site, 4).await;
+    pass(10).await;
+    let claim = Body::Claim { previous: epoch(&site.state()) };
+    let name = "entry-9".parse().expect("an instance");
+    let record = Record::new("new".to_owned(), name, 0, site.state().offset(), claim);
+    let record = Record { needs: record::FORMAT + 1, ..record };
+    site.log.put(Stream::Control, serde_json::to_vec(&record).expect("text"));
+    pass(1).await;
+    let asked = site.log.counters().appends;
+    pass(60).await;
+    assert_eq!(site.log.counters().appends, asked, "nobody claims or renews");
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_replace_a_holder_that_died_in_an_outage_with_few_claims() {
     let site = Site::default();
