--- a/components/entry/src/flight.rs
+++ b/components/entry/src/flight.rs
@@ -8,21 +8,18 @@
 use timeline::Kind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tree::NodeKind;
-use units::{EndpointId, Incarnation, RequestId, Span};
+use units::{EndpointId, RequestId, Span};
 use wire::{Outcome, Refusal};
 
 use crate::answer::Message;
 use crate::attempt::Step;
-use crate::breaker::Admission;
 use crate::call::Call;
-use crate::candidate::{Candidate, candidates};
+use crate::candidate::Candidate;
 use crate::core::Core;
 use crate::keys;
-use crate::load::{Load, Place};
-use crate::pick::{Choice, Policy, pick};
 use crate::prefix::Prefix;
 use crate::relay::Received;
+use crate::route::Learned;
 
 /// The most dispatches of one request.
 const ATTEMPTS: u32 = 6;
@@ -59,10 +56,8 @@
     /// What has come of the answer.
     pub(crate) received: Received,
     claim: Option<KeyClaim>,
-    prefix: Option<Prefix>,
-    tried: Vec<(EndpointId, Incarnation)>,
-    newer: Vec<(EndpointId, Incarnation)>,
-    barred: Vec<EndpointId>,
+    /// What it has learned of its candidates.
+    pub(crate) learned: Learned,
     attempts: u32,
 }
 
@@ -79,10 +74,7 @@
             placed: Vec::new(),
             received: Received::default(),
             claim: None,
-            prefix,
-            tried: Vec::new(),
-            newer: Vec::new(),
-            barred: Vec::new(),
+            learned: Learned::new(prefix),
             attempts: 0,
         }
     }
@@ -147,14 +139,14 @@
             match self.attempt(&target).await {
                 Step::Ended(outcome) => return outcome,
                 Step::NotRun(refusal) => {
-                    self.note_refusal(&target, &refusal);
+                    self.learn(&target, &refusal);
                     last = refusal;
                     if last == Refusal::Late {
                         break;
                     }
                 }
                 Step::Lost(lost) => {
-                    self.tried.push((target.endpoint, target.incarnation));
+                    self.learned.tried.push((target.endpoint, target.incarnation));
                     cause = Some(lost);
                 }
             }
@@ -165,14 +157,9 @@
         }
     }
 
-    /// Whether there is another endpoint that could take the request.
-    pub(crate) fn has_other(&self, than: &EndpointId) -> bool {
-        self.open_candidates().iter().any(|candidate| candidate.endpoint != *than)
-    }
-
     /// The id under which an agent gets the request: another one where the agent has barred the first.
     pub(crate) fn id_for(&self, endpoint: &EndpointId) -> RequestId {
-        let barred = self.barred.iter().filter(|other| *other == endpoint).count();
+        let barred = self.learned.barred.iter().filter(|other| *other == endpoint).count();
         if barred == 0 {
             return self.call.request.clone();
         }
@@ -180,83 +167,12 @@
         text.parse().expect("a request id with a short suffix is one")
     }
 
-    /// The place whose load the request adds to.
-    pub(crate) fn place(&self, endpoint: &EndpointId) -> Place {
-        Place { endpoint: endpoint.clone(), model: self.call.leaf.model.clone() }
-    }
-
-    /// Notes which endpoint has the request's prefix in its cache.
-    pub(crate) fn note_prefix(&self, endpoint: &EndpointId) {
-        if let Some(prefix) = self.prefix {
-            self.core.prefixes.note(prefix, endpoint);
-        }
-    }
-
-    fn open_candidates(&self) -> Vec<Candidate> {
-        let mut all = self.core.journal.read(|state| candidates(state, &self.call.leaf));
-        for candidate in &mut all {
-            let newer = self.newer.iter().filter(|(endpoint, _)| *endpoint == candidate.endpoint);
-            let newest = newer.map(|(_, incarnation)| *incarnation).max();
-            candidate.incarnation = newest.unwrap_or_default().max(candidate.incarnation);
-        }
-        let is_tried = |candidate: &Candidate| {
-            let tried = self.tried.iter();
-            tried.clone().any(|(endpoint, incarnation)| {
-                *endpoint == candidate.endpoint && *incarnation == candidate.incarnation
-            })
-        };
-        all.retain(|candidate| !is_tried(candidate));
-        all
-    }
-
-    fn next_target(&self) -> Option<Candidate> {
-        let mut open = self.open_candidates();
-        let loads: Vec<Load> = open
-            .iter()
-            .map(|candidate| self.core.loads.look(&self.place(&candidate.endpoint)))
-            .collect();
-        let choices: Vec<Choice> =
-            open.iter().zip(&loads).map(|(candidate, load)| self.choice(candidate, load)).collect();
-        let cached = self.prefix.and_then(|prefix| self.core.prefixes.get(prefix));
-        let known = loads.iter().filter_map(|load| load.awake).max().unwrap_or(1).max(1);
-        let policy = Policy {
-            awake: open.iter().filter(|candidate| candidate.index < known).count(),
-            packed: self.call.leaf.kind != NodeKind::Service,
-            batch: self.call.leaf.settings.batch,
-            cached: cached.as_ref(),
-            probes: self.call.repeatable,
-        };
-        let at = pick(&choices, &policy, &mut rand::rng())?;
-        Some(open.swap_remove(at))
-    }
-
-    fn choice(&self, candidate: &Candidate, load: &Load) -> Choice {
-        let admission = self.core.breakers.admission(&candidate.endpoint);
-        Choice {
-            endpoint: candidate.endpoint.clone(),
-            near: candidate.domain == self.core.domain,
-            requests: load.requests,
-            lasting: load.lasting,
-            admission: if load.held { Admission::Open } else { admission },
-        }
-    }
-
-    fn note_refusal(&mut self, target: &Candidate, refusal: &Refusal) {
-        match refusal {
-            Refusal::Incarnation { current } if *current > target.incarnation => {
-                self.newer.push((target.endpoint.clone(), *current));
-            }
-            Refusal::Cancelled => self.barred.push(target.endpoint.clone()),
-            _ => self.tried.push((target.endpoint.clone(), target.incarnation)),
-        }
-    }
-
     /// Waits for news from the log, or a moment for agents to catch up with it; then all may be tried again.
     async fn await_change(&mut self) {
         let mut changes = self.core.journal.changes();
         changes.mark_unchanged();
         let _ = tokio::time::timeout(LAG_PAUSE, changes.changed()).await;
-        self.tried.clear();
+        self.learned.forget();
     }
 
     /// Lets another request use the key, since this one has not run and never will.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod prefix;
 mod recover;
 mod relay;
+mod route;
 mod run;
 mod serve;
 mod settings;
--- a/components/entry/src/load.rs
+++ b/components/entry/src/load.rs
@@ -33,6 +33,8 @@
     pub(crate) lasting: f64,
     /// How many replicas are awake, if a new enough report said so.
     pub(crate) awake: Option<u32>,
+    /// Whether the model is loaded there, if a new enough report said so.
+    pub(crate) warm: bool,
     /// Whether the place has refused a request for a cause that lasts.
     pub(crate) held: bool,
 }
@@ -55,6 +57,7 @@
 struct Told {
     others: u32,
     awake: u32,
+    warm: bool,
     at: Instant,
 }
 
@@ -83,7 +86,7 @@
         let others = (report.waiting + report.running).saturating_sub(news.own);
         let now = Instant::now();
         news.touched = now;
-        news.told = Some(Told { others, awake: report.awake, at: now });
+        news.told = Some(Told { others, awake: report.awake, warm: report.warm, at: now });
     }
 
     /// Leaves a place out for a while after a refusal, so that requests are not wasted on it one by one.
@@ -145,7 +148,7 @@
         let own = f64::from(self.own);
         let held = self.held.is_some_and(|until| Instant::now() < until);
         let Some(told) = &self.told else {
-            return Load { requests: own, lasting: own, awake: None, held };
+            return Load { requests: own, lasting: own, held, ..Load::default() };
         };
         let age = told.at.elapsed();
         let others = f64::from(told.others);
@@ -153,6 +156,7 @@
             requests: own + others * weight(age, HALF_LIFE),
             lasting: own + others * weight(age, LASTING),
             awake: (age <= AWAKE_AGE).then_some(told.awake),
+            warm: age <= AWAKE_AGE && told.warm,
             held,
         }
     }
--- a/components/entry/tests/sessions/refused.rs
+++ b/components/entry/tests/sessions/refused.rs
@@ -7,7 +7,7 @@
 use units::Span;
 use wire::Refusal;
 
-use crate::kit::{Act, World, ask, service_call};
+use crate::kit::{Act, World, ask, report, service_call};
 
 #[rstest]
 #[case(Refusal::Full { retry: Span::secs(3) })]
@@ -21,12 +21,33 @@
     let mut world = World::new().await;
     let first = world.replica(0, "saddar").await;
     let second = world.replica(1, "clifton").await;
+    // The holder of the first has woken the second.
+    first.set_report(report(8, 8, 2));
     first.script([Act::Refuse(refusal)]);
     let answer = world.call(ask(&[])).await;
     assert_eq!(answer.outcome(), "served");
     assert_eq!((first.dispatches().len(), second.runs().len()), (1, 1));
 }
 
+#[rstest]
+#[case(Refusal::Full { retry: Span::secs(3) }, true, 1)]
+#[case(Refusal::Hopeless { wait: Span::secs(60) }, true, 1)]
+#[case(Refusal::Hopeless { wait: Span::secs(60) }, false, 2)]
+#[tokio::test(start_paused = true)]
+async fn errors_without_waking_replicas_for_lack_of_capacity(
+    #[case] refusal: Refusal,
+    #[case] warm: bool,
+    #[case] awake: u32,
+) {
+    let mut world = World::new().await;
+    let first = world.replica(0, "saddar").await;
+    let second = world.replica(1, "clifton").await;
+    first.set_report(wire::Report { warm, ..report(8, 8, awake) });
+    first.script([Act::Refuse(refusal)]);
+    assert_eq!(world.call(ask(&[])).await.status, 429);
+    assert!(second.dispatches().is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_go_on_after_a_refusal_of_a_call_that_must_not_run_twice() {
     let mut world = World::new().await;
@@ -106,6 +127,7 @@
     let full = Act::Refuse(Refusal::Full { retry: Span::secs(1) });
     for agent in &agents {
         agent.script(vec![full.clone(); 2000]);
+        agent.set_report(report(8, 8, 2));
     }
     let requests = 500;
     for _ in 0..requests {
