--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -30,8 +30,12 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) network: Arc<dyn Ask>,
     pub(crate) authority: Authority,
+    /// Told when the planner has seen this instance leaving on the platform's list.
+    pub(crate) told: Notify,
     /// Wakes the keeper.
     pub(crate) nudge: Notify,
+    /// Has the inventory read at once.
+    pub(crate) recheck: Notify,
     table: Mutex<RequestTable>,
     desk: Mutex<Desk>,
 }
@@ -61,7 +65,9 @@
             shutdown,
             network: edges.network.clone(),
             authority,
+            told: Notify::new(),
             nudge: Notify::new(),
+            recheck: Notify::new(),
             table: Mutex::new(RequestTable::new(limits)),
             desk,
         }
