--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -32,7 +32,9 @@
     Any,
     /// To replicas that are awake: a queue is full or too long.
     Awake,
-    /// To loaded replicas: a load would take too long, and others that are cold take no less.
+    /// To the replica after those that are awake, which may be loading already: a load takes too long here.
+    Next,
+    /// To loaded replicas: a load takes too long there, too.
     Warm,
 }
 
@@ -112,7 +114,8 @@
         }
         let warm = self.core.loads.look(&self.place(&target.endpoint)).warm;
         let spill = match refusal {
-            Refusal::Hopeless { .. } if !warm => Spill::Warm,
+            Refusal::Hopeless { .. } if !warm && self.learned.spill >= Spill::Next => Spill::Warm,
+            Refusal::Hopeless { .. } if !warm => Spill::Next,
             Refusal::Hopeless { .. } | Refusal::Full { .. } => Spill::Awake,
             _ => Spill::Any,
         };
@@ -137,6 +140,7 @@
         let in_reach = match self.learned.spill {
             Spill::Any => true,
             Spill::Awake => candidate.index < awake,
+            Spill::Next => candidate.index <= awake,
             Spill::Warm => load.warm || !self.is_for_model(),
         };
         in_reach && !self.learned.is_tried(candidate)
