--- a/components/platform/src/endpoint.rs
+++ b/components/platform/src/endpoint.rs
@@ -9,6 +9,8 @@
 use units::{AdapterName, Incarnation, ModelName, RequestId, Size, Span};
 use web::Body;
 
+use crate::CacheEvents;
+
 /// How near a checkpoint is to the accelerator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -159,6 +161,9 @@
     /// Reads the lagging load report.
     async fn usage(&self) -> Result<Usage, EndpointError>;
 
+    /// Reads what is told of the prefix cache from an event's number on; engines tell late and with gaps.
+    async fn cache_events(&self, from: u64) -> Result<CacheEvents, EndpointError>;
+
     /// Sends a caller's request; the body of the answer streams.
     async fn call(
         &self,
--- a/components/platform/src/http_endpoint.rs
+++ b/components/platform/src/http_endpoint.rs
@@ -11,7 +11,7 @@
 
 use crate::link::{Answer, CALL_LIMIT, Link, POLL_LIMIT};
 use crate::streaming::{self, StreamError};
-use crate::{Endpoint, EndpointError, Inventory, Order, Usage};
+use crate::{CacheEvents, Endpoint, EndpointError, Inventory, Order, Usage};
 
 /// The longest that a streaming call stays without a byte, unless set otherwise.
 const IDLE: Duration = Duration::from_secs(15);
@@ -83,6 +83,13 @@
         answer.json().map_err(EndpointError::Unknown)
     }
 
+    async fn cache_events(&self, from: u64) -> Result<CacheEvents, EndpointError> {
+        let path = format!("/v1/cache-events?from={from}");
+        let answer = self.link.get(&path, self.limit).await.map_err(failed)?;
+        accepted(&answer)?;
+        answer.json().map_err(EndpointError::Unknown)
+    }
+
     async fn call(
         &self,
         id: &RequestId,
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each edge has a trait and one small module that knows the wire format; the rest of the system sees
 //! only the types here.
 
+mod cache;
 mod endpoint;
 mod http_endpoint;
 mod http_list;
@@ -12,6 +13,7 @@
 mod log_service;
 mod streaming;
 
+pub use cache::{CacheChange, CacheEvent, CacheEvents, PrefixHash};
 pub use endpoint::{
     CacheTier, Endpoint, EndpointError, Inventory, Loaded, Order, OrderKind, ReplicaPhase, Usage,
 };
--- a/components/platform/tests/clients.rs
+++ b/components/platform/tests/clients.rs
@@ -126,6 +126,7 @@
         endpoint.order(order()),
         endpoint.inventory(0, Duration::ZERO),
         endpoint.usage(),
+        endpoint.cache_events(1),
         endpoint.cancel(&id),
         endpoint.resume(&id, 0),
         post(addr, "/badges"),
@@ -139,6 +140,7 @@
     assert!(matches!(answers.6, Err(EndpointError::Unknown(_))));
     assert!(matches!(answers.7, Err(EndpointError::Unknown(_))));
     assert!(matches!(answers.8, Err(EndpointError::Unknown(_))));
+    assert!(matches!(answers.9, Err(EndpointError::Unknown(_))));
 }
 
 #[tokio::test]
--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -31,7 +31,6 @@
 use crate::server::{self, Answer, BODY_LIMIT, Cut, Running, Wanted, done, query, refuse};
 
 use self::core::Core;
-pub use prefixes::{CacheChange, CacheEvent, CacheEvents};
 pub use settings::EngineSettings;
 pub use tokens::{expected, word};
 pub use truth::{EngineTruth, LoadEvent, LoadPhase};
--- a/components/standin/src/engine/core.rs
+++ b/components/standin/src/engine/core.rs
@@ -131,7 +131,7 @@
             failed: VecDeque::new(),
             cache,
             samples: VecDeque::new(),
-            prefixes: Prefixes::new(settings.prefixes),
+            prefixes: Prefixes::new(settings.prefixes, 0),
             usage_lag: settings.usage_lag.0,
         }
     }
@@ -240,11 +240,13 @@
         truth.crashes += 1;
         let disk = std::mem::take(&mut self.cache.disk);
         let (version, seq) = (self.version, self.seq);
+        let prefixes = self.prefixes.lost();
         *self = Self::new(settings);
         self.truth = truth;
         self.cache = Cache { memory: VecDeque::new(), disk };
         self.version = (version / CRASH_STEP + 1) * CRASH_STEP;
         self.seq = seq;
+        self.prefixes = prefixes;
         self.faults.up = Instant::now() + down;
     }
 
--- a/components/standin/src/engine/prefixes.rs
+++ b/components/standin/src/engine/prefixes.rs
@@ -3,61 +3,22 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use platform::{CacheChange, CacheEvent, CacheEvents, PrefixHash};
 use tokio::time::Instant;
 use units::ModelName;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::core::take;
 
-/// How many bytes of a prompt make its prefix.
-const PREFIX: usize = 64;
-
 /// How many events are kept for readers.
 const EVENTS_KEPT: usize = 1000;
 
-/// What became of a prefix.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum CacheChange {
-    /// It is cached from now on.
-    Stored,
-    /// It had to make room, or its model was unloaded.
-    Evicted,
-}
-
-/// One change of the prefix cache.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Its number; a number that is missing is a gap.
-    pub seq: u64,
-    /// The model with its version.
-    pub artifact: ModelName,
-    /// The XXH3 digest of the first 64 bytes of the prompt, in hexadecimal.
-    pub prefix: String,
-    /// What became of it.
-    pub change: CacheChange,
-}
-
-/// The answer to `GET /v1/cache-events`.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvents {
-    /// The number to read from next.
-    pub next: u64,
-    /// Events that are old enough to be told, in their order.
-    pub events: Vec<CacheEvent>,
-}
-
-/// The digest of a prompt's prefix.
-pub(crate) fn digest(text: &str) -> String {
-    let bytes = text.as_bytes();
-    format!("{:016x}", xxh3_64(&bytes[..bytes.len().min(PREFIX)]))
-}
+/// How many numbers of events a crash skips.
+const LOST: u64 = 1000;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Key {
     artifact: ModelName,
-    prefix: String,
+    prefix: PrefixHash,
 }
 
 #[derive(Debug)]
@@ -72,13 +33,19 @@
 }
 
 impl Prefixes {
-    pub(crate) fn new(limit: usize) -> Self {
-        Self { limit, cached: VecDeque::new(), events: VecDeque::new(), seq: 0, gaps: 0 }
+    /// An empty cache whose events are numbered after `seq`.
+    pub(crate) fn new(limit: usize, seq: u64) -> Self {
+        Self { limit, cached: VecDeque::new(), events: VecDeque::new(), seq, gaps: 0 }
+    }
+
+    /// The cache after a crash: what it held is lost, and so are the events that say so.
+    pub(crate) fn lost(&self) -> Self {
+        Self::new(self.limit, self.seq + LOST)
     }
 
     /// Uses a prefix; says whether it was cached.
-    pub(crate) fn touch(&mut self, artifact: &ModelName, prefix: &str) -> bool {
-        let key = Key { artifact: artifact.clone(), prefix: prefix.to_owned() };
+    pub(crate) fn touch(&mut self, artifact: &ModelName, prefix: PrefixHash) -> bool {
+        let key = Key { artifact: artifact.clone(), prefix };
         let place = self.cached.iter().position(|other| *other == key);
         if let Some(place) = place {
             self.cached.remove(place);
--- a/components/standin/src/engine/run.rs
+++ b/components/standin/src/engine/run.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use http_body_util::channel::Sender;
+use platform::PrefixHash;
 use tokio::sync::{oneshot, watch};
 use tokio::time::sleep;
 
 use super::Engine;
-use super::prefixes::digest;
 use super::replica::{Slot, Ticket};
 use super::requests::Asked;
 use super::tokens::Call;
@@ -151,10 +151,10 @@
 
     /// Counts an execution and says how long its prefill takes.
     fn begin(&self, run: &Run) -> Duration {
-        let prefix = digest(&run.call.text());
+        let prefix = PrefixHash::of(&run.call.text());
         let mut core = self.core();
         core.truth.executions.entry(run.id.clone()).or_default().runs += 1;
-        let hit = core.prefixes.touch(&run.ticket.artifact, &prefix);
+        let hit = core.prefixes.touch(&run.ticket.artifact, prefix);
         core.truth.hits += u64::from(hit);
         let prefill = self.0.settings.first_token.0;
         match (run.made, hit) {
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -17,8 +17,7 @@
 mod store;
 
 pub use engine::{
-    CacheChange, CacheEvent, CacheEvents, Engine, EngineFault, EngineSettings, EngineTruth,
-    LoadEvent, LoadPhase, expected, word,
+    Engine, EngineFault, EngineSettings, EngineTruth, LoadEvent, LoadPhase, expected, word,
 };
 pub use execution::Execution;
 pub use list::{Change, List, ListFault, ListSettings, ListTruth};
--- a/components/standin/tests/engine_faults.rs
+++ b/components/standin/tests/engine_faults.rs
@@ -8,10 +8,10 @@
     LIMIT, any, begin, completion, fault, load, order, quick, read, ready, request_id, truth,
     until, whole,
 };
-use platform::{Endpoint, EndpointError, HttpEndpoint, OrderKind, ReplicaPhase};
-use standin::{
-    CacheChange, CacheEvents, Engine, EngineFault, EngineSettings, EngineTruth, LoadPhase,
+use platform::{
+    CacheChange, CacheEvents, Endpoint, EndpointError, HttpEndpoint, OrderKind, ReplicaPhase,
 };
+use standin::{Engine, EngineFault, EngineSettings, EngineTruth, LoadPhase};
 use units::{Incarnation, Span};
 
 /// Far longer than a step takes when nothing is wrong.
@@ -167,9 +167,7 @@
         let answer = begin(&endpoint, id, &completion("a", prompt, 1)).await.expect("taken");
         assert!(read(answer).await.1);
     }
-    let client = web::Client::default();
-    let told = client.get(engine.addr, "/v1/cache-events?from=1", LIMIT).await;
-    let told: CacheEvents = told.expect("events");
+    let told = endpoint.cache_events(1).await.expect("events");
     let seqs: Vec<u64> = told.events.iter().map(|event| event.seq).collect();
     assert_eq!((seqs, told.next), (vec![2, 3], 4));
     assert_eq!(told.events[1].change, CacheChange::Evicted);
@@ -179,10 +177,10 @@
 #[tokio::test]
 async fn can_tell_of_cached_prefixes_late() {
     let settings = EngineSettings { cache_lag: Span::secs(600), ..quick() };
-    let (engine, endpoint) = ready(settings, "a").await;
+    let (_engine, endpoint) = ready(settings, "a").await;
     let answer = begin(&endpoint, "r1", &completion("a", "one", 1)).await.expect("taken");
     assert!(read(answer).await.1);
-    let told = web::Client::default().get(engine.addr, "/v1/cache-events?from=1", LIMIT).await;
+    let told = endpoint.cache_events(1).await;
     assert_eq!(told.ok(), Some(CacheEvents { next: 1, events: Vec::new() }));
 }
 
