--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -15,6 +15,7 @@
 
 use crate::Settings;
 use crate::authority::Authority;
+use crate::cache::Caches;
 use crate::desk::Desk;
 use crate::run::Edges;
 use crate::table::{RequestTable, TableLimits};
@@ -34,6 +35,7 @@
     pub(crate) nudge: Notify,
     table: Mutex<RequestTable>,
     desk: Mutex<Desk>,
+    caches: Mutex<Caches>,
 }
 
 impl Agent {
@@ -64,6 +66,7 @@
             nudge: Notify::new(),
             table: Mutex::new(RequestTable::new(limits)),
             desk,
+            caches: Mutex::default(),
         }
     }
 
@@ -81,8 +84,19 @@
 
     /// What the agent says of a model on an answer.
     pub(crate) fn report(&self, model: Option<&ModelName>) -> Report {
-        let report = model.map(|model| self.desk().report(model)).unwrap_or_default();
-        Report { tick: self.recorder.clock().tick(), ..report }
+        let tick = self.recorder.clock().tick();
+        let Some(model) = model else { return Report { tick, ..Report::default() } };
+        let (report, service) = {
+            let desk = self.desk();
+            (desk.report(model), desk.service(model))
+        };
+        let prefixes = service.and_then(|(artifact, took)| self.caches().news(&artifact, took));
+        Report { tick, prefixes, ..report }
+    }
+
+    /// What is known of the engine's prefix caches.
+    pub(crate) fn caches(&self) -> MutexGuard<'_, Caches> {
+        self.caches.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn incarnation(&self) -> Incarnation {
--- a/components/agent/src/desk.rs
+++ b/components/agent/src/desk.rs
@@ -178,6 +178,12 @@
         replica.report(self.wait(replica, replica.queue.len()))
     }
 
+    /// The loaded artifact that serves a model, and how long a request runs there.
+    pub(crate) fn service(&self, model: &ModelName) -> Option<(ModelName, Duration)> {
+        let replica = self.serving(model).filter(|replica| replica.phase == Phase::Ready)?;
+        Some((replica.artifact.clone(), replica.service.get().unwrap_or_default()))
+    }
+
     /// Notes that a running request has ended.
     pub(crate) fn finish(
         &mut self,
--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -157,6 +157,9 @@
                 (Kind::Unloaded, artifact, format!("load failed: {cause}"))
             }
         };
+        if !matches!(change, Change::Loaded(_)) {
+            self.agent.caches().forget(artifact);
+        }
         let name = match change {
             Change::Loaded(_) => "loaded",
             Change::Unloaded(_) => "unloaded",
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod attach;
 mod authority;
+mod cache;
 mod desk;
 mod dispatch;
 mod drain;
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -315,6 +315,7 @@
             awake,
             wait: round(wait),
             tick: timeline::Tick::default(),
+            prefixes: None,
         }
     }
 }
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -15,7 +15,7 @@
 
 use crate::agent::Agent;
 use crate::table::SWEEP;
-use crate::{EndpointKind, Settings, attach, dispatch, drain, keeper, status, wake};
+use crate::{EndpointKind, Settings, attach, cache, dispatch, drain, keeper, status, wake};
 
 /// The edges of the process.
 #[derive(Clone)]
@@ -112,6 +112,7 @@
             EndpointKind::Engine => {
                 let (sender, seen) = watch::channel(None);
                 tasks.spawn(keeper::follow_inventory(agent.clone(), sender));
+                tasks.spawn(cache::follow(agent.clone()));
                 keeper::run(agent.clone(), seen).await
             }
             EndpointKind::Service => keeper::watch_takeover(agent).await,
--- a/components/agent/src/run/tests/engine.rs
+++ b/components/agent/src/run/tests/engine.rs
@@ -11,7 +11,8 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use platform::{
-    CacheTier, Endpoint, EndpointError, Inventory, Loaded, Order, OrderKind, ReplicaPhase, Usage,
+    CacheEvent, CacheEvents, CacheTier, Endpoint, EndpointError, Inventory, Loaded, Order,
+    OrderKind, ReplicaPhase, Usage,
 };
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -122,6 +123,7 @@
     runs: HashMap<RequestId, Arc<Run>>,
     faults: Faults,
     truth: Truth,
+    cache_events: Vec<CacheEvent>,
 }
 
 #[derive(Debug)]
@@ -148,6 +150,7 @@
             runs: HashMap::new(),
             faults: Faults::default(),
             truth: Truth::default(),
+            cache_events: Vec::new(),
         };
         Self(Arc::new(Shared { core: Mutex::new(core), changed: Notify::new() }))
     }
@@ -160,6 +163,11 @@
         change(&mut self.core().faults);
     }
 
+    /// Tells of more cache events from now on.
+    pub(crate) fn tell(&self, events: Vec<CacheEvent>) {
+        self.core().cache_events.extend(events);
+    }
+
     pub(crate) fn truth(&self) -> Truth {
         self.core().truth.clone()
     }
@@ -424,6 +432,13 @@
         Ok(Usage { running: 0, waiting: 0, age: Span::secs(0) })
     }
 
+    async fn cache_events(&self, from: u64) -> Result<CacheEvents, EndpointError> {
+        let events = self.core().cache_events.clone();
+        let told = events.into_iter().filter(|event| event.seq >= from).collect::<Vec<_>>();
+        let next = told.last().map_or(from, |event| event.seq + 1);
+        Ok(CacheEvents { next, events: told })
+    }
+
     async fn call(
         &self,
         id: &RequestId,
--- a/components/agent/src/run/tests/service.rs
+++ b/components/agent/src/run/tests/service.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use http::{Request, Response};
-use platform::{Endpoint, EndpointError, Inventory, Order, Usage};
+use platform::{CacheEvents, Endpoint, EndpointError, Inventory, Order, Usage};
 use process::Phase;
 use rstest::rstest;
 use serde_json::json;
@@ -45,6 +45,10 @@
         Err(EndpointError::Refused("none".to_owned()))
     }
 
+    async fn cache_events(&self, _from: u64) -> Result<CacheEvents, EndpointError> {
+        panic!("a plain service has no cache events")
+    }
+
     async fn call(
         &self,
         id: &RequestId,
--- a/components/agent/src/run/tests/serving.rs
+++ b/components/agent/src/run/tests/serving.rs
@@ -1,10 +1,11 @@
 //! The way of a request: queue, load, call, answer, resume, and the unload once it is idle.
 
+use platform::{CacheChange, CacheEvent, PrefixHash};
 use timeline::Tick;
 use units::{Incarnation, Span};
 use wire::{Dispatch, End, Refusal, Resume, UnknownCause};
 
-use super::world::{Answer, World, pause, until};
+use super::world::{Answer, World, id, pause, until};
 use crate::replica::Phase;
 
 const WHOLE: &str = "t0 t1 t2 t3 ";
@@ -25,6 +26,29 @@
     until(|| running.phase_of("page-text@v1") == Some(Phase::Cold)).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_tell_with_each_answer_what_the_engine_has_cached_until_it_unloads() {
+    let world = World::new();
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let told = async |request| {
+        let answer = running.dispatch(&running.head(request)).await.expect("an answer");
+        let Answer::Served { report, .. } = answer else { panic!("{answer:?}") };
+        report.prefixes.map(|news| (news.gaps, String::from(news.changes)))
+    };
+    assert_eq!(told("r-1").await, None);
+    let (artifact, prefix) = (id("page-text@v1"), PrefixHash(7 << 32));
+    let stored = CacheEvent { seq: 5, artifact, prefix, change: CacheChange::Stored };
+    world.engine.tell(vec![stored.clone()]);
+    pause(3_000).await;
+    assert_eq!(told("r-2").await, Some((0, "+00000007".to_owned())));
+    world.engine.tell(vec![CacheEvent { seq: 9, ..stored }]);
+    pause(3_000).await;
+    assert_eq!(told("r-3").await, Some((1, "+00000007".to_owned())), "after a gap");
+    until(|| running.phase_of("page-text@v1") == Some(Phase::Cold)).await;
+    assert_eq!(told("r-4").await, None, "what was cached is gone with the replica");
+}
+
 #[tokio::test(start_paused = true)]
 async fn errors_without_a_grant() {
     let world = World::new();
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{Request, header};
-use platform::PRIORITY_HEADER;
+use platform::{PRIORITY_HEADER, PrefixHash};
 use process::Phase;
 use serde_json::value::RawValue;
 use timeline::Kind;
@@ -17,7 +17,7 @@
 use wire::{Dispatch, Refusal, UnknownCause};
 
 use crate::agent::Agent;
-use crate::slot::Slot;
+use crate::slot::{Progress, Slot};
 use crate::stream::{self, CopyEnd};
 
 /// A call that may not be repeated runs on for this long after its deadline, before its outcome is given up.
@@ -58,7 +58,8 @@
         let adapter = job.head.adapter.as_ref();
         let mut turn = Turn { agent: &agent, artifact: &artifact, adapter, took: None };
         let began = Instant::now();
-        let whole = call(&agent, &job, &artifact).await;
+        let (whole, ()) =
+            tokio::join!(call(&agent, &job, &artifact), time(&agent, &job, &artifact));
         turn.took = whole.then(|| began.elapsed());
     }
     agent.record(Kind::Answered, |event| {
@@ -131,6 +132,19 @@
     }
 }
 
+/// Learns how long the first part of a streamed answer takes with and without a cached prefix.
+async fn time(agent: &Agent, job: &Job, artifact: &ModelName) {
+    let prefix = job.head.model.as_ref().and_then(|_| PrefixHash::of_body(&job.body));
+    let Some(prefix) = prefix else { return };
+    let hit = agent.caches().has(artifact, prefix);
+    let began = Instant::now();
+    if let Progress::Bytes(head, _) = job.slot.next(0).await
+        && head.is_stream()
+    {
+        agent.caches().note_first(artifact, hit, began.elapsed());
+    }
+}
+
 /// Waits until a running request must be given up.
 async fn stop(agent: &Agent, job: &Job) -> UnknownCause {
     let last = if job.head.repeatable { job.deadline } else { job.deadline + RUN_ON };
--- a/components/agent/src/slot.rs
+++ b/components/agent/src/slot.rs
@@ -36,6 +36,14 @@
     pub(crate) content: Option<HeaderValue>,
 }
 
+impl AnswerHead {
+    /// Whether the answer comes as a stream of events.
+    pub(crate) fn is_stream(&self) -> bool {
+        let content = self.content.as_ref().and_then(|content| content.to_str().ok());
+        content.is_some_and(|content| content.starts_with("text/event-stream"))
+    }
+}
+
 /// An answer as far as it is here.
 #[derive(Debug)]
 pub(crate) struct Answer {
--- a/components/wire/src/dispatch.rs
+++ b/components/wire/src/dispatch.rs
@@ -8,7 +8,7 @@
 use tree::Class;
 use units::{AdapterName, CallerGroup, Incarnation, InstanceId, ModelName, RequestId, Span};
 
-use crate::{Refusal, UnknownCause};
+use crate::{PrefixNews, Refusal, UnknownCause};
 
 /// The path of a dispatch.
 pub const DISPATCH_PATH: &str = "/dispatch";
@@ -80,6 +80,9 @@
     pub wait: Span,
     /// The sender's logical clock.
     pub tick: Tick,
+    /// News of the model's prompt prefixes in the engine's cache, if the engine tells of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prefixes: Option<PrefixNews>,
 }
 
 /// How the stream of an answer ended; a stream with no end was cut.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod dispatch;
 mod outcome;
+mod prefixes;
 
 pub use control::{Control, Demand, Reply};
 pub use dispatch::{
@@ -15,3 +16,4 @@
     refusal_response,
 };
 pub use outcome::{Outcome, Refusal, UnknownCause};
+pub use prefixes::{PrefixChange, PrefixList, PrefixNews};
