--- a/components/entry/src/flight.rs
+++ b/components/entry/src/flight.rs
@@ -70,7 +70,7 @@
     pub(crate) fn new(core: Arc<Core>, call: Call, messages: mpsc::Sender<Message>) -> Self {
         let allowed = call.allowed();
         let reserve = (allowed / RESERVE_PART).clamp(RESERVE_LEAST, RESERVE_MOST).min(allowed / 2);
-        let prefix = call.model().and_then(|_| Prefix::of(&call.leaf.path, &call.body));
+        let prefix = call.model().and_then(|model| Prefix::of(&model, &call.body));
         Self {
             cutoff: call.deadline - reserve,
             core,
@@ -188,7 +188,7 @@
     /// Notes which endpoint has the request's prefix in its cache.
     pub(crate) fn note_prefix(&self, endpoint: &EndpointId) {
         if let Some(prefix) = self.prefix {
-            self.core.prefixes.note(prefix, endpoint);
+            self.core.prefixes.note_own(prefix, &self.place(endpoint));
         }
     }
 
@@ -217,13 +217,11 @@
             .collect();
         let choices: Vec<Choice> =
             open.iter().zip(&loads).map(|(candidate, load)| self.choice(candidate, load)).collect();
-        let cached = self.prefix.and_then(|prefix| self.core.prefixes.get(prefix));
         let known = loads.iter().filter_map(|load| load.awake).max().unwrap_or(1).max(1);
         let policy = Policy {
             awake: open.iter().filter(|candidate| candidate.index < known).count(),
             packed: self.call.leaf.kind != NodeKind::Service,
             batch: self.call.leaf.settings.batch,
-            cached: cached.as_ref(),
             probes: self.call.repeatable,
         };
         let at = pick(&choices, &policy, &mut rand::rng())?;
@@ -231,6 +229,7 @@
     }
 
     fn choice(&self, candidate: &Candidate, load: &Load) -> Choice {
+        let place = self.place(&candidate.endpoint);
         let admission = self.core.breakers.admission(&candidate.endpoint);
         Choice {
             endpoint: candidate.endpoint.clone(),
@@ -238,6 +237,7 @@
             requests: load.requests,
             lasting: load.lasting,
             admission: if load.held { Admission::Open } else { admission },
+            saves: self.prefix.map_or(0.0, |prefix| self.core.prefixes.saves(prefix, &place)),
         }
     }
 
--- a/components/entry/src/load.rs
+++ b/components/entry/src/load.rs
@@ -159,7 +159,7 @@
 }
 
 /// What news of an age counts.
-fn weight(age: Duration, half_life: Duration) -> f64 {
+pub(crate) fn weight(age: Duration, half_life: Duration) -> f64 {
     0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
 }
 
--- a/components/entry/src/pick.rs
+++ b/components/entry/src/pick.rs
@@ -11,8 +11,6 @@
 /// How full the first replicas may be, as a share of their batches, before requests spread to the next:
 /// replicas that are not needed get no request, fall idle and free their accelerator.
 const PACKED: f64 = 0.625;
-/// How much busier an endpoint with the request's prefix in its cache may be, as a share of the batch.
-const CACHED: f64 = 0.5;
 
 /// One endpoint to choose from.
 #[derive(Debug, Clone, PartialEq)]
@@ -25,42 +23,38 @@
     /// The same, as an upper estimate.
     pub(crate) lasting: f64,
     pub(crate) admission: Admission,
+    /// What a prefix that is probably cached there saves, as a share of the time that a request runs.
+    pub(crate) saves: f64,
 }
 
 /// How to choose.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Policy<'a> {
+pub(crate) struct Policy {
     /// How many choices, from the first on, are awake; all requests go to the first while none is.
     pub(crate) awake: usize,
     /// Whether requests stay at the first replicas that have room for them.
     pub(crate) packed: bool,
     /// How many requests one replica runs at the same time.
     pub(crate) batch: u32,
-    /// The endpoint that served the request's prefix last.
-    pub(crate) cached: Option<&'a EndpointId>,
     /// Whether the request may serve as the probe of an ejected endpoint.
     pub(crate) probes: bool,
 }
 
 /// Chooses one: the first of a cold model, else the cheapest of two near ones and a far one.
-pub(crate) fn pick(choices: &[Choice], policy: &Policy<'_>, rng: &mut impl Rng) -> Option<usize> {
+pub(crate) fn pick(choices: &[Choice], policy: &Policy, rng: &mut impl Rng) -> Option<usize> {
     let open = admitted(choices, policy);
     let awake: Vec<usize> = open.iter().copied().filter(|&at| at < policy.awake).collect();
     if awake.is_empty() {
         return open.first().copied();
     }
     let awake = if policy.packed { needed(choices, &awake, policy) } else { awake };
-    let sampled = sample(choices, &awake, rng);
-    let best = cheapest(choices, &sampled, policy)?;
-    let cached = awake.iter().copied().find(|&at| Some(&choices[at].endpoint) == policy.cached);
-    let Some(cached) = cached else { return Some(best) };
-    let room = CACHED * f64::from(policy.batch);
-    let worth = cost(&choices[cached], policy) <= cost(&choices[best], policy) + room;
-    Some(if worth { cached } else { best })
+    let mut sampled = sample(choices, &awake, rng);
+    sampled.extend(awake.iter().filter(|&&at| choices[at].saves > 0.0));
+    cheapest(choices, &sampled, policy)
 }
 
 /// The choices that are not ejected; all of them if each one is, since a refusal helps nobody.
-fn admitted(choices: &[Choice], policy: &Policy<'_>) -> Vec<usize> {
+fn admitted(choices: &[Choice], policy: &Policy) -> Vec<usize> {
     let every = 0..choices.len();
     let open = every.clone().filter(|&at| match choices[at].admission {
         Admission::Closed | Admission::Overdue => true,
@@ -72,7 +66,7 @@
 }
 
 /// The fewest of the awake replicas, from the first on, that have room for one request more.
-fn needed(choices: &[Choice], awake: &[usize], policy: &Policy<'_>) -> Vec<usize> {
+fn needed(choices: &[Choice], awake: &[usize], policy: &Policy) -> Vec<usize> {
     let room = PACKED * f64::from(policy.batch);
     let mut free = 0.0;
     let mut chosen = Vec::new();
@@ -106,15 +100,17 @@
     from
 }
 
-fn cheapest(choices: &[Choice], sampled: &[usize], policy: &Policy<'_>) -> Option<usize> {
+fn cheapest(choices: &[Choice], sampled: &[usize], policy: &Policy) -> Option<usize> {
     let costs = sampled.iter().map(|&at| (at, cost(&choices[at], policy)));
     costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
-/// Requests ahead, with the way there counted as requests.
-fn cost(choice: &Choice, policy: &Policy<'_>) -> f64 {
-    let way = if choice.near { 0.0 } else { FAR * f64::from(policy.batch) };
-    choice.requests + way
+/// Requests ahead, with the way there counted as requests, and so is the time that a cached prefix saves: a
+/// whole batch ahead is a wait of one request's time, so no wait is longer by more than what is saved.
+fn cost(choice: &Choice, policy: &Policy) -> f64 {
+    let batch = f64::from(policy.batch);
+    let way = if choice.near { 0.0 } else { FAR * batch };
+    choice.requests + way - choice.saves * batch
 }
 
 #[cfg(test)]
--- a/components/entry/src/pick/tests.rs
+++ b/components/entry/src/pick/tests.rs
@@ -14,11 +14,12 @@
         requests,
         lasting: requests,
         admission: Admission::Closed,
+        saves: 0.0,
     }
 }
 
-fn policy(awake: usize) -> Policy<'static> {
-    Policy { awake, packed: false, batch: 8, cached: None, probes: true }
+fn policy(awake: usize) -> Policy {
+    Policy { awake, packed: false, batch: 8, probes: true }
 }
 
 fn rng(seed: u64) -> SmallRng {
@@ -44,12 +45,14 @@
 
 #[test]
 fn can_prefer_a_cached_prefix_within_reason() {
-    let choices = [choice(0, true, 0.0), choice(1, true, 3.0)];
-    let cached = choices[1].endpoint.clone();
-    let with_cache = Policy { cached: Some(&cached), ..policy(2) };
-    assert_eq!(pick(&choices, &with_cache, &mut rng(1)), Some(1));
-    let busy = [choice(0, true, 0.0), choice(1, true, 9.0)];
-    assert_eq!(pick(&busy, &with_cache, &mut rng(1)), Some(0));
+    let cached = |requests| Choice { saves: 0.5, ..choice(1, true, requests) };
+    for seed in 0..50 {
+        let others = [choice(0, true, 0.0), choice(2, true, 0.0), choice(3, false, 0.0)];
+        let near = [&others[..], &[cached(3.0)]].concat();
+        assert_eq!(pick(&near, &policy(4), &mut rng(seed)), Some(3), "though it is not drawn");
+        let busy = [&others[..], &[cached(4.5)]].concat();
+        assert_ne!(pick(&busy, &policy(4), &mut rng(seed)), Some(3));
+    }
 }
 
 #[test]
@@ -77,7 +80,7 @@
 }
 
 /// The fewest replicas whose load together is below five eighths of their batches.
-fn naive_needed(choices: &[Choice], awake: &[usize], policy: &Policy<'_>) -> Vec<usize> {
+fn naive_needed(choices: &[Choice], awake: &[usize], policy: &Policy) -> Vec<usize> {
     let has_room = |count: &usize| {
         let load: f64 = awake[..*count].iter().map(|&at| choices[at].lasting).sum();
         load < 0.625 * f64::from(policy.batch) * *count as f64
@@ -87,7 +90,7 @@
 }
 
 /// The endpoints that a plain reading of the rules allows, whatever the dice say.
-fn naive(choices: &[Choice], policy: &Policy<'_>) -> Vec<usize> {
+fn naive(choices: &[Choice], policy: &Policy) -> Vec<usize> {
     let is_open = |choice: &Choice| {
         matches!(choice.admission, Admission::Closed | Admission::Overdue)
             || choice.admission == Admission::Probe && policy.probes
@@ -102,8 +105,9 @@
     }
     let awake = if policy.packed { naive_needed(choices, &awake, policy) } else { awake };
     let far = f64::from(policy.batch) * FAR;
-    let cost = |at: usize| choices[at].requests + if choices[at].near { 0.0 } else { far };
-    let is_cached = |at: usize| Some(&choices[at].endpoint) == policy.cached;
+    let saved = |at: usize| f64::from(policy.batch) * choices[at].saves;
+    let way = |at: usize| if choices[at].near { 0.0 } else { far };
+    let cost = |at: usize| choices[at].requests + way(at) - saved(at);
     let near = awake.iter().filter(|&&at| choices[at].near).count();
     let rank = |at: usize, same_side: bool| {
         let others = awake.iter().filter(|&&other| other != at);
@@ -132,15 +136,10 @@
         let beaten = other.iter().filter(|&&other| other >= cost(at)).count();
         wins_side && beaten >= other_drawn
     };
-    let best: Vec<usize> = awake.iter().copied().filter(|&at| may_win(at)).collect();
-    let Some(cached) = awake.iter().copied().find(|&at| is_cached(at)) else { return best };
-    let room = CACHED * f64::from(policy.batch);
-    let mut allowed: Vec<usize> =
-        best.iter().copied().filter(|&at| cost(cached) > cost(at) + room).collect();
-    if best.iter().any(|&at| cost(cached) <= cost(at) + room) {
-        allowed.push(cached);
-    }
-    allowed
+    // Those with the prefix in their cache are all looked at, whatever is drawn.
+    let cached = awake.iter().copied().filter(|&at| choices[at].saves > 0.0);
+    let least = cached.map(cost).fold(f64::INFINITY, f64::min);
+    awake.iter().copied().filter(|&at| may_win(at) && cost(at) <= least).collect()
 }
 
 /// A fixed seed and enough cases, unless the environment asks for others.
@@ -153,8 +152,8 @@
     ProptestConfig { cases: asked.cases.max(2000), rng_seed, failure_persistence: None, ..asked }
 }
 
-fn any_choice() -> impl Strategy<Value = (bool, u8, u8)> {
-    (any::<bool>(), 0..20_u8, 0..6_u8)
+fn any_choice() -> impl Strategy<Value = (bool, u8, u8, u8)> {
+    (any::<bool>(), 0..20_u8, 0..6_u8, 0..8_u8)
 }
 
 proptest! {
@@ -164,7 +163,6 @@
     fn can_choose_only_what_a_naive_reading_allows(
         raw in proptest::collection::vec(any_choice(), 0..8),
         awake in 0..9_usize,
-        cached in proptest::option::of(0..8_usize),
         packed: bool,
         probes: bool,
         seed: u64,
@@ -172,7 +170,8 @@
         let choices: Vec<Choice> = raw
             .iter()
             .enumerate()
-            .map(|(name, &(near, requests, admission))| Choice {
+            .map(|(name, &(near, requests, admission, saves))| Choice {
+                saves: f64::from(saves.saturating_sub(3)) / 8.0,
                 admission: match admission {
                     0 => Admission::Open,
                     1 => Admission::Probe,
@@ -182,13 +181,21 @@
                 ..choice(name, near, f64::from(requests))
             })
             .collect();
-        let cached = cached.and_then(|at| choices.get(at)).map(|choice| choice.endpoint.clone());
-        let policy = Policy { awake, packed, batch: 8, cached: cached.as_ref(), probes };
+        let policy = Policy { awake, packed, batch: 8, probes };
         let allowed = naive(&choices, &policy);
         match pick(&choices, &policy, &mut rng(seed)) {
             None => prop_assert!(choices.is_empty()),
             Some(at) => prop_assert!(allowed.contains(&at), "{at} is not of {allowed:?}"),
         }
+        let blind: Vec<Choice> =
+            choices.iter().map(|choice| Choice { saves: 0.0, ..choice.clone() }).collect();
+        let (chosen, plain) =
+            (pick(&choices, &policy, &mut rng(seed)), pick(&blind, &policy, &mut rng(seed)));
+        if let (Some(chosen), Some(plain)) = (chosen, plain) {
+            let ahead = cost(&blind[chosen], &policy) - cost(&blind[plain], &policy);
+            let saved = (choices[chosen].saves - choices[plain].saves) * 8.0;
+            prop_assert!(ahead <= saved, "{ahead} requests more to wait for, {saved} saved");
+        }
     }
 
     #[test]
--- a/components/entry/src/pick/tests/spread.rs
+++ b/components/entry/src/pick/tests/spread.rs
@@ -96,7 +96,7 @@
         if Instant::now() >= end {
             return;
         }
-        let policy = Policy { awake: REPLICAS, packed, batch: BATCH, cached: None, probes: true };
+        let policy = Policy { awake: REPLICAS, packed, batch: BATCH, probes: true };
         let choices: Vec<Choice> = (0..REPLICAS).map(|at| choice(&loads, at)).collect();
         let at = pick(&choices, &policy, &mut rng).expect("there are replicas");
         let service = exponential(&mut rng, SERVICE);
@@ -131,6 +131,7 @@
         requests: load.requests,
         lasting: load.lasting,
         admission: Admission::Closed,
+        saves: 0.0,
     }
 }
 
--- a/components/entry/src/prefix/tests.rs
+++ b/components/entry/src/prefix/tests.rs
@@ -1,19 +1,39 @@
+use units::EndpointId;
+use wire::PrefixList;
+
 use super::*;
 
-fn body(prompt: &str) -> Bytes {
-    serde_json::json!({ "model": "page-text", "prompt": prompt }).to_string().into()
+fn model() -> ModelName {
+    "page-text".parse().expect("a model name")
+}
+
+fn place(number: usize) -> Place {
+    let endpoint: EndpointId = format!("likhari-{number}").parse().expect("an endpoint id");
+    Place { endpoint, model: model() }
+}
+
+fn of(prompt: &str) -> Option<Prefix> {
+    let body = serde_json::json!({ "model": "page-text", "prompt": prompt }).to_string();
+    Prefix::of(&model(), body.as_bytes())
+}
+
+fn news(upto: u64, gaps: u64, changes: &str) -> Report {
+    let changes = PrefixList::try_from(changes.to_owned()).expect("a list");
+    let news = PrefixNews { epoch: 1, upto, gaps, changes, saved: 400, ..PrefixNews::default() };
+    Report { warm: true, prefixes: Some(news), ..Report::default() }
 }
 
-fn leaf() -> NodePath {
-    "/likhari/page-text".parse().expect("a path")
+/// What the prefix saves at the first place, in thousandths.
+fn saves(prefixes: &Prefixes, prefix: u32) -> u32 {
+    (prefixes.saves(Prefix::new(&model(), prefix), &place(0)) * 1000.0).round() as u32
 }
 
 #[test]
 fn can_see_equal_starts() {
     let start = "once upon a time ".repeat(30);
-    let first = Prefix::of(&leaf(), &body(&format!("{start} a fox")));
-    let second = Prefix::of(&leaf(), &body(&format!("{start} a hen")));
-    let other = Prefix::of(&leaf(), &body(&format!("not {start}")));
+    let first = of(&format!("{start} a fox"));
+    let second = of(&format!("{start} a hen"));
+    let other = of(&format!("not {start}"));
     assert!(first.is_some());
     assert_eq!(first, second);
     assert_ne!(first, other);
@@ -21,20 +41,51 @@
 
 #[test]
 fn can_leave_short_prompts_alone() {
-    assert_eq!(Prefix::of(&leaf(), &body("hello")), None);
-    assert_eq!(Prefix::of(&leaf(), &Bytes::from("no json")), None);
+    assert_eq!(of("hello"), None);
+    assert_eq!(Prefix::of(&model(), b"no json"), None);
 }
 
 #[test]
 fn can_stay_bounded() {
     let prefixes = Prefixes::default();
-    let endpoint: EndpointId = "likhari-0".parse().expect("an endpoint id");
     for digest in 0..5 * KEPT as u64 {
-        prefixes.note(Prefix(digest), &endpoint);
+        prefixes.note_own(Prefix(digest), &place(0));
     }
-    let kept = prefixes.kept.lock().expect("unpoisoned");
+    let kept = prefixes.lock();
     assert!(kept.young.len() + kept.old.len() <= 2 * KEPT);
     drop(kept);
-    assert_eq!(prefixes.get(Prefix(5 * KEPT as u64 - 1)), Some(endpoint));
-    assert_eq!(prefixes.get(Prefix(0)), None);
+    assert!(prefixes.saves(Prefix(5 * KEPT as u64 - 1), &place(0)) > 0.0);
+    assert!(prefixes.saves(Prefix(0), &place(0)) == 0.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_weigh_news_by_its_age_its_gaps_and_what_was_missed() {
+    let prefixes = Prefixes::default();
+    prefixes.note(&place(0), &news(2, 0, "+00000001+00000002"));
+    assert_eq!((saves(&prefixes, 1), saves(&prefixes, 3)), (400, 0));
+    prefixes.note(&place(0), &news(3, 0, "+00000002-00000001"));
+    assert_eq!((saves(&prefixes, 1), saves(&prefixes, 2)), (0, 400), "evicted");
+    prefixes.note(&place(0), &news(2, 0, "+00000001"));
+    assert_eq!(saves(&prefixes, 1), 0, "an answer that was overtaken says nothing");
+    prefixes.note(&place(0), &news(4, 1, "+00000004"));
+    assert_eq!((saves(&prefixes, 2), saves(&prefixes, 4)), (200, 400), "the engine lost events");
+    prefixes.note(&place(0), &news(9, 1, "+00000009"));
+    assert_eq!((saves(&prefixes, 4), saves(&prefixes, 9)), (200, 400), "answers went elsewhere");
+    tokio::time::advance(HALF_LIFE).await;
+    assert_eq!((saves(&prefixes, 9), saves(&prefixes, 2)), (200, 50));
+}
+
+#[test]
+fn can_forget_a_model_that_was_unloaded() {
+    let prefixes = Prefixes::default();
+    let own = Prefix::new(&model(), 7);
+    prefixes.note(&place(0), &news(1, 0, "+00000001"));
+    prefixes.note_own(own, &place(0));
+    assert_eq!((saves(&prefixes, 1), saves(&prefixes, 7)), (400, 400));
+    let mut again = news(1, 0, "+00000002");
+    again.prefixes.as_mut().expect("news").epoch = 2;
+    prefixes.note(&place(0), &again);
+    assert_eq!([1, 2, 7].map(|prefix| saves(&prefixes, prefix)), [0, 400, 0]);
+    prefixes.note(&place(0), &Report::default());
+    assert_eq!(saves(&prefixes, 2), 0);
 }
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -119,7 +119,9 @@
         let (parts, mut body) = response.into_parts();
         if let Ok(report) = Report::read(&parts.headers) {
             self.core.recorder.clock().observe(report.tick);
-            self.core.loads.note(&self.place(&target.endpoint), &report);
+            let place = self.place(&target.endpoint);
+            self.core.loads.note(&place, &report);
+            self.core.prefixes.note(&place, &report);
         }
         let head = AnswerHead {
             status: parts.status,
