--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -67,12 +67,10 @@
             .collect();
         let choices: Vec<Choice> =
             open.iter().map(|(candidate, load)| self.choice(candidate, load)).collect();
-        let cached = self.learned.prefix.and_then(|prefix| self.core.prefixes.get(prefix));
         let policy = Policy {
             awake: open.iter().filter(|(candidate, _)| candidate.index < awake).count(),
             packed: self.is_for_model(),
             batch: self.call.leaf.settings.batch,
-            cached: cached.as_ref(),
             probes: self.call.repeatable,
         };
         let at = pick(&choices, &policy, &mut rand::rng())?;
@@ -94,7 +92,7 @@
     /// Notes which endpoint has the request's prefix in its cache.
     pub(crate) fn note_prefix(&self, endpoint: &EndpointId) {
         if let Some(prefix) = self.learned.prefix {
-            self.core.prefixes.note(prefix, endpoint);
+            self.core.prefixes.note_own(prefix, &self.place(endpoint));
         }
     }
 
@@ -147,6 +145,8 @@
     }
 
     fn choice(&self, candidate: &Candidate, load: &Load) -> Choice {
+        let place = self.place(&candidate.endpoint);
+        let saves = self.learned.prefix.map(|prefix| self.core.prefixes.saves(prefix, &place));
         let admission = self.core.breakers.admission(&candidate.endpoint);
         Choice {
             endpoint: candidate.endpoint.clone(),
@@ -154,6 +154,7 @@
             requests: load.requests,
             lasting: load.lasting,
             admission: if load.held { Admission::Open } else { admission },
+            saves: saves.unwrap_or_default(),
         }
     }
 
