--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 CASES ?= 20000
 SEED ?= 1
 
-.PHONY: help setup build try test lint bench bench-entry fuzz
+.PHONY: help setup build try test lint bench bench-affinity bench-entry fuzz
 
 help:
 	@echo "make setup   install what the build needs (cmake)"
@@ -18,6 +18,7 @@
 	@echo "make test    run all tests"
 	@echo "make lint    check format and lints"
 	@echo "make bench   measure overhead and goodput, beside the last result"
+	@echo "make bench-affinity   measure what cached prompt prefixes save"
 	@echo "make bench-entry   measure what an entry adds to a call"
 	@echo "make fuzz    run the property tests with many more cases (CASES, SEED)"
 
@@ -41,6 +42,10 @@
 	$(CARGO) build $(FLAGS) --release --workspace --bins
 	$(CARGO) run $(FLAGS) --release --quiet --bin hyssop-load -- bench
 
+bench-affinity: setup
+	$(CARGO) build $(FLAGS) --release --workspace --bins
+	$(CARGO) run $(FLAGS) --release --quiet --bin hyssop-load -- affinity
+
 bench-entry: setup
 	$(CARGO) build $(FLAGS) --release --bin hyssop-entry
 	$(CARGO) run $(FLAGS) --release --quiet -p entry --example overhead
--- a/components/entry/src/control/tests.rs
+++ b/components/entry/src/control/tests.rs
@@ -42,6 +42,7 @@
         dial: Arc::new(TcpDial),
         body_limit: Size::mib(1),
         in_flight: 100,
+        affinity: true,
     })
 }
 
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -57,6 +57,8 @@
     pub body_limit: Size,
     /// The most requests in flight.
     pub in_flight: u32,
+    /// Whether replicas that have a prompt's prefix in their cache are preferred.
+    pub affinity: bool,
 }
 
 /// An entry without its servers.
@@ -73,6 +75,7 @@
     pub(crate) budget: RetryBudget,
     pub(crate) limits: Limits,
     pub(crate) prefixes: Prefixes,
+    pub(crate) affinity: bool,
     pub(crate) tally: Tally,
     body_limit: usize,
     id_start: String,
@@ -110,6 +113,7 @@
             budget: RetryBudget::default(),
             limits: Limits::new(parts.in_flight),
             prefixes: Prefixes::default(),
+            affinity: parts.affinity,
             tally: Tally::default(),
             body_limit: usize::try_from(parts.body_limit.0).unwrap_or(usize::MAX),
             id_start: format!("{instance}-{boot:016x}"),
--- a/components/entry/src/flight.rs
+++ b/components/entry/src/flight.rs
@@ -65,7 +65,8 @@
     pub(crate) fn new(core: Arc<Core>, call: Call, messages: mpsc::Sender<Message>) -> Self {
         let allowed = call.allowed();
         let reserve = (allowed / RESERVE_PART).clamp(RESERVE_LEAST, RESERVE_MOST).min(allowed / 2);
-        let prefix = call.model().and_then(|model| Prefix::of(&model, &call.body));
+        let prefix =
+            call.model().filter(|_| core.affinity).and_then(|model| Prefix::of(&model, &call.body));
         Self {
             cutoff: call.deadline - reserve,
             core,
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -37,6 +37,7 @@
         dial: Arc::new(TcpDial),
         body_limit: settings.body_limit,
         in_flight: settings.in_flight,
+        affinity: settings.affinity,
     });
     let demand = DemandLog::default();
     serve_control(&settings, &process, core.clone()).await?;
--- a/components/entry/src/settings.rs
+++ b/components/entry/src/settings.rs
@@ -34,6 +34,9 @@
     /// How long the balancer may still send connections after a shutdown began.
     #[serde(default = "default_lag")]
     pub balancer_lag: Span,
+    /// Whether replicas that have a prompt's prefix in their cache are preferred.
+    #[serde(default = "default_affinity")]
+    pub affinity: bool,
     /// How long the planner lease may go without renewal before another entry claims it.
     #[serde(default = "default_lease")]
     pub lease: Span,
@@ -55,6 +58,10 @@
     Span::secs(3)
 }
 
+fn default_affinity() -> bool {
+    true
+}
+
 fn default_lease() -> Span {
     Span::secs(5)
 }
--- a/components/entry/tests/sessions/kit/world.rs
+++ b/components/entry/tests/sessions/kit/world.rs
@@ -132,6 +132,7 @@
             dial: Arc::new(net.clone()),
             body_limit: Size(4096),
             in_flight: 100,
+            affinity: true,
         });
         Self {
             log,
--- a/components/entry/tests/sessions/routing.rs
+++ b/components/entry/tests/sessions/routing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use wire::Report;
+
 use crate::kit::{Act, World, ask, id, report, service_call};
 
 #[tokio::test(start_paused = true)]
@@ -150,24 +152,57 @@
     assert_eq!(first.runs().len(), 2);
 }
 
+/// A request whose prompt starts like those of other pages.
+fn page(start: &str, page: usize) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    let prompt = format!("{}{page}", start.repeat(8));
+    let body = serde_json::json!({"model": "page-text", "prompt": prompt}).to_string();
+    let body = http_body_util::Full::from(body);
+    http::Request::post("/v1/completions").body(body).expect("a request")
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_follow_a_prompts_prefix_to_its_cache() {
     let mut world = World::new().await;
     let agents = [world.replica(0, "saddar").await, world.replica(1, "saddar").await];
     agents.iter().for_each(|agent| agent.set_report(report(0, 1, 2)));
-    let start = "the same long start of a picture book about a fox and a hen ".repeat(8);
-    for page in 0..20 {
-        let body = serde_json::json!({"model": "page-text", "prompt": format!("{start}{page}")});
-        let request = http::Request::post("/v1/completions")
-            .body(http_body_util::Full::from(body.to_string()))
-            .expect("a request");
-        world.call(request).await;
+    for number in 0..20 {
+        world
+            .call(page("the same long start of a picture book about a fox and a hen ", number))
+            .await;
     }
     let mut runs: Vec<usize> = agents.iter().map(|agent| agent.runs().len()).collect();
     runs.sort_unstable();
     assert_eq!(runs, [0, 20]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_follow_a_prefix_that_another_entry_has_had_cached_unless_it_is_too_busy_there() {
+    let start = "a start that only the engine knows of ";
+    let prefix = platform::PrefixHash::of(&start.repeat(8)).short();
+    let changes = wire::PrefixList(vec![wire::PrefixChange { prefix, stored: true }]);
+    let news = wire::PrefixNews { epoch: 1, upto: 1, saved: 500, changes, ..Default::default() };
+    let mut world = World::new().await;
+    let agents = [world.replica(0, "saddar").await, world.replica(1, "saddar").await];
+    let cached = |running| Report { prefixes: Some(news.clone()), ..report(0, running, 2) };
+    agents[0].set_report(report(0, 6, 2));
+    agents[1].set_report(cached(8));
+    let runs = || agents[1].runs().len();
+    for _ in 0..20 {
+        world.call(ask(&[])).await;
+    }
+    let plain = runs();
+    assert!(plain < 5, "the other one is less busy");
+    for number in 0..5 {
+        world.call(page(start, number)).await;
+    }
+    assert_eq!(runs(), plain + 5);
+    agents[1].set_report(cached(16));
+    for number in 0..5 {
+        world.call(page(start, number)).await;
+    }
+    assert_eq!(runs(), plain + 6, "one more, whose answer tells of the load");
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_spread_service_calls_over_all_members() {
     let mut world = World::new().await;
--- a/components/load/src/bench.rs
+++ b/components/load/src/bench.rs
@@ -177,7 +177,7 @@
     let clock = Clock::start();
     let fast = [("first_token", json!("0s")), ("token", json!("0s")), ("slots", json!(CALLERS))];
     let engine = fast.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
-    let layout = Layout { sample: Sample::Press, scale: SCALE, engine };
+    let layout = Layout { sample: Sample::Press, scale: SCALE, engine, blind: 0 };
     let site = Site::write(&layout, bin, logs)?;
     let mut fleet = Fleet::start(site, clock).await?;
     let measured = both_ways(bin, &fleet.site, clock).await;
--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -7,6 +7,7 @@
 use lexopt::{Arg, ValueExt};
 use thiserror::Error;
 
+use crate::affinity::{self, AffinityError};
 use crate::bench::{self, BenchError};
 use crate::run::{self, RunError};
 use crate::scale::{self, ScaleError};
@@ -19,6 +20,7 @@
 Usage: hyssop-load try [--deployment press|trust] [--bin DIR] [--out DIR]
        hyssop-load run EXPERIMENT.jsonc [--bin DIR] [--out DIR]
        hyssop-load bench [--bin DIR] [--out DIR]
+       hyssop-load affinity [--bin DIR] [--out DIR]
        hyssop-load scale [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
@@ -39,6 +41,7 @@
     Try(Trial),
     Run(run::Job),
     Bench(bench::Job),
+    Affinity(affinity::Job),
     Scale(scale::Job),
 }
 
@@ -49,9 +52,9 @@
     Argument(#[from] lexopt::Error),
     #[error(transparent)]
     Sample(#[from] UnknownSample),
-    #[error("no command; use `try`, `run`, `bench` or `scale`, or `--help`")]
+    #[error("no command; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
     NoCommand,
-    #[error("no command `{0}`; use `try`, `run`, `bench` or `scale`, or `--help`")]
+    #[error("no command `{0}`; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
     Unknown(String),
     #[error(
         "no experiment; name one, as in `hyssop-load run examples/experiments/log-outage.jsonc`"
@@ -67,6 +70,8 @@
     #[error(transparent)]
     Run(#[from] RunError),
     #[error(transparent)]
+    Affinity(#[from] AffinityError),
+    #[error(transparent)]
     Bench(#[from] BenchError),
     #[error(transparent)]
     Scale(#[from] ScaleError),
@@ -110,6 +115,8 @@
         "run" => parse_run(parser),
         "bench" => Ok(parse_folders(parser)?
             .map_or(Task::Help, |Folders { bin, out }| Task::Bench(bench::Job { bin, out }))),
+        "affinity" => Ok(parse_folders(parser)?
+            .map_or(Task::Help, |Folders { bin, out }| Task::Affinity(affinity::Job { bin, out }))),
         "scale" => Ok(parse_folders(parser)?
             .map_or(Task::Help, |Folders { bin, out }| Task::Scale(scale::Job { bin, out }))),
         _ => Err(UsageError::Unknown(command)),
@@ -173,6 +180,7 @@
         Task::Version => println!("hyssoplock {}", env!("CARGO_PKG_VERSION")),
         Task::Try(trial) => return Ok(runtime.block_on(trial::run(trial))?),
         Task::Run(job) => return Ok(runtime.block_on(run::run(job))?),
+        Task::Affinity(job) => runtime.block_on(affinity::run(job))?,
         Task::Bench(job) => runtime.block_on(bench::run(job))?,
         Task::Scale(job) => runtime.block_on(scale::run(job))?,
     }
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The system itself starts no processes; this tool does, on loopback, and ends only those it started.
 
+mod affinity;
 mod answer;
 mod bench;
 mod caller;
--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -122,6 +122,7 @@
         sample: experiment.deployment,
         scale: experiment.scale,
         engine: experiment.engine.clone(),
+        blind: 0,
     };
     let site = Site::write(&layout, bin, logs)?;
     let mut fleet = Fleet::start(site, clock).await?;
--- a/components/load/src/scale/stage.rs
+++ b/components/load/src/scale/stage.rs
@@ -85,7 +85,8 @@
     ) -> Result<Self, ScaleError> {
         let clock = Clock::start();
         let scale = Scale { engines: agents, services: 0, entries: ENTRIES };
-        let layout = Layout { sample: Sample::Press, scale, engine: serde_json::Map::default() };
+        let layout =
+            Layout { sample: Sample::Press, scale, engine: serde_json::Map::default(), blind: 0 };
         let site = Site::write(&layout, bin, out)?;
         let log = fake::Log::default();
         fill(&log, &site, agents, content);
--- a/components/load/src/site.rs
+++ b/components/load/src/site.rs
@@ -54,6 +54,8 @@
     pub(crate) scale: Scale,
     /// Settings of the engines' stand-ins that are not the usual ones.
     pub(crate) engine: serde_json::Map<String, Value>,
+    /// How many of the entries, the last ones, take no notice of cached prefixes.
+    pub(crate) blind: usize,
 }
 
 /// An endpoint with its agent.
@@ -321,6 +323,7 @@
             "log": shared.log,
             "list": shared.list,
             "balancer_lag": "500ms",
+            "affinity": index + self.layout.blind < self.layout.scale.entries,
         });
         self.launch("hyssop-entry", &door.name, admin, &settings)
     }
--- a/components/load/src/trial.rs
+++ b/components/load/src/trial.rs
@@ -82,7 +82,8 @@
 pub(crate) async fn run(trial: Trial) -> Result<bool, TrialError> {
     let begun = Instant::now();
     let clock = Clock::start();
-    let layout = Layout { sample: trial.sample, scale: SCALE, engine: Default::default() };
+    let layout =
+        Layout { sample: trial.sample, scale: SCALE, engine: Default::default(), blind: 0 };
     let site = Site::write(&layout, &trial.bin, &trial.out)?;
     let mut fleet = Fleet::start(site, clock).await?;
     println!("started {} processes after {}", fleet.len(), table::millis(begun.elapsed()));
