--- a/components/entry/src/prefix.rs
+++ b/components/entry/src/prefix.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use units::ModelName;
 use wire::{PrefixChange, PrefixNews, Report};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::load::{Place, weight};
 
@@ -23,6 +23,9 @@
 const HALF_LIFE: Duration = Duration::from_secs(120);
 /// What a gap in the news leaves of what was known before it.
 const DOUBT: f64 = 0.5;
+/// What each replica that comes before in the prefix's own order leaves: one copy is enough, and the others take
+/// the room of other prefixes.
+const COPY: f64 = 0.5;
 /// A prefix that is less certain than this is not cached.
 const LEAST: f64 = 0.05;
 /// What a cached prefix saves of the time that a request runs, where the agent has not measured it.
@@ -45,6 +48,11 @@
         digest.update(&short.to_le_bytes());
         Self(digest.digest())
     }
+
+    /// The place's rank among those that have the prefix; all entries rank them alike.
+    fn rank(self, place: &Place) -> u64 {
+        xxh3_64_with_seed(place.endpoint.as_str().as_bytes(), self.0)
+    }
 }
 
 /// Where prefixes are cached; older ones are forgotten a generation at a time.
@@ -86,10 +94,18 @@
     pub(crate) fn saves(&self, prefix: Prefix, place: &Place) -> f64 {
         let kept = self.lock();
         let feed = kept.feed(place);
-        let holders = kept.young.get(&prefix).into_iter().chain(kept.old.get(&prefix)).flatten();
-        let trusts = holders.filter(|holder| holder.place == *place).map(|one| one.trust(&feed));
-        let trust = trusts.fold(0.0, f64::max);
-        if trust < LEAST { 0.0 } else { trust * feed.saved.unwrap_or(SAVED) }
+        let Some(holders) = kept.young.get(&prefix).or_else(|| kept.old.get(&prefix)) else {
+            return 0.0;
+        };
+        let trust = |holder: &Holder| holder.trust(&kept.feed(&holder.place));
+        let own = holders.iter().find(|holder| holder.place == *place).map_or(0.0, trust);
+        if own < LEAST {
+            return 0.0;
+        }
+        let rank = prefix.rank(place);
+        let before = holders.iter().filter(|one| prefix.rank(&one.place) < rank);
+        let copies = before.filter(|holder| trust(holder) >= LEAST).count();
+        own * COPY.powi(copies as i32) * feed.saved.unwrap_or(SAVED)
     }
 
     /// Notes that an endpoint served the prefix.
@@ -166,7 +182,9 @@
         if self.young.len() >= KEPT {
             self.old = std::mem::take(&mut self.young);
         }
-        let holders = self.young.entry(prefix).or_default();
+        let old = &mut self.old;
+        let holders =
+            self.young.entry(prefix).or_insert_with(|| old.remove(&prefix).unwrap_or_default());
         holders.retain(|holder| holder.place != *place);
         if holders.len() >= HOLDERS {
             holders.remove(0);
--- a/components/entry/src/prefix/tests.rs
+++ b/components/entry/src/prefix/tests.rs
@@ -75,6 +75,21 @@
     assert_eq!((saves(&prefixes, 9), saves(&prefixes, 2)), (200, 50));
 }
 
+#[test]
+fn can_agree_with_other_entries_on_one_copy() {
+    let entries = [Prefixes::default(), Prefixes::default()];
+    let prefix = Prefix::new(&model(), 1);
+    for at in 0..3 {
+        entries[0].note_own(prefix, &place(at));
+        entries[1].note_own(prefix, &place(2 - at));
+    }
+    let shares = entries.map(|entry| [0, 1, 2].map(|at| entry.saves(prefix, &place(at)) / SAVED));
+    assert!(shares[0].iter().zip(&shares[1]).all(|(one, other)| (one - other).abs() < 0.01));
+    let mut sorted = shares[0].map(|share| (share * 100.0).round() as u32);
+    sorted.sort_unstable();
+    assert_eq!(sorted, [25, 50, 100]);
+}
+
 #[test]
 fn can_forget_a_model_that_was_unloaded() {
     let prefixes = Prefixes::default();
--- a/components/load/src/affinity.rs
+++ b/components/load/src/affinity.rs
@@ -1,6 +1,5 @@
 //! `hyssop-load affinity`: what preferring replicas with a cached prompt prefix brings, in one run.
 
-use std::ops::AddAssign;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use web::{CallError, Client};
 
 use crate::answer::Expected;
-use crate::caller::{Ask, Caller, Door};
+use crate::caller::{Ask, Caller};
 use crate::children::ChildError;
 use crate::clock::Clock;
 use crate::evidence::{Call, Ending};
@@ -26,19 +25,16 @@
 use crate::site::{Layout, Sample, Scale, Site, SiteError};
 use crate::truth::Truth;
 
-/// Half of the entries prefer cached prefixes, half don't.
 const SCALE: Scale = Scale { engines: 4, services: 0, entries: 4 };
-const BLIND: usize = 2;
 /// Callers at the same time: three quarters of what four replicas run at once.
 const CALLERS: u64 = 24;
 /// Callers before that, so that all replicas wake.
 const CROWD: u64 = 64;
-/// Prompts with different starts in each round; an engine keeps a third of them.
+/// Prompts with different starts; an engine keeps a third of them.
 const STARTS: u32 = 24;
 const KEPT: u32 = 8;
-/// How long each way is used before the other one has its turn; entries remember for 5 s who is awake.
-const ROUND: Duration = Duration::from_secs(4);
-const ROUNDS: u32 = 10;
+/// How long each way is measured.
+const LASTS: Duration = Duration::from_secs(24);
 /// How long the crowd waits for the first replica, and then for the others.
 const FIRST_WAKE: Duration = Duration::from_secs(8);
 const WAKE: Duration = Duration::from_secs(20);
@@ -78,15 +74,13 @@
 }
 
 /// What one way has shown.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Serialize)]
 struct Way {
     calls: usize,
     failed: usize,
     first: Percentiles,
     /// Requests that the engines began, and those whose prefix was cached.
     runs: Count,
-    #[serde(skip)]
-    times: Vec<Duration>,
 }
 
 #[derive(Debug, Clone, Copy, Default, Serialize)]
@@ -107,43 +101,39 @@
 
 /// Measures both ways in turn, prints the result and writes it down.
 pub(crate) async fn run(job: Job) -> Result<(), AffinityError> {
+    let with = deploy(&job, "with", 0).await?;
+    let without = deploy(&job, "without", SCALE.entries).await?;
+    let hit_ratio = with.runs.share() / without.runs.share();
+    let first_ratio = with.first.p50 / without.first.p50;
+    let affinity = Affinity { with, without, hit_ratio, first_ratio };
+    let text = serde_json::to_string_pretty(&affinity).unwrap_or_default();
+    println!("{text}");
+    std::fs::write(job.out.join("affinity.json"), text + "\n")?;
+    Ok(())
+}
+
+/// Starts a deployment of its own for a way, so that its caches are its own, and measures there.
+async fn deploy(job: &Job, name: &str, blind: usize) -> Result<Way, AffinityError> {
     let clock = Clock::start();
-    let engine = [
-        ("first_token", json!(FIRST_TOKEN)),
-        ("prefixes", json!(KEPT)),
-        ("memory_load", json!("1ms")),
-    ];
+    let engine = [("first_token", json!(FIRST_TOKEN)), ("prefixes", json!(KEPT))];
     let engine = engine.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
-    let layout = Layout { sample: Sample::Press, scale: SCALE, engine, blind: BLIND };
+    let layout = Layout { sample: Sample::Press, scale: SCALE, engine, blind };
     let site = Site::write(&layout, &job.bin, &job.out.join("affinity-logs"))?;
     let mut fleet = Fleet::start(site, clock).await?;
-    let measured = measure(&job.bin, &fleet.site, clock).await;
+    let measured = measure(&job.bin, &fleet.site, clock, name).await;
     fleet.stop_system().await;
     fleet.stop_rest().await;
-    let affinity = measured?;
-    let text = serde_json::to_string_pretty(&affinity).unwrap_or_default();
-    println!("{text}");
-    std::fs::write(job.out.join("affinity.json"), text + "\n")?;
-    Ok(())
+    measured
 }
 
-async fn measure(bin: &Path, site: &Site, clock: Clock) -> Result<Affinity, AffinityError> {
+async fn measure(bin: &Path, site: &Site, clock: Clock, name: &str) -> Result<Way, AffinityError> {
     publish::tree(Sample::Press, site, bin, clock).await?;
     publish::granted(site, &[Sample::Press.cold_model()]).await?;
-    let (seeing, blind) = site.doors.split_at(SCALE.entries - BLIND);
-    let mut stage = Stage { site, client: Client::default(), caller: Caller::new(clock), clock };
+    let stage = Stage { site, client: Client::default(), caller: Caller::new(clock), clock };
     let crowd = Crowd { callers: CROWD, deadline: DEADLINE };
-    stage.round("first-wake", &site.doors, FIRST_WAKE, crowd).await?;
-    stage.round("wake", &site.doors, WAKE, Crowd { deadline: SHORT, ..crowd }).await?;
-    let crowd = Crowd { callers: CALLERS, ..crowd };
-    let (mut with, mut without) = (Way::default(), Way::default());
-    for round in 0..ROUNDS {
-        with += stage.round(&format!("with-{round}"), seeing, ROUND, crowd).await?;
-        without += stage.round(&format!("without-{round}"), blind, ROUND, crowd).await?;
-    }
-    let hit_ratio = with.runs.share() / without.runs.share();
-    let first_ratio = with.first.p50 / without.first.p50;
-    Ok(Affinity { with, without, hit_ratio, first_ratio })
+    stage.round("first-wake", FIRST_WAKE, crowd).await?;
+    stage.round("wake", WAKE, Crowd { deadline: SHORT, ..crowd }).await?;
+    Ok(stage.round(name, LASTS, Crowd { callers: CALLERS, ..crowd }).await?)
 }
 
 /// How many callers there are, and how long they wait.
@@ -162,17 +152,10 @@
 
 impl Stage<'_> {
     /// Lets callers ask one after the other for a while; each round has prompts of its own.
-    async fn round(
-        &mut self,
-        name: &str,
-        doors: &[Door],
-        lasts: Duration,
-        crowd: Crowd,
-    ) -> Result<Way, CallError> {
+    async fn round(&self, name: &str, lasts: Duration, crowd: Crowd) -> Result<Way, CallError> {
         let before = self.count().await?;
         let end = self.clock.now() + lasts;
-        let calls =
-            (0..crowd.callers).map(|seed| self.ask_until(name, doors, end, crowd.deadline, seed));
+        let calls = (0..crowd.callers).map(|seed| self.ask_until(name, end, crowd.deadline, seed));
         let calls = join_all(calls).await;
         let after = self.count().await?;
         let calls: Vec<Call> = calls.into_iter().flatten().collect();
@@ -181,20 +164,14 @@
             served.filter_map(|call| Some(call.first?.saturating_sub(call.at))).collect();
         let runs = Count { runs: after.runs - before.runs, hits: after.hits - before.hits };
         let failed = calls.len() - times.len();
-        let way = Way { calls: calls.len(), failed, runs, times, ..Way::default() };
+        let way = Way { calls: calls.len(), failed, first: Percentiles::of(times), runs };
         println!("{name}: {} calls, {failed} failed, {:.2} hits", way.calls, runs.share());
         Ok(way)
     }
 
-    async fn ask_until(
-        &self,
-        name: &str,
-        doors: &[Door],
-        end: Duration,
-        deadline: Span,
-        seed: u64,
-    ) -> Vec<Call> {
+    async fn ask_until(&self, name: &str, end: Duration, deadline: Span, seed: u64) -> Vec<Call> {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let doors = &self.site.doors;
         let mut calls = Vec::new();
         while self.clock.now() < end {
             let start = rng.random_range(0..STARTS);
@@ -244,14 +221,3 @@
         self.hits as f64 / self.runs as f64
     }
 }
-
-impl AddAssign for Way {
-    fn add_assign(&mut self, other: Self) {
-        self.calls += other.calls;
-        self.failed += other.failed;
-        self.runs.runs += other.runs.runs;
-        self.runs.hits += other.runs.hits;
-        self.times.extend(other.times);
-        self.first = Percentiles::of(self.times.iter().copied());
-    }
-}
