--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	@echo "make lint    check format and lints"
 	@echo "make bench   measure overhead and goodput, beside the last result"
 	@echo "make bench-entry   measure what an entry adds to a call"
-	@echo "make fuzz    run the property tests with many more cases (CASES, SEED)"
+	@echo "make fuzz    run the property tests with many more cases (CASES, SEED), and the long tests"
 
 setup:
 	@.ci/setup
@@ -46,5 +46,5 @@
 	$(CARGO) run $(FLAGS) --release --quiet -p entry --example overhead
 
 fuzz: setup
-	PROPTEST_CASES=$(CASES) PROPTEST_RNG_SEED=$(SEED) FLAGS="$(FLAGS)" .ci/test
+	PROPTEST_CASES=$(CASES) PROPTEST_RNG_SEED=$(SEED) LONG=1 FLAGS="$(FLAGS)" .ci/test
 	FUZZ_CASES=$(CASES) FUZZ_SEED=$(SEED) $(CARGO) test $(FLAGS) --release -p state --test fuzz -- --ignored
--- a/components/load/src/report.rs
+++ b/components/load/src/report.rs
@@ -5,6 +5,7 @@
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tree::Class;
 
 use crate::checks::Row;
@@ -44,6 +45,9 @@
     pub(crate) unknown: usize,
     pub(crate) cut: usize,
     pub(crate) silent: usize,
+    /// Why calls were not served, as the answers said it.
+    #[serde(default)]
+    pub(crate) reasons: BTreeMap<String, usize>,
     /// From the intended arrival to the first token, of served calls.
     pub(crate) first: Percentiles,
     /// The same of calls that found no replica of their model ready.
@@ -139,6 +143,7 @@
         unknown: count(Ending::Unknown),
         cut: count(Ending::Cut),
         silent: count(Ending::Silent),
+        reasons: reasons(calls),
         first: Percentiles::of(served().filter_map(|call| first(&call))),
         cold: Percentiles::of(
             served().filter(|call| warmth.is_cold(call)).filter_map(|call| first(&call)),
@@ -147,5 +152,20 @@
     }
 }
 
+fn reasons(calls: &[&Call]) -> BTreeMap<String, usize> {
+    let mut reasons = BTreeMap::new();
+    for call in calls.iter().filter(|call| call.ending != Ending::Served) {
+        *reasons.entry(reason(&call.text)).or_default() += 1;
+    }
+    reasons
+}
+
+/// The type of the error that an answer tells, where it does.
+fn reason(text: &str) -> String {
+    let json: Option<Value> = serde_json::from_str(text).ok();
+    let kind = json.as_ref().and_then(|json| json.pointer("/error/type")?.as_str());
+    kind.unwrap_or("not said").to_owned()
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/load/src/report/tests.rs
+++ b/components/load/src/report/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::Percentiles;
+use super::{Percentiles, reason};
 
 #[test]
 fn can_find_percentiles_over_a_wide_range() {
@@ -16,3 +16,9 @@
 fn can_tell_that_there_was_nothing() {
     assert_eq!(Percentiles::of([]).count, 0);
 }
+
+#[test]
+fn can_tell_why_a_call_was_not_served() {
+    assert_eq!(reason(r#"{"error":{"type":"full","message":"the queue is full"}}"#), "full");
+    assert_eq!(reason("connection closed"), "not said");
+}
--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -284,6 +284,10 @@
             cold.count,
         );
     }
+    for (name, class) in report.classes.iter().filter(|(_, class)| !class.reasons.is_empty()) {
+        let reasons = class.reasons.iter().map(|(reason, count)| format!("{count} {reason}"));
+        println!("{name}, not served: {}", reasons.collect::<Vec<_>>().join(", "));
+    }
     let cold = report.cold_starts;
     println!(
         "cold starts: {}, p50 {:.0} ms, p95 {:.0} ms, max {:.0} ms; loads {}, idle {:.0} of {:.0} loaded s",
