--- a/components/agent/src/answer.rs
+++ b/components/agent/src/answer.rs
@@ -11,7 +11,8 @@
 use wire::{End, Refusal, UnknownCause};
 
 use crate::agent::Agent;
-use crate::slot::{AnswerHead, Progress, Slot};
+use crate::kept::AnswerHead;
+use crate::slot::{Progress, Slot};
 
 /// Answers with what the request's endpoint says from byte `from` on, as soon as it says something.
 pub(crate) async fn from_slot(agent: &Agent, slot: Arc<Slot>, from: u64) -> Response<Body> {
@@ -75,6 +76,7 @@
             }
             if let Some(bytes) = self.chunks.next() {
                 self.at += bytes.len() as u64;
+                self.slot.taken(self.at);
                 return Some((Ok(Frame::data(bytes)), self));
             }
             if let Some(end) = self.end.take() {
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod estimate;
 mod evict;
 mod keeper;
+mod kept;
 mod memory;
 mod orders;
 mod pending;
--- a/components/agent/src/queue/tests.rs
+++ b/components/agent/src/queue/tests.rs
@@ -6,7 +6,8 @@
 use tree::Class;
 
 use super::{Place, Queue, QueueLimits, Waiting};
-use crate::slot::{KeptBytes, Slot};
+use crate::kept::KeptBytes;
+use crate::slot::Slot;
 
 fn waiting(id: &str, class: Class, group: &str, deadline: u64) -> Waiting {
     let now = Instant::now();
--- a/components/agent/src/slot.rs
+++ b/components/agent/src/slot.rs
@@ -1,16 +1,13 @@
 //! One request and its answer, shared by the task that runs it and the readers of its answer.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use http::{HeaderValue, StatusCode};
 use tokio::sync::Notify;
 use units::{ModelName, RequestId};
 use wire::{End, Refusal, UnknownCause};
 
-/// How many bytes of answers are kept by all slots of a table.
-pub(crate) type KeptBytes = Arc<AtomicU64>;
+use crate::kept::{Answer, AnswerHead, KeptBytes};
 
 /// How far a request is.
 #[derive(Debug)]
@@ -29,22 +26,6 @@
     Unknown(UnknownCause),
 }
 
-/// The head of an answer.
-#[derive(Debug, Clone)]
-pub(crate) struct AnswerHead {
-    pub(crate) status: StatusCode,
-    pub(crate) content: Option<HeaderValue>,
-}
-
-/// An answer as far as it is here.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    head: AnswerHead,
-    chunks: Vec<Bytes>,
-    length: u64,
-    dropped: bool,
-}
-
 /// What a reader finds.
 #[derive(Debug)]
 pub(crate) enum Progress {
@@ -160,7 +141,7 @@
 
     /// Records the head of the answer.
     pub(crate) fn head(&self, head: AnswerHead) -> bool {
-        let answer = Answer { head, chunks: Vec::new(), length: 0, dropped: false };
+        let answer = Answer::new(head, self.kept.clone());
         self.advance(|stage| matches!(stage, Stage::Running).then_some(Stage::Answering(answer)))
     }
 
@@ -168,24 +149,45 @@
     pub(crate) fn push(&self, bytes: Bytes) {
         let mut inner = self.lock();
         let Stage::Answering(answer) = &mut inner.stage else { return };
-        let count = bytes.len() as u64;
-        answer.length += count;
-        answer.chunks.push(bytes);
-        self.kept.fetch_add(count, Ordering::Relaxed);
+        answer.push(bytes);
         drop(inner);
         self.changed.notify_waiters();
     }
 
+    /// Waits until the readers have come near enough to the end of what is here.
+    pub(crate) async fn room(&self) {
+        self.until(|inner| match &inner.stage {
+            Stage::Answering(answer) if answer.is_ahead() => None,
+            _ => Some(()),
+        })
+        .await;
+    }
+
+    /// Notes that a reader was given the bytes up to `upto`.
+    pub(crate) fn taken(&self, upto: u64) {
+        let mut inner = self.lock();
+        let Stage::Answering(answer) = &mut inner.stage else { return };
+        let was_ahead = answer.is_ahead();
+        answer.taken(upto);
+        let has_room = was_ahead && !answer.is_ahead();
+        drop(inner);
+        if has_room {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Ends the request: whole if `failure` is `None`.
     pub(crate) fn end(&self, failure: Option<UnknownCause>) {
         let mut inner = self.lock();
         let stage = std::mem::replace(&mut inner.stage, Stage::Queued);
         inner.stage = match (stage, failure) {
             (Stage::Answering(answer), None) => {
-                let length = answer.length;
-                Stage::Answered(answer, End::Whole { length })
+                let length = answer.length();
+                Stage::Answered(answer.joined(), End::Whole { length })
+            }
+            (Stage::Answering(answer), Some(cause)) => {
+                Stage::Answered(answer.joined(), End::Failed(cause))
             }
-            (Stage::Answering(answer), Some(cause)) => Stage::Answered(answer, End::Failed(cause)),
             (Stage::Running, Some(cause)) => Stage::Unknown(cause),
             (other, _) => other,
         };
@@ -298,7 +300,7 @@
     /// How many bytes of the answer are here; `None` before its head.
     pub(crate) fn length(&self) -> Option<u64> {
         match &self.lock().stage {
-            Stage::Answering(answer) | Stage::Answered(answer, _) => Some(answer.length),
+            Stage::Answering(answer) | Stage::Answered(answer, _) => Some(answer.length()),
             Stage::Queued | Stage::Running | Stage::Refused(_) | Stage::Unknown(_) => None,
         }
     }
@@ -315,31 +317,10 @@
             return 0;
         }
         match &mut inner.stage {
-            Stage::Answered(answer, _) => self.forget(answer),
+            Stage::Answered(answer, _) => answer.forget(),
             _ => 0,
         }
     }
-
-    fn forget(&self, answer: &mut Answer) -> u64 {
-        if answer.dropped {
-            return 0;
-        }
-        answer.dropped = true;
-        answer.chunks = Vec::new();
-        self.kept.fetch_sub(answer.length, Ordering::Relaxed);
-        answer.length
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let mut inner = self.lock();
-        let stage = std::mem::replace(&mut inner.stage, Stage::Queued);
-        drop(inner);
-        if let Stage::Answering(mut answer) | Stage::Answered(mut answer, _) = stage {
-            self.forget(&mut answer);
-        }
-    }
 }
 
 impl Stage {
@@ -356,27 +337,9 @@
             Self::Refused(refusal) => Progress::Refused(refusal.clone()),
             Self::Unknown(cause) => Progress::Unknown(cause.clone()),
             Self::Answering(answer) => answer.after(from),
-            Self::Answered(answer, _) if answer.length > from => answer.after(from),
-            Self::Answered(answer, end) => Progress::Ended(answer.head.clone(), end.clone()),
-        }
-    }
-}
-
-impl Answer {
-    fn after(&self, from: u64) -> Progress {
-        if self.dropped {
-            return Progress::Unknown(UnknownCause::AnswerDropped);
-        }
-        let mut skip = usize::try_from(from).unwrap_or(usize::MAX);
-        let mut bytes = Vec::new();
-        for chunk in &self.chunks {
-            let start = skip.min(chunk.len());
-            skip -= start;
-            if start < chunk.len() {
-                bytes.push(chunk.slice(start..));
-            }
+            Self::Answered(answer, _) if answer.length() > from => answer.after(from),
+            Self::Answered(answer, end) => Progress::Ended(answer.head(), end.clone()),
         }
-        Progress::Bytes(self.head.clone(), bytes)
     }
 }
 
--- a/components/agent/src/slot/tests.rs
+++ b/components/agent/src/slot/tests.rs
@@ -4,7 +4,8 @@
 use http::StatusCode;
 use wire::{End, Refusal, UnknownCause};
 
-use super::{AnswerHead, Cancel, KeptBytes, Progress, Slot};
+use super::{Cancel, Progress, Slot};
+use crate::kept::{AnswerHead, KeptBytes};
 
 fn slot(repeatable: bool) -> Slot {
     let id = "r-1".parse().expect("an id");
--- a/components/agent/src/stream.rs
+++ b/components/agent/src/stream.rs
@@ -12,8 +12,9 @@
 
 use crate::EndpointKind;
 use crate::agent::Agent;
+use crate::kept::AnswerHead;
 use crate::serve;
-use crate::slot::{AnswerHead, Slot};
+use crate::slot::Slot;
 
 /// A connection to an engine that gives no byte for this long is taken for lost.
 pub(crate) const SILENCE: Duration = Duration::from_secs(5);
@@ -91,6 +92,7 @@
         let frame = frame.map_err(|error| Lost(error.to_string()))?;
         if let Ok(bytes) = frame.into_data() {
             slot.push(compact(bytes));
+            slot.room().await;
         }
     }
     Ok(())
--- a/components/agent/src/table.rs
+++ b/components/agent/src/table.rs
@@ -7,7 +7,8 @@
 
 use units::{ModelName, RequestId, Size};
 
-use crate::slot::{KeptBytes, Slot};
+use crate::kept::KeptBytes;
+use crate::slot::Slot;
 
 /// Sweeps follow each other at this pause; a process that was paused makes one sweep for the whole pause,
 /// so that what waits in its sockets still meets the tombstones written before.
--- a/components/agent/src/table/tests.rs
+++ b/components/agent/src/table/tests.rs
@@ -9,7 +9,8 @@
 use wire::Refusal;
 
 use super::{Begin, RequestTable, TableLimits};
-use crate::slot::{AnswerHead, Cancel, Progress};
+use crate::kept::AnswerHead;
+use crate::slot::{Cancel, Progress};
 
 const GRACE: Duration = Duration::from_secs(3);
 
