--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -33,5 +33,7 @@
 mod wake;
 mod warm;
 
-pub use run::run;
+pub use run::{Edges, run, run_with};
 pub use settings::{EndpointKind, Settings};
+pub use slot::Slot;
+pub use table::{Begin, RequestTable, TableLimits};
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -19,12 +19,17 @@
 
 /// The edges of the process.
 #[derive(Clone)]
-pub(crate) struct Edges {
-    pub(crate) log: Arc<dyn LogService>,
-    pub(crate) list: Arc<dyn InstanceList>,
-    pub(crate) endpoint: Arc<dyn Endpoint>,
-    pub(crate) network: Arc<dyn Ask>,
-    pub(crate) calendar: Calendar,
+pub struct Edges {
+    /// The log service.
+    pub log: Arc<dyn LogService>,
+    /// The instance list.
+    pub list: Arc<dyn InstanceList>,
+    /// The endpoint.
+    pub endpoint: Arc<dyn Endpoint>,
+    /// The network between peers.
+    pub network: Arc<dyn Ask>,
+    /// What closing windows are read against.
+    pub calendar: Calendar,
 }
 
 /// Runs an agent until its shutdown is done.
@@ -42,6 +47,18 @@
     supervise(agent, listener, edges.list).await
 }
 
+/// Runs an agent on other edges than those that its settings name, and without an admin server: for benches.
+pub async fn run_with(
+    settings: Settings,
+    edges: Edges,
+    recorder: Recorder,
+    shutdown: Shutdown,
+) -> Result<(), StartError> {
+    let (settings, listener) = listen(settings).await?;
+    let agent = build(settings, &edges, recorder, shutdown);
+    supervise(agent, listener, edges.list).await
+}
+
 /// Opens the socket for dispatches; the settings then name the port that it has.
 async fn listen(mut settings: Settings) -> Result<(Settings, web::Listener), StartError> {
     let listener = web::bind(settings.dispatch).await.map_err(StartError::new)?;
--- a/components/agent/src/slot.rs
+++ b/components/agent/src/slot.rs
@@ -63,7 +63,7 @@
 
 /// One request and its answer.
 #[derive(Debug)]
-pub(crate) struct Slot {
+pub struct Slot {
     pub(crate) id: RequestId,
     /// The model; tombstones have none.
     pub(crate) model: Option<ModelName>,
--- a/components/agent/src/table.rs
+++ b/components/agent/src/table.rs
@@ -19,18 +19,18 @@
 
 /// Bounds of the table.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct TableLimits {
+pub struct TableLimits {
     /// The most requests remembered.
-    pub(crate) count: usize,
+    pub count: usize,
     /// The most bytes of answers kept before new requests are refused.
-    pub(crate) bytes: Size,
+    pub bytes: Size,
     /// How long a request is remembered beyond its deadline, and a tombstone in all.
-    pub(crate) grace: Duration,
+    pub grace: Duration,
 }
 
 /// What the table says to a request id.
 #[derive(Debug)]
-pub(crate) enum Begin {
+pub enum Begin {
     /// It is new and now remembered.
     New(Arc<Slot>),
     /// It was seen before.
@@ -41,7 +41,7 @@
 
 /// The requests by id.
 #[derive(Debug)]
-pub(crate) struct RequestTable {
+pub struct RequestTable {
     limits: TableLimits,
     slots: HashMap<RequestId, Arc<Slot>>,
     expiry: BTreeSet<(u64, RequestId)>,
@@ -50,7 +50,8 @@
 }
 
 impl RequestTable {
-    pub(crate) fn new(limits: TableLimits) -> Self {
+    /// An empty table.
+    pub fn new(limits: TableLimits) -> Self {
         Self {
             limits,
             slots: HashMap::new(),
@@ -61,7 +62,7 @@
     }
 
     /// Remembers a dispatched request, unless its id is known.
-    pub(crate) fn begin(
+    pub fn begin(
         &mut self,
         id: &RequestId,
         model: &ModelName,
@@ -80,7 +81,7 @@
     }
 
     /// Finds a request for a resume; an id never seen gets a tombstone.
-    pub(crate) fn find(&mut self, id: &RequestId) -> Begin {
+    pub fn find(&mut self, id: &RequestId) -> Begin {
         if let Some(slot) = self.slots.get(id) {
             return Begin::Known(slot.clone());
         }
@@ -99,7 +100,7 @@
     }
 
     /// Forgets what has expired; a request that is not over is kept for another grace.
-    pub(crate) fn sweep(&mut self) {
+    pub fn sweep(&mut self) {
         self.sweeps += 1;
         while let Some((at, id)) = self.expiry.pop_first() {
             if at > self.sweeps {
@@ -129,10 +130,15 @@
     }
 
     /// How many requests are remembered.
-    pub(crate) fn len(&self) -> usize {
+    pub fn len(&self) -> usize {
         self.slots.len()
     }
 
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
     /// The bytes of answers kept.
     pub(crate) fn bytes(&self) -> Size {
         Size(self.kept.load(Ordering::Relaxed))
