--- a/components/agent/examples/streams/main.rs
+++ b/components/agent/examples/streams/main.rs
@@ -44,10 +44,13 @@
         set("batch", json!(4096)),
         set("queue", json!(65536)),
         set("group-share", json!(1.0)),
+        set("service", json!("likhari")),
         Change::Add { path: id("/likhari"), kind: tree::NodeKind::Service },
     ];
     let edit = Edit { id: id("e-1"), author: "bench".to_owned(), base: Revision(0), changes };
     let record = Record::new("r-1".to_owned(), id("entry-1"), 0, Offset(0), Body::Edit(edit));
+    let applied = state::State::default().apply(Offset(1), &record);
+    assert_eq!(applied.verdicts, [state::Verdict::Done]);
     serde_json::to_vec(&record).expect("a record")
 }
 
--- a/components/agent/examples/table.rs
+++ b/components/agent/examples/table.rs
@@ -33,6 +33,12 @@
     let ids: Vec<RequestId> =
         (0..COUNT).map(|n| format!("entry-1-{n}").parse().expect("an id")).collect();
     let model: ModelName = "page-text".parse().expect("a name");
+    let before = resident();
+    let mut known = table();
+    for id in &ids {
+        assert!(matches!(known.find(id), Begin::New(_)));
+    }
+    let each = (resident() - before) / COUNT as u64;
     best("dispatch of a new request", || {
         let mut table = table();
         let began = Instant::now();
@@ -49,23 +55,17 @@
         }
         began.elapsed()
     });
-    let before = resident();
-    let mut table = table();
-    for id in &ids {
-        assert!(matches!(table.find(id), Begin::New(_)));
-    }
-    let each = (resident() - before) / COUNT as u64;
     best("resume of a known request", || {
         let began = Instant::now();
         for id in &ids {
-            black_box(table.find(id));
+            black_box(known.find(id));
         }
         began.elapsed()
     });
     println!("{:<32} {each:>12} bytes", "memory of a remembered request");
     let began = Instant::now();
-    while !table.is_empty() {
-        table.sweep();
+    while !known.is_empty() {
+        known.sweep();
     }
     let rate = COUNT as f64 / began.elapsed().as_secs_f64();
     println!("{:<32} {rate:>12.0} a second", "requests forgotten");
