--- a/components/entry/tests/sessions/lost.rs
+++ b/components/entry/tests/sessions/lost.rs
@@ -197,6 +197,18 @@
     assert!(agent.resumes()[0].cancel);
 }
 
+#[tokio::test(start_paused = true)]
+async fn can_cancel_a_stream_that_nobody_reads_any_more() {
+    let mut world = World::new().await;
+    let agent = world.replica(0, "saddar").await;
+    agent.script([Act::Long { kib: 1024 }]);
+    let response = world.core.clone().answer(ask(&[])).await;
+    assert_eq!(response.status(), 200);
+    drop(response);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(agent.resumes()[0].cancel);
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_leave_a_call_that_must_not_run_twice_alone_when_its_caller_hangs_up() {
     let mut world = World::new().await;
