--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -1,12 +1,13 @@
 //! One request from its place in the queue to its outcome.
 
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, header};
-use platform::PRIORITY_HEADER;
+use platform::{PRIORITY_HEADER, PrefixHash};
 use process::Phase;
 use serde_json::value::RawValue;
 use timeline::Kind;
@@ -18,7 +19,7 @@
 
 use crate::agent::Agent;
 use crate::queue::{AdapterNeed, Waiting};
-use crate::slot::Slot;
+use crate::slot::{Progress, Slot};
 use crate::stream::{self, CopyEnd};
 use crate::wake;
 
@@ -125,7 +126,13 @@
     let adapter = job.head.adapter.as_ref();
     let mut turn = Turn { agent, artifact, adapter, took: None };
     let began = Instant::now();
-    match call(agent, job, artifact).await {
+    let mut call = pin!(call(agent, job, artifact));
+    let end = tokio::select! {
+        biased;
+        () = time(agent, job, artifact) => call.await,
+        end = &mut call => end,
+    };
+    match end {
         CopyEnd::Whole => {
             turn.took = Some(began.elapsed());
             job.slot.end(None);
@@ -186,6 +193,19 @@
     }
 }
 
+/// Learns how long the first part of a streamed answer takes with and without a cached prefix.
+async fn time(agent: &Agent, job: &Job, artifact: &ModelName) {
+    let prefix = job.head.model.as_ref().and_then(|_| PrefixHash::of_body(&job.body));
+    let Some(prefix) = prefix else { return };
+    let hit = agent.caches().has(artifact, prefix);
+    let began = Instant::now();
+    if let Progress::Bytes(head, _) = job.slot.next(0).await
+        && head.is_stream()
+    {
+        agent.caches().note_first(artifact, hit, began.elapsed());
+    }
+}
+
 /// Waits until a running request must be given up.
 async fn stop(agent: &Agent, job: &Job) -> UnknownCause {
     let last = if job.head.repeatable { job.deadline } else { job.deadline + RUN_ON };
