--- a/components/agent/examples/streams/service.rs
+++ b/components/agent/examples/streams/service.rs
@@ -10,7 +10,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use platform::{Endpoint, EndpointError, Inventory, Order, Usage};
+use platform::{CacheEvents, Endpoint, EndpointError, Inventory, Order, Usage};
 use units::RequestId;
 use web::Body;
 
@@ -51,6 +51,10 @@
         Err(none())
     }
 
+    async fn cache_events(&self, _from: u64) -> Result<CacheEvents, EndpointError> {
+        Err(none())
+    }
+
     async fn call(
         &self,
         _id: &RequestId,
--- a/components/planner/tests/common/agents.rs
+++ b/components/planner/tests/common/agents.rs
@@ -8,9 +8,9 @@
 use record::{Attach, Body, GrantId};
 use state::{State, Verdict};
 use tokio::task::JoinHandle;
-use units::{Domain, EndpointId, Incarnation, InstanceId, Size};
+use units::{Domain, EndpointId, Incarnation, InstanceId};
 
-use super::{LIMIT, Site, addr, serve};
+use super::{LIMIT, Site, Told, addr, serve};
 
 const DOMAINS: [&str; 4] = ["saddar", "clifton", "lyari", "korangi"];
 /// Control addresses of agents begin here.
@@ -21,6 +21,7 @@
     site: Site,
     pub(crate) journal: Journal,
     live: Arc<Mutex<BTreeSet<usize>>>,
+    told: Told,
     task: JoinHandle<()>,
 }
 
@@ -38,17 +39,10 @@
 
 fn attach(number: usize, previous: Incarnation) -> Attach {
     Attach {
-        endpoint: endpoint(number),
         instance: instance(number),
         domain: domain(number),
-        service: "likhari".parse().expect("a service"),
-        dispatch: addr(BASE + number),
-        control: addr(BASE + number),
-        admin: addr(BASE + number),
-        memory: Size::gib(80),
-        cached: Vec::new(),
-        fenced: true,
         previous,
+        ..sample::attach(endpoint(number).as_str(), addr(BASE + number))
     }
 }
 
@@ -59,7 +53,7 @@
         journal.ready().await;
         let live = Arc::<Mutex<BTreeSet<usize>>>::default();
         let task = tokio::spawn(release_all(journal.clone(), live.clone()));
-        let agents = Self { site: site.clone(), journal, live, task };
+        let agents = Self { site: site.clone(), journal, live, told: Told::default(), task };
         let mut list = site.list.newest();
         list.extend((0..count).map(|number| agents.listed(number)));
         site.list.set(list);
@@ -81,7 +75,13 @@
 
     /// Attaches an agent that runs on another instance than usual, at the usual address.
     pub(crate) async fn attach_as(&self, number: usize, instance: InstanceId) -> Verdict {
-        serve(&self.site.net, addr(BASE + number), instance.clone(), self.journal.clone());
+        serve(
+            &self.site.net,
+            addr(BASE + number),
+            instance.clone(),
+            self.journal.clone(),
+            self.told(),
+        );
         let endpoint = endpoint(number);
         let previous = self.journal.read(|state| state.member(&endpoint).map(|m| m.incarnation));
         let attach = Attach { instance, ..attach(number, previous.unwrap_or_default()) };
@@ -91,6 +91,11 @@
         applied.verdicts[0].clone()
     }
 
+    /// The instances that agents were told to be leaving.
+    pub(crate) fn told(&self) -> Told {
+        self.told.clone()
+    }
+
     fn with_live<R>(&self, change: impl FnOnce(&mut BTreeSet<usize>) -> R) -> R {
         change(&mut self.live.lock().unwrap_or_else(PoisonError::into_inner))
     }
