--- a/components/agent/src/desk.rs
+++ b/components/agent/src/desk.rs
@@ -12,7 +12,7 @@
 use units::{AdapterName, EndpointId, ModelName, Offset, ReplicaIndex, Size};
 use wire::{Refusal, Report};
 
-use crate::estimate::LoadTimes;
+use crate::estimate::{LoadTimes, Wait};
 use crate::memory::Ledger;
 use crate::queue::Waiting;
 use crate::replica::{Held, Limits, Phase, Replica};
@@ -139,7 +139,7 @@
         self.tiers = inventory.cached.iter().cloned().collect();
     }
 
-    fn wait(&self, replica: &Replica, ahead: usize) -> Duration {
+    fn wait(&self, replica: &Replica, ahead: usize) -> Wait {
         replica.wait(ahead, &self.times, self.tier(&replica.artifact))
     }
 
@@ -153,10 +153,10 @@
         let wait = self.wait(replica, replica.queue.ahead(waiting.class));
         let left = waiting.deadline.saturating_duration_since(Instant::now());
         let replica = self.replica(&artifact);
-        let outcome = replica.admit(waiting, wait);
+        let outcome = replica.admit(waiting, wait.estimate());
         let wake = match outcome {
-            Ok(()) => replica.overdue(wait, left),
-            Err(_) => replica.overdue(wait, Duration::ZERO),
+            Err(Refusal::Full { .. }) => replica.overdue(wait, Duration::ZERO),
+            _ => replica.overdue(wait, left),
         };
         replica.pump();
         Admission { outcome: outcome.map(|()| artifact), wake }
@@ -175,7 +175,7 @@
             .serving(model)
             .or_else(|| self.replicas.values().find(|replica| replica.model == *model));
         let Some(replica) = replica else { return Report::default() };
-        replica.report(self.wait(replica, replica.queue.len()))
+        replica.report(self.wait(replica, replica.queue.len()).estimate())
     }
 
     /// The loaded artifact that serves a model, and how long a request runs there.
--- a/components/agent/src/estimate.rs
+++ b/components/agent/src/estimate.rs
@@ -4,6 +4,9 @@
 
 use platform::CacheTier;
 
+/// How long a request is taken to run where none has been seen, when it is asked whether to wake a replica.
+const UNSEEN: Duration = Duration::from_secs(1);
+
 /// The weight of a new observation.
 const WEIGHT: f64 = 0.25;
 
@@ -68,17 +71,26 @@
     pub(crate) running: usize,
     /// How many run at once.
     pub(crate) batch: usize,
-    /// How long one runs.
-    pub(crate) service: Duration,
+    /// How long one runs, once one has.
+    pub(crate) service: Option<Duration>,
 }
 
 impl Wait {
     /// How long a new request would wait until it starts.
     pub(crate) fn estimate(self) -> Duration {
+        self.load + self.service.unwrap_or_default().mul_f64(self.rounds())
+    }
+
+    /// How much of it is spent behind other requests rather than on the load.
+    pub(crate) fn behind(self) -> Duration {
+        self.service.unwrap_or(UNSEEN).mul_f64(self.rounds())
+    }
+
+    /// How many times the batch turns over first.
+    fn rounds(self) -> f64 {
         let batch = self.batch.max(1);
         let over = (self.ahead + self.running + 1).saturating_sub(batch);
-        let rounds = over as f64 / batch as f64;
-        self.load + self.service.mul_f64(rounds)
+        over as f64 / batch as f64
     }
 }
 
--- a/components/agent/src/estimate/tests.rs
+++ b/components/agent/src/estimate/tests.rs
@@ -37,6 +37,19 @@
     #[case] millis: u64,
 ) {
     let service = Duration::from_secs(2);
-    let wait = Wait { load: Duration::ZERO, ahead, running, batch: 4, service };
+    let wait = Wait { load: Duration::ZERO, ahead, running, batch: 4, service: Some(service) };
     assert_eq!(wait.estimate(), Duration::from_millis(millis));
 }
+
+#[test]
+fn can_tell_the_load_from_the_wait_behind_others() {
+    let load = Duration::from_secs(20);
+    let alone = Wait { load, ahead: 0, running: 0, batch: 4, service: None };
+    assert_eq!((alone.estimate(), alone.behind()), (load, Duration::ZERO));
+    let crowd = Wait { ahead: 11, ..alone };
+    assert_eq!(
+        (crowd.estimate(), crowd.behind()),
+        (load, Duration::from_secs(2)),
+        "a guess wakes, but refuses nobody"
+    );
+}
--- a/components/agent/src/pending.rs
+++ b/components/agent/src/pending.rs
@@ -31,11 +31,12 @@
     pub(crate) sent: Instant,
     pub(crate) reply: Reply,
     sends: u32,
+    shown: bool,
 }
 
 impl Pending {
     pub(crate) fn new(id: String, kind: OrderKind, now: Instant) -> Self {
-        Self { id, kind, first: now, sent: now, reply: Reply::Underway, sends: 1 }
+        Self { id, kind, first: now, sent: now, reply: Reply::Underway, sends: 1, shown: false }
     }
 
     /// Whether an inventory whose reading began at `begun` shows all that this order will ever do.
@@ -72,11 +73,18 @@
 
     /// Notes that the endpoint shows its effect, whether or not its reply came.
     pub(crate) fn seen(&mut self) {
+        self.shown = true;
         if matches!(self.reply, Reply::Lost { .. }) {
             self.reply = Reply::Accepted { at: Instant::now() };
         }
     }
 
+    /// Notes that no reply came; one whose effect is shown was taken all the same.
+    pub(crate) fn lost(&mut self) {
+        let at = Instant::now();
+        self.reply = if self.shown { Reply::Accepted { at } } else { Reply::Lost { at } };
+    }
+
     /// Lets it be sent again as often as at first.
     pub(crate) fn renew(&mut self) {
         self.sends = 1;
@@ -87,5 +95,9 @@
         self.sent = now;
         self.sends += 1;
         self.reply = Reply::Underway;
+        self.shown = false;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -16,7 +16,7 @@
 use crate::queue::{Place, Queue, QueueLimits, Waiting};
 use crate::warm::Warmth;
 
-/// The next replica is woken when a request would wait longer than this share of its time left.
+/// The next replica is woken when a request would stand behind others for longer than this share of its time left.
 const WAKE_SHARE: f64 = 0.5;
 
 /// For how long the next replica counts as awake after it was woken.
@@ -204,8 +204,8 @@
         self.woken || self.warmth.is_due() || self.queue.len() > 0
     }
 
-    /// How long a new request of a class would wait until it starts.
-    pub(crate) fn wait(&self, ahead: usize, times: &LoadTimes, tier: CacheTier) -> Duration {
+    /// What a new request would wait for until it starts, behind `ahead` others.
+    pub(crate) fn wait(&self, ahead: usize, times: &LoadTimes, tier: CacheTier) -> Wait {
         let now = Instant::now();
         let load = times.get(tier);
         let load = match self.phase {
@@ -216,15 +216,16 @@
             }
             Phase::Cold | Phase::Unloading => load + self.retry.saturating_duration_since(now),
         };
-        let service = self.service.get().unwrap_or_default();
         let running = if load.is_zero() { self.running } else { 0 };
-        Wait { load, ahead, running, batch: self.limits.batch, service }.estimate()
+        Wait { load, ahead, running, batch: self.limits.batch, service: self.service.get() }
     }
 
     /// Lets a request wait here, or says why not; others that must make room are refused.
     pub(crate) fn admit(&mut self, waiting: Waiting, wait: Duration) -> Result<(), Refusal> {
         let left = waiting.deadline.saturating_duration_since(Instant::now());
         if wait > left {
+            // A caller who comes back should find it loaded.
+            self.woken |= self.unloaded();
             return Err(Refusal::Hopeless { wait: round(wait) });
         }
         self.used = Instant::now();
@@ -239,12 +240,14 @@
         }
     }
 
-    /// The next replica to wake, if a request with `left` until its deadline would wait too long here and
-    /// the next was not woken lately.
-    pub(crate) fn overdue(&mut self, wait: Duration, left: Duration) -> Option<ReplicaIndex> {
+    /// The next replica to wake, if a request with `left` until its deadline would stand too long behind others
+    /// here and the next was not woken lately. What is left of the load does not count: the next one would have
+    /// to load as well.
+    pub(crate) fn overdue(&mut self, wait: Wait, left: Duration) -> Option<ReplicaIndex> {
         let now = Instant::now();
         let woken = self.next_awake.is_some_and(|until| until > now);
-        if woken || wait <= left.mul_f64(WAKE_SHARE) {
+        let room = left.saturating_sub(wait.load);
+        if woken || wait.behind() <= room.mul_f64(WAKE_SHARE) {
             return None;
         }
         let index = self.grant.as_ref()?.index;
@@ -307,7 +310,7 @@
         let up = matches!(self.phase, Phase::Loading | Phase::Ready);
         let index = self.grant.as_ref().map_or(0, |grant| grant.index.0);
         let next = self.next_awake.is_some_and(|until| until > Instant::now());
-        let awake = index + u32::from(up || self.wanted()) + u32::from(next);
+        let awake = if next { index + 2 } else { index + u32::from(up || self.wanted()) };
         Report {
             waiting: count(self.queue.len()),
             running: count(self.running),
--- a/components/agent/src/run/tests/load.rs
+++ b/components/agent/src/run/tests/load.rs
@@ -26,6 +26,28 @@
     let answer = running.dispatch(&head).await.expect("an answer");
     assert!(matches!(answer.refusal(), Some(Refusal::Hopeless { .. })), "{answer:?}");
     assert!(began.elapsed() < std::time::Duration::from_millis(10));
+    until(|| running.phase_of("page-text@v1") == Some(Phase::Ready)).await;
+    let again = Dispatch { budget: Span::secs(2), ..running.head("r-3") };
+    let answer = running.dispatch(&again).await.expect("an answer");
+    assert!(answer.whole().is_some(), "who comes back finds it loaded: {answer:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn wakes_no_other_replica_for_the_load_alone() {
+    let world = World::new();
+    world.edit(vec![set("/page-text", "replicas-most", json!(2))]);
+    let running = world.start().await;
+    world.grant("page-text", "v1");
+    let (_, woken) = world.second_holder("page-text", "v1").await;
+    let slow = Dispatch { budget: Span::secs(12), ..running.head("r-1") };
+    assert!(running.dispatch(&slow).await.expect("an answer").whole().is_some());
+    running.agent.desk().times.add(platform::CacheTier::Remote, std::time::Duration::from_secs(60));
+    world.engine.crash();
+    world.engine.forget_caches();
+    pause(1500).await;
+    let tight = Dispatch { budget: Span::secs(20), ..running.head("r-2") };
+    let _ = running.dispatch(&tight).await.expect("an answer");
+    assert!(woken.lock().expect("a lock").is_empty(), "another would have to load as well");
 }
 
 #[tokio::test(start_paused = true)]
--- a/components/agent/src/settle.rs
+++ b/components/agent/src/settle.rs
@@ -154,14 +154,14 @@
             return None;
         }
         Sent::Replied(Err(EndpointError::Unknown(_))) => {
-            order.reply = Reply::Lost { at };
+            order.lost();
             return None;
         }
         Sent::Replied(Err(error)) => Some(error.to_string()),
         Sent::Held => None,
     };
     if order.repeated() {
-        order.reply = Reply::Lost { at };
+        order.lost();
         return None;
     }
     *pending = None;
