--- a/components/agent/src/attach.rs
+++ b/components/agent/src/attach.rs
@@ -46,7 +46,9 @@
             log::info!("attach: this is incarnation {incarnation}");
             return Ok(incarnation);
         }
-        log::info!("attach: the endpoint is another agent's; waiting until that changes");
+        if let Some(Verdict::Void(void)) = applied.verdicts.first() {
+            log::info!("attach: the attach is void: {void}; waiting until that changes");
+        }
         let _ = tokio::time::timeout(RETRY, moved(agent, previous)).await;
     }
 }
@@ -92,10 +94,12 @@
     }
 }
 
-/// The checkpoints that need not come from the store.
+/// The checkpoints that need not come from the store, the fastest first: the log keeps only so many.
 fn cached(inventory: &Inventory) -> Vec<ModelName> {
-    let near = inventory.cached.iter().filter(|(_, tier)| *tier != CacheTier::Remote);
-    near.map(|(artifact, _)| artifact.clone()).collect()
+    let mut near: Vec<&(ModelName, CacheTier)> =
+        inventory.cached.iter().filter(|(_, tier)| *tier != CacheTier::Remote).collect();
+    near.sort_by_key(|(_, tier)| *tier);
+    near.into_iter().map(|(artifact, _)| artifact.clone()).collect()
 }
 
 /// The inventory of an engine, once it answers; plain services have none.
--- a/components/planner/src/listing.rs
+++ b/components/planner/src/listing.rs
@@ -29,6 +29,7 @@
     sightings: Sender<Sightings>,
 ) {
     let mut epoch = None;
+    let mut trouble = None;
     loop {
         let held = shared.journal.read(|state| shared.held(state));
         if held != epoch {
@@ -36,14 +37,25 @@
             sightings.send_replace(Sightings::default());
         }
         if held.is_some() {
-            look(shared, &*list, &sightings).await;
+            look(shared, &*list, &sightings, &mut trouble).await;
         }
         sleep(shared.options.listing).await;
     }
 }
 
-async fn look(shared: &Shared, list: &dyn InstanceList, sightings: &Sender<Sightings>) {
-    let Some(instances) = read(list).await else { return };
+async fn look(
+    shared: &Shared,
+    list: &dyn InstanceList,
+    sightings: &Sender<Sightings>,
+    trouble: &mut Option<String>,
+) {
+    let instances = match read(list).await {
+        Ok(instances) => instances,
+        Err(cause) => return note_trouble(trouble, cause),
+    };
+    if trouble.take().is_some() {
+        log::info!("planner: the instance list can be used again");
+    }
     let members: Vec<Member> = shared.journal.read(|state| state.members().cloned().collect());
     sightings.send_modify(|seen| seen.note(&members, &instances, Instant::now()));
     let suspects = sightings.borrow().suspects(&members, shared.options.guard, Instant::now());
@@ -75,16 +87,23 @@
     }
 }
 
-async fn read(list: &dyn InstanceList) -> Option<Vec<Instance>> {
-    let cause = match timeout(READ_LIMIT, list.instances()).await {
-        Ok(Ok(instances)) if instances.is_empty() => "the instance list is empty".to_owned(),
-        Ok(Ok(instances)) => return Some(instances),
-        Ok(Err(error)) => error.to_string(),
-        Err(_) => format!("no answer from the instance list within {READ_LIMIT:?}"),
-    };
-    log::warn!("planner: {cause}; nobody is dropped by it");
+/// Reads the list; one that is empty proves nothing.
+async fn read(list: &dyn InstanceList) -> Result<Vec<Instance>, String> {
+    match timeout(READ_LIMIT, list.instances()).await {
+        Ok(Ok(instances)) if instances.is_empty() => Err("the instance list is empty".to_owned()),
+        Ok(Ok(instances)) => Ok(instances),
+        Ok(Err(error)) => Err(error.to_string()),
+        Err(_) => Err(format!("no answer from the instance list within {READ_LIMIT:?}")),
+    }
+}
+
+/// Says once what is wrong with the list, and counts every reading that could not be used.
+fn note_trouble(trouble: &mut Option<String>, cause: String) {
     metrics::counter!("planner_list_unusable_total").increment(1);
-    None
+    if trouble.as_ref() != Some(&cause) {
+        log::warn!("planner: {cause}; nobody is dropped by it");
+        *trouble = Some(cause);
+    }
 }
 
 async fn ask(shared: &Shared, suspect: Suspect) -> (Suspect, bool) {
