--- a/components/agent/src/pending.rs
+++ b/components/agent/src/pending.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Notes that no reply came.
+    /// Notes that no reply came; one whose effect is shown was taken all the same.
     pub(crate) fn lost(&mut self) {
         let at = Instant::now();
         self.reply = if self.shown { Reply::Accepted { at } } else { Reply::Lost { at } };
@@ -95,5 +95,9 @@
         self.sent = now;
         self.sends += 1;
         self.reply = Reply::Underway;
+        self.shown = false;
     }
 }
+
+#[cfg(test)]
+mod tests;
