--- a/components/agent/src/keeper.rs
+++ b/components/agent/src/keeper.rs
@@ -75,7 +75,9 @@
     loop {
         let agent = keeper.agent.clone();
         tokio::select! {
-            () = agent.nudge.notified() => {}
+            biased;
+            Some(Ok(end)) = keeper.orders.join_next() => keeper.ended(&end),
+            Some(_) = keeper.releases.join_next() => {}
             Ok(()) = inventory.changed() => {
                 let seen = inventory.borrow_and_update().clone();
                 if let Some(seen) = seen {
@@ -83,8 +85,7 @@
                 }
             }
             Ok(()) = changes.changed() => {}
-            Some(Ok(end)) = keeper.orders.join_next() => keeper.ended(&end),
-            Some(_) = keeper.releases.join_next() => {}
+            () = agent.nudge.notified() => {}
             () = tokio::time::sleep(TICK) => {}
         }
         if let Err(barred @ Barred::Superseded { .. }) = agent.authority.current() {
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod estimate;
 mod evict;
 mod keeper;
+mod kept;
 mod memory;
 mod orders;
 mod pending;
@@ -33,5 +34,7 @@
 mod wake;
 mod warm;
 
-pub use run::run;
+pub use run::{Edges, run, run_with};
 pub use settings::{EndpointKind, Settings};
+pub use slot::Slot;
+pub use table::{Begin, RequestTable, TableLimits};
