A body that loses its writer is cut, never whole

Cause: the library's channel body asks for a piece and then whether the writer is gone. A last piece that is sent between the two questions, on another thread, is lost, and the body ends as if it were whole; the watchdog of the endpoints' answers used it, so an agent could take a shortened answer for a whole one. Found by reading, not seen in a run. The new body takes pieces and the end from one channel, and a writer that is dropped without finishing cuts it.

--- a/components/platform/src/streaming.rs
+++ b/components/platform/src/streaming.rs
@@ -6,10 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, Uri, header};
 use http_body_util::BodyExt;
-use http_body_util::channel::Sender;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -87,29 +85,27 @@
 
 /// A body that fails once `idle` passes without a byte.
 fn watched(addr: SocketAddr, body: Incoming, idle: Duration) -> Body {
-    let (sender, watched) = web::channel();
-    tokio::spawn(relay(addr, body, sender, idle));
+    let (writer, watched) = web::channel();
+    tokio::spawn(relay(addr, body, writer, idle));
     watched
 }
 
-async fn relay(
-    addr: SocketAddr,
-    mut body: Incoming,
-    mut sender: Sender<Bytes, std::io::Error>,
-    idle: Duration,
-) {
+async fn relay(addr: SocketAddr, mut body: Incoming, writer: web::Writer, idle: Duration) {
     loop {
         let data = match timeout(idle, body.frame()).await {
-            Ok(None) => return,
+            Ok(None) => {
+                let _ = writer.finish().await;
+                return;
+            }
             Ok(Some(Ok(frame))) => frame.into_data(),
-            Ok(Some(Err(error))) => return sender.abort(std::io::Error::other(error)),
+            Ok(Some(Err(error))) => return writer.cut(std::io::Error::other(error)).await,
             Err(_) => {
                 let silent = StreamError::Silent { addr, idle };
-                return sender.abort(std::io::Error::other(silent));
+                return writer.cut(std::io::Error::other(silent)).await;
             }
         };
         if let Ok(data) = data
-            && sender.send_data(data).await.is_err()
+            && writer.send(data).await.is_err()
         {
             return;
         }
--- a/components/standin/src/engine/requests.rs
+++ b/components/standin/src/engine/requests.rs
@@ -126,8 +126,8 @@
     fn respond(&self, run: Arc<Run>, from: usize) -> Response<Body> {
         let cut = take(&mut self.core().faults.cuts).then_some(from + CUT_AT);
         let kind = if run.call.stream { "text/event-stream" } else { "application/json" };
-        let (sender, body) = web::channel();
-        tokio::spawn(self.clone().deliver(run, from, cut, sender));
+        let (writer, body) = web::channel();
+        tokio::spawn(self.clone().deliver(run, from, cut, writer));
         let mut response = Response::new(body);
         response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
         response
--- a/components/standin/src/engine/run.rs
+++ b/components/standin/src/engine/run.rs
@@ -1,11 +1,11 @@
 //! One request at an engine: its answer as far as it is made, and the task that makes it.
 
+use std::io::Error;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::channel::Sender;
 use platform::PrefixHash;
 use tokio::sync::{oneshot, watch};
 use tokio::time::sleep;
@@ -189,7 +189,7 @@
         run: Arc<Run>,
         from: usize,
         cut: Option<usize>,
-        mut sender: Sender<Bytes, std::io::Error>,
+        writer: web::Writer,
     ) {
         let mut progress = run.watch();
         let mut at = from;
@@ -198,23 +198,26 @@
             self.0.freeze.thawed().await;
             let upto = cut.map_or(now.bytes, |cut| cut.min(now.bytes));
             if upto > at {
-                if sender.send_data(run.whole.slice(at..upto)).await.is_err() {
+                if writer.send(run.whole.slice(at..upto)).await.is_err() {
                     return;
                 }
                 at = upto;
             }
             if cut == Some(at) {
-                return sender.abort(std::io::Error::other("the stream is dropped on purpose"));
+                return writer.cut(Error::other("the stream is dropped on purpose")).await;
             }
             match now.end {
-                Some(End::Whole) => return,
+                Some(End::Whole) => {
+                    let _ = writer.finish().await;
+                    return;
+                }
                 Some(End::Cut) => {
-                    return sender.abort(std::io::Error::other("the request was cut"));
+                    return writer.cut(Error::other("the request was cut")).await;
                 }
                 None => {}
             }
             if progress.changed().await.is_err() {
-                return sender.abort(std::io::Error::other("the request is gone"));
+                return writer.cut(Error::other("the request is gone")).await;
             }
         }
     }
--- a/components/web/src/body.rs
+++ b/components/web/src/body.rs
@@ -3,16 +3,13 @@
 use bytes::Bytes;
 use http::{Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Channel, Empty, Full, Limited, channel::Sender};
+use http_body_util::{BodyExt, Empty, Full, Limited};
 use serde::Serialize;
 use thiserror::Error;
 
 /// A body of either direction; an error ends it early, which the other side sees.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
-/// How many frames a streamed body holds before its writer waits.
-const CHANNEL_FRAMES: usize = 16;
-
 /// Why a body could not be read whole.
 #[derive(Debug, Error)]
 pub enum ReadError {
@@ -37,12 +34,6 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// A body that a task writes; dropping the sender ends it, `abort` cuts it.
-pub fn channel() -> (Sender<Bytes, std::io::Error>, Body) {
-    let (sender, body) = Channel::new(CHANNEL_FRAMES);
-    (sender, body.boxed_unsync())
-}
-
 /// A response of plain text.
 pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(full(text));
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -1,9 +1,11 @@
 //! HTTP servers and clients over hyper: the plumbing that every process needs.
 
 mod body;
+mod channel;
 mod client;
 mod server;
 
-pub use body::{Body, ReadError, channel, empty, full, json, read, text};
+pub use body::{Body, ReadError, empty, full, json, read, text};
+pub use channel::{Closed, Writer, channel};
 pub use client::{CallError, Client};
 pub use server::{BindError, Listener, Protocol, ServeOptions, bind, serve};
--- a/components/web/tests/server.rs
+++ b/components/web/tests/server.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::body::Body as _;
+
 use http::{Method, Request, StatusCode, Uri};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -105,3 +107,35 @@
     assert!(matches!(error, web::ReadError::Large { limit: 4 }), "{error}");
     assert_eq!(web::read(web::full("1234"), 4).await.expect("it fits").as_ref(), b"1234");
 }
+
+#[tokio::test]
+async fn can_read_a_written_body_to_its_end() {
+    let (writer, body) = web::channel();
+    tokio::spawn(async move {
+        writer.send("half, ".into()).await.expect("a reader");
+        writer.send("whole".into()).await.expect("a reader");
+        writer.finish().await.expect("a reader");
+    });
+    assert_eq!(web::read(body, 100).await.expect("it is whole").as_ref(), b"half, whole");
+}
+
+#[tokio::test]
+async fn errors_on_a_body_whose_writer_is_dropped_or_cuts() {
+    let (writer, body) = web::channel();
+    writer.send("half".into()).await.expect("room");
+    drop(writer);
+    assert!(matches!(web::read(body, 100).await, Err(web::ReadError::Cut(_))));
+    let (writer, body) = web::channel();
+    writer.cut(std::io::Error::other("a fault")).await;
+    assert!(matches!(web::read(body, 100).await, Err(web::ReadError::Cut(_))));
+}
+
+#[tokio::test]
+async fn can_pass_on_the_last_piece_when_the_writer_ends_between_two_polls() {
+    let (writer, mut body) = web::channel();
+    let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+    assert!(std::pin::Pin::new(&mut body).poll_frame(&mut context).is_pending());
+    writer.send("last".into()).await.expect("room");
+    writer.finish().await.expect("room");
+    assert_eq!(web::read(body, 100).await.expect("it is whole").as_ref(), b"last");
+}
