--- a/components/agent/src/run/tests.rs
+++ b/components/agent/src/run/tests.rs
@@ -1,5 +1,4 @@
 mod draining;
-mod engine;
 mod failures;
 mod http;
 mod load;
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -23,11 +23,11 @@
 use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size, Span};
 use wire::{Control, Dispatch, End, Refusal, Reply, Report, Resume, UnknownCause};
 
-use super::engine::Engine;
 use crate::agent::Agent;
 use crate::desk::Closed;
 use crate::run::{Edges, build, lead};
 use crate::{EndpointKind, Settings, dispatch};
+use fake::engine::Engine;
 
 /// Text as an id of the wanted kind.
 pub(crate) fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
--- a/components/agent/src/run/tests/engine.rs
+++ b/components/fake/src/engine.rs
@@ -21,32 +21,36 @@
 
 /// What is wrong with the engine, and how fast it is.
 #[derive(Debug, Clone)]
-pub(crate) struct Faults {
-    pub(crate) load: Duration,
-    pub(crate) unload: Duration,
-    pub(crate) token: Duration,
-    pub(crate) tokens: usize,
+pub struct Faults {
+    /// How long a load takes.
+    pub load: Duration,
+    /// How long an unload takes.
+    pub unload: Duration,
+    /// How long a token takes.
+    pub token: Duration,
+    /// How many tokens an answer has.
+    pub tokens: usize,
     /// Orders that take effect, but whose reply is lost.
-    pub(crate) lost_replies: u32,
+    pub lost_replies: u32,
     /// Orders that never arrive.
-    pub(crate) lost_orders: u32,
+    pub lost_orders: u32,
     /// Orders arrive this much later than their sender gives up.
-    pub(crate) late_orders: Option<Duration>,
+    pub late_orders: Option<Duration>,
     /// Loads fail with this reason.
-    pub(crate) fail_loads: Option<String>,
+    pub fail_loads: Option<String>,
     /// The next answers stop after this many tokens, while the engine goes on.
-    pub(crate) silent_after: Option<usize>,
+    pub silent_after: Option<usize>,
     /// Calls run, but no head of an answer comes.
-    pub(crate) mute_calls: bool,
+    pub mute_calls: bool,
     /// Orders are refused.
-    pub(crate) refuse_orders: bool,
+    pub refuse_orders: bool,
     /// Old fencing numbers are ignored.
-    pub(crate) unfenced: bool,
+    pub unfenced: bool,
 }
 
 impl Truth {
     /// How many loads of an artifact were carried out.
-    pub(crate) fn loads(&self, name: &str) -> usize {
+    pub fn loads(&self, name: &str) -> usize {
         let load = |order: &&Order| matches!(&order.order, OrderKind::Load { artifact, .. } if artifact.as_str() == name);
         self.orders.iter().filter(load).count()
     }
@@ -73,15 +77,23 @@
 
 /// What the engine has really done.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Truth {
-    pub(crate) executions: BTreeMap<String, u32>,
-    pub(crate) cancelled: BTreeSet<String>,
-    pub(crate) orders: Vec<Order>,
-    pub(crate) refused: u32,
-    pub(crate) high_water: Size,
-    pub(crate) most_loaded: BTreeMap<String, usize>,
-    pub(crate) cut_by_unload: u32,
-    pub(crate) calls: Vec<String>,
+pub struct Truth {
+    /// How often each request has run, by its id.
+    pub executions: BTreeMap<String, u32>,
+    /// Requests that were cancelled.
+    pub cancelled: BTreeSet<String>,
+    /// Orders that were carried out, each once.
+    pub orders: Vec<Order>,
+    /// Orders that were refused.
+    pub refused: u32,
+    /// The most memory that was taken at one time.
+    pub high_water: Size,
+    /// The most artifacts of each model that were in memory at one time.
+    pub most_loaded: BTreeMap<String, usize>,
+    /// Requests that an unload has cut.
+    pub cut_by_unload: u32,
+    /// Calls that came, by path.
+    pub calls: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -134,10 +146,11 @@
 
 /// A model engine in memory; clones share it.
 #[derive(Debug, Clone)]
-pub(crate) struct Engine(Arc<Shared>);
+pub struct Engine(Arc<Shared>);
 
 impl Engine {
-    pub(crate) fn new(memory: Size) -> Self {
+    /// An engine with nothing loaded.
+    pub fn new(memory: Size) -> Self {
         let core = Core {
             life: 0,
             version: 1,
@@ -159,26 +172,28 @@
         self.0.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn set(&self, change: impl FnOnce(&mut Faults)) {
+    /// Changes what is wrong with it.
+    pub fn set(&self, change: impl FnOnce(&mut Faults)) {
         change(&mut self.core().faults);
     }
 
     /// Tells of more cache events from now on.
-    pub(crate) fn tell(&self, events: Vec<CacheEvent>) {
+    pub fn tell(&self, events: Vec<CacheEvent>) {
         self.core().cache_events.extend(events);
     }
 
-    pub(crate) fn truth(&self) -> Truth {
+    /// What it has really done so far.
+    pub fn truth(&self) -> Truth {
         self.core().truth.clone()
     }
 
     /// What is in memory now.
-    pub(crate) fn loaded(&self) -> Vec<String> {
+    pub fn loaded(&self) -> Vec<String> {
         self.core().loaded.keys().map(ToString::to_string).collect()
     }
 
     /// Dies and starts again with nothing in memory.
-    pub(crate) fn crash(&self) {
+    pub fn crash(&self) {
         let mut core = self.core();
         core.life += 1;
         core.version = 1;
@@ -193,13 +208,13 @@
     }
 
     /// Loses its cached checkpoints.
-    pub(crate) fn forget_caches(&self) {
+    pub fn forget_caches(&self) {
         self.core().cached.clear();
         self.touch();
     }
 
     /// Puts an artifact into memory behind everybody's back.
-    pub(crate) fn plant(&self, artifact: &str, memory: Size) {
+    pub fn plant(&self, artifact: &str, memory: Size) {
         let held = Held { phase: ReplicaPhase::Ready, base: memory, adapters: BTreeMap::default() };
         self.core().loaded.insert(artifact.parse().expect("a name"), held);
         self.touch();
--- a/components/fake/src/lib.rs
+++ b/components/fake/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Tests use them directly; the stand-in program serves them over HTTP.
 
+pub mod engine;
 mod list;
 mod log;
 mod net;
