--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -14,13 +14,14 @@
 use policy::Calendar;
 use process::{Identity, Phase, Shutdown};
 use record::{Attach, Body, Decision, GrantId, Record};
-use serde_json::{Value, json};
+pub(crate) use sample::{add, id, set};
+use serde_json::json;
 use state::{State, Verdict};
 use timeline::{Recorder, Tick};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tree::{Change, Class, Edit, NodeKind};
-use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size, Span};
+use units::{Epoch, Incarnation, Offset, Revision, Size, Span};
 use wire::{Control, Dispatch, End, Refusal, Reply, Report, Resume, UnknownCause};
 
 use crate::agent::Agent;
@@ -29,11 +30,6 @@
 use crate::{EndpointKind, Settings, dispatch};
 use fake::engine::Engine;
 
-/// Text as an id of the wanted kind.
-pub(crate) fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("the test's ids are valid")
-}
-
 /// When the tests start.
 const TODAY: &str = "2026-12-31T07:00:00Z";
 
@@ -248,13 +244,8 @@
 
     /// Grants a replica of a model's version at the endpoint.
     pub(crate) fn grant(&self, model: &str, version: &str) -> GrantId {
-        let offset = self.decide(Decision::Grant {
-            model: id(model),
-            index: ReplicaIndex(0),
-            artifact: id(&format!("{model}@{version}")),
-            endpoint: id(ENDPOINT),
-            reason: "test".to_owned(),
-        });
+        let artifact = format!("{model}@{version}");
+        let offset = self.decide(sample::grant(model, 0, &artifact, ENDPOINT));
         GrantId { offset, part: 0 }
     }
 
@@ -278,13 +269,7 @@
             previous: Incarnation(0),
             ..attach
         }));
-        self.decide(Decision::Grant {
-            model: id(model),
-            index: ReplicaIndex(1),
-            artifact: id(&format!("{model}@{version}")),
-            endpoint: id("likhari-2"),
-            reason: "test".to_owned(),
-        });
+        self.decide(sample::grant(model, 1, &format!("{model}@{version}"), "likhari-2"));
         (control, self.network.asked.clone())
     }
 
@@ -461,14 +446,6 @@
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
 
-pub(crate) fn add(path: &str, kind: NodeKind) -> Change {
-    Change::Add { path: id(path), kind }
-}
-
-pub(crate) fn set(path: &str, setting: &str, value: Value) -> Change {
-    Change::Set { path: id(path), setting: id(setting), value }
-}
-
 fn model(name: &str) -> Vec<Change> {
     let path = format!("/{name}");
     vec![
--- a/components/entry/tests/sessions/kit/world.rs
+++ b/components/entry/tests/sessions/kit/world.rs
@@ -1,7 +1,6 @@
 //! A tree, members and grants on a fake log, and an entry that follows it.
 
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,20 +11,17 @@
 use journal::{Journal, Keys};
 use platform::{LogService, Stream};
 use process::{Phase, Shutdown};
-use record::{Attach, Body, Decision, Record};
+use record::{Attach, Body, Record};
+pub(crate) use sample::id;
+use sample::{add, set};
 use serde_json::{Value, json};
 use timeline::Recorder;
 use tokio::sync::watch;
 use tree::{Change, Edit, NodeKind};
-use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size};
+use units::{Epoch, Incarnation, Offset, Revision, Size};
 
 use super::{Agent, Net, Transcript};
 
-/// Text as an id of the wanted kind.
-pub(crate) fn id<T: FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("the test's ids are valid")
-}
-
 /// What a caller got.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -192,17 +188,10 @@
         let port = u16::try_from(10_000 + self.next).expect("tests write few records");
         let addr = SocketAddr::from(([127, 0, 0, 1], port));
         let attach = Attach {
-            endpoint: id(endpoint),
-            instance: id(endpoint),
             domain: id(domain),
             service: id(service),
-            dispatch: addr,
-            control: addr,
-            admin: addr,
-            memory: Size::gib(80),
-            cached: Vec::new(),
-            fenced: true,
             previous: Incarnation(previous),
+            ..sample::attach(endpoint, addr)
         };
         let offset = self.put(Body::Attach(attach));
         let agent = Agent::new(endpoint, addr, offset.into(), self.transcript.clone());
@@ -221,13 +210,7 @@
 
     /// Grants replica `index` of `page-text`.
     pub(crate) async fn grant(&mut self, index: u32, endpoint: &str) {
-        let decision = Decision::Grant {
-            model: id("page-text"),
-            index: ReplicaIndex(index),
-            artifact: id("page-text@v1"),
-            endpoint: id(endpoint),
-            reason: "test".to_owned(),
-        };
+        let decision = sample::grant("page-text", index, "page-text@v1", endpoint);
         self.put(Body::Decide { epoch: self.epoch, decisions: vec![decision] });
         self.settle().await;
     }
@@ -300,14 +283,6 @@
     Answer { status: parts.status, headers: parts.headers, body: bytes.into(), cut }
 }
 
-fn set(path: &str, setting: &str, value: Value) -> Change {
-    Change::Set { path: id(path), setting: id(setting), value }
-}
-
-fn add(path: &str, kind: NodeKind) -> Change {
-    Change::Add { path: id(path), kind }
-}
-
 fn base_tree() -> Vec<Change> {
     vec![
         add("/likhari", NodeKind::Branch),
--- a/components/fake/src/engine.rs
+++ b/components/fake/src/engine.rs
@@ -92,7 +92,7 @@
     pub most_loaded: BTreeMap<String, usize>,
     /// Requests that an unload has cut.
     pub cut_by_unload: u32,
-    /// Calls that came, by path.
+    /// Calls that came, by the model that they named.
     pub calls: Vec<String>,
 }
 
