--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -9,7 +9,7 @@
 
 use crate::bench::{self, BenchError};
 use crate::run::{self, RunError};
-use crate::scale::{self, ScaleError};
+use crate::scale::{self, ScaleError, UnknownPart};
 use crate::site::{Sample, UnknownSample};
 use crate::trial::{self, Trial, TrialError};
 
@@ -19,11 +19,12 @@
 Usage: hyssop-load try [--deployment press|trust] [--bin DIR] [--out DIR]
        hyssop-load run EXPERIMENT.jsonc [--bin DIR] [--out DIR]
        hyssop-load bench [--bin DIR] [--out DIR]
-       hyssop-load scale [--bin DIR] [--out DIR]
+       hyssop-load scale [--part real|large|calls] [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
   --deployment  the sample to start; press unless given
   --bin         the folder with the programs; that of hyssop-load unless given
+  --part        the part of the bench to run; the others keep their last results
   --out         the folder for settings files, logs and results; try-logs or results unless given
 
 The exit code is 0 if every promise held, 1 if not or if something failed, 2 for a wrong command line.";
@@ -49,6 +50,8 @@
     Argument(#[from] lexopt::Error),
     #[error(transparent)]
     Sample(#[from] UnknownSample),
+    #[error(transparent)]
+    Part(#[from] UnknownPart),
     #[error("no command; use `try`, `run`, `bench` or `scale`, or `--help`")]
     NoCommand,
     #[error("no command `{0}`; use `try`, `run`, `bench` or `scale`, or `--help`")]
@@ -108,10 +111,8 @@
     match command.as_str() {
         "try" => parse_try(parser),
         "run" => parse_run(parser),
-        "bench" => Ok(parse_folders(parser)?
-            .map_or(Task::Help, |Folders { bin, out }| Task::Bench(bench::Job { bin, out }))),
-        "scale" => Ok(parse_folders(parser)?
-            .map_or(Task::Help, |Folders { bin, out }| Task::Scale(scale::Job { bin, out }))),
+        "bench" => parse_bench(parser),
+        "scale" => parse_scale(parser),
         _ => Err(UsageError::Unknown(command)),
     }
 }
@@ -146,24 +147,32 @@
     Ok(Task::Run(run::Job { file, bin, out }))
 }
 
-/// Where the programs are and results go.
-struct Folders {
-    bin: PathBuf,
-    out: PathBuf,
+fn parse_bench(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let mut job = bench::Job { bin: trial::own_folder(), out: PathBuf::from("results") };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("bin") => job.bin = parser.value()?.into(),
+            Arg::Long("out") => job.out = parser.value()?.into(),
+            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Task::Bench(job))
 }
 
-/// Reads the options of a task that has no others; nothing if help is asked for.
-fn parse_folders(mut parser: lexopt::Parser) -> Result<Option<Folders>, UsageError> {
-    let mut folders = Folders { bin: trial::own_folder(), out: PathBuf::from("results") };
+fn parse_scale(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let (bin, out) = (trial::own_folder(), PathBuf::from("results"));
+    let mut job = scale::Job { bin, out, part: None };
     while let Some(arg) = parser.next()? {
         match arg {
-            Arg::Long("bin") => folders.bin = parser.value()?.into(),
-            Arg::Long("out") => folders.out = parser.value()?.into(),
-            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            Arg::Long("bin") => job.bin = parser.value()?.into(),
+            Arg::Long("out") => job.out = parser.value()?.into(),
+            Arg::Long("part") => job.part = Some(parser.value()?.string()?.parse()?),
+            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
             other => return Err(other.unexpected().into()),
         }
     }
-    Ok(Some(folders))
+    Ok(Task::Scale(job))
 }
 
 fn carry_out(task: Task) -> Result<bool, TaskError> {
--- a/components/load/src/scale.rs
+++ b/components/load/src/scale.rs
@@ -13,6 +13,7 @@
 mod usage;
 
 use std::path::{Path, PathBuf};
+use std::str::FromStr;
 use std::time::Duration;
 
 use thiserror::Error;
@@ -62,45 +63,92 @@
     /// A call was not served.
     #[error("a call was not served: {0}")]
     Wake(String),
+    /// Calls whose cost is measured were not served.
+    #[error("only {served} of {of} calls were served")]
+    Refused {
+        /// Served calls.
+        served: usize,
+        /// All calls.
+        of: usize,
+    },
     /// A process has ended.
     #[error("a process that was measured has ended")]
     Gone,
 }
 
+/// A part of the bench that can be run by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Part {
+    /// Deployments in which every member has a process.
+    Real,
+    /// Few processes and large states.
+    Large,
+    /// Calls and open streams.
+    Calls,
+}
+
+/// Why a name is not a part.
+#[derive(Debug, Error)]
+#[error("no part `{0}`; there are `real`, `large` and `calls`")]
+pub(crate) struct UnknownPart(String);
+
+impl FromStr for Part {
+    type Err = UnknownPart;
+
+    fn from_str(text: &str) -> Result<Self, UnknownPart> {
+        match text {
+            "real" => Ok(Self::Real),
+            "large" => Ok(Self::Large),
+            "calls" => Ok(Self::Calls),
+            _ => Err(UnknownPart(text.to_owned())),
+        }
+    }
+}
+
 /// Where the programs are and results go.
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) bin: PathBuf,
     pub(crate) out: PathBuf,
+    /// What to run; all if it names none. The other parts keep their last results.
+    pub(crate) part: Option<Part>,
 }
 
 /// Runs the bench, prints it beside the last result, and writes it in its place.
 pub(crate) async fn run(job: Job) -> Result<(), ScaleError> {
     let file = job.out.join("scale.json");
     let last = std::fs::read(&file).ok().and_then(|text| serde_json::from_slice(&text).ok());
-    let scaled = measure(&job.bin, &job.out.join("scale-logs")).await?;
-    scaled.print(last.as_ref());
+    let last: Scaled = last.unwrap_or_default();
+    let scaled = measure(&job, &job.out.join("scale-logs"), last.clone()).await?;
+    scaled.print(&last);
     std::fs::write(&file, serde_json::to_string_pretty(&scaled).unwrap_or_default() + "\n")?;
     println!("result: {}", file.display());
     Ok(())
 }
 
-async fn measure(bin: &Path, logs: &Path) -> Result<Scaled, ScaleError> {
-    let mut scaled = Scaled::default();
-    for agents in REAL {
-        scaled.real.push(note(measure::real(bin, logs, agents).await?));
+async fn measure(job: &Job, logs: &Path, mut scaled: Scaled) -> Result<Scaled, ScaleError> {
+    let wants = |part| job.part.is_none_or(|only| only == part);
+    if wants(Part::Real) {
+        scaled.real.clear();
+        for agents in REAL {
+            scaled.real.push(note(measure::real(&job.bin, logs, agents).await?));
+        }
+    }
+    if wants(Part::Large) {
+        scaled.large.clear();
+        for members in LARGE {
+            scaled.large.push(note(measure::large(&job.bin, logs, FEW, members).await?));
+        }
     }
-    for members in LARGE {
-        scaled.large.push(note(measure::large(bin, logs, FEW, members).await?));
+    if wants(Part::Calls) {
+        let calls = Calls::start(&job.bin, logs).await?;
+        scaled.calls = calls.lengths().await?;
+        scaled.streams = calls.streams().await?;
     }
-    let calls = Calls::start(bin, logs).await?;
-    scaled.calls = calls.lengths().await?;
-    println!("measured: {}", serde_json::to_string(&scaled.calls).unwrap_or_default());
-    scaled.streams = calls.streams().await?;
     Ok(scaled)
 }
 
-/// Says that a size is done.
+/// Says what a size took, in case a later one fails.
 fn note(point: Point) -> Point {
     println!("measured: {}", serde_json::to_string(&point).unwrap_or_default());
     point
--- a/components/load/src/scale/calls.rs
+++ b/components/load/src/scale/calls.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use standin::{EngineFault, EngineSettings};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use units::{Size, Span};
 use web::Client;
 
@@ -21,9 +21,10 @@
 
 /// Lengths of the calls.
 const TOKENS: [u32; 4] = [1, 16, 64, 256];
-/// How long calls of one length are sent, by how many callers at a time.
-const LASTS: Duration = Duration::from_secs(5);
+/// Callers at a time, and calls of each: the agent remembers requests beyond their deadlines, and takes
+/// no more once it has no place for them.
 const CALLERS: usize = 16;
+const EACH: usize = 40;
 /// How many streams are open at a time.
 const STREAMS: [usize; 4] = [0, 250, 500, 1000];
 /// Tokens of an open stream, and how much slower than others they come.
@@ -59,7 +60,7 @@
             crowding: 0.0,
             ..EngineSettings::default()
         };
-        let content = Content { members: AGENTS, models: 1, adapters: 1 };
+        let content = Content { members: AGENTS, models: 1, adapters: 1, replicas: 1 };
         let mut stage = Stage::start(bin, out, AGENTS, content, &engine).await?;
         stage.until("all members", |state| state.members().count() == AGENTS).await?;
         stage.until("all grants", |state| state.grants().count() == content.grants()).await?;
@@ -83,8 +84,11 @@
             let before = self.usage()?;
             let calls: usize = join_all((0..CALLERS).map(|_| self.repeat(&ask))).await.iter().sum();
             let after = self.usage()?;
+            if calls < CALLERS * EACH {
+                return Err(ScaleError::Refused { served: calls, of: CALLERS * EACH });
+            }
             let each = |index: usize| {
-                (after[index].busy - before[index].busy).as_secs_f64() * 1e6 / calls.max(1) as f64
+                (after[index].busy - before[index].busy).as_secs_f64() * 1e6 / calls as f64
             };
             points.push(CallPoint { tokens, calls, entry: each(0), agent: each(1) });
         }
@@ -92,9 +96,8 @@
     }
 
     async fn repeat(&self, ask: &Ask) -> usize {
-        let end = Instant::now() + LASTS;
         let mut served = 0;
-        while Instant::now() < end {
+        for _ in 0..EACH {
             let call = self.caller.send(&self.doors, ask, self.stage.clock.now()).await;
             served += usize::from(call.ending == Ending::Served);
         }
--- a/components/load/src/scale/content.rs
+++ b/components/load/src/scale/content.rs
@@ -9,8 +9,10 @@
 use tree::{Change, Edit, NodeKind};
 use units::{Incarnation, Offset, Revision, Size};
 
-/// Replicas of each model that are granted.
+/// Replicas of each model: 1840 grants at the two-year size.
 const REPLICAS: usize = 8;
+/// Requests that one replica runs, and as many that may wait, so that all streams can be open at a time.
+const BATCH: u32 = 4096;
 /// Models and adapters at the two-year size, and the servers for them.
 const MODELS: usize = 230;
 const ADAPTERS: usize = 1000;
@@ -30,6 +32,8 @@
     pub(crate) members: usize,
     pub(crate) models: usize,
     pub(crate) adapters: usize,
+    /// Replicas of each model that are granted.
+    pub(crate) replicas: usize,
 }
 
 /// An id whose text is right.
@@ -41,12 +45,12 @@
     /// What so many members have.
     pub(crate) fn of(members: usize) -> Self {
         let part = |of: usize| (of * members).div_ceil(SERVERS);
-        Self { members, models: part(MODELS), adapters: part(ADAPTERS) }
+        Self { members, models: part(MODELS), adapters: part(ADAPTERS), replicas: REPLICAS }
     }
 
     /// Grants that the planner is to make.
     pub(crate) fn grants(&self) -> usize {
-        self.models * REPLICAS
+        self.models * self.replicas
     }
 
     /// The tree, in edits of limited size.
@@ -54,10 +58,12 @@
         let mut changes = vec![
             add(BRANCH, NodeKind::Branch),
             set(BRANCH, "service", json!(SERVICE)),
-            set(BRANCH, "replicas-most", json!(REPLICAS)),
-            set(BRANCH, "replicas-least", json!(REPLICAS)),
+            set(BRANCH, "replicas-most", json!(self.replicas)),
+            set(BRANCH, "replicas-least", json!(self.replicas)),
             set(BRANCH, "weights", json!("8GiB")),
             set(BRANCH, "kv-room", json!("2GiB")),
+            set(BRANCH, "batch", json!(BATCH)),
+            set(BRANCH, "queue", json!(BATCH)),
         ];
         for number in 0..self.models {
             let path = path(number);
--- a/components/load/src/scale/meter.rs
+++ b/components/load/src/scale/meter.rs
@@ -12,6 +12,7 @@
 
 /// Hands connections on to a stand-in and counts what they carry, both ways together.
 pub(crate) struct Meter {
+    addr: SocketAddr,
     bytes: Arc<AtomicU64>,
     _task: AbortOnDropHandle<()>,
 }
@@ -20,9 +21,15 @@
     /// Takes connections at `addr` and hands them on to `to`.
     pub(crate) async fn start(addr: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
         let bytes = Arc::new(AtomicU64::new(0));
         let task = tokio::spawn(serve(listener, to, bytes.clone()));
-        Ok(Self { bytes, _task: AbortOnDropHandle::new(task) })
+        Ok(Self { addr, bytes, _task: AbortOnDropHandle::new(task) })
+    }
+
+    /// Where it takes connections.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
     }
 
     /// What was carried so far.
--- a/components/load/src/scale/report.rs
+++ b/components/load/src/scale/report.rs
@@ -155,9 +155,7 @@
 
 impl Result {
     /// Prints everything beside the previous result.
-    pub(crate) fn print(&self, last: Option<&Self>) {
-        let empty = Self::default();
-        let last = last.unwrap_or(&empty);
+    pub(crate) fn print(&self, last: &Self) {
         println!("\nevery member has a process (previous result in brackets)");
         table(&self.real, &last.real);
         println!("\nfew processes, a large state (previous result in brackets)");
--- a/components/load/src/scale/stage.rs
+++ b/components/load/src/scale/stage.rs
@@ -41,7 +41,8 @@
     log: fake::Log,
     log_bytes: Meter,
     list: SocketAddr,
-    list_bytes: Meter,
+    agents_list: Meter,
+    entries_list: Meter,
     state: State,
     client: Client,
     started: Mark,
@@ -56,7 +57,9 @@
     /// Bytes to and from peers, by process.
     pub(crate) peers: BTreeMap<String, f64>,
     pub(crate) log_bytes: u64,
-    pub(crate) list_bytes: u64,
+    /// To and from the instance list: of the agents, and of the entries.
+    pub(crate) agents_list: u64,
+    pub(crate) entries_list: u64,
     pub(crate) counters: fake::Counters,
 }
 
@@ -95,7 +98,9 @@
         let settings = ListSettings { instances, ..ListSettings::default() };
         let list = standin::List::start(ANY, settings).await?;
         let log_bytes = Meter::start(site.log, service.addr).await?;
-        let list_bytes = Meter::start(site.list, list.addr).await?;
+        let agents_list = Meter::start(site.list, list.addr).await?;
+        let entries_list = Meter::start(ANY, list.addr).await?;
+        move_list(&site, entries_list.addr())?;
         let list_addr = list.addr;
         let mut standins = vec![service, list];
         for place in &site.engines {
@@ -110,7 +115,8 @@
             log,
             log_bytes,
             list: list_addr,
-            list_bytes,
+            agents_list,
+            entries_list,
             state: State::default(),
             client: Client::default(),
             started,
@@ -158,7 +164,8 @@
             usage,
             peers: join_all(reads).await.into_iter().collect(),
             log_bytes: self.log_bytes.bytes(),
-            list_bytes: self.list_bytes.bytes(),
+            agents_list: self.agents_list.bytes(),
+            entries_list: self.entries_list.bytes(),
             counters: self.log.counters(),
         }
     }
@@ -247,6 +254,15 @@
     }
 }
 
+/// Has the entries read the list at an address of their own, so that what they read is counted apart.
+fn move_list(site: &Site, addr: SocketAddr) -> std::io::Result<()> {
+    for entry in &site.entries {
+        let text = std::fs::read_to_string(&entry.settings)?;
+        std::fs::write(&entry.settings, text.replace(&site.list.to_string(), &addr.to_string()))?;
+    }
+    Ok(())
+}
+
 /// Puts the tree and the members without a process into the log.
 fn fill(log: &fake::Log, site: &Site, agents: usize, content: Content) {
     let mut last = Offset(0);
