--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -10,4 +10,4 @@
 pub use args::{Args, ArgsError, parse_args};
 pub use settings::{Identity, SettingsError, load, parse};
 pub use shutdown::{Phase, Shutdown};
-pub use start::{EXIT_FAILURE, EXIT_USAGE, Process, StartError, run, spawn_admin};
+pub use start::{EXIT_FAILURE, EXIT_USAGE, Process, StartError, Workers, run, spawn_admin};
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -1,6 +1,7 @@
 //! Starting a process: arguments, logs, metrics, signals, admin server.
 
 use std::future::Future;
+use std::num::NonZero;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -9,6 +10,7 @@
 use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
 use thiserror::Error;
 use timeline::{Kind, Recorder};
+use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 
 use crate::admin::Admin;
@@ -31,6 +33,25 @@
     metrics: PrometheusHandle,
 }
 
+/// How many threads run a process's tasks.
+#[derive(Debug, Clone, Copy)]
+pub enum Workers {
+    /// As many as the machine has cores.
+    Cores,
+    /// No more than these: each thread has an arena of the allocator, so memory grows with them.
+    AtMost(usize),
+}
+
+impl Workers {
+    fn count(self) -> usize {
+        let cores = std::thread::available_parallelism().map_or(1, NonZero::get);
+        match self {
+            Self::Cores => cores,
+            Self::AtMost(most) => cores.min(most).max(1),
+        }
+    }
+}
+
 /// Why a process could not start or had to end.
 #[derive(Debug, Error)]
 #[error(transparent)]
@@ -44,7 +65,12 @@
 }
 
 /// Runs a server program: reads its arguments and settings file, starts the runtime and the body.
-pub fn run<T, B, F>(about: &str, identity: fn(&T) -> &Identity, body: B) -> ExitCode
+pub fn run<T, B, F>(
+    about: &str,
+    workers: Workers,
+    identity: fn(&T) -> &Identity,
+    body: B,
+) -> ExitCode
 where
     T: DeserializeOwned,
     B: FnOnce(T, Process) -> F,
@@ -71,7 +97,7 @@
     };
     let who = identity(&settings).clone();
     init_logs(&who);
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match runtime(workers) {
         Ok(runtime) => runtime,
         Err(error) => return failure(&error),
     };
@@ -89,6 +115,11 @@
     }
 }
 
+fn runtime(workers: Workers) -> std::io::Result<Runtime> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    builder.worker_threads(workers.count()).enable_all().build()
+}
+
 impl Process {
     fn start(identity: Identity) -> Result<Self, StartError> {
         let recorder = Recorder::new(identity.instance.clone());
--- a/src/bin/hyssop-entry.rs
+++ b/src/bin/hyssop-entry.rs
@@ -2,8 +2,11 @@
 
 use std::process::ExitCode;
 
+use process::Workers;
+
 const ABOUT: &str = "hyssop-entry: answers callers' requests";
+const WORKERS: Workers = Workers::AtMost(4);
 
 fn main() -> ExitCode {
-    process::run(ABOUT, |settings: &entry::Settings| &settings.identity, entry::run)
+    process::run(ABOUT, WORKERS, |settings: &entry::Settings| &settings.identity, entry::run)
 }
