--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -18,7 +18,7 @@
 use timeline::{Kind, Recorder, Tick};
 use tokio::sync::watch;
 use tokio::time::sleep;
-use units::{Epoch, Incarnation, Offset, ReplicaIndex, Revision, Size};
+use units::{Epoch, Offset, ReplicaIndex, Revision, Size};
 
 use crate::cli::{Link, parse_args};
 use crate::error::{CmdError, Exit};
@@ -200,19 +200,11 @@
 
     fn attach(&self, number: usize) -> Body {
         let process = &self.processes[number];
-        let id = |kind: &str| format!("{kind}-{number}");
         Body::Attach(Attach {
-            endpoint: id("endpoint").parse().expect("a right id"),
-            instance: id("likhari").parse().expect("a right id"),
-            domain: "saddar".parse().expect("a right name"),
-            service: "likhari".parse().expect("a right name"),
-            dispatch: control(number),
-            control: control(number),
+            instance: sample::id(&format!("likhari-{number}")),
             admin: process.admin,
             memory: Size::gib(48),
-            cached: Vec::new(),
-            fenced: true,
-            previous: Incarnation(0),
+            ..sample::attach(&format!("endpoint-{number}"), control(number))
         })
     }
 
@@ -222,10 +214,10 @@
         let claim = Body::Claim { previous: Epoch(0) };
         let epoch: Epoch = journal.append(claim, LIMIT).await.expect("the log is up").offset.into();
         let grant = Decision::Grant {
-            model: model.parse().expect("a right name"),
+            model: sample::id(model),
             index: ReplicaIndex(0),
-            artifact: model.parse().expect("a right name"),
-            endpoint: endpoint.parse().expect("a right id"),
+            artifact: sample::id(model),
+            endpoint: sample::id(endpoint),
             reason: "always one replica".to_owned(),
         };
         let decide = Body::Decide { epoch, decisions: vec![grant] };
