--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -38,7 +38,7 @@
 pub enum Workers {
     /// As many as the machine has cores.
     Cores,
-    /// No more than these: each thread has an arena of the allocator, so memory grows with them.
+    /// No more than these, so that what a process takes does not depend on the cores of its machine.
     AtMost(usize),
 }
 
