--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@echo "make bench   measure overhead and goodput, beside the last result"
 	@echo "make bench-entry   measure what an entry adds to a call"
 	@echo "make scale   measure what each role takes at several sizes, beside the last result"
-	@echo "make fuzz    run the property tests with many more cases (CASES, SEED)"
+	@echo "make fuzz    run the property tests with many more cases (CASES, SEED), and the long tests"
 
 setup:
 	@.ci/setup
@@ -51,5 +51,5 @@
 	$(CARGO) run $(FLAGS) --release --quiet --bin hyssop-load -- scale
 
 fuzz: setup
-	PROPTEST_CASES=$(CASES) PROPTEST_RNG_SEED=$(SEED) FLAGS="$(FLAGS)" .ci/test
+	PROPTEST_CASES=$(CASES) PROPTEST_RNG_SEED=$(SEED) LONG=1 FLAGS="$(FLAGS)" .ci/test
 	FUZZ_CASES=$(CASES) FUZZ_SEED=$(SEED) $(CARGO) test $(FLAGS) --release -p state --test fuzz -- --ignored
