--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -10,7 +10,7 @@
 use crate::affinity::{self, AffinityError};
 use crate::bench::{self, BenchError};
 use crate::run::{self, RunError};
-use crate::scale::{self, ScaleError};
+use crate::scale::{self, ScaleError, UnknownPart};
 use crate::site::{Sample, UnknownSample};
 use crate::trial::{self, Trial, TrialError};
 
@@ -21,11 +21,12 @@
        hyssop-load run EXPERIMENT.jsonc [--bin DIR] [--out DIR]
        hyssop-load bench [--bin DIR] [--out DIR]
        hyssop-load affinity [--bin DIR] [--out DIR]
-       hyssop-load scale [--bin DIR] [--out DIR]
+       hyssop-load scale [--part real|large|calls] [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
   --deployment  the sample to start; press unless given
   --bin         the folder with the programs; that of hyssop-load unless given
+  --part        the part of the bench to run; the others keep their last results
   --out         the folder for settings files, logs and results; try-logs or results unless given
 
 The exit code is 0 if every promise held, 1 if not or if something failed, 2 for a wrong command line.";
@@ -52,6 +53,8 @@
     Argument(#[from] lexopt::Error),
     #[error(transparent)]
     Sample(#[from] UnknownSample),
+    #[error(transparent)]
+    Part(#[from] UnknownPart),
     #[error("no command; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
     NoCommand,
     #[error("no command `{0}`; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
@@ -113,12 +116,9 @@
     match command.as_str() {
         "try" => parse_try(parser),
         "run" => parse_run(parser),
-        "bench" => Ok(parse_folders(parser)?
-            .map_or(Task::Help, |Folders { bin, out }| Task::Bench(bench::Job { bin, out }))),
-        "affinity" => Ok(parse_folders(parser)?
-            .map_or(Task::Help, |Folders { bin, out }| Task::Affinity(affinity::Job { bin, out }))),
-        "scale" => Ok(parse_folders(parser)?
-            .map_or(Task::Help, |Folders { bin, out }| Task::Scale(scale::Job { bin, out }))),
+        "bench" => parse_bench(parser),
+        "affinity" => parse_affinity(parser),
+        "scale" => parse_scale(parser),
         _ => Err(UsageError::Unknown(command)),
     }
 }
@@ -173,6 +173,32 @@
     Ok(Some(folders))
 }
 
+fn parse_bench(parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let folders = parse_folders(parser)?;
+    Ok(folders.map_or(Task::Help, |Folders { bin, out }| Task::Bench(bench::Job { bin, out })))
+}
+
+fn parse_affinity(parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let folders = parse_folders(parser)?;
+    let task = |Folders { bin, out }| Task::Affinity(affinity::Job { bin, out });
+    Ok(folders.map_or(Task::Help, task))
+}
+
+fn parse_scale(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let (bin, out) = (trial::own_folder(), PathBuf::from("results"));
+    let mut job = scale::Job { bin, out, part: None };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("bin") => job.bin = parser.value()?.into(),
+            Arg::Long("out") => job.out = parser.value()?.into(),
+            Arg::Long("part") => job.part = Some(parser.value()?.string()?.parse()?),
+            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Task::Scale(job))
+}
+
 fn carry_out(task: Task) -> Result<bool, TaskError> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     match task {
