--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -7,6 +7,7 @@
 use lexopt::{Arg, ValueExt};
 use thiserror::Error;
 
+use crate::affinity::{self, AffinityError};
 use crate::bench::{self, BenchError};
 use crate::run::{self, RunError};
 use crate::scale::{self, ScaleError, UnknownPart};
@@ -19,6 +20,7 @@
 Usage: hyssop-load try [--deployment press|trust] [--bin DIR] [--out DIR]
        hyssop-load run EXPERIMENT.jsonc [--bin DIR] [--out DIR]
        hyssop-load bench [--bin DIR] [--out DIR]
+       hyssop-load affinity [--bin DIR] [--out DIR]
        hyssop-load scale [--part real|large|calls] [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
@@ -40,6 +42,7 @@
     Try(Trial),
     Run(run::Job),
     Bench(bench::Job),
+    Affinity(affinity::Job),
     Scale(scale::Job),
 }
 
@@ -52,9 +55,9 @@
     Sample(#[from] UnknownSample),
     #[error(transparent)]
     Part(#[from] UnknownPart),
-    #[error("no command; use `try`, `run`, `bench` or `scale`, or `--help`")]
+    #[error("no command; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
     NoCommand,
-    #[error("no command `{0}`; use `try`, `run`, `bench` or `scale`, or `--help`")]
+    #[error("no command `{0}`; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
     Unknown(String),
     #[error(
         "no experiment; name one, as in `hyssop-load run examples/experiments/log-outage.jsonc`"
@@ -70,6 +73,8 @@
     #[error(transparent)]
     Run(#[from] RunError),
     #[error(transparent)]
+    Affinity(#[from] AffinityError),
+    #[error(transparent)]
     Bench(#[from] BenchError),
     #[error(transparent)]
     Scale(#[from] ScaleError),
@@ -112,6 +117,7 @@
         "try" => parse_try(parser),
         "run" => parse_run(parser),
         "bench" => parse_bench(parser),
+        "affinity" => parse_affinity(parser),
         "scale" => parse_scale(parser),
         _ => Err(UsageError::Unknown(command)),
     }
@@ -147,17 +153,35 @@
     Ok(Task::Run(run::Job { file, bin, out }))
 }
 
-fn parse_bench(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
-    let mut job = bench::Job { bin: trial::own_folder(), out: PathBuf::from("results") };
+/// Where the programs are and results go.
+struct Folders {
+    bin: PathBuf,
+    out: PathBuf,
+}
+
+/// Reads the options of a task that has no others; nothing if help is asked for.
+fn parse_folders(mut parser: lexopt::Parser) -> Result<Option<Folders>, UsageError> {
+    let mut folders = Folders { bin: trial::own_folder(), out: PathBuf::from("results") };
     while let Some(arg) = parser.next()? {
         match arg {
-            Arg::Long("bin") => job.bin = parser.value()?.into(),
-            Arg::Long("out") => job.out = parser.value()?.into(),
-            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            Arg::Long("bin") => folders.bin = parser.value()?.into(),
+            Arg::Long("out") => folders.out = parser.value()?.into(),
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
             other => return Err(other.unexpected().into()),
         }
     }
-    Ok(Task::Bench(job))
+    Ok(Some(folders))
+}
+
+fn parse_bench(parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let folders = parse_folders(parser)?;
+    Ok(folders.map_or(Task::Help, |Folders { bin, out }| Task::Bench(bench::Job { bin, out })))
+}
+
+fn parse_affinity(parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let folders = parse_folders(parser)?;
+    let task = |Folders { bin, out }| Task::Affinity(affinity::Job { bin, out });
+    Ok(folders.map_or(Task::Help, task))
 }
 
 fn parse_scale(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
@@ -182,6 +206,7 @@
         Task::Version => println!("hyssoplock {}", env!("CARGO_PKG_VERSION")),
         Task::Try(trial) => return Ok(runtime.block_on(trial::run(trial))?),
         Task::Run(job) => return Ok(runtime.block_on(run::run(job))?),
+        Task::Affinity(job) => runtime.block_on(affinity::run(job))?,
         Task::Bench(job) => runtime.block_on(bench::run(job))?,
         Task::Scale(job) => runtime.block_on(scale::run(job))?,
     }
