Estimate a load by the size of the weights

Cause: an agent learned one load time for each cache tier, whatever was loaded. After a series model of 9.7 s, a cold kiosk model that loads in 2.6 s was expected to take as long, and a whole wave with 8 s to its deadline was refused as hopeless. Ruled out: the queue (20 requests over batches of 8 take under a second) and the store (10 loads in a minute). The unit test fails on the old rule. The estimate is now optimistic for models larger than any seen, which refuses nobody early.

--- a/components/agent/src/estimate.rs
+++ b/components/agent/src/estimate.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use platform::CacheTier;
+use units::Size;
 
 /// How long a request is taken to run where none has been seen, when it is asked whether to wake a replica.
 const UNSEEN: Duration = Duration::from_secs(1);
@@ -28,35 +29,61 @@
     }
 }
 
+/// Loads seen from one tier.
+#[derive(Debug, Clone, Copy, Default)]
+struct Loads {
+    /// How long they took.
+    span: Average,
+    /// How long a gibibyte of weights took.
+    pace: Average,
+}
+
+impl Loads {
+    fn add(&mut self, weights: Size, span: Duration) {
+        self.span.add(span);
+        self.pace.add(span.div_f64(gib(weights)));
+    }
+
+    /// How long weights of a size take. Small loads spend most of their time on what does not grow with the size, so
+    /// the pace says too much of larger ones; what is not known must not refuse anybody.
+    fn get(self, weights: Size) -> Option<Duration> {
+        let by_size = self.pace.get()?.mul_f64(gib(weights));
+        Some(by_size.min(self.span.get()?))
+    }
+}
+
+/// Gibibytes; at least one mebibyte, so that it can divide.
+fn gib(size: Size) -> f64 {
+    size.0.max(Size::mib(1).0) as f64 / Size::gib(1).0 as f64
+}
+
 /// Load times by cache tier; cheap to copy.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct LoadTimes {
-    memory: Average,
-    disk: Average,
-    remote: Average,
+    memory: Loads,
+    disk: Loads,
+    remote: Loads,
 }
 
 impl LoadTimes {
-    fn tier(&mut self, tier: CacheTier) -> &mut Average {
-        match tier {
+    /// Notes a load.
+    pub(crate) fn add(&mut self, tier: CacheTier, weights: Size, span: Duration) {
+        let loads = match tier {
             CacheTier::Memory => &mut self.memory,
             CacheTier::Disk => &mut self.disk,
             CacheTier::Remote => &mut self.remote,
-        }
-    }
-
-    pub(crate) fn add(&mut self, tier: CacheTier, span: Duration) {
-        self.tier(tier).add(span);
+        };
+        loads.add(weights, span);
     }
 
-    /// The time a load takes from a tier; a faster tier's stands in for one not seen yet.
-    pub(crate) fn get(&self, tier: CacheTier) -> Duration {
-        let known = match tier {
-            CacheTier::Memory => self.memory.get(),
-            CacheTier::Disk => self.disk.get().or(self.memory.get()),
-            CacheTier::Remote => self.remote.get().or(self.disk.get()).or(self.memory.get()),
+    /// The time that a load of weights takes from a tier; a faster tier's stands in for one not seen yet.
+    pub(crate) fn get(&self, tier: CacheTier, weights: Size) -> Duration {
+        let slower_first = match tier {
+            CacheTier::Memory => [self.memory; 3],
+            CacheTier::Disk => [self.disk, self.memory, self.memory],
+            CacheTier::Remote => [self.remote, self.disk, self.memory],
         };
-        known.unwrap_or_default()
+        slower_first.into_iter().find_map(|loads| loads.get(weights)).unwrap_or_default()
     }
 }
 
--- a/components/agent/src/estimate/tests.rs
+++ b/components/agent/src/estimate/tests.rs
@@ -2,6 +2,7 @@
 
 use platform::CacheTier;
 use rstest::rstest;
+use units::Size;
 
 use super::{Average, LoadTimes, Wait};
 
@@ -17,13 +18,14 @@
 #[test]
 fn learns_loads_by_tier() {
     let mut times = LoadTimes::default();
-    assert_eq!(times.get(CacheTier::Remote), Duration::ZERO);
-    times.add(CacheTier::Disk, Duration::from_secs(3));
-    assert_eq!(times.get(CacheTier::Remote), Duration::from_secs(3));
-    times.add(CacheTier::Remote, Duration::from_secs(20));
-    assert_eq!(times.get(CacheTier::Remote), Duration::from_secs(20));
-    assert_eq!(times.get(CacheTier::Disk), Duration::from_secs(3));
-    assert_eq!(times.get(CacheTier::Memory), Duration::ZERO);
+    let size = Size::gib(8);
+    assert_eq!(times.get(CacheTier::Remote, size), Duration::ZERO);
+    times.add(CacheTier::Disk, size, Duration::from_secs(3));
+    assert_eq!(times.get(CacheTier::Remote, size), Duration::from_secs(3));
+    times.add(CacheTier::Remote, size, Duration::from_secs(20));
+    assert_eq!(times.get(CacheTier::Remote, size), Duration::from_secs(20));
+    assert_eq!(times.get(CacheTier::Disk, size), Duration::from_secs(3));
+    assert_eq!(times.get(CacheTier::Memory, size), Duration::ZERO);
 }
 
 #[rstest]
@@ -53,3 +55,15 @@
         "a guess wakes, but refuses nobody"
     );
 }
+
+#[test]
+fn expects_a_small_model_to_load_sooner_than_a_large_one() {
+    let mut times = LoadTimes::default();
+    times.add(CacheTier::Remote, Size::gib(24), Duration::from_secs(12));
+    assert_eq!(times.get(CacheTier::Remote, Size::gib(4)), Duration::from_secs(2));
+    assert_eq!(
+        times.get(CacheTier::Remote, Size::gib(48)),
+        Duration::from_secs(12),
+        "not more than was seen"
+    );
+}
--- a/components/agent/src/plan.rs
+++ b/components/agent/src/plan.rs
@@ -52,7 +52,8 @@
         for replica in self.replicas.values_mut() {
             let tier = self.tiers.get(&replica.artifact).copied().unwrap_or(CacheTier::Remote);
             drafts.extend(replica.repeat());
-            drafts.extend(replica.steer(open, self.times.get(tier), ids));
+            let reload = self.times.get(tier, replica.limits.weights);
+            drafts.extend(replica.steer(open, reload, ids));
         }
         if open {
             self.plan_loads(ids, &mut drafts);
@@ -111,7 +112,7 @@
         let others = self.replicas.values().filter(|r| r.artifact != *keep && evict::may_go(r));
         let others = others.filter(|replica| urgent || !replica.warmth.is_held());
         let candidates = others.map(|replica| {
-            let reload = self.times.get(self.tier(&replica.artifact));
+            let reload = self.times.get(self.tier(&replica.artifact), replica.limits.weights);
             evict::candidate(replica, self.ledger.of(&replica.artifact), reload)
         });
         for artifact in evict::choose(candidates.collect(), missing) {
--- a/components/agent/src/replica.rs
+++ b/components/agent/src/replica.rs
@@ -207,7 +207,7 @@
     /// What a new request would wait for until it starts, behind `ahead` others.
     pub(crate) fn wait(&self, ahead: usize, times: &LoadTimes, tier: CacheTier) -> Wait {
         let now = Instant::now();
-        let load = times.get(tier);
+        let load = times.get(tier, self.limits.weights);
         let load = match self.phase {
             Phase::Ready | Phase::Draining => Duration::ZERO,
             Phase::Loading => {
--- a/components/agent/src/run/tests/load.rs
+++ b/components/agent/src/run/tests/load.rs
@@ -41,7 +41,11 @@
     let (_, woken) = world.second_holder("page-text", "v1").await;
     let slow = Dispatch { budget: Span::secs(12), ..running.head("r-1") };
     assert!(running.dispatch(&slow).await.expect("an answer").whole().is_some());
-    running.agent.desk().times.add(platform::CacheTier::Remote, std::time::Duration::from_secs(60));
+    running.agent.desk().times.add(
+        platform::CacheTier::Remote,
+        units::Size::gib(8),
+        std::time::Duration::from_secs(60),
+    );
     world.engine.crash();
     world.engine.forget_caches();
     pause(1500).await;
--- a/components/agent/src/settle.rs
+++ b/components/agent/src/settle.rs
@@ -66,7 +66,7 @@
             if matches!(change, Change::Loaded(_))
                 && let Some(span) = replica.load_span()
             {
-                self.times.add(replica.source, span);
+                self.times.add(replica.source, replica.limits.weights, span);
             }
             changes.push(change);
         }
