--- a/components/agent/src/run/tests/draining.rs
+++ b/components/agent/src/run/tests/draining.rs
@@ -34,9 +34,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn can_leave_when_the_list_says_so() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let served = running.dispatch(&running.head("r-1")).await.expect("an answer");
     assert!(served.whole().is_some());
     world.list.set(vec![Instance {
@@ -94,9 +92,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn leaves_in_a_log_outage() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let served = running.dispatch(&running.head("r-1")).await.expect("an answer");
     assert!(served.whole().is_some());
     world.log.set(|faults| faults.outage = true);
--- a/components/agent/src/run/tests/failures.rs
+++ b/components/agent/src/run/tests/failures.rs
@@ -23,9 +23,7 @@
     #[case] lost_replies: u32,
     #[case] lost_orders: u32,
 ) {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     pause(100).await;
     world.engine.set(|faults| {
         faults.lost_replies = lost_replies;
@@ -95,9 +93,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn errors_when_the_load_fails_twice() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     world.engine.set(|faults| faults.fail_loads = Some("checkpoint is damaged".to_owned()));
     let answer = running.dispatch(&running.head("r-1")).await.expect("an answer");
     let cause = "checkpoint is damaged".to_owned();
@@ -131,9 +127,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn can_load_again_when_the_engine_crashes_mid_load() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let answer = running.dispatch(&running.head("r-1"));
     until(|| running.phase_of("page-text@v1") == Some(Phase::Loading)).await;
     pause(1000).await;
@@ -150,9 +144,7 @@
     #[case] silent_after: Option<usize>,
     #[case] mute_calls: bool,
 ) {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     world.engine.set(|faults| {
         faults.silent_after = silent_after;
         faults.mute_calls = mute_calls;
@@ -231,11 +223,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn loads_adapters_within_the_memory() {
-    let world = World::new();
-    let running = world.start().await;
-    for model in ["page-text", "read-aloud"] {
-        world.grant(model, "v1");
-    }
+    let (world, running) = World::serving(&["page-text", "read-aloud"]).await;
     let head = |adapter: &str| Dispatch {
         adapter: Some(id(adapter)),
         budget: Span::secs(60),
@@ -276,9 +264,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn goes_on_loading_in_a_log_outage() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     pause(1000).await;
     world.log.set(|faults| faults.outage = true);
     pause(30_000).await;
@@ -310,9 +296,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn pauses_between_orders_that_are_refused() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     assert!(running.dispatch(&running.head("r-1")).await.expect("an answer").whole().is_some());
     world.engine.set(|faults| faults.refuse_orders = true);
     pause(30_000).await;
@@ -324,11 +308,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn keeps_the_memory_of_an_adapter_that_may_arrive_after_a_crash() {
-    let world = World::new();
-    let running = world.start().await;
-    for model in ["page-text", "read-aloud"] {
-        world.grant(model, "v1");
-    }
+    let (world, running) = World::serving(&["page-text", "read-aloud"]).await;
     assert!(running.dispatch(&running.head("r-1")).await.expect("an answer").whole().is_some());
     world.engine.set(|faults| faults.late_orders = Some(Duration::from_millis(3500)));
     let head = Dispatch { adapter: Some(id("urdu")), ..running.head("r-2") };
@@ -364,11 +344,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn can_unload_an_adapter_although_the_first_orders_are_lost() {
-    let world = World::new();
-    let running = world.start().await;
-    for model in ["page-text", "read-aloud"] {
-        world.grant(model, "v1");
-    }
+    let (world, running) = World::serving(&["page-text", "read-aloud"]).await;
     let head = |adapter: &str| Dispatch {
         adapter: Some(id(adapter)),
         budget: Span::secs(120),
--- a/components/agent/src/run/tests/load.rs
+++ b/components/agent/src/run/tests/load.rs
@@ -92,9 +92,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn can_be_woken_before_requests_come() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (_world, running) = World::serving(&["page-text"]).await;
     let wake = |index: u32| Control::Wake {
         model: id("page-text"),
         index: ReplicaIndex(index),
--- a/components/agent/src/run/tests/serving.rs
+++ b/components/agent/src/run/tests/serving.rs
@@ -12,9 +12,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn can_load_on_the_first_request_and_unload_when_idle() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let answer = running.dispatch(&running.head("r-1")).await.expect("an answer");
     assert_eq!(answer.whole(), Some(WHOLE), "{answer:?}");
     assert_eq!(world.engine.loaded(), ["page-text@v1"]);
@@ -28,9 +26,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn can_tell_with_each_answer_what_the_engine_has_cached_until_it_unloads() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let told = async |request| {
         let answer = running.dispatch(&running.head(request)).await.expect("an answer");
         let Answer::Served { report, .. } = answer else { panic!("{answer:?}") };
@@ -59,9 +55,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn can_resume_from_a_byte_on_a_new_connection() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let first = running.dispatch(&running.head("r-1"));
     until(|| running.running() == 1).await;
     first.abort();
@@ -76,9 +70,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn errors_on_a_dispatch_after_its_tombstone() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let never = running.resume("r-1", 0, false).await.expect("an answer");
     assert_eq!(never.refusal(), Some(&Refusal::Cancelled));
     let late = running.dispatch(&running.head("r-1")).await.expect("an answer");
@@ -88,9 +80,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn runs_a_request_that_is_dispatched_twice_once() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let head = running.head("r-1");
     let both = [running.dispatch(&head), running.dispatch(&head)];
     for one in both {
@@ -101,9 +91,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn errors_on_another_incarnation() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (_world, running) = World::serving(&["page-text"]).await;
     let current = running.agent.incarnation();
     let old = Dispatch { incarnation: Incarnation(current.0 - 1), ..running.head("r-1") };
     let answer = running.dispatch(&old).await.expect("an answer");
@@ -121,9 +109,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn errors_late_without_running() {
-    let world = World::new();
-    let running = world.start().await;
-    world.grant("page-text", "v1");
+    let (world, running) = World::serving(&["page-text"]).await;
     let head = Dispatch { budget: Span::secs(2), ..running.head("r-1") };
     let answer = running.dispatch(&head).await.expect("an answer");
     assert_eq!(answer.refusal(), Some(&Refusal::Late));
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -175,6 +175,16 @@
 }
 
 impl World {
+    /// A world with an agent that holds a grant of the first version of each model.
+    pub(crate) async fn serving(models: &[&str]) -> (Self, Running) {
+        let world = Self::new();
+        let running = world.start().await;
+        for model in models {
+            world.grant(model, "v1");
+        }
+        (world, running)
+    }
+
     /// A world with the models `page-text` and `read-aloud` of 10 GiB each in 24 GiB, and a planner.
     pub(crate) fn new() -> Self {
         let engine = Engine::new(Size::gib(24));
