--- a/components/load/src/affinity.rs
+++ b/components/load/src/affinity.rs
@@ -9,20 +9,19 @@
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use serde_json::json;
-use thiserror::Error;
 use tree::Class;
 use units::Span;
 use web::{CallError, Client};
 
 use crate::answer::Expected;
 use crate::caller::{Ask, Caller};
-use crate::children::ChildError;
 use crate::clock::Clock;
 use crate::evidence::{Call, Ending};
 use crate::fleet::Fleet;
-use crate::publish::{self, PublishError};
+use crate::publish;
 use crate::report::Percentiles;
-use crate::site::{Layout, Sample, Scale, Site, SiteError};
+use crate::run::RunError;
+use crate::site::{Layout, Sample, Scale, Site};
 use crate::truth::Truth;
 
 const SCALE: Scale = Scale { engines: 4, services: 0, entries: 4 };
@@ -46,26 +45,6 @@
 const TOKENS: u32 = 8;
 const DEADLINE: Span = Span::secs(8);
 
-/// Why the measurement could not be carried through.
-#[derive(Debug, Error)]
-pub(crate) enum AffinityError {
-    /// The deployment could not be written down.
-    #[error(transparent)]
-    Site(#[from] SiteError),
-    /// A process failed.
-    #[error(transparent)]
-    Child(#[from] ChildError),
-    /// The configuration is not in force.
-    #[error(transparent)]
-    Publish(#[from] PublishError),
-    /// An engine does not tell the truth.
-    #[error(transparent)]
-    Truth(#[from] CallError),
-    /// The result can't be written.
-    #[error("cannot write the result: {0}")]
-    Write(#[from] std::io::Error),
-}
-
 /// Where the programs are and results go.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -100,7 +79,7 @@
 }
 
 /// Measures both ways in turn, prints the result and writes it down.
-pub(crate) async fn run(job: Job) -> Result<(), AffinityError> {
+pub(crate) async fn run(job: Job) -> Result<(), RunError> {
     let with = deploy(&job, "with", 0).await?;
     let without = deploy(&job, "without", SCALE.entries).await?;
     let hit_ratio = with.runs.share() / without.runs.share();
@@ -113,7 +92,7 @@
 }
 
 /// Starts a deployment of its own for a way, so that its caches are its own, and measures there.
-async fn deploy(job: &Job, name: &str, blind: usize) -> Result<Way, AffinityError> {
+async fn deploy(job: &Job, name: &str, blind: usize) -> Result<Way, RunError> {
     let clock = Clock::start();
     let engine = [("first_token", json!(FIRST_TOKEN)), ("prefixes", json!(KEPT))];
     let engine = engine.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
@@ -126,7 +105,7 @@
     measured
 }
 
-async fn measure(bin: &Path, site: &Site, clock: Clock, name: &str) -> Result<Way, AffinityError> {
+async fn measure(bin: &Path, site: &Site, clock: Clock, name: &str) -> Result<Way, RunError> {
     publish::tree(Sample::Press, site, bin, clock).await?;
     publish::granted(site, &[Sample::Press.cold_model()]).await?;
     let stage = Stage { site, client: Client::default(), caller: Caller::new(clock), clock };
--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -7,12 +7,12 @@
 use lexopt::{Arg, ValueExt};
 use thiserror::Error;
 
-use crate::affinity::{self, AffinityError};
+use crate::affinity;
 use crate::bench::{self, BenchError};
 use crate::run::{self, RunError};
 use crate::scale::{self, ScaleError, UnknownPart};
 use crate::site::{Sample, UnknownSample};
-use crate::trial::{self, Trial, TrialError};
+use crate::trial::{self, Trial};
 
 const HELP: &str = "\
 hyssop-load: starts a sample deployment on loopback, sends load and faults, checks every promise
@@ -68,13 +68,9 @@
 /// Why a task failed.
 #[derive(Debug, Error)]
 enum TaskError {
-    #[error(transparent)]
-    Trial(#[from] TrialError),
     #[error(transparent)]
     Run(#[from] RunError),
     #[error(transparent)]
-    Affinity(#[from] AffinityError),
-    #[error(transparent)]
     Bench(#[from] BenchError),
     #[error(transparent)]
     Scale(#[from] ScaleError),
--- a/components/load/src/trial.rs
+++ b/components/load/src/trial.rs
@@ -4,21 +4,19 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use thiserror::Error;
 use timeline::Event;
 use tokio::time::{Instant, sleep, sleep_until};
 use units::ModelName;
-use web::{CallError, Client};
+use web::Client;
 
 use crate::caller::{Caller, Door};
 use crate::checks::{self, Row};
-use crate::children::ChildError;
 use crate::clock::Clock;
 use crate::evidence::{Call, Ending, Evidence, Period};
 use crate::fleet::{Fleet, terminate};
 use crate::probe::{Probe, Probed, completion, unrepeatable};
-use crate::publish::PublishError;
-use crate::site::{Layout, Sample, Scale, Site, SiteError};
+use crate::run::RunError;
+use crate::site::{Layout, Sample, Scale, Site};
 use crate::truth::Truth;
 use crate::watch::Watch;
 use crate::{lines, publish, table};
@@ -50,23 +48,6 @@
     pub(crate) out: PathBuf,
 }
 
-/// Why a trial could not be carried through.
-#[derive(Debug, Error)]
-pub(crate) enum TrialError {
-    /// The deployment could not be written down.
-    #[error(transparent)]
-    Site(#[from] SiteError),
-    /// A process failed.
-    #[error(transparent)]
-    Child(#[from] ChildError),
-    /// A stand-in did not tell the truth.
-    #[error("cannot read what really happened: {0}")]
-    Truth(#[from] CallError),
-    /// The configuration is not in force.
-    #[error(transparent)]
-    Publish(#[from] PublishError),
-}
-
 /// What a trial found.
 struct Found {
     evidence: Evidence,
@@ -79,7 +60,7 @@
 }
 
 /// Runs a trial, prints what it found, and says whether all promises held.
-pub(crate) async fn run(trial: Trial) -> Result<bool, TrialError> {
+pub(crate) async fn run(trial: Trial) -> Result<bool, RunError> {
     let begun = Instant::now();
     let clock = Clock::start();
     let layout =
@@ -95,11 +76,7 @@
     Ok(found.sound())
 }
 
-async fn carry_through(
-    trial: &Trial,
-    fleet: &mut Fleet,
-    clock: Clock,
-) -> Result<Found, TrialError> {
+async fn carry_through(trial: &Trial, fleet: &mut Fleet, clock: Clock) -> Result<Found, RunError> {
     let client = Client::default();
     let caller = Caller::new(clock);
     let model = trial.sample.cold_model();
@@ -163,7 +140,7 @@
         &self,
         fleet: &mut Fleet,
         evidence: &mut Evidence,
-    ) -> Result<(), TrialError> {
+    ) -> Result<(), RunError> {
         let name = publish::holder(&fleet.site, self.model).await?;
         let agent = fleet.take(&name);
         let doors = fleet.site.doors.clone();
