A process that starts before the log service says that it waits

Cause: the first state of the log's health is down, and only changes of it were logged, so an entry or agent started too early printed nothing.

--- a/components/journal/src/begin.rs
+++ b/components/journal/src/begin.rs
@@ -40,10 +40,30 @@
     }
 }
 
+/// What has been seen while there is no state yet.
+#[derive(Debug, Default)]
+struct Start {
+    /// Since when the log is readable and empty.
+    empty: Option<Instant>,
+    /// Whether it was said that the log can't be read.
+    told: bool,
+}
+
+impl Start {
+    /// Says once that the log can't be read, so that a process which waits for it is not silent.
+    fn down(&mut self, error: &LogError) {
+        self.empty = None;
+        if !self.told {
+            log::warn!("journal: waiting for the log service, trying again: {error}");
+        }
+        self.told = true;
+    }
+}
+
 /// Returns once there is a state to follow the log from, which may be the empty one, and says so.
 pub(crate) async fn begin(shared: &Shared, service: &dyn LogService, peers: &Peers) {
-    let mut empty_since = None;
-    while !try_begin(shared, service, peers, &mut empty_since).await {
+    let mut start = Start::default();
+    while !try_begin(shared, service, peers, &mut start).await {
         sleep(jitter(PAUSE)).await;
     }
     shared.ready.send_replace(true);
@@ -54,7 +74,7 @@
     shared: &Shared,
     service: &dyn LogService,
     peers: &Peers,
-    empty_since: &mut Option<Instant>,
+    start: &mut Start,
 ) -> bool {
     let answers = ask_seeds(shared, peers).await;
     if let Some(addr) = answers.choose() {
@@ -70,13 +90,13 @@
     match page {
         Ok(page) if page.last == Offset(0) && folded == Offset(0) => {
             shared.set_health(Health::Up);
-            let since = *empty_since.get_or_insert_with(Instant::now);
+            let since = *start.empty.get_or_insert_with(Instant::now);
             let waited = since.elapsed() >= shared.options.grace;
             answers.ahead.is_empty() && (answers.silent == 0 || waited)
         }
         Ok(page) => catch_up(shared, service, page).await,
         Err(LogError::Expired { first }) => {
-            *empty_since = None;
+            start.empty = None;
             shared.set_health(Health::Up);
             if bridge(shared, service, peers, first).await.is_err() {
                 return false;
@@ -87,8 +107,8 @@
                 Err(_) => false,
             }
         }
-        Err(_) => {
-            *empty_since = None;
+        Err(error) => {
+            start.down(&error);
             shared.set_health(Health::Down);
             shared.offset() > Offset(0)
         }
