The scale bench takes its records from the shared samples

It had its own id, add, set and attach, line for line those of the crate that tests and benches share. What it appends is the same: 80 GiB, the instance named as the endpoint.

--- a/components/load/src/scale/calls.rs
+++ b/components/load/src/scale/calls.rs
@@ -151,5 +151,5 @@
 }
 
 fn content_model() -> units::ModelName {
-    crate::scale::content::id(&model(0))
+    sample::id(&model(0))
 }
--- a/components/load/src/scale/content.rs
+++ b/components/load/src/scale/content.rs
@@ -1,13 +1,13 @@
 //! What a deployment of some size has in its log: the tree of settings, and members without a process.
 
 use std::net::SocketAddr;
-use std::str::FromStr;
 
 use platform::{Instance, InstanceState};
 use record::{Attach, Body, Record};
-use serde_json::{Value, json};
+use sample::{add, id, set};
+use serde_json::json;
 use tree::{Change, Edit, NodeKind};
-use units::{Incarnation, Offset, Revision, Size};
+use units::{Offset, Revision};
 
 /// Replicas of each model: 1840 grants at the two-year size.
 const REPLICAS: usize = 8;
@@ -36,11 +36,6 @@
     pub(crate) replicas: usize,
 }
 
-/// An id whose text is right.
-pub(crate) fn id<T: FromStr>(text: &str) -> T {
-    text.parse().ok().expect("the bench makes right ids only")
-}
-
 impl Content {
     /// What so many members have.
     pub(crate) fn of(members: usize) -> Self {
@@ -90,17 +85,9 @@
     /// The attach of a member without a process; others answer at its control address.
     pub(crate) fn attach(number: usize, control: SocketAddr) -> Body {
         Body::Attach(Attach {
-            endpoint: id(&ghost(number)),
-            instance: id(&ghost(number)),
             domain: id(&format!("domain-{}", number % DOMAINS)),
             service: id(SERVICE),
-            dispatch: control,
-            control,
-            admin: control,
-            memory: Size::gib(80),
-            cached: Vec::new(),
-            fenced: true,
-            previous: Incarnation(0),
+            ..sample::attach(&ghost(number), control)
         })
     }
 }
@@ -134,11 +121,3 @@
 fn path(number: usize) -> String {
     format!("{BRANCH}/{}", model(number))
 }
-
-fn add(path: &str, kind: NodeKind) -> Change {
-    Change::Add { path: id(path), kind }
-}
-
-fn set(path: &str, setting: &str, value: Value) -> Change {
-    Change::Set { path: id(path), setting: id(setting), value }
-}
