Requests of a model are kept together, and a model drains before it makes room

Cause: busy models were spread over all endpoints, so that no model was ever idle and loaders refused; wants for adapters of one model went to several loaders; a model without room was sent to the weight store although copies of it lay on other endpoints' disks. Ruled out: missing copies (each endpoint starts with about 20 on disk).

--- a/components/agent/examples/streams/service.rs
+++ b/components/agent/examples/streams/service.rs
@@ -6,11 +6,11 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use edge::{CacheEvents, Endpoint, EndpointError, Inventory, Order, Usage};
 use futures_util::{StreamExt, stream};
 use http::{Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use edge::{CacheEvents, Endpoint, EndpointError, Inventory, Order, Usage};
 use units::RequestId;
 use web::Body;
 
--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -3,9 +3,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use edge::Endpoint;
 use journal::Journal;
 use peer::Ask;
-use edge::Endpoint;
 use policy::Calendar;
 use process::Shutdown;
 use timeline::{Event, Kind, Recorder};
--- a/components/agent/src/attach.rs
+++ b/components/agent/src/attach.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use journal::AppendError;
 use edge::{CacheTier, Inventory};
+use journal::AppendError;
 use record::{Attach, Body};
 use state::{Applied, Verdict};
 use thiserror::Error;
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use peer::Ask;
 use edge::{Endpoint, HttpEndpoint, HttpList, HttpLog, InstanceList, LogService};
+use peer::Ask;
 use policy::Calendar;
 use process::{Phase, Process, Shutdown, StartError};
 use timeline::Recorder;
--- a/components/agent/src/run/tests/service.rs
+++ b/components/agent/src/run/tests/service.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use http::{Request, Response};
 use edge::{CacheEvents, Endpoint, EndpointError, Inventory, Order, Usage};
+use http::{Request, Response};
 use process::Phase;
 use rstest::rstest;
 use serde_json::json;
--- a/components/agent/src/run/tests/world.rs
+++ b/components/agent/src/run/tests/world.rs
@@ -7,10 +7,10 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use edge::{Endpoint, LogError, LogService, Page, Stream};
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use peer::{Ask, AskError};
-use edge::{Endpoint, LogError, LogService, Page, Stream};
 use policy::Calendar;
 use process::{Identity, Phase, Shutdown};
 use record::{Attach, Body, Decision, GrantId, Record};
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, header};
 use edge::{PRIORITY_HEADER, PrefixHash};
+use http::{Request, header};
 use process::Phase;
 use serde_json::value::RawValue;
 use timeline::Kind;
--- a/components/agent/src/stream.rs
+++ b/components/agent/src/stream.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::EndpointError;
 use http::{Request, Response, header};
 use http_body_util::BodyExt;
-use edge::EndpointError;
 use timeline::Kind;
 use web::Body;
 use wire::{Refusal, UnknownCause};
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -4,4 +4,6 @@
 mod message;
 
 pub use client::Loader;
-pub use message::{ENGINE_PATH, Ensure, EngineNews, SYNC_PATH, State, Sync, Use, ENSURE_PATH, Verdict, Ensured};
+pub use message::{
+    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, SYNC_PATH, State, Sync, Use, Verdict,
+};
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -23,6 +23,8 @@
     pub begun: u32,
     /// Requests that run now.
     pub running: u32,
+    /// Other endpoints that hold the model.
+    pub others: u32,
 }
 
 /// A router asks for news, and says what it uses.
@@ -54,6 +56,11 @@
     pub holdings: Holdings,
     /// Models that wait to be loaded.
     pub waiting: u32,
+    /// Requests that run there, as far as routers have said.
+    pub running: u32,
+    /// How long it is expected to take until there is room for one more model.
+    #[serde(with = "fleet::millis")]
+    pub room: Duration,
     /// Whether the loader may give orders.
     pub able: bool,
     /// The configuration from which it knows what the endpoint can hold; 0 if it does not.
--- a/components/edge/tests/clients.rs
+++ b/components/edge/tests/clients.rs
@@ -3,11 +3,11 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use http::{Request, Response, StatusCode};
 use edge::{
     Endpoint, EndpointError, HttpEndpoint, HttpList, HttpLog, InstanceList, LogError, LogService,
     Order, OrderKind, Stream,
 };
+use http::{Request, Response, StatusCode};
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use edge::{HttpList, HttpLog, LogService};
 use journal::Keys;
 use planner::DemandLog;
-use edge::{HttpList, HttpLog, LogService};
 use process::{Phase, Process, StartError};
 
 use crate::control::{Answerer, gather_demand};
--- a/components/entry/tests/sessions/kit/world.rs
+++ b/components/entry/tests/sessions/kit/world.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::{LogService, Stream};
 use entry::{Core, Parts};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use journal::{Journal, Keys};
-use edge::{LogService, Stream};
 use process::{Phase, Shutdown};
 use record::{Attach, Body, Record};
 pub(crate) use sample::id;
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -254,6 +254,10 @@
         endpoint: &'a str,
         /// Its models.
         models: usize,
+        /// Copies in its host memory.
+        memory: usize,
+        /// Copies on its disk.
+        disk: usize,
         /// What it loads.
         loading: &'a str,
         /// The version of this news.
--- a/components/events/src/sink.rs
+++ b/components/events/src/sink.rs
@@ -45,7 +45,8 @@
 
 /// Starts the writer; lines of this process bear the name of its instance.
 pub fn install(instance: &str) -> std::io::Result<()> {
-    let sink = Sink { instance: instance.to_owned(), buffer: Mutex::default(), filled: Condvar::new() };
+    let sink =
+        Sink { instance: instance.to_owned(), buffer: Mutex::default(), filled: Condvar::new() };
     if SINK.set(sink).is_ok() {
         std::thread::Builder::new().name("events".to_owned()).stack_size(STACK).spawn(write)?;
     }
--- a/components/fake/src/engine.rs
+++ b/components/fake/src/engine.rs
@@ -6,14 +6,14 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures_util::stream;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use edge::{
     CacheEvent, CacheEvents, CacheTier, Endpoint, EndpointError, Inventory, Loaded, Order,
     OrderKind, ReplicaPhase, Usage,
 };
+use futures_util::stream;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use units::{AdapterName, Incarnation, ModelName, RequestId, Size, Span};
--- a/components/fleet/src/members.rs
+++ b/components/fleet/src/members.rs
@@ -10,7 +10,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
     /// An entry is there, new or changed.
-    Seen(Endpoint),
+    Seen(Box<Endpoint>),
     /// An entry is no longer there.
     Gone(EndpointId),
 }
@@ -28,7 +28,7 @@
             Change::Seen(endpoint) => {
                 // An address belongs to whoever wrote it last.
                 self.known.retain(|id, other| *id == endpoint.id || other.addr != endpoint.addr);
-                self.known.insert(endpoint.id.clone(), endpoint);
+                self.known.insert(endpoint.id.clone(), *endpoint);
             }
             Change::Gone(id) => {
                 self.known.remove(&id);
--- a/components/journal/benches/control.rs
+++ b/components/journal/benches/control.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use journal::{Journal, Options};
 use edge::HttpLog;
+use journal::{Journal, Options};
 use record::Body;
 use timeline::Recorder;
 use tokio::runtime::{Builder, Runtime};
--- a/components/journal/benches/spread.rs
+++ b/components/journal/benches/spread.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::Stream;
 use fake::{Log, Net};
 use journal::{Journal, Options};
-use edge::Stream;
 use rand::seq::IteratorRandom;
 use record::{Body, Record};
 use timeline::Recorder;
--- a/components/journal/src/follow.rs
+++ b/components/journal/src/follow.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use peer::Ask;
 use edge::{LogService, Stream};
+use peer::Ask;
 use record::{Body, Record};
 use state::{Applied, State, Verdict, Void};
 use timeline::Recorder;
--- a/components/journal/tests/append.rs
+++ b/components/journal/tests/append.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use common::{LIMIT, Site, attach, claim, pass};
-use journal::AppendError;
 use edge::Stream;
+use journal::AppendError;
 use record::WINDOW;
 use state::{Verdict, Void};
 use tokio::time::Instant;
--- a/components/journal/tests/common/mod.rs
+++ b/components/journal/tests/common/mod.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::LogService;
 use fake::{Log, Net};
 use journal::{AppendError, Journal, Options};
-use edge::LogService;
 use record::{Attach, Body};
 pub(crate) use sample::claim;
 use sample::id;
--- a/components/journal/tests/differential.rs
+++ b/components/journal/tests/differential.rs
@@ -12,9 +12,9 @@
 
 use bytes::Bytes;
 use common::{Node, Site, attach, claim, pass};
+use edge::Stream;
 use fake::Log;
 use journal::{AppendError, KeyOutcome, Keys, SnapshotRule};
-use edge::Stream;
 use proptest::prelude::{Just, ProptestConfig, Strategy, any};
 use proptest::test_runner::{RngSeed, TestCaseError, TestRunner};
 use proptest::{collection, prop_assert, prop_assert_eq, prop_oneof};
--- a/components/journal/tests/keys.rs
+++ b/components/journal/tests/keys.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use edge::Stream;
 use fake::Log;
 use journal::{ClaimError, KeyOutcome, Keys};
-use edge::Stream;
 use record::KeyClaim;
 use tokio::time::{sleep, timeout};
 use units::Offset;
--- a/components/journal/tests/session.rs
+++ b/components/journal/tests/session.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use common::{LIMIT, Node, Site, attach, claim, pass};
-use journal::SnapshotRule;
 use edge::Stream;
+use journal::SnapshotRule;
 use record::Body;
 use state::{Applied, State};
 use timeline::{Event, Kind};
--- a/components/journal/tests/snapshots.rs
+++ b/components/journal/tests/snapshots.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use common::{LIMIT, Node, Site, attach, claim, pass};
-use journal::SnapshotRule;
 use edge::Stream;
+use journal::SnapshotRule;
 use rstest::rstest;
 use units::Offset;
 
--- a/components/load/src/scale/stage.rs
+++ b/components/load/src/scale/stage.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::{LogService, Stream};
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
-use edge::{LogService, Stream};
 use record::{Body, Record};
 use sample::id;
 use serde::Deserialize;
--- a/components/load/src/watch.rs
+++ b/components/load/src/watch.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use edge::Inventory;
+use futures_util::future::join_all;
 use serde::Deserialize;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
--- a/components/loader/src/desk.rs
+++ b/components/loader/src/desk.rs
@@ -1,9 +1,11 @@
 //! Answers routers.
 
 use bytes::Bytes;
-use control::{ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, SYNC_PATH, State, Sync, Verdict};
-use hyper::body::Incoming;
+use control::{
+    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, SYNC_PATH, State, Sync, Verdict,
+};
 use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
--- a/components/loader/src/ledger.rs
+++ b/components/loader/src/ledger.rs
@@ -1,6 +1,7 @@
 //! What the loader knows of its endpoint and of what is wanted from it.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use catalog::{Engine, ModelId};
 use control::Verdict;
@@ -27,8 +28,20 @@
 pub(crate) struct Usage {
     /// When a request for it last began.
     pub(crate) last: Option<Instant>,
-    /// Requests that run, by router.
-    pub(crate) running: BTreeMap<String, u32>,
+    /// Requests that run, by router, and when it said so.
+    pub(crate) running: BTreeMap<String, (u32, Instant)>,
+    /// Other endpoints that hold the model.
+    pub(crate) others: u32,
+}
+
+/// A router that is silent for this long has no requests here any more, or is cut off and will say so.
+const SILENT: Duration = Duration::from_secs(3);
+
+/// A model that makes room: it gets no new requests, and is unloaded once its last one is done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Leaving {
+    pub(crate) model: ModelName,
+    pub(crate) since: Instant,
 }
 
 /// What is known and wanted.
@@ -42,6 +55,8 @@
     pub(crate) wants: BTreeMap<ModelId, Want>,
     /// How models are used.
     pub(crate) usage: BTreeMap<ModelName, Usage>,
+    /// The model that makes room.
+    pub(crate) leaving: Option<Leaving>,
     /// How adapters are used.
     pub(crate) adapters: BTreeMap<ModelId, Instant>,
 }
@@ -56,7 +71,19 @@
 
     /// Requests that run with a model, as far as routers say.
     pub(crate) fn running(&self, model: &ModelName) -> u32 {
-        self.usage.get(model).map_or(0, |usage| usage.running.values().sum())
+        let Some(usage) = self.usage.get(model) else { return 0 };
+        let heard = usage.running.values().filter(|(_, heard)| heard.elapsed() < SILENT);
+        heard.map(|(count, _)| count).sum()
+    }
+
+    /// Requests that run with any model.
+    pub(crate) fn all_running(&self) -> u32 {
+        self.usage.keys().map(|model| self.running(model)).sum()
+    }
+
+    /// Other endpoints that hold a model.
+    pub(crate) fn others(&self, model: &ModelName) -> u32 {
+        self.usage.get(model).map_or(0, |usage| usage.others)
     }
 
     /// When a request for a model last began.
@@ -75,7 +102,8 @@
         let weights = |model: &ModelName| engine.model(model).map_or(Size(0), |spec| spec.weights);
         let adapter = |model: &ModelName| engine.model(model).map_or(Size(0), |spec| spec.adapter);
         let models: Size = report.models.iter().map(|held| weights(&held.model)).sum();
-        let adapters = report.models.iter().map(|h| Size(adapter(&h.model).0 * h.adapters.len() as u64));
+        let adapters =
+            report.models.iter().map(|h| Size(adapter(&h.model).0 * h.adapters.len() as u64));
         let incoming = report.incoming.iter().map(|id| adapter(&id.model));
         models + adapters.sum() + incoming.sum()
     }
--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -1,8 +1,9 @@
 //! The next order: values in, values out.
 //!
 //! Load pattern: bursts for models that take turns in an accelerator that can't hold all of them. Waiting requests go
-//! before what is prepared, and the one that waits longest first. Room is made by the model that was used longest
-//! ago and runs nothing, since an unload waits for what runs and blocks all other orders.
+//! before what is prepared, and the one that waits longest first. Room is made by a model that other endpoints hold as
+//! well, else by the one that was used longest ago. A model that runs requests first gets no new ones and is
+//! unloaded when they are done, since an unload waits for what runs and blocks all other orders.
 
 use std::time::Duration;
 
@@ -17,8 +18,14 @@
 const KEEP: Duration = Duration::from_millis(400);
 /// What is prepared pushes out only what was not used for this long.
 const IDLE: Duration = Duration::from_secs(4);
-/// When to ask again if there is no room: about one run of a request.
+/// When to ask again if there is no room: a part of one run of a request.
 const AGAIN: Duration = Duration::from_millis(300);
+/// Routers hear within this time that a model leaves.
+const HEARD: Duration = Duration::from_millis(8);
+/// An unload is ordered after this time even if routers still count requests there.
+const DRAINED: Duration = Duration::from_millis(2_500);
+/// A model that no other endpoint holds makes room only while it runs fewer requests than this for each that waits.
+const WORTH: u32 = 3;
 /// Adapters on their way to one endpoint at once.
 const INCOMING: usize = 4;
 
@@ -27,6 +34,10 @@
 pub(crate) enum Next {
     /// Give this order.
     Order(Work, ModelId),
+    /// Send this model no new requests: it makes room.
+    Drain(ModelName),
+    /// Keep the model that was to make room: nobody needs it any more.
+    Spare,
     /// Tell those who want this to ask again later.
     Refuse(ModelId, Duration),
     /// Nothing.
@@ -45,36 +56,73 @@
     let mut models: Vec<(&ModelId, &Want)> =
         ledger.wants.iter().filter(|(id, _)| !has(ledger, &id.model)).collect();
     models.sort_by_key(|(_, want)| (want.waiting == 0, want.since));
-    for (id, want) in models {
-        let Some(spec) = engine.model(&id.model) else {
-            return Next::Refuse(id.clone(), AGAIN);
-        };
-        let target = ModelId { model: id.model.clone(), adapter: None };
-        if spec.weights > engine.memory.saturating_sub(ledger.taken()) {
-            return match victim(ledger, want.waiting > 0, now) {
-                Some(model) => Next::Order(Work::Unload, ModelId { model, adapter: None }),
-                None => Next::Refuse(id.clone(), AGAIN),
-            };
+    let Some((id, want)) = models.first() else {
+        return if ledger.leaving.is_some() { Next::Spare } else { Next::Rest };
+    };
+    let Some(spec) = engine.model(&id.model) else {
+        return Next::Refuse((*id).clone(), AGAIN);
+    };
+    if spec.weights <= engine.memory.saturating_sub(ledger.taken()) {
+        return Next::Order(Work::Load, ModelId { model: id.model.clone(), adapter: None });
+    }
+    match &ledger.leaving {
+        Some(leaving) if !has(ledger, &leaving.model) => Next::Spare,
+        Some(leaving) => {
+            let since = now - leaving.since;
+            let done = ledger.running(&leaving.model) == 0 && since >= HEARD;
+            if done || since >= DRAINED {
+                Next::Order(Work::Unload, ModelId { model: leaving.model.clone(), adapter: None })
+            } else {
+                Next::Rest
+            }
         }
-        return Next::Order(Work::Load, target);
+        None => match victim(ledger, want.waiting, now) {
+            Some(model) => Next::Drain(model),
+            None => Next::Refuse((*id).clone(), AGAIN),
+        },
+    }
+}
+
+/// How long it is likely to take until there is room for one more model.
+pub(crate) fn room(ledger: &Ledger, now: Instant) -> Duration {
+    let (Some(engine), Some(report)) = (&ledger.engine, &ledger.report) else {
+        return Duration::ZERO;
+    };
+    let largest = engine.models.iter().map(|(_, spec)| spec.weights).max().unwrap_or_default();
+    let free = engine.memory.saturating_sub(ledger.taken());
+    let idle = |model: &ModelName| ledger.running(model) == 0 && rested(ledger, model, KEEP, now);
+    if free >= largest || report.models.iter().any(|held| idle(&held.model)) {
+        Duration::ZERO
+    } else {
+        DRAINED / 2
     }
-    Next::Rest
 }
 
 fn has(ledger: &Ledger, model: &ModelName) -> bool {
     ledger.report.as_ref().is_some_and(|report| report.models.iter().any(|h| h.model == *model))
 }
 
-/// The model that makes room: none that runs or was used just now, the one used longest ago.
-fn victim(ledger: &Ledger, urgent: bool, now: Instant) -> Option<ModelName> {
+/// The model that makes room for one that so many requests wait for.
+fn victim(ledger: &Ledger, waiting: u32, now: Instant) -> Option<ModelName> {
     let report = ledger.report.as_ref()?;
-    let quiet = if urgent { KEEP } else { IDLE };
-    let able = report.models.iter().filter(|held| {
-        let last = ledger.last(&held.model);
-        let wanted = ledger.wants.iter().any(|(id, want)| id.model == held.model && want.waiting > 0);
-        ledger.running(&held.model) == 0 && !wanted && last.is_none_or(|last| now - last >= quiet)
+    let quiet = if waiting > 0 { KEEP } else { IDLE };
+    let able = report.models.iter().map(|held| &held.model).filter(|model| {
+        let wanted = ledger.wants.iter().any(|(id, want)| id.model == **model && want.waiting > 0);
+        let running = ledger.running(model);
+        let spared = ledger.others(model) == 0 && running >= WORTH * waiting.max(1);
+        !wanted && !spared && (waiting > 0 || running == 0) && rested(ledger, model, quiet, now)
     });
-    able.min_by_key(|held| ledger.last(&held.model)).map(|held| held.model.clone())
+    able.min_by_key(|model| {
+        let running = ledger.running(model);
+        (running > 0, ledger.others(model) == 0, running, ledger.last(model))
+    })
+    .cloned()
+}
+
+/// Whether a model was not used for some time; one that others hold as well needs no rest.
+fn rested(ledger: &Ledger, model: &ModelName, quiet: Duration, now: Instant) -> bool {
+    let running = ledger.running(model) > 0;
+    running || ledger.last(model).is_none_or(|last| now - last >= quiet)
 }
 
 fn next_adapter(ledger: &Ledger, engine: &Engine, now: Instant) -> Option<Next> {
@@ -98,7 +146,7 @@
         Some(adapter) => Some(Next::Order(Work::Unload, adapter)),
         // An order for a model in progress is waited for; else there is no room in sight.
         None if report.busy => None,
-        None => match victim(ledger, true, now).filter(|model| *model != id.model && !room) {
+        None => match victim(ledger, 1, now).filter(|model| *model != id.model && !room) {
             Some(model) => Some(Next::Order(Work::Unload, ModelId { model, adapter: None })),
             None => Some(Next::Refuse(id.clone(), AGAIN)),
         },
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -25,6 +25,8 @@
         endpoint: None,
         holdings: Holdings::default(),
         waiting: 0,
+        running: 0,
+        room: std::time::Duration::ZERO,
         able: false,
         engine: Revision(0),
     });
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -14,7 +14,7 @@
 use web::Client;
 
 use crate::desk::Command;
-use crate::ledger::{Ledger, Want};
+use crate::ledger::{Leaving, Ledger, Want};
 use crate::plan::{self, Next};
 
 /// Between reports while nothing is going on.
@@ -127,6 +127,8 @@
             ADAPTER
         } else if self.pending.is_some() {
             EAGER
+        } else if self.ledger.leaving.is_some() {
+            ADAPTER
         } else if self.ledger.wants.is_empty() {
             CALM
         } else {
@@ -144,6 +146,11 @@
         match command {
             Command::Uses(sync) => {
                 self.adopt(&sync.endpoint);
+                let others = sync.uses.iter().map(|one| (&one.model, one.others));
+                let others: Vec<_> = others.map(|(model, count)| (model.clone(), count)).collect();
+                for (model, count) in others {
+                    self.ledger.usage.entry(model).or_default().others = count;
+                }
                 for usage in self.ledger.usage.values_mut() {
                     usage.running.remove(&sync.router);
                 }
@@ -153,7 +160,7 @@
                         usage.last = Some(now);
                     }
                     if one.running > 0 {
-                        usage.running.insert(sync.router.clone(), one.running);
+                        usage.running.insert(sync.router.clone(), (one.running, now));
                     }
                 }
             }
@@ -259,13 +266,23 @@
         }
         match plan::next(&self.ledger, now) {
             Next::Rest => false,
+            Next::Spare => {
+                self.ledger.leaving = None;
+                true
+            }
+            Next::Drain(model) => {
+                self.ledger.leaving = Some(Leaving { model, since: now });
+                true
+            }
             Next::Refuse(id, after) => {
                 self.answer(&id, Verdict::Refused(after));
                 true
             }
             Next::Order(work, target) => {
                 let token = *self.token.borrow();
-                let Some((token, endpoint)) = token.zip(self.endpoint.clone()) else { return false };
+                let Some((token, endpoint)) = token.zip(self.endpoint.clone()) else {
+                    return false;
+                };
                 self.order(work, target, token, endpoint).await;
                 true
             }
@@ -345,6 +362,8 @@
             left: p.until.saturating_duration_since(now),
         });
         let leaving = pending.filter(|p| p.work == Work::Unload).map(|p| p.target.model.clone());
+        let leaving = leaving.or(self.ledger.leaving.as_ref().map(|one| one.model.clone()));
+        let (running, room) = (self.ledger.all_running(), plan::room(&self.ledger, now));
         let holdings = Holdings {
             models: report.map(|report| report.models.clone()).unwrap_or_default(),
             copies: report.map(|report| report.copies.clone()).unwrap_or_default(),
@@ -352,7 +371,8 @@
             leaving: leaving.into_iter().collect(),
         };
         let waiting = u32::try_from(self.ledger.wants.len()).unwrap_or(u32::MAX);
-        let able = report.is_some() && self.token.borrow().is_some() && self.ledger.engine.is_some();
+        let able =
+            report.is_some() && self.token.borrow().is_some() && self.ledger.engine.is_some();
         self.state.send_if_modified(|state| {
             let same = state.holdings.models == holdings.models
                 && state.holdings.leaving == holdings.leaving
@@ -360,20 +380,25 @@
                 && state.holdings.loading.as_ref().map(|l| &l.model)
                     == holdings.loading.as_ref().map(|l| &l.model)
                 && state.able == able
+                && state.room == room
                 && state.engine == self.engine
                 && state.endpoint == self.endpoint;
             state.waiting = waiting;
+            state.running = running;
             if same {
                 return false;
             }
             state.version += 1;
             state.holdings = holdings;
             state.able = able;
+            state.room = room;
             state.engine = self.engine;
             state.endpoint = self.endpoint.clone();
             emit(&Event::Holds {
                 endpoint: state.endpoint.as_ref().map_or("", |id| id.as_str()),
                 models: state.holdings.models.len(),
+                memory: state.holdings.copies.memory.len(),
+                disk: state.holdings.copies.disk.len(),
                 loading: state.holdings.loading.as_ref().map_or("", |l| l.model.as_str()),
                 version: state.version,
             });
--- a/components/placement/src/candidate.rs
+++ b/components/placement/src/candidate.rs
@@ -1,5 +1,7 @@
 //! An endpoint as the decisions see it.
 
+use std::time::Duration;
+
 use catalog::{Engine, ModelSpec};
 use fleet::{Endpoint, Holdings};
 use units::{ModelName, Size};
@@ -14,8 +16,12 @@
     pub holdings: Option<&'a Holdings>,
     /// Requests of this router that it has.
     pub running: u32,
+    /// Requests that it has of all routers, as its loader last said; at least those of this router.
+    pub total: u32,
     /// Models that wait at its loader.
     pub waiting: u32,
+    /// How long its loader expects to take until there is room for one more model.
+    pub room: Duration,
     /// Whether its loader can be asked for models.
     pub able: bool,
     /// Tokens of the prompt that it is believed to keep.
@@ -25,7 +31,10 @@
 impl Candidate<'_> {
     /// A number that ranks endpoints for a key alike on all routers.
     pub(crate) fn rank(&self, key: &str) -> u64 {
-        xxh3_64_with_seed(self.endpoint.id.as_str().as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+        xxh3_64_with_seed(
+            self.endpoint.id.as_str().as_bytes(),
+            xxh3_64_with_seed(key.as_bytes(), 0),
+        )
     }
 
     /// Accelerator memory that is free for weights.
--- a/components/placement/src/prepare.rs
+++ b/components/placement/src/prepare.rs
@@ -11,7 +11,11 @@
 use crate::Candidate;
 
 /// The next models to bring in and the candidates for them, as far as there are free lanes.
-pub fn prepare(candidates: &[Candidate<'_>], engine: &Engine, lanes: usize) -> Vec<(ModelName, usize)> {
+pub fn prepare(
+    candidates: &[Candidate<'_>],
+    engine: &Engine,
+    lanes: usize,
+) -> Vec<(ModelName, usize)> {
     let kept = |name: &ModelName| {
         candidates.iter().filter_map(|candidate| candidate.holdings).any(|held| has(held, name))
     };
@@ -23,7 +27,10 @@
         }
         let free = candidates.iter().enumerate().filter(|(index, candidate)| {
             let idle = candidate.holdings.is_some_and(|held| held.loading.is_none());
-            candidate.able && idle && candidate.waiting == 0 && taken.iter().all(|(_, i)| i != index)
+            candidate.able
+                && idle
+                && candidate.waiting == 0
+                && taken.iter().all(|(_, i)| i != index)
         });
         let best = free.min_by_key(|(_, candidate)| {
             let tight = candidate.free(engine) < spec.weights;
--- a/components/placement/src/wake.rs
+++ b/components/placement/src/wake.rs
@@ -67,10 +67,13 @@
     let spec = engine.model(&id.model)?;
     let key = id.model.as_str();
     let able = candidates.iter().enumerate().filter(|(_, candidate)| candidate.able);
+    let held = candidates.iter().filter_map(|candidate| candidate.holdings);
+    let copied = held.into_iter().any(|held| tier(held, &id.model) != Tier::Store);
     let wakes = able.filter_map(|(index, candidate)| {
         let (tier, expect) = expected(candidate, candidate.holdings?, &id.model, spec, engine);
         let arriving = candidate.holdings?.loading.as_ref().is_some_and(|l| l.model == id.model);
-        let allowed = tier != Tier::Store || lane || arriving;
+        // The weight store is for models of which no endpoint keeps a copy.
+        let allowed = tier != Tier::Store || arriving || (lane && !copied);
         allowed.then(|| (Wake { index, tier, expect }, candidate.rank(key)))
     });
     let best = wakes.min_by_key(|(wake, rank)| (wake.expect, *rank));
@@ -100,7 +103,8 @@
         Tier::Store => spec.cold,
     };
     let before = holdings.loading.as_ref().map_or(Duration::ZERO, |loading| loading.left);
-    let room = if candidate.free(engine) >= spec.weights { Duration::ZERO } else { ROOM };
+    let free = candidate.free(engine) >= spec.weights;
+    let room = if free { Duration::ZERO } else { ROOM + candidate.room };
     (tier, load + before + TURN * candidate.waiting + room + RUN * candidate.running)
 }
 
--- a/components/planner/src/listing.rs
+++ b/components/planner/src/listing.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::{StreamExt, stream};
 use edge::{Instance, InstanceList};
+use futures_util::{StreamExt, stream};
 use state::Member;
 use tokio::sync::watch::Sender;
 use tokio::time::{Instant, sleep, timeout};
--- a/components/planner/src/run.rs
+++ b/components/planner/src/run.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use edge::InstanceList;
 use journal::Journal;
 use peer::{Ask, Client};
-use edge::InstanceList;
 use policy::Calendar;
 use record::Body;
 use state::State;
--- a/components/planner/tests/common/agents.rs
+++ b/components/planner/tests/common/agents.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use journal::Journal;
 use edge::{Instance, InstanceState};
+use journal::Journal;
 use record::{Attach, Body, GrantId};
 use state::{State, Verdict};
 use tokio::task::JoinHandle;
--- a/components/planner/tests/common/gate.rs
+++ b/components/planner/tests/common/gate.rs
@@ -4,8 +4,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use fake::Log;
 use edge::{LogError, LogService, Page, Stream};
+use fake::Log;
 use tokio::sync::watch;
 use units::Offset;
 
--- a/components/planner/tests/common/history.rs
+++ b/components/planner/tests/common/history.rs
@@ -1,7 +1,7 @@
 //! What the log holds, folded again from its first record.
 
-use fake::Log;
 use edge::Stream;
+use fake::Log;
 use record::{Body, Decision, Record};
 use state::{State, Verdict};
 
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -140,12 +140,7 @@
     rest(settings)
 }
 
-fn serve<T, B, F>(
-    settings: T,
-    workers: Workers,
-    identity: fn(&T) -> &Identity,
-    body: B,
-) -> ExitCode
+fn serve<T, B, F>(settings: T, workers: Workers, identity: fn(&T) -> &Identity, body: B) -> ExitCode
 where
     B: FnOnce(T, Process) -> F,
     F: Future<Output = Result<(), StartError>>,
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -65,7 +65,7 @@
 
 enum Found {
     Place(Place),
-    Wake(EndpointId, Duration),
+    Wake(EndpointId, ModelId, Duration),
     Later(Duration),
     Nobody,
 }
@@ -78,14 +78,12 @@
         match find(shared, &wanted) {
             Found::Place(place) => return Ok(place),
             Found::Nobody => return Err(NoPlace::NoEndpoint(NONE)),
-            Found::Wake(id, expect) => {
+            Found::Wake(id, target, expect) => {
                 if let Outlook::Refuse(after) = outlook(left, expect) {
                     return Err(NoPlace::Cold(after));
                 }
-                if let Some(model) = wanted.model {
-                    let wish = Wish { waiting: 1, within: left, expect };
-                    peer::want(shared, &id, model, wish);
-                }
+                let wish = Wish { waiting: 1, within: left, expect };
+                peer::want(shared, &id, &target, wish);
             }
             Found::Later(expect) => {
                 if let Outlook::Refuse(after) = outlook(left, expect) {
@@ -110,12 +108,17 @@
         if !peer.usable(now) || wanted.tried.contains(id) {
             continue;
         }
-        let refused = |model: &ModelId| peer.refused.get(model).is_some_and(|until| *until > now);
+        let refused = |model: &ModelId| {
+            let until = |id: &ModelId| peer.refused.get(id).is_some_and(|until| *until > now);
+            until(model) || until(&ModelId { model: model.model.clone(), adapter: None })
+        };
         ids.push(id.clone());
         candidates.push(Candidate {
             endpoint: &peer.endpoint,
             holdings: peer.holdings(now),
             running: peer.running,
+            total: peer.state.as_ref().map_or(0, |(state, _)| state.running),
+            room: peer.state.as_ref().map_or(Duration::ZERO, |(state, _)| state.room),
             waiting: peer.state.as_ref().map_or(0, |(state, _)| state.waiting),
             able: peer.able(now) && !wanted.model.is_some_and(refused),
             shared: 0,
@@ -131,13 +134,19 @@
     };
     let lane = peers.free_lanes() > 0;
     match placement::wake(&candidates, model, engine, lane) {
-        Some(wake) => Found::Wake(ids.swap_remove(wake.index), wake.expect),
+        Some(wake) => {
+            // The model first; all adapters of it wait for the same load.
+            let adapter = model.adapter.clone().filter(|_| wake.tier == placement::Tier::Adapter);
+            let target = ModelId { model: model.model.clone(), adapter };
+            Found::Wake(ids.swap_remove(wake.index), target, wake.expect)
+        }
         None => {
             // The store's lanes are taken, or no loader can be asked just now.
             let cold = engine.model(&model.model).map_or(Duration::ZERO, |spec| spec.cold);
-            let copied = candidates.iter().filter_map(|candidate| candidate.holdings).any(|held| {
-                placement::tier(held, &model.model) != placement::Tier::Store
-            });
+            let copied = candidates
+                .iter()
+                .filter_map(|candidate| candidate.holdings)
+                .any(|held| placement::tier(held, &model.model) != placement::Tier::Store);
             Found::Later(if copied { Duration::ZERO } else { cold })
         }
     }
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -84,17 +84,6 @@
         self.state.as_ref().is_some_and(|(state, heard)| state.able && now - *heard < FRESH)
     }
 
-    /// What is told to the loader: how its models are used.
-    pub(crate) fn take_uses(&mut self) -> Vec<Use> {
-        let uses = self.uses.iter_mut().map(|(model, usage)| Use {
-            model: model.clone(),
-            begun: std::mem::take(&mut usage.begun),
-            running: usage.running,
-        });
-        let uses = uses.filter(|one| one.begun > 0 || one.running > 0).collect();
-        self.uses.retain(|_, usage| usage.running > 0);
-        uses
-    }
 }
 
 /// A load from the weight store that is in progress.
@@ -145,7 +134,7 @@
         }
         for change in changes {
             match change {
-                Change::Seen(endpoint) => peers.see(endpoint, now),
+                Change::Seen(endpoint) => peers.see(*endpoint, now),
                 Change::Gone(id) => gone.push(id),
             }
         }
@@ -229,6 +218,35 @@
 }
 
 impl Peers {
+    /// What is told to a loader: how its models are used, and how many other endpoints hold them.
+    pub(crate) fn take_uses(&mut self, id: &EndpointId, now: Instant) -> Option<Vec<Use>> {
+        let peer = self.map.get(id)?;
+        let held: Vec<ModelName> = peer.holdings(now).map_or_else(Vec::new, |holdings| {
+            holdings.models.iter().map(|held| held.model.clone()).collect()
+        });
+        let others: Vec<u32> = held
+            .iter()
+            .map(|model| {
+                let holds = |peer: &&Peer| {
+                    peer.endpoint.id != *id
+                        && peer.usable(now)
+                        && peer.holdings(now).is_some_and(|held| held.holds(model))
+                };
+                u32::try_from(self.map.values().filter(holds).count()).unwrap_or(u32::MAX)
+            })
+            .collect();
+        let peer = self.map.get_mut(id)?;
+        let uses = held.into_iter().zip(others).map(|(model, others)| {
+            let usage = peer.uses.remove(&model).unwrap_or_default();
+            let told = Use { model: model.clone(), begun: usage.begun, running: usage.running, others };
+            if usage.running > 0 {
+                peer.uses.insert(model, Usage { begun: 0, running: usage.running });
+            }
+            told
+        });
+        Some(uses.collect())
+    }
+
     fn see(&mut self, endpoint: Endpoint, now: Instant) {
         self.leaving.remove(&endpoint.id);
         let same_addr: Vec<EndpointId> = self
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -14,6 +14,8 @@
 
 /// How long a loader is asked to wait for news; uses are told at least this often.
 const WAIT: Duration = Duration::from_millis(1_000);
+/// The same while a model makes room and waits for the last of its requests.
+const DRAIN_WAIT: Duration = Duration::from_millis(60);
 /// The first pause after a failed call.
 const RETRY: Duration = Duration::from_millis(200);
 /// The longest pause.
@@ -29,8 +31,12 @@
     for peer in peers.map.values_mut() {
         if peer.task.is_none() && peer.endpoint.holdings.is_some() {
             let endpoint = &peer.endpoint;
-            let follow =
-                follow(shared.clone(), endpoint.id.clone(), endpoint.addr, endpoint.service.clone());
+            let follow = follow(
+                shared.clone(),
+                endpoint.id.clone(),
+                endpoint.addr,
+                endpoint.service.clone(),
+            );
             peer.task = Some(tokio::spawn(follow).abort_handle());
         }
     }
@@ -40,15 +46,17 @@
     let loader = shared.loader(addr);
     let (mut seen, mut start) = (0, 0);
     let mut pause = RETRY;
+    let mut leaving = false;
     let mut lost: Option<Instant> = None;
     loop {
         let uses = {
             let mut peers = shared.known.lock();
-            let Some(peer) = peers.map.get_mut(&id) else { return };
-            peer.take_uses()
+            let Some(uses) = peers.take_uses(&id, Instant::now()) else { return };
+            uses
         };
         let router = shared.settings.instance.to_string();
-        let sync = Sync { router, endpoint: id.clone(), seen, wait: WAIT, uses };
+        let wait = if leaving { DRAIN_WAIT } else { WAIT };
+        let sync = Sync { router, endpoint: id.clone(), seen, wait, uses };
         match loader.sync(&sync).await {
             Ok(state) => {
                 if let Some(since) = lost.take() {
@@ -68,6 +76,7 @@
                     .and_then(|service| service.engine.as_ref());
                 let version = catalog.as_ref().map_or(Revision(0), |catalog| catalog.version);
                 let known = state.engine;
+                leaving = !state.holdings.leaving.is_empty();
                 shared.known.heard(&id, state, engine);
                 if let Some(engine) = engine.filter(|_| known == Revision(0)) {
                     let news = EngineNews { version, engine: engine.clone() };
--- a/components/router/src/prepare.rs
+++ b/components/router/src/prepare.rs
@@ -51,6 +51,8 @@
             endpoint: &peer.endpoint,
             holdings: peer.holdings(now),
             running: peer.running,
+            total: 0,
+            room: Duration::ZERO,
             waiting: peer.state.as_ref().map_or(0, |(state, _)| state.waiting),
             able: peer.able(now) && peer.usable(now) && !refused(peer, now),
             shared: 0,
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use events::{Event, Step, emit};
-use http::header;
 use http::Response;
+use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -26,7 +26,8 @@
 
 impl Times {
     pub(crate) fn answered(&self, status: u16, first: Instant, whole: bool) {
-        let millis = |at: Instant| u64::try_from((at - self.arrived).as_millis()).unwrap_or(u64::MAX);
+        let millis =
+            |at: Instant| u64::try_from((at - self.arrived).as_millis()).unwrap_or(u64::MAX);
         emit(&Event::Answered {
             request: &self.name,
             status,
@@ -38,7 +39,10 @@
 
     pub(crate) fn left(&self) {
         let held = self.arrived.elapsed().as_millis();
-        emit(&Event::Left { request: &self.name, held_ms: u64::try_from(held).unwrap_or(u64::MAX) });
+        emit(&Event::Left {
+            request: &self.name,
+            held_ms: u64::try_from(held).unwrap_or(u64::MAX),
+        });
     }
 }
 
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -99,8 +99,7 @@
         }
         Err(ReadError::Cut(_)) => return Err(malformed()),
     };
-    let outgoing =
-        Outgoing { method: parts.method, uri: parts.uri, headers: parts.headers, body };
+    let outgoing = Outgoing { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let mut flight = Flight {
         shared: shared.clone(),
         catalog,
--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -17,9 +17,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::Inventory;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use edge::Inventory;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
--- a/components/standin/src/engine/orders.rs
+++ b/components/standin/src/engine/orders.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use http::{Response, StatusCode};
 use edge::{CacheTier, Order, OrderKind, ReplicaPhase, SeenBody};
+use http::{Response, StatusCode};
 use serde_json::json;
 use tokio::time::sleep;
 use units::{Incarnation, ModelName, Size, Span};
--- a/components/standin/src/engine/requests.rs
+++ b/components/standin/src/engine/requests.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
 use edge::{PRIORITY_HEADER, REQUEST_HEADER};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use serde_json::json;
 use tokio::sync::oneshot;
 use units::{AdapterName, ModelName};
--- a/components/standin/src/list.rs
+++ b/components/standin/src/list.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use edge::{Instance, InstanceList, InstancesBody};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use edge::{Instance, InstanceList, InstancesBody};
 use serde::{Deserialize, Serialize};
 use units::{InstanceId, Span};
 use web::{BindError, Body};
--- a/components/standin/src/log.rs
+++ b/components/standin/src/log.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use edge::{
     AppendBody, Entry, FirstBody, LogError, LogService, Page, PageBody, RecordBody, Stream,
 };
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use units::{Offset, Span};
 use web::{BindError, Body};
--- a/components/standin/src/service.rs
+++ b/components/standin/src/service.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::REQUEST_HEADER;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use edge::REQUEST_HEADER;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 use units::Span;
--- a/components/standin/tests/common/mod.rs
+++ b/components/standin/tests/common/mod.rs
@@ -5,8 +5,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use http::Request;
 use edge::{Endpoint, EndpointError, HttpEndpoint, Inventory, Order, OrderKind};
+use http::Request;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use standin::{Engine, EngineSettings, Running};
--- a/components/standin/tests/service.rs
+++ b/components/standin/tests/service.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use common::{any, fault, request_id, truth};
-use http::{Request, Response, StatusCode};
 use edge::{Endpoint, EndpointError, HttpEndpoint};
+use http::{Request, Response, StatusCode};
 use standin::{Echo, Running, Service, ServiceFault, ServiceSettings, ServiceTruth};
 use units::Span;
 use web::Body;
--- a/src/bin/hyssop-loader.rs
+++ b/src/bin/hyssop-loader.rs
@@ -5,5 +5,9 @@
 const ABOUT: &str = "hyssop-loader: gives the model server beside it its orders";
 
 fn main() -> ExitCode {
-    process::run_single(ABOUT, |settings: &loader::Settings| settings.instance.as_str(), loader::run)
+    process::run_single(
+        ABOUT,
+        |settings: &loader::Settings| settings.instance.as_str(),
+        loader::run,
+    )
 }
--- a/src/bin/hyssop-router.rs
+++ b/src/bin/hyssop-router.rs
@@ -5,5 +5,9 @@
 const ABOUT: &str = "hyssop-router: serves callers from endpoints that it calls directly";
 
 fn main() -> ExitCode {
-    process::run_single(ABOUT, |settings: &router::Settings| settings.instance.as_str(), router::run)
+    process::run_single(
+        ABOUT,
+        |settings: &router::Settings| settings.instance.as_str(),
+        router::run,
+    )
 }
--- a/src/session.rs
+++ b/src/session.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use journal::{Journal, Options};
 use edge::{LogService, Stream};
+use journal::{Journal, Options};
 use record::{Body, Record};
 use state::{Verdict, Void};
 use timeline::Recorder;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use insta::assert_snapshot;
 use edge::Stream;
+use insta::assert_snapshot;
 use site::{Operator, Site, TREE};
 use tokio::time::sleep;
 
--- a/src/tests/races.rs
+++ b/src/tests/races.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use edge::Stream;
 use fake::Faults;
 use futures_util::future::join_all;
-use edge::Stream;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use record::{Body, Record};
--- a/src/tests/site.rs
+++ b/src/tests/site.rs
@@ -7,10 +7,10 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use edge::{LogError, LogService, Page, Stream};
 use fake::{Log, Net};
 use http::StatusCode;
 use journal::{Journal, Options};
-use edge::{LogError, LogService, Page, Stream};
 use record::{Attach, Body, Decision, Record};
 use serde_json::json;
 use state::State;
