Streams are refused when they can't start before their callers leave; the first holder of a model keeps it

Cause: callers of streams leave after a pause of two seconds or so, not at their deadline, so that requests were held for nobody. Two loaders that each counted the other as a holder both gave the model up.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -23,7 +23,7 @@
     pub begun: u32,
     /// Requests that run now.
     pub running: u32,
-    /// Other endpoints that hold the model.
+    /// Endpoints that hold the model and get its requests before this one.
     pub others: u32,
 }
 
--- a/components/loader/src/ledger.rs
+++ b/components/loader/src/ledger.rs
@@ -30,8 +30,31 @@
     pub(crate) last: Option<Instant>,
     /// Requests that run, by router, and when it said so.
     pub(crate) running: BTreeMap<String, (u32, Instant)>,
-    /// Other endpoints that hold the model.
+    /// Endpoints that hold the model and get its requests before this one.
     pub(crate) others: u32,
+    /// Requests a second, of late.
+    rate: f64,
+    /// When the rate was last brought up to date.
+    rated: Option<Instant>,
+}
+
+/// The time over which the rate of requests is taken.
+const RATE_SPAN: Duration = Duration::from_secs(3);
+
+impl Usage {
+    /// Notes requests that began.
+    pub(crate) fn begin(&mut self, count: u32, now: Instant) {
+        self.rate = self.rate_at(now) + f64::from(count) / RATE_SPAN.as_secs_f64();
+        self.rated = Some(now);
+        if count > 0 {
+            self.last = Some(now);
+        }
+    }
+
+    fn rate_at(&self, now: Instant) -> f64 {
+        let since = self.rated.map_or(Duration::ZERO, |rated| now - rated);
+        self.rate * (-since.as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
+    }
 }
 
 /// A router that is silent for this long has no requests here any more, or is cut off and will say so.
@@ -76,12 +99,17 @@
         heard.map(|(count, _)| count).sum()
     }
 
+    /// Requests a second for a model, of late.
+    pub(crate) fn rate(&self, model: &ModelName, now: Instant) -> f64 {
+        self.usage.get(model).map_or(0.0, |usage| usage.rate_at(now))
+    }
+
     /// Requests that run with any model.
     pub(crate) fn all_running(&self) -> u32 {
         self.usage.keys().map(|model| self.running(model)).sum()
     }
 
-    /// Other endpoints that hold a model.
+    /// Endpoints that hold a model and get its requests before this one.
     pub(crate) fn others(&self, model: &ModelName) -> u32 {
         self.usage.get(model).map_or(0, |usage| usage.others)
     }
--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -24,8 +24,9 @@
 const HEARD: Duration = Duration::from_millis(8);
 /// An unload is ordered after this time even if routers still count requests there.
 const DRAINED: Duration = Duration::from_millis(2_500);
-/// A model that no other endpoint holds makes room only while it runs fewer requests than this for each that waits.
-const WORTH: u32 = 3;
+/// A model that no other endpoint serves makes room only if fewer requests come for it in this time than wait for the
+/// other one: to bring it back takes about as long.
+const RETURN: Duration = Duration::from_secs(1);
 /// Adapters on their way to one endpoint at once.
 const INCOMING: usize = 4;
 
@@ -108,9 +109,10 @@
     let quiet = if waiting > 0 { KEEP } else { IDLE };
     let able = report.models.iter().map(|held| &held.model).filter(|model| {
         let wanted = ledger.wants.iter().any(|(id, want)| id.model == **model && want.waiting > 0);
-        let running = ledger.running(model);
-        let spared = ledger.others(model) == 0 && running >= WORTH * waiting.max(1);
-        !wanted && !spared && (waiting > 0 || running == 0) && rested(ledger, model, quiet, now)
+        let missed = ledger.rate(model, now) * RETURN.as_secs_f64();
+        let spared = ledger.others(model) == 0 && missed >= f64::from(waiting.max(1));
+        let idle = waiting > 0 || ledger.running(model) == 0;
+        !wanted && !spared && idle && rested(ledger, model, quiet, now)
     });
     able.min_by_key(|model| {
         let running = ledger.running(model);
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -156,7 +156,8 @@
                 }
                 for one in sync.uses {
                     let usage = self.ledger.usage.entry(one.model).or_default();
-                    if one.begun > 0 || one.running > 0 {
+                    usage.begin(one.begun, now);
+                    if one.running > 0 {
                         usage.last = Some(now);
                     }
                     if one.running > 0 {
--- a/components/placement/src/candidate.rs
+++ b/components/placement/src/candidate.rs
@@ -4,7 +4,7 @@
 
 use catalog::{Engine, ModelSpec};
 use fleet::{Endpoint, Holdings};
-use units::{ModelName, Size};
+use units::{EndpointId, ModelName, Size};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// An endpoint that may get work.
@@ -28,13 +28,15 @@
     pub shared: u32,
 }
 
+/// A number that ranks endpoints for a key alike on all routers; the lowest goes first.
+pub fn rank(endpoint: &EndpointId, key: &str) -> u64 {
+    xxh3_64_with_seed(endpoint.as_str().as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+}
+
 impl Candidate<'_> {
-    /// A number that ranks endpoints for a key alike on all routers.
+    /// Its rank for a key.
     pub(crate) fn rank(&self, key: &str) -> u64 {
-        xxh3_64_with_seed(
-            self.endpoint.id.as_str().as_bytes(),
-            xxh3_64_with_seed(key.as_bytes(), 0),
-        )
+        rank(&self.endpoint.id, key)
     }
 
     /// Accelerator memory that is free for weights.
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -5,7 +5,7 @@
 mod serve;
 mod wake;
 
-pub use candidate::Candidate;
+pub use candidate::{Candidate, rank};
 pub use prepare::prepare;
 pub use serve::serve;
 pub use wake::{Tier, Wake, tier, wake};
--- a/components/placement/src/serve.rs
+++ b/components/placement/src/serve.rs
@@ -39,7 +39,8 @@
 }
 
 fn least(costs: impl Iterator<Item = (usize, f64, u64)>) -> Option<usize> {
-    let best = costs.min_by(|(_, a, rank_a), (_, b, rank_b)| a.total_cmp(b).then(rank_a.cmp(rank_b)));
+    let best =
+        costs.min_by(|(_, a, rank_a), (_, b, rank_b)| a.total_cmp(b).then(rank_a.cmp(rank_b)));
     best.map(|(index, _, _)| index)
 }
 
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -18,6 +18,8 @@
 const SENDS: u32 = 5;
 /// After an endpoint has refused, its state is likely to have changed a little later.
 const BREATH: Duration = Duration::from_millis(20);
+/// When a caller may come back whose request waited in vain: the load that it waited for is likely to be done.
+const SOON: Duration = Duration::from_millis(500);
 /// A request that may run twice is sent again when no answer came for this many times its target.
 const PATIENCE: u32 = 3;
 
@@ -40,6 +42,8 @@
     pub(crate) name: String,
     pub(crate) outgoing: Outgoing,
     pub(crate) due: Instant,
+    /// Until when it may wait for a place: the caller of a stream leaves before `due` if nothing arrives.
+    pub(crate) start: Instant,
     pub(crate) tried: Vec<EndpointId>,
     /// How often it was sent.
     pub(crate) sends: u32,
@@ -92,16 +96,16 @@
             service: &self.service,
             model: self.call.model.as_ref().filter(|_| engine.is_some()),
             engine,
-            due: self.due,
+            due: self.start,
             tried: &self.tried,
         };
-        match tokio::time::timeout_at(self.due, choose::place(&self.shared, wanted)).await {
+        match tokio::time::timeout_at(self.start, choose::place(&self.shared, wanted)).await {
             Ok(Ok(place)) => Ok(place),
             Ok(Err(NoPlace::NoEndpoint(after))) => {
                 Err(self.failed(Refusal::NoEndpoint, Some(after)))
             }
             Ok(Err(NoPlace::Cold(after))) => Err(self.failed(Refusal::ColdTooLong, Some(after))),
-            Err(_) => Err(self.failed(Refusal::TimedOut, Some(BREATH))),
+            Err(_) => Err(self.failed(Refusal::TimedOut, Some(SOON))),
         }
     }
 
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -83,7 +83,6 @@
     pub(crate) fn able(&self, now: Instant) -> bool {
         self.state.as_ref().is_some_and(|(state, heard)| state.able && now - *heard < FRESH)
     }
-
 }
 
 /// A load from the weight store that is in progress.
@@ -218,7 +217,8 @@
 }
 
 impl Peers {
-    /// What is told to a loader: how its models are used, and how many other endpoints hold them.
+    /// What is told to a loader: how its models are used, and how many endpoints hold them that
+    /// get requests before this one.
     pub(crate) fn take_uses(&mut self, id: &EndpointId, now: Instant) -> Option<Vec<Use>> {
         let peer = self.map.get(id)?;
         let held: Vec<ModelName> = peer.holdings(now).map_or_else(Vec::new, |holdings| {
@@ -227,8 +227,9 @@
         let others: Vec<u32> = held
             .iter()
             .map(|model| {
+                let mine = placement::rank(id, model.as_str());
                 let holds = |peer: &&Peer| {
-                    peer.endpoint.id != *id
+                    placement::rank(&peer.endpoint.id, model.as_str()) < mine
                         && peer.usable(now)
                         && peer.holdings(now).is_some_and(|held| held.holds(model))
                 };
@@ -238,7 +239,8 @@
         let peer = self.map.get_mut(id)?;
         let uses = held.into_iter().zip(others).map(|(model, others)| {
             let usage = peer.uses.remove(&model).unwrap_or_default();
-            let told = Use { model: model.clone(), begun: usage.begun, running: usage.running, others };
+            let told =
+                Use { model: model.clone(), begun: usage.begun, running: usage.running, others };
             if usage.running > 0 {
                 peer.uses.insert(model, Usage { begun: 0, running: usage.running });
             }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -145,6 +145,7 @@
         drop(answer);
         flight.runs = flight.runs.saturating_sub(1);
         events.rest.clear();
+        flight.start = flight.due.min(Instant::now() + flight.route.patience / 2);
         let resumed = match flight.broken(&id, &cause) {
             Ok(()) if resumable => tokio::select! {
                 resumed = flight.answer(events.last) => resumed.ok(),
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -21,6 +21,9 @@
 const NO_CONFIGURATION: Duration = Duration::from_millis(500);
 /// Our own last answer leaves this long before the caller's time is over, so that it arrives.
 const MARGIN: Duration = Duration::from_millis(8);
+/// What an endpoint takes until its first event, and the way back; a stream is sent no later than this before its
+/// caller leaves.
+const FIRST_EVENT: Duration = Duration::from_millis(150);
 /// A caller that names no deadline is held no longer than its route says; this stands in where that says nothing.
 const LONGEST: Duration = Duration::from_secs(60);
 
@@ -84,6 +87,7 @@
         .ok_or_else(|| own(StatusCode::SERVICE_UNAVAILABLE, Refusal::NoEndpoint, None))?;
     let left = call.deadline.unwrap_or(LONGEST).min(route.timeout);
     let due = times.arrived + left.saturating_sub(MARGIN);
+    let start = due.min(times.arrived + route.patience.saturating_sub(FIRST_EVENT));
     emit(&Event::Accepted {
         request: &times.name,
         route: &route.name,
@@ -109,6 +113,7 @@
         name: times.name.clone(),
         outgoing,
         due,
+        start,
         tried: Vec::new(),
         sends: 0,
         runs: 0,
