A model is asked for also when its request is turned away; wants are ordered by how many wait

Cause: a request whose model could not be there in time was refused and nobody asked for the model, which so never came (263 of 348 requests of one busy model refused). A restarted endpoint was ordered 160 times under a name that it had denied. Ruled out: too few endpoints; copies lay on idle disks.

--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -1,7 +1,7 @@
 //! The next order: values in, values out.
 //!
 //! Load pattern: bursts for models that take turns in an accelerator that can't hold all of them. Waiting requests go
-//! before what is prepared, and the one that waits longest first. Room is made by a model that other endpoints hold as
+//! before what is prepared, those that many wait for or that wait for long first. Room is made by a model that other endpoints hold as
 //! well, else by the one that was used longest ago. A model that runs requests first gets no new ones and is
 //! unloaded when they are done, since an unload waits for what runs and blocks all other orders.
 
@@ -24,6 +24,10 @@
 const HEARD: Duration = Duration::from_millis(8);
 /// An unload is ordered after this time even if routers still count requests there.
 const DRAINED: Duration = Duration::from_millis(2_500);
+/// A want gains as much in a second as by this many more requests that wait.
+const AGE: f64 = 2.0;
+/// What a drain usually takes: the rest of a run of which a half is over.
+const USUAL: Duration = Duration::from_millis(500);
 /// A model that no other endpoint serves makes room only if fewer requests come for it in this time than wait for the
 /// other one: to bring it back takes about as long.
 const RETURN: Duration = Duration::from_secs(1);
@@ -56,7 +60,7 @@
     }
     let mut models: Vec<(&ModelId, &Want)> =
         ledger.wants.iter().filter(|(id, _)| !has(ledger, &id.model)).collect();
-    models.sort_by_key(|(_, want)| (want.waiting == 0, want.since));
+    models.sort_by(|(_, a), (_, b)| urgency(b, now).total_cmp(&urgency(a, now)));
     let Some((id, want)) = models.first() else {
         return if ledger.leaving.is_some() { Next::Spare } else { Next::Rest };
     };
@@ -84,6 +88,14 @@
     }
 }
 
+/// How urgent a want is: by the requests that wait, and by its age, so that none waits for good.
+fn urgency(want: &Want, now: Instant) -> f64 {
+    if want.waiting == 0 {
+        return 0.0;
+    }
+    f64::from(want.waiting) + (now - want.since).as_secs_f64() * AGE
+}
+
 /// How long it is likely to take until there is room for one more model.
 pub(crate) fn room(ledger: &Ledger, now: Instant) -> Duration {
     let (Some(engine), Some(report)) = (&ledger.engine, &ledger.report) else {
@@ -95,7 +107,7 @@
     if free >= largest || report.models.iter().any(|held| idle(&held.model)) {
         Duration::ZERO
     } else {
-        DRAINED / 2
+        USUAL
     }
 }
 
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -49,6 +49,8 @@
     commands: mpsc::Receiver<Command>,
     state: watch::Sender<State>,
     endpoint: Option<EndpointId>,
+    /// The name under which the endpoint last refused an order: it has restarted since.
+    denied: Option<EndpointId>,
     engine: Revision,
     ledger: Ledger,
     pending: Option<Pending>,
@@ -74,6 +76,7 @@
             commands,
             state,
             endpoint: None,
+            denied: None,
             engine: Revision(0),
             ledger: Ledger::default(),
             pending: None,
@@ -197,8 +200,9 @@
         }
     }
 
+    /// Takes the name of the endpoint from a router, unless the endpoint has denied it.
     fn adopt(&mut self, endpoint: &EndpointId) {
-        if self.endpoint.is_none() {
+        if self.endpoint.is_none() && self.denied.as_ref() != Some(endpoint) {
             self.endpoint = Some(endpoint.clone());
         }
     }
@@ -321,6 +325,7 @@
             }
             Ok(Outcome::Other(id)) => {
                 self.pending = None;
+                self.denied = Some(endpoint);
                 self.endpoint = id;
                 self.ledger.report = None;
             }
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -16,6 +16,8 @@
 
 /// A request looks again after this time at the latest, since a pause of an endpoint ends without news.
 const LOOK: Duration = Duration::from_millis(100);
+/// How long a load is waited for, beyond what it takes, on behalf of callers that were told to come back for it.
+const RETURN: Duration = Duration::from_millis(1_500);
 /// When callers may come back if no endpoint is known.
 const NONE: Duration = Duration::from_millis(1_000);
 
@@ -72,6 +74,7 @@
 
 /// The place of a request, once there is one.
 pub(crate) async fn place(shared: &Arc<Shared>, wanted: Wanted<'_>) -> Result<Place, NoPlace> {
+    let mut counted = false;
     loop {
         let changed = shared.known.changed.notified();
         let left = wanted.due.saturating_duration_since(Instant::now());
@@ -79,11 +82,15 @@
             Found::Place(place) => return Ok(place),
             Found::Nobody => return Err(NoPlace::NoEndpoint(NONE)),
             Found::Wake(id, target, expect) => {
-                if let Outlook::Refuse(after) = outlook(left, expect) {
+                let outlook = outlook(left, expect);
+                // It is asked for in any case: callers that are turned away are told to come back for it.
+                let within = if outlook == Outlook::Wait { left } else { expect + RETURN };
+                let wish = Wish { waiting: u32::from(!counted), within, expect };
+                counted = true;
+                peer::want(shared, &id, &target, wish);
+                if let Outlook::Refuse(after) = outlook {
                     return Err(NoPlace::Cold(after));
                 }
-                let wish = Wish { waiting: 1, within: left, expect };
-                peer::want(shared, &id, &target, wish);
             }
             Found::Later(expect) => {
                 if let Outlook::Refuse(after) = outlook(left, expect) {
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -32,6 +32,14 @@
     pub(crate) running: u32,
 }
 
+/// Requests that wait for a model at one endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Waiters {
+    pub(crate) count: u32,
+    pub(crate) told: u32,
+    pub(crate) asks: u32,
+}
+
 /// One endpoint.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -43,7 +51,8 @@
     pub(crate) uses: HashMap<ModelName, Usage>,
     pub(crate) paused: Option<Instant>,
     pub(crate) failures: u32,
-    pub(crate) wakes: HashSet<ModelId>,
+    /// What its loader has been asked for, with the requests that wait and those that it has been told of.
+    pub(crate) wakes: HashMap<ModelId, Waiters>,
     pub(crate) refused: HashMap<ModelId, Instant>,
     pub(crate) task: Option<AbortHandle>,
 }
@@ -60,7 +69,7 @@
             uses: HashMap::new(),
             paused: None,
             failures: 0,
-            wakes: HashSet::new(),
+            wakes: HashMap::new(),
             refused: HashMap::new(),
             task: None,
         }
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -100,14 +100,19 @@
     }
 }
 
-/// Asks the loader of an endpoint for a model, unless it has been asked already.
-pub(crate) fn want(shared: &Arc<Shared>, id: &EndpointId, target: &ModelId, wish: Wish) {
+/// Asks the loader of an endpoint for a model, unless it has been asked already and not many more wait since.
+pub(crate) fn want(shared: &Arc<Shared>, id: &EndpointId, target: &ModelId, mut wish: Wish) {
     let addr = {
         let mut peers = shared.known.lock();
         let Some(peer) = peers.map.get_mut(id) else { return };
-        if !peer.wakes.insert(target.clone()) {
+        let waiters = peer.wakes.entry(target.clone()).or_default();
+        waiters.count += wish.waiting;
+        if waiters.asks > 0 && waiters.count < waiters.told.max(1) * 2 {
             return;
         }
+        wish.waiting = waiters.count - waiters.told;
+        waiters.told = waiters.count;
+        waiters.asks += 1;
         peer.endpoint.addr
     };
     emit(&Event::Wanted {
@@ -153,7 +158,12 @@
         shared.known.heard(&id, ensured.state, None);
     }
     if let Some(peer) = shared.known.lock().map.get_mut(&id) {
-        peer.wakes.remove(&target);
+        if let Some(waiters) = peer.wakes.get_mut(&target) {
+            waiters.asks -= 1;
+            if waiters.asks == 0 {
+                peer.wakes.remove(&target);
+            }
+        }
         if pause.is_zero() {
             peer.refused.remove(&target);
         } else {
