--- a/components/loader/src/desk.rs
+++ b/components/loader/src/desk.rs
@@ -6,7 +6,6 @@
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use web::Body;
@@ -47,32 +46,29 @@
             Ok(bytes) => bytes,
             Err(error) => return web::text(StatusCode::BAD_REQUEST, error.to_string()),
         };
-        match parts.uri.path() {
-            SYNC_PATH => match decode(&bytes) {
-                Ok(sync) => self.sync(sync).await,
-                Err(refusal) => refusal,
-            },
-            ENSURE_PATH => match decode(&bytes) {
-                Ok(ensure) => self.ensure(ensure).await,
-                Err(refusal) => refusal,
-            },
-            ENGINE_PATH => match decode(&bytes) {
-                Ok(news) => self.engine(news).await,
-                Err(refusal) => refusal,
-            },
-            _ => web::text(StatusCode::NOT_FOUND, "no such call\n"),
-        }
+        let answered = match parts.uri.path() {
+            SYNC_PATH => self.sync(&bytes).await,
+            ENSURE_PATH => self.ensure(&bytes).await,
+            ENGINE_PATH => self.engine(&bytes).await,
+            _ => return web::text(StatusCode::NOT_FOUND, "no such call\n"),
+        };
+        answered.unwrap_or_else(|error| {
+            let text = format!("the message can't be read: {error}\n");
+            web::text(StatusCode::BAD_REQUEST, text)
+        })
     }
 
-    async fn sync(mut self, sync: Sync) -> Response<Body> {
+    async fn sync(mut self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
+        let sync: Sync = serde_json::from_slice(bytes)?;
         let (seen, wait) = (sync.seen, sync.wait.min(LONGEST));
         let _ = self.commands.send(Command::Uses(sync)).await;
         let newer = self.state.wait_for(|state| state.version != seen);
         let _ = tokio::time::timeout(wait, newer).await;
-        self.now()
+        Ok(self.now())
     }
 
-    async fn ensure(self, ensure: Ensure) -> Response<Body> {
+    async fn ensure(self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
+        let ensure: Ensure = serde_json::from_slice(bytes)?;
         let within = ensure.within.min(LONGEST);
         let (reply, verdict) = oneshot::channel();
         let _ = self.commands.send(Command::Ensure(ensure, reply)).await;
@@ -81,21 +77,16 @@
             Ok(Err(_)) | Err(_) => Verdict::Refused(AGAIN),
         };
         let state = self.state.borrow().clone();
-        web::json(StatusCode::OK, &Ensured { verdict, state })
+        Ok(web::json(StatusCode::OK, &Ensured { verdict, state }))
     }
 
-    async fn engine(self, news: EngineNews) -> Response<Body> {
+    async fn engine(self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
+        let news: EngineNews = serde_json::from_slice(bytes)?;
         let _ = self.commands.send(Command::Engine(news)).await;
-        self.now()
+        Ok(self.now())
     }
 
     fn now(&self) -> Response<Body> {
         web::json(StatusCode::OK, &*self.state.borrow())
     }
 }
-
-fn decode<T: DeserializeOwned>(bytes: &Bytes) -> Result<T, Response<Body>> {
-    serde_json::from_slice(bytes).map_err(|error| {
-        web::text(StatusCode::BAD_REQUEST, format!("the message can't be read: {error}\n"))
-    })
-}
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -184,8 +184,8 @@
             return Bytes::new();
         };
         let whole = self.rest.copy_to_bytes(end + 2);
-        let ids = whole.split(|byte| *byte == b'\n').filter_map(platform::event_id);
-        if let Some(last) = ids.last() {
+        let mut ids = whole.split(|byte| *byte == b'\n').filter_map(platform::event_id);
+        if let Some(last) = ids.next_back() {
             self.last = Some(last);
         }
         whole
