--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -1,1 +1,196 @@
-//! Tests.
+//! Tests of the next order.
+
+use std::collections::BTreeMap;
+
+use catalog::ModelSpec;
+use fleet::{Copies, Held};
+use platform::Report;
+
+use super::*;
+use crate::ledger::Leaving;
+
+fn name(text: &str) -> ModelName {
+    text.parse().expect("a name")
+}
+
+fn id(text: &str) -> ModelId {
+    text.parse().expect("an id")
+}
+
+/// An endpoint with room for two models and two adapters that holds these.
+fn ledger(models: &[(&str, &[&str])]) -> Ledger {
+    let spec = ModelSpec {
+        weights: Size(40),
+        adapter: Size(1),
+        cold: Duration::from_secs(6),
+        disk: Duration::from_millis(500),
+        warm: Duration::from_millis(300),
+    };
+    let names = ["a", "b", "c", "d"];
+    let engine = Engine {
+        slots: 64,
+        tokens: 1_000,
+        memory: Size(90),
+        adapters: 2,
+        host: Size(60),
+        disk: Size(500),
+        rate: 7.0,
+        models: names.map(|text| (name(text), spec.clone())).into(),
+    };
+    let held = |(model, adapters): &(&str, &[&str])| Held {
+        model: name(model),
+        adapters: adapters.iter().map(|text| text.parse().expect("an adapter")).collect(),
+    };
+    let report = Report {
+        models: models.iter().map(held).collect(),
+        incoming: Vec::new(),
+        copies: Copies::default(),
+        busy: false,
+        sequence: 1,
+        running: 0,
+        queued: 0,
+        draining: false,
+    };
+    Ledger { engine: Some(engine), report: Some(report), ..Ledger::default() }
+}
+
+fn want(ledger: &mut Ledger, target: &str, waiting: u32, since: Instant) {
+    let want = Want { waiting, due: since + DRAINED, since, replies: Vec::new() };
+    ledger.wants.insert(id(target), want);
+}
+
+fn run(ledger: &mut Ledger, model: &str, count: u32, now: Instant) {
+    let usage = ledger.usage.entry(name(model)).or_default();
+    usage.running = BTreeMap::from([("router".to_owned(), (count, now))]);
+    usage.begin(count, now);
+}
+
+async fn later(span: Duration) -> Instant {
+    tokio::time::advance(span).await;
+    Instant::now()
+}
+
+#[tokio::test(start_paused = true)]
+async fn loads_where_there_is_room() {
+    let mut ledger = ledger(&[("a", &[])]);
+    let now = Instant::now();
+    want(&mut ledger, "b", 1, now);
+    assert_eq!(next(&ledger, now), Next::Order(Work::Load, id("b")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn never_orders_more_than_the_memory_holds() {
+    let mut ledger = ledger(&[("a", &["x", "y"]), ("b", &[])]);
+    let now = Instant::now();
+    want(&mut ledger, "c", 5, now);
+    assert!(matches!(next(&ledger, now), Next::Drain(_)));
+    ledger.report.as_mut().expect("a report").models.pop();
+    assert_eq!(next(&ledger, now), Next::Order(Work::Load, id("c")));
+    ledger.report.as_mut().expect("a report").busy = true;
+    assert_eq!(next(&ledger, now), Next::Rest, "one order at a time");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_model_drains_before_it_is_unloaded() {
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    let start = Instant::now();
+    run(&mut ledger, "a", 1, start);
+    run(&mut ledger, "b", 9, start);
+    let now = later(KEEP).await;
+    want(&mut ledger, "c", 1, now);
+    assert_eq!(next(&ledger, now), Next::Drain(name("a")));
+    ledger.leaving = Some(Leaving { model: name("a"), since: now });
+    let now = later(HEARD).await;
+    assert_eq!(next(&ledger, now), Next::Rest, "one request runs");
+    run(&mut ledger, "a", 0, now);
+    assert_eq!(next(&ledger, now), Next::Order(Work::Unload, id("a")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_drain_that_takes_too_long_ends_all_the_same() {
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    let start = Instant::now();
+    run(&mut ledger, "a", 1, start);
+    ledger.leaving = Some(Leaving { model: name("a"), since: start });
+    want(&mut ledger, "c", 1, start);
+    let now = later(DRAINED).await;
+    assert_eq!(next(&ledger, now), Next::Order(Work::Unload, id("a")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_model_that_others_serve_makes_room_before_one_that_none_does() {
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    let start = Instant::now();
+    run(&mut ledger, "a", 30, start);
+    run(&mut ledger, "b", 1, start);
+    ledger.usage.entry(name("a")).or_default().others = 1;
+    let now = later(KEEP).await;
+    want(&mut ledger, "c", 1, now);
+    assert_eq!(next(&ledger, now), Next::Drain(name("a")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_model_that_many_come_for_is_kept_and_the_others_are_told_to_ask_elsewhere() {
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    let start = Instant::now();
+    run(&mut ledger, "a", 30, start);
+    run(&mut ledger, "b", 30, start);
+    let now = later(KEEP).await;
+    want(&mut ledger, "c", 1, now);
+    assert_eq!(next(&ledger, now), Next::Refuse(id("c"), AGAIN));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_prepared_pushes_out_nothing_that_is_in_use() {
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    let start = Instant::now();
+    run(&mut ledger, "a", 1, start);
+    run(&mut ledger, "b", 1, start);
+    let now = later(IDLE).await;
+    run(&mut ledger, "a", 1, now);
+    want(&mut ledger, "c", 0, now);
+    assert_eq!(next(&ledger, now), Next::Drain(name("b")), "it ran nothing for long");
+    run(&mut ledger, "b", 1, now);
+    assert_eq!(next(&ledger, now), Next::Refuse(id("c"), AGAIN));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_burst_goes_first_but_nobody_waits_for_good() {
+    let mut ledger = ledger(&[]);
+    let start = Instant::now();
+    want(&mut ledger, "c", 1, start);
+    let now = later(Duration::from_millis(500)).await;
+    want(&mut ledger, "d", 8, now);
+    assert_eq!(next(&ledger, now), Next::Order(Work::Load, id("d")));
+    let now = later(Duration::from_secs(4)).await;
+    want(&mut ledger, "d", 8, now);
+    assert_eq!(next(&ledger, now), Next::Order(Work::Load, id("c")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_adapter_asked_for_longest_ago_makes_room() {
+    let mut ledger = ledger(&[("a", &["x", "y"])]);
+    let start = Instant::now();
+    ledger.adapters.insert(id("a/x"), start);
+    let now = later(KEEP).await;
+    ledger.adapters.insert(id("a/y"), now);
+    want(&mut ledger, "a/z", 1, now);
+    assert_eq!(next(&ledger, now), Next::Order(Work::Unload, id("a/x")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_router_that_died_holds_no_model_back() {
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    run(&mut ledger, "a", 3, Instant::now());
+    assert_eq!(ledger.running(&name("a")), 3);
+    later(Duration::from_secs(4)).await;
+    assert_eq!(ledger.running(&name("a")), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn nobody_needs_room_any_more() {
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    let now = Instant::now();
+    ledger.leaving = Some(Leaving { model: name("a"), since: now });
+    assert_eq!(next(&ledger, now), Next::Spare);
+}
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -16,7 +16,8 @@
 const COMMANDS: usize = 256;
 
 /// Runs until the process is asked to end.
-pub async fn run(settings: Settings, process: Single) -> Result<(), StartError> {
+pub async fn run(process: Single<Settings>) -> Result<(), StartError> {
+    let settings = process.settings.borrow().clone();
     let listener = web::bind(settings.listen).await.map_err(StartError::new)?;
     let (commands, inbox) = mpsc::channel(COMMANDS);
     let (state, news) = watch::channel(State {
--- /dev/null
+++ b/components/placement/src/fixture.rs
@@ -0,0 +1,97 @@
+//! Sites for tests.
+
+use std::time::Duration;
+
+use catalog::{Engine, ModelSpec};
+use fleet::{Endpoint, Held, Holdings, Stage};
+use units::{Domain, ModelName, Size};
+
+use crate::Candidate;
+
+pub(crate) fn domain() -> Domain {
+    "near".parse().expect("a domain")
+}
+
+pub(crate) fn name(text: &str) -> ModelName {
+    text.parse().expect("a name")
+}
+
+/// Endpoints of one service with room for two models each.
+pub(crate) struct Site {
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) holdings: Vec<Holdings>,
+    pub(crate) total: Vec<u32>,
+    pub(crate) able: Vec<bool>,
+    models: bool,
+}
+
+impl Site {
+    pub(crate) fn new(count: usize) -> Self {
+        let endpoint = |index: usize| Endpoint {
+            id: format!("i-{index}").parse().expect("an id"),
+            service: "llm".parse().expect("a service"),
+            addr: ([10, 0, 0, u8::try_from(index).expect("few")], 80).into(),
+            domain: domain(),
+            slots: 64,
+            stage: Stage::Ready,
+            holdings: None,
+        };
+        Self {
+            endpoints: (0..count).map(endpoint).collect(),
+            holdings: vec![Holdings::default(); count],
+            total: vec![0; count],
+            able: vec![true; count],
+            models: true,
+        }
+    }
+
+    pub(crate) fn plain(count: usize) -> Self {
+        Self { models: false, ..Self::new(count) }
+    }
+
+    pub(crate) fn hold(&mut self, index: usize, model: &str, adapters: &[&str]) {
+        let adapters = adapters.iter().map(|text| text.parse().expect("an adapter")).collect();
+        self.holdings[index].models.push(Held { model: name(model), adapters });
+    }
+
+    pub(crate) fn copy(&mut self, index: usize, model: &str) {
+        self.holdings[index].copies.disk.push(name(model));
+    }
+
+    pub(crate) fn candidates(&self) -> Vec<Candidate<'_>> {
+        let candidate = |(index, endpoint)| Candidate {
+            endpoint,
+            holdings: self.models.then(|| &self.holdings[index]),
+            running: 0,
+            total: self.total[index],
+            waiting: 0,
+            room: Duration::ZERO,
+            able: self.able[index],
+            shared: 0,
+        };
+        self.endpoints.iter().enumerate().map(candidate).collect()
+    }
+}
+
+/// Models `a` to `h`, each half as large as an endpoint.
+pub(crate) fn engine() -> Engine {
+    let spec = ModelSpec {
+        weights: Size(40),
+        adapter: Size(1),
+        cold: Duration::from_secs(6),
+        disk: Duration::from_millis(500),
+        warm: Duration::from_millis(300),
+    };
+    Engine {
+        slots: 64,
+        tokens: 1_000,
+        memory: Size(90),
+        adapters: 8,
+        host: Size(60),
+        disk: Size(500),
+        rate: 7.0,
+        models: ["a", "b", "c", "d", "e", "f", "g", "h"]
+            .map(|text| (name(text), spec.clone()))
+            .into(),
+    }
+}
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -1,6 +1,8 @@
 //! Which endpoint serves a request, and where a model is loaded: values in, values out.
 
 mod candidate;
+#[cfg(test)]
+mod fixture;
 mod prepare;
 mod serve;
 mod wake;
--- a/components/placement/src/wake/tests.rs
+++ b/components/placement/src/wake/tests.rs
@@ -1,1 +1,63 @@
-//! Tests.
+//! Tests of choosing where a model is loaded.
+
+use super::*;
+use crate::fixture::{Site, engine, name};
+
+fn id(text: &str) -> ModelId {
+    text.parse().expect("an id")
+}
+
+#[test]
+fn a_copy_goes_before_the_weight_store_also_where_others_have_more_room() {
+    let mut site = Site::new(3);
+    site.copy(2, "a");
+    site.hold(2, "b", &[]);
+    site.hold(2, "c", &[]);
+    let wake = wake(&site.candidates(), &id("a"), &engine(), true).expect("a place");
+    assert_eq!((wake.index, wake.tier), (2, Tier::Disk));
+}
+
+#[test]
+fn the_weight_store_is_not_used_while_a_copy_lies_on_an_endpoint_that_cannot_be_asked() {
+    let mut site = Site::new(2);
+    site.copy(0, "a");
+    site.able[0] = false;
+    assert_eq!(wake(&site.candidates(), &id("a"), &engine(), true), None);
+}
+
+#[test]
+fn the_weight_store_is_used_only_with_a_free_lane() {
+    let site = Site::new(2);
+    assert_eq!(wake(&site.candidates(), &id("a"), &engine(), false), None);
+    let wake = wake(&site.candidates(), &id("a"), &engine(), true).expect("a place");
+    assert_eq!((wake.tier, wake.expect), (Tier::Store, Duration::from_secs(6)));
+}
+
+#[test]
+fn an_adapter_is_loaded_where_its_model_is() {
+    let mut site = Site::new(3);
+    site.hold(1, "a", &[]);
+    let wake = wake(&site.candidates(), &id("a/x"), &engine(), true).expect("a place");
+    assert_eq!((wake.index, wake.tier), (1, Tier::Adapter));
+}
+
+#[test]
+fn all_routers_choose_alike_whatever_order_they_know_the_endpoints_in() {
+    let mut site = Site::new(6);
+    (0..6).for_each(|index| site.copy(index, "a"));
+    let mut candidates = site.candidates();
+    let first = wake(&candidates, &id("a"), &engine(), true).expect("a place").index;
+    let chosen = candidates[first].endpoint.id.clone();
+    candidates.reverse();
+    let again = wake(&candidates, &id("a"), &engine(), true).expect("a place").index;
+    assert_eq!(candidates[again].endpoint.id, chosen);
+}
+
+#[test]
+fn a_load_in_progress_is_joined() {
+    let mut site = Site::new(3);
+    let left = Duration::from_secs(2);
+    site.holdings[1].loading = Some(fleet::Loading { model: name("a"), cold: true, left });
+    let wake = wake(&site.candidates(), &id("a"), &engine(), false).expect("a place");
+    assert_eq!((wake.index, wake.expect), (1, left));
+}
--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -2,12 +2,15 @@
 
 mod admin;
 mod args;
+mod pulse;
+mod reload;
 mod settings;
 mod shutdown;
 mod start;
 
 pub use admin::Status;
 pub use args::{Args, ArgsError, parse_args};
+pub use pulse::Pulse;
 pub use settings::{Identity, SettingsError, load, parse};
 pub use shutdown::{Phase, Shutdown};
 pub use start::{
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -2,8 +2,9 @@
 
 use std::future::Future;
 use std::num::NonZero;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use events::Event;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -12,10 +13,11 @@
 use thiserror::Error;
 use timeline::{Kind, Recorder};
 use tokio::runtime::Runtime;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::admin::Admin;
-use crate::{Args, Identity, Phase, Shutdown, Status, load, parse_args};
+use crate::{Args, Identity, Phase, Pulse, Shutdown, Status, load, parse_args, reload};
 
 /// The exit code of a process that failed while running.
 pub const EXIT_FAILURE: u8 = 1;
@@ -67,7 +69,11 @@
 
 /// What a process of one thread shares with its tasks.
 #[derive(Debug, Clone)]
-pub struct Single {
+pub struct Single<T> {
+    /// Its settings, read again when the file changes; addresses take effect at a start only.
+    pub settings: watch::Receiver<Arc<T>>,
+    /// Notices that the machine stood still.
+    pub pulse: Arc<Pulse>,
     /// Its shutdown.
     pub shutdown: Shutdown,
     /// A number that differs between two starts.
@@ -77,11 +83,11 @@
 /// Runs a program on one thread: small machines have one core and pay for memory.
 pub fn run_single<T, B, F>(about: &str, instance: fn(&T) -> &str, body: B) -> ExitCode
 where
-    T: DeserializeOwned,
-    B: FnOnce(T, Single) -> F,
+    T: DeserializeOwned + Send + Sync + 'static,
+    B: FnOnce(Single<T>) -> F,
     F: Future<Output = Result<(), StartError>>,
 {
-    launch(about, |settings: T| {
+    launch(about, |settings: T, file| {
         let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
             Ok(runtime) => runtime,
             Err(error) => return failure(&error),
@@ -92,7 +98,12 @@
             let shutdown = Shutdown::on_signals().map_err(StartError::new)?;
             let start = rand::random();
             events::emit(&Event::Started { program, version: env!("CARGO_PKG_VERSION") });
-            body(settings, Single { shutdown, start }).await
+            let (sender, settings) = watch::channel(Arc::new(settings));
+            tokio::spawn(reload::follow(file, sender));
+            let pulse = Arc::new(Pulse::default());
+            let beating = pulse.clone();
+            tokio::spawn(async move { beating.run().await });
+            body(Single { settings, pulse, shutdown, start }).await
         });
         match ended {
             Ok(()) => ExitCode::SUCCESS,
@@ -113,11 +124,11 @@
     B: FnOnce(T, Process) -> F,
     F: Future<Output = Result<(), StartError>>,
 {
-    launch(about, |settings: T| serve(settings, workers, identity, body))
+    launch(about, |settings: T, _| serve(settings, workers, identity, body))
 }
 
 /// Reads the arguments and the settings file, and starts the rest.
-fn launch<T: DeserializeOwned>(about: &str, rest: impl FnOnce(T) -> ExitCode) -> ExitCode {
+fn launch<T: DeserializeOwned>(about: &str, rest: impl FnOnce(T, PathBuf) -> ExitCode) -> ExitCode {
     let file = match parse_args(std::env::args_os()) {
         Ok(Args::Help) => {
             println!(
@@ -137,7 +148,7 @@
         Ok(settings) => settings,
         Err(error) => return usage(&error),
     };
-    rest(settings)
+    rest(settings, file)
 }
 
 fn serve<T, B, F>(settings: T, workers: Workers, identity: fn(&T) -> &Identity, body: B) -> ExitCode
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -131,7 +131,7 @@
             shared: 0,
         });
     }
-    if let Some(index) = placement::serve(&candidates, wanted.model, &shared.settings.domain) {
+    if let Some(index) = placement::serve(&candidates, wanted.model, &shared.domain) {
         let id = ids.swap_remove(index);
         drop(candidates);
         return take(shared, &mut peers, id, wanted.model, now);
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -55,10 +55,11 @@
     /// Sends the request until an endpoint answers it for good.
     pub(crate) async fn answer(&mut self, last_event: Option<u64>) -> Result<Answer, Failure> {
         loop {
+            let place = self.place().await?;
             // After the machine stood still, requests and the closing of their connections arrive together: let
             // the closing be seen before anything is sent.
+            self.shared.pulse.settle().await;
             tokio::task::yield_now().await;
-            let place = self.place().await?;
             let id = place.id.clone();
             self.log(Step::Sent, &place, "");
             self.sends += 1;
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -54,7 +54,7 @@
             let Some(uses) = peers.take_uses(&id, Instant::now()) else { return };
             uses
         };
-        let router = shared.settings.instance.to_string();
+        let router = shared.instance.clone();
         let wait = if leaving { DRAIN_WAIT } else { WAIT };
         let sync = Sync { router, endpoint: id.clone(), seen, wait, uses };
         match loader.sync(&sync).await {
@@ -137,7 +137,7 @@
 
 async fn ask(shared: Arc<Shared>, id: EndpointId, addr: SocketAddr, target: ModelId, wish: Wish) {
     let ensure = Ensure {
-        router: shared.settings.instance.to_string(),
+        router: shared.instance.clone(),
         endpoint: id.clone(),
         target: target.clone(),
         within: wish.within,
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -13,11 +13,12 @@
 use crate::{Settings, feed, prepare, ready, serve};
 
 /// Runs until the process is asked to end and its requests are done.
-pub async fn run(settings: Settings, process: Single) -> Result<(), StartError> {
+pub async fn run(process: Single<Settings>) -> Result<(), StartError> {
+    let settings = process.settings.borrow().clone();
     let callers = TcpListener::bind(settings.callers).await.map_err(StartError::new)?;
     let asked = web::bind(settings.ready).await.map_err(StartError::new)?;
     let store = Store::new(settings.store);
-    let shared = Arc::new(Shared::new(settings, process.shutdown.clone()));
+    let shared = Arc::new(Shared::new(&process));
     tokio::spawn(feed::config(shared.clone(), store.clone()));
     tokio::spawn(feed::members(shared.clone(), store));
     tokio::spawn(prepare::run(shared.clone()));
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -7,10 +7,10 @@
 use admission::{RepeatLimits, Repeats};
 use catalog::Catalog;
 use control::Loader;
-use process::Shutdown;
+use process::{Pulse, Shutdown, Single};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use units::{ServiceName, Span};
+use units::{Domain, ServiceName, Span};
 use web::Client;
 
 use crate::Settings;
@@ -19,7 +19,10 @@
 /// What all tasks of a router share.
 #[derive(Debug)]
 pub(crate) struct Shared {
-    pub(crate) settings: Settings,
+    pub(crate) settings: watch::Receiver<Arc<Settings>>,
+    pub(crate) instance: String,
+    pub(crate) domain: Domain,
+    pub(crate) pulse: Arc<Pulse>,
     pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
     pub(crate) known: Known,
     pub(crate) shutdown: Shutdown,
@@ -30,12 +33,16 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, shutdown: Shutdown) -> Self {
+    pub(crate) fn new(process: &Single<Settings>) -> Self {
+        let settings = process.settings.borrow().clone();
         Self {
-            settings,
+            settings: process.settings.clone(),
+            instance: settings.instance.to_string(),
+            domain: settings.domain.clone(),
+            pulse: process.pulse.clone(),
             catalog: watch::Sender::new(None),
             known: Known::default(),
-            shutdown,
+            shutdown: process.shutdown.clone(),
             flying: AtomicUsize::new(0),
             client: Client::default(),
             repeats: Mutex::default(),
@@ -49,7 +56,7 @@
 
     /// A client of the loader on the machine of an endpoint.
     pub(crate) fn loader(&self, endpoint: std::net::SocketAddr) -> Loader {
-        let addr = std::net::SocketAddr::new(endpoint.ip(), self.settings.loader);
+        let addr = std::net::SocketAddr::new(endpoint.ip(), self.settings.borrow().loader);
         Loader::new(self.client.clone(), addr)
     }
 
@@ -65,7 +72,7 @@
 
     fn with_repeats<T>(&self, service: &ServiceName, f: impl FnOnce(&mut Repeats) -> T) -> T {
         let mut all = self.repeats.lock().unwrap_or_else(PoisonError::into_inner);
-        let limits = self.settings.repeats;
+        let limits = self.settings.borrow().repeats;
         let Span(window) = limits.window;
         let limits = RepeatLimits { ratio: limits.ratio, slack: limits.slack, window };
         f(all.entry(service.clone()).or_insert_with(|| Repeats::new(limits)))
