A caller that has left is seen at its socket before anything is sent; holders that fill up get help

Busy models of the grown sites filled up their first holder, since what loaders say of their load is up to a second old: p50 of tenant-chat 1.1 s.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -23,7 +23,7 @@
     pub begun: u32,
     /// Requests that run now.
     pub running: u32,
-    /// Endpoints that hold the model and get its requests before this one.
+    /// Endpoints that hold the model and get its requests before this one, with room for more.
     pub others: u32,
 }
 
@@ -58,6 +58,8 @@
     pub waiting: u32,
     /// Requests that run there, as far as routers have said.
     pub running: u32,
+    /// Routers that the loader hears.
+    pub routers: u32,
     /// How long it is expected to take until there is room for one more model.
     #[serde(with = "fleet::millis")]
     pub room: Duration,
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -38,6 +38,8 @@
     Unknown,
     /// The entry is ending.
     Stopping,
+    /// Its caller has left.
+    Left,
 }
 
 /// A step of one request.
--- a/components/loader/src/ledger.rs
+++ b/components/loader/src/ledger.rs
@@ -78,6 +78,8 @@
     pub(crate) wants: BTreeMap<ModelId, Want>,
     /// How models are used.
     pub(crate) usage: BTreeMap<ModelName, Usage>,
+    /// Routers, and when they were last heard.
+    pub(crate) routers: BTreeMap<String, Instant>,
     /// The model that makes room.
     pub(crate) leaving: Option<Leaving>,
     /// How adapters are used.
@@ -104,6 +106,12 @@
         self.usage.get(model).map_or(0.0, |usage| usage.rate_at(now))
     }
 
+    /// Routers that are heard.
+    pub(crate) fn heard(&self) -> u32 {
+        let heard = self.routers.values().filter(|heard| heard.elapsed() < SILENT).count();
+        u32::try_from(heard).unwrap_or(u32::MAX)
+    }
+
     /// Requests that run with any model.
     pub(crate) fn all_running(&self) -> u32 {
         self.usage.keys().map(|model| self.running(model)).sum()
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -27,6 +27,7 @@
         holdings: Holdings::default(),
         waiting: 0,
         running: 0,
+        routers: 0,
         room: std::time::Duration::ZERO,
         able: false,
         engine: Revision(0),
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -149,6 +149,7 @@
         match command {
             Command::Uses(sync) => {
                 self.adopt(&sync.endpoint);
+                self.ledger.routers.insert(sync.router.clone(), now);
                 let others = sync.uses.iter().map(|one| (&one.model, one.others));
                 let others: Vec<_> = others.map(|(model, count)| (model.clone(), count)).collect();
                 for (model, count) in others {
@@ -391,6 +392,7 @@
                 && state.endpoint == self.endpoint;
             state.waiting = waiting;
             state.running = running;
+            state.routers = self.ledger.heard();
             if same {
                 return false;
             }
--- a/components/placement/src/candidate.rs
+++ b/components/placement/src/candidate.rs
@@ -39,6 +39,11 @@
         rank(&self.endpoint.id, key)
     }
 
+    /// The part of its slots that is taken.
+    pub fn fill(&self) -> f64 {
+        f64::from(self.total.max(self.running)) / f64::from(self.endpoint.slots.max(1))
+    }
+
     /// Accelerator memory that is free for weights.
     pub(crate) fn free(&self, engine: &Engine) -> Size {
         let Some(holdings) = self.holdings else { return Size(0) };
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use candidate::{Candidate, rank};
 pub use prepare::prepare;
-pub use serve::serve;
+pub use serve::{FILL, serve};
 pub use wake::{Tier, Wake, tier, wake};
--- a/components/placement/src/serve.rs
+++ b/components/placement/src/serve.rs
@@ -15,7 +15,7 @@
 const FAR: f64 = 4.0;
 /// Up to this part of its slots an engine is filled before the next one that holds the model gets requests: the
 /// batch hardly slows, and the others can make room for models that are not loaded.
-const FILL: f64 = 0.5;
+pub const FILL: f64 = 0.5;
 
 /// The best endpoint that can serve now; `id` is the model that it must hold, if it runs models.
 pub fn serve(candidates: &[Candidate<'_>], id: Option<&ModelId>, near: &Domain) -> Option<usize> {
@@ -25,7 +25,7 @@
             let holds = |one: &Candidate<'_>| one.holdings.is_some_and(|held| held.serves(id));
             let key = id.model.as_str();
             let costs = all.filter(|(_, one)| holds(one)).map(|(index, one)| {
-                let fill = fill(one);
+                let fill = one.fill();
                 let over = if fill <= FILL { 0.0 } else { fill };
                 (index, over, one.rank(key))
             });
@@ -33,7 +33,7 @@
         }
         None => {
             let far = |one: &Candidate<'_>| if one.endpoint.domain == *near { 0.0 } else { FAR };
-            least(all.map(|(index, one)| (index, fill(one) * FULL + far(one), one.rank(""))))
+            least(all.map(|(index, one)| (index, one.fill() * FULL + far(one), one.rank(""))))
         }
     }
 }
@@ -44,10 +44,5 @@
     best.map(|(index, _, _)| index)
 }
 
-/// The part of its slots that an endpoint has taken.
-fn fill(one: &Candidate<'_>) -> f64 {
-    f64::from(one.total.max(one.running)) / f64::from(one.endpoint.slots.max(1))
-}
-
 #[cfg(test)]
 mod tests;
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -5,7 +5,7 @@
 
 use admission::{Outlook, outlook};
 use catalog::{Engine, ModelId};
-use placement::Candidate;
+use placement::{Candidate, Wake};
 use tokio::time::Instant;
 use units::{EndpointId, ServiceName};
 
@@ -124,7 +124,7 @@
             endpoint: &peer.endpoint,
             holdings: peer.holdings(now),
             running: peer.running,
-            total: peer.state.as_ref().map_or(0, |(state, _)| state.running),
+            total: peer.total(),
             room: peer.state.as_ref().map_or(Duration::ZERO, |(state, _)| state.room),
             waiting: peer.state.as_ref().map_or(0, |(state, _)| state.waiting),
             able: peer.able(now) && !wanted.model.is_some_and(refused),
@@ -132,9 +132,19 @@
         });
     }
     if let Some(index) = placement::serve(&candidates, wanted.model, &shared.domain) {
+        let spread = wanted.model.zip(wanted.engine).and_then(|(model, engine)| {
+            let wake = spread(&peers, &candidates, index, model, engine)?;
+            Some((ids[wake.index].clone(), model.model.clone(), wake.expect))
+        });
         let id = ids.swap_remove(index);
         drop(candidates);
-        return take(shared, &mut peers, id, wanted.model, now);
+        let found = take(shared, &mut peers, id, wanted.model, now);
+        drop(peers);
+        if let Some((id, model, expect)) = spread {
+            let wish = Wish { waiting: 1, within: expect + RETURN, expect };
+            peer::want(shared, &id, &ModelId { model, adapter: None }, wish);
+        }
+        return found;
     }
     let (Some(model), Some(engine)) = (wanted.model, wanted.engine) else {
         return if any { Found::Later(Duration::ZERO) } else { Found::Nobody };
@@ -159,6 +169,29 @@
     }
 }
 
+/// One more endpoint for a model whose holders are all filled up, unless one is on its way.
+fn spread(
+    peers: &Peers,
+    candidates: &[Candidate<'_>],
+    best: usize,
+    model: &ModelId,
+    engine: &Engine,
+) -> Option<Wake> {
+    if candidates[best].fill() <= placement::FILL {
+        return None;
+    }
+    let base = ModelId { model: model.model.clone(), adapter: None };
+    if peers.map.values().any(|peer| peer.wakes.contains_key(&base)) {
+        return None;
+    }
+    let free = |one: &Candidate<'_>| one.holdings.is_some_and(|held| !held.holds(&model.model));
+    let others: Vec<usize> =
+        (0..candidates.len()).filter(|index| free(&candidates[*index])).collect();
+    let list: Vec<Candidate<'_>> = others.iter().map(|index| candidates[*index]).collect();
+    let wake = placement::wake(&list, &base, engine, false)?;
+    Some(Wake { index: others[wake.index], ..wake })
+}
+
 fn take(
     shared: &Arc<Shared>,
     peers: &mut Peers,
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use web::Body;
 
+use crate::caller::Caller;
 use crate::choose::Place;
 use crate::pool::Link;
 
@@ -43,6 +44,8 @@
 pub(crate) enum Sent {
     /// An answer began.
     Answer(Box<Answer>),
+    /// It was not sent, since its caller has left.
+    Left,
     /// It was certainly not sent.
     Unsent(String),
     /// It may have run, and no answer came.
@@ -63,6 +66,7 @@
 /// Sends a request and waits for the head of its answer until `until`.
 pub(crate) async fn send(
     place: Place,
+    caller: &Caller,
     outgoing: &Outgoing,
     sending: &Sending<'_>,
     until: Instant,
@@ -83,6 +87,13 @@
         Err(error) => return Sent::Unsent(error.to_string()),
     };
     loop {
+        if caller.gone() {
+            // The connection is as good as before.
+            if !link.fresh {
+                place.pool.keep(link, UNSTATED);
+            }
+            return Sent::Left;
+        }
         match attempt(&mut link, request, until).await {
             Attempt::Answer(head, body) => {
                 return Sent::Answer(Box::new(Answer { head, body, link, place }));
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -11,13 +11,13 @@
 use crate::known::LAPSE;
 use crate::shared::Shared;
 
-/// How long a read waits for a change of the configuration. A connection may go silent without a sign, and a change
-/// has to be in force within two seconds of its acknowledgement at the strictest.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
-/// How long a read waits for a change of the list; a draining endpoint must get nothing after two seconds.
-const LIST_WAIT: Duration = Duration::from_millis(1_500);
-/// Changes of the list are read together, at this pace, since each call is paid for.
-const LIST_PACE: Duration = Duration::from_millis(700);
+/// How long a read waits for a change. A connection may go silent without a sign: with the client's own patience that
+/// shows after three and a half seconds, a second and a half before the strictest bound on a change ends, which
+/// counts from three seconds after the silence began.
+const WAIT: Duration = Duration::from_millis(2_500);
+/// Changes of the list are read together, at this pace, since each call is paid for; an endpoint that leaves must get
+/// nothing two seconds later.
+const LIST_PACE: Duration = Duration::from_millis(1_000);
 /// Versions in quick succession are read together, at this pace.
 const CONFIG_PACE: Duration = Duration::from_millis(150);
 /// The first pause after a failed call.
@@ -63,7 +63,7 @@
     let mut follower = Follower::new(store, Topic::Config);
     let mut contact = Contact::new(Dependency::Configuration);
     loop {
-        match follower.next(CONFIG_WAIT).await {
+        match follower.next(WAIT).await {
             Ok(batch) => {
                 contact.reached();
                 let fresh = take_config(&shared, batch);
@@ -113,7 +113,7 @@
     let mut follower = Follower::new(store, Topic::Servers);
     let mut contact = Contact::new(Dependency::Membership);
     loop {
-        match follower.next(LIST_WAIT).await {
+        match follower.next(WAIT).await {
             Ok(batch) => {
                 contact.reached();
                 let until = contact.returned.map(|returned| returned + LAPSE);
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use units::{EndpointId, ServiceName};
 
+use crate::caller::Caller;
 use crate::choose::{self, NoPlace, Place, Wanted};
 use crate::exchange::{self, Answer, Outgoing, Sent};
 use crate::shared::Shared;
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub(crate) struct Flight {
     pub(crate) shared: Arc<Shared>,
+    pub(crate) caller: Caller,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
@@ -71,12 +73,13 @@
                 last_event,
             };
             let until = self.until(now);
-            match exchange::send(place, &self.outgoing, &sending, until).await {
+            match exchange::send(place, &self.caller, &self.outgoing, &sending, until).await {
                 Sent::Answer(answer) => match self.judge(*answer, &id).await {
                     Judged::Final(answer) => return Ok(*answer),
                     Judged::Again => {}
                     Judged::Failed(failure) => return Err(failure),
                 },
+                Sent::Left => return Err(self.failed(Refusal::Left, None)),
                 Sent::Unsent(cause) => {
                     self.step(Step::Broken, &id, &cause);
                     self.shared.known.failed(&id, &cause);
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -47,6 +47,8 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) seen: Instant,
     pub(crate) state: Option<(State, Instant)>,
+    /// Requests of this router when its loader last said how many there are of all.
+    told: u32,
     pub(crate) running: u32,
     pub(crate) uses: HashMap<ModelName, Usage>,
     pub(crate) paused: Option<Instant>,
@@ -65,6 +67,7 @@
             pool,
             seen: now,
             state: None,
+            told: 0,
             running: 0,
             uses: HashMap::new(),
             paused: None,
@@ -88,6 +91,21 @@
         }
     }
 
+    /// Requests that it is likely to have of all routers. What its loader says is up to a second old; since callers
+    /// are spread over the routers, what this one sends stands for what the others do, or for half of it, since they
+    /// are spread unevenly.
+    pub(crate) fn total(&self) -> u32 {
+        let Some((state, _)) = &self.state else { return self.running };
+        let others = state.running.saturating_sub(self.told);
+        let alike = self.running * state.routers.max(1) / 2;
+        (others + self.running).max(alike)
+    }
+
+    /// Part of its slots that is taken.
+    pub(crate) fn fill(&self) -> f64 {
+        f64::from(self.total()) / f64::from(self.endpoint.slots.max(1))
+    }
+
     /// Whether its loader can be asked for models.
     pub(crate) fn able(&self, now: Instant) -> bool {
         self.state.as_ref().is_some_and(|(state, heard)| state.able && now - *heard < FRESH)
@@ -181,6 +199,7 @@
         peers.learn(id, &state, engine, now);
         if let Some(peer) = peers.map.get_mut(id) {
             peer.state = Some((state, now));
+            peer.told = peer.running;
         }
         drop(peers);
         self.changed.notify_waiters();
@@ -227,7 +246,7 @@
 
 impl Peers {
     /// What is told to a loader: how its models are used, and how many endpoints hold them that
-    /// get requests before this one.
+    /// get requests before this one and have room for more.
     pub(crate) fn take_uses(&mut self, id: &EndpointId, now: Instant) -> Option<Vec<Use>> {
         let peer = self.map.get(id)?;
         let held: Vec<ModelName> = peer.holdings(now).map_or_else(Vec::new, |holdings| {
@@ -240,6 +259,7 @@
                 let holds = |peer: &&Peer| {
                     placement::rank(&peer.endpoint.id, model.as_str()) < mine
                         && peer.usable(now)
+                        && peer.fill() <= placement::FILL
                         && peer.holdings(now).is_some_and(|held| held.holds(model))
                 };
                 u32::try_from(self.map.values().filter(holds).count()).unwrap_or(u32::MAX)
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! Serves callers from endpoints that it calls directly.
 
+mod caller;
 mod choose;
 mod exchange;
 mod feed;
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use web::{Body, ReadError};
 
+use crate::caller::Caller;
 use crate::exchange::Outgoing;
 use crate::flight::{Failure, Flight};
 use crate::relay::{self, Times};
@@ -44,14 +45,18 @@
 }
 
 /// Answers a request.
-pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn answer(
+    shared: Arc<Shared>,
+    caller: Caller,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let arrived = Instant::now();
     let name = request.headers().get("request-id").and_then(|id| id.to_str().ok()).unwrap_or("");
     let times = Times { name: name.to_owned(), arrived };
     shared.flying.fetch_add(1, Ordering::Relaxed);
     let mut watch = Watch { shared: shared.clone(), times: times.clone(), done: false };
     let id = request.headers().get("request-id").cloned();
-    let mut response = match take(&shared, request, &times).await {
+    let mut response = match take(&shared, caller, request, &times).await {
         Ok(response) => response,
         Err(failure) => refuse(&times, id.as_ref(), failure),
     };
@@ -68,6 +73,7 @@
 
 async fn take(
     shared: &Arc<Shared>,
+    caller: Caller,
     request: Request<Incoming>,
     times: &Times,
 ) -> Result<Response<Body>, Failure> {
@@ -106,6 +112,7 @@
     let outgoing = Outgoing { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let mut flight = Flight {
         shared: shared.clone(),
+        caller,
         catalog,
         route,
         service,
--- a/components/router/src/serve.rs
+++ b/components/router/src/serve.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use units::Span;
 
+use crate::caller::Caller;
 use crate::request;
 use crate::shared::Shared;
 
@@ -21,8 +22,9 @@
 const IDLE: Duration = Duration::from_secs(15);
 /// The read buffer of a connection must hold at least this many bytes.
 const BUFFER_LEAST: usize = 8 << 10;
-/// The balancer asks once a second and needs two misses; until then new connections come to one that is ending.
-const LINGER: Duration = Duration::from_millis(3_200);
+/// The balancer asks once a second and needs two misses; until then new connections come to one that is ending. What
+/// comes later could not be finished before the process is killed.
+const LINGER: Duration = Duration::from_millis(2_700);
 /// The process ends this long before it would be killed.
 const MARGIN: Duration = Duration::from_millis(250);
 
@@ -59,17 +61,17 @@
 }
 
 async fn connection(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
-    let _ = stream.set_nodelay(true);
+    let caller = Caller::new(stream);
     let limits = shared.current().map(|catalog| catalog.limits.clone());
     let idle = limits.as_ref().map_or(IDLE, |limits| limits.idle.max(limits.patience));
     let header = limits.as_ref().map_or(BUFFER_LEAST, |limits| limits.header.max(BUFFER_LEAST));
     let service = service_fn(|request| {
-        let answer = request::answer(shared.clone(), request);
+        let answer = request::answer(shared.clone(), caller.clone(), request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(header * 2);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(caller.clone()), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
