--- a/components/loader/src/ledger.rs
+++ b/components/loader/src/ledger.rs
@@ -13,8 +13,8 @@
 /// A model or adapter that somebody waits for.
 #[derive(Debug)]
 pub(crate) struct Want {
-    /// Requests that wait for it; none if it is prepared for later.
-    pub(crate) waiting: u32,
+    /// Requests that wait for it, by router; none if it is prepared for later.
+    pub(crate) waiters: BTreeMap<String, u32>,
     /// Until when it is waited for.
     pub(crate) due: Instant,
     /// Since when.
@@ -23,6 +23,13 @@
     pub(crate) replies: Vec<oneshot::Sender<Verdict>>,
 }
 
+impl Want {
+    /// Requests that wait for it.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waiters.values().sum()
+    }
+}
+
 /// How a model is used, over all routers.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Usage {
--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -81,7 +81,7 @@
                 Next::Rest
             }
         }
-        None => match victim(ledger, want.waiting, now) {
+        None => match victim(ledger, want.waiting(), now) {
             Some(model) => Next::Drain(model),
             None => Next::Refuse((*id).clone(), AGAIN),
         },
@@ -90,10 +90,10 @@
 
 /// How urgent a want is: by the requests that wait, and by its age, so that none waits for good.
 fn urgency(want: &Want, now: Instant) -> f64 {
-    if want.waiting == 0 {
+    if want.waiting() == 0 {
         return 0.0;
     }
-    f64::from(want.waiting) + (now - want.since).as_secs_f64() * AGE
+    f64::from(want.waiting()) + (now - want.since).as_secs_f64() * AGE
 }
 
 /// How long it is likely to take until there is room for one more model.
@@ -120,7 +120,8 @@
     let report = ledger.report.as_ref()?;
     let quiet = if waiting > 0 { KEEP } else { IDLE };
     let able = report.models.iter().map(|held| &held.model).filter(|model| {
-        let wanted = ledger.wants.iter().any(|(id, want)| id.model == **model && want.waiting > 0);
+        let wanted =
+            ledger.wants.iter().any(|(id, want)| id.model == **model && want.waiting() > 0);
         let missed = ledger.rate(model, now) * RETURN.as_secs_f64();
         let spared = ledger.others(model) == 0 && missed >= f64::from(waiting.max(1));
         let idle = waiting > 0 || ledger.running(model) == 0;
--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -55,7 +55,8 @@
 }
 
 fn want(ledger: &mut Ledger, target: &str, waiting: u32, since: Instant) {
-    let want = Want { waiting, due: since + DRAINED, since, replies: Vec::new() };
+    let waiters = BTreeMap::from([("router".to_owned(), waiting)]);
+    let want = Want { waiters, due: since + DRAINED, since, replies: Vec::new() };
     ledger.wants.insert(id(target), want);
 }
 
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -1,5 +1,6 @@
 //! The task that owns what is known of the endpoint, and gives it orders one at a time.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -183,12 +184,12 @@
                 }
                 let due = now + ensure.within;
                 let want = self.ledger.wants.entry(ensure.target).or_insert_with(|| Want {
-                    waiting: 0,
+                    waiters: BTreeMap::new(),
                     due,
                     since: now,
                     replies: Vec::new(),
                 });
-                want.waiting += ensure.waiting;
+                want.waiters.insert(ensure.router, ensure.waiting);
                 want.due = want.due.max(due);
                 want.replies.push(reply);
             }
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -7,7 +7,7 @@
 use catalog::{Engine, ModelId};
 use placement::{Candidate, Wake};
 use tokio::time::Instant;
-use units::{EndpointId, ServiceName};
+use units::{EndpointId, ModelName, ServiceName};
 
 use crate::known::Peers;
 use crate::peer::{self, Wish};
@@ -81,6 +81,31 @@
     Cold(Duration),
 }
 
+/// Counts a request that waits for a model, until it is dropped.
+struct Waiting {
+    shared: Arc<Shared>,
+    model: ModelName,
+}
+
+impl Waiting {
+    fn new(shared: &Arc<Shared>, target: &ModelId) -> Self {
+        *shared.known.lock().waiting.entry(target.model.clone()).or_default() += 1;
+        Self { shared: shared.clone(), model: target.model.clone() }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut peers = self.shared.known.lock();
+        if let Some(count) = peers.waiting.get_mut(&self.model) {
+            *count -= 1;
+            if *count == 0 {
+                peers.waiting.remove(&self.model);
+            }
+        }
+    }
+}
+
 enum Found {
     Place(Place),
     Wake(EndpointId, ModelId, Duration),
@@ -90,7 +115,7 @@
 
 /// The place of a request, once there is one.
 pub(crate) async fn place(shared: &Arc<Shared>, wanted: Wanted<'_>) -> Result<Place, NoPlace> {
-    let mut counted = false;
+    let mut waiting = None;
     loop {
         let changed = shared.known.changed.notified();
         let left = wanted.due.saturating_duration_since(Instant::now());
@@ -98,11 +123,11 @@
             Found::Place(place) => return Ok(place),
             Found::Nobody => return Err(NoPlace::NoEndpoint(NONE)),
             Found::Wake(id, target, expect) => {
+                waiting.get_or_insert_with(|| Waiting::new(shared, &target));
                 let outlook = outlook(left, expect);
                 // It is asked for in any case: callers that are turned away are told to come back for it.
                 let within = if outlook == Outlook::Wait { left } else { expect + RETURN };
-                let wish = Wish { waiting: u32::from(!counted), within, expect };
-                counted = true;
+                let wish = Wish { urgent: true, within, expect };
                 peer::want(shared, &id, &target, wish);
                 if let Outlook::Refuse(after) = outlook {
                     return Err(NoPlace::Cold(after));
@@ -158,7 +183,7 @@
         let found = take(shared, &mut peers, id, wanted, now);
         drop(peers);
         if let Some((id, model, expect)) = spread {
-            let wish = Wish { waiting: 1, within: expect + RETURN, expect };
+            let wish = Wish { urgent: true, within: expect + RETURN, expect };
             peer::want(shared, &id, &ModelId { model, adapter: None }, wish);
         }
         return found;
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -35,12 +35,12 @@
     pub(crate) running: u32,
 }
 
-/// Requests that wait for a model at one endpoint.
+/// Calls to a loader for a model that have no answer yet.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Waiters {
-    pub(crate) count: u32,
+pub(crate) struct Asks {
+    pub(crate) open: u32,
+    /// Requests that waited when it was last asked.
     pub(crate) told: u32,
-    pub(crate) asks: u32,
 }
 
 /// One endpoint.
@@ -58,8 +58,8 @@
     pub(crate) uses: HashMap<ModelName, Usage>,
     pub(crate) paused: Option<Instant>,
     pub(crate) failures: u32,
-    /// What its loader has been asked for, with the requests that wait and those that it has been told of.
-    pub(crate) wakes: HashMap<ModelId, Waiters>,
+    /// What its loader has been asked for.
+    pub(crate) wakes: HashMap<ModelId, Asks>,
     pub(crate) refused: HashMap<ModelId, Instant>,
     pub(crate) task: Option<AbortHandle>,
 }
@@ -135,6 +135,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     pub(crate) map: BTreeMap<EndpointId, Peer>,
+    /// Requests that wait for each model.
+    pub(crate) waiting: HashMap<ModelName, u32>,
     leaving: BTreeMap<EndpointId, Instant>,
     cold: HashMap<(EndpointId, ModelName), ColdLoad>,
     pub(crate) lanes: Lanes,
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -101,48 +101,51 @@
 }
 
 /// Asks the loader of an endpoint for a model, unless it has been asked already and not many more wait since.
-pub(crate) fn want(shared: &Arc<Shared>, id: &EndpointId, target: &ModelId, mut wish: Wish) {
+pub(crate) fn want(shared: &Arc<Shared>, id: &EndpointId, target: &ModelId, wish: Wish) {
+    let mut waiting;
     let addr = {
         let mut peers = shared.known.lock();
+        waiting = peers.waiting.get(&target.model).copied().unwrap_or(0);
         let Some(peer) = peers.map.get_mut(id) else { return };
-        let waiters = peer.wakes.entry(target.clone()).or_default();
-        waiters.count += wish.waiting;
-        if waiters.asks > 0 && waiters.count < waiters.told.max(1) * 2 {
+        let asks = peer.wakes.entry(target.clone()).or_default();
+        if wish.urgent {
+            waiting = waiting.max(1);
+        }
+        if asks.open > 0 && waiting < asks.told.max(1) * 2 {
             return;
         }
-        wish.waiting = waiters.count - waiters.told;
-        waiters.told = waiters.count;
-        waiters.asks += 1;
+        asks.told = waiting;
+        asks.open += 1;
         peer.endpoint.addr
     };
     emit(&Event::Wanted {
         model: &target.to_string(),
         endpoint: id.as_str(),
         expect_ms: u64::try_from(wish.expect.as_millis()).unwrap_or(u64::MAX),
-        cause: if wish.waiting > 0 { "request" } else { "prepared" },
+        cause: if wish.urgent { "request" } else { "prepared" },
     });
-    tokio::spawn(ask(shared.clone(), id.clone(), addr, target.clone(), wish));
+    let ensure = Ensure {
+        router: shared.instance.clone(),
+        endpoint: id.clone(),
+        target: target.clone(),
+        within: wish.within,
+        waiting: if wish.urgent { waiting } else { 0 },
+    };
+    tokio::spawn(ask(shared.clone(), addr, ensure));
 }
 
 /// How much a model is wanted.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Wish {
-    /// Requests that wait.
-    pub(crate) waiting: u32,
-    /// How long they can wait.
+    /// Whether a request waits for it; else it is prepared for later.
+    pub(crate) urgent: bool,
+    /// How long it is waited for.
     pub(crate) within: Duration,
     /// How long the load is expected to take.
     pub(crate) expect: Duration,
 }
 
-async fn ask(shared: Arc<Shared>, id: EndpointId, addr: SocketAddr, target: ModelId, wish: Wish) {
-    let ensure = Ensure {
-        router: shared.instance.clone(),
-        endpoint: id.clone(),
-        target: target.clone(),
-        within: wish.within,
-        waiting: wish.waiting,
-    };
+async fn ask(shared: Arc<Shared>, addr: SocketAddr, ensure: Ensure) {
     let ensured = shared.loader(addr).ensure(&ensure).await;
     let pause = match &ensured {
         Ok(ensured) => match ensured.verdict {
@@ -154,13 +157,14 @@
             AGAIN
         }
     };
+    let Ensure { endpoint: id, target, .. } = ensure;
     if let Ok(ensured) = ensured {
         shared.known.heard(&id, ensured.state, None);
     }
     if let Some(peer) = shared.known.lock().map.get_mut(&id) {
-        if let Some(waiters) = peer.wakes.get_mut(&target) {
-            waiters.asks -= 1;
-            if waiters.asks == 0 {
+        if let Some(asks) = peer.wakes.get_mut(&target) {
+            asks.open -= 1;
+            if asks.open == 0 {
                 peer.wakes.remove(&target);
             }
         }
--- a/components/router/src/prepare.rs
+++ b/components/router/src/prepare.rs
@@ -26,7 +26,7 @@
             let Some(engine) = &service.engine else { continue };
             for (model, id) in missing(&shared, &service.name, engine) {
                 let expect = engine.model(&model).map_or(Duration::ZERO, |spec| spec.cold);
-                let wish = Wish { waiting: 0, within: expect * PATIENCE, expect };
+                let wish = Wish { urgent: false, within: expect * PATIENCE, expect };
                 peer::want(&shared, &id, &ModelId { model, adapter: None }, wish);
             }
         }
