--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -1,5 +1,6 @@
 //! One structured line on standard output for each decision, bounded and never blocking.
 
+mod count;
 mod event;
 mod sink;
 
--- a/components/events/src/sink.rs
+++ b/components/events/src/sink.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::Event;
+use crate::count::count;
 
 /// The most bytes that wait to be written: some seconds of lines at the peak of one entry.
 const BUFFER: usize = 256 << 10;
@@ -53,8 +54,9 @@
     Ok(())
 }
 
-/// Adds a line; it never waits, and does nothing before [`install`].
+/// Counts an event and adds its line; it never waits, and writes nothing before [`install`].
 pub fn emit(event: &Event<'_>) {
+    count(event);
     let Some(sink) = SINK.get() else { return };
     let mut buffer = sink.buffer.lock().unwrap_or_else(PoisonError::into_inner);
     if !admit(buffer.bytes.len(), event) {
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -19,6 +19,9 @@
 pub async fn run(process: Single<Settings>) -> Result<(), StartError> {
     let settings = process.settings.borrow().clone();
     let listener = web::bind(settings.listen).await.map_err(StartError::new)?;
+    if let Some(addr) = settings.metrics {
+        process::serve_metrics(addr).await?;
+    }
     let (commands, inbox) = mpsc::channel(COMMANDS);
     let (state, news) = watch::channel(State {
         start: process.start,
--- a/components/loader/src/settings.rs
+++ b/components/loader/src/settings.rs
@@ -15,6 +15,9 @@
     pub listen: SocketAddr,
     /// The endpoint on the same machine.
     pub endpoint: SocketAddr,
+    /// Where its metrics are read, if anywhere: `GET /metrics`.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
 }
--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod args;
+mod metered;
 mod pulse;
 mod reload;
 mod settings;
@@ -10,6 +11,7 @@
 
 pub use admin::Status;
 pub use args::{Args, ArgsError, parse_args};
+pub use metered::serve_metrics;
 pub use pulse::Pulse;
 pub use settings::{Identity, SettingsError, load, parse};
 pub use shutdown::{Phase, Shutdown};
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -17,6 +17,9 @@
     let settings = process.settings.borrow().clone();
     let callers = TcpListener::bind(settings.callers).await.map_err(StartError::new)?;
     let asked = web::bind(settings.ready).await.map_err(StartError::new)?;
+    if let Some(addr) = settings.metrics {
+        process::serve_metrics(addr).await?;
+    }
     let store = Store::new(settings.store);
     let shared = Arc::new(Shared::new(&process));
     tokio::spawn(feed::config(shared.clone(), store.clone()));
--- a/components/router/src/settings.rs
+++ b/components/router/src/settings.rs
@@ -17,6 +17,9 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether it takes callers.
     pub ready: SocketAddr,
+    /// Where its metrics are read, if anywhere: `GET /metrics`.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// The port of the loader on the machine of each model server.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -57,6 +57,7 @@
     Windows { file: Option<PathBuf>, from: Option<Timestamp> },
     Status,
     Timeline(Filter),
+    Story { request: String, files: Vec<PathBuf> },
 }
 
 /// One `KEY=VALUE`; no value clears the setting.
@@ -91,7 +92,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 10] = [
+const COMMANDS: [&str; 11] = [
     "check",
     "diff",
     "pull",
@@ -100,6 +101,7 @@
     "explain",
     "reference",
     "status",
+    "story",
     "timeline",
     "windows",
 ];
@@ -200,6 +202,12 @@
         "reference" => Command::Reference,
         "windows" => Command::Windows { file: values.next().map(PathBuf::from), from: flags.from },
         "status" => Command::Status,
+        "story" => {
+            let request = next("ID", &mut values)?.string()?;
+            let first = file(&mut values)?;
+            let files = std::iter::once(first).chain(values.by_ref().map(PathBuf::from)).collect();
+            Command::Story { request, files }
+        }
         "timeline" => {
             let mut filter = std::mem::take(&mut words.filter);
             let addrs = values.by_ref().map(|word| word.parse());
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -25,6 +25,8 @@
   status                   show the planner, the grants and every process with its revision
   timeline [ADDR...]       show the events of all processes in causal order;
                            --request ID, --model M and --endpoint E choose
+  story ID FILE...         tell what became of one request, from the log lines of routers and loaders;
+                           needs no network
 
 Options:
   --settings FILE          read the options below from a JSON file with comments:
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,5 +8,6 @@
 pub(crate) mod pull;
 pub(crate) mod set;
 pub(crate) mod status;
+pub(crate) mod story;
 pub(crate) mod timeline;
 pub(crate) mod windows;
--- a/src/main.rs
+++ b/src/main.rs
@@ -64,6 +64,7 @@
             cmd::windows::run(&connect().await?, file.as_deref(), *from, out)
         }
         Command::Status => cmd::status::run(&connect().await?, out).await,
+        Command::Story { request, files } => cmd::story::run(request, files, out),
         Command::Timeline(filter) => cmd::timeline::run(&connect().await?, filter, out).await,
     }
 }
