--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -378,7 +378,8 @@
             loading,
             leaving: leaving.into_iter().collect(),
         };
-        let waiting = u32::try_from(self.ledger.wants.len()).unwrap_or(u32::MAX);
+        let urgent = self.ledger.wants.values().filter(|want| want.waiting() > 0).count();
+        let waiting = u32::try_from(urgent).unwrap_or(u32::MAX);
         let able =
             report.is_some() && self.token.borrow().is_some() && self.ledger.engine.is_some();
         self.state.send_if_modified(|state| {
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -127,9 +127,9 @@
                 let outlook = outlook(left, expect);
                 // It is asked for in any case: callers that are turned away are told to come back for it.
                 let within = if outlook == Outlook::Wait { left } else { expect + RETURN };
+                // A loader that is not to make room loads the model all the same if it has room.
                 let urgent = shared.known.lock().may_urge(&target.model, &id);
-                let wish = Wish { urgent, within, expect };
-                peer::want(shared, &id, &target, wish);
+                peer::want(shared, &id, &target, Wish { urgent, within, expect });
                 if let Outlook::Refuse(after) = outlook {
                     return Err(NoPlace::Cold(after));
                 }
