--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -1,15 +1,17 @@
 //! Starts a loader.
 
+use std::sync::Arc;
+
 use control::State;
 use fleet::Holdings;
 use platform::Store;
 use process::{Phase, Single, StartError};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use units::Revision;
 use web::ServeOptions;
 
 use crate::desk::Desk;
-use crate::steward::Steward;
+use crate::steward::{Steward, Token};
 use crate::{Settings, fence};
 
 /// Commands that wait for the steward while an order is given.
@@ -37,7 +39,10 @@
     });
     let (sender, token) = watch::channel(None);
     let instance = settings.instance.to_string();
-    tokio::spawn(fence::take(Store::new(settings.store), instance.clone(), sender));
+    let fenced = Arc::new(Notify::new());
+    let store = Store::new(settings.store);
+    tokio::spawn(fence::keep(store, instance.clone(), sender, fenced.clone()));
+    let token = Token { value: token, fenced };
     let steward = Steward::new(instance, settings.endpoint, token, inbox, state);
     let steward = tokio::spawn(steward.run());
     let desk = Desk { commands, state: news };
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use catalog::ModelId;
@@ -9,7 +10,7 @@
 use events::{Dependency, Event, Given, emit};
 use fleet::{Holdings, Loading};
 use platform::{Fence, Order, Outcome, Work, call_order, read_report};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 use units::{EndpointId, Revision};
 use web::Client;
@@ -28,8 +29,6 @@
 const PATIENCE: Duration = Duration::from_millis(500);
 /// After an order without an answer, the endpoint is asked what became of it.
 const RETRY: Duration = Duration::from_millis(100);
-/// A server that was refused for a higher token is left alone for this time.
-const FENCED: Duration = Duration::from_secs(10);
 
 /// An order that is carried out.
 #[derive(Debug, Clone)]
@@ -40,13 +39,22 @@
     until: Instant,
 }
 
+/// The loader's fencing token.
+#[derive(Debug)]
+pub(crate) struct Token {
+    /// It, once there is one.
+    pub(crate) value: watch::Receiver<Option<u64>>,
+    /// Told when somebody has had a higher one.
+    pub(crate) fenced: Arc<Notify>,
+}
+
 /// Owns the endpoint's state.
 #[derive(Debug)]
 pub(crate) struct Steward {
     instance: String,
     addr: SocketAddr,
     client: Client,
-    token: watch::Receiver<Option<u64>>,
+    token: Token,
     commands: mpsc::Receiver<Command>,
     state: watch::Sender<State>,
     endpoint: Option<EndpointId>,
@@ -65,7 +73,7 @@
     pub(crate) fn new(
         instance: String,
         addr: SocketAddr,
-        token: watch::Receiver<Option<u64>>,
+        token: Token,
         commands: mpsc::Receiver<Command>,
         state: watch::Sender<State>,
     ) -> Self {
@@ -286,7 +294,7 @@
                 true
             }
             Next::Order(work, target) => {
-                let token = *self.token.borrow();
+                let token = *self.token.value.borrow();
                 let Some((token, endpoint)) = token.zip(self.endpoint.clone()) else {
                     return false;
                 };
@@ -323,7 +331,8 @@
             Ok(Outcome::Accepted | Outcome::Done) => {}
             Ok(Outcome::Fenced) => {
                 self.pending = None;
-                self.pause = Some(Instant::now() + FENCED);
+                self.pause = Some(Instant::now() + RETRY);
+                self.token.fenced.notify_one();
             }
             Ok(Outcome::Other(id)) => {
                 self.pending = None;
@@ -381,7 +390,7 @@
         let urgent = self.ledger.wants.values().filter(|want| want.waiting() > 0).count();
         let waiting = u32::try_from(urgent).unwrap_or(u32::MAX);
         let able =
-            report.is_some() && self.token.borrow().is_some() && self.ledger.engine.is_some();
+            report.is_some() && self.token.value.borrow().is_some() && self.ledger.engine.is_some();
         self.state.send_if_modified(|state| {
             let same = state.holdings.models == holdings.models
                 && state.holdings.leaving == holdings.leaving
