--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -195,3 +195,58 @@
     ledger.leaving = Some(Leaving { model: name("a"), since: now });
     assert_eq!(next(&ledger, now), Next::Spare);
 }
+
+/// What the next order would take, by adding up anew all that is loaded or on its way.
+fn taken_after(ledger: &Ledger, next: &Next) -> u64 {
+    let report = ledger.report.as_ref().expect("a report");
+    let models = report.models.len() as u64 * 40;
+    let held: usize = report.models.iter().map(|held| held.adapters.len()).sum();
+    let adapters = (held + report.incoming.len()) as u64;
+    let more = match next {
+        Next::Order(Work::Load, id) if id.adapter.is_some() => 1,
+        Next::Order(Work::Load, _) => 40,
+        _ => 0,
+    };
+    models + adapters + more
+}
+
+proptest::proptest! {
+    #[test]
+    fn no_order_takes_more_than_there_is(
+        loaded in proptest::collection::vec((0_usize..4, 0_usize..3), 0..3),
+        incoming in 0_usize..3,
+        wants in proptest::collection::vec((0_usize..4, 0_usize..3, 0_u32..5), 0..6),
+        busy in proptest::bool::ANY,
+    ) {
+        const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+        const ADAPTERS: [&[&str]; 3] = [&[], &["x"], &["x", "y"]];
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        runtime.block_on(async {
+            let mut models: Vec<(&str, &[&str])> = Vec::new();
+            for (model, adapters) in loaded {
+                if models.iter().all(|(name, _)| *name != NAMES[model]) {
+                    models.push((NAMES[model], ADAPTERS[adapters]));
+                }
+            }
+            let mut ledger = ledger(&models);
+            let now = Instant::now();
+            let report = ledger.report.as_mut().expect("a report");
+            report.busy = busy;
+            if let Some((model, _)) = models.first() {
+                report.incoming = (0..incoming).map(|n| id(&format!("{model}/in{n}"))).collect();
+            }
+            for (model, adapter, waiting) in wants {
+                let text = match adapter {
+                    0 => NAMES[model].to_owned(),
+                    n => format!("{}/w{n}", NAMES[model]),
+                };
+                want(&mut ledger, &text, waiting, now);
+            }
+            let next = next(&ledger, now);
+            let before = taken_after(&ledger, &Next::Rest);
+            let after = taken_after(&ledger, &next);
+            assert!(after == before || after <= 90, "{next:?}: {after}");
+            assert!(!busy || !matches!(&next, Next::Order(_, id) if id.adapter.is_none()));
+        });
+    }
+}
--- a/components/router/src/relay/tests.rs
+++ b/components/router/src/relay/tests.rs
@@ -29,3 +29,27 @@
     let (_, last, _) = events(&["id: 4\ndata: a\n\ndata: b\n\n"]);
     assert_eq!(last, Some(4));
 }
+
+proptest::proptest! {
+    #[test]
+    fn a_stream_is_the_same_however_it_arrives(
+        text in "(id: [0-9]{1,3}\n|data: [a-z]{0,9}\n|\n){0,30}",
+        cuts in proptest::collection::vec(0_usize..200, 0..12),
+    ) {
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(text.len())).collect();
+        cuts.push(text.len());
+        cuts.sort_unstable();
+        let mut events = Events::default();
+        let mut out = Vec::new();
+        let mut start = 0;
+        for cut in cuts {
+            out.extend_from_slice(&events.take(Bytes::copy_from_slice(&text.as_bytes()[start..cut])));
+            start = cut;
+        }
+        let (out, rest) = (String::from_utf8_lossy(&out), String::from_utf8_lossy(&events.rest));
+        proptest::prop_assert_eq!(format!("{out}{rest}"), text);
+        // An empty line between events may come with the one before or the one behind it.
+        proptest::prop_assert!(!rest.trim_start_matches('\n').contains("\n\n"), "{:?}", rest);
+        proptest::prop_assert!(out.is_empty() || out.ends_with("\n\n"), "{:?}", out);
+    }
+}
