--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -5,7 +5,7 @@
 
 use web::{CallError, Client};
 
-use crate::{ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, SYNC_PATH, State, Sync};
+use crate::{ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, State};
 
 /// What an answer may take beyond the time that the loader was asked to wait.
 const PATIENCE: Duration = Duration::from_millis(700);
@@ -24,8 +24,8 @@
     }
 
     /// Asks for news.
-    pub async fn sync(&self, sync: &Sync) -> Result<State, CallError> {
-        self.client.post(self.addr, SYNC_PATH, sync, sync.wait + PATIENCE).await
+    pub async fn poll(&self, poll: &Poll) -> Result<State, CallError> {
+        self.client.post(self.addr, POLL_PATH, poll, poll.wait + PATIENCE).await
     }
 
     /// Asks for a model.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,5 +5,5 @@
 
 pub use client::Loader;
 pub use message::{
-    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, SYNC_PATH, State, Sync, Use, Verdict,
+    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, State, Use, Verdict,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -8,7 +8,7 @@
 use units::{EndpointId, ModelName, Revision};
 
 /// Where a router asks for news of an endpoint.
-pub const SYNC_PATH: &str = "/sync";
+pub const POLL_PATH: &str = "/poll";
 /// Where a router asks for a model.
 pub const ENSURE_PATH: &str = "/ensure";
 /// Where a router says what the endpoints of the service can hold.
@@ -29,7 +29,7 @@
 
 /// A router asks for news, and says what it uses.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sync {
+pub struct Poll {
     /// The router, by the name of its instance.
     pub router: String,
     /// The endpoint, as the platform's list names it.
@@ -46,8 +46,6 @@
 /// What a loader says of its endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
-    /// Which start of the loader the versions belong to.
-    pub start: u64,
     /// The version of this news.
     pub version: u64,
     /// The endpoint that it is about, if the loader knows.
--- a/components/loader/src/desk.rs
+++ b/components/loader/src/desk.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use control::{
-    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, SYNC_PATH, State, Sync, Verdict,
+    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, State, Verdict,
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub(crate) enum Command {
     /// A router says what it uses.
-    Uses(Sync),
+    Uses(Poll),
     /// A router asks for a model.
     Ensure(Ensure, oneshot::Sender<Verdict>),
     /// A router says what the endpoint can hold.
@@ -47,7 +47,7 @@
             Err(error) => return web::text(StatusCode::BAD_REQUEST, error.to_string()),
         };
         let answered = match parts.uri.path() {
-            SYNC_PATH => self.sync(&bytes).await,
+            POLL_PATH => self.poll(&bytes).await,
             ENSURE_PATH => self.ensure(&bytes).await,
             ENGINE_PATH => self.engine(&bytes).await,
             _ => return web::text(StatusCode::NOT_FOUND, "no such call\n"),
@@ -58,10 +58,10 @@
         })
     }
 
-    async fn sync(mut self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
-        let sync: Sync = serde_json::from_slice(bytes)?;
-        let (seen, wait) = (sync.seen, sync.wait.min(LONGEST));
-        let _ = self.commands.send(Command::Uses(sync)).await;
+    async fn poll(mut self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
+        let poll: Poll = serde_json::from_slice(bytes)?;
+        let (seen, wait) = (poll.seen, poll.wait.min(LONGEST));
+        let _ = self.commands.send(Command::Uses(poll)).await;
         let newer = self.state.wait_for(|state| state.version != seen);
         let _ = tokio::time::timeout(wait, newer).await;
         Ok(self.now())
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -26,7 +26,6 @@
     }
     let (commands, inbox) = mpsc::channel(COMMANDS);
     let (state, news) = watch::channel(State {
-        start: process.start,
         version: 1,
         endpoint: None,
         holdings: Holdings::default(),
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -156,25 +156,25 @@
     fn take(&mut self, command: Command) {
         let now = Instant::now();
         match command {
-            Command::Uses(sync) => {
-                self.adopt(&sync.endpoint);
-                self.ledger.routers.insert(sync.router.clone(), now);
-                let others = sync.uses.iter().map(|one| (&one.model, one.others));
+            Command::Uses(poll) => {
+                self.adopt(&poll.endpoint);
+                self.ledger.routers.insert(poll.router.clone(), now);
+                let others = poll.uses.iter().map(|one| (&one.model, one.others));
                 let others: Vec<_> = others.map(|(model, count)| (model.clone(), count)).collect();
                 for (model, count) in others {
                     self.ledger.usage.entry(model).or_default().others = count;
                 }
                 for usage in self.ledger.usage.values_mut() {
-                    usage.running.remove(&sync.router);
+                    usage.running.remove(&poll.router);
                 }
-                for one in sync.uses {
+                for one in poll.uses {
                     let usage = self.ledger.usage.entry(one.model).or_default();
                     usage.begin(one.begun, now);
                     if one.running > 0 {
                         usage.last = Some(now);
                     }
                     if one.running > 0 {
-                        usage.running.insert(sync.router.clone(), (one.running, now));
+                        usage.running.insert(poll.router.clone(), (one.running, now));
                     }
                 }
             }
--- a/components/placement/src/candidate.rs
+++ b/components/placement/src/candidate.rs
@@ -26,8 +26,6 @@
     pub room: Duration,
     /// Whether its loader can be asked for models.
     pub able: bool,
-    /// Tokens of the prompt that it is believed to keep.
-    pub shared: u32,
 }
 
 /// A number that ranks endpoints for a key alike on all routers; the lowest goes first.
--- a/components/placement/src/fixture.rs
+++ b/components/placement/src/fixture.rs
@@ -70,7 +70,6 @@
             waiting: 0,
             room: Duration::ZERO,
             able: self.able[index],
-            shared: 0,
         };
         self.endpoints.iter().enumerate().map(candidate).collect()
     }
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -76,8 +76,6 @@
     pub pulse: Arc<Pulse>,
     /// Its shutdown.
     pub shutdown: Shutdown,
-    /// A number that differs between two starts.
-    pub start: u64,
 }
 
 /// Runs a program on one thread: small machines have one core and pay for memory.
@@ -96,14 +94,13 @@
             let program = about.split(':').next().unwrap_or(about);
             events::install(instance(&settings)).map_err(StartError::new)?;
             let shutdown = Shutdown::on_signals().map_err(StartError::new)?;
-            let start = rand::random();
             events::emit(&Event::Started { program, version: env!("CARGO_PKG_VERSION") });
             let (sender, settings) = watch::channel(Arc::new(settings));
             tokio::spawn(reload::follow(file, sender));
             let pulse = Arc::new(Pulse::default());
             let beating = pulse.clone();
             tokio::spawn(async move { beating.run().await });
-            body(Single { settings, pulse, shutdown, start }).await
+            body(Single { settings, pulse, shutdown }).await
         });
         match ended {
             Ok(()) => ExitCode::SUCCESS,
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -171,7 +171,6 @@
             room: peer.state.as_ref().map_or(Duration::ZERO, |(state, _)| state.room),
             waiting: peer.state.as_ref().map_or(0, |(state, _)| state.waiting),
             able: peer.able(now) && !wanted.model.is_some_and(refused),
-            shared: 0,
         });
     }
     if let Some(index) = placement::serve(&candidates, wanted.model, &shared.domain) {
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use catalog::ModelId;
-use control::{EngineNews, Ensure, Sync, Verdict};
+use control::{EngineNews, Ensure, Poll, Verdict};
 use events::{Dependency, Event, emit};
 use tokio::time::Instant;
 use units::{EndpointId, Revision, ServiceName};
@@ -44,7 +44,7 @@
 
 async fn follow(shared: Arc<Shared>, id: EndpointId, addr: SocketAddr, service: ServiceName) {
     let loader = shared.loader(addr);
-    let (mut seen, mut start) = (0, 0);
+    let mut seen = 0;
     let mut pause = RETRY;
     let mut leaving = false;
     let mut lost: Option<Instant> = None;
@@ -56,8 +56,8 @@
         };
         let router = shared.instance.clone();
         let wait = if leaving { DRAIN_WAIT } else { WAIT };
-        let sync = Sync { router, endpoint: id.clone(), seen, wait, uses };
-        match loader.sync(&sync).await {
+        let poll = Poll { router, endpoint: id.clone(), seen, wait, uses };
+        match loader.poll(&poll).await {
             Ok(state) => {
                 if let Some(since) = lost.take() {
                     let after_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -65,9 +65,6 @@
                     emit(&Event::Regained { dependency: Dependency::Loader, name, after_ms });
                 }
                 pause = RETRY;
-                if state.start != start {
-                    start = state.start;
-                }
                 seen = state.version;
                 let catalog = shared.current();
                 let engine = catalog
--- a/components/router/src/prepare.rs
+++ b/components/router/src/prepare.rs
@@ -56,7 +56,6 @@
             room: Duration::ZERO,
             waiting: peer.state.as_ref().map_or(0, |(state, _)| state.waiting),
             able: peer.able(now) && peer.usable(now) && !refused(peer, now),
-            shared: 0,
         })
         .collect();
     let planned = placement::prepare(&candidates, engine, peers.free_lanes());
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -79,7 +79,7 @@
     loop {
         match collect(&mut answer.body).await {
             Ok(bytes) => {
-                let mut headers = platform::final_headers(&answer.head.headers);
+                let mut headers = platform::passed_headers(&answer.head.headers);
                 headers.remove(header::CONTENT_LENGTH);
                 let mut response = Response::new(web::full(bytes));
                 *response.status_mut() = answer.head.status;
@@ -116,7 +116,7 @@
 /// Starts to pass a stream on.
 pub(crate) fn stream(flight: Flight, answer: Answer, times: Times) -> Response<Body> {
     let (writer, body) = web::channel();
-    let mut headers = platform::final_headers(&answer.head.headers);
+    let mut headers = platform::passed_headers(&answer.head.headers);
     if flight.route.kind.repeatable() {
         // What is joined from several runs is longer than the first of them says.
         headers.remove(header::CONTENT_LENGTH);
