A request that all servers have turned away is refused at once

Cause: found reading the diff: a request that every endpoint of its service had turned away waited until its deadline for another one.

--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -5,6 +5,7 @@
 
 use admission::{Outlook, outlook};
 use catalog::{Engine, ModelId};
+use fleet::Stage;
 use placement::{Candidate, Wake};
 use tokio::time::Instant;
 use units::{EndpointId, ModelName, ServiceName};
@@ -148,12 +149,12 @@
     let now = Instant::now();
     let mut peers = shared.known.lock();
     let (mut ids, mut candidates) = (Vec::new(), Vec::new());
-    let mut any = false;
+    let mut untried = false;
     for (id, peer) in &peers.map {
         if peer.endpoint.service != *wanted.service {
             continue;
         }
-        any = true;
+        untried |= peer.endpoint.stage == Stage::Ready && !wanted.tried.contains(id);
         if !peer.usable(now) || wanted.tried.contains(id) {
             continue;
         }
@@ -173,6 +174,10 @@
             able: peer.able(now) && !wanted.model.is_some_and(refused),
         });
     }
+    if !untried {
+        // All have turned it away, or there is none: nothing to wait for.
+        return Found::Nobody;
+    }
     if let Some(index) = placement::serve(&candidates, wanted.model, &shared.domain) {
         let spread = wanted.model.zip(wanted.engine).and_then(|(model, engine)| {
             let wake = spread(&peers, &candidates, index, model, engine)?;
@@ -189,7 +194,7 @@
         return found;
     }
     let (Some(model), Some(engine)) = (wanted.model, wanted.engine) else {
-        return if any { Found::Later(Duration::ZERO) } else { Found::Nobody };
+        return Found::Later(Duration::ZERO);
     };
     let lane = peers.free_lanes() > 0;
     match placement::wake(&candidates, model, engine, lane) {
