--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -1,5 +1,7 @@
 //! What processes report. Field names are the same in all of them.
 
+use std::time::Duration;
+
 use serde::Serialize;
 
 /// What a process depends on.
@@ -279,6 +281,11 @@
     },
 }
 
+/// A span as whole milliseconds, for the fields of events.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Event<'_> {
     /// The request that the line is about.
     pub(crate) fn request(&self) -> Option<&str> {
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -4,5 +4,5 @@
 mod event;
 mod sink;
 
-pub use event::{Dependency, Event, Given, Refusal, Step};
+pub use event::{Dependency, Event, Given, Refusal, Step, millis};
 pub use sink::{emit, install};
--- a/components/events/src/sink.rs
+++ b/components/events/src/sink.rs
@@ -7,8 +7,8 @@
 
 use serde::Serialize;
 
-use crate::Event;
 use crate::count::count;
+use crate::{Event, millis};
 
 /// The most bytes that wait to be written: some seconds of lines at the peak of one entry.
 const BUFFER: usize = 256 << 10;
@@ -64,7 +64,7 @@
         return;
     }
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let time_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    let time_ms = millis(since);
     let line = Line { time_ms, instance: &sink.instance, event };
     if serde_json::to_writer(&mut buffer.bytes, &line).is_ok() {
         buffer.bytes.push(b'\n');
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -7,7 +7,7 @@
 
 use catalog::ModelId;
 use control::{State, Verdict};
-use events::{Dependency, Event, Given, emit};
+use events::{Dependency, Event, Given, emit, millis};
 use fleet::{Holdings, Loading};
 use platform::{Fence, Order, Outcome, Work, call_order, read_report};
 use tokio::sync::{Notify, mpsc, watch};
@@ -159,21 +159,15 @@
             Command::Uses(poll) => {
                 self.adopt(&poll.endpoint);
                 self.ledger.routers.insert(poll.router.clone(), now);
-                let others = poll.uses.iter().map(|one| (&one.model, one.others));
-                let others: Vec<_> = others.map(|(model, count)| (model.clone(), count)).collect();
-                for (model, count) in others {
-                    self.ledger.usage.entry(model).or_default().others = count;
-                }
                 for usage in self.ledger.usage.values_mut() {
                     usage.running.remove(&poll.router);
                 }
                 for one in poll.uses {
                     let usage = self.ledger.usage.entry(one.model).or_default();
+                    usage.others = one.others;
                     usage.begin(one.begun, now);
                     if one.running > 0 {
                         usage.last = Some(now);
-                    }
-                    if one.running > 0 {
                         usage.running.insert(poll.router.clone(), (one.running, now));
                     }
                 }
@@ -222,11 +216,11 @@
         match read_report(&self.client, self.addr, PATIENCE).await {
             Ok(report) => {
                 if self.lost {
-                    let after = self.reached.map_or(0, |reached| reached.elapsed().as_millis());
+                    let after = self.reached.map_or(Duration::ZERO, |reached| reached.elapsed());
                     emit(&Event::Regained {
                         dependency: Dependency::Endpoint,
                         name: &self.addr.to_string(),
-                        after_ms: u64::try_from(after).unwrap_or(u64::MAX),
+                        after_ms: millis(after),
                     });
                 }
                 self.lost = false;
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use catalog::Catalog;
-use events::{Dependency, Event, emit};
+use events::{Dependency, Event, emit, millis};
 use platform::{Batch, Follower, News, Store, StoreError, Topic};
 use tokio::time::Instant;
 
@@ -43,7 +43,7 @@
         self.pause = RETRY;
         let Some(since) = self.away.take() else { return };
         self.returned = Some(Instant::now());
-        let after_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let after_ms = millis(since.elapsed());
         emit(&Event::Regained { dependency: self.dependency, name: "store", after_ms });
     }
 
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use catalog::{Catalog, Route};
-use events::{Event, Refusal, Step, emit};
+use events::{Event, Refusal, Step, emit, millis};
 use http::StatusCode;
 use platform::{Call, Reply, Sending};
 use tokio::time::Instant;
@@ -211,7 +211,7 @@
             endpoint: place.id.as_str(),
             sends: self.sends,
             inflight: place.running,
-            age_ms: u64::try_from(place.age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: millis(place.age),
             cause,
         });
     }
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -7,7 +7,7 @@
 use admission::Lanes;
 use catalog::{Engine, ModelId};
 use control::{State, Use};
-use events::{Event, emit};
+use events::{Event, emit, millis};
 use fleet::{Change, Endpoint, Holdings, Stage};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
@@ -265,7 +265,7 @@
         let pause = (PAUSE * (1 << peer.failures.min(4))).min(LONGEST);
         peer.failures += 1;
         peer.paused = Some(Instant::now() + pause);
-        let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        let pause_ms = millis(pause);
         emit(&Event::Suspect { endpoint: id.as_str(), pause_ms, cause });
     }
 
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -6,7 +6,7 @@
 
 use catalog::ModelId;
 use control::{EngineNews, Ensure, Poll, Verdict};
-use events::{Dependency, Event, emit};
+use events::{Dependency, Event, emit, millis};
 use tokio::time::Instant;
 use units::{EndpointId, Revision, ServiceName};
 
@@ -60,7 +60,7 @@
         match loader.poll(&poll).await {
             Ok(state) => {
                 if let Some(since) = lost.take() {
-                    let after_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                    let after_ms = millis(since.elapsed());
                     let name = id.as_str();
                     emit(&Event::Regained { dependency: Dependency::Loader, name, after_ms });
                 }
@@ -118,7 +118,7 @@
     emit(&Event::Wanted {
         model: &target.to_string(),
         endpoint: id.as_str(),
-        expect_ms: u64::try_from(wish.expect.as_millis()).unwrap_or(u64::MAX),
+        expect_ms: millis(wish.expect),
         cause: if wish.urgent { "request" } else { "prepared" },
     });
     let ensure = Ensure {
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use events::{Event, Step, emit};
+use events::{Event, Step, emit, millis};
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
@@ -31,25 +31,20 @@
 
 impl Times {
     pub(crate) fn answered(&self, status: u16, pace: &Pace, whole: bool) {
-        let millis =
-            |at: Instant| u64::try_from((at - self.arrived).as_millis()).unwrap_or(u64::MAX);
+        let since = |at: Instant| millis(at - self.arrived);
         let first = pace.first.unwrap_or_else(Instant::now);
         emit(&Event::Answered {
             request: &self.name,
             status,
-            first_ms: millis(first),
-            total_ms: millis(Instant::now()),
-            gap_ms: u64::try_from(pace.gap.as_millis()).unwrap_or(u64::MAX),
+            first_ms: since(first),
+            total_ms: since(Instant::now()),
+            gap_ms: millis(pace.gap),
             whole,
         });
     }
 
     pub(crate) fn left(&self) {
-        let held = self.arrived.elapsed().as_millis();
-        emit(&Event::Left {
-            request: &self.name,
-            held_ms: u64::try_from(held).unwrap_or(u64::MAX),
-        });
+        emit(&Event::Left { request: &self.name, held_ms: millis(self.arrived.elapsed()) });
     }
 }
 
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use events::{Event, Refusal, emit};
+use events::{Event, Refusal, emit, millis};
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -51,11 +51,11 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let arrived = Instant::now();
-    let name = request.headers().get("request-id").and_then(|id| id.to_str().ok()).unwrap_or("");
+    let id = platform::request_id(request.headers()).cloned();
+    let name = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
     let times = Times { name: name.to_owned(), arrived };
     shared.flying.fetch_add(1, Ordering::Relaxed);
     let mut watch = Watch { shared: shared.clone(), times: times.clone(), done: false };
-    let id = request.headers().get("request-id").cloned();
     let mut response = match take(&shared, caller, request, &times).await {
         Ok(response) => response,
         Err(failure) => refuse(&times, id.as_ref(), failure),
@@ -99,7 +99,7 @@
         route: &route.name,
         version: catalog.version.0,
         model: &call.model.as_ref().map(ToString::to_string).unwrap_or_default(),
-        left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        left_ms: millis(left),
     });
     shared.count(&service);
     let body = match web::read(body, catalog.limits.body).await {
@@ -137,7 +137,6 @@
 }
 
 fn refuse(times: &Times, id: Option<&HeaderValue>, failure: Failure) -> Response<Body> {
-    let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
     emit(&Event::Refused {
         request: &times.name,
         status: failure.status.as_u16(),
--- a/components/router/src/serve.rs
+++ b/components/router/src/serve.rs
@@ -75,7 +75,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stopped(&mut stop) => {
+        () = web::stopped(&mut stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -84,8 +84,3 @@
         log::debug!("router: a caller's connection ended: {error}");
     }
 }
-
-/// Waits until the signal is true or its sender is gone.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
-    let _ = stop.wait_for(|stop| *stop).await;
-}
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -8,4 +8,4 @@
 pub use body::{Body, ReadError, empty, full, json, read, text};
 pub use channel::{Closed, Writer, channel};
 pub use client::{CallError, Client};
-pub use server::{BindError, Listener, Protocol, ServeOptions, bind, serve};
+pub use server::{BindError, Listener, Protocol, ServeOptions, bind, serve, stopped};
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -89,7 +89,7 @@
 }
 
 /// Waits until the signal is true or its sender is gone.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
+pub async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
