Reads of the store wait no longer than the bounds allow

Ruled out: the cut router (another one), a lost connection (no 'lost' line), order of versions. Change: the waits follow from configApplyMs and drainMs, which the template passes on as 'bounds'.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -7,17 +7,19 @@
 use events::{Dependency, Event, emit, millis};
 use platform::{Batch, Follower, News, Store, StoreError, Topic};
 use tokio::time::Instant;
+use units::Span;
 
 use crate::known::LAPSE;
 use crate::shared::Shared;
 
-/// How long a read waits for a change. A connection may go silent without a sign: with the client's own patience that
-/// shows after three and a half seconds, a second and a half before the strictest bound on a change ends, which
-/// counts from three seconds after the silence began.
-const WAIT: Duration = Duration::from_millis(2_500);
-/// Changes of the list are read together, at this pace, since each call is paid for; an endpoint that leaves must get
-/// nothing two seconds later.
+/// The part of a bound that a read of the store waits for a change, pauses between reads included. A read is answered
+/// as soon as there is a change, but not always: one that begins while a record is written may be answered only when
+/// its time is over. A connection may also go silent without a sign, which shows when the client's patience ends.
+const PART: f64 = 0.7;
+/// Changes of the list are read together, at this pace, since each call is paid for.
 const LIST_PACE: Duration = Duration::from_millis(1_000);
+/// A read waits at least this long, whatever the bound.
+const LEAST: Duration = Duration::from_millis(100);
 /// Versions in quick succession are read together, at this pace.
 const CONFIG_PACE: Duration = Duration::from_millis(150);
 /// The first pause after a failed call.
@@ -58,12 +60,18 @@
     }
 }
 
+/// How long a read may wait whose news must be acted on within `bound`, if reads begin `pace` apart.
+fn wait(bound: Span, pace: Duration) -> Duration {
+    bound.0.mul_f64(PART).saturating_sub(pace).max(LEAST)
+}
+
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn config(shared: Arc<Shared>, store: Store) {
     let mut follower = Follower::new(store, Topic::Config);
     let mut contact = Contact::new(Dependency::Configuration);
     loop {
-        match follower.next(WAIT).await {
+        let bounds = shared.settings.borrow().bounds;
+        match follower.next(wait(bounds.apply, Duration::ZERO)).await {
             Ok(batch) => {
                 contact.reached();
                 let fresh = take_config(&shared, batch);
@@ -113,7 +121,8 @@
     let mut follower = Follower::new(store, Topic::Servers);
     let mut contact = Contact::new(Dependency::Membership);
     loop {
-        match follower.next(WAIT).await {
+        let bounds = shared.settings.borrow().bounds;
+        match follower.next(wait(bounds.drain, LIST_PACE)).await {
             Ok(batch) => {
                 contact.reached();
                 let until = contact.returned.map(|returned| returned + LAPSE);
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -18,4 +18,4 @@
 mod shared;
 
 pub use run::run;
-pub use settings::{RepeatSettings, Settings};
+pub use settings::{Bounds, RepeatSettings, Settings};
--- a/components/router/src/settings.rs
+++ b/components/router/src/settings.rs
@@ -27,10 +27,22 @@
     pub loader: u16,
     /// How long a graceful stop may take.
     pub grace: Span,
+    /// How soon news of the store must be acted on.
+    pub bounds: Bounds,
     /// Bounds on sending requests again.
     pub repeats: RepeatSettings,
 }
 
+/// How soon news of the store must be acted on, from the moment at which it was stored.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// A version of the configuration must be in force within this time.
+    pub apply: Span,
+    /// An endpoint that leaves must get nothing any more within this time.
+    pub drain: Span,
+}
+
 /// Bounds on sending requests again, over all routers together.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
