--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -1,11 +1,14 @@
-//! The router's side.
+//! What routers ask.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use web::{CallError, Client};
 
-use crate::{ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, State};
+use crate::{
+    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, SNAPSHOT_PATH,
+    Snapshot, State,
+};
 
 /// What an answer may take beyond the time that the loader was asked to wait.
 const PATIENCE: Duration = Duration::from_millis(700);
@@ -38,3 +41,12 @@
         self.client.post(self.addr, ENGINE_PATH, news, PATIENCE).await
     }
 }
+
+/// Asks another router for what it knows.
+pub async fn ask_snapshot(
+    client: &Client,
+    router: SocketAddr,
+    limit: Duration,
+) -> Result<Snapshot, CallError> {
+    client.get(router, SNAPSHOT_PATH, limit).await
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -1,9 +1,10 @@
-//! Messages between the routers and the loaders, over HTTP/1.1 with JSON.
+//! Messages among routers and between them and the loaders, over HTTP/1.1 with JSON.
 
 mod client;
 mod message;
 
-pub use client::Loader;
+pub use client::{Loader, ask_snapshot};
 pub use message::{
-    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, State, Use, Verdict,
+    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, SNAPSHOT_PATH,
+    Snapshot, State, Use, Verdict,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use catalog::{Engine, ModelId};
-use fleet::Holdings;
+use catalog::{Catalog, Engine, ModelId};
+use fleet::{Endpoint, Holdings};
 use serde::{Deserialize, Serialize};
 use units::{EndpointId, ModelName, Revision};
 
@@ -101,6 +101,18 @@
     pub state: State,
 }
 
+/// Where a router tells another one what it knows.
+pub const SNAPSHOT_PATH: &str = "/snapshot";
+
+/// What a router knows from the platform's store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The configuration in force.
+    pub catalog: Catalog,
+    /// The endpoints.
+    pub endpoints: Vec<Endpoint>,
+}
+
 /// What the endpoints of the service can hold.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineNews {
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -61,6 +61,7 @@
             gauge!("models_held").set(f64::from(u32::try_from(*models).unwrap_or(u32::MAX)));
         }
         Event::Dropped { lines } => counter!("lines_dropped_total").increment(*lines),
+        Event::Told { .. } => counter!("routers_told_total").increment(1),
         Event::Started { .. }
         | Event::Stopping { .. }
         | Event::Stopped { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -101,6 +101,15 @@
         /// Requests cut off.
         requests: usize,
     },
+    /// Another router has told what it knows.
+    Told {
+        /// Which one.
+        router: &'a str,
+        /// Its configuration.
+        version: u64,
+        /// How many endpoints it knows.
+        endpoints: usize,
+    },
     /// The settings file was read again.
     Reloaded {
         /// Whether it could be read, and why not.
--- a/components/events/src/sink.rs
+++ b/components/events/src/sink.rs
@@ -63,6 +63,7 @@
         buffer.dropped += 1;
         return;
     }
+    #[allow(clippy::disallowed_methods, reason = "only to be shown")]
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let time_ms = millis(since);
     let line = Line { time_ms, instance: &sink.instance, event };
--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -74,7 +74,7 @@
 }
 
 /// An endpoint as the platform's list describes it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Its id, new with each start.
     pub id: EndpointId,
--- a/components/load/src/clock.rs
+++ b/components/load/src/clock.rs
@@ -14,6 +14,7 @@
 impl Clock {
     /// A clock that starts now.
     pub(crate) fn start() -> Self {
+        #[allow(clippy::disallowed_methods, reason = "only to be shown")]
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self { start: Instant::now(), wall }
     }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -11,6 +11,7 @@
 
 use crate::known::LAPSE;
 use crate::shared::Shared;
+use crate::snapshot;
 
 /// The part of a bound that a read of the store waits for a change, pauses between reads included. A read is answered
 /// as soon as there is a change, but not always: one that begins while a record is written may be answered only when
@@ -77,7 +78,12 @@
                 let fresh = take_config(&shared, batch);
                 tokio::time::sleep(if fresh { CONFIG_PACE } else { Duration::ZERO }).await;
             }
-            Err(error) => contact.failed(&error).await,
+            Err(error) => {
+                if shared.current().is_none() {
+                    snapshot::ask(&shared).await;
+                }
+                contact.failed(&error).await;
+            }
         }
         if shared.current().is_none() {
             tokio::time::sleep(RETRY).await;
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod shared;
 mod signs;
+mod snapshot;
 
 pub use run::run;
 pub use settings::{Bounds, RepeatSettings, Settings};
--- a/components/router/src/settings.rs
+++ b/components/router/src/settings.rs
@@ -17,6 +17,10 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether it takes callers.
     pub ready: SocketAddr,
+    /// Where other routers ask it for what it knows.
+    pub control: SocketAddr,
+    /// Routers that it asks while it knows nothing and the store does not answer.
+    pub peers: Vec<SocketAddr>,
     /// Where its metrics are read, if anywhere: `GET /metrics`.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -29,7 +29,7 @@
     pub(crate) shutdown: Shutdown,
     /// Requests in flight.
     pub(crate) flying: AtomicUsize,
-    client: Client,
+    pub(crate) client: Client,
     repeats: Mutex<HashMap<ServiceName, Repeats>>,
 }
 
--- a/components/standin/src/clock.rs
+++ b/components/standin/src/clock.rs
@@ -4,6 +4,7 @@
 
 /// Milliseconds since 1970.
 pub(crate) fn wall_ms() -> u64 {
+    #[allow(clippy::disallowed_methods, reason = "only to be shown")]
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     millis(since)
 }
--- a/components/timeline/src/recorder.rs
+++ b/components/timeline/src/recorder.rs
@@ -75,6 +75,7 @@
 }
 
 fn wall_millis() -> u64 {
+    #[allow(clippy::disallowed_methods, reason = "only to be shown")]
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
