Metrics by class: queue times, cold starts, loads by tier, repeats, store calls, ages, memory; a golden line of each kind; lines that nobody reads stop nothing

Lines: 'repeat' (the budget's decision), 'loaded' (tier, time taken and expected); 'left' says how much time remained, 'accepted' the class, 'step' the wait. Tiers and their load times stand once, in fleet. Test: the router as a process whose standard output nobody reads answers 4,000 requests and ends as usual.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -7,4 +7,4 @@
 
 pub use lanes::Lanes;
 pub use refusal::{Outlook, outlook};
-pub use repeats::{RepeatLimits, Repeats};
+pub use repeats::{Repeat, RepeatLimits, Repeats};
--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -35,6 +35,17 @@
     repeats: u32,
 }
 
+/// What the budget says of one repeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Repeat {
+    /// Whether there was one left.
+    pub allowed: bool,
+    /// Repeats in the window, this one included.
+    pub spent: u32,
+    /// As many are allowed.
+    pub limit: u32,
+}
+
 /// The budget of one router for one service.
 #[derive(Debug)]
 pub struct Repeats {
@@ -53,18 +64,18 @@
         self.count(now).requests += 1;
     }
 
-    /// Takes one repeat from the budget; false if there is none left.
-    pub fn repeat(&mut self, now: Instant) -> bool {
+    /// Takes one repeat from the budget, if there is one left.
+    pub fn repeat(&mut self, now: Instant) -> Repeat {
         self.count(now);
         let requests: u32 = self.counts.iter().map(|count| count.requests).sum();
         let repeats: u32 = self.counts.iter().map(|count| count.repeats).sum();
         let share = self.limits.slack / SHARES;
-        let allowed = f64::from(requests) * self.limits.ratio * CAUTION + share;
-        if f64::from(repeats) + 1.0 > allowed {
-            return false;
+        let limit = (f64::from(requests) * self.limits.ratio * CAUTION + share).floor() as u32;
+        let allowed = repeats < limit;
+        if allowed {
+            self.count(now).repeats += 1;
         }
-        self.count(now).repeats += 1;
-        true
+        Repeat { allowed, spent: repeats + u32::from(allowed), limit }
     }
 
     fn count(&mut self, now: Instant) -> &mut Count {
--- a/components/admission/src/repeats/tests.rs
+++ b/components/admission/src/repeats/tests.rs
@@ -10,9 +10,9 @@
 async fn can_repeat_a_few_without_any_requests() {
     let mut repeats = Repeats::new(limits());
     let now = Instant::now();
-    assert!(repeats.repeat(now));
-    assert!(repeats.repeat(now));
-    assert!(!repeats.repeat(now));
+    assert!(repeats.repeat(now).allowed);
+    assert!(repeats.repeat(now).allowed);
+    assert!(!repeats.repeat(now).allowed);
 }
 
 #[tokio::test(start_paused = true)]
@@ -26,7 +26,7 @@
         let now = start + Duration::from_millis(u64::from(step) * 10);
         for one in &mut all {
             one.request(now);
-            while one.repeat(now) {
+            while one.repeat(now).allowed {
                 repeats += 1;
             }
         }
@@ -39,6 +39,6 @@
 async fn a_window_that_has_passed_gives_room_again() {
     let mut repeats = Repeats::new(limits());
     let now = Instant::now();
-    while repeats.repeat(now) {}
-    assert!(repeats.repeat(now + Duration::from_secs(11)));
+    while repeats.repeat(now).allowed {}
+    assert!(repeats.repeat(now + Duration::from_secs(11)).allowed);
 }
--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -67,6 +67,17 @@
 }
 
 impl Route {
+    /// Its kind and urgency, as logs and metrics name them: `safe-2`.
+    pub fn class(&self) -> String {
+        let kind = match self.kind {
+            CallKind::Safe => "safe",
+            CallKind::Unsafe => "unsafe",
+            CallKind::Stream => "stream",
+            CallKind::Resumable => "resumable",
+        };
+        format!("{kind}-{}", self.priority)
+    }
+
     /// The service for a request, chosen by a number that is random in 0..1.
     pub fn backend(&self, random: f64) -> Option<&ServiceName> {
         let total: u32 = self.backends.iter().map(|backend| backend.weight).sum();
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -1,34 +1,60 @@
 //! Counters and histograms, from the same events as the lines.
 
+use std::sync::LazyLock;
+use std::time::Instant;
+
 use metrics::{counter, gauge, histogram};
 use serde::Serialize;
 
-use crate::Event;
+use crate::{Dependency, Event, Step};
 
 /// Counts an event.
 pub(crate) fn count(event: &Event<'_>) {
     match event {
-        Event::Accepted { .. } => counter!("requests_accepted_total").increment(1),
-        Event::Answered { status, first_ms, total_ms, gap_ms, whole, .. } => {
+        Event::Accepted { class, .. } => {
+            counter!("requests_accepted_total", "class" => (*class).to_owned()).increment(1);
+        }
+        Event::Answered { class, status, first_ms, total_ms, gap_ms, whole, .. } => {
+            let class = (*class).to_owned();
             let whole = if *whole { "yes" } else { "no" };
             let status = status.to_string();
-            counter!("requests_answered_total", "status" => status, "whole" => whole).increment(1);
-            histogram!("answer_first_seconds").record(seconds(*first_ms));
-            histogram!("answer_total_seconds").record(seconds(*total_ms));
-            histogram!("answer_gap_seconds").record(seconds(*gap_ms));
+            counter!("requests_answered_total", "class" => class.clone(), "status" => status, "whole" => whole)
+                .increment(1);
+            histogram!("answer_first_seconds", "class" => class.clone()).record(seconds(*first_ms));
+            histogram!("answer_total_seconds", "class" => class.clone()).record(seconds(*total_ms));
+            histogram!("answer_gap_seconds", "class" => class).record(seconds(*gap_ms));
         }
-        Event::Refused { status, cause, held_ms, .. } => {
-            let (status, cause) = (status.to_string(), name(cause));
-            counter!("requests_refused_total", "status" => status, "cause" => cause).increment(1);
+        Event::Refused { class, status, cause, held_ms, .. } => {
+            let (class, status, cause) = ((*class).to_owned(), status.to_string(), name(cause));
+            counter!("requests_refused_total", "class" => class, "status" => status, "cause" => cause)
+                .increment(1);
             histogram!("refused_held_seconds").record(seconds(*held_ms));
         }
         Event::Left { held_ms, .. } => {
             counter!("requests_left_total").increment(1);
             histogram!("left_held_seconds").record(seconds(*held_ms));
         }
-        Event::Step { step, age_ms, .. } => {
+        Event::Step { step, class, age_ms, waited_ms, cold, .. } => {
             counter!("request_steps_total", "step" => name(step)).increment(1);
-            histogram!("endpoint_news_age_seconds").record(seconds(*age_ms));
+            if *step == Step::Sent {
+                let class = (*class).to_owned();
+                histogram!("endpoint_news_age_seconds").record(seconds(*age_ms));
+                histogram!("queue_seconds", "class" => class.clone()).record(seconds(*waited_ms));
+                counter!("cold_starts_total", "class" => class).increment(u64::from(*cold));
+            }
+        }
+        Event::Repeat { allowed, spent, limit, .. } => {
+            let outcome = if *allowed { "allowed" } else { "denied" };
+            counter!("repeats_total", "outcome" => outcome).increment(1);
+            gauge!("repeats_spent").set(f64::from(*spent));
+            gauge!("repeats_limit").set(f64::from(*limit));
+        }
+        Event::Loaded { tier, took_ms, expect_ms, .. } => {
+            let tier = name(tier);
+            counter!("loads_total", "tier" => tier.clone()).increment(1);
+            histogram!("load_seconds", "tier" => tier.clone()).record(seconds(*took_ms));
+            let late = took_ms.saturating_sub(*expect_ms);
+            histogram!("load_late_seconds", "tier" => tier).record(seconds(late));
         }
         Event::Wanted { cause, expect_ms, .. } => {
             counter!("models_wanted_total", "cause" => (*cause).to_owned()).increment(1);
@@ -70,6 +96,36 @@
     }
 }
 
+/// Counts a call to the platform's store.
+pub fn count_call(call: &'static str, outcome: String) {
+    counter!("store_calls_total", "call" => call, "outcome" => outcome).increment(1);
+}
+
+/// Notes that a dependency was reached just now; its age is what `uptime_seconds` is beyond this.
+pub fn reached(dependency: Dependency) {
+    gauge!("dependency_reached_seconds", "dependency" => name(&dependency)).set(uptime());
+}
+
+/// Brings the gauges of the process itself up to date.
+pub fn gauge_process() {
+    gauge!("uptime_seconds").set(uptime());
+    // The second number is the resident memory, in pages.
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    if let Some(pages) = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u32>().ok()) {
+        gauge!("resident_bytes").set(f64::from(pages) * PAGE);
+    }
+}
+
+/// The size of a page of memory, in bytes.
+const PAGE: f64 = 4096.0;
+
+/// Since when the process counts.
+static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+fn uptime() -> f64 {
+    START.elapsed().as_secs_f64()
+}
+
 fn seconds(millis: u64) -> f64 {
     std::time::Duration::from_millis(millis).as_secs_f64()
 }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fleet::Tier;
 use serde::Serialize;
 
 /// What a process depends on.
@@ -180,6 +181,8 @@
         request: &'a str,
         /// Its route.
         route: &'a str,
+        /// What kind of route that is, and how urgent.
+        class: &'a str,
         /// The configuration that decided.
         version: u64,
         /// The model that it asks for.
@@ -201,6 +204,13 @@
         inflight: u32,
         /// Age of what is known of the endpoint.
         age_ms: u64,
+        /// How long it waited for its place there.
+        waited_ms: u64,
+        /// Whether it waited for a model to be loaded.
+        cold: bool,
+        /// As in the line that it was taken.
+        #[serde(skip)]
+        class: &'a str,
         /// What happened, if anything.
         cause: &'a str,
     },
@@ -208,6 +218,9 @@
     Answered {
         /// Its id.
         request: &'a str,
+        /// As in the line that it was taken.
+        #[serde(skip)]
+        class: &'a str,
         /// The status.
         status: u16,
         /// Time until the answer began.
@@ -223,6 +236,9 @@
     Refused {
         /// Its id.
         request: &'a str,
+        /// As in the line that it was taken.
+        #[serde(skip)]
+        class: &'a str,
         /// The status.
         status: u16,
         /// Why.
@@ -238,6 +254,21 @@
         request: &'a str,
         /// How long it was held.
         held_ms: u64,
+        /// How long it would have waited.
+        left_ms: u64,
+    },
+    /// Whether a request may be sent again, by the budget for that.
+    Repeat {
+        /// Its id.
+        request: &'a str,
+        /// The service.
+        service: &'a str,
+        /// Whether it may.
+        allowed: bool,
+        /// Repeats of this router in the window, this one included.
+        spent: u32,
+        /// As many are allowed.
+        limit: u32,
     },
     /// A loader was asked to have a model.
     Wanted {
@@ -263,6 +294,19 @@
         /// What became of it.
         outcome: Given,
     },
+    /// A load is over.
+    Loaded {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// The model.
+        model: &'a str,
+        /// Where its weights came from.
+        tier: Tier,
+        /// How long it took.
+        took_ms: u64,
+        /// How long it was expected to take.
+        expect_ms: u64,
+    },
     /// What an endpoint holds has changed.
     Holds {
         /// The endpoint.
@@ -303,6 +347,7 @@
             | Self::Step { request, .. }
             | Self::Answered { request, .. }
             | Self::Refused { request, .. }
+            | Self::Repeat { request, .. }
             | Self::Left { request, .. } => Some(request),
             _ => None,
         }
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -1,53 +1,91 @@
-//! Tests of the lines: a golden text of each kind that a request leaves.
+//! Tests of the lines: a golden text of each kind.
 
 use super::*;
 
-fn text(event: &Event<'_>) -> String {
-    serde_json::to_string(event).expect("a line")
+/// One event of each kind.
+fn all() -> Vec<Event<'static>> {
+    let (request, endpoint, model, class) = ("r1", "i-1", "m", "stream-1");
+    vec![
+        Event::Started { program: "hyssop-router", version: "0.1.0" },
+        Event::Stopping { requests: 3 },
+        Event::Stopped { requests: 0 },
+        Event::Told { router: "10.0.0.1:8144", version: 7, endpoints: 16 },
+        Event::Reloaded { outcome: "taken" },
+        Event::Lost { dependency: Dependency::Membership, name: "store", cause: "no answer" },
+        Event::Regained { dependency: Dependency::Membership, name: "store", after_ms: 800 },
+        Event::Unreadable { dependency: Dependency::Configuration, cause: "no routes" },
+        Event::Configured { version: 7, before: 3, routes: 17 },
+        Event::Outdated { version: 3, current: 7 },
+        Event::Member { endpoint, addr: "10.0.0.2:8505".to_owned(), stage: "ready" },
+        Event::Suspect { endpoint, pause_ms: 250, cause: "reset" },
+        Event::Accepted { request, route: "chat", class, version: 7, model, left_ms: 12_000 },
+        Event::Step {
+            request,
+            step: Step::Sent,
+            endpoint,
+            sends: 0,
+            inflight: 3,
+            age_ms: 120,
+            waited_ms: 40,
+            cold: true,
+            class,
+            cause: "",
+        },
+        Event::Answered {
+            request,
+            class,
+            status: 200,
+            first_ms: 90,
+            total_ms: 1_500,
+            gap_ms: 60,
+            whole: true,
+        },
+        Event::Refused {
+            request,
+            class,
+            status: 503,
+            cause: Refusal::ColdTooLong,
+            after_ms: 6_000,
+            held_ms: 0,
+        },
+        Event::Left { request, held_ms: 400, left_ms: 11_600 },
+        Event::Repeat { request, service: "llm", allowed: false, spent: 4, limit: 4 },
+        Event::Wanted { model, endpoint, expect_ms: 350, cause: "request" },
+        Event::Order { endpoint, work: "load", model, sequence: 5, outcome: Given::Accepted },
+        Event::Loaded { endpoint, model, tier: Tier::Disk, took_ms: 380, expect_ms: 350 },
+        Event::Holds { endpoint, models: 2, memory: 2, disk: 9, loading: model, version: 12 },
+        Event::Token { token: 41 },
+        Event::Dropped { lines: 9 },
+    ]
 }
 
 #[test]
-fn names_fields_alike_in_all_lines_of_a_request() {
-    let accepted =
-        Event::Accepted { request: "r1", route: "chat", version: 7, model: "m", left_ms: 12_000 };
-    let sent = Event::Step {
-        request: "r1",
-        step: Step::Sent,
-        endpoint: "i-1",
-        sends: 0,
-        inflight: 3,
-        age_ms: 120,
-        cause: "",
-    };
-    let answered = Event::Answered {
-        request: "r1",
-        status: 200,
-        first_ms: 90,
-        total_ms: 1_500,
-        gap_ms: 60,
-        whole: true,
-    };
-    let refused = Event::Refused {
-        request: "r1",
-        status: 503,
-        cause: Refusal::ColdTooLong,
-        after_ms: 6_000,
-        held_ms: 0,
-    };
-    let lines = [&accepted, &sent, &answered, &refused].map(text);
-    let golden = [
-        r#"{"event":"accepted","request":"r1","route":"chat","version":7,"model":"m","left_ms":12000}"#,
-        r#"{"event":"step","request":"r1","step":"sent","endpoint":"i-1","sends":0,"inflight":3,"age_ms":120,"cause":""}"#,
-        r#"{"event":"answered","request":"r1","status":200,"first_ms":90,"total_ms":1500,"gap_ms":60,"whole":true}"#,
-        r#"{"event":"refused","request":"r1","status":503,"cause":"cold-too-long","after_ms":6000,"held_ms":0}"#,
-    ];
-    assert_eq!(lines, golden);
+fn names_fields_alike_in_all_lines() {
+    let lines: Vec<String> =
+        all().iter().map(|event| serde_json::to_string(event).expect("a line")).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn counts_every_event() {
+    let recorder = metrics_exporter_prometheus::PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::with_local_recorder(&recorder, || all().iter().for_each(crate::count::count));
+    let text = handle.render();
+    let mut names: Vec<&str> = text
+        .lines()
+        .filter(|line| !line.starts_with('#') && !line.is_empty() && !line.contains("quantile="))
+        .filter(|line| !line.contains("_sum"))
+        .collect();
+    names.sort_unstable();
+    insta::assert_snapshot!(names.join("\n"));
 }
 
 #[test]
 fn tells_failures_from_successes() {
     let answered = |status, whole| Event::Answered {
         request: "r",
+        class: "",
         status,
         first_ms: 0,
         total_ms: 0,
--- a/components/events/src/sink/tests.rs
+++ b/components/events/src/sink/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 fn accepted(request: &str) -> Event<'_> {
-    Event::Accepted { request, route: "", version: 1, model: "", left_ms: 0 }
+    Event::Accepted { request, route: "", class: "", version: 1, model: "", left_ms: 0 }
 }
 
 #[test]
@@ -15,6 +15,7 @@
 fn keeps_whole_requests_and_failures_when_it_is_crowded() {
     let failure = Event::Answered {
         request: "r",
+        class: "",
         status: 502,
         first_ms: 0,
         total_ms: 0,
@@ -25,7 +26,7 @@
     let kept: Vec<String> =
         (0..1_000).map(|n| n.to_string()).filter(|id| admit(CROWDED, &accepted(id))).collect();
     assert!((60..200).contains(&kept.len()), "{}", kept.len());
-    let left = |request| Event::Left { request, held_ms: 0 };
+    let left = |request| Event::Left { request, held_ms: 0, left_ms: 0 };
     assert!(kept.iter().all(|id| admit(CROWDED, &left(id))));
 }
 
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -3,6 +3,8 @@
 mod change;
 mod endpoint;
 pub mod millis;
+mod tier;
 
 pub use change::Change;
 pub use endpoint::{Copies, Endpoint, Held, Holdings, Loading, Stage};
+pub use tier::Tier;
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -8,7 +8,7 @@
 use catalog::ModelId;
 use control::{State, Verdict};
 use events::{Dependency, Event, Given, emit, millis};
-use fleet::{Holdings, Loading};
+use fleet::{Holdings, Loading, Tier};
 use platform::{Fence, Order, Outcome, Work, call_order, read_report};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
@@ -35,8 +35,9 @@
 struct Pending {
     work: Work,
     target: ModelId,
-    cold: bool,
-    until: Instant,
+    tier: Tier,
+    since: Instant,
+    expect: Duration,
 }
 
 /// The loader's fencing token.
@@ -225,10 +226,11 @@
                 }
                 self.lost = false;
                 self.reached = Some(Instant::now());
-                if !report.busy {
-                    self.pending = None;
-                }
+                let over = self.pending.take_if(|_| !report.busy);
                 self.ledger.report = Some(report);
+                if let Some(over) = over {
+                    self.loaded(&over);
+                }
                 self.settle();
             }
             Err(error) => {
@@ -346,20 +348,34 @@
         }
     }
 
+    /// Tells of a load that is over, if the model is there.
+    fn loaded(&self, over: &Pending) {
+        let Some(endpoint) = self.endpoint.as_ref().filter(|_| over.work == Work::Load) else {
+            return;
+        };
+        if self.ledger.holds(&over.target) {
+            emit(&Event::Loaded {
+                endpoint: endpoint.as_str(),
+                model: &over.target.to_string(),
+                tier: over.tier,
+                took_ms: millis(over.since.elapsed()),
+                expect_ms: millis(over.expect),
+            });
+        }
+    }
+
     fn expected(&self, work: Work, target: &ModelId) -> Pending {
         let spec = self.ledger.engine.as_ref().and_then(|engine| engine.model(&target.model));
         let copies = self.ledger.report.as_ref().map(|report| &report.copies);
-        let in_memory = copies.is_some_and(|copies| copies.memory.contains(&target.model));
-        let on_disk = copies.is_some_and(|copies| copies.disk.contains(&target.model));
-        let cold = work == Work::Load && target.adapter.is_none() && !in_memory && !on_disk;
-        let takes = match (work, spec) {
-            (Work::Load, Some(_)) if target.adapter.is_some() => ADAPTER,
-            (Work::Load, Some(spec)) if in_memory => spec.warm,
-            (Work::Load, Some(spec)) if on_disk => spec.disk,
-            (Work::Load, Some(spec)) => spec.cold,
-            _ => EAGER,
+        let tier = match &target.adapter {
+            Some(_) => Tier::Adapter,
+            None => copies.map_or(Tier::Store, |copies| copies.tier(&target.model)),
+        };
+        let expect = match work {
+            Work::Load => spec.map_or(EAGER, |spec| tier.load(spec)),
+            Work::Unload => EAGER,
         };
-        Pending { work, target: target.clone(), cold, until: Instant::now() + takes }
+        Pending { work, target: target.clone(), tier, since: Instant::now(), expect }
     }
 
     /// Tells the routers what has changed.
@@ -369,8 +385,8 @@
         let pending = self.pending.as_ref().filter(|pending| pending.target.adapter.is_none());
         let loading = pending.filter(|p| p.work == Work::Load).map(|p| Loading {
             model: p.target.model.clone(),
-            cold: p.cold,
-            left: p.until.saturating_duration_since(now),
+            cold: p.tier == Tier::Store,
+            left: (p.since + p.expect).saturating_duration_since(now),
         });
         let leaving = pending.filter(|p| p.work == Work::Unload).map(|p| p.target.model.clone());
         let leaving = leaving.or(self.ledger.leaving.as_ref().map(|one| one.model.clone()));
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -10,4 +10,4 @@
 pub use candidate::{Candidate, rank};
 pub use prepare::prepare;
 pub use serve::{FILL, serve};
-pub use wake::{Tier, Wake, tier, wake};
+pub use wake::{Wake, wake};
--- a/components/placement/src/wake.rs
+++ b/components/placement/src/wake.rs
@@ -6,24 +6,11 @@
 use std::time::Duration;
 
 use catalog::{Engine, ModelId, ModelSpec};
-use fleet::Holdings;
+use fleet::{Holdings, Tier};
 use units::ModelName;
 
 use crate::Candidate;
 
-/// Where the weights come from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Tier {
-    /// The model is loaded; an adapter of it is not.
-    Adapter,
-    /// Host memory of the endpoint.
-    Memory,
-    /// Disk of the endpoint.
-    Disk,
-    /// The weight store.
-    Store,
-}
-
 /// Where to load a model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Wake {
@@ -35,8 +22,6 @@
     pub expect: Duration,
 }
 
-/// An adapter, with the order and its answer.
-const ADAPTER: Duration = Duration::from_millis(30);
 /// What a model that waits at a loader costs the next one: a load from disk with its order.
 const TURN: Duration = Duration::from_millis(500);
 /// Making room costs an order more.
@@ -44,19 +29,6 @@
 /// Requests in flight make it likely that room must be waited for.
 const RUN: Duration = Duration::from_millis(15);
 
-/// The tier from which an endpoint would load a model.
-pub fn tier(holdings: &Holdings, model: &ModelName) -> Tier {
-    if holdings.holds(model) {
-        Tier::Adapter
-    } else if holdings.copies.memory.contains(model) {
-        Tier::Memory
-    } else if holdings.copies.disk.contains(model) {
-        Tier::Disk
-    } else {
-        Tier::Store
-    }
-}
-
 /// The best endpoint to load a model on; from the weight store only if that has a free lane.
 pub fn wake(
     candidates: &[Candidate<'_>],
@@ -68,7 +40,7 @@
     let key = id.model.as_str();
     let able = candidates.iter().enumerate().filter(|(_, candidate)| candidate.able);
     let held = candidates.iter().filter_map(|candidate| candidate.holdings);
-    let copied = held.into_iter().any(|held| tier(held, &id.model) != Tier::Store);
+    let copied = held.into_iter().any(|held| held.tier(&id.model) != Tier::Store);
     let wakes = able.filter_map(|(index, candidate)| {
         let (tier, expect) = expected(candidate, candidate.holdings?, &id.model, spec, engine);
         let arriving = candidate.holdings?.loading.as_ref().is_some_and(|l| l.model == id.model);
@@ -87,21 +59,16 @@
     spec: &ModelSpec,
     engine: &Engine,
 ) -> (Tier, Duration) {
-    let tier = tier(holdings, model);
+    let tier = holdings.tier(model);
+    let load = tier.load(spec);
     if tier == Tier::Adapter {
-        return (tier, ADAPTER + RUN * candidate.running);
+        return (tier, load + RUN * candidate.running);
     }
     if let Some(loading) = &holdings.loading
         && loading.model == *model
     {
         return (tier, loading.left);
     }
-    let load = match tier {
-        Tier::Adapter => ADAPTER,
-        Tier::Memory => spec.warm,
-        Tier::Disk => spec.disk,
-        Tier::Store => spec.cold,
-    };
     let before = holdings.loading.as_ref().map_or(Duration::ZERO, |loading| loading.left);
     let free = candidate.free(engine) >= spec.weights;
     let room = if free { Duration::ZERO } else { ROOM + candidate.room };
--- a/components/process/src/metered.rs
+++ b/components/process/src/metered.rs
@@ -21,7 +21,10 @@
         let (keep, never) = watch::channel(false);
         let handler = move |request: Request<Incoming>, _| {
             let answer = match request.uri().path() {
-                "/metrics" => web::text(StatusCode::OK, metrics.render()),
+                "/metrics" => {
+                    events::gauge_process();
+                    web::text(StatusCode::OK, metrics.render())
+                }
                 _ => web::text(StatusCode::NOT_FOUND, "try /metrics\n"),
             };
             async move { answer }
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -5,7 +5,7 @@
 
 use admission::{Outlook, outlook};
 use catalog::{Engine, ModelId};
-use fleet::Stage;
+use fleet::{Stage, Tier};
 use placement::{Candidate, Wake};
 use tokio::time::Instant;
 use units::{EndpointId, ModelName, ServiceName};
@@ -33,6 +33,8 @@
     pub(crate) age: Duration,
     model: Option<ModelId>,
     prompt: u32,
+    /// Whether the request waited for a model to be loaded.
+    pub(crate) cold: bool,
     /// Whether an answer has begun.
     answered: bool,
 }
@@ -133,7 +135,10 @@
         let changed = shared.known.changed.notified();
         let left = wanted.due.saturating_duration_since(Instant::now());
         match find(shared, &wanted) {
-            Found::Place(place) => return Ok(place),
+            Found::Place(mut place) => {
+                place.cold = waiting.is_some();
+                return Ok(place);
+            }
             Found::Nobody => return Err(NoPlace::NoEndpoint(NONE)),
             Found::Wake(id, target, expect) => {
                 waiting.get_or_insert_with(|| Waiting::new(shared, &target));
@@ -222,7 +227,7 @@
     match placement::wake(&candidates, model, engine, lane) {
         Some(wake) => {
             // The model first; all adapters of it wait for the same load.
-            let adapter = model.adapter.clone().filter(|_| wake.tier == placement::Tier::Adapter);
+            let adapter = model.adapter.clone().filter(|_| wake.tier == Tier::Adapter);
             let target = ModelId { model: model.model.clone(), adapter };
             Found::Wake(ids.swap_remove(wake.index), target, wake.expect)
         }
@@ -232,7 +237,7 @@
             let copied = candidates
                 .iter()
                 .filter_map(|candidate| candidate.holdings)
-                .any(|held| placement::tier(held, &model.model) != placement::Tier::Store);
+                .any(|held| held.tier(&model.model) != Tier::Store);
             Found::Later(if copied { Duration::ZERO } else { cold })
         }
     }
@@ -287,6 +292,7 @@
         age: now - heard,
         model: model.cloned(),
         prompt,
+        cold: false,
         answered: false,
     })
 }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -43,6 +43,7 @@
     }
 
     fn reached(&mut self) {
+        events::reached(self.dependency);
         self.pause = RETRY;
         let Some(since) = self.away.take() else { return };
         self.returned = Some(Instant::now());
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -42,6 +42,7 @@
     pub(crate) service: ServiceName,
     pub(crate) call: Call,
     pub(crate) name: String,
+    pub(crate) class: String,
     pub(crate) outgoing: Outgoing,
     pub(crate) due: Instant,
     /// Until when it may wait for a place: the caller of a stream leaves before `due` if nothing arrives.
@@ -57,13 +58,15 @@
     /// Sends the request until an endpoint answers it for good.
     pub(crate) async fn answer(&mut self, last_event: Option<u64>) -> Result<Answer, Failure> {
         loop {
+            let asked = Instant::now();
             let place = self.place().await?;
+            let waited = asked.elapsed();
             // After the machine stood still, requests and the closing of their connections arrive together: let
             // the closing be seen before anything is sent.
             self.shared.pulse.settle().await;
             tokio::task::yield_now().await;
             let id = place.id.clone();
-            self.log(Step::Sent, &place, "");
+            self.log_sent(&place, waited);
             self.sends += 1;
             let now = Instant::now();
             let sending = Sending {
@@ -137,7 +140,7 @@
                 let again = self.route.kind == catalog::CallKind::Safe
                     && status.is_server_error()
                     && self.runs < self.route.attempts
-                    && self.shared.may_repeat(&self.service);
+                    && self.shared.may_repeat(&self.service, &self.name);
                 if !again {
                     return Judged::Final(Box::new(answer));
                 }
@@ -171,7 +174,7 @@
     }
 
     async fn not_run(&mut self, id: &EndpointId) -> Judged {
-        if self.sends >= SENDS || !self.shared.may_repeat(&self.service) {
+        if self.sends >= SENDS || !self.shared.may_repeat(&self.service, &self.name) {
             return Judged::Failed(self.failed(Refusal::NoEndpoint, Some(BREATH)));
         }
         if self.call.model.is_none() || self.sends > 1 {
@@ -190,7 +193,7 @@
         let again = self.route.kind.repeatable()
             && self.runs < self.route.attempts
             && self.due > Instant::now()
-            && self.shared.may_repeat(&self.service);
+            && self.shared.may_repeat(&self.service, &self.name);
         if again { Ok(()) } else { Err(self.failed(Refusal::Unknown, None)) }
     }
 
@@ -204,15 +207,18 @@
         Failure { status, cause, after: after.filter(|_| self.runs == 0) }
     }
 
-    fn log(&self, step: Step, place: &Place, cause: &str) {
+    fn log_sent(&self, place: &Place, waited: Duration) {
         emit(&Event::Step {
             request: &self.name,
-            step,
+            step: Step::Sent,
             endpoint: place.id.as_str(),
             sends: self.sends,
             inflight: place.running,
             age_ms: millis(place.age),
-            cause,
+            waited_ms: millis(waited),
+            cold: place.cold,
+            class: &self.class,
+            cause: "",
         });
     }
 
@@ -224,6 +230,9 @@
             sends: self.sends,
             inflight: 0,
             age_ms: 0,
+            waited_ms: 0,
+            cold: false,
+            class: &self.class,
             cause,
         });
     }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -26,7 +26,10 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Times {
     pub(crate) name: String,
+    pub(crate) class: String,
     pub(crate) arrived: Instant,
+    /// Until when the caller waits.
+    pub(crate) until: Instant,
 }
 
 impl Times {
@@ -35,6 +38,7 @@
         let first = pace.first.unwrap_or_else(Instant::now);
         emit(&Event::Answered {
             request: &self.name,
+            class: &self.class,
             status,
             first_ms: since(first),
             total_ms: since(Instant::now()),
@@ -44,7 +48,12 @@
     }
 
     pub(crate) fn left(&self) {
-        emit(&Event::Left { request: &self.name, held_ms: millis(self.arrived.elapsed()) });
+        let now = Instant::now();
+        emit(&Event::Left {
+            request: &self.name,
+            held_ms: millis(now - self.arrived),
+            left_ms: millis(self.until.saturating_duration_since(now)),
+        });
     }
 }
 
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -53,12 +53,13 @@
     let arrived = Instant::now();
     let id = platform::request_id(request.headers()).cloned();
     let name = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
-    let times = Times { name: name.to_owned(), arrived };
+    let times =
+        Times { name: name.to_owned(), class: String::new(), arrived, until: arrived + LONGEST };
     shared.flying.fetch_add(1, Ordering::Relaxed);
-    let mut watch = Watch { shared: shared.clone(), times: times.clone(), done: false };
-    let mut response = match take(&shared, caller, request, &times).await {
+    let mut watch = Watch { shared: shared.clone(), times, done: false };
+    let mut response = match take(&shared, caller, request, &mut watch.times).await {
         Ok(response) => response,
-        Err(failure) => refuse(&times, id.as_ref(), failure),
+        Err(failure) => refuse(&watch.times, id.as_ref(), failure),
     };
     if shared.shutdown.phase() != Phase::Run {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -75,7 +76,7 @@
     shared: &Arc<Shared>,
     caller: Caller,
     request: Request<Incoming>,
-    times: &Times,
+    times: &mut Times,
 ) -> Result<Response<Body>, Failure> {
     let (parts, body) = request.into_parts();
     let malformed = || own(StatusCode::BAD_REQUEST, Refusal::Malformed, None);
@@ -94,9 +95,12 @@
     let left = call.deadline.unwrap_or(LONGEST).min(route.timeout);
     let due = times.arrived + left.saturating_sub(MARGIN);
     let start = due.min(times.arrived + route.patience.saturating_sub(FIRST_EVENT));
+    times.until = times.arrived + left;
+    times.class = route.class();
     emit(&Event::Accepted {
         request: &times.name,
         route: &route.name,
+        class: &times.class,
         version: catalog.version.0,
         model: &call.model.as_ref().map(ToString::to_string).unwrap_or_default(),
         left_ms: millis(left),
@@ -122,6 +126,7 @@
         service,
         call,
         name: times.name.clone(),
+        class: times.class.clone(),
         outgoing,
         due,
         start,
@@ -143,6 +148,7 @@
 fn refuse(times: &Times, id: Option<&HeaderValue>, failure: Failure) -> Response<Body> {
     emit(&Event::Refused {
         request: &times.name,
+        class: &times.class,
         status: failure.status.as_u16(),
         cause: failure.cause,
         after_ms: failure.after.map_or(0, millis),
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use admission::{RepeatLimits, Repeats};
+use admission::{Repeat, RepeatLimits, Repeats};
 use catalog::Catalog;
 use control::Loader;
+use events::{Event, emit};
 use process::{Pulse, Shutdown, Single};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -76,9 +77,12 @@
         self.with_repeats(service, |repeats| repeats.request(Instant::now()));
     }
 
-    /// Takes a repeat from the budget of a service.
-    pub(crate) fn may_repeat(&self, service: &ServiceName) -> bool {
-        self.with_repeats(service, |repeats| repeats.repeat(Instant::now()))
+    /// Takes a repeat from the budget of a service, for a request.
+    pub(crate) fn may_repeat(&self, service: &ServiceName, request: &str) -> bool {
+        let taken = self.with_repeats(service, |repeats| repeats.repeat(Instant::now()));
+        let Repeat { allowed, spent, limit } = taken;
+        emit(&Event::Repeat { request, service: service.as_str(), allowed, spent, limit });
+        allowed
     }
 
     fn with_repeats<T>(&self, service: &ServiceName, f: impl FnOnce(&mut Repeats) -> T) -> T {
--- a/src/cmd/story.rs
+++ b/src/cmd/story.rs
@@ -116,7 +116,8 @@
         "wanted" => 1,
         "order" => 2,
         "holds" => 3,
-        "step" => 4,
+        "loaded" => 3,
+        "step" | "repeat" => 4,
         "answered" | "refused" | "left" => 6,
         _ => 5,
     }
--- /dev/null
+++ b/tests/unread.rs
@@ -0,0 +1,110 @@
+//! A router whose lines nobody reads.
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::json;
+use standin_platform::{Server, Store};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Requests whose lines are several times what a pipe and the buffer of the process hold.
+const REQUESTS: usize = 4_000;
+/// What one request may take, with a debug build on a busy machine.
+const LONG: Duration = Duration::from_secs(2);
+/// How long the router may take to end.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// A process that is ended with the test.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn settings(store: SocketAddr, ip: &str) -> String {
+    json!({"instance": "front-1", "domain": "hall", "callers": format!("{ip}:8000"), "ready": format!("{ip}:8001"),
+        "control": format!("{ip}:8002"), "peers": [], "metrics": format!("{ip}:8003"), "store": store.to_string(),
+        "loader-port": 7400, "grace": "4s", "bounds": {"apply": "2s", "drain": "2s"},
+        "repeats": {"ratio": 0.2, "slack": 64.0, "window": "10s"}})
+    .to_string()
+}
+
+fn config() -> serde_json::Value {
+    json!({"version": 1, "routes": [{"name": "r", "host": "shop.example", "pathPrefix": "/r/", "kind": "unsafe",
+            "timeoutMs": 5_000, "targetLatencyMs": 400, "priority": 1, "service": "app", "maxAttempts": 1}],
+        "services": [{"name": "app", "healthPath": "/health", "connectionLimit": 100}],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000}})
+}
+
+async fn exchange(stream: &mut TcpStream, text: &str) -> Option<String> {
+    stream.write_all(text.as_bytes()).await.ok()?;
+    let mut bytes = [0; 4096];
+    let count = stream.read(&mut bytes).await.ok()?;
+    Some(String::from_utf8_lossy(&bytes[..count]).into_owned())
+}
+
+#[tokio::test]
+async fn a_router_whose_lines_nobody_reads_serves_and_ends_as_usual() {
+    let store = Store::start().await;
+    let server = Server::plain("i-1").await;
+    store.put("keyed.op", "config", &config());
+    store.put("keyed.servers", "i-1", &server.entry("app", "ready"));
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = format!("127.{}.{low}.250", 64 + (high & 0x3f));
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("router.jsonc");
+    std::fs::write(&file, settings(store.addr, &ip)).expect("settings");
+    // Kept and never read.
+    let child = Command::new(env!("CARGO_BIN_EXE_hyssop-router"))
+        .arg(&file)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the router starts");
+    let mut router = Process(child);
+    let ask = "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let start = Instant::now();
+    loop {
+        if let Ok(mut stream) = TcpStream::connect(format!("{ip}:8001")).await
+            && exchange(&mut stream, ask).await.is_some_and(|text| text.contains(" 200 "))
+        {
+            break;
+        }
+        assert!(start.elapsed() < LONG * 5, "the router is never ready");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let mut stream = TcpStream::connect(format!("{ip}:8000")).await.expect("a connection");
+    for number in 0..REQUESTS {
+        let text = format!(
+            "POST /r/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-{number}\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
+        );
+        let answer = tokio::time::timeout(LONG, exchange(&mut stream, &text)).await;
+        let answer = answer.expect("in time").expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{number}: {answer}");
+    }
+    let mut metrics = TcpStream::connect(format!("{ip}:8003")).await.expect("a connection");
+    metrics
+        .write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        .await
+        .expect("asked");
+    let mut text = String::new();
+    metrics.read_to_string(&mut text).await.expect("metrics");
+    for name in ["requests_accepted_total", "queue_seconds", "store_calls_total", "resident_bytes"]
+    {
+        assert!(text.contains(name), "{name} is not in {text}");
+    }
+    drop(stream);
+    let pid = Pid::from_raw(i32::try_from(router.0.id()).expect("an id"));
+    kill(pid, Signal::SIGTERM).expect("the signal is sent");
+    let start = Instant::now();
+    while router.0.try_wait().expect("its state").is_none() {
+        assert!(start.elapsed() < GRACE, "it does not end");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
