--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -60,6 +60,10 @@
             counter!("models_wanted_total", "cause" => (*cause).to_owned()).increment(1);
             histogram!("load_expected_seconds").record(seconds(*expect_ms));
         }
+        Event::Declined { cause, .. } => {
+            let cause = if *cause == NO_ROOM { NO_ROOM } else { "no answer" };
+            counter!("models_declined_total", "cause" => cause).increment(1);
+        }
         Event::Order { work, outcome, .. } => {
             let (work, outcome) = ((*work).to_owned(), name(outcome));
             counter!("orders_total", "work" => work, "outcome" => outcome).increment(1);
@@ -116,6 +120,9 @@
     }
 }
 
+/// Why a loader declines that can be asked.
+pub const NO_ROOM: &str = "no room in time";
+
 /// The size of a page of memory, in bytes.
 const PAGE: f64 = 4096.0;
 
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -281,6 +281,17 @@
         /// Why: a request waits, or it is prepared.
         cause: &'a str,
     },
+    /// A loader did not bring a model in, or could not be asked.
+    Declined {
+        /// The model.
+        model: &'a str,
+        /// The endpoint.
+        endpoint: &'a str,
+        /// When it may be asked again.
+        after_ms: u64,
+        /// Why.
+        cause: &'a str,
+    },
     /// An order was given.
     Order {
         /// The endpoint.
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -51,6 +51,7 @@
         Event::Left { request, held_ms: 400, left_ms: 11_600 },
         Event::Repeat { request, service: "llm", allowed: false, spent: 4, limit: 4 },
         Event::Wanted { model, endpoint, expect_ms: 350, cause: "request" },
+        Event::Declined { model, endpoint, after_ms: 300, cause: crate::NO_ROOM },
         Event::Order { endpoint, work: "load", model, sequence: 5, outcome: Given::Accepted },
         Event::Loaded { endpoint, model, tier: Tier::Disk, took_ms: 380, expect_ms: 350 },
         Event::Holds { endpoint, models: 2, memory: 2, disk: 9, loading: model, version: 12 },
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -6,7 +6,7 @@
 
 use catalog::ModelId;
 use control::{EngineNews, Ensure, Poll, Verdict};
-use events::{Dependency, Event, emit, millis};
+use events::{Dependency, Event, NO_ROOM, emit, millis};
 use tokio::time::Instant;
 use units::{EndpointId, Revision, ServiceName};
 
@@ -144,17 +144,22 @@
 
 async fn ask(shared: Arc<Shared>, addr: SocketAddr, ensure: Ensure) {
     let ensured = shared.loader(addr).ensure(&ensure).await;
-    let pause = match &ensured {
+    let (pause, cause) = match &ensured {
         Ok(ensured) => match ensured.verdict {
-            Verdict::Ready => Duration::ZERO,
-            Verdict::Refused(after) => after,
+            Verdict::Ready => (Duration::ZERO, String::new()),
+            Verdict::Refused(after) => (after, NO_ROOM.to_owned()),
         },
-        Err(error) => {
-            log::debug!("router: a loader did not answer: {error}");
-            AGAIN
-        }
+        Err(error) => (AGAIN, error.to_string()),
     };
     let Ensure { endpoint: id, target, .. } = ensure;
+    if !pause.is_zero() {
+        emit(&Event::Declined {
+            model: &target.to_string(),
+            endpoint: id.as_str(),
+            after_ms: millis(pause),
+            cause: &cause,
+        });
+    }
     if let Ok(ensured) = ensured {
         shared.known.heard(&id, ensured.state, None);
     }
--- a/src/cmd/story.rs
+++ b/src/cmd/story.rs
@@ -114,6 +114,7 @@
     match event {
         "accepted" => 0,
         "wanted" => 1,
+        "declined" => 4,
         "order" => 2,
         "holds" => 3,
         "loaded" => 3,
