--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -56,6 +56,8 @@
     pub timeout: Duration,
     /// The time within which an answer, or the first event of a stream, is worth most.
     pub target: Duration,
+    /// The longest pause between two events of a stream that is on time; zero for other answers.
+    pub pause: Duration,
     /// The longest that callers wait for the first event of a stream, or for the next one.
     pub patience: Duration,
     /// How urgent it is; 0 goes first.
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -189,6 +189,10 @@
         model: &'a str,
         /// How long its caller waits.
         left_ms: u64,
+        /// The time within which its answer is to begin.
+        target_ms: u64,
+        /// The longest pause that is allowed in it; 0 if any.
+        pause_ms: u64,
     },
     /// A request took a step.
     Step {
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -18,7 +18,16 @@
         Event::Outdated { version: 3, current: 7 },
         Event::Member { endpoint, addr: "10.0.0.2:8505".to_owned(), stage: "ready" },
         Event::Suspect { endpoint, pause_ms: 250, cause: "reset" },
-        Event::Accepted { request, route: "chat", class, version: 7, model, left_ms: 12_000 },
+        Event::Accepted {
+            request,
+            route: "chat",
+            class,
+            version: 7,
+            model,
+            left_ms: 12_000,
+            target_ms: 400,
+            pause_ms: 250,
+        },
         Event::Step {
             request,
             step: Step::Sent,
--- a/components/events/src/sink/tests.rs
+++ b/components/events/src/sink/tests.rs
@@ -3,7 +3,16 @@
 use super::*;
 
 fn accepted(request: &str) -> Event<'_> {
-    Event::Accepted { request, route: "", class: "", version: 1, model: "", left_ms: 0 }
+    Event::Accepted {
+        request,
+        route: "",
+        class: "",
+        version: 1,
+        model: "",
+        left_ms: 0,
+        target_ms: 0,
+        pause_ms: 0,
+    }
 }
 
 #[test]
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -104,6 +104,8 @@
         version: catalog.version.0,
         model: &call.model.as_ref().map(ToString::to_string).unwrap_or_default(),
         left_ms: millis(left),
+        target_ms: millis(route.target),
+        pause_ms: millis(route.pause),
     });
     shared.count(&service);
     let read = tokio::time::timeout_at(due, web::read(body, catalog.limits.body)).await;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -57,6 +57,7 @@
     Windows { file: Option<PathBuf>, from: Option<Timestamp> },
     Status,
     Timeline(Filter),
+    Losses { worths: Vec<Worth>, files: Vec<PathBuf> },
     Story { request: String, files: Vec<PathBuf> },
 }
 
@@ -77,6 +78,17 @@
     pub(crate) addrs: Vec<SocketAddr>,
 }
 
+/// What a request of a class is worth.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Worth {
+    /// The class, as lines name it.
+    pub(crate) class: String,
+    /// If it is answered on time.
+    pub(crate) timely: f64,
+    /// If it is answered late.
+    pub(crate) late: f64,
+}
+
 /// What is wrong with a command line.
 #[derive(Debug, Error)]
 pub(crate) enum CliError {
@@ -88,11 +100,13 @@
     Unknown(String, &'static str),
     #[error("`{0}` is no KEY=VALUE; write for example `deadline=30s`")]
     Assignment(String),
+    #[error("`{0}` is no CLASS=ON_TIME:LATE; write for example `stream-1=2:0.59`")]
+    Worth(String),
     #[error("{0}")]
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 11] = [
+const COMMANDS: [&str; 12] = [
     "check",
     "diff",
     "pull",
@@ -101,6 +115,7 @@
     "explain",
     "reference",
     "status",
+    "losses",
     "story",
     "timeline",
     "windows",
@@ -112,6 +127,7 @@
     link: Option<Link>,
     flags: Flags,
     filter: Filter,
+    worths: Vec<Worth>,
     values: Vec<OsString>,
 }
 
@@ -156,6 +172,7 @@
             Long("request") => words.filter.request = Some(parser.value()?.parse()?),
             Long("model") => words.filter.model = Some(parser.value()?.parse()?),
             Long("endpoint") => words.filter.endpoint = Some(parser.value()?.parse()?),
+            Long("worth") => words.worths.push(worth(&parser.value()?.string()?)?),
             Value(value) => words.values.push(value),
             other => return Err(other.unexpected().into()),
         }
@@ -202,6 +219,11 @@
         "reference" => Command::Reference,
         "windows" => Command::Windows { file: values.next().map(PathBuf::from), from: flags.from },
         "status" => Command::Status,
+        "losses" => {
+            let first = file(&mut values)?;
+            let files = std::iter::once(first).chain(values.by_ref().map(PathBuf::from)).collect();
+            Command::Losses { worths: std::mem::take(&mut words.worths), files }
+        }
         "story" => {
             let request = next("ID", &mut values)?.string()?;
             let first = file(&mut values)?;
@@ -242,6 +264,16 @@
     Ok(Assignment { setting, value })
 }
 
+fn worth(word: &str) -> Result<Worth, CliError> {
+    let parts = || {
+        let (class, rest) = word.split_once('=')?;
+        let (timely, late) = rest.split_once(':')?;
+        let number = |text: &str| text.parse().ok().filter(|n: &f64| *n >= 0.0 && n.is_finite());
+        Some(Worth { class: class.to_owned(), timely: number(timely)?, late: number(late)? })
+    };
+    parts().ok_or_else(|| CliError::Worth(word.to_owned()))
+}
+
 fn nearest(name: &str) -> &'static str {
     let alike = |command: &&str| strsim::jaro(name, command);
     COMMANDS.into_iter().max_by(|a, b| alike(a).total_cmp(&alike(b))).unwrap_or("--help")
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -25,6 +25,8 @@
   status                   show the planner, the grants and every process with its revision
   timeline [ADDR...]       show the events of all processes in causal order;
                            --request ID, --model M and --endpoint E choose
+  losses FILE...           show by class of request how many were on time and what the others lost, from the
+                           same lines; --worth CLASS=ON_TIME:LATE weighs a class, such as stream-1=2:0.59
   story ID FILE...         tell what became of one request, from the log lines of routers and loaders;
                            needs no network
 
--- a/src/cmd/story.rs
+++ b/src/cmd/story.rs
@@ -2,37 +2,20 @@
 
 use std::collections::BTreeSet;
 use std::io::Write;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::error::{CmdError, Exit};
+use crate::lines::{self, Line, Read};
 
 /// Lines about the endpoints and the model of a request are told if they are this close to it, in milliseconds: a
 /// load from a weight store and a pause of the store fit into it.
 const AROUND: u64 = 10_000;
 
-/// A line of a log.
-#[derive(Debug, Clone)]
-struct Line {
-    time: u64,
-    fields: Map<String, Value>,
-}
-
-/// What was read, and what could not be.
-#[derive(Debug, Default)]
-struct Read {
-    lines: Vec<Line>,
-    broken: usize,
-    foreign: usize,
-}
-
 /// Tells the story of one request.
 pub(crate) fn run(request: &str, files: &[PathBuf], out: &mut dyn Write) -> Result<Exit, CmdError> {
-    let mut read = Read::default();
-    for file in files {
-        read_file(file, &mut read)?;
-    }
+    let read = lines::read(files)?;
     let own: Vec<&Line> =
         read.lines.iter().filter(|line| line.text("request") == request).collect();
     let (Some(first), Some(last)) =
@@ -51,32 +34,6 @@
     Ok(Exit::Done)
 }
 
-impl Line {
-    fn text(&self, name: &str) -> &str {
-        self.fields.get(name).and_then(Value::as_str).unwrap_or("")
-    }
-}
-
-/// Reads the JSON of each line, whatever a collector wrote before it.
-fn read_file(file: &Path, read: &mut Read) -> Result<(), CmdError> {
-    let bytes =
-        std::fs::read(file).map_err(|cause| CmdError::File { file: file.to_owned(), cause })?;
-    for text in String::from_utf8_lossy(&bytes).lines() {
-        let Some(start) = text.find("{\"time_ms\"") else {
-            read.foreign += usize::from(!text.trim().is_empty());
-            continue;
-        };
-        match serde_json::from_str::<Map<String, Value>>(&text[start..]) {
-            Ok(fields) => {
-                let time = fields.get("time_ms").and_then(Value::as_u64).unwrap_or(0);
-                read.lines.push(Line { time, fields });
-            }
-            Err(_) => read.broken += 1,
-        }
-    }
-    Ok(())
-}
-
 /// The request's own lines, and those about its endpoints, its model and what its processes depend on.
 fn related<'a>(lines: &'a [Line], own: &[&Line], first: u64, last: u64) -> Vec<&'a Line> {
     let endpoints: BTreeSet<&str> = own.iter().map(|line| line.text("endpoint")).collect();
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 mod error;
 mod files;
 mod fleet;
+mod lines;
 mod session;
 
 use cli::{Command, parse_args};
@@ -64,6 +65,7 @@
             cmd::windows::run(&connect().await?, file.as_deref(), *from, out)
         }
         Command::Status => cmd::status::run(&connect().await?, out).await,
+        Command::Losses { worths, files } => cmd::losses::run(worths, files, out),
         Command::Story { request, files } => cmd::story::run(request, files, out),
         Command::Timeline(filter) => cmd::timeline::run(&connect().await?, filter, out).await,
     }
