hyssop-load soak: routers and loaders as processes, faults from outside, promises checked

Seeded: links cut, slow, lossy, silent or closed; processes stopped, paused, killed and started again; servers, store and configurations that misbehave; callers stay on their connections.

--- a/components/load/src/children.rs
+++ b/components/load/src/children.rs
@@ -147,6 +147,11 @@
         self.child.id()
     }
 
+    /// Whether it has ended.
+    pub(crate) fn over(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends a signal to it, if it has not ended.
     pub(crate) fn signal(&self, signal: Signal) -> Result<(), ChildError> {
         let failed = |cause: String| ChildError::Signal { name: self.launch.name.clone(), cause };
--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::ffi::OsString;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -9,9 +10,11 @@
 
 use crate::affinity;
 use crate::bench::{self, BenchError};
+use crate::children::ChildError;
 use crate::run::{self, RunError};
 use crate::scale::{self, ScaleError, UnknownPart};
 use crate::site::{Sample, UnknownSample};
+use crate::soak;
 use crate::trial::{self, Trial};
 
 const HELP: &str = "\
@@ -22,10 +25,12 @@
        hyssop-load bench [--bin DIR] [--out DIR]
        hyssop-load affinity [--bin DIR] [--out DIR]
        hyssop-load scale [--part real|large|calls] [--bin DIR] [--out DIR]
+       hyssop-load soak [--seeds FROM..TO] [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
   --deployment  the sample to start; press unless given
   --bin         the folder with the programs; that of hyssop-load unless given
+  --seeds       the seeds of the soak, the last one left out; 1..4 unless given
   --part        the part of the bench to run; the others keep their last results
   --out         the folder for settings files, logs and results; try-logs or results unless given
 
@@ -44,6 +49,7 @@
     Bench(bench::Job),
     Affinity(affinity::Job),
     Scale(scale::Job),
+    Soak(soak::Job),
 }
 
 /// What is wrong with the command line.
@@ -55,9 +61,13 @@
     Sample(#[from] UnknownSample),
     #[error(transparent)]
     Part(#[from] UnknownPart),
-    #[error("no command; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
+    #[error("`{0}` are no seeds; write for example `1..51`")]
+    Seeds(String),
+    #[error("no command; use `try`, `run`, `bench`, `affinity`, `scale` or `soak`, or `--help`")]
     NoCommand,
-    #[error("no command `{0}`; use `try`, `run`, `bench`, `affinity` or `scale`, or `--help`")]
+    #[error(
+        "no command `{0}`; use `try`, `run`, `bench`, `affinity`, `scale` or `soak`, or `--help`"
+    )]
     Unknown(String),
     #[error(
         "no experiment; name one, as in `hyssop-load run examples/experiments/log-outage.jsonc`"
@@ -71,6 +81,8 @@
     #[error(transparent)]
     Run(#[from] RunError),
     #[error(transparent)]
+    Soak(#[from] ChildError),
+    #[error(transparent)]
     Bench(#[from] BenchError),
     #[error(transparent)]
     Scale(#[from] ScaleError),
@@ -115,6 +127,7 @@
         "bench" => parse_bench(parser),
         "affinity" => parse_affinity(parser),
         "scale" => parse_scale(parser),
+        "soak" => parse_soak(parser),
         _ => Err(UsageError::Unknown(command)),
     }
 }
@@ -149,6 +162,30 @@
     Ok(Task::Run(run::Job { file, bin, out }))
 }
 
+fn parse_soak(mut parser: lexopt::Parser) -> Result<Task, UsageError> {
+    let mut job =
+        soak::Job { seeds: 1..4, bin: trial::own_folder(), out: PathBuf::from("soak-logs") };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("seeds") => job.seeds = seeds(&parser.value()?.string()?)?,
+            Arg::Long("bin") => job.bin = parser.value()?.into(),
+            Arg::Long("out") => job.out = parser.value()?.into(),
+            Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Task::Soak(job))
+}
+
+fn seeds(text: &str) -> Result<Range<u64>, UsageError> {
+    let ends = || {
+        let (from, to) = text.split_once("..")?;
+        let (from, to) = (from.parse().ok()?, to.parse().ok()?);
+        (from < to).then_some(from..to)
+    };
+    ends().ok_or_else(|| UsageError::Seeds(text.to_owned()))
+}
+
 /// Where the programs are and results go.
 struct Folders {
     bin: PathBuf,
@@ -205,6 +242,7 @@
         Task::Affinity(job) => runtime.block_on(affinity::run(job))?,
         Task::Bench(job) => runtime.block_on(bench::run(job))?,
         Task::Scale(job) => runtime.block_on(scale::run(job))?,
+        Task::Soak(job) => return Ok(runtime.block_on(soak::run(&job))?),
     }
     Ok(true)
 }
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -24,6 +24,7 @@
 mod run;
 mod scale;
 mod site;
+mod soak;
 mod table;
 mod trace;
 mod trial;
--- /dev/null
+++ b/components/load/src/soak.rs
@@ -0,0 +1,131 @@
+//! A soak: routers and loaders as processes before the stand-ins, seeded faults from outside, promises checked.
+//!
+//! Faults come in series and overlap: links that are cut, slow, lossy or silent, processes that are stopped, paused,
+//! killed and started again, servers and a store that misbehave, versions of the configuration in a row. Callers go on
+//! using their connections until the process behind them is gone.
+
+mod world;
+
+use std::ops::Range;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use standin_platform::{Act, Fault, Harm};
+use tokio::time::{Instant, sleep};
+
+use crate::children::ChildError;
+use world::World;
+
+/// How long faults go on in one seed.
+const PLAYED: Duration = Duration::from_secs(8);
+/// Within this time after the last fault all kinds of requests are served again.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Callers at a time.
+const CALLERS: u64 = 12;
+/// The longest that a process is paused.
+const PAUSED: u64 = 2_500;
+
+/// What is to be played.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// The seeds.
+    pub(crate) seeds: Range<u64>,
+    /// Where the programs are.
+    pub(crate) bin: PathBuf,
+    /// Where settings and logs go, a folder for each seed.
+    pub(crate) out: PathBuf,
+}
+
+/// Plays all seeds; whether every promise held.
+pub(crate) async fn run(job: &Job) -> Result<bool, ChildError> {
+    let mut failed = Vec::new();
+    for seed in job.seeds.clone() {
+        let out = job.out.join(format!("seed-{seed}"));
+        let start = Instant::now();
+        let (calls, broken) = play(seed, job, out.clone()).await?;
+        println!("seed {seed}: {calls} calls, {} broken, {:.0?}", broken.len(), start.elapsed());
+        for line in broken.iter().take(8) {
+            println!("  {line}");
+        }
+        if !broken.is_empty() {
+            println!(
+                "  again: hyssop-load soak --seeds {seed}..{}; logs: {}",
+                seed + 1,
+                out.display()
+            );
+            failed.push(seed);
+        }
+    }
+    println!(
+        "{} seeds, {} with a promise broken {failed:?}",
+        job.seeds.clone().count(),
+        failed.len()
+    );
+    Ok(failed.is_empty())
+}
+
+async fn play(seed: u64, job: &Job, out: PathBuf) -> Result<(usize, Vec<String>), ChildError> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut world = World::start(&job.bin, &out).await?;
+    let shared = world.shared.clone();
+    let until = Instant::now() + PLAYED;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| tokio::spawn(shared.clone().caller(seed * CALLERS + caller, until)))
+        .collect();
+    while Instant::now() < until {
+        disturb(&mut world, &mut rng)?;
+        sleep(Duration::from_millis(rng.random_range(30..400))).await;
+        world.tend()?;
+        if rng.random_bool(0.25) {
+            world.mend();
+        }
+    }
+    world.mend();
+    world.revive().await?;
+    for caller in callers {
+        // A caller that panicked is told of by its missing calls.
+        let _ = caller.await;
+    }
+    let mut broken = shared.broken();
+    let recovered = tokio::time::timeout(RECOVERY, Arc::clone(&shared).until_served()).await;
+    if recovered.is_err() {
+        broken.push(format!("not all kinds are served {RECOVERY:?} after the last fault"));
+    }
+    Ok((shared.count(), broken))
+}
+
+/// One fault.
+fn disturb(world: &mut World, rng: &mut ChaCha8Rng) -> Result<(), ChildError> {
+    let shared = world.shared.clone();
+    let plain = &shared.plain[rng.random_range(0..shared.plain.len())];
+    let engine = &shared.engines[rng.random_range(0..shared.engines.len())];
+    let link = &world.links[rng.random_range(0..world.links.len())];
+    let process = rng.random_range(0..world.processes());
+    match rng.random_range(0..20) {
+        0 => plain.act([Act::Reset, Act::Foreign, Act::Unsigned]),
+        1 => plain.act([Act::Cut, Act::Fail]),
+        2 => plain.act(vec![Act::Shed; 6]),
+        3 => plain.act([Act::Stall, Act::Slow(Duration::from_millis(300))]),
+        4 => engine.act([Act::Events(1, 3, false), Act::Reset]),
+        5 => engine.act(vec![Act::Shed; 3]),
+        6 => engine.freeze(true),
+        7 => shared.store.fail(Fault::Busy),
+        8 => shared.store.fail(Fault::Silent),
+        9 => shared.store.forget(),
+        10 => world.configure(),
+        11 => shared.store.list(plain, "app", Some("draining")),
+        12 => link.harm(Harm::Cut),
+        13 => link.harm(Harm::Lossy),
+        14 => link.harm(Harm::Slow(Duration::from_millis(rng.random_range(5..80)))),
+        15 => link.silence(),
+        16 => link.reset(),
+        17 => world.signal(process, Signal::SIGTERM)?,
+        18 => world.signal(process, Signal::SIGKILL)?,
+        _ => world.pause(process, Duration::from_millis(rng.random_range(200..PAUSED)))?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/components/load/src/soak/world.rs
@@ -0,0 +1,311 @@
+//! The processes and stand-ins of a soak.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use standin_platform::{
+    Act, Call, Connection, Fault, Harm, Link, Server, Store, broken, engine, exchange,
+};
+use tokio::time::{Instant, sleep};
+
+use crate::children::{ChildError, Launch, Process};
+
+const KINDS: [&str; 4] = ["safe", "unsafe", "stream", "resumable"];
+const MODELS: [&str; 3] = ["a", "b", "c"];
+/// The port of all loaders.
+const LOADER: u16 = 7_400;
+/// How long a process may take to end when it is asked to.
+const ENDING: Duration = Duration::from_secs(10);
+/// A connection is used for this many requests at most.
+const KEPT: u32 = 40;
+
+/// What the callers share with the faults.
+pub(super) struct Shared {
+    pub(super) store: Store,
+    pub(super) plain: Vec<Server>,
+    pub(super) engines: Vec<Server>,
+    routers: Vec<SocketAddr>,
+    calls: Mutex<Vec<Call>>,
+    next: AtomicU64,
+}
+
+/// A process and what is to happen to it.
+struct Child {
+    launch: Launch,
+    process: Option<Process>,
+    wakes: Option<Instant>,
+}
+
+/// Everything.
+pub(super) struct World {
+    pub(super) shared: Arc<Shared>,
+    pub(super) links: Vec<Link>,
+    children: Vec<Child>,
+    version: u64,
+}
+
+/// The addresses of one world: no other one of this process has them, and hardly one of another process.
+#[derive(Debug, Clone, Copy)]
+struct Addresses {
+    process: u8,
+    world: u8,
+}
+
+impl Addresses {
+    fn new() -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let [_, _, _, low] = std::process::id().to_be_bytes();
+        Self { process: 128 | low, world: NEXT.fetch_add(1, Ordering::Relaxed) }
+    }
+
+    fn ip(self, last: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.process, self.world, last))
+    }
+}
+
+fn write(file: &Path, settings: &Value) -> Result<(), ChildError> {
+    std::fs::write(file, settings.to_string())
+        .map_err(|cause| ChildError::Start { program: file.to_owned(), cause })
+}
+
+impl World {
+    /// Starts three routers, two loaders and what is around them.
+    pub(super) async fn start(bin: &Path, out: &Path) -> Result<Self, ChildError> {
+        std::fs::create_dir_all(out)
+            .map_err(|cause| ChildError::Start { program: out.to_owned(), cause })?;
+        let addresses = Addresses::new();
+        let store = Store::start().await;
+        store.configure(1, &KINDS);
+        let (mut plain, mut engines) = (Vec::new(), Vec::new());
+        let (mut links, mut children) = (Vec::new(), Vec::new());
+        for index in 0..3 {
+            let server = Server::plain(&format!("p-{index}")).await;
+            store.list(&server, "app", Some("ready"));
+            plain.push(server);
+        }
+        for (index, loaded) in (0_u8..).zip([["a", "b"], ["b", "c"]]) {
+            let (near, behind) = (addresses.ip(50 + index), addresses.ip(80 + index));
+            let server = Server::engine(&format!("e-{index}"), near, engine(&loaded)).await;
+            server.always(Act::Events(1, 6, true));
+            store.list(&server, "llm", Some("ready"));
+            links.push(Link::start((near, LOADER).into(), (behind, LOADER).into()).await);
+            let to_store = Link::start((behind, 0).into(), store.addr).await;
+            let settings = json!({"instance": format!("side-{index}"), "listen": SocketAddr::from((behind, LOADER)),
+                "endpoint": server.addr, "store": to_store.addr});
+            links.push(to_store);
+            children.push(Child::new("hyssop-loader", index, &settings, bin, out)?);
+            engines.push(server);
+        }
+        let mut routers = Vec::new();
+        let control: Vec<SocketAddr> =
+            (0..3).map(|index| (addresses.ip(10 + index), 8_002).into()).collect();
+        for index in 0..3 {
+            let ip = addresses.ip(10 + index);
+            let at = |port| SocketAddr::from((ip, port));
+            let to_store = Link::start(at(0), store.addr).await;
+            let settings = json!({"instance": format!("front-{index}"), "domain": "hall", "callers": at(8_000),
+                "ready": at(8_001), "control": at(8_002), "peers": control, "store": to_store.addr,
+                "loader-port": LOADER, "grace": "4s", "bounds": {"apply": "2s", "drain": "2s"},
+                "repeats": {"ratio": 0.2, "slack": 320.0, "window": "10s"}});
+            links.push(to_store);
+            children.push(Child::new("hyssop-router", index, &settings, bin, out)?);
+            routers.push(at(8_000));
+        }
+        let shared = Shared {
+            store,
+            plain,
+            engines,
+            routers,
+            calls: Mutex::default(),
+            next: AtomicU64::new(1),
+        };
+        let mut world = Self { shared: Arc::new(shared), links, children, version: 1 };
+        world.tend()?;
+        world.shared.clone().until_served().await;
+        Ok(world)
+    }
+
+    /// How many processes there are.
+    pub(super) fn processes(&self) -> usize {
+        self.children.len()
+    }
+
+    /// A new version of the configuration.
+    pub(super) fn configure(&mut self) {
+        self.version += 1;
+        self.shared.store.configure(self.version, &KINDS);
+    }
+
+    /// Sends a signal to a process, which is started again once it has ended.
+    pub(super) fn signal(&mut self, index: usize, signal: Signal) -> Result<(), ChildError> {
+        match &self.children[index] {
+            Child { process: Some(process), wakes: None, .. } if process.id().is_some() => {
+                process.signal(signal)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Lets a process stand still for a while.
+    pub(super) fn pause(&mut self, index: usize, time: Duration) -> Result<(), ChildError> {
+        self.signal(index, Signal::SIGSTOP)?;
+        self.children[index].wakes.get_or_insert(Instant::now() + time);
+        Ok(())
+    }
+
+    /// Wakes what has stood still for long enough, and starts what has ended.
+    pub(super) fn tend(&mut self) -> Result<(), ChildError> {
+        let now = Instant::now();
+        for child in &mut self.children {
+            if child.wakes.is_some_and(|wakes| wakes <= now) {
+                child.wake()?;
+            }
+            if child.process.as_mut().is_none_or(Process::over) {
+                child.process = Some(child.launch.clone().start()?);
+                child.wakes = None;
+            }
+        }
+        Ok(())
+    }
+
+    /// Mends links, store and servers.
+    pub(super) fn mend(&self) {
+        let Shared { store, plain, engines, .. } = &*self.shared;
+        store.fail(Fault::None);
+        self.links.iter().for_each(|link| link.harm(Harm::None));
+        engines.iter().for_each(|server| server.freeze(false));
+        plain.iter().for_each(|server| store.list(server, "app", Some("ready")));
+    }
+
+    /// Wakes all processes and starts those that have ended.
+    pub(super) async fn revive(&mut self) -> Result<(), ChildError> {
+        for child in &mut self.children {
+            child.wake()?;
+        }
+        // Those that were asked to end are given the time for it.
+        let until = Instant::now() + ENDING;
+        while Instant::now() < until {
+            sleep(Duration::from_millis(100)).await;
+            self.tend()?;
+            if self.shared.all_ready().await {
+                break;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Child {
+    fn new(
+        program: &str,
+        index: u8,
+        settings: &Value,
+        bin: &Path,
+        out: &Path,
+    ) -> Result<Self, ChildError> {
+        let name = format!("{program}-{index}");
+        let file: PathBuf = out.join(format!("{name}.jsonc"));
+        write(&file, settings)?;
+        let launch = Launch {
+            program: bin.join(program),
+            settings: file,
+            log: out.join(format!("{name}.log")),
+            // These programs have none.
+            admin: (Ipv4Addr::LOCALHOST, 0).into(),
+            name,
+        };
+        Ok(Self { launch, process: None, wakes: None })
+    }
+
+    fn wake(&mut self) -> Result<(), ChildError> {
+        match (&self.process, self.wakes.take()) {
+            (Some(process), Some(_)) if process.id().is_some() => process.signal(Signal::SIGCONT),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Shared {
+    fn calls(&self) -> MutexGuard<'_, Vec<Call>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls so far.
+    pub(super) fn count(&self) -> usize {
+        self.calls().len()
+    }
+
+    /// The promises that were broken, a line each.
+    pub(super) fn broken(&self) -> Vec<String> {
+        let servers: Vec<Server> = self.plain.iter().chain(&self.engines).cloned().collect();
+        broken(&self.calls(), &servers)
+    }
+
+    /// One caller: it stays on its connection while that answers, and then goes to another router.
+    pub(super) async fn caller(self: Arc<Self>, seed: u64, until: Instant) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        while Instant::now() < until {
+            let router = self.routers[rng.random_range(0..self.routers.len())];
+            let Some(mut connection) = Connection::open(router).await else {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            for _ in 0..rng.random_range(1..KEPT) {
+                let kind = KINDS[rng.random_range(0..KINDS.len())];
+                let model = MODELS[rng.random_range(0..MODELS.len())];
+                let goes_on = self.call(&mut connection, kind, model).await;
+                if !goes_on || Instant::now() >= until {
+                    break;
+                }
+                sleep(Duration::from_millis(rng.random_range(1..20))).await;
+            }
+        }
+    }
+
+    /// One call; whether the connection can be used again.
+    async fn call(&self, connection: &mut Connection, kind: &'static str, model: &str) -> bool {
+        let id = format!("r-{}", self.next.fetch_add(1, Ordering::Relaxed));
+        let start = Instant::now();
+        let answer = connection.call(&request(kind, &id, model, "")).await;
+        let goes_on = answer.as_ref().is_some_and(|answer| {
+            answer.whole && answer.header("connection").is_none_or(|text| text != "close")
+        });
+        self.calls().push(Call { id, kind, answer, took: start.elapsed() });
+        goes_on
+    }
+
+    /// Waits until each router serves each kind.
+    pub(super) async fn until_served(self: Arc<Self>) {
+        while !self.all_ready().await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn all_ready(&self) -> bool {
+        for router in &self.routers {
+            for kind in KINDS {
+                let id = format!("probe-{}", self.next.fetch_add(1, Ordering::Relaxed));
+                let text = request(kind, &id, MODELS[0], "Connection: close\r\n");
+                let answer = exchange(*router, text.as_bytes()).await;
+                if answer.is_none_or(|answer| answer.status != 200) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
+
+fn request(kind: &str, id: &str, model: &str, more: &str) -> String {
+    format!(
+        "POST /{kind}/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
+         Model: {model}\r\nContent-Length: 0\r\n{more}\r\n"
+    )
+}
