--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,10 @@
 # How many cases each property gets from `make fuzz`, and the seed they start from.
 CASES ?= 20000
 SEED ?= 1
+# Which seeds `make soak` plays, the last one left out.
+SEEDS ?= 1..4
 
-.PHONY: help setup build try test lint bench bench-affinity scale bench-entry fuzz
+.PHONY: help setup build try test lint bench bench-affinity scale bench-entry soak fuzz
 
 help:
 	@echo "make setup   install what the build needs (cmake)"
@@ -21,6 +23,7 @@
 	@echo "make bench-affinity   measure what cached prompt prefixes save"
 	@echo "make bench-entry   measure what an entry adds to a call"
 	@echo "make scale   measure what each role takes at several sizes, beside the last result"
+	@echo "make soak   play seeds of faults against routers and loaders as processes (SEEDS=1..51)"
 	@echo "make fuzz    run the property tests with many more cases (CASES, SEED), and the long tests"
 
 setup:
@@ -55,6 +58,10 @@
 	$(CARGO) build $(FLAGS) --release --workspace --bins
 	$(CARGO) run $(FLAGS) --release --quiet --bin hyssop-load -- scale
 
+soak: setup
+	$(CARGO) build $(FLAGS) --bins
+	$(CARGO) run $(FLAGS) --quiet --bin hyssop-load -- soak --seeds $(SEEDS)
+
 fuzz: setup
 	PROPTEST_CASES=$(CASES) PROPTEST_RNG_SEED=$(SEED) LONG=1 FLAGS="$(FLAGS)" .ci/test
 	FUZZ_CASES=$(CASES) FUZZ_SEED=$(SEED) $(CARGO) test $(FLAGS) --release -p state --test fuzz -- --ignored
--- a/components/load/src/soak/world.rs
+++ b/components/load/src/soak/world.rs
@@ -1,8 +1,8 @@
 //! The processes and stand-ins of a soak.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -41,6 +41,8 @@
     launch: Launch,
     process: Option<Process>,
     wakes: Option<Instant>,
+    /// Whether it was asked to end; it serves a little longer.
+    ending: bool,
 }
 
 /// Everything.
@@ -51,22 +53,26 @@
     version: u64,
 }
 
-/// The addresses of one world: no other one of this process has them, and hardly one of another process.
+/// The addresses of one world.
 #[derive(Debug, Clone, Copy)]
 struct Addresses {
-    process: u8,
-    world: u8,
+    second: u8,
+    third: u8,
 }
 
 impl Addresses {
-    fn new() -> Self {
-        static NEXT: AtomicU8 = AtomicU8::new(1);
-        let [_, _, _, low] = std::process::id().to_be_bytes();
-        Self { process: 128 | low, world: NEXT.fetch_add(1, Ordering::Relaxed) }
+    /// Addresses that no other world has, of this process or another one.
+    fn free() -> Self {
+        loop {
+            let found = Self { second: 128 | rand::random::<u8>(), third: rand::random() };
+            if TcpListener::bind((found.ip(50), LOADER)).is_ok() {
+                return found;
+            }
+        }
     }
 
     fn ip(self, last: u8) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(127, self.process, self.world, last))
+        IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, last))
     }
 }
 
@@ -80,7 +86,7 @@
     pub(super) async fn start(bin: &Path, out: &Path) -> Result<Self, ChildError> {
         std::fs::create_dir_all(out)
             .map_err(|cause| ChildError::Start { program: out.to_owned(), cause })?;
-        let addresses = Addresses::new();
+        let addresses = Addresses::free();
         let store = Store::start().await;
         store.configure(1, &KINDS);
         let (mut plain, mut engines) = (Vec::new(), Vec::new());
@@ -143,14 +149,17 @@
         self.shared.store.configure(self.version, &KINDS);
     }
 
-    /// Sends a signal to a process, which is started again once it has ended.
+    /// Sends a signal to a process that runs; it is started again once it has ended.
     pub(super) fn signal(&mut self, index: usize, signal: Signal) -> Result<(), ChildError> {
-        match &self.children[index] {
-            Child { process: Some(process), wakes: None, .. } if process.id().is_some() => {
-                process.signal(signal)
-            }
-            _ => Ok(()),
+        let child = &mut self.children[index];
+        let Some(process) = child.process.as_ref().filter(|process| process.id().is_some()) else {
+            return Ok(());
+        };
+        if child.wakes.is_none() {
+            process.signal(signal)?;
+            child.ending |= signal == Signal::SIGTERM;
         }
+        Ok(())
     }
 
     /// Lets a process stand still for a while.
@@ -169,7 +178,7 @@
             }
             if child.process.as_mut().is_none_or(Process::over) {
                 child.process = Some(child.launch.clone().start()?);
-                child.wakes = None;
+                (child.wakes, child.ending) = (None, false);
             }
         }
         Ok(())
@@ -194,7 +203,7 @@
         while Instant::now() < until {
             sleep(Duration::from_millis(100)).await;
             self.tend()?;
-            if self.shared.all_ready().await {
+            if !self.children.iter().any(|child| child.ending) && self.shared.all_ready().await {
                 break;
             }
         }
@@ -221,7 +230,7 @@
             admin: (Ipv4Addr::LOCALHOST, 0).into(),
             name,
         };
-        Ok(Self { launch, process: None, wakes: None })
+        Ok(Self { launch, process: None, wakes: None, ending: false })
     }
 
     fn wake(&mut self) -> Result<(), ChildError> {
