--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -47,6 +47,7 @@
         self.give_back();
     }
 
+    /// Takes its prompt off what the endpoint has still to read.
     fn give_back(&mut self) {
         let prompt = std::mem::take(&mut self.prompt);
         if prompt > 0
--- a/components/router/src/signs.rs
+++ b/components/router/src/signs.rs
@@ -23,7 +23,8 @@
     Sound,
     /// It may stand still: it is asked for a sign first.
     Doubtful,
-    /// It has been silent for too long: one request at a time, until it sends something.
+    /// It has been silent for too long: it gets nothing until it gives a sign, or one request at a time if it can't be
+    /// asked for one.
     Still,
 }
 
