A request that waits for a model when its router ends is refused, not cut

Change: what has no place when the router takes no connections any more is refused with 503 and Retry-After. Test: a route with such patience, a model nobody loads, SIGTERM: cut before, 503 now.

--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -110,7 +110,15 @@
             due: self.start,
             tried: &self.tried,
         };
-        match tokio::time::timeout_at(self.start, choose::place(&self.shared, wanted)).await {
+        let mut closing = self.shared.closing.subscribe();
+        let placed = tokio::select! {
+            placed = tokio::time::timeout_at(self.start, choose::place(&self.shared, wanted)) => placed,
+            // What waits on could not be finished before the process ends.
+            _ = closing.wait_for(|closing| *closing) => {
+                return Err(self.failed(Refusal::Stopping, Some(SOON)));
+            }
+        };
+        match placed {
             Ok(Ok(place)) => Ok(place),
             Ok(Err(NoPlace::NoEndpoint(after))) => {
                 Err(self.failed(Refusal::NoEndpoint, Some(after)))
--- a/components/router/src/serve.rs
+++ b/components/router/src/serve.rs
@@ -54,6 +54,7 @@
     }
     drop(listener);
     stop.send_replace(true);
+    shared.closing.send_replace(true);
     let Span(grace) = shared.settings.borrow().grace;
     let left = grace.saturating_sub(LINGER).saturating_sub(MARGIN);
     let all = async { while connections.join_next().await.is_some() {} };
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -28,6 +28,8 @@
     pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
     pub(crate) known: Known,
     pub(crate) shutdown: Shutdown,
+    /// Whether it takes no connections any more, since it is ending: what has no place by then is refused.
+    pub(crate) closing: watch::Sender<bool>,
     /// Requests in flight.
     pub(crate) flying: AtomicUsize,
     pub(crate) client: Client,
@@ -45,6 +47,7 @@
             catalog: watch::Sender::new(None),
             known: Known::default(),
             shutdown: process.shutdown.clone(),
+            closing: watch::Sender::new(false),
             flying: AtomicUsize::new(0),
             client: Client::default(),
             repeats: Mutex::default(),
