The test of unread lines uses the stand-in's caller and configuration instead of its own

It wrote a request loop, a readiness poll and a configuration of its own before these stood in the stand-in. Its assertions are the same, and each answer must now be whole as well. Only this test file changed.

--- a/tests/unread.rs
+++ b/tests/unread.rs
@@ -7,9 +7,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::json;
-use standin_platform::{Server, Store};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use standin_platform::{Connection, Server, Store, exchange};
 
 /// Requests whose lines are several times what a pipe and the buffer of the process hold.
 const REQUESTS: usize = 4_000;
@@ -36,26 +34,12 @@
     .to_string()
 }
 
-fn config() -> serde_json::Value {
-    json!({"version": 1, "routes": [{"name": "r", "host": "shop.example", "pathPrefix": "/r/", "kind": "unsafe",
-            "timeoutMs": 5_000, "targetLatencyMs": 400, "priority": 1, "service": "app", "maxAttempts": 1}],
-        "services": [{"name": "app", "healthPath": "/health", "connectionLimit": 100}],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000}})
-}
-
-async fn exchange(stream: &mut TcpStream, text: &str) -> Option<String> {
-    stream.write_all(text.as_bytes()).await.ok()?;
-    let mut bytes = [0; 4096];
-    let count = stream.read(&mut bytes).await.ok()?;
-    Some(String::from_utf8_lossy(&bytes[..count]).into_owned())
-}
-
 #[tokio::test]
 async fn a_router_whose_lines_nobody_reads_serves_and_ends_as_usual() {
     let store = Store::start().await;
     let server = Server::plain("i-1").await;
-    store.put("keyed.op", "config", &config());
-    store.put("keyed.servers", "i-1", &server.entry("app", "ready"));
+    store.configure(1, &["unsafe"]);
+    store.list(&server, "app", Some("ready"));
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let ip = format!("127.{}.{low}.250", 64 + (high & 0x3f));
     let folder = tempfile::tempdir().expect("a folder");
@@ -70,36 +54,29 @@
     let mut router = Process(child);
     let ask = "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
     let start = Instant::now();
-    loop {
-        if let Ok(mut stream) = TcpStream::connect(format!("{ip}:8001")).await
-            && exchange(&mut stream, ask).await.is_some_and(|text| text.contains(" 200 "))
-        {
-            break;
-        }
+    let ready = format!("{ip}:8001").parse().expect("an address");
+    while exchange(ready, ask.as_bytes()).await.is_none_or(|answer| answer.status != 200) {
         assert!(start.elapsed() < LONG * 5, "the router is never ready");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    let mut stream = TcpStream::connect(format!("{ip}:8000")).await.expect("a connection");
+    let callers = format!("{ip}:8000").parse().expect("an address");
+    let mut connection = Connection::open(callers).await.expect("a connection");
     for number in 0..REQUESTS {
         let text = format!(
-            "POST /r/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-{number}\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
+            "POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-{number}\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
         );
-        let answer = tokio::time::timeout(LONG, exchange(&mut stream, &text)).await;
+        let answer = tokio::time::timeout(LONG, connection.call(&text)).await;
         let answer = answer.expect("in time").expect("an answer");
-        assert!(answer.starts_with("HTTP/1.1 200"), "{number}: {answer}");
+        assert!(answer.status == 200 && answer.whole, "{number}: {answer:?}");
     }
-    let mut metrics = TcpStream::connect(format!("{ip}:8003")).await.expect("a connection");
-    metrics
-        .write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        .await
-        .expect("asked");
-    let mut text = String::new();
-    metrics.read_to_string(&mut text).await.expect("metrics");
+    let metrics = format!("{ip}:8003").parse().expect("an address");
+    let ask = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let text = exchange(metrics, ask.as_bytes()).await.expect("metrics").body;
     for name in ["requests_accepted_total", "queue_seconds", "store_calls_total", "resident_bytes"]
     {
         assert!(text.contains(name), "{name} is not in {text}");
     }
-    drop(stream);
+    drop(connection);
     let pid = Pid::from_raw(i32::try_from(router.0.id()).expect("an id"));
     kill(pid, Signal::SIGTERM).expect("the signal is sent");
     let start = Instant::now();
