--- a/components/events/src/sink.rs
+++ b/components/events/src/sink.rs
@@ -18,6 +18,9 @@
 const SAMPLE: u64 = 8;
 /// Lines are written together after this time, since each write is a system call.
 const GATHER: Duration = Duration::from_millis(250);
+/// Whole lines are written together up to this size, the least that a pipe takes in one piece: a reader that takes no
+/// more at a time lost the middle of longer ones, and with it the end of one request in eight.
+const PIECE: usize = 4_096;
 /// The writer only formats nothing and copies one buffer.
 const STACK: usize = 64 << 10;
 
@@ -100,12 +103,24 @@
             (std::mem::take(&mut buffer.bytes), std::mem::take(&mut buffer.dropped))
         };
         // Nobody can be told that standard output is gone.
-        let _ = std::io::stdout().write_all(&bytes);
+        let _ = write_lines(&mut std::io::stdout(), &bytes);
         if dropped > 0 {
             emit(&Event::Dropped { lines: dropped });
         }
     }
 }
 
+/// Writes whole lines in pieces of at most [`PIECE`] bytes; a longer line is a piece of its own.
+fn write_lines(out: &mut impl Write, mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        let whole = bytes[..bytes.len().min(PIECE)].iter().rposition(|byte| *byte == b'\n');
+        let end = whole.or_else(|| bytes.iter().position(|byte| *byte == b'\n'));
+        let (piece, rest) = bytes.split_at(end.map_or(bytes.len(), |end| end + 1));
+        out.write_all(piece)?;
+        bytes = rest;
+    }
+    Ok(())
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/events/src/sink/tests.rs
+++ b/components/events/src/sink/tests.rs
@@ -43,3 +43,39 @@
 fn keeps_nothing_when_it_is_full() {
     assert!(!admit(BUFFER, &accepted("r")));
 }
+
+/// A reader that takes at most this many bytes of each write and loses the rest.
+struct Narrow {
+    most: usize,
+    taken: Vec<u8>,
+}
+
+impl Write for Narrow {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.taken.extend_from_slice(&bytes[..bytes.len().min(self.most)]);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_reach_a_reader_that_takes_small_pieces_whole() {
+    let text: String = (0..2_000)
+        .map(|n| format!("{{\"line\":{n},\"cause\":\"{}\"}}\n", "x".repeat(n % 300)))
+        .collect();
+    let mut reader = Narrow { most: PIECE, taken: Vec::new() };
+    write_lines(&mut reader, text.as_bytes()).expect("it is written");
+    assert_eq!(String::from_utf8(reader.taken).expect("text"), text);
+}
+
+#[test]
+fn a_line_longer_than_a_piece_is_written_alone_and_whole() {
+    let long = "y".repeat(PIECE * 2);
+    let text = format!("a\n{long}\nb\n");
+    let mut pieces = Vec::new();
+    write_lines(&mut pieces, text.as_bytes()).expect("it is written");
+    assert_eq!(String::from_utf8(pieces).expect("text"), text);
+}
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -77,11 +77,14 @@
             Ok(batch) => {
                 contact.reached();
                 let fresh = take_config(&shared, batch);
+                shared.read_store(true);
                 tokio::time::sleep(if fresh { CONFIG_PACE } else { Duration::ZERO }).await;
             }
             Err(error) => {
+                shared.read_store(false);
                 if shared.current().is_none() {
                     snapshot::ask(&shared).await;
+                    shared.read_store(false);
                 }
                 contact.failed(&error).await;
             }
@@ -134,9 +137,13 @@
                 contact.reached();
                 let until = contact.returned.map(|returned| returned + LAPSE);
                 take_members(&shared, batch, until);
+                shared.read_store(true);
                 tokio::time::sleep(LIST_PACE).await;
             }
-            Err(error) => contact.failed(&error).await,
+            Err(error) => {
+                shared.read_store(false);
+                contact.failed(&error).await;
+            }
         }
         shared.known.expire();
     }
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -18,6 +18,12 @@
 use crate::relay::{self, Pace, Times};
 use crate::shared::Shared;
 
+/// A router that has just started holds its first requests for this part of their time while it reads the store for the
+/// first time, which takes some 20 ms, unless the store does not answer: after a loss of power some 60 requests come in
+/// that moment, and half of them had no time to come back.
+const FIRST_READ: u32 = 3;
+/// The longest that it holds them.
+const FIRST_HOLD: Duration = Duration::from_millis(500);
 /// When callers may come back to a router that knows no configuration yet: it asks several times a second.
 const NO_CONFIGURATION: Duration = Duration::from_millis(500);
 /// Our own last answer leaves this long before the caller's time is over, so that it arrives.
@@ -80,10 +86,11 @@
 ) -> Result<Response<Body>, Failure> {
     let (parts, body) = request.into_parts();
     let malformed = || own(StatusCode::BAD_REQUEST, Refusal::Malformed, None);
-    let catalog = shared.current().ok_or_else(|| {
+    let call = platform::read_call(&parts).map_err(|_| malformed())?;
+    let hold = (call.deadline.unwrap_or(LONGEST) / FIRST_READ).min(FIRST_HOLD);
+    let catalog = shared.first_catalog(times.arrived + hold).await.ok_or_else(|| {
         own(StatusCode::SERVICE_UNAVAILABLE, Refusal::NoConfiguration, Some(NO_CONFIGURATION))
     })?;
-    let call = platform::read_call(&parts).map_err(|_| malformed())?;
     let route = catalog
         .route(&call.host, parts.uri.path())
         .ok_or_else(|| own(StatusCode::NOT_FOUND, Refusal::NoRoute, None))?
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -18,6 +18,17 @@
 use crate::Settings;
 use crate::known::Known;
 
+/// What a router that starts has from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Start {
+    /// Nothing yet: its first reads are on their way.
+    Reading,
+    /// Nothing, and the store does not answer.
+    Away,
+    /// A configuration and a list of endpoints.
+    Known,
+}
+
 /// What all tasks of a router share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -30,6 +41,7 @@
     pub(crate) shutdown: Shutdown,
     /// Whether it takes no connections any more, since it is ending: what has no place by then is refused.
     pub(crate) closing: watch::Sender<bool>,
+    start: watch::Sender<Start>,
     /// Requests in flight.
     pub(crate) flying: AtomicUsize,
     pub(crate) client: Client,
@@ -48,6 +60,7 @@
             known: Known::default(),
             shutdown: process.shutdown.clone(),
             closing: watch::Sender::new(false),
+            start: watch::Sender::new(Start::Reading),
             flying: AtomicUsize::new(0),
             client: Client::default(),
             repeats: Mutex::default(),
@@ -59,6 +72,34 @@
         self.catalog.borrow().clone()
     }
 
+    /// The configuration in force; at a start it is waited for until `until` with the list of endpoints, for as long as
+    /// the first reads of the store are on their way.
+    pub(crate) async fn first_catalog(&self, until: Instant) -> Option<Arc<Catalog>> {
+        let known = |start: &Start| *start != Start::Reading;
+        let mut start = self.start.subscribe();
+        if !known(&start.borrow()) {
+            let _ = tokio::time::timeout_at(until, start.wait_for(known)).await;
+        }
+        self.current()
+    }
+
+    /// Notes how a read of the store ended; the first ones decide how requests of the start are taken.
+    pub(crate) fn read_store(&self, reached: bool) {
+        let known = self.current().is_some() && self.known.lock().listed;
+        let next = match (known, reached) {
+            (true, _) => Start::Known,
+            (false, false) => Start::Away,
+            (false, true) => return,
+        };
+        self.start.send_if_modified(|start| {
+            let changed = *start != next && *start != Start::Known;
+            if changed {
+                *start = next;
+            }
+            changed
+        });
+    }
+
     /// A client of the loader on the machine of an endpoint.
     pub(crate) fn loader(&self, endpoint: std::net::SocketAddr) -> Loader {
         let addr = std::net::SocketAddr::new(endpoint.ip(), self.settings.borrow().loader);
