Lives of an endpoint are told apart, and entries that no server wrote name none

Cause: a server may start again under its id, holding nothing and counting from 0; nothing knew which of its lives a report, an entry or a loader's news was about. What was believed of the earlier one (holdings, pauses, silence, requests in flight, kept connections, questions, a drain or a load in progress) went on counting. An entry by another writer was skipped, so that the endpoint whose key it stands under stayed in use between whole reads of the list, and was told of with each read.

Now list, report, news and polls carry the life (`born`); the list decides by order, a loader's news by the later birth, since it asks its own server sooner than the list is read; an earlier life's end changes nothing in the later one.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -5,7 +5,7 @@
 use catalog::{Catalog, Engine, ModelId};
 use fleet::{Endpoint, Holdings};
 use serde::{Deserialize, Serialize};
-use units::{EndpointId, ModelName, Revision};
+use units::{EndpointId, Life, ModelName, Revision};
 
 /// Where a router asks for news of an endpoint.
 pub const POLL_PATH: &str = "/poll";
@@ -34,6 +34,9 @@
     pub router: String,
     /// The endpoint, as the platform's list names it.
     pub endpoint: EndpointId,
+    /// The life of the endpoint in which it uses it, if it is known.
+    #[serde(default)]
+    pub life: Option<Life>,
     /// The version of the news that the router has; 0 if none.
     pub seen: u64,
     /// How long to wait for newer news.
@@ -50,6 +53,9 @@
     pub version: u64,
     /// The endpoint that it is about, if the loader knows.
     pub endpoint: Option<EndpointId>,
+    /// The life of the endpoint that it is about, if the endpoint says which.
+    #[serde(default)]
+    pub life: Option<Life>,
     /// What the endpoint holds.
     pub holdings: Holdings,
     /// Models that wait to be loaded.
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -163,7 +163,7 @@
         endpoint: &'a str,
         /// Its address.
         addr: String,
-        /// What it is now: `ready`, `draining` or `gone`.
+        /// What it is now: `ready`, `draining` or `gone`, or `restarted` if it has started again under its id.
         stage: &'a str,
     },
     /// An endpoint gets no new requests for a while, because calls to it failed.
--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -5,7 +5,7 @@
 
 use catalog::ModelId;
 use serde::{Deserialize, Serialize};
-use units::{AdapterName, Domain, EndpointId, ModelName, ServiceName};
+use units::{AdapterName, Domain, EndpointId, Life, ModelName, ServiceName};
 
 /// Whether an endpoint takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,8 +76,11 @@
 /// An endpoint as the platform's list describes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
-    /// Its id, new with each start.
+    /// Its id, which it may keep when it starts again.
     pub id: EndpointId,
+    /// Which of its lives this is about, if it says so; what was known of an earlier one does not hold for it.
+    #[serde(default)]
+    pub life: Option<Life>,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
--- a/components/loader/src/ledger.rs
+++ b/components/loader/src/ledger.rs
@@ -94,6 +94,16 @@
 }
 
 impl Ledger {
+    /// Forgets what an earlier life of the endpoint held and ran.
+    pub(crate) fn restarted(&mut self) {
+        self.report = None;
+        self.leaving = None;
+        self.adapters.clear();
+        for usage in self.usage.values_mut() {
+            usage.running.clear();
+        }
+    }
+
     /// Whether the endpoint holds it now.
     pub(crate) fn holds(&self, id: &ModelId) -> bool {
         let Some(report) = &self.report else { return false };
--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -42,6 +42,7 @@
         adapters: adapters.iter().map(|text| text.parse().expect("an adapter")).collect(),
     };
     let report = Report {
+        life: None,
         models: models.iter().map(held).collect(),
         incoming: Vec::new(),
         copies: Copies::default(),
@@ -250,3 +251,18 @@
         });
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn what_an_earlier_life_ran_and_drained_keeps_nothing_waiting() {
+    let now = Instant::now();
+    let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
+    ledger.leaving = Some(Leaving { model: name("a"), since: now });
+    let usage = ledger.usage.entry(name("b")).or_default();
+    usage.running.insert("router".to_owned(), (9, now));
+    want(&mut ledger, "c", 1, now);
+    ledger.restarted();
+    assert_eq!(ledger.all_running(), 0);
+    assert_eq!(next(&ledger, now), Next::Rest, "its report is waited for");
+    ledger.report = super::tests::ledger(&[]).report;
+    assert_eq!(next(&ledger, now), Next::Order(Work::Load, id("c")));
+}
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -28,6 +28,7 @@
     let (state, news) = watch::channel(State {
         version: 1,
         endpoint: None,
+        life: None,
         holdings: Holdings::default(),
         waiting: 0,
         running: 0,
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -12,7 +12,7 @@
 use platform::{Fence, Order, Outcome, Work, call_order, read_report};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
-use units::{EndpointId, Revision};
+use units::{EndpointId, Life, Revision};
 use web::Client;
 
 use crate::desk::Command;
@@ -29,6 +29,9 @@
 const ADAPTER: Duration = Duration::from_millis(8);
 /// What an order or a report may take on the endpoint's own machine.
 const PATIENCE: Duration = Duration::from_millis(500);
+/// A report this old is good enough to say that a model is there: routers ask for one that they found missing, and a
+/// promise that does not hold costs each of them a repeat.
+const FRESH: Duration = Duration::from_millis(100);
 /// After an order without an answer, the endpoint is asked what became of it.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -61,6 +64,8 @@
     commands: mpsc::Receiver<Command>,
     state: watch::Sender<State>,
     endpoint: Option<EndpointId>,
+    /// The life of the endpoint that the last report was about.
+    life: Option<Life>,
     /// The name under which the endpoint last refused an order: it has restarted since.
     denied: Option<EndpointId>,
     engine: Revision,
@@ -88,6 +93,7 @@
             commands,
             state,
             endpoint: None,
+            life: None,
             denied: None,
             engine: Revision(0),
             ledger: Ledger::default(),
@@ -162,6 +168,10 @@
             Command::Uses(poll) => {
                 self.adopt(&poll.endpoint);
                 self.ledger.routers.insert(poll.router.clone(), now);
+                if other_life(self.life, poll.life) {
+                    // What it says is about requests that ended with the endpoint's life.
+                    return;
+                }
                 for usage in self.ledger.usage.values_mut() {
                     usage.running.remove(&poll.router);
                 }
@@ -183,9 +193,14 @@
                 if ensure.waiting > 0 {
                     self.ledger.touch(&ensure.target.model, now);
                 }
+                let fresh = self.reached.is_some_and(|reached| reached.elapsed() < FRESH);
                 if self.ledger.holds(&ensure.target) {
-                    let _ = reply.send(Verdict::Ready);
-                    return;
+                    if fresh {
+                        let _ = reply.send(Verdict::Ready);
+                        return;
+                    }
+                    // The router may have found it missing: the endpoint is asked before it is promised.
+                    self.ledger.report = None;
                 }
                 let due = now + ensure.within;
                 let want = self.ledger.wants.entry(ensure.target).or_insert_with(|| Want {
@@ -228,6 +243,10 @@
                 }
                 self.lost = false;
                 self.reached = Some(Instant::now());
+                if other_life(self.life, report.life) {
+                    self.restarted();
+                }
+                self.life = report.life.or(self.life);
                 let over = self.pending.take_if(|_| !report.busy);
                 self.ledger.report = Some(report);
                 if let Some(over) = over {
@@ -250,6 +269,19 @@
         }
     }
 
+    /// The endpoint has started again under its id: what it ran, held, loaded or was about to drop is gone. What routers
+    /// wait for stays wanted.
+    fn restarted(&mut self) {
+        emit(&Event::Member {
+            endpoint: self.endpoint.as_ref().map_or("", |id| id.as_str()),
+            addr: self.addr.to_string(),
+            stage: "restarted",
+        });
+        self.pending = None;
+        self.pause = None;
+        self.ledger.restarted();
+    }
+
     /// Answers those whose model is there, and those whose time is over.
     fn settle(&mut self) {
         let now = Instant::now();
@@ -380,3 +412,8 @@
         Pending { work, target: target.clone(), tier, since: Instant::now(), expect }
     }
 }
+
+/// Whether these are two lives of an endpoint; one that does not say which it is may be the same.
+fn other_life(one: Option<Life>, other: Option<Life>) -> bool {
+    one.zip(other).is_some_and(|(one, other)| one != other)
+}
--- a/components/loader/src/steward/publish.rs
+++ b/components/loader/src/steward/publish.rs
@@ -41,7 +41,8 @@
                 && state.able == able
                 && state.room == room
                 && state.engine == self.engine
-                && state.endpoint == self.endpoint;
+                && state.endpoint == self.endpoint
+                && state.life == self.life;
             state.waiting = waiting;
             state.running = running;
             state.routers = self.ledger.heard();
@@ -54,6 +55,7 @@
             state.room = room;
             state.engine = self.engine;
             state.endpoint = self.endpoint.clone();
+            state.life = self.life;
             emit(&Event::Holds {
                 endpoint: state.endpoint.as_ref().map_or("", |id| id.as_str()),
                 models: state.holdings.models.len(),
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -8,7 +8,7 @@
 use fleet::{Stage, Tier};
 use placement::{Candidate, Served};
 use tokio::time::Instant;
-use units::{EndpointId, ModelName, ServiceName};
+use units::{EndpointId, Life, ModelName, ServiceName};
 
 use crate::endpoint::Peer;
 use crate::known::{NOBODY, Peers};
@@ -38,6 +38,8 @@
 pub(crate) struct Place {
     shared: Arc<Shared>,
     pub(crate) id: EndpointId,
+    /// The life of the endpoint that it is in.
+    pub(crate) life: Option<Life>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) running: u32,
     pub(crate) age: Duration,
@@ -74,11 +76,16 @@
     fn give_back(&mut self, peers: &mut Peers, now: Instant) {
         let work = std::mem::take(&mut self.work);
         if !work.is_zero()
-            && let Some(peer) = peers.map.get_mut(&self.id)
+            && let Some(peer) = self.peer(peers)
         {
             peer.ahead.done(work, now);
         }
     }
+
+    /// The endpoint, if it is still in the life that the request was sent to.
+    fn peer<'a>(&self, peers: &'a mut Peers) -> Option<&'a mut Peer> {
+        peers.map.get_mut(&self.id).filter(|peer| Arc::ptr_eq(&peer.pool, &self.pool))
+    }
 }
 
 impl Drop for Place {
@@ -87,7 +94,7 @@
         let shared = self.shared.clone();
         let mut peers = shared.known.lock();
         self.give_back(&mut peers, now);
-        let Some(peer) = peers.map.get_mut(&self.id) else { return };
+        let Some(peer) = self.peer(&mut peers) else { return };
         peer.running = peer.running.saturating_sub(1);
         if peer.running == 0 && self.answered {
             self.pool.signs().rest(now);
@@ -375,6 +382,7 @@
     Found::Place(Place {
         shared: shared.clone(),
         id,
+        life: peer.endpoint.life,
         pool: peer.pool.clone(),
         running: peer.running,
         age: now - heard,
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -10,7 +10,7 @@
 use placement::{Ahead, Candidate, Trouble};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
-use units::ModelName;
+use units::{Life, ModelName};
 
 use crate::pool::Pool;
 use crate::signs::Trust;
@@ -36,7 +36,10 @@
 /// One endpoint.
 #[derive(Debug)]
 pub(crate) struct Peer {
+    /// It, in the newest of its lives that the list or its loader tells of.
     pub(crate) endpoint: Endpoint,
+    /// The life that the list last told of.
+    listed: Option<Life>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) seen: Instant,
     pub(crate) state: Option<(State, Instant)>,
@@ -60,8 +63,10 @@
 impl Peer {
     pub(crate) fn new(endpoint: Endpoint, now: Instant) -> Self {
         let pool = Arc::new(Pool::new(endpoint.addr));
+        let listed = endpoint.life;
         Self {
             endpoint,
+            listed,
             pool,
             seen: now,
             state: None,
@@ -78,6 +83,62 @@
         }
     }
 
+    /// Takes what the list says; true if that is about another life, of which nothing was known.
+    pub(crate) fn list(&mut self, endpoint: Endpoint, now: Instant) -> bool {
+        let repeated = endpoint.life == self.listed;
+        let other = !self.lives(endpoint.life);
+        if other && repeated {
+            // Its loader has told of a later life already.
+            return false;
+        }
+        self.listed = endpoint.life;
+        self.seen = now;
+        if other || endpoint.addr != self.endpoint.addr {
+            self.restart(endpoint, now);
+            return true;
+        }
+        let life = endpoint.life.or(self.endpoint.life);
+        self.endpoint = Endpoint { life, ..endpoint };
+        false
+    }
+
+    /// Takes what its loader says; true if that is about a life of which nothing was known.
+    pub(crate) fn hear(&mut self, state: State, now: Instant) -> bool {
+        let other = !self.lives(state.life);
+        if other && state.life < self.endpoint.life {
+            // The loader has not asked its endpoint since it started again.
+            return false;
+        }
+        let life = state.life.or(self.endpoint.life);
+        if other {
+            let holdings = Some(state.holdings.clone());
+            self.restart(Endpoint { life, holdings, ..self.endpoint.clone() }, now);
+        }
+        self.endpoint.life = life;
+        self.state = Some((state, now));
+        self.told = self.running;
+        other
+    }
+
+    /// Whether it is in this life, as far as anybody says.
+    pub(crate) fn lives(&self, life: Option<Life>) -> bool {
+        life.zip(self.endpoint.life).is_none_or(|(one, other)| one == other)
+    }
+
+    /// Drops what was known of an earlier life: what it held and ran, connections, pauses, questions.
+    fn restart(&mut self, endpoint: Endpoint, now: Instant) {
+        let (listed, task) = (self.listed, self.task.take());
+        // A loader is asked at the endpoint's address.
+        let kept = task.filter(|task| {
+            let moved = endpoint.addr != self.endpoint.addr;
+            if moved {
+                task.abort();
+            }
+            !moved
+        });
+        *self = Self { listed, task: kept, ..Self::new(endpoint, now) };
+    }
+
     /// Whether it may get requests.
     pub(crate) fn usable(&self, now: Instant) -> bool {
         let paused = self.paused.is_some_and(|until| until > now);
@@ -146,3 +207,6 @@
         self.state.as_ref().is_some_and(|(state, heard)| state.able && now - *heard < FRESH)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/router/src/endpoint/tests.rs
@@ -0,0 +1,112 @@
+//! Tests of the lives of an endpoint.
+
+use fleet::Held;
+use units::Revision;
+
+use super::*;
+
+fn entry(life: u64) -> Endpoint {
+    Endpoint {
+        id: "i-1".parse().expect("an id"),
+        life: Some(Life(life)),
+        service: "llm".parse().expect("a service"),
+        addr: ([10, 0, 0, 1], 80).into(),
+        domain: "near".parse().expect("a domain"),
+        slots: 16,
+        stage: Stage::Ready,
+        holdings: Some(holding(&["a"])),
+    }
+}
+
+fn holding(models: &[&str]) -> Holdings {
+    let held = |name: &&str| Held { model: name.parse().expect("a name"), adapters: Vec::new() };
+    Holdings { models: models.iter().map(held).collect(), ..Holdings::default() }
+}
+
+fn state(life: u64, models: &[&str]) -> State {
+    State {
+        version: 1,
+        endpoint: None,
+        life: Some(Life(life)),
+        holdings: holding(models),
+        waiting: 0,
+        running: 7,
+        routers: 2,
+        room: Duration::ZERO,
+        able: true,
+        engine: Revision(1),
+    }
+}
+
+/// An endpoint in its first life of which bad things are known.
+fn troubled(now: Instant) -> Peer {
+    let mut peer = Peer::new(entry(100), now);
+    peer.hear(state(100, &["a", "b"]), now);
+    peer.running = 5;
+    peer.failures = 3;
+    peer.paused = Some(now + Duration::from_secs(4));
+    peer.refused.insert("b".parse().expect("a model"), now + Duration::from_secs(4));
+    peer.wakes.entry("b".parse().expect("a model")).or_default().open = 1;
+    peer
+}
+
+fn assert_new(peer: &Peer, now: Instant) {
+    assert!(peer.usable(now));
+    assert_eq!((peer.running, peer.failures, peer.total()), (0, 0, 0));
+    assert!(peer.refused.is_empty() && peer.wakes.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_of_an_earlier_life_is_left_when_the_list_tells_of_a_new_one() {
+    let now = Instant::now();
+    let mut peer = troubled(now);
+    let pool = peer.pool.clone();
+    assert!(peer.list(Endpoint { holdings: Some(holding(&[])), ..entry(200) }, now));
+    assert_new(&peer, now);
+    assert!(!Arc::ptr_eq(&pool, &peer.pool), "its connections are gone");
+    assert!(!peer.holdings(now).expect("models").holds(&"a".parse().expect("a name")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_loader_tells_of_a_new_life_before_the_list_does() {
+    let now = Instant::now();
+    let mut peer = troubled(now);
+    assert!(peer.hear(State { running: 0, ..state(200, &["c"]) }, now));
+    assert_new(&peer, now);
+    assert!(peer.holdings(now).expect("models").holds(&"c".parse().expect("a name")));
+    // The list still shows the earlier life, and then the new one.
+    assert!(!peer.list(entry(100), now));
+    assert_eq!(peer.endpoint.life, Some(Life(200)));
+    assert!(!peer.list(entry(200), now));
+    assert!(peer.holdings(now).expect("models").holds(&"c".parse().expect("a name")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_loader_that_still_speaks_of_the_earlier_life_changes_nothing() {
+    let now = Instant::now();
+    let mut peer = troubled(now);
+    peer.list(entry(200), now);
+    assert!(!peer.hear(state(100, &["a", "b"]), now));
+    assert!(peer.state.is_none());
+    assert!(!peer.able(now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_life_that_seems_to_have_begun_earlier_is_believed_if_the_list_tells_of_it() {
+    let now = Instant::now();
+    let mut peer = troubled(now);
+    // The endpoint's clock was set back between its lives.
+    assert!(peer.list(entry(50), now));
+    assert_new(&peer, now);
+    assert!(!peer.hear(State { running: 0, ..state(50, &["c"]) }, now));
+    assert!(peer.able(now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_that_does_not_tell_its_lives_apart_is_one() {
+    let now = Instant::now();
+    let mut peer = troubled(now);
+    assert!(!peer.list(Endpoint { life: None, ..entry(0) }, now));
+    assert!(!peer.hear(State { life: None, ..state(0, &["a"]) }, now));
+    assert_eq!((peer.endpoint.life, peer.running), (Some(Life(100)), 5));
+}
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -1,10 +1,12 @@
 //! Follows the configuration and the list of endpoints in the platform's store.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use catalog::Catalog;
 use events::{Dependency, Event, emit, millis};
+use fleet::Change;
 use platform::{Batch, Follower, News, Store, StoreError, Topic};
 use tokio::time::Instant;
 use units::Span;
@@ -30,6 +32,9 @@
 /// The same for a router that has nothing to serve with yet: each moment costs all requests that come.
 const LONGEST_FIRST: Duration = Duration::from_millis(200);
 
+/// So many keys of entries that no server wrote are remembered: more than a deployment has endpoints.
+const FOREIGN: usize = 4_096;
+
 /// Whether the store answers, and since when.
 #[derive(Debug)]
 struct Contact {
@@ -110,7 +115,7 @@
             News::Unreadable(cause) => {
                 emit(&Event::Unreadable { dependency: Dependency::Configuration, cause: &cause });
             }
-            News::Member(_) => {}
+            News::Member(_) | News::Foreign(..) => {}
         }
     }
     fresh
@@ -137,13 +142,14 @@
 pub(crate) async fn members(shared: Arc<Shared>, store: Store) {
     let mut follower = Follower::new(store, Topic::Servers);
     let mut contact = Contact::new(Dependency::Membership);
+    let mut foreign = BTreeSet::new();
     loop {
         let bounds = shared.settings.borrow().bounds;
         match follower.next(wait(bounds.drain, LIST_PACE)).await {
             Ok(batch) => {
                 contact.reached();
                 let until = contact.returned.map(|returned| returned + LAPSE);
-                take_members(&shared, batch, until);
+                take_members(&shared, batch, until, &mut foreign);
                 shared.read_store(true);
                 tokio::time::sleep(LIST_PACE).await;
             }
@@ -156,15 +162,31 @@
     }
 }
 
-fn take_members(shared: &Arc<Shared>, batch: Batch, until: Option<Instant>) {
+/// `foreign` holds the keys of entries that no server wrote, so that each is told of when it appears and not with each
+/// read of the whole list.
+fn take_members(
+    shared: &Arc<Shared>,
+    batch: Batch,
+    until: Option<Instant>,
+    foreign: &mut BTreeSet<String>,
+) {
     let mut changes = Vec::new();
     for news in batch.news {
         match news {
-            News::Member(change) => changes.push(change),
-            News::Unreadable(cause) => {
-                emit(&Event::Unreadable { dependency: Dependency::Membership, cause: &cause });
+            News::Member(change) => {
+                if let Change::Seen(endpoint) = &change {
+                    foreign.remove(endpoint.id.as_str());
+                }
+                changes.push(change);
+            }
+            News::Foreign(key, cause) => {
+                // It may stand where an endpoint was.
+                changes.extend(key.parse().map(Change::Gone));
+                if foreign.len() < FOREIGN && foreign.insert(key) {
+                    emit(&Event::Unreadable { dependency: Dependency::Membership, cause: &cause });
+                }
             }
-            News::Config(_) => {}
+            News::Config(_) | News::Unreadable(_) => {}
         }
     }
     shared.known.apply(changes, batch.whole, until);
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use platform::{Call, Reply, Sending};
 use tokio::time::Instant;
-use units::{EndpointId, ServiceName};
+use units::{EndpointId, Life, ServiceName};
 
 use crate::caller::Caller;
 use crate::choose::{self, NoPlace, Place, Wanted};
@@ -48,6 +48,8 @@
     /// Until when it may wait for a place: the caller of a stream leaves before `due` if nothing arrives.
     pub(crate) start: Instant,
     pub(crate) tried: Vec<EndpointId>,
+    /// The life of the endpoint that it was last sent to.
+    pub(crate) life: Option<Life>,
     /// How often it was sent.
     pub(crate) sends: u32,
     /// How often it may have run.
@@ -66,6 +68,7 @@
             self.shared.pulse.settle().await;
             tokio::task::yield_now().await;
             let id = place.id.clone();
+            self.life = place.life;
             self.log_sent(&place, waited);
             self.sends += 1;
             let now = Instant::now();
@@ -88,7 +91,7 @@
                 Sent::Left => return Err(self.failed(Refusal::Left, None)),
                 Sent::Unsent(cause) => {
                     self.step(Step::Broken, &id, &cause);
-                    self.shared.known.failed(&id, &cause);
+                    self.shared.known.failed(&id, self.life, &cause);
                     if self.sends >= SENDS {
                         return Err(self.failed(Refusal::NoEndpoint, None));
                     }
@@ -98,7 +101,7 @@
                     self.runs += 1;
                     self.step(Step::Broken, &id, "no answer so far");
                     if self.call.model.is_none() {
-                        self.shared.known.failed(&id, "no answer so far");
+                        self.shared.known.failed(&id, self.life, "no answer so far");
                     }
                     self.tried.push(id);
                 }
@@ -170,7 +173,7 @@
         let status = answer.head.status;
         match platform::read_reply(&self.call.id, status, &answer.head.headers) {
             Reply::Ran => {
-                self.shared.known.worked(id);
+                self.shared.known.worked(id, self.life);
                 self.runs += 1;
                 let again = self.route.kind == catalog::CallKind::Safe
                     && status.is_server_error()
@@ -193,8 +196,10 @@
                 let other = platform::instance_of(&answer.head.headers).is_some_and(|o| o != *id);
                 drop(answer);
                 match &self.call.model {
-                    Some(model) if !other => self.shared.known.missing(id, model),
-                    _ => self.shared.known.failed(id, "another endpoint has its address"),
+                    Some(model) if !other => self.shared.known.missing(id, self.life, model),
+                    _ => {
+                        self.shared.known.failed(id, self.life, "another endpoint has its address")
+                    }
                 }
                 self.not_run(id).await
             }
@@ -223,7 +228,7 @@
     pub(crate) fn broken(&mut self, id: &EndpointId, cause: &str) -> Result<(), Failure> {
         self.runs += 1;
         self.step(Step::Broken, id, cause);
-        self.shared.known.failed(id, cause);
+        self.shared.known.failed(id, self.life, cause);
         self.tried.push(id.clone());
         let again = self.route.kind.repeatable()
             && self.runs < self.route.attempts
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -1,5 +1,6 @@
 //! What a router knows of the endpoints, and which of them may get requests.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +13,7 @@
 use placement::{Demand, Pressure};
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use units::{EndpointId, ModelName};
+use units::{EndpointId, Life, ModelName};
 
 use crate::cold::ColdLoads;
 use crate::endpoint::{Peer, Usage};
@@ -119,12 +120,13 @@
     pub(crate) fn heard(&self, id: &EndpointId, state: State, engine: Option<&Engine>) {
         let now = Instant::now();
         let mut peers = self.lock();
-        peers.cold.learn(id, &state.holdings, engine, now);
-        if let Some(peer) = peers.map.get_mut(id) {
-            peer.state = Some((state, now));
-            peer.told = peer.running;
+        if peers.map.get_mut(id).is_some_and(|peer| peer.hear(state, now)) {
+            peers.restarted(id);
+        }
+        let peers = &mut *peers;
+        if let Some((state, _)) = peers.map.get(id).and_then(|peer| peer.state.as_ref()) {
+            peers.cold.learn(id, &state.holdings, engine, now);
         }
-        drop(peers);
         self.changed.notify_waiters();
     }
 
@@ -141,9 +143,12 @@
         self.changed.notify_waiters();
     }
 
-    /// Notes that a call to an endpoint failed.
-    pub(crate) fn failed(&self, id: &EndpointId, cause: &str) {
-        self.lock().pause(id, cause);
+    /// Notes that a call to an endpoint in one of its lives failed.
+    pub(crate) fn failed(&self, id: &EndpointId, life: Option<Life>, cause: &str) {
+        let mut peers = self.lock();
+        if peers.map.get(id).is_some_and(|peer| peer.lives(life)) {
+            peers.pause(id, cause);
+        }
     }
 
     /// Notes whether a stream that ended whole paused for longer than its caller likes.
@@ -152,9 +157,10 @@
         *pauses += (f64::from(u8::from(paused)) - *pauses) * PAUSE_PART;
     }
 
-    /// Notes that an endpoint answered.
-    pub(crate) fn worked(&self, id: &EndpointId) {
-        if let Some(peer) = self.lock().map.get_mut(id) {
+    /// Notes that an endpoint answered in one of its lives.
+    pub(crate) fn worked(&self, id: &EndpointId, life: Option<Life>) {
+        let mut peers = self.lock();
+        if let Some(peer) = peers.map.get_mut(id).filter(|peer| peer.lives(life)) {
             peer.failures = 0;
             peer.paused = None;
             peer.trouble.worked(Instant::now());
@@ -162,9 +168,10 @@
     }
 
     /// Notes that a model is not there, whatever was believed.
-    pub(crate) fn missing(&self, id: &EndpointId, model: &ModelId) {
+    pub(crate) fn missing(&self, id: &EndpointId, life: Option<Life>, model: &ModelId) {
         let mut peers = self.lock();
-        let Some(peer) = peers.map.get_mut(id) else { return };
+        let peer = peers.map.get_mut(id).filter(|peer| peer.lives(life));
+        let Some(peer) = peer else { return };
         let holdings = match &mut peer.state {
             Some((state, _)) => Some(&mut state.holdings),
             None => peer.endpoint.holdings.as_mut(),
@@ -296,17 +303,16 @@
         let stage = if endpoint.stage == Stage::Ready { "ready" } else { "draining" };
         let id = endpoint.id.clone();
         let addr = endpoint.addr.to_string();
-        let peer = self.map.entry(id.clone());
-        let before = match peer {
-            std::collections::btree_map::Entry::Vacant(place) => {
+        let before = match self.map.entry(id.clone()) {
+            Entry::Vacant(place) => {
                 place.insert(Peer::new(endpoint, now));
                 None
             }
-            std::collections::btree_map::Entry::Occupied(mut place) => {
-                let peer = place.get_mut();
-                let before = peer.endpoint.stage;
-                peer.endpoint = endpoint;
-                peer.seen = now;
+            Entry::Occupied(mut place) => {
+                let before = place.get().endpoint.stage;
+                if place.get_mut().list(endpoint, now) {
+                    self.restarted(&id);
+                }
                 Some(before)
             }
         };
@@ -315,6 +321,16 @@
         }
     }
 
+    /// Forgets what hangs together with an earlier life of an endpoint.
+    fn restarted(&mut self, id: &EndpointId) {
+        self.cold.forget(id);
+        for urged in self.urged.values_mut() {
+            urged.retain(|(other, _)| other != id);
+        }
+        let addr = self.map.get(id).map_or_else(String::new, |peer| peer.endpoint.addr.to_string());
+        emit(&Event::Member { endpoint: id.as_str(), addr, stage: "restarted" });
+    }
+
     fn remove(&mut self, id: &EndpointId) {
         self.leaving.remove(id);
         let Some(peer) = self.map.remove(id) else { return };
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -49,14 +49,14 @@
     let mut leaving = false;
     let mut lost: Option<Instant> = None;
     loop {
-        let uses = {
+        let (life, uses) = {
             let mut peers = shared.known.lock();
             let Some(uses) = peers.take_uses(&id, Instant::now()) else { return };
-            uses
+            (peers.map.get(&id).and_then(|peer| peer.endpoint.life), uses)
         };
         let router = shared.instance.clone();
         let wait = if leaving { DRAIN_WAIT } else { WAIT };
-        let poll = Poll { router, endpoint: id.clone(), seen, wait, uses };
+        let poll = Poll { router, endpoint: id.clone(), life, seen, wait, uses };
         match loader.poll(&poll).await {
             Ok(state) => {
                 if let Some(since) = lost.take() {
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -141,6 +141,7 @@
         due,
         start,
         tried: Vec::new(),
+        life: None,
         sends: 0,
         runs: 0,
     };
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -8,5 +8,5 @@
     AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath,
     ParseIdError, RequestId, ServiceName, SettingName,
 };
-pub use position::{Epoch, Incarnation, Offset, ParsePositionError, ReplicaIndex, Revision};
+pub use position::{Epoch, Incarnation, Life, Offset, ParsePositionError, ReplicaIndex, Revision};
 pub use quantity::{ParseQuantityError, Rate, Size, Span};
--- a/components/units/src/position.rs
+++ b/components/units/src/position.rs
@@ -64,6 +64,10 @@
     /// The offset of an agent's attach record; also the fencing number of its orders.
     Incarnation, u64, "incarnation"
 );
+position!(
+    /// One life of an endpoint, from its start to its end: the Unix millisecond of the start by the endpoint's own clock.
+    Life, u64, "life of an endpoint"
+);
 position!(
     /// Which replica of a model a grant is for, from 0.
     ReplicaIndex, u32, "replica index"
