One request in flight no longer stands for a full endpoint among many routers

Cause: what this router has at an endpoint, times half of the routers, was taken for what all have there: with 33 routers and 16 slots one request made it look full, and all holders alike. Now what the loader tells counts, and a burst since then stands for a third as many of each other router.

--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -18,6 +18,11 @@
 /// What a loader said is believed before the platform's list for this time.
 const FRESH: Duration = Duration::from_secs(5);
 
+/// Requests since its loader's last news that are a burst.
+const BURST: u32 = 3;
+/// Each other router is taken to have sent one for so many of a burst.
+const ALIKE: u32 = 3;
+
 /// How this router uses one model of an endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Usage {
@@ -182,13 +187,15 @@
     }
 
     /// Requests that it is likely to have of all routers. What its loader says is up to a second old; since callers
-    /// are spread over the routers, what this one sends stands for what the others do, or for half of it, since they
-    /// are spread unevenly.
+    /// are spread over the routers, a burst that this one has sent there since stands for what the others have sent, or
+    /// for a third of it, since they are spread unevenly. Fewer say nothing: among thirty routers one request each would
+    /// seem to fill the endpoint.
     pub(crate) fn total(&self) -> u32 {
         let Some((state, _)) = &self.state else { return self.running };
         let others = state.running.saturating_sub(self.told);
-        let alike = self.running * state.routers.max(1) / 2;
-        (others + self.running).max(alike)
+        let new = self.running.saturating_sub(self.told);
+        let alike = if new >= BURST { new * state.routers.saturating_sub(1) / ALIKE } else { 0 };
+        others + self.running + alike
     }
 
     /// Routers that send requests there, this one included.
