--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -87,7 +87,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Polled {
     /// Newer news.
-    News(State),
+    News(Box<State>),
     /// None but how busy the endpoint is: what it holds and keeps copies of is ten times as long, and with some thousand
     /// pairs of routers and loaders most answers have nothing else to tell.
     Same(Load),
--- a/components/loader/src/desk.rs
+++ b/components/loader/src/desk.rs
@@ -66,7 +66,7 @@
         let newer = self.state.wait_for(|state| state.version != seen);
         let newer = tokio::time::timeout(wait, newer).await.is_ok();
         let polled = if newer {
-            Polled::News(self.state.borrow().clone())
+            Polled::News(Box::new(self.state.borrow().clone()))
         } else {
             let State { waiting, running, routers, .. } = *self.state.borrow();
             Polled::Same(Load { waiting, running, routers })
--- a/components/loader/src/desk/tests.rs
+++ b/components/loader/src/desk/tests.rs
@@ -44,7 +44,7 @@
     let (_sender, news) = watch::channel(state(7));
     let desk = Desk { commands, state: news };
     let (polled, whole) = ask(desk.clone(), 0).await;
-    assert_eq!(polled, Polled::News(state(7)));
+    assert_eq!(polled, Polled::News(Box::new(state(7))));
     let (polled, short) = ask(desk, 7).await;
     assert_eq!(polled, Polled::Same(Load { waiting: 2, running: 5, routers: 3 }));
     assert!(short * 10 < whole, "{short} of {whole} bytes");
@@ -58,5 +58,5 @@
     let asked = tokio::spawn(ask(desk, 7));
     tokio::time::sleep(Duration::from_millis(100)).await;
     sender.send_replace(state(8));
-    assert_eq!(asked.await.expect("an answer").0, Polled::News(state(8)));
+    assert_eq!(asked.await.expect("an answer").0, Polled::News(Box::new(state(8))));
 }
--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -134,8 +134,7 @@
                     }
                 }
             };
-            let Some(said) = said else { return None };
-            match self.newest(said) {
+            match self.newest(said?) {
                 Say::Want(other) => {
                     if other.model != wish.model {
                         self.granted.send_replace(None);
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -72,7 +72,7 @@
                         seen = state.version;
                         unaware = state.engine == Revision(0);
                         leaving = !state.holdings.leaving.is_empty();
-                        shared.heard(&id, state);
+                        shared.heard(&id, *state);
                     }
                     Polled::Same(load) => {
                         if !shared.known.same(&id, load) {
