A router finds a store that was silent back within the bounds of a new version

While the store is away reads wait for nothing, and the pause between them leaves time for one that is lost.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -58,6 +58,12 @@
         emit(&Event::Regained { dependency: self.dependency, name: "store", after_ms });
     }
 
+    /// How long a read may wait for news: not at all while the store does not answer, or the read that finds it back is
+    /// the one after it.
+    fn wait(&self, usual: Duration) -> Duration {
+        if self.away.is_some() { Duration::ZERO } else { usual }
+    }
+
     async fn failed(&mut self, error: &StoreError, longest: Duration) {
         if self.away.is_none() {
             let cause = error.to_string();
@@ -79,13 +85,19 @@
     bound.0.mul_f64(PART).saturating_sub(pace).max(LEAST)
 }
 
+/// How long to pause after a failed read: one that begins right before a silent store returns is given up after the
+/// client's patience, and the next one still has to bring the news within `bound`.
+fn pause_within(bound: Span) -> Duration {
+    wait(bound, platform::PATIENCE)
+}
+
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn config(shared: Arc<Shared>, store: Store) {
     let mut follower = Follower::new(store, Topic::Config);
     let mut contact = Contact::new(Dependency::Configuration);
     loop {
         let bounds = shared.settings.borrow().bounds;
-        match follower.next(wait(bounds.apply, Duration::ZERO)).await {
+        match follower.next(contact.wait(wait(bounds.apply, Duration::ZERO))).await {
             Ok(batch) => {
                 contact.reached();
                 let fresh = take_config(&shared, batch);
@@ -98,7 +110,7 @@
                     snapshot::ask(&shared).await;
                     shared.read_store(false);
                 }
-                contact.failed(&error, longest(&shared)).await;
+                contact.failed(&error, longest(&shared).min(pause_within(bounds.apply))).await;
             }
         }
         if shared.current().is_none() {
@@ -145,7 +157,7 @@
     let mut foreign = BTreeSet::new();
     loop {
         let bounds = shared.settings.borrow().bounds;
-        match follower.next(wait(bounds.drain, LIST_PACE)).await {
+        match follower.next(contact.wait(wait(bounds.drain, LIST_PACE))).await {
             Ok(batch) => {
                 contact.reached();
                 let until = contact.returned.map(|returned| returned + LAPSE);
@@ -155,7 +167,7 @@
             }
             Err(error) => {
                 shared.read_store(false);
-                contact.failed(&error, longest(&shared)).await;
+                contact.failed(&error, longest(&shared).min(pause_within(bounds.drain))).await;
             }
         }
         shared.known.expire();
