A test no longer hangs on when the random repeat of an append falls

Known red: can_publish_anew_what_was_too_long_on_its_way, revision 4101 instead of 4100. Traced: not load. Appends are repeated after random pauses; a fourth try falls 4.4 to 6.1 s after the first, and appends arrived late after 5 s: one sent in the last moments before that arrives beside the first, and the new edit is third. Both are right.

--- a/src/tests.rs
+++ b/src/tests.rs
@@ -123,10 +123,12 @@
     asma.run("publish tree.jsonc").await;
     site.edit("tree.jsonc", "\"queue\": 8", "\"queue\": 16");
     site.note(
-        "appends take five seconds, in which others write more records than ids are remembered for",
+        "appends take three and a half seconds, in which others write more records than ids are remembered for",
     );
-    site.log.set(|faults| faults.late = Some(Duration::from_secs(5)));
-    site.fill_after(Duration::from_secs(4));
+    // No repeat of the append is made between the third, 2.6 s after the first at the latest, and the fourth, 4.4 s after
+    // it at the soonest: whether one falls right before the first arrives is not left to chance.
+    site.log.set(|faults| faults.late = Some(Duration::from_millis(3_500)));
+    site.fill_after(Duration::from_secs(3));
     asma.run("publish tree.jsonc").await;
     assert_snapshot!(site.transcript());
 }
