--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -344,9 +344,9 @@
         /// It.
         token: u64,
     },
-    /// A loader may load from the weight store, or no longer waits to.
+    /// It is a loader's turn to load from the weight store.
     Lane {
-        /// The model; empty if it waits no more.
+        /// The model.
         model: &'a str,
         /// Requests a second that it would serve.
         worth: f64,
--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -20,8 +20,8 @@
 const CALM: Duration = Duration::from_secs(2);
 /// Requests a second from which on a model is asked for all the time.
 const BUSY: f64 = 2.0;
-/// Records before the loader's own start that may still be about a load in progress: some for each loader of a large
-/// deployment.
+/// Records before the loader's own start that may still be about a load in progress: ten for each of some fifty loaders. Where
+/// there are more, a loader that has just started may take a lane too many, once.
 const BACK: u64 = 512;
 
 /// What the steward asks for.
--- a/components/loader/src/queue.rs
+++ b/components/loader/src/queue.rs
@@ -115,7 +115,7 @@
     /// asked.
     pub(crate) fn grant(&mut self, now: Instant) {
         self.entries.retain(|_, entry| match entry.lane {
-            Some((since, _)) => now - since < entry.alone * LOST,
+            Some((since, _)) => now - since < entry.alone.saturating_mul(LOST),
             None => now - entry.asked < RENEW * 2,
         });
         let taken = self.entries.values().filter(|entry| entry.lane.is_some()).count();
