--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -60,6 +60,8 @@
     pub(crate) token: watch::Receiver<Option<u64>>,
     pub(crate) said: mpsc::UnboundedReceiver<Say>,
     pub(crate) granted: watch::Sender<Option<ModelName>>,
+    /// Since when the store does not answer.
+    pub(crate) away: Option<Instant>,
 }
 
 impl Waiter {
@@ -105,9 +107,11 @@
                     alone: wish.alone,
                 };
                 if let Err(error) = self.append(&note).await {
-                    // Without the store nothing can be agreed; the routers' own bound remains.
+                    // Without the store nothing can be agreed: each loader goes by itself.
                     self.away(&error);
                     self.granted.send_replace(Some(wish.model.clone()));
+                } else {
+                    self.reached();
                 }
                 asked = Some((wish.clone(), Instant::now()));
             }
@@ -148,7 +152,7 @@
 
     /// Takes note of a read: whether it is the loader's turn, or the store is away.
     fn judge(
-        &self,
+        &mut self,
         read: Result<Offset, StoreError>,
         queue: &Queue,
         next: &mut Offset,
@@ -156,7 +160,10 @@
         since: Instant,
     ) {
         match read {
-            Ok(reached) => *next = reached,
+            Ok(reached) => {
+                *next = reached;
+                self.reached();
+            }
             Err(error) => {
                 self.away(&error);
                 self.granted.send_replace(Some(wish.model.clone()));
@@ -184,9 +191,19 @@
         said
     }
 
-    fn away(&self, error: &StoreError) {
-        let (dependency, cause) = (Dependency::Lanes, error.to_string());
-        emit(&Event::Lost { dependency, name: "store", cause: &cause });
+    fn away(&mut self, error: &StoreError) {
+        if self.away.is_none() {
+            let (dependency, cause) = (Dependency::Lanes, error.to_string());
+            emit(&Event::Lost { dependency, name: "store", cause: &cause });
+            self.away = Some(Instant::now());
+        }
+    }
+
+    fn reached(&mut self) {
+        if let Some(since) = self.away.take() {
+            let (dependency, after_ms) = (Dependency::Lanes, millis(since.elapsed()));
+            emit(&Event::Regained { dependency, name: "store", after_ms });
+        }
     }
 }
 
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -45,7 +45,14 @@
     tokio::spawn(fence::keep(store.clone(), instance.clone(), sender, fenced.clone()));
     let (say, said) = mpsc::unbounded_channel();
     let (granted, grants) = watch::channel(None);
-    let waiter = Waiter { store, instance: instance.clone(), token: token.clone(), said, granted };
+    let waiter = Waiter {
+        store,
+        instance: instance.clone(),
+        token: token.clone(),
+        said,
+        granted,
+        away: None,
+    };
     tokio::spawn(waiter.run());
     let token = Token { value: token, fenced };
     let lane = Lane { say, granted: grants };
--- a/components/placement/src/wake.rs
+++ b/components/placement/src/wake.rs
@@ -36,8 +36,6 @@
     Copies,
     /// Also from the weight store, if no endpoint keeps a copy.
     First,
-    /// Also from the weight store.
-    Anywhere,
 }
 
 /// The best endpoint to load a model on.
@@ -64,7 +62,6 @@
     let store = match source {
         Source::Copies => false,
         Source::First => !copied(candidates, &id.model),
-        Source::Anywhere => true,
     };
     let all = able.filter_map(|(index, candidate)| {
         let (tier, expect) = expected(candidate, candidate.holdings?, &id.model, spec, engine);
