One comparison of lives and one way to milliseconds

Read once more: the loader and the router each told lives of an endpoint apart, and the wait for lanes turned spans into milliseconds beside events::millis. Life::differ and events::millis serve both.

--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use events::{Dependency, Event, emit};
+use events::{Dependency, Event, emit, millis};
 use platform::{Log, Store, StoreError};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -231,7 +231,3 @@
 pub(crate) fn grown(worth: f64) -> f64 {
     worth * 2.0 + 1.0
 }
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -176,7 +176,7 @@
             Command::Uses(poll) => {
                 self.adopt(&poll.endpoint);
                 self.ledger.routers.insert(poll.router.clone(), now);
-                if other_life(self.life, poll.life) {
+                if Life::differ(self.life, poll.life) {
                     // What it says is about requests that ended with the endpoint's life.
                     return;
                 }
@@ -252,7 +252,7 @@
                 }
                 self.lost = false;
                 self.reached = Some(Instant::now());
-                if other_life(self.life, report.life) {
+                if Life::differ(self.life, report.life) {
                     self.restarted();
                 }
                 self.life = report.life.or(self.life);
@@ -457,8 +457,3 @@
         Pending { work, target: target.clone(), tier, since: Instant::now(), expect }
     }
 }
-
-/// Whether these are two lives of an endpoint; one that does not say which it is may be the same.
-fn other_life(one: Option<Life>, other: Option<Life>) -> bool {
-    one.zip(other).is_some_and(|(one, other)| one != other)
-}
--- a/components/placement/src/prepare.rs
+++ b/components/placement/src/prepare.rs
@@ -44,8 +44,8 @@
 
 /// The next models to bring in and the candidates for them, as far as there are free lanes: those that are wanted and
 /// missing, then for endpoints that keep nothing what is wanted most for each copy there is, then what nobody has asked
-/// for yet; `asked` are on their way already. The last leave half of the lanes to callers: when a release took the last copies of the busiest model, all
-/// lanes were taken for 6 s by models that nobody wanted.
+/// for yet; `asked` are on their way already. The last leave half of the lanes to callers: when a release took the last
+/// copies of the busiest model, all lanes were taken for 6 s by models that nobody wanted.
 pub fn prepare(
     candidates: &[Candidate<'_>],
     engine: &Engine,
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -137,7 +137,7 @@
 
     /// Whether it is in this life, as far as anybody says.
     pub(crate) fn lives(&self, life: Option<Life>) -> bool {
-        life.zip(self.endpoint.life).is_none_or(|(one, other)| one == other)
+        !Life::differ(life, self.endpoint.life)
     }
 
     /// Drops what was known of an earlier life: what it held and ran, connections, pauses, questions.
--- a/components/router/src/prepare.rs
+++ b/components/router/src/prepare.rs
@@ -41,7 +41,6 @@
     let now = Instant::now();
     let peers = shared.known.lock();
     let all: Vec<_> = peers.map.values().filter(|p| p.endpoint.service == *service).collect();
-    // Before all loaders are heard, a copy may seem to be missing that is there.
     let ready = all.iter().filter(|peer| peer.endpoint.stage == Stage::Ready);
     // Before a loader is heard, a copy may seem to be missing that is there.
     if !peers.listed || !ready.clone().any(|peer| peer.state.is_some()) {
--- a/components/units/src/position.rs
+++ b/components/units/src/position.rs
@@ -73,6 +73,14 @@
     ReplicaIndex, u32, "replica index"
 );
 
+impl Life {
+    /// Whether two who speak of an endpoint mean different lives of it; one that does not say which may mean the same.
+    #[must_use]
+    pub fn differ(one: Option<Self>, other: Option<Self>) -> bool {
+        one.zip(other).is_some_and(|(one, other)| one != other)
+    }
+}
+
 impl From<Offset> for Epoch {
     fn from(offset: Offset) -> Self {
         Self(offset.0)
