The steward's orders and turns apart; how busy an endpoint is said in one type; waits and pauses of reads in one place

State and the short answer to a poll had the same three fields. The limit on pauses after a failed read stood beside the one there was, at both callers; it is part of it now.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -56,12 +56,9 @@
     pub life: Option<Life>,
     /// What the endpoint holds.
     pub holdings: Holdings,
-    /// Models that wait to be loaded.
-    pub waiting: u32,
-    /// Requests that run there, as far as routers have said.
-    pub running: u32,
-    /// Routers that the loader hears.
-    pub routers: u32,
+    /// How busy it is.
+    #[serde(flatten)]
+    pub load: Load,
     /// How long it is expected to take until there is room for one more model.
     #[serde(with = "fleet::millis")]
     pub room: Duration,
@@ -71,8 +68,8 @@
     pub engine: Revision,
 }
 
-/// What changes all the time and is told with each answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// How busy an endpoint is: what changes all the time and is told with each answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Models that wait to be loaded.
     pub waiting: u32,
--- a/components/loader/src/desk.rs
+++ b/components/loader/src/desk.rs
@@ -2,8 +2,7 @@
 
 use bytes::Bytes;
 use control::{
-    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Load, POLL_PATH, Poll, Polled, State,
-    Verdict,
+    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, Polled, State, Verdict,
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -68,8 +67,7 @@
         let polled = if newer {
             Polled::News(Box::new(self.state.borrow().clone()))
         } else {
-            let State { waiting, running, routers, .. } = *self.state.borrow();
-            Polled::Same(Load { waiting, running, routers })
+            Polled::Same(self.state.borrow().load)
         };
         Ok(web::json(StatusCode::OK, &polled))
     }
--- a/components/loader/src/desk/tests.rs
+++ b/components/loader/src/desk/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of what routers are told.
 
+use control::Load;
 use fleet::Holdings;
 use http_body_util::BodyExt;
 use units::Revision;
@@ -14,9 +15,7 @@
         endpoint: None,
         life: None,
         holdings: Holdings { copies, ..Holdings::default() },
-        waiting: 2,
-        running: 5,
-        routers: 3,
+        load: Load { waiting: 2, running: 5, routers: 3 },
         room: Duration::ZERO,
         able: true,
         engine: Revision(1),
--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -43,6 +43,22 @@
     Done(Option<Duration>),
 }
 
+/// What the steward has said.
+#[derive(Debug)]
+enum Heard {
+    Said(Say),
+    /// Nothing so far.
+    Nothing,
+    /// There is no steward any more.
+    Gone,
+}
+
+impl From<Option<Say>> for Heard {
+    fn from(said: Option<Say>) -> Self {
+        said.map_or(Self::Gone, Self::Said)
+    }
+}
+
 /// The steward's side.
 #[derive(Debug)]
 pub(crate) struct Lane {
@@ -115,30 +131,12 @@
                 }
                 asked = Some((wish.clone(), Instant::now()));
             }
-            let said = if self.granted.borrow().is_some() {
-                self.said.recv().await
-            } else {
-                let from = *next;
-                let said = tokio::select! {
-                    read = read(&self.store, queue, from) => {
-                        self.judge(read, queue, next, &wish, since);
-                        None
-                    }
-                    said = self.said.recv() => Some(said),
-                };
-                match said {
-                    Some(said) => said,
-                    None if self.granted.borrow().is_some() => continue,
-                    None => {
-                        let pace = if wish.worth >= BUSY { PACE } else { CALM };
-                        match tokio::time::timeout(pace, self.said.recv()).await {
-                            Ok(said) => said,
-                            Err(_) => continue,
-                        }
-                    }
-                }
+            let said = match self.listen(queue, next, &wish, since).await {
+                Heard::Said(said) => self.newest(said),
+                Heard::Nothing => continue,
+                Heard::Gone => return None,
             };
-            match self.newest(said?) {
+            match said {
                 Say::Want(other) => {
                     if other.model != wish.model {
                         self.granted.send_replace(None);
@@ -150,6 +148,32 @@
         }
     }
 
+    /// Reads the records until it is the loader's turn, and from then on only listens to the steward.
+    async fn listen(
+        &mut self,
+        queue: &mut Queue,
+        next: &mut Offset,
+        wish: &Wish,
+        since: Instant,
+    ) -> Heard {
+        if self.granted.borrow().is_some() {
+            return self.said.recv().await.into();
+        }
+        let from = *next;
+        tokio::select! {
+            read = read(&self.store, queue, from) => self.judge(read, queue, next, wish, since),
+            said = self.said.recv() => return said.into(),
+        }
+        if self.granted.borrow().is_some() {
+            return Heard::Nothing;
+        }
+        let pace = if wish.worth >= BUSY { PACE } else { CALM };
+        match tokio::time::timeout(pace, self.said.recv()).await {
+            Ok(said) => said.into(),
+            Err(_) => Heard::Nothing,
+        }
+    }
+
     /// Takes note of a read: whether it is the loader's turn, or the store is away.
     fn judge(
         &mut self,
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use control::State;
+use control::{Load, State};
 use fleet::Holdings;
 use platform::Store;
 use process::{Phase, Single, StartError};
@@ -31,9 +31,7 @@
         endpoint: None,
         life: None,
         holdings: Holdings::default(),
-        waiting: 0,
-        running: 0,
-        routers: 0,
+        load: Load::default(),
         room: std::time::Duration::ZERO,
         able: false,
         engine: Revision(0),
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -7,20 +7,22 @@
 
 use catalog::ModelId;
 use control::{State, Verdict};
-use events::{Dependency, Event, Given, emit, millis};
+use events::{Dependency, Event, emit, millis};
 use fleet::Tier;
-use platform::{Fence, Order, Outcome, Work, call_order, read_report};
+use platform::{Work, read_report};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 use units::{EndpointId, Life, Revision};
 use web::Client;
 
 use crate::desk::Command;
-use crate::lane::{self, Lane, Say, Wish};
+use crate::lane::{Lane, Wish};
 use crate::ledger::{Leaving, Ledger, Want};
 use crate::plan::{self, Next};
 
+mod orders;
 mod publish;
+mod turns;
 
 /// Between reports while nothing is going on.
 const CALM: Duration = Duration::from_millis(1_000);
@@ -343,117 +345,4 @@
             }
         }
     }
-
-    /// Says what is to come from the weight store next, if that has changed, and takes note whether it may.
-    fn ask_lane(&mut self) {
-        let wish = plan::cold_want(&self.ledger).map(|(model, worth)| {
-            let spec = self.ledger.engine.as_ref().and_then(|engine| engine.model(model));
-            let alone = spec.map_or(CALM, |spec| spec.cold);
-            Wish { model: model.clone(), worth, alone }
-        });
-        let same = match (&self.wished, &wish) {
-            (Some(before), Some(wish)) => {
-                before.model == wish.model && wish.worth <= lane::grown(before.worth)
-            }
-            (before, wish) => before.is_none() && wish.is_none(),
-        };
-        if !same {
-            let said = wish.clone().map_or(Say::Done(None), Say::Want);
-            self.say(said);
-            self.wished = wish;
-        }
-        let granted = self.lane.granted.borrow_and_update().clone();
-        self.ledger.lane = granted.filter(|_| self.wished.is_some());
-    }
-
-    fn say(&self, said: Say) {
-        if self.lane.say.send(said).is_err() {
-            log::warn!("loader: nobody waits for lanes any more");
-        }
-    }
-
-    async fn order(&mut self, work: Work, target: ModelId, token: u64, endpoint: EndpointId) {
-        let sequence = self.ledger.report.as_ref().map(|report| report.sequence);
-        let fence = Fence { holder: self.instance.clone(), token };
-        let order = Order { endpoint: &endpoint, work, target: &target, sequence };
-        self.pending = Some(self.expected(work, &target));
-        self.publish();
-        let outcome = call_order(&self.client, self.addr, &fence, &order, PATIENCE).await;
-        let given = match &outcome {
-            Ok(Outcome::Accepted) => Given::Accepted,
-            Ok(Outcome::Done) => Given::Done,
-            Ok(Outcome::Busy) => Given::Busy,
-            Ok(Outcome::Fenced) => Given::Fenced,
-            Ok(Outcome::Other(_)) => Given::Other,
-            Ok(Outcome::Refused(_)) => Given::Refused,
-            Err(_) => Given::Unknown,
-        };
-        emit(&Event::Order {
-            endpoint: endpoint.as_str(),
-            work: if work == Work::Load { "load" } else { "unload" },
-            model: &target.to_string(),
-            sequence: sequence.unwrap_or_default(),
-            outcome: given,
-        });
-        match outcome {
-            Ok(Outcome::Accepted | Outcome::Done) => {}
-            Ok(Outcome::Fenced) => {
-                self.pending = None;
-                self.pause = Some(Instant::now() + RETRY);
-                self.token.fenced.notify_one();
-            }
-            Ok(Outcome::Other(id)) => {
-                self.pending = None;
-                self.denied = Some(endpoint);
-                self.endpoint = id;
-                self.ledger.report = None;
-            }
-            Ok(Outcome::Refused(_)) => {
-                self.pending = None;
-                self.answer(&target, Verdict::Refused(CALM));
-            }
-            // The report tells whether it was carried out; an order that comes late finds another sequence.
-            Ok(Outcome::Busy) | Err(_) => {
-                self.pending = None;
-                self.pause = Some(Instant::now() + RETRY);
-            }
-        }
-    }
-
-    /// Tells of a load that is over, if the model is there.
-    fn loaded(&mut self, over: &Pending) {
-        if over.work == Work::Load && over.tier == Tier::Store {
-            let took = over.since.elapsed();
-            let done = self.ledger.holds(&over.target).then_some(took);
-            self.wished = None;
-            self.ledger.lane = None;
-            self.say(Say::Done(done));
-        }
-        let Some(endpoint) = self.endpoint.as_ref().filter(|_| over.work == Work::Load) else {
-            return;
-        };
-        if self.ledger.holds(&over.target) {
-            emit(&Event::Loaded {
-                endpoint: endpoint.as_str(),
-                model: &over.target.to_string(),
-                tier: over.tier,
-                took_ms: millis(over.since.elapsed()),
-                expect_ms: millis(over.expect),
-            });
-        }
-    }
-
-    fn expected(&self, work: Work, target: &ModelId) -> Pending {
-        let spec = self.ledger.engine.as_ref().and_then(|engine| engine.model(&target.model));
-        let copies = self.ledger.report.as_ref().map(|report| &report.copies);
-        let tier = match &target.adapter {
-            Some(_) => Tier::Adapter,
-            None => copies.map_or(Tier::Store, |copies| copies.tier(&target.model)),
-        };
-        let expect = match work {
-            Work::Load => spec.map_or(EAGER, |spec| tier.load(spec)),
-            Work::Unload => EAGER,
-        };
-        Pending { work, target: target.clone(), tier, since: Instant::now(), expect }
-    }
 }
--- a/components/loader/src/steward/publish.rs
+++ b/components/loader/src/steward/publish.rs
@@ -1,5 +1,6 @@
 //! What a loader tells the routers.
 
+use control::Load;
 use events::{Event, emit};
 use fleet::{Holdings, Loading, Tier};
 use platform::Work;
@@ -43,9 +44,7 @@
                 && state.engine == self.engine
                 && state.endpoint == self.endpoint
                 && state.life == self.life;
-            state.waiting = waiting;
-            state.running = running;
-            state.routers = self.ledger.heard();
+            state.load = Load { waiting, running, routers: self.ledger.heard() };
             if same {
                 return false;
             }
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -128,8 +128,7 @@
     /// Takes that its loader has nothing new to say but how busy it is; false if it has said nothing in this life.
     pub(crate) fn hear_same(&mut self, load: Load, now: Instant) -> bool {
         let Some((state, heard)) = &mut self.state else { return false };
-        let Load { waiting, running, routers } = load;
-        (state.waiting, state.running, state.routers) = (waiting, running, routers);
+        state.load = load;
         *heard = now;
         self.told = self.running;
         true
@@ -192,15 +191,16 @@
     /// seem to fill the endpoint.
     pub(crate) fn total(&self) -> u32 {
         let Some((state, _)) = &self.state else { return self.running };
-        let others = state.running.saturating_sub(self.told);
+        let others = state.load.running.saturating_sub(self.told);
         let new = self.running.saturating_sub(self.told);
-        let alike = if new >= BURST { new * state.routers.saturating_sub(1) / ALIKE } else { 0 };
+        let alike =
+            if new >= BURST { new * state.load.routers.saturating_sub(1) / ALIKE } else { 0 };
         others + self.running + alike
     }
 
     /// Routers that send requests there, this one included.
     pub(crate) fn routers(&self) -> u32 {
-        self.state.as_ref().map_or(1, |(state, _)| state.routers.max(1))
+        self.state.as_ref().map_or(1, |(state, _)| state.load.routers.max(1))
     }
 
     /// What decisions see of it.
@@ -214,7 +214,7 @@
             ahead: self.ahead.all(self.routers(), now),
             failures: self.trouble.failures(now),
             room: state.map_or(Duration::ZERO, |state| state.room),
-            waiting: state.map_or(0, |state| state.waiting),
+            waiting: state.map_or(0, |state| state.load.waiting),
             able,
         }
     }
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -29,9 +29,7 @@
         endpoint: None,
         life: Some(Life(life)),
         holdings: holding(models),
-        waiting: 0,
-        running: 7,
-        routers: 2,
+        load: Load { waiting: 0, running: 7, routers: 2 },
         room: Duration::ZERO,
         able: true,
         engine: Revision(1),
@@ -71,7 +69,7 @@
 async fn a_loader_tells_of_a_new_life_before_the_list_does() {
     let now = Instant::now();
     let mut peer = troubled(now);
-    assert!(peer.hear(State { running: 0, ..state(200, &["c"]) }, now));
+    assert!(peer.hear(State { load: Load::default(), ..state(200, &["c"]) }, now));
     assert_new(&peer, now);
     assert!(peer.holdings(now).expect("models").holds(&"c".parse().expect("a name")));
     // The list still shows the earlier life, and then the new one.
@@ -98,7 +96,7 @@
     // The endpoint's clock was set back between its lives.
     assert!(peer.list(entry(50), now));
     assert_new(&peer, now);
-    assert!(!peer.hear(State { running: 0, ..state(50, &["c"]) }, now));
+    assert!(!peer.hear(State { load: Load::default(), ..state(50, &["c"]) }, now));
     assert!(peer.able(now));
 }
 
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -58,10 +58,10 @@
         emit(&Event::Regained { dependency: self.dependency, name: "store", after_ms });
     }
 
-    /// How long a read may wait for news: not at all while the store does not answer, or the read that finds it back is
-    /// the one after it.
-    fn wait(&self, usual: Duration) -> Duration {
-        if self.away.is_some() { Duration::ZERO } else { usual }
+    /// How long a read may wait whose news must be acted on within `bound`, if reads begin `pace` apart: not at all while
+    /// the store does not answer, or the read that finds it back is the one after it.
+    fn wait(&self, bound: Span, pace: Duration) -> Duration {
+        if self.away.is_some() { Duration::ZERO } else { wait(bound, pace) }
     }
 
     async fn failed(&mut self, error: &StoreError, longest: Duration) {
@@ -75,29 +75,25 @@
     }
 }
 
-/// The longest pause between failed calls.
-fn longest(shared: &Shared) -> Duration {
-    if shared.away_since().is_some() { LONGEST_FIRST } else { LONGEST }
+/// The longest pause between failed calls: one that begins right before a silent store returns is given up after the
+/// client's patience, and the next one still has to bring the news within `bound`.
+fn longest(shared: &Shared, bound: Span) -> Duration {
+    let longest = if shared.away_since().is_some() { LONGEST_FIRST } else { LONGEST };
+    longest.min(wait(bound, platform::PATIENCE))
 }
 
-/// How long a read may wait whose news must be acted on within `bound`, if reads begin `pace` apart.
+/// The part of `bound` that a read may wait, if reads begin `pace` apart.
 fn wait(bound: Span, pace: Duration) -> Duration {
     bound.0.mul_f64(PART).saturating_sub(pace).max(LEAST)
 }
 
-/// How long to pause after a failed read: one that begins right before a silent store returns is given up after the
-/// client's patience, and the next one still has to bring the news within `bound`.
-fn pause_within(bound: Span) -> Duration {
-    wait(bound, platform::PATIENCE)
-}
-
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn config(shared: Arc<Shared>, store: Store) {
     let mut follower = Follower::new(store, Topic::Config);
     let mut contact = Contact::new(Dependency::Configuration);
     loop {
         let bounds = shared.settings.borrow().bounds;
-        match follower.next(contact.wait(wait(bounds.apply, Duration::ZERO))).await {
+        match follower.next(contact.wait(bounds.apply, Duration::ZERO)).await {
             Ok(batch) => {
                 contact.reached();
                 let fresh = take_config(&shared, batch);
@@ -110,7 +106,7 @@
                     snapshot::ask(&shared).await;
                     shared.read_store(false);
                 }
-                contact.failed(&error, longest(&shared).min(pause_within(bounds.apply))).await;
+                contact.failed(&error, longest(&shared, bounds.apply)).await;
             }
         }
         if shared.current().is_none() {
@@ -157,7 +153,7 @@
     let mut foreign = BTreeSet::new();
     loop {
         let bounds = shared.settings.borrow().bounds;
-        match follower.next(contact.wait(wait(bounds.drain, LIST_PACE))).await {
+        match follower.next(contact.wait(bounds.drain, LIST_PACE)).await {
             Ok(batch) => {
                 contact.reached();
                 let until = contact.returned.map(|returned| returned + LAPSE);
@@ -167,7 +163,7 @@
             }
             Err(error) => {
                 shared.read_store(false);
-                contact.failed(&error, longest(&shared).min(pause_within(bounds.drain))).await;
+                contact.failed(&error, longest(&shared, bounds.drain)).await;
             }
         }
         shared.known.expire();
