A loader tells that its endpoint drains, and routers believe it also without the store

Cause: the report of a leaving model server says so, and the loader beside it read that and told nobody. Routers heard it from the store alone. A loader whose endpoint leaves gives no more orders for loads either.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -65,6 +65,9 @@
     pub room: Duration,
     /// Whether the loader may give orders.
     pub able: bool,
+    /// Whether the endpoint says that it leaves and takes no new work.
+    #[serde(default)]
+    pub draining: bool,
     /// The configuration from which it knows what the endpoint can hold; 0 if it does not.
     pub engine: Revision,
 }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -170,7 +170,7 @@
         /// What it is now: `ready`, `draining` or `gone`, `missing` if its entry may only have lapsed, or `restarted` if
         /// it has started again under its id.
         stage: &'a str,
-        /// Why it is gone or missing.
+        /// Why, unless the list says so.
         cause: &'a str,
     },
     /// An endpoint gets no new requests for a while, because calls to it failed.
--- a/components/loader/src/desk/tests.rs
+++ b/components/loader/src/desk/tests.rs
@@ -18,6 +18,7 @@
         load: Load { waiting: 2, running: 5, routers: 3 },
         room: Duration::ZERO,
         able: true,
+        draining: false,
         engine: Revision(1),
     }
 }
--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -53,6 +53,11 @@
 /// Decides what to do next.
 pub(crate) fn next(ledger: &Ledger, now: Instant) -> Next {
     let (Some(engine), Some(report)) = (&ledger.engine, &ledger.report) else { return Next::Rest };
+    if report.draining {
+        // It is gone before a load is worth its lane.
+        let wanted = ledger.wants.keys().next();
+        return wanted.map_or(Next::Rest, |id| Next::Refuse(id.clone(), AGAIN));
+    }
     if let Some(adapter) = next_adapter(ledger, engine, now) {
         return adapter;
     }
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -34,6 +34,7 @@
         load: Load::default(),
         room: std::time::Duration::ZERO,
         able: false,
+        draining: false,
         engine: Revision(0),
     });
     let (sender, token) = watch::channel(None);
--- a/components/loader/src/steward/publish.rs
+++ b/components/loader/src/steward/publish.rs
@@ -31,8 +31,11 @@
         };
         let urgent = self.ledger.wants.values().filter(|want| want.waiting() > 0).count();
         let waiting = u32::try_from(urgent).unwrap_or(u32::MAX);
-        let able =
-            report.is_some() && self.token.value.borrow().is_some() && self.ledger.engine.is_some();
+        let draining = report.is_some_and(|report| report.draining);
+        let able = report.is_some()
+            && !draining
+            && self.token.value.borrow().is_some()
+            && self.ledger.engine.is_some();
         self.state.send_if_modified(|state| {
             let same = state.holdings.models == holdings.models
                 && state.holdings.leaving == holdings.leaving
@@ -40,6 +43,7 @@
                 && state.holdings.loading.as_ref().map(|l| &l.model)
                     == holdings.loading.as_ref().map(|l| &l.model)
                 && state.able == able
+                && state.draining == draining
                 && state.room == room
                 && state.engine == self.engine
                 && state.endpoint == self.endpoint
@@ -51,6 +55,7 @@
             state.version += 1;
             state.holdings = holdings;
             state.able = able;
+            state.draining = draining;
             state.room = room;
             state.engine = self.engine;
             state.endpoint = self.endpoint.clone();
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -5,7 +5,7 @@
 
 use admission::{Outlook, outlook};
 use catalog::{Engine, ModelId};
-use fleet::{Stage, Tier};
+use fleet::Tier;
 use placement::{Candidate, Holders, Served, Source};
 use tokio::time::Instant;
 use units::{EndpointId, ServiceName};
@@ -134,7 +134,7 @@
         if peer.endpoint.service != *wanted.service {
             continue;
         }
-        untried |= peer.endpoint.stage == Stage::Ready && !wanted.tried.contains(id);
+        untried |= peer.stays() && !wanted.tried.contains(id);
         if !peer.usable(now) {
             if peer.doubtful(now) {
                 probe::start(shared, id, &peers);
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -169,11 +169,17 @@
         *self = Self { listed, missing, read, task: kept, ..Self::new(endpoint, now) };
     }
 
+    /// Whether it takes new work, as far as the list and its loader say.
+    pub(crate) fn stays(&self) -> bool {
+        let draining = self.state.as_ref().is_some_and(|(state, _)| state.draining);
+        self.endpoint.stage == Stage::Ready && !draining
+    }
+
     /// Whether it may get requests.
     pub(crate) fn usable(&self, now: Instant) -> bool {
         let paused = self.paused.is_some_and(|until| until > now);
         let missing = self.missing.is_some_and(|missing| missing.silent);
-        self.endpoint.stage == Stage::Ready && !missing && !paused && !self.silent(now)
+        self.stays() && !missing && !paused && !self.silent(now)
     }
 
     /// Whether it has had requests of this router and sends nothing: it stands still or is cut off.
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -32,6 +32,7 @@
         load: Load { waiting: 0, running: 7, routers: 2 },
         room: Duration::ZERO,
         able: true,
+        draining: false,
         engine: Revision(1),
     }
 }
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -68,9 +68,14 @@
     pub(crate) fn heard(&self, id: &EndpointId, state: State, engine: Option<&Engine>) {
         let now = Instant::now();
         let mut peers = self.lock();
+        let stayed = peers.map.get(id).is_some_and(Peer::stays);
         if peers.map.get_mut(id).is_some_and(|peer| peer.hear(state, now)) {
             peers.restarted(id);
         }
+        if let Some(peer) = peers.map.get(id).filter(|peer| stayed && !peer.stays()) {
+            let (addr, cause) = (peer.endpoint.addr.to_string(), "its loader says so");
+            emit(&Event::Member { endpoint: id.as_str(), addr, stage: "draining", cause });
+        }
         let peers = &mut *peers;
         if let Some((state, _)) = peers.map.get(id).and_then(|peer| peer.state.as_ref()) {
             peers.cold.learn(id, &state.holdings, engine, now);
--- a/components/router/src/prepare.rs
+++ b/components/router/src/prepare.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use catalog::{Engine, ModelId};
-use fleet::Stage;
 use placement::{Candidate, Free};
 use tokio::time::Instant;
 use units::{EndpointId, ModelName, ServiceName};
@@ -41,7 +40,7 @@
     let now = Instant::now();
     let peers = shared.known.lock();
     let all: Vec<_> = peers.map.values().filter(|p| p.endpoint.service == *service).collect();
-    let ready = all.iter().filter(|peer| peer.endpoint.stage == Stage::Ready);
+    let ready = all.iter().filter(|peer| peer.stays());
     // Before a loader is heard, a copy may seem to be missing that is there.
     if !peers.listed || !ready.clone().any(|peer| peer.state.is_some()) {
         return Vec::new();
