--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -68,6 +68,10 @@
             // the closing be seen before anything is sent.
             self.shared.pulse.settle().await;
             tokio::task::yield_now().await;
+            if !place.stays() {
+                // What arrived with it says that the endpoint leaves.
+                continue;
+            }
             let id = place.id.clone();
             self.life = place.life;
             self.log_sent(&place, waited);
--- a/components/router/src/place.rs
+++ b/components/router/src/place.rs
@@ -71,6 +71,13 @@
         })
     }
 
+    /// Whether the endpoint still takes new work in the life in which the place was taken.
+    pub(crate) fn stays(&self) -> bool {
+        let peers = self.shared.known.lock();
+        let peer = peers.map.get(&self.id).filter(|peer| Arc::ptr_eq(&peer.pool, &self.pool));
+        peer.is_some_and(Peer::stays)
+    }
+
     /// Notes that the endpoint has begun to run the request.
     pub(crate) fn begun(&mut self) {
         let now = Instant::now();
