A feed that is behind reads on at once

A read of the list brings a megabyte at most; what was left waited for the next turn, a second later each time.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -154,9 +154,11 @@
             Ok(batch) => {
                 contact.reached();
                 let until = contact.returned.map(|returned| returned + LAPSE);
+                let more = batch.more;
                 take_members(&shared, batch, until, &mut foreign);
                 shared.read_store(Feed::Membership, true);
-                tokio::time::sleep(LIST_PACE).await;
+                // What is left of a long absence is not put off.
+                tokio::time::sleep(if more { Duration::ZERO } else { LIST_PACE }).await;
             }
             Err(error) => {
                 shared.read_store(Feed::Membership, false);
