A stream leaves an endpoint that pauses only for one that goes on in time

Cause: a stream that may be resumed was taken from an endpoint that had said nothing for a fifth of what its caller waits, without a look at whether another one could go on with it; where none could, it was cut while its endpoint was at work on it. Now it leaves as a request without an answer does: if another endpoint is expected to go on before the caller leaves, and with a repeat from the budget.

--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -211,8 +211,8 @@
     Found::Later(if copied { Duration::ZERO } else { cold })
 }
 
-/// Whether another endpoint than those that were tried is expected to begin a request in time.
-pub(crate) fn elsewhere(shared: &Arc<Shared>, wanted: &Wanted<'_>) -> bool {
+/// Whether another endpoint than those that were tried is expected to begin a request within this time.
+pub(crate) fn elsewhere(shared: &Arc<Shared>, wanted: &Wanted<'_>, within: Duration) -> bool {
     let now = Instant::now();
     let mut peers = shared.known.lock();
     let work = wanted.work(&mut peers);
@@ -223,7 +223,7 @@
     let candidates: Vec<_> =
         peers.map.values().filter(usable).map(|peer| peer.candidate(false, now)).collect();
     placement::serve(&candidates, wanted.model, work, &shared.domain)
-        .is_some_and(|served| served.expect < wanted.target)
+        .is_some_and(|served| served.expect < within)
 }
 
 /// When another holder will be there, if the request is late at those that are and in time at that one.
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -84,7 +84,7 @@
                 last_event,
             };
             let patience = Patience { due: self.due, ask: self.ask(now) };
-            let leave = || self.may_leave(&id);
+            let leave = || self.may_leave(&id, self.route.target);
             match exchange::send(place, &self.caller, &self.outgoing, &sending, patience, leave)
                 .await
             {
@@ -104,11 +104,7 @@
                 Sent::Broken(cause) => self.broken(&id, &cause)?,
                 Sent::Elsewhere => {
                     self.runs += 1;
-                    self.step(Step::Broken, &id, "no answer so far");
-                    if self.call.model.is_none() {
-                        self.shared.known.failed(&id, self.life, "no answer so far");
-                    }
-                    self.tried.push(id);
+                    self.leave(&id, "no answer so far");
                 }
                 Sent::Late => {
                     self.runs += 1;
@@ -159,16 +155,25 @@
         elsewhere.then(|| self.due.min(now + self.route.target * PATIENCE))
     }
 
-    /// Whether a request that got nothing so far leaves its endpoint: only for one that is expected to begin it in time,
+    /// Whether a request that gets nothing leaves its endpoint: only for one that is expected to begin it within this time,
     /// and with a repeat from the budget, since it loses its turn. When it left without either, 38 callers of one day got
     /// 502 within four seconds of a loss of power.
-    fn may_leave(&self, id: &EndpointId) -> bool {
+    pub(crate) fn may_leave(&self, id: &EndpointId, within: Duration) -> bool {
         let mut tried = self.tried.clone();
         tried.push(id.clone());
-        choose::elsewhere(&self.shared, &self.wanted(&tried))
+        choose::elsewhere(&self.shared, &self.wanted(&tried), within)
             && self.shared.may_repeat(&self.service, &self.name)
     }
 
+    /// Notes that a request leaves its endpoint, which gave nothing so far, for another one.
+    pub(crate) fn leave(&mut self, id: &EndpointId, cause: &str) {
+        self.step(Step::Broken, id, cause);
+        if self.call.model.is_none() {
+            self.shared.known.failed(id, self.life, cause);
+        }
+        self.tried.push(id.clone());
+    }
+
     /// More urgent routes go first at the endpoints; the middle of the scale is left to others.
     fn priority(&self) -> u8 {
         self.route.priority.min(9)
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -1,5 +1,6 @@
 //! Passes an answer on to the caller.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -141,13 +142,15 @@
     Data(Bytes),
     End,
     Broken(String),
+    /// Nothing for the time that was named.
+    Silence,
     /// The caller has left.
     Left,
     /// The time of the request is over.
     Late,
 }
 
-/// Reads on until `due`; an answer that says nothing for `patience` is given up where that is named.
+/// Reads on until `due`, and for `patience` at most where that is named.
 async fn hear(
     answer: &mut Answer,
     writer: &Writer,
@@ -163,7 +166,24 @@
         },
         () = writer.closed() => Heard::Left,
         () = tokio::time::sleep_until(due) => Heard::Late,
-        () = silence, if patience.is_some() => Heard::Broken("it stands still".to_owned()),
+        () = silence, if patience.is_some() => Heard::Silence,
+    }
+}
+
+/// Why a stream goes on at another endpoint.
+#[derive(Debug)]
+enum Loss {
+    /// It stands still, and a repeat has been taken from the budget.
+    Still,
+    Broken(String),
+}
+
+impl fmt::Display for Loss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Still => f.write_str("it stands still"),
+            Self::Broken(cause) => f.write_str(cause),
+        }
     }
 }
 
@@ -175,7 +195,8 @@
     let cause = loop {
         let elsewhere = resumable && flight.runs < flight.route.attempts;
         let patience = elsewhere.then(|| flight.route.patience / STALL);
-        let cause = match hear(&mut answer, &writer, patience, flight.due).await {
+        let id = answer.place.id.clone();
+        let loss = match hear(&mut answer, &writer, patience, flight.due).await {
             Heard::Left => return times.left(),
             Heard::Late => break "the time of the request is over".to_owned(),
             Heard::Data(data) => {
@@ -201,18 +222,21 @@
                 flight.shared.known.streamed(pace.gap > flight.route.pause);
                 return answer.keep();
             }
-            Heard::Broken(cause) => cause,
+            // A long prompt of another request silences it too: it is left only for an endpoint that goes on before
+            // the caller leaves, or the stream would be lost while its endpoint is at work on it.
+            Heard::Silence if flight.may_leave(&id, flight.route.patience / 2) => Loss::Still,
+            Heard::Silence => continue,
+            Heard::Broken(cause) => Loss::Broken(cause),
         };
-        let id = answer.place.id.clone();
         drop(answer);
         events.rest.clear();
         let resumed = tokio::select! {
-            resumed = resume(&mut flight, &id, &cause, events.last) => resumed,
+            resumed = resume(&mut flight, &id, &loss, events.last) => resumed,
             () = writer.closed() => return times.left(),
         };
         match resumed {
             Some(next) => answer = next,
-            None => break cause,
+            None => break loss.to_string(),
         }
     };
     times.answered(status, &pace, false);
@@ -223,12 +247,17 @@
 async fn resume(
     flight: &mut Flight,
     id: &EndpointId,
-    cause: &str,
+    loss: &Loss,
     last: Option<u64>,
 ) -> Option<Answer> {
     // The run was counted when its answer began.
-    flight.runs = flight.runs.saturating_sub(1);
-    flight.broken(id, cause).ok()?;
+    match loss {
+        Loss::Still => flight.leave(id, &loss.to_string()),
+        Loss::Broken(cause) => {
+            flight.runs = flight.runs.saturating_sub(1);
+            flight.broken(id, cause).ok()?;
+        }
+    }
     flight.start = flight.due.min(Instant::now() + flight.route.patience / 2);
     let next = flight.answer(last).await.ok()?;
     flight.step(Step::Resumed, &next.place.id, "");
