--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -195,7 +195,6 @@
     let cause = loop {
         let elsewhere = resumable && flight.runs < flight.route.attempts;
         let patience = elsewhere.then(|| flight.route.patience / STALL);
-        let id = answer.place.id.clone();
         let loss = match hear(&mut answer, &writer, patience, flight.due).await {
             Heard::Left => return times.left(),
             Heard::Late => break "the time of the request is over".to_owned(),
@@ -224,10 +223,13 @@
             }
             // A long prompt of another request silences it too: it is left only for an endpoint that goes on before
             // the caller leaves, or the stream would be lost while its endpoint is at work on it.
-            Heard::Silence if flight.may_leave(&id, flight.route.patience / 2) => Loss::Still,
+            Heard::Silence if flight.may_leave(&answer.place.id, flight.route.patience / 2) => {
+                Loss::Still
+            }
             Heard::Silence => continue,
             Heard::Broken(cause) => Loss::Broken(cause),
         };
+        let id = answer.place.id.clone();
         drop(answer);
         events.rest.clear();
         let resumed = tokio::select! {
