--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -6,8 +6,8 @@
 use web::{CallError, Client};
 
 use crate::{
-    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, POLL_PATH, Poll, Polled, Position,
-    SNAPSHOT_PATH, Snapshot, State,
+    ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept, POLL_PATH, Poll,
+    Polled, Position, SNAPSHOT_PATH, Snapshot, State,
 };
 
 /// What an answer may take beyond the time that the loader was asked to wait.
@@ -51,3 +51,13 @@
 ) -> Result<Option<Snapshot>, CallError> {
     client.get_if_any(router, &format!("{SNAPSHOT_PATH}?{have}"), limit).await
 }
+
+/// Tells another router of ended endpoints, and returns what it knows.
+pub async fn exchange_ends(
+    client: &Client,
+    router: SocketAddr,
+    kept: &[Kept],
+    limit: Duration,
+) -> Result<Vec<Kept>, CallError> {
+    client.post(router, ENDS_PATH, &kept, limit).await
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,8 +3,9 @@
 mod client;
 mod message;
 
-pub use client::{Loader, ask_snapshot};
+pub use client::{Loader, ask_snapshot, exchange_ends};
 pub use message::{
-    ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Load, POLL_PATH, Poll, Polled, Position,
-    SNAPSHOT_PATH, Snapshot, State, Use, Verdict,
+    ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept, LetGo, Load, POLL_PATH,
+    Poll, Polled, Position, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, State, Suspect,
+    Use, Verdict,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -5,6 +5,7 @@
 
 use catalog::{Catalog, Engine, ModelId};
 use fleet::{Endpoint, Holdings};
+use quarantine::{Digest, Evidence, Note};
 use serde::{Deserialize, Serialize};
 use units::{EndpointId, Life, ModelName, Offset, Revision};
 
@@ -180,6 +181,38 @@
     pub read: Offset,
 }
 
+/// Where a router tells another one of endpoints that ended, and is told what that one knows.
+pub const ENDS_PATH: &str = "/ends";
+/// Where a router lists the requests that it refuses because they crash endpoints.
+pub const SUSPECTS_PATH: &str = "/suspects";
+/// Where an operator lets one of them go: `POST` with [`LetGo`].
+pub const RELEASE_PATH: &str = "/release";
+
+/// A record of the topic on ended endpoints, with its key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// The key.
+    pub key: String,
+    /// The record.
+    pub note: Note,
+}
+
+/// A request that is refused because it crashes endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// What tells it from others.
+    pub digest: Digest,
+    /// The ends that speak against it.
+    pub ends: Vec<Evidence>,
+}
+
+/// An operator lets a request go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LetGo {
+    /// What tells it from others.
+    pub digest: Digest,
+}
+
 /// What the endpoints of the service can hold.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineNews {
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -90,6 +90,15 @@
         Event::Holds { models, .. } => {
             gauge!("models_held").set(f64::from(u32::try_from(*models).unwrap_or(u32::MAX)));
         }
+        Event::Examined { ended, .. } => {
+            let outcome = if *ended { "ended" } else { "not ended" };
+            counter!("endpoints_examined_total", "outcome" => outcome).increment(1);
+        }
+        Event::Blamed { suspect: true, .. } => counter!("suspects_total").increment(1),
+        Event::Barred { tried, .. } => {
+            let outcome = if *tried { "tried" } else { "refused" };
+            counter!("suspects_barred_total", "outcome" => outcome).increment(1);
+        }
         Event::Dropped { lines } => counter!("lines_dropped_total").increment(*lines),
         Event::Told { .. } => counter!("routers_told_total").increment(1),
         Event::Started { .. }
@@ -97,6 +106,7 @@
         | Event::Stopped { .. }
         | Event::Reloaded { .. }
         | Event::Token { .. }
+        | Event::Blamed { .. }
         | Event::Lane { .. } => {}
     }
 }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -21,6 +21,8 @@
     Fencing,
     /// The platform's store, as the place where loaders agree on whose turn it is to load from the weight store.
     Lanes,
+    /// The platform's store, as the place where routers tell each other of endpoints that ended.
+    Ends,
 }
 
 /// Why a request was turned away.
@@ -45,6 +47,8 @@
     Stopping,
     /// Its caller has left.
     Left,
+    /// It crashes the endpoints that run it.
+    Crashes,
 }
 
 /// A step of one request.
@@ -219,6 +223,9 @@
         waited_ms: u64,
         /// Whether it waited for a model to be loaded.
         cold: bool,
+        /// What tells it from others, whatever its id, if it was sent.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        digest: &'a str,
         /// As in the line that it was taken.
         #[serde(skip)]
         class: &'a str,
@@ -281,6 +288,41 @@
         /// As many are allowed.
         limit: u32,
     },
+    /// An endpoint that cut requests was examined.
+    Examined {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// Its life, 0 if it does not tell.
+        life: u64,
+        /// Whether it has ended, not by a planned stop: this may be held against what it ran.
+        ended: bool,
+        /// What showed that.
+        cause: &'a str,
+        /// Requests of this router that it had begun of late.
+        requests: usize,
+        /// How long the examination took.
+        after_ms: u64,
+    },
+    /// A request is held to crash endpoints from now on, or no longer.
+    Blamed {
+        /// What tells it from others.
+        digest: &'a str,
+        /// Whether it is.
+        suspect: bool,
+        /// The ends that speak against it: endpoint, life and age.
+        ends: &'a str,
+    },
+    /// A request was refused because it crashes endpoints, or is tried once more.
+    Barred {
+        /// Its id.
+        request: &'a str,
+        /// What tells it from others.
+        digest: &'a str,
+        /// Whether it is tried once more.
+        tried: bool,
+        /// The ends that speak against it: endpoint, life and age.
+        ends: &'a str,
+    },
     /// A loader was asked to have a model.
     Wanted {
         /// The model.
@@ -381,6 +423,7 @@
             | Self::Answered { request, .. }
             | Self::Refused { request, .. }
             | Self::Repeat { request, .. }
+            | Self::Barred { request, .. }
             | Self::Left { request, .. } => Some(request),
             _ => None,
         }
@@ -389,7 +432,12 @@
     /// Whether it tells of a failure, which is kept before other lines.
     pub(crate) fn failure(&self) -> bool {
         match self {
-            Self::Refused { .. } | Self::Lost { .. } | Self::Suspect { .. } => true,
+            Self::Refused { .. }
+            | Self::Lost { .. }
+            | Self::Suspect { .. }
+            | Self::Examined { .. }
+            | Self::Blamed { .. }
+            | Self::Barred { .. } => true,
             Self::Answered { status, whole, .. } => *status >= 500 || !whole,
             _ => false,
         }
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -37,6 +37,7 @@
             age_ms: 120,
             waited_ms: 40,
             cold: true,
+            digest: "",
             class,
             cause: "",
         },
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -45,6 +45,8 @@
     pub(crate) since: Instant,
     /// Endpoints that have had it.
     pub(crate) tried: &'a [EndpointId],
+    /// Whether it is kept from others that were at ends of endpoints.
+    pub(crate) apart: bool,
 }
 
 impl Wanted<'_> {
@@ -141,7 +143,7 @@
             }
             continue;
         }
-        if wanted.tried.contains(id) {
+        if wanted.tried.contains(id) || wanted.apart && peer.pool.runs().apart > 0 {
             continue;
         }
         let refused = |model: &ModelId| {
@@ -171,7 +173,7 @@
             return Found::Later(Duration::ZERO);
         }
         let times = (work, served.expect);
-        let place = Place::take(shared, &mut peers, id, wanted.model, times, now);
+        let place = Place::take(shared, &mut peers, id, wanted.model, times, wanted.apart, now);
         drop(peers);
         if let Some(Ask { id, target, expect, cold }) = more {
             let wish = Wish { urgent: true, within: expect + RETURN, expect, cold };
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use platform::Sending;
+use quarantine::Digest;
 use tokio::time::Instant;
 use web::Body;
 
@@ -32,7 +33,8 @@
 
 impl Answer {
     /// Keeps the connection; the body must have been read to its end.
-    pub(crate) fn keep(self) {
+    pub(crate) fn keep(mut self) {
+        self.place.outlived();
         let idle = kept_for(&self.head.headers);
         if !idle.is_zero() {
             self.place.pool.keep(self.link, idle);
@@ -64,6 +66,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What tells the request from others, whatever its id.
+    pub(crate) digest: Digest,
 }
 
 /// How long the head of an answer is waited for.
@@ -108,6 +112,7 @@
             }
             return Sent::Left;
         }
+        place.sent(&outgoing.digest);
         match attempt(&mut link, request, patience, &leave).await {
             Attempt::Answer(head, body) => {
                 place.begun();
@@ -116,12 +121,16 @@
             Attempt::Returned(unsent) if !link.fresh => {
                 // A kept connection was closed before anything was written on it.
                 request = *unsent;
+                place.outlived();
                 link = match place.pool.open(until).await {
                     Ok(link) => link,
                     Err(error) => return Sent::Unsent(error.to_string()),
                 };
             }
-            Attempt::Returned(_) => return Sent::Unsent("the connection was closed".to_owned()),
+            Attempt::Returned(_) => {
+                place.outlived();
+                return Sent::Unsent("the connection was closed".to_owned());
+            }
             Attempt::Broken(cause) => return Sent::Broken(cause),
             Attempt::Late => return Sent::Late,
             Attempt::Elsewhere => return Sent::Elsewhere,
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -119,7 +119,7 @@
             News::Unreadable(cause) => {
                 emit(&Event::Unreadable { dependency: Dependency::Configuration, cause: &cause });
             }
-            News::Member(_) | News::Foreign(..) => {}
+            News::Member(_) | News::Foreign(..) | News::Own(..) => {}
         }
     }
     fresh
@@ -192,7 +192,7 @@
                     emit(&Event::Unreadable { dependency: Dependency::Membership, cause: &cause });
                 }
             }
-            News::Config(_) | News::Unreadable(_) => {}
+            News::Config(_) | News::Unreadable(_) | News::Own(..) => {}
         }
     }
     let news = Listed { changes, whole: batch.whole, read: batch.read };
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -12,8 +12,12 @@
 
 use crate::caller::Caller;
 use crate::choose::{self, NoPlace, Wanted};
+use crate::ended;
 use crate::exchange::{self, Answer, Outgoing, Patience, Sent};
+use crate::guard::{Barred, Pass};
+use crate::ledger;
 use crate::place::Place;
+use crate::pool::Pool;
 use crate::shared::Shared;
 
 /// Sends of one request that did not run, at most: refusals of full endpoints and closed connections.
@@ -55,6 +59,10 @@
     pub(crate) sends: u32,
     /// How often it may have run.
     pub(crate) runs: u32,
+    /// The life of the endpoint that it was last sent to, as this router reaches it.
+    pub(crate) pool: Option<Arc<Pool>>,
+    /// Leave to send it.
+    pub(crate) pass: Option<Pass>,
 }
 
 impl Flight {
@@ -62,18 +70,20 @@
     pub(crate) async fn answer(&mut self, last_event: Option<u64>) -> Result<Answer, Failure> {
         loop {
             let asked = Instant::now();
+            self.enter().await?;
             let place = self.place().await?;
             let waited = asked.elapsed();
             // After the machine stood still, requests and the closing of their connections arrive together: let
             // the closing be seen before anything is sent.
             self.shared.pulse.settle().await;
             tokio::task::yield_now().await;
-            if !place.stays() {
-                // What arrived with it says that the endpoint leaves.
+            if !place.stays() || !self.allowed() {
+                // What arrived with it says that the endpoint leaves, or that the request ends endpoints.
                 continue;
             }
             let id = place.id.clone();
             self.life = place.life;
+            self.pool = Some(place.pool.clone());
             self.log_sent(&place, waited);
             self.sends += 1;
             let now = Instant::now();
@@ -114,6 +124,47 @@
         }
     }
 
+    /// Waits until it may be sent, as far as it is known what it did to endpoints before.
+    async fn enter(&mut self) -> Result<(), Failure> {
+        let digest = self.outgoing.digest;
+        let held = self.pass.take();
+        let barred = match self.shared.guard.enter(&digest, held, self.start).await {
+            Ok(pass) => {
+                self.pass = Some(pass);
+                return Ok(());
+            }
+            Err(barred) => barred,
+        };
+        let mut tried = None;
+        if let Barred::Due(number) = barred {
+            tried = ledger::claim(&self.shared, &digest, number).await;
+        }
+        if barred != Barred::Busy {
+            emit(&Event::Barred {
+                request: &self.name,
+                digest: &digest.to_string(),
+                tried: tried.is_some(),
+                ends: &self.shared.guard.ends(&digest),
+            });
+        }
+        self.pass = tried;
+        match (&self.pass, barred) {
+            (Some(_), _) => Ok(()),
+            (None, Barred::Busy) => Err(self.failed(Refusal::TimedOut, Some(SOON))),
+            (None, Barred::Suspect | Barred::Due(_)) => Err(self.failed(Refusal::Crashes, None)),
+        }
+    }
+
+    fn allowed(&self) -> bool {
+        let pass = self.pass.as_ref();
+        pass.is_some_and(|pass| self.shared.guard.allows(&self.outgoing.digest, pass))
+    }
+
+    /// Notes that its endpoint has outlived it.
+    pub(crate) fn outlived(&self) {
+        self.shared.guard.clear(&self.outgoing.digest);
+    }
+
     fn wanted<'a>(&'a self, tried: &'a [EndpointId]) -> Wanted<'a> {
         let engine = self.catalog.service(&self.service).and_then(|s| s.engine.as_ref());
         Wanted {
@@ -125,6 +176,7 @@
             due: self.start,
             since: Instant::now(),
             tried,
+            apart: self.pass.as_ref().is_some_and(|pass| pass.apart),
         }
     }
 
@@ -179,7 +231,7 @@
         self.route.priority.min(9)
     }
 
-    async fn judge(&mut self, answer: Answer, id: &EndpointId) -> Judged {
+    async fn judge(&mut self, mut answer: Answer, id: &EndpointId) -> Judged {
         let status = answer.head.status;
         match platform::read_reply(&self.call.id, status, &answer.head.headers) {
             Reply::Ran => {
@@ -198,12 +250,14 @@
             }
             Reply::NotRun => {
                 self.step(Step::NotRun, id, status.as_str());
+                answer.place.outlived();
                 drop(answer);
                 self.not_run(id).await
             }
             Reply::Misdirected => {
                 self.step(Step::NotRun, id, status.as_str());
                 let other = platform::instance_of(&answer.head.headers).is_some_and(|o| o != *id);
+                answer.place.outlived();
                 drop(answer);
                 match &self.call.model {
                     Some(model) if !other => self.shared.known.missing(id, self.life, model),
@@ -239,6 +293,9 @@
         self.runs += 1;
         self.step(Step::Broken, id, cause);
         self.shared.known.failed(id, self.life, cause);
+        if let Some(pool) = &self.pool {
+            ended::examine(&self.shared, id, self.life, pool);
+        }
         self.tried.push(id.clone());
         let again = self.route.kind.repeatable()
             && self.runs < self.route.attempts
@@ -250,6 +307,8 @@
     /// The failure for a cause: a promise that the request has not run only if that is certain.
     pub(crate) fn failed(&self, cause: Refusal, after: Option<Duration>) -> Failure {
         let status = match (self.runs, cause) {
+            // Callers don't come back with what is refused as it is.
+            (0, Refusal::Crashes) => StatusCode::BAD_REQUEST,
             (0, _) => StatusCode::SERVICE_UNAVAILABLE,
             (_, Refusal::TimedOut) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
@@ -267,6 +326,7 @@
             age_ms: millis(place.age),
             waited_ms: millis(waited),
             cold: place.cold,
+            digest: &self.outgoing.digest.to_string(),
             class: &self.class,
             cause: "",
         });
@@ -282,6 +342,7 @@
             age_ms: 0,
             waited_ms: 0,
             cold: false,
+            digest: "",
             class: &self.class,
             cause,
         });
--- /dev/null
+++ b/components/router/src/guard.rs
@@ -0,0 +1,318 @@
+//! Keeps requests that crash endpoints from them.
+//!
+//! Load pattern: callers send one request again and again, several at a time and through all routers, and each endpoint
+//! that begins to run it is gone for seconds, with all that it had. Until it is known who is to blame, those that
+//! were at an end are sent one at a time, and none while an end is being looked into; those that were at two are kept
+//! from each other, so that the next end tells them apart.
+
+use std::collections::{HashSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use control::{Kept, Suspect};
+use events::{Event, emit};
+use quarantine::{Death, Digest, Evidence, Note, Release, Stamp, Standing, Table};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
+
+use crate::pool::Pool;
+
+/// From so many ends on a request is kept from others that were at as many.
+const APART: usize = 2;
+/// Records that are told to routers which can't read them in the store.
+const RECENT: usize = 64;
+/// How long after an end of an endpoint news of others are read without delay.
+const ALERT: Duration = Duration::from_secs(60);
+
+/// The time of day, as records bear it.
+#[allow(
+    clippy::disallowed_methods,
+    reason = "records outlive their writers, and what depends on their time bears jumps of seconds"
+)]
+pub(crate) fn stamp() -> Stamp {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Stamp(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: Table,
+    /// Requests that were at an end of an endpoint and are on their way now.
+    turns: HashSet<Digest>,
+    /// Lives of endpoints that may have ended.
+    examined: Vec<Arc<Pool>>,
+    recent: VecDeque<Kept>,
+    /// When an endpoint ended last, as far as this router has heard.
+    heard: Option<Instant>,
+}
+
+/// What keeps them.
+#[derive(Debug)]
+pub(crate) struct Guard {
+    state: Mutex<State>,
+    /// Told whenever a request that waits here may go on.
+    changed: Notify,
+    /// Told when an endpoint may have ended: others may know more.
+    pub(crate) alarm: Notify,
+    /// Records of this router, to be written.
+    write: mpsc::UnboundedSender<Kept>,
+    router: String,
+}
+
+/// Why a request may not be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Barred {
+    /// It crashes endpoints.
+    Suspect,
+    /// It is a suspect whose trial is due.
+    Due(u32),
+    /// Another one like it was on its way for as long as this one could wait.
+    Busy,
+}
+
+/// The turn of a request among those like it; given back when it is dropped.
+#[derive(Debug)]
+struct Turn {
+    guard: Arc<Guard>,
+    digest: Digest,
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.guard.lock().turns.remove(&self.digest);
+        self.guard.changed.notify_waiters();
+    }
+}
+
+/// Leave to send a request.
+#[derive(Debug)]
+pub(crate) struct Pass {
+    /// Set if it was at an end of an endpoint.
+    turn: Option<Turn>,
+    /// Whether it is kept from others that were at ends of endpoints.
+    pub(crate) apart: bool,
+    /// Whether a suspect is tried with it.
+    tried: bool,
+}
+
+/// What is to be done with a request now.
+enum Look {
+    Free,
+    Turn { apart: bool },
+    Wait,
+    Barred(Barred),
+}
+
+impl Guard {
+    /// A guard that knows nothing; what it has to write comes out of the other end.
+    pub(crate) fn new(router: String) -> (Self, mpsc::UnboundedReceiver<Kept>) {
+        let (write, written) = mpsc::unbounded_channel();
+        let (state, changed, alarm) = Default::default();
+        (Self { state, changed, alarm, write, router }, written)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Leave to send a request, once it may be; it waits for that until `until` at most.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        digest: &Digest,
+        held: Option<Pass>,
+        until: Instant,
+    ) -> Result<Pass, Barred> {
+        let mut turn = match held {
+            Some(pass) if pass.tried => return Ok(pass),
+            held => held.and_then(|pass| pass.turn),
+        };
+        loop {
+            let changed = self.changed.notified();
+            match self.look(digest, turn.is_some()) {
+                Look::Free => return Ok(Pass { turn, apart: false, tried: false }),
+                Look::Turn { apart } => {
+                    turn.get_or_insert_with(|| self.turn(digest));
+                    return Ok(Pass { turn, apart, tried: false });
+                }
+                Look::Barred(barred) => return Err(barred),
+                Look::Wait => {}
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return Err(Barred::Busy);
+            }
+        }
+    }
+
+    /// A turn that has been noted.
+    fn turn(self: &Arc<Self>, digest: &Digest) -> Turn {
+        Turn { guard: self.clone(), digest: *digest }
+    }
+
+    fn look(&self, digest: &Digest, mine: bool) -> Look {
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.examined.iter().any(|pool| pool.runs().has(digest, now)) {
+            return Look::Wait;
+        }
+        match state.table.standing(digest) {
+            Standing::Clear => Look::Free,
+            Standing::Suspect => Look::Barred(match state.table.trial(digest, stamp()) {
+                Some(number) => Barred::Due(number),
+                None => Barred::Suspect,
+            }),
+            Standing::Watched(_) if !mine && !state.turns.insert(*digest) => Look::Wait,
+            Standing::Watched(ends) => Look::Turn { apart: ends >= APART },
+        }
+    }
+
+    /// Whether a request that has leave may still be sent, after what has become known since.
+    pub(crate) fn allows(&self, digest: &Digest, pass: &Pass) -> bool {
+        if pass.tried {
+            return true;
+        }
+        let state = self.lock();
+        let now = Instant::now();
+        match state.table.standing(digest) {
+            Standing::Suspect => false,
+            Standing::Watched(ends) if pass.turn.is_none() || (ends >= APART) != pass.apart => {
+                false
+            }
+            Standing::Watched(_) | Standing::Clear => {
+                !state.examined.iter().any(|pool| pool.runs().has(digest, now))
+            }
+        }
+    }
+
+    /// Leave to try a suspect; whoever asks has agreed on it with all routers.
+    pub(crate) fn try_once(self: &Arc<Self>, digest: &Digest) -> Option<Pass> {
+        let first = self.lock().turns.insert(*digest);
+        first.then(|| Pass { turn: Some(self.turn(digest)), apart: true, tried: true })
+    }
+
+    /// A life of an endpoint may have ended: what it had is not sent until that is known.
+    pub(crate) fn examine(&self, pool: &Arc<Pool>) {
+        let mut state = self.lock();
+        state.examined.push(pool.clone());
+        state.heard = Some(Instant::now());
+        drop(state);
+        self.alarm.notify_waiters();
+    }
+
+    /// Whether it has is known; `death` if so.
+    pub(crate) fn examined(&self, pool: &Arc<Pool>, death: Option<Death>) {
+        if let Some(death) = death {
+            self.tell(Note::Death(death));
+        }
+        self.lock().examined.retain(|other| !Arc::ptr_eq(other, pool));
+        self.changed.notify_waiters();
+    }
+
+    /// A request ran to its end: what it was at before does not speak against it.
+    pub(crate) fn clear(&self, digest: &Digest) {
+        let note = Note::Release(Release { digest: *digest, at: stamp() });
+        let standing = self.lock().table.standing(digest);
+        match standing {
+            Standing::Clear => {}
+            // What is of no weight yet is worth no record.
+            Standing::Watched(ends) if ends < APART => {
+                let kept = Kept { key: note.key(&self.router), note };
+                self.take(&[kept]);
+            }
+            Standing::Watched(_) | Standing::Suspect => self.tell(note),
+        }
+    }
+
+    /// Lets a request go; false if it is no suspect.
+    pub(crate) fn release(&self, digest: &Digest) -> bool {
+        let suspect = self.lock().table.standing(digest) == Standing::Suspect;
+        if suspect {
+            self.tell(Note::Release(Release { digest: *digest, at: stamp() }));
+        }
+        suspect
+    }
+
+    /// Takes a record of this router's own and has it written.
+    pub(crate) fn tell(&self, note: Note) {
+        let kept = Kept { key: note.key(&self.router), note };
+        self.take(std::slice::from_ref(&kept));
+        let _ = self.write.send(kept);
+    }
+
+    /// Has a record written that another router told of.
+    pub(crate) fn write(&self, kept: Kept) {
+        let _ = self.write.send(kept);
+    }
+
+    /// Takes records, and returns those that say something new.
+    pub(crate) fn take(&self, all: &[Kept]) -> Vec<Kept> {
+        let now = stamp();
+        let mut state = self.lock();
+        let before: HashSet<Digest> = state.table.suspects().map(|(digest, _)| *digest).collect();
+        let known: HashSet<&String> = state.recent.iter().map(|kept| &kept.key).collect();
+        let fresh: Vec<Kept> = all
+            .iter()
+            .filter(|kept| !known.contains(&kept.key) && !Table::stale(&kept.note, now))
+            .cloned()
+            .collect();
+        if state.table.take(all.iter().map(|kept| &kept.note), now) == 0 {
+            return Vec::new();
+        }
+        if fresh.iter().any(|kept| matches!(kept.note, Note::Death(_))) {
+            state.heard = Some(Instant::now());
+        }
+        state.recent.extend(fresh.iter().cloned());
+        let over = state.recent.len().saturating_sub(RECENT);
+        state.recent.drain(..over);
+        for (digest, ends) in state.table.suspects().filter(|(digest, _)| !before.contains(digest))
+        {
+            emit_blamed(digest, true, &list(ends, now));
+        }
+        for digest in before.iter().filter(|digest| state.table.evidence(digest).is_empty()) {
+            emit_blamed(digest, false, "");
+        }
+        drop(state);
+        self.changed.notify_waiters();
+        fresh
+    }
+
+    /// What this router knows of late.
+    pub(crate) fn recent(&self) -> Vec<Kept> {
+        self.lock().recent.iter().cloned().collect()
+    }
+
+    /// Whether an endpoint has ended of late, so that news of others may decide soon.
+    pub(crate) fn alert(&self) -> bool {
+        self.lock().heard.is_some_and(|heard| heard.elapsed() < ALERT)
+    }
+
+    /// What speaks against a request, for a line.
+    pub(crate) fn ends(&self, digest: &Digest) -> String {
+        list(self.lock().table.evidence(digest), stamp())
+    }
+
+    /// All suspects.
+    pub(crate) fn suspects(&self) -> Vec<Suspect> {
+        let state = self.lock();
+        let suspect = |(digest, ends): (&Digest, &[Evidence])| Suspect {
+            digest: *digest,
+            ends: ends.to_vec(),
+        };
+        state.table.suspects().map(suspect).collect()
+    }
+}
+
+fn emit_blamed(digest: &Digest, suspect: bool, ends: &str) {
+    emit(&Event::Blamed { digest: &digest.to_string(), suspect, ends });
+}
+
+/// Endpoint, life and age of each end.
+fn list(ends: &[Evidence], now: Stamp) -> String {
+    let one = |end: &Evidence| {
+        let life = end.life.unwrap_or_default();
+        format!("{} {life} {}ms", end.endpoint, now.since(end.at).as_millis())
+    };
+    ends.iter().map(one).collect::<Vec<_>>().join(", ")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/router/src/ledger.rs
@@ -0,0 +1,189 @@
+//! Routers share what they know of ended endpoints: through the store, and by asking each other while that is away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use control::{Kept, LetGo};
+use events::{Dependency, Event, emit, millis};
+use http::{Response, StatusCode};
+use platform::{Follower, News, Put, Store, StoreError, Topic};
+use quarantine::{Digest, Note, Stamp, Table, Trial};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use units::Offset;
+use web::Body;
+
+use crate::guard::{Pass, stamp};
+use crate::shared::Shared;
+
+/// How long a read waits for a record while no endpoint has ended of late: each call is paid for.
+const CALM: Duration = Duration::from_secs(10);
+/// The same while one has. A read that begins while a record is written may be answered only when its time is over, and a
+/// request that ends endpoints must be known to all routers within three seconds.
+const ALERT: Duration = Duration::from_millis(1_000);
+/// The pause after a failed call.
+const RETRY: Duration = Duration::from_millis(400);
+/// A read that gives nothing sooner than it should is not repeated before this.
+const LEAST: Duration = Duration::from_millis(200);
+/// A router of the same deployment answers within some tens of milliseconds; one that does not is down or cut off.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// The largest message of another router.
+const LARGEST: usize = 1 << 20;
+
+/// Reads what other routers have written, for as long as the process runs.
+pub(crate) async fn read(shared: Arc<Shared>, store: Store) {
+    let mut follower = Follower::new(store.clone(), Topic::Ends);
+    let mut away: Option<Instant> = None;
+    loop {
+        let begun = Instant::now();
+        let wait = if shared.guard.alert() { ALERT } else { CALM };
+        let next = tokio::select! {
+            next = follower.next(if away.is_some() { Duration::ZERO } else { wait }) => next,
+            // An endpoint may have ended: what others know of it may be waiting behind a silent connection.
+            () = shared.guard.alarm.notified(), if wait == CALM => continue,
+        };
+        match next {
+            Ok(batch) => {
+                events::reached(Dependency::Ends);
+                if let Some(since) = away.take() {
+                    let (dependency, after_ms) = (Dependency::Ends, millis(since.elapsed()));
+                    emit(&Event::Regained { dependency, name: "store", after_ms });
+                }
+                shared.ends_read.send_replace(Some(batch.read));
+                let empty = batch.news.is_empty() && !batch.whole;
+                take(&shared, batch.news);
+                if empty && begun.elapsed() < LEAST {
+                    tokio::time::sleep(LEAST).await;
+                }
+            }
+            Err(error) => {
+                lost(&mut away, &error);
+                shared.ends_read.send_replace(None);
+                exchange(&shared).await;
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+fn take(shared: &Shared, news: Vec<News>) {
+    let mut all = Vec::new();
+    for news in news {
+        let News::Own(key, value) = news else { continue };
+        // One that was dropped is too old to count.
+        if value.is_empty() {
+            continue;
+        }
+        match serde_json::from_slice(&value) {
+            Ok(note) => all.push(Kept { key, note }),
+            Err(error) => {
+                let cause = format!("the record `{key}` can't be read: {error}");
+                emit(&Event::Unreadable { dependency: Dependency::Ends, cause: &cause });
+            }
+        }
+    }
+    shared.guard.take(&all);
+}
+
+fn lost(away: &mut Option<Instant>, error: &StoreError) {
+    if away.is_none() {
+        let (dependency, cause) = (Dependency::Ends, error.to_string());
+        emit(&Event::Lost { dependency, name: "store", cause: &cause });
+        *away = Some(Instant::now());
+    }
+}
+
+/// Writes this router's records, and those of routers that could not write them.
+pub(crate) async fn write(
+    shared: Arc<Shared>,
+    store: Store,
+    mut records: mpsc::UnboundedReceiver<Kept>,
+) {
+    while let Some(kept) = records.recv().await {
+        let value = serde_json::to_vec(&kept.note).unwrap_or_default();
+        while let Err(error) = store.put(Topic::Ends, &kept.key, &value, None).await {
+            log::debug!("router: a record of an ended endpoint is not written yet: {error}");
+            exchange(&shared).await;
+            tokio::time::sleep(RETRY).await;
+            if Table::stale(&kept.note, stamp()) {
+                break;
+            }
+        }
+    }
+}
+
+/// Tells other routers what this one knows, and takes what they know.
+async fn exchange(shared: &Arc<Shared>) {
+    let known = shared.guard.recent();
+    let asked = shared.other_routers().into_iter().map(|router| {
+        let (client, known) = (shared.client.clone(), known.clone());
+        async move { control::exchange_ends(&client, router, &known, PATIENCE).await }
+    });
+    for told in futures_util::future::join_all(asked).await {
+        match told {
+            Ok(told) => drop(shared.guard.take(&told)),
+            Err(error) => {
+                log::debug!("router: another one told nothing of ended endpoints: {error}")
+            }
+        }
+    }
+}
+
+/// Answers another router that tells what it knows.
+pub(crate) async fn answer(
+    shared: &Shared,
+    request: http::Request<hyper::body::Incoming>,
+) -> Response<Body> {
+    let Ok(bytes) = web::read(request.into_body(), LARGEST).await else {
+        return web::text(StatusCode::BAD_REQUEST, "the message can't be read\n");
+    };
+    match serde_json::from_slice::<Vec<Kept>>(&bytes) {
+        Ok(told) => {
+            for kept in shared.guard.take(&told) {
+                // The other one may not reach the store.
+                shared.guard.write(kept);
+            }
+            web::json(StatusCode::OK, &shared.guard.recent())
+        }
+        Err(error) => web::text(StatusCode::BAD_REQUEST, format!("no records: {error}\n")),
+    }
+}
+
+/// Lets a suspect go, on an operator's word.
+pub(crate) async fn release(
+    shared: &Shared,
+    request: http::Request<hyper::body::Incoming>,
+) -> Response<Body> {
+    let Ok(bytes) = web::read(request.into_body(), LARGEST).await else {
+        return web::text(StatusCode::BAD_REQUEST, "the message can't be read\n");
+    };
+    match serde_json::from_slice::<LetGo>(&bytes) {
+        Ok(LetGo { digest }) if shared.guard.release(&digest) => {
+            web::json(StatusCode::OK, &LetGo { digest })
+        }
+        Ok(LetGo { digest }) => web::text(
+            StatusCode::NOT_FOUND,
+            format!("{digest} is no suspect here; `hyssopctl suspects` lists them\n"),
+        ),
+        Err(error) => web::text(StatusCode::BAD_REQUEST, format!("no digest: {error}\n")),
+    }
+}
+
+/// Agrees with all routers that this one tries a suspect now: only one can write right behind what it has read.
+pub(crate) async fn claim(shared: &Arc<Shared>, digest: &Digest, number: u32) -> Option<Pass> {
+    let read: Option<Offset> = *shared.ends_read.borrow();
+    let at: Stamp = stamp();
+    let note = Note::Trial(Trial { digest: *digest, number, at });
+    let key = note.key(&shared.instance);
+    let value = serde_json::to_vec(&note).unwrap_or_default();
+    match shared.store.put(Topic::Ends, &key, &value, Some(read?)).await {
+        Ok(Put::Written) => {}
+        Ok(Put::Moved) => return None,
+        Err(error) => {
+            log::debug!("router: a suspect is not tried, since the store can't be asked: {error}");
+            return None;
+        }
+    }
+    shared.guard.take(&[Kept { key, note }]);
+    shared.guard.try_once(digest)
+}
--- a/components/router/src/place.rs
+++ b/components/router/src/place.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use catalog::ModelId;
+use quarantine::Digest;
 use tokio::time::Instant;
 use units::{EndpointId, Life, ModelName};
 
 use crate::endpoint::Peer;
 use crate::known::Peers;
 use crate::pool::Pool;
+use crate::runs::Ticket;
 use crate::shared::Shared;
 
 /// Where a request goes; its place is given back when this is dropped.
@@ -32,6 +34,10 @@
     pub(crate) cold: bool,
     /// Whether an answer has begun.
     answered: bool,
+    /// What stands for the request at the endpoint, once it has been sent.
+    ticket: Option<Ticket>,
+    /// Whether it is to be kept from others that were at ends of endpoints.
+    apart: bool,
 }
 
 impl Place {
@@ -43,9 +49,11 @@
         id: EndpointId,
         model: Option<&ModelId>,
         (work, expect): (Duration, Duration),
+        apart: bool,
         now: Instant,
     ) -> Option<Self> {
         let peer = peers.map.get_mut(&id)?;
+        peer.pool.runs().apart += u32::from(apart);
         peer.pool.signs().sent(now);
         peer.running += 1;
         if let Some(model) = model {
@@ -68,6 +76,8 @@
             expect,
             cold: false,
             answered: false,
+            ticket: None,
+            apart,
         })
     }
 
@@ -78,11 +88,26 @@
         peer.is_some_and(Peer::stays)
     }
 
+    /// Notes that the request is sent now.
+    pub(crate) fn sent(&mut self, digest: &Digest) {
+        self.ticket.get_or_insert_with(|| self.pool.runs().begin(*digest));
+    }
+
+    /// Notes that the endpoint has outlived the request, or never had it.
+    pub(crate) fn outlived(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.pool.runs().end(ticket, true, Instant::now());
+        }
+    }
+
     /// Notes that the endpoint has begun to run the request.
     pub(crate) fn begun(&mut self) {
         let now = Instant::now();
         self.pool.signs().alive(now);
         self.answered = true;
+        if let Some(ticket) = self.ticket {
+            self.pool.runs().begun(ticket, now);
+        }
         let shared = self.shared.clone();
         let mut peers = shared.known.lock();
         self.give_back(&mut peers, now);
@@ -113,6 +138,12 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let now = Instant::now();
+        let mut runs = self.pool.runs();
+        runs.apart = runs.apart.saturating_sub(u32::from(self.apart));
+        if let Some(ticket) = self.ticket {
+            runs.end(ticket, false, now);
+        }
+        drop(runs);
         let shared = self.shared.clone();
         let mut peers = shared.known.lock();
         self.give_back(&mut peers, now);
--- a/components/router/src/pool.rs
+++ b/components/router/src/pool.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use web::Body;
 
+use crate::runs::Runs;
 use crate::signs::Signs;
 
 /// A connection within a region is made in a few milliseconds; a lost opening packet is sent again after seconds.
@@ -47,11 +48,17 @@
     addr: SocketAddr,
     kept: Mutex<Vec<Kept>>,
     signs: Mutex<Signs>,
+    runs: Mutex<Runs>,
 }
 
 impl Pool {
     pub(crate) fn new(addr: SocketAddr) -> Self {
-        Self { addr, kept: Mutex::default(), signs: Mutex::new(Signs::new(Instant::now())) }
+        Self {
+            addr,
+            kept: Mutex::default(),
+            signs: Mutex::new(Signs::new(Instant::now())),
+            runs: Mutex::default(),
+        }
     }
 
     /// The endpoint's signs of life.
@@ -59,6 +66,16 @@
         self.signs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Where they lead.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// The requests that this life of the endpoint has from this router.
+    pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A connection: a kept one, or else a new one, made until `until`.
     pub(crate) async fn take(&self, until: Instant) -> io::Result<Link> {
         if let Some(link) = self.reuse() {
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -94,6 +94,7 @@
                 *response.status_mut() = answer.head.status;
                 *response.headers_mut() = headers;
                 answer.keep();
+                flight.outlived();
                 return Ok(response);
             }
             Err(cause) => {
@@ -219,6 +220,7 @@
                 let _ = writer.finish().await;
                 times.answered(status, &pace, true);
                 flight.shared.known.streamed(pace.gap > flight.route.pause);
+                flight.outlived();
                 return answer.keep();
             }
             // A long prompt of another request silences it too: it is left only for an endpoint that goes on before
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use process::Phase;
+use quarantine::Digest;
 use tokio::time::Instant;
 use web::{Body, ReadError};
 
@@ -31,6 +32,9 @@
 /// What an endpoint takes until its first event, and the way back; a stream is sent no later than this before its
 /// caller leaves.
 const FIRST_EVENT: Duration = Duration::from_millis(150);
+/// What the caller of a request reads that is refused because of what it did to endpoints.
+const CRASHES: &str = "Crashes: endpoints ended while they ran this request, one after the other, so it is refused. Do not send \
+                       it again as it is; an operator can let it go.\n";
 /// A caller that names no deadline is held no longer than its route says; this stands in where that says nothing.
 const LONGEST: Duration = Duration::from_secs(60);
 
@@ -127,7 +131,12 @@
         }
         Err(ReadError::Cut(_)) => return Err(malformed()),
     };
-    let outgoing = Outgoing { method: parts.method, uri: parts.uri, headers: parts.headers, body };
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let key = platform::caller_key(&parts.headers);
+    let (host, method) = (call.host.as_bytes(), parts.method.as_str().as_bytes());
+    let digest = Digest::of(&[host, key, method, path.as_bytes(), &body]);
+    let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
+    let outgoing = Outgoing { method, uri, headers, body, digest };
     let mut flight = Flight {
         shared: shared.clone(),
         caller,
@@ -144,6 +153,8 @@
         life: None,
         sends: 0,
         runs: 0,
+        pool: None,
+        pass: None,
     };
     let answer = flight.answer(None).await?;
     let mut pace = Pace::default();
@@ -165,7 +176,11 @@
         after_ms: failure.after.map_or(0, millis),
         held_ms: millis(times.arrived.elapsed()),
     });
-    let mut response = web::text(failure.status, format!("{:?}\n", failure.cause));
+    let text = match failure.cause {
+        Refusal::Crashes => CRASHES.to_owned(),
+        cause => format!("{cause:?}\n"),
+    };
+    let mut response = web::text(failure.status, text);
     response.headers_mut().extend(platform::refusal_headers(id, failure.after));
     response
 }
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -3,14 +3,17 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use control::{ENDS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH};
 use events::{Event, emit};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
 use platform::Store;
 use process::{Phase, Single, StartError};
 use tokio::net::TcpListener;
-use web::ServeOptions;
+use web::{Body, ServeOptions};
 
 use crate::shared::Shared;
-use crate::{Settings, feed, prepare, ready, serve, snapshot};
+use crate::{Settings, feed, ledger, prepare, ready, serve, snapshot};
 
 /// Runs until the process is asked to end and its requests are done.
 pub async fn run(process: Single<Settings>) -> Result<(), StartError> {
@@ -21,8 +24,10 @@
     if let Some(addr) = settings.metrics {
         process::serve_metrics(addr).await?;
     }
-    let store = Store::new(settings.store);
-    let shared = Arc::new(Shared::new(&process));
+    let (shared, records) = Shared::new(&process);
+    let (shared, store) = (Arc::new(shared), Store::new(settings.store));
+    tokio::spawn(ledger::read(shared.clone(), store.clone()));
+    tokio::spawn(ledger::write(shared.clone(), store.clone(), records));
     tokio::spawn(feed::config(shared.clone(), store.clone()));
     tokio::spawn(feed::members(shared.clone(), store));
     tokio::spawn(snapshot::follow(shared.clone()));
@@ -36,8 +41,8 @@
     tokio::spawn(web::serve(asked, ServeOptions::default(), force.clone(), handler));
     let known = shared.clone();
     let handler = move |request: http::Request<hyper::body::Incoming>, _| {
-        let answer = snapshot::answer(&known, request.uri());
-        async move { answer }
+        let known = known.clone();
+        async move { answer(&known, request).await }
     };
     tokio::spawn(web::serve(control, ServeOptions::default(), force, handler));
     let stopping = shared.clone();
@@ -49,3 +54,14 @@
     emit(&Event::Stopped { requests: shared.flying.load(Ordering::Relaxed) });
     Ok(())
 }
+
+/// Answers other routers and operators.
+async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, SNAPSHOT_PATH) => snapshot::answer(shared, request.uri()),
+        (&Method::POST, ENDS_PATH) => ledger::answer(shared, request).await,
+        (&Method::GET, SUSPECTS_PATH) => web::json(StatusCode::OK, &shared.guard.suspects()),
+        (&Method::POST, RELEASE_PATH) => ledger::release(shared, request).await,
+        _ => web::text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
--- /dev/null
+++ b/components/router/src/runs.rs
@@ -0,0 +1,105 @@
+//! Requests that one life of an endpoint has from this router, and who may be to blame if it ends.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use quarantine::Digest;
+use tokio::time::Instant;
+
+/// A request that crashes its endpoint does so soon after it has begun to run: one that has sent for longer is not to blame.
+const YOUNG: Duration = Duration::from_secs(3);
+/// Of requests that were cut or left, those of this time may have been at work when the endpoint ended. Its connections close
+/// within milliseconds of each other; a caller may have left just before.
+const LATELY: Duration = Duration::from_secs(1);
+/// Cut requests that are remembered: more than an endpoint has at once.
+const MOST: usize = 256;
+
+/// One request.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    number: u64,
+    digest: Digest,
+    /// Since when it answers.
+    begun: Option<Instant>,
+}
+
+impl Run {
+    fn young(&self, now: Instant) -> bool {
+        self.begun.is_none_or(|begun| now - begun < YOUNG)
+    }
+}
+
+/// What stands for one request among [`Runs`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Ticket(u64);
+
+/// All of them.
+#[derive(Debug, Default)]
+pub(crate) struct Runs {
+    running: Vec<Run>,
+    cut: VecDeque<(Digest, Instant)>,
+    next: u64,
+    /// Those that are to be kept from each other.
+    pub(crate) apart: u32,
+    /// Whether somebody finds out whether the endpoint has ended.
+    examined: bool,
+}
+
+impl Runs {
+    /// A request is sent.
+    pub(crate) fn begin(&mut self, digest: Digest) -> Ticket {
+        self.next += 1;
+        self.running.push(Run { number: self.next, digest, begun: None });
+        Ticket(self.next)
+    }
+
+    /// It answers.
+    pub(crate) fn begun(&mut self, ticket: Ticket, now: Instant) {
+        let run = self.running.iter_mut().find(|run| run.number == ticket.0);
+        if let Some(run) = run {
+            run.begun.get_or_insert(now);
+        }
+    }
+
+    /// It is over; `whole`: the endpoint outlived it, or never had it.
+    pub(crate) fn end(&mut self, ticket: Ticket, whole: bool, now: Instant) {
+        let Some(place) = self.running.iter().position(|run| run.number == ticket.0) else {
+            return;
+        };
+        let run = self.running.swap_remove(place);
+        if whole || !run.young(now) {
+            return;
+        }
+        if self.cut.len() == MOST {
+            self.cut.pop_front();
+        }
+        self.cut.push_back((run.digest, now));
+    }
+
+    /// Requests that may be to blame if the endpoint has just ended.
+    pub(crate) fn young(&self, now: Instant) -> BTreeSet<Digest> {
+        let running = self.running.iter().filter(|run| run.young(now)).map(|run| run.digest);
+        let cut = self.cut.iter().filter(|(_, at)| now - *at < LATELY).map(|(digest, _)| *digest);
+        running.chain(cut).collect()
+    }
+
+    /// Whether this request is among these.
+    pub(crate) fn has(&self, digest: &Digest, now: Instant) -> bool {
+        self.running.iter().any(|run| run.digest == *digest && run.young(now))
+            || self.cut.iter().any(|(cut, at)| cut == digest && now - *at < LATELY)
+    }
+
+    /// Begins to find out whether the endpoint has ended; false if that is going on.
+    pub(crate) fn examine(&mut self) -> bool {
+        !std::mem::replace(&mut self.examined, true)
+    }
+
+    /// It has not ended, or that can't be told.
+    pub(crate) fn acquit(&mut self) {
+        self.examined = false;
+        self.cut.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -7,16 +7,17 @@
 
 use admission::{Repeat, RepeatLimits, Repeats};
 use catalog::Catalog;
-use control::{Loader, Position, State};
+use control::{Kept, Loader, Position, State};
 use events::{Event, emit};
-use platform::Health;
+use platform::{Health, Store};
 use process::{Pulse, Shutdown, Single};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
-use units::{Domain, EndpointId, Revision, ServiceName, Span};
+use units::{Domain, EndpointId, Offset, Revision, ServiceName, Span};
 use web::Client;
 
 use crate::Settings;
+use crate::guard::Guard;
 use crate::known::Known;
 
 /// Callers of a router that waits for the store come back no sooner: it asks several times a second.
@@ -80,13 +81,20 @@
     /// Requests in flight.
     pub(crate) flying: AtomicUsize,
     pub(crate) client: Client,
+    pub(crate) store: Store,
+    /// Keeps requests that crash endpoints from them.
+    pub(crate) guard: Arc<Guard>,
+    /// How far the records on ended endpoints have been read, while the store answers.
+    pub(crate) ends_read: watch::Sender<Option<Offset>>,
     repeats: Mutex<HashMap<ServiceName, Repeats>>,
 }
 
 impl Shared {
-    pub(crate) fn new(process: &Single<Settings>) -> Self {
+    /// With the records that the guard has to write.
+    pub(crate) fn new(process: &Single<Settings>) -> (Self, mpsc::UnboundedReceiver<Kept>) {
         let settings = process.settings.borrow().clone();
-        Self {
+        let (guard, records) = Guard::new(settings.instance.to_string());
+        let shared = Self {
             settings: process.settings.clone(),
             instance: settings.instance.to_string(),
             domain: settings.domain.clone(),
@@ -99,8 +107,18 @@
             still: watch::Sender::new(Still::default()),
             flying: AtomicUsize::new(0),
             client: Client::default(),
+            store: Store::new(settings.store),
+            guard: Arc::new(guard),
+            ends_read: watch::Sender::new(None),
             repeats: Mutex::default(),
-        }
+        };
+        (shared, records)
+    }
+
+    /// Routers that this one may ask.
+    pub(crate) fn other_routers(&self) -> Vec<std::net::SocketAddr> {
+        let settings = self.settings.borrow();
+        settings.peers.iter().filter(|router| **router != settings.control).copied().collect()
     }
 
     /// The configuration in force.
--- a/components/router/src/snapshot.rs
+++ b/components/router/src/snapshot.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use catalog::Catalog;
-use control::{Position, SNAPSHOT_PATH, Snapshot};
+use control::{Position, Snapshot};
 use events::{Event, emit};
 use http::{Response, StatusCode, Uri};
 use tokio::task::JoinSet;
@@ -30,9 +30,6 @@
 
 /// Answers another router.
 pub(crate) fn answer(shared: &Shared, uri: &Uri) -> Response<Body> {
-    if uri.path() != SNAPSHOT_PATH {
-        return web::text(StatusCode::NOT_FOUND, "no such path\n");
-    }
     let have = Position::from_query(uri.query().unwrap_or(""));
     let (Some(catalog), Some(told)) = (shared.current(), shared.known.tell(have)) else {
         return web::text(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet\n");
@@ -49,7 +46,7 @@
     let mut still = shared.still.subscribe();
     let mut turn = 0;
     while still.wait_for(|still| still.any()).await.is_ok() {
-        let mut others = others(&shared);
+        let mut others = shared.other_routers();
         let first = shared.away_since().is_some();
         if !first && !others.is_empty() {
             turn += 1;
@@ -60,11 +57,6 @@
     }
 }
 
-fn others(shared: &Shared) -> Vec<SocketAddr> {
-    let settings = shared.settings.borrow();
-    settings.peers.iter().filter(|router| **router != settings.control).copied().collect()
-}
-
 /// Asks these routers at once, and takes what they have read beyond this one.
 async fn ask(shared: &Arc<Shared>, routers: Vec<SocketAddr>) {
     let mut asked = JoinSet::new();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 use jiff::Timestamp;
 use lexopt::Arg::{Long, Short, Value};
 use lexopt::{Parser, ValueExt};
+use quarantine::Digest;
 use serde::Deserialize;
 use thiserror::Error;
 use units::{EndpointId, ModelName, NodePath, RequestId, SettingName, Span};
@@ -59,6 +60,8 @@
     Timeline(Filter),
     Losses { worths: Vec<Worth>, files: Vec<PathBuf> },
     Story { request: String, files: Vec<PathBuf> },
+    Suspects { router: SocketAddr },
+    Release { router: SocketAddr, digest: Digest },
 }
 
 /// One `KEY=VALUE`; no value clears the setting.
@@ -106,7 +109,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 12] = [
+const COMMANDS: [&str; 14] = [
     "check",
     "diff",
     "pull",
@@ -114,9 +117,11 @@
     "set",
     "explain",
     "reference",
+    "release",
     "status",
     "losses",
     "story",
+    "suspects",
     "timeline",
     "windows",
 ];
@@ -230,6 +235,11 @@
             let files = std::iter::once(first).chain(values.by_ref().map(PathBuf::from)).collect();
             Command::Story { request, files }
         }
+        "suspects" => Command::Suspects { router: next("ROUTER", &mut values)?.parse()? },
+        "release" => Command::Release {
+            router: next("ROUTER", &mut values)?.parse()?,
+            digest: next("DIGEST", &mut values)?.parse()?,
+        },
         "timeline" => {
             let mut filter = std::mem::take(&mut words.filter);
             let addrs = values.by_ref().map(|word| word.parse());
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -27,6 +27,9 @@
                            --request ID, --model M and --endpoint E choose
   losses FILE...           show by class of request how many were on time and what the others lost, from the
                            same lines; --worth CLASS=ON_TIME:LATE weighs a class, such as stream-1=2:0.59
+  suspects ROUTER          show the requests that a router refuses since they crash endpoints, and the ends that
+                           speak against each; ROUTER is its control address
+  release ROUTER DIGEST    let one of them go at all routers: it is sent to endpoints again
   story ID FILE...         tell what became of one request, from the log lines of routers and loaders;
                            needs no network
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,5 +10,6 @@
 pub(crate) mod set;
 pub(crate) mod status;
 pub(crate) mod story;
+pub(crate) mod suspects;
 pub(crate) mod timeline;
 pub(crate) mod windows;
--- a/src/error.rs
+++ b/src/error.rs
@@ -71,6 +71,8 @@
     Void(state::Void),
     #[error("{0}")]
     Name(String),
+    #[error("{0}")]
+    Call(#[from] web::CallError),
     #[error("cannot write the output: {0}")]
     Output(#[from] std::io::Error),
 }
@@ -89,7 +91,9 @@
             Self::NoLog | Self::Name(_) => Exit::Usage,
             Self::Unpublished { .. } | Self::Rejected(_) | Self::Void(_) => Exit::Rejected,
             Self::Unknown { .. } => Exit::Unknown,
-            Self::NotReady { .. } | Self::Behind { .. } | Self::Output(_) => Exit::Failed,
+            Self::NotReady { .. } | Self::Behind { .. } | Self::Call(_) | Self::Output(_) => {
+                Exit::Failed
+            }
         }
     }
 }
