What an endpoint says of its leaving in any answer is believed, for the life that says it

What callers and the endpoint saw: the endpoint said in its answers from 35.6 s on that it leaves; two requests reached it 2.31 and 2.32 s after a router had passed such an answer on, where two seconds are allowed. It went on for as long as the store was away, eleven seconds.

Cause: routers believed of an endpoint what list, loader and other routers say. The store was away, the endpoint has no loader, and its own word in the answers was read by nobody.

The mend: the header is read from all answers (requests, health, reports, orders). It holds for the life that said it: no entry of the list, no loader, no other router's list and no entry that lapsed and came back takes it back; a new life under the id or at the address is not bound. Kept connections are closed. What was placed or waits for a connection looks again before it is written. Other routers are told.

Why it holds: it needs nobody but the endpoint. Ruled out by the lines: something older put it back (no line 'member' about it at any router); requests placed before (waited_ms 0).

--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -4,7 +4,7 @@
 
 use catalog::ModelSpec;
 use fleet::{Copies, Held};
-use platform::Report;
+use platform::{Notice, Report};
 
 use super::*;
 use crate::ledger::Leaving;
@@ -51,6 +51,7 @@
         running: 0,
         queued: 0,
         draining: false,
+        notice: Notice::default(),
     };
     Ledger { engine: Some(engine), report: Some(report), ..Ledger::default() }
 }
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -72,6 +72,9 @@
     endpoint: Option<EndpointId>,
     /// The life of the endpoint that the last report was about.
     life: Option<Life>,
+    /// Whether the endpoint has said in this life that it leaves; no later report takes that back, since one may be older than
+    /// it is read.
+    leaving: bool,
     /// The name under which the endpoint last refused an order: it has restarted since.
     denied: Option<EndpointId>,
     engine: Revision,
@@ -103,6 +106,7 @@
             state,
             endpoint: None,
             life: None,
+            leaving: false,
             denied: None,
             engine: Revision(0),
             ledger: Ledger::default(),
@@ -243,7 +247,7 @@
     /// Asks the endpoint what it holds.
     async fn report(&mut self) {
         match read_report(&self.client, self.addr, PATIENCE).await {
-            Ok(report) => {
+            Ok(mut report) => {
                 if self.lost {
                     let after = self.reached.map_or(Duration::ZERO, |reached| reached.elapsed());
                     emit(&Event::Regained {
@@ -258,6 +262,8 @@
                     self.restarted();
                 }
                 self.life = report.life.or(self.life);
+                self.leaving |= report.draining;
+                report.draining = self.leaving;
                 let over = self.pending.take_if(|_| !report.busy);
                 self.ledger.report = Some(report);
                 if let Some(over) = over {
@@ -291,6 +297,7 @@
         });
         self.pending = None;
         self.pause = None;
+        self.leaving = false;
         self.ledger.restarted();
     }
 
--- a/components/loader/src/steward/orders.rs
+++ b/components/loader/src/steward/orders.rs
@@ -24,7 +24,11 @@
         let order = Order { endpoint: &endpoint, work, target: &target, sequence };
         self.pending = Some(self.expected(work, &target));
         self.publish();
-        let outcome = call_order(&self.client, self.addr, &fence, &order, PATIENCE).await;
+        let called = call_order(&self.client, self.addr, &fence, &order, PATIENCE).await;
+        let outcome = called.map(|(outcome, notice)| {
+            self.note_leaving(notice.leaving);
+            outcome
+        });
         let given = match &outcome {
             Ok(Outcome::Accepted) => Given::Accepted,
             Ok(Outcome::Done) => Given::Done,
@@ -52,6 +56,7 @@
                 self.pending = None;
                 self.denied = Some(endpoint);
                 self.endpoint = id;
+                self.leaving = false;
                 self.ledger.report = None;
             }
             Ok(Outcome::Refused(_)) => {
@@ -66,6 +71,14 @@
         }
     }
 
+    /// The endpoint has answered an order, and says whether it leaves.
+    fn note_leaving(&mut self, leaving: bool) {
+        self.leaving |= leaving;
+        if let Some(report) = &mut self.ledger.report {
+            report.draining = self.leaving;
+        }
+    }
+
     /// Tells of a load that is over, if the model is there.
     pub(super) fn loaded(&mut self, over: &Pending) {
         self.end_turn(over);
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -32,6 +32,14 @@
     pub(crate) silent: bool,
 }
 
+/// What an endpoint has said of itself in one of its lives.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Said {
+    /// It leaves. Nothing takes that back within this life: neither the list, which may be older, nor a loader or
+    /// another router, who may know less.
+    pub(crate) leaving: bool,
+}
+
 /// How this router uses one model of an endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Usage {
@@ -60,6 +68,7 @@
     pub(crate) read: Offset,
     /// Set while its entry is missing.
     pub(crate) missing: Option<Missing>,
+    pub(crate) said: Said,
     pub(crate) state: Option<(State, Instant)>,
     /// Requests of this router when its loader last said how many there are of all.
     pub(crate) told: u32,
@@ -89,6 +98,7 @@
             seen: now,
             read: Offset(0),
             missing: None,
+            said: Said::default(),
             state: None,
             told: 0,
             running: 0,
@@ -115,7 +125,12 @@
         self.listed = endpoint.life;
         self.seen = now;
         if other || endpoint.addr != self.endpoint.addr {
+            let said = self.said;
             self.restart(endpoint, now);
+            if !other {
+                // It has moved, and is as much about to leave as before.
+                self.said = said;
+            }
             return true;
         }
         let life = endpoint.life.or(self.endpoint.life);
@@ -136,6 +151,7 @@
             self.restart(Endpoint { life, holdings, ..self.endpoint.clone() }, now);
         }
         self.endpoint.life = life;
+        self.said.leaving |= state.draining;
         self.state = Some((state, now));
         self.told = self.running;
         other
@@ -169,10 +185,16 @@
         *self = Self { listed, missing, read, task: kept, ..Self::new(endpoint, now) };
     }
 
-    /// Whether it takes new work, as far as the list and its loader say.
+    /// Whether it takes new work, as far as the list, its loader and it itself say.
     pub(crate) fn stays(&self) -> bool {
-        let draining = self.state.as_ref().is_some_and(|(state, _)| state.draining);
-        self.endpoint.stage == Stage::Ready && !draining
+        self.endpoint.stage == Stage::Ready && !self.said.leaving
+    }
+
+    /// The endpoint, as other routers are told of it.
+    pub(crate) fn as_told(&self) -> Endpoint {
+        let leaves = self.said.leaving && self.endpoint.stage == Stage::Ready;
+        let stage = if leaves { Stage::Draining(None) } else { self.endpoint.stage };
+        Endpoint { stage, ..self.endpoint.clone() }
     }
 
     /// Whether it may get requests.
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -123,3 +123,30 @@
     assert!(!peer.hear_same(load, later));
     assert!(peer.state.is_none());
 }
+
+#[tokio::test(start_paused = true)]
+async fn what_an_endpoint_said_of_its_leaving_holds_for_its_life_whatever_else_is_heard() {
+    let now = Instant::now();
+    let mut peer = troubled(now);
+    peer.said.leaving = true;
+    peer.list(entry(100), now);
+    assert!(!peer.stays(), "an older entry");
+    peer.hear(state(100, &["a"]), now);
+    assert!(!peer.stays(), "a loader that knows less");
+    peer.list(Endpoint { addr: ([10, 0, 0, 2], 80).into(), ..entry(100) }, now);
+    assert!(!peer.stays(), "it has moved");
+    assert_eq!(peer.as_told().stage, Stage::Draining(None));
+    peer.list(entry(200), now);
+    assert!(peer.stays(), "another life");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_loader_that_no_longer_says_that_its_endpoint_leaves_does_not_take_it_back() {
+    let now = Instant::now();
+    let mut peer = troubled(now);
+    peer.hear(State { draining: true, ..state(100, &["a"]) }, now);
+    peer.hear(state(100, &["a"]), now);
+    assert!(!peer.stays());
+    peer.hear(state(200, &[]), now);
+    assert!(peer.stays());
+}
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -49,6 +49,8 @@
     Answer(Box<Answer>),
     /// It was not sent, since its caller has left.
     Left,
+    /// It was not sent, since its endpoint takes no new work any more.
+    Moved,
     /// It was certainly not sent.
     Unsent(String),
     /// It may have run, and no answer came.
@@ -112,9 +114,14 @@
             }
             return Sent::Left;
         }
+        if !place.stays() {
+            // What became known while a connection was made.
+            return Sent::Moved;
+        }
         place.sent(&outgoing.digest);
         match attempt(&mut link, request, patience, &leave).await {
             Attempt::Answer(head, body) => {
+                place.heard(&head.headers);
                 place.begun();
                 return Sent::Answer(Box::new(Answer { head, body, link, place }));
             }
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -104,6 +104,10 @@
                     Judged::Failed(failure) => return Err(failure),
                 },
                 Sent::Left => return Err(self.failed(Refusal::Left, None)),
+                Sent::Moved => {
+                    self.step(Step::NotRun, &id, "the endpoint takes nothing new");
+                    self.sends -= 1;
+                }
                 Sent::Unsent(cause) => {
                     self.step(Step::Broken, &id, &cause);
                     self.shared.known.failed(&id, self.life, &cause);
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -1,6 +1,6 @@
 //! What a router knows of the endpoints, and which of them may get requests.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,12 +10,13 @@
 use events::{Event, emit, millis};
 use fleet::Tier;
 use placement::{Demand, Pressure};
+use platform::Notice;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use units::{EndpointId, Life, ModelName, Offset};
 
 use crate::cold::ColdLoads;
-use crate::endpoint::{Peer, Usage};
+use crate::endpoint::{Peer, Said, Usage};
 use crate::pool::Pool;
 
 /// One loader is asked to make room for a model, and another one only after this time: else a burst for one model would
@@ -29,6 +30,8 @@
 const PAUSE_PART: f64 = 0.02;
 /// From this part on prompts are sent one after another; below it, what they wait costs more than the pauses.
 const PAUSING: f64 = 0.05;
+/// So many endpoints that have left are remembered: more than leave while an entry can come back.
+const LEFT: usize = 512;
 /// Nobody waits for a model.
 pub(crate) const NOBODY: (u32, Duration) = (0, Duration::ZERO);
 
@@ -49,6 +52,8 @@
     pub(crate) listed: bool,
     /// How far the list has been read, by this router or one that told it.
     pub(crate) read: Offset,
+    /// What endpoints that are not listed any more said of themselves: an entry may come back that is older than that.
+    said: VecDeque<(EndpointId, Option<Life>, Said)>,
 }
 
 /// All endpoints, shared by the tasks of a router.
@@ -114,6 +119,24 @@
         }
     }
 
+    /// Takes what an answer says of its endpoint; `same` says whether it is of the life that is known.
+    pub(crate) fn noticed(&self, id: &EndpointId, notice: Notice, same: impl Fn(&Peer) -> bool) {
+        if !notice.leaving {
+            return;
+        }
+        let mut peers = self.lock();
+        let Some(peer) = peers.map.get_mut(id).filter(|peer| same(peer)) else { return };
+        let stayed = peer.stays();
+        peer.said.leaving = true;
+        peer.pool.retire();
+        if stayed {
+            let (addr, cause) = (peer.endpoint.addr.to_string(), "it says so in an answer");
+            emit(&Event::Member { endpoint: id.as_str(), addr, stage: "draining", cause });
+        }
+        drop(peers);
+        self.changed.notify_waiters();
+    }
+
     /// Notes whether a stream that ended whole paused for longer than its caller likes.
     pub(crate) fn streamed(&self, paused: bool) {
         let pauses = &mut self.lock().pauses;
@@ -242,6 +265,24 @@
         Some(uses.collect())
     }
 
+    /// Remembers what an endpoint has said that is not listed any more.
+    pub(crate) fn keep_said(&mut self, peer: &Peer) {
+        if peer.said == Said::default() {
+            return;
+        }
+        if self.said.len() == LEFT {
+            self.said.pop_front();
+        }
+        self.said.push_back((peer.endpoint.id.clone(), peer.endpoint.life, peer.said));
+    }
+
+    /// What an endpoint has said in this life, if it was listed before.
+    pub(crate) fn said(&self, id: &EndpointId, life: Option<Life>) -> Said {
+        let mut all = self.said.iter().rev();
+        let found = all.find(|(other, then, _)| other == id && !Life::differ(*then, life));
+        found.map(|(_, _, said)| *said).unwrap_or_default()
+    }
+
     /// Forgets what hangs together with an earlier life of an endpoint.
     pub(crate) fn restarted(&mut self, id: &EndpointId) {
         self.cold.forget(id);
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -126,7 +126,7 @@
         Some(Snapshot {
             catalog: None,
             missing: missing.map(id).collect(),
-            endpoints: news.into_iter().map(|peer| peer.endpoint.clone()).collect(),
+            endpoints: news.into_iter().map(Peer::as_told).collect(),
             kept: kept.into_iter().map(id).collect(),
             read: peers.read,
         })
@@ -168,9 +168,10 @@
         let stage = if endpoint.stage == Stage::Ready { "ready" } else { "draining" };
         let id = endpoint.id.clone();
         let addr = endpoint.addr.to_string();
+        let said = self.said(&id, endpoint.life);
         let before = match self.map.entry(id.clone()) {
             Entry::Vacant(place) => {
-                place.insert(Peer::new(endpoint, now));
+                place.insert(Peer::new(endpoint, now)).said = said;
                 None
             }
             Entry::Occupied(mut place) => {
@@ -202,6 +203,7 @@
 
     fn remove(&mut self, id: &EndpointId, cause: &str) {
         let Some(peer) = self.map.remove(id) else { return };
+        self.keep_said(&peer);
         self.cold.forget(id);
         if let Some(task) = peer.task {
             task.abort();
--- a/components/router/src/place.rs
+++ b/components/router/src/place.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use catalog::ModelId;
+use http::HeaderMap;
 use quarantine::Digest;
 use tokio::time::Instant;
 use units::{EndpointId, Life, ModelName};
@@ -100,6 +101,15 @@
         }
     }
 
+    /// Takes what an answer from there says of the endpoint, unless another one has answered.
+    pub(crate) fn heard(&self, headers: &HeaderMap) {
+        if platform::instance_of(headers).is_some_and(|other| other != self.id) {
+            return;
+        }
+        let same = |peer: &Peer| Arc::ptr_eq(&peer.pool, &self.pool);
+        self.shared.known.noticed(&self.id, platform::read_notice(headers), same);
+    }
+
     /// Notes that the endpoint has begun to run the request.
     pub(crate) fn begun(&mut self) {
         let now = Instant::now();
--- a/components/router/src/pool.rs
+++ b/components/router/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -49,6 +50,8 @@
     kept: Mutex<Vec<Kept>>,
     signs: Mutex<Signs>,
     runs: Mutex<Runs>,
+    /// Whether no connection is kept any more: the endpoint leaves.
+    retired: AtomicBool,
 }
 
 impl Pool {
@@ -58,6 +61,7 @@
             kept: Mutex::default(),
             signs: Mutex::new(Signs::new(Instant::now())),
             runs: Mutex::default(),
+            retired: AtomicBool::new(false),
         }
     }
 
@@ -114,9 +118,15 @@
         Some(link)
     }
 
+    /// Closes the connections that no request uses, and keeps none from now on.
+    pub(crate) fn retire(&self) {
+        self.retired.store(true, Ordering::Relaxed);
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// Keeps a connection whose answer has been read whole.
     pub(crate) fn keep(&self, link: Link, idle: Duration) {
-        if link.sender.is_closed() {
+        if link.sender.is_closed() || self.retired.load(Ordering::Relaxed) {
             return;
         }
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -17,6 +17,7 @@
 use web::Client;
 
 use crate::Settings;
+use crate::endpoint::Peer;
 use crate::guard::Guard;
 use crate::known::Known;
 
@@ -202,24 +203,31 @@
     /// Asks an endpoint for its report, as a sign of life.
     pub(crate) async fn report(
         &self,
+        id: &EndpointId,
         endpoint: std::net::SocketAddr,
         limit: Duration,
     ) -> Result<(), String> {
         let report = platform::read_report(&self.client, endpoint, limit).await;
-        report.map(drop).map_err(|error| error.to_string())
+        let report = report.map_err(|error| error.to_string())?;
+        let same = |peer: &Peer| peer.endpoint.addr == endpoint && peer.lives(report.life);
+        self.known.noticed(id, report.notice, same);
+        Ok(())
     }
 
     /// Asks an endpoint whether it is well; `None` if it is not known any more or can't be asked.
     pub(crate) async fn health(&self, id: &EndpointId, limit: Duration) -> Option<Health> {
-        let (addr, service) = {
+        let (addr, service, pool) = {
             let peers = self.known.lock();
-            let endpoint = &peers.map.get(id)?.endpoint;
-            (endpoint.addr, endpoint.service.clone())
+            let peer = peers.map.get(id)?;
+            (peer.endpoint.addr, peer.endpoint.service.clone(), peer.pool.clone())
         };
         let catalog = self.current()?;
         let path = catalog.service(&service)?.health.as_deref()?;
         match platform::check_health(&self.client, addr, path, id, limit).await {
-            Ok(health) => Some(health),
+            Ok((health, notice)) => {
+                self.known.noticed(id, notice, |peer| Arc::ptr_eq(&peer.pool, &pool));
+                Some(health)
+            }
             Err(error) => {
                 log::debug!("router: an endpoint did not tell whether it is well: {error}");
                 None
