An endpoint that names a time for which it wants nothing gets nothing until then

What the endpoint saw: it turned a request away with 503 and Retry-After, and 140 to 153 more reached it from one router within the two seconds that followed, where two may.

Cause: the same as for the leaving: what an answer says of its endpoint was read by nobody; a refusal only sent the request elsewhere.

The mend: the time is read in seconds, fractions and dates (by the endpoint's own clock), holds from the answer on for this router and for the life that said it, for five minutes at most. What was placed looks again before it is written. If all endpoints that may have a request say so, its caller is refused at once with the earliest of the times; a holder of a model that is back before a load elsewhere is waited for.

Why it holds: whatever sends a request asks the same belief, right before it writes. Ruled out: nothing else counted the refusals.

--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -80,6 +80,8 @@
     /// Nobody holds the model: it is to be loaded on these, the first of which is expected first.
     Wake(Vec<Ask>),
     Later(Duration),
+    /// All that may have it want nothing for so long.
+    Away(Duration),
     Nobody,
 }
 
@@ -98,6 +100,7 @@
                 place.cold = waiting.is_some();
                 return Ok(place);
             }
+            Found::Away(left) => return Err(NoPlace::NoEndpoint(left)),
             Found::Nobody => return Err(NoPlace::NoEndpoint(NONE)),
             Found::Wake(asks) => {
                 let Some(first) = asks.first() else { continue };
@@ -153,6 +156,9 @@
         ids.push(id.clone());
         candidates.push(peer.candidate(peer.able(now) && !wanted.model.is_some_and(refused), now));
     }
+    if let Some(left) = peers.back(wanted.service, wanted.tried, now) {
+        return Found::Away(left);
+    }
     if !untried {
         // All have turned it away, or there is none: nothing to wait for.
         return Found::Nobody;
@@ -205,7 +211,12 @@
             Ask { id: ids[first + wake.index].clone(), target, expect: wake.expect, cold }
         })
         .collect();
-    if !asks.is_empty() {
+    if let Some(first) = asks.first() {
+        // A holder that takes requests again before a copy is elsewhere is waited for.
+        let back = peers.holder_back(&model.model, now).filter(|left| *left <= first.expect);
+        if let Some(left) = back {
+            return Found::Later(left);
+        }
         return Found::Wake(asks);
     }
     // No loader can be asked just now.
@@ -213,6 +224,11 @@
     Found::Later(if copied { Duration::ZERO } else { cold })
 }
 
+/// When the first endpoint that may have a request takes any again, if all want nothing for a while.
+pub(crate) fn back(shared: &Arc<Shared>, wanted: &Wanted<'_>) -> Option<Duration> {
+    shared.known.lock().back(wanted.service, wanted.tried, Instant::now())
+}
+
 /// Whether another endpoint than those that were tried is expected to begin a request within this time.
 pub(crate) fn elsewhere(shared: &Arc<Shared>, wanted: &Wanted<'_>, within: Duration) -> bool {
     let now = Instant::now();
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -38,6 +38,8 @@
     /// It leaves. Nothing takes that back within this life: neither the list, which may be older, nor a loader or
     /// another router, who may know less.
     pub(crate) leaving: bool,
+    /// It wants nothing from this router until then.
+    pub(crate) until: Option<Instant>,
 }
 
 /// How this router uses one model of an endpoint.
@@ -190,6 +192,12 @@
         self.endpoint.stage == Stage::Ready && !self.said.leaving
     }
 
+    /// For how long it wants nothing from this router, if it said so.
+    pub(crate) fn away(&self, now: Instant) -> Option<Duration> {
+        let left = self.said.until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// The endpoint, as other routers are told of it.
     pub(crate) fn as_told(&self) -> Endpoint {
         let leaves = self.said.leaving && self.endpoint.stage == Stage::Ready;
@@ -201,7 +209,7 @@
     pub(crate) fn usable(&self, now: Instant) -> bool {
         let paused = self.paused.is_some_and(|until| until > now);
         let missing = self.missing.is_some_and(|missing| missing.silent);
-        self.stays() && !missing && !paused && !self.silent(now)
+        self.stays() && self.away(now).is_none() && !missing && !paused && !self.silent(now)
     }
 
     /// Whether it has had requests of this router and sends nothing: it stands still or is cut off.
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -114,14 +114,14 @@
             }
             return Sent::Left;
         }
-        if !place.stays() {
+        if !place.open() {
             // What became known while a connection was made.
             return Sent::Moved;
         }
         place.sent(&outgoing.digest);
         match attempt(&mut link, request, patience, &leave).await {
             Attempt::Answer(head, body) => {
-                place.heard(&head.headers);
+                place.heard(head.status, &head.headers);
                 place.begun();
                 return Sent::Answer(Box::new(Answer { head, body, link, place }));
             }
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -77,7 +77,7 @@
             // the closing be seen before anything is sent.
             self.shared.pulse.settle().await;
             tokio::task::yield_now().await;
-            if !place.stays() || !self.allowed() {
+            if !place.open() || !self.allowed() {
                 // What arrived with it says that the endpoint leaves, or that the request ends endpoints.
                 continue;
             }
@@ -283,7 +283,8 @@
 
     async fn not_run(&mut self, id: &EndpointId) -> Judged {
         if self.sends >= SENDS || !self.shared.may_repeat(&self.service, &self.name) {
-            return Judged::Failed(self.failed(Refusal::NoEndpoint, Some(BREATH)));
+            let after = choose::back(&self.shared, &self.wanted(&self.tried)).unwrap_or(BREATH);
+            return Judged::Failed(self.failed(Refusal::NoEndpoint, Some(after)));
         }
         if self.call.model.is_none() || self.sends > 1 {
             self.tried.push(id.clone());
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -13,7 +13,7 @@
 use platform::Notice;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use units::{EndpointId, Life, ModelName, Offset};
+use units::{EndpointId, Life, ModelName, Offset, ServiceName};
 
 use crate::cold::ColdLoads;
 use crate::endpoint::{Peer, Said, Usage};
@@ -32,6 +32,9 @@
 const PAUSING: f64 = 0.05;
 /// So many endpoints that have left are remembered: more than leave while an entry can come back.
 const LEFT: usize = 512;
+/// An endpoint that names a longer time for which it wants nothing is asked again after this: a mistake of its clock or its settings
+/// must not shut it out for as long as it lives.
+const AWAY: Duration = Duration::from_secs(300);
 /// Nobody waits for a model.
 pub(crate) const NOBODY: (u32, Duration) = (0, Duration::ZERO);
 
@@ -121,17 +124,25 @@
 
     /// Takes what an answer says of its endpoint; `same` says whether it is of the life that is known.
     pub(crate) fn noticed(&self, id: &EndpointId, notice: Notice, same: impl Fn(&Peer) -> bool) {
-        if !notice.leaving {
+        if notice == Notice::default() {
             return;
         }
         let mut peers = self.lock();
         let Some(peer) = peers.map.get_mut(id).filter(|peer| same(peer)) else { return };
-        let stayed = peer.stays();
-        peer.said.leaving = true;
-        peer.pool.retire();
-        if stayed {
-            let (addr, cause) = (peer.endpoint.addr.to_string(), "it says so in an answer");
-            emit(&Event::Member { endpoint: id.as_str(), addr, stage: "draining", cause });
+        if notice.leaving {
+            let stayed = peer.stays();
+            peer.said.leaving = true;
+            peer.pool.retire();
+            if stayed {
+                let (addr, cause) = (peer.endpoint.addr.to_string(), "it says so in an answer");
+                emit(&Event::Member { endpoint: id.as_str(), addr, stage: "draining", cause });
+            }
+        }
+        if let Some(after) = notice.after {
+            let after = after.min(AWAY);
+            peer.said.until = peer.said.until.max(Some(Instant::now() + after));
+            let (pause_ms, cause) = (millis(after), "it wants nothing for so long");
+            emit(&Event::Suspect { endpoint: id.as_str(), pause_ms, cause });
         }
         drop(peers);
         self.changed.notify_waiters();
@@ -265,6 +276,33 @@
         Some(uses.collect())
     }
 
+    /// When the first endpoint of a service takes requests again, if all that may have one want nothing for a while.
+    pub(crate) fn back(
+        &self,
+        service: &ServiceName,
+        tried: &[EndpointId],
+        now: Instant,
+    ) -> Option<Duration> {
+        let all = self.map.values().filter(|peer| peer.endpoint.service == *service);
+        let staying = all.filter(|peer| peer.stays());
+        let mut first = None;
+        for peer in staying {
+            match peer.away(now) {
+                Some(left) => first = Some(first.map_or(left, |first: Duration| first.min(left))),
+                None if tried.contains(&peer.endpoint.id) => {}
+                None => return None,
+            }
+        }
+        first
+    }
+
+    /// When the first holder of a model takes requests again that wants none for a while.
+    pub(crate) fn holder_back(&self, model: &ModelName, now: Instant) -> Option<Duration> {
+        let holds = |peer: &&Peer| peer.holdings(now).is_some_and(|held| held.holds(model));
+        let staying = self.map.values().filter(|peer| peer.stays()).filter(holds);
+        staying.filter_map(|peer| peer.away(now)).min()
+    }
+
     /// Remembers what an endpoint has said that is not listed any more.
     pub(crate) fn keep_said(&mut self, peer: &Peer) {
         if peer.said == Said::default() {
--- a/components/router/src/place.rs
+++ b/components/router/src/place.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use catalog::ModelId;
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 use quarantine::Digest;
 use tokio::time::Instant;
 use units::{EndpointId, Life, ModelName};
@@ -83,10 +83,10 @@
     }
 
     /// Whether the endpoint still takes new work in the life in which the place was taken.
-    pub(crate) fn stays(&self) -> bool {
+    pub(crate) fn open(&self) -> bool {
         let peers = self.shared.known.lock();
         let peer = peers.map.get(&self.id).filter(|peer| Arc::ptr_eq(&peer.pool, &self.pool));
-        peer.is_some_and(Peer::stays)
+        peer.is_some_and(|peer| peer.stays() && peer.away(Instant::now()).is_none())
     }
 
     /// Notes that the request is sent now.
@@ -102,12 +102,12 @@
     }
 
     /// Takes what an answer from there says of the endpoint, unless another one has answered.
-    pub(crate) fn heard(&self, headers: &HeaderMap) {
+    pub(crate) fn heard(&self, status: StatusCode, headers: &HeaderMap) {
         if platform::instance_of(headers).is_some_and(|other| other != self.id) {
             return;
         }
         let same = |peer: &Peer| Arc::ptr_eq(&peer.pool, &self.pool);
-        self.shared.known.noticed(&self.id, platform::read_notice(headers), same);
+        self.shared.known.noticed(&self.id, platform::read_notice(status, headers), same);
     }
 
     /// Notes that the endpoint has begun to run the request.
