Soak: servers that leave and say so, that want nothing for a while, and that end on a request

The soak over processes plays what the bench has no kinds for, and checks it from what servers saw: nothing reaches an endpoint later than two seconds after it has told the same router that it leaves, two requests at most reach one that wants nothing for a while, and a request that ends servers is sent on three times at most by routers in touch. Faults of links are put down to the router whose link it is.

--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::children::ChildError;
-use world::World;
+use world::{POISON, World};
 
 /// How long faults go on in one seed.
 const PLAYED: Duration = Duration::from_secs(8);
@@ -26,6 +26,10 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Callers at a time.
 const CALLERS: u64 = 12;
+/// Callers that send one request again and again which ends the plain servers that run it.
+const INSISTING: u64 = 3;
+/// How long a server that ended is gone.
+const DOWN: Duration = Duration::from_millis(300);
 /// The longest that a process is paused.
 const PAUSED: u64 = 2_500;
 
@@ -73,11 +77,16 @@
     let mut world = World::start(&job.bin, &out).await?;
     let shared = world.shared.clone();
     let until = Instant::now() + PLAYED;
+    shared.plain.iter().for_each(|server| server.crash_on(POISON.as_bytes(), DOWN));
+    let mut insisting: Vec<_> =
+        (0..INSISTING).map(|_| tokio::spawn(shared.clone().insist(until))).collect();
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| tokio::spawn(shared.clone().caller(seed * CALLERS + caller, until)))
         .collect();
     while Instant::now() < until {
-        disturb(&mut world, &mut rng)?;
+        // In each second seed all routers reach the store throughout, so that what they share must have been seen.
+        let calm = seed % 2 == 1;
+        disturb(&mut world, &mut rng, calm)?;
         sleep(Duration::from_millis(rng.random_range(30..400))).await;
         world.tend()?;
         if rng.random_bool(0.25) {
@@ -86,7 +95,8 @@
     }
     world.mend();
     world.revive().await?;
-    for caller in callers {
+    insisting.extend(callers);
+    for caller in insisting {
         // A caller that panicked is told of by its missing calls.
         let _ = caller.await;
     }
@@ -99,13 +109,15 @@
 }
 
 /// One fault.
-fn disturb(world: &mut World, rng: &mut ChaCha8Rng) -> Result<(), ChildError> {
+fn disturb(world: &mut World, rng: &mut ChaCha8Rng, calm: bool) -> Result<(), ChildError> {
     let shared = world.shared.clone();
     let plain = &shared.plain[rng.random_range(0..shared.plain.len())];
     let engine = &shared.engines[rng.random_range(0..shared.engines.len())];
-    let link = &world.links[rng.random_range(0..world.links.len())];
+    let links = if calm { world.beside_routers() } else { world.links.len() };
+    let number = rng.random_range(0..links);
+    let (link, router) = (&world.links[number], world.router_of(number));
     let process = rng.random_range(0..world.processes());
-    match rng.random_range(0..20) {
+    match rng.random_range(0..24) {
         0 => plain.act([Act::Reset, Act::Foreign, Act::Unsigned]),
         1 => plain.act([Act::Cut, Act::Fail]),
         2 => plain.act(vec![Act::Shed; 6]),
@@ -113,18 +125,31 @@
         4 => engine.act([Act::Events(1, 3, false), Act::Reset]),
         5 => engine.act(vec![Act::Shed; 3]),
         6 => engine.freeze(true),
-        7 => shared.store.fail(Fault::Busy),
-        8 => shared.store.fail(Fault::Silent),
+        7 | 8 if calm => {}
+        7 | 8 => {
+            shared.disturb(None);
+            shared.store.fail([Fault::Busy, Fault::Silent][rng.random_range(0..2)]);
+        }
         9 => shared.store.forget(),
         10 => world.configure(),
         11 => shared.store.list(plain, "app", Some("draining")),
-        12 => link.harm(Harm::Cut),
+        12 => {
+            shared.disturb_link(router);
+            link.harm(Harm::Cut);
+        }
         13 => link.harm(Harm::Lossy),
         14 => link.harm(Harm::Slow(Duration::from_millis(rng.random_range(5..80)))),
-        15 => link.silence(),
+        15 => {
+            shared.disturb_link(router);
+            link.silence();
+        }
         16 => link.reset(),
         17 => world.signal(process, Signal::SIGTERM)?,
         18 => world.signal(process, Signal::SIGKILL)?,
+        19 => plain.leave(),
+        20 => engine.leave(),
+        21 => plain.act([Act::Away(format!("{:.1}", rng.random_range(0.6..2.5)))]),
+        22 => plain.end(DOWN),
         _ => world.pause(process, Duration::from_millis(rng.random_range(200..PAUSED)))?,
     }
     Ok(())
--- a/components/load/src/soak/world.rs
+++ b/components/load/src/soak/world.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use standin_platform::{
-    Act, Call, Connection, Fault, Harm, Link, Server, Store, broken, engine, exchange,
+    Act, Call, Connection, Fault, Harm, Link, Server, Store, broken, engine, exchange, unheeded,
 };
 use tokio::time::{Instant, sleep};
 
@@ -19,10 +19,24 @@
 
 const KINDS: [&str; 4] = ["safe", "unsafe", "stream", "resumable"];
 const MODELS: [&str; 3] = ["a", "b", "c"];
+/// Loaders, which are started before the routers.
+const LOADERS: usize = 2;
 /// The port of all loaders.
 const LOADER: u16 = 7_400;
 /// How long a process may take to end when it is asked to.
 const ENDING: Duration = Duration::from_secs(10);
+/// The body of a request that ends plain servers.
+pub(super) const POISON: &str = "poison";
+/// An endpoint that leaves must get nothing any more within this time.
+const DRAIN: Duration = Duration::from_secs(2);
+/// What has said in an answer that it leaves is replaced after this time.
+const LEAVING: Duration = Duration::from_millis(3_500);
+/// A router counts as in touch this long after what kept it from the store or from the others is over.
+const CONTACT: Duration = Duration::from_secs(3);
+/// So often may a request be sent on, by routers in touch, from `CONTACT` after it has ended a third server.
+const SENT_ON: usize = 3;
+/// Between two sends of a caller that insists.
+const INSIST: Duration = Duration::from_millis(120);
 /// A connection is used for this many requests at most.
 const KEPT: u32 = 40;
 
@@ -34,6 +48,17 @@
     routers: Vec<SocketAddr>,
     calls: Mutex<Vec<Call>>,
     next: AtomicU64,
+    /// What disturbed routers, all of them where none is named, and until when.
+    disturbed: Mutex<Vec<Disturbed>>,
+}
+
+/// A router was kept from the store or from others, stood still or started again.
+#[derive(Debug, Clone, Copy)]
+struct Disturbed {
+    router: Option<usize>,
+    from: Instant,
+    /// Not yet over if none.
+    until: Option<Instant>,
 }
 
 /// A process and what is to happen to it.
@@ -131,6 +156,7 @@
             routers,
             calls: Mutex::default(),
             next: AtomicU64::new(1),
+            disturbed: Mutex::default(),
         };
         let mut world = Self { shared: Arc::new(shared), links, children, version: 1 };
         world.tend()?;
@@ -138,6 +164,16 @@
         Ok(world)
     }
 
+    /// How many links lead from loaders, or to them: these stand before those of routers.
+    pub(super) fn beside_routers(&self) -> usize {
+        self.links.len() - self.shared.routers.len()
+    }
+
+    /// The router whose way to the store a link is.
+    pub(super) fn router_of(&self, link: usize) -> Option<usize> {
+        link.checked_sub(self.beside_routers())
+    }
+
     /// How many processes there are.
     pub(super) fn processes(&self) -> usize {
         self.children.len()
@@ -151,6 +187,7 @@
 
     /// Sends a signal to a process that runs; it is started again once it has ended.
     pub(super) fn signal(&mut self, index: usize, signal: Signal) -> Result<(), ChildError> {
+        self.shared.disturb(index.checked_sub(LOADERS));
         let child = &mut self.children[index];
         let Some(process) = child.process.as_ref().filter(|process| process.id().is_some()) else {
             return Ok(());
@@ -172,13 +209,24 @@
     /// Wakes what has stood still for long enough, and starts what has ended.
     pub(super) fn tend(&mut self) -> Result<(), ChildError> {
         let now = Instant::now();
-        for child in &mut self.children {
+        let servers = self.shared.plain.iter().chain(&self.shared.engines);
+        for server in servers.filter(|server| server.leaves()) {
+            // What leaves serves on for a while, and another life follows.
+            let said = server.announced();
+            let mut said = said.iter().filter(|said| said.life == server.life());
+            if said.any(|said| said.until.is_none() && now - said.at > LEAVING) {
+                server.restart();
+            }
+        }
+        for (index, child) in self.children.iter_mut().enumerate() {
             if child.wakes.is_some_and(|wakes| wakes <= now) {
                 child.wake()?;
+                self.shared.settle(index.checked_sub(LOADERS));
             }
             if child.process.as_mut().is_none_or(Process::over) {
                 child.process = Some(child.launch.clone().start()?);
                 (child.wakes, child.ending) = (None, false);
+                self.shared.settle(index.checked_sub(LOADERS));
             }
         }
         Ok(())
@@ -191,10 +239,15 @@
         self.links.iter().for_each(|link| link.harm(Harm::None));
         engines.iter().for_each(|server| server.freeze(false));
         plain.iter().for_each(|server| store.list(server, "app", Some("ready")));
+        engines.iter().for_each(|server| store.list(server, "llm", Some("ready")));
+        self.shared.settle(None);
     }
 
     /// Wakes all processes and starts those that have ended.
     pub(super) async fn revive(&mut self) -> Result<(), ChildError> {
+        let servers = self.shared.plain.iter().chain(&self.shared.engines);
+        servers.filter(|server| server.leaves()).for_each(Server::restart);
+        self.mend();
         for child in &mut self.children {
             child.wake()?;
         }
@@ -254,22 +307,98 @@
     /// The promises that were broken, a line each.
     pub(super) fn broken(&self) -> Vec<String> {
         let servers: Vec<Server> = self.plain.iter().chain(&self.engines).cloned().collect();
-        broken(&self.calls(), &servers)
+        let mut all = broken(&self.calls(), &servers);
+        all.extend(unheeded(&servers, DRAIN, |router, from, to| self.stopped(router, from, to)));
+        all.extend(self.sent_on());
+        all
+    }
+
+    /// Whether the poisoned request was sent on beyond what is allowed.
+    fn sent_on(&self) -> Option<String> {
+        let mut ends: Vec<Instant> = self.plain.iter().flat_map(Server::ends).collect();
+        ends.sort_unstable();
+        let from = *ends.get(2)? + CONTACT;
+        let late = self.plain.iter().flat_map(Server::seen).filter(|seen| {
+            let router = seen.header("request-id").and_then(|id| id.split_once('-'));
+            let in_touch =
+                router.is_some_and(|(name, _)| !self.apart(name, seen.at - CONTACT, seen.at));
+            seen.body == POISON.as_bytes() && seen.at > from && in_touch
+        });
+        let count = late.count();
+        (count > SENT_ON).then(|| format!("a request that ends servers was sent on {count} times"))
+    }
+
+    /// Something begins to disturb a router, or all.
+    pub(super) fn disturb(&self, router: Option<usize>) {
+        let disturbed = Disturbed { router, from: Instant::now(), until: None };
+        self.disturbed.lock().unwrap_or_else(PoisonError::into_inner).push(disturbed);
+    }
+
+    /// A link is cut or silenced, which disturbs the router whose way to the store it is.
+    pub(super) fn disturb_link(&self, router: Option<usize>) {
+        if router.is_some() {
+            // Until all links are mended.
+            self.disturb(None);
+        }
+    }
+
+    /// What disturbs a router, or all, is over.
+    fn settle(&self, router: Option<usize>) {
+        let mut all = self.disturbed.lock().unwrap_or_else(PoisonError::into_inner);
+        for one in all.iter_mut().filter(|one| one.router == router) {
+            one.until.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Whether a router stood still or started again between two moments.
+    fn stopped(&self, router: &str, from: Instant, to: Instant) -> bool {
+        self.any_disturbed(from, to, |one| one.is_some_and(|index| name(index) == router))
+    }
+
+    /// Whether a router was kept from the store or from others besides.
+    fn apart(&self, router: &str, from: Instant, to: Instant) -> bool {
+        self.any_disturbed(from, to, |one| one.is_none_or(|index| name(index) == router))
+    }
+
+    fn any_disturbed(
+        &self,
+        from: Instant,
+        to: Instant,
+        whom: impl Fn(Option<usize>) -> bool,
+    ) -> bool {
+        let all = self.disturbed.lock().unwrap_or_else(PoisonError::into_inner);
+        all.iter().any(|one| {
+            whom(one.router) && one.from <= to && one.until.is_none_or(|until| until >= from)
+        })
+    }
+
+    /// A caller that sends one request again and again, to one router after the other.
+    pub(super) async fn insist(self: Arc<Self>, until: Instant) {
+        for turn in 0.. {
+            if Instant::now() >= until {
+                return;
+            }
+            let index = turn % self.routers.len();
+            if let Some(mut connection) = Connection::open(self.routers[index]).await {
+                self.call(&mut connection, index, ("unsafe", MODELS[0]), Some(POISON)).await;
+            }
+            sleep(INSIST).await;
+        }
     }
 
     /// One caller: it stays on its connection while that answers, and then goes to another router.
     pub(super) async fn caller(self: Arc<Self>, seed: u64, until: Instant) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         while Instant::now() < until {
-            let router = self.routers[rng.random_range(0..self.routers.len())];
-            let Some(mut connection) = Connection::open(router).await else {
+            let index = rng.random_range(0..self.routers.len());
+            let Some(mut connection) = Connection::open(self.routers[index]).await else {
                 sleep(Duration::from_millis(20)).await;
                 continue;
             };
             for _ in 0..rng.random_range(1..KEPT) {
                 let kind = KINDS[rng.random_range(0..KINDS.len())];
                 let model = MODELS[rng.random_range(0..MODELS.len())];
-                let goes_on = self.call(&mut connection, kind, model).await;
+                let goes_on = self.call(&mut connection, index, (kind, model), None).await;
                 if !goes_on || Instant::now() >= until {
                     break;
                 }
@@ -279,10 +408,16 @@
     }
 
     /// One call; whether the connection can be used again.
-    async fn call(&self, connection: &mut Connection, kind: &'static str, model: &str) -> bool {
-        let id = format!("r-{}", self.next.fetch_add(1, Ordering::Relaxed));
+    async fn call(
+        &self,
+        connection: &mut Connection,
+        router: usize,
+        (kind, model): (&'static str, &str),
+        body: Option<&str>,
+    ) -> bool {
+        let id = format!("{}-{}", name(router), self.next.fetch_add(1, Ordering::Relaxed));
         let start = Instant::now();
-        let answer = connection.call(&request(kind, &id, model, "")).await;
+        let answer = connection.call(&request(kind, &id, model, "", body.unwrap_or(&id))).await;
         let goes_on = answer.as_ref().is_some_and(|answer| {
             answer.whole && answer.header("connection").is_none_or(|text| text != "close")
         });
@@ -301,7 +436,7 @@
         for router in &self.routers {
             for kind in KINDS {
                 let id = format!("probe-{}", self.next.fetch_add(1, Ordering::Relaxed));
-                let text = request(kind, &id, MODELS[0], "Connection: close\r\n");
+                let text = request(kind, &id, MODELS[0], "Connection: close\r\n", &id);
                 let answer = exchange(*router, text.as_bytes()).await;
                 if answer.is_none_or(|answer| answer.status != 200) {
                     return false;
@@ -312,9 +447,15 @@
     }
 }
 
-fn request(kind: &str, id: &str, model: &str, more: &str) -> String {
+/// What the ids of requests to a router begin with.
+fn name(router: usize) -> String {
+    format!("front{router}")
+}
+
+fn request(kind: &str, id: &str, model: &str, more: &str, body: &str) -> String {
     format!(
         "POST /{kind}/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
-         Model: {model}\r\nContent-Length: 0\r\n{more}\r\n"
+         Model: {model}\r\nContent-Length: {}\r\n{more}\r\n{body}",
+        body.len()
     )
 }
