What an endpoint says before the list tells of its life holds for that life

Cause: an answer does not say which life gives it. The endpoint had started again 12 ms before it answered; the router put its word down to the life before, and dropped it when the list told of the new one 0.6 s later.

The mend: what was heard after a life began, by the time of day, holds for that life. An old life's word is older than the next life's start by the two seconds that a leaving endpoint serves on, and by the time that a process takes to be back.

--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -8,6 +8,7 @@
 use control::{Load, State};
 use fleet::{Endpoint, Holdings, Stage};
 use placement::{Ahead, Candidate, Trouble};
+use quarantine::Stamp;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use units::{Life, ModelName, Offset};
@@ -40,6 +41,16 @@
     pub(crate) leaving: bool,
     /// It wants nothing from this router until then.
     pub(crate) until: Option<Instant>,
+    /// When it said so last, by this router's time of day.
+    pub(crate) heard: Stamp,
+}
+
+impl Said {
+    /// Whether it was said in a life that is known to be another one than the one to which it was put down. Answers don't tell
+    /// which life gives them, and an endpoint that has just started again speaks before the list tells of its life.
+    pub(crate) fn in_life(self, life: Option<Life>) -> bool {
+        life.is_some_and(|Life(born)| self.heard.0 > born)
+    }
 }
 
 /// How this router uses one model of an endpoint.
@@ -127,12 +138,10 @@
         self.listed = endpoint.life;
         self.seen = now;
         if other || endpoint.addr != self.endpoint.addr {
-            let said = self.said;
+            // One that has only moved is as much about to leave as before.
+            let said = if other { self.said_in(endpoint.life) } else { self.said };
             self.restart(endpoint, now);
-            if !other {
-                // It has moved, and is as much about to leave as before.
-                self.said = said;
-            }
+            self.said = said;
             return true;
         }
         let life = endpoint.life.or(self.endpoint.life);
@@ -149,8 +158,9 @@
         }
         let life = state.life.or(self.endpoint.life);
         if other {
-            let holdings = Some(state.holdings.clone());
+            let (said, holdings) = (self.said_in(life), Some(state.holdings.clone()));
             self.restart(Endpoint { life, holdings, ..self.endpoint.clone() }, now);
+            self.said = said;
         }
         self.endpoint.life = life;
         self.said.leaving |= state.draining;
@@ -168,6 +178,11 @@
         true
     }
 
+    /// What it has said in a life that begins to be known.
+    fn said_in(&self, life: Option<Life>) -> Said {
+        if self.said.in_life(life) { self.said } else { Said::default() }
+    }
+
     /// Whether it is in this life, as far as anybody says.
     pub(crate) fn lives(&self, life: Option<Life>) -> bool {
         !Life::differ(life, self.endpoint.life)
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -140,6 +140,26 @@
     assert!(peer.stays(), "another life");
 }
 
+/// It started again at 200, said at 300 that it leaves and wants nothing, and then the list told of its life.
+#[tokio::test(start_paused = true)]
+async fn what_an_endpoint_said_before_its_life_was_known_holds_for_that_life() {
+    let now = Instant::now();
+    let until = Some(now + Duration::from_secs(9));
+    for by_loader in [false, true] {
+        let mut peer = troubled(now);
+        peer.said = Said { leaving: true, until, heard: Stamp(300) };
+        if by_loader {
+            peer.hear(state(200, &[]), now);
+        } else {
+            peer.list(entry(200), now);
+        }
+        assert!(!peer.stays());
+        assert!(peer.away(now).is_some());
+        peer.list(entry(400), now);
+        assert!(peer.stays() && peer.away(now).is_none());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_loader_that_no_longer_says_that_its_endpoint_leaves_does_not_take_it_back() {
     let now = Instant::now();
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -17,6 +17,7 @@
 
 use crate::cold::ColdLoads;
 use crate::endpoint::{Peer, Said, Usage};
+use crate::guard::stamp;
 use crate::pool::Pool;
 
 /// One loader is asked to make room for a model, and another one only after this time: else a burst for one model would
@@ -129,6 +130,7 @@
         }
         let mut peers = self.lock();
         let Some(peer) = peers.map.get_mut(id).filter(|peer| same(peer)) else { return };
+        peer.said.heard = stamp();
         if notice.leaving {
             let stayed = peer.stays();
             peer.said.leaving = true;
@@ -317,7 +319,9 @@
     /// What an endpoint has said in this life, if it was listed before.
     pub(crate) fn said(&self, id: &EndpointId, life: Option<Life>) -> Said {
         let mut all = self.said.iter().rev();
-        let found = all.find(|(other, then, _)| other == id && !Life::differ(*then, life));
+        let found = all.find(|(other, then, said)| {
+            other == id && (!Life::differ(*then, life) || said.in_life(life))
+        });
         found.map(|(_, _, said)| *said).unwrap_or_default()
     }
 
