Old records of ended endpoints are dropped, and one that the store will never take holds nothing back

Records stay in the store for good unless somebody drops them, and each router that starts reads all of them; a router drops some of those that are too old to count after each read.

--- a/components/router/src/ledger.rs
+++ b/components/router/src/ledger.rs
@@ -27,6 +27,8 @@
 const LEAST: Duration = Duration::from_millis(200);
 /// A router of the same deployment answers within some tens of milliseconds; one that does not is down or cut off.
 const PATIENCE: Duration = Duration::from_millis(400);
+/// Old records that are dropped after one read: each is a call.
+const DROPPED: usize = 16;
 /// The largest message of another router.
 const LARGEST: usize = 1 << 20;
 
@@ -51,7 +53,8 @@
                 }
                 shared.ends_read.send_replace(Some(batch.read));
                 let empty = batch.news.is_empty() && !batch.whole;
-                take(&shared, batch.news);
+                let stale = take(&shared, batch.news);
+                drop_stale(&store, stale).await;
                 if empty && begun.elapsed() < LEAST {
                     tokio::time::sleep(LEAST).await;
                 }
@@ -66,8 +69,10 @@
     }
 }
 
-fn take(shared: &Shared, news: Vec<News>) {
-    let mut all = Vec::new();
+/// Takes records; returns the keys of those that are too old to count.
+fn take(shared: &Shared, news: Vec<News>) -> Vec<String> {
+    let (mut all, mut stale) = (Vec::new(), Vec::new());
+    let now = stamp();
     for news in news {
         let News::Own(key, value) = news else { continue };
         // One that was dropped is too old to count.
@@ -75,6 +80,7 @@
             continue;
         }
         match serde_json::from_slice(&value) {
+            Ok(note) if Table::stale(&note, now) => stale.push(key),
             Ok(note) => all.push(Kept { key, note }),
             Err(error) => {
                 let cause = format!("the record `{key}` can't be read: {error}");
@@ -83,6 +89,17 @@
         }
     }
     shared.guard.take(&all);
+    stale
+}
+
+/// Drops some records that are too old to count, so that they don't pile up. All routers may drop the same ones, which does no harm.
+async fn drop_stale(store: &Store, stale: Vec<String>) {
+    for key in stale.into_iter().take(DROPPED) {
+        if let Err(error) = store.put(Topic::Ends, &key, &[], None).await {
+            log::debug!("router: an old record of an ended endpoint stays for now: {error}");
+            return;
+        }
+    }
 }
 
 fn lost(away: &mut Option<Instant>, error: &StoreError) {
@@ -102,12 +119,15 @@
     while let Some(kept) = records.recv().await {
         let value = serde_json::to_vec(&kept.note).unwrap_or_default();
         while let Err(error) = store.put(Topic::Ends, &kept.key, &value, None).await {
+            if error.is_final() || Table::stale(&kept.note, stamp()) {
+                // What the store will never take must not keep back what comes after it; others may still be told.
+                let (dependency, cause) = (Dependency::Ends, error.to_string());
+                emit(&Event::Lost { dependency, name: "record", cause: &cause });
+                break;
+            }
             log::debug!("router: a record of an ended endpoint is not written yet: {error}");
             exchange(&shared).await;
             tokio::time::sleep(RETRY).await;
-            if Table::stale(&kept.note, stamp()) {
-                break;
-            }
         }
     }
 }
--- a/src/cmd/suspects.rs
+++ b/src/cmd/suspects.rs
@@ -39,3 +39,6 @@
     writeln!(out, "{digest} is served again")?;
     Ok(Exit::Done)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/cmd/suspects/tests.rs
@@ -0,0 +1,67 @@
+use std::net::SocketAddr;
+
+use http::{Method, StatusCode};
+use quarantine::{Evidence, Stamp};
+use tokio::sync::watch;
+use units::Life;
+use web::ServeOptions;
+
+use super::*;
+
+fn digest() -> Digest {
+    Digest::of(&[b"shop.example", b"/x", b"body"])
+}
+
+/// A router with one suspect.
+async fn router() -> (SocketAddr, watch::Sender<bool>) {
+    let listener = web::bind(([127, 0, 0, 1], 0).into()).await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (stop, stopped) = watch::channel(false);
+    let handler = |request: http::Request<hyper::body::Incoming>, _| async move {
+        let call = (request.method().clone(), request.uri().path().to_owned());
+        let body = web::read(request.into_body(), 1 << 10).await.unwrap_or_default();
+        match (call.0, call.1.as_str()) {
+            (Method::GET, SUSPECTS_PATH) => {
+                let end = Evidence {
+                    endpoint: "i-1".parse().expect("an id"),
+                    life: Some(Life(7)),
+                    at: Stamp(1_500),
+                };
+                let unknown = Evidence { life: None, ..end.clone() };
+                let suspect = Suspect { digest: digest(), ends: vec![end, unknown] };
+                web::json(StatusCode::OK, &vec![suspect])
+            }
+            (Method::POST, RELEASE_PATH) => match serde_json::from_slice::<LetGo>(&body) {
+                Ok(let_go) if let_go.digest == digest() => web::json(StatusCode::OK, &let_go),
+                _ => web::text(StatusCode::NOT_FOUND, "no suspect here\n"),
+            },
+            _ => web::text(StatusCode::NOT_FOUND, ""),
+        }
+    };
+    tokio::spawn(web::serve(listener, ServeOptions::default(), stopped, handler));
+    (addr, stop)
+}
+
+#[tokio::test]
+async fn shows_what_speaks_against_each_suspect() {
+    let (addr, _stop) = router().await;
+    let mut out = Vec::new();
+    assert_eq!(list(addr, &mut out).await.expect("an answer"), Exit::Done);
+    let expected = format!(
+        "suspects: 1\n  {}\n    endpoint i-1 ended, life 7, at 1500 ms\n    endpoint i-1 ended, life unknown, at 1500 ms\n",
+        digest()
+    );
+    assert_eq!(String::from_utf8(out).expect("text"), expected);
+}
+
+#[tokio::test]
+async fn lets_a_suspect_go_and_says_why_not() {
+    let (addr, _stop) = router().await;
+    let mut out = Vec::new();
+    assert_eq!(release(addr, digest(), &mut out).await.expect("an answer"), Exit::Done);
+    assert!(String::from_utf8(out).expect("text").ends_with("is served again\n"));
+    let other = Digest::of(&[b"another"]);
+    let error = release(addr, other, &mut Vec::new()).await.expect_err("no suspect");
+    assert_eq!(error.exit(), Exit::Failed);
+    assert!(error.to_string().contains("no suspect here"), "{error}");
+}
