What an endpoint says while it is not listed is kept for its life

What callers saw: an endpoint whose entry was removed said in a late answer that it leaves; an older entry was back and it served on.

Cause: its word was looked up among the endpoints that are listed, and dropped.

The mend: what is heard of one that is not listed is kept with what those said that have left the list, and holds when an entry of that life comes back.

--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -46,6 +46,15 @@
 }
 
 impl Said {
+    /// What it has said in all, after it has said something more.
+    pub(crate) fn and(self, new: Self) -> Self {
+        Self {
+            leaving: self.leaving || new.leaving,
+            until: self.until.max(new.until),
+            heard: new.heard,
+        }
+    }
+
     /// Whether it was said in a life that is known to be another one than the one to which it was put down. Answers don't tell
     /// which life gives them, and an endpoint that has just started again speaks before the list tells of its life.
     pub(crate) fn in_life(self, life: Option<Life>) -> bool {
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -123,26 +123,40 @@
         }
     }
 
-    /// Takes what an answer says of its endpoint; `same` says whether it is of the life that is known.
-    pub(crate) fn noticed(&self, id: &EndpointId, notice: Notice, same: impl Fn(&Peer) -> bool) {
+    /// Takes what an answer says of its endpoint, in a life as far as that is known; `same` says whether that is the one that is
+    /// listed now.
+    pub(crate) fn noticed(
+        &self,
+        id: &EndpointId,
+        life: Option<Life>,
+        notice: Notice,
+        same: impl Fn(&Peer) -> bool,
+    ) {
         if notice == Notice::default() {
             return;
         }
+        let after = notice.after.map(|after| after.min(AWAY));
+        let until = after.map(|after| Instant::now() + after);
+        let new = Said { leaving: notice.leaving, until, heard: stamp() };
         let mut peers = self.lock();
-        let Some(peer) = peers.map.get_mut(id).filter(|peer| same(peer)) else { return };
-        peer.said.heard = stamp();
-        if notice.leaving {
-            let stayed = peer.stays();
-            peer.said.leaving = true;
+        let Some(peer) = peers.map.get_mut(id) else {
+            // An older entry may come back.
+            let said = peers.said(id, life).and(new);
+            return peers.keep_said(id, life, said);
+        };
+        if !same(peer) {
+            return;
+        }
+        let stayed = peer.stays();
+        peer.said = peer.said.and(new);
+        if peer.said.leaving {
             peer.pool.retire();
-            if stayed {
-                let (addr, cause) = (peer.endpoint.addr.to_string(), "it says so in an answer");
-                emit(&Event::Member { endpoint: id.as_str(), addr, stage: "draining", cause });
-            }
         }
-        if let Some(after) = notice.after {
-            let after = after.min(AWAY);
-            peer.said.until = peer.said.until.max(Some(Instant::now() + after));
+        if stayed && notice.leaving {
+            let (addr, cause) = (peer.endpoint.addr.to_string(), "it says so in an answer");
+            emit(&Event::Member { endpoint: id.as_str(), addr, stage: "draining", cause });
+        }
+        if let Some(after) = after {
             let (pause_ms, cause) = (millis(after), "it wants nothing for so long");
             emit(&Event::Suspect { endpoint: id.as_str(), pause_ms, cause });
         }
@@ -306,14 +320,14 @@
     }
 
     /// Remembers what an endpoint has said that is not listed any more.
-    pub(crate) fn keep_said(&mut self, peer: &Peer) {
-        if peer.said == Said::default() {
+    pub(crate) fn keep_said(&mut self, id: &EndpointId, life: Option<Life>, said: Said) {
+        if said == Said::default() {
             return;
         }
         if self.said.len() == LEFT {
             self.said.pop_front();
         }
-        self.said.push_back((peer.endpoint.id.clone(), peer.endpoint.life, peer.said));
+        self.said.push_back((id.clone(), life, said));
     }
 
     /// What an endpoint has said in this life, if it was listed before.
--- a/components/router/src/place.rs
+++ b/components/router/src/place.rs
@@ -107,7 +107,8 @@
             return;
         }
         let same = |peer: &Peer| Arc::ptr_eq(&peer.pool, &self.pool);
-        self.shared.known.noticed(&self.id, platform::read_notice(status, headers), same);
+        let notice = platform::read_notice(status, headers);
+        self.shared.known.noticed(&self.id, self.life, notice, same);
     }
 
     /// Notes that the endpoint has begun to run the request.
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -210,22 +210,23 @@
         let report = platform::read_report(&self.client, endpoint, limit).await;
         let report = report.map_err(|error| error.to_string())?;
         let same = |peer: &Peer| peer.endpoint.addr == endpoint && peer.lives(report.life);
-        self.known.noticed(id, report.notice, same);
+        self.known.noticed(id, report.life, report.notice, same);
         Ok(())
     }
 
     /// Asks an endpoint whether it is well; `None` if it is not known any more or can't be asked.
     pub(crate) async fn health(&self, id: &EndpointId, limit: Duration) -> Option<Health> {
-        let (addr, service, pool) = {
+        let (endpoint, pool) = {
             let peers = self.known.lock();
             let peer = peers.map.get(id)?;
-            (peer.endpoint.addr, peer.endpoint.service.clone(), peer.pool.clone())
+            (peer.endpoint.clone(), peer.pool.clone())
         };
         let catalog = self.current()?;
-        let path = catalog.service(&service)?.health.as_deref()?;
-        match platform::check_health(&self.client, addr, path, id, limit).await {
+        let path = catalog.service(&endpoint.service)?.health.as_deref()?;
+        match platform::check_health(&self.client, endpoint.addr, path, id, limit).await {
             Ok((health, notice)) => {
-                self.known.noticed(id, notice, |peer| Arc::ptr_eq(&peer.pool, &pool));
+                let same = |peer: &Peer| Arc::ptr_eq(&peer.pool, &pool);
+                self.known.noticed(id, endpoint.life, notice, same);
                 Some(health)
             }
             Err(error) => {
