The end of a plain endpoint that is back before it is asked is held against what it ran

Cause, from its lines: the endpoint had started again under its id before it was asked, and a link hid that connections were refused meanwhile. A plain endpoint says who it is, not in which life, so it was taken for one that had not ended ('examined ended=false it is there').

The mend: after such an answer what it had goes on at once, and the list is watched for three seconds more; if it tells of another life, the end is recorded with what was at work when the requests were cut.

--- a/components/router/src/ended.rs
+++ b/components/router/src/ended.rs
@@ -12,7 +12,7 @@
 
 use events::{Event, emit, millis};
 use platform::Health;
-use quarantine::{Death, Digest};
+use quarantine::{Death, Digest, Note};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use units::{EndpointId, Life};
@@ -32,6 +32,11 @@
 /// What can't be told within this time is not held against anybody: an endpoint that ended is back by then, as a rule.
 const GIVE_UP: Duration = Duration::from_secs(8);
 
+/// The list tells within this time that an endpoint has started again: it is read once a second.
+const TOLD: Duration = Duration::from_secs(3);
+/// Why an endpoint that answers is spared.
+const THERE: &str = "it is there";
+
 /// What was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Found {
@@ -90,7 +95,7 @@
         requests: runs.len(),
         after_ms: millis(since.elapsed()),
     });
-    let death = domain.filter(|_| ended && !runs.is_empty()).map(|domain| Death {
+    let death = domain.filter(|_| !runs.is_empty()).map(|domain| Death {
         endpoint: id,
         life,
         domain,
@@ -98,10 +103,27 @@
         at,
         runs,
     });
-    if !ended {
-        pool.runs().acquit();
+    if ended {
+        return shared.guard.examined(&pool, death);
+    }
+    pool.runs().acquit();
+    shared.guard.examined(&pool, None);
+    if let Some(death) = death.filter(|_| found == Found::Spared(THERE)) {
+        watch(&shared, death, &pool, since + TOLD).await;
+    }
+}
+
+/// Waits for the list to tell that an endpoint which answers has started again under its id: one without models does not say in which
+/// life it is. What it had is sent on meanwhile.
+async fn watch(shared: &Arc<Shared>, death: Death, pool: &Arc<Pool>, until: Instant) {
+    while Instant::now() < until {
+        tokio::time::sleep(LONGEST).await;
+        match known(shared, &death.endpoint, pool) {
+            None => {}
+            Some(Found::Ended(_)) => return shared.guard.tell(Note::Death(death)),
+            Some(Found::Spared(_)) => return,
+        }
     }
-    shared.guard.examined(&pool, death);
 }
 
 async fn find(
@@ -118,7 +140,7 @@
             return found;
         }
         match ask(shared, id, life, pool.addr()).await {
-            Answer::Same => return Found::Spared("it is there"),
+            Answer::Same => return Found::Spared(THERE),
             Answer::Other => return Found::Ended("another one is at its address"),
             Answer::Refused => refused += 1,
             Answer::None => refused = 0,
