Guard: what finished requests cost, one check in place of two, and nothing unused

A finished request that nothing speaks against no longer reads the time of day and builds a record that is dropped: that stood in the way of every answer. Whether a request waits for an end to be looked into is asked in one place (State::pending), and what may be to blame at an endpoint is listed in one (Runs::suspicious). Table::is_empty was called by nobody. Behaviour is as before.

--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -272,11 +272,6 @@
         self.suspects.iter().map(|(digest, ends)| (digest, ends.as_slice()))
     }
 
-    /// Whether nothing is known of any end.
-    pub fn is_empty(&self) -> bool {
-        self.ends.is_empty()
-    }
-
     /// Whether a record of this age is of no use any more.
     pub fn stale(note: &Note, now: Stamp) -> bool {
         now.since(note.at()) > KEPT
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -46,6 +46,14 @@
     heard: Option<Instant>,
 }
 
+impl State {
+    /// Whether it was at an endpoint of which it is not known yet whether it has ended.
+    fn pending(&self, digest: &Digest) -> bool {
+        let now = Instant::now();
+        self.examined.iter().any(|pool| pool.runs().has(digest, now))
+    }
+}
+
 /// What keeps them.
 #[derive(Debug)]
 pub(crate) struct Guard {
@@ -150,8 +158,7 @@
 
     fn look(&self, digest: &Digest, mine: bool) -> Look {
         let mut state = self.lock();
-        let now = Instant::now();
-        if state.examined.iter().any(|pool| pool.runs().has(digest, now)) {
+        if state.pending(digest) {
             return Look::Wait;
         }
         match state.table.standing(digest) {
@@ -171,15 +178,12 @@
             return true;
         }
         let state = self.lock();
-        let now = Instant::now();
         match state.table.standing(digest) {
             Standing::Suspect => false,
             Standing::Watched(ends) if pass.turn.is_none() || (ends >= APART) != pass.apart => {
                 false
             }
-            Standing::Watched(_) | Standing::Clear => {
-                !state.examined.iter().any(|pool| pool.runs().has(digest, now))
-            }
+            Standing::Watched(_) | Standing::Clear => !state.pending(digest),
         }
     }
 
@@ -209,17 +213,18 @@
 
     /// A request ran to its end: what it was at before does not speak against it.
     pub(crate) fn clear(&self, digest: &Digest) {
-        let note = Note::Release(Release { digest: *digest, at: stamp() });
         let standing = self.lock().table.standing(digest);
-        match standing {
-            Standing::Clear => {}
-            // What is of no weight yet is worth no record.
-            Standing::Watched(ends) if ends < APART => {
-                let kept = Kept { key: note.key(&self.router), note };
-                self.take(&[kept]);
-            }
-            Standing::Watched(_) | Standing::Suspect => self.tell(note),
+        // What is of no weight yet is worth no record.
+        let weighs = match standing {
+            Standing::Clear => return,
+            Standing::Watched(ends) => ends >= APART,
+            Standing::Suspect => true,
+        };
+        let note = Note::Release(Release { digest: *digest, at: stamp() });
+        if weighs {
+            return self.tell(note);
         }
+        self.take(&[Kept { key: note.key(&self.router), note }]);
     }
 
     /// Lets a request go; false if it is no suspect.
--- a/components/router/src/runs.rs
+++ b/components/router/src/runs.rs
@@ -78,15 +78,18 @@
 
     /// Requests that may be to blame if the endpoint has just ended.
     pub(crate) fn young(&self, now: Instant) -> BTreeSet<Digest> {
-        let running = self.running.iter().filter(|run| run.young(now)).map(|run| run.digest);
-        let cut = self.cut.iter().filter(|(_, at)| now - *at < LATELY).map(|(digest, _)| *digest);
-        running.chain(cut).collect()
+        self.suspicious(now).copied().collect()
+    }
+
+    fn suspicious(&self, now: Instant) -> impl Iterator<Item = &Digest> {
+        let running = self.running.iter().filter(move |run| run.young(now));
+        let cut = self.cut.iter().filter(move |(_, at)| now - *at < LATELY);
+        running.map(|run| &run.digest).chain(cut.map(|(digest, _)| digest))
     }
 
     /// Whether this request is among these.
     pub(crate) fn has(&self, digest: &Digest, now: Instant) -> bool {
-        self.running.iter().any(|run| run.digest == *digest && run.young(now))
-            || self.cut.iter().any(|(cut, at)| cut == digest && now - *at < LATELY)
+        self.suspicious(now).any(|one| one == digest)
     }
 
     /// Begins to find out whether the endpoint has ended; false if that is going on.
