--- /dev/null
+++ b/components/access/src/lib.rs
@@ -0,0 +1,10 @@
+//! Whose request it is, and whether its key is still served: values in, verdict out.
+//!
+//! A key that was taken away must not be served longer than a bound, also by a router that nobody reaches. So a key is served
+//! only while the read that showed it is young enough, counted from the moment at which that read was sent.
+
+mod proof;
+mod verdict;
+
+pub use proof::Proof;
+pub use verdict::{Credential, Denial, Lookup, Verdict, judge};
--- a/components/catalog/src/catalog.rs
+++ b/components/catalog/src/catalog.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use units::{Revision, ServiceName};
 
-use crate::{Route, Service};
+use crate::{Route, Service, Workspaces};
 
 /// Bounds of what a caller may send.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -28,6 +28,9 @@
     pub version: Revision,
     /// Bounds of what a caller may send.
     pub limits: Limits,
+    /// The workspaces; where there are none at all, requests are passed on whoever sends them.
+    #[serde(default)]
+    pub workspaces: Option<Workspaces>,
     services: HashMap<ServiceName, Service>,
     hosts: HashMap<String, Vec<Route>>,
 }
@@ -49,7 +52,13 @@
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Self { version, limits, services, hosts }
+        Self { version, limits, workspaces: None, services, hosts }
+    }
+
+    /// The same with workspaces.
+    pub fn with_workspaces(mut self, workspaces: Workspaces) -> Self {
+        self.workspaces = Some(workspaces);
+        self
     }
 
     /// The route of a host and path: the one with the longest prefix that begins the path.
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -1,9 +1,11 @@
-//! The configuration in force: routes, services, models and limits, with the rule that finds a route.
+//! The configuration in force: routes, services, models, workspaces and limits, with the rule that finds a route.
 
 mod catalog;
 mod model;
 mod route;
+mod workspace;
 
 pub use catalog::{Catalog, Limits};
 pub use model::{Engine, ModelId, ModelSpec, ParseModelError};
 pub use route::{Backend, CallKind, Route, Service};
+pub use workspace::{KeyDigest, Limit, ParseKeyError, Unit, Workspace, Workspaces};
--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -62,6 +62,9 @@
     pub patience: Duration,
     /// How urgent it is; 0 goes first.
     pub priority: u8,
+    /// Whether its requests need no key where the configuration has workspaces.
+    #[serde(default)]
+    pub open: bool,
     /// Endpoints that one request may be sent to.
     pub attempts: u32,
     /// Where requests go.
--- /dev/null
+++ b/components/quota/src/lib.rs
@@ -0,0 +1,19 @@
+//! The limits of workspaces over all routers together, apart from input and output.
+//!
+//! Load pattern: each router gets an uneven and changing part of a workspace's requests, and any of them may be cut off, stand
+//! still or be gone. Whatever they know of each other, all together must not let in more than the limit allows.
+//!
+//! Each router has an equal share of the limit for its own, in a token bucket. Who else has a share is written in the platform's
+//! store, in one order for all: a router that joins waits until all others have counted it or have lost their own shares, and one
+//! that has not read the roster for too long has none. A router that is short asks others for tokens: these are taken from one
+//! bucket before they are used at another one, so that nobody has to agree on anything.
+
+mod bucket;
+mod lenders;
+mod roster;
+mod terms;
+
+pub use bucket::{Bucket, Taken};
+pub use lenders::{Lenders, is_dry};
+pub use roster::{Record, Roster, Seat, Share, Stage, Write};
+pub use terms::{Bounds, TRANSIT, Terms};
--- a/components/units/src/ids.rs
+++ b/components/units/src/ids.rs
@@ -135,6 +135,10 @@
     /// A group of callers that share a fair part of capacity.
     CallerGroup, "caller group", "-_."
 );
+id!(
+    /// A group of callers with keys and a limit of their own.
+    WorkspaceName, "workspace name", "-_.@:"
+);
 id!(
     /// One request of one caller, unique for good.
     RequestId, "request id", "-_."
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use ids::{
     AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath,
-    ParseIdError, RequestId, ServiceName, SettingName,
+    ParseIdError, RequestId, ServiceName, SettingName, WorkspaceName,
 };
 pub use position::{Epoch, Incarnation, Life, Offset, ParsePositionError, ReplicaIndex, Revision};
 pub use quantity::{ParseQuantityError, Rate, Size, Span};
