Callers are let in by their keys, and workspaces held to their limits over all routers

What callers saw: keys were passed on to endpoints, anybody could name any workspace, keys that were taken away or never given were served, and a workspace got any number of tokens. Cause: nothing in the router knew of them. Now the router names the workspace and drops the key, refuses unknown keys with 401 after a read of the store that began after the request came, serves keys only on a proof that is young enough, and takes tokens from its share of the limit, or from other routers' shares. A share needs a record in the store that all others have read, or have lost theirs.

--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -6,8 +6,8 @@
 use web::{CallError, Client};
 
 use crate::{
-    ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept, POLL_PATH, Poll,
-    Polled, Position, SNAPSHOT_PATH, Snapshot, State,
+    Borrow, ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept, Lent,
+    POLL_PATH, Poll, Polled, Position, SNAPSHOT_PATH, Snapshot, State, TOKENS_PATH,
 };
 
 /// What an answer may take beyond the time that the loader was asked to wait.
@@ -61,3 +61,13 @@
 ) -> Result<Vec<Kept>, CallError> {
     client.post(router, ENDS_PATH, &kept, limit).await
 }
+
+/// Asks another router for tokens.
+pub async fn ask_tokens(
+    client: &Client,
+    router: SocketAddr,
+    borrow: &Borrow,
+    limit: Duration,
+) -> Result<Lent, CallError> {
+    client.post(router, TOKENS_PATH, borrow, limit).await
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,9 +3,9 @@
 mod client;
 mod message;
 
-pub use client::{Loader, ask_snapshot, exchange_ends};
+pub use client::{Loader, ask_snapshot, ask_tokens, exchange_ends};
 pub use message::{
-    ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept, LetGo, Load, POLL_PATH,
-    Poll, Polled, Position, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, State, Suspect,
-    Use, Verdict,
+    Borrow, ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept, Lent, LetGo,
+    Load, POLL_PATH, Poll, Polled, Position, Proved, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH,
+    Snapshot, State, Suspect, TOKENS_PATH, Use, Verdict,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -7,7 +7,7 @@
 use fleet::{Endpoint, Holdings};
 use quarantine::{Digest, Evidence, Note};
 use serde::{Deserialize, Serialize};
-use units::{EndpointId, Life, ModelName, Offset, Revision};
+use units::{EndpointId, Life, ModelName, Offset, Revision, WorkspaceName};
 
 /// Where a router asks for news of an endpoint.
 pub const POLL_PATH: &str = "/poll";
@@ -163,7 +163,7 @@
 }
 
 /// What a router knows from the platform's store beyond the [`Position`] of the one that asks.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The configuration in force, if it is newer.
     #[serde(default)]
@@ -179,6 +179,38 @@
     /// How far the list has been read.
     #[serde(default)]
     pub read: Offset,
+    /// Which configuration is in force, and how old the proof is that there is no newer one.
+    #[serde(default)]
+    pub proved: Option<Proved>,
+}
+
+/// How old the proof is that a version of the configuration is the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proved {
+    /// The version.
+    pub version: Revision,
+    /// The age, when it was told.
+    #[serde(with = "fleet::millis")]
+    pub age: Duration,
+}
+
+/// Where a router asks another one for tokens of a workspace: `POST` with [`Borrow`].
+pub const TOKENS_PATH: &str = "/tokens";
+
+/// A router is short of tokens.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Borrow {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// How many it wants at most.
+    pub tokens: f64,
+}
+
+/// The answer to a [`Borrow`]: they are taken from the bucket of the one that answers.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Lent {
+    /// How many.
+    pub tokens: f64,
 }
 
 /// Where a router tells another one of endpoints that ended, and is told what that one knows.
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -99,6 +99,15 @@
             let outcome = if *tried { "tried" } else { "refused" };
             counter!("suspects_barred_total", "outcome" => outcome).increment(1);
         }
+        Event::Denied { cause, .. } => {
+            counter!("requests_denied_total", "cause" => (*cause).to_owned()).increment(1);
+        }
+        Event::Limited { workspace, cost, .. } => {
+            let workspace = (*workspace).to_owned();
+            counter!("requests_limited_total", "workspace" => workspace.clone()).increment(1);
+            counter!("tokens_limited_total", "workspace" => workspace).increment(*cost);
+        }
+        Event::Shared { shares, .. } => gauge!("quota_shares").set(f64::from(*shares)),
         Event::Dropped { lines } => counter!("lines_dropped_total").increment(*lines),
         Event::Told { .. } => counter!("routers_told_total").increment(1),
         Event::Started { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -23,6 +23,8 @@
     Lanes,
     /// The platform's store, as the place where routers tell each other of endpoints that ended.
     Ends,
+    /// The platform's store, as the place where routers tell each other that they have a share in limits.
+    Roster,
 }
 
 /// Why a request was turned away.
@@ -49,6 +51,14 @@
     Left,
     /// It crashes the endpoints that run it.
     Crashes,
+    /// It shows no key that a workspace has.
+    Unauthorized,
+    /// Whether its key still holds is not known, because the store was not read for too long.
+    Unproved,
+    /// Its workspace has asked for more than it may.
+    OverQuota,
+    /// This router has no share in the limit of its workspace yet.
+    NoShare,
 }
 
 /// A step of one request.
@@ -323,6 +333,45 @@
         /// The ends that speak against it: endpoint, life and age.
         ends: &'a str,
     },
+    /// A request was not let in by its key.
+    Denied {
+        /// Its id.
+        request: &'a str,
+        /// The beginning of the key's digest; empty if there is no key.
+        key: &'a str,
+        /// Why.
+        cause: &'a str,
+        /// The version of the configuration that decided.
+        version: u64,
+        /// How old the proof is that there is no newer one.
+        age_ms: u64,
+    },
+    /// A request was not let in by the limit of its workspace.
+    Limited {
+        /// Its id.
+        request: &'a str,
+        /// The workspace.
+        workspace: &'a str,
+        /// What the request counts.
+        cost: u64,
+        /// What this router had left.
+        left: u64,
+        /// What other routers lent it for this request.
+        lent: u64,
+        /// How many routers were asked for that.
+        asked: usize,
+        /// Equal shares in the limit; 0 if this router has none.
+        shares: u32,
+        /// The version of the configuration that decided.
+        version: u64,
+    },
+    /// The share of this router in all limits has changed.
+    Shared {
+        /// Equal shares; 0 if it has none.
+        shares: u32,
+        /// Shares before.
+        before: u32,
+    },
     /// A loader was asked to have a model.
     Wanted {
         /// The model.
@@ -424,6 +473,8 @@
             | Self::Refused { request, .. }
             | Self::Repeat { request, .. }
             | Self::Barred { request, .. }
+            | Self::Denied { request, .. }
+            | Self::Limited { request, .. }
             | Self::Left { request, .. } => Some(request),
             _ => None,
         }
@@ -437,7 +488,9 @@
             | Self::Suspect { .. }
             | Self::Examined { .. }
             | Self::Blamed { .. }
-            | Self::Barred { .. } => true,
+            | Self::Barred { .. }
+            | Self::Denied { .. }
+            | Self::Limited { .. } => true,
             Self::Answered { status, whole, .. } => *status >= 500 || !whole,
             _ => false,
         }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use catalog::Catalog;
+use clock::Moment;
 use events::{Dependency, Event, emit, millis};
 use fleet::Change;
 use platform::{Batch, Follower, News, Store, StoreError, Topic};
 use tokio::time::Instant;
-use units::Span;
+use units::{Revision, Span};
 
+use crate::access::ASK_PACE;
 use crate::list::{LAPSE, Listed};
 use crate::shared::{Feed, Shared};
 use crate::{missing, peer};
@@ -19,6 +21,9 @@
 /// as soon as there is a change, but not always: one that begins while a record is written may be answered only when
 /// its time is over. A connection may also go silent without a sign, which shows when the client's patience ends.
 const PART: f64 = 0.7;
+/// The part of the bound on keys that were taken away, which a read proves from when it was sent: so that the next one has
+/// been answered before.
+const PROOF_PART: f64 = 0.36;
 /// Changes of the list are read together, at this pace, since each call is paid for.
 const LIST_PACE: Duration = Duration::from_millis(1_000);
 /// A read waits at least this long, whatever the bound.
@@ -91,12 +96,31 @@
 pub(crate) async fn config(shared: Arc<Shared>, store: Store) {
     let mut follower = Follower::new(store, Topic::Config);
     let mut contact = Contact::new(Dependency::Configuration);
+    let mut newest = None;
+    let mut ask_next = Instant::now();
+    let mut asked = false;
     loop {
+        let wait = if asked { Duration::ZERO } else { config_wait(&shared, &contact) };
+        let sent = Moment::now();
+        let next = tokio::select! {
+            next = follower.next(wait) => next,
+            () = key_asked(&shared, ask_next), if !asked => {
+                asked = true;
+                continue;
+            }
+        };
+        if std::mem::take(&mut asked) {
+            ask_next = Instant::now() + ASK_PACE;
+        }
         let bounds = shared.settings.borrow().bounds;
-        match follower.next(contact.wait(bounds.apply, Duration::ZERO)).await {
+        match next {
             Ok(batch) => {
                 contact.reached();
-                let fresh = take_config(&shared, batch);
+                let fresh = take_config(&shared, batch, &mut newest);
+                // A store that has less than what is in force, or nothing that can be read, proves nothing.
+                if newest.is_some() && newest == shared.current().map(|current| current.version) {
+                    shared.access.prove(sent);
+                }
                 shared.read_store(Feed::Configuration, true);
                 tokio::time::sleep(if fresh { CONFIG_PACE } else { Duration::ZERO }).await;
             }
@@ -111,12 +135,34 @@
     }
 }
 
-fn take_config(shared: &Shared, batch: Batch) -> bool {
+/// How long a read of the configuration waits for a version.
+fn config_wait(shared: &Shared, contact: &Contact) -> Duration {
+    let bounds = shared.settings.borrow().bounds;
+    let wait = contact.wait(bounds.apply, Duration::ZERO);
+    let managed = shared.current().is_some_and(|catalog| catalog.workspaces.is_some());
+    match bounds.revoke {
+        Some(Span(bound)) if managed => wait.min(bound.mul_f64(PROOF_PART)),
+        _ => wait,
+    }
+}
+
+/// Waits for a request whose key may be newer than what has been read, from a moment on.
+async fn key_asked(shared: &Shared, from: Instant) {
+    tokio::time::sleep_until(from).await;
+    shared.access.asked.notified().await;
+}
+
+/// `newest` is the version of the newest record, as far as that can be read.
+fn take_config(shared: &Shared, batch: Batch, newest: &mut Option<Revision>) -> bool {
     let mut fresh = false;
     for news in batch.news {
         match news {
-            News::Config(catalog) => fresh |= adopt(shared, catalog),
+            News::Config(catalog) => {
+                *newest = Some(catalog.version);
+                fresh |= adopt(shared, catalog);
+            }
             News::Unreadable(cause) => {
+                *newest = None;
                 emit(&Event::Unreadable { dependency: Dependency::Configuration, cause: &cause });
             }
             News::Member(_) | News::Foreign(..) | News::Own(..) => {}
@@ -127,7 +173,8 @@
 
 /// Puts a version in force, unless a newer one is.
 pub(crate) fn adopt(shared: &Shared, catalog: Catalog) -> bool {
-    let before = shared.current().map_or(0, |current| current.version.0);
+    let current = shared.current();
+    let before = current.as_ref().map_or(0, |current| current.version.0);
     let version = catalog.version.0;
     if version <= before {
         if version < before {
@@ -136,6 +183,8 @@
         return false;
     }
     let routes = catalog.routes().count();
+    let known = current.as_ref().and_then(|current| current.workspaces.as_ref());
+    shared.access.compare(known, catalog.workspaces.as_ref());
     shared.catalog.send_replace(Some(Arc::new(catalog)));
     emit(&Event::Configured { version, before, routes });
     shared.known.changed.notify_waiters();
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use units::{EndpointId, Life, ServiceName};
 
+use crate::access::{self, Identity};
 use crate::caller::Caller;
 use crate::choose::{self, NoPlace, Wanted};
 use crate::ended;
@@ -18,6 +19,7 @@
 use crate::ledger;
 use crate::place::Place;
 use crate::pool::Pool;
+use crate::quotas::Charge;
 use crate::shared::Shared;
 
 /// Sends of one request that did not run, at most: refusals of full endpoints and closed connections.
@@ -61,6 +63,10 @@
     pub(crate) runs: u32,
     /// The life of the endpoint that it was last sent to, as this router reaches it.
     pub(crate) pool: Option<Arc<Pool>>,
+    /// Whose it is.
+    pub(crate) identity: Identity,
+    /// What it takes from the limit of its workspace.
+    pub(crate) charge: Option<Charge>,
     /// Leave to send it.
     pub(crate) pass: Option<Pass>,
 }
@@ -81,17 +87,23 @@
                 // What arrived with it says that the endpoint leaves, or that the request ends endpoints.
                 continue;
             }
+            if !self.proved() {
+                // Its key may have been taken away while it waited.
+                return Err(access::unproved(&self.shared));
+            }
             let id = place.id.clone();
             self.life = place.life;
             self.pool = Some(place.pool.clone());
             self.log_sent(&place, waited);
             self.sends += 1;
+            self.spend(true);
             let now = Instant::now();
             let sending = Sending {
                 endpoint: &id,
                 left: self.due.saturating_duration_since(now),
                 priority: self.priority(),
                 last_event,
+                workspace: self.identity.workspace().map(|workspace| &workspace.name),
             };
             let patience = Patience { due: self.due, ask: self.ask(now) };
             let leave = || self.may_leave(&id, self.route.target);
@@ -103,12 +115,17 @@
                     Judged::Again => {}
                     Judged::Failed(failure) => return Err(failure),
                 },
-                Sent::Left => return Err(self.failed(Refusal::Left, None)),
+                Sent::Left => {
+                    self.spend(false);
+                    return Err(self.failed(Refusal::Left, None));
+                }
                 Sent::Moved => {
+                    self.spend(false);
                     self.step(Step::NotRun, &id, "the endpoint takes nothing new");
                     self.sends -= 1;
                 }
                 Sent::Unsent(cause) => {
+                    self.spend(false);
                     self.step(Step::Broken, &id, &cause);
                     self.shared.known.failed(&id, self.life, &cause);
                     if self.sends >= SENDS {
@@ -159,6 +176,20 @@
         }
     }
 
+    /// Notes whether it is, or may be, at an endpoint: what has run once is never given back.
+    fn spend(&mut self, sent: bool) {
+        let spent = sent || self.runs > 0;
+        if let Some(charge) = &mut self.charge {
+            charge.spent = spent;
+        }
+    }
+
+    /// Whether its key may still be served, if it has one.
+    fn proved(&self) -> bool {
+        let bound = self.shared.settings.borrow().bounds.revoke;
+        self.runs > 0 || self.identity.workspace().is_none() || self.shared.access.holds(bound)
+    }
+
     fn allowed(&self) -> bool {
         let pass = self.pass.as_ref();
         pass.is_some_and(|pass| self.shared.guard.allows(&self.outgoing.digest, pass))
@@ -175,7 +206,7 @@
             service: &self.service,
             model: self.call.model.as_ref().filter(|_| engine.is_some()),
             engine,
-            prompt: self.call.tokens.0,
+            prompt: self.call.tokens.map_or(0, |(prompt, _)| prompt),
             target: self.route.target,
             due: self.start,
             since: Instant::now(),
@@ -230,9 +261,10 @@
         self.tried.push(id.clone());
     }
 
-    /// More urgent routes go first at the endpoints; the middle of the scale is left to others.
+    /// More urgent requests go first at the endpoints; the middle of the scale is left to others.
     fn priority(&self) -> u8 {
-        self.route.priority.min(9)
+        let own = self.identity.workspace().and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.route.priority).min(9)
     }
 
     async fn judge(&mut self, mut answer: Answer, id: &EndpointId) -> Judged {
@@ -282,6 +314,7 @@
     }
 
     async fn not_run(&mut self, id: &EndpointId) -> Judged {
+        self.spend(false);
         if self.sends >= SENDS || !self.shared.may_repeat(&self.service, &self.name) {
             let after = choose::back(&self.shared, &self.wanted(&self.tried)).unwrap_or(BREATH);
             return Judged::Failed(self.failed(Refusal::NoEndpoint, Some(after)));
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! Serves callers from endpoints that it calls directly.
 
+mod access;
 mod caller;
 mod choose;
 mod cold;
@@ -18,9 +19,11 @@
 mod pool;
 mod prepare;
 mod probe;
+mod quotas;
 mod ready;
 mod relay;
 mod request;
+mod roster;
 mod run;
 mod runs;
 mod serve;
@@ -30,4 +33,4 @@
 mod snapshot;
 
 pub use run::run;
-pub use settings::{Bounds, RepeatSettings, Settings};
+pub use settings::{Bounds, QuotaSettings, RepeatSettings, Settings};
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -119,6 +119,10 @@
         if !peers.listed {
             return None;
         }
+        if peers.listed && have.read != Offset(0) && peers.read <= have.read {
+            // Nothing is newer.
+            return Some(Snapshot { read: peers.read, ..Snapshot::default() });
+        }
         let (news, kept): (Vec<&Peer>, Vec<&Peer>) =
             peers.map.values().partition(|peer| peer.read > have.read || have.read == Offset(0));
         let missing = peers.map.values().filter(|peer| peer.missing.is_some());
@@ -129,6 +133,7 @@
             endpoints: news.into_iter().map(Peer::as_told).collect(),
             kept: kept.into_iter().map(id).collect(),
             read: peers.read,
+            proved: None,
         })
     }
 
--- /dev/null
+++ b/components/router/src/quotas.rs
@@ -0,0 +1,342 @@
+//! Holds each workspace to its limit: a share of it here, and tokens of other routers where that is not enough.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use catalog::{Catalog, Limit, Workspace};
+use clock::Moment;
+use control::{Borrow, Lent};
+use events::{Event, Refusal, emit};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use quota::{Bounds, Bucket, Lenders, Record, Roster, Share, TRANSIT, Taken, Terms, Write, is_dry};
+use units::{Domain, Span, WorkspaceName};
+use web::Body;
+
+use crate::flight::Failure;
+use crate::shared::Shared;
+
+/// One router answers another within some milliseconds; a slow one is not waited for.
+const PATIENCE: Duration = Duration::from_millis(150);
+/// After nobody had tokens for a workspace, others are not asked for this time, doubled each time.
+const PAUSE: Duration = Duration::from_millis(250);
+/// The longest such pause.
+const LONGEST: Duration = Duration::from_secs(1);
+/// Callers over the limit come back no sooner than this.
+const SOONEST_BACK: Duration = Duration::from_millis(300);
+/// By up to this part of its time each comes back later, so that they don't all come at once.
+const SPREAD: f64 = 0.3;
+/// The largest message of another router.
+const LARGEST: usize = 4 << 10;
+
+/// What this router has of the limit of one workspace.
+#[derive(Debug)]
+struct Pocket {
+    bucket: Bucket,
+    /// Since when the share is held that the bucket is of.
+    since: Moment,
+    /// Until when others are not asked.
+    dry: Option<Moment>,
+    pause: Duration,
+}
+
+impl Pocket {
+    fn new(since: Moment) -> Self {
+        Self { bucket: Bucket::new(since), since, dry: None, pause: PAUSE }
+    }
+}
+
+/// The limits of all workspaces, as far as this router has a share in them.
+#[derive(Debug)]
+pub(crate) struct Quotas {
+    roster: Mutex<Roster>,
+    pockets: Mutex<HashMap<WorkspaceName, Pocket>>,
+    domain: Domain,
+}
+
+/// Tokens for one request. What never reached an endpoint comes back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Charge {
+    shared: Arc<Shared>,
+    workspace: WorkspaceName,
+    limit: Limit,
+    own: Taken,
+    since: Moment,
+    /// Whether the request is, or may be, at an endpoint.
+    pub(crate) spent: bool,
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.spent {
+            self.shared.quotas.put_back(&self.shared, self);
+        }
+    }
+}
+
+impl Quotas {
+    pub(crate) fn new(addr: SocketAddr, domain: Domain) -> Self {
+        let roster = Mutex::new(Roster::new(addr, domain.clone()));
+        Self { roster, pockets: Mutex::default(), domain }
+    }
+
+    fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn pockets(&self) -> MutexGuard<'_, HashMap<WorkspaceName, Pocket>> {
+        self.pockets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes records of the roster that a read which was sent then brought.
+    pub(crate) fn read(&self, news: Vec<(SocketAddr, Option<Record>)>, whole: bool, sent: Moment) {
+        let now = Moment::now();
+        let mut roster = self.roster();
+        let count = |roster: &Roster| roster.share(now).map_or(0, |share| share.count);
+        let before = count(&roster);
+        roster.take(news, whole, sent, now);
+        let shares = count(&roster);
+        if shares != before {
+            emit(&Event::Shared { shares, before });
+        }
+    }
+
+    /// What is to be written to the roster.
+    pub(crate) fn next_write(&self) -> Option<Write> {
+        self.roster().next_write(Moment::now())
+    }
+
+    /// Notes that it is written.
+    pub(crate) fn wrote(&self, write: &Write) {
+        self.roster().wrote(write, Moment::now());
+    }
+
+    /// Whether this router has a share.
+    pub(crate) fn joined(&self) -> bool {
+        self.share(Moment::now()).is_some()
+    }
+
+    fn share(&self, now: Moment) -> Option<Share> {
+        self.roster().share(now)
+    }
+
+    /// Does something with the tokens of a workspace here, if this router has a share.
+    fn with<T>(
+        &self,
+        workspace: &WorkspaceName,
+        f: impl FnOnce(&mut Pocket, u32) -> T,
+    ) -> Option<T> {
+        let Share { count, since } = self.share(Moment::now())?;
+        let mut pockets = self.pockets();
+        if let Some(pocket) = pockets.get_mut(workspace).filter(|pocket| pocket.since == since) {
+            return Some(f(pocket, count));
+        }
+        pockets.insert(workspace.clone(), Pocket::new(since));
+        pockets.get_mut(workspace).map(|pocket| f(pocket, count))
+    }
+
+    fn take(&self, workspace: &WorkspaceName, terms: Terms, most: f64) -> Option<(Taken, Moment)> {
+        self.with(workspace, |pocket, count| {
+            let taken = pocket.bucket.take(terms.share(count), most, Moment::now());
+            (taken, pocket.since)
+        })
+    }
+
+    fn put_back(&self, shared: &Shared, charge: &Charge) {
+        let terms = Terms::new(charge.limit, bounds(shared));
+        self.with(&charge.workspace, |pocket, count| {
+            if pocket.since == charge.since {
+                pocket.bucket.put_back(terms.share(count), charge.own, Moment::now());
+            }
+        });
+    }
+
+    /// Whether others are asked for tokens of a workspace now.
+    fn may_ask(&self, workspace: &WorkspaceName) -> bool {
+        let now = Moment::now();
+        let pockets = self.pockets();
+        pockets.get(workspace).and_then(|pocket| pocket.dry).is_none_or(|dry| dry <= now)
+    }
+
+    fn asked(&self, workspace: &WorkspaceName, dry: bool) {
+        self.with(workspace, |pocket, _| {
+            if dry {
+                pocket.dry = Some(Moment::now() + pocket.pause);
+                pocket.pause = (pocket.pause * 2).min(LONGEST);
+            } else {
+                (pocket.dry, pocket.pause) = (None, PAUSE);
+            }
+        });
+    }
+
+    /// When this router has so many tokens of its own again.
+    fn back(
+        &self,
+        workspace: &WorkspaceName,
+        terms: Terms,
+        cost: f64,
+        window: Duration,
+    ) -> Duration {
+        let own = self.with(workspace, |pocket, count| {
+            let share = terms.share(count);
+            pocket.bucket.wait(share, cost.min(share.depth), Moment::now())
+        });
+        let back = own.unwrap_or_else(|| self.roster().wait(Moment::now()));
+        back.clamp(SOONEST_BACK, window).mul_f64(1.0 + SPREAD * rand::random::<f64>())
+    }
+}
+
+fn bounds(shared: &Shared) -> Bounds {
+    let settings = shared.settings.borrow().quota;
+    let Span(window) = settings.window;
+    Bounds { window, overshoot: settings.overshoot, slack: settings.slack }
+}
+
+/// Takes the tokens of a request from the limit of its workspace, if that has one.
+pub(crate) async fn charge(
+    shared: &Arc<Shared>,
+    catalog: &Catalog,
+    workspace: &Workspace,
+    request: &str,
+    tokens: Option<(u32, u32)>,
+) -> Result<Option<Charge>, Failure> {
+    let Some(limit) = workspace.limit else { return Ok(None) };
+    let quotas = &shared.quotas;
+    let cost = f64::from(workspace.unit.cost(tokens));
+    let bounds = bounds(shared);
+    let terms = Terms::new(limit, bounds);
+    let name = &workspace.name;
+    let begun = Moment::now();
+    let (own, since) = match quotas.take(name, terms, cost) {
+        Some((own, since)) => (Some(own), since),
+        None => (None, begun),
+    };
+    let mut charge = Charge {
+        shared: shared.clone(),
+        workspace: name.clone(),
+        limit,
+        own: own.unwrap_or_default(),
+        since,
+        spent: own.is_none(),
+    };
+    let missing = cost - charge.own.tokens;
+    if missing <= 0.0 {
+        return Ok(Some(charge));
+    }
+    let lent = if quotas.may_ask(name) {
+        let lent = borrow(shared, name, missing, begun).await;
+        quotas.asked(name, lent.tokens < missing);
+        lent
+    } else {
+        Borrowed::default()
+    };
+    if lent.tokens >= missing && begun.elapsed() <= TRANSIT {
+        // What was lent too much is lost, and so is what is lent for a request that runs nowhere.
+        return Ok(Some(charge));
+    }
+    let share = quotas.share(Moment::now());
+    let left = charge.own.tokens;
+    charge.own.tokens += lent.tokens;
+    drop(charge);
+    emit(&Event::Limited {
+        request,
+        workspace: name.as_str(),
+        cost: whole(cost),
+        left: whole(left),
+        lent: whole(lent.tokens),
+        asked: lent.asked,
+        shares: share.map_or(0, |share| share.count),
+        version: catalog.version.0,
+    });
+    let after = Some(quotas.back(name, terms, cost, bounds.window));
+    Err(match share {
+        Some(_) => {
+            let status = StatusCode::TOO_MANY_REQUESTS;
+            Failure { status, cause: Refusal::OverQuota, after }
+        }
+        None => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Failure { status, cause: Refusal::NoShare, after }
+        }
+    })
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "tokens are few and not negative"
+)]
+fn whole(tokens: f64) -> u64 {
+    tokens as u64
+}
+
+/// What others lent.
+#[derive(Debug, Clone, Copy, Default)]
+struct Borrowed {
+    tokens: f64,
+    asked: usize,
+}
+
+/// Asks others for tokens, a few at a time, until there are enough or nobody is likely to have more.
+async fn borrow(
+    shared: &Shared,
+    workspace: &WorkspaceName,
+    missing: f64,
+    begun: Moment,
+) -> Borrowed {
+    let others: Vec<(SocketAddr, Domain)> = shared.quotas.roster().others().collect();
+    let mut lenders = Lenders::new(others, &shared.quotas.domain, rand::random);
+    let mut lent = Borrowed::default();
+    while lent.tokens < missing && begun.elapsed() < TRANSIT {
+        let wave = lenders.next_wave();
+        if wave.is_empty() || is_dry(lent.asked, missing, lent.tokens) {
+            break;
+        }
+        let tokens = missing - lent.tokens;
+        lent.asked += wave.len();
+        let asked = wave.into_iter().map(|router| {
+            let borrow = Borrow { workspace: workspace.clone(), tokens };
+            let client = shared.client.clone();
+            async move { control::ask_tokens(&client, router, &borrow, PATIENCE).await }
+        });
+        for answer in futures_util::future::join_all(asked).await {
+            match answer {
+                Ok(Lent { tokens }) => lent.tokens += tokens.max(0.0),
+                Err(error) => log::debug!("router: another one lent nothing: {error}"),
+            }
+        }
+    }
+    if begun.elapsed() > TRANSIT {
+        // The buckets that they are from have filled up meanwhile.
+        lent.tokens = 0.0;
+    }
+    lent
+}
+
+/// Answers another router that is short of tokens.
+pub(crate) async fn lend(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let Ok(bytes) = web::read(request.into_body(), LARGEST).await else {
+        return web::text(StatusCode::BAD_REQUEST, "the message can't be read\n");
+    };
+    let borrow: Borrow = match serde_json::from_slice(&bytes) {
+        Ok(borrow) => borrow,
+        Err(error) => {
+            return web::text(
+                StatusCode::BAD_REQUEST,
+                format!("no question for tokens: {error}\n"),
+            );
+        }
+    };
+    let catalog = shared.current();
+    let workspaces = catalog.as_ref().and_then(|catalog| catalog.workspaces.as_ref());
+    let limit = workspaces
+        .and_then(|all| all.iter().find(|workspace| workspace.name == borrow.workspace))
+        .and_then(|workspace| workspace.limit);
+    let taken = limit.and_then(|limit| {
+        let terms = Terms::new(limit, bounds(shared));
+        shared.quotas.take(&borrow.workspace, terms, borrow.tokens)
+    });
+    web::json(StatusCode::OK, &Lent { tokens: taken.map_or(0.0, |(taken, _)| taken.tokens) })
+}
--- a/components/router/src/ready.rs
+++ b/components/router/src/ready.rs
@@ -2,19 +2,29 @@
 
 use std::sync::Arc;
 
+use catalog::Catalog;
 use http::{Response, StatusCode};
 use process::Phase;
 use web::Body;
 
 use crate::shared::Shared;
 
-/// Whether this router takes callers: it has a configuration and a list of endpoints, and is not ending.
+/// Whether this router takes callers: it has a configuration and a list of endpoints, can serve on a route at least, and is not
+/// ending.
 pub(crate) fn is_ready(shared: &Shared) -> bool {
     shared.shutdown.phase() == Phase::Run
-        && shared.catalog.borrow().is_some()
+        && shared.current().is_some_and(|catalog| serves(shared, &catalog))
         && shared.known.lock().listed
 }
 
+/// Whether there is a route whose requests can be let in.
+fn serves(shared: &Shared, catalog: &Catalog) -> bool {
+    let bound = shared.settings.borrow().bounds.revoke;
+    catalog.workspaces.is_none()
+        || shared.access.holds(bound)
+        || catalog.routes().any(|route| route.open)
+}
+
 /// Answers the balancer.
 pub(crate) fn answer(shared: &Arc<Shared>, path: &str) -> Response<Body> {
     if path != platform::READY_PATH {
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -4,18 +4,23 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use catalog::{Catalog, Route};
+use clock::Moment;
 use events::{Event, Refusal, emit, millis};
 use http::header::{self, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
+use platform::Call;
 use process::Phase;
 use quarantine::Digest;
 use tokio::time::Instant;
 use web::{Body, ReadError};
 
+use crate::access::{self, Identity};
 use crate::caller::Caller;
 use crate::exchange::Outgoing;
 use crate::flight::{Failure, Flight};
+use crate::quotas;
 use crate::relay::{self, Pace, Times};
 use crate::shared::Shared;
 
@@ -88,18 +93,10 @@
     request: Request<Incoming>,
     times: &mut Times,
 ) -> Result<Response<Body>, Failure> {
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let malformed = || own(StatusCode::BAD_REQUEST, Refusal::Malformed, None);
     let call = platform::read_call(&parts).map_err(|_| malformed())?;
-    let hold = (call.deadline.unwrap_or(LONGEST) / FIRST_READ).min(FIRST_HOLD);
-    let catalog = shared.first_catalog(times.arrived + hold).await.ok_or_else(|| {
-        let after = shared.store_back().unwrap_or(NO_CONFIGURATION);
-        own(StatusCode::SERVICE_UNAVAILABLE, Refusal::NoConfiguration, Some(after))
-    })?;
-    let route = catalog
-        .route(&call.host, parts.uri.path())
-        .ok_or_else(|| own(StatusCode::NOT_FOUND, Refusal::NoRoute, None))?
-        .clone();
+    let Entry { catalog, route, identity } = enter(shared, &call, &parts, times).await?;
     let service = route
         .backend(rand::random())
         .cloned()
@@ -120,6 +117,12 @@
         pause_ms: millis(route.pause),
     });
     shared.count(&service);
+    let charge = match identity.workspace() {
+        Some(workspace) => {
+            quotas::charge(shared, &catalog, workspace, &times.name, call.tokens).await?
+        }
+        None => None,
+    };
     let read = tokio::time::timeout_at(due, web::read(body, catalog.limits.body)).await;
     let Ok(read) = read else {
         return Err(own(StatusCode::REQUEST_TIMEOUT, Refusal::TimedOut, None));
@@ -135,6 +138,9 @@
     let key = platform::caller_key(&parts.headers);
     let (host, method) = (call.host.as_bytes(), parts.method.as_str().as_bytes());
     let digest = Digest::of(&[host, key, method, path.as_bytes(), &body]);
+    if !matches!(identity, Identity::Unmanaged) {
+        platform::remove_identity(&mut parts.headers);
+    }
     let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
     let outgoing = Outgoing { method, uri, headers, body, digest };
     let mut flight = Flight {
@@ -154,6 +160,8 @@
         sends: 0,
         runs: 0,
         pool: None,
+        identity,
+        charge,
         pass: None,
     };
     let answer = flight.answer(None).await?;
@@ -167,6 +175,43 @@
     Ok(response)
 }
 
+/// What decides on a request.
+struct Entry {
+    catalog: Arc<Catalog>,
+    route: Route,
+    identity: Identity,
+}
+
+/// Finds the route of a request, and lets it in by its key.
+async fn enter(
+    shared: &Shared,
+    call: &Call,
+    parts: &request::Parts,
+    times: &Times,
+) -> Result<Entry, Failure> {
+    let hold = (call.deadline.unwrap_or(LONGEST) / FIRST_READ).min(FIRST_HOLD);
+    let caller = access::Caller {
+        name: &times.name,
+        credential: platform::read_credential(&parts.headers),
+        arrived: Moment::now(),
+        until: times.arrived + call.deadline.unwrap_or(LONGEST).saturating_sub(MARGIN),
+    };
+    loop {
+        let catalog = shared.first_catalog(times.arrived + hold).await.ok_or_else(|| {
+            let after = shared.store_back().unwrap_or(NO_CONFIGURATION);
+            own(StatusCode::SERVICE_UNAVAILABLE, Refusal::NoConfiguration, Some(after))
+        })?;
+        let route = catalog
+            .route(&call.host, parts.uri.path())
+            .ok_or_else(|| own(StatusCode::NOT_FOUND, Refusal::NoRoute, None))?
+            .clone();
+        // A key that is not known is looked for again in what has been read since.
+        if let Some(identity) = access::enter(shared, &catalog, &route, &caller).await? {
+            return Ok(Entry { catalog, route, identity });
+        }
+    }
+}
+
 fn refuse(times: &Times, id: Option<&HeaderValue>, failure: Failure) -> Response<Body> {
     emit(&Event::Refused {
         request: &times.name,
@@ -182,5 +227,8 @@
     };
     let mut response = web::text(failure.status, text);
     response.headers_mut().extend(platform::refusal_headers(id, failure.after));
+    if failure.status == StatusCode::UNAUTHORIZED {
+        response.headers_mut().extend(platform::challenge_headers());
+    }
     response
 }
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use control::{ENDS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH};
+use control::{ENDS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH};
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -13,7 +13,7 @@
 use web::{Body, ServeOptions};
 
 use crate::shared::Shared;
-use crate::{Settings, feed, ledger, prepare, ready, serve, snapshot};
+use crate::{Settings, feed, ledger, prepare, quotas, ready, roster, serve, snapshot};
 
 /// Runs until the process is asked to end and its requests are done.
 pub async fn run(process: Single<Settings>) -> Result<(), StartError> {
@@ -29,7 +29,8 @@
     tokio::spawn(ledger::read(shared.clone(), store.clone()));
     tokio::spawn(ledger::write(shared.clone(), store.clone(), records));
     tokio::spawn(feed::config(shared.clone(), store.clone()));
-    tokio::spawn(feed::members(shared.clone(), store));
+    tokio::spawn(feed::members(shared.clone(), store.clone()));
+    tokio::spawn(roster::follow(shared.clone(), store));
     tokio::spawn(snapshot::follow(shared.clone()));
     tokio::spawn(prepare::run(shared.clone()));
     let balancer = shared.clone();
@@ -60,6 +61,7 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, SNAPSHOT_PATH) => snapshot::answer(shared, request.uri()),
         (&Method::POST, ENDS_PATH) => ledger::answer(shared, request).await,
+        (&Method::POST, TOKENS_PATH) => quotas::lend(shared, request).await,
         (&Method::GET, SUSPECTS_PATH) => web::json(StatusCode::OK, &shared.guard.suspects()),
         (&Method::POST, RELEASE_PATH) => ledger::release(shared, request).await,
         _ => web::text(StatusCode::NOT_FOUND, "no such path\n"),
--- a/components/router/src/settings.rs
+++ b/components/router/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a router.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use units::{Domain, InstanceId, Span};
@@ -35,6 +36,9 @@
     pub bounds: Bounds,
     /// Bounds on sending requests again.
     pub repeats: RepeatSettings,
+    /// By how much limits of workspaces may be passed.
+    #[serde(default)]
+    pub quota: QuotaSettings,
 }
 
 /// How soon news of the store must be acted on, from the moment at which it was stored.
@@ -45,6 +49,9 @@
     pub apply: Span,
     /// An endpoint that leaves must get nothing any more within this time.
     pub drain: Span,
+    /// A key that was taken away must not be served later than this, also by a router that nobody reaches.
+    #[serde(default)]
+    pub revoke: Option<Span>,
 }
 
 /// Bounds on sending requests again, over all routers together.
@@ -58,3 +65,22 @@
     /// The window.
     pub window: Span,
 }
+
+/// By how much the limits of workspaces may be passed, over all routers together.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaSettings {
+    /// The length of the windows in which requests are counted.
+    pub window: Span,
+    /// The part of a limit beyond it.
+    pub overshoot: f64,
+    /// Units beyond these.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    /// No limit is passed by anything.
+    fn default() -> Self {
+        Self { window: Span(Duration::from_secs(1)), overshoot: 0.0, slack: 0.0 }
+    }
+}
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -17,9 +17,11 @@
 use web::Client;
 
 use crate::Settings;
+use crate::access::Access;
 use crate::endpoint::Peer;
 use crate::guard::Guard;
 use crate::known::Known;
+use crate::quotas::Quotas;
 
 /// Callers of a router that waits for the store come back no sooner: it asks several times a second.
 const SOONEST_BACK: Duration = Duration::from_millis(500);
@@ -83,6 +85,10 @@
     pub(crate) flying: AtomicUsize,
     pub(crate) client: Client,
     pub(crate) store: Store,
+    /// What is known of callers' keys besides the configuration.
+    pub(crate) access: Access,
+    /// Holds workspaces to their limits.
+    pub(crate) quotas: Quotas,
     /// Keeps requests that crash endpoints from them.
     pub(crate) guard: Arc<Guard>,
     /// How far the records on ended endpoints have been read, while the store answers.
@@ -109,6 +115,8 @@
             flying: AtomicUsize::new(0),
             client: Client::default(),
             store: Store::new(settings.store),
+            access: Access::default(),
+            quotas: Quotas::new(settings.control, settings.domain.clone()),
             guard: Arc::new(guard),
             ends_read: watch::Sender::new(None),
             repeats: Mutex::default(),
--- a/components/router/src/snapshot.rs
+++ b/components/router/src/snapshot.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use catalog::Catalog;
+use clock::Moment;
 use control::{Position, Snapshot};
 use events::{Event, emit};
 use http::{Response, StatusCode, Uri};
@@ -34,11 +35,12 @@
     let (Some(catalog), Some(told)) = (shared.current(), shared.known.tell(have)) else {
         return web::text(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet\n");
     };
-    if catalog.version <= have.version && told.read <= have.read {
+    let proved = shared.access.proved(&catalog);
+    if proved.is_none() && catalog.version <= have.version && told.read <= have.read {
         return web::text(StatusCode::NO_CONTENT, "");
     }
     let catalog = (catalog.version > have.version).then(|| Catalog::clone(&catalog));
-    web::json(StatusCode::OK, &Snapshot { catalog, ..told })
+    web::json(StatusCode::OK, &Snapshot { catalog, proved, ..told })
 }
 
 /// Asks other routers for as long as this one gets nothing from the store.
@@ -61,6 +63,7 @@
 async fn ask(shared: &Arc<Shared>, routers: Vec<SocketAddr>) {
     let mut asked = JoinSet::new();
     let have = shared.position();
+    let sent = Moment::now();
     for router in routers {
         let client = shared.client.clone();
         asked.spawn(async move {
@@ -70,22 +73,30 @@
     }
     while let Some(Ok((router, snapshot))) = asked.join_next().await {
         match snapshot {
-            Ok(Some(snapshot)) => take(shared, &router.to_string(), snapshot),
+            Ok(Some(snapshot)) => take(shared, &router.to_string(), snapshot, sent),
             Ok(None) => {}
             Err(error) => log::debug!("router: {router} told nothing: {error}"),
         }
     }
 }
 
-fn take(shared: &Arc<Shared>, router: &str, mut snapshot: Snapshot) {
+fn take(shared: &Arc<Shared>, router: &str, mut snapshot: Snapshot, sent: Moment) {
+    let proved = snapshot.proved;
     let endpoints = snapshot.endpoints.len();
     let catalog = snapshot.catalog.take();
     let version = catalog.as_ref().map_or(0, |catalog| catalog.version.0);
     let read = snapshot.read.0;
-    emit(&Event::Told { router, version, endpoints, read });
+    if version > 0 || endpoints > 0 {
+        emit(&Event::Told { router, version, endpoints, read });
+    }
     if let Some(catalog) = catalog {
         adopt(shared, catalog);
     }
+    if let Some(proved) = proved
+        && shared.current().is_some_and(|current| current.version == proved.version)
+    {
+        shared.access.prove_by_word(sent, proved.age);
+    }
     if let Some(asked) = shared.known.told(snapshot) {
         missing::ask(shared, asked);
         peer::follow_new(shared);
