--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -34,11 +34,17 @@
     pub fn level(&mut self, share: Terms, now: Moment) -> f64 {
         let gained = share.refill * now.since(self.filled).as_secs_f64();
         self.filled = self.filled.max(now);
-        self.add(share, gained);
+        self.fill(share, gained);
         self.level
     }
 
-    fn add(&mut self, share: Terms, tokens: f64) {
+    /// Adds tokens from another bucket; what it can't hold is lost.
+    pub fn add(&mut self, share: Terms, tokens: f64, now: Moment) {
+        self.level(share, now);
+        self.fill(share, tokens);
+    }
+
+    fn fill(&mut self, share: Terms, tokens: f64) {
         let full = self.level + tokens;
         self.level = full.min(share.depth);
         self.spilled += full - self.level;
@@ -56,7 +62,7 @@
     pub fn put_back(&mut self, share: Terms, taken: Taken, now: Moment) {
         self.level(share, now);
         let tokens = (taken.tokens - (self.spilled - taken.spilled)).max(0.0);
-        self.add(share, tokens);
+        self.fill(share, tokens);
     }
 
     /// When it holds this much, if nobody takes anything.
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -14,6 +14,6 @@
 mod terms;
 
 pub use bucket::{Bucket, Taken};
-pub use lenders::{Lenders, is_dry};
+pub use lenders::{Lenders, PATIENCE, is_dry, lendable, may_ask};
 pub use roster::{Record, Roster, Seat, Share, Stage, Write};
 pub use terms::{Bounds, TRANSIT, Terms};
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -11,15 +11,16 @@
 use events::{Event, Refusal, emit};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use quota::{Bounds, Bucket, Lenders, Record, Roster, Share, TRANSIT, Taken, Terms, Write, is_dry};
+use quota::{
+    Bounds, Bucket, Lenders, PATIENCE, Record, Roster, Share, TRANSIT, Taken, Terms, Write, is_dry,
+    lendable, may_ask,
+};
 use units::{Domain, Span, WorkspaceName};
 use web::Body;
 
 use crate::flight::Failure;
 use crate::shared::Shared;
 
-/// One router answers another within some milliseconds; a slow one is not waited for.
-const PATIENCE: Duration = Duration::from_millis(150);
 /// After nobody had tokens for a workspace, others are not asked for this time, doubled each time.
 const PAUSE: Duration = Duration::from_millis(250);
 /// The longest such pause.
@@ -37,6 +38,8 @@
     bucket: Bucket,
     /// Since when the share is held that the bucket is of.
     since: Moment,
+    /// When a request of this router's own callers came last.
+    used: Option<Moment>,
     /// Until when others are not asked.
     dry: Option<Moment>,
     pause: Duration,
@@ -44,7 +47,7 @@
 
 impl Pocket {
     fn new(since: Moment) -> Self {
-        Self { bucket: Bucket::new(since), since, dry: None, pause: PAUSE }
+        Self { bucket: Bucket::new(since), since, used: None, dry: None, pause: PAUSE }
     }
 }
 
@@ -53,7 +56,6 @@
 pub(crate) struct Quotas {
     roster: Mutex<Roster>,
     pockets: Mutex<HashMap<WorkspaceName, Pocket>>,
-    domain: Domain,
 }
 
 /// Tokens for one request. What never reached an endpoint comes back when it is dropped.
@@ -78,8 +80,7 @@
 
 impl Quotas {
     pub(crate) fn new(addr: SocketAddr, domain: Domain) -> Self {
-        let roster = Mutex::new(Roster::new(addr, domain.clone()));
-        Self { roster, pockets: Mutex::default(), domain }
+        Self { roster: Mutex::new(Roster::new(addr, domain)), pockets: Mutex::default() }
     }
 
     fn roster(&self) -> MutexGuard<'_, Roster> {
@@ -138,12 +139,31 @@
     }
 
     fn take(&self, workspace: &WorkspaceName, terms: Terms, most: f64) -> Option<(Taken, Moment)> {
+        let now = Moment::now();
+        self.with(workspace, |pocket, count| {
+            pocket.used = Some(now);
+            (pocket.bucket.take(terms.share(count), most, now), pocket.since)
+        })
+    }
+
+    /// Takes what another router may have of so many tokens.
+    fn lend(&self, workspace: &WorkspaceName, terms: Terms, most: f64) -> Option<f64> {
+        let now = Moment::now();
         self.with(workspace, |pocket, count| {
-            let taken = pocket.bucket.take(terms.share(count), most, Moment::now());
-            (taken, pocket.since)
+            let share = terms.share(count);
+            let level = pocket.bucket.level(share, now);
+            let idle = pocket.used.map_or(Duration::MAX, |used| now.since(used));
+            pocket.bucket.take(share, most.min(lendable(level, idle)), now).tokens
         })
     }
 
+    /// Adds what other routers lent beyond what was used.
+    fn add(&self, workspace: &WorkspaceName, terms: Terms, tokens: f64) {
+        self.with(workspace, |pocket, count| {
+            pocket.bucket.add(terms.share(count), tokens, Moment::now());
+        });
+    }
+
     fn put_back(&self, shared: &Shared, charge: &Charge) {
         let terms = Terms::new(charge.limit, bounds(shared));
         self.with(&charge.workspace, |pocket, count| {
@@ -160,6 +180,7 @@
         pockets.get(workspace).and_then(|pocket| pocket.dry).is_none_or(|dry| dry <= now)
     }
 
+    /// Notes whether nobody seemed to have any.
     fn asked(&self, workspace: &WorkspaceName, dry: bool) {
         self.with(workspace, |pocket, _| {
             if dry {
@@ -213,7 +234,7 @@
         Some((own, since)) => (Some(own), since),
         None => (None, begun),
     };
-    let mut charge = Charge {
+    let charge = Charge {
         shared: shared.clone(),
         workspace: name.clone(),
         limit,
@@ -226,19 +247,20 @@
         return Ok(Some(charge));
     }
     let lent = if quotas.may_ask(name) {
-        let lent = borrow(shared, name, missing, begun).await;
-        quotas.asked(name, lent.tokens < missing);
-        lent
+        borrow(shared, name, terms, missing, begun).await
     } else {
         Borrowed::default()
     };
-    if lent.tokens >= missing && begun.elapsed() <= TRANSIT {
-        // What was lent too much is lost, and so is what is lent for a request that runs nowhere.
-        return Ok(Some(charge));
+    if begun.elapsed() <= TRANSIT {
+        let used = if lent.tokens >= missing { missing } else { 0.0 };
+        quotas.add(name, terms, lent.tokens - used);
+        if used > 0.0 {
+            // What was lent for a request that runs nowhere in the end is lost.
+            return Ok(Some(charge));
+        }
     }
     let share = quotas.share(Moment::now());
     let left = charge.own.tokens;
-    charge.own.tokens += lent.tokens;
     drop(charge);
     emit(&Event::Limited {
         request,
@@ -279,25 +301,36 @@
     asked: usize,
 }
 
-/// Asks others for tokens, a few at a time, until there are enough or nobody is likely to have more.
+/// Asks others for tokens, a few at a time, until there are enough or nobody is likely to have more. What fits into the bucket
+/// besides is asked for with them.
 async fn borrow(
     shared: &Shared,
     workspace: &WorkspaceName,
+    terms: Terms,
     missing: f64,
     begun: Moment,
 ) -> Borrowed {
-    let others: Vec<(SocketAddr, Domain)> = shared.quotas.roster().others().collect();
-    let mut lenders = Lenders::new(others, &shared.quotas.domain, rand::random);
+    let quotas = &shared.quotas;
     let mut lent = Borrowed::default();
-    while lent.tokens < missing && begun.elapsed() < TRANSIT {
+    let (others, count) = {
+        let roster = quotas.roster();
+        let others: Vec<SocketAddr> = roster.others().map(|(addr, _)| addr).collect();
+        // One that has no share yet may use what others have.
+        let count =
+            roster.share(Moment::now()).map_or(others.len() + 1, |share| share.count as usize);
+        (others, u32::try_from(count).unwrap_or(u32::MAX))
+    };
+    let share = terms.share(count);
+    let mut lenders = Lenders::new(others, missing, share, rand::random);
+    while lent.tokens < missing && may_ask(begun.elapsed()) {
         let wave = lenders.next_wave();
         if wave.is_empty() || is_dry(lent.asked, missing, lent.tokens) {
             break;
         }
-        let tokens = missing - lent.tokens;
+        let each = (missing - lent.tokens + share.depth) / wave.len() as f64;
         lent.asked += wave.len();
         let asked = wave.into_iter().map(|router| {
-            let borrow = Borrow { workspace: workspace.clone(), tokens };
+            let borrow = Borrow { workspace: workspace.clone(), tokens: each };
             let client = shared.client.clone();
             async move { control::ask_tokens(&client, router, &borrow, PATIENCE).await }
         });
@@ -308,10 +341,7 @@
             }
         }
     }
-    if begun.elapsed() > TRANSIT {
-        // The buckets that they are from have filled up meanwhile.
-        lent.tokens = 0.0;
-    }
+    quotas.asked(workspace, is_dry(lent.asked, missing, lent.tokens));
     lent
 }
 
@@ -334,9 +364,9 @@
     let limit = workspaces
         .and_then(|all| all.iter().find(|workspace| workspace.name == borrow.workspace))
         .and_then(|workspace| workspace.limit);
-    let taken = limit.and_then(|limit| {
+    let lent = limit.and_then(|limit| {
         let terms = Terms::new(limit, bounds(shared));
-        shared.quotas.take(&borrow.workspace, terms, borrow.tokens)
+        shared.quotas.lend(&borrow.workspace, terms, borrow.tokens)
     });
-    web::json(StatusCode::OK, &Lent { tokens: taken.map_or(0.0, |(taken, _)| taken.tokens) })
+    web::json(StatusCode::OK, &Lent { tokens: lent.unwrap_or(0.0) })
 }
