--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,7 +5,8 @@
 
 pub use client::{Loader, ask_snapshot, ask_tokens, exchange_ends};
 pub use message::{
-    Borrow, ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept, Lent, LetGo,
-    Load, POLL_PATH, Poll, Polled, Position, Proved, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH,
-    Snapshot, State, Suspect, TOKENS_PATH, Use, Verdict,
+    Borrow, DeniedKey, ENDS_PATH, ENGINE_PATH, ENSURE_PATH, EngineNews, Ensure, Ensured, Kept,
+    Lent, LetGo, Load, POLL_PATH, Poll, Polled, Position, Proved, RELEASE_PATH, SNAPSHOT_PATH,
+    SUSPECTS_PATH, Snapshot, State, Suspect, TOKENS_PATH, Use, Verdict, WORKSPACES_PATH,
+    WorkspaceReport, WorkspacesReport,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use catalog::{Catalog, Engine, ModelId};
+use catalog::{Catalog, Engine, Limit, ModelId};
 use fleet::{Endpoint, Holdings};
 use quarantine::{Digest, Evidence, Note};
 use serde::{Deserialize, Serialize};
@@ -213,6 +213,54 @@
     pub tokens: f64,
 }
 
+/// Where a router tells an operator of workspaces.
+pub const WORKSPACES_PATH: &str = "/workspaces";
+
+/// What a router knows of all workspaces.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkspacesReport {
+    /// The configuration in force.
+    pub version: Revision,
+    /// How old the proof is that there is no newer one, if there is a proof.
+    pub age_ms: Option<u64>,
+    /// Whether keys are served on it.
+    pub serves: bool,
+    /// Equal shares in each limit; 0 if this router has none.
+    pub shares: u32,
+    /// The workspaces.
+    pub workspaces: Vec<WorkspaceReport>,
+    /// Keys that were refused of late.
+    pub denied: Vec<DeniedKey>,
+}
+
+/// What a router knows of one workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceReport {
+    /// Its name.
+    pub name: WorkspaceName,
+    /// The beginnings of the digests of its keys.
+    pub keys: Vec<String>,
+    /// Its limit over all routers, if it has one.
+    pub limit: Option<Limit>,
+    /// What this router has left of it.
+    pub left: f64,
+    /// Units a second that it uses at this router.
+    pub rate: f64,
+    /// Requests that this router refused it since it started.
+    pub refused: u64,
+}
+
+/// A key that was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeniedKey {
+    /// The beginning of its digest; empty where there was no key.
+    pub key: String,
+    /// Why, the last time.
+    pub cause: String,
+    /// How often.
+    pub count: u64,
+}
+
 /// Where a router tells another one of endpoints that ended, and is told what that one knows.
 pub const ENDS_PATH: &str = "/ends";
 /// Where a router lists the requests that it refuses because they crash endpoints.
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -10,10 +10,12 @@
 
 mod bucket;
 mod lenders;
+mod meter;
 mod roster;
 mod terms;
 
 pub use bucket::{Bucket, Taken};
 pub use lenders::{Lenders, PATIENCE, is_dry, lendable, may_ask};
+pub use meter::Meter;
 pub use roster::{Record, Roster, Seat, Share, Stage, Write};
 pub use terms::{Bounds, TRANSIT, Terms};
--- a/components/router/src/access.rs
+++ b/components/router/src/access.rs
@@ -5,7 +5,7 @@
 //! serves keys only on a proof that is young enough, and asks the store before it refuses a key that may be new, all who wait
 //! together and not often.
 
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use access::{Credential, Denial, Lookup, Proof, Verdict, judge};
 use catalog::{Catalog, KeyDigest, Route, Workspace, Workspaces};
 use clock::Moment;
-use control::Proved;
+use control::{DeniedKey, Proved};
 use events::{Event, Refusal, emit, millis};
 use http::StatusCode;
 use tokio::sync::{Notify, watch};
@@ -31,6 +31,8 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Keys that were taken away are remembered, so that their callers cost no reads.
 const REVOKED: usize = 4_096;
+/// Keys that were refused are kept for operators, so many at most.
+const DENIED: usize = 64;
 /// Callers come back no sooner to a router that can't read the store: it tries several times a second.
 const SOONEST_BACK: Duration = Duration::from_millis(500);
 /// And no later: the store is back sooner than that as a rule.
@@ -42,6 +44,7 @@
     proof: watch::Sender<Proof>,
     revoked: Mutex<HashSet<KeyDigest>>,
     waiting: AtomicUsize,
+    denied: Mutex<VecDeque<DeniedKey>>,
     /// Told when the store is to be asked at once.
     pub(crate) asked: Notify,
 }
@@ -112,6 +115,28 @@
         age.clamp(SOONEST_BACK, LATEST_BACK)
     }
 
+    /// How old the proof is.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        self.proof.borrow().age(Moment::now())
+    }
+
+    /// Keys that were refused of late.
+    pub(crate) fn denied(&self) -> Vec<DeniedKey> {
+        let denied = self.denied.lock().unwrap_or_else(PoisonError::into_inner);
+        denied.iter().cloned().collect()
+    }
+
+    fn note_denied(&self, key: &str, cause: &str) {
+        let mut denied = self.denied.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = denied.iter().position(|other| other.key == key);
+        let count = before.and_then(|at| denied.remove(at)).map_or(0, |before| before.count);
+        if denied.len() == DENIED {
+            denied.pop_front();
+        }
+        let (key, cause) = (key.to_owned(), cause.to_owned());
+        denied.push_back(DeniedKey { key, cause, count: count + 1 });
+    }
+
     /// Waits until the store has been read since a moment; false if that takes too long.
     async fn read_since(&self, moment: Moment, until: Instant) -> bool {
         if self.waiting.fetch_add(1, Ordering::Relaxed) >= WAITING {
@@ -172,7 +197,7 @@
                 Denial::Revoked => "the key was taken away",
                 Denial::Unknown => "no workspace has the key",
             };
-            tell(catalog, caller, &lookup, cause);
+            tell(shared, catalog, caller, &lookup, cause);
             let status = StatusCode::UNAUTHORIZED;
             Err(Failure { status, cause: Refusal::Unauthorized, after: None })
         }
@@ -181,11 +206,11 @@
             if shared.access.read_since(caller.arrived, until).await {
                 return Ok(None);
             }
-            tell(catalog, caller, &lookup, "the store was not read in time");
+            tell(shared, catalog, caller, &lookup, "the store was not read in time");
             Err(unproved(shared))
         }
         Verdict::Unproved => {
-            tell(catalog, caller, &lookup, "the store was not read for too long");
+            tell(shared, catalog, caller, &lookup, "the store was not read for too long");
             Err(unproved(shared))
         }
     }
@@ -197,11 +222,12 @@
     Failure { status, cause: Refusal::Unproved, after }
 }
 
-fn tell(catalog: &Catalog, caller: &Caller<'_>, lookup: &Lookup<'_>, cause: &str) {
+fn tell(shared: &Shared, catalog: &Catalog, caller: &Caller<'_>, lookup: &Lookup<'_>, cause: &str) {
     let key = match caller.credential {
         Credential::Key(key) => key.to_string(),
         Credential::Absent | Credential::Malformed => String::new(),
     };
+    shared.access.note_denied(&key, cause);
     emit(&Event::Denied {
         request: caller.name,
         key: &key,
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -5,15 +5,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use catalog::{Catalog, Limit, Workspace};
+use catalog::{Catalog, Limit, Workspace, Workspaces};
 use clock::Moment;
-use control::{Borrow, Lent};
-use events::{Event, Refusal, emit};
+use control::{Borrow, Lent, WorkspaceReport, WorkspacesReport};
+use events::{Event, Refusal, emit, millis};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use quota::{
-    Bounds, Bucket, Lenders, PATIENCE, Record, Roster, Share, TRANSIT, Taken, Terms, Write, is_dry,
-    lendable, may_ask,
+    Bounds, Bucket, Lenders, Meter, PATIENCE, Record, Roster, Share, TRANSIT, Taken, Terms, Write,
+    is_dry, lendable, may_ask,
 };
 use units::{Domain, Span, WorkspaceName};
 use web::Body;
@@ -38,6 +38,8 @@
     bucket: Bucket,
     /// Since when the share is held that the bucket is of.
     since: Moment,
+    meter: Meter,
+    refused: u64,
     /// When a request of this router's own callers came last.
     used: Option<Moment>,
     /// Until when others are not asked.
@@ -47,7 +49,15 @@
 
 impl Pocket {
     fn new(since: Moment) -> Self {
-        Self { bucket: Bucket::new(since), since, used: None, dry: None, pause: PAUSE }
+        Self {
+            bucket: Bucket::new(since),
+            since,
+            meter: Meter::default(),
+            refused: 0,
+            used: None,
+            dry: None,
+            pause: PAUSE,
+        }
     }
 }
 
@@ -173,6 +183,17 @@
         });
     }
 
+    /// Counts a request for operators.
+    fn count(&self, workspace: &WorkspaceName, cost: f64, let_in: bool) {
+        self.with(workspace, |pocket, _| {
+            if let_in {
+                pocket.meter.count(cost, Moment::now());
+            } else {
+                pocket.refused += 1;
+            }
+        });
+    }
+
     /// Whether others are asked for tokens of a workspace now.
     fn may_ask(&self, workspace: &WorkspaceName) -> bool {
         let now = Moment::now();
@@ -209,6 +230,36 @@
     }
 }
 
+/// Tells an operator of all workspaces.
+pub(crate) fn report(shared: &Shared) -> Option<WorkspacesReport> {
+    let catalog = shared.current()?;
+    let quotas = &shared.quotas;
+    let now = Moment::now();
+    let bounds = bounds(shared);
+    let workspaces = catalog.workspaces.iter().flat_map(Workspaces::iter);
+    let workspaces = workspaces.map(|workspace| {
+        let used = workspace.limit.and_then(|limit| {
+            let terms = Terms::new(limit, bounds);
+            quotas.with(&workspace.name, |pocket, count| {
+                let left = pocket.bucket.level(terms.share(count), now);
+                (left, pocket.meter.rate(now), pocket.refused)
+            })
+        });
+        let (left, rate, refused) = used.unwrap_or_default();
+        let keys = workspace.keys.iter().map(ToString::to_string).collect();
+        let (name, limit) = (workspace.name.clone(), workspace.limit);
+        WorkspaceReport { name, keys, limit, left, rate, refused }
+    });
+    Some(WorkspacesReport {
+        version: catalog.version,
+        age_ms: shared.access.age().map(millis),
+        serves: shared.access.holds(shared.settings.borrow().bounds.revoke),
+        shares: quotas.share(now).map_or(0, |share| share.count),
+        workspaces: workspaces.collect(),
+        denied: shared.access.denied(),
+    })
+}
+
 fn bounds(shared: &Shared) -> Bounds {
     let settings = shared.settings.borrow().quota;
     let Span(window) = settings.window;
@@ -244,6 +295,7 @@
     };
     let missing = cost - charge.own.tokens;
     if missing <= 0.0 {
+        quotas.count(name, cost, true);
         return Ok(Some(charge));
     }
     let lent = if quotas.may_ask(name) {
@@ -255,6 +307,7 @@
         let used = if lent.tokens >= missing { missing } else { 0.0 };
         quotas.add(name, terms, lent.tokens - used);
         if used > 0.0 {
+            quotas.count(name, cost, true);
             // What was lent for a request that runs nowhere in the end is lost.
             return Ok(Some(charge));
         }
@@ -262,6 +315,7 @@
     let share = quotas.share(Moment::now());
     let left = charge.own.tokens;
     drop(charge);
+    quotas.count(name, cost, false);
     emit(&Event::Limited {
         request,
         workspace: name.as_str(),
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use control::{ENDS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH};
+use control::{
+    ENDS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH, WORKSPACES_PATH,
+};
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -62,6 +64,10 @@
         (&Method::GET, SNAPSHOT_PATH) => snapshot::answer(shared, request.uri()),
         (&Method::POST, ENDS_PATH) => ledger::answer(shared, request).await,
         (&Method::POST, TOKENS_PATH) => quotas::lend(shared, request).await,
+        (&Method::GET, WORKSPACES_PATH) => match quotas::report(shared) {
+            Some(report) => web::json(StatusCode::OK, &report),
+            None => web::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet\n"),
+        },
         (&Method::GET, SUSPECTS_PATH) => web::json(StatusCode::OK, &shared.guard.suspects()),
         (&Method::POST, RELEASE_PATH) => ledger::release(shared, request).await,
         _ => web::text(StatusCode::NOT_FOUND, "no such path\n"),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,20 +48,54 @@
 pub(crate) enum Command {
     Help,
     Version,
-    Check { file: PathBuf },
-    Diff { file: PathBuf, replace: bool },
-    Pull { file: PathBuf, force: bool },
-    Publish { file: PathBuf, replace: bool },
-    Set { path: NodePath, values: Vec<Assignment> },
-    Explain { path: String },
+    Check {
+        file: PathBuf,
+    },
+    Diff {
+        file: PathBuf,
+        replace: bool,
+    },
+    Pull {
+        file: PathBuf,
+        force: bool,
+    },
+    Publish {
+        file: PathBuf,
+        replace: bool,
+    },
+    Set {
+        path: NodePath,
+        values: Vec<Assignment>,
+    },
+    Explain {
+        path: String,
+    },
     Reference,
-    Windows { file: Option<PathBuf>, from: Option<Timestamp> },
+    Windows {
+        file: Option<PathBuf>,
+        from: Option<Timestamp>,
+    },
     Status,
     Timeline(Filter),
-    Losses { worths: Vec<Worth>, files: Vec<PathBuf> },
-    Story { request: String, files: Vec<PathBuf> },
-    Suspects { router: SocketAddr },
-    Release { router: SocketAddr, digest: Digest },
+    Losses {
+        worths: Vec<Worth>,
+        files: Vec<PathBuf>,
+    },
+    Story {
+        request: String,
+        files: Vec<PathBuf>,
+    },
+    Suspects {
+        router: SocketAddr,
+    },
+    /// Show workspaces with their keys, limits and use at a router.
+    Workspaces {
+        router: SocketAddr,
+    },
+    Release {
+        router: SocketAddr,
+        digest: Digest,
+    },
 }
 
 /// One `KEY=VALUE`; no value clears the setting.
@@ -109,7 +143,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 14] = [
+const COMMANDS: [&str; 15] = [
     "check",
     "diff",
     "pull",
@@ -124,6 +158,7 @@
     "suspects",
     "timeline",
     "windows",
+    "workspaces",
 ];
 
 /// What was read so far.
@@ -236,6 +271,7 @@
             Command::Story { request, files }
         }
         "suspects" => Command::Suspects { router: next("ROUTER", &mut values)?.parse()? },
+        "workspaces" => Command::Workspaces { router: next("ROUTER", &mut values)?.parse()? },
         "release" => Command::Release {
             router: next("ROUTER", &mut values)?.parse()?,
             digest: next("DIGEST", &mut values)?.parse()?,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,3 +13,4 @@
 pub(crate) mod suspects;
 pub(crate) mod timeline;
 pub(crate) mod windows;
+pub(crate) mod workspaces;
--- a/src/main.rs
+++ b/src/main.rs
@@ -69,6 +69,7 @@
         Command::Story { request, files } => cmd::story::run(request, files, out),
         Command::Suspects { router } => cmd::suspects::list(*router, out).await,
         Command::Release { router, digest } => cmd::suspects::release(*router, *digest, out).await,
+        Command::Workspaces { router } => cmd::workspaces::list(*router, out).await,
         Command::Timeline(filter) => cmd::timeline::run(&connect().await?, filter, out).await,
     }
 }
