Positions in the store say in which era, and what is known of ended endpoints is written again

What callers saw: after the store came back from an older copy, an endpoint that left got requests until offsets had passed the old ones, and a request that crashes endpoints was sent on by routers that started afterwards. Cause: news of the list were dropped as older, since offsets had gone back; records of ours that were gone stayed so. Now a position is an era (Store-Era) and an offset, compared as one. Records on ended endpoints that the copy lacks are written again within two seconds, by whoever knows them and finds them still missing.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -7,7 +7,7 @@
 use fleet::{Endpoint, Holdings};
 use quarantine::{Digest, Evidence, Note};
 use serde::{Deserialize, Serialize};
-use units::{EndpointId, Life, ModelName, Offset, Revision, WorkspaceName};
+use units::{EndpointId, Life, ModelName, Revision, StorePosition, WorkspaceName};
 
 /// Where a router asks for news of an endpoint.
 pub const POLL_PATH: &str = "/poll";
@@ -135,30 +135,31 @@
 /// Where a router tells another one what it knows.
 pub const SNAPSHOT_PATH: &str = "/snapshot";
 
-/// How far a router knows what is in the platform's store, as the query of a question: `version=7&read=12`.
+/// How far a router knows what is in the platform's store, as the query of a question: `version=7&read=0.12`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Position {
     /// The version of its configuration; 0 if it has none.
     pub version: Revision,
     /// How far it has read the list of endpoints; 0 if not at all.
-    pub read: Offset,
+    pub read: StorePosition,
 }
 
 impl Position {
     /// Reads the query of a question; what is missing or can't be read is not known.
     pub fn from_query(query: &str) -> Self {
-        let number = |name: &str| {
+        let value = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let value = pairs.find(|(key, _)| *key == name).map(|(_, value)| value);
-            value.and_then(|value| value.parse().ok()).unwrap_or(0)
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
-        Self { version: Revision(number("version")), read: Offset(number("read")) }
+        let version = value("version").and_then(|value| value.parse().ok()).unwrap_or_default();
+        let read = value("read").and_then(|value| value.parse().ok()).unwrap_or_default();
+        Self { version, read }
     }
 }
 
 impl fmt::Display for Position {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "version={}&read={}", self.version.0, self.read.0)
+        write!(f, "version={}&read={}", self.version, self.read)
     }
 }
 
@@ -178,7 +179,7 @@
     pub missing: Vec<EndpointId>,
     /// How far the list has been read.
     #[serde(default)]
-    pub read: Offset,
+    pub read: StorePosition,
     /// Which configuration is in force, and how old the proof is that there is no newer one.
     #[serde(default)]
     pub proved: Option<Proved>,
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -109,6 +109,9 @@
         }
         Event::Shared { shares, .. } => gauge!("quota_shares").set(f64::from(*shares)),
         Event::Dropped { lines } => counter!("lines_dropped_total").increment(*lines),
+        Event::Restored { dependency, .. } => {
+            counter!("store_restores_total", "dependency" => name(dependency)).increment(1);
+        }
         Event::Told { .. } => counter!("routers_told_total").increment(1),
         Event::Started { .. }
         | Event::Stopping { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -126,8 +126,17 @@
         version: u64,
         /// Of how many endpoints it has news.
         endpoints: usize,
-        /// How far it has read the list of endpoints.
-        read: u64,
+        /// How far it has read the list of endpoints: era and offset.
+        read: &'a str,
+    },
+    /// The store has come back from an older copy of itself, and was read anew.
+    Restored {
+        /// What was read.
+        dependency: Dependency,
+        /// How far it had been read before, and is now: era and offset.
+        before: &'a str,
+        /// The same now.
+        read: &'a str,
     },
     /// The settings file was read again.
     Reloaded {
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -11,7 +11,7 @@
 use quarantine::Stamp;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
-use units::{Life, ModelName, Offset};
+use units::{Life, ModelName, StorePosition};
 
 use crate::pool::Pool;
 use crate::signs::Trust;
@@ -87,7 +87,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) seen: Instant,
     /// How far the list had been read when it last told of it.
-    pub(crate) read: Offset,
+    pub(crate) read: StorePosition,
     /// Set while its entry is missing.
     pub(crate) missing: Option<Missing>,
     pub(crate) said: Said,
@@ -118,7 +118,7 @@
             listed,
             pool,
             seen: now,
-            read: Offset(0),
+            read: StorePosition::default(),
             missing: None,
             said: Said::default(),
             state: None,
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -202,6 +202,14 @@
         match follower.next(contact.wait(bounds.drain, LIST_PACE)).await {
             Ok(batch) => {
                 contact.reached();
+                if batch.restored {
+                    // What servers wrote since the copy was made, they write again.
+                    contact.returned = Some(Instant::now());
+                    let (before, read) =
+                        (shared.known.lock().read.to_string(), batch.read.to_string());
+                    let (before, read) = (before.as_str(), read.as_str());
+                    emit(&Event::Restored { dependency: Dependency::Membership, before, read });
+                }
                 let until = contact.returned.map(|returned| returned + LAPSE);
                 let more = batch.more;
                 take_members(&shared, batch, until, &mut foreign);
--- a/components/router/src/known.rs
+++ b/components/router/src/known.rs
@@ -13,7 +13,7 @@
 use platform::Notice;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use units::{EndpointId, Life, ModelName, Offset, ServiceName};
+use units::{EndpointId, Life, ModelName, ServiceName, StorePosition};
 
 use crate::cold::ColdLoads;
 use crate::endpoint::{Peer, Said, Usage};
@@ -55,7 +55,7 @@
     pauses: f64,
     pub(crate) listed: bool,
     /// How far the list has been read, by this router or one that told it.
-    pub(crate) read: Offset,
+    pub(crate) read: StorePosition,
     /// What endpoints that are not listed any more said of themselves: an entry may come back that is older than that.
     said: VecDeque<(EndpointId, Option<Life>, Said)>,
 }
--- a/components/router/src/ledger.rs
+++ b/components/router/src/ledger.rs
@@ -10,7 +10,7 @@
 use quarantine::{Digest, Note, Stamp, Table, Trial};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use units::Offset;
+use units::StorePosition;
 use web::Body;
 
 use crate::guard::{Pass, stamp};
@@ -29,6 +29,8 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 /// Old records that are dropped after one read: each is a call.
 const DROPPED: usize = 16;
+/// Records that are gone with a copy of the store are written again within this time.
+const AGAIN: Duration = Duration::from_millis(2_000);
 /// The largest message of another router.
 const LARGEST: usize = 1 << 20;
 
@@ -53,6 +55,9 @@
                 }
                 shared.ends_read.send_replace(Some(batch.read));
                 let empty = batch.news.is_empty() && !batch.whole;
+                if batch.restored {
+                    write_again(&shared, &batch.news);
+                }
                 let stale = take(&shared, batch.news);
                 drop_stale(&store, stale).await;
                 if empty && begun.elapsed() < LEAST {
@@ -69,6 +74,33 @@
     }
 }
 
+/// Writes again what the copy of the store does not have that it came back from. Whoever knows of a record may, since the router
+/// that wrote it may be gone; all wait for different times, so that most find that another one has.
+fn write_again(shared: &Arc<Shared>, news: &[News]) {
+    let there = |key: &String| {
+        news.iter().any(
+            |news| matches!(news, News::Own(other, value) if other == key && !value.is_empty()),
+        )
+    };
+    let missing: Vec<Kept> =
+        shared.guard.recent().into_iter().filter(|kept| !there(&kept.key)).collect();
+    if missing.is_empty() {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(AGAIN.mul_f64(rand::random())).await;
+        let all = Follower::new(shared.store.clone(), Topic::Ends).next(Duration::ZERO).await;
+        let written: Vec<News> = all.map(|batch| batch.news).unwrap_or_default();
+        let there = |key: &String| {
+            written.iter().any(|news| matches!(news, News::Own(other, _) if other == key))
+        };
+        for kept in missing.into_iter().filter(|kept| !there(&kept.key)) {
+            shared.guard.write(kept);
+        }
+    });
+}
+
 /// Takes records; returns the keys of those that are too old to count.
 fn take(shared: &Shared, news: Vec<News>) -> Vec<String> {
     let (mut all, mut stale) = (Vec::new(), Vec::new());
@@ -191,7 +223,7 @@
 
 /// Agrees with all routers that this one tries a suspect now: only one can write right behind what it has read.
 pub(crate) async fn claim(shared: &Arc<Shared>, digest: &Digest, number: u32) -> Option<Pass> {
-    let read: Option<Offset> = *shared.ends_read.borrow();
+    let read: Option<StorePosition> = *shared.ends_read.borrow();
     let at: Stamp = stamp();
     let note = Note::Trial(Trial { digest: *digest, number, at });
     let key = note.key(&shared.instance);
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -9,7 +9,7 @@
 use events::{Event, emit};
 use fleet::{Change, Endpoint, Stage};
 use tokio::time::Instant;
-use units::{EndpointId, Offset};
+use units::{EndpointId, StorePosition};
 
 use crate::endpoint::{Missing, Peer};
 use crate::known::{Known, Peers};
@@ -25,7 +25,7 @@
     /// Whether what is not among them is gone.
     pub(crate) whole: bool,
     /// Up to where the list has been read with them.
-    pub(crate) read: Offset,
+    pub(crate) read: StorePosition,
 }
 
 /// Leaves out the entries of servers whose address a later entry has: they live no more, and are listed until they lapse.
@@ -119,12 +119,14 @@
         if !peers.listed {
             return None;
         }
-        if peers.listed && have.read != Offset(0) && peers.read <= have.read {
+        if peers.listed && have.read != StorePosition::default() && peers.read <= have.read {
             // Nothing is newer.
             return Some(Snapshot { read: peers.read, ..Snapshot::default() });
         }
-        let (news, kept): (Vec<&Peer>, Vec<&Peer>) =
-            peers.map.values().partition(|peer| peer.read > have.read || have.read == Offset(0));
+        let (news, kept): (Vec<&Peer>, Vec<&Peer>) = peers
+            .map
+            .values()
+            .partition(|peer| peer.read > have.read || have.read == StorePosition::default());
         let missing = peers.map.values().filter(|peer| peer.missing.is_some());
         let id = |peer: &Peer| peer.endpoint.id.clone();
         Some(Snapshot {
@@ -160,7 +162,7 @@
 }
 
 impl Peers {
-    fn see(&mut self, endpoint: Endpoint, read: Offset, now: Instant) {
+    fn see(&mut self, endpoint: Endpoint, read: StorePosition, now: Instant) {
         let same_addr: Vec<EndpointId> = self
             .map
             .values()
--- a/components/router/src/list/tests.rs
+++ b/components/router/src/list/tests.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
+use units::Offset;
 
 use super::*;
 
@@ -33,8 +34,12 @@
     Change::Seen(Box::new(entry(number, own_port(number), stage)))
 }
 
+fn at(offset: u64) -> StorePosition {
+    StorePosition { offset: Offset(offset), ..StorePosition::default() }
+}
+
 fn news(read: u64, changes: Vec<Change>) -> Listed {
-    Listed { changes, whole: false, read: Offset(read) }
+    Listed { changes, whole: false, read: at(read) }
 }
 
 fn whole(read: u64, changes: Vec<Change>) -> Listed {
@@ -87,7 +92,7 @@
 }
 
 fn read_to(known: &Known, records: &[Change], end: usize) {
-    let from = usize::try_from(known.lock().read.0).expect("short");
+    let from = usize::try_from(known.lock().read.offset.0).expect("short");
     if from <= end {
         let _ = known.apply(news(end as u64, records[from..end].to_vec()), None);
     }
@@ -109,7 +114,7 @@
             match step {
                 Step::Reads(router, amount) => {
                     let known = &routers[usize::from(router)];
-                    let from = usize::try_from(known.lock().read.0).expect("short");
+                    let from = usize::try_from(known.lock().read.offset.0).expect("short");
                     read_to(known, &records, (from + amount).min(records.len()));
                 }
                 Step::Asks(router) => {
@@ -121,13 +126,13 @@
                 }
                 Step::ReadsLate(router, end) => {
                     let known = &routers[usize::from(router)];
-                    let read = usize::try_from(known.lock().read.0).expect("short");
+                    let read = usize::try_from(known.lock().read.offset.0).expect("short");
                     let end = end.min(read.saturating_sub(1));
                     let _ = known.apply(whole(end as u64, records[..end].to_vec()), None);
                 }
             }
             for known in &routers {
-                let read = usize::try_from(known.lock().read.0).expect("short");
+                let read = usize::try_from(known.lock().read.offset.0).expect("short");
                 prop_assert_eq!(stages(known), fold(&records[..read]));
             }
         }
@@ -143,7 +148,7 @@
         assert!(router.apply(whole(2, ready()), None).is_empty());
     }
     assert_eq!(known.apply(news(3, vec![Change::Gone(id(0))]), Some(until)), [id(0)]);
-    let have = Position { read: Offset(2), ..Position::default() };
+    let have = Position { read: at(2), ..Position::default() };
     let snapshot = known.tell(have).expect("it has read the list");
     assert_eq!(other.told(snapshot), Some(vec![id(0)]), "it is to be asked here too");
     assert!(other.missing_until(&id(0)).is_some());
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -13,7 +13,7 @@
 use process::{Pulse, Shutdown, Single};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
-use units::{Domain, EndpointId, Offset, Revision, ServiceName, Span};
+use units::{Domain, EndpointId, Revision, ServiceName, Span, StorePosition};
 use web::Client;
 
 use crate::Settings;
@@ -92,7 +92,7 @@
     /// Keeps requests that crash endpoints from them.
     pub(crate) guard: Arc<Guard>,
     /// How far the records on ended endpoints have been read, while the store answers.
-    pub(crate) ends_read: watch::Sender<Option<Offset>>,
+    pub(crate) ends_read: watch::Sender<Option<StorePosition>>,
     repeats: Mutex<HashMap<ServiceName, Repeats>>,
 }
 
--- a/components/router/src/snapshot.rs
+++ b/components/router/src/snapshot.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: the store turns some routers away or is cut off from them, at a start or later, while others read on. Without
 //! their word the ones go on with what they knew, and send requests to endpoints that left long ago. Who has read further
-//! is right: versions never go back, and neither does the position up to which the list has been read. What is told is
+//! is right: versions never go back, and neither does the position up to which the list has been read, which says in which era of
+//! the store that was. What is told is
 //! only what is newer, since a whole list is some hundred kilobytes where hundreds of endpoints are.
 
 use std::net::SocketAddr;
@@ -85,7 +86,7 @@
     let endpoints = snapshot.endpoints.len();
     let catalog = snapshot.catalog.take();
     let version = catalog.as_ref().map_or(0, |catalog| catalog.version.0);
-    let read = snapshot.read.0;
+    let read = &snapshot.read.to_string();
     if version > 0 || endpoints > 0 {
         emit(&Event::Told { router, version, endpoints, read });
     }
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -8,5 +8,8 @@
     AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath,
     ParseIdError, RequestId, ServiceName, SettingName, WorkspaceName,
 };
-pub use position::{Epoch, Incarnation, Life, Offset, ParsePositionError, ReplicaIndex, Revision};
+pub use position::{
+    Epoch, Era, Incarnation, Life, Offset, ParsePositionError, ReplicaIndex, Revision,
+    StorePosition,
+};
 pub use quantity::{ParseQuantityError, Rate, Size, Span};
--- a/components/units/src/position.rs
+++ b/components/units/src/position.rs
@@ -52,6 +52,10 @@
     /// The place of a record in a stream of the log; the first record has offset 1, and 0 means "none yet".
     Offset, u64, "log offset"
 );
+position!(
+    /// How often the platform's store has come back from an older copy of itself.
+    Era, u64, "store era"
+);
 position!(
     /// The offset of the claim that made a process the planner.
     Epoch, u64, "planner epoch"
@@ -98,3 +102,30 @@
         Self(offset.0)
     }
 }
+/// A position in a topic of the platform's store. Offsets are given out again after the store has come back from an older copy,
+/// so that they tell what is newer only within one era. Written as `era.offset`.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StorePosition {
+    /// The era of the store.
+    pub era: Era,
+    /// The offset in the topic.
+    pub offset: Offset,
+}
+
+impl fmt::Display for StorePosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.offset)
+    }
+}
+
+impl FromStr for StorePosition {
+    type Err = ParsePositionError;
+
+    fn from_str(text: &str) -> Result<Self, ParsePositionError> {
+        let bad = || ParsePositionError { kind: "store position", text: text.to_owned() };
+        let (era, offset) = text.split_once('.').ok_or_else(bad)?;
+        Ok(Self { era: era.parse()?, offset: offset.parse()? })
+    }
+}
