A router that starts holds its first requests until it knows its share, and proofs are fresh enough to serve through 0.6 of the bound

Causes: the roster was read after the configuration, and nobody waited for it; a read proves from its sending, so a proof was up to 3.6 s old when the store fell silent. Now the roster is read with the configuration where settings speak of limits, and reads wait 0.17 of the bound on keys.

--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -1,9 +1,11 @@
 //! A soak: routers and loaders as processes before the stand-ins, seeded faults from outside, promises checked.
 //!
 //! Faults come in series and overlap: links that are cut, slow, lossy or silent, processes that are stopped, paused,
-//! killed and started again, servers and a store that misbehave, versions of the configuration in a row. Callers go on
+//! killed and started again, servers and a store that misbehave, versions of the configuration in a row, each of which takes a
+//! key away. Callers go on
 //! using their connections until the process behind them is gone.
 
+mod keys;
 mod world;
 
 use std::ops::Range;
@@ -28,6 +30,8 @@
 const CALLERS: u64 = 12;
 /// Callers that send one request again and again which ends the plain servers that run it.
 const INSISTING: u64 = 3;
+/// Callers of the workspace that asks for more than it may.
+const HOT: u64 = 2;
 /// How long a server that ended is gone.
 const DOWN: Duration = Duration::from_millis(300);
 /// The longest that a process is paused.
@@ -83,6 +87,7 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| tokio::spawn(shared.clone().caller(seed * CALLERS + caller, until)))
         .collect();
+    insisting.extend((0..HOT).map(|_| tokio::spawn(shared.clone().press(until))));
     while Instant::now() < until {
         // In each second seed all routers reach the store throughout, so that what they share must have been seen.
         let calm = seed % 2 == 1;
--- a/components/load/src/soak/world.rs
+++ b/components/load/src/soak/world.rs
@@ -15,6 +15,7 @@
 };
 use tokio::time::{Instant, sleep};
 
+use super::keys::{Keys, OVERSHOOT, REVOKE, SLACK, WINDOW, Whose};
 use crate::children::{ChildError, Launch, Process};
 
 const KINDS: [&str; 4] = ["safe", "unsafe", "stream", "resumable"];
@@ -47,6 +48,7 @@
     pub(super) engines: Vec<Server>,
     routers: Vec<SocketAddr>,
     calls: Mutex<Vec<Call>>,
+    keys: Keys,
     next: AtomicU64,
     /// What disturbed routers, all of them where none is named, and until when.
     disturbed: Mutex<Vec<Disturbed>>,
@@ -113,7 +115,8 @@
             .map_err(|cause| ChildError::Start { program: out.to_owned(), cause })?;
         let addresses = Addresses::free();
         let store = Store::start().await;
-        store.configure(1, &KINDS);
+        let keys = Keys::default();
+        store.put("keyed.op", "config", &keys.configure(1, &KINDS));
         let (mut plain, mut engines) = (Vec::new(), Vec::new());
         let (mut links, mut children) = (Vec::new(), Vec::new());
         for index in 0..3 {
@@ -143,7 +146,8 @@
             let to_store = Link::start(at(0), store.addr).await;
             let settings = json!({"instance": format!("front-{index}"), "domain": "hall", "callers": at(8_000),
                 "ready": at(8_001), "control": at(8_002), "peers": control, "store": to_store.addr,
-                "loader-port": LOADER, "grace": "4s", "bounds": {"apply": "2s", "drain": "2s"},
+                "loader-port": LOADER, "grace": "4s", "bounds": {"apply": "2s", "drain": "2s", "revoke": span(REVOKE)},
+                "quota": {"window": span(WINDOW), "overshoot": OVERSHOOT, "slack": SLACK},
                 "repeats": {"ratio": 0.2, "slack": 320.0, "window": "10s"}});
             links.push(to_store);
             children.push(Child::new("hyssop-router", index, &settings, bin, out)?);
@@ -155,12 +159,16 @@
             engines,
             routers,
             calls: Mutex::default(),
+            keys,
             next: AtomicU64::new(1),
             disturbed: Mutex::default(),
         };
         let mut world = Self { shared: Arc::new(shared), links, children, version: 1 };
         world.tend()?;
         world.shared.clone().until_served().await;
+        while !world.shared.all_share().await {
+            sleep(Duration::from_millis(200)).await;
+        }
         Ok(world)
     }
 
@@ -182,7 +190,9 @@
     /// A new version of the configuration.
     pub(super) fn configure(&mut self) {
         self.version += 1;
-        self.shared.store.configure(self.version, &KINDS);
+        let config = self.shared.keys.configure(self.version, &KINDS);
+        self.shared.store.put("keyed.op", "config", &config);
+        self.shared.keys.written();
     }
 
     /// Sends a signal to a process that runs; it is started again once it has ended.
@@ -310,6 +320,7 @@
         let mut all = broken(&self.calls(), &servers);
         all.extend(unheeded(&servers, DRAIN, |router, from, to| self.stopped(router, from, to)));
         all.extend(self.sent_on());
+        all.extend(self.keys.broken(&servers));
         all
     }
 
@@ -380,7 +391,9 @@
             }
             let index = turn % self.routers.len();
             if let Some(mut connection) = Connection::open(self.routers[index]).await {
-                self.call(&mut connection, index, ("unsafe", MODELS[0]), Some(POISON)).await;
+                let body = Some(POISON);
+                self.call(&mut connection, index, ("unsafe", MODELS[0]), body, Whose::School(0))
+                    .await;
             }
             sleep(INSIST).await;
         }
@@ -398,7 +411,10 @@
             for _ in 0..rng.random_range(1..KEPT) {
                 let kind = KINDS[rng.random_range(0..KINDS.len())];
                 let model = MODELS[rng.random_range(0..MODELS.len())];
-                let goes_on = self.call(&mut connection, index, (kind, model), None).await;
+                // Some go on with a key that has been replaced, or taken away.
+                let older = if rng.random_bool(0.2) { rng.random_range(1..4) } else { 0 };
+                let whose = Whose::School(older);
+                let goes_on = self.call(&mut connection, index, (kind, model), None, whose).await;
                 if !goes_on || Instant::now() >= until {
                     break;
                 }
@@ -407,6 +423,20 @@
         }
     }
 
+    /// A caller of the workspace that asks for more than it may.
+    pub(super) async fn press(self: Arc<Self>, until: Instant) {
+        for turn in 0.. {
+            if Instant::now() >= until {
+                return;
+            }
+            let index = turn % self.routers.len();
+            if let Some(mut connection) = Connection::open(self.routers[index]).await {
+                self.call(&mut connection, index, ("safe", MODELS[0]), None, Whose::Hot).await;
+            }
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     /// One call; whether the connection can be used again.
     async fn call(
         &self,
@@ -414,10 +444,12 @@
         router: usize,
         (kind, model): (&'static str, &str),
         body: Option<&str>,
+        whose: Whose,
     ) -> bool {
         let id = format!("{}-{}", name(router), self.next.fetch_add(1, Ordering::Relaxed));
         let start = Instant::now();
-        let answer = connection.call(&request(kind, &id, model, "", body.unwrap_or(&id))).await;
+        let key = self.keys.sign(&id, whose);
+        let answer = connection.call(&request(kind, &id, model, &key, body.unwrap_or(&id))).await;
         let goes_on = answer.as_ref().is_some_and(|answer| {
             answer.whole && answer.header("connection").is_none_or(|text| text != "close")
         });
@@ -432,11 +464,26 @@
         }
     }
 
+    /// Whether each router has a share in limits: it lets a request in, or refuses it as one too many.
+    async fn all_share(&self) -> bool {
+        for router in &self.routers {
+            let id = format!("probe-{}", self.next.fetch_add(1, Ordering::Relaxed));
+            let more = self.keys.sign(&id, Whose::Hot) + "Connection: close\r\n";
+            let text = request("safe", &id, MODELS[0], &more, &id);
+            let answer = exchange(*router, text.as_bytes()).await;
+            if answer.is_none_or(|answer| answer.status == 503) {
+                return false;
+            }
+        }
+        true
+    }
+
     async fn all_ready(&self) -> bool {
         for router in &self.routers {
             for kind in KINDS {
                 let id = format!("probe-{}", self.next.fetch_add(1, Ordering::Relaxed));
-                let text = request(kind, &id, MODELS[0], "Connection: close\r\n", &id);
+                let more = self.keys.sign(&id, Whose::School(0)) + "Connection: close\r\n";
+                let text = request(kind, &id, MODELS[0], &more, &id);
                 let answer = exchange(*router, text.as_bytes()).await;
                 if answer.is_none_or(|answer| answer.status != 200) {
                     return false;
@@ -447,6 +494,11 @@
     }
 }
 
+/// A span as settings have it.
+fn span(span: Duration) -> String {
+    format!("{}ms", span.as_millis())
+}
+
 /// What the ids of requests to a router begin with.
 fn name(router: usize) -> String {
     format!("front{router}")
--- a/components/quota/src/roster.rs
+++ b/components/quota/src/roster.rs
@@ -237,7 +237,9 @@
     pub fn wait(&self, now: Moment) -> Duration {
         match self.own {
             Own::Joining(since) => (since + HOLD).since(now),
-            Own::Unread | Own::Absent => HOLD,
+            // A first read takes some milliseconds.
+            Own::Unread => Duration::ZERO,
+            Own::Absent => HOLD,
             Own::Member(_) => Duration::ZERO,
         }
     }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -21,9 +21,9 @@
 /// as soon as there is a change, but not always: one that begins while a record is written may be answered only when
 /// its time is over. A connection may also go silent without a sign, which shows when the client's patience ends.
 const PART: f64 = 0.7;
-/// The part of the bound on keys that were taken away, which a read proves from when it was sent: so that the next one has
-/// been answered before.
-const PROOF_PART: f64 = 0.36;
+/// The part of the bound on keys that were taken away for which a read waits. What a read proves counts from its sending, so that a proof
+/// is up to two of these old when the store falls silent; what is left of the bound is how long keys are served after that.
+const PROOF_PART: f64 = 0.17;
 /// Changes of the list are read together, at this pace, since each call is paid for.
 const LIST_PACE: Duration = Duration::from_millis(1_000);
 /// A read waits at least this long, whatever the bound.
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -15,6 +15,8 @@
     Bounds, Bucket, Lenders, Meter, PATIENCE, Record, Roster, Share, TRANSIT, Taken, Terms, Write,
     is_dry, lendable, may_ask,
 };
+use tokio::sync::watch;
+use tokio::time::Instant;
 use units::{Domain, Span, WorkspaceName};
 use web::Body;
 
@@ -66,6 +68,8 @@
 pub(crate) struct Quotas {
     roster: Mutex<Roster>,
     pockets: Mutex<HashMap<WorkspaceName, Pocket>>,
+    /// Whether the roster has been read.
+    started: watch::Sender<bool>,
 }
 
 /// Tokens for one request. What never reached an endpoint comes back when it is dropped.
@@ -90,7 +94,11 @@
 
 impl Quotas {
     pub(crate) fn new(addr: SocketAddr, domain: Domain) -> Self {
-        Self { roster: Mutex::new(Roster::new(addr, domain)), pockets: Mutex::default() }
+        Self {
+            roster: Mutex::new(Roster::new(addr, domain)),
+            pockets: Mutex::default(),
+            started: watch::Sender::new(false),
+        }
     }
 
     fn roster(&self) -> MutexGuard<'_, Roster> {
@@ -108,12 +116,22 @@
         let count = |roster: &Roster| roster.share(now).map_or(0, |share| share.count);
         let before = count(&roster);
         roster.take(news, whole, sent, now);
+        self.started.send_replace(true);
         let shares = count(&roster);
         if shares != before {
             emit(&Event::Shared { shares, before });
         }
     }
 
+    /// Waits until the roster has been read for the first time, which takes as long as the first read of the configuration.
+    async fn first_read(&self, until: Instant) {
+        if !*self.started.borrow() {
+            let mut started = self.started.subscribe();
+            let read = started.wait_for(|started| *started);
+            let _ = tokio::time::timeout_at(until, read).await;
+        }
+    }
+
     /// What is to be written to the roster.
     pub(crate) fn next_write(&self) -> Option<Write> {
         self.roster().next_write(Moment::now())
@@ -261,18 +279,20 @@
 }
 
 fn bounds(shared: &Shared) -> Bounds {
-    let settings = shared.settings.borrow().quota;
+    let settings = shared.settings.borrow().quota.unwrap_or_default();
     let Span(window) = settings.window;
     Bounds { window, overshoot: settings.overshoot, slack: settings.slack }
 }
 
-/// Takes the tokens of a request from the limit of its workspace, if that has one.
+/// Takes the tokens of a request from the limit of its workspace, if that has one. A router that starts waits until `until` at most
+/// until it knows its share.
 pub(crate) async fn charge(
     shared: &Arc<Shared>,
     catalog: &Catalog,
     workspace: &Workspace,
     request: &str,
     tokens: Option<(u32, u32)>,
+    until: Instant,
 ) -> Result<Option<Charge>, Failure> {
     let Some(limit) = workspace.limit else { return Ok(None) };
     let quotas = &shared.quotas;
@@ -280,6 +300,7 @@
     let bounds = bounds(shared);
     let terms = Terms::new(limit, bounds);
     let name = &workspace.name;
+    quotas.first_read(until).await;
     let begun = Moment::now();
     let (own, since) = match quotas.take(name, terms, cost) {
         Some((own, since)) => (Some(own), since),
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -119,7 +119,8 @@
     shared.count(&service);
     let charge = match identity.workspace() {
         Some(workspace) => {
-            quotas::charge(shared, &catalog, workspace, &times.name, call.tokens).await?
+            let until = times.arrived + first_hold(&call);
+            quotas::charge(shared, &catalog, workspace, &times.name, call.tokens, until).await?
         }
         None => None,
     };
@@ -175,6 +176,11 @@
     Ok(response)
 }
 
+/// How long a request is held by a router that reads the store for the first time.
+fn first_hold(call: &Call) -> Duration {
+    (call.deadline.unwrap_or(LONGEST) / FIRST_READ).min(FIRST_HOLD)
+}
+
 /// What decides on a request.
 struct Entry {
     catalog: Arc<Catalog>,
@@ -189,7 +195,7 @@
     parts: &request::Parts,
     times: &Times,
 ) -> Result<Entry, Failure> {
-    let hold = (call.deadline.unwrap_or(LONGEST) / FIRST_READ).min(FIRST_HOLD);
+    let hold = first_hold(call);
     let caller = access::Caller {
         name: &times.name,
         credential: platform::read_credential(&parts.headers),
--- a/components/router/src/roster.rs
+++ b/components/router/src/roster.rs
@@ -21,11 +21,13 @@
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(400);
 
-/// Follows for as long as the process runs, once a workspace has a limit.
+/// Follows for as long as the process runs, once a workspace has a limit or may have one.
 pub(crate) async fn follow(shared: Arc<Shared>, store: Store) {
+    // Where the settings speak of limits, the first read does not wait for the configuration: requests wait for both.
+    let expected = shared.settings.borrow().quota.is_some();
     let mut catalog = shared.catalog.subscribe();
     let limited = |catalog: &Option<Arc<Catalog>>| catalog.as_deref().is_some_and(has_limits);
-    if catalog.wait_for(limited).await.is_err() {
+    if !expected && catalog.wait_for(limited).await.is_err() {
         return;
     }
     let mut follower = Follower::new(store.clone(), Topic::Routers);
--- a/components/router/src/settings.rs
+++ b/components/router/src/settings.rs
@@ -38,7 +38,7 @@
     pub repeats: RepeatSettings,
     /// By how much limits of workspaces may be passed.
     #[serde(default)]
-    pub quota: QuotaSettings,
+    pub quota: Option<QuotaSettings>,
 }
 
 /// How soon news of the store must be acted on, from the moment at which it was stored.
