Routers that do not answer a question for tokens are not waited for, nor asked again for two seconds; the planner's claims are spread

Traced: one record wakes all entries, which then look at the same moments, 250 ms apart, so that all whose lapse falls between two looks claim at once (entry-2, 3, 7, 8 at one instant, jitters 1.07 to 1.63 s). They wait for their own moment now.

--- a/components/planner/src/lease.rs
+++ b/components/planner/src/lease.rs
@@ -46,10 +46,10 @@
         }
     }
 
-    /// Whether a process that waits `lease` and `jitter` is to claim.
-    pub(crate) fn is_lapsed(&self, lease: Duration, jitter: Duration, now: Instant) -> bool {
+    /// When a process that waits `lease` and `jitter` is to claim; zero if now.
+    pub(crate) fn lapses_in(&self, lease: Duration, jitter: Duration, now: Instant) -> Duration {
         let wait = if self.vacant { jitter } else { lease + jitter };
-        now.duration_since(self.since) >= wait
+        wait.saturating_sub(now.duration_since(self.since))
     }
 }
 
@@ -68,6 +68,7 @@
     let mut held = None;
     let mut renew_at = Instant::now();
     loop {
+        let mut look = lease / LOOKS;
         changes.borrow_and_update();
         let frozen = shared.journal.read(|state| state.frozen().is_some());
         let up = shared.journal.log_up() && !frozen;
@@ -89,7 +90,10 @@
             }
         } else if up {
             let jitter = jitter(&shared.instance, seen.epoch, lease);
-            if watch.is_lapsed(lease, jitter, Instant::now()) {
+            let left = watch.lapses_in(lease, jitter, Instant::now());
+            // One record wakes all, so that all look at the same moments: only the jitter tells their claims apart.
+            look = look.min(left);
+            if left.is_zero() {
                 if claim(shared, seen.epoch).await == Err(AppendError::Closed) {
                     return;
                 }
@@ -99,7 +103,7 @@
         }
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
-            () = sleep(lease / LOOKS) => {}
+            () = sleep(look) => {}
         }
     }
 }
--- a/components/planner/src/lease/tests.rs
+++ b/components/planner/src/lease/tests.rs
@@ -14,7 +14,7 @@
 }
 
 fn is_lapsed(watch: &Watch) -> bool {
-    watch.is_lapsed(LEASE, Duration::ZERO, Instant::now())
+    watch.lapses_in(LEASE, Duration::ZERO, Instant::now()).is_zero()
 }
 
 #[tokio::test(start_paused = true)]
@@ -47,7 +47,10 @@
     let mut watch = Watch::new(&lease(3), Instant::now());
     watch.observe(&Lease { holder: None, ..lease(3) }, true, Instant::now());
     assert!(is_lapsed(&watch));
-    assert!(!watch.is_lapsed(LEASE, Duration::from_millis(1), Instant::now()));
+    assert_eq!(
+        watch.lapses_in(LEASE, Duration::from_millis(1), Instant::now()),
+        Duration::from_millis(1)
+    );
 }
 
 #[test]
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -9,6 +9,8 @@
 use clock::Moment;
 use control::{Borrow, Lent, WorkspaceReport, WorkspacesReport};
 use events::{Event, Refusal, emit, millis};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use quota::{
@@ -27,6 +29,8 @@
 const PAUSE: Duration = Duration::from_millis(250);
 /// The longest such pause.
 const LONGEST: Duration = Duration::from_secs(1);
+/// A router that did not answer is not asked for this time.
+const SILENT: Duration = Duration::from_secs(2);
 /// Callers over the limit come back no sooner than this.
 const SOONEST_BACK: Duration = Duration::from_millis(300);
 /// By up to this part of its time each comes back later, so that they don't all come at once.
@@ -68,6 +72,8 @@
 pub(crate) struct Quotas {
     roster: Mutex<Roster>,
     pockets: Mutex<HashMap<WorkspaceName, Pocket>>,
+    /// Routers that did not answer, and until when they are not asked.
+    silent: Mutex<HashMap<SocketAddr, Moment>>,
     /// Whether the roster has been read.
     started: watch::Sender<bool>,
 }
@@ -97,6 +103,7 @@
         Self {
             roster: Mutex::new(Roster::new(addr, domain)),
             pockets: Mutex::default(),
+            silent: Mutex::default(),
             started: watch::Sender::new(false),
         }
     }
@@ -212,6 +219,22 @@
         });
     }
 
+    fn silent(&self) -> MutexGuard<'_, HashMap<SocketAddr, Moment>> {
+        self.silent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_silent(&self, router: &SocketAddr) -> bool {
+        self.silent().get(router).is_some_and(|until| *until > Moment::now())
+    }
+
+    fn note_silence(&self, router: SocketAddr, silent: bool) {
+        if silent {
+            self.silent().insert(router, Moment::now() + SILENT);
+        } else {
+            self.silent().remove(&router);
+        }
+    }
+
     /// Whether others are asked for tokens of a workspace now.
     fn may_ask(&self, workspace: &WorkspaceName) -> bool {
         let now = Moment::now();
@@ -389,7 +412,8 @@
     let mut lent = Borrowed::default();
     let (others, count) = {
         let roster = quotas.roster();
-        let others: Vec<SocketAddr> = roster.others().map(|(addr, _)| addr).collect();
+        let others: Vec<SocketAddr> =
+            roster.others().map(|(addr, _)| addr).filter(|addr| !quotas.is_silent(addr)).collect();
         // One that has no share yet may use what others have.
         let count =
             roster.share(Moment::now()).map_or(others.len() + 1, |share| share.count as usize);
@@ -407,9 +431,14 @@
         let asked = wave.into_iter().map(|router| {
             let borrow = Borrow { workspace: workspace.clone(), tokens: each };
             let client = shared.client.clone();
-            async move { control::ask_tokens(&client, router, &borrow, PATIENCE).await }
+            async move { (router, control::ask_tokens(&client, router, &borrow, PATIENCE).await) }
         });
-        for answer in futures_util::future::join_all(asked).await {
+        let mut asked: FuturesUnordered<_> = asked.collect();
+        // One that does not answer is not waited for where the others have enough.
+        while lent.tokens < missing
+            && let Some((router, answer)) = asked.next().await
+        {
+            quotas.note_silence(router, answer.is_err());
             match answer {
                 Ok(Lent { tokens }) => lent.tokens += tokens.max(0.0),
                 Err(error) => log::debug!("router: another one lent nothing: {error}"),
