--- a/components/catalog/src/workspace.rs
+++ b/components/catalog/src/workspace.rs
@@ -144,6 +144,11 @@
         self.holders.get(key).map(|at| &self.all[*at])
     }
 
+    /// The workspace of this name.
+    pub fn named(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        self.all.iter().find(|workspace| workspace.name == *name)
+    }
+
     /// All of them, in the order of the configuration.
     pub fn iter(&self) -> impl Iterator<Item = &Workspace> {
         self.all.iter()
--- a/components/router/src/flight.rs
+++ b/components/router/src/flight.rs
@@ -12,6 +12,7 @@
 
 use crate::access::{self, Identity};
 use crate::caller::Caller;
+use crate::charge::Charge;
 use crate::choose::{self, NoPlace, Wanted};
 use crate::ended;
 use crate::exchange::{self, Answer, Outgoing, Patience, Sent};
@@ -19,7 +20,6 @@
 use crate::ledger;
 use crate::place::Place;
 use crate::pool::Pool;
-use crate::quotas::Charge;
 use crate::shared::Shared;
 
 /// Sends of one request that did not run, at most: refusals of full endpoints and closed connections.
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -1,7 +1,9 @@
 //! Serves callers from endpoints that it calls directly.
 
 mod access;
+mod borrow;
 mod caller;
+mod charge;
 mod choose;
 mod cold;
 mod ended;
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -2,27 +2,18 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use catalog::{Catalog, Limit, Workspace, Workspaces};
+use catalog::Workspaces;
 use clock::Moment;
-use control::{Borrow, Lent, WorkspaceReport, WorkspacesReport};
-use events::{Event, Refusal, emit, millis};
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
-use quota::{
-    Bounds, Bucket, Lenders, Meter, PATIENCE, Record, Roster, Share, TRANSIT, Taken, Terms, Write,
-    is_dry, lendable, may_ask,
-};
+use control::{WorkspaceReport, WorkspacesReport};
+use events::{Event, emit, millis};
+use quota::{Bucket, Meter, Record, Roster, Share, Taken, Terms, Write, lendable};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use units::{Domain, Span, WorkspaceName};
-use web::Body;
+use units::{Domain, WorkspaceName};
 
-use crate::flight::Failure;
 use crate::shared::Shared;
 
 /// After nobody had tokens for a workspace, others are not asked for this time, doubled each time.
@@ -35,8 +26,6 @@
 const SOONEST_BACK: Duration = Duration::from_millis(300);
 /// By up to this part of its time each comes back later, so that they don't all come at once.
 const SPREAD: f64 = 0.3;
-/// The largest message of another router.
-const LARGEST: usize = 4 << 10;
 
 /// What this router has of the limit of one workspace.
 #[derive(Debug)]
@@ -78,26 +67,6 @@
     started: watch::Sender<bool>,
 }
 
-/// Tokens for one request. What never reached an endpoint comes back when it is dropped.
-#[derive(Debug)]
-pub(crate) struct Charge {
-    shared: Arc<Shared>,
-    workspace: WorkspaceName,
-    limit: Limit,
-    own: Taken,
-    since: Moment,
-    /// Whether the request is, or may be, at an endpoint.
-    pub(crate) spent: bool,
-}
-
-impl Drop for Charge {
-    fn drop(&mut self) {
-        if !self.spent {
-            self.shared.quotas.put_back(&self.shared, self);
-        }
-    }
-}
-
 impl Quotas {
     pub(crate) fn new(addr: SocketAddr, domain: Domain) -> Self {
         Self {
@@ -131,7 +100,7 @@
     }
 
     /// Waits until the roster has been read for the first time, which takes as long as the first read of the configuration.
-    async fn first_read(&self, until: Instant) {
+    pub(crate) async fn first_read(&self, until: Instant) {
         if !*self.started.borrow() {
             let mut started = self.started.subscribe();
             let read = started.wait_for(|started| *started);
@@ -154,7 +123,7 @@
         self.share(Moment::now()).is_some()
     }
 
-    fn share(&self, now: Moment) -> Option<Share> {
+    pub(crate) fn share(&self, now: Moment) -> Option<Share> {
         self.roster().share(now)
     }
 
@@ -173,7 +142,12 @@
         pockets.get_mut(workspace).map(|pocket| f(pocket, count))
     }
 
-    fn take(&self, workspace: &WorkspaceName, terms: Terms, most: f64) -> Option<(Taken, Moment)> {
+    pub(crate) fn take(
+        &self,
+        workspace: &WorkspaceName,
+        terms: Terms,
+        most: f64,
+    ) -> Option<(Taken, Moment)> {
         let now = Moment::now();
         self.with(workspace, |pocket, count| {
             pocket.used = Some(now);
@@ -182,7 +156,7 @@
     }
 
     /// Takes what another router may have of so many tokens.
-    fn lend(&self, workspace: &WorkspaceName, terms: Terms, most: f64) -> Option<f64> {
+    pub(crate) fn lend(&self, workspace: &WorkspaceName, terms: Terms, most: f64) -> Option<f64> {
         let now = Moment::now();
         self.with(workspace, |pocket, count| {
             let share = terms.share(count);
@@ -193,23 +167,29 @@
     }
 
     /// Adds what other routers lent beyond what was used.
-    fn add(&self, workspace: &WorkspaceName, terms: Terms, tokens: f64) {
+    pub(crate) fn add(&self, workspace: &WorkspaceName, terms: Terms, tokens: f64) {
         self.with(workspace, |pocket, count| {
             pocket.bucket.add(terms.share(count), tokens, Moment::now());
         });
     }
 
-    fn put_back(&self, shared: &Shared, charge: &Charge) {
-        let terms = Terms::new(charge.limit, bounds(shared));
-        self.with(&charge.workspace, |pocket, count| {
-            if pocket.since == charge.since {
-                pocket.bucket.put_back(terms.share(count), charge.own, Moment::now());
+    /// Gives back what was taken from the share that this router has had since a moment.
+    pub(crate) fn put_back(
+        &self,
+        workspace: &WorkspaceName,
+        terms: Terms,
+        taken: Taken,
+        since: Moment,
+    ) {
+        self.with(workspace, |pocket, count| {
+            if pocket.since == since {
+                pocket.bucket.put_back(terms.share(count), taken, Moment::now());
             }
         });
     }
 
     /// Counts a request for operators.
-    fn count(&self, workspace: &WorkspaceName, cost: f64, let_in: bool) {
+    pub(crate) fn count(&self, workspace: &WorkspaceName, cost: f64, let_in: bool) {
         self.with(workspace, |pocket, _| {
             if let_in {
                 pocket.meter.count(cost, Moment::now());
@@ -223,11 +203,14 @@
         self.silent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn is_silent(&self, router: &SocketAddr) -> bool {
-        self.silent().get(router).is_some_and(|until| *until > Moment::now())
+    /// Routers that may be asked for tokens.
+    pub(crate) fn lenders(&self) -> Vec<SocketAddr> {
+        let (now, silent) = (Moment::now(), self.silent());
+        let answers = |addr: &SocketAddr| silent.get(addr).is_none_or(|until| *until <= now);
+        self.roster().others().map(|(addr, _)| addr).filter(answers).collect()
     }
 
-    fn note_silence(&self, router: SocketAddr, silent: bool) {
+    pub(crate) fn note_silence(&self, router: SocketAddr, silent: bool) {
         if silent {
             self.silent().insert(router, Moment::now() + SILENT);
         } else {
@@ -236,14 +219,14 @@
     }
 
     /// Whether others are asked for tokens of a workspace now.
-    fn may_ask(&self, workspace: &WorkspaceName) -> bool {
+    pub(crate) fn may_ask(&self, workspace: &WorkspaceName) -> bool {
         let now = Moment::now();
         let pockets = self.pockets();
         pockets.get(workspace).and_then(|pocket| pocket.dry).is_none_or(|dry| dry <= now)
     }
 
     /// Notes whether nobody seemed to have any.
-    fn asked(&self, workspace: &WorkspaceName, dry: bool) {
+    pub(crate) fn asked(&self, workspace: &WorkspaceName, dry: bool) {
         self.with(workspace, |pocket, _| {
             if dry {
                 pocket.dry = Some(Moment::now() + pocket.pause);
@@ -255,7 +238,7 @@
     }
 
     /// When this router has so many tokens of its own again.
-    fn back(
+    pub(crate) fn back(
         &self,
         workspace: &WorkspaceName,
         terms: Terms,
@@ -276,7 +259,7 @@
     let catalog = shared.current()?;
     let quotas = &shared.quotas;
     let now = Moment::now();
-    let bounds = bounds(shared);
+    let bounds = shared.bounds();
     let workspaces = catalog.workspaces.iter().flat_map(Workspaces::iter);
     let workspaces = workspaces.map(|workspace| {
         let used = workspace.limit.and_then(|limit| {
@@ -300,177 +283,3 @@
         denied: shared.access.denied(),
     })
 }
-
-fn bounds(shared: &Shared) -> Bounds {
-    let settings = shared.settings.borrow().quota.unwrap_or_default();
-    let Span(window) = settings.window;
-    Bounds { window, overshoot: settings.overshoot, slack: settings.slack }
-}
-
-/// Takes the tokens of a request from the limit of its workspace, if that has one. A router that starts waits until `until` at most
-/// until it knows its share.
-pub(crate) async fn charge(
-    shared: &Arc<Shared>,
-    catalog: &Catalog,
-    workspace: &Workspace,
-    request: &str,
-    tokens: Option<(u32, u32)>,
-    until: Instant,
-) -> Result<Option<Charge>, Failure> {
-    let Some(limit) = workspace.limit else { return Ok(None) };
-    let quotas = &shared.quotas;
-    let cost = f64::from(workspace.unit.cost(tokens));
-    let bounds = bounds(shared);
-    let terms = Terms::new(limit, bounds);
-    let name = &workspace.name;
-    quotas.first_read(until).await;
-    let begun = Moment::now();
-    let (own, since) = match quotas.take(name, terms, cost) {
-        Some((own, since)) => (Some(own), since),
-        None => (None, begun),
-    };
-    let charge = Charge {
-        shared: shared.clone(),
-        workspace: name.clone(),
-        limit,
-        own: own.unwrap_or_default(),
-        since,
-        spent: own.is_none(),
-    };
-    let missing = cost - charge.own.tokens;
-    if missing <= 0.0 {
-        quotas.count(name, cost, true);
-        return Ok(Some(charge));
-    }
-    let lent = if quotas.may_ask(name) {
-        borrow(shared, name, terms, missing, begun).await
-    } else {
-        Borrowed::default()
-    };
-    if begun.elapsed() <= TRANSIT {
-        let used = if lent.tokens >= missing { missing } else { 0.0 };
-        quotas.add(name, terms, lent.tokens - used);
-        if used > 0.0 {
-            quotas.count(name, cost, true);
-            // What was lent for a request that runs nowhere in the end is lost.
-            return Ok(Some(charge));
-        }
-    }
-    let share = quotas.share(Moment::now());
-    let left = charge.own.tokens;
-    drop(charge);
-    quotas.count(name, cost, false);
-    emit(&Event::Limited {
-        request,
-        workspace: name.as_str(),
-        cost: whole(cost),
-        left: whole(left),
-        lent: whole(lent.tokens),
-        asked: lent.asked,
-        shares: share.map_or(0, |share| share.count),
-        version: catalog.version.0,
-    });
-    let after = Some(quotas.back(name, terms, cost, bounds.window));
-    Err(match share {
-        Some(_) => {
-            let status = StatusCode::TOO_MANY_REQUESTS;
-            Failure { status, cause: Refusal::OverQuota, after }
-        }
-        None => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Failure { status, cause: Refusal::NoShare, after }
-        }
-    })
-}
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "tokens are few and not negative"
-)]
-fn whole(tokens: f64) -> u64 {
-    tokens as u64
-}
-
-/// What others lent.
-#[derive(Debug, Clone, Copy, Default)]
-struct Borrowed {
-    tokens: f64,
-    asked: usize,
-}
-
-/// Asks others for tokens, a few at a time, until there are enough or nobody is likely to have more. What fits into the bucket
-/// besides is asked for with them.
-async fn borrow(
-    shared: &Shared,
-    workspace: &WorkspaceName,
-    terms: Terms,
-    missing: f64,
-    begun: Moment,
-) -> Borrowed {
-    let quotas = &shared.quotas;
-    let mut lent = Borrowed::default();
-    let (others, count) = {
-        let roster = quotas.roster();
-        let others: Vec<SocketAddr> =
-            roster.others().map(|(addr, _)| addr).filter(|addr| !quotas.is_silent(addr)).collect();
-        // One that has no share yet may use what others have.
-        let count =
-            roster.share(Moment::now()).map_or(others.len() + 1, |share| share.count as usize);
-        (others, u32::try_from(count).unwrap_or(u32::MAX))
-    };
-    let share = terms.share(count);
-    let mut lenders = Lenders::new(others, missing, share, rand::random);
-    while lent.tokens < missing && may_ask(begun.elapsed()) {
-        let wave = lenders.next_wave();
-        if wave.is_empty() || is_dry(lent.asked, missing, lent.tokens) {
-            break;
-        }
-        let each = (missing - lent.tokens + share.depth) / wave.len() as f64;
-        lent.asked += wave.len();
-        let asked = wave.into_iter().map(|router| {
-            let borrow = Borrow { workspace: workspace.clone(), tokens: each };
-            let client = shared.client.clone();
-            async move { (router, control::ask_tokens(&client, router, &borrow, PATIENCE).await) }
-        });
-        let mut asked: FuturesUnordered<_> = asked.collect();
-        // One that does not answer is not waited for where the others have enough.
-        while lent.tokens < missing
-            && let Some((router, answer)) = asked.next().await
-        {
-            quotas.note_silence(router, answer.is_err());
-            match answer {
-                Ok(Lent { tokens }) => lent.tokens += tokens.max(0.0),
-                Err(error) => log::debug!("router: another one lent nothing: {error}"),
-            }
-        }
-    }
-    quotas.asked(workspace, is_dry(lent.asked, missing, lent.tokens));
-    lent
-}
-
-/// Answers another router that is short of tokens.
-pub(crate) async fn lend(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
-    let Ok(bytes) = web::read(request.into_body(), LARGEST).await else {
-        return web::text(StatusCode::BAD_REQUEST, "the message can't be read\n");
-    };
-    let borrow: Borrow = match serde_json::from_slice(&bytes) {
-        Ok(borrow) => borrow,
-        Err(error) => {
-            return web::text(
-                StatusCode::BAD_REQUEST,
-                format!("no question for tokens: {error}\n"),
-            );
-        }
-    };
-    let catalog = shared.current();
-    let workspaces = catalog.as_ref().and_then(|catalog| catalog.workspaces.as_ref());
-    let limit = workspaces
-        .and_then(|all| all.iter().find(|workspace| workspace.name == borrow.workspace))
-        .and_then(|workspace| workspace.limit);
-    let lent = limit.and_then(|limit| {
-        let terms = Terms::new(limit, bounds(shared));
-        shared.quotas.lend(&borrow.workspace, terms, borrow.tokens)
-    });
-    web::json(StatusCode::OK, &Lent { tokens: lent.unwrap_or(0.0) })
-}
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -18,9 +18,9 @@
 
 use crate::access::{self, Identity};
 use crate::caller::Caller;
+use crate::charge;
 use crate::exchange::Outgoing;
 use crate::flight::{Failure, Flight};
-use crate::quotas;
 use crate::relay::{self, Pace, Times};
 use crate::shared::Shared;
 
@@ -120,7 +120,7 @@
     let charge = match identity.workspace() {
         Some(workspace) => {
             let until = times.arrived + first_hold(&call);
-            quotas::charge(shared, &catalog, workspace, &times.name, call.tokens, until).await?
+            charge::charge(shared, &catalog, workspace, &times.name, call.tokens, until).await?
         }
         None => None,
     };
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -15,7 +15,7 @@
 use web::{Body, ServeOptions};
 
 use crate::shared::Shared;
-use crate::{Settings, feed, ledger, prepare, quotas, ready, roster, serve, snapshot};
+use crate::{Settings, borrow, feed, ledger, prepare, quotas, ready, roster, serve, snapshot};
 
 /// Runs until the process is asked to end and its requests are done.
 pub async fn run(process: Single<Settings>) -> Result<(), StartError> {
@@ -63,7 +63,7 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, SNAPSHOT_PATH) => snapshot::answer(shared, request.uri()),
         (&Method::POST, ENDS_PATH) => ledger::answer(shared, request).await,
-        (&Method::POST, TOKENS_PATH) => quotas::lend(shared, request).await,
+        (&Method::POST, TOKENS_PATH) => borrow::lend(shared, request).await,
         (&Method::GET, WORKSPACES_PATH) => match quotas::report(shared) {
             Some(report) => web::json(StatusCode::OK, &report),
             None => web::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet\n"),
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -192,6 +192,13 @@
         Some(away.clamp(SOONEST_BACK, LATEST_BACK))
     }
 
+    /// By how much limits of workspaces may be passed.
+    pub(crate) fn bounds(&self) -> quota::Bounds {
+        let settings = self.settings.borrow().quota.unwrap_or_default();
+        let Span(window) = settings.window;
+        quota::Bounds { window, overshoot: settings.overshoot, slack: settings.slack }
+    }
+
     /// A client of the loader on the machine of an endpoint.
     pub(crate) fn loader(&self, endpoint: std::net::SocketAddr) -> Loader {
         let addr = std::net::SocketAddr::new(endpoint.ip(), self.settings.borrow().loader);
