A router asks 40 loaders a second at most while there is no news

Cause: each router asked each loader once a second, so that bytes between failure domains grew with routers times loaders; on further at 300 machines they cost more than all that the system earned. The wait for news now grows with the number of loaders (1 s up to 40 of them, 10 s at most); news are told at once as before, a loader counts a router for twice the time that it said it waits, and a router believes a loader for as long. Up to 40 loaders nothing changes.

--- a/components/loader/src/ledger.rs
+++ b/components/loader/src/ledger.rs
@@ -38,7 +38,7 @@
     /// When a request for it last began.
     pub(crate) last: Option<Instant>,
     /// Requests that run, by router, and when it said so.
-    pub(crate) running: BTreeMap<String, (u32, Instant)>,
+    pub(crate) running: BTreeMap<String, (u32, Heard)>,
     /// Requests a second, of late.
     rate: f64,
     /// When the rate was last brought up to date.
@@ -66,6 +66,22 @@
 
 /// A router that is silent for this long has no requests here any more, or is cut off and will say so.
 const SILENT: Duration = Duration::from_secs(3);
+/// The same, as so many times what it waits for news: it asks again right after that.
+const SILENT_WAITS: u32 = 2;
+
+/// When a router was last heard.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Heard {
+    pub(crate) at: Instant,
+    /// How long it waits for news.
+    pub(crate) wait: Duration,
+}
+
+impl Heard {
+    fn fresh(self) -> bool {
+        self.at.elapsed() < SILENT.max(self.wait * SILENT_WAITS)
+    }
+}
 
 /// A model that makes room: it gets no new requests, and is unloaded once its last one is done.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -86,7 +102,7 @@
     /// How models are used.
     pub(crate) usage: BTreeMap<ModelName, Usage>,
     /// Routers, and when they were last heard.
-    pub(crate) routers: BTreeMap<String, Instant>,
+    pub(crate) routers: BTreeMap<String, Heard>,
     /// The model that makes room.
     pub(crate) leaving: Option<Leaving>,
     /// How adapters are used.
@@ -116,7 +132,7 @@
     /// Requests that run with a model, as far as routers say.
     pub(crate) fn running(&self, model: &ModelName) -> u32 {
         let Some(usage) = self.usage.get(model) else { return 0 };
-        let heard = usage.running.values().filter(|(_, heard)| heard.elapsed() < SILENT);
+        let heard = usage.running.values().filter(|(_, heard)| heard.fresh());
         heard.map(|(count, _)| count).sum()
     }
 
@@ -127,7 +143,7 @@
 
     /// Routers that are heard.
     pub(crate) fn heard(&self) -> u32 {
-        let heard = self.routers.values().filter(|heard| heard.elapsed() < SILENT).count();
+        let heard = self.routers.values().filter(|heard| heard.fresh()).count();
         u32::try_from(heard).unwrap_or(u32::MAX)
     }
 
@@ -165,3 +181,6 @@
         u32::try_from(held + report.incoming.len()).unwrap_or(u32::MAX)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -7,7 +7,7 @@
 use platform::{Notice, Report};
 
 use super::*;
-use crate::ledger::Leaving;
+use crate::ledger::{Heard, Leaving};
 
 fn name(text: &str) -> ModelName {
     text.parse().expect("a name")
@@ -65,7 +65,8 @@
 
 fn run(ledger: &mut Ledger, model: &str, count: u32, now: Instant) {
     let usage = ledger.usage.entry(name(model)).or_default();
-    usage.running = BTreeMap::from([("router".to_owned(), (count, now))]);
+    let heard = Heard { at: now, wait: Duration::ZERO };
+    usage.running = BTreeMap::from([("router".to_owned(), (count, heard))]);
     usage.begin(count, now);
 }
 
@@ -248,7 +249,8 @@
     let mut ledger = ledger(&[("a", &[]), ("b", &[])]);
     ledger.leaving = Some(Leaving { model: name("a"), since: now });
     let usage = ledger.usage.entry(name("b")).or_default();
-    usage.running.insert("router".to_owned(), (9, now));
+    let heard = Heard { at: now, wait: Duration::ZERO };
+    usage.running.insert("router".to_owned(), (9, heard));
     want(&mut ledger, "c", 1, now);
     ledger.restarted();
     assert_eq!(ledger.all_running(), 0);
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -17,7 +17,7 @@
 
 use crate::desk::Command;
 use crate::lane::{Lane, Wish};
-use crate::ledger::{Leaving, Ledger, Want};
+use crate::ledger::{Heard, Leaving, Ledger, Want};
 use crate::plan::{self, Next};
 
 mod orders;
@@ -181,7 +181,8 @@
         match command {
             Command::Uses(poll) => {
                 self.adopt(&poll.endpoint);
-                self.ledger.routers.insert(poll.router.clone(), now);
+                let heard = Heard { at: now, wait: poll.wait };
+                self.ledger.routers.insert(poll.router.clone(), heard);
                 if Life::differ(self.life, poll.life) {
                     // What it says is about requests that ended with the endpoint's life.
                     return;
@@ -194,7 +195,7 @@
                     usage.begin(one.begun, now);
                     if one.running > 0 {
                         usage.last = Some(now);
-                        usage.running.insert(poll.router.clone(), (one.running, now));
+                        usage.running.insert(poll.router.clone(), (one.running, heard));
                     }
                 }
             }
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -16,8 +16,10 @@
 use crate::pool::Pool;
 use crate::signs::Trust;
 
-/// What a loader said is believed before the platform's list for this time.
+/// What a loader said is believed before the platform's list for this time, where it is asked each second.
 const FRESH: Duration = Duration::from_secs(5);
+/// The same, as so many times the time between two questions.
+const FRESH_WAITS: u32 = 2;
 
 /// Requests since its loader's last news that are a burst.
 const BURST: u32 = 3;
@@ -88,6 +90,8 @@
     pub(crate) seen: Instant,
     /// How far the list had been read when it last told of it.
     pub(crate) read: StorePosition,
+    /// How long its loader is asked to wait for news.
+    pub(crate) wait: Duration,
     /// Set while its entry is missing.
     pub(crate) missing: Option<Missing>,
     pub(crate) said: Said,
@@ -119,6 +123,7 @@
             pool,
             seen: now,
             read: StorePosition::default(),
+            wait: Duration::ZERO,
             missing: None,
             said: Said::default(),
             state: None,
@@ -257,7 +262,7 @@
     /// What it holds, from whoever knows best.
     pub(crate) fn holdings(&self, now: Instant) -> Option<&Holdings> {
         match &self.state {
-            Some((state, heard)) if now - *heard < FRESH => Some(&state.holdings),
+            Some((state, heard)) if now - *heard < self.fresh() => Some(&state.holdings),
             _ => self.endpoint.holdings.as_ref(),
         }
     }
@@ -296,9 +301,14 @@
         }
     }
 
+    /// For how long what its loader said is believed.
+    fn fresh(&self) -> Duration {
+        FRESH.max(self.wait * FRESH_WAITS)
+    }
+
     /// Whether its loader can be asked for models.
     pub(crate) fn able(&self, now: Instant) -> bool {
-        self.state.as_ref().is_some_and(|(state, heard)| state.able && now - *heard < FRESH)
+        self.state.as_ref().is_some_and(|(state, heard)| state.able && now - *heard < self.fresh())
     }
 }
 
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -12,8 +12,13 @@
 
 use crate::shared::Shared;
 
-/// How long a loader is asked to wait for news; uses are told at least this often.
+/// How long a loader is asked to wait for news where there are few; uses are told at least this often.
 const WAIT: Duration = Duration::from_millis(1_000);
+/// A router asks no more loaders than this a second while there is no news, or the bytes of all routers together grow with
+/// routers times loaders: news are told at once however long a question waits.
+const ASKED: u32 = 40;
+/// The longest wait.
+const LONGEST_WAIT: Duration = Duration::from_secs(10);
 /// The same while a model makes room and waits for the last of its requests.
 const DRAIN_WAIT: Duration = Duration::from_millis(60);
 /// The first pause after a failed call.
@@ -51,13 +56,16 @@
     let mut unaware = true;
     let mut lost: Option<Instant> = None;
     loop {
-        let (life, uses) = {
+        let (life, uses, calm) = {
             let mut peers = shared.known.lock();
             let Some(uses) = peers.take_uses(&id, Instant::now()) else { return };
-            (peers.map.get(&id).and_then(|peer| peer.endpoint.life), uses)
+            let loaders = peers.map.values().filter(|peer| peer.task.is_some()).count();
+            let Some(peer) = peers.map.get_mut(&id) else { return };
+            peer.wait = calm_wait(loaders);
+            (peer.endpoint.life, uses, peer.wait)
         };
         let router = shared.instance.clone();
-        let wait = if leaving { DRAIN_WAIT } else { WAIT };
+        let wait = if leaving { DRAIN_WAIT } else { calm };
         let poll = Poll { router, endpoint: id.clone(), life, seen, wait, uses };
         match loader.poll(&poll).await {
             Ok(polled) => {
@@ -100,6 +108,12 @@
     }
 }
 
+/// How long each of so many loaders is asked to wait for news.
+pub(crate) fn calm_wait(loaders: usize) -> Duration {
+    let wait = Duration::from_secs(1) / ASKED * u32::try_from(loaders).unwrap_or(u32::MAX);
+    wait.clamp(WAIT, LONGEST_WAIT)
+}
+
 /// Tells a loader what its endpoint can hold, if that is known here.
 async fn tell_engine(shared: &Shared, loader: &Loader, service: &ServiceName) {
     let Some(catalog) = shared.current() else { return };
@@ -205,3 +219,6 @@
     drop(peers);
     shared.known.changed.notify_waiters();
 }
+
+#[cfg(test)]
+mod tests;
