--- a/components/router/src/access.rs
+++ b/components/router/src/access.rs
@@ -154,7 +154,7 @@
 
 /// A request to be let in.
 #[derive(Debug)]
-pub(crate) struct Caller<'a> {
+pub(crate) struct Arrival<'a> {
     /// Its id.
     pub(crate) name: &'a str,
     pub(crate) credential: Credential,
@@ -169,21 +169,21 @@
     shared: &Shared,
     catalog: &Catalog,
     route: &Route,
-    caller: &Caller<'_>,
+    arrival: &Arrival<'_>,
 ) -> Result<Option<Identity>, Failure> {
     let bound = shared.settings.borrow().bounds.revoke;
-    let revoked = match caller.credential {
+    let revoked = match arrival.credential {
         Credential::Key(key) => shared.access.revoked().contains(&key),
         Credential::Absent | Credential::Malformed => false,
     };
     let lookup = Lookup {
-        credential: caller.credential,
+        credential: arrival.credential,
         open: route.open,
         workspaces: catalog.workspaces.as_ref(),
         revoked,
         proof: *shared.access.proof.borrow(),
         bound: bound.map(|Span(bound)| bound),
-        arrived: caller.arrived,
+        arrived: arrival.arrived,
         now: Moment::now(),
     };
     match judge(&lookup) {
@@ -197,20 +197,20 @@
                 Denial::Revoked => "the key was taken away",
                 Denial::Unknown => "no workspace has the key",
             };
-            tell(shared, catalog, caller, &lookup, cause);
+            tell(shared, catalog, arrival, &lookup, cause);
             let status = StatusCode::UNAUTHORIZED;
             Err(Failure { status, cause: Refusal::Unauthorized, after: None })
         }
         Verdict::Unread => {
-            let until = caller.until.min(Instant::now() + PATIENCE);
-            if shared.access.read_since(caller.arrived, until).await {
+            let until = arrival.until.min(Instant::now() + PATIENCE);
+            if shared.access.read_since(arrival.arrived, until).await {
                 return Ok(None);
             }
-            tell(shared, catalog, caller, &lookup, "the store was not read in time");
+            tell(shared, catalog, arrival, &lookup, "the store was not read in time");
             Err(unproved(shared))
         }
         Verdict::Unproved => {
-            tell(shared, catalog, caller, &lookup, "the store was not read for too long");
+            tell(shared, catalog, arrival, &lookup, "the store was not read for too long");
             Err(unproved(shared))
         }
     }
@@ -222,14 +222,20 @@
     Failure { status, cause: Refusal::Unproved, after }
 }
 
-fn tell(shared: &Shared, catalog: &Catalog, caller: &Caller<'_>, lookup: &Lookup<'_>, cause: &str) {
-    let key = match caller.credential {
+fn tell(
+    shared: &Shared,
+    catalog: &Catalog,
+    arrival: &Arrival<'_>,
+    lookup: &Lookup<'_>,
+    cause: &str,
+) {
+    let key = match arrival.credential {
         Credential::Key(key) => key.to_string(),
         Credential::Absent | Credential::Malformed => String::new(),
     };
     shared.access.note_denied(&key, cause);
     emit(&Event::Denied {
-        request: caller.name,
+        request: arrival.name,
         key: &key,
         cause,
         version: catalog.version.0,
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -196,7 +196,7 @@
     times: &Times,
 ) -> Result<Entry, Failure> {
     let hold = first_hold(call);
-    let caller = access::Caller {
+    let arrival = access::Arrival {
         name: &times.name,
         credential: platform::read_credential(&parts.headers),
         arrived: Moment::now(),
@@ -212,7 +212,7 @@
             .ok_or_else(|| own(StatusCode::NOT_FOUND, Refusal::NoRoute, None))?
             .clone();
         // A key that is not known is looked for again in what has been read since.
-        if let Some(identity) = access::enter(shared, &catalog, &route, &caller).await? {
+        if let Some(identity) = access::enter(shared, &catalog, &route, &arrival).await? {
             return Ok(Entry { catalog, route, identity });
         }
     }
