The roster is read like other topics while a router joins, and once at most where no workspace has a limit

Caught by the_store_is_asked_seldom_while_nothing_changes: 15 calls in three seconds where 5 are allowed, since a router that joined read each 0.3 s, also where no workspace has a limit. A read that waits does as well: a share begins by time. A router that refuses connections is asked for tokens again at once: it may be about to start.

--- a/components/router/src/borrow.rs
+++ b/components/router/src/borrow.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use quota::{Lenders, PATIENCE, Terms, is_dry, may_ask};
 use units::WorkspaceName;
-use web::Body;
+use web::{Body, CallError};
 
 use crate::shared::Shared;
 
@@ -61,7 +61,8 @@
         while lent.tokens < missing
             && let Some((router, answer)) = asked.next().await
         {
-            quotas.note_silence(router, answer.is_err());
+            // One that refuses connections says so at once, and may be about to start.
+            quotas.note_silence(router, matches!(answer, Err(CallError::Timeout { .. })));
             match answer {
                 Ok(Lent { tokens }) => lent.tokens += tokens.max(0.0),
                 Err(error) => log::debug!("router: another one lent nothing: {error}"),
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -118,11 +118,7 @@
         self.roster().wrote(write, Moment::now());
     }
 
-    /// Whether this router has a share.
-    pub(crate) fn joined(&self) -> bool {
-        self.share(Moment::now()).is_some()
-    }
-
+    /// The share of this router, if it has one.
     pub(crate) fn share(&self, now: Moment) -> Option<Share> {
         self.roster().share(now)
     }
--- a/components/router/src/roster.rs
+++ b/components/router/src/roster.rs
@@ -16,34 +16,39 @@
 const WAIT: Duration = Duration::from_millis(2_500);
 /// Reads begin no sooner after each other where there are news: routers write in turn, and each call is paid for.
 const PACE: Duration = Duration::from_millis(2_000);
-/// While routers join, what is read first says for how long this one waits.
-const FIRST_PACE: Duration = Duration::from_millis(300);
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(400);
 
-/// Follows for as long as the process runs, once a workspace has a limit or may have one.
+/// Follows for as long as the process runs; writes nothing, and reads once at most, before a workspace has a limit.
 pub(crate) async fn follow(shared: Arc<Shared>, store: Store) {
-    // Where the settings speak of limits, the first read does not wait for the configuration: requests wait for both.
-    let expected = shared.settings.borrow().quota.is_some();
     let mut catalog = shared.catalog.subscribe();
     let limited = |catalog: &Option<Arc<Catalog>>| catalog.as_deref().is_some_and(has_limits);
-    if !expected && catalog.wait_for(limited).await.is_err() {
-        return;
-    }
+    // Where the settings speak of limits, the first read does not wait for the configuration: requests wait for both.
+    let mut waits = shared.settings.borrow().quota.is_none();
     let mut follower = Follower::new(store.clone(), Topic::Routers);
     let mut away: Option<Instant> = None;
     loop {
+        if waits && catalog.wait_for(limited).await.is_err() {
+            return;
+        }
         let begun = Instant::now();
-        let wait = if away.is_some() || !shared.quotas.joined() { Duration::ZERO } else { WAIT };
-        match turn(&shared, &store, &mut follower, wait).await {
+        let wait = if away.is_some() { Duration::ZERO } else { WAIT };
+        let mut turn = read(&shared, &mut follower, wait).await;
+        if turn.is_ok() && catalog.wait_for(limited).await.is_err() {
+            return;
+        }
+        if turn.is_ok() {
+            turn = write(&shared, &store).await;
+        }
+        waits = false;
+        match turn {
             Ok(()) => {
                 events::reached(Dependency::Roster);
                 if let Some(since) = away.take() {
                     let (dependency, after_ms) = (Dependency::Roster, millis(since.elapsed()));
                     emit(&Event::Regained { dependency, name: "store", after_ms });
                 }
-                let pace = if shared.quotas.joined() { PACE } else { FIRST_PACE };
-                tokio::time::sleep_until(begun + pace).await;
+                tokio::time::sleep_until(begun + PACE).await;
             }
             Err(error) => {
                 if away.is_none() {
@@ -62,17 +67,17 @@
     workspaces.is_some_and(|all| all.iter().any(|workspace| workspace.limit.is_some()))
 }
 
-/// Reads once, and writes what is to be written then.
-async fn turn(
-    shared: &Shared,
-    store: &Store,
-    follower: &mut Follower,
-    wait: Duration,
-) -> Result<(), StoreError> {
+/// Reads once.
+async fn read(shared: &Shared, follower: &mut Follower, wait: Duration) -> Result<(), StoreError> {
     let sent = Moment::now();
     let batch = follower.next(wait).await?;
     let news = batch.news.into_iter().filter_map(decode).collect();
     shared.quotas.read(news, batch.whole, sent);
+    Ok(())
+}
+
+/// Writes what is to be written now.
+async fn write(shared: &Shared, store: &Store) -> Result<(), StoreError> {
     while let Some(write) = shared.quotas.next_write() {
         let (addr, value) = match &write {
             Write::Put(addr, record) => (addr, serde_json::to_vec(record).unwrap_or_default()),
