--- a/components/router/src/access.rs
+++ b/components/router/src/access.rs
@@ -21,7 +21,7 @@
 use units::Span;
 
 use crate::flight::Failure;
-use crate::shared::Shared;
+use crate::shared::{Shared, back_after};
 
 /// The store is not asked more often than this about keys that nobody knows.
 pub(crate) const ASK_PACE: Duration = Duration::from_millis(1_000);
@@ -33,10 +33,6 @@
 const REVOKED: usize = 4_096;
 /// Keys that were refused are kept for operators, so many at most.
 const DENIED: usize = 64;
-/// Callers come back no sooner to a router that can't read the store: it tries several times a second.
-const SOONEST_BACK: Duration = Duration::from_millis(500);
-/// And no later: the store is back sooner than that as a rule.
-const LATEST_BACK: Duration = Duration::from_secs(4);
 
 /// What a router knows of keys besides the configuration.
 #[derive(Debug, Default)]
@@ -108,11 +104,10 @@
         bound.is_none_or(|Span(bound)| proof.holds(Moment::now(), bound))
     }
 
-    /// When callers may come back to a router that has no proof: an outage that has lasted for some time is likely to last as
-    /// long again.
+    /// When callers may come back to a router that has no proof.
     pub(crate) fn back(&self) -> Duration {
         let age = self.proof.borrow().age(Moment::now()).unwrap_or_default();
-        age.clamp(SOONEST_BACK, LATEST_BACK)
+        back_after(age)
     }
 
     /// How old the proof is.
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -28,6 +28,12 @@
 /// And no later: the store is back sooner than that as a rule.
 const LATEST_BACK: Duration = Duration::from_secs(4);
 
+/// When callers may come back to a router that has not reached the store for this time: an outage that has lasted for some time is
+/// likely to last as long again, and one that comes back too early is lost.
+pub(crate) fn back_after(away: Duration) -> Duration {
+    away.clamp(SOONEST_BACK, LATEST_BACK)
+}
+
 /// What a router that starts has from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Start {
@@ -185,11 +191,10 @@
         }
     }
 
-    /// When callers may come back while the store is away: an outage that has lasted for some time is likely to last as
-    /// long again, and one that comes back too early is lost.
+    /// When callers may come back while the store is away.
     pub(crate) fn store_back(&self) -> Option<Duration> {
         let away = self.away_since()?.elapsed();
-        Some(away.clamp(SOONEST_BACK, LATEST_BACK))
+        Some(back_after(away))
     }
 
     /// By how much limits of workspaces may be passed.
