A loader's fencing token says in which era of the store it started

What callers saw: after the store came back from an older copy, a loader that started got a token below the one that its server had seen. Where servers check, each order was refused and each refusal brought a token one higher: with two hundred starts lost, nothing was loaded within ten seconds ("never: it is loaded"). Where they do not, orders went through with tokens [202, 2]. Cause: the token was a bare offset, and offsets are given out again. It is made of the position now, the era first, so that a start which is gone with a copy was lower than any start after it; nothing need be written again for that. In the first era tokens are what they were.

--- a/components/loader/src/fence.rs
+++ b/components/loader/src/fence.rs
@@ -1,8 +1,8 @@
-//! The fencing token: the offset of a record that the loader appends at its start, and again when it was refused for a
-//! higher one.
+//! The fencing token: made of the position of a record that the loader appends at its start, and again when it was refused
+//! for a higher one.
 //!
-//! Offsets only grow, also when a machine is replaced, its clock steps or the store was away in between. A loader
-//! that has none yet gives no orders; its endpoint goes on serving what it holds.
+//! Positions only grow, also when a machine is replaced, its clock steps, or the store was away in between or came back from
+//! an older copy. A loader that has none yet gives no orders; its endpoint goes on serving what it holds.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use events::{Dependency, Event, emit};
 use platform::Store;
 use tokio::sync::{Notify, watch};
+use units::{FencingToken, StorePosition};
 
 /// Where the records are: starts of loaders, each the name of its instance, and what they ask of the weight store.
 pub(crate) const TOPIC: &str = "loader-starts";
@@ -18,29 +19,29 @@
 /// The longest pause: calls are paid for.
 const LONGEST: Duration = Duration::from_secs(2);
 
-/// Takes a token, and another one whenever it is told that somebody has had a higher one.
+/// Writes that the loader has started, and again whenever it is told that somebody has had a higher token. `start` is where that
+/// stands.
 pub(crate) async fn keep(
     store: Store,
     instance: String,
-    token: watch::Sender<Option<u64>>,
+    start: watch::Sender<Option<StorePosition>>,
     fenced: Arc<Notify>,
 ) {
     loop {
-        let taken = take(&store, &instance).await;
-        emit(&Event::Token { token: taken });
-        token.send_replace(Some(taken));
+        let written = write(&store, &instance).await;
+        emit(&Event::Token { token: FencingToken::from(written).0 });
+        start.send_replace(Some(written));
         fenced.notified().await;
-        token.send_replace(None);
+        start.send_replace(None);
     }
 }
 
-/// Takes a token, however long that takes.
-async fn take(store: &Store, instance: &str) -> u64 {
+/// Writes that the loader has started, however long that takes.
+async fn write(store: &Store, instance: &str) -> StorePosition {
     let mut pause = PAUSE;
     loop {
         match store.append(TOPIC, instance.as_bytes()).await {
-            // 0 may stand for "none" at a server.
-            Ok(offset) => return offset.0 + 1,
+            Ok(start) => return start,
             Err(error) => emit(&Event::Lost {
                 dependency: Dependency::Fencing,
                 name: "store",
--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -6,7 +6,7 @@
 use platform::{Log, Store, StoreError};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
-use units::{ModelName, Offset};
+use units::{ModelName, Offset, StorePosition};
 
 use crate::fence::TOPIC;
 use crate::queue::{Note, Queue, RENEW};
@@ -72,8 +72,8 @@
 pub(crate) struct Waiter {
     pub(crate) store: Store,
     pub(crate) instance: String,
-    /// The loader's fencing token: its start stands right before it.
-    pub(crate) token: watch::Receiver<Option<u64>>,
+    /// The position of the record of the loader's start.
+    pub(crate) start: watch::Receiver<Option<StorePosition>>,
     pub(crate) said: mpsc::UnboundedReceiver<Say>,
     pub(crate) granted: watch::Sender<Option<ModelName>>,
     /// Since when the store does not answer.
@@ -103,8 +103,8 @@
 
     /// Where the records begin that may be about loads in progress: somewhat before the loader's own start.
     async fn first_records(&mut self) -> Offset {
-        let token = self.token.wait_for(Option::is_some).await.ok().and_then(|token| *token);
-        Offset(token.unwrap_or(0).saturating_sub(BACK))
+        let start = self.start.wait_for(Option::is_some).await.ok().and_then(|start| *start);
+        Offset(start.unwrap_or_default().offset.0.saturating_sub(BACK))
     }
 
     /// Holds a place in the queue until the steward wants nothing any more; returns how long the load took. `next` is
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -37,7 +37,7 @@
         draining: false,
         engine: Revision(0),
     });
-    let (sender, token) = watch::channel(None);
+    let (sender, start) = watch::channel(None);
     let instance = settings.instance.to_string();
     let fenced = Arc::new(Notify::new());
     let store = Store::new(settings.store);
@@ -47,13 +47,13 @@
     let waiter = Waiter {
         store,
         instance: instance.clone(),
-        token: token.clone(),
+        start: start.clone(),
         said,
         granted,
         away: None,
     };
     tokio::spawn(waiter.run());
-    let token = Token { value: token, fenced };
+    let token = Token { start, fenced };
     let lane = Lane { say, granted: grants };
     let steward = Steward::new(instance, settings.endpoint, token, lane, inbox, state);
     let steward = tokio::spawn(steward.run());
--- a/components/loader/src/steward.rs
+++ b/components/loader/src/steward.rs
@@ -12,7 +12,7 @@
 use platform::{Work, read_report};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
-use units::{EndpointId, Life, Revision};
+use units::{EndpointId, Life, Revision, StorePosition};
 use web::Client;
 
 use crate::desk::Command;
@@ -48,11 +48,11 @@
     expect: Duration,
 }
 
-/// The loader's fencing token.
+/// Where the loader's fencing token comes from.
 #[derive(Debug)]
 pub(crate) struct Token {
-    /// It, once there is one.
-    pub(crate) value: watch::Receiver<Option<u64>>,
+    /// The position of the record of its start, once that is written.
+    pub(crate) start: watch::Receiver<Option<StorePosition>>,
     /// Told when somebody has had a higher one.
     pub(crate) fenced: Arc<Notify>,
 }
@@ -345,11 +345,11 @@
                 true
             }
             Next::Order(work, target) => {
-                let token = *self.token.value.borrow();
-                let Some((token, endpoint)) = token.zip(self.endpoint.clone()) else {
+                let start = *self.token.start.borrow();
+                let Some((start, endpoint)) = start.zip(self.endpoint.clone()) else {
                     return false;
                 };
-                self.order(work, target, token, endpoint).await;
+                self.order(work, target, start.into(), endpoint).await;
                 true
             }
         }
--- a/components/loader/src/steward/orders.rs
+++ b/components/loader/src/steward/orders.rs
@@ -6,7 +6,7 @@
 use fleet::Tier;
 use platform::{Fence, Order, Outcome, Work, call_order};
 use tokio::time::Instant;
-use units::EndpointId;
+use units::{EndpointId, FencingToken};
 
 use crate::steward::{CALM, EAGER, PATIENCE, Pending, RETRY, Steward};
 
@@ -16,7 +16,7 @@
         &mut self,
         work: Work,
         target: ModelId,
-        token: u64,
+        token: FencingToken,
         endpoint: EndpointId,
     ) {
         let sequence = self.ledger.report.as_ref().map(|report| report.sequence);
--- a/components/loader/src/steward/publish.rs
+++ b/components/loader/src/steward/publish.rs
@@ -34,7 +34,7 @@
         let draining = report.is_some_and(|report| report.draining);
         let able = report.is_some()
             && !draining
-            && self.token.value.borrow().is_some()
+            && self.token.start.borrow().is_some()
             && self.ledger.engine.is_some();
         self.state.send_if_modified(|state| {
             let same = state.holdings.models == holdings.models
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -9,7 +9,7 @@
     ParseIdError, RequestId, ServiceName, SettingName, WorkspaceName,
 };
 pub use position::{
-    Epoch, Era, Incarnation, Life, Offset, ParsePositionError, ReplicaIndex, Revision,
-    StorePosition,
+    Epoch, Era, FencingToken, Incarnation, Life, Offset, ParsePositionError, ReplicaIndex,
+    Revision, StorePosition,
 };
 pub use quantity::{ParseQuantityError, Rate, Size, Span};
--- a/components/units/src/position.rs
+++ b/components/units/src/position.rs
@@ -72,6 +72,10 @@
     /// One life of an endpoint, from its start to its end: the Unix millisecond of the start by the endpoint's own clock.
     Life, u64, "life of an endpoint"
 );
+position!(
+    /// Of two who give orders to one endpoint, the one with the higher token started later.
+    FencingToken, u64, "fencing token"
+);
 position!(
     /// Which replica of a model a grant is for, from 0.
     ReplicaIndex, u32, "replica index"
@@ -102,6 +106,7 @@
         Self(offset.0)
     }
 }
+
 /// A position in a topic of the platform's store. Offsets are given out again after the store has come back from an older copy,
 /// so that they tell what is newer only within one era. Written as `era.offset`.
 #[derive(
@@ -129,3 +134,20 @@
         Ok(Self { era: era.parse()?, offset: offset.parse()? })
     }
 }
+
+/// Bits of a fencing token that hold the offset; with up to 8,192 eras the token is exact also for those who read numbers of
+/// JSON as floating-point ones.
+const OFFSET_BITS: u32 = 40;
+
+impl From<StorePosition> for FencingToken {
+    /// The era goes first: a start that the store has lost with a copy had a lower token than any start after it.
+    fn from(start: StorePosition) -> Self {
+        let StorePosition { era, offset } = start;
+        // 0 may stand for "none" at an endpoint.
+        let offset = offset.0.saturating_add(1).min((1 << OFFSET_BITS) - 1);
+        Self(era.0.saturating_mul(1 << OFFSET_BITS).saturating_add(offset))
+    }
+}
+
+#[cfg(test)]
+mod tests;
