Loaders write again what the store has lost of who loads, and no lane is given before that is read

The ends of loads that were gone kept lanes taken for four times as long as a load takes, and whoever waited asked anew only after twenty seconds. Cause: reads went on at a bare offset, which another record has by now, or were taken for deleted ones; and what a loader had written was written once. Positions carry the era; a later one empties the queue but for loads in progress, and holds all grants for 2.5 s, within which loads in progress (a quarter of two seconds), those that wait and ends (two seconds, at random) are written again. A loader that loads or wants nothing does not call the store: routers tell it the era with their questions, and it asks the store before it believes that. Left: a loader that starts within two seconds after a return may take one lane too many.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -7,7 +7,7 @@
 use fleet::{Endpoint, Holdings};
 use quarantine::{Digest, Evidence, Note};
 use serde::{Deserialize, Serialize};
-use units::{EndpointId, Life, ModelName, Revision, StorePosition, WorkspaceName};
+use units::{EndpointId, Era, Life, ModelName, Revision, StorePosition, WorkspaceName};
 
 /// Where a router asks for news of an endpoint.
 pub const POLL_PATH: &str = "/poll";
@@ -37,6 +37,9 @@
     /// The life of the endpoint in which it uses it, if it is known.
     #[serde(default)]
     pub life: Option<Life>,
+    /// The era of the store that the router knows: a loader that does not call the store would not see it come back from a copy.
+    #[serde(default)]
+    pub era: Era,
     /// The version of the news that the router has; 0 if none.
     pub seen: u64,
     /// How long to wait for newer news.
--- a/components/loader/src/desk.rs
+++ b/components/loader/src/desk.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
+use units::Era;
 use web::Body;
 
 /// The largest message: an engine with some thousands of models.
@@ -33,6 +34,8 @@
 pub(crate) struct Desk {
     pub(crate) commands: mpsc::Sender<Command>,
     pub(crate) state: watch::Receiver<State>,
+    /// The highest era of the store that a router has spoken of.
+    pub(crate) heard: watch::Sender<Era>,
 }
 
 impl Desk {
@@ -60,7 +63,12 @@
 
     async fn poll(mut self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
         let poll: Poll = serde_json::from_slice(bytes)?;
-        let (seen, wait) = (poll.seen, poll.wait.min(LONGEST));
+        let (seen, wait, era) = (poll.seen, poll.wait.min(LONGEST), poll.era);
+        self.heard.send_if_modified(|heard| {
+            let later = era > *heard;
+            *heard = era.max(*heard);
+            later
+        });
         let _ = self.commands.send(Command::Uses(poll)).await;
         let newer = self.state.wait_for(|state| state.version != seen);
         let newer = tokio::time::timeout(wait, newer).await.is_ok();
--- a/components/loader/src/desk/tests.rs
+++ b/components/loader/src/desk/tests.rs
@@ -28,6 +28,7 @@
         router: "front-1".to_owned(),
         endpoint: "i-1".parse().expect("an id"),
         life: None,
+        era: Era::default(),
         seen,
         wait: Duration::from_secs(1),
         uses: Vec::new(),
@@ -42,7 +43,7 @@
 async fn a_router_that_has_the_news_is_told_only_how_busy_the_endpoint_is() {
     let (commands, _inbox) = mpsc::channel(8);
     let (_sender, news) = watch::channel(state(7));
-    let desk = Desk { commands, state: news };
+    let desk = Desk { commands, state: news, heard: watch::Sender::default() };
     let (polled, whole) = ask(desk.clone(), 0).await;
     assert_eq!(polled, Polled::News(Box::new(state(7))));
     let (polled, short) = ask(desk, 7).await;
@@ -54,7 +55,7 @@
 async fn news_end_the_wait() {
     let (commands, _inbox) = mpsc::channel(8);
     let (sender, news) = watch::channel(state(7));
-    let desk = Desk { commands, state: news };
+    let desk = Desk { commands, state: news, heard: watch::Sender::default() };
     let asked = tokio::spawn(ask(desk, 7));
     tokio::time::sleep(Duration::from_millis(100)).await;
     sender.send_replace(state(8));
--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use events::{Dependency, Event, emit, millis};
-use platform::{Log, Store, StoreError};
+use platform::{Store, StoreError};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
-use units::{ModelName, Offset, StorePosition};
+use units::{Era, ModelName, StorePosition};
 
 use crate::fence::TOPIC;
-use crate::queue::{Note, Queue, RENEW};
+use crate::queue::{Note, RENEW};
+use crate::records::{AGAIN, Found, Records};
 
 /// How long a read of the records waits for a new one.
 const WAIT: Duration = Duration::from_secs(3);
@@ -20,9 +21,8 @@
 const CALM: Duration = Duration::from_secs(2);
 /// Requests a second from which on a model is asked for all the time.
 const BUSY: f64 = 2.0;
-/// Records before the loader's own start that may still be about a load in progress: ten for each of some fifty loaders. Where
-/// there are more, a loader that has just started may take a lane too many, once.
-const BACK: u64 = 512;
+/// Copies of the store that it comes back from are some seconds old: what was written longer ago is in them.
+const COPIED: Duration = Duration::from_secs(30);
 
 /// What the steward asks for.
 #[derive(Debug, Clone, PartialEq)]
@@ -76,71 +76,120 @@
     pub(crate) start: watch::Receiver<Option<StorePosition>>,
     pub(crate) said: mpsc::UnboundedReceiver<Say>,
     pub(crate) granted: watch::Sender<Option<ModelName>>,
+    /// The highest era of the store that a router has spoken of.
+    pub(crate) heard: watch::Receiver<Era>,
     /// Since when the store does not answer.
-    pub(crate) away: Option<Instant>,
+    away: Option<Instant>,
+    /// The highest of those eras on which the store has been asked.
+    checked: Era,
+    /// When what it asks for is to be written again, since the store may have lost it.
+    again: Option<Instant>,
 }
 
 impl Waiter {
+    pub(crate) fn new(
+        store: Store,
+        instance: String,
+        start: watch::Receiver<Option<StorePosition>>,
+        heard: watch::Receiver<Era>,
+        said: mpsc::UnboundedReceiver<Say>,
+        granted: watch::Sender<Option<ModelName>>,
+    ) -> Self {
+        let (away, checked, again) = (None, Era::default(), None);
+        Self { store, instance, start, said, granted, heard, away, checked, again }
+    }
+
     /// Runs until the steward is gone.
     pub(crate) async fn run(mut self) {
-        let (mut queue, mut next) = (Queue::default(), self.first_records().await);
-        if let Ok(reached) = read(&self.store, &mut queue, next, Duration::ZERO).await {
-            // Whom there is has to be known before the store is away.
-            next = reached;
+        let start = self.start.wait_for(Option::is_some).await.ok().and_then(|start| *start);
+        let mut records = Records::new(self.store.clone(), start.unwrap_or_default());
+        // Whom there is has to be known before the store is away.
+        if let Err(error) = records.read(Duration::ZERO).await {
+            log::debug!("loader: the records of others are not read yet: {error}");
         }
-        while let Some(said) = self.said.recv().await {
+        let mut ended: Option<Instant> = None;
+        loop {
+            let said = tokio::select! {
+                said = self.said.recv() => said,
+                () = later_era(&mut self.heard, records.era().max(self.checked)) => {
+                    let restored = self.check_era(&mut records).await;
+                    if restored && ended.is_some_and(|at| at.elapsed() < COPIED) {
+                        // That it asks for nothing any more may be lost: its lane would count as taken.
+                        self.end(None).await;
+                    }
+                    continue;
+                }
+            };
+            let Some(said) = said else { return };
             // What was said meanwhile counts.
             let said = self.newest(said);
             let Say::Want(wish) = said else { continue };
-            let done = self.wait(&mut queue, &mut next, wish).await;
+            let done = self.wait(&mut records, wish).await;
             self.granted.send_replace(None);
-            let end = Note::End { loader: self.instance.clone(), took: done.map(millis) };
-            if let Err(error) = self.append(&end).await {
+            self.end(done.map(millis)).await;
+            ended = Some(Instant::now());
+        }
+    }
+
+    /// Asks the store whether it has come back from an older copy, as a router says.
+    async fn check_era(&mut self, records: &mut Records) -> bool {
+        let heard = *self.heard.borrow_and_update();
+        match records.read(Duration::ZERO).await {
+            Ok(found) => {
+                self.checked = heard;
+                found == Found::Restored
+            }
+            Err(error) => {
                 self.away(&error);
+                tokio::time::sleep(CALM).await;
+                false
             }
         }
     }
 
-    /// Where the records begin that may be about loads in progress: somewhat before the loader's own start.
-    async fn first_records(&mut self) -> Offset {
-        let start = self.start.wait_for(Option::is_some).await.ok().and_then(|start| *start);
-        Offset(start.unwrap_or_default().offset.0.saturating_sub(BACK))
+    /// Writes that this loader asks for nothing any more.
+    async fn end(&mut self, took: Option<u64>) {
+        let end = Note::End { loader: self.instance.clone(), took };
+        if let Err(error) = self.append(&end).await {
+            self.away(&error);
+        }
     }
 
-    /// Holds a place in the queue until the steward wants nothing any more; returns how long the load took. `next` is
-    /// where the records are read on.
-    async fn wait(
-        &mut self,
-        queue: &mut Queue,
-        next: &mut Offset,
-        mut wish: Wish,
-    ) -> Option<Duration> {
+    /// Holds a place in the queue until the steward wants nothing any more; returns how long the load took.
+    async fn wait(&mut self, records: &mut Records, mut wish: Wish) -> Option<Duration> {
         let since = Instant::now();
         let mut asked: Option<(Wish, Instant)> = None;
         loop {
+            let loading = self.granted.borrow().as_ref() == Some(&wish.model);
             let stale = asked.as_ref().is_none_or(|(before, at)| {
                 let grown = wish.worth > grown(before.worth);
                 before.model != wish.model || grown || at.elapsed() > RENEW
             });
-            let granted = self.granted.borrow().as_ref() == Some(&wish.model);
-            if stale && !granted {
+            let again = self.again.is_some_and(|at| Instant::now() >= at);
+            if stale && !loading || again {
                 let note = Note::Ask {
                     loader: self.instance.clone(),
                     model: wish.model.clone(),
                     worth: wish.worth,
                     alone: wish.alone,
+                    loading,
                 };
                 match self.append(&note).await {
                     Ok(()) => {
                         self.reached();
+                        self.again = None;
                         asked = Some((wish.clone(), Instant::now()));
                     }
-                    Err(error) => self.lost(&error, queue, &wish, since),
+                    Err(error) if loading => {
+                        self.away(&error);
+                        self.again = Some(Instant::now() + CALM);
+                    }
+                    Err(error) => self.lost(&error, records, &wish, since),
                 }
             }
             // A store that takes no record is not asked for any.
             let unsaid = stale && self.away.is_some();
-            let said = match self.listen(queue, next, &wish, since, unsaid).await {
+            let said = match self.listen(records, &wish, since, unsaid).await {
                 Heard::Said(said) => self.newest(said),
                 Heard::Nothing => continue,
                 Heard::Gone => return None,
@@ -157,23 +206,20 @@
         }
     }
 
-    /// Reads the records until it is the loader's turn, and from then on only listens to the steward.
+    /// Reads the records until it is the loader's turn, and from then on only listens to the steward, and to routers that speak of
+    /// a later era of the store.
     async fn listen(
         &mut self,
-        queue: &mut Queue,
-        next: &mut Offset,
+        records: &mut Records,
         wish: &Wish,
         since: Instant,
         unsaid: bool,
     ) -> Heard {
         if self.granted.borrow().is_some() {
-            return self.said.recv().await.into();
+            return self.load(records).await;
         }
-        let from = *next;
         tokio::select! {
-            read = read(&self.store, queue, from, WAIT), if !unsaid => {
-                self.judge(read, queue, next, wish, since);
-            }
+            read = records.read(WAIT), if !unsaid => self.judge(read, records, wish, since),
             said = self.said.recv() => return said.into(),
             () = std::future::ready(()), if unsaid => {}
         }
@@ -181,38 +227,53 @@
             return Heard::Nothing;
         }
         let pace = if wish.worth >= BUSY && self.away.is_none() { PACE } else { CALM };
-        match tokio::time::timeout(pace, self.said.recv()).await {
-            Ok(said) => said.into(),
-            Err(_) => Heard::Nothing,
+        tokio::select! {
+            said = self.said.recv() => said.into(),
+            () = tokio::time::sleep(pace) => Heard::Nothing,
+            () = due(self.again) => Heard::Nothing,
+        }
+    }
+
+    /// Listens while the loader has a lane.
+    async fn load(&mut self, records: &mut Records) -> Heard {
+        tokio::select! {
+            said = self.said.recv() => return said.into(),
+            () = due(self.again) => return Heard::Nothing,
+            () = later_era(&mut self.heard, records.era().max(self.checked)) => {}
+        }
+        if self.check_era(records).await {
+            // Few have a lane, and all others have to know of it before they take one.
+            self.again = Some(Instant::now() + AGAIN.mul_f64(rand::random::<f64>() / 4.0));
         }
+        Heard::Nothing
     }
 
-    /// Takes note of a read: whether it is the loader's turn, or the store is away.
+    /// Takes note of a read: whether it is the loader's turn, the store has come back from an older copy, or it is away.
     fn judge(
         &mut self,
-        read: Result<Offset, StoreError>,
-        queue: &Queue,
-        next: &mut Offset,
+        read: Result<Found, StoreError>,
+        records: &Records,
         wish: &Wish,
         since: Instant,
     ) {
         match read {
-            Ok(reached) => {
-                *next = reached;
+            Ok(Found::News) => self.reached(),
+            Ok(Found::Restored) => {
                 self.reached();
+                self.again = Some(Instant::now() + AGAIN.mul_f64(rand::random()));
             }
-            Err(error) => return self.lost(&error, queue, wish, since),
+            Err(error) => return self.lost(&error, records, wish, since),
         }
-        if queue.granted(&self.instance) == Some(&wish.model) {
+        if records.queue.granted(&self.instance) == Some(&wish.model) {
             self.go(wish, since, true);
         }
     }
 
     /// Takes note of a call that failed. Without the store nothing can be agreed, and the loader goes when it would be its
     /// turn by what was read last: if all went at once, forty loads would run where one goes at full speed, and none be done.
-    fn lost(&mut self, error: &StoreError, queue: &Queue, wish: &Wish, since: Instant) {
+    fn lost(&mut self, error: &StoreError, records: &Records, wish: &Wish, since: Instant) {
         let away = self.away(error).max(since);
-        if away.elapsed() >= queue.turn(&self.instance, wish.alone) {
+        if away.elapsed() >= records.queue.turn(&self.instance, wish.alone) {
             self.go(wish, since, false);
         }
     }
@@ -255,28 +316,19 @@
     }
 }
 
-/// Reads on and folds what is new; returns where to read next.
-async fn read(
-    store: &Store,
-    queue: &mut Queue,
-    from: Offset,
-    wait: Duration,
-) -> Result<Offset, StoreError> {
-    let log = store.read_log(TOPIC, from, wait).await?;
-    let now = Instant::now();
-    match log {
-        Log::Expired(first) => Ok(first),
-        Log::New { records, next } => {
-            for record in records {
-                match serde_json::from_slice(&record) {
-                    Ok(note) => queue.take(note, now),
-                    // The record of a start is the name of an instance.
-                    Err(_) => queue.started(&String::from_utf8_lossy(&record), now),
-                }
-            }
-            queue.grant(now);
-            Ok(next)
-        }
+/// Waits until a router speaks of a later era than this one.
+async fn later_era(heard: &mut watch::Receiver<Era>, known: Era) {
+    if heard.wait_for(|era| *era > known).await.is_err() {
+        // No router is answered any more: the loader ends.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Waits until a moment; without one, for ever.
+async fn due(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
     }
 }
 
@@ -284,3 +336,6 @@
 pub(crate) fn grown(worth: f64) -> f64 {
     worth * 2.0 + 1.0
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod plan;
 mod queue;
+mod records;
 mod run;
 mod settings;
 mod steward;
--- a/components/loader/src/queue.rs
+++ b/components/loader/src/queue.rs
@@ -39,6 +39,9 @@
         /// How long the load takes alone.
         #[serde(with = "fleet::millis")]
         alone: Duration,
+        /// Whether it has a lane already, by records that the store has lost.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        loading: bool,
     },
     /// A loader asks for nothing any more.
     End {
@@ -84,6 +87,8 @@
     loaders: BTreeSet<String>,
     lanes: Lanes,
     places: u64,
+    /// Whether no lane is given to anybody, since the records do not show yet which are taken.
+    held: bool,
 }
 
 impl Queue {
@@ -94,15 +99,30 @@
         self.grant(now);
     }
 
+    /// The store has come back from an older copy. Loads in progress go on: they keep their lanes, also if their loaders do not reach
+    /// the store. Those that wait ask again, and get no lane before [`Self::settled`].
+    pub(crate) fn restored(&mut self) {
+        self.entries.retain(|_, entry| entry.lane.is_some());
+        self.held = true;
+    }
+
+    /// What may have been lost is written again, and read.
+    pub(crate) fn settled(&mut self) {
+        self.held = false;
+    }
+
     /// Takes one record.
     pub(crate) fn take(&mut self, note: Note, now: Instant) {
         self.places += 1;
         match note {
-            Note::Ask { loader, model, worth, alone } => {
+            Note::Ask { loader, model, worth, alone, loading } => {
                 self.loaders.insert(loader.clone());
                 let before = self.entries.get(&loader).filter(|entry| entry.model == model);
-                let (place, lane) =
+                let (place, mut lane) =
                     before.map_or((self.places, None), |entry| (entry.place, entry.lane));
+                if loading {
+                    lane = lane.or(Some((now, Beside::all(self.running() + 1))));
+                }
                 let entry = Entry { model, worth, alone, place, asked: now, lane };
                 self.entries.insert(loader, entry);
             }
@@ -145,6 +165,12 @@
         alone.saturating_mul(u32::try_from(rounds).unwrap_or(u32::MAX))
     }
 
+    /// Loads that have a lane.
+    fn running(&self) -> u32 {
+        let running = self.entries.values().filter(|entry| entry.lane.is_some()).count();
+        u32::try_from(running).unwrap_or(u32::MAX)
+    }
+
     /// Gives free lanes to those from whom most is wanted, each model once first; equal ones in the order in which they
     /// asked.
     pub(crate) fn grant(&mut self, now: Instant) {
@@ -152,11 +178,14 @@
             Some((since, _)) => now - since < entry.alone.saturating_mul(LOST),
             None => now - entry.asked < RENEW * 2,
         });
-        let taken = self.entries.values().filter(|entry| entry.lane.is_some()).count();
-        let free = (self.lanes.count() as usize).saturating_sub(taken);
+        if self.held {
+            return;
+        }
+        let taken = self.running();
+        let free = self.lanes.count().saturating_sub(taken);
         let waiting = self.entries.values().filter(|entry| entry.lane.is_none()).count();
-        let granted = waiting.min(free);
-        let running = u32::try_from(taken + granted).unwrap_or(u32::MAX);
+        let granted = u32::try_from(waiting).unwrap_or(u32::MAX).min(free);
+        let running = taken + granted;
         for _ in 0..granted {
             let loads: Vec<ModelName> = self.entries.values().filter_map(Entry::loads).collect();
             let waiting = self.entries.values_mut().filter(|entry| entry.lane.is_none());
--- a/components/loader/src/queue/tests.rs
+++ b/components/loader/src/queue/tests.rs
@@ -6,7 +6,7 @@
 
 fn ask(loader: usize, model: &str, worth: f64) -> Note {
     let model = model.parse().expect("a name");
-    Note::Ask { loader: format!("side-{loader}"), model, worth, alone: ALONE }
+    Note::Ask { loader: format!("side-{loader}"), model, worth, alone: ALONE, loading: false }
 }
 
 fn end(loader: usize, took: Option<Duration>) -> Note {
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -7,7 +7,7 @@
 use platform::Store;
 use process::{Phase, Single, StartError};
 use tokio::sync::{Notify, mpsc, watch};
-use units::Revision;
+use units::{Era, Revision};
 use web::ServeOptions;
 
 use crate::desk::Desk;
@@ -44,20 +44,14 @@
     tokio::spawn(fence::keep(store.clone(), instance.clone(), sender, fenced.clone()));
     let (say, said) = mpsc::unbounded_channel();
     let (granted, grants) = watch::channel(None);
-    let waiter = Waiter {
-        store,
-        instance: instance.clone(),
-        start: start.clone(),
-        said,
-        granted,
-        away: None,
-    };
+    let (heard, eras) = watch::channel(Era::default());
+    let waiter = Waiter::new(store, instance.clone(), start.clone(), eras, said, granted);
     tokio::spawn(waiter.run());
     let token = Token { start, fenced };
     let lane = Lane { say, granted: grants };
     let steward = Steward::new(instance, settings.endpoint, token, lane, inbox, state);
     let steward = tokio::spawn(steward.run());
-    let desk = Desk { commands, state: news };
+    let desk = Desk { commands, state: news, heard };
     let stop = process.shutdown.flag(Phase::Drain);
     let handler = move |request, _| desk.clone().answer(request);
     tokio::select! {
--- a/components/router/src/peer.rs
+++ b/components/router/src/peer.rs
@@ -66,7 +66,8 @@
         };
         let router = shared.instance.clone();
         let wait = if leaving { DRAIN_WAIT } else { calm };
-        let poll = Poll { router, endpoint: id.clone(), life, seen, wait, uses };
+        let (endpoint, era) = (id.clone(), shared.store.era());
+        let poll = Poll { router, endpoint, life, era, seen, wait, uses };
         match loader.poll(&poll).await {
             Ok(polled) => {
                 if let Some(since) = lost.take() {
