--- a/components/planner/tests/lease.rs
+++ b/components/planner/tests/lease.rs
@@ -9,6 +9,7 @@
 };
 use edge::Stream;
 use record::{Body, Record};
+use rstest::rstest;
 use state::State;
 
 /// Entries of which one holds the lease.
@@ -174,6 +175,38 @@
     assert!(after.claims <= before.claims + 3, "{} claims", after.claims - before.claims);
 }
 
+/// One record or the return of the log wakes all entries at the same instant: only their jitter keeps their claims apart, whatever
+/// their names, however many there are, and wherever in a renewal the holder ends.
+#[rstest]
+#[case::eight(8)]
+#[case::twelve(12)]
+#[tokio::test(start_paused = true)]
+async fn can_replace_a_holder_with_few_claims_whatever_the_names_and_the_moment(
+    #[case] count: usize,
+) {
+    for round in 0..24_u32 {
+        let site = Site::default();
+        let first = 100 * (round as usize + 1);
+        let mut entries: Vec<Entry> =
+            (first..first + count).map(|number| site.entry(number)).collect();
+        site.until("a holder", |state| state.lease().holder.is_some()).await;
+        tokio::time::sleep(Duration::from_millis(10_000 + u64::from(round) * 137)).await;
+        let outage = round % 2 == 0;
+        site.log.set(|faults| faults.outage = outage);
+        tokio::time::sleep(Duration::from_millis(u64::from(round) * 71)).await;
+        let before = site.history();
+        take_holder(&mut entries, &before.state).kill();
+        pass(u64::from(round % 5)).await;
+        site.log.set(|faults| faults.outage = false);
+        site.until("another holder", |state| epoch(state) > epoch(&before.state)).await;
+        pass(60).await;
+        let after = site.history();
+        assert_eq!(after.elected, before.elected + 1, "round {round}");
+        let claims = after.claims - before.claims;
+        assert!(claims <= 3, "round {round}: {claims} claims of {count} entries");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_claim_once_although_answers_are_lost() {
     let site = Site::default();
