A store that has lost the configuration proves nothing about keys

What callers would see: a key served on without end by a router whose store has come back from a copy older than any configuration, though a version that took the key away may have been lost with it. Cause: the newest version that was read was kept over a whole read that brought none, so that each read after it counted as proof. Now a whole read without a configuration is no proof: keys are served for their bound, then 503 until the operator has written again. a_store_that_has_lost_the_configuration_proves_nothing failed before (200 for 503).

Besides, loaders that lost the store together try again at moments of their own: all had the same pauses.

--- a/components/loader/src/fence.rs
+++ b/components/loader/src/fence.rs
@@ -48,7 +48,8 @@
                 cause: &error.to_string(),
             }),
         }
-        tokio::time::sleep(pause).await;
+        // All loaders lose the store at once, and find it back together.
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
         pause = (pause * 2).min(LONGEST);
     }
 }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -155,6 +155,10 @@
 /// `newest` is the version of the newest record, as far as that can be read.
 fn take_config(shared: &Shared, batch: Batch, newest: &mut Option<Revision>) -> bool {
     let mut fresh = false;
+    if batch.whole {
+        // A store that has come back from a copy may have none.
+        *newest = None;
+    }
     for news in batch.news {
         match news {
             News::Config(catalog) => {
