--- a/components/quota/tests/limits.rs
+++ b/components/quota/tests/limits.rs
@@ -8,6 +8,8 @@
 }
 
 use limits::world::{Faults, Plan, Press, Sharing, World};
+use std::time::Duration;
+
 use rstest::rstest;
 
 /// Seeds of each test, unless the environment says otherwise.
@@ -93,3 +95,18 @@
         }
     }
 }
+
+/// Routers that start know nothing of what was let in before, and their buckets are empty; all of them ask each other.
+#[rstest]
+fn most_requests_are_let_in_again_after_all_routers_were_killed(
+    #[values(21, 107, 370)] routers: usize,
+    #[values(157_950.0, 20_000.0, 4_200.0)] rate: f64,
+) {
+    /// What a deployment is given to recover.
+    const RECOVERY: Duration = Duration::from_secs(15);
+    let plan = Plan { routers, rate, seconds: 30, faults: Faults::Killed, ..Plan::default() };
+    let result = World::new(plan, 1).play();
+    println!("{routers} routers, rate {rate}: {result:?}");
+    assert!(result.worst <= 1.0, "{result:?}");
+    assert!(result.served.is_some_and(|after| after < RECOVERY), "{result:?}");
+}
--- a/components/quota/tests/limits/world.rs
+++ b/components/quota/tests/limits/world.rs
@@ -21,6 +21,8 @@
 /// A caller's request counts this much on average; one in twenty counts five times as much.
 const COST: f64 = 1_000.0;
 const DOMAINS: usize = 4;
+/// All are killed so long after they have joined.
+const KILLED: u64 = 10_000;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Sharing {
@@ -41,6 +43,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Faults {
     None,
+    /// All routers are killed once, and are back soon.
+    Killed,
     All,
 }
 
@@ -78,6 +82,8 @@
     pub(crate) shares: f64,
     /// The part of the requests that were refused once all routers had joined.
     pub(crate) refused: f64,
+    /// After all were killed: how long it took until most requests were let in.
+    pub(crate) served: Option<Duration>,
     pub(crate) messages: f64,
     pub(crate) calls: f64,
 }
@@ -126,6 +132,8 @@
     shares: f64,
     asked: u32,
     refused: u32,
+    /// Half a second each since all were killed: requests, and how many were let in.
+    since_killed: Vec<(u32, u32)>,
     messages: u32,
     calls: u32,
     terms: Terms,
@@ -161,6 +169,7 @@
             shares: 0.0,
             asked: 0,
             refused: 0,
+            since_killed: Vec::new(),
             messages: 0,
             calls: 0,
             terms: Terms::new(limit, BOUNDS),
@@ -207,8 +216,13 @@
         let end = joined + self.plan.seconds * 1_000;
         while self.now < end {
             self.now += STEP;
-            if self.plan.faults == Faults::All {
-                self.harm();
+            match self.plan.faults {
+                Faults::None => {}
+                Faults::Killed if self.now == joined + KILLED => {
+                    (0..self.routers.len()).for_each(|at| self.kill(at, Some(self.now + 500)));
+                }
+                Faults::Killed => {}
+                Faults::All => self.harm(),
             }
             self.store();
             for at in 0..self.routers.len() {
@@ -223,11 +237,21 @@
             worst: self.worst / self.allowed,
             shares: self.shares,
             refused: f64::from(self.refused) / f64::from(self.asked.max(1)),
+            served: self.served(),
             messages: f64::from(self.messages) / seconds,
             calls: f64::from(self.calls) / seconds,
         }
     }
 
+    fn served(&self) -> Option<Duration> {
+        if std::env::var("LIMITS_REPORT").is_ok() && self.plan.faults == Faults::Killed {
+            println!("{:?}", &self.since_killed[..self.since_killed.len().min(24)]);
+        }
+        let most = |(asked, let_in): &(u32, u32)| *let_in * 2 > *asked && *asked > 0;
+        let half = u32::try_from(self.since_killed.iter().position(most)?).ok()?;
+        Some(Duration::from_millis(500) * half)
+    }
+
     /// What all routers that run have together.
     fn all_shares(&self) -> f64 {
         let moment = self.at(self.now);
@@ -385,6 +409,12 @@
             if let Some(at) = self.pick() {
                 let in_calm = self.plan.faults == Faults::None && self.now > joined;
                 let let_in = self.admit(at, cost);
+                if self.plan.faults == Faults::Killed && self.now > joined + KILLED {
+                    let half = usize::try_from((self.now - joined - KILLED) / 500).expect("few");
+                    self.since_killed.resize(self.since_killed.len().max(half + 1), (0, 0));
+                    self.since_killed[half].0 += 1;
+                    self.since_killed[half].1 += u32::from(let_in);
+                }
                 if in_calm {
                     self.asked += 1;
                     self.refused += u32::from(!let_in);
