--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -37,11 +37,18 @@
 /// The longest that a process is paused.
 const PAUSED: u64 = 2_500;
 
+/// How often the store comes back from a copy, for each other fault.
+const RESTORED: f64 = 0.1;
+/// How old copies are at most.
+const OLDEST: u64 = 9_000;
+
 /// What is to be played.
 #[derive(Debug)]
 pub(crate) struct Job {
     /// The seeds.
     pub(crate) seeds: Range<u64>,
+    /// Whether the store comes back from older copies of itself.
+    pub(crate) restores: bool,
     /// Where the programs are.
     pub(crate) bin: PathBuf,
     /// Where settings and logs go, a folder for each seed.
@@ -61,8 +68,9 @@
         }
         if !broken.is_empty() {
             println!(
-                "  again: hyssop-load soak --seeds {seed}..{}; logs: {}",
+                "  again: hyssop-load soak --seeds {seed}..{}{}; logs: {}",
                 seed + 1,
+                if job.restores { " --restores" } else { "" },
                 out.display()
             );
             failed.push(seed);
@@ -78,6 +86,8 @@
 
 async fn play(seed: u64, job: &Job, out: PathBuf) -> Result<(usize, Vec<String>), ChildError> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    // The other faults of a seed are the same with and without restores.
+    let mut restores = ChaCha8Rng::seed_from_u64(!seed);
     let mut world = World::start(&job.bin, &out).await?;
     let shared = world.shared.clone();
     let until = Instant::now() + PLAYED;
@@ -92,6 +102,9 @@
         // In each second seed all routers reach the store throughout, so that what they share must have been seen.
         let calm = seed % 2 == 1;
         disturb(&mut world, &mut rng, calm)?;
+        if job.restores && restores.random_bool(RESTORED) {
+            world.restore(Duration::from_millis(restores.random_range(0..OLDEST)));
+        }
         sleep(Duration::from_millis(rng.random_range(30..400))).await;
         world.tend()?;
         if rng.random_bool(0.25) {
--- a/components/load/src/soak/keys.rs
+++ b/components/load/src/soak/keys.rs
@@ -56,6 +56,13 @@
         let mut state = self.lock();
         let next = format!("key-{}-of-the-school", state.keys.len());
         state.keys.push(next);
+        drop(state);
+        self.configuration(version, kinds)
+    }
+
+    /// The configuration with the keys that are good.
+    pub(super) fn configuration(&self, version: u64, kinds: &[&str]) -> serde_json::Value {
+        let state = self.lock();
         let good = state.keys.len().saturating_sub(GOOD);
         let keys: Vec<&str> = state.keys[good..].iter().map(String::as_str).collect();
         let school = Workspace { name: "school", keys: &keys, rate: None };
--- a/components/load/src/soak/world.rs
+++ b/components/load/src/soak/world.rs
@@ -195,6 +195,21 @@
         self.shared.keys.written();
     }
 
+    /// The store comes back from a copy that is so old, and the operator and the servers write again what they wrote.
+    pub(super) fn restore(&self, age: Duration) {
+        let Shared { store, plain, engines, keys, .. } = &*self.shared;
+        let now = Instant::now();
+        store.restore(age);
+        store.put("keyed.op", "config", &keys.configuration(self.version, &KINDS));
+        for (servers, service) in [(plain, "app"), (engines, "llm")] {
+            for server in servers {
+                let state = if server.leaves() { "draining" } else { "ready" };
+                store.list(server, service, Some(state));
+            }
+        }
+        self.shared.disturbances().push(Disturbed { router: None, from: now, until: Some(now) });
+    }
+
     /// Sends a signal to a process that runs; it is started again once it has ended.
     pub(super) fn signal(&mut self, index: usize, signal: Signal) -> Result<(), ChildError> {
         self.shared.disturb(index.checked_sub(LOADERS));
@@ -341,8 +356,11 @@
 
     /// Something begins to disturb a router, or all.
     pub(super) fn disturb(&self, router: Option<usize>) {
-        let disturbed = Disturbed { router, from: Instant::now(), until: None };
-        self.disturbed.lock().unwrap_or_else(PoisonError::into_inner).push(disturbed);
+        self.disturbances().push(Disturbed { router, from: Instant::now(), until: None });
+    }
+
+    fn disturbances(&self) -> MutexGuard<'_, Vec<Disturbed>> {
+        self.disturbed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A link is cut or silenced, which disturbs the router whose way to the store it is.
@@ -355,7 +373,7 @@
 
     /// What disturbs a router, or all, is over.
     fn settle(&self, router: Option<usize>) {
-        let mut all = self.disturbed.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut all = self.disturbances();
         for one in all.iter_mut().filter(|one| one.router == router) {
             one.until.get_or_insert_with(Instant::now);
         }
@@ -377,7 +395,7 @@
         to: Instant,
         whom: impl Fn(Option<usize>) -> bool,
     ) -> bool {
-        let all = self.disturbed.lock().unwrap_or_else(PoisonError::into_inner);
+        let all = self.disturbances();
         all.iter().any(|one| {
             whom(one.router) && one.from <= to && one.until.is_none_or(|until| until >= from)
         })
