A request that ends endpoints is known with any key of its workspace

What callers saw: with each new key of a workspace, a request that crashes what runs it ended three more endpoints before it was refused again. Cause: the caller of a request was its host and its Authorization header; a request with a key was another one with the next key. The caller is its workspace now, where the configuration has workspaces; elsewhere nothing changes. a_request_that_ends_servers_is_known_with_another_key_of_its_workspace failed before (502 for 400).

--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -136,9 +136,13 @@
         Err(ReadError::Cut(_)) => return Err(malformed()),
     };
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    let key = platform::caller_key(&parts.headers);
+    let sender = match identity.workspace() {
+        // Its keys are replaced, and what ends endpoints is known with the next one.
+        Some(workspace) => workspace.name.as_str().as_bytes(),
+        None => platform::caller_key(&parts.headers),
+    };
     let (host, method) = (call.host.as_bytes(), parts.method.as_str().as_bytes());
-    let digest = Digest::of(&[host, key, method, path.as_bytes(), &body]);
+    let digest = Digest::of(&[host, sender, method, path.as_bytes(), &body]);
     if !matches!(identity, Identity::Unmanaged) {
         platform::remove_identity(&mut parts.headers);
     }
