--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	$(CARGO) run $(FLAGS) --release --quiet --bin hyssop-load -- scale
 
 soak: setup
-	$(CARGO) build $(FLAGS) --bins
+	$(CARGO) build $(FLAGS) --workspace --bins
 	$(CARGO) run $(FLAGS) --quiet --bin hyssop-load -- soak --seeds $(SEEDS)
 
 fuzz: setup
