--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -5,6 +5,8 @@
 //! key away. Callers go on
 //! using their connections until the process behind them is gone.
 
+mod callers;
+mod disturbed;
 mod keys;
 mod world;
 
@@ -145,7 +147,7 @@
         6 => engine.freeze(true),
         7 | 8 if calm => {}
         7 | 8 => {
-            shared.disturb(None);
+            shared.disturbed.begin(None);
             shared.store.fail([Fault::Busy, Fault::Silent][rng.random_range(0..2)]);
         }
         9 => shared.store.forget(),
--- a/components/load/src/soak/world.rs
+++ b/components/load/src/soak/world.rs
@@ -2,24 +2,21 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
-use standin_platform::{
-    Act, Call, Connection, Fault, Harm, Link, Server, Store, broken, engine, exchange, unheeded,
-};
+use standin_platform::{Act, Call, Fault, Harm, Link, Server, Store, broken, engine, unheeded};
 use tokio::time::{Instant, sleep};
 
-use super::keys::{Keys, OVERSHOOT, REVOKE, SLACK, WINDOW, Whose};
+use super::callers::name;
+use super::disturbed::Disturbances;
+use super::keys::{Keys, OVERSHOOT, REVOKE, SLACK, WINDOW};
 use crate::children::{ChildError, Launch, Process};
 
-const KINDS: [&str; 4] = ["safe", "unsafe", "stream", "resumable"];
-const MODELS: [&str; 3] = ["a", "b", "c"];
+pub(super) const KINDS: [&str; 4] = ["safe", "unsafe", "stream", "resumable"];
 /// Loaders, which are started before the routers.
 const LOADERS: usize = 2;
 /// The port of all loaders.
@@ -36,31 +33,16 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// So often may a request be sent on, by routers in touch, from `CONTACT` after it has ended a third server.
 const SENT_ON: usize = 3;
-/// Between two sends of a caller that insists.
-const INSIST: Duration = Duration::from_millis(120);
-/// A connection is used for this many requests at most.
-const KEPT: u32 = 40;
-
 /// What the callers share with the faults.
 pub(super) struct Shared {
     pub(super) store: Store,
     pub(super) plain: Vec<Server>,
     pub(super) engines: Vec<Server>,
-    routers: Vec<SocketAddr>,
+    pub(super) routers: Vec<SocketAddr>,
     calls: Mutex<Vec<Call>>,
-    keys: Keys,
-    next: AtomicU64,
-    /// What disturbed routers, all of them where none is named, and until when.
-    disturbed: Mutex<Vec<Disturbed>>,
-}
-
-/// A router was kept from the store or from others, stood still or started again.
-#[derive(Debug, Clone, Copy)]
-struct Disturbed {
-    router: Option<usize>,
-    from: Instant,
-    /// Not yet over if none.
-    until: Option<Instant>,
+    pub(super) keys: Keys,
+    pub(super) next: AtomicU64,
+    pub(super) disturbed: Disturbances,
 }
 
 /// A process and what is to happen to it.
@@ -161,7 +143,7 @@
             calls: Mutex::default(),
             keys,
             next: AtomicU64::new(1),
-            disturbed: Mutex::default(),
+            disturbed: Disturbances::default(),
         };
         let mut world = Self { shared: Arc::new(shared), links, children, version: 1 };
         world.tend()?;
@@ -198,7 +180,6 @@
     /// The store comes back from a copy that is so old, and the operator and the servers write again what they wrote.
     pub(super) fn restore(&self, age: Duration) {
         let Shared { store, plain, engines, keys, .. } = &*self.shared;
-        let now = Instant::now();
         store.restore(age);
         store.put("keyed.op", "config", &keys.configuration(self.version, &KINDS));
         for (servers, service) in [(plain, "app"), (engines, "llm")] {
@@ -207,12 +188,12 @@
                 store.list(server, service, Some(state));
             }
         }
-        self.shared.disturbances().push(Disturbed { router: None, from: now, until: Some(now) });
+        self.shared.disturbed.note_moment();
     }
 
     /// Sends a signal to a process that runs; it is started again once it has ended.
     pub(super) fn signal(&mut self, index: usize, signal: Signal) -> Result<(), ChildError> {
-        self.shared.disturb(index.checked_sub(LOADERS));
+        self.shared.disturbed.begin(index.checked_sub(LOADERS));
         let child = &mut self.children[index];
         let Some(process) = child.process.as_ref().filter(|process| process.id().is_some()) else {
             return Ok(());
@@ -246,12 +227,12 @@
         for (index, child) in self.children.iter_mut().enumerate() {
             if child.wakes.is_some_and(|wakes| wakes <= now) {
                 child.wake()?;
-                self.shared.settle(index.checked_sub(LOADERS));
+                self.shared.disturbed.end(index.checked_sub(LOADERS));
             }
             if child.process.as_mut().is_none_or(Process::over) {
                 child.process = Some(child.launch.clone().start()?);
                 (child.wakes, child.ending) = (None, false);
-                self.shared.settle(index.checked_sub(LOADERS));
+                self.shared.disturbed.end(index.checked_sub(LOADERS));
             }
         }
         Ok(())
@@ -265,7 +246,7 @@
         engines.iter().for_each(|server| server.freeze(false));
         plain.iter().for_each(|server| store.list(server, "app", Some("ready")));
         engines.iter().for_each(|server| store.list(server, "llm", Some("ready")));
-        self.shared.settle(None);
+        self.shared.disturbed.end(None);
     }
 
     /// Wakes all processes and starts those that have ended.
@@ -320,7 +301,7 @@
 }
 
 impl Shared {
-    fn calls(&self) -> MutexGuard<'_, Vec<Call>> {
+    pub(super) fn calls(&self) -> MutexGuard<'_, Vec<Call>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -354,161 +335,22 @@
         (count > SENT_ON).then(|| format!("a request that ends servers was sent on {count} times"))
     }
 
-    /// Something begins to disturb a router, or all.
-    pub(super) fn disturb(&self, router: Option<usize>) {
-        self.disturbances().push(Disturbed { router, from: Instant::now(), until: None });
-    }
-
-    fn disturbances(&self) -> MutexGuard<'_, Vec<Disturbed>> {
-        self.disturbed.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// A link is cut or silenced, which disturbs the router whose way to the store it is.
     pub(super) fn disturb_link(&self, router: Option<usize>) {
         if router.is_some() {
             // Until all links are mended.
-            self.disturb(None);
-        }
-    }
-
-    /// What disturbs a router, or all, is over.
-    fn settle(&self, router: Option<usize>) {
-        let mut all = self.disturbances();
-        for one in all.iter_mut().filter(|one| one.router == router) {
-            one.until.get_or_insert_with(Instant::now);
+            self.disturbed.begin(None);
         }
     }
 
     /// Whether a router stood still or started again between two moments.
     fn stopped(&self, router: &str, from: Instant, to: Instant) -> bool {
-        self.any_disturbed(from, to, |one| one.is_some_and(|index| name(index) == router))
+        self.disturbed.any(from, to, |one| one.is_some_and(|index| name(index) == router))
     }
 
     /// Whether a router was kept from the store or from others besides.
     fn apart(&self, router: &str, from: Instant, to: Instant) -> bool {
-        self.any_disturbed(from, to, |one| one.is_none_or(|index| name(index) == router))
-    }
-
-    fn any_disturbed(
-        &self,
-        from: Instant,
-        to: Instant,
-        whom: impl Fn(Option<usize>) -> bool,
-    ) -> bool {
-        let all = self.disturbances();
-        all.iter().any(|one| {
-            whom(one.router) && one.from <= to && one.until.is_none_or(|until| until >= from)
-        })
-    }
-
-    /// A caller that sends one request again and again, to one router after the other.
-    pub(super) async fn insist(self: Arc<Self>, until: Instant) {
-        for turn in 0.. {
-            if Instant::now() >= until {
-                return;
-            }
-            let index = turn % self.routers.len();
-            if let Some(mut connection) = Connection::open(self.routers[index]).await {
-                let body = Some(POISON);
-                self.call(&mut connection, index, ("unsafe", MODELS[0]), body, Whose::School(0))
-                    .await;
-            }
-            sleep(INSIST).await;
-        }
-    }
-
-    /// One caller: it stays on its connection while that answers, and then goes to another router.
-    pub(super) async fn caller(self: Arc<Self>, seed: u64, until: Instant) {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        while Instant::now() < until {
-            let index = rng.random_range(0..self.routers.len());
-            let Some(mut connection) = Connection::open(self.routers[index]).await else {
-                sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            for _ in 0..rng.random_range(1..KEPT) {
-                let kind = KINDS[rng.random_range(0..KINDS.len())];
-                let model = MODELS[rng.random_range(0..MODELS.len())];
-                // Some go on with a key that has been replaced, or taken away.
-                let older = if rng.random_bool(0.2) { rng.random_range(1..4) } else { 0 };
-                let whose = Whose::School(older);
-                let goes_on = self.call(&mut connection, index, (kind, model), None, whose).await;
-                if !goes_on || Instant::now() >= until {
-                    break;
-                }
-                sleep(Duration::from_millis(rng.random_range(1..20))).await;
-            }
-        }
-    }
-
-    /// A caller of the workspace that asks for more than it may.
-    pub(super) async fn press(self: Arc<Self>, until: Instant) {
-        for turn in 0.. {
-            if Instant::now() >= until {
-                return;
-            }
-            let index = turn % self.routers.len();
-            if let Some(mut connection) = Connection::open(self.routers[index]).await {
-                self.call(&mut connection, index, ("safe", MODELS[0]), None, Whose::Hot).await;
-            }
-            sleep(Duration::from_millis(2)).await;
-        }
-    }
-
-    /// One call; whether the connection can be used again.
-    async fn call(
-        &self,
-        connection: &mut Connection,
-        router: usize,
-        (kind, model): (&'static str, &str),
-        body: Option<&str>,
-        whose: Whose,
-    ) -> bool {
-        let id = format!("{}-{}", name(router), self.next.fetch_add(1, Ordering::Relaxed));
-        let start = Instant::now();
-        let key = self.keys.sign(&id, whose);
-        let answer = connection.call(&request(kind, &id, model, &key, body.unwrap_or(&id))).await;
-        let goes_on = answer.as_ref().is_some_and(|answer| {
-            answer.whole && answer.header("connection").is_none_or(|text| text != "close")
-        });
-        self.calls().push(Call { id, kind, answer, took: start.elapsed() });
-        goes_on
-    }
-
-    /// Waits until each router serves each kind.
-    pub(super) async fn until_served(self: Arc<Self>) {
-        while !self.all_ready().await {
-            sleep(Duration::from_millis(50)).await;
-        }
-    }
-
-    /// Whether each router has a share in limits: it lets a request in, or refuses it as one too many.
-    async fn all_share(&self) -> bool {
-        for router in &self.routers {
-            let id = format!("probe-{}", self.next.fetch_add(1, Ordering::Relaxed));
-            let more = self.keys.sign(&id, Whose::Hot) + "Connection: close\r\n";
-            let text = request("safe", &id, MODELS[0], &more, &id);
-            let answer = exchange(*router, text.as_bytes()).await;
-            if answer.is_none_or(|answer| answer.status == 503) {
-                return false;
-            }
-        }
-        true
-    }
-
-    async fn all_ready(&self) -> bool {
-        for router in &self.routers {
-            for kind in KINDS {
-                let id = format!("probe-{}", self.next.fetch_add(1, Ordering::Relaxed));
-                let more = self.keys.sign(&id, Whose::School(0)) + "Connection: close\r\n";
-                let text = request(kind, &id, MODELS[0], &more, &id);
-                let answer = exchange(*router, text.as_bytes()).await;
-                if answer.is_none_or(|answer| answer.status != 200) {
-                    return false;
-                }
-            }
-        }
-        true
+        self.disturbed.any(from, to, |one| one.is_none_or(|index| name(index) == router))
     }
 }
 
@@ -516,16 +358,3 @@
 fn span(span: Duration) -> String {
     format!("{}ms", span.as_millis())
 }
-
-/// What the ids of requests to a router begin with.
-fn name(router: usize) -> String {
-    format!("front{router}")
-}
-
-fn request(kind: &str, id: &str, model: &str, more: &str, body: &str) -> String {
-    format!(
-        "POST /{kind}/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
-         Model: {model}\r\nContent-Length: {}\r\n{more}\r\n{body}",
-        body.len()
-    )
-}
