--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -121,6 +121,10 @@
         let _ = caller.await;
     }
     let mut broken = shared.broken();
+    match shared.keys.told(&out) {
+        Ok(told) => broken.extend(told),
+        Err(error) => broken.push(format!("the lines can't be read: {error}")),
+    }
     let recovered = tokio::time::timeout(RECOVERY, Arc::clone(&shared).until_served()).await;
     if recovered.is_err() {
         broken.push(format!("not all kinds are served {RECOVERY:?} after the last fault"));
--- a/components/load/src/soak/keys.rs
+++ b/components/load/src/soak/keys.rs
@@ -2,6 +2,7 @@
 //! held against both.
 
 use std::collections::HashMap;
+use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -78,6 +79,24 @@
         state.removed.resize(gone, now);
     }
 
+    /// Which processes have written a key in their lines, a line each.
+    pub(super) fn told(&self, logs: &Path) -> std::io::Result<Vec<String>> {
+        let state = self.lock();
+        let mut told = Vec::new();
+        for entry in std::fs::read_dir(logs)? {
+            let file = entry?.path();
+            if file.extension().is_none_or(|extension| extension != "log") {
+                continue;
+            }
+            let lines = String::from_utf8_lossy(&std::fs::read(&file)?).into_owned();
+            let keys = state.keys.iter().map(String::as_str).chain([HOT_KEY]);
+            for key in keys.filter(|key| lines.contains(key)) {
+                told.push(format!("the key {key} stands in {}", file.display()));
+            }
+        }
+        Ok(told)
+    }
+
     /// The header line of a request, which is sent now.
     pub(super) fn sign(&self, id: &str, whose: Whose) -> String {
         let mut state = self.lock();
