--- a/components/quota/tests/limits.rs
+++ b/components/quota/tests/limits.rs
@@ -4,6 +4,7 @@
 //! `LIMITS_SEEDS=500 LIMITS_REPORT=1 cargo test -p quota --test limits -- --nocapture` plays more of them and prints figures.
 
 mod limits {
+    mod callers;
     pub(crate) mod world;
 }
 
