One client of the store for a whole router

What callers saw: after the store had come back from a copy, no suspect was tried any more, so that a request which had been mended stayed refused; and routers never told loaders of a new era, so that loads in progress were not written again (three at once where two are carried). Cause: the tasks that read had a client of their own beside the one that agrees on trials and tells the era; each knew only the eras of its own answers.

--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -9,7 +9,6 @@
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use platform::Store;
 use process::{Phase, Single, StartError};
 use tokio::net::TcpListener;
 use web::{Body, ServeOptions};
@@ -27,7 +26,9 @@
         process::serve_metrics(addr).await?;
     }
     let (shared, records) = Shared::new(&process);
-    let (shared, store) = (Arc::new(shared), Store::new(settings.store));
+    // One client for all: it knows the era of the store by whatever is called.
+    let store = shared.store.clone();
+    let shared = Arc::new(shared);
     tokio::spawn(ledger::read(shared.clone(), store.clone()));
     tokio::spawn(ledger::write(shared.clone(), store.clone(), records));
     tokio::spawn(feed::config(shared.clone(), store.clone()));
