After a restore loaders read on until all have written again, and what was written again teaches nothing

Traced in the records and queues of a red run: a load whose lost record was written again counted as having run beside the other one all the time, its end taught that the weight store carries four, and a third loader went. Besides, no one's company was noted while lanes are held, and a loader that wants nothing read what came meanwhile only when it wanted something: it gave all lanes at once then, in another order than those that had read on.

--- a/components/loader/src/lane.rs
+++ b/components/loader/src/lane.rs
@@ -19,6 +19,8 @@
 /// The same for a model that few ask for, whose load may begin somewhat later: each call is paid for, and each record is
 /// read by all that wait. With one pace for all, calls to the store were twice as many on a deployment with 53 loaders.
 const CALM: Duration = Duration::from_secs(2);
+/// The same for a loader that waits for no lane, while what the store has lost is written again.
+const SOON: Duration = Duration::from_millis(500);
 /// Requests a second from which on a model is asked for all the time.
 const BUSY: f64 = 2.0;
 /// Copies of the store that it comes back from are some seconds old: what was written longer ago is in them.
@@ -109,34 +111,46 @@
         }
         let mut ended: Option<Instant> = None;
         loop {
-            let said = tokio::select! {
-                said = self.said.recv() => said,
-                () = later_era(&mut self.heard, records.era().max(self.checked)) => {
-                    let restored = self.check_era(&mut records).await;
-                    if restored && ended.is_some_and(|at| at.elapsed() < COPIED) {
-                        // That it asks for nothing any more may be lost: its lane would count as taken.
-                        self.end(None).await;
+            let restored = tokio::select! {
+                said = self.said.recv() => {
+                    let Some(said) = said else { return };
+                    // What was said meanwhile counts.
+                    if let Say::Want(wish) = self.newest(said) {
+                        let done = self.wait(&mut records, wish).await;
+                        self.granted.send_replace(None);
+                        self.end(done.map(millis)).await;
+                        ended = Some(Instant::now());
                     }
-                    continue;
+                    false
+                }
+                () = later_era(&mut self.heard, records.era().max(self.checked)) => {
+                    self.check_era(&mut records).await
                 }
+                read = read_soon(&mut records), if records.settling() => self.follow(read).await,
             };
-            let Some(said) = said else { return };
-            // What was said meanwhile counts.
-            let said = self.newest(said);
-            let Say::Want(wish) = said else { continue };
-            let done = self.wait(&mut records, wish).await;
-            self.granted.send_replace(None);
-            self.end(done.map(millis)).await;
-            ended = Some(Instant::now());
+            if restored && ended.is_some_and(|at| at.elapsed() < COPIED) {
+                // That it asks for nothing any more may be lost: its lane would count as taken.
+                self.end(None).await;
+            }
         }
     }
 
     /// Asks the store whether it has come back from an older copy, as a router says.
     async fn check_era(&mut self, records: &mut Records) -> bool {
         let heard = *self.heard.borrow_and_update();
-        match records.read(Duration::ZERO).await {
+        let read = records.read(Duration::ZERO).await;
+        if read.is_ok() {
+            self.checked = heard;
+        }
+        self.follow(read).await
+    }
+
+    /// Takes note of a read while the loader waits for no lane: whether the store has come back from an older copy. It reads on until
+    /// all have written again what stands: who reads that only later can't tell in which order lanes were given meanwhile.
+    async fn follow(&mut self, read: Result<Found, StoreError>) -> bool {
+        match read {
             Ok(found) => {
-                self.checked = heard;
+                self.reached();
                 found == Found::Restored
             }
             Err(error) => {
@@ -236,12 +250,15 @@
 
     /// Listens while the loader has a lane.
     async fn load(&mut self, records: &mut Records) -> Heard {
-        tokio::select! {
+        let restored = tokio::select! {
             said = self.said.recv() => return said.into(),
-            () = due(self.again) => return Heard::Nothing,
-            () = later_era(&mut self.heard, records.era().max(self.checked)) => {}
-        }
-        if self.check_era(records).await {
+            () = due(self.again) => false,
+            () = later_era(&mut self.heard, records.era().max(self.checked)) => {
+                self.check_era(records).await
+            }
+            read = read_soon(records), if records.settling() => self.follow(read).await,
+        };
+        if restored {
             // Few have a lane, and all others have to know of it before they take one.
             self.again = Some(Instant::now() + AGAIN.mul_f64(rand::random::<f64>() / 4.0));
         }
@@ -316,6 +333,12 @@
     }
 }
 
+/// Reads on after a while: each of hundreds of loaders does, while all of them write.
+async fn read_soon(records: &mut Records) -> Result<Found, StoreError> {
+    tokio::time::sleep(SOON).await;
+    records.read(Duration::ZERO).await
+}
+
 /// Waits until a router speaks of a later era than this one.
 async fn later_era(heard: &mut watch::Receiver<Era>, known: Era) {
     if heard.wait_for(|era| *era > known).await.is_err() {
--- a/components/loader/src/queue.rs
+++ b/components/loader/src/queue.rs
@@ -121,7 +121,9 @@
                 let (place, mut lane) =
                     before.map_or((self.places, None), |entry| (entry.place, entry.lane));
                 if loading {
-                    lane = lane.or(Some((now, Beside::all(self.running() + 1))));
+                    // How many ran beside it before is lost, and must not teach that the store carries more.
+                    let beside = Beside { least: 1, most: self.running() + 1 };
+                    lane = lane.or(Some((now, beside)));
                 }
                 let entry = Entry { model, worth, alone, place, asked: now, lane };
                 self.entries.insert(loader, entry);
@@ -178,11 +180,8 @@
             Some((since, _)) => now - since < entry.alone.saturating_mul(LOST),
             None => now - entry.asked < RENEW * 2,
         });
-        if self.held {
-            return;
-        }
         let taken = self.running();
-        let free = self.lanes.count().saturating_sub(taken);
+        let free = if self.held { 0 } else { self.lanes.count().saturating_sub(taken) };
         let waiting = self.entries.values().filter(|entry| entry.lane.is_none()).count();
         let granted = u32::try_from(waiting).unwrap_or(u32::MAX).min(free);
         let running = taken + granted;
--- a/components/loader/src/queue/tests.rs
+++ b/components/loader/src/queue/tests.rs
@@ -197,3 +197,20 @@
         }
     }
 }
+
+/// A load had run alone at first, and beside another one when its record was lost and written again: it seemed to have run beside that one all
+/// the time, and four lanes were given out where two are known.
+#[tokio::test(start_paused = true)]
+async fn loads_whose_records_were_lost_do_not_teach_that_more_are_carried() {
+    let now = Instant::now();
+    let mut queue = Queue::default();
+    queue.restored();
+    for loader in 0..2 {
+        let Note::Ask { loader, model, worth, alone, .. } = ask(loader, "a", 1.0) else { continue };
+        queue.take(Note::Ask { loader, model, worth, alone, loading: true }, now);
+    }
+    queue.take(end(1, Some(ALONE)), now);
+    queue.settled();
+    (2..6).for_each(|loader| queue.take(ask(loader, "b", 1.0), now));
+    assert_eq!(with_lane(&queue).len(), 2);
+}
--- a/components/loader/src/records.rs
+++ b/components/loader/src/records.rs
@@ -53,6 +53,11 @@
         self.next.era
     }
 
+    /// Whether they may not show yet which lanes are taken.
+    pub(crate) fn settling(&self) -> bool {
+        self.settling.is_some()
+    }
+
     /// Reads on, as soon as there is a record or the wait is over.
     pub(crate) async fn read(&mut self, wait: Duration) -> Result<Found, StoreError> {
         let left = self.settling.map(|until| until.saturating_duration_since(Instant::now()));
