Router: log for how long an endpoint had been quiet, and requests given up unanswered

The lines of the incident could not tell whether routers send to an endpoint that they have heard nothing from, or forget that it is silent. The step 'sent' now says for how long the endpoint had sent this router nothing (quiet_ms), a step 'abandoned' is a request whose caller left before the endpoint began to answer, and a histogram counts both (endpoint_quiet_seconds).

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -34,8 +34,12 @@
             counter!("requests_left_total").increment(1);
             histogram!("left_held_seconds").record(seconds(*held_ms));
         }
-        Event::Step { step, class, age_ms, waited_ms, cold, .. } => {
+        Event::Step { step, class, age_ms, quiet_ms, waited_ms, cold, .. } => {
             counter!("request_steps_total", "step" => name(step)).increment(1);
+            if matches!(step, Step::Sent | Step::Abandoned) {
+                histogram!("endpoint_quiet_seconds", "step" => name(step))
+                    .record(seconds(*quiet_ms));
+            }
             if *step == Step::Sent {
                 let class = (*class).to_owned();
                 histogram!("endpoint_news_age_seconds").record(seconds(*age_ms));
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -69,6 +69,8 @@
 pub enum Step {
     /// The request was sent to an endpoint.
     Sent,
+    /// The caller disconnected before the endpoint began to answer.
+    Abandoned,
     /// The endpoint answered that it has not executed the request.
     NotRun,
     /// The connection or the answer failed.
@@ -247,6 +249,8 @@
         inflight: u32,
         /// The age of the newest state of the endpoint that the router has.
         age_ms: u64,
+        /// For how long the endpoint has sent nothing to the router; set in the steps `sent` and `abandoned`.
+        quiet_ms: u64,
         /// How long the request waited in the queue.
         waited_ms: u64,
         /// Whether the request waited for a model to be loaded.
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -72,6 +72,7 @@
             sends: 0,
             inflight: 3,
             age_ms: 120,
+            quiet_ms: 30,
             waited_ms: 40,
             cold: true,
             digest: "",
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use catalog::{Catalog, Route};
-use events::{Event, Refusal, Step, emit, millis};
+use events::{Event, Refusal, Step, emit};
 use http::StatusCode;
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
@@ -20,6 +20,7 @@
 use crate::guard::{Rejection, SendPermit};
 use crate::pool::ConnectionPool;
 use crate::reservation::Reservation;
+use crate::send_log::SendLog;
 use crate::shared::Shared;
 
 /// How often a request that has not run is sent at most, after refusals by full endpoints and
@@ -102,7 +103,7 @@
             let id = reservation.id.clone();
             self.incarnation = reservation.incarnation;
             self.pool = Some(reservation.pool.clone());
-            self.log_sent(&reservation, waited);
+            let send_log = SendLog::start(self, &reservation, waited);
             self.sends += 1;
             self.set_spent(true);
             let now = Instant::now();
@@ -118,7 +119,7 @@
                 reconsider_at: self.reconsider_at(now),
             };
             let should_leave = || self.may_move(&id, self.route.target);
-            match exchange::send(
+            let outcome = exchange::send(
                 reservation,
                 &self.caller,
                 &self.outgoing,
@@ -126,8 +127,9 @@
                 deadlines,
                 should_leave,
             )
-            .await
-            {
+            .await;
+            send_log.finish();
+            match outcome {
                 SendOutcome::Response(response) => match self.classify(*response, &id).await {
                     Verdict::Done(response) => return Ok(*response),
                     Verdict::Retry => {}
@@ -388,22 +390,6 @@
         Failure { status, cause, after: after.filter(|_| self.runs == 0) }
     }
 
-    fn log_sent(&self, reservation: &Reservation, waited: Duration) {
-        emit(&Event::Step {
-            request: &self.request_id,
-            step: Step::Sent,
-            endpoint: reservation.id.as_str(),
-            sends: self.sends,
-            inflight: reservation.running,
-            age_ms: millis(reservation.age),
-            waited_ms: millis(waited),
-            cold: reservation.waited_for_load,
-            digest: &self.outgoing.digest.to_string(),
-            class: &self.class,
-            cause: "",
-        });
-    }
-
     pub(crate) fn log_step(&self, step: Step, id: &EndpointId, cause: &str) {
         emit(&Event::Step {
             request: &self.request_id,
@@ -412,6 +398,7 @@
             sends: self.sends,
             inflight: 0,
             age_ms: 0,
+            quiet_ms: 0,
             waited_ms: 0,
             cold: false,
             digest: "",
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -28,6 +28,7 @@
 mod reservation;
 mod roster;
 mod run;
+mod send_log;
 mod sent_requests;
 mod serve;
 mod settings;
--- a/components/router/src/liveness.rs
+++ b/components/router/src/liveness.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// How long the endpoint has sent nothing.
+    pub(crate) fn quiet(&self, now: Instant) -> Duration {
+        now - self.last_sign
+    }
+
     /// Whether the endpoint has been silent for so long that a probe would tell something new.
     pub(crate) fn probe_due(&self, now: Instant) -> bool {
         now - self.last_sign > PROBE_AFTER
