Router: probe an endpoint that has been quiet before it gets a request

What callers saw: no answer for 2.4 s, until they left. What the endpoint saw: their requests, all at once, when its machine went on after 5.5 s.

Cause: silence was counted from a router's own first request without an answer, so that an endpoint at which the router had nothing counted as responsive, however long ago it had last been heard of. Each router found out by losing a request, and the number grows with the routers.

An endpoint that has sent this router nothing for 100 ms, a probe's answer included, must answer a probe before it gets a request; while requests wait for that answer, a probe that fails sends them elsewhere at once. An endpoint that is in use sends events more often than that.

The test of an idle endpoint that stays responsive was wrong: nothing supports the claim that such an endpoint responds. Two tests replace it: it must answer a probe first, and only a probe or a request without an answer makes it unresponsive.

--- a/components/router/src/liveness.rs
+++ b/components/router/src/liveness.rs
@@ -2,7 +2,9 @@
 //!
 //! Load pattern: a machine hangs during a rush whose callers give up after milliseconds. Whatever is sent to it arrives
 //! when it wakes, long after those callers have left. So silence is counted from the first request that got no answer, even
-//! if its caller has left since, and the endpoint's recovery is detected by a probe, which costs no request.
+//! if its caller has left since, and the endpoint's recovery is detected by a probe, which costs no request. An endpoint that
+//! this router has heard nothing from for a while may hang too: without a probe, each router would find that out at the
+//! expense of a request.
 
 use std::time::Duration;
 
@@ -31,17 +33,19 @@
 /// When an endpoint last sent something, and since when something is due.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Liveness {
-    /// Since when the endpoint has had requests without sending any part of an answer; `None` if nothing is due.
+    /// Since when the endpoint has had requests or a probe without sending any part of an answer; `None` if nothing is due.
     due_since: Option<Instant>,
     /// When the endpoint last sent anything, an answer to a probe included.
     last_sign: Instant,
     /// Whether a probe is in progress.
     probing: bool,
+    /// Whether a probe has failed since the endpoint last sent anything.
+    probe_failed: bool,
 }
 
 impl Liveness {
     pub(crate) fn new(now: Instant) -> Self {
-        Self { due_since: None, last_sign: now, probing: false }
+        Self { due_since: None, last_sign: now, probing: false, probe_failed: false }
     }
 
     /// Records that a request is sent to the endpoint.
@@ -52,7 +56,7 @@
     /// Records that the endpoint has sent a part of an answer.
     pub(crate) fn answer_received(&mut self, now: Instant) {
         self.due_since = Some(now);
-        self.last_sign = now;
+        self.record_sign(now);
     }
 
     /// Records that the endpoint's last request is over. If the endpoint was sending until now, nothing is due any more.
@@ -62,19 +66,29 @@
 
     /// Records an answer to a probe. `idle` says that the endpoint has no requests any more, because all callers have left.
     pub(crate) fn probe_answered(&mut self, now: Instant, idle: bool) {
-        self.last_sign = now;
+        self.record_sign(now);
         if idle {
             self.due_since = None;
         }
     }
 
+    /// Records that a probe got no answer in time, or could not be sent.
+    pub(crate) fn record_failed_probe(&mut self) {
+        self.probe_failed = true;
+    }
+
+    fn record_sign(&mut self, now: Instant) {
+        self.last_sign = now;
+        self.probe_failed = false;
+    }
+
     /// The state by what the endpoint has sent until now.
     pub(crate) fn state(&self, now: Instant) -> LivenessState {
         let waiting = self.due_since.map_or(Duration::ZERO, |since| now - since);
-        let silence = waiting.min(now - self.last_sign);
-        if waiting > STUCK_AFTER || silence > UNRESPONSIVE_AFTER {
+        let quiet = self.quiet(now);
+        if self.probe_failed || waiting > STUCK_AFTER || waiting.min(quiet) > UNRESPONSIVE_AFTER {
             LivenessState::Unresponsive
-        } else if silence > PROBE_AFTER {
+        } else if quiet > PROBE_AFTER {
             LivenessState::Doubtful
         } else {
             LivenessState::Responsive
@@ -91,8 +105,9 @@
         now - self.last_sign > PROBE_AFTER
     }
 
-    /// Starts probing. Returns false if a probe is in progress.
-    pub(crate) fn begin_probe(&mut self) -> bool {
+    /// Starts probing, which the endpoint is expected to answer. Returns false if a probe is in progress.
+    pub(crate) fn begin_probe(&mut self, now: Instant) -> bool {
+        self.due_since.get_or_insert(now);
         !std::mem::replace(&mut self.probing, true)
     }
 
--- a/components/router/src/liveness/tests.rs
+++ b/components/router/src/liveness/tests.rs
@@ -25,16 +25,49 @@
     assert_eq!(liveness.state(now), LivenessState::Responsive);
 }
 
+/// Each router would otherwise send a first request to an endpoint that hangs.
 #[test]
-fn an_endpoint_without_requests_stays_responsive() {
+fn an_endpoint_that_was_quiet_must_answer_a_probe_before_it_gets_a_request() {
     let mut now = Instant::now();
     let mut liveness = Liveness::new(now);
-    assert_eq!(liveness.state(later(&mut now, UNRESPONSIVE_AFTER * 9)), LivenessState::Responsive);
+    assert_eq!(liveness.state(now), LivenessState::Responsive);
+    assert_eq!(liveness.state(later(&mut now, PROBE_AFTER * 2)), LivenessState::Doubtful);
+    assert_eq!(
+        liveness.state(later(&mut now, UNRESPONSIVE_AFTER * 9)),
+        LivenessState::Doubtful,
+        "nothing was expected of it"
+    );
+    assert!(liveness.begin_probe(now));
+    liveness.probe_answered(now, true);
+    assert_eq!(liveness.state(now), LivenessState::Responsive);
     liveness.request_sent(now);
     liveness.answer_received(now);
     liveness.requests_finished(now);
-    assert_eq!(liveness.state(later(&mut now, UNRESPONSIVE_AFTER * 9)), LivenessState::Responsive);
-    liveness.request_sent(now);
+    assert_eq!(liveness.state(later(&mut now, PROBE_AFTER / 2)), LivenessState::Responsive);
+    assert_eq!(liveness.state(later(&mut now, PROBE_AFTER)), LivenessState::Doubtful);
+}
+
+#[test]
+fn a_quiet_endpoint_that_does_not_answer_its_probe_is_unresponsive() {
+    let mut now = Instant::now();
+    let mut liveness = Liveness::new(now);
+    later(&mut now, UNRESPONSIVE_AFTER);
+    liveness.begin_probe(now);
+    assert_eq!(liveness.state(later(&mut now, PROBE_AFTER)), LivenessState::Doubtful);
+    assert_eq!(liveness.state(later(&mut now, UNRESPONSIVE_AFTER)), LivenessState::Unresponsive);
+    liveness.probe_answered(now, true);
+    assert_eq!(liveness.state(now), LivenessState::Responsive);
+}
+
+#[test]
+fn an_endpoint_is_unresponsive_as_soon_as_a_probe_fails_until_it_sends_something() {
+    let mut now = Instant::now();
+    let mut liveness = Liveness::new(now);
+    later(&mut now, PROBE_AFTER * 2);
+    liveness.begin_probe(now);
+    liveness.record_failed_probe();
+    assert_eq!(liveness.state(now), LivenessState::Unresponsive);
+    liveness.answer_received(now);
     assert_eq!(liveness.state(now), LivenessState::Responsive);
 }
 
@@ -95,8 +128,8 @@
 #[test]
 fn an_endpoint_is_probed_once_at_a_time() {
     let mut liveness = Liveness::new(Instant::now());
-    assert!(liveness.begin_probe());
-    assert!(!liveness.begin_probe());
+    assert!(liveness.begin_probe(Instant::now()));
+    assert!(!liveness.begin_probe(Instant::now()));
     liveness.end_probe();
-    assert!(liveness.begin_probe());
+    assert!(liveness.begin_probe(Instant::now()));
 }
--- a/components/router/src/probe.rs
+++ b/components/router/src/probe.rs
@@ -20,7 +20,8 @@
 
 /// Probes an endpoint until it answers, unless that is in progress already.
 pub(crate) fn start(shared: &Arc<Shared>, id: &EndpointId, table: &EndpointTable) {
-    if table.map.get(id).is_some_and(|tracked| tracked.pool.liveness().begin_probe()) {
+    let now = Instant::now();
+    if table.map.get(id).is_some_and(|tracked| tracked.pool.liveness().begin_probe(now)) {
         tokio::spawn(probe(shared.clone(), id.clone()));
     }
 }
@@ -36,6 +37,9 @@
         if let Err(cause) = &report
             && pool.liveness().state(Instant::now()) != LivenessState::Responsive
         {
+            pool.liveness().record_failed_probe();
+            // Requests that wait for the answer look for another endpoint.
+            shared.endpoints.changed.notify_waiters();
             if first {
                 emit(&Event::DependencyLost { dependency: Dependency::Endpoint, name, cause });
             }
