Router: reset a connection whose request may not have reached its endpoint

Cause: a connection whose caller had left was closed in the ordinary way. The kernel goes on to deliver what the endpoint has not acknowledged, for minutes, so that an abandoned request arrives whenever the endpoint is back. Noticing silence sooner makes such requests fewer and can't prevent them: an endpoint that has just answered may hang from the next moment on.

If the endpoint has sent nothing since the request was written, the connection is now reset, which discards what has not been acknowledged. Otherwise it is closed as before: a reset is not repeated if it gets lost, and an endpoint that has the request would go on with it.

--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::caller::CallerConnection;
 use crate::pool::Connection;
 use crate::reservation::Reservation;
+use crate::reset::UnansweredRequest;
 
 /// Idle time after which a connection is closed if the server states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -121,8 +122,10 @@
             return SendOutcome::Draining;
         }
         reservation.record_sent(&outgoing.digest);
+        let unanswered = UnansweredRequest::new(&connection, &reservation.pool);
         match attempt(&mut connection, request, deadlines, &should_leave).await {
             Attempt::Response(head, body) => {
+                unanswered.finish();
                 reservation.apply_headers(head.status, &head.headers);
                 reservation.record_begun();
                 return SendOutcome::Response(Box::new(EndpointResponse {
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod request;
 mod reservation;
+mod reset;
 mod roster;
 mod run;
 mod send_log;
--- a/components/router/src/pool.rs
+++ b/components/router/src/pool.rs
@@ -14,6 +14,7 @@
 use web::Body;
 
 use crate::liveness::Liveness;
+use crate::reset::{ResetOnDrop, ResettableStream};
 use crate::sent_requests::SentRequests;
 
 /// The timeout of connecting. Within a region, connecting takes a few milliseconds; a lost SYN packet is sent again only after
@@ -27,6 +28,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Body>,
     pub(crate) fresh: bool,
+    pub(crate) reset_on_drop: ResetOnDrop,
     task: Option<AbortHandle>,
 }
 
@@ -97,6 +99,8 @@
             .await
             .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "connecting timed out"))??;
         stream.set_nodelay(true)?;
+        let reset_on_drop = ResetOnDrop::default();
+        let stream = ResettableStream::new(stream, reset_on_drop.clone());
         let (sender, driver) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -106,7 +110,7 @@
                 log::debug!("router: a connection to an endpoint failed: {error}");
             }
         });
-        Ok(Connection { sender, fresh: true, task: Some(task.abort_handle()) })
+        Ok(Connection { sender, fresh: true, reset_on_drop, task: Some(task.abort_handle()) })
     }
 
     fn reuse(&self) -> Option<Connection> {
