Routers keep to the rate limit that an endpoint names, all of them together

Cause: nothing read Server-Limit; the header was passed on to callers, and the rate did not change at any router when it was named. The class is that of the announced drain: what an endpoint says of itself in its answers is passed on and not believed.

A router that believed it could not keep the limit by itself: 4 requests a second among 60 routers are less than one request for each of them in any window. So one limiter for each endpoint hands out the times at which requests may be sent, the loader of the endpoint, which all routers reach anyway. A request that would have to wait for longer than its target, or at all if another replica is expected to be in time, is refused without taking anyone's turn; the endpoint is left alone until one may be sent, and where all are, callers get 503 with that time. A router that can't reach the loader sends nothing there. An endpoint without a loader is looked after by another endpoint's loader, chosen by rank, and where there are no loaders by the first router in the settings that answers. Loaders read the limit with their reports, so that all routers are told, and learn that it has ended without sending anything. No model is loaded at a limited endpoint while others take requests, and none is prefetched there.

--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -7,10 +7,13 @@
 
 use crate::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ENGINE_PATH, ENSURE_PATH, EndpointState,
-    EngineUpdate, EnsureRequest, EnsureResponse, KeyedRecord, POLL_PATH, PollRequest, PollResponse,
-    Position, SNAPSHOT_PATH, Snapshot, TOKENS_PATH,
+    EngineUpdate, EnsureRequest, EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse,
+    KeyedRecord, POLL_PATH, PollRequest, PollResponse, Position, SNAPSHOT_PATH, Snapshot,
+    TOKENS_PATH,
 };
 
+/// The timeout of asking to send a request to an endpoint with a rate limit, which is answered at once.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The time that a response may take beyond the time that the loader was asked to wait.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -63,6 +66,15 @@
     client.post(router, CRASHES_PATH, &records, limit).await
 }
 
+/// Asks the loader or the router at this address to send one request to an endpoint with a rate limit.
+pub async fn request_grant(
+    client: &Client,
+    addr: SocketAddr,
+    grant: &GrantRequest,
+) -> Result<GrantResponse, CallError> {
+    client.post(addr, GRANT_PATH, grant, GRANT_TIMEOUT).await
+}
+
 /// Asks another router to lend tokens of a workspace.
 pub async fn borrow_tokens(
     client: &Client,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,11 +3,14 @@
 mod client;
 mod message;
 
-pub use client::{LoaderClient, borrow_tokens, exchange_crash_records, fetch_snapshot};
+pub use client::{
+    LoaderClient, borrow_tokens, exchange_crash_records, fetch_snapshot, request_grant,
+};
 pub use message::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ConfirmedVersion, DeniedKey, ENGINE_PATH,
     ENSURE_PATH, EndpointLoad, EndpointState, EngineUpdate, EnsureOutcome, EnsureRequest,
-    EnsureResponse, KeyedRecord, ModelUse, POLL_PATH, PollRequest, PollResponse, Position,
-    RELEASE_PATH, ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH,
-    WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
+    EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, KeyedRecord, ModelUse, POLL_PATH,
+    PollRequest, PollResponse, Position, RELEASE_PATH, ReleaseRequest, SNAPSHOT_PATH,
+    SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, WORKSPACES_PATH, WorkspaceReport,
+    WorkspacesReport,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -8,7 +8,7 @@
 use quarantine::{Digest, Evidence, QuarantineRecord};
 use serde::{Deserialize, Serialize};
 use units::{
-    EndpointId, EndpointIncarnation, Era, ModelName, Revision, StorePosition, WorkspaceName,
+    EndpointId, EndpointIncarnation, Era, ModelName, Rate, Revision, StorePosition, WorkspaceName,
 };
 
 /// The path at which a loader answers polls for the state of its endpoint.
@@ -54,7 +54,7 @@
 }
 
 /// The state of an endpoint, as its loader reports it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointState {
     /// The version of this state.
     pub version: u64,
@@ -79,6 +79,9 @@
     /// Whether the endpoint reports that it is draining and takes no new requests.
     #[serde(default)]
     pub draining: bool,
+    /// The requests per second that the endpoint says it takes from all routers together, if it names a limit.
+    #[serde(default)]
+    pub rate_limit: Option<Rate>,
     /// The version of the configuration that the loader's engine specification is from; 0 if the loader has none.
     #[serde(rename = "engine")]
     pub engine_version: Revision,
@@ -96,7 +99,7 @@
 }
 
 /// The response to a [`PollRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PollResponse {
     /// A newer state.
@@ -137,7 +140,7 @@
 }
 
 /// The response to an [`EnsureRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EnsureResponse {
     /// The result of the request.
     #[serde(rename = "verdict")]
@@ -146,6 +149,34 @@
     pub state: EndpointState,
 }
 
+/// The path at which loaders and routers answer [`GrantRequest`]s.
+pub const GRANT_PATH: &str = "/grant";
+
+/// A router asks to send one request to an endpoint that names a rate limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GrantRequest {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The incarnation of the endpoint that the router uses, if it knows one.
+    #[serde(rename = "life")]
+    pub incarnation: Option<EndpointIncarnation>,
+    /// The requests per second that the endpoint takes, as the router knows it.
+    pub limit: Rate,
+    /// How long the request can wait.
+    #[serde(with = "fleet::millis")]
+    pub patience: Duration,
+}
+
+/// The response to a [`GrantRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum GrantResponse {
+    /// The request may be sent after this time.
+    After(#[serde(with = "fleet::millis")] Duration),
+    /// The request would have to wait for too long; another one may be sent after this time.
+    Refused(#[serde(with = "fleet::millis")] Duration),
+}
+
 /// The path at which a router answers other routers with a [`Snapshot`].
 pub const SNAPSHOT_PATH: &str = "/snapshot";
 
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -79,6 +79,8 @@
             histogram!("dependency_away_seconds", "dependency" => name(dependency))
                 .record(seconds(*after_ms));
         }
+        Event::RateLimitChanged { .. } => counter!("rate_limits_changed_total").increment(1),
+        Event::RateLimited { .. } => counter!("rate_limited_total").increment(1),
         Event::EndpointPaused { .. } => counter!("endpoints_paused_total").increment(1),
         Event::Configured { version, .. } => {
             #[allow(clippy::cast_precision_loss, reason = "versions are small")]
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -216,6 +216,30 @@
         /// The error.
         cause: &'a str,
     },
+    /// An endpoint named another limit on the requests that it takes from all routers together, or none any more.
+    #[serde(rename = "rate-limited")]
+    RateLimitChanged {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// The limit in requests per second; none if there is none any more.
+        limit: Option<f64>,
+        /// The limit before; none if there was none.
+        before: Option<f64>,
+        /// Who told of the limit: the endpoint itself, or its loader. If the limit was not understood, what was wrong.
+        cause: &'a str,
+    },
+    /// A request may not be sent to an endpoint yet, because of the endpoint's rate limit.
+    #[serde(rename = "held-back")]
+    RateLimited {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// The limit in requests per second.
+        limit: f64,
+        /// When a request may be sent again.
+        after_ms: u64,
+        /// Why the request may not be sent.
+        cause: &'a str,
+    },
     /// A request was accepted.
     Accepted {
         /// The id of the request.
--- a/components/loader/src/controller.rs
+++ b/components/loader/src/controller.rs
@@ -9,10 +9,10 @@
 use control::{EndpointState, EnsureOutcome};
 use events::{Dependency, Event, emit, millis};
 use fleet::Tier;
-use platform::{Operation, fetch_report};
+use platform::{Operation, RateLimitHint, fetch_report};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, Revision, StorePosition};
+use units::{EndpointId, EndpointIncarnation, Rate, Revision, StorePosition};
 use web::Client;
 
 use crate::permit::{PermitHandle, PermitRequest};
@@ -80,6 +80,8 @@
     /// Whether the endpoint has said in this incarnation that it is draining. No later report takes that back, since it
     /// may be older than the time it is read.
     draining: bool,
+    /// The rate limit in the endpoint's last report.
+    rate_limit: Option<Rate>,
     /// The id in the last order that the endpoint refused because it has restarted with another id.
     rejected_id: Option<EndpointId>,
     engine_version: Revision,
@@ -113,6 +115,7 @@
             endpoint: None,
             incarnation: None,
             draining: false,
+            rate_limit: None,
             rejected_id: None,
             engine_version: Revision(0),
             view: EndpointView::default(),
@@ -277,6 +280,11 @@
                 }
                 self.incarnation = report.incarnation.or(self.incarnation);
                 self.draining |= report.draining;
+                match report.hints.rate_limit {
+                    RateLimitHint::Unlimited => self.rate_limit = None,
+                    RateLimitHint::Limited(rate) => self.rate_limit = Some(rate),
+                    RateLimitHint::Invalid => {}
+                }
                 report.draining = self.draining;
                 let ended = self.pending.take_if(|_| !report.busy);
                 self.view.report = Some(report);
@@ -312,6 +320,7 @@
         self.pending = None;
         self.paused_until = None;
         self.draining = false;
+        self.rate_limit = None;
         self.view.reset_endpoint();
     }
 
--- a/components/loader/src/controller/publish.rs
+++ b/components/loader/src/controller/publish.rs
@@ -35,6 +35,7 @@
             self.view.requested.values().filter(|requested| requested.total_waiting() > 0).count();
         let waiting = u32::try_from(awaited).unwrap_or(u32::MAX);
         let draining = report.is_some_and(|report| report.draining);
+        let rate_limit = self.rate_limit;
         let can_order = report.is_some()
             && !draining
             && self.token.start.borrow().is_some()
@@ -47,6 +48,7 @@
                     == holdings.loading.as_ref().map(|l| &l.model)
                 && state.can_order == can_order
                 && state.draining == draining
+                && state.rate_limit == rate_limit
                 && state.room_wait == room_wait
                 && state.engine_version == self.engine_version
                 && state.endpoint == self.endpoint
@@ -59,6 +61,7 @@
             state.holdings = holdings;
             state.can_order = can_order;
             state.draining = draining;
+            state.rate_limit = rate_limit;
             state.room_wait = room_wait;
             state.engine_version = self.engine_version;
             state.endpoint = self.endpoint.clone();
--- a/components/loader/src/router_api.rs
+++ b/components/loader/src/router_api.rs
@@ -3,12 +3,15 @@
 use bytes::Bytes;
 use control::{
     ENGINE_PATH, ENSURE_PATH, EndpointState, EngineUpdate, EnsureOutcome, EnsureRequest,
-    EnsureResponse, POLL_PATH, PollRequest, PollResponse,
+    EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, POLL_PATH, PollRequest, PollResponse,
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use ratelimit::{Grant, Limiters};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 use units::Era;
 use web::Body;
 
@@ -37,6 +40,8 @@
     pub(crate) state: watch::Receiver<EndpointState>,
     /// The highest era of the store that a router has reported.
     pub(crate) highest_era: watch::Sender<Era>,
+    /// Limit the requests that routers send to endpoints: to the loader's own one, and to endpoints without a loader.
+    pub(crate) limiters: Arc<Mutex<Limiters>>,
 }
 
 impl RouterApi {
@@ -54,6 +59,7 @@
             POLL_PATH => self.poll(&bytes).await,
             ENSURE_PATH => self.ensure(&bytes).await,
             ENGINE_PATH => self.engine(&bytes).await,
+            GRANT_PATH => self.grant(&bytes),
             _ => return web::text(StatusCode::NOT_FOUND, "no such call\n"),
         };
         response.unwrap_or_else(|error| {
@@ -100,6 +106,24 @@
         Ok(self.current_state())
     }
 
+    fn grant(self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
+        let request: GrantRequest = serde_json::from_slice(bytes)?;
+        let GrantRequest { endpoint, incarnation, limit, patience } = request;
+        // The endpoint's last report to its own loader is newer than what a router has been told.
+        let limit = {
+            let state = self.state.borrow();
+            state.rate_limit.filter(|_| state.endpoint.as_ref() == Some(&endpoint)).unwrap_or(limit)
+        };
+        let mut limiters = self.limiters.lock().unwrap_or_else(PoisonError::into_inner);
+        let patience = patience.min(MAX_WAIT);
+        let grant = limiters.acquire(&endpoint, incarnation, limit, patience, Instant::now());
+        let response = match grant {
+            Grant::After(wait) => GrantResponse::After(wait),
+            Grant::Refused(after) => GrantResponse::Refused(after),
+        };
+        Ok(web::json(StatusCode::OK, &response))
+    }
+
     fn current_state(&self) -> Response<Body> {
         web::json(StatusCode::OK, &*self.state.borrow())
     }
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -19,10 +19,16 @@
         room_wait: Duration::ZERO,
         can_order: true,
         draining: false,
+        rate_limit: None,
         engine_version: Revision(1),
     }
 }
 
+fn api(commands: mpsc::Sender<Command>, state: watch::Receiver<EndpointState>) -> RouterApi {
+    let (highest_era, limiters) = Default::default();
+    RouterApi { commands, state, highest_era, limiters }
+}
+
 async fn poll(api: RouterApi, seen: u64) -> (PollResponse, usize) {
     let request = PollRequest {
         router: "front-1".to_owned(),
@@ -43,7 +49,7 @@
 async fn a_router_with_the_current_version_gets_only_the_load_of_the_endpoint() {
     let (commands, _inbox) = mpsc::channel(8);
     let (_sender, state_receiver) = watch::channel(state(7));
-    let api = RouterApi { commands, state: state_receiver, highest_era: watch::Sender::default() };
+    let api = api(commands, state_receiver);
     let (polled, whole) = poll(api.clone(), 0).await;
     assert_eq!(polled, PollResponse::Changed(Box::new(state(7))));
     let (polled, short) = poll(api, 7).await;
@@ -58,7 +64,7 @@
 async fn a_change_ends_the_wait() {
     let (commands, _inbox) = mpsc::channel(8);
     let (sender, state_receiver) = watch::channel(state(7));
-    let api = RouterApi { commands, state: state_receiver, highest_era: watch::Sender::default() };
+    let api = api(commands, state_receiver);
     let polled = tokio::spawn(poll(api, 7));
     tokio::time::sleep(Duration::from_millis(100)).await;
     sender.send_replace(state(8));
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -35,6 +35,7 @@
         room_wait: std::time::Duration::ZERO,
         can_order: false,
         draining: false,
+        rate_limit: None,
         engine_version: Revision(0),
     });
     let (start_sender, start) = watch::channel(None);
@@ -64,7 +65,7 @@
     let controller =
         Controller::new(instance, settings.endpoint, token, permit, command_receiver, state);
     let controller = tokio::spawn(controller.run());
-    let api = RouterApi { commands, state: state_receiver, highest_era };
+    let api = RouterApi { commands, state: state_receiver, highest_era, limiters: Arc::default() };
     let stop = process.shutdown.flag(ShutdownPhase::Drain);
     let handler = move |request, _| api.clone().handle(request);
     tokio::select! {
--- /dev/null
+++ b/components/ratelimit/src/limiter/tests.rs
@@ -0,0 +1,83 @@
+//! Tests of limiters.
+
+use rstest::rstest;
+
+use super::*;
+
+/// The windows in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// The most requests that may be sent in any [`WINDOW`].
+fn allowed(limit: Rate) -> f64 {
+    1.5 * limit.0 * WINDOW.as_secs_f64() + 5.0
+}
+
+fn busiest_window(sent: &[Instant]) -> usize {
+    let in_window =
+        |start: &Instant| sent.iter().filter(|at| **at >= *start && **at < *start + WINDOW).count();
+    sent.iter().map(in_window).max().unwrap_or(0)
+}
+
+#[rstest]
+#[case::below_one(0.2)]
+#[case::one(1.0)]
+#[case::ten(10.0)]
+#[case::many(200.0)]
+fn promises_no_more_than_the_limit_and_nearly_all_of_it(
+    #[case] limit: f64,
+    #[values(Duration::ZERO, Duration::from_millis(400), Duration::from_secs(5))]
+    patience: Duration,
+) {
+    let (limit, start) = (Rate(limit), Instant::now());
+    let mut limiter = Limiter::new(start);
+    let (mut sent, duration) = (Vec::new(), Duration::from_secs(40));
+    let mut now = start;
+    while now < start + duration {
+        if let Grant::After(wait) = limiter.acquire(limit, patience, now) {
+            assert!(wait <= patience);
+            sent.push(now + wait);
+        }
+        now += Duration::from_millis(3);
+    }
+    assert!(busiest_window(&sent) as f64 <= allowed(limit), "{}", busiest_window(&sent));
+    assert!(sent.len() as f64 >= 0.8 * limit.0 * duration.as_secs_f64(), "{} sent", sent.len());
+}
+
+#[test]
+fn after_an_idle_time_only_a_burst_may_be_sent_at_once() {
+    let start = Instant::now();
+    let mut limiter = Limiter::new(start);
+    let later = start + Duration::from_secs(600);
+    let at_once = |limiter: &mut Limiter| limiter.acquire(Rate(1.0), Duration::ZERO, later);
+    assert_eq!(at_once(&mut limiter), Grant::After(Duration::ZERO));
+    assert_eq!(at_once(&mut limiter), Grant::After(Duration::ZERO));
+    assert_eq!(at_once(&mut limiter), Grant::Refused(Duration::from_secs(1)));
+}
+
+#[test]
+fn a_refused_request_takes_no_turn() {
+    let now = Instant::now();
+    let mut limiter = Limiter::new(now);
+    for _ in 0..9 {
+        let refused = limiter.acquire(Rate(0.5), Duration::from_millis(1_999), now);
+        assert_eq!(refused, Grant::Refused(Duration::from_secs(2)));
+    }
+    let granted = limiter.acquire(Rate(0.5), Duration::from_secs(2), now);
+    assert_eq!(granted, Grant::After(Duration::from_secs(2)));
+}
+
+#[test]
+fn a_limit_of_zero_allows_nothing() {
+    let now = Instant::now();
+    let refused = Limiter::new(now).acquire(Rate(0.0), Duration::from_secs(60), now);
+    assert_eq!(refused, Grant::Refused(MAX_RETRY_AFTER));
+}
+
+#[test]
+fn a_higher_limit_takes_effect_at_once() {
+    let now = Instant::now();
+    let mut limiter = Limiter::new(now);
+    assert!(matches!(limiter.acquire(Rate(0.01), Duration::ZERO, now), Grant::Refused(_)));
+    let granted = limiter.acquire(Rate(100.0), Duration::from_millis(10), now);
+    assert_eq!(granted, Grant::After(Duration::from_millis(10)));
+}
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -155,6 +155,8 @@
     let now = Instant::now();
     let mut table = shared.endpoints.lock();
     let prefill_time = needs.prefill_time(&mut table);
+    // A model is loaded at an endpoint that names a rate limit only if all of them do.
+    let all_limited = table.all_rate_limited(needs.service, now);
     let (mut ids, mut candidates) = (Vec::new(), Vec::new());
     let mut any_left = false;
     for (id, tracked) in &table.map {
@@ -179,9 +181,12 @@
             until(model) || until(&ModelId { model: model.model.clone(), adapter: None })
         };
         ids.push(id.clone());
-        candidates.push(
-            tracked.candidate(tracked.can_load(now) && !needs.model.is_some_and(refused), now),
-        );
+        candidates.push(tracked.candidate(
+            tracked.can_load(now)
+                && (all_limited || tracked.rate_limit(now).is_none())
+                && !needs.model.is_some_and(refused),
+            now,
+        ));
     }
     if let Some(left) = table.service_backoff(needs.service, needs.excluded, now) {
         return SearchResult::Paused(left);
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -6,15 +6,17 @@
 
 use catalog::ModelId;
 use control::{EndpointLoad, EndpointState};
+use events::{Event, emit};
 use fleet::{Endpoint, EndpointStage, Holdings};
 use placement::{Candidate, PromptBacklog, RecentFailures};
 use quarantine::UnixMillis;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
-use units::{EndpointIncarnation, ModelName, StorePosition};
+use units::{EndpointIncarnation, ModelName, Rate, StorePosition};
 
 use crate::liveness::LivenessState;
 use crate::pool::ConnectionPool;
+use crate::rate_limit::NamedRateLimit;
 
 /// How long the state that a loader reported takes precedence over the list of endpoints, for a loader that is polled every
 /// second.
@@ -97,6 +99,9 @@
     /// Set while the endpoint's list entry is missing.
     pub(crate) missing: Option<MissingEntry>,
     pub(crate) hints: ReceivedHints,
+    pub(crate) rate_limit: NamedRateLimit,
+    /// Until when the rate limit allows no request of this router.
+    limited_until: Option<Instant>,
     pub(crate) state: Option<(EndpointState, Instant)>,
     /// Requests of this router at the endpoint when its loader last reported the running requests of all routers.
     pub(crate) running_baseline: u32,
@@ -128,6 +133,8 @@
             poll_wait: Duration::ZERO,
             missing: None,
             hints: ReceivedHints::default(),
+            rate_limit: NamedRateLimit::default(),
+            limited_until: None,
             state: None,
             running_baseline: 0,
             running: 0,
@@ -241,6 +248,44 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// The requests per second that the endpoint takes from all routers together, if it names a limit.
+    pub(crate) fn rate_limit(&self, now: Instant) -> Option<Rate> {
+        let recent = self.state.as_ref().filter(|(_, heard)| now - *heard < self.state_lifetime());
+        self.rate_limit.in_force(recent.map(|(state, _)| state.rate_limit), now)
+    }
+
+    /// Logs a change of the rate limit since `before`, and returns whether there is one. `source` is who told of it.
+    pub(crate) fn note_rate_limit(
+        &mut self,
+        before: Option<Rate>,
+        source: &str,
+        now: Instant,
+    ) -> bool {
+        let limit = self.rate_limit(now);
+        if limit == before {
+            return false;
+        }
+        self.limited_until = None;
+        emit(&Event::RateLimitChanged {
+            endpoint: self.endpoint.id.as_str(),
+            limit: limit.map(|rate| rate.0),
+            before: before.map(|rate| rate.0),
+            cause: source,
+        });
+        true
+    }
+
+    /// Sends the endpoint no requests for this time, because of its rate limit.
+    pub(crate) fn pause_for_rate_limit(&mut self, pause: Duration, now: Instant) {
+        self.limited_until = Some(now + pause);
+    }
+
+    /// How long the endpoint gets no requests from this router because it asked for that, or because of its rate limit.
+    pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.limited_until.map(|until| until.saturating_duration_since(now));
+        self.backoff_left(now).max(left.filter(|left| !left.is_zero()))
+    }
+
     /// The endpoint's entry, as it is passed on to other routers.
     pub(crate) fn announced_entry(&self) -> Endpoint {
         let draining = self.hints.draining && self.endpoint.stage == EndpointStage::Ready;
@@ -253,7 +298,7 @@
         let paused = self.paused_until.is_some_and(|until| until > now);
         let missing = self.missing.is_some_and(|missing| missing.unhealthy);
         self.accepts_work()
-            && self.backoff_left(now).is_none()
+            && self.pause_left(now).is_none()
             && !missing
             && !paused
             && !self.unresponsive(now)
@@ -273,7 +318,8 @@
         self.endpoint.holdings.is_some()
             && match liveness.state(now) {
                 LivenessState::Responsive => false,
-                LivenessState::Doubtful => true,
+                // The loader's permission to send a request shows that the instance responds.
+                LivenessState::Doubtful => self.rate_limit(now).is_none(),
                 LivenessState::Unresponsive => self.running == 0 || liveness.probe_due(now),
             }
     }
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -34,6 +34,7 @@
         room_wait: Duration::ZERO,
         can_order: true,
         draining: false,
+        rate_limit: None,
         engine_version: Revision(1),
     }
 }
--- /dev/null
+++ b/components/router/src/grants.rs
@@ -0,0 +1,144 @@
+//! Asks permission to send a request to an endpoint that names a rate limit.
+//!
+//! Load pattern: the limit is for all routers together, and is often lower than their number. So no router can keep to it by itself: the
+//! loader of the endpoint, which all routers reach, hands out the times at which requests may be sent. A router that can't ask it
+//! sends nothing there. An endpoint without a loader is looked after by the loader of another one, the same for all routers, or
+//! where there are no loaders by a router.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use control::{GrantRequest, GrantResponse};
+use events::{Event, emit, millis};
+use fleet::EndpointStage;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use ratelimit::Grant;
+use tokio::time::Instant;
+use units::{EndpointId, Rate};
+use web::{Body, CallError};
+
+use crate::reservation::Reservation;
+use crate::shared::Shared;
+
+/// How long an endpoint gets no requests of this router after its loader could not be asked.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
+/// Size limit for messages of other routers, in bytes.
+const MAX_MESSAGE_BYTES: usize = 4 << 10;
+/// How often an endpoint that gets no requests is asked whether it still names a limit.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// The timeout of that question.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Waits until a request may be sent to its endpoint, for `patience` at most. Returns false if it may not: other requests of this router
+/// don't go there either until one may be sent.
+pub(crate) async fn acquire(
+    shared: &Arc<Shared>,
+    reservation: &Reservation,
+    limit: Rate,
+    patience: Duration,
+) -> bool {
+    let id = &reservation.id;
+    let incarnation = reservation.incarnation;
+    let request = GrantRequest { endpoint: id.clone(), incarnation, limit, patience };
+    let granted = match responsible_loader(shared, id) {
+        Some(loader) => control::request_grant(&shared.client, loader, &request).await,
+        None => ask_routers(shared, &request).await,
+    };
+    let (pause, cause) = match granted {
+        Ok(GrantResponse::After(wait)) => {
+            tokio::time::sleep(wait).await;
+            return true;
+        }
+        Ok(GrantResponse::Refused(after)) => {
+            (after, "the endpoint's rate limit is used up".to_owned())
+        }
+        Err(error) => (UNREACHABLE_PAUSE, error.to_string()),
+    };
+    let (endpoint, after_ms, cause) = (id.as_str(), millis(pause), cause.as_str());
+    emit(&Event::RateLimited { endpoint, limit: limit.0, after_ms, cause });
+    let check = shared.endpoints.pause_for_rate_limit(id, reservation.incarnation, pause);
+    if check {
+        tokio::spawn(check_limit(shared.clone(), id.clone()));
+    }
+    false
+}
+
+/// The address of the loader that hands out the requests of an endpoint; none if there are no loaders.
+fn responsible_loader(shared: &Shared, id: &EndpointId) -> Option<SocketAddr> {
+    let table = shared.endpoints.lock();
+    let all = table.map.values().map(|tracked| &tracked.endpoint);
+    let with_loader = all
+        .filter(|endpoint| endpoint.holdings.is_some() && endpoint.stage == EndpointStage::Ready);
+    let own = table.map.get(id).map(|tracked| &tracked.endpoint);
+    let endpoint = match own {
+        Some(own) if own.holdings.is_some() => own,
+        _ => with_loader.min_by_key(|endpoint| placement::rank(&endpoint.id, id.as_str()))?,
+    };
+    Some(shared.loader_addr(endpoint.addr))
+}
+
+/// Asks the first router in the settings that answers, or this one: where there are no loaders, it hands out the requests.
+async fn ask_routers(shared: &Shared, request: &GrantRequest) -> Result<GrantResponse, CallError> {
+    let (own, peers) = {
+        let settings = shared.settings.borrow();
+        (settings.control, settings.peers.clone())
+    };
+    for router in peers.into_iter().take_while(|router| *router != own) {
+        match control::request_grant(&shared.client, router, request).await {
+            Ok(response) => return Ok(response),
+            Err(error) => log::debug!("router: {router} hands out no requests: {error}"),
+        }
+    }
+    Ok(decide(shared, request))
+}
+
+/// Answers another router that asks to send a request.
+pub(crate) async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let bytes = match web::read(request.into_body(), MAX_MESSAGE_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(error) => return web::text(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    match serde_json::from_slice(&bytes) {
+        Ok(request) => web::json(StatusCode::OK, &decide(shared, &request)),
+        Err(error) => {
+            web::text(StatusCode::BAD_REQUEST, format!("the message can't be read: {error}\n"))
+        }
+    }
+}
+
+fn decide(shared: &Shared, request: &GrantRequest) -> GrantResponse {
+    let GrantRequest { endpoint, incarnation, limit, patience } = request;
+    let mut limiters = shared.limiters.lock().unwrap_or_else(PoisonError::into_inner);
+    match limiters.acquire(endpoint, *incarnation, *limit, *patience, Instant::now()) {
+        Grant::After(wait) => GrantResponse::After(wait),
+        Grant::Refused(after) => GrantResponse::Refused(after),
+    }
+}
+
+/// Asks an endpoint whether it still names a limit: without requests there are no answers that would tell.
+async fn check_limit(shared: Arc<Shared>, id: EndpointId) {
+    let addr = shared
+        .endpoints
+        .lock()
+        .map
+        .get(&id)
+        .map(|tracked| (tracked.endpoint.addr, tracked.endpoint.holdings.is_some()));
+    match addr {
+        Some((addr, true)) => {
+            if let Err(error) = shared.fetch_report(&id, addr, CHECK_TIMEOUT).await {
+                log::debug!("router: {id} does not tell its rate limit: {error}");
+            }
+        }
+        Some((_, false)) => {
+            shared.check_health(&id, CHECK_TIMEOUT).await;
+        }
+        None => {}
+    }
+}
+
+/// Whether an endpoint was asked for its limit so long ago that it is asked again.
+pub(crate) fn check_due(checked_at: Option<Instant>, now: Instant) -> bool {
+    checked_at.is_none_or(|at| now - at >= CHECK_INTERVAL)
+}
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, ServiceName};
+use units::{EndpointId, EndpointIncarnation, Rate, ServiceName};
 
 use crate::access::{self, Identity};
 use crate::caller::CallerConnection;
@@ -17,6 +17,7 @@
 use crate::crash_check;
 use crate::crash_records;
 use crate::exchange::{self, EndpointResponse, OutgoingRequest, ResponseDeadlines, SendOutcome};
+use crate::grants;
 use crate::guard::{Rejection, SendPermit};
 use crate::pool::ConnectionPool;
 use crate::reservation::Reservation;
@@ -87,6 +88,11 @@
             let wait_start = Instant::now();
             self.acquire_permit().await?;
             let reservation = self.reserve().await?;
+            if let Some(limit) = reservation.rate_limit
+                && !self.acquire_grant(&reservation, limit).await
+            {
+                continue;
+            }
             let waited = wait_start.elapsed();
             // After this instance was paused, requests and closed connections arrive together: let
             // the runtime process the closed connections before anything is sent.
@@ -165,6 +171,17 @@
         }
     }
 
+    /// Waits until the rate limit of an endpoint allows the request; false if that takes too long.
+    async fn acquire_grant(&self, reservation: &Reservation, limit: Rate) -> bool {
+        let mut excluded = self.excluded.clone();
+        excluded.push(reservation.id.clone());
+        let elsewhere =
+            choose::has_alternative(&self.shared, &self.needs(&excluded), self.route.target);
+        let patience = if elsewhere { Duration::ZERO } else { self.route.target };
+        let time_left = self.send_by.saturating_duration_since(Instant::now());
+        grants::acquire(&self.shared, reservation, limit, patience.min(time_left)).await
+    }
+
     /// Waits for the permit of the crash guard, which holds back requests that were at crashed
     /// endpoints.
     async fn acquire_permit(&mut self) -> Result<(), Failure> {
--- a/components/router/src/prefetch.rs
+++ b/components/router/src/prefetch.rs
@@ -53,8 +53,10 @@
     }
     let candidates: Vec<Candidate<'_>> = accepting
         .map(|tracked| {
-            let able =
-                tracked.can_load(now) && tracked.usable(now) && !refused_recently(tracked, now);
+            let able = tracked.can_load(now)
+                && tracked.rate_limit(now).is_none()
+                && tracked.usable(now)
+                && !refused_recently(tracked, now);
             tracked.candidate(able, now)
         })
         .collect();
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, StatusCode};
 use quarantine::Digest;
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, ModelName};
+use units::{EndpointId, EndpointIncarnation, ModelName, Rate};
 
 use crate::endpoint::TrackedEndpoint;
 use crate::pool::ConnectionPool;
@@ -36,6 +36,8 @@
     expected: Duration,
     /// Whether the request waited for a model to be loaded.
     pub(crate) waited_for_load: bool,
+    /// The rate limit of the endpoint, which the request must keep to before it is sent.
+    pub(crate) rate_limit: Option<Rate>,
     /// Whether a response has begun.
     response_begun: bool,
     /// Id of the request among the sent requests of the endpoint, once it has been sent.
@@ -59,7 +61,10 @@
     ) -> Option<Self> {
         let tracked = table.map.get_mut(&id)?;
         tracked.pool.sent_requests().isolated += u32::from(isolated);
-        tracked.pool.liveness().request_sent(now);
+        let rate_limit = tracked.rate_limit(now);
+        if rate_limit.is_none() {
+            tracked.pool.liveness().request_sent(now);
+        }
         tracked.running += 1;
         if let Some(model) = model {
             tracked.backlog.add(prefill_time, now);
@@ -80,6 +85,7 @@
             reserved_at: now,
             expected,
             waited_for_load: false,
+            rate_limit,
             response_begun: false,
             sent_id: None,
             isolated,
@@ -99,6 +105,7 @@
 
     /// Records that the request is sent now.
     pub(crate) fn record_sent(&mut self, digest: &Digest) {
+        self.pool.liveness().request_sent(Instant::now());
         self.sent_id.get_or_insert_with(|| self.pool.sent_requests().begin(*digest));
     }
 
@@ -116,7 +123,9 @@
         }
         let same = |tracked: &TrackedEndpoint| Arc::ptr_eq(&tracked.pool, &self.pool);
         let hints = platform::read_endpoint_hints(status, headers);
-        self.shared.endpoints.apply_hints(&self.id, self.incarnation, hints, same);
+        // The request was sent later than it was reserved: an answer without a limit ends no limit that was named in between.
+        let endpoints = &self.shared.endpoints;
+        endpoints.apply_hints(&self.id, self.incarnation, hints, self.reserved_at, same);
     }
 
     /// Records that the endpoint has begun to run the request.
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -4,7 +4,8 @@
 use std::sync::atomic::Ordering;
 
 use control::{
-    CRASHES_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH, WORKSPACES_PATH,
+    CRASHES_PATH, GRANT_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH,
+    WORKSPACES_PATH,
 };
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
@@ -15,7 +16,7 @@
 
 use crate::shared::Shared;
 use crate::{
-    Settings, borrow, crash_records, feed, prefetch, quotas, ready, roster, serve, snapshot,
+    Settings, borrow, crash_records, feed, grants, prefetch, quotas, ready, roster, serve, snapshot,
 };
 
 /// Runs the router until the process is asked to end and its requests are done.
@@ -66,6 +67,7 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, SNAPSHOT_PATH) => snapshot::answer(shared, request.uri()),
         (&Method::POST, CRASHES_PATH) => crash_records::answer(shared, request).await,
+        (&Method::POST, GRANT_PATH) => grants::answer(shared, request).await,
         (&Method::POST, TOKENS_PATH) => borrow::lend(shared, request).await,
         (&Method::GET, WORKSPACES_PATH) => match quotas::report(shared) {
             Some(report) => web::json(StatusCode::OK, &report),
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -11,6 +11,7 @@
 use events::{Event, emit};
 use platform::{Health, Store};
 use process::{Shutdown, SingleThreadProcess, StallDetector};
+use ratelimit::Limiters;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use units::{Domain, EndpointId, Revision, ServiceName, Span, StorePosition};
@@ -98,6 +99,8 @@
     pub(crate) access: KeyState,
     /// Enforces the quotas of workspaces.
     pub(crate) quotas: Quotas,
+    /// Hand out the requests to endpoints with rate limits, where there are no loaders that could.
+    pub(crate) limiters: Mutex<Limiters>,
     /// Holds back requests that crash endpoints.
     pub(crate) guard: Arc<CrashGuard>,
     /// How far the crash records have been read; none while the store is unreachable.
@@ -129,6 +132,7 @@
             store: Store::new(settings.store),
             access: KeyState::default(),
             quotas: Quotas::new(settings.control, settings.domain.clone()),
+            limiters: Mutex::default(),
             guard: Arc::new(guard),
             crash_records_position: watch::Sender::new(None),
             retry_budgets: Mutex::default(),
@@ -214,8 +218,12 @@
 
     /// A client of the loader that runs on the instance of an endpoint.
     pub(crate) fn loader_client(&self, endpoint: std::net::SocketAddr) -> LoaderClient {
-        let addr = std::net::SocketAddr::new(endpoint.ip(), self.settings.borrow().loader);
-        LoaderClient::new(self.client.clone(), addr)
+        LoaderClient::new(self.client.clone(), self.loader_addr(endpoint))
+    }
+
+    /// The address of the loader that runs on the instance of an endpoint.
+    pub(crate) fn loader_addr(&self, endpoint: std::net::SocketAddr) -> std::net::SocketAddr {
+        std::net::SocketAddr::new(endpoint.ip(), self.settings.borrow().loader)
     }
 
     /// Applies the state of an endpoint that its loader reported.
@@ -235,12 +243,13 @@
         endpoint: std::net::SocketAddr,
         timeout: Duration,
     ) -> Result<(), String> {
+        let asked_at = Instant::now();
         let report = platform::fetch_report(&self.client, endpoint, timeout).await;
         let report = report.map_err(|error| error.to_string())?;
         let same = |tracked: &TrackedEndpoint| {
             tracked.endpoint.addr == endpoint && tracked.same_incarnation(report.incarnation)
         };
-        self.endpoints.apply_hints(id, report.incarnation, report.hints, same);
+        self.endpoints.apply_hints(id, report.incarnation, report.hints, asked_at, same);
         Ok(())
     }
 
@@ -253,10 +262,11 @@
         };
         let catalog = self.current()?;
         let path = catalog.service(&endpoint.service)?.health.as_deref()?;
+        let asked_at = Instant::now();
         match platform::check_health(&self.client, endpoint.addr, path, id, timeout).await {
             Ok((health, hints)) => {
                 let same = |tracked: &TrackedEndpoint| Arc::ptr_eq(&tracked.pool, &pool);
-                self.endpoints.apply_hints(id, endpoint.incarnation, hints, same);
+                self.endpoints.apply_hints(id, endpoint.incarnation, hints, asked_at, same);
                 Some(health)
             }
             Err(error) => {
