Router: only silent ones of the endpoints that get no requests are probed

Found by reading: since a quiet endpoint must answer a probe before it gets a request, each search also probed endpoints that get none anyway, such as draining ones and those that had asked for no requests: 15 probes in 1.9 s. Only an endpoint that was silent can get requests again after a probe. The test fails without this (15 reports where 2 are allowed) and passes with it.

--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -165,7 +165,8 @@
         }
         any_left |= tracked.accepts_work() && !needs.excluded.contains(id);
         if !tracked.usable(now) {
-            if tracked.needs_probe(now) {
+            // Of the endpoints that get no requests, only one that was silent can get some again after a probe.
+            if tracked.unresponsive(now) && tracked.needs_probe(now) {
                 probe::start(shared, id, &table);
             }
             continue;
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -305,7 +305,7 @@
     }
 
     /// Whether the endpoint has had requests of this router and sends nothing: it hangs or is unreachable.
-    fn unresponsive(&self, now: Instant) -> bool {
+    pub(crate) fn unresponsive(&self, now: Instant) -> bool {
         // An endpoint without models can't be probed: single requests find out whether it responds again.
         let has_models = self.endpoint.holdings.is_some();
         (has_models || self.running > 0)
