Test: routers of any number send few requests to an endpoint that hangs

With silence counted from a router's own request only, 60 routers send 60 requests and 370 send 370 before all have found out; 4 are allowed.

--- a/components/router/src/liveness/tests.rs
+++ b/components/router/src/liveness/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the liveness of endpoints.
 
+use rstest::rstest;
+
 use super::*;
 
 fn later(now: &mut Instant, by: Duration) -> Instant {
@@ -133,3 +135,40 @@
     liveness.end_probe();
     assert!(liveness.begin_probe(Instant::now()));
 }
+
+/// Replays the load pattern: each router has its own view of an endpoint that hangs while many requests a second are spread over
+/// all routers.
+#[rstest]
+#[case::a_few_routers(4)]
+#[case::dozens_of_routers(60)]
+#[case::hundreds_of_routers(370)]
+fn all_routers_together_send_few_requests_to_an_endpoint_that_hangs(#[case] routers: usize) {
+    let start = Instant::now();
+    let mut all = vec![Liveness::new(start); routers];
+    let (request_interval, answer_time) = (Duration::from_millis(40), Duration::from_millis(20));
+    let hangs_at = start + Duration::from_secs(20);
+    let (mut now, mut late) = (start, 0);
+    for request in 0..1_000 {
+        // A multiplier without common factors spreads the requests over the routers.
+        let liveness = &mut all[request * 7_919 % routers];
+        if liveness.state(now) != LivenessState::Responsive && liveness.begin_probe(now) {
+            if now < hangs_at {
+                liveness.probe_answered(now, true);
+            } else {
+                liveness.record_failed_probe();
+            }
+            liveness.end_probe();
+        }
+        if liveness.state(now) == LivenessState::Responsive {
+            liveness.request_sent(now);
+            if now < hangs_at {
+                liveness.answer_received(now + answer_time);
+                liveness.requests_finished(now + answer_time);
+            } else {
+                late += 1;
+            }
+        }
+        now += request_interval;
+    }
+    assert!(late <= 4, "{late} requests were sent after it had stopped");
+}
