--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -99,7 +99,7 @@
     /// Set while the endpoint's list entry is missing.
     pub(crate) missing: Option<MissingEntry>,
     pub(crate) hints: ReceivedHints,
-    pub(crate) rate_limit: NamedRateLimit,
+    pub(crate) named_limit: NamedRateLimit,
     /// Until when the rate limit allows no request of this router.
     limited_until: Option<Instant>,
     pub(crate) state: Option<(EndpointState, Instant)>,
@@ -133,7 +133,7 @@
             poll_wait: Duration::ZERO,
             missing: None,
             hints: ReceivedHints::default(),
-            rate_limit: NamedRateLimit::default(),
+            named_limit: NamedRateLimit::default(),
             limited_until: None,
             state: None,
             running_baseline: 0,
@@ -251,7 +251,7 @@
     /// The requests per second that the endpoint takes from all routers together, if it names a limit.
     pub(crate) fn rate_limit(&self, now: Instant) -> Option<Rate> {
         let recent = self.state.as_ref().filter(|(_, heard)| now - *heard < self.state_lifetime());
-        self.rate_limit.in_force(recent.map(|(state, _)| state.rate_limit), now)
+        self.named_limit.in_force(recent.map(|(state, _)| state.rate_limit), now)
     }
 
     /// Logs a change of the rate limit since `before`, and returns whether there is one. `source` is who told of it.
--- a/components/router/src/grants.rs
+++ b/components/router/src/grants.rs
@@ -24,6 +24,8 @@
 
 /// How long an endpoint gets no requests of this router after its loader could not be asked.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
+/// The shortest time for which an endpoint that refused a request gets none of this router; times are sent in whole milliseconds.
+const MIN_PAUSE: Duration = Duration::from_millis(10);
 /// Size limit for messages of other routers, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 << 10;
 /// How often an endpoint that gets no requests is asked whether it still names a limit.
@@ -52,7 +54,7 @@
             return true;
         }
         Ok(GrantResponse::Refused(after)) => {
-            (after, "the endpoint's rate limit is used up".to_owned())
+            (after.max(MIN_PAUSE), "the endpoint's rate limit is used up".to_owned())
         }
         Err(error) => (UNREACHABLE_PAUSE, error.to_string()),
     };
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -201,12 +201,12 @@
         let mut table = self.lock();
         let Some(tracked) = table.map.get_mut(id).filter(|tracked| same(tracked)) else { return };
         let before = tracked.rate_limit(now);
-        if hint == RateLimitHint::Invalid && !tracked.rate_limit.invalid {
+        if hint == RateLimitHint::Invalid && !tracked.named_limit.invalid {
             let (limit, cause) =
                 (before.map(|rate| rate.0), "the limit that it names is no number");
             emit(&Event::RateLimitChanged { endpoint: id.as_str(), limit, before: limit, cause });
         }
-        tracked.rate_limit.apply(hint, asked_at, now);
+        tracked.named_limit.apply(hint, asked_at, now);
         let changed = tracked.note_rate_limit(before, "its answer", now);
         drop(table);
         if changed {
@@ -227,9 +227,9 @@
         let tracked = table.map.get_mut(id).filter(|tracked| tracked.same_incarnation(incarnation));
         let Some(tracked) = tracked else { return false };
         tracked.pause_for_rate_limit(pause, now);
-        let due = grants::check_due(tracked.rate_limit.checked_at, now);
+        let due = grants::check_due(tracked.named_limit.checked_at, now);
         if due {
-            tracked.rate_limit.checked_at = Some(now);
+            tracked.named_limit.checked_at = Some(now);
         }
         due
     }
