--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -8,9 +8,9 @@
 };
 pub use message::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ConfirmedVersion, DeniedKey, ENGINE_PATH,
-    ENSURE_PATH, EndpointLoad, EndpointState, EngineUpdate, EnsureOutcome, EnsureRequest,
-    EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, KeyedRecord, ModelUse, POLL_PATH,
-    PollRequest, PollResponse, Position, RELEASE_PATH, ReleaseRequest, SNAPSHOT_PATH,
-    SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, WORKSPACES_PATH, WorkspaceReport,
-    WorkspacesReport,
+    ENSURE_PATH, EndpointLoad, EndpointRateLimit, EndpointState, EngineUpdate, EnsureOutcome,
+    EnsureRequest, EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, KeyedRecord,
+    LIMITS_PATH, ModelUse, POLL_PATH, PollRequest, PollResponse, Position, RELEASE_PATH,
+    ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, WORKSPACES_PATH,
+    WorkspaceReport, WorkspacesReport,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -177,6 +177,20 @@
     Refused(#[serde(with = "fleet::millis")] Duration),
 }
 
+/// The path at which a router reports the endpoints that name rate limits, as a list of [`EndpointRateLimit`].
+pub const LIMITS_PATH: &str = "/limits";
+
+/// What a router knows of an endpoint that names a rate limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndpointRateLimit {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The requests per second that the endpoint takes from all routers together.
+    pub limit: Rate,
+    /// How long this router sends it no requests, since the limit was used up; 0 if it may send some.
+    pub pause_ms: u64,
+}
+
 /// The path at which a router answers other routers with a [`Snapshot`].
 pub const SNAPSHOT_PATH: &str = "/snapshot";
 
--- a/components/router/src/grants.rs
+++ b/components/router/src/grants.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use control::{GrantRequest, GrantResponse};
+use control::{EndpointRateLimit, GrantRequest, GrantResponse};
 use events::{Event, emit, millis};
 use fleet::EndpointStage;
 use http::{Request, Response, StatusCode};
@@ -119,6 +119,18 @@
     }
 }
 
+/// The endpoints that name rate limits.
+pub(crate) fn report(shared: &Shared) -> Vec<EndpointRateLimit> {
+    let now = Instant::now();
+    let table = shared.endpoints.lock();
+    let limited = table.map.iter().filter_map(|(id, tracked)| {
+        let limit = tracked.rate_limit(now)?;
+        let pause_ms = tracked.pause_left(now).map_or(0, millis);
+        Some(EndpointRateLimit { endpoint: id.clone(), limit, pause_ms })
+    });
+    limited.collect()
+}
+
 /// Asks an endpoint whether it still names a limit: without requests there are no answers that would tell.
 async fn check_limit(shared: Arc<Shared>, id: EndpointId) {
     let addr = shared
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use control::{
-    CRASHES_PATH, GRANT_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH,
+    CRASHES_PATH, GRANT_PATH, LIMITS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH,
     WORKSPACES_PATH,
 };
 use events::{Event, emit};
@@ -73,6 +73,7 @@
             Some(report) => web::json(StatusCode::OK, &report),
             None => web::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet\n"),
         },
+        (&Method::GET, LIMITS_PATH) => web::json(StatusCode::OK, &grants::report(shared)),
         (&Method::GET, SUSPECTS_PATH) => web::json(StatusCode::OK, &shared.guard.suspects()),
         (&Method::POST, RELEASE_PATH) => crash_records::release(shared, request).await,
         _ => web::text(StatusCode::NOT_FOUND, "no such path\n"),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -88,6 +88,10 @@
     Suspects {
         router: SocketAddr,
     },
+    /// Show the endpoints that name rate limits, as a router knows them.
+    Limits {
+        router: SocketAddr,
+    },
     /// Show workspaces with their keys, limits and use at a router.
     Workspaces {
         router: SocketAddr,
@@ -143,7 +147,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 15] = [
+const COMMANDS: [&str; 16] = [
     "check",
     "diff",
     "pull",
@@ -153,6 +157,7 @@
     "reference",
     "release",
     "status",
+    "limits",
     "losses",
     "story",
     "suspects",
@@ -271,6 +276,7 @@
             Command::Story { request, files }
         }
         "suspects" => Command::Suspects { router: next("ROUTER", &mut values)?.parse()? },
+        "limits" => Command::Limits { router: next("ROUTER", &mut values)?.parse()? },
         "workspaces" => Command::Workspaces { router: next("ROUTER", &mut values)?.parse()? },
         "release" => Command::Release {
             router: next("ROUTER", &mut values)?.parse()?,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod diff;
 pub(crate) mod explain;
 pub(crate) mod help;
+pub(crate) mod limits;
 pub(crate) mod losses;
 pub(crate) mod publish;
 pub(crate) mod pull;
