Router: a probe's answer wakes only the requests that wait for that probe

Cause, from reading: each answered or failed probe notified all requests that wait for any endpoint, and each of them searched all endpoints again. Since quiet endpoints are probed, that is once for most requests, while hundreds may wait for models after a loss of power.

--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -12,6 +12,7 @@
 
 use crate::endpoint::TrackedEndpoint;
 use crate::loader_task::{self, LoadRequest};
+use crate::pool::ConnectionPool;
 use crate::probe;
 use crate::registry::{EndpointTable, NO_WAITING_REQUESTS};
 use crate::reservation::{Reservation, WaitingRequest};
@@ -87,6 +88,8 @@
     Load(Vec<PlannedLoad>),
     /// No endpoint can serve the request yet; one is expected after this time.
     Wait(Duration),
+    /// The endpoint must answer a probe first.
+    Probe(Arc<ConnectionPool>),
     /// All endpoints that may serve the request have asked for a pause, the first of which ends
     /// after this time.
     Paused(Duration),
@@ -113,6 +116,11 @@
                 return Ok(reservation);
             }
             SearchResult::Paused(left) => return Err(ReserveError::NoEndpoint(left)),
+            SearchResult::Probe(pool) => {
+                // Only requests that wait for this endpoint search again when it has answered.
+                let _ = tokio::time::timeout(SEARCH_INTERVAL, pool.probe_done.notified()).await;
+                continue;
+            }
             SearchResult::NoEndpoint => {
                 return Err(ReserveError::NoEndpoint(NO_ENDPOINT_RETRY_AFTER));
             }
@@ -217,7 +225,8 @@
             && table.map.get(&id).is_some_and(|tracked| tracked.needs_probe(now))
         {
             probe::start(shared, &id, &table);
-            return SearchResult::Wait(Duration::ZERO);
+            let pool = table.map.get(&id).map(|tracked| tracked.pool.clone());
+            return pool.map_or(SearchResult::NoEndpoint, SearchResult::Probe);
         }
         let times = (prefill_time, chosen.first_event);
         let reservation =
