Router: whether an endpoint has been silent since a request was written is read at one moment

Found by reading: the silence and the age of the request were taken from two readings of the clock. An endpoint whose last sign, such as a probe's answer, came just before the request was written could seem to have sent something since, and the connection was closed instead of reset.

--- a/components/router/src/reset.rs
+++ b/components/router/src/reset.rs
@@ -44,8 +44,8 @@
 
 impl Drop for UnansweredRequest {
     fn drop(&mut self) {
-        let quiet = self.pool.liveness().quiet(Instant::now());
-        if !self.finished && quiet >= self.sent_at.elapsed() {
+        let now = Instant::now();
+        if !self.finished && self.pool.liveness().quiet(now) >= now - self.sent_at {
             self.reset.0.store(true, Ordering::Relaxed);
         }
     }
