Loader: of two known rate limits the lower one counts

Found by reading: for its own endpoint a loader took the limit of its last report, up to a second old, for newer than what the router that asks has just been told. Either may be newer, so the lower one holds until the next report.

--- a/components/loader/src/router_api.rs
+++ b/components/loader/src/router_api.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
-use units::Era;
+use units::{Era, Rate};
 use web::Body;
 
 /// The largest accepted request body; an engine with some thousands of models fits.
@@ -109,13 +109,14 @@
     fn grant(self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
         let request: GrantRequest = serde_json::from_slice(bytes)?;
         let GrantRequest { endpoint, incarnation, limit, patience } = request;
-        // The endpoint's last report to its own loader is newer than what a router has been told.
+        // Either may be newer: the loader's last report, or the answer that the router has got since. The lower limit is safe.
         let limit = {
             let state = self.state.borrow();
-            state.rate_limit.filter(|_| state.endpoint.as_ref() == Some(&endpoint)).unwrap_or(limit)
+            let own = state.endpoint.as_ref() == Some(&endpoint);
+            let reported = state.rate_limit.filter(|_| own);
+            reported.map_or(limit, |reported| Rate(limit.0.min(reported.0)))
         };
         let mut limiters = self.limiters.lock().unwrap_or_else(PoisonError::into_inner);
-        let patience = patience.min(MAX_WAIT);
         let grant = limiters.acquire(&endpoint, incarnation, limit, patience, Instant::now());
         let response = match grant {
             Grant::After(wait) => GrantResponse::After(wait),
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -3,7 +3,7 @@
 use control::EndpointLoad;
 use fleet::Holdings;
 use http_body_util::BodyExt;
-use units::Revision;
+use units::{Rate, Revision};
 
 use super::*;
 
@@ -70,3 +70,33 @@
     sender.send_replace(state(8));
     assert_eq!(polled.await.expect("an answer").0, PollResponse::Changed(Box::new(state(8))));
 }
+
+/// A limit that has just fallen is known to the router that got the answer before the loader reads the next report, and the other
+/// way round.
+#[rstest::rstest]
+#[case::the_router_knows_of_a_fall(100.0, 1.0)]
+#[case::the_loader_knows_of_a_fall(1.0, 100.0)]
+#[tokio::test(start_paused = true)]
+async fn the_lower_of_two_known_rate_limits_counts(#[case] reported: f64, #[case] known: f64) {
+    let endpoint: units::EndpointId = "i-1".parse().expect("an id");
+    let (commands, _inbox) = mpsc::channel(8);
+    let named = EndpointState {
+        endpoint: Some(endpoint.clone()),
+        rate_limit: Some(Rate(reported)),
+        ..state(7)
+    };
+    let (_sender, state_receiver) = watch::channel(named);
+    let api = api(commands, state_receiver);
+    let request =
+        GrantRequest { endpoint, incarnation: None, limit: Rate(known), patience: Duration::ZERO };
+    let bytes = Bytes::from(serde_json::to_vec(&request).expect("JSON"));
+    let mut granted = 0;
+    for _ in 0..100 {
+        let response = api.clone().grant(&bytes).expect("readable");
+        let body = response.into_body().collect().await.expect("a body").to_bytes();
+        let response: GrantResponse = serde_json::from_slice(&body).expect("JSON");
+        granted += u32::from(matches!(response, GrantResponse::After(_)));
+        tokio::time::advance(Duration::from_millis(100)).await;
+    }
+    assert!((8..=11).contains(&granted), "{granted} requests in 10 s");
+}
