Router: how the end of a rate limit is learned is a matter of all routers together

Found by reading and by the tests that exist. Each router asked an endpoint every five seconds whether its limit still holds, at once after its first refusal and also where the endpoint's loader reports the end anyway: twelve questions a second with 60 routers, which the endpoint may count against a limit of one. It was another bound that each process kept for itself. Once that first question was gone, two tests of the end of a limit failed (10 s): the pause after a refusal, up to a minute, outlived the limit, and the question was only asked on a refusal, which a paused endpoint does not cause.

A pause now ends with the limit that caused it. Where no loader reports the end, each router checks at random times, the less often the more routers there are: one check in two seconds over all routers, which a test plays with up to 370. A change that only time brings about, such as an announcement that the loader no longer confirms, is logged with the next answer. What concerns rate limits moves from the registry and the endpoint's state to a module of its own; patience is called max_wait.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -164,7 +164,7 @@
     pub limit: Rate,
     /// How long the request can wait.
     #[serde(with = "fleet::millis")]
-    pub patience: Duration,
+    pub max_wait: Duration,
 }
 
 /// The response to a [`GrantRequest`].
--- a/components/loader/src/router_api.rs
+++ b/components/loader/src/router_api.rs
@@ -108,7 +108,7 @@
 
     fn grant(self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
         let request: GrantRequest = serde_json::from_slice(bytes)?;
-        let GrantRequest { endpoint, incarnation, limit, patience } = request;
+        let GrantRequest { endpoint, incarnation, limit, max_wait } = request;
         // Either may be newer: the loader's last report, or the answer that the router has got since. The lower limit is safe.
         let limit = {
             let state = self.state.borrow();
@@ -117,7 +117,7 @@
             reported.map_or(limit, |reported| Rate(limit.0.min(reported.0)))
         };
         let mut limiters = self.limiters.lock().unwrap_or_else(PoisonError::into_inner);
-        let grant = limiters.acquire(&endpoint, incarnation, limit, patience, Instant::now());
+        let grant = limiters.acquire(&endpoint, incarnation, limit, max_wait, Instant::now());
         let response = match grant {
             Grant::After(wait) => GrantResponse::After(wait),
             Grant::Refused(after) => GrantResponse::Refused(after),
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -88,7 +88,7 @@
     let (_sender, state_receiver) = watch::channel(named);
     let api = api(commands, state_receiver);
     let request =
-        GrantRequest { endpoint, incarnation: None, limit: Rate(known), patience: Duration::ZERO };
+        GrantRequest { endpoint, incarnation: None, limit: Rate(known), max_wait: Duration::ZERO };
     let bytes = Bytes::from(serde_json::to_vec(&request).expect("JSON"));
     let mut granted = 0;
     for _ in 0..100 {
--- a/components/ratelimit/src/limiter.rs
+++ b/components/ratelimit/src/limiter.rs
@@ -11,7 +11,7 @@
 const BURST_TIME: Duration = Duration::from_millis(250);
 /// The longest that a request is held back. What has been promised for later is forgotten by a limiter that starts anew and holds
 /// beyond a fall of the limit, so it must be little.
-pub(crate) const MAX_PATIENCE: Duration = Duration::from_millis(500);
+pub(crate) const MAX_WAIT: Duration = Duration::from_millis(500);
 /// The longest time that a caller is told to come back after, for limits near zero.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -37,21 +37,21 @@
 impl Limiter {
     /// A limiter of an endpoint that may have had another one until now.
     pub fn new(now: Instant) -> Self {
-        Self { level: 0.0, filled: now + MAX_PATIENCE }
+        Self { level: 0.0, filled: now + MAX_WAIT }
     }
 
-    /// Asks to send a request that can wait for `patience`.
-    pub fn acquire(&mut self, limit: Rate, patience: Duration, now: Instant) -> Grant {
+    /// Asks to send a request that can wait for `max_wait`.
+    pub fn acquire(&mut self, limit: Rate, max_wait: Duration, now: Instant) -> Grant {
         let burst = MIN_BURST.max(limit.0 * BURST_TIME.as_secs_f64());
         let gained = limit.0 * now.saturating_duration_since(self.filled).as_secs_f64();
         // If the limit has fallen, what was promised at the higher one counts as far as it lies ahead.
-        let promised = limit.0 * MAX_PATIENCE.as_secs_f64();
+        let promised = limit.0 * MAX_WAIT.as_secs_f64();
         self.level = (self.level + gained).clamp(-promised, burst);
         self.filled = self.filled.max(now);
         let missing = (1.0 - self.level).max(0.0);
         let fill_time = if missing > 0.0 { seconds(missing / limit.0) } else { Duration::ZERO };
         let wait = fill_time.saturating_add(self.filled - now);
-        if wait > patience.min(MAX_PATIENCE) {
+        if wait > max_wait.min(MAX_WAIT) {
             return Grant::Refused(wait.min(MAX_RETRY_AFTER));
         }
         self.level -= 1.0;
--- a/components/ratelimit/src/limiter/tests.rs
+++ b/components/ratelimit/src/limiter/tests.rs
@@ -26,15 +26,15 @@
 fn promises_no_more_than_the_limit_and_nearly_all_of_it(
     #[case] limit: f64,
     #[values(Duration::ZERO, Duration::from_millis(400), Duration::from_secs(5))]
-    patience: Duration,
+    max_wait: Duration,
 ) {
     let (limit, start) = (Rate(limit), Instant::now());
     let mut limiter = Limiter::new(start);
     let (mut sent, duration) = (Vec::new(), Duration::from_secs(40));
     let mut now = start;
     while now < start + duration {
-        if let Grant::After(wait) = limiter.acquire(limit, patience, now) {
-            assert!(wait <= patience.min(MAX_PATIENCE));
+        if let Grant::After(wait) = limiter.acquire(limit, max_wait, now) {
+            assert!(wait <= max_wait.min(MAX_WAIT));
             sent.push(now + wait);
         }
         now += Duration::from_millis(3);
@@ -58,7 +58,7 @@
 fn a_refused_request_takes_no_turn() {
     let start = Instant::now();
     let mut limiter = Limiter::new(start);
-    let now = start + MAX_PATIENCE;
+    let now = start + MAX_WAIT;
     let ms = Duration::from_millis;
     for _ in 0..9 {
         assert_eq!(limiter.acquire(Rate(2.5), ms(399), now), Grant::Refused(ms(400)));
@@ -71,15 +71,15 @@
 fn a_new_limiter_promises_nothing_while_promises_of_an_earlier_one_may_be_due() {
     let now = Instant::now();
     let refused = Limiter::new(now).acquire(Rate(100.0), Duration::ZERO, now);
-    assert_eq!(refused, Grant::Refused(MAX_PATIENCE + Duration::from_millis(10)));
+    assert_eq!(refused, Grant::Refused(MAX_WAIT + Duration::from_millis(10)));
 }
 
 #[test]
 fn what_was_promised_at_a_higher_limit_is_not_held_against_a_lower_one_for_long() {
     let start = Instant::now();
     let mut limiter = Limiter::new(start);
-    let now = start + MAX_PATIENCE;
-    while limiter.acquire(Rate(200.0), MAX_PATIENCE, now) != Grant::After(MAX_PATIENCE) {}
+    let now = start + MAX_WAIT;
+    while limiter.acquire(Rate(200.0), MAX_WAIT, now) != Grant::After(MAX_WAIT) {}
     let refused = limiter.acquire(Rate(1.0), Duration::ZERO, now);
     assert_eq!(refused, Grant::Refused(Duration::from_millis(1_500)));
 }
@@ -95,7 +95,7 @@
 fn a_higher_limit_takes_effect_at_once() {
     let start = Instant::now();
     let mut limiter = Limiter::new(start);
-    let now = start + MAX_PATIENCE;
+    let now = start + MAX_WAIT;
     assert!(matches!(limiter.acquire(Rate(0.01), Duration::ZERO, now), Grant::Refused(_)));
     let granted = limiter.acquire(Rate(100.0), Duration::from_millis(10), now);
     assert_eq!(granted, Grant::After(Duration::from_millis(10)));
--- a/components/ratelimit/src/limiters.rs
+++ b/components/ratelimit/src/limiters.rs
@@ -22,13 +22,13 @@
 }
 
 impl Limiters {
-    /// Asks to send an endpoint a request that can wait for `patience`.
+    /// Asks to send an endpoint a request that can wait for `max_wait`.
     pub fn acquire(
         &mut self,
         id: &EndpointId,
         incarnation: Option<EndpointIncarnation>,
         limit: Rate,
-        patience: Duration,
+        max_wait: Duration,
         now: Instant,
     ) -> Grant {
         if !self.limiters.contains_key(id) {
@@ -43,6 +43,6 @@
             // What was promised to the incarnation before doesn't concern this one.
             (*known, *limiter) = fresh();
         }
-        limiter.acquire(limit, patience, now)
+        limiter.acquire(limit, max_wait, now)
     }
 }
--- a/components/ratelimit/tests/routers.rs
+++ b/components/ratelimit/tests/routers.rs
@@ -99,13 +99,13 @@
             if router.paused_until > now || router.stopped_until > now {
                 continue;
             }
-            let patience = Duration::from_millis([0, 400, 2_500][rng.random_range(0..3)]);
+            let max_wait = Duration::from_millis([0, 400, 2_500][rng.random_range(0..3)]);
             let grant = match division {
-                Division::EqualShares => router.own.acquire(share, patience, now),
+                Division::EqualShares => router.own.acquire(share, max_wait, now),
                 Division::Loader if router.cut_until > now || loader_stopped_until > now => {
                     Grant::Refused(UNREACHABLE_PAUSE)
                 }
-                Division::Loader => loader.acquire(limit, patience, now),
+                Division::Loader => loader.acquire(limit, max_wait, now),
             };
             match grant {
                 Grant::After(wait) => {
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -6,17 +6,16 @@
 
 use catalog::ModelId;
 use control::{EndpointLoad, EndpointState};
-use events::{Event, emit};
 use fleet::{Endpoint, EndpointStage, Holdings};
 use placement::{Candidate, PromptBacklog, RecentFailures};
 use quarantine::UnixMillis;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
-use units::{EndpointIncarnation, ModelName, Rate, StorePosition};
+use units::{EndpointIncarnation, ModelName, StorePosition};
 
 use crate::liveness::LivenessState;
 use crate::pool::ConnectionPool;
-use crate::rate_limit::NamedRateLimit;
+use crate::rate_limit::RateLimitState;
 
 /// How long the state that a loader reported takes precedence over the list of endpoints, for a loader that is polled every
 /// second.
@@ -99,9 +98,7 @@
     /// Set while the endpoint's list entry is missing.
     pub(crate) missing: Option<MissingEntry>,
     pub(crate) hints: ReceivedHints,
-    pub(crate) named_limit: NamedRateLimit,
-    /// Until when the rate limit allows no request of this router.
-    limited_until: Option<Instant>,
+    pub(crate) limit_state: RateLimitState,
     pub(crate) state: Option<(EndpointState, Instant)>,
     /// Requests of this router at the endpoint when its loader last reported the running requests of all routers.
     pub(crate) running_baseline: u32,
@@ -133,8 +130,7 @@
             poll_wait: Duration::ZERO,
             missing: None,
             hints: ReceivedHints::default(),
-            named_limit: NamedRateLimit::default(),
-            limited_until: None,
+            limit_state: RateLimitState::default(),
             state: None,
             running_baseline: 0,
             running: 0,
@@ -248,44 +244,6 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// The requests per second that the endpoint takes from all routers together, if it names a limit.
-    pub(crate) fn rate_limit(&self, now: Instant) -> Option<Rate> {
-        let recent = self.state.as_ref().filter(|(_, heard)| now - *heard < self.state_lifetime());
-        self.named_limit.in_force(recent.map(|(state, _)| state.rate_limit), now)
-    }
-
-    /// Logs a change of the rate limit since `before`, and returns whether there is one. `source` is who told of it.
-    pub(crate) fn note_rate_limit(
-        &mut self,
-        before: Option<Rate>,
-        source: &str,
-        now: Instant,
-    ) -> bool {
-        let limit = self.rate_limit(now);
-        if limit == before {
-            return false;
-        }
-        self.limited_until = None;
-        emit(&Event::RateLimitChanged {
-            endpoint: self.endpoint.id.as_str(),
-            limit: limit.map(|rate| rate.0),
-            before: before.map(|rate| rate.0),
-            cause: source,
-        });
-        true
-    }
-
-    /// Sends the endpoint no requests for this time, because of its rate limit.
-    pub(crate) fn pause_for_rate_limit(&mut self, pause: Duration, now: Instant) {
-        self.limited_until = Some(now + pause);
-    }
-
-    /// How long the endpoint gets no requests from this router because it asked for that, or because of its rate limit.
-    pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
-        let left = self.limited_until.map(|until| until.saturating_duration_since(now));
-        self.backoff_left(now).max(left.filter(|left| !left.is_zero()))
-    }
-
     /// The endpoint's entry, as it is passed on to other routers.
     pub(crate) fn announced_entry(&self) -> Endpoint {
         let draining = self.hints.draining && self.endpoint.stage == EndpointStage::Ready;
@@ -370,7 +328,7 @@
     }
 
     /// How long the state that the loader reported takes precedence over the list.
-    fn state_lifetime(&self) -> Duration {
+    pub(crate) fn state_lifetime(&self) -> Duration {
         STATE_LIFETIME.max(self.poll_wait * STATE_LIFETIME_POLLS)
     }
 
--- a/components/router/src/grants.rs
+++ b/components/router/src/grants.rs
@@ -19,6 +19,7 @@
 use units::{EndpointId, Rate};
 use web::{Body, CallError};
 
+use crate::rate_limit;
 use crate::reservation::Reservation;
 use crate::shared::Shared;
 
@@ -28,22 +29,19 @@
 const MIN_PAUSE: Duration = Duration::from_millis(10);
 /// Size limit for messages of other routers, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 << 10;
-/// How often an endpoint that gets no requests is asked whether it still names a limit.
-const CHECK_INTERVAL: Duration = Duration::from_secs(5);
-/// The timeout of that question.
+/// The timeout of a check of whether an endpoint still announces a limit.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Waits until a request may be sent to its endpoint, for `patience` at most. Returns false if it may not: other requests of this router
-/// don't go there either until one may be sent.
+/// Waits until a request may be sent to its endpoint, for `max_wait` at most. Returns false if it may not be sent in this time; the
+/// endpoint is then paused at this router.
 pub(crate) async fn acquire(
     shared: &Arc<Shared>,
     reservation: &Reservation,
     limit: Rate,
-    patience: Duration,
+    max_wait: Duration,
 ) -> bool {
-    let id = &reservation.id;
-    let incarnation = reservation.incarnation;
-    let request = GrantRequest { endpoint: id.clone(), incarnation, limit, patience };
+    let (id, incarnation) = (&reservation.id, reservation.incarnation);
+    let request = GrantRequest { endpoint: id.clone(), incarnation, limit, max_wait };
     let granted = match responsible_loader(shared, id) {
         Some(loader) => control::request_grant(&shared.client, loader, &request).await,
         None => ask_routers(shared, &request).await,
@@ -60,8 +58,8 @@
     };
     let (endpoint, after_ms, cause) = (id.as_str(), millis(pause), cause.as_str());
     emit(&Event::RateLimited { endpoint, limit: limit.0, after_ms, cause });
-    let check = shared.endpoints.pause_for_rate_limit(id, reservation.incarnation, pause);
-    if check {
+    shared.endpoints.pause_for_rate_limit(id, incarnation, limit, pause);
+    if shared.endpoints.begin_limit_checks(id) {
         tokio::spawn(check_limit(shared.clone(), id.clone()));
     }
     false
@@ -111,9 +109,9 @@
 }
 
 fn decide(shared: &Shared, request: &GrantRequest) -> GrantResponse {
-    let GrantRequest { endpoint, incarnation, limit, patience } = request;
+    let GrantRequest { endpoint, incarnation, limit, max_wait } = request;
     let mut limiters = shared.limiters.lock().unwrap_or_else(PoisonError::into_inner);
-    match limiters.acquire(endpoint, *incarnation, *limit, *patience, Instant::now()) {
+    match limiters.acquire(endpoint, *incarnation, *limit, *max_wait, Instant::now()) {
         Grant::After(wait) => GrantResponse::After(wait),
         Grant::Refused(after) => GrantResponse::Refused(after),
     }
@@ -131,28 +129,28 @@
     limited.collect()
 }
 
-/// Asks an endpoint whether it still names a limit: without requests there are no answers that would tell.
+/// Checks from time to time whether an endpoint still announces a limit, until it doesn't: without requests there are no answers that
+/// would tell.
 async fn check_limit(shared: Arc<Shared>, id: EndpointId) {
-    let addr = shared
-        .endpoints
-        .lock()
-        .map
-        .get(&id)
-        .map(|tracked| (tracked.endpoint.addr, tracked.endpoint.holdings.is_some()));
-    match addr {
-        Some((addr, true)) => {
-            if let Err(error) = shared.fetch_report(&id, addr, CHECK_TIMEOUT).await {
-                log::debug!("router: {id} does not tell its rate limit: {error}");
-            }
+    let mut part = rand::random();
+    loop {
+        let routers = shared.endpoints.lock().routers();
+        tokio::time::sleep(rate_limit::check_delay(routers, part)).await;
+        if !shared.endpoints.continue_limit_checks(&id) {
+            return;
         }
-        Some((_, false)) => {
-            shared.check_health(&id, CHECK_TIMEOUT).await;
-        }
-        None => {}
+        ask_for_limit(&shared, &id).await;
+        part = 1.0;
     }
 }
 
-/// Whether an endpoint was asked for its limit so long ago that it is asked again.
-pub(crate) fn check_due(checked_at: Option<Instant>, now: Instant) -> bool {
-    checked_at.is_none_or(|at| now - at >= CHECK_INTERVAL)
+/// Has an endpoint send an answer, whose headers show whether it announces a limit.
+async fn ask_for_limit(shared: &Shared, id: &EndpointId) {
+    let endpoint = shared.endpoints.lock().map.get(id).map(|tracked| tracked.endpoint.clone());
+    let Some(endpoint) = endpoint else { return };
+    if endpoint.holdings.is_none() {
+        shared.check_health(id, CHECK_TIMEOUT).await;
+    } else if let Err(error) = shared.fetch_report(id, endpoint.addr, CHECK_TIMEOUT).await {
+        log::debug!("router: {id} does not report its rate limit: {error}");
+    }
 }
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -177,9 +177,9 @@
         excluded.push(reservation.id.clone());
         let elsewhere =
             choose::has_alternative(&self.shared, &self.needs(&excluded), self.route.target);
-        let patience = if elsewhere { Duration::ZERO } else { self.route.target };
+        let max_wait = if elsewhere { Duration::ZERO } else { self.route.target };
         let time_left = self.send_by.saturating_duration_since(Instant::now());
-        grants::acquire(&self.shared, reservation, limit, patience.min(time_left)).await
+        grants::acquire(&self.shared, reservation, limit, max_wait.min(time_left)).await
     }
 
     /// Waits for the permit of the crash guard, which holds back requests that were at crashed
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -10,14 +10,13 @@
 use events::{Event, emit, millis};
 use fleet::Tier;
 use placement::{Demand, ScalingInputs};
-use platform::{EndpointHints, RateLimitHint};
+use platform::EndpointHints;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, ModelName, ServiceName, StorePosition};
 
 use crate::cold::ColdLoads;
 use crate::endpoint::{ReceivedHints, TrackedEndpoint, Usage};
-use crate::grants;
 use crate::guard::wall_clock;
 use crate::pool::ConnectionPool;
 
@@ -86,12 +85,11 @@
         let now = Instant::now();
         let mut table = self.lock();
         let accepted = table.map.get(id).is_some_and(TrackedEndpoint::accepts_work);
-        let limit = table.map.get(id).and_then(|tracked| tracked.rate_limit(now));
         if table.map.get_mut(id).is_some_and(|tracked| tracked.apply_state(state, now)) {
             table.forget_incarnation(id);
         }
         if let Some(tracked) = table.map.get_mut(id) {
-            tracked.note_rate_limit(limit, "its loader", now);
+            tracked.log_rate_limit("its loader", now);
         }
         if let Some(tracked) =
             table.map.get(id).filter(|tracked| accepted && !tracked.accepts_work())
@@ -188,51 +186,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Applies what an endpoint's answer says of its rate limit.
-    fn apply_rate_limit(
-        &self,
-        id: &EndpointId,
-        hint: RateLimitHint,
-        asked_at: Instant,
-        same: impl Fn(&TrackedEndpoint) -> bool,
-    ) {
-        let now = Instant::now();
-        let mut table = self.lock();
-        let Some(tracked) = table.map.get_mut(id).filter(|tracked| same(tracked)) else { return };
-        let before = tracked.rate_limit(now);
-        if hint == RateLimitHint::Invalid && !tracked.named_limit.invalid {
-            let (limit, cause) =
-                (before.map(|rate| rate.0), "the limit that it names is no number");
-            emit(&Event::RateLimitChanged { endpoint: id.as_str(), limit, before: limit, cause });
-        }
-        tracked.named_limit.apply(hint, asked_at, now);
-        let changed = tracked.note_rate_limit(before, "its answer", now);
-        drop(table);
-        if changed {
-            self.changed.notify_waiters();
-        }
-    }
-
-    /// Sends an incarnation of an endpoint no requests for this time, because of its rate limit. Returns whether the endpoint is to be
-    /// asked for its limit.
-    pub(crate) fn pause_for_rate_limit(
-        &self,
-        id: &EndpointId,
-        incarnation: Option<EndpointIncarnation>,
-        pause: Duration,
-    ) -> bool {
-        let now = Instant::now();
-        let mut table = self.lock();
-        let tracked = table.map.get_mut(id).filter(|tracked| tracked.same_incarnation(incarnation));
-        let Some(tracked) = tracked else { return false };
-        tracked.pause_for_rate_limit(pause, now);
-        let due = grants::check_due(tracked.named_limit.checked_at, now);
-        if due {
-            tracked.named_limit.checked_at = Some(now);
-        }
-        due
-    }
-
     /// Records whether a stream that ended complete stalled for longer than its route allows.
     pub(crate) fn record_stream(&self, paused: bool) {
         let pause_ratio = &mut self.lock().pause_ratio;
@@ -351,7 +304,7 @@
     }
 
     /// The number of routers that the loaders hear from; at least this one.
-    fn routers(&self) -> u32 {
+    pub(crate) fn routers(&self) -> u32 {
         self.reported_routers().unwrap_or(1)
     }
 
@@ -401,13 +354,6 @@
         first
     }
 
-    /// Whether all endpoints of a service that accept requests name a rate limit.
-    pub(crate) fn all_rate_limited(&self, service: &ServiceName, now: Instant) -> bool {
-        let all = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
-        let mut accepting = all.filter(|tracked| tracked.accepts_work());
-        accepting.all(|tracked| tracked.rate_limit(now).is_some())
-    }
-
     /// The time until the first replica of a model that has asked for back-off takes requests again.
     pub(crate) fn replica_backoff(&self, model: &ModelName, now: Instant) -> Option<Duration> {
         let holds = |tracked: &&TrackedEndpoint| {
