--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -173,7 +173,7 @@
         }
         any_left |= tracked.accepts_work() && !needs.excluded.contains(id);
         if !tracked.usable(now) {
-            // Of the endpoints that get no requests, only one that was silent can get some again after a probe.
+            // A probe can only bring back an endpoint that was silent.
             if tracked.unresponsive(now) && tracked.needs_probe(now) {
                 probe::start(shared, id, &table);
             }
