--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -79,7 +79,7 @@
     /// Whether the endpoint reports that it is draining and takes no new requests.
     #[serde(default)]
     pub draining: bool,
-    /// The requests per second that the endpoint says it takes from all routers together, if it names a limit.
+    /// The requests per second that the endpoint takes from all routers together, if it announces a limit.
     #[serde(default)]
     pub rate_limit: Option<Rate>,
     /// The version of the configuration that the loader's engine specification is from; 0 if the loader has none.
@@ -152,7 +152,7 @@
 /// The path at which loaders and routers answer [`GrantRequest`]s.
 pub const GRANT_PATH: &str = "/grant";
 
-/// A router asks to send one request to an endpoint that names a rate limit.
+/// A router asks to send one request to an endpoint that announces a rate limit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GrantRequest {
     /// The endpoint.
@@ -177,17 +177,17 @@
     Refused(#[serde(with = "fleet::millis")] Duration),
 }
 
-/// The path at which a router reports the endpoints that name rate limits, as a list of [`EndpointRateLimit`].
+/// The path at which a router reports the endpoints that announce rate limits, as a list of [`EndpointRateLimit`].
 pub const LIMITS_PATH: &str = "/limits";
 
-/// What a router knows of an endpoint that names a rate limit.
+/// What a router knows of an endpoint that announces a rate limit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointRateLimit {
     /// The endpoint.
     pub endpoint: EndpointId,
     /// The requests per second that the endpoint takes from all routers together.
     pub limit: Rate,
-    /// How long this router sends it no requests, since the limit was used up; 0 if it may send some.
+    /// How long this router sends it no requests, because the limit is used up; 0 if it may send some.
     pub pause_ms: u64,
 }
 
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -216,8 +216,7 @@
         /// The error.
         cause: &'a str,
     },
-    /// An endpoint named another limit on the requests that it takes from all routers together, or none any more.
-    #[serde(rename = "rate-limited")]
+    /// The limit that an endpoint announces on the requests of all routers together has changed.
     RateLimitChanged {
         /// The endpoint.
         endpoint: &'a str,
@@ -225,11 +224,10 @@
         limit: Option<f64>,
         /// The limit before; none if there was none.
         before: Option<f64>,
-        /// Who told of the limit: the endpoint itself, or its loader. If the limit was not understood, what was wrong.
+        /// Where the limit was read: in an answer of the endpoint, or in the state that its loader reports. If it can't be parsed, what is wrong.
         cause: &'a str,
     },
     /// A request may not be sent to an endpoint yet, because of the endpoint's rate limit.
-    #[serde(rename = "held-back")]
     RateLimited {
         /// The endpoint.
         endpoint: &'a str,
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -65,6 +65,18 @@
             target_ms: 400,
             pause_ms: 250,
         },
+        Event::RateLimitChanged {
+            endpoint: "i-1",
+            limit: Some(1.5),
+            before: None,
+            cause: "its answer",
+        },
+        Event::RateLimited {
+            endpoint: "i-1",
+            limit: 1.5,
+            after_ms: 640,
+            cause: "the endpoint's rate limit is used up",
+        },
         Event::Step {
             request,
             step: Step::Sent,
--- a/components/loader/src/router_api.rs
+++ b/components/loader/src/router_api.rs
@@ -40,7 +40,7 @@
     pub(crate) state: watch::Receiver<EndpointState>,
     /// The highest era of the store that a router has reported.
     pub(crate) highest_era: watch::Sender<Era>,
-    /// Limit the requests that routers send to endpoints: to the loader's own one, and to endpoints without a loader.
+    /// Schedule the requests of routers to the loader's own endpoint and to endpoints without a loader.
     pub(crate) limiters: Arc<Mutex<Limiters>>,
 }
 
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -80,12 +80,12 @@
 async fn the_lower_of_two_known_rate_limits_counts(#[case] reported: f64, #[case] known: f64) {
     let endpoint: units::EndpointId = "i-1".parse().expect("an id");
     let (commands, _inbox) = mpsc::channel(8);
-    let named = EndpointState {
+    let limited = EndpointState {
         endpoint: Some(endpoint.clone()),
         rate_limit: Some(Rate(reported)),
         ..state(7)
     };
-    let (_sender, state_receiver) = watch::channel(named);
+    let (_sender, state_receiver) = watch::channel(limited);
     let api = api(commands, state_receiver);
     let request =
         GrantRequest { endpoint, incarnation: None, limit: Rate(known), max_wait: Duration::ZERO };
--- a/components/ratelimit/src/limiter/tests.rs
+++ b/components/ratelimit/src/limiter/tests.rs
@@ -23,7 +23,7 @@
 #[case::one(1.0)]
 #[case::ten(10.0)]
 #[case::many(200.0)]
-fn promises_no_more_than_the_limit_and_nearly_all_of_it(
+fn schedules_no_more_than_the_limit_and_nearly_all_of_it(
     #[case] limit: f64,
     #[values(Duration::ZERO, Duration::from_millis(400), Duration::from_secs(5))]
     max_wait: Duration,
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn a_refused_request_takes_no_turn() {
+fn a_refused_request_uses_no_capacity() {
     let start = Instant::now();
     let mut limiter = Limiter::new(start);
     let now = start + MAX_WAIT;
@@ -66,16 +66,16 @@
     assert_eq!(limiter.acquire(Rate(2.5), ms(400), now), Grant::After(ms(400)));
 }
 
-/// A loader that restarts has forgotten what it has promised.
+/// A loader that restarts has lost the requests that it had scheduled.
 #[test]
-fn a_new_limiter_promises_nothing_while_promises_of_an_earlier_one_may_be_due() {
+fn a_new_limiter_schedules_nothing_while_requests_of_an_earlier_one_may_be_due() {
     let now = Instant::now();
     let refused = Limiter::new(now).acquire(Rate(100.0), Duration::ZERO, now);
     assert_eq!(refused, Grant::Refused(MAX_WAIT + Duration::from_millis(10)));
 }
 
 #[test]
-fn what_was_promised_at_a_higher_limit_is_not_held_against_a_lower_one_for_long() {
+fn requests_scheduled_at_a_higher_limit_block_a_lower_one_only_for_a_short_time() {
     let start = Instant::now();
     let mut limiter = Limiter::new(start);
     let now = start + MAX_WAIT;
--- a/components/ratelimit/src/limiters.rs
+++ b/components/ratelimit/src/limiters.rs
@@ -8,21 +8,21 @@
 
 use crate::{Grant, Limiter};
 
-/// A limiter that has not been asked for this long is removed.
+/// A limiter that has not been used for this long is removed.
 const MAX_IDLE: Duration = Duration::from_secs(60);
 /// The most endpoints with a limiter. Requests to further ones are refused.
 const MAX_LIMITERS: usize = 1_024;
 /// When a request to an endpoint that gets no limiter may be retried.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A limiter for each endpoint that names a limit, in its present incarnation.
+/// A limiter for each endpoint that announces a limit, in its present incarnation.
 #[derive(Debug, Default)]
 pub struct Limiters {
     limiters: HashMap<EndpointId, (Option<EndpointIncarnation>, Limiter)>,
 }
 
 impl Limiters {
-    /// Asks to send an endpoint a request that can wait for `max_wait`.
+    /// Schedules a request to an endpoint within `max_wait`, or refuses it.
     pub fn acquire(
         &mut self,
         id: &EndpointId,
@@ -40,7 +40,7 @@
         let fresh = || (incarnation, Limiter::new(now));
         let (known, limiter) = self.limiters.entry(id.clone()).or_insert_with(fresh);
         if EndpointIncarnation::differ(*known, incarnation) && incarnation > *known {
-            // What was promised to the incarnation before doesn't concern this one.
+            // Requests that were scheduled for the earlier incarnation don't count for this one.
             (*known, *limiter) = fresh();
         }
         limiter.acquire(limit, max_wait, now)
--- a/components/ratelimit/tests/routers.rs
+++ b/components/ratelimit/tests/routers.rs
@@ -1,6 +1,7 @@
 //! Rate limits over many routers in simulated time, with routers and loaders that fail.
 //!
-//! The limit of one endpoint is asked for several times over. The verdict counts what the endpoint gets in any four seconds.
+//! Several times as many requests arrive as the limit of one endpoint allows. The verdict counts those that reach the endpoint in any
+//! four seconds.
 
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 const RUN_TIME: Duration = Duration::from_secs(30);
 /// The windows in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
-/// The limit is asked for this many times over.
+/// This many times as many requests arrive as the limit allows.
 const OVERLOAD: f64 = 4.0;
 /// The longest that a granted request takes to reach the endpoint: until then a connection is made or given up.
 const MAX_SEND_DELAY: Duration = Duration::from_millis(450);
@@ -36,7 +37,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Faults {
     None,
-    /// Loaders and routers start again or stand still, and routers are cut off from the loader, all the time.
+    /// Loaders and routers are restarted or suspended, and routers are cut off from the loader, all the time.
     All,
 }
 
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -163,7 +163,7 @@
     let now = Instant::now();
     let mut table = shared.endpoints.lock();
     let prefill_time = needs.prefill_time(&mut table);
-    // A model is loaded at an endpoint that names a rate limit only if all of them do.
+    // A model is loaded at an endpoint that announces a rate limit only if all of them do.
     let all_limited = table.all_rate_limited(needs.service, now);
     let (mut ids, mut candidates) = (Vec::new(), Vec::new());
     let mut any_left = false;
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -276,7 +276,7 @@
         self.endpoint.holdings.is_some()
             && match liveness.state(now) {
                 LivenessState::Responsive => false,
-                // The loader's permission to send a request shows that the instance responds.
+                // The loader's permission to send a request shows that its instance responds.
                 LivenessState::Doubtful => self.rate_limit(now).is_none(),
                 LivenessState::Unresponsive => self.running == 0 || liveness.probe_due(now),
             }
--- a/components/router/src/grants.rs
+++ b/components/router/src/grants.rs
@@ -1,9 +1,9 @@
-//! Asks permission to send a request to an endpoint that names a rate limit.
+//! Asks permission to send a request to an endpoint that announces a rate limit.
 //!
 //! Load pattern: the limit is for all routers together, and is often lower than their number. So no router can keep to it by itself: the
-//! loader of the endpoint, which all routers reach, hands out the times at which requests may be sent. A router that can't ask it
-//! sends nothing there. An endpoint without a loader is looked after by the loader of another one, the same for all routers, or
-//! where there are no loaders by a router.
+//! loader of the endpoint, which all routers reach, schedules the requests of all of them. A router that can't reach the loader
+//! sends nothing to the endpoint. For an endpoint without a loader, the loader of another endpoint does so, the same for all
+//! routers; where there are no loaders, a router does.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
@@ -65,7 +65,7 @@
     false
 }
 
-/// The address of the loader that hands out the requests of an endpoint; none if there are no loaders.
+/// The address of the loader that schedules the requests to an endpoint; none if there are no loaders.
 fn responsible_loader(shared: &Shared, id: &EndpointId) -> Option<SocketAddr> {
     let table = shared.endpoints.lock();
     let all = table.map.values().map(|tracked| &tracked.endpoint);
@@ -79,7 +79,7 @@
     Some(shared.loader_addr(endpoint.addr))
 }
 
-/// Asks the first router in the settings that answers, or this one: where there are no loaders, it hands out the requests.
+/// Asks the first router in the settings that answers, or else this one, which schedule requests where there are no loaders.
 async fn ask_routers(shared: &Shared, request: &GrantRequest) -> Result<GrantResponse, CallError> {
     let (own, peers) = {
         let settings = shared.settings.borrow();
@@ -88,7 +88,7 @@
     for router in peers.into_iter().take_while(|router| *router != own) {
         match control::request_grant(&shared.client, router, request).await {
             Ok(response) => return Ok(response),
-            Err(error) => log::debug!("router: {router} hands out no requests: {error}"),
+            Err(error) => log::debug!("router: {router} did not schedule a request: {error}"),
         }
     }
     Ok(decide(shared, request))
@@ -117,7 +117,7 @@
     }
 }
 
-/// The endpoints that name rate limits.
+/// The endpoints that announce rate limits.
 pub(crate) fn report(shared: &Shared) -> Vec<EndpointRateLimit> {
     let now = Instant::now();
     let table = shared.endpoints.lock();
--- a/components/router/src/rate_limit.rs
+++ b/components/router/src/rate_limit.rs
@@ -88,7 +88,7 @@
         self.backoff_left(now).max(self.limit_state.pause_left(self.rate_limit(now), now))
     }
 
-    /// Logs the rate limit if it has changed, and returns whether it has. `source` is who told of it.
+    /// Logs the rate limit if it has changed, and returns whether it has. `source` is where it was read.
     pub(crate) fn log_rate_limit(&mut self, source: &str, now: Instant) -> bool {
         let limit = self.rate_limit(now);
         let before = std::mem::replace(&mut self.limit_state.logged, limit);
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -123,7 +123,7 @@
         }
         let same = |tracked: &TrackedEndpoint| Arc::ptr_eq(&tracked.pool, &self.pool);
         let hints = platform::read_endpoint_hints(status, headers);
-        // The request was sent later than it was reserved: an answer without a limit ends no limit that was named in between.
+        // The request was sent later than it was reserved: an answer without a limit ends no limit that was announced in between.
         let endpoints = &self.shared.endpoints;
         endpoints.apply_hints(&self.id, self.incarnation, hints, self.reserved_at, same);
     }
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -99,7 +99,7 @@
     pub(crate) access: KeyState,
     /// Enforces the quotas of workspaces.
     pub(crate) quotas: Quotas,
-    /// Hand out the requests to endpoints with rate limits, where there are no loaders that could.
+    /// Schedule the requests of all routers to endpoints with rate limits, where there are no loaders.
     pub(crate) limiters: Mutex<Limiters>,
     /// Holds back requests that crash endpoints.
     pub(crate) guard: Arc<CrashGuard>,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -88,7 +88,7 @@
     Suspects {
         router: SocketAddr,
     },
-    /// Show the endpoints that name rate limits, as a router knows them.
+    /// Show the endpoints that announce rate limits, as a router knows them.
     Limits {
         router: SocketAddr,
     },
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -30,7 +30,8 @@
   suspects ROUTER          show the requests that a router refuses since they crash endpoints, and the ends that
                            speak against each; ROUTER is its control address
   release ROUTER DIGEST    let one of them go at all routers: it is sent to endpoints again
-  limits ROUTER            show the endpoints that name rate limits, and for how long this router sends them nothing
+  limits ROUTER            show the endpoints that announce rate limits, and for how long this router sends
+                           them nothing
   workspaces ROUTER        show workspaces with the digests of their keys, their limits and what they use at a
                            router, and which keys it refused of late
   story ID FILE...         tell what became of one request, from the log lines of routers and loaders;
--- a/src/cmd/limits.rs
+++ b/src/cmd/limits.rs
@@ -12,7 +12,7 @@
 /// A router answers within some tens of milliseconds.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Shows the endpoints that name rate limits, as a router knows them.
+/// Shows the endpoints that announce rate limits, as a router knows them.
 pub(crate) async fn list(router: SocketAddr, out: &mut dyn Write) -> Result<Exit, CmdError> {
     let client = Client::default();
     let limits: Vec<EndpointRateLimit> = client.get(router, LIMITS_PATH, PATIENCE).await?;
