--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -12,7 +12,6 @@
 
 use crate::endpoint::TrackedEndpoint;
 use crate::loader_task::{self, LoadRequest};
-use crate::pool::ConnectionPool;
 use crate::probe;
 use crate::registry::{EndpointTable, NO_WAITING_REQUESTS};
 use crate::reservation::{Reservation, WaitingRequest};
@@ -88,8 +87,6 @@
     Load(Vec<PlannedLoad>),
     /// No endpoint can serve the request yet; one is expected after this time.
     Wait(Duration),
-    /// The endpoint must answer a probe first.
-    Probe(Arc<ConnectionPool>),
     /// All endpoints that may serve the request have asked for a pause, the first of which ends
     /// after this time.
     Paused(Duration),
@@ -116,11 +113,6 @@
                 return Ok(reservation);
             }
             SearchResult::Paused(left) => return Err(ReserveError::NoEndpoint(left)),
-            SearchResult::Probe(pool) => {
-                // Only requests that wait for this endpoint search again when it has answered.
-                let _ = tokio::time::timeout(SEARCH_INTERVAL, pool.probe_done.notified()).await;
-                continue;
-            }
             SearchResult::NoEndpoint => {
                 return Err(ReserveError::NoEndpoint(NO_ENDPOINT_RETRY_AFTER));
             }
@@ -225,8 +217,7 @@
             && table.map.get(&id).is_some_and(|tracked| tracked.needs_probe(now))
         {
             probe::start(shared, &id, &table);
-            let pool = table.map.get(&id).map(|tracked| tracked.pool.clone());
-            return pool.map_or(SearchResult::NoEndpoint, SearchResult::Probe);
+            return SearchResult::Wait(Duration::ZERO);
         }
         let times = (prefill_time, chosen.first_event);
         let reservation =
--- a/components/router/src/pool.rs
+++ b/components/router/src/pool.rs
@@ -9,7 +9,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use web::Body;
@@ -54,8 +53,6 @@
     addr: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
     liveness: Mutex<Liveness>,
-    /// Notified when a probe of the endpoint has been answered or has failed.
-    pub(crate) probe_done: Notify,
     sent_requests: Mutex<SentRequests>,
     /// Set when the endpoint is draining: no connection is kept from then on.
     retired: AtomicBool,
@@ -67,7 +64,6 @@
             addr,
             idle: Mutex::default(),
             liveness: Mutex::new(Liveness::new(Instant::now())),
-            probe_done: Notify::new(),
             sent_requests: Mutex::default(),
             retired: AtomicBool::new(false),
         }
--- a/components/router/src/probe.rs
+++ b/components/router/src/probe.rs
@@ -39,7 +39,7 @@
         {
             pool.liveness().record_failed_probe();
             // Requests that wait for the answer look for another endpoint.
-            pool.probe_done.notify_waiters();
+            shared.endpoints.changed.notify_waiters();
             if first {
                 emit(&Event::DependencyLost { dependency: Dependency::Endpoint, name, cause });
             }
@@ -51,9 +51,7 @@
         if report.is_ok() {
             shared.endpoints.record_report(&id);
         }
-        pool.probe_done.notify_waiters();
         if !first {
-            shared.endpoints.changed.notify_waiters();
             let after_ms = millis(since.elapsed());
             emit(&Event::DependencyRegained { dependency: Dependency::Endpoint, name, after_ms });
         }
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -126,6 +126,7 @@
         if let Some(tracked) = self.lock().map.get(id) {
             tracked.pool.liveness().probe_answered(Instant::now(), tracked.running == 0);
         }
+        self.changed.notify_waiters();
     }
 
     /// Records a failed call to an incarnation of an endpoint.
