Router: an endpoint that pauses is only left for one that has answered

Cause: a stream that stalls was dropped first, and another endpoint was looked for then. If none could take it, the stream ended, although its endpoint was working on it. A router that stops made that likely: once it accepts no connections, `reserve` chose at random between a free endpoint and the refusal "stopping", as both branches of its select were ready.

Now the stalled response goes on being read while another endpoint is asked, and whichever sends the next event first keeps the stream. A cancelled attempt that was sent counts as a run. A request without any response is in the same position (looked for elsewhere, found in `exchange::attempt`): it is left only for an endpoint that is already reserved. A free endpoint is used also while the router stops; only a request that would have to wait is refused.

Not changed: a request without a response whose new endpoint then refuses it has left the first one.

--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one endpoint.
 
 use std::error::Error as _;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,8 +60,8 @@
     Interrupted(String),
     /// No response came before the deadline; the request may have run.
     TimedOut,
-    /// No response has come yet, and another endpoint is expected to be faster.
-    Abandoned,
+    /// No response has come yet, and another endpoint, which is reserved, is expected to be faster.
+    Abandoned(Box<Reservation>),
 }
 
 /// The request as it is sent to an endpoint.
@@ -83,15 +84,15 @@
     pub(crate) reconsider_at: Option<Instant>,
 }
 
-/// Sends a request and waits for the head of its response; `should_leave` tells whether another
-/// endpoint would be faster.
+/// Sends a request and waits for the head of its response. `alternative` reserves another endpoint
+/// if that one is expected to be faster; it is polled from the time to reconsider on.
 pub(crate) async fn send(
     mut reservation: Reservation,
     caller: &CallerConnection,
     outgoing: &OutgoingRequest,
     sending: &ForwardOptions<'_>,
     deadlines: ResponseDeadlines,
-    should_leave: impl Fn() -> bool,
+    alternative: impl Future<Output = Option<Reservation>>,
 ) -> SendOutcome {
     let deadline = deadlines.deadline;
     let built = platform::build_request(
@@ -109,6 +110,7 @@
         Ok(connection) => connection,
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
+    let mut alternative = std::pin::pin!(alternative);
     loop {
         if caller.is_closed() {
             // Nothing was written on the connection, so it can be used again.
@@ -123,7 +125,7 @@
         }
         reservation.record_sent(&outgoing.digest);
         let unanswered = UnansweredRequest::new(&connection, &reservation.pool);
-        match attempt(&mut connection, request, deadlines, &should_leave).await {
+        match attempt(&mut connection, request, deadlines, alternative.as_mut()).await {
             Attempt::Response(head, body) => {
                 unanswered.finish();
                 reservation.apply_headers(head.status, &head.headers);
@@ -150,7 +152,7 @@
             }
             Attempt::Interrupted(cause) => return SendOutcome::Interrupted(cause),
             Attempt::TimedOut => return SendOutcome::TimedOut,
-            Attempt::Abandoned => return SendOutcome::Abandoned,
+            Attempt::Abandoned(other) => return SendOutcome::Abandoned(other),
         }
     }
 }
@@ -162,14 +164,14 @@
     NotSent(Box<Request<Body>>),
     Interrupted(String),
     TimedOut,
-    Abandoned,
+    Abandoned(Box<Reservation>),
 }
 
 async fn attempt(
     connection: &mut Connection,
     request: Request<Body>,
     deadlines: ResponseDeadlines,
-    should_leave: impl Fn() -> bool,
+    alternative: Pin<&mut impl Future<Output = Option<Reservation>>>,
 ) -> Attempt {
     let mut response = std::pin::pin!(connection.sender.try_send_request(request));
     if let Some(reconsider_at) = deadlines.reconsider_at
@@ -177,10 +179,18 @@
     {
         return classify(response);
     }
-    if deadlines.reconsider_at.is_some_and(|reconsider_at| reconsider_at < deadlines.deadline)
-        && should_leave()
-    {
-        return Attempt::Abandoned;
+    if deadlines.reconsider_at.is_some_and(|reconsider_at| reconsider_at < deadlines.deadline) {
+        // The endpoint may be working on the request, so it is only left for another one that is
+        // free.
+        let other = tokio::select! {
+            biased;
+            response = response.as_mut() => return classify(response),
+            other = alternative => other,
+            () = tokio::time::sleep_until(deadlines.deadline) => return Attempt::TimedOut
+        };
+        if let Some(other) = other {
+            return Attempt::Abandoned(Box::new(other));
+        }
     }
     match tokio::time::timeout_at(deadlines.deadline, response).await {
         Err(_) => Attempt::TimedOut,
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -84,10 +84,14 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<EndpointResponse, Failure> {
+        let mut reserved = None;
         loop {
             let wait_start = Instant::now();
             self.acquire_permit().await?;
-            let reservation = self.reserve().await?;
+            let reservation = match reserved.take() {
+                Some(reservation) => reservation,
+                None => self.reserve().await?,
+            };
             if let Some(limit) = reservation.rate_limit
                 && !self.acquire_grant(&reservation, limit).await
             {
@@ -124,14 +128,13 @@
                 deadline: self.deadline,
                 reconsider_at: self.reconsider_at(now),
             };
-            let should_leave = || self.may_move(&id, self.route.target);
             let outcome = exchange::send(
                 reservation,
                 &self.caller,
                 &self.outgoing,
                 &sending,
                 deadlines,
-                should_leave,
+                self.reserve_elsewhere(&id),
             )
             .await;
             send_log.finish();
@@ -159,9 +162,10 @@
                     }
                 }
                 SendOutcome::Interrupted(cause) => self.interrupted(&id, &cause)?,
-                SendOutcome::Abandoned => {
+                SendOutcome::Abandoned(other) => {
                     self.runs += 1;
                     self.leave(&id, "no response yet");
+                    reserved = Some(*other);
                 }
                 SendOutcome::TimedOut => {
                     self.runs += 1;
@@ -260,6 +264,8 @@
         let needs = self.needs(&self.excluded);
         let mut closing = self.shared.closing.subscribe();
         let reserved = tokio::select! {
+            // An endpoint that is free now is used also while the router stops.
+            biased;
             reserved = tokio::time::timeout_at(self.send_by, choose::reserve(&self.shared, needs)) => reserved,
             // A request that is still waiting could not be finished before the process ends.
             _ = closing.wait_for(|closing| *closing) => {
@@ -279,6 +285,19 @@
         }
     }
 
+    /// Reserves another endpoint for a request that has no response yet, if one is expected to
+    /// respond in time.
+    async fn reserve_elsewhere(&self, id: &EndpointId) -> Option<Reservation> {
+        if !self.may_move(id, self.route.target) {
+            return None;
+        }
+        let mut excluded = self.excluded.clone();
+        excluded.push(id.clone());
+        let needs = self.needs(&excluded);
+        let reserved = choose::reserve(&self.shared, needs);
+        tokio::time::timeout_at(self.send_by, reserved).await.ok()?.ok()
+    }
+
     /// When a request that may run twice reconsiders its endpoint.
     fn reconsider_at(&self, now: Instant) -> Option<Instant> {
         let elsewhere = self.route.kind.repeatable() && self.runs + 1 < self.route.attempts;
@@ -298,12 +317,19 @@
 
     /// Records that the request leaves its endpoint, which has sent nothing so far, for another
     /// one.
-    pub(crate) fn leave(&mut self, id: &EndpointId, cause: &str) {
+    fn leave(&mut self, id: &EndpointId, cause: &str) {
         self.log_step(Step::Broken, id, cause);
         if self.call.model.is_none() {
             self.shared.endpoints.record_failure(id, self.incarnation, cause);
         }
-        self.excluded.push(id.clone());
+        self.exclude(id);
+    }
+
+    /// The request does not go back to this endpoint.
+    pub(crate) fn exclude(&mut self, id: &EndpointId) {
+        if !self.excluded.contains(id) {
+            self.excluded.push(id.clone());
+        }
     }
 
     /// Priority of the request at the endpoint: the workspace's own if it has one, else that of
@@ -386,7 +412,7 @@
         if let Some(pool) = &self.pool {
             crash_check::start(&self.shared, id, self.incarnation, pool);
         }
-        self.excluded.push(id.clone());
+        self.exclude(id);
         let again = self.route.kind.repeatable()
             && self.runs < self.route.attempts
             && self.deadline > Instant::now()
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -1,6 +1,5 @@
 //! Relays the response of an endpoint to the caller.
 
-use std::fmt;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -13,6 +12,7 @@
 use units::EndpointId;
 use web::{Body, BodyWriter};
 
+use crate::crash_check;
 use crate::exchange::EndpointResponse;
 use crate::in_flight::{Failure, InFlightRequest};
 
@@ -181,23 +181,6 @@
     }
 }
 
-/// Why a stream is resumed at another endpoint.
-#[derive(Debug)]
-enum StreamFailure {
-    /// Nothing arrives, and a retry has been taken from the budget.
-    Stalled,
-    Interrupted(String),
-}
-
-impl fmt::Display for StreamFailure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Stalled => f.write_str("the stream stalled"),
-            Self::Interrupted(cause) => f.write_str(cause),
-        }
-    }
-}
-
 async fn forward_stream(
     mut request: InFlightRequest,
     mut response: EndpointResponse,
@@ -211,8 +194,22 @@
     let cause = loop {
         let elsewhere = resumable && request.runs < request.route.attempts;
         let time_limit = elsewhere.then(|| request.route.event_timeout / STALL_DIVISOR);
-        let failure = match read_stream(&mut response, &writer, time_limit, request.deadline).await
+        let mut read = read_stream(&mut response, &writer, time_limit, request.deadline).await;
+        // A long prompt of another request stalls the stream as well. The search is only worth a
+        // retry if another endpoint can resume the stream before the caller leaves.
+        if matches!(read, StreamRead::Stalled)
+            && request.may_move(&response.reservation.id, request.route.event_timeout / 2)
         {
+            match search_elsewhere(&mut request, &mut response, &writer, events.last_id).await {
+                Search::Resumed(next) => {
+                    events.pending.clear();
+                    response = *next;
+                    continue;
+                }
+                Search::Continued(next) => read = next,
+            }
+        }
+        let cause = match read {
             StreamRead::CallerLeft => return request_log.log_caller_left(),
             StreamRead::DeadlinePassed => {
                 break "the deadline of the request has passed".to_owned();
@@ -244,48 +241,101 @@
                 request.clear_suspicion();
                 return response.release_connection();
             }
-            // A long prompt of another request stalls the stream as well. The stream is only moved
-            // to an endpoint that can resume it before the caller leaves; otherwise it would be
-            // lost although its endpoint is still working on it.
-            StreamRead::Stalled
-                if request.may_move(&response.reservation.id, request.route.event_timeout / 2) =>
-            {
-                StreamFailure::Stalled
-            }
             StreamRead::Stalled => continue,
-            StreamRead::Interrupted(cause) => StreamFailure::Interrupted(cause),
+            StreamRead::Interrupted(cause) => cause,
         };
         let id = response.reservation.id.clone();
         drop(response);
         events.pending.clear();
         let resumed = tokio::select! {
-            resumed = resume_stream(&mut request, &id, &failure, events.last_id) => resumed,
+            resumed = resume_interrupted(&mut request, &id, &cause, events.last_id) => resumed,
             () = writer.closed() => return request_log.log_caller_left()
         };
         match resumed {
             Some(next) => response = next,
-            None => break failure.to_string(),
+            None => break cause,
         }
     };
     request_log.log_response(status, &timing, false);
     writer.abort(std::io::Error::other(cause)).await;
 }
 
+/// Result of the search for another endpoint while a stream stalls.
+enum Search {
+    /// Another endpoint has begun to continue the stream.
+    Resumed(Box<EndpointResponse>),
+    /// The stream stays at its endpoint; this is what was read from it meanwhile.
+    Continued(StreamRead),
+}
+
+/// Looks for an endpoint that resumes a stalled stream. The stalled endpoint may still be working
+/// on the stream, so it is only left once another one has answered, and whichever sends the next
+/// event first keeps the stream.
+async fn search_elsewhere(
+    request: &mut InFlightRequest,
+    response: &mut EndpointResponse,
+    writer: &BodyWriter,
+    last_event: Option<u64>,
+) -> Search {
+    let id = response.reservation.id.clone();
+    let (incarnation, pool) = (response.reservation.incarnation, response.reservation.pool.clone());
+    let shared = request.shared.clone();
+    let (runs, sends, deadline) = (request.runs, request.sends, request.deadline);
+    request.exclude(&id);
+    let mut lost = None;
+    let raced = {
+        let mut resumed = std::pin::pin!(resume(request, last_event));
+        loop {
+            tokio::select! {
+                biased;
+                read = read_stream(response, writer, None, deadline), if lost.is_none() => match read {
+                    StreamRead::Interrupted(cause) => {
+                        // The other endpoint may be about to answer.
+                        shared.endpoints.record_failure(&id, incarnation, &cause);
+                        crash_check::start(&shared, &id, incarnation, &pool);
+                        lost = Some(cause);
+                    }
+                    read => break Err(read)
+                },
+                () = writer.closed(), if lost.is_some() => break Err(StreamRead::CallerLeft),
+                next = &mut resumed => break Ok(next)
+            }
+        }
+    };
+    if let Ok(Some(next)) = raced {
+        request.log_step(Step::Broken, &id, lost.as_deref().unwrap_or("the stream stalled"));
+        return Search::Resumed(Box::new(next));
+    }
+    if raced.is_err() && request.sends > sends {
+        // The request that is cancelled may have begun to run.
+        request.runs = request.runs.max(runs + 1);
+    }
+    (request.incarnation, request.pool) = (incarnation, Some(pool));
+    Search::Continued(match (raced, lost) {
+        (Err(read), _) => read,
+        (Ok(_), Some(cause)) => StreamRead::Interrupted(cause),
+        (Ok(_), None) => StreamRead::Stalled,
+    })
+}
+
 /// Resumes an interrupted stream at another endpoint, if that is allowed.
-async fn resume_stream(
+async fn resume_interrupted(
     request: &mut InFlightRequest,
     id: &EndpointId,
-    failure: &StreamFailure,
+    cause: &str,
     last_event: Option<u64>,
 ) -> Option<EndpointResponse> {
     // This run was already counted when its response began.
-    match failure {
-        StreamFailure::Stalled => request.leave(id, &failure.to_string()),
-        StreamFailure::Interrupted(cause) => {
-            request.runs = request.runs.saturating_sub(1);
-            request.interrupted(id, cause).ok()?;
-        }
-    }
+    request.runs = request.runs.saturating_sub(1);
+    request.interrupted(id, cause).ok()?;
+    resume(request, last_event).await
+}
+
+/// Sends the request to another endpoint, to continue its stream after an event.
+async fn resume(
+    request: &mut InFlightRequest,
+    last_event: Option<u64>,
+) -> Option<EndpointResponse> {
     request.send_by = request.deadline.min(Instant::now() + request.route.event_timeout / 2);
     let next = request.fetch_response(last_event).await.ok()?;
     request.log_step(Step::Resumed, &next.reservation.id, "");
