Catalog: models of an engine are looked up by hash

With 314 models for 171 places most requests wait for a model, and each searches all endpoints again whenever something changes, with two lookups for each model that an endpoint holds. Not it: keys and quotas (below 2 % of the samples).

Now a lookup is one hash, and free_memory makes one for each model instead of two. What is serialized is as before.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -6,6 +6,6 @@
 mod workspace;
 
 pub use catalog::{Catalog, Limits};
-pub use model::{Engine, ModelId, ModelSpec, ParseModelError};
+pub use model::{Engine, ModelId, ModelSpec, Models, ParseModelError};
 pub use route::{CallKind, Route, Service, WeightedService};
 pub use workspace::{KeyDigest, Limit, ParseKeyError, Unit, Workspace, Workspaces};
--- a/components/catalog/src/model.rs
+++ b/components/catalog/src/model.rs
@@ -1,5 +1,6 @@
 //! Model engines and the models that they can load.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
@@ -100,14 +101,66 @@
     /// Loads from the weight store per second, over all endpoints together.
     #[serde(rename = "rate")]
     pub load_rate: f64,
-    /// The models, sorted by name.
-    pub models: Vec<(ModelName, ModelSpec)>,
+    /// The models.
+    pub models: Models,
 }
 
 impl Engine {
     /// The specification of the model with this name.
     pub fn model(&self, name: &ModelName) -> Option<&ModelSpec> {
-        let found = self.models.binary_search_by(|(other, _)| other.cmp(name)).ok()?;
-        Some(&self.models[found].1)
+        self.models.get(name)
     }
 }
+
+/// The models of an engine. Routers look some up for each endpoint whenever a waiting request searches again, so a lookup
+/// takes the same time however many models there are.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "Vec<(ModelName, ModelSpec)>", into = "Vec<(ModelName, ModelSpec)>")]
+pub struct Models {
+    /// Sorted by name.
+    list: Vec<(ModelName, ModelSpec)>,
+    /// Positions in the list.
+    index: HashMap<ModelName, usize>,
+}
+
+impl Models {
+    /// The specification of the model with this name.
+    pub fn get(&self, name: &ModelName) -> Option<&ModelSpec> {
+        self.index.get(name).map(|position| &self.list[*position].1)
+    }
+
+    /// All models, sorted by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&ModelName, &ModelSpec)> {
+        self.list.iter().map(|(name, spec)| (name, spec))
+    }
+}
+
+impl PartialEq for Models {
+    fn eq(&self, other: &Self) -> bool {
+        self.list == other.list
+    }
+}
+
+impl From<Vec<(ModelName, ModelSpec)>> for Models {
+    fn from(mut list: Vec<(ModelName, ModelSpec)>) -> Self {
+        list.sort_by(|(a, _), (b, _)| a.cmp(b));
+        let positions = list.iter().enumerate();
+        let index = positions.map(|(position, (name, _))| (name.clone(), position)).collect();
+        Self { list, index }
+    }
+}
+
+impl From<Models> for Vec<(ModelName, ModelSpec)> {
+    fn from(models: Models) -> Self {
+        models.list
+    }
+}
+
+impl FromIterator<(ModelName, ModelSpec)> for Models {
+    fn from_iter<I: IntoIterator<Item = (ModelName, ModelSpec)>>(models: I) -> Self {
+        models.into_iter().collect::<Vec<_>>().into()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -35,7 +35,7 @@
         host_memory: Size(60),
         disk: Size(500),
         load_rate: 7.0,
-        models: names.map(|text| (name(text), spec.clone())).into(),
+        models: names.map(|text| (name(text), spec.clone())).into_iter().collect(),
     };
     let held = |(model, adapters): &(&str, &[&str])| LoadedModel {
         model: name(model),
--- a/components/placement/src/candidate.rs
+++ b/components/placement/src/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use catalog::{Engine, ModelSpec};
+use catalog::Engine;
 use fleet::{Endpoint, Holdings};
 use units::{EndpointId, ModelName, Size};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -64,13 +64,12 @@
     /// Accelerator memory that is free for weights.
     pub(crate) fn free_memory(&self, engine: &Engine) -> Size {
         let Some(holdings) = self.holdings else { return Size(0) };
-        let weights = |name: &ModelName| engine.model(name).map_or(Size(0), |spec| spec.weights);
-        let adapters = |held: &fleet::LoadedModel| {
-            let each = engine.model(&held.model).map_or(0, |spec: &ModelSpec| spec.adapter.0);
-            Size(each * held.adapters.len() as u64)
+        let size = |name: &ModelName, adapters: usize| {
+            let spec = engine.model(name);
+            spec.map_or(Size(0), |spec| spec.weights + Size(spec.adapter.0 * adapters as u64))
         };
-        let held = holdings.models.iter().map(|held| weights(&held.model) + adapters(held)).sum();
-        let loading = holdings.loading.as_ref().map_or(Size(0), |loading| weights(&loading.model));
+        let held = holdings.models.iter().map(|held| size(&held.model, held.adapters.len())).sum();
+        let loading = holdings.loading.as_ref().map_or(Size(0), |loading| size(&loading.model, 0));
         engine.memory.saturating_sub(held).saturating_sub(loading)
     }
 }
--- a/components/placement/src/fixture.rs
+++ b/components/placement/src/fixture.rs
@@ -100,6 +100,7 @@
         load_rate: 7.0,
         models: ["a", "b", "c", "d", "e", "f", "g", "h"]
             .map(|text| (name(text), spec.clone()))
-            .into(),
+            .into_iter()
+            .collect(),
     }
 }
