Routers follow the store through loaders of their failure domain

Cause: each router waits at the store for the configuration (0.7 of the bound of 5 s: 110 calls a second by arithmetic), reads the list for each change, once a second at most (384), and crash records (38, after a crash 384).

Now a few loaders of each failure domain mirror these topics, one for up to 64 routers, and the routers ask them. An answer says how old the mirror's last read of the store is; a router without a confirmation for 0.9 of the bound reads the store itself, whatever has failed. With fewer than 12 routers to a failure domain nothing changes.

Tests: growth of calls at 3, 29, 384 and 768 routers in simulated time; every change known in time while mirrors are killed, suspended, cut off, turned away or slow, and while the store turns a third of all processes away. With processes of the stand-in: few reads at 14 routers (fails without mirrors, by its precondition), changes in time while mirrors end, reads go unnoticed, or the store comes back from a copy.

--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::StatusCode;
+use mirror::{Updates, UpdatesRequest};
 use web::{CallError, Client};
 
 use crate::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ENGINE_PATH, ENSURE_PATH, EndpointState,
     EngineUpdate, EnsureRequest, EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse,
     KeyedRecord, POLL_PATH, PollRequest, PollResponse, Position, SNAPSHOT_PATH, Snapshot,
-    TOKENS_PATH,
+    TOKENS_PATH, UPDATES_PATH,
 };
 
 /// The timeout of asking to send a request to an endpoint with a rate limit, which is answered at once.
@@ -44,6 +46,26 @@
     pub async fn update_engine(&self, update: &EngineUpdate) -> Result<EndpointState, CallError> {
         self.client.post(self.addr, ENGINE_PATH, update, RESPONSE_MARGIN).await
     }
+
+    /// Asks for the records of a topic of the store; `None` if the loader does not have those that are asked for.
+    pub async fn updates(
+        &self,
+        request: &UpdatesRequest,
+        limit: Duration,
+    ) -> Result<Option<Updates>, CallError> {
+        let addr = self.addr;
+        let (status, bytes) = self.client.post_raw(addr, UPDATES_PATH, request, limit).await?;
+        match status {
+            StatusCode::OK => Updates::decode(bytes)
+                .map(Some)
+                .map_err(|error| CallError::InvalidResponse { addr, cause: error.to_string() }),
+            StatusCode::GONE => Ok(None),
+            status => {
+                let text = String::from_utf8_lossy(&bytes).into_owned();
+                Err(CallError::Status { addr, status, text })
+            }
+        }
+    }
 }
 
 /// Fetches from another router what it has read from the store beyond a position; `None` if it has read nothing newer.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -11,6 +11,6 @@
     ENSURE_PATH, EndpointLoad, EndpointRateLimit, EndpointState, EngineUpdate, EnsureOutcome,
     EnsureRequest, EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, KeyedRecord,
     LIMITS_PATH, ModelUse, POLL_PATH, PollRequest, PollResponse, Position, RELEASE_PATH,
-    ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, WORKSPACES_PATH,
-    WorkspaceReport, WorkspacesReport,
+    ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, UPDATES_PATH,
+    WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -18,6 +18,9 @@
 /// The path at which a loader accepts the engine specification of its service.
 pub const ENGINE_PATH: &str = "/engine";
 
+/// The path at which a loader answers an [`mirror::UpdatesRequest`] with encoded [`mirror::Updates`].
+pub const UPDATES_PATH: &str = "/updates";
+
 /// How a router uses one model of the endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ModelUse {
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -118,6 +118,9 @@
         Event::StoreRestored { dependency, .. } => {
             counter!("store_restores_total", "dependency" => name(dependency)).increment(1);
         }
+        Event::MirrorChosen { topic, .. } => {
+            counter!("mirrors_chosen_total", "topic" => (*topic).to_owned()).increment(1);
+        }
         Event::SnapshotReceived { .. } => counter!("routers_told_total").increment(1),
         Event::Started { .. }
         | Event::Stopping { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -27,6 +27,10 @@
     CrashRecords,
     /// The platform's store, in which routers register for a share in the limits of workspaces.
     Roster,
+    /// The platform's store, as the source of a topic that a loader mirrors.
+    MirroredTopic,
+    /// A loader that mirrors topics of the store for this router.
+    Mirror,
 }
 
 /// Why a request was refused. Most variants go to the caller under their own names.
@@ -145,6 +149,15 @@
         /// How far it has been read now: era and offset.
         read: &'a str,
     },
+    /// A router follows a topic of the store through another mirror than before, or through none.
+    MirrorChosen {
+        /// The topic.
+        topic: &'a str,
+        /// The endpoint whose loader mirrors the topic; empty if the router reads the store itself.
+        mirror: &'a str,
+        /// The mirror before; empty if the router read the store itself.
+        before: &'a str,
+    },
     /// The settings file was read again.
     Reloaded {
         /// Whether the file could be read, and why not.
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -16,6 +16,7 @@
             read: "1.90",
         },
         Event::StoreRestored { dependency: Dependency::Membership, before: "0.90", read: "1.70" },
+        Event::MirrorChosen { topic: "endpoints", mirror: "i-1", before: "" },
         Event::KeyRejected {
             request,
             key: "a7a39762",
--- a/components/loader/src/router_api.rs
+++ b/components/loader/src/router_api.rs
@@ -4,9 +4,12 @@
 use control::{
     ENGINE_PATH, ENSURE_PATH, EndpointState, EngineUpdate, EnsureOutcome, EnsureRequest,
     EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, POLL_PATH, PollRequest, PollResponse,
+    UPDATES_PATH,
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use mirror::{Mirror, UpdatesRequest};
+use platform::Store;
 use ratelimit::{Grant, Limiters};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -42,6 +45,8 @@
     pub(crate) highest_era: watch::Sender<Era>,
     /// Schedule the requests of routers to the loader's own endpoint and to endpoints without a loader.
     pub(crate) limiters: Arc<Mutex<Limiters>>,
+    /// Mirrors topics of the store for routers.
+    pub(crate) mirror: Mirror<Store>,
 }
 
 impl RouterApi {
@@ -60,6 +65,7 @@
             ENSURE_PATH => self.ensure(&bytes).await,
             ENGINE_PATH => self.engine(&bytes).await,
             GRANT_PATH => self.grant(&bytes),
+            UPDATES_PATH => self.updates(&bytes).await,
             _ => return web::text(StatusCode::NOT_FOUND, "no such call\n"),
         };
         response.unwrap_or_else(|error| {
@@ -125,6 +131,14 @@
         Ok(web::json(StatusCode::OK, &response))
     }
 
+    async fn updates(self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
+        let request: UpdatesRequest = serde_json::from_slice(bytes)?;
+        Ok(match self.mirror.answer(request).await {
+            Some(updates) => Response::new(web::full(updates.encode())),
+            None => web::text(StatusCode::GONE, "the records are not mirrored here\n"),
+        })
+    }
+
     fn current_state(&self) -> Response<Body> {
         web::json(StatusCode::OK, &*self.state.borrow())
     }
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -26,7 +26,8 @@
 
 fn api(commands: mpsc::Sender<Command>, state: watch::Receiver<EndpointState>) -> RouterApi {
     let (highest_era, limiters) = Default::default();
-    RouterApi { commands, state, highest_era, limiters }
+    let mirror = Mirror::new(Store::new(([127, 0, 0, 1], 9).into()));
+    RouterApi { commands, state, highest_era, limiters, mirror }
 }
 
 async fn poll(api: RouterApi, seen: u64) -> (PollResponse, usize) {
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -4,6 +4,7 @@
 
 use control::{EndpointLoad, EndpointState};
 use fleet::Holdings;
+use mirror::Mirror;
 use platform::Store;
 use process::{ShutdownPhase, SingleThreadProcess, StartError};
 use tokio::sync::{Notify, mpsc, watch};
@@ -51,6 +52,7 @@
     let (permit_commands, permit_command_receiver) = mpsc::unbounded_channel();
     let (granted, granted_receiver) = watch::channel(None);
     let (highest_era, era_receiver) = watch::channel(Era::default());
+    let mirror = Mirror::new(store.clone());
     let permit_task = PermitTask::new(
         store,
         instance.clone(),
@@ -65,7 +67,8 @@
     let controller =
         Controller::new(instance, settings.endpoint, token, permit, command_receiver, state);
     let controller = tokio::spawn(controller.run());
-    let api = RouterApi { commands, state: state_receiver, highest_era, limiters: Arc::default() };
+    let limiters = Arc::default();
+    let api = RouterApi { commands, state: state_receiver, highest_era, limiters, mirror };
     let stop = process.shutdown.flag(ShutdownPhase::Drain);
     let handler = move |request, _| api.clone().handle(request);
     tokio::select! {
--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -15,11 +15,14 @@
 
 use crate::guard::{SendPermit, wall_clock};
 use crate::shared::Shared;
+use crate::topic_source::TopicSource;
 
 /// How long a read waits for a record while no endpoint has crashed recently: each call to the store is paid for.
 const IDLE_READ_WAIT: Duration = Duration::from_secs(10);
-/// The same after a recent crash. A read that begins while a record is written may be answered only when its wait is over,
-/// and all routers must know about a request that crashes endpoints within three seconds.
+/// All routers must know about a request that crashes endpoints within this time.
+const ALERT_BOUND: Duration = Duration::from_secs(3);
+/// How long a read waits after a recent crash. A read that begins while a record is written may be answered only when its wait
+/// is over.
 const ALERT_READ_WAIT: Duration = Duration::from_millis(1_000);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
@@ -37,13 +40,18 @@
 
 /// Reads the records that other routers have written until the process ends.
 pub(crate) async fn read(shared: Arc<Shared>, store: Store) {
-    let mut follower = Follower::new(store.clone(), Topic::CrashRecords);
+    let mut source = TopicSource::new(shared.clone(), Topic::CrashRecords);
     let mut lost_since: Option<Instant> = None;
     loop {
         let started = Instant::now();
-        let wait = if shared.guard.recent_crash() { ALERT_READ_WAIT } else { IDLE_READ_WAIT };
+        let (bound, wait) = if shared.guard.recent_crash() {
+            (ALERT_BOUND, ALERT_READ_WAIT)
+        } else {
+            (IDLE_READ_WAIT, IDLE_READ_WAIT)
+        };
+        let store_wait = if lost_since.is_some() { Duration::ZERO } else { wait };
         let next = tokio::select! {
-            next = follower.next(if lost_since.is_some() { Duration::ZERO } else { wait }) => next,
+            next = source.next(bound, store_wait) => next,
             // An endpoint may have crashed: other routers' records may be waiting behind a connection that has gone silent.
             () = shared.guard.possible_crash.notified(), if wait == IDLE_READ_WAIT => continue
         };
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -8,13 +8,14 @@
 use clock::Moment;
 use events::{Dependency, Event, emit, millis};
 use fleet::EndpointChange;
-use platform::{Batch, Follower, Store, StoreError, Topic, Update};
+use platform::{Batch, StoreError, Topic, Update};
 use tokio::time::Instant;
 use units::{Revision, Span};
 
 use crate::access::MIN_READ_INTERVAL;
 use crate::list::{LAPSED_ENTRY_GRACE, ListUpdate};
 use crate::shared::{Feed, Shared};
+use crate::topic_source::TopicSource;
 use crate::{loader_task, missing};
 
 /// The share of a time bound for which a read of the store waits for a change, including the pause between reads. A read is
@@ -99,8 +100,8 @@
 }
 
 /// Follows the configuration until the process ends.
-pub(crate) async fn follow_config(shared: Arc<Shared>, store: Store) {
-    let mut follower = Follower::new(store, Topic::Config);
+pub(crate) async fn follow_config(shared: Arc<Shared>) {
+    let mut source = TopicSource::new(shared.clone(), Topic::Config);
     let mut contact = StoreContact::new(Dependency::Configuration);
     let mut newest = None;
     let mut next_ask = Instant::now();
@@ -109,7 +110,7 @@
         let wait = if asked { Duration::ZERO } else { config_wait(&shared, &contact) };
         let sent = Moment::now();
         let next = tokio::select! {
-            next = follower.next(wait) => next,
+            next = read_config(&shared, &mut source, wait) => next,
             () = newer_key_requested(&shared, next_ask), if !asked => {
                 asked = true;
                 continue;
@@ -123,8 +124,12 @@
             Ok(batch) => {
                 contact.record_success();
                 let fresh = apply_config(&shared, batch, &mut newest);
-                // A store whose newest version is not the one in force, or can't be read, confirms nothing.
-                if newest.is_some() && newest == shared.current().map(|current| current.version) {
+                // A store whose newest version is not the one in force, or can't be read, confirms nothing. A mirror confirms only
+                // what was written before its own last read.
+                if !source.is_mirrored()
+                    && newest.is_some()
+                    && newest == shared.current().map(|current| current.version)
+                {
                     shared.access.record_read(sent);
                 }
                 shared.record_store_read(Feed::Configuration, true);
@@ -141,6 +146,20 @@
     }
 }
 
+/// Reads the next versions of the configuration. A configuration with workspaces is read from the store itself: keys are served
+/// only as long as this router can prove that they have not been revoked.
+async fn read_config(
+    shared: &Shared,
+    source: &mut TopicSource,
+    wait: Duration,
+) -> Result<Batch, StoreError> {
+    if shared.current().is_some_and(|catalog| catalog.workspaces.is_some()) {
+        return source.follow_store(wait).await;
+    }
+    let Span(bound) = shared.settings.borrow().bounds.apply;
+    source.next(bound, wait).await
+}
+
 /// How long a read of the configuration waits for a new version.
 fn config_wait(shared: &Shared, contact: &StoreContact) -> Duration {
     let bounds = shared.settings.borrow().bounds;
@@ -202,16 +221,19 @@
 }
 
 /// Follows the list of endpoints until the process ends.
-pub(crate) async fn follow_members(shared: Arc<Shared>, store: Store) {
-    let mut follower = Follower::new(store, Topic::Endpoints);
+pub(crate) async fn follow_members(shared: Arc<Shared>) {
+    let mut source = TopicSource::new(shared.clone(), Topic::Endpoints);
     let mut contact = StoreContact::new(Dependency::Membership);
     let mut invalid_keys = BTreeSet::new();
     loop {
         let bounds = shared.settings.borrow().bounds;
-        follower.skip_to(shared.endpoints.lock().list_position);
-        match follower.next(contact.read_wait(bounds.drain, LIST_READ_INTERVAL)).await {
+        let known = shared.endpoints.lock().list_position;
+        source.follower().skip_to(known);
+        let wait = contact.read_wait(bounds.drain, LIST_READ_INTERVAL);
+        match source.next(bounds.drain.0, wait).await {
             Ok(batch) => {
                 contact.record_success();
+                contact.returned_at = contact.returned_at.max(source.regained());
                 if batch.restored {
                     // Endpoints write their entries again that they had written since the copy was made.
                     contact.returned_at = Some(Instant::now());
@@ -231,7 +253,8 @@
                 apply_members(&shared, batch, until, &mut invalid_keys);
                 shared.record_store_read(Feed::Membership, true);
                 // Changes that are left after a long time without the store are read without a pause.
-                tokio::time::sleep(if more { Duration::ZERO } else { LIST_READ_INTERVAL }).await;
+                let at_once = more || source.is_mirrored();
+                tokio::time::sleep(if at_once { Duration::ZERO } else { LIST_READ_INTERVAL }).await;
             }
             Err(error) => {
                 shared.record_store_read(Feed::Membership, false);
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -37,6 +37,7 @@
 mod settings;
 mod shared;
 mod snapshot;
+mod topic_source;
 
 pub use run::run;
 pub use settings::{Bounds, QuotaSettings, RetrySettings, Settings};
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -21,7 +21,7 @@
 /// would grow with routers times loaders. Changes are reported at once however long a poll is held.
 const MAX_POLLS_PER_SECOND: u32 = 40;
 /// The longest time for which a loader is asked to hold a poll.
-const MAX_POLL_WAIT: Duration = Duration::from_secs(10);
+pub(crate) const MAX_POLL_WAIT: Duration = Duration::from_secs(10);
 /// The same while a loader evicts a model and waits for its last requests.
 const EVICTION_POLL_WAIT: Duration = Duration::from_millis(60);
 /// The first pause after a failed poll.
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -168,10 +168,21 @@
         value: &impl Serialize,
         limit: Duration,
     ) -> Result<T, CallError> {
+        decode(addr, self.post_raw(addr, path, value, limit).await?)
+    }
+
+    /// Sends `POST path` with a JSON body and returns the response as it is, whatever its status.
+    pub async fn post_raw(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        value: &impl Serialize,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
         let bytes = serde_json::to_vec(value)
             .map_err(|error| CallError::InvalidResponse { addr, cause: error.to_string() })?;
         let request = build(addr, Method::POST, path, body::full(bytes))?;
-        decode(addr, self.call(addr, request, limit).await?)
+        self.call(addr, request, limit).await
     }
 }
 
