Router: the first polls of many loaders are spread

With more than 40 loaders a first poll now waits for a random part of a quarter of what polls wait beyond a second: 2.25 s at most. Until then a router knows of the endpoint what its list entry says.

--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -51,6 +51,9 @@
 }
 
 async fn poll_loader(shared: Arc<Shared>, id: EndpointId, addr: SocketAddr, service: ServiceName) {
+    let loaders =
+        shared.endpoints.lock().map.values().filter(|one| one.loader_task.is_some()).count();
+    tokio::time::sleep(max_first_delay(loaders).mul_f64(rand::random())).await;
     let loader = shared.loader_client(addr);
     let mut seen = 0;
     let mut pause = FIRST_RETRY_PAUSE;
@@ -128,6 +131,12 @@
     wait.clamp(MIN_POLL_WAIT, MAX_POLL_WAIT)
 }
 
+/// The longest delay before the first poll of a loader. All routers learn of an endpoint at the same moment, and hundreds of first
+/// polls at once would take much of the memory of its loader. Until then they know of the endpoint what its list entry says.
+fn max_first_delay(loaders: usize) -> Duration {
+    (poll_wait(loaders) - MIN_POLL_WAIT) / 4
+}
+
 /// Sends a loader the engine that its endpoint runs, if the configuration here has one.
 async fn send_engine(shared: &Shared, loader: &LoaderClient, service: &ServiceName) {
     let Some(catalog) = shared.current() else { return };
--- a/components/router/src/loader_task/tests.rs
+++ b/components/router/src/loader_task/tests.rs
@@ -9,3 +9,10 @@
     assert_eq!(poll_wait(200), Duration::from_secs(5));
     assert_eq!(poll_wait(2_600), MAX_POLL_WAIT);
 }
+
+#[test]
+fn first_polls_of_many_loaders_are_spread_and_those_of_few_are_sent_at_once() {
+    assert_eq!(max_first_delay(0), Duration::ZERO);
+    assert_eq!(max_first_delay(40), Duration::ZERO);
+    assert_eq!(max_first_delay(2_600), Duration::from_millis(2_250));
+}
