Start of a fleet: start records are appended once, mirrors look back and confirm no part of a topic

- The store handles the appends to a topic one at a time, 4 ms each: 598 start records take 2.4 s, loaders gave up after 1 s and appended again (1.6 of 2.6 appends of a loader).
The store refuses what would wait for more than 2 s, so loaders wait that long for an answer.
Test: 36 loaders with 50 ms an append made 53 appends, now 36.
- A mirror that is asked for the first time reads 1,000 records before the asked position of the list, so that routers that are somewhat behind find theirs; they read the store themselves before.
- A fault found while reading: a mirror confirmed a read that returned only the first part of what there was, so that a router behind it could have missed a change for longer than the bound allows.
Test: nothing_is_confirmed_before_the_topic_has_been_read_to_its_end.

--- a/components/loader/src/fence.rs
+++ b/components/loader/src/fence.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use events::{Dependency, Event, emit};
-use platform::Store;
+use platform::{MAX_APPEND_QUEUE, Store};
 use tokio::sync::{Notify, watch};
 use units::{FencingToken, StorePosition};
 
@@ -38,11 +38,12 @@
     }
 }
 
-/// Appends a start record; retries until the store accepts it.
+/// Appends a start record; retries until the store accepts it. All loaders of a deployment may start at the same time, and one that
+/// gave up before the store has handled its append would add another one to the queue.
 async fn append_start(store: &Store, instance: &str) -> StorePosition {
     let mut delay = INITIAL_RETRY_DELAY;
     loop {
-        match store.append(TOPIC, instance.as_bytes()).await {
+        match store.append(TOPIC, instance.as_bytes(), MAX_APPEND_QUEUE).await {
             Ok(position) => return position,
             Err(error) => emit(&Event::DependencyLost {
                 dependency: Dependency::Fencing,
@@ -55,3 +56,6 @@
         delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/loader/src/permit.rs
+++ b/components/loader/src/permit.rs
@@ -334,7 +334,7 @@
 
     async fn append(&self, record: &PermitRecord) -> Result<(), StoreError> {
         let bytes = serde_json::to_vec(record).unwrap_or_default();
-        self.store.append(TOPIC, &bytes).await.map(drop)
+        self.store.append(TOPIC, &bytes, Duration::ZERO).await.map(drop)
     }
 
     /// The newest of the commands that have arrived; the release after a completed load is not skipped.
--- a/components/loader/src/permit/tests.rs
+++ b/components/loader/src/permit/tests.rs
@@ -23,7 +23,8 @@
 impl Loader {
     async fn start(store: &Standin, number: usize) -> Self {
         let (instance, store) = (format!("side-{number}"), Store::new(store.addr));
-        let start = store.append(TOPIC, instance.as_bytes()).await.expect("an answer");
+        let start =
+            store.append(TOPIC, instance.as_bytes(), Duration::ZERO).await.expect("an answer");
         let (_, start) = watch::channel(Some(start));
         let (commands, receiver) = mpsc::unbounded_channel();
         let (sender, granted) = watch::channel(None);
--- a/components/loader/src/records.rs
+++ b/components/loader/src/records.rs
@@ -75,7 +75,7 @@
                 self.settling_until = Some(now() + SETTLING_TIME);
                 return Ok(ReadOutcome::Restored);
             }
-            LogRead::New { records, next } => {
+            LogRead::New { records, next, .. } => {
                 for record in records {
                     match serde_json::from_slice(&record) {
                         Ok(record) => self.queue.apply(record, now()),
--- a/components/mirror/src/server.rs
+++ b/components/mirror/src/server.rs
@@ -9,7 +9,7 @@
 use clock::Moment;
 use events::{Dependency, Event, emit, millis};
 use tokio::sync::watch;
-use units::StorePosition;
+use units::{Offset, StorePosition};
 
 use crate::{Tail, Topic, Updates, UpdatesRequest};
 
@@ -24,11 +24,25 @@
 /// The longest that a follower is kept waiting for an answer.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// How many records before the position of the first follower a mirror reads, so that the others, which may be somewhat behind, find
+/// theirs: the list changes many times a second while a deployment starts. A configuration is long and changes seldom.
+fn lookback(topic: Topic) -> u64 {
+    match topic {
+        Topic::Config => 0,
+        Topic::Endpoints | Topic::CrashRecords | Topic::Routers => 1_000,
+    }
+}
+
 /// The outcome of a read of a topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TopicRead {
     /// The records from the position on, none if nothing was written in time.
-    Records(Vec<Bytes>),
+    Records {
+        /// The records.
+        records: Vec<Bytes>,
+        /// Whether more records can be read at once.
+        has_more: bool,
+    },
     /// The store no longer keeps the records, or it was restored from an older copy, so that no records continue the position.
     Lost,
 }
@@ -120,13 +134,15 @@
             drop(asked);
             return mirrored.clone();
         }
-        let state = TopicState { tail: Tail::new(from), confirmed: None, regained: None };
+        let start =
+            StorePosition { offset: Offset(from.offset.0.saturating_sub(lookback(topic))), ..from };
+        let state = TopicState { tail: Tail::new(start), confirmed: None, regained: None };
         let mirrored = Arc::new(MirroredTopic {
             state: watch::Sender::new(state),
             asked: Mutex::new((now, interval)),
         });
         topics.insert(topic, mirrored.clone());
-        tokio::spawn(self.clone().follow(topic, mirrored.clone()));
+        tokio::spawn(self.clone().follow(topic, from, mirrored.clone()));
         mirrored
     }
 
@@ -134,8 +150,9 @@
         self.topics.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Reads a topic until no follower asks for it, or its records don't continue.
-    async fn follow(self, topic: Topic, mirrored: Arc<MirroredTopic>) {
+    /// Reads a topic until no follower asks for it, or its records don't continue. The first follower asked for the records from
+    /// `asked_from` on.
+    async fn follow(self, topic: Topic, asked_from: StorePosition, mirrored: Arc<MirroredTopic>) {
         let (mut failed_since, mut regained) = (None, None);
         loop {
             let (asked_at, interval) = *mirrored.asked();
@@ -150,7 +167,7 @@
             };
             let (from, sent) = (mirrored.state.borrow().tail.end(), Moment::now());
             match self.reader.read_topic(topic, from, wait).await {
-                Ok(TopicRead::Records(records)) => {
+                Ok(TopicRead::Records { records, has_more }) => {
                     if let Some(since) = failed_since.take() {
                         log_regained(topic, since);
                         regained = Some(Moment::now());
@@ -158,10 +175,19 @@
                     mirrored.state.send_if_modified(|state| {
                         let news = !records.is_empty();
                         state.tail.append(records);
-                        (state.confirmed, state.regained) = (Some(sent), regained);
+                        state.regained = regained;
+                        if !has_more {
+                            state.confirmed = Some(sent);
+                        }
                         news
                     });
-                    tokio::time::sleep(READ_PAUSE).await;
+                    if !has_more {
+                        tokio::time::sleep(READ_PAUSE).await;
+                    }
+                }
+                Ok(TopicRead::Lost) if from < asked_from => {
+                    // The records before those that were asked for are not kept.
+                    mirrored.state.send_modify(|state| state.tail = Tail::new(asked_from));
                 }
                 Ok(TopicRead::Lost) => break,
                 Err(error) => {
@@ -189,3 +215,6 @@
     let (dependency, after_ms) = (Dependency::MirroredTopic, millis(since.elapsed()));
     emit(&Event::DependencyRegained { dependency, name: topic.name(), after_ms });
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/mirror/tests/world/mod.rs
+++ b/components/mirror/tests/world/mod.rs
@@ -141,7 +141,7 @@
         store.wait_while_frozen(&self.process).await;
         let end = *store.end.borrow();
         let records = (from..end).map(|number| Bytes::copy_from_slice(&number.to_be_bytes()));
-        Ok(TopicRead::Records(records.collect()))
+        Ok(TopicRead::Records { records: records.collect(), has_more: false })
     }
 }
 
@@ -249,7 +249,7 @@
                 }
             } else {
                 match client.read_topic(Topic::Config, position, wait).await {
-                    Ok(TopicRead::Records(records)) => {
+                    Ok(TopicRead::Records { records, .. }) => {
                         schedule.record_store_read(sent);
                         records
                     }
