--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -1,11 +1,14 @@
 //! Messages between routers, and between routers and loaders, sent as JSON over HTTP/1.1.
 
 mod client;
+mod demand;
 mod message;
+mod promise;
 
 pub use client::{
     LoaderClient, borrow_tokens, exchange_crash_records, fetch_snapshot, request_grant,
 };
+pub use demand::{ModelRate, QueueSummary, StepTime, WaitingWorkspace};
 pub use message::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ConfirmedVersion, DeniedKey, ENGINE_PATH,
     ENSURE_PATH, EndpointLoad, EndpointRateLimit, EndpointState, EngineUpdate, EnsureOutcome,
@@ -14,3 +17,4 @@
     ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, UPDATES_PATH,
     WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
+pub use promise::{TokenClaim, TokenRetry};
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -11,6 +11,9 @@
     EndpointId, EndpointIncarnation, Era, ModelName, Rate, Revision, StorePosition, WorkspaceName,
 };
 
+use crate::demand::{ModelRate, QueueSummary, StepTime};
+use crate::promise::{TokenClaim, TokenRetry};
+
 /// The path at which a loader answers polls for the state of its endpoint.
 pub const POLL_PATH: &str = "/poll";
 /// The path at which a loader accepts requests to load a model.
@@ -54,6 +57,9 @@
     pub wait: Duration,
     /// The models that the router uses.
     pub uses: Vec<ModelUse>,
+    /// The time between events of streams that passed through the router since its previous poll.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<StepTime>,
 }
 
 /// The state of an endpoint, as its loader reports it.
@@ -88,6 +94,12 @@
     /// The version of the configuration that the loader's engine specification is from; 0 if the loader has none.
     #[serde(rename = "engine")]
     pub engine_version: Revision,
+    /// The time between events of streams, by model, as measured by all routers in this incarnation of the endpoint.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<StepTime>,
+    /// Requests per second of all routers for each model that the endpoint holds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rates: Vec<ModelRate>,
 }
 
 /// How busy an endpoint is. These numbers change all the time and are part of every answer.
@@ -131,6 +143,9 @@
     /// Requests for the model per second that arrive at the router.
     #[serde(default)]
     pub rate: f64,
+    /// The requests that wait for the model at the router, if the router has wait queues.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub queue: Option<QueueSummary>,
 }
 
 /// The result of an [`EnsureRequest`].
@@ -269,6 +284,9 @@
     pub workspace: WorkspaceName,
     /// The most tokens that the router wants to borrow.
     pub tokens: f64,
+    /// The request that the tokens are for, if the other router is responsible for its promise.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub claim: Option<TokenClaim>,
 }
 
 /// The response to a [`BorrowRequest`]. The tokens are taken from the bucket of the router that answers.
@@ -276,6 +294,9 @@
 pub struct BorrowResponse {
     /// The number of tokens lent.
     pub tokens: f64,
+    /// When the request of a claim should be sent again, if it got no tokens.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry: Option<TokenRetry>,
 }
 
 /// The path at which a router reports on workspaces to an operator.
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -21,6 +21,8 @@
         draining: false,
         rate_limit: None,
         engine_version: Revision(1),
+        steps: Vec::new(),
+        rates: Vec::new(),
     }
 }
 
@@ -39,6 +41,7 @@
         seen,
         wait: Duration::from_secs(1),
         uses: Vec::new(),
+        steps: Vec::new(),
     };
     let request = serde_json::to_vec(&request).expect("a message").into();
     let answer = api.poll(&request).await.expect("an answer");
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -38,6 +38,8 @@
         draining: false,
         rate_limit: None,
         engine_version: Revision(0),
+        steps: Vec::new(),
+        rates: Vec::new(),
     });
     let (start_sender, start) = watch::channel(None);
     let instance = settings.instance.to_string();
--- a/components/placement/src/candidate.rs
+++ b/components/placement/src/candidate.rs
@@ -29,6 +29,10 @@
     pub room_wait: Duration,
     /// Whether the endpoint's loader can be asked to load models.
     pub can_load: bool,
+    /// How long the endpoint takes for the same work, relative to the median endpoint of its service; 1 if that is not known.
+    pub time_factor: f64,
+    /// Whether the endpoints of the service differ so much in speed that requests go by capacity.
+    pub balanced: bool,
 }
 
 /// A number that ranks endpoints for a key, the same on all routers; the lowest rank goes first.
--- a/components/placement/src/fixture.rs
+++ b/components/placement/src/fixture.rs
@@ -76,6 +76,8 @@
             queued_models: 0,
             room_wait: self.room_wait[index],
             can_load: self.can_load[index],
+            time_factor: 1.0,
+            balanced: false,
         };
         self.endpoints.iter().enumerate().map(candidate).collect()
     }
--- a/components/router/src/borrow.rs
+++ b/components/router/src/borrow.rs
@@ -54,7 +54,7 @@
         let each = (missing - borrowed.tokens + share.capacity) / wave.len() as f64;
         borrowed.routers_asked += wave.len();
         let asked = wave.into_iter().map(|router| {
-            let borrow = BorrowRequest { workspace: workspace.clone(), tokens: each };
+            let borrow = BorrowRequest { workspace: workspace.clone(), tokens: each, claim: None };
             let client = shared.client.clone();
             async move {
                 (router, control::borrow_tokens(&client, router, &borrow, LENDER_TIMEOUT).await)
@@ -68,7 +68,7 @@
             // A router that refuses connections does so at once, and may be about to start.
             quotas.record_answer(router, matches!(answer, Err(CallError::Timeout { .. })));
             match answer {
-                Ok(BorrowResponse { tokens }) => borrowed.tokens += tokens.max(0.0),
+                Ok(BorrowResponse { tokens, retry: _ }) => borrowed.tokens += tokens.max(0.0),
                 Err(error) => log::debug!("router: borrowing tokens from {router} failed: {error}"),
             }
         }
@@ -102,5 +102,5 @@
         let terms = BucketSpec::new(limit, shared.quota_bounds());
         shared.quotas.lend(&borrow.workspace, terms, borrow.tokens)
     });
-    web::json(StatusCode::OK, &BorrowResponse { tokens: lent.unwrap_or(0.0) })
+    web::json(StatusCode::OK, &BorrowResponse { tokens: lent.unwrap_or(0.0), retry: None })
 }
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -324,6 +324,8 @@
             room_wait: state.map_or(Duration::ZERO, |state| state.room_wait),
             queued_models: state.map_or(0, |state| state.load.waiting),
             can_load,
+            time_factor: 1.0,
+            balanced: false,
         }
     }
 
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -36,6 +36,8 @@
         draining: false,
         rate_limit: None,
         engine_version: Revision(1),
+        steps: Vec::new(),
+        rates: Vec::new(),
     }
 }
 
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -40,4 +40,4 @@
 mod topic_source;
 
 pub use run::run;
-pub use settings::{Bounds, QuotaSettings, RetrySettings, Settings};
+pub use settings::{Bounds, QuotaSettings, RetrySettings, SchedulingSettings, Settings, Switch};
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -74,7 +74,8 @@
         let router = shared.instance.clone();
         let wait = if evicting { EVICTION_POLL_WAIT } else { idle_wait };
         let (endpoint, era) = (id.clone(), shared.store.era());
-        let poll = PollRequest { router, endpoint, incarnation, era, seen, wait, uses };
+        let poll =
+            PollRequest { router, endpoint, incarnation, era, seen, wait, uses, steps: Vec::new() };
         match loader.poll(&poll).await {
             Ok(polled) => {
                 if let Some(since) = lost_since.take() {
@@ -192,6 +193,7 @@
         within: request.within,
         waiting: if request.urgent { waiting } else { 0 },
         rate,
+        queue: None,
     };
     tokio::spawn(send_load_request(shared.clone(), addr, ensure));
 }
--- a/components/router/src/settings.rs
+++ b/components/router/src/settings.rs
@@ -39,6 +39,49 @@
     /// By how much the quotas of workspaces may be exceeded.
     #[serde(default)]
     pub quota: Option<QuotaSettings>,
+    /// The names of the platform's rule groups that are in force at the deployment.
+    #[serde(default)]
+    pub rules: Vec<String>,
+    /// How requests are scheduled where endpoints are short of room or differ in speed.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
+}
+
+impl Settings {
+    /// Whether requests wait in queues, and callers over their quota are promised a time to return.
+    pub fn queues(&self) -> bool {
+        match self.scheduling.queues {
+            Switch::Auto => platform::memory_pressure(&self.rules),
+            Switch::On => true,
+            Switch::Off => false,
+        }
+    }
+}
+
+/// How requests are scheduled where endpoints are short of room or differ in speed.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SchedulingSettings {
+    /// Whether requests wait in queues, and callers over their quota are promised a time to return; automatically where the
+    /// platform's rules on memory pressure are in force.
+    #[serde(default)]
+    pub queues: Switch,
+    /// Whether endpoints get requests by their speed; automatically where they differ in it.
+    #[serde(default)]
+    pub speeds: Switch,
+}
+
+/// Whether a function is used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Switch {
+    /// The router decides from what it knows of the deployment.
+    #[default]
+    Auto,
+    /// Always.
+    On,
+    /// Never.
+    Off,
 }
 
 /// Time limits for acting on changes in the store, counted from the moment at which a change was
--- /dev/null
+++ b/components/speed/src/lib.rs
@@ -0,0 +1,2 @@
+//! Estimates how fast endpoints are, relative to each other, from the time between the events of streams. Performs no input or
+//! output.
