--- a/components/placement/src/choose.rs
+++ b/components/placement/src/choose.rs
@@ -24,7 +24,7 @@
 /// The same while memory is scarce.
 const SCARCE_MEMORY_LATENCY_STEP: Duration = Duration::from_millis(100);
 /// With more than this part of its slots taken, an engine makes requests wait for others to end.
-const CROWDED_SLOT_SHARE: f64 = 0.9;
+pub(crate) const CROWDED_SLOT_SHARE: f64 = 0.9;
 /// The expected wait for a slot is this time multiplied by the part of the slots that is taken beyond
 /// [`CROWDED_SLOT_SHARE`], or beyond [`MAX_MODEL_SLOT_SHARE`] while memory is scarce; about the duration of one request.
 const SLOT_WAIT: Duration = Duration::from_millis(500);
@@ -53,13 +53,12 @@
                 |candidate: &Candidate<'_>| candidate.holdings.is_some_and(|held| held.serves(id));
             let key = id.model.as_str();
             let scarce = memory_scarce(candidates);
-            let step = if scarce { SCARCE_MEMORY_LATENCY_STEP } else { LATENCY_STEP };
-            let limit = if scarce { MAX_MODEL_SLOT_SHARE } else { CROWDED_SLOT_SHARE };
+            let (step, limit) = (latency_step(scarce), slot_share_limit(scarce));
             let costs = all.filter(|(_, candidate)| serves(candidate)).map(|(index, candidate)| {
-                let first_event = candidate.backlog
-                    + prefill
-                    + SLOT_WAIT.mul_f64((candidate.slot_share() - CROWDED_SLOT_SHARE).max(0.0));
-                let over_limit = SLOT_WAIT.mul_f64((candidate.slot_share() - limit).max(0.0));
+                let share = candidate.slot_share();
+                let first_event =
+                    candidate.backlog + prefill + slot_wait(share, CROWDED_SLOT_SHARE);
+                let over_limit = slot_wait(share, limit);
                 let steps = (candidate.backlog + over_limit).as_millis() / step.as_millis();
                 let remote = !scarce && candidate.endpoint.domain != *local;
                 ((steps, remote, candidate.rank(key)), ChosenEndpoint { index, first_event })
@@ -83,5 +82,20 @@
     }
 }
 
+/// The time within which expected times to the first event count as equal.
+pub(crate) fn latency_step(memory_scarce: bool) -> Duration {
+    if memory_scarce { SCARCE_MEMORY_LATENCY_STEP } else { LATENCY_STEP }
+}
+
+/// The share of slots beyond which requests count as waiting for one.
+pub(crate) fn slot_share_limit(memory_scarce: bool) -> f64 {
+    if memory_scarce { MAX_MODEL_SLOT_SHARE } else { CROWDED_SLOT_SHARE }
+}
+
+/// The expected wait for a slot with this share of the slots taken, of which `limit` causes no wait.
+pub(crate) fn slot_wait(share: f64, limit: f64) -> Duration {
+    SLOT_WAIT.mul_f64((share - limit).max(0.0))
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/placement/src/demand.rs
+++ b/components/placement/src/demand.rs
@@ -170,8 +170,30 @@
         extrapolate(load, self.request_rate(now) * ARRIVAL_TIME_CONSTANT.as_secs_f64(), routers)
     }
 
+    /// The rate of requests for the model at all routers, per second, given what loaders have reported of it; 0 if they
+    /// have reported none.
+    pub fn total_request_rate(&self, routers: u32, reported: f64, now: Instant) -> f64 {
+        let rate = self.request_rate(now);
+        extrapolate(rate, rate * ARRIVAL_TIME_CONSTANT.as_secs_f64(), routers).max(reported)
+    }
+
+    /// The prefill time of `rate` requests a second like those that arrived at this router, as a part of one endpoint's
+    /// time.
+    fn prefill_load_at(&self, rate: f64) -> f64 {
+        // Both rates decay alike, so their ratio stays the mean prompt of the last arrivals.
+        let seen = self.request_rate > f64::MIN_POSITIVE;
+        let tokens = if seen { self.token_rate / self.request_rate } else { INITIAL_PROMPT_TOKENS };
+        rate * tokens * self.latency.ms_per_token() / 1_000.0
+    }
+
     /// The number of endpoints that should have the model loaded.
     pub fn replicas_needed(&self, inputs: &ScalingInputs, now: Instant) -> u32 {
+        self.replicas_needed_at(inputs, 0.0, now)
+    }
+
+    /// The same, given the requests per second of all routers that loaders have reported; 0 if they have reported none.
+    /// With 25 routers each of them extrapolates from its own tenth request on, and the loaders know of the first ones.
+    pub fn replicas_needed_at(&self, inputs: &ScalingInputs, reported: f64, now: Instant) -> u32 {
         let ScalingInputs { routers, running, slots, waiting: (count, prefill), memory_scarce } =
             *inputs;
         let running = f64::from(running);
@@ -179,7 +201,8 @@
             extrapolate(running, running, routers) / f64::from(slots.max(1)) / MAX_MODEL_SLOT_SHARE;
         let for_waiting = extrapolate(prefill.as_secs_f64(), f64::from(count), routers)
             / WAITING_PROMPTS_TARGET.as_secs_f64();
-        let for_prefill = self.prefill_load(routers, now) / MAX_PREFILL_LOAD + for_waiting;
+        let prefill_load = self.prefill_load(routers, now).max(self.prefill_load_at(reported));
+        let for_prefill = prefill_load / MAX_PREFILL_LOAD + for_waiting;
         // While other models wait for room, each further replica takes memory from them.
         let needed = if memory_scarce { for_streams } else { for_prefill.max(for_streams) };
         needed.ceil().max(1.0) as u32
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod candidate;
+mod capacity;
 mod choose;
 mod decay;
 mod demand;
@@ -10,13 +11,18 @@
 mod fixture;
 mod load_target;
 mod prefetch;
+mod replica;
 mod scale_out;
 
 pub use backlog::PromptBacklog;
 pub use candidate::{Candidate, memory_scarce, rank};
+pub use capacity::{by_capacity, needs_fast_endpoint};
 pub use choose::{ChosenEndpoint, choose_endpoint};
 pub use demand::{Demand, MAX_MODEL_SLOT_SHARE, ScalingInputs};
 pub use failures::RecentFailures;
-pub use load_target::{LoadSource, LoadTarget, choose_load_targets, has_copy};
+pub use load_target::{
+    LoadSource, LoadTarget, choose_fast_load_targets, choose_load_targets, has_copy,
+};
 pub use prefetch::{PrefetchCapacity, plan_prefetch};
-pub use scale_out::{ReplicaStatus, scale_out};
+pub use replica::{ReplicaRequest, choose_replica};
+pub use scale_out::{CapacityBounds, ReplicaStatus, scale_out, scale_out_by_capacity};
--- a/components/placement/src/load_target.rs
+++ b/components/placement/src/load_target.rs
@@ -58,6 +58,38 @@
     source: LoadSource,
     max: usize,
 ) -> Vec<LoadTarget> {
+    let needs = LoadNeeds { id, engine, source, max };
+    best_load_targets(candidates, &needs, |target, _| target.ready_in)
+}
+
+/// The same for requests that need a fast endpoint: the expected time counts longer at slower endpoints. What is
+/// returned is not scaled, since weights load equally fast everywhere.
+pub fn choose_fast_load_targets(
+    candidates: &[Candidate<'_>],
+    id: &ModelId,
+    engine: &Engine,
+    source: LoadSource,
+    max: usize,
+) -> Vec<LoadTarget> {
+    let needs = LoadNeeds { id, engine, source, max };
+    best_load_targets(candidates, &needs, |target, candidate| candidate.scaled(target.ready_in))
+}
+
+/// What is to be loaded.
+struct LoadNeeds<'a> {
+    id: &'a ModelId,
+    engine: &'a Engine,
+    source: LoadSource,
+    max: usize,
+}
+
+/// The targets with the lowest costs, the best first.
+fn best_load_targets(
+    candidates: &[Candidate<'_>],
+    needs: &LoadNeeds<'_>,
+    cost: impl Fn(&LoadTarget, &Candidate<'_>) -> Duration,
+) -> Vec<LoadTarget> {
+    let LoadNeeds { id, engine, source, max } = *needs;
     let Some(spec) = engine.model(&id.model) else { return Vec::new() };
     let key = id.model.as_str();
     let able = candidates.iter().enumerate().filter(|(_, candidate)| candidate.can_load);
@@ -70,10 +102,11 @@
             estimate_load(candidate, candidate.holdings?, &id.model, spec, engine);
         let is_loading = candidate.holdings?.loading.as_ref().is_some_and(|l| l.model == id.model);
         let allowed = tier != Tier::Store || is_loading || store;
-        allowed.then(|| (LoadTarget { index, tier, ready_in }, candidate.rank(key)))
+        let target = LoadTarget { index, tier, ready_in };
+        allowed.then(|| (target, (cost(&target, candidate), candidate.rank(key))))
     });
-    let mut targets: Vec<(LoadTarget, u64)> = targets.collect();
-    targets.sort_by_key(|(target, rank)| (target.ready_in, *rank));
+    let mut targets: Vec<(LoadTarget, (Duration, u64))> = targets.collect();
+    targets.sort_by_key(|(_, cost)| *cost);
     let best = targets.into_iter().map(|(target, _)| target).take(max.max(1)).enumerate();
     best.filter(|(place, target)| *place == 0 || target.tier < Tier::Store)
         .map(|(_, t)| t)
