--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -60,6 +60,9 @@
     /// The time between events of streams that passed through the router since its previous poll.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepTime>,
+    /// Whether the router uses [`EndpointState::rates`]; a loader publishes them only while a router does.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub rates: bool,
 }
 
 /// The state of an endpoint, as its loader reports it.
@@ -97,7 +100,7 @@
     /// The time between events of streams, by model, as measured by all routers in this incarnation of the endpoint.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepTime>,
-    /// Requests per second of all routers for each model that the endpoint holds.
+    /// Requests per second of all routers for each model that the endpoint holds; empty while no router uses them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rates: Vec<ModelRate>,
 }
--- a/components/loader/src/controller.rs
+++ b/components/loader/src/controller.rs
@@ -74,6 +74,8 @@
     permit_request: Option<PermitRequest>,
     commands: mpsc::Receiver<Command>,
     state: watch::Sender<EndpointState>,
+    /// When the state was last published.
+    published: Option<Instant>,
     endpoint: Option<EndpointId>,
     /// The incarnation of the endpoint in the last report.
     incarnation: Option<EndpointIncarnation>,
@@ -112,6 +114,7 @@
             permit_request: None,
             commands,
             state,
+            published: None,
             endpoint: None,
             incarnation: None,
             draining: false,
@@ -198,6 +201,9 @@
                 self.adopt_id(&poll.endpoint);
                 let last_poll = LastPoll { at: now, wait: poll.wait };
                 self.view.routers.insert(poll.router.clone(), last_poll);
+                if poll.rates {
+                    self.view.rates_wanted = Some(last_poll);
+                }
                 if EndpointIncarnation::differ(self.incarnation, poll.incarnation) {
                     // The poll reports requests that ended with another incarnation of the endpoint.
                     return;
--- a/components/loader/src/controller/publish.rs
+++ b/components/loader/src/controller/publish.rs
@@ -7,11 +7,11 @@
 use tokio::time::Instant;
 
 use crate::controller::Controller;
-use crate::plan;
+use crate::{plan, rates};
 
 impl Controller {
     /// Updates the published state; its version increases if anything but the load has changed.
-    pub(super) fn publish(&self) {
+    pub(super) fn publish(&mut self) {
         let now = Instant::now();
         let report = self.view.report.as_ref();
         let pending = self.pending.as_ref().filter(|pending| pending.target.adapter.is_none());
@@ -40,7 +40,10 @@
             && !draining
             && self.token.start.borrow().is_some()
             && self.view.engine.is_some();
-        self.state.send_if_modified(|state| {
+        let current_rates = || self.view.shared_rates(now).into_iter();
+        let interval = rates::publication_interval(self.view.active_routers());
+        let rates_due = self.published.is_none_or(|at| now - at >= interval);
+        let changed = self.state.send_if_modified(|state| {
             let same = state.holdings.models == holdings.models
                 && state.holdings.evicting == holdings.evicting
                 && state.holdings.copies == holdings.copies
@@ -54,10 +57,14 @@
                 && state.endpoint == self.endpoint
                 && state.incarnation == self.incarnation;
             state.load = EndpointLoad { waiting, running, routers: self.view.active_routers() };
-            if same {
+            if same && !(rates_due && rates::moved(current_rates(), &state.rates)) {
                 return false;
             }
             state.version += 1;
+            state.rates = rates::rounded(current_rates(), &state.rates);
+            if same {
+                return true;
+            }
             state.holdings = holdings;
             state.can_order = can_order;
             state.draining = draining;
@@ -76,5 +83,8 @@
             });
             true
         });
+        if changed {
+            self.published = Some(now);
+        }
     }
 }
--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -5,6 +5,7 @@
 mod permit;
 mod plan;
 mod queue;
+mod rates;
 mod records;
 mod router_api;
 mod run;
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -42,6 +42,7 @@
         wait: Duration::from_secs(1),
         uses: Vec::new(),
         steps: Vec::new(),
+        rates: false,
     };
     let request = serde_json::to_vec(&request).expect("a message").into();
     let answer = api.poll(&request).await.expect("an answer");
--- a/components/loader/src/view.rs
+++ b/components/loader/src/view.rs
@@ -41,17 +41,26 @@
     pub(crate) running: BTreeMap<String, (u32, LastPoll)>,
     /// Requests a second, decaying.
     request_rate: f64,
-    /// When the rate was last updated.
+    /// The same, decaying faster.
+    recent_rate: f64,
+    /// When the rates were last updated.
     rate_updated: Option<Instant>,
 }
 
 /// Time constant of the decaying rate of requests.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(3);
 
+/// Time constant of the rate that shows a shift of demand.
+const RECENT_RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// From this rate on, per second, a shift of demand is told from chance within a second.
+const MIN_SHIFT_RATE: f64 = 4.0;
+
 impl Usage {
     /// Counts requests that began.
     pub(crate) fn record_requests(&mut self, count: u32, now: Instant) {
         self.request_rate = self.rate_at(now) + f64::from(count) / RATE_TIME_CONSTANT.as_secs_f64();
+        self.recent_rate =
+            self.recent_rate_at(now) + f64::from(count) / RECENT_RATE_TIME_CONSTANT.as_secs_f64();
         self.rate_updated = Some(now);
         if count > 0 {
             self.last_used = Some(now);
@@ -59,8 +68,22 @@
     }
 
     fn rate_at(&self, now: Instant) -> f64 {
+        self.request_rate * self.remaining_weight(RATE_TIME_CONSTANT, now)
+    }
+
+    fn recent_rate_at(&self, now: Instant) -> f64 {
+        self.recent_rate * self.remaining_weight(RECENT_RATE_TIME_CONSTANT, now)
+    }
+
+    /// The rate for routers, which shows a shift of demand with its first requests.
+    fn shared_rate_at(&self, now: Instant) -> f64 {
+        let (rate, recent) = (self.rate_at(now), self.recent_rate_at(now));
+        if recent >= MIN_SHIFT_RATE { rate.max(recent) } else { rate }
+    }
+
+    fn remaining_weight(&self, time_constant: Duration, now: Instant) -> f64 {
         let since = self.rate_updated.map_or(Duration::ZERO, |updated| now - updated);
-        self.request_rate * (-since.as_secs_f64() / RATE_TIME_CONSTANT.as_secs_f64()).exp()
+        (-since.as_secs_f64() / time_constant.as_secs_f64()).exp()
     }
 }
 
@@ -80,7 +103,7 @@
 }
 
 impl LastPoll {
-    fn is_recent(self) -> bool {
+    pub(crate) fn is_recent(self) -> bool {
         self.at.elapsed() < ROUTER_TIMEOUT.max(self.wait * ROUTER_TIMEOUT_WAITS)
     }
 }
@@ -106,6 +129,8 @@
     pub(crate) usage: BTreeMap<ModelName, Usage>,
     /// Routers, and their last polls.
     pub(crate) routers: BTreeMap<String, LastPoll>,
+    /// The last poll of a router that uses the rates of requests.
+    pub(crate) rates_wanted: Option<LastPoll>,
     /// The eviction in progress.
     pub(crate) eviction: Option<Eviction>,
     /// When each adapter was last asked for.
@@ -144,6 +169,19 @@
         self.usage.get(model).map_or(0.0, |usage| usage.rate_at(now))
     }
 
+    /// The rates of requests for the models that the endpoint holds, per second; none while no router uses them.
+    pub(crate) fn shared_rates(&self, now: Instant) -> Vec<(ModelName, f64)> {
+        if !self.rates_wanted.is_some_and(LastPoll::is_recent) {
+            return Vec::new();
+        }
+        let held = self.report.iter().flat_map(|report| &report.models).map(|held| &held.model);
+        held.map(|model| {
+            let rate = self.usage.get(model).map_or(0.0, |usage| usage.shared_rate_at(now));
+            (model.clone(), rate)
+        })
+        .collect()
+    }
+
     /// The number of routers that have polled recently.
     pub(crate) fn active_routers(&self) -> u32 {
         let active = self.routers.values().filter(|poll| poll.is_recent()).count();
--- a/components/placement/src/demand/tests.rs
+++ b/components/placement/src/demand/tests.rs
@@ -79,3 +79,43 @@
     assert!((5..=7).contains(&for_waiting), "{for_waiting}");
     assert_eq!(demand.replicas_needed(&ScalingInputs { running: 25, ..idle() }, now), 3);
 }
+
+/// Guards against a shift of demand to one model that each of 25 routers takes for chance. In the first quarter of a
+/// second there are a dozen callers, one at each of twelve routers, and loaders report what they have seen together.
+#[tokio::test(start_paused = true)]
+async fn the_first_callers_of_a_shift_count_together() {
+    let mut demand = Demand::default();
+    demand.record_arrival(2_600, Instant::now());
+    tokio::time::advance(ms(250)).await;
+    let now = Instant::now();
+    let inputs = ScalingInputs { routers: 25, ..idle() };
+    assert_eq!(demand.replicas_needed(&inputs, now), 1, "one router has seen too few");
+    let seen_together = 12.0;
+    assert_eq!(demand.replicas_needed_at(&inputs, seen_together, now), 2);
+    assert!(demand.replicas_needed_at(&inputs, 3.0 * seen_together, now) >= 4);
+}
+
+/// Guards against reports that are older than what the router has seen itself, or missing.
+#[tokio::test(start_paused = true)]
+async fn without_or_with_a_lower_report_the_extrapolation_counts() {
+    let mut demand = Demand::default();
+    for _ in 0..43 {
+        demand.record_arrival(650, Instant::now());
+        tokio::time::advance(ms(23)).await;
+    }
+    let now = Instant::now();
+    let expected = demand.replicas_needed(&idle(), now);
+    assert!(expected >= 3, "{expected}");
+    for reported in [0.0, 5.0] {
+        assert_eq!(demand.replicas_needed_at(&idle(), reported, now), expected);
+    }
+    assert_eq!(demand.total_request_rate(4, 0.0, now), demand.total_request_rate(4, 5.0, now));
+    assert_eq!(demand.total_request_rate(4, 500.0, now), 500.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_that_another_router_reports_are_taken_for_average_ones() {
+    let demand = Demand::default();
+    let inputs = ScalingInputs { routers: 25, ..idle() };
+    assert_eq!(demand.replicas_needed_at(&inputs, 60.0, Instant::now()), 3);
+}
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -13,6 +13,8 @@
 mod prefetch;
 mod replica;
 mod scale_out;
+#[cfg(test)]
+mod unchanged;
 
 pub use backlog::PromptBacklog;
 pub use candidate::{Candidate, memory_scarce, rank};
--- a/components/placement/src/load_target/tests.rs
+++ b/components/placement/src/load_target/tests.rs
@@ -118,3 +118,30 @@
         .expect("the replica");
     assert_eq!((first.index, first.tier), (0, Tier::Adapter));
 }
+
+/// Guards against replicas of interactive models on slow endpoints, and against a factor that excludes the only copy.
+#[test]
+fn for_short_targets_the_expected_time_counts_longer_at_slow_endpoints() {
+    let mut endpoints = TestEndpoints::new(3);
+    (0..3).for_each(|index| endpoints.copy(index, "a"));
+    endpoints.hold(0, "b", &[]);
+    endpoints.hold(0, "c", &[]);
+    endpoints.can_load[2] = false;
+    let candidates: Vec<Candidate<'_>> = endpoints
+        .candidates()
+        .into_iter()
+        .zip([0.5, 4.0, 0.5])
+        .map(|(candidate, time_factor)| Candidate { time_factor, balanced: true, ..candidate })
+        .collect();
+    let choose = |candidates: &[Candidate<'_>]| {
+        let source = LoadSource::CopiesOnly;
+        choose_fast_load_targets(candidates, &id("a"), &engine(), source, 1).pop()
+    };
+    let fast = choose(&candidates).expect("a target");
+    let expected = engine().model(&name("a")).expect("a model").disk_load + EVICTION_ORDER_DELAY;
+    assert_eq!((fast.index, fast.ready_in), (0, expected), "the expected time is not scaled");
+    assert_eq!(choose(&candidates[1..]).expect("a target").index, 0, "the slow one is left");
+    let any =
+        choose_load_target(&candidates, &id("a"), &engine(), LoadSource::CopiesOnly).expect("one");
+    assert_eq!(any.index, 1, "the slow one has room at once");
+}
--- a/components/placement/src/replica.rs
+++ b/components/placement/src/replica.rs
@@ -59,12 +59,16 @@
     let replicas: Vec<Replica<'_>> = serving
         .map(|(index, candidate)| Replica::new(index, candidate, request, scarce, local))
         .collect();
-    let chosen =
-        slow_replica(&replicas, request).or_else(|| earliest_replica(&replicas, request))?;
+    let considered = match may_overload(&replicas, request.rate) {
+        true => drawn(&replicas, request.seed),
+        false => by_rank(&replicas, request.id),
+    };
+    let chosen = slow_replica(&replicas, &considered, request.target)
+        .or_else(|| considered.into_iter().min_by_key(|replica| replica.cost))?;
     Some(ChosenEndpoint { index: chosen.index, first_event: chosen.first_event })
 }
 
-/// What makes one replica better than another, the most important first.
+/// What makes one replica better than another, the most important first. Among equals the first one considered is taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Cost {
     /// The expected delay in steps that callers notice.
@@ -72,7 +76,6 @@
     /// The share of capacity that is taken, in steps.
     share: u64,
     remote: bool,
-    rank: u64,
 }
 
 /// A candidate that can serve the request.
@@ -105,7 +108,6 @@
             steps: delay.as_millis() / latency_step(scarce).as_millis(),
             share: (share / SHARE_STEP) as u64,
             remote: !scarce && candidate.endpoint.domain != *local,
-            rank: candidate.rank(request.id.model.as_str()),
         };
         let prefill = candidate.scaled(request.prefill);
         let first_event = backlog + prefill + slot_wait(share, CROWDED_SLOT_SHARE);
@@ -121,43 +123,37 @@
 
 /// The slow replica that serves a request with a long target, which leaves the fast ones to short targets.
 fn slow_replica<'r, 'a>(
-    replicas: &'r [Replica<'a>],
-    request: &ReplicaRequest<'_>,
+    replicas: &[Replica<'a>],
+    considered: &[&'r Replica<'a>],
+    target: Duration,
 ) -> Option<&'r Replica<'a>> {
     let slow = slow_factor(replicas.iter().map(|replica| replica.candidate));
-    let considered = considered(replicas.iter().collect(), request);
-    let suitable = considered.into_iter().filter(|replica| {
-        replica.candidate.factor() >= slow && replica.takes_long_target(request.target)
-    });
-    suitable.min_by_key(|replica| replica.cost)
-}
-
-/// The best of the replicas that are expected to respond first.
-fn earliest_replica<'r, 'a>(
-    replicas: &'r [Replica<'a>],
-    request: &ReplicaRequest<'_>,
-) -> Option<&'r Replica<'a>> {
-    let steps = replicas.iter().map(|replica| replica.cost.steps).min()?;
-    let earliest = replicas.iter().filter(|replica| replica.cost.steps == steps).collect();
-    considered(earliest, request).into_iter().min_by_key(|replica| replica.cost)
+    let suitable = considered
+        .iter()
+        .filter(|replica| replica.candidate.factor() >= slow && replica.takes_long_target(target));
+    suitable.min_by_key(|replica| replica.cost).copied()
 }
 
-/// The replicas that a request chooses from: all of them, or some that are drawn if the requests that arrive while
-/// reports are on their way could overload one.
-fn considered<'r, 'a>(
-    replicas: Vec<&'r Replica<'a>>,
-    request: &ReplicaRequest<'_>,
-) -> Vec<&'r Replica<'a>> {
+/// Whether the requests that arrive while reports are on their way could overload a replica.
+fn may_overload(replicas: &[Replica<'_>], rate: f64) -> bool {
     let capacities = replicas.iter().map(|replica| replica.candidate.capacity());
     let smallest = capacities.fold(f64::INFINITY, f64::min);
-    if request.rate * MAX_REPORT_AGE_S <= smallest * SHARE_STEP {
-        return replicas;
-    }
-    (0..DRAWN_REPLICAS).filter_map(|draw| drawn(&replicas, request.seed, draw)).collect()
+    rate * MAX_REPORT_AGE_S > smallest * SHARE_STEP
+}
+
+/// All replicas, those that all routers prefer first.
+fn by_rank<'r, 'a>(replicas: &'r [Replica<'a>], id: &ModelId) -> Vec<&'r Replica<'a>> {
+    let mut sorted: Vec<&Replica<'_>> = replicas.iter().collect();
+    sorted.sort_by_key(|replica| replica.candidate.rank(id.model.as_str()));
+    sorted
+}
+
+/// Some replicas that are drawn at random, each with a chance in proportion to its capacity.
+fn drawn<'r, 'a>(replicas: &'r [Replica<'a>], seed: u64) -> Vec<&'r Replica<'a>> {
+    (0..DRAWN_REPLICAS).filter_map(|draw| draw_one(replicas, seed, draw)).collect()
 }
 
-/// The replica of one draw, in which each has a chance in proportion to its capacity.
-fn drawn<'r, 'a>(replicas: &[&'r Replica<'a>], seed: u64, draw: u8) -> Option<&'r Replica<'a>> {
+fn draw_one<'r, 'a>(replicas: &'r [Replica<'a>], seed: u64, draw: u8) -> Option<&'r Replica<'a>> {
     let total: f64 = replicas.iter().map(|replica| replica.candidate.capacity()).sum();
     let fraction = xxh3_64_with_seed(&[draw], seed) as f64 / u64::MAX as f64;
     let mut left = fraction * total;
@@ -165,7 +161,7 @@
         left -= replica.candidate.capacity();
         left < 0.0
     });
-    drawn.or(replicas.last()).copied()
+    drawn.or(replicas.last())
 }
 
 #[cfg(test)]
--- a/components/placement/src/scale_out.rs
+++ b/components/placement/src/scale_out.rs
@@ -104,9 +104,9 @@
     status: &ReplicaStatus<'_>,
     max_pause: Duration,
 ) -> bool {
-    let replicas = candidates.iter().filter(|candidate| {
-        candidate.holdings.is_some_and(|held| held.serves(status.model))
-    });
+    let replicas = candidates
+        .iter()
+        .filter(|candidate| candidate.holdings.is_some_and(|held| held.serves(status.model)));
     let lowest = replicas.map(Candidate::next_capacity_share).reduce(f64::min);
     let chosen = &candidates[status.chosen.index];
     let prompts = chosen.scaled(chosen.backlog);
@@ -138,5 +138,7 @@
     Some(others().filter(|index| !is_coming(*index)).collect())
 }
 
+#[cfg(test)]
+mod by_capacity;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/components/placement/tests/uneven.rs
@@ -0,0 +1,143 @@
+//! Replays the load of a deployment whose endpoints differ in speed, in simulated time: 46 endpoints, of which a third
+//! take 2.4 times as long as the others, 25 routers, a few busy models and many rare ones. Routers learn of each
+//! other's streams a second late.
+
+#[path = "uneven/day.rs"]
+mod day;
+#[path = "uneven/routers.rs"]
+mod routers;
+#[path = "uneven/servers.rs"]
+mod servers;
+#[path = "uneven/traffic.rs"]
+mod traffic;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use day::{Day, Sent, Setup};
+use routers::Policy;
+use rstest::rstest;
+
+fn setup(policy: Policy, seed: u64) -> Setup {
+    let run_time = Duration::from_secs(16);
+    Setup { policy, room: true, misjudged: None, scale: 1, load: 1.0, run_time, seed }
+}
+
+fn over_capacity(day: &Day) -> usize {
+    day.sent.iter().filter(|sent| sent.over_capacity).count()
+}
+
+/// What one replica of a model got in one second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Portion {
+    /// Its requests, and those of all replicas.
+    got: u32,
+    all: u32,
+    /// The highest part of the capacity of all replicas that it had.
+    part: f64,
+}
+
+impl Portion {
+    /// Twice the requests that would be its part.
+    fn most(self) -> f64 {
+        2.0 * self.part * f64::from(self.all)
+    }
+
+    /// Whether the replica got more than twice its part.
+    fn is_herd(self) -> bool {
+        f64::from(self.got) > self.most()
+    }
+
+    /// Whether it got more than chance explains: two standard deviations beyond twice its part.
+    fn is_herd_beyond_chance(self) -> bool {
+        f64::from(self.got) > self.most() + 2.0 * self.most().sqrt()
+    }
+}
+
+/// All portions of a run, by second, model and endpoint.
+fn portions(day: &Day) -> Vec<Portion> {
+    let second = |sent: &Sent| (sent.at.as_secs(), sent.model);
+    let mut all: BTreeMap<(u64, usize), u32> = BTreeMap::new();
+    let mut portions: BTreeMap<((u64, usize), usize), Portion> = BTreeMap::new();
+    for sent in &day.sent {
+        *all.entry(second(sent)).or_default() += 1;
+        let portion = portions.entry((second(sent), sent.server)).or_default();
+        portion.got += 1;
+        portion.part = portion.part.max(sent.part);
+    }
+    portions.into_iter().map(|((key, _), portion)| Portion { all: all[&key], ..portion }).collect()
+}
+
+/// Guards against streams that pause because slow replicas get as many as fast ones.
+#[rstest]
+fn at_most_half_as_many_streams_are_at_overloaded_endpoints(#[values(1, 2, 3, 4)] seed: u64) {
+    let before = Day::run(setup(Policy::BySlots, seed));
+    let after = Day::run(setup(Policy::ByCapacity, seed));
+    assert!(over_capacity(&before) > before.sent.len() / 10, "the load overloads endpoints");
+    assert_eq!(before.sent.len(), after.sent.len());
+    let (before, after) = (over_capacity(&before), over_capacity(&after));
+    assert!(after * 2 <= before, "{after} instead of {before}");
+}
+
+/// Guards against a choice that only helps while replicas can be added.
+#[rstest]
+fn without_room_for_replicas_a_third_fewer_streams_are_at_overloaded_endpoints(
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let run = |policy| Day::run(Setup { room: false, ..setup(policy, seed) });
+    let before = over_capacity(&run(Policy::BySlots));
+    let after = over_capacity(&run(Policy::ByCapacity));
+    assert!(after * 3 <= before * 2, "{after} instead of {before}");
+}
+
+/// Guards against 25 routers that all send to the replica that looked least busy a second ago. At ten times the size,
+/// chance hardly matters.
+#[test]
+fn no_replica_gets_more_than_twice_its_part_in_any_second() {
+    let run = |policy| {
+        let run_time = Duration::from_secs(5);
+        let day = Day::run(Setup { scale: 10, run_time, ..setup(policy, 1) });
+        portions(&day).into_iter().filter(|portion| portion.most() > 40.0).collect::<Vec<_>>()
+    };
+    assert!(run(Policy::BySlots).into_iter().any(Portion::is_herd), "the load makes herds");
+    let after = run(Policy::ByCapacity);
+    assert!(after.len() > 100, "only {} portions", after.len());
+    let herds: Vec<Portion> = after.into_iter().filter(|portion| portion.is_herd()).collect();
+    assert!(herds.is_empty(), "{herds:?}");
+}
+
+/// The same with the deployment's own number of requests, where twenty requests in a second vary by chance. Of models
+/// with fewer than ten, all routers prefer the same replica.
+#[rstest]
+fn no_replica_gets_more_than_twice_its_part_beyond_chance(#[values(1, 2, 3, 4)] seed: u64) {
+    let day = Day::run(setup(Policy::ByCapacity, seed));
+    let portions = portions(&day).into_iter().filter(|portion| portion.all >= 10);
+    let herds: Vec<Portion> = portions.filter(|portion| portion.is_herd_beyond_chance()).collect();
+    assert!(herds.is_empty(), "{herds:?}");
+}
+
+/// Guards against fast replicas that are full with requests which slow ones would have served in time.
+#[rstest]
+fn most_requests_with_long_targets_go_to_slow_replicas(#[values(1, 2, 3)] seed: u64) {
+    let day = Day::run(Setup { load: 0.2, ..setup(Policy::ByCapacity, seed) });
+    let slow_part = |long_target: bool| {
+        let with_choice = |sent: &&Sent| sent.has_choice && sent.long_target == long_target;
+        let sent: Vec<&Sent> = day.sent.iter().filter(with_choice).collect();
+        let slow = sent.iter().filter(|sent| day.servers[sent.server].is_slow()).count();
+        slow as f64 / sent.len() as f64
+    };
+    let (long, short) = (slow_part(true), slow_part(false));
+    assert!(long > 0.66 && short < 0.5, "{long} with long targets, {short} with short ones");
+}
+
+/// Guards against an endpoint that a wrong reading takes out of use, and routers that overload the others then.
+#[rstest]
+fn an_endpoint_that_is_misjudged_is_still_used(#[values(1, 2, 3)] seed: u64) {
+    let misjudged = 0;
+    let right = Day::run(setup(Policy::ByCapacity, seed));
+    let wrong = Day::run(Setup { misjudged: Some(misjudged), ..setup(Policy::ByCapacity, seed) });
+    let count = |day: &Day| day.sent.iter().filter(|sent| sent.server == misjudged).count();
+    assert!(count(&wrong) * 4 >= count(&right), "{} of {}", count(&wrong), count(&right));
+    let before = over_capacity(&Day::run(setup(Policy::BySlots, seed)));
+    assert!(over_capacity(&wrong) * 2 <= before);
+}
