--- a/components/placement/tests/uneven.rs
+++ b/components/placement/tests/uneven.rs
@@ -141,3 +141,19 @@
     let before = over_capacity(&Day::run(setup(Policy::BySlots, seed)));
     assert!(over_capacity(&wrong) * 2 <= before);
 }
+
+/// Prints the figures of the design note.
+#[test]
+#[ignore = "prints figures"]
+fn figures() {
+    for room in [true, false] {
+        for seed in 1..11 {
+            let run = |policy| Day::run(Setup { room, ..setup(policy, seed) });
+            let (before, after) = (run(Policy::BySlots), run(Policy::ByCapacity));
+            let streams = before.sent.len();
+            let over = (over_capacity(&before), over_capacity(&after));
+            let loads = (before.loads, after.loads);
+            println!("room {room} seed {seed}: {streams} streams, over {over:?}, loads {loads:?}");
+        }
+    }
+}
