--- a/components/control/src/message/tests.rs
+++ b/components/control/src/message/tests.rs
@@ -24,3 +24,27 @@
     let snapshot: Snapshot = serde_json::from_str(text).expect("a snapshot");
     assert_eq!(snapshot.read, StorePosition::default());
 }
+
+fn poll(rates: bool) -> PollRequest {
+    PollRequest {
+        router: "front-1".to_owned(),
+        endpoint: "i-1".parse().expect("an id"),
+        incarnation: None,
+        era: Era::default(),
+        seen: 3,
+        wait: Duration::from_secs(1),
+        uses: Vec::new(),
+        steps: Vec::new(),
+        rates,
+    }
+}
+
+/// Guards against messages that grow where no router uses rates, and against routers of other versions.
+#[test]
+fn a_poll_says_only_that_rates_are_used() {
+    let plain = serde_json::to_value(poll(false)).expect("a message");
+    assert!(plain.get("rates").is_none(), "{plain}");
+    assert_eq!(serde_json::from_value::<PollRequest>(plain).expect("a poll"), poll(false));
+    let asking = serde_json::to_value(poll(true)).expect("a message");
+    assert_eq!(serde_json::from_value::<PollRequest>(asking).expect("a poll"), poll(true));
+}
--- a/components/loader/src/controller/publish.rs
+++ b/components/loader/src/controller/publish.rs
@@ -88,3 +88,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/loader/src/view/tests.rs
+++ b/components/loader/src/view/tests.rs
@@ -21,3 +21,23 @@
     tokio::time::advance(Duration::from_secs(12)).await;
     assert_eq!((view.active_routers(), view.running(&model)), (0, 0));
 }
+
+/// Guards against a shift of demand that shows only after seconds, and against single requests that look like one.
+#[tokio::test(start_paused = true)]
+async fn the_shared_rate_follows_a_shift_within_a_second() {
+    let mut usage = Usage::default();
+    usage.record_requests(1, Instant::now());
+    assert!(usage.shared_rate_at(Instant::now()) < 0.5);
+    for _ in 0..20 {
+        tokio::time::advance(Duration::from_millis(25)).await;
+        usage.record_requests(1, Instant::now());
+    }
+    let rate = usage.shared_rate_at(Instant::now());
+    assert!(rate > 14.0 && usage.rate_at(Instant::now()) < 7.0, "{rate}");
+    for _ in 0..200 {
+        tokio::time::advance(Duration::from_millis(25)).await;
+        usage.record_requests(1, Instant::now());
+    }
+    let rate = usage.shared_rate_at(Instant::now());
+    assert!((36.0..44.0).contains(&rate), "{rate} of 40");
+}
--- /dev/null
+++ b/components/router/src/balance/tests.rs
@@ -0,0 +1,77 @@
+//! Tests of the rates of requests that loaders report.
+
+use control::{EndpointLoad, EndpointState, ModelRate};
+use fleet::{Endpoint, EndpointStage, Holdings, LoadedModel};
+use rstest::rstest;
+use units::Revision;
+
+use super::*;
+
+fn name(text: &str) -> ModelName {
+    text.parse().expect("a name")
+}
+
+/// The state of an endpoint that holds the model `a` and whose loader reports rates of `a` and `b`.
+fn state() -> EndpointState {
+    let held = vec![LoadedModel { model: name("a"), adapters: Vec::new() }];
+    EndpointState {
+        version: 1,
+        endpoint: None,
+        incarnation: None,
+        holdings: Holdings { models: held, ..Holdings::default() },
+        load: EndpointLoad { waiting: 0, running: 0, routers: 25 },
+        room_wait: Duration::ZERO,
+        can_order: true,
+        draining: false,
+        rate_limit: None,
+        engine_version: Revision(1),
+        steps: Vec::new(),
+        rates: ["a", "b"].map(|model| ModelRate { model: name(model), per_s: 40.0 }).into(),
+    }
+}
+
+fn tracked(now: Instant) -> TrackedEndpoint {
+    let endpoint = Endpoint {
+        id: "i-1".parse().expect("an id"),
+        incarnation: None,
+        service: "llm".parse().expect("a service"),
+        addr: ([10, 0, 0, 1], 80).into(),
+        domain: "near".parse().expect("a domain"),
+        slots: 16,
+        stage: EndpointStage::Ready,
+        holdings: Some(Holdings::default()),
+    };
+    let mut tracked = TrackedEndpoint::new(endpoint, now);
+    tracked.apply_state(state(), now);
+    tracked
+}
+
+/// Guards against demand that is counted for models that left the endpoint, or long after a loader was cut off.
+#[rstest]
+#[case::held("a", 1, Some(40.0))]
+#[case::not_held("b", 1, None)]
+#[case::unknown("c", 1, None)]
+#[case::cut_off("a", 6, None)]
+#[tokio::test(start_paused = true)]
+async fn only_recent_rates_of_held_models_count(
+    #[case] model: &str,
+    #[case] age_s: u64,
+    #[case] expected: Option<f64>,
+) {
+    let tracked = tracked(Instant::now());
+    tokio::time::advance(Duration::from_secs(age_s)).await;
+    assert_eq!(tracked.reported_rate(&name(model), Instant::now()), expected);
+}
+
+/// Guards against replicas that a deployment gets because another router has asked its loaders for rates.
+#[tokio::test(start_paused = true)]
+async fn where_requests_do_not_go_by_capacity_rates_neither_count_nor_are_asked_for() {
+    let now = Instant::now();
+    let tracked = tracked(now);
+    assert!(!tracked.by_capacity(now));
+    let mut table = EndpointTable::default();
+    table.map.insert(tracked.endpoint.id.clone(), tracked);
+    assert_eq!(table.reported_rate(&name("a"), now), 0.0);
+    let waiting = crate::registry::NO_WAITING_REQUESTS;
+    assert_eq!(table.replicas_needed(&name("a"), 16, waiting, false), 1);
+}
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -6,10 +6,11 @@
 use admission::{Admission, admit};
 use catalog::{Engine, ModelId};
 use fleet::Tier;
-use placement::{Candidate, ChosenEndpoint, LoadSource, ReplicaStatus};
+use placement::{Candidate, ChosenEndpoint, ReplicaStatus};
 use tokio::time::Instant;
 use units::{EndpointId, ServiceName};
 
+use crate::balance;
 use crate::endpoint::TrackedEndpoint;
 use crate::loader_task::{self, LoadRequest};
 use crate::probe;
@@ -50,6 +51,8 @@
     pub(crate) prompt_tokens: u32,
     /// Target for the time to the first event.
     pub(crate) first_event_target: Duration,
+    /// The longest pause between two events that the route allows; zero if it sets no target.
+    pub(crate) max_pause: Duration,
     pub(crate) deadline: Instant,
     /// When the request began to look for an endpoint.
     pub(crate) search_start: Instant,
@@ -214,7 +217,7 @@
         return SearchResult::NoEndpoint;
     }
     if let Some(chosen) =
-        placement::choose_endpoint(&candidates, needs.model, prefill_time, &shared.domain)
+        balance::choose_endpoint(&table, &candidates, needs, prefill_time, &shared.domain)
     {
         if let Some(left) = faster_loading_replica(&candidates, needs, chosen) {
             return SearchResult::Wait(left);
@@ -227,7 +230,7 @@
         {
             return SearchResult::Wait(Duration::ZERO);
         }
-        let extra_load = plan_extra_load(&table, &candidates, needs, chosen);
+        let extra_load = plan_extra_load(&table, &candidates, needs, chosen, prefill_time);
         let id = ids.swap_remove(chosen.index);
         drop(candidates);
         if needs.model.is_some()
@@ -271,11 +274,11 @@
         Some(index) => (index, &candidates[index..=index]),
         None => (0, &candidates[..]),
     };
-    let loads: Vec<PlannedLoad> = placement::choose_load_targets(
+    let loads: Vec<PlannedLoad> = balance::choose_load_targets(
         list,
-        model,
-        engine,
-        LoadSource::CopiesOrStore,
+        (model, engine),
+        needs,
+        prefill_time,
         max_loads as usize,
     )
     .into_iter()
@@ -330,7 +333,7 @@
     };
     let candidates: Vec<_> =
         table.map.values().filter(usable).map(|tracked| tracked.candidate(false, now)).collect();
-    placement::choose_endpoint(&candidates, needs.model, prefill_time, &shared.domain)
+    balance::choose_endpoint(&table, &candidates, needs, prefill_time, &shared.domain)
         .is_some_and(|chosen| chosen.first_event < within)
 }
 
@@ -354,6 +357,7 @@
     candidates: &[Candidate<'_>],
     needs: &RequestNeeds<'_>,
     chosen: ChosenEndpoint,
+    prefill_time: Duration,
 ) -> Option<PlannedLoad> {
     let (model, engine) = needs.model.zip(needs.engine)?;
     let base = ModelId { model: model.model.clone(), adapter: None };
@@ -370,7 +374,7 @@
             as usize;
     let target = needs.first_event_target;
     let replicas = ReplicaStatus { model: &base, requested: &requested, needed, chosen, target };
-    let load_target = placement::scale_out(candidates, engine, &replicas)?;
+    let load_target = balance::scale_out(candidates, engine, &replicas, needs, prefill_time)?;
     let id = candidates[load_target.index].endpoint.id.clone();
     Some(PlannedLoad {
         id,
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -253,6 +253,7 @@
             engine,
             prompt_tokens: self.call.tokens.map_or(0, |(prompt, _)| prompt),
             first_event_target: self.route.target,
+            max_pause: self.route.max_pause,
             deadline: self.send_by,
             search_start: Instant::now(),
             excluded,
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -1,6 +1,7 @@
 //! The router: receives requests of callers and sends them directly to endpoints.
 
 mod access;
+mod balance;
 mod borrow;
 mod caller;
 mod charge;
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -271,6 +271,11 @@
         self.demands.entry(model.clone()).or_default()
     }
 
+    /// The demand for a model, if this router has had requests for it.
+    pub(crate) fn known_demand(&self, model: &ModelName) -> Option<Demand> {
+        self.demands.get(model).copied()
+    }
+
     /// The endpoint whose loader was asked to load a model from the weight store and has not answered yet.
     pub(crate) fn pending_cold_load(&self, model: &ModelName) -> Option<&EndpointId> {
         let mut asked = self.map.iter().filter(|(_, tracked)| {
@@ -300,8 +305,9 @@
         let running = uses.map(|usage| usage.running).sum();
         let inputs =
             ScalingInputs { routers: self.routers(), running, slots, waiting, memory_scarce };
-        let demand = self.demands.get(model).copied().unwrap_or_default();
-        demand.replicas_needed(&inputs, Instant::now())
+        let demand = self.known_demand(model).unwrap_or_default();
+        let now = Instant::now();
+        demand.replicas_needed_at(&inputs, self.reported_rate(model, now), now)
     }
 
     /// The number of routers that the loaders hear from; at least this one.
