--- a/components/loader/src/rates.rs
+++ b/components/loader/src/rates.rs
@@ -40,10 +40,9 @@
 
 /// Whether a rate has moved so far since it was published that it is published by itself.
 pub(crate) fn moved(
-    current: impl Iterator<Item = (ModelName, f64)>,
+    mut current: impl Iterator<Item = (ModelName, f64)>,
     published: &[ModelRate],
 ) -> bool {
-    let mut current = current;
     current.any(|(model, rate)| match published_rate(published, &model) {
         Some(before) if rate >= threshold(Some(before)) => {
             steps(rate / before).abs() >= PUBLISHED_MOVE
