--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -72,6 +72,9 @@
             let (work, outcome) = ((*work).to_owned(), name(outcome));
             counter!("orders_total", "work" => work, "outcome" => outcome).increment(1);
         }
+        Event::RoomGiven { cause, .. } => {
+            counter!("room_given_total", "cause" => name(cause)).increment(1);
+        }
         Event::DependencyLost { dependency, .. } => {
             counter!("dependencies_lost_total", "dependency" => name(dependency)).increment(1);
         }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -106,6 +106,16 @@
     Unknown,
 }
 
+/// Why a model went ahead of the others that waited for room at its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoomCause {
+    /// A caller would have been lost if another load had gone first.
+    Deadline,
+    /// Its load serves the most requests for its duration.
+    Requests,
+}
+
 /// An event, logged as one line of JSON. The `event` field has the outer name of the variant.
 #[derive(Debug, Clone, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -523,6 +533,19 @@
         /// Whether the loaders agreed on the permit. While the store is unreachable, each loader goes by what was agreed on before.
         agreed: bool,
     },
+    /// A loader gave the room of its endpoint to a model that requests wait for, by the queues of routers.
+    RoomGiven {
+        /// The model.
+        model: &'a str,
+        /// The model that was unloaded for it; empty if there was free room.
+        evicted: &'a str,
+        /// The number of waiting requests that can be served in time.
+        waiting: u32,
+        /// The workspaces of the waiting requests, separated by commas.
+        workspaces: &'a str,
+        /// Why this model went first.
+        cause: RoomCause,
+    },
     /// Lines were dropped, because the buffer was too full.
     #[serde(rename = "dropped")]
     LinesDropped {
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -131,6 +131,13 @@
         },
         Event::TokenAcquired { token: 41 },
         Event::LoadPermit { model, worth: 2.5, waited_ms: 900, agreed: true },
+        Event::RoomGiven {
+            model,
+            evicted: "n",
+            waiting: 12,
+            workspaces: "bakery,school",
+            cause: RoomCause::Deadline,
+        },
         Event::LinesDropped { lines: 9 },
     ]
 }
