--- a/components/loader/src/controller.rs
+++ b/components/loader/src/controller.rs
@@ -23,6 +23,7 @@
 mod orders;
 mod permits;
 mod publish;
+mod rooms;
 
 /// The interval between reports while nothing is in progress. A report older than this is renewed if models are
 /// requested. It is also the retry delay for models whose order the endpoint refused, and the assumed time of a load
@@ -206,6 +207,7 @@
                     usage.running.remove(&poll.router);
                 }
                 for model_use in poll.uses {
+                    self.record_use(&poll.router, &model_use);
                     let usage = self.view.usage.entry(model_use.model).or_default();
                     usage.record_requests(model_use.begun, now);
                     if model_use.running > 0 {
@@ -214,8 +216,9 @@
                     }
                 }
             }
-            Command::Ensure(ensure, reply) => {
+            Command::Ensure(mut ensure, reply) => {
                 self.adopt_id(&ensure.endpoint);
+                self.record_queue(&mut ensure, now);
                 if ensure.target.adapter.is_some() {
                     self.view.adapters_asked.insert(ensure.target.clone(), now);
                 }
@@ -288,6 +291,7 @@
                 report.draining = self.draining;
                 let ended = self.pending.take_if(|_| !report.busy);
                 self.view.report = Some(report);
+                self.update_residences();
                 if let Some(ended) = ended {
                     self.finish_order(&ended);
                 }
@@ -335,6 +339,7 @@
             self.answer(&id, EnsureOutcome::Ready);
         }
         self.view.requested.retain(|_, requested| requested.deadline > now);
+        self.view.rooms.expire(now);
     }
 
     fn answer(&mut self, id: &ModelId, outcome: EnsureOutcome) {
@@ -363,6 +368,7 @@
                 true
             }
             Action::Refuse(id, after) => {
+                self.record_refusal(&id, after, now);
                 self.answer(&id, EnsureOutcome::Refused(after));
                 true
             }
--- a/components/loader/src/controller/orders.rs
+++ b/components/loader/src/controller/orders.rs
@@ -48,7 +48,9 @@
             outcome,
         });
         match reply {
-            Ok(OrderReply::Accepted | OrderReply::AlreadyDone) => {}
+            Ok(OrderReply::Accepted | OrderReply::AlreadyDone) => {
+                self.record_order(operation, &target, Instant::now());
+            }
             Ok(OrderReply::Fenced) => {
                 self.pending = None;
                 self.paused_until = Some(Instant::now() + RETRY_DELAY);
@@ -90,6 +92,10 @@
             return;
         };
         if self.view.holds(&ended.target) {
+            if ended.target.adapter.is_none() {
+                let (now, took) = (Instant::now(), ended.since.elapsed());
+                self.view.rooms.residences.record_load(&ended.target.model, took, now);
+            }
             emit(&Event::Loaded {
                 endpoint: endpoint.as_str(),
                 model: &ended.target.to_string(),
--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod queue;
 mod records;
+mod room;
 mod router_api;
 mod run;
 mod settings;
--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -6,6 +6,8 @@
 //! since that gains nothing. The model that was used longest ago is evicted. A model with running requests first gets
 //! no new ones and is unloaded when they have ended, since an unload waits for running requests and blocks all other
 //! orders.
+//!
+//! Models whose routers describe the requests that wait for them are ordered and get room by [`crate::room`].
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -16,13 +18,14 @@
 use tokio::time::Instant;
 use units::{ModelName, Size};
 
+use crate::room::{self, Room};
 use crate::view::{EndpointView, RequestedModel};
 
 /// A model is not evicted for this long after it was loaded or used; otherwise two models with alternating requests
 /// would evict each other.
-const MIN_RESIDENCE: Duration = Duration::from_millis(400);
+pub(crate) const MIN_RESIDENCE: Duration = Duration::from_millis(400);
 /// A model that is only prefetched evicts only models that haven't been used for this long.
-const PREFETCH_MIN_IDLE: Duration = Duration::from_secs(4);
+pub(crate) const PREFETCH_MIN_IDLE: Duration = Duration::from_secs(4);
 /// When routers should retry a request for a model that can't be loaded now: a part of the duration of one request.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The time in which routers hear of an eviction and stop sending requests to the model.
@@ -33,7 +36,7 @@
 const USUAL_DRAIN: Duration = Duration::from_millis(500);
 /// A model is evicted only if fewer requests arrive for it within this time than wait for the model that needs the
 /// room, since loading it again takes about as long.
-const RELOAD_TIME: Duration = Duration::from_secs(1);
+pub(crate) const RELOAD_TIME: Duration = Duration::from_secs(1);
 /// The number of adapters that are loaded on one endpoint at once.
 const MAX_LOADING_ADAPTERS: usize = 4;
 
@@ -74,17 +77,27 @@
         .filter(|(id, _)| !is_loaded(view, &id.model) && may_load(id))
         .collect();
     models.sort_by_key(|(_, requested)| (Reverse(requested.total_waiting()), requested.since));
+    room::order(view, &mut models, now);
     let Some((id, requested)) = models.first() else {
         return if view.eviction.is_some() { Action::CancelEviction } else { Action::Wait };
     };
     let Some(spec) = engine.model(&id.model) else {
         return Action::Refuse((*id).clone(), RETRY_AFTER);
     };
+    let load = Action::Order(Operation::Load, ModelId { model: id.model.clone(), adapter: None });
+    if view.eviction.is_none() && room::is_queued(view, &id.model, now) {
+        return match room::room_for(view, &id.model, now) {
+            Room::Free => load,
+            Room::Evict(model) => Action::Evict(model),
+            Room::After(wait) => Action::Refuse((*id).clone(), wait),
+        };
+    }
     if spec.weights <= engine.memory.saturating_sub(view.used_memory()) {
-        return Action::Order(Operation::Load, ModelId { model: id.model.clone(), adapter: None });
+        return load;
     }
     match &view.eviction {
         Some(eviction) if !is_loaded(view, &eviction.model) => Action::CancelEviction,
+        Some(eviction) if room::is_awaited(view, &eviction.model, now) => Action::CancelEviction,
         Some(eviction) => {
             let since = now - eviction.since;
             let drained = view.running(&eviction.model) == 0 && since >= EVICTION_NOTICE;
@@ -107,12 +120,19 @@
 /// The model to load from the weight store next, with its demand: requests a second plus the number of requests that
 /// wait for it. A model that has the permit stays the next one for as long as it is requested.
 pub(crate) fn next_store_load(view: &EndpointView) -> Option<(&ModelName, f64)> {
+    next_store_load_at(view, Instant::now())
+}
+
+/// The same at a given time. Requests whose deadline passes before the load is complete don't count.
+fn next_store_load_at(view: &EndpointView, now: Instant) -> Option<(&ModelName, f64)> {
     let requested = view.requested.iter().filter(|(id, _)| !is_loaded(view, &id.model));
     let from_store = requested.filter(|(id, _)| needs_store(view, &id.model));
-    let demand = |requested: &RequestedModel| {
-        requested.request_rates.values().sum::<f64>() + f64::from(requested.total_waiting())
+    let demand = |id: &ModelId, requested: &RequestedModel| {
+        let end = now + room::load_time(view, &id.model);
+        let waiting = room::waiting_in_time(view, &id.model, Some(requested), end, now);
+        requested.request_rates.values().sum::<f64>() + f64::from(waiting)
     };
-    let models = from_store.map(|(id, requested)| (&id.model, demand(requested)));
+    let models = from_store.map(|(id, requested)| (&id.model, demand(id, requested)));
     models.max_by(|(a, demand_a), (b, demand_b)| {
         let has_permit = |model: &ModelName| view.permit.as_ref() == Some(model);
         has_permit(a).cmp(&has_permit(b)).then(demand_a.total_cmp(demand_b)).then(b.cmp(a))
@@ -157,6 +177,7 @@
         let missed = view.request_rate(model, now) * RELOAD_TIME.as_secs_f64();
         let worth_more = missed >= f64::from(waiting.max(1));
         let interruptible = waiting > 0 || view.running(model) == 0;
+        let awaited = awaited || room::is_awaited(view, model, now);
         !awaited && !worth_more && interruptible && running_or_idle_for(view, model, min_idle, now)
     });
     evictable
--- a/components/loader/src/view.rs
+++ b/components/loader/src/view.rs
@@ -10,6 +10,8 @@
 use tokio::time::Instant;
 use units::{ModelName, Size};
 
+use crate::room::RoomState;
+
 /// A model or adapter that routers have asked for.
 #[derive(Debug)]
 pub(crate) struct RequestedModel {
@@ -112,6 +114,8 @@
     pub(crate) adapters_asked: BTreeMap<ModelId, Instant>,
     /// The model that may be loaded from the weight store now.
     pub(crate) permit: Option<ModelName>,
+    /// What is known of the requests that wait at routers, and of the models that can make room for theirs.
+    pub(crate) rooms: RoomState,
 }
 
 impl EndpointView {
@@ -120,6 +124,7 @@
         self.report = None;
         self.eviction = None;
         self.adapters_asked.clear();
+        self.rooms.reset_endpoint();
         for usage in self.usage.values_mut() {
             usage.running.clear();
         }
