--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -250,3 +250,5 @@
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod unqueued;
--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -228,4 +228,3 @@
     }
     models.extend(others);
 }
-
