--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -33,7 +33,7 @@
 /// An evicted model is unloaded after this time even if routers still report running requests.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The usual duration of a drain: the rest of a request of which half is over.
-const USUAL_DRAIN: Duration = Duration::from_millis(500);
+pub(crate) const USUAL_DRAIN: Duration = Duration::from_millis(500);
 /// A model is evicted only if fewer requests arrive for it within this time than wait for the model that needs the
 /// room, since loading it again takes about as long.
 pub(crate) const RELOAD_TIME: Duration = Duration::from_secs(1);
--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -35,9 +35,9 @@
 /// The assumed duration of a load of a model that the configuration doesn't describe.
 const UNKNOWN_LOAD: Duration = Duration::from_secs(1);
 
-/// How long an endpoint takes from the end of one load to the beginning of the next, besides drains: a model is unloaded,
-/// and reports show the end of each order.
-const TURN_TIME: Duration = Duration::from_millis(150);
+/// How long an endpoint takes from the end of one load to the beginning of the next: a drain of usual duration, an unload,
+/// and the reports that show the end of each order.
+const TURN_TIME: Duration = Duration::from_millis(650);
 
 /// What is remembered between decisions.
 #[derive(Debug, Default)]
@@ -156,7 +156,7 @@
         now: Instant,
     ) -> Self {
         let duration = load_time(view, model);
-        let end = now + duration;
+        let end = now + openings::start_delay(view, model, now) + duration;
         let summaries = || view.rooms.queues.summaries(model, now);
         let deadline = summaries().filter_map(|received| received.deadline_after(end)).min();
         let requested = view.requested.iter().find(|(id, _)| id.model == *model);
@@ -228,3 +228,10 @@
     }
     models.extend(others);
 }
+
+#[cfg(test)]
+mod replay;
+#[cfg(test)]
+mod simulation;
+#[cfg(test)]
+mod tests;
--- a/components/loader/src/room/openings.rs
+++ b/components/loader/src/room/openings.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 use units::{ModelName, Size};
 
-use crate::plan::{PREFETCH_MIN_IDLE, RELOAD_TIME};
+use crate::plan::{PREFETCH_MIN_IDLE, RELOAD_TIME, USUAL_DRAIN};
 use crate::room::{self, Rank};
 use crate::view::{EndpointView, RequestedModel};
 
@@ -46,6 +46,25 @@
     size: Size,
 }
 
+/// The expected time until a load of a model can begin: the rest of a drain, unless there is room or an idle model can
+/// make it at once.
+pub(crate) fn start_delay(view: &EndpointView, model: &ModelName, now: Instant) -> Duration {
+    if let Some(eviction) = &view.eviction {
+        let drained = view.running(&eviction.model) == 0;
+        let rest = USUAL_DRAIN.saturating_sub(now - eviction.since);
+        return if drained { Duration::ZERO } else { rest };
+    }
+    let Some(engine) = &view.engine else { return Duration::ZERO };
+    let size = engine.model(model).map_or(Size(0), |spec| spec.weights);
+    let free = engine.memory.saturating_sub(view.used_memory());
+    let mut held = view.report.iter().flat_map(|report| &report.models).map(|held| &held.model);
+    let idle = held.any(|model| {
+        let evictable = view.running(model) == 0 && view.rooms.residences.has_served(model);
+        evictable && !room::is_awaited(view, model, now)
+    });
+    if size <= free || idle { Duration::ZERO } else { USUAL_DRAIN }
+}
+
 /// Finds room for a model that requests wait for.
 pub(crate) fn room_for(view: &EndpointView, model: &ModelName, now: Instant) -> Room {
     let Some(engine) = &view.engine else { return Room::After(MAX_ROOM_WAIT) };
@@ -74,8 +93,8 @@
 }
 
 /// The loaded models that can make room for `waiting` requests. An idle model that has served requests can do so at
-/// once, and others when their residence is over. Models that requests wait for can't, nor those with running requests
-/// that more requests are expected for.
+/// once, and others when their residence is over. One with running requests that more requests are expected for is not
+/// drained, but may be idle soon. Models that requests wait for can't make room.
 fn openings<'a>(
     view: &'a EndpointView,
     waiting: u32,
@@ -89,10 +108,12 @@
         let running = view.running(model);
         let expected = view.request_rate(model, now) * RELOAD_TIME.as_secs_f64();
         let in_demand = expected >= f64::from(waiting.max(1));
-        let unavailable = awaited || running > 0 && (in_demand || waiting == 0);
+        let unavailable = awaited || running > 0 && waiting == 0;
         let residences = &view.rooms.residences;
         let mut at = residences.end(model, now).max(now);
-        if running == 0 && residences.has_served(model) {
+        if running > 0 && in_demand {
+            at = at.max(now + USUAL_DRAIN);
+        } else if running == 0 && residences.has_served(model) {
             at = now;
         }
         if waiting == 0 {
--- a/components/loader/src/room/queues.rs
+++ b/components/loader/src/room/queues.rs
@@ -178,3 +178,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
