--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -98,6 +98,9 @@
     match &view.eviction {
         Some(eviction) if !is_loaded(view, &eviction.model) => Action::CancelEviction,
         Some(eviction) if room::is_awaited(view, &eviction.model, now) => Action::CancelEviction,
+        Some(eviction) if room::is_eviction_outdated(view, &id.model, &eviction.model, now) => {
+            Action::CancelEviction
+        }
         Some(eviction) => {
             let since = now - eviction.since;
             let drained = view.running(&eviction.model) == 0 && since >= EVICTION_NOTICE;
--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -27,7 +27,7 @@
 mod residence;
 mod turns;
 
-pub(crate) use openings::{MAX_ROOM_WAIT, Room, room_for};
+pub(crate) use openings::{MAX_ROOM_WAIT, Room, is_eviction_outdated, room_for};
 use queues::Queues;
 use residence::Residences;
 use turns::{Promises, RecentLoads};
@@ -86,8 +86,8 @@
     if !is_queued(view, model, now) {
         return None;
     }
-    let models: Vec<_> = view.requested.iter().collect();
-    let rank = Rank::new(view, model, longest_other_load(view, &models, model), now);
+    let turns = turn_times(view, view.requested.iter());
+    let rank = Rank::new(view, model, longest_other_turn(&turns, model), now);
     let workspaces = workspaces(view, model, now);
     Some(RoomGrant { waiting: rank.in_time, workspaces, urgent: rank.urgent })
 }
@@ -148,7 +148,7 @@
 }
 
 impl Rank {
-    /// Ranks a model against loads that take up to `other`.
+    /// Ranks a model against others that would delay it by up to `other`.
     pub(crate) fn new(
         view: &EndpointView,
         model: &ModelName,
@@ -184,14 +184,19 @@
     }
 }
 
-/// The time that this model waits at most if another model that requests wait for goes first.
-pub(crate) fn longest_other_load(
+/// How long loads occupy the endpoint, for the models that requests wait for.
+pub(crate) fn turn_times<'a>(
     view: &EndpointView,
-    models: &[(&ModelId, &RequestedModel)],
-    model: &ModelName,
-) -> Duration {
-    let others = models.iter().filter(|(id, one)| id.model != *model && one.total_waiting() > 0);
-    others.map(|(id, _)| load_time(view, &id.model) + TURN_TIME).max().unwrap_or_default()
+    models: impl Iterator<Item = (&'a ModelId, &'a RequestedModel)>,
+) -> Vec<(&'a ModelName, Duration)> {
+    let awaited = models.filter(|(_, requested)| requested.total_waiting() > 0);
+    awaited.map(|(id, _)| (&id.model, load_time(view, &id.model) + TURN_TIME)).collect()
+}
+
+/// The time that a model waits at most if another one goes first.
+pub(crate) fn longest_other_turn(turns: &[(&ModelName, Duration)], model: &ModelName) -> Duration {
+    let others = turns.iter().filter(|(other, _)| *other != model);
+    others.map(|(_, turn)| *turn).max().unwrap_or_default()
 }
 
 /// Puts models into their load order. `models` are in the order of [`crate::plan`], which those without a summary keep
@@ -205,8 +210,9 @@
     if view.rooms.queues.is_empty(now) {
         return;
     }
+    let turns = turn_times(view, models.iter().copied());
     let rank = |model: &ModelName| {
-        let other = longest_other_load(view, models, model);
+        let other = longest_other_turn(&turns, model);
         Rank::new(view, model, other, now)
     };
     let is_queued = |id: &ModelId| is_queued(view, &id.model, now);
--- a/components/loader/src/room/openings.rs
+++ b/components/loader/src/room/openings.rs
@@ -70,8 +70,8 @@
     let Some(engine) = &view.engine else { return Room::After(MAX_ROOM_WAIT) };
     let size = |model: &ModelName| engine.model(model).map_or(Size(0), |spec| spec.weights);
     let free = engine.memory.saturating_sub(view.used_memory());
-    let models: Vec<_> = view.requested.iter().collect();
-    let other = room::longest_other_load(view, &models, model);
+    let turns = room::turn_times(view, view.requested.iter());
+    let other = room::longest_other_turn(&turns, model);
     let rank = Rank::new(view, model, other, now);
     let openings = openings(view, rank.in_time, &size, now);
     let needs = promised_ahead(view, model, &rank, &size, now);
@@ -92,6 +92,20 @@
     best.map_or(Room::After(MIN_ROOM_WAIT), |opening| Room::Evict(opening.model.clone()))
 }
 
+/// Whether an idle model could make room by now while the model that is being evicted still has running requests.
+pub(crate) fn is_eviction_outdated(
+    view: &EndpointView,
+    model: &ModelName,
+    evicted: &ModelName,
+    now: Instant,
+) -> bool {
+    let has_idle = || match room_for(view, model, now) {
+        Room::Evict(other) => view.running(&other) == 0,
+        Room::Free | Room::After(_) => false,
+    };
+    view.running(evicted) > 0 && room::is_queued(view, model, now) && has_idle()
+}
+
 /// The loaded models that can make room for `waiting` requests. An idle model that has served requests can do so at
 /// once, and others when their residence is over. One with running requests that more requests are expected for is not
 /// drained, but may be idle soon. Models that requests wait for can't make room.
--- a/components/loader/src/room/tests.rs
+++ b/components/loader/src/room/tests.rs
@@ -139,6 +139,27 @@
     assert_eq!(next_action(&view, Instant::now()), Action::CancelEviction);
 }
 
+/// Guards against requests that wait for the end of a drain although another model has become idle.
+#[tokio::test(start_paused = true)]
+async fn an_idle_model_makes_room_in_place_of_one_that_is_still_drained() {
+    let mut view = view_with(&["m1", "m2", "m4"]);
+    for model in ["m1", "m2", "m4"] {
+        run(&mut view, model, 2);
+    }
+    tokio::time::advance(MIN_RESIDENCE).await;
+    for model in ["m1", "m2", "m4"] {
+        run(&mut view, model, 2);
+    }
+    ask(&mut view, "m0", "r1", 1, Some(15 * SECOND));
+    let Action::Evict(model) = next_action(&view, Instant::now()) else { panic!("no eviction") };
+    view.eviction = Some(Eviction { model, since: Instant::now() });
+    assert_eq!(next_action(&view, Instant::now()), Action::Wait);
+    run(&mut view, "m2", 0);
+    assert_eq!(next_action(&view, Instant::now()), Action::CancelEviction);
+    view.eviction = None;
+    assert_eq!(next_action(&view, Instant::now()), Action::Evict(name("m2")));
+}
+
 /// Guards against models that are unloaded before the requests that they were loaded for arrive, and against models
 /// that keep their room after that.
 #[tokio::test(start_paused = true)]
