--- a/components/loader/src/room/simulation.rs
+++ b/components/loader/src/room/simulation.rs
@@ -310,9 +310,14 @@
         self.order = Some((operation, model.clone(), self.now + duration));
     }
 
-    /// Notes whether requests wait for a model that is evicted.
+    /// Notes whether requests wait for a model that is evicted, at a router that has told the loader so.
     fn check_awaited(&mut self, model: &ModelName) {
-        if room::is_awaited(&self.view, model, self.now) {
+        let mut queues = self.queues.iter().filter(|((_, name), _)| name == model);
+        let awaited = queues.any(|((router, _), queue)| {
+            let told = (self.summaries)(router) && !self.is_cut_off(router);
+            told && queue.asked.is_some() && !queue.waiting.is_empty()
+        });
+        if awaited {
             self.outcome.awaited_evictions.push(model.clone());
         }
     }
--- a/components/loader/src/room/tests.rs
+++ b/components/loader/src/room/tests.rs
@@ -118,6 +118,8 @@
     let mut view = view_with(&["m1", "m2", "m4"]);
     run(&mut view, "m1", 1);
     ask(&mut view, "m2", "r1", 1, Some(15 * SECOND));
+    // The router has been told that the model is loaded, and its requests are on their way.
+    view.requested.clear();
     ask(&mut view, "m0", "r1", 1, Some(15 * SECOND));
     assert_eq!(next_action(&view, Instant::now()), Action::Evict(name("m4")));
     run(&mut view, "m4", 1);
