--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -113,8 +113,9 @@
 ) -> u32 {
     let summaries = view.rooms.queues.summaries(model, now);
     let queued: u32 = summaries.map(|received| received.in_time(end)).sum();
+    let routers = view.rooms.queues.routers(model, now);
     let others = requested.into_iter().flat_map(|requested| &requested.waiting);
-    let unqueued = others.filter(|(router, _)| !view.rooms.queues.has_router(model, router, now));
+    let unqueued = others.filter(|(router, _)| !routers.contains(router.as_str()));
     queued.saturating_add(unqueued.map(|(_, waiting)| waiting).sum())
 }
 
--- a/components/loader/src/room/queues.rs
+++ b/components/loader/src/room/queues.rs
@@ -3,7 +3,7 @@
 //! A summary is kept until its last deadline, also after its request was refused, so that the requests of a router
 //! count while it waits for the time that it was told.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use catalog::ModelId;
@@ -152,12 +152,11 @@
         summaries.filter(move |received| received.expiry() > now)
     }
 
-    /// Whether a summary of this router is in force for a model.
-    pub(crate) fn has_router(&self, model: &ModelName, router: &str, now: Instant) -> bool {
+    /// The routers with a summary in force for a model.
+    pub(crate) fn routers(&self, model: &ModelName, now: Instant) -> BTreeSet<&str> {
         let summaries = self.models.get(model).into_iter().flatten();
-        summaries
-            .filter(|(_, received)| received.expiry() > now)
-            .any(|(waiter, _)| waiter.router == router)
+        let live = summaries.filter(|(_, received)| received.expiry() > now);
+        live.map(|(waiter, _)| waiter.router.as_str()).collect()
     }
 
     /// Whether a summary for a model was renewed lately: requests still wait for it although it may be loaded.
