--- a/components/loader/src/controller/rooms.rs
+++ b/components/loader/src/controller/rooms.rs
@@ -82,3 +82,6 @@
         cause: if grant.urgent { RoomCause::Deadline } else { RoomCause::Requests },
     });
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -239,6 +239,6 @@
 #[cfg(test)]
 mod replay;
 #[cfg(test)]
-mod simulation;
+pub(crate) mod simulation;
 #[cfg(test)]
 mod tests;
