--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod rates;
 mod records;
+mod room;
 mod router_api;
 mod run;
 mod settings;
