--- /dev/null
+++ b/components/speed/src/shared.rs
@@ -0,0 +1,91 @@
+//! What all routers measure of one endpoint, as its loader combines it.
+//!
+//! Load: each router sees a few streams of an endpoint, and many routers poll its loader. A change wakes all of their polls, so what
+//! hardly changes is not published again, and with many routers it is published less often.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::ModelName;
+
+use crate::Step;
+use crate::estimate::{StepEstimate, log_gap};
+use crate::service::MIN_KNOWN_EVENTS;
+
+/// The shortest time between two publications.
+const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
+/// The same for each router that polls, so that publications cause 40 messages per second at most.
+const PUBLISH_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(25);
+/// A time is published again once it has changed by this ratio.
+const PUBLISHED_CHANGE: f64 = 1.125;
+
+/// The times between events at one incarnation of an endpoint, as measured by all routers.
+#[derive(Debug, Default)]
+pub struct SharedSteps {
+    models: BTreeMap<ModelName, StepEstimate>,
+    published: BTreeMap<ModelName, Step>,
+    published_at: Option<Instant>,
+}
+
+impl SharedSteps {
+    /// Adds what one router has measured since its previous report.
+    pub fn add(&mut self, model: &ModelName, step: Step, now: Instant) {
+        if step.events == 0 || step.gap.is_zero() {
+            return;
+        }
+        match self.models.get_mut(model) {
+            Some(estimate) => estimate.add(step, now),
+            None => {
+                self.models.insert(model.clone(), StepEstimate::new(step, now));
+            }
+        }
+    }
+
+    /// Drops everything, because the endpoint has restarted.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Publishes the present times if they have changed enough and the last publication to this number of routers is long enough ago.
+    /// Returns whether it did.
+    pub fn publish(&mut self, routers: u32, now: Instant) -> bool {
+        self.models.retain(|_, estimate| !estimate.expired(now));
+        let interval = MIN_PUBLISH_INTERVAL.max(PUBLISH_INTERVAL_PER_ROUTER * routers);
+        if self.published_at.is_some_and(|at| now.saturating_duration_since(at) < interval) {
+            return false;
+        }
+        let present = self.present();
+        if !differs(&self.published, &present) {
+            return false;
+        }
+        self.published = present;
+        self.published_at = Some(now);
+        true
+    }
+
+    /// The published times.
+    pub fn published(&self) -> &BTreeMap<ModelName, Step> {
+        &self.published
+    }
+
+    /// The times that were measured from enough events.
+    fn present(&self) -> BTreeMap<ModelName, Step> {
+        let steps = self.models.iter().map(|(model, estimate)| (model, estimate.step()));
+        let known = steps.filter(|(_, step)| step.events >= MIN_KNOWN_EVENTS);
+        known.map(|(model, step)| (model.clone(), step)).collect()
+    }
+}
+
+/// Whether models were added or dropped, or a time has changed enough to be published.
+fn differs(published: &BTreeMap<ModelName, Step>, present: &BTreeMap<ModelName, Step>) -> bool {
+    let changed = |model: &ModelName, step: &Step| {
+        published
+            .get(model)
+            .is_none_or(|before| (log_gap(*step) - log_gap(*before)).abs() >= PUBLISHED_CHANGE.ln())
+    };
+    published.len() != present.len() || present.iter().any(|(model, step)| changed(model, step))
+}
+
+#[cfg(test)]
+mod tests;
