--- a/components/speed/tests/replay.rs
+++ b/components/speed/tests/replay.rs
@@ -80,13 +80,13 @@
         let mut fleet = Fleet::new(seed, 24, &[1.0], Noise::None, View::All);
         fleet.always_busy = true;
         fleet.run(Duration::from_secs(5));
-        SLOWED.map(|index| fleet.endpoints[index].factor = 2.0);
+        SLOWED.iter().for_each(|index| fleet.endpoints[*index].factor = 2.0);
         fleet.run(Duration::from_secs(1));
         let (wrong, known) = wrong_factors(&fleet, 0);
         assert!(wrong.is_empty() && known == 24, "seed {seed}: {known} known, {wrong:?}");
         fleet.run(Duration::from_secs(3));
         assert!(fleet.uneven(0), "seed {seed}");
-        SLOWED.map(|index| fleet.endpoints[index].factor = 1.0);
+        SLOWED.iter().for_each(|index| fleet.endpoints[*index].factor = 1.0);
         fleet.run(Duration::from_secs(1));
         let (wrong, known) = wrong_factors(&fleet, 0);
         assert!(wrong.is_empty() && known == 24, "seed {seed}: {known} known, {wrong:?}");
