--- a/components/control/src/demand.rs
+++ b/components/control/src/demand.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use speed::Step;
 use units::{ModelName, WorkspaceName};
 
 /// The requests that wait for a model at one router.
@@ -46,6 +47,19 @@
     pub events: u32,
 }
 
+impl StepTime {
+    /// The time between the events of a model.
+    pub fn new(model: ModelName, step: Step) -> Self {
+        let gap_us = u64::try_from(step.gap.as_micros()).unwrap_or(u64::MAX);
+        Self { model, gap_us, events: step.events }
+    }
+
+    /// The time without the model.
+    pub fn step(&self) -> Step {
+        Step { gap: Duration::from_micros(self.gap_us), events: self.events }
+    }
+}
+
 /// The rate at which requests for a model arrive.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ModelRate {
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -113,6 +113,7 @@
             counter!("requests_limited_total", "workspace" => workspace.clone()).increment(1);
             counter!("tokens_limited_total", "workspace" => workspace).increment(*cost);
         }
+        Event::EndpointSpeed { factor, .. } => histogram!("endpoint_time_factor").record(*factor),
         Event::ShareChanged { shares, .. } => gauge!("quota_shares").set(f64::from(*shares)),
         Event::LinesDropped { lines } => counter!("lines_dropped_total").increment(*lines),
         Event::StoreRestored { dependency, .. } => {
@@ -128,6 +129,7 @@
         | Event::Reloaded { .. }
         | Event::TokenAcquired { .. }
         | Event::SuspectChanged { .. }
+        | Event::EndpointsUneven { .. }
         | Event::LoadPermit { .. } => {}
     }
 }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -439,6 +439,24 @@
         /// The number of shares before.
         before: u32,
     },
+    /// The time factor by which requests are sent to an endpoint has changed by a quarter or more.
+    EndpointSpeed {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// How long it takes for the same work, relative to the median endpoint.
+        factor: f64,
+        /// The number of events of streams that the factor was measured from.
+        events: u32,
+        /// Why the factor has changed.
+        cause: &'a str,
+    },
+    /// The endpoints of a service have begun or ceased to differ in speed.
+    EndpointsUneven {
+        /// The service.
+        service: &'a str,
+        /// Whether they differ now.
+        uneven: bool,
+    },
     /// A loader was asked to load a model.
     #[serde(rename = "wanted")]
     LoadRequested {
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -35,6 +35,8 @@
             version: 7,
         },
         Event::ShareChanged { shares: 21, before: 0 },
+        Event::EndpointSpeed { endpoint, factor: 1.7, events: 412, cause: "measured" },
+        Event::EndpointsUneven { service: "llm", uneven: true },
         Event::Reloaded { outcome: "taken" },
         Event::DependencyLost {
             dependency: Dependency::Membership,
