--- a/components/loader/src/controller.rs
+++ b/components/loader/src/controller.rs
@@ -202,6 +202,9 @@
                     // The poll reports requests that ended with another incarnation of the endpoint.
                     return;
                 }
+                for reported in &poll.steps {
+                    self.view.steps.add(&reported.model, reported.step(), now);
+                }
                 for usage in self.view.usage.values_mut() {
                     usage.running.remove(&poll.router);
                 }
--- a/components/loader/src/controller/publish.rs
+++ b/components/loader/src/controller/publish.rs
@@ -1,18 +1,26 @@
 //! The state that a loader publishes to the routers.
 
-use control::EndpointLoad;
+use control::{EndpointLoad, StepTime};
 use events::{Event, emit};
 use fleet::{Holdings, Loading, Tier};
 use platform::Operation;
+use speed::Step;
 use tokio::time::Instant;
+use units::ModelName;
 
 use crate::controller::Controller;
 use crate::plan;
 
+/// The time between events of a model, as it is published.
+fn step_time((model, step): (&ModelName, &Step)) -> StepTime {
+    StepTime::new(model.clone(), *step)
+}
+
 impl Controller {
     /// Updates the published state; its version increases if anything but the load has changed.
-    pub(super) fn publish(&self) {
+    pub(super) fn publish(&mut self) {
         let now = Instant::now();
+        let steps_changed = self.view.steps.publish(self.view.active_routers(), now);
         let report = self.view.report.as_ref();
         let pending = self.pending.as_ref().filter(|pending| pending.target.adapter.is_none());
         let loading = pending.filter(|p| p.operation == Operation::Load).map(|p| Loading {
@@ -54,10 +62,14 @@
                 && state.endpoint == self.endpoint
                 && state.incarnation == self.incarnation;
             state.load = EndpointLoad { waiting, running, routers: self.view.active_routers() };
-            if same {
+            if same && !steps_changed {
                 return false;
             }
             state.version += 1;
+            state.steps = self.view.steps.published().iter().map(step_time).collect();
+            if same {
+                return true;
+            }
             state.holdings = holdings;
             state.can_order = can_order;
             state.draining = draining;
--- a/components/loader/src/view.rs
+++ b/components/loader/src/view.rs
@@ -6,6 +6,7 @@
 use catalog::{Engine, ModelId};
 use control::EnsureOutcome;
 use platform::Report;
+use speed::SharedSteps;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use units::{ModelName, Size};
@@ -112,6 +113,8 @@
     pub(crate) adapters_asked: BTreeMap<ModelId, Instant>,
     /// The model that may be loaded from the weight store now.
     pub(crate) permit: Option<ModelName>,
+    /// The time between events of streams, as measured by all routers.
+    pub(crate) steps: SharedSteps,
 }
 
 impl EndpointView {
@@ -120,6 +123,7 @@
         self.report = None;
         self.eviction = None;
         self.adapters_asked.clear();
+        self.steps.clear();
         for usage in self.usage.values_mut() {
             usage.running.clear();
         }
