--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -16,6 +16,7 @@
 use crate::liveness::LivenessState;
 use crate::pool::ConnectionPool;
 use crate::rate_limit::RateLimitState;
+use crate::speeds::EndpointSpeed;
 
 /// How long the state that a loader reported takes precedence over the list of endpoints, for a loader that is polled every
 /// second.
@@ -115,6 +116,8 @@
     pub(crate) open_loads: HashMap<ModelId, OpenLoads>,
     pub(crate) refused_until: HashMap<ModelId, Instant>,
     pub(crate) loader_task: Option<AbortHandle>,
+    /// What is known of its speed.
+    pub(crate) speed: EndpointSpeed,
 }
 
 impl TrackedEndpoint {
@@ -142,6 +145,7 @@
             open_loads: HashMap::new(),
             refused_until: HashMap::new(),
             loader_task: None,
+            speed: EndpointSpeed::default(),
         }
     }
 
@@ -229,6 +233,7 @@
             missing,
             list_position,
             loader_task: task,
+            speed: self.speed.restarted(),
             ..Self::new(endpoint, now)
         };
     }
@@ -324,8 +329,8 @@
             room_wait: state.map_or(Duration::ZERO, |state| state.room_wait),
             queued_models: state.map_or(0, |state| state.load.waiting),
             can_load,
-            time_factor: 1.0,
-            balanced: false,
+            time_factor: self.speed.used_factor(),
+            balanced: self.speed.balanced(),
         }
     }
 
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -37,6 +37,7 @@
 mod settings;
 mod shared;
 mod snapshot;
+mod speeds;
 mod topic_source;
 
 pub use run::run;
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -62,20 +62,21 @@
     let mut engine_unknown = true;
     let mut lost_since: Option<Instant> = None;
     loop {
-        let (incarnation, uses, idle_wait) = {
+        let (incarnation, uses, steps, idle_wait) = {
             let mut table = shared.endpoints.lock();
             let Some(uses) = table.take_uses(&id, Instant::now()) else { return };
             let loaders =
                 table.map.values().filter(|tracked| tracked.loader_task.is_some()).count();
             let Some(tracked) = table.map.get_mut(&id) else { return };
             tracked.poll_wait = poll_wait(loaders);
-            (tracked.endpoint.incarnation, uses, tracked.poll_wait)
+            // A loader that was not reached may have restarted and lost what it had been told.
+            let steps = tracked.speed.take_steps(lost_since.is_some(), Instant::now());
+            (tracked.endpoint.incarnation, uses, steps, tracked.poll_wait)
         };
         let router = shared.instance.clone();
         let wait = if evicting { EVICTION_POLL_WAIT } else { idle_wait };
         let (endpoint, era) = (id.clone(), shared.store.era());
-        let poll =
-            PollRequest { router, endpoint, incarnation, era, seen, wait, uses, steps: Vec::new() };
+        let poll = PollRequest { router, endpoint, incarnation, era, seen, wait, uses, steps };
         match loader.poll(&poll).await {
             Ok(polled) => {
                 if let Some(since) = lost_since.take() {
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -11,6 +11,7 @@
 use fleet::Tier;
 use placement::{Demand, ScalingInputs};
 use platform::EndpointHints;
+use speed::ServiceSpeeds;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, ModelName, ServiceName, StorePosition};
@@ -52,6 +53,8 @@
     pub(crate) cold: ColdLoads,
     /// How much work each model's requests cause on its replicas.
     demands: HashMap<ModelName, Demand>,
+    /// The speeds of the endpoints of each service.
+    pub(crate) speeds: BTreeMap<ServiceName, ServiceSpeeds>,
     /// The share of recent streams that stalled for too long.
     pause_ratio: f64,
     /// Whether the list of endpoints has been read.
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -215,11 +215,13 @@
                 break "the deadline of the request has passed".to_owned();
             }
             StreamRead::Data(data) => {
-                response.reservation.pool.liveness().answer_received(Instant::now());
+                let now = Instant::now();
+                response.reservation.pool.liveness().answer_received(now);
                 let ready = if resumable { events.push(data) } else { data };
                 if ready.is_empty() {
                     continue;
                 }
+                response.reservation.record_events(&ready, now);
                 timing.record_chunk();
                 if writer.send(ready).await.is_err() {
                     return request_log.log_caller_left();
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -15,6 +15,7 @@
 use crate::registry::EndpointTable;
 use crate::sent_requests::SentRequestId;
 use crate::shared::Shared;
+use crate::speeds::{self, StreamMeter};
 
 /// A request at an endpoint: counts against the endpoint until it is dropped.
 #[derive(Debug)]
@@ -45,6 +46,8 @@
     /// Whether the request may not share the endpoint with other requests that were at crashed
     /// endpoints.
     isolated: bool,
+    /// Measures the time between events of the response, if it is a stream.
+    meter: StreamMeter,
 }
 
 impl Reservation {
@@ -89,6 +92,7 @@
             response_begun: false,
             sent_id: None,
             isolated,
+            meter: StreamMeter::default(),
         })
     }
 
@@ -147,6 +151,14 @@
         shared.endpoints.changed.notify_waiters();
     }
 
+    /// Records that events of a stream have arrived.
+    pub(crate) fn record_events(&mut self, data: &[u8], now: Instant) {
+        let Some(model) = &self.model else { return };
+        let (shared, id, pool) = (&self.shared, &self.id, &self.pool);
+        let find = || speeds::recorder(shared, id, pool, &model.model, now);
+        self.meter.record(data, now, find);
+    }
+
     /// Removes the prompt from the endpoint's backlog.
     fn remove_from_backlog(&mut self, table: &mut EndpointTable, now: Instant) {
         let prefill_time = std::mem::take(&mut self.prefill_time);
