--- a/src/cli.rs
+++ b/src/cli.rs
@@ -92,6 +92,10 @@
     Limits {
         router: SocketAddr,
     },
+    /// Show how fast endpoints are, as a router knows it.
+    Speeds {
+        router: SocketAddr,
+    },
     /// Show workspaces with their keys, limits and use at a router.
     Workspaces {
         router: SocketAddr,
@@ -147,7 +151,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 16] = [
+const COMMANDS: [&str; 17] = [
     "check",
     "diff",
     "pull",
@@ -159,6 +163,7 @@
     "status",
     "limits",
     "losses",
+    "speeds",
     "story",
     "suspects",
     "timeline",
@@ -277,6 +282,7 @@
         }
         "suspects" => Command::Suspects { router: next("ROUTER", &mut values)?.parse()? },
         "limits" => Command::Limits { router: next("ROUTER", &mut values)?.parse()? },
+        "speeds" => Command::Speeds { router: next("ROUTER", &mut values)?.parse()? },
         "workspaces" => Command::Workspaces { router: next("ROUTER", &mut values)?.parse()? },
         "release" => Command::Release {
             router: next("ROUTER", &mut values)?.parse()?,
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -32,6 +32,8 @@
   release ROUTER DIGEST    let one of them go at all routers: it is sent to endpoints again
   limits ROUTER            show the endpoints that announce rate limits, and for how long this router sends
                            them nothing
+  speeds ROUTER            show how fast endpoints are relative to the median one of their service, and the times
+                           between events of streams that this was measured from
   workspaces ROUTER        show workspaces with the digests of their keys, their limits and what they use at a
                            router, and which keys it refused of late
   story ID FILE...         tell what became of one request, from the log lines of routers and loaders;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod publish;
 pub(crate) mod pull;
 pub(crate) mod set;
+pub(crate) mod speeds;
 pub(crate) mod status;
 pub(crate) mod story;
 pub(crate) mod suspects;
--- a/src/main.rs
+++ b/src/main.rs
@@ -68,6 +68,7 @@
         Command::Losses { worths, files } => cmd::losses::run(worths, files, out),
         Command::Story { request, files } => cmd::story::run(request, files, out),
         Command::Limits { router } => cmd::limits::list(*router, out).await,
+        Command::Speeds { router } => cmd::speeds::list(*router, out).await,
         Command::Suspects { router } => cmd::suspects::list(*router, out).await,
         Command::Release { router, digest } => cmd::suspects::release(*router, *digest, out).await,
         Command::Workspaces { router } => cmd::workspaces::list(*router, out).await,
