--- a/components/speed/src/shared.rs
+++ b/components/speed/src/shared.rs
@@ -9,14 +9,15 @@
 use tokio::time::Instant;
 use units::ModelName;
 
-use crate::Step;
 use crate::estimate::{StepEstimate, log_gap};
 use crate::service::MIN_KNOWN_EVENTS;
+use crate::{STEP_LIFETIME, Step};
 
 /// The shortest time between two publications.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
-/// The same for each router that polls, so that publications cause 40 messages per second at most.
-const PUBLISH_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(25);
+/// The same for each router that polls: publications cause ten messages per second at most, unless there are so many routers that
+/// times would expire before they are published.
+const PUBLISH_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(100);
 /// A time is published again once it has changed by this ratio.
 const PUBLISHED_CHANGE: f64 = 1.125;
 
@@ -51,7 +52,8 @@
     /// Returns whether it did.
     pub fn publish(&mut self, routers: u32, now: Instant) -> bool {
         self.models.retain(|_, estimate| !estimate.expired(now));
-        let interval = MIN_PUBLISH_INTERVAL.max(PUBLISH_INTERVAL_PER_ROUTER * routers);
+        let interval =
+            (PUBLISH_INTERVAL_PER_ROUTER * routers).clamp(MIN_PUBLISH_INTERVAL, STEP_LIFETIME);
         if self.published_at.is_some_and(|at| now.saturating_duration_since(at) < interval) {
             return false;
         }
--- a/components/speed/src/shared/tests.rs
+++ b/components/speed/src/shared/tests.rs
@@ -3,7 +3,6 @@
 use rstest::rstest;
 
 use super::*;
-use crate::STEP_LIFETIME;
 
 fn step(millis: u64, events: u32) -> Step {
     Step { gap: Duration::from_millis(millis), events }
@@ -29,8 +28,9 @@
 #[case::less_than_an_eighth(44, 1, 1_000, false)]
 #[case::more_than_an_eighth(48, 1, 1_000, true)]
 #[case::too_soon(48, 1, 400, false)]
-#[case::too_soon_for_many_routers(48, 370, 9_000, false)]
-#[case::for_many_routers(48, 370, 9_300, true)]
+#[case::too_soon_for_many_routers(48, 31, 3_000, false)]
+#[case::for_many_routers(48, 31, 3_100, true)]
+#[case::before_times_expire(48, 370, 30_000, true)]
 fn publishes_what_has_changed(
     #[case] millis: u64,
     #[case] routers: u32,
