--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -104,3 +104,11 @@
     }
     assert!((8..=11).contains(&granted), "{granted} requests in 10 s");
 }
+
+/// Guards against fields that a process of another version doesn't expect, and against needing those that it doesn't send.
+#[test]
+fn a_state_without_times_between_events_is_as_before() {
+    let text = serde_json::to_string(&state(7)).expect("a message");
+    assert!(!text.contains("steps"), "{text}");
+    assert_eq!(serde_json::from_str::<EndpointState>(&text).expect("a message"), state(7));
+}
--- a/components/loader/src/view/tests.rs
+++ b/components/loader/src/view/tests.rs
@@ -21,3 +21,15 @@
     tokio::time::advance(Duration::from_secs(12)).await;
     assert_eq!((view.active_routers(), view.running(&model)), (0, 0));
 }
+
+/// Guards against the speed of an earlier process of the endpoint, which other routers would be told.
+#[test]
+fn times_between_events_end_with_the_incarnation() {
+    let (mut view, now) = (EndpointView::default(), Instant::now());
+    let step = speed::Step { gap: Duration::from_millis(40), events: 100 };
+    view.steps.add(&"a".parse().expect("a name"), step, now);
+    assert!(view.steps.publish(1, now));
+    view.reset_endpoint();
+    assert!(view.steps.published().is_empty());
+    assert!(!view.steps.publish(1, now), "nothing is left to be published");
+}
