--- a/components/loader/src/view.rs
+++ b/components/loader/src/view.rs
@@ -6,6 +6,7 @@
 use catalog::{Engine, ModelId};
 use control::EnsureOutcome;
 use platform::Report;
+use speed::SharedSteps;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use units::{ModelName, Size};
@@ -141,6 +142,8 @@
     pub(crate) permit: Option<ModelName>,
     /// What is known of the requests that wait at routers, and of the models that can make room for theirs.
     pub(crate) rooms: RoomState,
+    /// The time between events of streams, as measured by all routers.
+    pub(crate) steps: SharedSteps,
 }
 
 impl EndpointView {
@@ -150,6 +153,7 @@
         self.eviction = None;
         self.adapters_asked.clear();
         self.rooms.reset_endpoint();
+        self.steps.clear();
         for usage in self.usage.values_mut() {
             usage.running.clear();
         }
--- a/components/loader/src/view/tests.rs
+++ b/components/loader/src/view/tests.rs
@@ -41,3 +41,15 @@
     let rate = usage.shared_rate_at(Instant::now());
     assert!((36.0..44.0).contains(&rate), "{rate} of 40");
 }
+
+/// Guards against the speed of an earlier process of the endpoint, which other routers would be told.
+#[test]
+fn times_between_events_end_with_the_incarnation() {
+    let (mut view, now) = (EndpointView::default(), Instant::now());
+    let step = speed::Step { gap: Duration::from_millis(40), events: 100 };
+    view.steps.add(&"a".parse().expect("a name"), step, now);
+    assert!(view.steps.publish(1, now));
+    view.reset_endpoint();
+    assert!(view.steps.published().is_empty());
+    assert!(!view.steps.publish(1, now), "nothing is left to be published");
+}
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -62,7 +62,7 @@
     let mut engine_unknown = true;
     let mut lost_since: Option<Instant> = None;
     loop {
-        let (incarnation, uses, idle_wait, rates) = {
+        let (incarnation, uses, steps, idle_wait, rates) = {
             let mut table = shared.endpoints.lock();
             let now = Instant::now();
             let Some(uses) = table.take_uses(&id, now) else { return };
@@ -70,12 +70,13 @@
                 table.map.values().filter(|tracked| tracked.loader_task.is_some()).count();
             let Some(tracked) = table.map.get_mut(&id) else { return };
             tracked.poll_wait = poll_wait(loaders);
-            (tracked.endpoint.incarnation, uses, tracked.poll_wait, tracked.by_capacity(now))
+            // A loader that was not reached may have restarted and lost what it had been told.
+            let steps = tracked.speed.take_steps(lost_since.is_some(), now);
+            (tracked.endpoint.incarnation, uses, steps, tracked.poll_wait, tracked.by_capacity(now))
         };
         let router = shared.instance.clone();
         let wait = if evicting { EVICTION_POLL_WAIT } else { idle_wait };
         let (endpoint, era) = (id.clone(), shared.store.era());
-        let steps = Vec::new();
         let poll =
             PollRequest { router, endpoint, incarnation, era, seen, wait, uses, steps, rates };
         match loader.poll(&poll).await {
