--- a/components/router/src/balance.rs
+++ b/components/router/src/balance.rs
@@ -64,8 +64,8 @@
 
 impl TrackedEndpoint {
     /// Whether requests go to the endpoint by its capacity.
-    pub(crate) fn by_capacity(&self, now: Instant) -> bool {
-        self.candidate(false, now).balanced
+    pub(crate) fn by_capacity(&self) -> bool {
+        self.speed.balanced()
     }
 
     /// The rate of requests for a model at all routers, per second, as the loader reports it if the endpoint holds the
@@ -84,7 +84,7 @@
     pub(crate) fn reported_rate(&self, model: &ModelName, now: Instant) -> f64 {
         let rates = self.map.values().filter_map(|tracked| {
             let rate = tracked.reported_rate(model, now)?;
-            tracked.by_capacity(now).then_some(rate)
+            tracked.by_capacity().then_some(rate)
         });
         rates.sum()
     }
--- a/components/router/src/balance/tests.rs
+++ b/components/router/src/balance/tests.rs
@@ -68,7 +68,7 @@
 async fn where_requests_do_not_go_by_capacity_rates_neither_count_nor_are_asked_for() {
     let now = Instant::now();
     let tracked = tracked(now);
-    assert!(!tracked.by_capacity(now));
+    assert!(!tracked.by_capacity());
     let mut table = EndpointTable::default();
     table.map.insert(tracked.endpoint.id.clone(), tracked);
     assert_eq!(table.reported_rate(&name("a"), now), 0.0);
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -72,7 +72,7 @@
             tracked.poll_wait = poll_wait(loaders);
             // A loader that was not reached may have restarted and lost what it had been told.
             let steps = tracked.speed.take_steps(lost_since.is_some(), now);
-            (tracked.endpoint.incarnation, uses, steps, tracked.poll_wait, tracked.by_capacity(now))
+            (tracked.endpoint.incarnation, uses, steps, tracked.poll_wait, tracked.by_capacity())
         };
         let router = shared.instance.clone();
         let wait = if evicting { EVICTION_POLL_WAIT } else { idle_wait };
