--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod message;
 mod promise;
+mod waiting;
 
 pub use client::{
     LoaderClient, borrow_tokens, exchange_crash_records, fetch_snapshot, request_grant,
@@ -18,3 +19,4 @@
     WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
 pub use promise::{TokenClaim, TokenRetry};
+pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -47,6 +47,13 @@
                 counter!("cold_starts_total", "class" => class).increment(u64::from(*cold));
             }
         }
+        Event::Queued { class, .. } => {
+            counter!("queued_total", "class" => (*class).to_owned()).increment(1);
+        }
+        Event::Dequeued { class, waited_ms, .. } => {
+            let class = (*class).to_owned();
+            histogram!("wait_queue_seconds", "class" => class).record(seconds(*waited_ms));
+        }
         Event::Retry { allowed, spent, limit, .. } => {
             let outcome = if *allowed { "allowed" } else { "denied" };
             counter!("repeats_total", "outcome" => outcome).increment(1);
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -53,6 +53,10 @@
     Unknown,
     /// The router is shutting down.
     Stopping,
+    /// Too many requests that wait for the model go first for the request to be served in time.
+    QueueTooLong,
+    /// The router is shutting down, and the turn of the request would not have come soon.
+    HandedBack,
     /// The caller has disconnected.
     Left,
     /// The request crashes the endpoints that run it.
@@ -299,6 +303,35 @@
         /// The error, if there was one.
         cause: &'a str,
     },
+    /// A request began to wait in the queue for its model.
+    Queued {
+        /// The id of the request.
+        request: &'a str,
+        /// The class in the `accepted` line.
+        class: &'a str,
+        /// The model.
+        model: &'a str,
+        /// The workspace; empty if the request belongs to none.
+        workspace: &'a str,
+        /// How many requests go first.
+        position: usize,
+        /// The number of requests in the queue, including this one.
+        length: usize,
+        /// The expected time until the turn of the request.
+        expect_ms: u64,
+    },
+    /// A request that waited in the queue for its model got an endpoint.
+    Dequeued {
+        /// The id of the request.
+        request: &'a str,
+        /// The class in the `accepted` line.
+        #[serde(skip)]
+        class: &'a str,
+        /// The model.
+        model: &'a str,
+        /// How long the request waited in the queue.
+        waited_ms: u64,
+    },
     /// A request was answered by an endpoint.
     Answered {
         /// The id of the request.
@@ -542,6 +575,8 @@
         match self {
             Self::Accepted { request, .. }
             | Self::Step { request, .. }
+            | Self::Queued { request, .. }
+            | Self::Dequeued { request, .. }
             | Self::Answered { request, .. }
             | Self::Refused { request, .. }
             | Self::Retry { request, .. }
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -92,6 +92,16 @@
             class,
             cause: "",
         },
+        Event::Queued {
+            request,
+            class,
+            model,
+            workspace: "school",
+            position: 2,
+            length: 5,
+            expect_ms: 640,
+        },
+        Event::Dequeued { request, class, model, waited_ms: 700 },
         Event::Answered {
             request,
             class,
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -13,13 +13,14 @@
 use crate::endpoint::TrackedEndpoint;
 use crate::loader_task::{self, LoadRequest};
 use crate::probe;
+use crate::queued::{self, Waiter};
 use crate::registry::{EndpointTable, NO_WAITING_REQUESTS};
 use crate::reservation::{Reservation, WaitingRequest};
 use crate::shared::Shared;
 
 /// Interval at which a waiting request searches again: the pause of an endpoint ends without a
 /// notification.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 /// A waiting request pauses before it searches again for the time that it has waited divided by this. With many requests waiting for
 /// models, something changes hundreds of times a second, and each search considers all endpoints.
 const SEARCH_PAUSE_DIVISOR: u32 = 8;
@@ -38,7 +39,7 @@
 /// Further requests are held back for the target time divided by this.
 const PREFILL_HOLD_DIVISOR: u32 = 4;
 /// `Retry-After` if no endpoint is left that the request could be sent to.
-const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+pub(crate) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -58,9 +59,17 @@
     /// Whether the request may not share an endpoint with other requests that were at crashed
     /// endpoints.
     pub(crate) isolated: bool,
+    /// What decides on the place of the request in the queue for its model, if queues are on.
+    pub(crate) waiter: Option<Waiter<'a>>,
 }
 
 impl RequestNeeds<'_> {
+    /// Whether the request may be served by any endpoint, so that it can wait in the queue for its model. Others search by themselves,
+    /// so that they keep no other request waiting.
+    fn may_queue(&self) -> bool {
+        self.excluded.is_empty() && !self.isolated
+    }
+
     /// How long an idle endpoint takes to process the prompt.
     fn prefill_time(&self, table: &mut EndpointTable) -> Duration {
         self.model
@@ -75,25 +84,34 @@
     NoEndpoint(Duration),
     /// The model can't be loaded before the deadline; the request may be retried after this time.
     LoadTooSlow(Duration),
+    /// Too many requests for the model go first; the request may be retried after this time.
+    QueueTooLong(Duration),
+    /// The router stops, and the request would have to wait.
+    HandedBack,
 }
 
 /// A model to be loaded on an endpoint.
-struct PlannedLoad {
+pub(crate) struct PlannedLoad {
     id: EndpointId,
     target: ModelId,
     /// How long the load is expected to take.
-    duration: Duration,
+    pub(crate) duration: Duration,
     /// Whether the weights come from the weight store.
     from_store: bool,
 }
 
-enum SearchResult {
+/// The result of one search for an endpoint.
+pub(crate) enum SearchResult {
     Reserved(Reservation),
     /// No endpoint holds the model: it is to be loaded on these endpoints, the fastest of which
     /// comes first.
     Load(Vec<PlannedLoad>),
     /// No endpoint can serve the request yet; one is expected after this time.
     Wait(Duration),
+    /// No loader can be asked now. Once one can, the model is expected to take this time.
+    NoLoader(Duration),
+    /// An endpoint could serve the request, but a better one is expected after this time.
+    Hold(Duration),
     /// All endpoints that may serve the request have asked for a pause, the first of which ends
     /// after this time.
     Paused(Duration),
@@ -110,6 +128,24 @@
         let now = Instant::now();
         shared.endpoints.lock().demand(&model.model).record_arrival(needs.prompt_tokens, now);
     }
+    match (needs.waiter, needs.model) {
+        (Some(waiter), Some(model)) if needs.may_queue() => {
+            queued::reserve(shared, needs, waiter, model).await
+        }
+        (Some(waiter), _) => {
+            let reserved = reserve_alone(shared, needs).await;
+            shared.wait_queues.charge_if_reserved(&waiter, &reserved);
+            reserved
+        }
+        (None, _) => reserve_alone(shared, needs).await,
+    }
+}
+
+/// Reserves an endpoint for a request that searches by itself.
+async fn reserve_alone(
+    shared: &Arc<Shared>,
+    needs: RequestNeeds<'_>,
+) -> Result<Reservation, ReserveError> {
     let mut waiting = None;
     loop {
         let changed = shared.endpoints.changed.notified();
@@ -129,26 +165,15 @@
                 let admission = admit(time_left, first.duration);
                 // The model is loaded even if the request is refused: its caller is told to come
                 // back for it.
-                let will_wait = admission == Admission::Wait;
-                for PlannedLoad { id, target, duration, from_store } in &loads {
-                    let (duration, from_store) = (*duration, *from_store);
-                    let within = if will_wait { time_left } else { duration + CALLER_RETURN_TIME };
-                    // A loader that may not evict other models still loads the model if there is
-                    // room for it.
-                    let urgent =
-                        shared.endpoints.lock().may_request_room(&target.model, id, loads.len());
-                    loader_task::request_load(
-                        shared,
-                        id,
-                        target,
-                        LoadRequest { urgent, within, expected_duration: duration, from_store },
-                    );
-                }
+                let within = (admission == Admission::Wait).then_some(time_left);
+                request_loads(shared, &loads, within);
                 if let Admission::Refuse(after) = admission {
                     return Err(ReserveError::LoadTooSlow(after));
                 }
             }
-            SearchResult::Wait(duration) => {
+            SearchResult::Wait(duration)
+            | SearchResult::NoLoader(duration)
+            | SearchResult::Hold(duration) => {
                 if let Admission::Refuse(after) = admit(time_left, duration) {
                     return Err(ReserveError::LoadTooSlow(after));
                 }
@@ -162,13 +187,31 @@
     }
 }
 
+/// Asks loaders for a model. `within` is how long a request waits for it, or none if its caller is
+/// told to come back for it.
+pub(crate) fn request_loads(shared: &Arc<Shared>, loads: &[PlannedLoad], within: Option<Duration>) {
+    for PlannedLoad { id, target, duration, from_store } in loads {
+        let (duration, from_store) = (*duration, *from_store);
+        let within = within.unwrap_or(duration + CALLER_RETURN_TIME);
+        // A loader that may not evict other models still loads the model if there is room for it.
+        let urgent = shared.endpoints.lock().may_request_room(&target.model, id, loads.len());
+        loader_task::request_load(
+            shared,
+            id,
+            target,
+            LoadRequest { urgent, within, expected_duration: duration, from_store },
+        );
+    }
+}
+
 /// How long a request that has waited for this time does not search again, whatever changes.
-fn search_pause(waited: Duration) -> Option<Duration> {
+pub(crate) fn search_pause(waited: Duration) -> Option<Duration> {
     let pause = (waited / SEARCH_PAUSE_DIVISOR).min(MAX_SEARCH_PAUSE);
     (pause >= MIN_SEARCH_PAUSE).then_some(pause)
 }
 
-fn search(shared: &Arc<Shared>, needs: &RequestNeeds<'_>) -> SearchResult {
+/// Searches once for an endpoint.
+pub(crate) fn search(shared: &Arc<Shared>, needs: &RequestNeeds<'_>) -> SearchResult {
     let now = Instant::now();
     let mut table = shared.endpoints.lock();
     let prefill_time = needs.prefill_time(&mut table);
@@ -217,7 +260,7 @@
         placement::choose_endpoint(&candidates, needs.model, prefill_time, &shared.domain)
     {
         if let Some(left) = faster_loading_replica(&candidates, needs, chosen) {
-            return SearchResult::Wait(left);
+            return SearchResult::Hold(left);
         }
         let prefills =
             table.map.get(&ids[chosen.index]).map_or(0, |tracked| tracked.backlog.prompts());
@@ -225,7 +268,7 @@
             && prefills >= MAX_CONCURRENT_PREFILLS
             && now - needs.search_start < needs.first_event_target / PREFILL_HOLD_DIVISOR
         {
-            return SearchResult::Wait(Duration::ZERO);
+            return SearchResult::Hold(Duration::ZERO);
         }
         let extra_load = plan_extra_load(&table, &candidates, needs, chosen);
         let id = ids.swap_remove(chosen.index);
@@ -303,7 +346,17 @@
     }
     // No loader can be asked now.
     let store_load = engine.model(&model.model).map_or(Duration::ZERO, |spec| spec.store_load);
-    SearchResult::Wait(if has_copy { Duration::ZERO } else { store_load })
+    SearchResult::NoLoader(if has_copy { Duration::ZERO } else { store_load })
+}
+
+/// The time until the first loader that refused to load a model may be asked again.
+pub(crate) fn loader_pause(shared: &Shared, needs: &RequestNeeds<'_>, now: Instant) -> Duration {
+    let table = shared.endpoints.lock();
+    let own = table.map.values().filter(|tracked| tracked.endpoint.service == *needs.service);
+    let same = |id: &ModelId| needs.model.is_some_and(|model| model.model == id.model);
+    let refusals = own.flat_map(|tracked| &tracked.refused_until).filter(|(id, _)| same(id));
+    let pauses = refusals.filter_map(|(_, until)| until.checked_duration_since(now));
+    pauses.min().unwrap_or(Duration::ZERO)
 }
 
 /// If all endpoints that may serve a request have asked for a pause: the time until the first of
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -80,6 +80,8 @@
     pub(crate) open: u32,
     /// How many requests waited for the model when the loader was last asked.
     pub(crate) waiting: u32,
+    /// When the loader was last asked.
+    pub(crate) asked_at: Option<Instant>,
 }
 
 /// An endpoint and what this router knows about it.
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -20,6 +20,7 @@
 use crate::grants;
 use crate::guard::{Rejection, SendPermit};
 use crate::pool::ConnectionPool;
+use crate::queued::Waiter;
 use crate::reservation::Reservation;
 use crate::send_log::SendLog;
 use crate::shared::Shared;
@@ -257,9 +258,23 @@
             search_start: Instant::now(),
             excluded,
             isolated: self.permit.as_ref().is_some_and(|permit| permit.isolated),
+            waiter: self.waiter(),
         }
     }
 
+    /// What decides on the place of the request in the queue for its model, if queues are on.
+    fn waiter(&self) -> Option<Waiter<'_>> {
+        let (prompt_tokens, output_tokens) = self.call.tokens.unwrap_or_default();
+        self.shared.settings.borrow().queues().then(|| Waiter {
+            request_id: &self.request_id,
+            class: &self.class,
+            workspace: self.identity.workspace().map(|workspace| &workspace.name),
+            priority: self.priority(),
+            tokens: u64::from(prompt_tokens) + u64::from(output_tokens),
+            digest: self.outgoing.digest,
+        })
+    }
+
     async fn reserve(&self) -> Result<Reservation, Failure> {
         let needs = self.needs(&self.excluded);
         let mut closing = self.shared.closing.subscribe();
@@ -281,6 +296,12 @@
             Ok(Err(ReserveError::LoadTooSlow(after))) => {
                 Err(self.failure(Refusal::ColdTooLong, Some(after)))
             }
+            Ok(Err(ReserveError::QueueTooLong(after))) => {
+                Err(self.failure(Refusal::QueueTooLong, Some(after)))
+            }
+            Ok(Err(ReserveError::HandedBack)) => {
+                Err(self.failure(Refusal::HandedBack, Some(Duration::ZERO)))
+            }
             Err(_) => Err(self.failure(Refusal::TimedOut, Some(WAIT_RETRY_AFTER))),
         }
     }
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod pool;
 mod prefetch;
 mod probe;
+mod queued;
 mod quotas;
 mod rate_limit;
 mod ready;
@@ -38,6 +39,7 @@
 mod shared;
 mod snapshot;
 mod topic_source;
+mod wait_queue;
 
 pub use run::run;
 pub use settings::{Bounds, QuotaSettings, RetrySettings, SchedulingSettings, Settings, Switch};
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -33,6 +33,9 @@
 /// How long an endpoint is not asked for a model after its loader could not be reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
 
+/// How often a loader gets the summary of a queue whose length has not doubled.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Starts a task for each endpoint with models that has none.
 pub(crate) fn start_new(shared: &Arc<Shared>) {
     let mut table = shared.endpoints.lock();
@@ -151,7 +154,7 @@
 }
 
 /// Asks the loader of an endpoint for a model, unless it is being asked already and fewer than twice as many requests wait
-/// for the model since.
+/// for the model since. With queues, it is asked again after [`SUMMARY_INTERVAL`].
 pub(crate) fn request_load(
     shared: &Arc<Shared>,
     id: &EndpointId,
@@ -159,7 +162,9 @@
     request: LoadRequest,
 ) {
     let mut waiting;
-    let (addr, rate) = {
+    let queues = shared.settings.borrow().queues();
+    let now = Instant::now();
+    let (addr, rate, service) = {
         let mut table = shared.endpoints.lock();
         waiting = table.waiting.get(&target.model).copied().unwrap_or(0);
         let Some(tracked) = table.map.get_mut(id) else { return };
@@ -167,18 +172,20 @@
         if request.urgent {
             waiting = waiting.max(1);
         }
-        if loads.open > 0 && waiting < loads.waiting.max(1) * 2 {
+        let outdated = loads.asked_at.is_none_or(|asked| now - asked >= SUMMARY_INTERVAL);
+        let ask_again = waiting >= loads.waiting.max(1) * 2 || queues && outdated;
+        if loads.open > 0 && !ask_again {
             return;
         }
+        loads.asked_at = Some(now);
         loads.waiting = waiting;
         loads.open += 1;
-        let addr = tracked.endpoint.addr;
-        let now = Instant::now();
+        let (addr, service) = (tracked.endpoint.addr, tracked.endpoint.service.clone());
         let rate = table.request_rate(&target.model, now);
         if request.from_store {
             table.cold.add_request(id, &target.model, now);
         }
-        (addr, rate)
+        (addr, rate, service)
     };
     emit(&Event::LoadRequested {
         model: &target.to_string(),
@@ -186,14 +193,16 @@
         expect_ms: millis(request.expected_duration),
         cause: if request.urgent { "request" } else { "prepared" },
     });
+    let queue = queues.then(|| shared.wait_queues.summary(&service, target, now)).flatten();
+    let last_deadline = queue.as_ref().map_or(Duration::ZERO, |queue| queue.last_deadline);
     let ensure = EnsureRequest {
         router: shared.instance.clone(),
         endpoint: id.clone(),
         target: target.clone(),
-        within: request.within,
+        within: request.within.max(last_deadline),
         waiting: if request.urgent { waiting } else { 0 },
         rate,
-        queue: None,
+        queue,
     };
     tokio::spawn(send_load_request(shared.clone(), addr, ensure));
 }
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -5,7 +5,7 @@
 
 use control::{
     CRASHES_PATH, GRANT_PATH, LIMITS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SUSPECTS_PATH, TOKENS_PATH,
-    WORKSPACES_PATH,
+    WAITING_PATH, WORKSPACES_PATH,
 };
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
@@ -16,7 +16,8 @@
 
 use crate::shared::Shared;
 use crate::{
-    Settings, borrow, crash_records, feed, grants, prefetch, quotas, ready, roster, serve, snapshot,
+    Settings, borrow, crash_records, feed, grants, prefetch, quotas, ready, roster, serve,
+    snapshot, wait_queue,
 };
 
 /// Runs the router until the process is asked to end and its requests are done.
@@ -39,6 +40,7 @@
     tokio::spawn(roster::follow(shared.clone(), store));
     tokio::spawn(snapshot::follow(shared.clone()));
     tokio::spawn(prefetch::run(shared.clone()));
+    tokio::spawn(wait_queue::hand_back_at_stop(shared.clone()));
     let ready_shared = shared.clone();
     let handler = move |request: http::Request<hyper::body::Incoming>, _| {
         let answer = ready::answer(&ready_shared, request.uri().path());
@@ -74,6 +76,7 @@
             None => web::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet\n"),
         },
         (&Method::GET, LIMITS_PATH) => web::json(StatusCode::OK, &grants::report(shared)),
+        (&Method::GET, WAITING_PATH) => web::json(StatusCode::OK, &wait_queue::report(shared)),
         (&Method::GET, SUSPECTS_PATH) => web::json(StatusCode::OK, &shared.guard.suspects()),
         (&Method::POST, RELEASE_PATH) => crash_records::release(shared, request).await,
         _ => web::text(StatusCode::NOT_FOUND, "no such path\n"),
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -23,6 +23,7 @@
 use crate::guard::CrashGuard;
 use crate::quotas::Quotas;
 use crate::registry::EndpointRegistry;
+use crate::wait_queue::WaitQueues;
 
 /// Minimum `Retry-After` of a router that waits for the store, which it asks several times a
 /// second.
@@ -101,6 +102,8 @@
     pub(crate) quotas: Quotas,
     /// Schedule the requests of all routers to endpoints with rate limits, where there are no loaders.
     pub(crate) limiters: Mutex<Limiters>,
+    /// The requests that wait for models, if queues are on.
+    pub(crate) wait_queues: WaitQueues,
     /// Holds back requests that crash endpoints.
     pub(crate) guard: Arc<CrashGuard>,
     /// How far the crash records have been read; none while the store is unreachable.
@@ -133,6 +136,7 @@
             access: KeyState::default(),
             quotas: Quotas::new(settings.control, settings.domain.clone()),
             limiters: Mutex::default(),
+            wait_queues: WaitQueues::default(),
             guard: Arc::new(guard),
             crash_records_position: watch::Sender::new(None),
             retry_budgets: Mutex::default(),
--- /dev/null
+++ b/components/router/src/wait_queue.rs
@@ -0,0 +1,270 @@
+//! The queues of the requests that wait for models, and the place that each of these requests has in them.
+//!
+//! Which request searches, and which one is refused, is decided by the crate `waiting`. This module tells the requests, and removes them
+//! from their queues on drop, however they end.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use catalog::ModelId;
+use control::{QueueReport, QueueSummary, WaitingReport, WaitingWorkspace, WorkspaceCounter};
+use events::{Event, emit, millis};
+use process::ShutdownPhase;
+use quarantine::Digest;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use units::ServiceName;
+use waiting::{Departure, Entered, Entry, Queues, Rejected, Removed, TicketId};
+
+use crate::choose::ReserveError;
+use crate::queued::Waiter;
+use crate::reservation::{Reservation, WaitingRequest};
+use crate::shared::Shared;
+
+/// The requests of one service for one model.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct QueueKey {
+    pub(crate) service: ServiceName,
+    pub(crate) model: ModelId,
+}
+
+/// What a request in a queue does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// It waits for its turn.
+    Wait,
+    /// It searches for an endpoint.
+    Search,
+    /// It is refused and no longer in the queue.
+    Refused(Rejected),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    queues: Queues<QueueKey, Digest>,
+    turns: HashMap<TicketId, watch::Sender<Turn>>,
+}
+
+impl State {
+    /// Tells a request what it does next.
+    fn notify(&self, id: TicketId, turn: Turn) {
+        if let Some(sender) = self.turns.get(&id) {
+            sender.send_replace(turn);
+        }
+    }
+
+    /// Tells the requests of a queue which one searches, if that has changed.
+    fn update_turn(&mut self, key: &QueueKey, now: Instant) {
+        let Some(change) = self.queues.update_turn(key, now) else { return };
+        if let Some(before) = change.before {
+            self.notify(before, Turn::Wait);
+        }
+        if let Some(next) = change.now {
+            self.notify(next, Turn::Search);
+        }
+    }
+
+    fn refuse(&self, removed: &[Removed]) {
+        for Removed { id, rejected } in removed {
+            self.notify(*id, Turn::Refused(*rejected));
+        }
+    }
+
+    /// Refuses the requests whose turn is not expected soon, because the router stops.
+    fn hand_back(&mut self, now: Instant) {
+        for (key, removed) in self.queues.hand_back(now) {
+            self.refuse(&[removed]);
+            self.update_turn(&key, now);
+        }
+    }
+}
+
+/// The requests that wait for models at this router.
+#[derive(Debug, Default)]
+pub(crate) struct WaitQueues {
+    state: Mutex<State>,
+}
+
+impl WaitQueues {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether no request waits in a queue.
+    pub(crate) fn is_empty(&self, key: &QueueKey) -> bool {
+        self.lock().queues.is_empty(key)
+    }
+
+    /// Counts the tokens of a request that got an endpoint without waiting in a queue.
+    pub(crate) fn charge(&self, waiter: &Waiter<'_>) {
+        let workspace = waiter.workspace.cloned();
+        self.lock().queues.charge(&workspace, waiter.tokens, Instant::now());
+    }
+
+    /// Counts the tokens of a request that searched by itself, if it got an endpoint.
+    pub(crate) fn charge_if_reserved(
+        &self,
+        waiter: &Waiter<'_>,
+        reserved: &Result<Reservation, ReserveError>,
+    ) {
+        if reserved.is_ok() {
+            self.charge(waiter);
+        }
+    }
+
+    /// Summarizes the requests that wait for a load: those for an adapter, or those for a model and all of its adapters.
+    pub(crate) fn summary(
+        &self,
+        service: &ServiceName,
+        target: &ModelId,
+        now: Instant,
+    ) -> Option<QueueSummary> {
+        let chosen = |key: &QueueKey| {
+            let model = key.model.model == target.model;
+            let adapter = target.adapter.is_none() || key.model.adapter == target.adapter;
+            key.service == *service && model && adapter
+        };
+        self.lock().queues.summary(chosen, now).map(summary_message)
+    }
+}
+
+fn summary_message(summary: waiting::QueueSummary) -> QueueSummary {
+    let waiting = |count| u32::try_from(count).unwrap_or(u32::MAX);
+    let workspaces = summary.workspaces.into_iter();
+    QueueSummary {
+        waiting: waiting(summary.waiting),
+        workspaces: workspaces
+            .map(|(name, count)| WaitingWorkspace { name, waiting: waiting(count) })
+            .collect(),
+        first_deadline: summary.first_deadline,
+        last_deadline: summary.last_deadline,
+        oldest: summary.oldest,
+        priority: summary.priority,
+    }
+}
+
+/// The place of a request in a queue. The request is removed and the next one searches when the place is dropped.
+#[derive(Debug)]
+pub(crate) struct QueuePlace {
+    shared: Arc<Shared>,
+    key: QueueKey,
+    id: TicketId,
+    turn: watch::Receiver<Turn>,
+    entered_at: Instant,
+    departure: Departure,
+    /// Counts the request for its model.
+    _waiting: WaitingRequest,
+}
+
+impl QueuePlace {
+    /// Adds a request to a queue, and returns how many others go first. `ready_in` is the time until the model is ready, if the request
+    /// has found out.
+    pub(crate) fn enter(
+        shared: &Arc<Shared>,
+        entry: Entry<QueueKey, Digest>,
+        ready_in: Option<Duration>,
+    ) -> Result<(Self, Entered), Rejected> {
+        let now = Instant::now();
+        let key = entry.key.clone();
+        let (entered, turn) = {
+            let mut state = shared.wait_queues.lock();
+            if shared.shutdown.phase() != ShutdownPhase::Run {
+                state.hand_back(now);
+            }
+            let entered = state.queues.enter(entry, ready_in, now)?;
+            let (sender, turn) = watch::channel(Turn::Wait);
+            state.turns.insert(entered.id, sender);
+            state.update_turn(&key, now);
+            (entered, turn)
+        };
+        let waiting = WaitingRequest::new(shared, &key.model);
+        let (shared, departure) = (shared.clone(), Departure::Lost);
+        let id = entered.id;
+        let place = Self { shared, key, id, turn, entered_at: now, departure, _waiting: waiting };
+        Ok((place, entered))
+    }
+
+    /// What the request does next.
+    pub(crate) fn turn(&mut self) -> Turn {
+        *self.turn.borrow_and_update()
+    }
+
+    /// Waits until [`QueuePlace::turn`] has changed.
+    pub(crate) async fn changed(&mut self) {
+        // The sender is kept until the request is removed on drop.
+        let _ = self.turn.changed().await;
+    }
+
+    /// Records the time until the model is ready, which may refuse requests of the queue, also this one.
+    pub(crate) fn review(&self, ready_in: Duration) {
+        let now = Instant::now();
+        let mut state = self.shared.wait_queues.lock();
+        let removed = state.queues.review(&self.key, ready_in, now);
+        state.refuse(&removed);
+        state.update_turn(&self.key, now);
+    }
+
+    /// Records whether the request waits for a better endpoint than it could get now, so that the next one searches too.
+    pub(crate) fn set_held(&self, held: bool) {
+        let mut state = self.shared.wait_queues.lock();
+        state.queues.set_held(&self.key, self.id, held);
+        state.update_turn(&self.key, Instant::now());
+    }
+
+    /// Leaves the queue with an endpoint.
+    pub(crate) fn leave_served(mut self, waiter: &Waiter<'_>, reservation: &mut Reservation) {
+        self.departure = Departure::Served;
+        let cold = self.shared.wait_queues.lock().queues.waited_for_load(&self.key, self.id);
+        reservation.waited_for_load = cold;
+        emit(&Event::Dequeued {
+            request: waiter.request_id,
+            class: waiter.class,
+            model: &self.key.model.to_string(),
+            waited_ms: millis(self.entered_at.elapsed()),
+        });
+    }
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut state = self.shared.wait_queues.lock();
+        state.queues.remove(&self.key, self.id, self.departure, now);
+        state.turns.remove(&self.id);
+        state.update_turn(&self.key, now);
+    }
+}
+
+/// Refuses the requests whose turn is not expected soon, as soon as the router is asked to stop.
+pub(crate) async fn hand_back_at_stop(shared: Arc<Shared>) {
+    shared.shutdown.reached(ShutdownPhase::Drain).await;
+    shared.wait_queues.lock().hand_back(Instant::now());
+}
+
+/// The queues and the virtual token counters.
+pub(crate) fn report(shared: &Shared) -> WaitingReport {
+    let now = Instant::now();
+    let state = shared.wait_queues.lock();
+    let queues = state.queues.report(now).into_iter().map(|queue| QueueReport {
+        service: queue.key.service,
+        model: queue.key.model,
+        summary: summary_message(queue.summary),
+        expect_ms: millis(queue.expected),
+        per_s: queue.rate,
+    });
+    let queues = queues.collect();
+    let counters = state.queues.counters().all(now).into_iter();
+    let counters = counters
+        .map(|(workspace, tokens)| WorkspaceCounter { workspace, tokens: whole_tokens(tokens) });
+    WaitingReport { queues, counters: counters.collect() }
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counters are not negative, and only shown"
+)]
+fn whole_tokens(tokens: f64) -> u64 {
+    tokens as u64
+}
--- a/components/waiting/src/queue.rs
+++ b/components/waiting/src/queue.rs
@@ -57,6 +57,8 @@
     tickets: Vec<Ticket>,
     rate: RateMeter,
     ready_at: Option<Instant>,
+    /// When the model was last known not to be ready.
+    not_ready: Option<Instant>,
     /// The latest time that a refused caller was told.
     promised: Option<Instant>,
     /// When the last request left the queue empty.
@@ -168,6 +170,14 @@
     pub fn set_ready_in(&mut self, ready_in: Duration, now: Instant) {
         self.rate.advance(self.ready_in(now).is_zero(), now);
         self.ready_at = now.checked_add(ready_in).filter(|_| !ready_in.is_zero());
+        if !ready_in.is_zero() {
+            self.not_ready = Some(now);
+        }
+    }
+
+    /// Whether the model was not ready at some time since a request began to wait.
+    pub fn waited_for_load(&self, id: TicketId) -> bool {
+        self.ticket(id).is_some_and(|ticket| self.not_ready.is_some_and(|at| at >= ticket.since))
     }
 
     /// Removes the requests whose turn can't come in time any more.
--- a/components/waiting/src/queues.rs
+++ b/components/waiting/src/queues.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Whether the model was not ready at some time since a request began to wait.
+    pub fn waited_for_load(&self, key: &K, id: TicketId) -> bool {
+        self.slots.get(key).is_some_and(|slot| slot.queue.waited_for_load(id))
+    }
+
     /// Counts the tokens of a request that was sent to an endpoint without waiting.
     pub fn charge(&mut self, workspace: &Option<WorkspaceName>, tokens: u64, now: Instant) {
         self.counters.charge(workspace, tokens, now);
