--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -89,10 +89,14 @@
         loop {
             let wait_start = Instant::now();
             self.acquire_permit().await?;
-            let reservation = match reserved.take() {
+            let mut reservation = match reserved.take() {
                 Some(reservation) => reservation,
                 None => self.reserve().await?,
             };
+            if reservation.rate_limit.is_some() {
+                // Other endpoints may serve the next request while this one waits for its grant.
+                reservation.release_place();
+            }
             if let Some(limit) = reservation.rate_limit
                 && !self.acquire_grant(&reservation, limit).await
             {
@@ -111,6 +115,7 @@
                 // The key may have been revoked while the request waited.
                 return Err(access::stale_keys_failure(&self.shared));
             }
+            reservation.release_place();
             let id = reservation.id.clone();
             self.incarnation = reservation.incarnation;
             self.pool = Some(reservation.pool.clone());
--- a/components/router/src/queued.rs
+++ b/components/router/src/queued.rs
@@ -148,7 +148,7 @@
         let changed = shared.endpoints.changed.notified();
         let result = match choose::search(shared, needs) {
             SearchResult::Reserved(mut reservation) => {
-                place.leave_served(waiter, &mut reservation);
+                place.attach(waiter, &mut reservation);
                 return Ok(reservation);
             }
             other => other,
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -15,6 +15,7 @@
 use crate::registry::EndpointTable;
 use crate::sent_requests::SentRequestId;
 use crate::shared::Shared;
+use crate::wait_queue::QueuePlace;
 
 /// A request at an endpoint: counts against the endpoint until it is dropped.
 #[derive(Debug)]
@@ -45,6 +46,8 @@
     /// Whether the request may not share the endpoint with other requests that were at crashed
     /// endpoints.
     isolated: bool,
+    /// The place of the request in the queue for its model, until the request is sent.
+    pub(crate) place: Option<QueuePlace>,
 }
 
 impl Reservation {
@@ -89,6 +92,7 @@
             response_begun: false,
             sent_id: None,
             isolated,
+            place: None,
         })
     }
 
@@ -103,6 +107,13 @@
         })
     }
 
+    /// Lets the next request in the queue search, if the request waited in one.
+    pub(crate) fn release_place(&mut self) {
+        if let Some(place) = self.place.take() {
+            place.release_served();
+        }
+    }
+
     /// Records that the request is sent now.
     pub(crate) fn record_sent(&mut self, digest: &Digest) {
         self.pool.liveness().request_sent(Instant::now());
--- a/components/router/src/wait_queue.rs
+++ b/components/router/src/wait_queue.rs
@@ -212,9 +212,9 @@
         state.update_turn(&self.key, Instant::now());
     }
 
-    /// Leaves the queue with an endpoint.
-    pub(crate) fn leave_served(mut self, waiter: &Waiter<'_>, reservation: &mut Reservation) {
-        self.departure = Departure::Served;
+    /// Gives the place to the reservation that the request got, which releases it when the request is about to be sent: the next one must
+    /// not be sent before.
+    pub(crate) fn attach(self, waiter: &Waiter<'_>, reservation: &mut Reservation) {
         let cold = self.shared.wait_queues.lock().queues.waited_for_load(&self.key, self.id);
         reservation.waited_for_load = cold;
         emit(&Event::Dequeued {
@@ -223,6 +223,12 @@
             model: &self.key.model.to_string(),
             waited_ms: millis(self.entered_at.elapsed()),
         });
+        reservation.place = Some(self);
+    }
+
+    /// Leaves the queue because the request is sent now.
+    pub(crate) fn release_served(mut self) {
+        self.departure = Departure::Served;
     }
 }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -92,6 +92,10 @@
     Limits {
         router: SocketAddr,
     },
+    /// Show the requests that wait for models at a router.
+    Waiting {
+        router: SocketAddr,
+    },
     /// Show workspaces with their keys, limits and use at a router.
     Workspaces {
         router: SocketAddr,
@@ -147,7 +151,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 16] = [
+const COMMANDS: [&str; 17] = [
     "check",
     "diff",
     "pull",
@@ -162,6 +166,7 @@
     "story",
     "suspects",
     "timeline",
+    "waiting",
     "windows",
     "workspaces",
 ];
@@ -277,6 +282,7 @@
         }
         "suspects" => Command::Suspects { router: next("ROUTER", &mut values)?.parse()? },
         "limits" => Command::Limits { router: next("ROUTER", &mut values)?.parse()? },
+        "waiting" => Command::Waiting { router: next("ROUTER", &mut values)?.parse()? },
         "workspaces" => Command::Workspaces { router: next("ROUTER", &mut values)?.parse()? },
         "release" => Command::Release {
             router: next("ROUTER", &mut values)?.parse()?,
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -56,6 +56,7 @@
 #[case("set /hall deadline", "`deadline` is no KEY=VALUE")]
 #[case("suspects", "ROUTER is missing")]
 #[case("limits", "ROUTER is missing")]
+#[case("waiting", "ROUTER is missing")]
 #[case("release 127.0.0.1:1 12xy", "`12xy` is no digest of a request")]
 #[case("set hall! deadline=9s", "node path")]
 #[case("--log here status", "here")]
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -32,6 +32,8 @@
   release ROUTER DIGEST    let one of them go at all routers: it is sent to endpoints again
   limits ROUTER            show the endpoints that announce rate limits, and for how long this router sends
                            them nothing
+  waiting ROUTER           show the requests that wait for models at a router, with the expected wait and the
+                           workspaces of each queue, and the tokens that each workspace was served lately
   workspaces ROUTER        show workspaces with the digests of their keys, their limits and what they use at a
                            router, and which keys it refused of late
   story ID FILE...         tell what became of one request, from the log lines of routers and loaders;
--- a/src/main.rs
+++ b/src/main.rs
@@ -70,6 +70,7 @@
         Command::Limits { router } => cmd::limits::list(*router, out).await,
         Command::Suspects { router } => cmd::suspects::list(*router, out).await,
         Command::Release { router, digest } => cmd::suspects::release(*router, *digest, out).await,
+        Command::Waiting { router } => cmd::waiting::list(*router, out).await,
         Command::Workspaces { router } => cmd::workspaces::list(*router, out).await,
         Command::Timeline(filter) => cmd::timeline::run(&connect().await?, filter, out).await,
     }
