--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -142,7 +142,7 @@
 }
 
 /// Reserves an endpoint for a request that searches by itself.
-async fn reserve_alone(
+pub(crate) async fn reserve_alone(
     shared: &Arc<Shared>,
     needs: RequestNeeds<'_>,
 ) -> Result<Reservation, ReserveError> {
@@ -349,6 +349,13 @@
     SearchResult::NoLoader(if has_copy { Duration::ZERO } else { store_load })
 }
 
+/// The time until a planned load is done. The remaining time of a load in progress is counted from when its loader reported it.
+pub(crate) fn ready_in(shared: &Shared, load: &PlannedLoad, now: Instant) -> Duration {
+    let table = shared.endpoints.lock();
+    let progress = table.map.get(&load.id).map(|tracked| tracked.load_progress(now));
+    load.duration.saturating_sub(progress.unwrap_or_default())
+}
+
 /// The time until the first loader that refused to load a model may be asked again.
 pub(crate) fn loader_pause(shared: &Shared, needs: &RequestNeeds<'_>, now: Instant) -> Duration {
     let table = shared.endpoints.lock();
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -102,6 +102,8 @@
     pub(crate) hints: ReceivedHints,
     pub(crate) limit_state: RateLimitState,
     pub(crate) state: Option<(EndpointState, Instant)>,
+    /// The model that is being loaded, and when it is expected to be ready.
+    expected_ready: Option<(ModelName, Instant)>,
     /// Requests of this router at the endpoint when its loader last reported the running requests of all routers.
     pub(crate) running_baseline: u32,
     pub(crate) running: u32,
@@ -134,6 +136,7 @@
             hints: ReceivedHints::default(),
             limit_state: RateLimitState::default(),
             state: None,
+            expected_ready: None,
             running_baseline: 0,
             running: 0,
             backlog: PromptBacklog::default(),
@@ -185,11 +188,32 @@
         }
         self.endpoint.incarnation = incarnation;
         self.hints.draining |= state.draining;
+        self.update_expected_ready(&state, now);
         self.state = Some((state, now));
         self.running_baseline = self.running;
         different
     }
 
+    /// A loader reports the remaining time of a load once, when the load begins, and repeats it unchanged later.
+    fn update_expected_ready(&mut self, state: &EndpointState, now: Instant) {
+        let known = self.expected_ready.take();
+        let Some(loading) = &state.holdings.loading else { return };
+        let known = known.filter(|(model, _)| *model == loading.model).map(|(_, at)| at);
+        let reported = now + loading.remaining;
+        let ready = known.map_or(reported, |known| known.min(reported));
+        self.expected_ready = Some((loading.model.clone(), ready));
+    }
+
+    /// How much of the reported remaining time of the load in progress has passed since.
+    pub(crate) fn load_progress(&self, now: Instant) -> Duration {
+        let Some((state, _)) = &self.state else { return Duration::ZERO };
+        let (Some(loading), Some((_, ready))) = (&state.holdings.loading, &self.expected_ready)
+        else {
+            return Duration::ZERO;
+        };
+        loading.remaining.saturating_sub(ready.saturating_duration_since(now))
+    }
+
     /// Applies a loader's response that only the load has changed. Returns false if the loader has reported nothing for this
     /// incarnation.
     pub(crate) fn refresh_load(&mut self, load: EndpointLoad, now: Instant) -> bool {
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -187,3 +187,27 @@
     tracked.apply_state(state(200, &[]), now);
     assert!(tracked.accepts_work());
 }
+
+/// A load would seem to take its whole time until its end, and requests that it is in time for would be refused.
+#[test]
+fn the_remaining_time_of_a_load_runs_down_between_reports() {
+    let start = Instant::now();
+    let mut tracked = TrackedEndpoint::new(entry(100), start);
+    let loading = |model: &str| {
+        let mut state = state(100, &["a"]);
+        let model = model.parse().expect("a name");
+        let remaining = Duration::from_secs(10);
+        state.holdings.loading = Some(fleet::Loading { model, cold: true, remaining });
+        state
+    };
+    tracked.apply_state(loading("b"), start);
+    let later = start + Duration::from_secs(4);
+    assert_eq!(tracked.load_progress(later), Duration::from_secs(4));
+    // The same report arrives again, with the answer to a load request.
+    tracked.apply_state(loading("b"), later);
+    assert_eq!(tracked.load_progress(later), Duration::from_secs(4));
+    tracked.apply_state(loading("c"), later);
+    assert_eq!(tracked.load_progress(later), Duration::ZERO);
+    tracked.apply_state(state(100, &["a"]), later);
+    assert_eq!(tracked.load_progress(later), Duration::ZERO);
+}
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -193,7 +193,9 @@
         expect_ms: millis(request.expected_duration),
         cause: if request.urgent { "request" } else { "prepared" },
     });
-    let queue = queues.then(|| shared.wait_queues.summary(&service, target, now)).flatten();
+    // A loader makes room for a model that requests wait for; a model that may only use free room has no queue there.
+    let summarize = || shared.wait_queues.summary(&service, target, now);
+    let queue = (queues && request.urgent).then(summarize).flatten();
     let last_deadline = queue.as_ref().map_or(Duration::ZERO, |queue| queue.last_deadline);
     let ensure = EnsureRequest {
         router: shared.instance.clone(),
--- a/components/router/src/queued.rs
+++ b/components/router/src/queued.rs
@@ -8,6 +8,7 @@
 
 use catalog::ModelId;
 use events::{Event, emit, millis};
+use process::ShutdownPhase;
 use quarantine::Digest;
 use tokio::sync::futures::Notified;
 use tokio::time::Instant;
@@ -58,6 +59,13 @@
             }
             other => other,
         };
+        let stopping = shared.shutdown.phase() != ShutdownPhase::Run;
+        if stopping && awaits_endpoint(&result) {
+            // The model is ready, so the router serves the request also while it stops.
+            let reserved = choose::reserve_alone(shared, needs).await;
+            shared.wait_queues.charge_if_reserved(&waiter, &reserved);
+            return reserved;
+        }
         found = Some(pending(shared, &needs, result)?);
     }
     let ready_in = found.as_ref().map(|pending| pending.ready_in);
@@ -85,6 +93,19 @@
     }
 }
 
+/// Whether a request waits for nothing but the answer of an endpoint that has its model, or for a better endpoint.
+fn awaits_endpoint(result: &SearchResult) -> bool {
+    match result {
+        SearchResult::Hold(_) => true,
+        SearchResult::Wait(ready_in) => ready_in.is_zero(),
+        SearchResult::Reserved(_)
+        | SearchResult::Load(_)
+        | SearchResult::NoLoader(_)
+        | SearchResult::Paused(_)
+        | SearchResult::NoEndpoint => false,
+    }
+}
+
 fn arrival(needs: &RequestNeeds<'_>, waiter: &Waiter<'_>) -> Arrival {
     Arrival {
         workspace: waiter.workspace.cloned(),
@@ -114,7 +135,9 @@
         // A reservation is used by the caller of this function.
         SearchResult::Reserved(_) | SearchResult::Hold(_) => (Duration::ZERO, Vec::new(), true),
         SearchResult::Load(loads) => {
-            (loads.first().map_or(Duration::ZERO, |load| load.duration), loads, false)
+            let now = Instant::now();
+            let first = loads.first().map(|load| choose::ready_in(shared, load, now));
+            (first.unwrap_or(Duration::ZERO), loads, false)
         }
         SearchResult::NoLoader(ready_in) => {
             (ready_in + choose::loader_pause(shared, needs, Instant::now()), Vec::new(), false)
