--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -102,7 +102,7 @@
 
 /// The result of one search for an endpoint.
 pub(crate) enum SearchResult {
-    Reserved(Reservation),
+    Reserved(Box<Reservation>),
     /// No endpoint holds the model: it is to be loaded on these endpoints, the fastest of which
     /// comes first.
     Load(Vec<PlannedLoad>),
@@ -153,7 +153,7 @@
         match search(shared, &needs) {
             SearchResult::Reserved(mut reservation) => {
                 reservation.waited_for_load = waiting.is_some();
-                return Ok(reservation);
+                return Ok(*reservation);
             }
             SearchResult::Paused(left) => return Err(ReserveError::NoEndpoint(left)),
             SearchResult::NoEndpoint => {
@@ -292,7 +292,8 @@
             };
             loader_task::request_load(shared, &id, &target, wish);
         }
-        return reservation.map_or(SearchResult::NoEndpoint, SearchResult::Reserved);
+        return reservation
+            .map_or(SearchResult::NoEndpoint, |one| SearchResult::Reserved(Box::new(one)));
     }
     let (Some(model), Some(engine)) = (needs.model, needs.engine) else {
         return SearchResult::Wait(Duration::ZERO);
--- a/components/router/src/queued.rs
+++ b/components/router/src/queued.rs
@@ -55,7 +55,7 @@
         let result = match choose::search(shared, &needs) {
             SearchResult::Reserved(reservation) => {
                 shared.wait_queues.charge(&waiter);
-                return Ok(reservation);
+                return Ok(*reservation);
             }
             other => other,
         };
@@ -172,7 +172,7 @@
         let result = match choose::search(shared, needs) {
             SearchResult::Reserved(mut reservation) => {
                 place.attach(waiter, &mut reservation);
-                return Ok(reservation);
+                return Ok(*reservation);
             }
             other => other,
         };
