--- a/components/router/src/wait_queue.rs
+++ b/components/router/src/wait_queue.rs
@@ -47,6 +47,41 @@
 }
 
 impl State {
+    /// Adds a request to a queue. The receiver tells what it does next.
+    fn enter(
+        &mut self,
+        entry: Entry<QueueKey, Digest>,
+        ready_in: Option<Duration>,
+        now: Instant,
+    ) -> Result<(Entered, watch::Receiver<Turn>), Rejected> {
+        let key = entry.key.clone();
+        let entered = self.queues.enter(entry, ready_in, now)?;
+        let (sender, turn) = watch::channel(Turn::Wait);
+        self.turns.insert(entered.id, sender);
+        self.update_turn(&key, now);
+        Ok((entered, turn))
+    }
+
+    /// Removes a request, and tells the next one to search.
+    fn remove(&mut self, key: &QueueKey, id: TicketId, departure: Departure, now: Instant) {
+        self.queues.remove(key, id, departure, now);
+        self.turns.remove(&id);
+        self.update_turn(key, now);
+    }
+
+    /// Records whether a request waits for a better endpoint, so that the next one searches too.
+    fn set_held(&mut self, key: &QueueKey, id: TicketId, held: bool, now: Instant) {
+        self.queues.set_held(key, id, held);
+        self.update_turn(key, now);
+    }
+
+    /// Records the time until the model is ready, and refuses the requests whose turn can't come in time.
+    fn review(&mut self, key: &QueueKey, ready_in: Duration, now: Instant) {
+        let removed = self.queues.review(key, ready_in, now);
+        self.refuse(&removed);
+        self.update_turn(key, now);
+    }
+
     /// Tells a request what it does next.
     fn notify(&self, id: TicketId, turn: Turn) {
         if let Some(sender) = self.turns.get(&id) {
@@ -172,11 +207,7 @@
             if shared.shutdown.phase() != ShutdownPhase::Run {
                 state.hand_back(now);
             }
-            let entered = state.queues.enter(entry, ready_in, now)?;
-            let (sender, turn) = watch::channel(Turn::Wait);
-            state.turns.insert(entered.id, sender);
-            state.update_turn(&key, now);
-            (entered, turn)
+            state.enter(entry, ready_in, now)?
         };
         let waiting = WaitingRequest::new(shared, &key.model);
         let (shared, departure) = (shared.clone(), Departure::Lost);
@@ -200,16 +231,13 @@
     pub(crate) fn review(&self, ready_in: Duration) {
         let now = Instant::now();
         let mut state = self.shared.wait_queues.lock();
-        let removed = state.queues.review(&self.key, ready_in, now);
-        state.refuse(&removed);
-        state.update_turn(&self.key, now);
+        state.review(&self.key, ready_in, now);
     }
 
     /// Records whether the request waits for a better endpoint than it could get now, so that the next one searches too.
     pub(crate) fn set_held(&self, held: bool) {
         let mut state = self.shared.wait_queues.lock();
-        state.queues.set_held(&self.key, self.id, held);
-        state.update_turn(&self.key, Instant::now());
+        state.set_held(&self.key, self.id, held, Instant::now());
     }
 
     /// Gives the place to the reservation that the request got, which releases it when the request is about to be sent: the next one must
@@ -236,9 +264,7 @@
     fn drop(&mut self) {
         let now = Instant::now();
         let mut state = self.shared.wait_queues.lock();
-        state.queues.remove(&self.key, self.id, self.departure, now);
-        state.turns.remove(&self.id);
-        state.update_turn(&self.key, now);
+        state.remove(&self.key, self.id, self.departure, now);
     }
 }
 
@@ -274,3 +300,6 @@
 fn whole_tokens(tokens: f64) -> u64 {
     tokens as u64
 }
+
+#[cfg(test)]
+mod tests;
