--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,6 +5,7 @@
 mod message;
 mod promise;
 mod speeds;
+mod waiting;
 
 pub use client::{
     LoaderClient, borrow_tokens, exchange_crash_records, fetch_snapshot, request_grant,
@@ -20,3 +21,4 @@
 };
 pub use promise::{TokenClaim, TokenRetry};
 pub use speeds::{EndpointSpeedReport, SPEEDS_PATH, ServiceEvenness, SpeedsReport};
+pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -20,6 +20,7 @@
 use crate::grants;
 use crate::guard::{Rejection, SendPermit};
 use crate::pool::ConnectionPool;
+use crate::queued::Waiter;
 use crate::reservation::Reservation;
 use crate::send_log::SendLog;
 use crate::shared::Shared;
@@ -88,10 +89,14 @@
         loop {
             let wait_start = Instant::now();
             self.acquire_permit().await?;
-            let reservation = match reserved.take() {
+            let mut reservation = match reserved.take() {
                 Some(reservation) => reservation,
                 None => self.reserve().await?,
             };
+            if reservation.rate_limit.is_some() {
+                // Other endpoints may serve the next request while this one waits for its grant.
+                reservation.release_place();
+            }
             if let Some(limit) = reservation.rate_limit
                 && !self.acquire_grant(&reservation, limit).await
             {
@@ -110,6 +115,7 @@
                 // The key may have been revoked while the request waited.
                 return Err(access::stale_keys_failure(&self.shared));
             }
+            reservation.release_place();
             let id = reservation.id.clone();
             self.incarnation = reservation.incarnation;
             self.pool = Some(reservation.pool.clone());
@@ -258,9 +264,23 @@
             search_start: Instant::now(),
             excluded,
             isolated: self.permit.as_ref().is_some_and(|permit| permit.isolated),
+            waiter: self.waiter(),
         }
     }
 
+    /// What decides on the place of the request in the queue for its model, if queues are on.
+    fn waiter(&self) -> Option<Waiter<'_>> {
+        let (prompt_tokens, output_tokens) = self.call.tokens.unwrap_or_default();
+        self.shared.settings.borrow().queues().then(|| Waiter {
+            request_id: &self.request_id,
+            class: &self.class,
+            workspace: self.identity.workspace().map(|workspace| &workspace.name),
+            priority: self.priority(),
+            tokens: u64::from(prompt_tokens) + u64::from(output_tokens),
+            digest: self.outgoing.digest,
+        })
+    }
+
     async fn reserve(&self) -> Result<Reservation, Failure> {
         let needs = self.needs(&self.excluded);
         let mut closing = self.shared.closing.subscribe();
@@ -282,6 +302,12 @@
             Ok(Err(ReserveError::LoadTooSlow(after))) => {
                 Err(self.failure(Refusal::ColdTooLong, Some(after)))
             }
+            Ok(Err(ReserveError::QueueTooLong(after))) => {
+                Err(self.failure(Refusal::QueueTooLong, Some(after)))
+            }
+            Ok(Err(ReserveError::HandedBack)) => {
+                Err(self.failure(Refusal::HandedBack, Some(Duration::ZERO)))
+            }
             Err(_) => Err(self.failure(Refusal::TimedOut, Some(WAIT_RETRY_AFTER))),
         }
     }
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod prefetch;
 mod probe;
+mod queued;
 mod quotas;
 mod rate_limit;
 mod ready;
@@ -40,6 +41,7 @@
 mod snapshot;
 mod speeds;
 mod topic_source;
+mod wait_queue;
 
 pub use run::run;
 pub use settings::{Bounds, QuotaSettings, RetrySettings, SchedulingSettings, Settings, Switch};
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -16,6 +16,7 @@
 use crate::sent_requests::SentRequestId;
 use crate::shared::Shared;
 use crate::speeds::{self, StreamMeter};
+use crate::wait_queue::QueuePlace;
 
 /// A request at an endpoint: counts against the endpoint until it is dropped.
 #[derive(Debug)]
@@ -48,6 +49,8 @@
     isolated: bool,
     /// Measures the time between events of the response, if it is a stream.
     meter: StreamMeter,
+    /// The place of the request in the queue for its model, until the request is sent.
+    pub(crate) place: Option<QueuePlace>,
 }
 
 impl Reservation {
@@ -93,6 +96,7 @@
             sent_id: None,
             isolated,
             meter: StreamMeter::default(),
+            place: None,
         })
     }
 
@@ -107,6 +111,13 @@
         })
     }
 
+    /// Lets the next request in the queue search, if the request waited in one.
+    pub(crate) fn release_place(&mut self) {
+        if let Some(place) = self.place.take() {
+            place.release_served();
+        }
+    }
+
     /// Records that the request is sent now.
     pub(crate) fn record_sent(&mut self, digest: &Digest) {
         self.pool.liveness().request_sent(Instant::now());
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -96,6 +96,10 @@
     Speeds {
         router: SocketAddr,
     },
+    /// Show the requests that wait for models at a router.
+    Waiting {
+        router: SocketAddr,
+    },
     /// Show workspaces with their keys, limits and use at a router.
     Workspaces {
         router: SocketAddr,
@@ -151,7 +155,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 17] = [
+const COMMANDS: [&str; 18] = [
     "check",
     "diff",
     "pull",
@@ -167,6 +171,7 @@
     "story",
     "suspects",
     "timeline",
+    "waiting",
     "windows",
     "workspaces",
 ];
@@ -283,6 +288,7 @@
         "suspects" => Command::Suspects { router: next("ROUTER", &mut values)?.parse()? },
         "limits" => Command::Limits { router: next("ROUTER", &mut values)?.parse()? },
         "speeds" => Command::Speeds { router: next("ROUTER", &mut values)?.parse()? },
+        "waiting" => Command::Waiting { router: next("ROUTER", &mut values)?.parse()? },
         "workspaces" => Command::Workspaces { router: next("ROUTER", &mut values)?.parse()? },
         "release" => Command::Release {
             router: next("ROUTER", &mut values)?.parse()?,
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -34,6 +34,8 @@
                            them nothing
   speeds ROUTER            show how fast endpoints are relative to the median one of their service, and the times
                            between events of streams that this was measured from
+  waiting ROUTER           show the requests that wait for models at a router, with the expected wait and the
+                           workspaces of each queue, and the tokens that each workspace was served lately
   workspaces ROUTER        show workspaces with the digests of their keys, their limits and what they use at a
                            router, and which keys it refused of late
   story ID FILE...         tell what became of one request, from the log lines of routers and loaders;
