--- a/components/speed/src/service.rs
+++ b/components/speed/src/service.rs
@@ -17,8 +17,9 @@
 pub const MIN_KNOWN_EVENTS: u32 = 30;
 /// The largest time factor; the smallest is its inverse. A wrong time must not take an endpoint out of use.
 const MAX_FACTOR: f64 = 4.0;
-/// An endpoint whose factor is this or more, or the inverse or less, differs from the others.
-const UNEVEN_FACTOR: f64 = 1.3;
+/// An endpoint whose factor is this or more, or the inverse or less, differs from the others. Instances of one kind differ by less,
+/// and so do endpoints with few and with many streams.
+const UNEVEN_FACTOR: f64 = 1.5;
 /// A service is uneven if one in this many of its known endpoints differs.
 const UNEVEN_DIVISOR: usize = 10;
 /// The least endpoints that must differ.
--- a/components/speed/src/service/tests.rs
+++ b/components/speed/src/service/tests.rs
@@ -48,7 +48,7 @@
 }
 
 const EVEN: (u64, u32, u64) = (40, 100, 1);
-const SLOW: (u64, u32, u64) = (60, 100, 1);
+const SLOW: (u64, u32, u64) = (68, 100, 1);
 
 #[test]
 fn a_lasting_difference_of_two_endpoints_makes_a_service_uneven() {
@@ -88,11 +88,11 @@
 fn a_new_incarnation_is_unknown_and_must_differ_for_as_long() {
     let mut service = Service::new(5);
     service.run(Duration::from_millis(1_500), &[EVEN, EVEN, EVEN, SLOW, SLOW]);
-    let restarted = (60, 20, 2);
+    let restarted = (68, 20, 2);
     let factors =
         service.run(Duration::from_millis(500), &[EVEN, EVEN, EVEN, restarted, restarted]);
     assert_eq!(factors[3..], [None, None], "20 events are too few");
-    let measured = (60, 40, 2);
+    let measured = (68, 40, 2);
     service.run(Duration::from_millis(1_500), &[EVEN, EVEN, EVEN, measured, measured]);
     assert!(!service.uneven());
 }
--- a/components/speed/tests/replay.rs
+++ b/components/speed/tests/replay.rs
@@ -96,6 +96,21 @@
     }
 }
 
+/// Guards against decisions that change where instances of one kind differ a little.
+#[rstest]
+#[case::all(View::All)]
+#[case::through_loaders(View::Few)]
+fn a_third_of_slightly_slower_endpoints_leaves_a_service_even(#[case] view: View) {
+    for seed in 0..50 {
+        let factors = [1.0, 1.0, 1.3];
+        let mut fleet = Fleet::new(seed, (24, Models::Few), &factors, Noise::Usual, view);
+        for _ in 0..40 {
+            fleet.run(Duration::from_millis(500));
+            assert!(!fleet.uneven(0), "seed {seed}");
+        }
+    }
+}
+
 /// Guards against a slow endpoint that goes on to get requests as a fast one, and against one that is avoided for ever.
 #[test]
 fn a_lasting_slowdown_shows_within_a_second_and_is_forgotten() {
