--- a/components/quota/src/roster.rs
+++ b/components/quota/src/roster.rs
@@ -246,6 +246,17 @@
         Some(Share { count: u32::try_from(counted).unwrap_or(u32::MAX), since })
     }
 
+    /// Until when this router has its share if the roster is not read again. Nobody may use the share later than that.
+    pub fn share_end(&self, now: Moment) -> Option<Moment> {
+        self.share(now)?;
+        self.read.map(|read| read + SHARE_LEASE)
+    }
+
+    /// The address of this router.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// An estimate of the time until this router has a share, while it has none.
     pub fn time_until_share(&self, now: Moment) -> Duration {
         match self.own {
--- a/components/quota/tests/limits.rs
+++ b/components/quota/tests/limits.rs
@@ -5,10 +5,12 @@
 
 mod limits {
     mod callers;
+    mod promised;
+    mod returns;
     pub(crate) mod world;
 }
 
-use limits::world::{Faults, Plan, Sharing, Traffic, World};
+use limits::world::{Faults, Fraction, Plan, Sharing, Surge, Traffic, World};
 use std::time::Duration;
 
 use rstest::rstest;
@@ -120,3 +122,84 @@
     assert!(result.worst_window <= 1.0, "{result:?}");
     assert!(result.recovery_time.is_some_and(|after| after < RECOVERY), "{result:?}");
 }
+
+/// A workspace that sends six times its usual rate for 14 s; a third of the refused callers return at once, the others as told.
+fn six_times(routers: usize, rate: f64, sharing: Sharing) -> Plan {
+    let surge = Some(Surge { from: 15, to: 29, factor: 6.0 });
+    Plan { routers, rate, sharing, surge, retries: true, ..Plan::default() }
+}
+
+/// The sums of all seeds.
+fn sum(
+    all: &[limits::world::Report],
+    part: impl Fn(&limits::world::Report) -> Fraction,
+) -> Fraction {
+    all.iter().map(part).fold(Fraction::default(), |sum, next| Fraction {
+        part: sum.part + next.part,
+        of: sum.of + next.of,
+    })
+}
+
+fn run_six_times(routers: usize, rate: f64, sharing: Sharing) -> Vec<limits::world::Report> {
+    // Runs with hundreds of routers take long.
+    let seeds = seeds().take(if routers > 100 { 1 } else { 10 });
+    let plan = six_times(routers, rate, sharing);
+    let all: Vec<_> = seeds.map(|seed| World::new(plan.clone(), seed).run()).collect();
+    let worst = all.iter().map(|report| report.worst_window).fold(0.0, f64::max);
+    println!(
+        "{routers} routers, rate {rate}, {sharing:?}: worst window {worst:.3}, messages/s {:.1}, refused below the limit {:?}, second refusals {:?}, served {:?}",
+        all[0].messages_per_s,
+        sum(&all, |report| report.refused_below),
+        sum(&all, |report| report.second_refusals),
+        sum(&all, |report| report.served),
+    );
+    all
+}
+
+// Without promises, 2,848 of the 2,858 refusals of a workspace over its limit carried nearly the same retry time.
+#[rstest]
+#[case::few_routers(3, 20_000.0)]
+#[case::tens(31, 20_000.0)]
+#[case::hundreds(370, 20_000.0)]
+#[case::few_routers_and_a_small_workspace(3, 4_200.0)]
+#[case::tens_and_a_small_workspace(31, 4_200.0)]
+#[case::hundreds_and_a_small_workspace(370, 4_200.0)]
+#[case::few_routers_and_a_large_workspace(3, 157_950.0)]
+#[case::tens_and_a_large_workspace(31, 157_950.0)]
+#[case::hundreds_and_a_large_workspace(370, 157_950.0)]
+fn callers_that_return_as_told_are_served(#[case] routers: usize, #[case] rate: f64) {
+    let all = run_six_times(routers, rate, Sharing::Promises);
+    let below = sum(&all, |report| report.refused_below);
+    let second = sum(&all, |report| report.second_refusals);
+    assert!(below.of > 0 && below.value() < 0.01, "refused below the limit: {below:?}");
+    assert!(second.of > 0 && second.value() < 0.05, "second refusals: {second:?}");
+    assert!(all.iter().all(|report| report.worst_window <= 1.0), "{all:?}");
+}
+
+/// Leases move shares between routers: no fault may make two of them use the same one.
+#[rstest]
+#[case::through_all(Traffic::AllRouters, 0.55)]
+#[case::through_one_domain(Traffic::OneDomain, 0.55)]
+#[case::through_one_router(Traffic::OneRouter, 0.55)]
+#[case::six_times_through_all(Traffic::AllRouters, 3.3)]
+#[case::six_times_through_one_domain(Traffic::OneDomain, 3.3)]
+#[case::six_times_through_one_router(Traffic::OneRouter, 3.3)]
+fn with_promises_no_window_exceeds_the_limit_under_any_faults(
+    #[case] traffic: Traffic,
+    #[case] load: f64,
+    #[values(20_000.0, 4_200.0)] rate: f64,
+) {
+    let plan = Plan {
+        traffic,
+        load,
+        rate,
+        sharing: Sharing::Promises,
+        faults: Faults::All,
+        retries: true,
+        ..Plan::default()
+    };
+    let name = format!("faults with promises, {traffic:?}, load {load}, rate {rate}");
+    for (seed, result) in run(&name, &plan).iter().enumerate() {
+        assert!(result.worst_window <= 1.0, "seed {seed}: {result:?}");
+    }
+}
--- a/components/quota/tests/limits/callers.rs
+++ b/components/quota/tests/limits/callers.rs
@@ -16,7 +16,7 @@
     pub(super) fn step_callers(&mut self, joined: u64) {
         #[allow(clippy::cast_precision_loss, reason = "small")]
         let mean =
-            self.plan.rate * self.plan.load * STEP_MS as f64 / 1_000.0 / (REQUEST_COST * 1.2);
+            self.plan.rate * self.load(joined) * STEP_MS as f64 / 1_000.0 / (REQUEST_COST * 1.2);
         let mut left = mean;
         loop {
             // Arrivals of a Poisson process within the step.
@@ -27,7 +27,7 @@
             let cost = REQUEST_COST * if self.rng.random_bool(0.05) { 5.0 } else { 1.0 };
             if let Some(at) = self.pick_router() {
                 let counted = self.plan.faults == Faults::None && self.now > joined;
-                let admitted = self.admit(at, cost);
+                let admitted = self.send_first(at, cost, joined);
                 if self.plan.faults == Faults::KillAll && self.now > joined + KILL_ALL_AFTER_MS {
                     let half_second =
                         usize::try_from((self.now - joined - KILL_ALL_AFTER_MS) / 500)
@@ -46,7 +46,7 @@
     }
 
     /// The router that a request reaches. Routers that are dead or suspended get no requests.
-    fn pick_router(&mut self) -> Option<usize> {
+    pub(super) fn pick_router(&mut self) -> Option<usize> {
         let (now, traffic) = (self.now, self.plan.traffic);
         let is_up =
             |at: &usize| self.routers[*at].alive && self.routers[*at].suspended_until <= now;
@@ -68,7 +68,7 @@
         chosen.get(at.min(chosen.len().saturating_sub(1))).copied()
     }
 
-    fn admit(&mut self, at: usize, cost: f64) -> bool {
+    pub(super) fn admit(&mut self, at: usize, cost: f64) -> bool {
         let own = self.take(at, cost);
         self.routers[at].last_used = self.now;
         let mut missing = cost - own.map_or(0.0, |(taken, _)| taken.tokens);
@@ -93,7 +93,11 @@
         true
     }
 
-    fn take(&mut self, at: usize, most: f64) -> Option<(quota::TakenTokens, BucketSpec)> {
+    pub(super) fn take(
+        &mut self,
+        at: usize,
+        most: f64,
+    ) -> Option<(quota::TakenTokens, BucketSpec)> {
         let moment = self.at(self.now);
         let router = &mut self.routers[at];
         let share = router.roster.share(moment)?;
@@ -157,7 +161,7 @@
         (missing.max(0.0), took_ms)
     }
 
-    fn record_admitted(&mut self, at: u64, cost: f64) {
+    pub(super) fn record_admitted(&mut self, at: u64, cost: f64) {
         // Requests are admitted nearly in order: one that had to borrow tokens is inserted at its later time.
         let place = self.admitted.iter().rposition(|(other, _)| *other <= at).map_or(0, |p| p + 1);
         self.admitted.insert(place, (at, cost));
--- a/components/quota/tests/limits/world.rs
+++ b/components/quota/tests/limits/world.rs
@@ -6,11 +6,13 @@
 
 use catalog::Limit;
 use clock::Moment;
-use quota::{Bounds, Bucket, BucketSpec, Roster, RosterWrite, RouterRecord, lendable};
+use quota::{Bounds, Bucket, BucketSpec, Lease, Pool, Roster, RosterWrite, RouterRecord, lendable};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use units::Domain;
 
+use super::returns::Returns;
+
 /// The simulated time of one step.
 pub(super) const STEP_MS: u64 = 20;
 /// The interval between a router's reads of the roster.
@@ -30,6 +32,8 @@
     EqualShares,
     /// Routers borrow tokens from each other.
     Borrowing,
+    /// A router that is short of tokens asks the responsible coordinator, which promises tokens to callers over the limit.
+    Promises,
 }
 
 /// The routers that requests arrive at.
@@ -60,6 +64,20 @@
     pub(crate) sharing: Sharing,
     pub(crate) faults: Faults,
     pub(crate) seconds: u64,
+    /// The callers' requests during one part of the time, if they send more then.
+    pub(crate) surge: Option<Surge>,
+    /// Whether refused callers send their request once more.
+    pub(crate) retries: bool,
+}
+
+/// A part of the time in which callers send more requests.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Surge {
+    /// When it begins and ends, in seconds after all routers have joined.
+    pub(crate) from: u64,
+    pub(crate) to: u64,
+    /// By how much the usual rate is multiplied.
+    pub(crate) factor: f64,
 }
 
 impl Default for Plan {
@@ -72,6 +90,8 @@
             sharing: Sharing::Borrowing,
             faults: Faults::None,
             seconds: 60,
+            surge: None,
+            retries: false,
         }
     }
 }
@@ -89,6 +109,30 @@
     /// Messages between routers per second.
     pub(crate) messages_per_s: f64,
     pub(crate) store_calls_per_s: f64,
+    /// The requests that were refused although the workspace asked for less than its limit, first and repeated ones.
+    pub(crate) refused_below: Fraction,
+    /// The callers that returned as told and were refused again.
+    pub(crate) second_refusals: Fraction,
+    /// The requests that were admitted in the end, of all that callers sent first.
+    pub(crate) served: Fraction,
+}
+
+/// A part of a number of requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Fraction {
+    pub(crate) part: u32,
+    pub(crate) of: u32,
+}
+
+impl Fraction {
+    pub(super) fn count(&mut self, is_part: bool) {
+        self.of += 1;
+        self.part += u32::from(is_part);
+    }
+
+    pub(crate) fn value(self) -> f64 {
+        f64::from(self.part) / f64::from(self.of.max(1))
+    }
 }
 
 /// A call to the store in progress.
@@ -125,6 +169,12 @@
     pub(super) borrowing_paused_until: u64,
     /// When the last request of the router's own callers arrived.
     pub(super) last_used: u64,
+    /// With `Sharing::Promises`, the bucket with its leases and promises, and the share that it is of.
+    pub(super) pool: Option<(Pool, Moment)>,
+    /// When the router's process started.
+    pub(super) started: u64,
+    /// Leases that other routers have answered, and when the answers arrive.
+    pub(super) incoming: Vec<(u64, Lease, f64)>,
 }
 
 pub(crate) struct World {
@@ -152,6 +202,7 @@
     calls: u32,
     pub(super) spec: BucketSpec,
     allowed: f64,
+    pub(super) returns: Returns,
 }
 
 pub(super) const BOUNDS: Bounds =
@@ -195,6 +246,7 @@
             calls: 0,
             spec: BucketSpec::new(limit, BOUNDS),
             allowed: BOUNDS.allowed(limit),
+            returns: Returns::default(),
             plan,
         };
         for _ in 0..world.plan.routers {
@@ -224,6 +276,9 @@
             next_read_at: 0,
             borrowing_paused_until: 0,
             last_used: 0,
+            pool: None,
+            started: self.now,
+            incoming: Vec::new(),
         });
     }
 
@@ -249,8 +304,12 @@
             for at in 0..self.routers.len() {
                 self.step_router(at);
             }
-            self.max_shares = self.max_shares.max(self.sum_of_shares());
+            if self.plan.surge.is_none() {
+                self.max_shares = self.max_shares.max(self.sum_of_shares());
+            }
+            self.step_leases();
             self.step_callers(joined);
+            self.step_returns(joined);
         }
         #[allow(clippy::cast_precision_loss, reason = "few")]
         let seconds = end as f64 / 1_000.0;
@@ -261,6 +320,9 @@
             recovery_time: self.recovery_time(),
             messages_per_s: f64::from(self.messages) / seconds,
             store_calls_per_s: f64::from(self.calls) / seconds,
+            refused_below: self.returns.refused_below,
+            second_refusals: self.returns.second_refusals,
+            served: self.returns.served,
         }
     }
 
@@ -351,6 +413,8 @@
         if router.restart_at.is_some_and(|restart_at| restart_at <= now) {
             (router.alive, router.restart_at, router.bucket) = (true, None, None);
             (router.call, router.next_offset) = (None, None);
+            (router.pool, router.started) = (None, now);
+            router.incoming.clear();
             router.roster = Roster::new(router.addr, router.domain.clone());
         }
         if !router.alive || router.suspended_until > now {
