--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -17,4 +17,4 @@
     ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, UPDATES_PATH,
     WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
-pub use promise::{TokenClaim, TokenRetry};
+pub use promise::{LeasedShare, ShareRequest, TokenClaim, TokenRetry};
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::demand::{ModelRate, QueueSummary, StepTime};
-use crate::promise::{TokenClaim, TokenRetry};
+use crate::promise::{LeasedShare, ShareRequest, TokenClaim, TokenRetry};
 
 /// The path at which a loader answers polls for the state of its endpoint.
 pub const POLL_PATH: &str = "/poll";
@@ -287,6 +287,9 @@
     /// The request that the tokens are for, if the other router is responsible for its promise.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub claim: Option<TokenClaim>,
+    /// Asks for the other router's share for some time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<ShareRequest>,
 }
 
 /// The response to a [`BorrowRequest`]. The tokens are taken from the bucket of the router that answers.
@@ -297,6 +300,9 @@
     /// When the request of a claim should be sent again, if it got no tokens.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry: Option<TokenRetry>,
+    /// The share that the other router leases out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<LeasedShare>,
 }
 
 /// The path at which a router reports on workspaces to an operator.
@@ -334,6 +340,9 @@
     pub rate: f64,
     /// Requests of the workspace that this router has rejected since it started.
     pub refused: u64,
+    /// The units that this router has promised to callers that it told when to return.
+    #[serde(default)]
+    pub promised: f64,
 }
 
 /// A key that was rejected.
--- a/components/control/src/promise.rs
+++ b/components/control/src/promise.rs
@@ -12,6 +12,9 @@
     /// How long the caller can still wait.
     #[serde(rename = "within_ms", with = "fleet::millis")]
     pub within: Duration,
+    /// Whether the request has the highest priority of those of its workspace that were seen lately.
+    #[serde(default)]
+    pub urgent: bool,
 }
 
 /// When a request that got no tokens should be sent again.
@@ -23,3 +26,21 @@
     /// Whether these tokens are promised to the request.
     pub promised: bool,
 }
+
+/// A router asks another one for its whole share of the limit of a workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareRequest {
+    /// For how long, from the moment at which the router asks.
+    #[serde(rename = "for_ms", with = "fleet::millis")]
+    pub time: Duration,
+}
+
+/// A share of the limit of a workspace that its owner does not use for some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeasedShare {
+    /// The number of equal shares that the owner counts.
+    pub count: u32,
+    /// For how long the other router may use the share, from the moment at which it asked.
+    #[serde(rename = "for_ms", with = "fleet::millis")]
+    pub time: Duration,
+}
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -108,11 +108,15 @@
         Event::KeyRejected { cause, .. } => {
             counter!("requests_denied_total", "cause" => (*cause).to_owned()).increment(1);
         }
-        Event::LimitExceeded { workspace, cost, .. } => {
+        Event::LimitExceeded { workspace, cost, promised, .. } => {
             let workspace = (*workspace).to_owned();
             counter!("requests_limited_total", "workspace" => workspace.clone()).increment(1);
             counter!("tokens_limited_total", "workspace" => workspace).increment(*cost);
+            if *promised {
+                counter!("return_promises_total").increment(1);
+            }
         }
+        Event::PromiseKept { .. } => counter!("return_promises_kept_total").increment(1),
         Event::ShareChanged { shares, .. } => gauge!("quota_shares").set(f64::from(*shares)),
         Event::LinesDropped { lines } => counter!("lines_dropped_total").increment(*lines),
         Event::StoreRestored { dependency, .. } => {
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -430,6 +430,18 @@
         shares: u32,
         /// The version of the configuration by which the request was rejected.
         version: u64,
+        /// Whether tokens are set aside for the caller's return.
+        promised: bool,
+        /// When the caller is told to return.
+        after_ms: u64,
+    },
+    /// A request that had been refused returned when it was told to, and got the tokens that were set aside for it.
+    #[serde(rename = "promise-kept")]
+    PromiseKept {
+        /// The workspace.
+        workspace: &'a str,
+        /// The tokens.
+        tokens: u64,
     },
     /// The share of this router in all limits has changed.
     #[serde(rename = "shared")]
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -33,7 +33,10 @@
             asked: 3,
             shares: 21,
             version: 7,
+            promised: true,
+            after_ms: 2_100,
         },
+        Event::PromiseKept { workspace: "school", tokens: 1_540 },
         Event::ShareChanged { shares: 21, before: 0 },
         Event::Reloaded { outcome: "taken" },
         Event::DependencyLost {
--- a/components/quota/src/coordinators.rs
+++ b/components/quota/src/coordinators.rs
@@ -6,7 +6,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::BucketSpec;
 
@@ -27,6 +27,17 @@
     count
 }
 
+/// Identifies a request by these parts, which do not change when its caller sends it again.
+pub fn fingerprint(parts: &[&[u8]]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        // The lengths are hashed as well, so that moving the boundary between two parts changes the fingerprint.
+        hash.update(&(part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
 /// All routers in the order in which they coordinate a workspace.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Coordinators {
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use bucket::{Bucket, TakenTokens};
 pub use bucket_spec::{Bounds, BucketSpec, LOAN_TIMEOUT};
-pub use coordinators::{Coordinators, coordinator_count};
+pub use coordinators::{Coordinators, coordinator_count, fingerprint};
 pub use leases::{LEASE_TIME, Lease, RENEW_INTERVAL};
 pub use lenders::{LENDER_TIMEOUT, Lenders, has_time_for_wave, lendable, likely_exhausted};
 pub use meter::Meter;
--- a/components/quota/src/pool.rs
+++ b/components/quota/src/pool.rs
@@ -101,7 +101,12 @@
         self.bucket.level(share, now)
     }
 
-    /// The tokens that are not set aside for promises.
+    /// The number of tokens that are not set aside for promises.
+    pub fn unpromised_level(&mut self, own: ShareTerms, now: Moment) -> f64 {
+        let share = self.settle(own, now);
+        self.unpromised(share, now).max(0.0)
+    }
+
     fn unpromised(&mut self, share: BucketSpec, now: Moment) -> f64 {
         let reserved = self.promises.reserved(now).min(share.capacity * RETURNING_FRACTION);
         self.bucket.level(share, now) - reserved
--- a/components/router/src/borrow.rs
+++ b/components/router/src/borrow.rs
@@ -5,6 +5,7 @@
 //! takes the tokens from its bucket before the borrower uses them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use clock::Moment;
 use control::{BorrowRequest, BorrowResponse};
@@ -16,6 +17,8 @@
 use units::WorkspaceName;
 use web::{Body, CallError};
 
+use crate::promised;
+use crate::share_leases::{self, PooledWorkspace};
 use crate::shared::Shared;
 
 /// Size limit for messages of other routers, in bytes.
@@ -54,7 +57,12 @@
         let each = (missing - borrowed.tokens + share.capacity) / wave.len() as f64;
         borrowed.routers_asked += wave.len();
         let asked = wave.into_iter().map(|router| {
-            let borrow = BorrowRequest { workspace: workspace.clone(), tokens: each, claim: None };
+            let borrow = BorrowRequest {
+                workspace: workspace.clone(),
+                tokens: each,
+                claim: None,
+                share: None,
+            };
             let client = shared.client.clone();
             async move {
                 (router, control::borrow_tokens(&client, router, &borrow, LENDER_TIMEOUT).await)
@@ -68,7 +76,7 @@
             // A router that refuses connections does so at once, and may be about to start.
             quotas.record_answer(router, matches!(answer, Err(CallError::Timeout { .. })));
             match answer {
-                Ok(BorrowResponse { tokens, retry: _ }) => borrowed.tokens += tokens.max(0.0),
+                Ok(BorrowResponse { tokens, .. }) => borrowed.tokens += tokens.max(0.0),
                 Err(error) => log::debug!("router: borrowing tokens from {router} failed: {error}"),
             }
         }
@@ -81,7 +89,7 @@
 }
 
 /// Answers another router that wants to borrow tokens.
-pub(crate) async fn lend(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn lend(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let Ok(bytes) = web::read(request.into_body(), MAX_MESSAGE_BYTES).await else {
         return web::text(StatusCode::BAD_REQUEST, "the message can't be read\n");
     };
@@ -97,10 +105,27 @@
     let catalog = shared.current();
     let workspaces = catalog.as_ref().and_then(|catalog| catalog.workspaces.as_ref());
     let workspace = workspaces.and_then(|workspaces| workspaces.named(&borrow.workspace));
-    let limit = workspace.and_then(|workspace| workspace.limit);
-    let lent = limit.and_then(|limit| {
-        let terms = BucketSpec::new(limit, shared.quota_bounds());
-        shared.quotas.lend(&borrow.workspace, terms, borrow.tokens)
-    });
-    web::json(StatusCode::OK, &BorrowResponse { tokens: lent.unwrap_or(0.0), retry: None })
+    let pooled = workspace.and_then(|workspace| PooledWorkspace::new(shared, workspace));
+    let response = match pooled {
+        Some(workspace) => answer(shared, workspace, &borrow).await,
+        None => BorrowResponse { tokens: 0.0, retry: None, share: None },
+    };
+    web::json(StatusCode::OK, &response)
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    workspace: PooledWorkspace,
+    borrow: &BorrowRequest,
+) -> BorrowResponse {
+    if shared.settings.borrow().queues() {
+        if let Some(claim) = borrow.claim {
+            return promised::answer_claim(shared, workspace, borrow.tokens, claim).await;
+        }
+        if let Some(share) = borrow.share {
+            return share_leases::grant(shared, &workspace, share);
+        }
+    }
+    let lent = shared.quotas.lend(&workspace.name, workspace.terms, borrow.tokens);
+    BorrowResponse { tokens: lent.unwrap_or(0.0), retry: None, share: None }
 }
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -11,9 +11,10 @@
 use control::{WorkspaceReport, WorkspacesReport};
 use events::{Event, emit, millis};
 use quota::{
-    Bucket, BucketSpec, Meter, Roster, RosterWrite, RouterRecord, Share, TakenTokens, lendable,
+    BucketSpec, Meter, Pool, RecentPriority, Roster, RosterWrite, RouterRecord, Share, ShareTerms,
+    TakenTokens,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use units::{Domain, WorkspaceName};
 
@@ -34,24 +35,27 @@
 
 /// The share of this router in the quota of one workspace.
 #[derive(Debug)]
-struct WorkspaceQuota {
-    bucket: Bucket,
-    /// When this router got the share that the bucket belongs to.
-    since: Moment,
+pub(crate) struct WorkspaceQuota {
+    /// The tokens of the share.
+    pub(crate) pool: Pool,
+    /// When this router got the share that the tokens are of.
+    pub(crate) since: Moment,
+    pub(crate) priority: RecentPriority,
     meter: Meter,
     refused: u64,
     /// When the last request of one of this router's own callers arrived.
-    last_request: Option<Moment>,
+    pub(crate) last_request: Option<Moment>,
     /// Until when no tokens are borrowed, because the other routers had none.
     no_borrowing_until: Option<Moment>,
     borrow_pause: Duration,
 }
 
 impl WorkspaceQuota {
-    fn new(since: Moment) -> Self {
+    fn new(pool: Pool, since: Moment) -> Self {
         Self {
-            bucket: Bucket::new(since),
+            pool,
             since,
+            priority: RecentPriority::default(),
             meter: Meter::default(),
             refused: 0,
             last_request: None,
@@ -64,29 +68,38 @@
 /// The shares of this router in the quotas of all workspaces.
 #[derive(Debug)]
 pub(crate) struct Quotas {
+    /// When this process started.
+    started: Moment,
+    /// Whether the process before this one may have leased out its shares.
+    leases: bool,
     roster: Mutex<Roster>,
     shares: Mutex<HashMap<WorkspaceName, WorkspaceQuota>>,
     /// Routers that did not answer, and until when they are not asked.
     unresponsive: Mutex<HashMap<SocketAddr, Moment>>,
     /// Whether the roster has been read once.
     roster_read: watch::Sender<bool>,
+    /// Notified when other routers have been asked for their shares.
+    pub(crate) gathered: Notify,
 }
 
 impl Quotas {
-    pub(crate) fn new(addr: SocketAddr, domain: Domain) -> Self {
+    pub(crate) fn new(addr: SocketAddr, domain: Domain, leases: bool) -> Self {
         Self {
+            started: Moment::now(),
+            leases,
             roster: Mutex::new(Roster::new(addr, domain)),
             shares: Mutex::default(),
             unresponsive: Mutex::default(),
             roster_read: watch::Sender::new(false),
+            gathered: Notify::new(),
         }
     }
 
-    fn roster(&self) -> MutexGuard<'_, Roster> {
+    pub(crate) fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn shares(&self) -> MutexGuard<'_, HashMap<WorkspaceName, WorkspaceQuota>> {
+    pub(crate) fn shares(&self) -> MutexGuard<'_, HashMap<WorkspaceName, WorkspaceQuota>> {
         self.shares.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -137,7 +150,7 @@
 
     /// Calls `f` with the quota of a workspace and the number of shares, if this router has a
     /// share.
-    fn with_quota<T>(
+    pub(crate) fn with_quota<T>(
         &self,
         workspace: &WorkspaceName,
         f: impl FnOnce(&mut WorkspaceQuota, u32) -> T,
@@ -147,7 +160,9 @@
         if let Some(quota) = shares.get_mut(workspace).filter(|quota| quota.since == since) {
             return Some(f(quota, count));
         }
-        shares.insert(workspace.clone(), WorkspaceQuota::new(since));
+        let pool =
+            if self.leases { Pool::of_restarted(since, self.started) } else { Pool::new(since) };
+        shares.insert(workspace.clone(), WorkspaceQuota::new(pool, since));
         shares.get_mut(workspace).map(|quota| f(quota, count))
     }
 
@@ -161,7 +176,8 @@
         let now = Moment::now();
         self.with_quota(workspace, |quota, count| {
             quota.last_request = Some(now);
-            (quota.bucket.take(terms.share(count), max_tokens, now), quota.since)
+            let own = ShareTerms { total: terms, count };
+            (quota.pool.take_part(own, max_tokens, now), quota.since)
         })
     }
 
@@ -174,17 +190,16 @@
     ) -> Option<f64> {
         let now = Moment::now();
         self.with_quota(workspace, |quota, count| {
-            let share = terms.share(count);
-            let level = quota.bucket.level(share, now);
+            let own = ShareTerms { total: terms, count };
             let idle = quota.last_request.map_or(Duration::MAX, |at| now.since(at));
-            quota.bucket.take(share, max_tokens.min(lendable(level, idle)), now).tokens
+            quota.pool.lend(own, max_tokens, idle, now)
         })
     }
 
     /// Adds borrowed tokens that were not used.
     pub(crate) fn add_borrowed(&self, workspace: &WorkspaceName, terms: BucketSpec, tokens: f64) {
         self.with_quota(workspace, |quota, count| {
-            quota.bucket.add(terms.share(count), tokens, Moment::now());
+            quota.pool.add(ShareTerms { total: terms, count }, tokens, Moment::now());
         });
     }
 
@@ -198,7 +213,7 @@
     ) {
         self.with_quota(workspace, |quota, count| {
             if quota.since == since {
-                quota.bucket.refund(terms.share(count), taken, Moment::now());
+                quota.pool.refund(ShareTerms { total: terms, count }, taken, Moment::now());
             }
         });
     }
@@ -266,8 +281,7 @@
         window: Duration,
     ) -> Duration {
         let own = self.with_quota(workspace, |quota, count| {
-            let share = terms.share(count);
-            quota.bucket.time_until(share, cost.min(share.capacity), Moment::now())
+            quota.pool.time_until(ShareTerms { total: terms, count }, cost, Moment::now())
         });
         let delay = own.unwrap_or_else(|| self.roster().time_until_share(Moment::now()));
         delay
@@ -287,14 +301,15 @@
         let usage = workspace.limit.and_then(|limit| {
             let terms = BucketSpec::new(limit, bounds);
             quotas.with_quota(&workspace.name, |quota, count| {
-                let left = quota.bucket.level(terms.share(count), now);
-                (left, quota.meter.rate(now), quota.refused)
+                let left = quota.pool.level(ShareTerms { total: terms, count }, now);
+                let promised = quota.pool.promised(now);
+                (left, quota.meter.rate(now), quota.refused, promised)
             })
         });
-        let (left, rate, refused) = usage.unwrap_or_default();
+        let (left, rate, refused, promised) = usage.unwrap_or_default();
         let keys = workspace.keys.iter().map(ToString::to_string).collect();
         let (name, limit) = (workspace.name.clone(), workspace.limit);
-        WorkspaceReport { name, keys, limit, left, rate, refused }
+        WorkspaceReport { name, keys, limit, left, rate, refused, promised }
     });
     Some(WorkspacesReport {
         version: catalog.version,
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -18,7 +18,7 @@
 
 use crate::access::{self, Identity};
 use crate::caller::CallerConnection;
-use crate::charge;
+use crate::charge::{self, ChargedRequest};
 use crate::exchange::OutgoingRequest;
 use crate::in_flight::{Failure, InFlightRequest};
 use crate::relay::{self, RequestLog, ResponseTiming};
@@ -129,16 +129,15 @@
     shared.record_request(&service);
     let charge = match identity.workspace() {
         Some(workspace) => {
-            let share_deadline = request_log.arrived + first_read_wait(&call);
-            charge::charge(
-                shared,
-                &catalog,
-                workspace,
-                &request_log.request_id,
-                call.tokens,
-                share_deadline,
-            )
-            .await?
+            let charged = ChargedRequest {
+                id: &request_log.request_id,
+                call: &call,
+                parts: &parts,
+                priority: workspace.priority.unwrap_or(route.priority).min(9),
+                share_deadline: request_log.arrived + first_read_wait(&call),
+                deadline,
+            };
+            charge::charge(shared, &catalog, workspace, &charged).await?
         }
         None => None,
     };
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -16,7 +16,8 @@
 
 use crate::shared::Shared;
 use crate::{
-    Settings, borrow, crash_records, feed, grants, prefetch, quotas, ready, roster, serve, snapshot,
+    Settings, borrow, crash_records, feed, grants, prefetch, quotas, ready, roster, serve,
+    share_leases, snapshot,
 };
 
 /// Runs the router until the process is asked to end and its requests are done.
@@ -39,6 +40,7 @@
     tokio::spawn(roster::follow(shared.clone(), store));
     tokio::spawn(snapshot::follow(shared.clone()));
     tokio::spawn(prefetch::run(shared.clone()));
+    tokio::spawn(share_leases::run(shared.clone()));
     let ready_shared = shared.clone();
     let handler = move |request: http::Request<hyper::body::Incoming>, _| {
         let answer = ready::answer(&ready_shared, request.uri().path());
@@ -63,7 +65,7 @@
 }
 
 /// Answers requests of other routers and of operators.
-async fn answer_control(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+async fn answer_control(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, SNAPSHOT_PATH) => snapshot::answer(shared, request.uri()),
         (&Method::POST, CRASHES_PATH) => crash_records::answer(shared, request).await,
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -131,7 +131,7 @@
             client: Client::default(),
             store: Store::new(settings.store),
             access: KeyState::default(),
-            quotas: Quotas::new(settings.control, settings.domain.clone()),
+            quotas: Quotas::new(settings.control, settings.domain.clone(), settings.queues()),
             limiters: Mutex::default(),
             guard: Arc::new(guard),
             crash_records_position: watch::Sender::new(None),
--- a/src/cmd/workspaces.rs
+++ b/src/cmd/workspaces.rs
@@ -38,11 +38,17 @@
     writeln!(out, "{}: keys {keys}", workspace.name)?;
     match workspace.limit {
         None => writeln!(out, "  no limit"),
-        Some(limit) => writeln!(
-            out,
-            "  limit {:.0} a second and {:.0} at once, over all routers; here {:.0} a second, {:.0} left, {} refused",
-            limit.rate, limit.burst, workspace.rate, workspace.left, workspace.refused
-        ),
+        Some(limit) => {
+            write!(
+                out,
+                "  limit {:.0} a second and {:.0} at once, over all routers; here {:.0} a second, {:.0} left, {} refused",
+                limit.rate, limit.burst, workspace.rate, workspace.left, workspace.refused
+            )?;
+            if workspace.promised > 0.0 {
+                write!(out, ", {:.0} promised", workspace.promised)?;
+            }
+            writeln!(out)
+        }
     }
 }
 
