--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -19,6 +19,6 @@
     ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, UPDATES_PATH,
     WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
-pub use promise::{TokenClaim, TokenRetry};
+pub use promise::{LeasedShare, ShareRequest, TokenClaim, TokenRetry};
 pub use speeds::{EndpointSpeedReport, SPEEDS_PATH, ServiceEvenness, SpeedsReport};
 pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -134,7 +134,7 @@
             client: Client::default(),
             store: Store::new(settings.store),
             access: KeyState::default(),
-            quotas: Quotas::new(settings.control, settings.domain.clone()),
+            quotas: Quotas::new(settings.control, settings.domain.clone(), settings.queues()),
             limiters: Mutex::default(),
             wait_queues: WaitQueues::default(),
             guard: Arc::new(guard),
