--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod admit;
 mod load_concurrency;
+mod permit_wait;
 mod retry_budget;
 
 pub use admit::{Admission, admit};
 pub use load_concurrency::{ConcurrentLoads, LoadConcurrency};
+pub use permit_wait::permit_wait;
 pub use retry_budget::{RetryBudget, RetryDecision, RetryLimits};
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -353,11 +353,17 @@
     SearchResult::NoLoader(if has_copy { Duration::ZERO } else { store_load })
 }
 
-/// The time until a planned load is done. The remaining time of a load in progress is counted from when its loader reported it.
+/// The time until a planned load is done. The remaining time of a load in progress is counted from when its loader reported it;
+/// a load from the weight store that has not begun waits for a permit.
 pub(crate) fn ready_in(shared: &Shared, load: &PlannedLoad, now: Instant) -> Duration {
     let table = shared.endpoints.lock();
     let progress = table.map.get(&load.id).map(|tracked| tracked.load_progress(now));
-    load.duration.saturating_sub(progress.unwrap_or_default())
+    let left = load.duration.saturating_sub(progress.unwrap_or_default());
+    if !load.from_store || table.cold.is_running(&load.id, &load.target.model) {
+        return left;
+    }
+    let ahead = table.store_loads_ahead(&load.target.model, now);
+    left + table.cold.permit_wait(ahead, load.duration, now)
 }
 
 /// The time until the first loader that refused to load a model may be asked again.
--- a/components/router/src/cold.rs
+++ b/components/router/src/cold.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Clone, Copy)]
 struct ColdLoad {
     start: Instant,
+    /// How long the load takes alone.
+    duration: Duration,
     concurrent: ConcurrentLoads,
 }
 
@@ -61,7 +63,12 @@
             let key = (id.clone(), loading.model.clone());
             self.requested.remove(&key);
             let count = u32::try_from(self.running.len() + 1).unwrap_or(u32::MAX);
-            let load = ColdLoad { start: now, concurrent: ConcurrentLoads::steady(count) };
+            let spec = engine.and_then(|engine| engine.model(&loading.model));
+            let load = ColdLoad {
+                start: now,
+                duration: spec.map_or(Duration::ZERO, |spec| spec.store_load),
+                concurrent: ConcurrentLoads::steady(count),
+            };
             self.running.entry(key).or_insert(load);
         }
         let count = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
@@ -97,6 +104,18 @@
         (self.concurrency.limit() as usize).saturating_sub(self.running.len() + requested)
     }
 
+    /// Whether a load from the weight store is running.
+    pub(crate) fn is_running(&self, id: &EndpointId, model: &ModelName) -> bool {
+        self.running.contains_key(&(id.clone(), model.clone()))
+    }
+
+    /// The time until a load from the weight store that takes `load` can begin, after `ahead` others like it.
+    pub(crate) fn permit_wait(&self, ahead: usize, load: Duration, now: Instant) -> Duration {
+        let left = |load: &ColdLoad| (load.start + load.duration).saturating_duration_since(now);
+        let running: Vec<Duration> = self.running.values().map(left).collect();
+        admission::permit_wait(&running, self.permit_limit(), ahead, load)
+    }
+
     /// How many loads from the weight store may run at once.
     pub(crate) fn permit_limit(&self) -> usize {
         self.concurrency.limit() as usize
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -1,6 +1,6 @@
 //! What this router knows about each endpoint, and which endpoints may get requests.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -290,6 +290,23 @@
         asked.next().map(|(id, _)| id)
     }
 
+    /// How many other models that more requests wait for at this router have been requested from the weight store and are
+    /// not being loaded yet. Permits go to the models with the most demand.
+    pub(crate) fn store_loads_ahead(&self, model: &ModelName, now: Instant) -> usize {
+        let waiting = |model: &ModelName| self.waiting.get(model).copied().unwrap_or(0);
+        let own = waiting(model);
+        let requested = self.map.iter().flat_map(|(id, tracked)| {
+            let held = tracked.holdings(now);
+            let from_store =
+                move |name: &&ModelName| held.is_some_and(|held| held.tier(name) == Tier::Store);
+            let open = tracked.open_loads.keys().map(|target| &target.model);
+            open.filter(from_store).filter(move |name| !self.cold.is_running(id, name))
+        });
+        let ahead: HashSet<&ModelName> =
+            requested.filter(|other| *other != model && waiting(other) > own).collect();
+        ahead.len()
+    }
+
     /// Requests per second for a model at this router.
     pub(crate) fn request_rate(&self, model: &ModelName, now: Instant) -> f64 {
         self.demands.get(model).map_or(0.0, |demand| demand.request_rate(now))
