--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -10,8 +10,8 @@
 use crate::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ENGINE_PATH, ENSURE_PATH, EndpointState,
     EngineUpdate, EnsureRequest, EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse,
-    KeyedRecord, POLL_PATH, PollRequest, PollResponse, Position, SNAPSHOT_PATH, Snapshot,
-    TOKENS_PATH, UPDATES_PATH,
+    KeyedRecord, LEASES_PATH, LeaseRelease, POLL_PATH, PollRequest, PollResponse, Position,
+    SNAPSHOT_PATH, Snapshot, TOKENS_PATH, UPDATES_PATH,
 };
 
 /// The timeout of asking to send a request to an endpoint with a rate limit, which is answered at once.
@@ -106,3 +106,13 @@
 ) -> Result<BorrowResponse, CallError> {
     client.post(router, TOKENS_PATH, borrow, limit).await
 }
+
+/// Asks another router to drop the leases of a share whose owner has restarted.
+pub async fn release_leases(
+    client: &Client,
+    router: SocketAddr,
+    release: &LeaseRelease,
+    limit: Duration,
+) -> Result<LeaseRelease, CallError> {
+    client.post(router, LEASES_PATH, release, limit).await
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -8,7 +8,8 @@
 mod waiting;
 
 pub use client::{
-    LoaderClient, borrow_tokens, exchange_crash_records, fetch_snapshot, request_grant,
+    LoaderClient, borrow_tokens, exchange_crash_records, fetch_snapshot, release_leases,
+    request_grant,
 };
 pub use demand::{ModelRate, QueueSummary, StepTime, WaitingWorkspace};
 pub use message::{
@@ -19,6 +20,6 @@
     ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, UPDATES_PATH,
     WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
-pub use promise::{LeasedShare, ShareRequest, TokenClaim, TokenRetry};
+pub use promise::{LEASES_PATH, LeaseRelease, LeasedShare, ShareRequest, TokenClaim, TokenRetry};
 pub use speeds::{EndpointSpeedReport, SPEEDS_PATH, ServiceEvenness, SpeedsReport};
 pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/components/control/src/promise.rs
+++ b/components/control/src/promise.rs
@@ -1,5 +1,6 @@
 //! Promises of tokens to requests that were refused because the quota of their workspace was used up.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -44,3 +45,13 @@
     #[serde(rename = "for_ms", with = "fleet::millis")]
     pub time: Duration,
 }
+
+/// The path at which a router drops the leases of the share of another one: `POST` with [`LeaseRelease`].
+pub const LEASES_PATH: &str = "/leases";
+
+/// A router has restarted, and wants to use its share, which the process before it may have leased out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRelease {
+    /// The router, by its control address.
+    pub owner: SocketAddr,
+}
--- a/components/loader/src/room/openings.rs
+++ b/components/loader/src/room/openings.rs
@@ -41,7 +41,7 @@
 
 /// Room that is needed at some time.
 #[derive(Debug, Clone, Copy)]
-struct Need {
+struct RoomNeed {
     at: Instant,
     size: Size,
 }
@@ -152,12 +152,12 @@
     rank: &Rank,
     size: &impl Fn(&ModelName) -> Size,
     now: Instant,
-) -> Vec<Need> {
+) -> Vec<RoomNeed> {
     let other = room::load_time(view, model);
     let promised = view.rooms.promises.open(now).filter(|(other, _)| *other != model);
     let live = promised.filter(|(name, _)| room::is_queued(view, name, now));
     let ahead = live.filter(|(name, _)| Rank::new(view, name, other, now).compare(rank).is_le());
-    ahead.map(|(name, at)| Need { at, size: size(name) }).collect()
+    ahead.map(|(name, at)| RoomNeed { at, size: size(name) }).collect()
 }
 
 /// The first time at which a model of this size fits, so that the room for all other needs is still there at their
@@ -166,7 +166,7 @@
     free: Size,
     size: Size,
     openings: &[Opening<'_>],
-    needs: &[Need],
+    needs: &[RoomNeed],
     now: Instant,
 ) -> Option<Instant> {
     let available = |at: Instant| {
--- a/components/quota/src/leases.rs
+++ b/components/quota/src/leases.rs
@@ -35,12 +35,14 @@
     leased: Vec<Lease>,
     /// Until when this router's own share is leased to another router.
     granted: Option<Moment>,
+    /// Until when this router's own share may still be leased by the process before this one.
+    earlier: Option<Moment>,
 }
 
 impl Leases {
     /// The parameters of the bucket that all current shares make up.
     pub(crate) fn total(&self, terms: BucketSpec, own_count: u32) -> BucketSpec {
-        let own = match self.granted {
+        let own = match self.granted.or(self.earlier) {
             Some(_) => BucketSpec { refill_rate: 0.0, capacity: 0.0 },
             None => terms.share(own_count),
         };
@@ -55,7 +57,8 @@
 
     /// The first end of a lease that is not later than now.
     pub(crate) fn next_end(&self, now: Moment) -> Option<Moment> {
-        let ends = self.leased.iter().map(|lease| lease.until).chain(self.granted);
+        let ends = self.leased.iter().map(|lease| lease.until);
+        let ends = ends.chain(self.granted).chain(self.earlier);
         ends.filter(|until| *until <= now).min()
     }
 
@@ -63,6 +66,7 @@
     pub(crate) fn expire(&mut self, now: Moment) {
         self.leased.retain(|lease| lease.until > now);
         self.granted = self.granted.filter(|until| *until > now);
+        self.earlier = self.earlier.filter(|until| *until > now);
     }
 
     /// Adds or renews a lease.
@@ -76,6 +80,21 @@
         self.granted = self.granted.max(Some(until));
     }
 
+    /// Keeps this router's own share unused until `until`, since an earlier process may have leased it out.
+    pub(crate) fn wait_for_earlier(&mut self, until: Moment) {
+        self.earlier = Some(until);
+    }
+
+    /// From now on no router uses a lease that an earlier process has granted.
+    pub(crate) fn end_earlier(&mut self, now: Moment) {
+        self.earlier = self.earlier.map(|until| until.min(now));
+    }
+
+    /// Drops the lease of a share, whose owner has restarted.
+    pub(crate) fn release(&mut self, owner: SocketAddr) {
+        self.leased.retain(|lease| lease.owner != owner);
+    }
+
     /// Whether this router uses shares of others.
     pub(crate) fn has_leased(&self) -> bool {
         !self.leased.is_empty()
@@ -86,9 +105,9 @@
         self.leased.len()
     }
 
-    /// Until when this router's own share is leased to another router.
+    /// Until when this router's own share is, or may be, leased to another router.
     pub(crate) fn granted(&self) -> Option<Moment> {
-        self.granted
+        self.granted.max(self.earlier)
     }
 }
 
--- a/components/quota/src/leases/tests.rs
+++ b/components/quota/src/leases/tests.rs
@@ -43,3 +43,33 @@
     leases.expire(until);
     assert!((leases.total(TOTAL, 10).refill_rate - 100.0).abs() < 1e-9);
 }
+
+/// Guards against two users of a share: one of the routers leases it from this process, and one may from the process before.
+#[test]
+fn a_share_that_an_earlier_process_may_have_leased_out_is_free_once_that_is_ruled_out() {
+    let (mut leases, now) = (Leases::default(), Moment::now());
+    let own = |leases: &Leases| leases.total(TOTAL, 10).refill_rate;
+    leases.wait_for_earlier(now + Duration::from_secs(4));
+    assert!(own(&leases).abs() < 1e-9);
+    leases.end_earlier(now);
+    leases.expire(now);
+    assert!((own(&leases) - 100.0).abs() < 1e-9);
+    leases.wait_for_earlier(now + Duration::from_secs(4));
+    leases.grant(now + Duration::from_secs(2));
+    leases.end_earlier(now);
+    leases.expire(now);
+    assert!(own(&leases).abs() < 1e-9, "leased out by this process");
+    leases.expire(now + Duration::from_secs(2));
+    assert!((own(&leases) - 100.0).abs() < 1e-9);
+}
+
+/// Guards against a lease that goes on after its owner has restarted and uses the share itself.
+#[test]
+fn the_lease_of_a_restarted_owner_is_dropped() {
+    let (mut leases, now) = (Leases::default(), Moment::now());
+    let later = now + Duration::from_secs(4);
+    leases.add(lease(1, later));
+    leases.add(lease(2, later));
+    leases.release(lease(1, later).owner);
+    assert_eq!(leases.leased_count(), 1);
+}
--- a/components/quota/src/pool.rs
+++ b/components/quota/src/pool.rs
@@ -1,5 +1,6 @@
 //! The tokens of one workspace at one router: its bucket, the shares that it leases, and what it has promised.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use clock::Moment;
@@ -79,10 +80,20 @@
     /// the share, so that nobody but the other router may use it until that lease has ended.
     pub fn of_restarted(since: Moment, started: Moment) -> Self {
         let mut pool = Self::new(since);
-        pool.leases.grant(started + LEASE_TIME);
+        pool.leases.wait_for_earlier(started + LEASE_TIME);
         pool
     }
 
+    /// All other routers have dropped the leases of the process before this one: the share is used from now on.
+    pub fn end_earlier_lease(&mut self, now: Moment) {
+        self.leases.end_earlier(now);
+    }
+
+    /// Drops the lease of a share, whose owner has restarted.
+    pub fn release(&mut self, owner: SocketAddr) {
+        self.leases.release(owner);
+    }
+
     /// Fills the bucket up to now, and drops leases and promises that have ended. Returns the parameters of the bucket.
     fn settle(&mut self, own: ShareTerms, now: Moment) -> BucketSpec {
         while let Some(end) = self.leases.next_end(now) {
--- a/components/quota/tests/limits/promised.rs
+++ b/components/quota/tests/limits/promised.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 
 use super::returns::{Answer, Sent, within};
-use super::world::{BOUNDS, Sharing, World};
+use super::world::{BOUNDS, Router, Sharing, World};
 
 /// The cost that the configuration states for a request.
 const TYPICAL_COST: f64 = 1_000.0;
@@ -72,15 +72,18 @@
     /// The sum of the shares that all running routers use, their own and leased ones.
     pub(super) fn sum_of_pools(&mut self) -> f64 {
         let (moment, total) = (self.at(self.now), self.spec.refill_rate);
-        let mut sum = 0.0;
-        for at in 0..self.routers.len() {
-            let router = &self.routers[at];
-            if router.alive && router.suspended_until <= self.now {
-                let share = self.with_pool(at, |pool, own| pool.share(own, moment).refill_rate);
-                sum += share.unwrap_or(0.0) / total;
-            }
+        let runs = |router: &Router| router.alive && router.suspended_until <= self.now;
+        let running = self.routers.iter().enumerate().filter(|(_, router)| runs(router));
+        let running: Vec<usize> = running.map(|(at, _)| at).collect();
+        // A router that has restarted has the others drop its leases before any share is counted.
+        for at in &running {
+            self.with_pool(*at, |_, _| ());
         }
-        sum
+        let shares = running.into_iter().map(|at| {
+            let share = self.with_pool(at, |pool, own| pool.share(own, moment).refill_rate);
+            share.unwrap_or(0.0) / total
+        });
+        shares.sum()
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
@@ -99,16 +102,49 @@
         let moment = self.at(self.now);
         let started = self.at(self.routers[at].started);
         let total = self.spec;
+        let new =
+            self.routers[at].pool.is_none() && self.routers[at].roster.share(moment).is_some();
+        let released = new && self.release_leases(at);
         let router = &mut self.routers[at];
         let share = router.roster.share(moment)?;
         let own = ShareTerms { total, count: share.count };
         let pool = match &mut router.pool {
             Some((pool, since)) if *since == share.since => pool,
-            place => &mut place.insert((Pool::of_restarted(share.since, started), share.since)).0,
+            place => {
+                let mut pool = Pool::of_restarted(share.since, started);
+                if released {
+                    pool.end_earlier_lease(moment);
+                }
+                &mut place.insert((pool, share.since)).0
+            }
         };
         Some(f(pool, own))
     }
 
+    /// A router that has restarted asks all others to drop the leases of its share; returns whether all of them have, or are
+    /// not running.
+    fn release_leases(&mut self, at: usize) -> bool {
+        let owner = self.routers[at].addr;
+        let peers: Vec<SocketAddr> =
+            self.routers[at].roster.peers().map(|(addr, _)| addr).collect();
+        let mut all = true;
+        for addr in peers {
+            self.messages += 1;
+            let peer = self.routers.iter().position(|router| router.addr == addr);
+            let Some(peer) = peer.filter(|peer| self.routers[*peer].alive) else { continue };
+            if !self.reaches(at, peer) {
+                all = false;
+                continue;
+            }
+            let peer = &mut self.routers[peer];
+            peer.incoming.retain(|(_, lease, _)| lease.owner != owner);
+            if let Some((pool, _)) = &mut peer.pool {
+                pool.release(owner);
+            }
+        }
+        all
+    }
+
     /// Leases shares for a request. A coordinator without any waits for the first answers; returns for how long, in ms.
     fn gather_first(&mut self, coordinator: usize) -> u64 {
         let moment = self.at(self.now);
--- a/components/router/src/pooled_quotas.rs
+++ b/components/router/src/pooled_quotas.rs
@@ -1,6 +1,7 @@
 //! The parts of [`Quotas`] that are used where queues are on: promises, and leases of shares.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use clock::Moment;
@@ -111,20 +112,42 @@
         granted.flatten()
     }
 
-    /// Adds the share of another router.
+    /// Adds the share of another router, which was asked for it at `sent`.
     pub(crate) fn add_lease(
         &self,
         workspace: &WorkspaceName,
         terms: BucketSpec,
         lease: Lease,
         tokens: f64,
+        sent: Moment,
     ) {
+        if self.released().get(&lease.owner).is_some_and(|released| sent <= *released) {
+            // The owner has restarted since, and uses its share itself.
+            return;
+        }
         self.with_quota(workspace, |quota, count| {
             let own = ShareTerms { total: terms, count };
             quota.pool.add_lease(own, lease, tokens, Moment::now());
         });
     }
 
+    /// Drops the leases of the shares of a router that has restarted.
+    pub(crate) fn release_leases(&self, owner: SocketAddr) {
+        self.released().insert(owner, Moment::now());
+        for quota in self.shares().values_mut() {
+            quota.pool.release(owner);
+        }
+    }
+
+    /// All other routers have dropped the leases that the process before this one had granted.
+    pub(crate) fn end_earlier_leases(&self) {
+        let mut shares = self.shares();
+        self.earlier_leases().store(false, Ordering::Relaxed);
+        for quota in shares.values_mut() {
+            quota.pool.end_earlier_lease(Moment::now());
+        }
+    }
+
     /// Whether this router uses shares of others for a workspace.
     pub(crate) fn has_leases(&self, workspace: &WorkspaceName, terms: BucketSpec) -> bool {
         let now = Moment::now();
--- a/components/router/src/quotas.rs
+++ b/components/router/src/quotas.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -71,7 +72,9 @@
     /// When this process started.
     started: Moment,
     /// Whether the process before this one may have leased out its shares.
-    leases: bool,
+    earlier_leases: AtomicBool,
+    /// Routers that have restarted, and when this router dropped the leases of their shares.
+    released: Mutex<HashMap<SocketAddr, Moment>>,
     roster: Mutex<Roster>,
     shares: Mutex<HashMap<WorkspaceName, WorkspaceQuota>>,
     /// Routers that did not answer, and until when they are not asked.
@@ -86,7 +89,8 @@
     pub(crate) fn new(addr: SocketAddr, domain: Domain, leases: bool) -> Self {
         Self {
             started: Moment::now(),
-            leases,
+            earlier_leases: AtomicBool::new(leases),
+            released: Mutex::default(),
             roster: Mutex::new(Roster::new(addr, domain)),
             shares: Mutex::default(),
             unresponsive: Mutex::default(),
@@ -99,6 +103,14 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn earlier_leases(&self) -> &AtomicBool {
+        &self.earlier_leases
+    }
+
+    pub(crate) fn released(&self) -> MutexGuard<'_, HashMap<SocketAddr, Moment>> {
+        self.released.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn shares(&self) -> MutexGuard<'_, HashMap<WorkspaceName, WorkspaceQuota>> {
         self.shares.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -160,8 +172,10 @@
         if let Some(quota) = shares.get_mut(workspace).filter(|quota| quota.since == since) {
             return Some(f(quota, count));
         }
-        let pool =
-            if self.leases { Pool::of_restarted(since, self.started) } else { Pool::new(since) };
+        let pool = match self.earlier_leases.load(Ordering::Relaxed) {
+            true => Pool::of_restarted(since, self.started),
+            false => Pool::new(since),
+        };
         shares.insert(workspace.clone(), WorkspaceQuota::new(pool, since));
         shares.get_mut(workspace).map(|quota| f(quota, count))
     }
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::Ordering;
 
 use control::{
-    CRASHES_PATH, GRANT_PATH, LIMITS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SPEEDS_PATH, SUSPECTS_PATH,
-    TOKENS_PATH, WAITING_PATH, WORKSPACES_PATH,
+    CRASHES_PATH, GRANT_PATH, LEASES_PATH, LIMITS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SPEEDS_PATH,
+    SUSPECTS_PATH, TOKENS_PATH, WAITING_PATH, WORKSPACES_PATH,
 };
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
@@ -43,6 +43,7 @@
     tokio::spawn(speeds::run(shared.clone()));
     tokio::spawn(wait_queue::hand_back_at_stop(shared.clone()));
     tokio::spawn(share_leases::run(shared.clone()));
+    tokio::spawn(share_leases::reclaim(shared.clone()));
     let ready_shared = shared.clone();
     let handler = move |request: http::Request<hyper::body::Incoming>, _| {
         let answer = ready::answer(&ready_shared, request.uri().path());
@@ -72,6 +73,7 @@
         (&Method::GET, SNAPSHOT_PATH) => snapshot::answer(shared, request.uri()),
         (&Method::POST, CRASHES_PATH) => crash_records::answer(shared, request).await,
         (&Method::POST, GRANT_PATH) => grants::answer(shared, request).await,
+        (&Method::POST, LEASES_PATH) => share_leases::answer_release(shared, request).await,
         (&Method::POST, TOKENS_PATH) => borrow::lend(shared, request).await,
         (&Method::GET, WORKSPACES_PATH) => match quotas::report(shared) {
             Some(report) => web::json(StatusCode::OK, &report),
--- a/components/router/src/share_leases.rs
+++ b/components/router/src/share_leases.rs
@@ -1,22 +1,28 @@
 //! Coordinators of a workspace lease the shares of the other routers while requests need them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use catalog::{Limit, Unit, Workspace};
 use clock::Moment;
-use control::{BorrowRequest, BorrowResponse, ShareRequest};
+use control::{BorrowRequest, BorrowResponse, LeaseRelease, ShareRequest};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
 use quota::{BucketSpec, LEASE_TIME, LENDER_TIMEOUT, LOAN_TIMEOUT, Lease, coordinator_count};
+use tokio::time::Instant;
 use units::WorkspaceName;
-use web::CallError;
+use web::{Body, CallError};
 
 use crate::charge::Account;
 use crate::shared::Shared;
 
 /// How long a request waits for the first leases. It leaves time for the answer to the router that asked.
 const FIRST_GATHER_WAIT: Duration = Duration::from_millis(60);
+/// Size limit for messages of other routers, in bytes.
+const MAX_MESSAGE_BYTES: usize = 4 << 10;
 /// The interval at which leases are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -90,6 +96,51 @@
     }
 }
 
+/// Asks all other routers to drop the leases that the process before this one may have granted, so that this router can use its
+/// share before they would have ended. A router that can't be connected to is not running and uses none; if one doesn't answer,
+/// the share stays unused until then.
+pub(crate) async fn reclaim(shared: Arc<Shared>) {
+    let quotas = &shared.quotas;
+    if !shared.settings.borrow().queues() {
+        return;
+    }
+    quotas.wait_for_roster(Instant::now() + LEASE_TIME).await;
+    let release = LeaseRelease { owner: quotas.addr() };
+    let routers: Vec<SocketAddr> = quotas.available_lenders();
+    let asked = routers.into_iter().map(|router| {
+        let client = shared.client.clone();
+        async move { control::release_leases(&client, router, &release, LENDER_TIMEOUT).await }
+    });
+    let answers = futures_util::future::join_all(asked).await;
+    let dropped = |answer: &Result<LeaseRelease, CallError>| match answer {
+        Ok(_) | Err(CallError::Connect { .. }) => true,
+        Err(error) => {
+            log::debug!("router: a router has not confirmed that it uses no lease: {error}");
+            false
+        }
+    };
+    if answers.iter().all(dropped) {
+        quotas.end_earlier_leases();
+    }
+}
+
+/// Answers a router that has restarted.
+pub(crate) async fn answer_release(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let bytes = match web::read(request.into_body(), MAX_MESSAGE_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(error) => return web::text(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    match serde_json::from_slice::<LeaseRelease>(&bytes) {
+        Ok(release) => {
+            shared.quotas.release_leases(release.owner);
+            web::json(StatusCode::OK, &release)
+        }
+        Err(error) => {
+            web::text(StatusCode::BAD_REQUEST, format!("the message can't be read: {error}\n"))
+        }
+    }
+}
+
 /// Asks the routers whose shares this one leases.
 async fn gather(shared: Arc<Shared>, workspace: PooledWorkspace) {
     let quotas = &shared.quotas;
@@ -118,7 +169,7 @@
                 let lease = Lease { owner, count: share.count, until };
                 let in_time = sent.elapsed() <= LOAN_TIMEOUT;
                 let tokens = if in_time { tokens.max(0.0) } else { 0.0 };
-                quotas.add_lease(name, workspace.terms, lease, tokens);
+                quotas.add_lease(name, workspace.terms, lease, tokens, sent);
             }
             Ok(_) => log::debug!("router: {owner} leases out no share of {name}"),
             Err(error) => log::debug!("router: leasing the share of {owner} failed: {error}"),
--- a/components/router/src/speeds.rs
+++ b/components/router/src/speeds.rs
@@ -1,6 +1,6 @@
 //! Measures how fast endpoints send events of streams, and computes the time factors by which requests are placed.
 //!
-//! Load: a router with 0.07 of a core relays thousands of events a second. An event is counted under a lock that only the streams of the
+//! Load pattern: a router with 0.07 of a core relays thousands of events a second. An event is counted under a lock that only the streams of the
 //! same model and endpoint share; all else is done per stream, per poll or twice a second.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/components/speed/src/estimate.rs
+++ b/components/speed/src/estimate.rs
@@ -1,6 +1,6 @@
 //! A time between events that is averaged over some seconds.
 //!
-//! Load: the last streams of a model end while the engine is slowed down by noise. What was measured last would be taken for the speed
+//! Load pattern: the last streams of a model end while the engine is slowed down by noise. What was measured last would be taken for the speed
 //! of the endpoint until the next stream, so it only counts as a part of the seconds before.
 
 use std::time::Duration;
--- a/components/speed/src/fit.rs
+++ b/components/speed/src/fit.rs
@@ -1,6 +1,6 @@
 //! Separates the speed of endpoints from the speed of their models.
 //!
-//! Load: models differ in speed by four times, and each endpoint runs other ones. The logarithm of a time is the sum of an effect of the
+//! Load pattern: models differ in speed by four times, and each endpoint runs other ones. The logarithm of a time is the sum of an effect of the
 //! endpoint and one of the model; both are found by median polish, which a few wrong times hardly change.
 
 /// Rounds after which the fit ends also if it still changes.
--- a/components/speed/src/recorder.rs
+++ b/components/speed/src/recorder.rs
@@ -1,6 +1,6 @@
 //! What one router measures of one model at one incarnation of an endpoint.
 //!
-//! Load: thousands of events a second at a router with a few hundredths of a core. Recording an event adds to counters and allocates
+//! Load pattern: thousands of events a second at a router with a few hundredths of a core. Recording an event adds to counters and allocates
 //! nothing; percentiles are computed when they are asked for.
 
 use std::time::Duration;
--- a/components/speed/src/service.rs
+++ b/components/speed/src/service.rs
@@ -1,6 +1,6 @@
 //! The time factors of the endpoints of one service, and whether they are uneven.
 //!
-//! Load: endpoints take 0.7, 0.7 and 1.7 times the nominal time, and each takes 2.5 times as long for about 600 ms in 15 % of the time.
+//! Load pattern: endpoints take 0.7, 0.7 and 1.7 times the nominal time, and each takes 2.5 times as long for about 600 ms in 15 % of the time.
 //! The former lasts and is acted on, the latter is over before anything could be gained by it.
 
 use std::collections::HashMap;
--- a/components/speed/src/shared.rs
+++ b/components/speed/src/shared.rs
@@ -1,6 +1,6 @@
 //! What all routers measure of one endpoint, as its loader combines it.
 //!
-//! Load: each router sees a few streams of an endpoint, and many routers poll its loader. A change wakes all of their polls, so what
+//! Load pattern: each router sees a few streams of an endpoint, and many routers poll its loader. A change wakes all of their polls, so what
 //! hardly changes is not published again, and with many routers it is published less often.
 
 use std::collections::BTreeMap;
--- a/components/speed/src/stream.rs
+++ b/components/speed/src/stream.rs
@@ -1,6 +1,6 @@
 //! The time per event of one stream.
 //!
-//! Load: a router with a small share of a processor reads what several engine steps have sent at once, as a long gap and several
+//! Load pattern: a router with a small share of a processor reads what several engine steps have sent at once, as a long gap and several
 //! events that seem to have no time between them. Events that arrive together share the time since the previous arrival.
 
 use std::time::Duration;
