--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -6,8 +6,8 @@
 //! seconds from the weight store. The request that asks at the right moment gets the room, whatever the others wait
 //! for, and a router that was refused can't know when to ask again.
 //!
-//! Models are loaded in one order: those that would lose a caller if another load went first, then those that serve the
-//! most requests in time for the duration of their load. Only models that no request waits for make room. A refused
+//! Models are loaded in one order: those that would lose a caller if another load went first, then those with the highest
+//! priority among their requests, then those that serve the most requests in time for the duration of their load. Only models that no request waits for make room. A refused
 //! router is told when there will be room, and the room is kept for it unless a model of higher rank needs it.
 //!
 //! Models whose routers send no summary are ordered by [`crate::plan`] as if this module didn't exist.
@@ -28,7 +28,7 @@
 mod turns;
 
 pub(crate) use openings::{MAX_ROOM_WAIT, Room, is_eviction_outdated, room_for};
-use queues::Queues;
+use queues::{Queues, ReceivedSummary};
 use residence::Residences;
 use turns::{Promises, RecentLoads};
 
@@ -138,6 +138,9 @@
 pub(crate) struct Rank {
     /// Whether a waiting request that can be served now is lost if another load goes first.
     pub(crate) urgent: bool,
+    /// The highest priority of the requests that wait; 0 is the highest. Without it the requests of a route with a long
+    /// deadline, which pile up, would take the room of those that are needed at once.
+    priority: u8,
     /// Requests that can be served in time.
     pub(crate) in_time: u32,
     /// The same for each second of the load.
@@ -165,6 +168,7 @@
         let workspaces = summaries().flat_map(|received| received.workspaces());
         Self {
             urgent: deadline.is_some_and(|deadline| deadline - end < other),
+            priority: summaries().map(ReceivedSummary::priority).min().unwrap_or(u8::MAX),
             in_time,
             density: f64::from(in_time) / duration.as_secs_f64().max(f64::EPSILON),
             recent_loads: view.rooms.loads.average(workspaces, now),
@@ -175,13 +179,14 @@
     /// Compares two ranks.
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
         let urgency = other.urgent.cmp(&self.urgent);
+        let priority = self.priority.cmp(&other.priority);
         let density = other.density.total_cmp(&self.density);
         let loads = self.recent_loads.total_cmp(&other.recent_loads);
         let deadline = match (self.deadline, other.deadline) {
             (Some(own), Some(other)) => own.cmp(&other),
             (own, other) => other.is_some().cmp(&own.is_some()),
         };
-        urgency.then(density).then(loads).then(deadline)
+        urgency.then(priority).then(density).then(loads).then(deadline)
     }
 }
 
--- a/components/loader/src/room/queues.rs
+++ b/components/loader/src/room/queues.rs
@@ -78,6 +78,11 @@
             .then(|| self.arrived + self.summary.first_deadline + self.spacing() * missed)
     }
 
+    /// The highest priority of the requests that wait; 0 is the highest.
+    pub(crate) fn priority(&self) -> u8 {
+        self.summary.priority
+    }
+
     /// The workspaces whose requests wait.
     pub(crate) fn workspaces(&self) -> &[WaitingWorkspace] {
         &self.summary.workspaces
--- a/components/loader/src/room/tests.rs
+++ b/components/loader/src/room/tests.rs
@@ -35,6 +35,17 @@
     router: &str,
     waiting: u32,
     deadline: Option<Duration>,
+) {
+    ask_with_priority(view, model, router, (waiting, 0), deadline);
+}
+
+/// The same for requests of a priority.
+fn ask_with_priority(
+    view: &mut EndpointView,
+    model: &str,
+    router: &str,
+    (waiting, priority): (u32, u8),
+    deadline: Option<Duration>,
 ) {
     let now = Instant::now();
     if let Some(deadline) = deadline {
@@ -45,7 +56,7 @@
             first_deadline: deadline,
             last_deadline: deadline,
             oldest: Duration::ZERO,
-            priority: 0,
+            priority,
         };
         view.rooms.queues.record(&id(model), router, summary, now);
     }
@@ -247,3 +258,20 @@
     ask(&mut view, "m2", "old", 1, None);
     assert_eq!(next_store_load(&view), Some((&name("m2"), 3.0)));
 }
+
+/// Guards against requests with long deadlines that pile up and take the room of urgent routes, unless they are about to be
+/// lost.
+#[rstest]
+#[case::long_deadline(12, "m1")]
+#[case::about_to_be_lost(2, "m2")]
+#[tokio::test(start_paused = true)]
+async fn the_higher_priority_goes_first_unless_a_caller_is_lost(
+    #[case] deadline_s: u32,
+    #[case] first: &str,
+) {
+    let mut view = view_with(&[]);
+    ask_with_priority(&mut view, "m1", "front-1", (1, 0), Some(10 * SECOND));
+    ask_with_priority(&mut view, "m2", "front-1", (30, 2), Some(deadline_s * SECOND));
+    let load = Action::Order(Operation::Load, id(first));
+    assert_eq!(next_action(&view, Instant::now()), load);
+}
