--- a/components/router/src/share_leases.rs
+++ b/components/router/src/share_leases.rs
@@ -23,6 +23,8 @@
 const FIRST_GATHER_WAIT: Duration = Duration::from_millis(60);
 /// Size limit for messages of other routers, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 << 10;
+/// The pause before routers that have not answered are asked again to drop leases.
+const RELEASE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// The interval at which leases are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -97,31 +99,46 @@
 }
 
 /// Asks all other routers to drop the leases that the process before this one may have granted, so that this router can use its
-/// share before they would have ended. A router that can't be connected to is not running and uses none; if one doesn't answer,
-/// the share stays unused until then.
+/// share before they would have ended. A router that refuses connections is not running and uses none. One that doesn't answer
+/// is asked again: after a loss of power the others start a moment later. If one never answers, the share stays unused until then.
 pub(crate) async fn reclaim(shared: Arc<Shared>) {
     let quotas = &shared.quotas;
     if !shared.settings.borrow().queues() {
         return;
     }
-    quotas.wait_for_roster(Instant::now() + LEASE_TIME).await;
-    let release = LeaseRelease { owner: quotas.addr() };
-    let routers: Vec<SocketAddr> = quotas.available_lenders();
+    let deadline = Instant::now() + LEASE_TIME;
+    quotas.wait_for_roster(deadline).await;
+    let mut silent: Vec<SocketAddr> = quotas.available_lenders();
+    loop {
+        silent = ask_to_release(&shared, silent).await;
+        if silent.is_empty() {
+            return quotas.end_earlier_leases();
+        }
+        if Instant::now() >= deadline {
+            return;
+        }
+        tokio::time::sleep(RELEASE_RETRY_PAUSE).await;
+    }
+}
+
+/// Asks routers to drop the leases of this router's share; returns those that may still use it.
+async fn ask_to_release(shared: &Shared, routers: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    let release = LeaseRelease { owner: shared.quotas.addr() };
     let asked = routers.into_iter().map(|router| {
         let client = shared.client.clone();
-        async move { control::release_leases(&client, router, &release, LENDER_TIMEOUT).await }
-    });
-    let answers = futures_util::future::join_all(asked).await;
-    let dropped = |answer: &Result<LeaseRelease, CallError>| match answer {
-        Ok(_) | Err(CallError::Connect { .. }) => true,
-        Err(error) => {
-            log::debug!("router: a router has not confirmed that it uses no lease: {error}");
-            false
+        async move {
+            match control::release_leases(&client, router, &release, LENDER_TIMEOUT).await {
+                Ok(_) | Err(CallError::Connect { .. }) => None,
+                Err(error) => {
+                    log::debug!(
+                        "router: {router} has not confirmed that it uses no lease: {error}"
+                    );
+                    Some(router)
+                }
+            }
         }
-    };
-    if answers.iter().all(dropped) {
-        quotas.end_earlier_leases();
-    }
+    });
+    futures_util::future::join_all(asked).await.into_iter().flatten().collect()
 }
 
 /// Answers a router that has restarted.
