--- a/components/loader/src/room/replay.rs
+++ b/components/loader/src/room/replay.rs
@@ -1,4 +1,4 @@
-//! The load of deployment A at one endpoint, in simulated time.
+//! The load of 300 models that take turns in room for half of them, at one endpoint, in simulated time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
