--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -43,6 +43,7 @@
 mod shared;
 mod snapshot;
 mod speeds;
+mod stream;
 mod topic_source;
 mod wait_queue;
 
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -23,6 +23,7 @@
 use crate::in_flight::{Failure, InFlightRequest};
 use crate::relay::{self, RequestLog, ResponseTiming};
 use crate::shared::Shared;
+use crate::stream;
 
 /// A router that has just started holds requests for their deadline divided by this, until its
 /// first reads of the store are done or have failed. They take some 20 ms unless the store is
@@ -191,7 +192,7 @@
     let mut timing = ResponseTiming::default();
     timing.record_chunk();
     if in_flight.route.kind.streams() && response.head.status.is_success() {
-        return Ok(relay::relay_stream(in_flight, response, request_log.clone()));
+        return Ok(stream::relay_stream(in_flight, response, request_log.clone()));
     }
     let response = relay::relay_buffered(&mut in_flight, response).await?;
     request_log.log_response(response.status().as_u16(), &timing, true);
--- /dev/null
+++ b/components/router/src/stream.rs
@@ -0,0 +1,271 @@
+//! Relays a stream of events to the caller. A stream that may be resumed continues at another endpoint if its endpoint
+//! stalls or breaks off.
+
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use events::Step;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+use units::EndpointId;
+use web::{Body, BodyWriter};
+
+use crate::crash_check;
+use crate::exchange::EndpointResponse;
+use crate::in_flight::InFlightRequest;
+use crate::relay::{RequestLog, ResponseTiming};
+
+/// A stream that can be resumed at another endpoint has stalled when nothing came for the event
+/// timeout of its route divided by this.
+const STALL_DIVISOR: u32 = 5;
+/// The largest event of a stream; more bytes without an event boundary are relayed as they are.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Starts to relay a stream.
+pub(crate) fn relay_stream(
+    request: InFlightRequest,
+    response: EndpointResponse,
+    request_log: RequestLog,
+) -> Response<Body> {
+    let (writer, body) = web::channel();
+    let mut headers = platform::passed_headers(&response.head.headers);
+    if request.route.kind.repeatable() {
+        // A response joined from several runs may be longer than the first run states.
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    let mut relayed = Response::new(body);
+    *relayed.status_mut() = response.head.status;
+    *relayed.headers_mut() = headers;
+    tokio::spawn(forward_stream(request, response, writer, request_log));
+    relayed
+}
+
+/// What the next read of a response gave.
+enum StreamRead {
+    Data(Bytes),
+    End,
+    Interrupted(String),
+    /// Nothing arrived within the time limit.
+    Stalled,
+    /// The caller has disconnected.
+    CallerLeft,
+    /// The deadline of the request has passed.
+    DeadlinePassed,
+}
+
+/// Reads the next part of a response, until `deadline` and for `time_limit` at most if there is
+/// one.
+async fn read_stream(
+    response: &mut EndpointResponse,
+    writer: &BodyWriter,
+    time_limit: Option<Duration>,
+    deadline: Instant,
+) -> StreamRead {
+    let stalled = tokio::time::sleep(time_limit.unwrap_or(Duration::MAX));
+    tokio::select! {
+        frame = response.body.frame() => match frame {
+            Some(Ok(frame)) => StreamRead::Data(frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => StreamRead::Interrupted(error.to_string()),
+            None => StreamRead::End
+        },
+        () = writer.closed() => StreamRead::CallerLeft,
+        () = tokio::time::sleep_until(deadline) => StreamRead::DeadlinePassed,
+        () = stalled, if time_limit.is_some() => StreamRead::Stalled
+    }
+}
+
+async fn forward_stream(
+    mut request: InFlightRequest,
+    mut response: EndpointResponse,
+    writer: BodyWriter,
+    request_log: RequestLog,
+) {
+    let status = response.head.status.as_u16();
+    let resumable = request.route.kind.repeatable();
+    let mut events = EventSplitter { last_id: request.call.last_event, ..EventSplitter::default() };
+    let mut timing = ResponseTiming::default();
+    let cause = loop {
+        let elsewhere = resumable && request.runs < request.route.attempts;
+        let time_limit = elsewhere.then(|| request.route.event_timeout / STALL_DIVISOR);
+        let mut read = read_stream(&mut response, &writer, time_limit, request.deadline).await;
+        // A long prompt of another request stalls the stream as well. The search is only worth a
+        // retry if another endpoint can resume the stream before the caller leaves.
+        if matches!(read, StreamRead::Stalled)
+            && request.may_move(&response.reservation.id, request.route.event_timeout / 2)
+        {
+            match search_elsewhere(&mut request, &mut response, &writer, events.last_id).await {
+                Search::Resumed(next) => {
+                    events.pending.clear();
+                    response = *next;
+                    continue;
+                }
+                Search::Continued(next) => read = next,
+            }
+        }
+        let cause = match read {
+            StreamRead::CallerLeft => return request_log.log_caller_left(),
+            StreamRead::DeadlinePassed => {
+                break "the deadline of the request has passed".to_owned();
+            }
+            StreamRead::Data(data) => {
+                let now = Instant::now();
+                response.reservation.pool.liveness().answer_received(now);
+                let ready = if resumable { events.push(data) } else { data };
+                if ready.is_empty() {
+                    continue;
+                }
+                response.reservation.record_events(&ready, now);
+                timing.record_chunk();
+                if writer.send(ready).await.is_err() {
+                    return request_log.log_caller_left();
+                }
+                continue;
+            }
+            StreamRead::End => {
+                // What follows the last complete event is part of the response too.
+                let rest = events.pending.split().freeze();
+                if !rest.is_empty() {
+                    let _ = writer.send(rest).await;
+                }
+                let _ = writer.finish().await;
+                request_log.log_response(status, &timing, true);
+                request
+                    .shared
+                    .endpoints
+                    .record_stream(timing.longest_gap > request.route.max_pause);
+                request.clear_suspicion();
+                return response.release_connection();
+            }
+            StreamRead::Stalled => continue,
+            StreamRead::Interrupted(cause) => cause,
+        };
+        let id = response.reservation.id.clone();
+        drop(response);
+        events.pending.clear();
+        let resumed = tokio::select! {
+            resumed = resume_interrupted(&mut request, &id, &cause, events.last_id) => resumed,
+            () = writer.closed() => return request_log.log_caller_left()
+        };
+        match resumed {
+            Some(next) => response = next,
+            None => break cause,
+        }
+    };
+    request_log.log_response(status, &timing, false);
+    writer.abort(std::io::Error::other(cause)).await;
+}
+
+/// Result of the search for another endpoint while a stream stalls.
+enum Search {
+    /// Another endpoint has begun to continue the stream.
+    Resumed(Box<EndpointResponse>),
+    /// The stream stays at its endpoint; this is what was read from it meanwhile.
+    Continued(StreamRead),
+}
+
+/// Looks for an endpoint that resumes a stalled stream. The stalled endpoint may still be working
+/// on the stream, so it is only left once another one has answered, and whichever sends the next
+/// event first keeps the stream.
+async fn search_elsewhere(
+    request: &mut InFlightRequest,
+    response: &mut EndpointResponse,
+    writer: &BodyWriter,
+    last_event: Option<u64>,
+) -> Search {
+    let id = response.reservation.id.clone();
+    let (incarnation, pool) = (response.reservation.incarnation, response.reservation.pool.clone());
+    let shared = request.shared.clone();
+    let (runs, sends, deadline) = (request.runs, request.sends, request.deadline);
+    request.exclude(&id);
+    let mut lost = None;
+    let raced = {
+        let mut resumed = std::pin::pin!(resume(request, last_event));
+        loop {
+            tokio::select! {
+                biased;
+                read = read_stream(response, writer, None, deadline), if lost.is_none() => match read {
+                    StreamRead::Interrupted(cause) => {
+                        // The other endpoint may be about to answer.
+                        shared.endpoints.record_failure(&id, incarnation, &cause);
+                        crash_check::start(&shared, &id, incarnation, &pool);
+                        lost = Some(cause);
+                    }
+                    read => break Err(read)
+                },
+                () = writer.closed(), if lost.is_some() => break Err(StreamRead::CallerLeft),
+                next = &mut resumed => break Ok(next)
+            }
+        }
+    };
+    if let Ok(Some(next)) = raced {
+        request.log_step(Step::Broken, &id, lost.as_deref().unwrap_or("the stream stalled"));
+        return Search::Resumed(Box::new(next));
+    }
+    if raced.is_err() && request.sends > sends {
+        // The request that is cancelled may have begun to run.
+        request.runs = request.runs.max(runs + 1);
+    }
+    (request.incarnation, request.pool) = (incarnation, Some(pool));
+    Search::Continued(match (raced, lost) {
+        (Err(read), _) => read,
+        (Ok(_), Some(cause)) => StreamRead::Interrupted(cause),
+        (Ok(_), None) => StreamRead::Stalled,
+    })
+}
+
+/// Resumes an interrupted stream at another endpoint, if that is allowed.
+async fn resume_interrupted(
+    request: &mut InFlightRequest,
+    id: &EndpointId,
+    cause: &str,
+    last_event: Option<u64>,
+) -> Option<EndpointResponse> {
+    // This run was already counted when its response began.
+    request.runs = request.runs.saturating_sub(1);
+    request.interrupted(id, cause).ok()?;
+    resume(request, last_event).await
+}
+
+/// Sends the request to another endpoint, to continue its stream after an event.
+async fn resume(
+    request: &mut InFlightRequest,
+    last_event: Option<u64>,
+) -> Option<EndpointResponse> {
+    request.send_by = request.deadline.min(Instant::now() + request.route.event_timeout / 2);
+    let next = request.fetch_response(last_event).await.ok()?;
+    request.log_step(Step::Resumed, &next.reservation.id, "");
+    next.head.status.is_success().then_some(next)
+}
+
+/// Splits a stream at event boundaries.
+#[derive(Debug, Default)]
+struct EventSplitter {
+    /// Bytes of the last event, which is not complete yet.
+    pending: BytesMut,
+    /// Id of the last complete event that has one.
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Adds bytes and removes the events that are complete now.
+    fn push(&mut self, data: Bytes) -> Bytes {
+        self.pending.extend_from_slice(&data);
+        let Some(boundary) = self.pending.windows(2).rposition(|pair| pair == b"\n\n") else {
+            if self.pending.len() > MAX_EVENT_BYTES {
+                return self.pending.split().freeze();
+            }
+            return Bytes::new();
+        };
+        let complete = self.pending.copy_to_bytes(boundary + 2);
+        let mut ids = complete.split(|byte| *byte == b'\n').filter_map(platform::event_id);
+        if let Some(last) = ids.next_back() {
+            self.last_id = Some(last);
+        }
+        complete
+    }
+}
+
+#[cfg(test)]
+mod tests;
