Router: log how an answer was delimited and what followed its last event

Callers were told that answers were complete which weren't. The line of an answer said only 'whole'; it couldn't tell four causes apart: - the endpoint's connection ended inside an event of an answer without length and chunks (framing close, tail_bytes over 0); - the same, between two events (framing close, tail_bytes 0); - an error of the connection was lost on its way to the relay (framing length or chunked, whole); - the endpoint itself ended its answer too early (the same, endpoint's doing).

'answered' says framing and tail_bytes now, and answer_ends_total counts them.

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -14,9 +14,22 @@
         Event::Accepted { class, .. } => {
             counter!("requests_accepted_total", "class" => (*class).to_owned()).increment(1);
         }
-        Event::Answered { class, status, first_ms, total_ms, gap_ms, whole, .. } => {
+        Event::Answered {
+            class,
+            status,
+            first_ms,
+            total_ms,
+            gap_ms,
+            whole,
+            framing,
+            tail_bytes,
+            ..
+        } => {
             let class = (*class).to_owned();
-            let whole = if *whole { "yes" } else { "no" };
+            let yes_or_no = |is_so| if is_so { "yes" } else { "no" };
+            let whole = yes_or_no(*whole);
+            counter!("answer_ends_total", "framing" => (*framing).to_owned(), "whole" => whole, "tail" => yes_or_no(*tail_bytes > 0))
+                .increment(1);
             let status = status.to_string();
             counter!("requests_answered_total", "class" => class.clone(), "status" => status, "whole" => whole)
                 .increment(1);
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -359,6 +359,10 @@
         gap_ms: u64,
         /// Whether the answer is complete.
         whole: bool,
+        /// What marked the end of the endpoint's answer: `length`, `chunked` or `close` (of its connection).
+        framing: &'a str,
+        /// The bytes of a stream that followed its last complete event.
+        tail_bytes: usize,
     },
     /// A request was refused, or was ended by the router.
     Refused {
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -115,6 +115,8 @@
             total_ms: 1_500,
             gap_ms: 60,
             whole: true,
+            framing: "chunked",
+            tail_bytes: 0,
         },
         Event::Refused {
             request,
@@ -189,6 +191,8 @@
         total_ms: 0,
         gap_ms: 0,
         whole,
+        framing: "length",
+        tail_bytes: 0,
     };
     assert!(!answered(200, true).is_failure());
     assert!(answered(200, false).is_failure());
--- a/components/events/src/sink/tests.rs
+++ b/components/events/src/sink/tests.rs
@@ -30,6 +30,8 @@
         total_ms: 0,
         gap_ms: 0,
         whole: true,
+        framing: "length",
+        tail_bytes: 0,
     };
     assert!(admit(SAMPLING_FILL_BYTES, &failure));
     let kept: Vec<String> = (0..1_000)
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use web::Body;
+use web::{Body, Framing};
 
 use crate::exchange::EndpointResponse;
 use crate::in_flight::{Failure, InFlightRequest};
@@ -28,7 +28,7 @@
 }
 
 impl RequestLog {
-    pub(crate) fn log_response(&self, status: u16, timing: &ResponseTiming, whole: bool) {
+    pub(crate) fn log_response(&self, status: u16, timing: &ResponseTiming, end: ResponseEnd) {
         let since = |at: Instant| millis(at - self.arrived);
         let first = timing.first.unwrap_or_else(Instant::now);
         emit(&Event::Answered {
@@ -38,7 +38,9 @@
             first_ms: since(first),
             total_ms: since(Instant::now()),
             gap_ms: millis(timing.longest_gap),
-            whole,
+            whole: end.whole,
+            framing: end.framing.as_str(),
+            tail_bytes: end.tail_bytes,
         });
     }
 
@@ -52,6 +54,15 @@
     }
 }
 
+/// How a response ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ResponseEnd {
+    pub(crate) framing: Framing,
+    /// The bytes of a stream after its last complete event.
+    pub(crate) tail_bytes: usize,
+    pub(crate) whole: bool,
+}
+
 /// When chunks of a response arrived.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct ResponseTiming {
@@ -75,7 +86,10 @@
 pub(crate) async fn relay_buffered(
     request: &mut InFlightRequest,
     mut response: EndpointResponse,
+    request_log: &RequestLog,
 ) -> Result<Response<Body>, Failure> {
+    let mut timing = ResponseTiming::default();
+    timing.record_chunk();
     loop {
         let collected =
             tokio::time::timeout_at(request.deadline, collect(&mut response.body)).await;
@@ -89,6 +103,9 @@
                 let mut relayed = Response::new(web::full(bytes));
                 *relayed.status_mut() = response.head.status;
                 *relayed.headers_mut() = headers;
+                let framing = Framing::of(&response.head);
+                let end = ResponseEnd { framing, tail_bytes: 0, whole: true };
+                request_log.log_response(response.head.status.as_u16(), &timing, end);
                 response.release_connection();
                 request.clear_suspicion();
                 return Ok(relayed);
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -21,7 +21,7 @@
 use crate::charge::{self, ChargedRequest};
 use crate::exchange::OutgoingRequest;
 use crate::in_flight::{Failure, InFlightRequest};
-use crate::relay::{self, RequestLog, ResponseTiming};
+use crate::relay::{self, RequestLog};
 use crate::shared::Shared;
 use crate::stream;
 
@@ -189,14 +189,10 @@
         permit: None,
     };
     let response = in_flight.fetch_response(None).await?;
-    let mut timing = ResponseTiming::default();
-    timing.record_chunk();
     if in_flight.route.kind.streams() && response.head.status.is_success() {
         return Ok(stream::relay_stream(in_flight, response, request_log.clone()));
     }
-    let response = relay::relay_buffered(&mut in_flight, response).await?;
-    request_log.log_response(response.status().as_u16(), &timing, true);
-    Ok(response)
+    relay::relay_buffered(&mut in_flight, response, request_log).await
 }
 
 /// How long a request is held while the router reads the store for the first time.
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -3,25 +3,24 @@
 
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use events::Step;
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
+use sse::EventSplitter;
 use tokio::time::Instant;
 use units::EndpointId;
-use web::{Body, BodyWriter};
+use web::{Body, BodyWriter, Framing};
 
 use crate::crash_check;
 use crate::exchange::EndpointResponse;
 use crate::in_flight::InFlightRequest;
-use crate::relay::{RequestLog, ResponseTiming};
+use crate::relay::{RequestLog, ResponseEnd, ResponseTiming};
 
 /// A stream that can be resumed at another endpoint has stalled when nothing came for the event
 /// timeout of its route divided by this.
 const STALL_DIVISOR: u32 = 5;
-/// The largest event of a stream; more bytes without an event boundary are relayed as they are.
-const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Starts to relay a stream.
 pub(crate) fn relay_stream(
@@ -84,7 +83,8 @@
 ) {
     let status = response.head.status.as_u16();
     let resumable = request.route.kind.repeatable();
-    let mut events = EventSplitter { last_id: request.call.last_event, ..EventSplitter::default() };
+    let mut framing = Framing::of(&response.head);
+    let mut events = EventSplitter::resuming_after(request.call.last_event);
     let mut timing = ResponseTiming::default();
     let cause = loop {
         let elsewhere = resumable && request.runs < request.route.attempts;
@@ -95,9 +95,10 @@
         if matches!(read, StreamRead::Stalled)
             && request.may_move(&response.reservation.id, request.route.event_timeout / 2)
         {
-            match search_elsewhere(&mut request, &mut response, &writer, events.last_id).await {
+            match search_elsewhere(&mut request, &mut response, &writer, events.last_id()).await {
                 Search::Resumed(next) => {
-                    events.pending.clear();
+                    events = EventSplitter::resuming_after(events.last_id());
+                    framing = Framing::of(&next.head);
                     response = *next;
                     continue;
                 }
@@ -112,7 +113,7 @@
             StreamRead::Data(data) => {
                 let now = Instant::now();
                 response.reservation.pool.liveness().answer_received(now);
-                let ready = if resumable { events.push(data) } else { data };
+                let ready = if resumable { events.push(data) } else { events.pass(data) };
                 if ready.is_empty() {
                     continue;
                 }
@@ -125,12 +126,12 @@
             }
             StreamRead::End => {
                 // What follows the last complete event is part of the response too.
-                let rest = events.pending.split().freeze();
+                let rest = events.take_rest();
                 if !rest.is_empty() {
                     let _ = writer.send(rest).await;
                 }
                 let _ = writer.finish().await;
-                request_log.log_response(status, &timing, true);
+                request_log.log_response(status, &timing, response_end(framing, &events, true));
                 request
                     .shared
                     .endpoints
@@ -143,20 +144,27 @@
         };
         let id = response.reservation.id.clone();
         drop(response);
-        events.pending.clear();
         let resumed = tokio::select! {
-            resumed = resume_interrupted(&mut request, &id, &cause, events.last_id) => resumed,
+            resumed = resume_interrupted(&mut request, &id, &cause, events.last_id()) => resumed,
             () = writer.closed() => return request_log.log_caller_left()
         };
         match resumed {
-            Some(next) => response = next,
+            Some(next) => {
+                events = EventSplitter::resuming_after(events.last_id());
+                framing = Framing::of(&next.head);
+                response = next;
+            }
             None => break cause,
         }
     };
-    request_log.log_response(status, &timing, false);
+    request_log.log_response(status, &timing, response_end(framing, &events, false));
     writer.abort(std::io::Error::other(cause)).await;
 }
 
+fn response_end(framing: Framing, events: &EventSplitter, whole: bool) -> ResponseEnd {
+    ResponseEnd { framing, tail_bytes: events.tail_bytes(), whole }
+}
+
 /// Result of the search for another endpoint while a stream stalls.
 enum Search {
     /// Another endpoint has begun to continue the stream.
@@ -238,34 +246,3 @@
     request.log_step(Step::Resumed, &next.reservation.id, "");
     next.head.status.is_success().then_some(next)
 }
-
-/// Splits a stream at event boundaries.
-#[derive(Debug, Default)]
-struct EventSplitter {
-    /// Bytes of the last event, which is not complete yet.
-    pending: BytesMut,
-    /// Id of the last complete event that has one.
-    last_id: Option<u64>,
-}
-
-impl EventSplitter {
-    /// Adds bytes and removes the events that are complete now.
-    fn push(&mut self, data: Bytes) -> Bytes {
-        self.pending.extend_from_slice(&data);
-        let Some(boundary) = self.pending.windows(2).rposition(|pair| pair == b"\n\n") else {
-            if self.pending.len() > MAX_EVENT_BYTES {
-                return self.pending.split().freeze();
-            }
-            return Bytes::new();
-        };
-        let complete = self.pending.copy_to_bytes(boundary + 2);
-        let mut ids = complete.split(|byte| *byte == b'\n').filter_map(platform::event_id);
-        if let Some(last) = ids.next_back() {
-            self.last_id = Some(last);
-        }
-        complete
-    }
-}
-
-#[cfg(test)]
-mod tests;
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -3,9 +3,11 @@
 mod body;
 mod channel;
 mod client;
+mod framing;
 mod server;
 
 pub use body::{Body, BodyError, empty, full, json, read, text};
 pub use channel::{BodyWriter, Closed, channel};
 pub use client::{CallError, Client};
+pub use framing::Framing;
 pub use server::{BindError, Listener, Protocol, ServeOptions, bind, serve, stopped};
