Router: a stream that ends inside an event has been broken off

Cause: the relay took the end of the body for the end of the stream. For an answer with neither a length nor chunks the end of the body is the end of the connection, and an endpoint that fails closes it like one that is done. The bytes of the unfinished event were even sent on before the last chunk. Both resumptions had it too: the rest of a broken stream, and a stalled stream that ended while another endpoint was asked.

Now a stream is read through one type, which says whether an end of the body is the end of the stream: not inside an event, whatever the framing, and not before the first event if the connection is all that ended. Everything that reads it, the race of a stalled stream included, gets 'interrupted' then, as for a broken connection, so that the stream goes on elsewhere if it may and is aborted else. A body that declares another type than an event stream is passed on as before and not resumed.

--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -41,9 +41,10 @@
     relayed
 }
 
-/// What the next read of a response gave.
+/// What the next read of a stream gave.
 enum StreamRead {
     Data(Bytes),
+    /// The stream is complete.
     End,
     Interrupted(String),
     /// Nothing arrived within the time limit.
@@ -54,52 +55,113 @@
     DeadlinePassed,
 }
 
-/// Reads the next part of a response, until `deadline` and for `time_limit` at most if there is
-/// one.
-async fn read_stream(
-    response: &mut EndpointResponse,
-    writer: &BodyWriter,
-    time_limit: Option<Duration>,
-    deadline: Instant,
-) -> StreamRead {
-    let stalled = tokio::time::sleep(time_limit.unwrap_or(Duration::MAX));
-    tokio::select! {
-        frame = response.body.frame() => match frame {
-            Some(Ok(frame)) => StreamRead::Data(frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => StreamRead::Interrupted(error.to_string()),
-            None => StreamRead::End
-        },
-        () = writer.closed() => StreamRead::CallerLeft,
-        () = tokio::time::sleep_until(deadline) => StreamRead::DeadlinePassed,
-        () = stalled, if time_limit.is_some() => StreamRead::Stalled
+/// A stream as one endpoint sends it.
+struct StreamSource {
+    response: EndpointResponse,
+    framing: Framing,
+    /// Whether the response is a stream of events; any other is relayed as it is.
+    has_events: bool,
+    events: EventSplitter,
+}
+
+impl StreamSource {
+    /// A stream that begins after the event with this id, or at its first event.
+    fn new(response: EndpointResponse, last_event: Option<u64>) -> Self {
+        Self {
+            framing: Framing::of(&response.head),
+            has_events: sse::is_event_stream(&response.head.headers).unwrap_or(true),
+            events: EventSplitter::resuming_after(last_event),
+            response,
+        }
+    }
+
+    fn endpoint(&self) -> &EndpointId {
+        &self.response.reservation.id
+    }
+
+    /// Whether another endpoint may continue the stream for the caller.
+    fn can_resume(&self) -> bool {
+        self.has_events
+    }
+
+    /// Reads the next part, until `deadline` and for `time_limit` at most if there is one.
+    async fn read(
+        &mut self,
+        writer: &BodyWriter,
+        time_limit: Option<Duration>,
+        deadline: Instant,
+    ) -> StreamRead {
+        let stalled = tokio::time::sleep(time_limit.unwrap_or(Duration::MAX));
+        tokio::select! {
+            frame = self.response.body.frame() => match frame {
+                Some(Ok(frame)) => StreamRead::Data(frame.into_data().unwrap_or_default()),
+                Some(Err(error)) => StreamRead::Interrupted(error.to_string()),
+                None => self.end_of_body()
+            },
+            () = writer.closed() => StreamRead::CallerLeft,
+            () = tokio::time::sleep_until(deadline) => StreamRead::DeadlinePassed,
+            () = stalled, if time_limit.is_some() => StreamRead::Stalled
+        }
+    }
+
+    /// Whether the end of the body is the end of the stream. An endpoint that fails may close its
+    /// connection like one that is done, so the end of a connection alone does not show it.
+    fn end_of_body(&self) -> StreamRead {
+        if !self.has_events {
+            return StreamRead::End;
+        }
+        if self.events.inside_event() {
+            return StreamRead::Interrupted("the stream ended inside an event".to_owned());
+        }
+        if self.framing == Framing::Close && !self.events.has_event() {
+            return StreamRead::Interrupted("the connection ended before any event".to_owned());
+        }
+        StreamRead::End
+    }
+
+    /// Adds data that was read, and returns what may go to the caller now: whole events if the
+    /// stream may have to be resumed.
+    fn push(&mut self, data: Bytes, resumable: bool) -> Bytes {
+        let now = Instant::now();
+        self.response.reservation.pool.liveness().answer_received(now);
+        let ready = if resumable && self.has_events {
+            self.events.push(data)
+        } else {
+            self.events.pass(data)
+        };
+        if !ready.is_empty() {
+            self.response.reservation.record_events(&ready, now);
+        }
+        ready
+    }
+
+    fn response_end(&self, whole: bool) -> ResponseEnd {
+        ResponseEnd { framing: self.framing, tail_bytes: self.events.tail_bytes(), whole }
     }
 }
 
 async fn forward_stream(
     mut request: InFlightRequest,
-    mut response: EndpointResponse,
+    response: EndpointResponse,
     writer: BodyWriter,
     request_log: RequestLog,
 ) {
     let status = response.head.status.as_u16();
     let resumable = request.route.kind.repeatable();
-    let mut framing = Framing::of(&response.head);
-    let mut events = EventSplitter::resuming_after(request.call.last_event);
+    let mut source = StreamSource::new(response, request.call.last_event);
     let mut timing = ResponseTiming::default();
-    let cause = loop {
-        let elsewhere = resumable && request.runs < request.route.attempts;
+    let (cause, end) = loop {
+        let elsewhere = resumable && source.can_resume() && request.runs < request.route.attempts;
         let time_limit = elsewhere.then(|| request.route.event_timeout / STALL_DIVISOR);
-        let mut read = read_stream(&mut response, &writer, time_limit, request.deadline).await;
+        let mut read = source.read(&writer, time_limit, request.deadline).await;
         // A long prompt of another request stalls the stream as well. The search is only worth a
         // retry if another endpoint can resume the stream before the caller leaves.
         if matches!(read, StreamRead::Stalled)
-            && request.may_move(&response.reservation.id, request.route.event_timeout / 2)
+            && request.may_move(source.endpoint(), request.route.event_timeout / 2)
         {
-            match search_elsewhere(&mut request, &mut response, &writer, events.last_id()).await {
+            match search_elsewhere(&mut request, &mut source, &writer).await {
                 Search::Resumed(next) => {
-                    events = EventSplitter::resuming_after(events.last_id());
-                    framing = Framing::of(&next.head);
-                    response = *next;
+                    source = *next;
                     continue;
                 }
                 Search::Continued(next) => read = next,
@@ -108,16 +170,14 @@
         let cause = match read {
             StreamRead::CallerLeft => return request_log.log_caller_left(),
             StreamRead::DeadlinePassed => {
-                break "the deadline of the request has passed".to_owned();
+                let cause = "the deadline of the request has passed".to_owned();
+                break (cause, source.response_end(false));
             }
             StreamRead::Data(data) => {
-                let now = Instant::now();
-                response.reservation.pool.liveness().answer_received(now);
-                let ready = if resumable { events.push(data) } else { events.pass(data) };
+                let ready = source.push(data, resumable);
                 if ready.is_empty() {
                     continue;
                 }
-                response.reservation.record_events(&ready, now);
                 timing.record_chunk();
                 if writer.send(ready).await.is_err() {
                     return request_log.log_caller_left();
@@ -125,50 +185,44 @@
                 continue;
             }
             StreamRead::End => {
-                // What follows the last complete event is part of the response too.
-                let rest = events.take_rest();
+                // Blank lines after the last event are part of the response too.
+                let rest = source.events.take_rest();
                 if !rest.is_empty() {
                     let _ = writer.send(rest).await;
                 }
                 let _ = writer.finish().await;
-                request_log.log_response(status, &timing, response_end(framing, &events, true));
+                request_log.log_response(status, &timing, source.response_end(true));
                 request
                     .shared
                     .endpoints
                     .record_stream(timing.longest_gap > request.route.max_pause);
                 request.clear_suspicion();
-                return response.release_connection();
+                return source.response.release_connection();
             }
             StreamRead::Stalled => continue,
             StreamRead::Interrupted(cause) => cause,
         };
-        let id = response.reservation.id.clone();
-        drop(response);
+        let end = source.response_end(false);
+        let (id, can_resume) = (source.endpoint().clone(), source.can_resume());
+        let last_event = source.events.last_id();
+        drop(source);
         let resumed = tokio::select! {
-            resumed = resume_interrupted(&mut request, &id, &cause, events.last_id()) => resumed,
+            resumed = resume_interrupted(&mut request, &id, &cause, can_resume, last_event) => resumed,
             () = writer.closed() => return request_log.log_caller_left()
         };
         match resumed {
-            Some(next) => {
-                events = EventSplitter::resuming_after(events.last_id());
-                framing = Framing::of(&next.head);
-                response = next;
-            }
-            None => break cause,
+            Some(next) => source = next,
+            None => break (cause, end),
         }
     };
-    request_log.log_response(status, &timing, response_end(framing, &events, false));
+    request_log.log_response(status, &timing, end);
     writer.abort(std::io::Error::other(cause)).await;
 }
 
-fn response_end(framing: Framing, events: &EventSplitter, whole: bool) -> ResponseEnd {
-    ResponseEnd { framing, tail_bytes: events.tail_bytes(), whole }
-}
-
 /// Result of the search for another endpoint while a stream stalls.
 enum Search {
     /// Another endpoint has begun to continue the stream.
-    Resumed(Box<EndpointResponse>),
+    Resumed(Box<StreamSource>),
     /// The stream stays at its endpoint; this is what was read from it meanwhile.
     Continued(StreamRead),
 }
@@ -178,12 +232,12 @@
 /// event first keeps the stream.
 async fn search_elsewhere(
     request: &mut InFlightRequest,
-    response: &mut EndpointResponse,
+    source: &mut StreamSource,
     writer: &BodyWriter,
-    last_event: Option<u64>,
 ) -> Search {
-    let id = response.reservation.id.clone();
-    let (incarnation, pool) = (response.reservation.incarnation, response.reservation.pool.clone());
+    let (id, last_event) = (source.endpoint().clone(), source.events.last_id());
+    let reservation = &source.response.reservation;
+    let (incarnation, pool) = (reservation.incarnation, reservation.pool.clone());
     let shared = request.shared.clone();
     let (runs, sends, deadline) = (request.runs, request.sends, request.deadline);
     request.exclude(&id);
@@ -193,7 +247,7 @@
         loop {
             tokio::select! {
                 biased;
-                read = read_stream(response, writer, None, deadline), if lost.is_none() => match read {
+                read = source.read(writer, None, deadline), if lost.is_none() => match read {
                     StreamRead::Interrupted(cause) => {
                         // The other endpoint may be about to answer.
                         shared.endpoints.record_failure(&id, incarnation, &cause);
@@ -228,21 +282,24 @@
     request: &mut InFlightRequest,
     id: &EndpointId,
     cause: &str,
+    can_resume: bool,
     last_event: Option<u64>,
-) -> Option<EndpointResponse> {
+) -> Option<StreamSource> {
     // This run was already counted when its response began.
     request.runs = request.runs.saturating_sub(1);
     request.interrupted(id, cause).ok()?;
+    if !can_resume {
+        return None;
+    }
     resume(request, last_event).await
 }
 
 /// Sends the request to another endpoint, to continue its stream after an event.
-async fn resume(
-    request: &mut InFlightRequest,
-    last_event: Option<u64>,
-) -> Option<EndpointResponse> {
+async fn resume(request: &mut InFlightRequest, last_event: Option<u64>) -> Option<StreamSource> {
     request.send_by = request.deadline.min(Instant::now() + request.route.event_timeout / 2);
     let next = request.fetch_response(last_event).await.ok()?;
     request.log_step(Step::Resumed, &next.reservation.id, "");
-    next.head.status.is_success().then_some(next)
+    let has_succeeded = next.head.status.is_success();
+    let source = StreamSource::new(next, last_event);
+    (has_succeeded && source.has_events).then_some(source)
 }
--- a/components/sse/src/scanner.rs
+++ b/components/sse/src/scanner.rs
@@ -13,11 +13,19 @@
     inside_event: bool,
     /// The number of bytes since the end of the last event.
     tail_bytes: usize,
+    /// Whether an event is complete.
+    has_event: bool,
 }
 
 impl Default for EventScanner {
     fn default() -> Self {
-        Self { line_is_empty: true, after_cr: false, inside_event: false, tail_bytes: 0 }
+        Self {
+            line_is_empty: true,
+            after_cr: false,
+            inside_event: false,
+            tail_bytes: 0,
+            has_event: false,
+        }
     }
 }
 
@@ -49,6 +57,7 @@
                 complete = index + 1;
             }
         }
+        self.has_event |= complete > 0;
         self.tail_bytes = if complete > 0 { 0 } else { self.tail_bytes } + data.len() - complete;
         complete
     }
@@ -65,6 +74,11 @@
         self.inside_event
     }
 
+    /// Whether the bytes so far contain a complete event.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// The number of bytes since the end of the last event.
     pub fn tail_bytes(&self) -> usize {
         self.tail_bytes
--- a/components/sse/src/splitter.rs
+++ b/components/sse/src/splitter.rs
@@ -73,6 +73,11 @@
         self.scanner.inside_event()
     }
 
+    /// Whether the bytes so far contain a complete event.
+    pub fn has_event(&self) -> bool {
+        self.scanner.has_event()
+    }
+
     /// The number of bytes since the end of the last complete event.
     pub fn tail_bytes(&self) -> usize {
         self.scanner.tail_bytes()
