Router: a stream is not continued after a part of an event was passed on

A caller could get the start of an event twice, joined with its repetition: an event over 1 MiB is passed on in parts, and if its endpoint then broke the stream off, the next endpoint was asked to go on after the event before. Found by reading, as the same cause as in the incident: where an answer stops was taken for a place where it may go on. The test failed before (a 200, complete, with event 3 begun twice); the stream is aborted now.

--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -81,7 +81,7 @@
 
     /// Whether another endpoint may continue the stream for the caller.
     fn can_resume(&self) -> bool {
-        self.has_events
+        self.has_events && self.events.can_resume()
     }
 
     /// Reads the next part, until `deadline` and for `time_limit` at most if there is one.
