Agent: a stream that ends inside an event has been broken off

A stream of events that ends inside one is lost now: an engine is asked for the rest, a plain service's answer has failed.

--- a/components/agent/src/run/tests/service.rs
+++ b/components/agent/src/run/tests/service.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use edge::{CacheEvents, Endpoint, EndpointError, Inventory, Order, Usage};
+use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response};
 use process::ShutdownPhase;
 use rstest::rstest;
@@ -13,7 +14,7 @@
 use tree::NodeKind;
 use units::{RequestId, Span};
 use web::Body;
-use wire::{Dispatch, Refusal, UnknownCause};
+use wire::{Dispatch, Refusal, ResponseEnd, UnknownCause};
 
 use super::world::{Answer, Running, World, add, pause, set, settings, until};
 use crate::EndpointKind;
@@ -23,6 +24,8 @@
 struct Badges {
     executions: Arc<Mutex<BTreeMap<String, u32>>>,
     breaks: bool,
+    /// The events that it answers with, if it streams.
+    events: Option<&'static str>,
 }
 
 impl Badges {
@@ -63,7 +66,10 @@
         if self.breaks {
             return Err(EndpointError::Unknown("cut".to_owned()));
         }
-        Ok(Response::new(web::full("granted")))
+        let Some(events) = self.events else { return Ok(Response::new(web::full("granted"))) };
+        let mut response = Response::new(web::full(events));
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        Ok(response)
     }
 
     async fn resume(&self, _id: &RequestId, _from: u64) -> Result<Response<Body>, EndpointError> {
@@ -138,6 +144,24 @@
     assert_eq!(badges.executions()["r-1"], 1);
 }
 
+/// The connection of a service that fails in the middle of an event may end like that of one that is done.
+#[rstest]
+#[case::after_an_event("data: a\n\ndata: b\n\n", true)]
+#[case::inside_an_event("data: a\n\ndata: b\n", false)]
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_ends_inside_an_event_is_not_passed_on_as_complete(
+    #[case] events: &'static str,
+    #[case] is_whole: bool,
+) {
+    let badges = Badges { events: Some(events), ..Badges::default() };
+    let (_world, running) = start(&badges).await;
+    let answer = running.dispatch(&head(&running, "r-1")).await.expect("an answer");
+    let Answer::Served { text, end, .. } = &answer else { panic!("{answer:?}") };
+    assert_eq!(text, events);
+    assert_eq!(matches!(end, Some(ResponseEnd::Whole { .. })), is_whole, "{end:?}");
+    assert_eq!(matches!(end, Some(ResponseEnd::Failed(_))), !is_whole, "{end:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn can_leave_after_the_calls_in_hand() {
     let badges = Badges::default();
--- a/components/agent/src/stream.rs
+++ b/components/agent/src/stream.rs
@@ -6,6 +6,7 @@
 use edge::EndpointError;
 use http::{Request, Response, header};
 use http_body_util::BodyExt;
+use sse::EventScanner;
 use timeline::Kind;
 use web::Body;
 use wire::{Refusal, UnknownCause};
@@ -38,6 +39,13 @@
     Failed(UnknownCause),
 }
 
+/// What has been copied, over all connections.
+#[derive(Debug, Default)]
+struct Copied {
+    is_event_stream: bool,
+    events: EventScanner,
+}
+
 /// Why a connection gave no more.
 #[derive(Debug)]
 struct Lost(String);
@@ -45,14 +53,15 @@
 /// Sends the call once and copies the answer; an engine whose connection is lost is asked for the rest on
 /// new ones, and never sent the call again.
 pub(crate) async fn copy(agent: &Agent, slot: &Slot, request: Request<Body>) -> CopyEnd {
+    let mut copied = Copied::default();
     let first = match call(agent, slot, request).await {
-        Ok(response) => read(agent, slot, response).await,
+        Ok(response) => read(agent, slot, response, &mut copied).await,
         Err(EndpointError::Unknown(cause)) => Err(Lost(cause)),
         Err(error) => return CopyEnd::Refused(error.to_string()),
     };
     match (first, agent.settings.kind) {
         (Ok(()), _) => CopyEnd::Whole,
-        (Err(Lost(cause)), EndpointKind::Engine) => resume(agent, slot, cause).await,
+        (Err(Lost(cause)), EndpointKind::Engine) => resume(agent, slot, cause, &mut copied).await,
         (Err(Lost(cause)), EndpointKind::Service) => failed(cause),
     }
 }
@@ -81,20 +90,31 @@
     }
 }
 
-/// Copies a response to its end.
-async fn read(agent: &Agent, slot: &Slot, response: Response<Body>) -> Result<(), Lost> {
+/// Copies a response to its end. A stream of events that ends inside one is not complete: its sender may
+/// have failed and closed the connection.
+async fn read(
+    agent: &Agent,
+    slot: &Slot,
+    response: Response<Body>,
+    copied: &mut Copied,
+) -> Result<(), Lost> {
     let (parts, mut body) = response.into_parts();
     if slot.length().is_none() {
+        copied.is_event_stream = sse::is_event_stream(&parts.headers) == Some(true);
         let content = parts.headers.get(header::CONTENT_TYPE).cloned();
         slot.head(AnswerHead { status: parts.status, content });
     }
     while let Some(frame) = within(agent, body.frame()).await? {
         let frame = frame.map_err(|error| Lost(error.to_string()))?;
         if let Ok(bytes) = frame.into_data() {
+            copied.events.scan(&bytes);
             slot.push(compact(bytes));
             slot.room().await;
         }
     }
+    if copied.is_event_stream && copied.events.inside_event() {
+        return Err(Lost("the stream ended inside an event".to_owned()));
+    }
     Ok(())
 }
 
@@ -104,7 +124,7 @@
 }
 
 /// Asks an engine for the rest of the answer, on new connections.
-async fn resume(agent: &Agent, slot: &Slot, mut cause: String) -> CopyEnd {
+async fn resume(agent: &Agent, slot: &Slot, mut cause: String, copied: &mut Copied) -> CopyEnd {
     agent.recheck.notify_one();
     let mut idle = 0;
     while idle < MOST_RESUMES {
@@ -112,7 +132,7 @@
         log::info!("stream: {} is resumed at byte {from}: {cause}", slot.id);
         agent.record(Kind::Resumed, |event| event.request(&slot.id).note(cause.clone()));
         metrics::counter!("hyssop_agent_stream_resumes_total").increment(1);
-        match again(agent, slot, from).await {
+        match again(agent, slot, from, copied).await {
             Ok(()) => return CopyEnd::Whole,
             Err(lost) => cause = lost.0,
         }
@@ -124,8 +144,8 @@
     failed(cause)
 }
 
-async fn again(agent: &Agent, slot: &Slot, from: u64) -> Result<(), Lost> {
+async fn again(agent: &Agent, slot: &Slot, from: u64, copied: &mut Copied) -> Result<(), Lost> {
     let resumed = within(agent, agent.endpoint.resume(&slot.id, from)).await?;
     let response = resumed.map_err(|error| Lost(error.to_string()))?;
-    read(agent, slot, response).await
+    read(agent, slot, response, copied).await
 }
