--- a/components/agent/src/kept.rs
+++ b/components/agent/src/kept.rs
@@ -29,8 +29,7 @@
 impl AnswerHead {
     /// Whether the answer comes as a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
-        let content = self.content.as_ref().and_then(|content| content.to_str().ok());
-        content.is_some_and(|content| content.starts_with("text/event-stream"))
+        self.content.as_ref().is_some_and(sse::is_event_stream)
     }
 }
 
--- a/components/agent/src/stream.rs
+++ b/components/agent/src/stream.rs
@@ -100,8 +100,8 @@
 ) -> Result<(), Lost> {
     let (parts, mut body) = response.into_parts();
     if slot.length().is_none() {
-        copied.is_event_stream = sse::is_event_stream(&parts.headers) == Some(true);
         let content = parts.headers.get(header::CONTENT_TYPE).cloned();
+        copied.is_event_stream = content.as_ref().is_some_and(sse::is_event_stream);
         slot.head(AnswerHead { status: parts.status, content });
     }
     while let Some(frame) = within(agent, body.frame()).await? {
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -163,7 +163,7 @@
     head: &AnswerHead,
     messages: mpsc::Receiver<Message>,
 ) -> Response<Body> {
-    let events = head.content.as_ref().is_some_and(is_event_stream);
+    let events = head.content.as_ref().is_some_and(sse::is_event_stream);
     let source = Source { messages, request: request.clone(), events, ended: false };
     let frames = stream::unfold(source, |mut source| async move {
         let frame = source.next().await?;
@@ -178,11 +178,6 @@
     response
 }
 
-/// Whether the content is a stream of server-sent events.
-pub(crate) fn is_event_stream(content: &HeaderValue) -> bool {
-    content.as_bytes().starts_with(b"text/event-stream")
-}
-
 /// The body of an answer that has begun.
 struct Source {
     messages: mpsc::Receiver<Message>,
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -7,7 +7,7 @@
 use tree::Class;
 use wire::{Refusal, Report, ResponseEnd, UnknownCause, parse_end_trailers};
 
-use crate::answer::{AnswerHead, Message, is_event_stream};
+use crate::answer::{AnswerHead, Message};
 use crate::candidate::Candidate;
 use crate::flight::Flight;
 
@@ -79,7 +79,7 @@
     fn mode(&self) -> Mode {
         let content = self.head.as_ref().and_then(|head| head.content.as_ref());
         match content {
-            Some(content) if is_event_stream(content) => Mode::Events,
+            Some(content) if sse::is_event_stream(content) => Mode::Events,
             Some(content) if content.as_bytes().starts_with(b"application/json") => Mode::Held,
             Some(_) | None => Mode::Plain,
         }
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -69,7 +69,11 @@
     fn new(response: EndpointResponse, last_event: Option<u64>) -> Self {
         Self {
             framing: Framing::of(&response.head),
-            has_events: sse::is_event_stream(&response.head.headers).unwrap_or(true),
+            has_events: response
+                .head
+                .headers
+                .get(header::CONTENT_TYPE)
+                .is_none_or(sse::is_event_stream),
             events: EventSplitter::resuming_after(last_event),
             response,
         }
--- a/components/sse/src/lib.rs
+++ b/components/sse/src/lib.rs
@@ -6,16 +6,15 @@
 pub use scanner::EventScanner;
 pub use splitter::{EventSplitter, MAX_EVENT_BYTES};
 
-use http::header::{CONTENT_TYPE, HeaderMap};
+use http::header::HeaderValue;
 
 /// The media type of a stream of events.
 const MEDIA_TYPE: &[u8] = b"text/event-stream";
 
-/// Whether the headers of a response declare a stream of events; `None` if they declare no type at all.
-pub fn is_event_stream(headers: &HeaderMap) -> Option<bool> {
-    let value = headers.get(CONTENT_TYPE)?.as_bytes();
-    let media_type = value.split(|byte| *byte == b';').next().unwrap_or_default();
-    Some(media_type.trim_ascii().eq_ignore_ascii_case(MEDIA_TYPE))
+/// Whether a content type is that of a stream of events.
+pub fn is_event_stream(content_type: &HeaderValue) -> bool {
+    let media_type = content_type.as_bytes().split(|byte| *byte == b';').next();
+    media_type.unwrap_or_default().trim_ascii().eq_ignore_ascii_case(MEDIA_TYPE)
 }
 
 /// The id in a line of a stream, if the line has a numeric one.
--- a/components/sse/src/tests.rs
+++ b/components/sse/src/tests.rs
@@ -1,28 +1,21 @@
 //! Tests of headers and lines of event streams.
 
-use http::header::HeaderValue;
 use rstest::rstest;
 
 use super::*;
 
 #[rstest]
-#[case::plain("text/event-stream", Some(true))]
-#[case::with_charset("text/event-stream; charset=utf-8", Some(true))]
-#[case::in_capitals("Text/Event-Stream", Some(true))]
-#[case::json("application/json", Some(false))]
-#[case::longer("text/event-streams", Some(false))]
-#[case::empty("", Some(false))]
+#[case::plain("text/event-stream", true)]
+#[case::with_charset("text/event-stream; charset=utf-8", true)]
+#[case::in_capitals("Text/Event-Stream", true)]
+#[case::json("application/json", false)]
+#[case::longer("text/event-streams", false)]
+#[case::empty("", false)]
 fn an_event_stream_is_recognized_by_its_media_type(
     #[case] value: &'static str,
-    #[case] expected: Option<bool>,
+    #[case] expected: bool,
 ) {
-    let headers = HeaderMap::from_iter([(CONTENT_TYPE, HeaderValue::from_static(value))]);
-    assert_eq!(is_event_stream(&headers), expected);
-}
-
-#[test]
-fn headers_without_a_media_type_declare_nothing() {
-    assert_eq!(is_event_stream(&HeaderMap::new()), None);
+    assert_eq!(is_event_stream(&HeaderValue::from_static(value)), expected);
 }
 
 #[test]
