Router: the end of a connection does not clear a request that may crash endpoints

Endpoints went on to be crashed by a request that had crashed three before, if its answer had neither a length nor chunks and stopped between two events: the connection of the crashed endpoint ended, that counted as a run to the end, and a run to the end clears a request at all routers.

Such a request stays among those that may be to blame if its endpoint turns out to have crashed, like one that was cut. If it is under suspicion already, its endpoint is examined at once; when that is still running, and the list shows no restart either, the answer was complete and the request is cleared.

Not covered: if nothing else shows that the endpoint has crashed, and the request is not under suspicion yet, nobody looks.

--- a/components/router/src/crash_check.rs
+++ b/components/router/src/crash_check.rs
@@ -117,31 +117,36 @@
     if ended {
         return shared.guard.finish_examination(&pool, crash);
     }
-    pool.sent_requests().clear_candidates();
+    let complete = pool.sent_requests().clear_candidates();
     shared.guard.finish_examination(&pool, None);
-    if let Some(crash) = crash.filter(|_| finding == Finding::NotCrashed(STILL_RUNNING)) {
-        watch_list(&shared, crash, &pool, since + LIST_DELAY).await;
+    let Some(crash) = crash.filter(|_| finding == Finding::NotCrashed(STILL_RUNNING)) else {
+        return;
+    };
+    if !watch_list(&shared, crash, &pool, since + LIST_DELAY).await {
+        complete.iter().for_each(|digest| shared.guard.record_completion(digest));
     }
 }
 
 /// Watches the list for a restart of an endpoint that answers: an endpoint without models does not say in which incarnation
-/// it is. The requests that it had are retried meanwhile.
+/// it is. The requests that it had are retried meanwhile. Returns whether it has crashed.
 async fn watch_list(
     shared: &Arc<Shared>,
     crash: Crash,
     pool: &Arc<ConnectionPool>,
     until: Instant,
-) {
+) -> bool {
     while Instant::now() < until {
         tokio::time::sleep(MAX_PAUSE).await;
         match check_table(shared, &crash.endpoint, pool) {
             None => {}
             Some(Finding::Crashed(_)) => {
-                return shared.guard.record(QuarantineRecord::Crash(crash));
+                shared.guard.record(QuarantineRecord::Crash(crash));
+                return true;
             }
-            Some(Finding::NotCrashed(_)) => return,
+            Some(Finding::NotCrashed(_)) => return false,
         }
     }
+    false
 }
 
 async fn examine(
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -12,7 +12,7 @@
 use platform::ForwardOptions;
 use quarantine::Digest;
 use tokio::time::Instant;
-use web::Body;
+use web::{Body, Framing};
 
 use crate::caller::CallerConnection;
 use crate::pool::Connection;
@@ -34,8 +34,13 @@
 }
 
 impl EndpointResponse {
+    /// What marks the end of the body.
+    pub(crate) fn framing(&self) -> Framing {
+        Framing::of(&self.head)
+    }
+
     /// Clears the request of suspicion and returns the connection to the pool; the body must have
-    /// been read to its end.
+    /// been read to its marked end.
     pub(crate) fn release_connection(mut self) {
         self.reservation.clear_suspicion();
         let timeout = idle_timeout(&self.head.headers);
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -239,6 +239,11 @@
         self.apply(&[KeyedRecord { key: record.key(&self.router), record }]);
     }
 
+    /// Whether an endpoint has crashed while it had the request.
+    pub(crate) fn is_watched(&self, digest: &Digest) -> bool {
+        self.lock().table.suspicion(digest) != SuspicionLevel::Clear
+    }
+
     /// Releases a suspect on an operator's request. Returns false if the request is no suspect.
     pub(crate) fn release(&self, digest: &Digest) -> bool {
         let suspect = self.lock().table.suspicion(digest) == SuspicionLevel::Suspect;
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -6,6 +6,7 @@
 
 use super::{CrashGuard, Rejection, SendPermit, wall_clock};
 use crate::pool::ConnectionPool;
+use crate::sent_requests::RunEnd;
 
 const LONG_WAIT: Duration = Duration::from_secs(60);
 
@@ -78,7 +79,7 @@
     let guard = guard();
     let pool = Arc::new(ConnectionPool::new(([127, 0, 0, 1], 9).into()));
     let ticket = pool.sent_requests().begin(digest("a"));
-    pool.sent_requests().end(ticket, false, Instant::now());
+    pool.sent_requests().end(ticket, RunEnd::Cut, Instant::now());
     let before = try_acquire(&guard, "a").await.expect("no wait").expect("a permit");
     guard.begin_examination(&pool);
     assert!(!guard.allows(&digest("a"), &before));
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -9,6 +9,7 @@
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, Rate, ServiceName};
+use web::Framing;
 
 use crate::access::{self, Identity};
 use crate::caller::CallerConnection;
@@ -246,9 +247,21 @@
         permit.is_some_and(|permit| self.shared.guard.allows(&self.outgoing.digest, permit))
     }
 
-    /// Clears the request of suspicion, because its endpoint survived it.
-    pub(crate) fn clear_suspicion(&self) {
-        self.shared.guard.record_completion(&self.outgoing.digest);
+    /// Records that a response has been read to its end, and clears the request of suspicion if its
+    /// endpoint survived it.
+    pub(crate) fn complete(&self, mut response: EndpointResponse) {
+        let (guard, digest) = (&self.shared.guard, &self.outgoing.digest);
+        if response.framing() != Framing::Close {
+            guard.record_completion(digest);
+            return response.release_connection();
+        }
+        // The connections of an endpoint that crashes end as well.
+        if !response.reservation.end_with_connection() {
+            guard.record_completion(digest);
+        } else if guard.is_watched(digest) {
+            let Reservation { id, incarnation, pool, .. } = &response.reservation;
+            crash_check::start(&self.shared, id, *incarnation, pool);
+        }
     }
 
     fn needs<'a>(&'a self, excluded: &'a [EndpointId]) -> RequestNeeds<'a> {
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -103,11 +103,9 @@
                 let mut relayed = Response::new(web::full(bytes));
                 *relayed.status_mut() = response.head.status;
                 *relayed.headers_mut() = headers;
-                let framing = Framing::of(&response.head);
-                let end = ResponseEnd { framing, tail_bytes: 0, whole: true };
+                let end = ResponseEnd { framing: response.framing(), tail_bytes: 0, whole: true };
                 request_log.log_response(response.head.status.as_u16(), &timing, end);
-                response.release_connection();
-                request.clear_suspicion();
+                request.complete(response);
                 return Ok(relayed);
             }
             Err(cause) => {
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -13,7 +13,7 @@
 use crate::endpoint::TrackedEndpoint;
 use crate::pool::ConnectionPool;
 use crate::registry::EndpointTable;
-use crate::sent_requests::SentRequestId;
+use crate::sent_requests::{RunEnd, SentRequestId};
 use crate::shared::Shared;
 use crate::speeds::{self, StreamMeter};
 use crate::wait_queue::QueuePlace;
@@ -127,10 +127,18 @@
     /// Records that the endpoint survived the request, or never received it.
     pub(crate) fn clear_suspicion(&mut self) {
         if let Some(sent_id) = self.sent_id.take() {
-            self.pool.sent_requests().end(sent_id, true, Instant::now());
+            self.pool.sent_requests().end(sent_id, RunEnd::Survived, Instant::now());
         }
     }
 
+    /// Records that the answer ended with its connection. Returns whether the request may be to blame if the endpoint has
+    /// crashed.
+    pub(crate) fn end_with_connection(&mut self) -> bool {
+        let sent_id = self.sent_id.take();
+        let end = |id| self.pool.sent_requests().end(id, RunEnd::WithConnection, Instant::now());
+        sent_id.is_some_and(end)
+    }
+
     /// Applies what a response says of the endpoint, unless another endpoint has answered.
     pub(crate) fn apply_headers(&self, status: StatusCode, headers: &HeaderMap) {
         if platform::instance_of(headers).is_some_and(|other| other != self.id) {
@@ -195,7 +203,7 @@
         let mut sent_requests = self.pool.sent_requests();
         sent_requests.isolated = sent_requests.isolated.saturating_sub(u32::from(self.isolated));
         if let Some(sent_id) = self.sent_id {
-            sent_requests.end(sent_id, false, now);
+            sent_requests.end(sent_id, RunEnd::Cut, now);
         }
         drop(sent_requests);
         let shared = self.shared.clone();
--- a/components/router/src/sent_requests.rs
+++ b/components/router/src/sent_requests.rs
@@ -30,6 +30,26 @@
     }
 }
 
+/// How a request ended at its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunEnd {
+    /// The endpoint outlived the request, or never had it.
+    Survived,
+    /// The answer was cut, or nobody waits for it any more.
+    Cut,
+    /// The answer ended with its connection. It may be complete, or the endpoint may have crashed.
+    WithConnection,
+}
+
+/// A request that may have been running when the endpoint crashed.
+#[derive(Debug, Clone, Copy)]
+struct CutRequest {
+    digest: Digest,
+    at: Instant,
+    /// Whether its answer is complete if the endpoint has not crashed.
+    may_be_complete: bool,
+}
+
 /// Identifies one request among [`SentRequests`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct SentRequestId(u64);
@@ -38,7 +58,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct SentRequests {
     running: Vec<SentRequest>,
-    cut: VecDeque<(Digest, Instant)>,
+    cut: VecDeque<CutRequest>,
     last_id: u64,
     /// The number of requests that are isolated from each other by the crash guard.
     pub(crate) isolated: u32,
@@ -62,19 +82,21 @@
         }
     }
 
-    /// Records that a request is over; `whole` says that the endpoint outlived it or never had it.
-    pub(crate) fn end(&mut self, id: SentRequestId, whole: bool, now: Instant) {
+    /// Records that a request is over. Returns whether it may be to blame if the endpoint has crashed.
+    pub(crate) fn end(&mut self, id: SentRequestId, end: RunEnd, now: Instant) -> bool {
         let Some(index) = self.running.iter().position(|request| request.id == id.0) else {
-            return;
+            return false;
         };
         let request = self.running.swap_remove(index);
-        if whole || !request.may_have_crashed(now) {
-            return;
+        if end == RunEnd::Survived || !request.may_have_crashed(now) {
+            return false;
         }
         if self.cut.len() == MAX_CUT_REQUESTS {
             self.cut.pop_front();
         }
-        self.cut.push_back((request.digest, now));
+        let may_be_complete = end == RunEnd::WithConnection;
+        self.cut.push_back(CutRequest { digest: request.digest, at: now, may_be_complete });
+        true
     }
 
     /// The requests that may be to blame if the endpoint has just crashed.
@@ -84,8 +106,8 @@
 
     fn candidates(&self, now: Instant) -> impl Iterator<Item = &Digest> {
         let running = self.running.iter().filter(move |request| request.may_have_crashed(now));
-        let cut = self.cut.iter().filter(move |(_, at)| now - *at < CUT_WINDOW);
-        running.map(|request| &request.digest).chain(cut.map(|(digest, _)| digest))
+        let cut = self.cut.iter().filter(move |cut| now - cut.at < CUT_WINDOW);
+        running.map(|request| &request.digest).chain(cut.map(|cut| &cut.digest))
     }
 
     /// Whether a request is among those that may be to blame.
@@ -98,10 +120,12 @@
         !std::mem::replace(&mut self.examining, true)
     }
 
-    /// Ends an examination that found no crash, or had no result.
-    pub(crate) fn clear_candidates(&mut self) {
+    /// Ends an examination that found no crash, or had no result. Returns the requests whose answers are complete if there
+    /// was no crash.
+    pub(crate) fn clear_candidates(&mut self) -> Vec<Digest> {
         self.examining = false;
-        self.cut.clear();
+        let cut = self.cut.drain(..).filter(|cut| cut.may_be_complete);
+        cut.map(|cut| cut.digest).collect()
     }
 }
 
--- a/components/router/src/sent_requests/tests.rs
+++ b/components/router/src/sent_requests/tests.rs
@@ -4,7 +4,7 @@
 use quarantine::Digest;
 use tokio::time::Instant;
 
-use super::{CRASH_WINDOW, CUT_WINDOW, SentRequests};
+use super::{CRASH_WINDOW, CUT_WINDOW, RunEnd, SentRequests};
 
 fn digest(name: &str) -> Digest {
     Digest::of(&[name.as_bytes()])
@@ -18,8 +18,8 @@
     let whole = requests.begin(digest("whole"));
     requests.begin(digest("running"));
     requests.answer_began(cut, now);
-    requests.end(cut, false, now);
-    requests.end(whole, true, now);
+    requests.end(cut, RunEnd::Cut, now);
+    requests.end(whole, RunEnd::Survived, now);
     assert_eq!(requests.crash_candidates(now), BTreeSet::from([digest("cut"), digest("running")]));
     assert!(requests.is_candidate(&digest("cut"), now));
     assert!(!requests.is_candidate(&digest("whole"), now));
@@ -35,8 +35,8 @@
     // Only the first piece of the answer counts as its beginning.
     requests.answer_began(old, now + Duration::from_secs(2));
     let later = now + CRASH_WINDOW;
-    requests.end(old, false, later);
-    requests.end(silent, false, later);
+    requests.end(old, RunEnd::Cut, later);
+    requests.end(silent, RunEnd::Cut, later);
     assert_eq!(requests.crash_candidates(later), BTreeSet::from([digest("silent")]));
 }
 
@@ -45,10 +45,21 @@
     let now = Instant::now();
     let mut requests = SentRequests::default();
     let cut = requests.begin(digest("cut"));
-    requests.end(cut, false, now);
+    requests.end(cut, RunEnd::Cut, now);
     assert!(requests.begin_examination());
     assert!(!requests.begin_examination());
     requests.clear_candidates();
     assert!(requests.crash_candidates(now).is_empty());
     assert!(requests.begin_examination());
 }
+
+#[test]
+fn a_request_whose_answer_ended_with_its_connection_is_complete_if_the_endpoint_has_not_crashed() {
+    let now = Instant::now();
+    let mut requests = SentRequests::default();
+    let (cut, ended) = (requests.begin(digest("cut")), requests.begin(digest("ended")));
+    assert!(requests.end(cut, RunEnd::Cut, now));
+    assert!(requests.end(ended, RunEnd::WithConnection, now));
+    assert!(requests.is_candidate(&digest("ended"), now));
+    assert_eq!(requests.clear_candidates(), [digest("ended")]);
+}
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -68,7 +68,7 @@
     /// A stream that begins after the event with this id, or at its first event.
     fn new(response: EndpointResponse, last_event: Option<u64>) -> Self {
         Self {
-            framing: Framing::of(&response.head),
+            framing: response.framing(),
             has_events: response
                 .head
                 .headers
@@ -200,8 +200,7 @@
                     .shared
                     .endpoints
                     .record_stream(timing.longest_gap > request.route.max_pause);
-                request.clear_suspicion();
-                return source.response.release_connection();
+                return request.complete(source.response);
             }
             StreamRead::Stalled => continue,
             StreamRead::Interrupted(cause) => cause,
