Router: a cut stream to a caller without chunks ends with a reset

A caller that speaks HTTP/1.0 gets streams with neither a length nor chunks from the router itself, and a stream that was broken off ended like one that is complete.

--- a/components/router/src/caller.rs
+++ b/components/router/src/caller.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::{SockRef, Socket};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -20,6 +21,13 @@
         Self(Arc::new(stream))
     }
 
+    /// Has the connection reset when it is closed.
+    pub(crate) fn reset_on_close(&self) {
+        if let Err(error) = SockRef::from(&*self.0).set_linger(Some(Duration::ZERO)) {
+            log::warn!("router: a connection of a caller is closed and not reset: {error}");
+        }
+    }
+
     /// Whether the caller has closed the connection, as the operating system reports it. The async
     /// runtime may know it later: it is notified only once of a request and a close that arrive
     /// together.
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -5,7 +5,7 @@
 
 use catalog::{Catalog, Route};
 use events::{Event, Refusal, Step, emit};
-use http::StatusCode;
+use http::{StatusCode, Version};
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, Rate, ServiceName};
@@ -52,6 +52,8 @@
 pub(crate) struct InFlightRequest {
     pub(crate) shared: Arc<Shared>,
     pub(crate) caller: CallerConnection,
+    /// The version of HTTP that the caller speaks.
+    pub(crate) version: Version,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -165,11 +165,12 @@
     if !matches!(identity, Identity::Unmanaged) {
         platform::remove_identity(&mut parts.headers);
     }
-    let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
+    let (method, uri, headers, version) = (parts.method, parts.uri, parts.headers, parts.version);
     let outgoing = OutgoingRequest { method, uri, headers, body, digest };
     let mut in_flight = InFlightRequest {
         shared: shared.clone(),
         caller,
+        version,
         catalog,
         route,
         service,
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -5,8 +5,7 @@
 
 use bytes::Bytes;
 use events::Step;
-use http::Response;
-use http::header;
+use http::{Response, Version, header};
 use http_body_util::BodyExt;
 use sse::EventSplitter;
 use tokio::time::Instant;
@@ -219,6 +218,10 @@
         }
     };
     request_log.log_response(status, &timing, end);
+    if request.version < Version::HTTP_11 {
+        // Without chunks, only a reset tells the caller that the response is cut.
+        request.caller.reset_on_close();
+    }
     writer.abort(std::io::Error::other(cause)).await;
 }
 
