Less processor time in loaders and searches: nothing is copied or looked up twice

The load is the polls of 24 routers at 64 loaders: each one, and each ask for a model, runs a whole round of its loader.

Without any change of a decision: - a loader copies what its endpoint holds only when it publishes, and compares step times in place; - queue summaries are searched for expired ones only when one has expired, the routers without a summary are found by a merge, the first request of a model by its key, and the clock is read once for all polls; - a search looks up where each endpoint would load a model from once, leaves out those without a copy before it estimates anything, and copies no ids.

--- a/components/loader/src/controller/publish.rs
+++ b/components/loader/src/controller/publish.rs
@@ -2,7 +2,7 @@
 
 use control::{EndpointLoad, StepTime};
 use events::{Event, emit};
-use fleet::{Holdings, Loading, Tier};
+use fleet::{Holdings, Loading, Tier, WeightCopies};
 use platform::Operation;
 use speed::Step;
 use tokio::time::Instant;
@@ -33,12 +33,10 @@
         let evicted =
             evicted.or(self.view.eviction.as_ref().map(|eviction| eviction.model.clone()));
         let (running, room_wait) = (self.view.total_running(), plan::room_wait(&self.view, now));
-        let holdings = Holdings {
-            models: report.map(|report| report.models.clone()).unwrap_or_default(),
-            copies: report.map(|report| report.copies.clone()).unwrap_or_default(),
-            loading,
-            evicting: evicted.into_iter().collect(),
-        };
+        // Most calls publish nothing, so that nothing is copied before it is known to have changed.
+        let no_copies = WeightCopies::default();
+        let models = report.map_or(&[][..], |report| &report.models);
+        let copies = report.map_or(&no_copies, |report| &report.copies);
         let awaited =
             self.view.requested.values().filter(|requested| requested.total_waiting() > 0).count();
         let waiting = u32::try_from(awaited).unwrap_or(u32::MAX);
@@ -52,11 +50,11 @@
         let interval = rates::publication_interval(self.view.active_routers());
         let rates_due = self.published.is_none_or(|at| now - at >= interval);
         let changed = self.state.send_if_modified(|state| {
-            let same = state.holdings.models == holdings.models
-                && state.holdings.evicting == holdings.evicting
-                && state.holdings.copies == holdings.copies
+            let same = state.holdings.models == models
+                && state.holdings.evicting.iter().eq(&evicted)
+                && state.holdings.copies == *copies
                 && state.holdings.loading.as_ref().map(|l| &l.model)
-                    == holdings.loading.as_ref().map(|l| &l.model)
+                    == loading.as_ref().map(|l| &l.model)
                 && state.can_order == can_order
                 && state.draining == draining
                 && state.rate_limit == rate_limit
@@ -75,7 +73,12 @@
             if same {
                 return true;
             }
-            state.holdings = holdings;
+            state.holdings = Holdings {
+                models: models.to_vec(),
+                copies: copies.clone(),
+                loading,
+                evicting: evicted.into_iter().collect(),
+            };
             state.can_order = can_order;
             state.draining = draining;
             state.rate_limit = rate_limit;
--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -113,9 +113,13 @@
 ) -> u32 {
     let summaries = view.rooms.queues.summaries(model, now);
     let queued: u32 = summaries.map(|received| received.in_time(end)).sum();
-    let routers = view.rooms.queues.routers(model, now);
+    // Both are in the order of the routers.
+    let mut routers = view.rooms.queues.routers(model, now).peekable();
     let others = requested.into_iter().flat_map(|requested| &requested.waiting);
-    let unqueued = others.filter(|(router, _)| !routers.contains(router.as_str()));
+    let unqueued = others.filter(|(router, _)| {
+        while routers.next_if(|queued| *queued < router.as_str()).is_some() {}
+        routers.peek() != Some(&router.as_str())
+    });
     queued.saturating_add(unqueued.map(|(_, waiting)| waiting).sum())
 }
 
@@ -163,8 +167,7 @@
         let end = now + openings::start_delay(view, model, now) + duration;
         let summaries = || view.rooms.queues.summaries(model, now);
         let deadline = summaries().filter_map(|received| received.deadline_after(end)).min();
-        let requested = view.requested.iter().find(|(id, _)| id.model == *model);
-        let in_time = waiting_in_time(view, model, requested.map(|(_, one)| one), end, now);
+        let in_time = waiting_in_time(view, model, view.first_requested(model), end, now);
         let workspaces = summaries().flat_map(|received| received.workspaces());
         Self {
             urgent: deadline.is_some_and(|deadline| deadline - end < other),
--- a/components/loader/src/room/queues.rs
+++ b/components/loader/src/room/queues.rs
@@ -3,7 +3,7 @@
 //! A summary is kept until its last deadline, also after its request was refused, so that the requests of a router
 //! count while it waits for the time that it was told.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use catalog::ModelId;
@@ -93,6 +93,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Queues {
     models: BTreeMap<ModelName, BTreeMap<Waiter, ReceivedSummary>>,
+    /// No summary expires before this time; none if there is no summary.
+    first_expiry: Option<Instant>,
 }
 
 impl Queues {
@@ -116,6 +118,8 @@
         }
         let waiter = Waiter { router: router.to_owned(), adapter: target.adapter.clone() };
         let received = ReceivedSummary { summary, arrived: now };
+        let expiry = received.expiry();
+        self.first_expiry = Some(self.first_expiry.map_or(expiry, |first| first.min(expiry)));
         self.models.entry(target.model.clone()).or_default().insert(waiter, received);
     }
 
@@ -136,10 +140,15 @@
 
     /// Removes summaries whose last deadline has passed.
     pub(crate) fn expire(&mut self, now: Instant) {
+        if self.first_expiry.is_none_or(|first| first > now) {
+            return;
+        }
         self.models.retain(|_, summaries| {
             summaries.retain(|_, received| received.expiry() > now);
             !summaries.is_empty()
         });
+        let left = self.models.values().flat_map(BTreeMap::values);
+        self.first_expiry = left.map(ReceivedSummary::expiry).min();
     }
 
     /// Whether any summary is in force.
@@ -157,11 +166,11 @@
         summaries.filter(move |received| received.expiry() > now)
     }
 
-    /// The routers with a summary in force for a model.
-    pub(crate) fn routers(&self, model: &ModelName, now: Instant) -> BTreeSet<&str> {
+    /// The routers with a summary in force for a model, in order; one with summaries for several adapters comes several times.
+    pub(crate) fn routers(&self, model: &ModelName, now: Instant) -> impl Iterator<Item = &str> {
         let summaries = self.models.get(model).into_iter().flatten();
-        let live = summaries.filter(|(_, received)| received.expiry() > now);
-        live.map(|(waiter, _)| waiter.router.as_str()).collect()
+        let live = summaries.filter(move |(_, received)| received.expiry() > now);
+        live.map(|(waiter, _)| waiter.router.as_str())
     }
 
     /// Whether a summary for a model was renewed lately: requests still wait for it although it may be loaded.
--- a/components/loader/src/view.rs
+++ b/components/loader/src/view.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Requests that run, as reported by routers that have polled recently.
+    fn running_at(&self, now: Instant) -> u32 {
+        let recent = self.running.values().filter(|(_, poll)| poll.is_recent(now));
+        recent.map(|(count, _)| count).sum()
+    }
+
     fn rate_at(&self, now: Instant) -> f64 {
         self.request_rate * self.remaining_weight(RATE_TIME_CONSTANT, now)
     }
@@ -106,8 +112,8 @@
 }
 
 impl LastPoll {
-    pub(crate) fn is_recent(self) -> bool {
-        self.at.elapsed() < ROUTER_TIMEOUT.max(self.wait * ROUTER_TIMEOUT_WAITS)
+    pub(crate) fn is_recent(self, now: Instant) -> bool {
+        now - self.at < ROUTER_TIMEOUT.max(self.wait * ROUTER_TIMEOUT_WAITS)
     }
 }
 
@@ -168,9 +174,14 @@
 
     /// Requests that run with a model, as reported by routers that have polled recently.
     pub(crate) fn running(&self, model: &ModelName) -> u32 {
-        let Some(usage) = self.usage.get(model) else { return 0 };
-        let recent = usage.running.values().filter(|(_, poll)| poll.is_recent());
-        recent.map(|(count, _)| count).sum()
+        self.usage.get(model).map_or(0, |usage| usage.running_at(Instant::now()))
+    }
+
+    /// What routers ask for of a model: the model itself, or else the first of its adapters.
+    pub(crate) fn first_requested(&self, model: &ModelName) -> Option<&RequestedModel> {
+        let base = ModelId { model: model.clone(), adapter: None };
+        let (id, requested) = self.requested.range(base..).next()?;
+        (id.model == *model).then_some(requested)
     }
 
     /// The recent rate of requests for a model, per second.
@@ -180,7 +191,7 @@
 
     /// The rates of requests for the models that the endpoint holds, per second; none while no router uses them.
     pub(crate) fn shared_rates(&self, now: Instant) -> Vec<(ModelName, f64)> {
-        if !self.rates_wanted.is_some_and(LastPoll::is_recent) {
+        if !self.rates_wanted.is_some_and(|poll| poll.is_recent(now)) {
             return Vec::new();
         }
         let held = self.report.iter().flat_map(|report| &report.models).map(|held| &held.model);
@@ -193,13 +204,15 @@
 
     /// The number of routers that have polled recently.
     pub(crate) fn active_routers(&self) -> u32 {
-        let active = self.routers.values().filter(|poll| poll.is_recent()).count();
+        let now = Instant::now();
+        let active = self.routers.values().filter(|poll| poll.is_recent(now)).count();
         u32::try_from(active).unwrap_or(u32::MAX)
     }
 
     /// Requests that run with any model.
     pub(crate) fn total_running(&self) -> u32 {
-        self.usage.keys().map(|model| self.running(model)).sum()
+        let now = Instant::now();
+        self.usage.values().map(|usage| usage.running_at(now)).sum()
     }
 
     /// When a model was last used.
--- a/components/placement/src/load_target.rs
+++ b/components/placement/src/load_target.rs
@@ -92,18 +92,25 @@
     let LoadNeeds { id, engine, source, max } = *needs;
     let Some(spec) = engine.model(&id.model) else { return Vec::new() };
     let key = id.model.as_str();
-    let able = candidates.iter().enumerate().filter(|(_, candidate)| candidate.can_load);
+    let tiers: Vec<Option<Tier>> = candidates
+        .iter()
+        .map(|candidate| candidate.holdings.map(|holdings| holdings.tier(&id.model)))
+        .collect();
     let store = match source {
         LoadSource::CopiesOnly => false,
-        LoadSource::CopiesOrStore => !has_copy(candidates, &id.model),
+        LoadSource::CopiesOrStore => tiers.iter().flatten().all(|tier| *tier == Tier::Store),
     };
+    let able = candidates.iter().enumerate().filter(|(_, candidate)| candidate.can_load);
     let targets = able.filter_map(|(index, candidate)| {
-        let (tier, ready_in) =
-            estimate_load(candidate, candidate.holdings?, &id.model, spec, engine);
-        let is_loading = candidate.holdings?.loading.as_ref().is_some_and(|l| l.model == id.model);
-        let allowed = tier != Tier::Store || is_loading || store;
+        let (holdings, tier) = (candidate.holdings?, tiers[index]?);
+        let is_loading = holdings.loading.as_ref().is_some_and(|l| l.model == id.model);
+        // Most endpoints have no copy: they are left out before anything is estimated.
+        if tier == Tier::Store && !is_loading && !store {
+            return None;
+        }
+        let ready_in = estimate_load(candidate, holdings, tier, &id.model, spec, engine);
         let target = LoadTarget { index, tier, ready_in };
-        allowed.then(|| (target, (cost(&target, candidate), candidate.rank(key))))
+        Some((target, (cost(&target, candidate), candidate.rank(key))))
     });
     let mut targets: Vec<(LoadTarget, (Duration, u64))> = targets.collect();
     targets.sort_by_key(|(_, cost)| *cost);
@@ -119,35 +126,32 @@
     holdings.any(|held| held.tier(model) != Tier::Store)
 }
 
-/// Estimates where an endpoint would load a model from, and how long until the model is ready.
+/// Estimates how long until a model is ready on an endpoint that loads it from this tier.
 fn estimate_load(
     candidate: &Candidate<'_>,
     holdings: &Holdings,
+    tier: Tier,
     model: &ModelName,
     spec: &ModelSpec,
     engine: &Engine,
-) -> (Tier, Duration) {
-    let tier = holdings.tier(model);
+) -> Duration {
     let load = tier.load_time(spec);
     if tier == Tier::Adapter {
-        return (tier, load + RUNNING_REQUEST_DELAY * candidate.running);
+        return load + RUNNING_REQUEST_DELAY * candidate.running;
     }
     if let Some(loading) = &holdings.loading
         && loading.model == *model
     {
-        return (tier, loading.remaining);
+        return loading.remaining;
     }
     let current_load =
         holdings.loading.as_ref().map_or(Duration::ZERO, |loading| loading.remaining);
     let has_room = candidate.free_memory(engine) >= spec.weights;
     let room = if has_room { Duration::ZERO } else { EVICTION_ORDER_DELAY + candidate.room_wait };
-    (
-        tier,
-        load + current_load
-            + QUEUED_MODEL_DELAY * candidate.queued_models
-            + room
-            + RUNNING_REQUEST_DELAY * candidate.running,
-    )
+    load + current_load
+        + QUEUED_MODEL_DELAY * candidate.queued_models
+        + room
+        + RUNNING_REQUEST_DELAY * candidate.running
 }
 
 #[cfg(test)]
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -220,7 +220,9 @@
     let prefill_time = needs.prefill_time(&mut table);
     // A model is loaded at an endpoint that announces a rate limit only if all of them do.
     let all_limited = table.all_rate_limited(needs.service, now);
-    let (mut ids, mut candidates) = (Vec::new(), Vec::new());
+    // An adapter can't be loaded where its model was refused.
+    let refusals: Vec<ModelId> = needs.model.map(with_base_model).unwrap_or_default();
+    let mut candidates = Vec::new();
     let mut any_left = false;
     for (id, tracked) in &table.map {
         if tracked.endpoint.service != *needs.service {
@@ -239,16 +241,12 @@
         {
             continue;
         }
-        let refused = |model: &ModelId| {
-            let until =
-                |id: &ModelId| tracked.refused_until.get(id).is_some_and(|until| *until > now);
-            until(model) || until(&ModelId { model: model.model.clone(), adapter: None })
-        };
-        ids.push(id.clone());
+        let refused =
+            |id: &ModelId| tracked.refused_until.get(id).is_some_and(|until| *until > now);
         candidates.push(tracked.candidate(
             tracked.can_load(now)
                 && (all_limited || tracked.rate_limit(now).is_none())
-                && !needs.model.is_some_and(refused),
+                && !refusals.iter().any(refused),
             now,
         ));
     }
@@ -265,8 +263,8 @@
         if let Some(left) = faster_loading_replica(&candidates, needs, chosen) {
             return SearchResult::Hold(left);
         }
-        let prefills =
-            table.map.get(&ids[chosen.index]).map_or(0, |tracked| tracked.backlog.prompts());
+        let id = &candidates[chosen.index].endpoint.id;
+        let prefills = table.map.get(id).map_or(0, |tracked| tracked.backlog.prompts());
         if table.serialize_prompts()
             && prefills >= MAX_CONCURRENT_PREFILLS
             && now - needs.search_start < needs.first_event_target / PREFILL_HOLD_DIVISOR
@@ -274,7 +272,7 @@
             return SearchResult::Hold(Duration::ZERO);
         }
         let extra_load = plan_extra_load(&table, &candidates, needs, chosen, prefill_time);
-        let id = ids.swap_remove(chosen.index);
+        let id = id.clone();
         drop(candidates);
         if needs.model.is_some()
             && table.map.get(&id).is_some_and(|tracked| tracked.needs_probe(now))
@@ -313,7 +311,8 @@
     // for a load permit.
     let has_copy = placement::has_copy(&candidates, &model.model);
     let requested = table.pending_cold_load(&model.model).filter(|_| !has_copy);
-    let requested = requested.and_then(|id| ids.iter().position(|one| one == id));
+    let requested =
+        requested.and_then(|id| candidates.iter().position(|one| one.endpoint.id == *id));
     let (first, list) = match requested {
         Some(index) => (index, &candidates[index..=index]),
         None => (0, &candidates[..]),
@@ -332,7 +331,7 @@
         let target = ModelId { model: model.model.clone(), adapter };
         let from_store = load_target.tier == Tier::Store;
         PlannedLoad {
-            id: ids[first + load_target.index].clone(),
+            id: candidates[first + load_target.index].endpoint.id.clone(),
             target,
             duration: load_target.ready_in,
             from_store,
@@ -353,6 +352,12 @@
     SearchResult::NoLoader(if has_copy { Duration::ZERO } else { store_load })
 }
 
+/// A model, and before it the model that it is an adapter of.
+fn with_base_model(id: &ModelId) -> Vec<ModelId> {
+    let base = id.adapter.is_some().then(|| ModelId { model: id.model.clone(), adapter: None });
+    base.into_iter().chain([id.clone()]).collect()
+}
+
 /// The time until a planned load is done. The remaining time of a load in progress is counted from when its loader reported it;
 /// a load from the weight store that has not begun waits for a permit.
 pub(crate) fn ready_in(shared: &Shared, load: &PlannedLoad, now: Instant) -> Duration {
--- a/components/speed/src/shared.rs
+++ b/components/speed/src/shared.rs
@@ -57,11 +57,10 @@
         if self.published_at.is_some_and(|at| now.saturating_duration_since(at) < interval) {
             return false;
         }
-        let present = self.present();
-        if !differs(&self.published, &present) {
+        if !self.differs() {
             return false;
         }
-        self.published = present;
+        self.published = self.present().map(|(model, step)| (model.clone(), step)).collect();
         self.published_at = Some(now);
         true
     }
@@ -71,22 +70,23 @@
         &self.published
     }
 
-    /// The times that were measured from enough events.
-    fn present(&self) -> BTreeMap<ModelName, Step> {
+    /// The times that were measured from enough events, in the order of their models.
+    fn present(&self) -> impl Iterator<Item = (&ModelName, Step)> {
         let steps = self.models.iter().map(|(model, estimate)| (model, estimate.step()));
-        let known = steps.filter(|(_, step)| step.events >= MIN_KNOWN_EVENTS);
-        known.map(|(model, step)| (model.clone(), step)).collect()
+        steps.filter(|(_, step)| step.events >= MIN_KNOWN_EVENTS)
     }
-}
 
-/// Whether models were added or dropped, or a time has changed enough to be published.
-fn differs(published: &BTreeMap<ModelName, Step>, present: &BTreeMap<ModelName, Step>) -> bool {
-    let changed = |model: &ModelName, step: &Step| {
-        published
-            .get(model)
-            .is_none_or(|before| (log_gap(*step) - log_gap(*before)).abs() >= PUBLISHED_CHANGE.ln())
-    };
-    published.len() != present.len() || present.iter().any(|(model, step)| changed(model, step))
+    /// Whether models were added or dropped, or a time has changed enough to be published.
+    fn differs(&self) -> bool {
+        let mut published = self.published.iter();
+        let changed = |(model, step): (&ModelName, Step)| {
+            published.next().is_none_or(|(before_model, before)| {
+                let change = (log_gap(step) - log_gap(*before)).abs();
+                before_model != model || change >= PUBLISHED_CHANGE.ln()
+            })
+        };
+        self.present().any(changed) || published.next().is_some()
+    }
 }
 
 #[cfg(test)]
