--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -17,6 +17,7 @@
 /// The largest response that is read whole before it is relayed, so that the request can be
 /// retried if the response breaks off.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
+
 /// What is logged of a request.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestLog {
