Events and gauges show what the requests at crashes of endpoints have in common

Endpoints crashed one after the other, and the lines could not tell whether one request did it or requests that share a part of their prompts: examined said how many requests an endpoint had, not which. It names the beginnings of their digests and the parts of their prompts now, and gauges say at how many of the known crashes one request, or one part, was running. Nothing is decided by them yet.

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -161,6 +161,14 @@
     }
 }
 
+/// Records at how many of the known crashes of endpoints the same request or the same prompt part was running.
+pub fn record_common_crashes(crashes: usize, request: usize, part: usize) {
+    let set = |name, count| gauge!(name).set(f64::from(u32::try_from(count).unwrap_or(u32::MAX)));
+    set("crashes_known", crashes);
+    set("crashes_with_common_request", request);
+    set("crashes_with_common_part", part);
+}
+
 /// Counts a call to the platform's store.
 pub fn count_call(call: &'static str, outcome: String) {
     counter!("store_calls_total", "call" => call, "outcome" => outcome).increment(1);
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -419,6 +419,10 @@
         cause: &'a str,
         /// Requests of this router that the endpoint had started lately.
         requests: usize,
+        /// The beginnings of their digests.
+        digests: &'a str,
+        /// The parts of their prompts, each with the number of requests that had it.
+        parts: &'a str,
         /// How long the examination took.
         after_ms: u64,
     },
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -4,6 +4,8 @@
 mod event;
 mod sink;
 
-pub use count::{NO_ROOM, count_call, record_reached, update_process_gauges};
+pub use count::{
+    NO_ROOM, count_call, record_common_crashes, record_reached, update_process_gauges,
+};
 pub use event::{Dependency, Event, OrderOutcome, Refusal, RoomCause, Step, millis};
 pub use sink::{emit, install};
--- /dev/null
+++ b/components/quarantine/src/fingerprint/tests.rs
@@ -0,0 +1,27 @@
+use super::Fingerprint;
+use crate::Digest;
+
+fn fingerprint(caller: &str, parts: &[&str]) -> Fingerprint {
+    Fingerprint::new(Digest::of(&[b"request"]), caller.as_bytes(), parts.iter().copied())
+}
+
+#[test]
+fn parts_are_the_same_whatever_their_case_and_number() {
+    let once = fingerprint("a", &["5c1e07a2", "bad0"]);
+    assert_eq!(once, fingerprint("a", &["5C1E07A2", "5c1e07a2", "BaD0", "bad0"]));
+}
+
+#[test]
+fn a_part_has_one_digest_for_all_callers_and_one_for_each() {
+    let (one, other) = (fingerprint("a", &["bad0"]), fingerprint("b", &["bad0"]));
+    assert_eq!(one.parts[0].digest, other.parts[0].digest);
+    assert_ne!(one.parts[0].caller_digest, other.parts[0].caller_digest);
+    assert_ne!(one.parts[0].caller_digest, one.parts[0].digest);
+}
+
+#[test]
+fn no_part_has_the_digest_of_a_request() {
+    let part = fingerprint("a", &["bad0"]).parts.remove(0);
+    let request = Digest::of(&[b"shop.example", b"a", b"POST", b"/x", b"bad0"]);
+    assert!(part.digest != request && part.caller_digest != request);
+}
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -5,9 +5,11 @@
 //! but only once: only the request that was running at each of the crashes is to blame.
 
 mod digest;
+mod fingerprint;
 mod record;
 mod table;
 
 pub use digest::{Digest, ParseDigestError};
+pub use fingerprint::{Fingerprint, PromptPart};
 pub use record::{Crash, QuarantineRecord, Release, Trial, UnixMillis};
-pub use table::{CrashTable, Evidence, SuspicionLevel};
+pub use table::{CommonCrashes, CrashTable, Evidence, SuspicionLevel};
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -50,6 +50,9 @@
     /// The requests that the router which noticed the crash had running on the endpoint.
     #[serde(rename = "runs")]
     pub requests: BTreeSet<Digest>,
+    /// The parts of the prompts of these requests. Routers of earlier versions don't write them.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub parts: BTreeSet<Digest>,
 }
 
 /// Clears a request: it ran to completion, or an operator released it.
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -32,6 +32,8 @@
 const MAX_CRASHES: usize = 256;
 /// The most requests that the table keeps for one crash.
 const MAX_CRASH_REQUESTS: usize = 128;
+/// The most digests of prompt parts that the table keeps for one crash.
+const MAX_CRASH_PARTS: usize = 384;
 /// The most requests for which the table keeps a release, and the most for which it keeps trials.
 const MAX_MARKED_REQUESTS: usize = 2_048;
 /// How long after its last crash or trial a suspect is tried again; after the last of these trials it isn't tried any more.
@@ -42,12 +44,13 @@
 type CrashKey = (EndpointId, Option<EndpointIncarnation>);
 
 /// A crash of an endpoint, merged from the records of all routers that noticed it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct MergedCrash {
     domain: Domain,
     domain_endpoints: u32,
     at: UnixMillis,
     requests: BTreeSet<Digest>,
+    parts: BTreeSet<Digest>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,6 +82,17 @@
     pub at: UnixMillis,
 }
 
+/// What the known crashes have in common.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CommonCrashes {
+    /// The known crashes.
+    pub crashes: usize,
+    /// The most of them at which the same request was running.
+    pub request: usize,
+    /// The most of them at which requests with the same prompt part were running.
+    pub part: usize,
+}
+
 /// All known crashes, releases and trials, and the suspects that follow from them.
 #[derive(Debug, Clone, Default)]
 pub struct CrashTable {
@@ -136,17 +150,15 @@
             domain_endpoints: crash.domain_endpoints,
             at: crash.at,
             requests: BTreeSet::new(),
+            parts: BTreeSet::new(),
         });
         // Records of several routers about the same incarnation are one crash.
-        let before = (merged.requests.len(), merged.at, merged.domain_endpoints);
+        let before = merged.clone();
         merged.at = merged.at.min(crash.at);
         merged.domain_endpoints = merged.domain_endpoints.max(crash.domain_endpoints);
-        for digest in &crash.requests {
-            if merged.requests.len() < MAX_CRASH_REQUESTS {
-                merged.requests.insert(*digest);
-            }
-        }
-        before != (merged.requests.len(), merged.at, merged.domain_endpoints) || before.0 == 0
+        extend_up_to(&mut merged.requests, &crash.requests, MAX_CRASH_REQUESTS);
+        extend_up_to(&mut merged.parts, &crash.parts, MAX_CRASH_PARTS);
+        before != *merged || before.requests.is_empty()
     }
 
     /// Drops expired entries, and the oldest ones where there are too many.
@@ -287,6 +299,23 @@
         (now.since(last) >= *delay).then_some(count + 1)
     }
 
+    /// At how many crashes the most frequent request and the most frequent prompt part were.
+    pub fn most_common(&self) -> CommonCrashes {
+        let most = |counts: HashMap<Digest, usize>| counts.into_values().max().unwrap_or_default();
+        let count = |digests: fn(&MergedCrash) -> &BTreeSet<Digest>| {
+            let mut counts: HashMap<Digest, usize> = HashMap::new();
+            for digest in self.crashes.values().flat_map(digests) {
+                *counts.entry(*digest).or_default() += 1;
+            }
+            most(counts)
+        };
+        CommonCrashes {
+            crashes: self.crashes.len(),
+            request: count(|crash| &crash.requests),
+            part: count(|crash| &crash.parts),
+        }
+    }
+
     /// The crashes that count against a suspect; empty for other requests.
     pub fn evidence(&self, digest: &Digest) -> &[Evidence] {
         self.suspects.get(digest).map_or(&[], Vec::as_slice)
@@ -308,6 +337,15 @@
     released.get(digest).is_none_or(|released| crashed_at > *released)
 }
 
+/// Adds digests to a set until it has `most`.
+fn extend_up_to(set: &mut BTreeSet<Digest>, digests: &BTreeSet<Digest>, most: usize) {
+    for digest in digests {
+        if set.len() < most {
+            set.insert(*digest);
+        }
+    }
+}
+
 /// Drops the oldest entries beyond [`MAX_MARKED_REQUESTS`].
 fn drop_oldest<T>(marks: &mut HashMap<Digest, T>, at: impl Fn(&T) -> UnixMillis) {
     while marks.len() > MAX_MARKED_REQUESTS {
--- a/components/quarantine/src/table/tests.rs
+++ b/components/quarantine/src/table/tests.rs
@@ -24,6 +24,7 @@
         domain_endpoints: 8,
         at: UnixMillis(START_MS + at),
         requests: requests.iter().map(|name| digest(*name)).collect(),
+        parts: BTreeSet::new(),
     }
 }
 
--- a/components/router/src/crash_check.rs
+++ b/components/router/src/crash_check.rs
@@ -5,7 +5,8 @@
 //! endpoint ran. An endpoint that was draining ends as planned; one that hangs, or whose machine lost power, does not
 //! answer at all.
 
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 
 use events::{Event, emit, millis};
 use platform::Health;
-use quarantine::{Crash, Digest, QuarantineRecord};
+use quarantine::{Crash, Fingerprint, QuarantineRecord};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation};
@@ -35,6 +36,10 @@
 
 /// The list shows within this time that an endpoint has restarted, since it is read once a second.
 const LIST_DELAY: Duration = Duration::from_secs(3);
+/// The most requests, and the most parts of their prompts, that are named in one event.
+const MAX_LOGGED: usize = 16;
+/// The digits of a digest that are logged: enough to find the request among the lines of its router.
+const LOGGED_DIGEST_DIGITS: usize = 12;
 /// The cause for an endpoint that still answers.
 const STILL_RUNNING: &str = "it is still running";
 
@@ -93,7 +98,7 @@
     tokio::task::yield_now().await;
     let at = wall_clock();
     let finding = examine(&shared, &id, incarnation, &pool, since + MAX_EXAMINATION).await;
-    let requests: BTreeSet<Digest> = pool.sent_requests().crash_candidates(since);
+    let candidates = pool.sent_requests().crash_candidates(since);
     let (ended, cause) = match finding {
         Finding::Crashed(cause) => (true, cause),
         Finding::NotCrashed(cause) => (false, cause),
@@ -103,16 +108,19 @@
         incarnation: incarnation.unwrap_or_default().0,
         ended,
         cause,
-        requests: requests.len(),
+        requests: candidates.len(),
+        digests: &format_digests(&candidates),
+        parts: &format_parts(&candidates),
         after_ms: millis(since.elapsed()),
     });
-    let crash = domain.filter(|_| !requests.is_empty()).map(|domain| Crash {
+    let crash = domain.filter(|_| !candidates.is_empty()).map(|domain| Crash {
         endpoint: id,
         incarnation,
         domain,
         domain_endpoints,
         at,
-        requests,
+        requests: candidates.iter().map(|candidate| candidate.request).collect(),
+        parts: candidates.iter().flat_map(|candidate| candidate.part_digests()).collect(),
     });
     if ended {
         return shared.guard.finish_examination(&pool, crash);
@@ -127,6 +135,28 @@
     }
 }
 
+/// The beginnings of the digests of requests, as text for an event.
+fn format_digests(requests: &[Arc<Fingerprint>]) -> String {
+    let start = |request: &Arc<Fingerprint>| {
+        let mut text = request.request.to_string();
+        text.truncate(LOGGED_DIGEST_DIGITS);
+        text
+    };
+    requests.iter().take(MAX_LOGGED).map(start).collect::<Vec<_>>().join(" ")
+}
+
+/// The most frequent parts of the prompts of requests, each with the number of requests that have it, as text for an event.
+fn format_parts(requests: &[Arc<Fingerprint>]) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for part in requests.iter().flat_map(|request| &request.parts) {
+        *counts.entry(&part.id).or_default() += 1;
+    }
+    let mut counts: Vec<(&str, usize)> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, count)| Reverse(*count));
+    let shown = counts.into_iter().take(MAX_LOGGED).map(|(id, count)| format!("{id}:{count}"));
+    shown.collect::<Vec<_>>().join(" ")
+}
+
 /// Watches the list for a restart of an endpoint that answers: an endpoint without models does not say in which incarnation
 /// it is. The requests that it had are retried meanwhile. Returns whether it has crashed.
 async fn watch_list(
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error as _;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use platform::ForwardOptions;
-use quarantine::Digest;
+use quarantine::Fingerprint;
 use tokio::time::Instant;
 use web::{Body, Framing};
 
@@ -77,7 +78,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Identifies the request by its content, whatever its id.
-    pub(crate) digest: Digest,
+    pub(crate) fingerprint: Arc<Fingerprint>,
 }
 
 /// How long the head of a response is waited for.
@@ -128,7 +129,7 @@
             // The endpoint has started to drain while the connection was opened.
             return SendOutcome::Draining;
         }
-        reservation.record_sent(&outgoing.digest);
+        reservation.record_sent(&outgoing.fingerprint);
         let unanswered = UnansweredRequest::new(&connection, &reservation.pool);
         match attempt(&mut connection, request, deadlines, alternative.as_mut()).await {
             Attempt::Response(head, body) => {
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -295,7 +295,9 @@
         for digest in before.iter().filter(|digest| state.table.evidence(digest).is_empty()) {
             emit_blamed(digest, false, "");
         }
+        let common = state.table.most_common();
         drop(state);
+        events::record_common_crashes(common.crashes, common.request, common.part);
         self.changed.notify_waiters();
         fresh
     }
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
         domain_endpoints: 9,
         at: UnixMillis(wall_clock().0 - 10_000 + u64::from(number) * 500),
         requests: runs.iter().map(|name| digest(name)).collect(),
+        parts: BTreeSet::new(),
     }));
 }
 
@@ -78,7 +80,7 @@
 async fn requests_of_an_endpoint_that_may_have_crashed_wait_until_that_is_known() {
     let guard = guard();
     let pool = Arc::new(ConnectionPool::new(([127, 0, 0, 1], 9).into()));
-    let ticket = pool.sent_requests().begin(digest("a"));
+    let ticket = pool.sent_requests().begin(Arc::new(digest("a").into()));
     pool.sent_requests().end(ticket, RunEnd::Cut, Instant::now());
     let before = try_acquire(&guard, "a").await.expect("no wait").expect("a permit");
     guard.begin_examination(&pool);
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -198,7 +198,7 @@
     /// Waits for the permit of the crash guard, which holds back requests that were at crashed
     /// endpoints.
     async fn acquire_permit(&mut self) -> Result<(), Failure> {
-        let digest = self.outgoing.digest;
+        let digest = self.outgoing.fingerprint.request;
         let held = self.permit.take();
         let rejection = match self.shared.guard.acquire(&digest, held, self.send_by).await {
             Ok(permit) => {
@@ -246,13 +246,15 @@
 
     fn is_permitted(&self) -> bool {
         let permit = self.permit.as_ref();
-        permit.is_some_and(|permit| self.shared.guard.allows(&self.outgoing.digest, permit))
+        permit.is_some_and(|permit| {
+            self.shared.guard.allows(&self.outgoing.fingerprint.request, permit)
+        })
     }
 
     /// Records that a response has been read to its end, and clears the request of suspicion if its
     /// endpoint survived it.
     pub(crate) fn complete(&self, mut response: EndpointResponse) {
-        let (guard, digest) = (&self.shared.guard, &self.outgoing.digest);
+        let (guard, digest) = (&self.shared.guard, &self.outgoing.fingerprint.request);
         if response.framing() != Framing::Close {
             guard.record_completion(digest);
             return response.release_connection();
@@ -292,7 +294,7 @@
             workspace: self.identity.workspace().map(|workspace| &workspace.name),
             priority: self.priority(),
             tokens: u64::from(prompt_tokens) + u64::from(output_tokens),
-            digest: self.outgoing.digest,
+            digest: self.outgoing.fingerprint.request,
         })
     }
 
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use platform::RequestHeaders;
 use process::ShutdownPhase;
-use quarantine::Digest;
+use quarantine::{Digest, Fingerprint};
 use tokio::time::Instant;
 use web::{Body, BodyError};
 
@@ -162,11 +162,13 @@
     };
     let (host, method) = (call.host.as_bytes(), parts.method.as_str().as_bytes());
     let digest = Digest::of(&[host, caller_id, method, path.as_bytes(), &body]);
+    let part_ids = call.shared_parts.iter().map(AsRef::as_ref);
+    let fingerprint = Arc::new(Fingerprint::new(digest, caller_id, part_ids));
     if !matches!(identity, Identity::Unmanaged) {
         platform::remove_identity(&mut parts.headers);
     }
     let (method, uri, headers, version) = (parts.method, parts.uri, parts.headers, parts.version);
-    let outgoing = OutgoingRequest { method, uri, headers, body, digest };
+    let outgoing = OutgoingRequest { method, uri, headers, body, fingerprint };
     let mut in_flight = InFlightRequest {
         shared: shared.clone(),
         caller,
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -6,7 +6,7 @@
 
 use catalog::ModelId;
 use http::{HeaderMap, StatusCode};
-use quarantine::Digest;
+use quarantine::Fingerprint;
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, ModelName, Rate};
 
@@ -119,9 +119,9 @@
     }
 
     /// Records that the request is sent now.
-    pub(crate) fn record_sent(&mut self, digest: &Digest) {
+    pub(crate) fn record_sent(&mut self, fingerprint: &Arc<Fingerprint>) {
         self.pool.liveness().request_sent(Instant::now());
-        self.sent_id.get_or_insert_with(|| self.pool.sent_requests().begin(*digest));
+        self.sent_id.get_or_insert_with(|| self.pool.sent_requests().begin(fingerprint.clone()));
     }
 
     /// Records that the endpoint survived the request, or never received it.
--- a/components/router/src/send_log.rs
+++ b/components/router/src/send_log.rs
@@ -37,7 +37,7 @@
         let log = Self {
             request_id: request.request_id.clone(),
             class: request.class.clone(),
-            digest: request.outgoing.digest,
+            digest: request.outgoing.fingerprint.request,
             endpoint: reservation.id.clone(),
             pool: reservation.pool.clone(),
             sends: request.sends,
--- a/components/router/src/sent_requests.rs
+++ b/components/router/src/sent_requests.rs
@@ -1,9 +1,10 @@
 //! The requests that one incarnation of an endpoint has from this router, and which of them may have crashed it.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
-use quarantine::Digest;
+use quarantine::{Digest, Fingerprint};
 use tokio::time::Instant;
 
 /// A request that crashes its endpoint does so soon after it started to run. One whose answer has been arriving for this
@@ -16,10 +17,10 @@
 const MAX_CUT_REQUESTS: usize = 256;
 
 /// A request that was sent to the endpoint.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct SentRequest {
     id: u64,
-    digest: Digest,
+    fingerprint: Arc<Fingerprint>,
     /// When the answer began.
     answer_began: Option<Instant>,
 }
@@ -42,9 +43,9 @@
 }
 
 /// A request that may have been running when the endpoint crashed.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct CutRequest {
-    digest: Digest,
+    fingerprint: Arc<Fingerprint>,
     at: Instant,
     /// Whether its answer is complete if the endpoint has not crashed.
     may_be_complete: bool,
@@ -68,9 +69,9 @@
 
 impl SentRequests {
     /// Records that a request is sent.
-    pub(crate) fn begin(&mut self, digest: Digest) -> SentRequestId {
+    pub(crate) fn begin(&mut self, fingerprint: Arc<Fingerprint>) -> SentRequestId {
         self.last_id += 1;
-        self.running.push(SentRequest { id: self.last_id, digest, answer_began: None });
+        self.running.push(SentRequest { id: self.last_id, fingerprint, answer_began: None });
         SentRequestId(self.last_id)
     }
 
@@ -95,24 +96,25 @@
             self.cut.pop_front();
         }
         let may_be_complete = end == RunEnd::WithConnection;
-        self.cut.push_back(CutRequest { digest: request.digest, at: now, may_be_complete });
+        let fingerprint = request.fingerprint;
+        self.cut.push_back(CutRequest { fingerprint, at: now, may_be_complete });
         true
     }
 
     /// The requests that may be to blame if the endpoint has just crashed.
-    pub(crate) fn crash_candidates(&self, now: Instant) -> BTreeSet<Digest> {
-        self.candidates(now).copied().collect()
+    pub(crate) fn crash_candidates(&self, now: Instant) -> Vec<Arc<Fingerprint>> {
+        self.candidates(now).cloned().collect()
     }
 
-    fn candidates(&self, now: Instant) -> impl Iterator<Item = &Digest> {
+    fn candidates(&self, now: Instant) -> impl Iterator<Item = &Arc<Fingerprint>> {
         let running = self.running.iter().filter(move |request| request.may_have_crashed(now));
         let cut = self.cut.iter().filter(move |cut| now - cut.at < CUT_WINDOW);
-        running.map(|request| &request.digest).chain(cut.map(|cut| &cut.digest))
+        running.map(|request| &request.fingerprint).chain(cut.map(|cut| &cut.fingerprint))
     }
 
     /// Whether a request is among those that may be to blame.
     pub(crate) fn is_candidate(&self, digest: &Digest, now: Instant) -> bool {
-        self.candidates(now).any(|candidate| candidate == digest)
+        self.candidates(now).any(|candidate| candidate.request == *digest)
     }
 
     /// Starts an examination of the endpoint. Returns false if one is in progress.
@@ -125,7 +127,7 @@
     pub(crate) fn clear_candidates(&mut self) -> Vec<Digest> {
         self.examining = false;
         let cut = self.cut.drain(..).filter(|cut| cut.may_be_complete);
-        cut.map(|cut| cut.digest).collect()
+        cut.map(|cut| cut.fingerprint.request).collect()
     }
 }
 
