--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -5,7 +5,7 @@
 
 use catalog::{Catalog, Engine, Limit, ModelId};
 use fleet::{Endpoint, Holdings};
-use quarantine::{Digest, Evidence, QuarantineRecord};
+use quarantine::{Digest, Evidence, QuarantineRecord, SuspectKind};
 use serde::{Deserialize, Serialize};
 use units::{
     EndpointId, EndpointIncarnation, Era, ModelName, Rate, Revision, StorePosition, WorkspaceName,
@@ -377,20 +377,27 @@
     pub record: QuarantineRecord,
 }
 
-/// A request that is refused because it crashes endpoints.
+/// Requests that are refused because they crash endpoints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// The digest that identifies the request.
+    /// The digest that identifies the request, or the part of prompts.
     pub digest: Digest,
-    /// The crashes that count against the request.
+    /// Whether one request is refused, or all with a part in their prompts. Routers of earlier versions know requests only.
+    #[serde(default = "request_kind")]
+    pub kind: SuspectKind,
+    /// The crashes that count against it.
     #[serde(rename = "ends")]
     pub crashes: Vec<Evidence>,
 }
 
-/// An operator releases a request, so that it is no longer refused.
+fn request_kind() -> SuspectKind {
+    SuspectKind::Request
+}
+
+/// An operator releases a suspect, so that its requests are no longer refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseRequest {
-    /// The digest that identifies the request.
+    /// The digest that identifies the suspect.
     pub digest: Digest,
 }
 
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -123,10 +123,13 @@
             let outcome = if *ended { "ended" } else { "not ended" };
             counter!("endpoints_examined_total", "outcome" => outcome).increment(1);
         }
-        Event::SuspectChanged { suspect: true, .. } => counter!("suspects_total").increment(1),
-        Event::SuspectRequest { tried, .. } => {
+        Event::SuspectChanged { suspect: true, kind, .. } => {
+            counter!("suspects_total", "kind" => (*kind).to_owned()).increment(1);
+        }
+        Event::SuspectRequest { tried, parts, .. } => {
             let outcome = if *tried { "tried" } else { "refused" };
-            counter!("suspects_barred_total", "outcome" => outcome).increment(1);
+            let kind = if parts.is_empty() { "request" } else { "part" };
+            counter!("suspects_barred_total", "outcome" => outcome, "kind" => kind).increment(1);
         }
         Event::KeyRejected { cause, .. } => {
             counter!("requests_denied_total", "cause" => (*cause).to_owned()).increment(1);
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -426,14 +426,16 @@
         /// How long the examination took.
         after_ms: u64,
     },
-    /// A request became a suspect, or is no longer one.
+    /// A request, or a part of prompts, became a suspect, or is no longer one.
     #[serde(rename = "blamed")]
     SuspectChanged {
-        /// The digest of the request.
+        /// The digest of the request or of the part.
         digest: &'a str,
-        /// Whether the request is a suspect now.
+        /// Whether it is a suspect now.
         suspect: bool,
-        /// The crashes that count against the request: endpoint, incarnation and age.
+        /// What it is, `request` or `part`; empty if it is no suspect.
+        kind: &'a str,
+        /// The crashes that count against it: endpoint, incarnation and age.
         ends: &'a str,
     },
     /// A request was refused because it crashes endpoints, or it is tried once more.
@@ -441,11 +443,13 @@
     SuspectRequest {
         /// The id of the request.
         request: &'a str,
-        /// The digest of the request.
+        /// The digest of the suspect: of the request, or of a part of its prompt.
         digest: &'a str,
+        /// The ids of the parts of its prompt for which it is refused; empty if it is refused for itself.
+        parts: &'a str,
         /// Whether the request is tried once more.
         tried: bool,
-        /// The crashes that count against the request: endpoint, incarnation and age.
+        /// The crashes that count against the suspect: endpoint, incarnation and age.
         ends: &'a str,
     },
     /// A request was rejected because of its key.
--- a/components/process/src/stall.rs
+++ b/components/process/src/stall.rs
@@ -41,12 +41,13 @@
 #[derive(Debug)]
 pub struct StallDetector {
     last_reading: Mutex<ClockReading>,
-    catch_up_until: Mutex<Option<Instant>>,
+    /// When the end of the last stall was noticed.
+    last_stall: Mutex<Option<Instant>>,
 }
 
 impl Default for StallDetector {
     fn default() -> Self {
-        Self { last_reading: Mutex::new(ClockReading::now()), catch_up_until: Mutex::new(None) }
+        Self { last_reading: Mutex::new(ClockReading::now()), last_stall: Mutex::new(None) }
     }
 }
 
@@ -61,13 +62,18 @@
 
     /// After a stall, waits until what arrived during the stall has been read; otherwise returns at once.
     pub async fn wait_after_stall(&self) {
-        self.check();
-        let until = *self.catch_up_until.lock().unwrap_or_else(PoisonError::into_inner);
+        let until = self.last_stall().map(|stall| stall + CATCH_UP_TIME);
         if let Some(until) = until.filter(|until| *until > Instant::now()) {
             tokio::time::sleep_until(until).await;
         }
     }
 
+    /// When the end of the last stall was noticed; what is read shortly after may have arrived long before.
+    pub fn last_stall(&self) -> Option<Instant> {
+        self.check();
+        *self.last_stall.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn check(&self) {
         self.record(ClockReading::now());
     }
@@ -75,8 +81,8 @@
     fn record(&self, now: ClockReading) {
         let mut last = self.last_reading.lock().unwrap_or_else(PoisonError::into_inner);
         if now.since(*last) > STALL_THRESHOLD {
-            let mut until = self.catch_up_until.lock().unwrap_or_else(PoisonError::into_inner);
-            *until = Some(now.monotonic + CATCH_UP_TIME);
+            let mut stall = self.last_stall.lock().unwrap_or_else(PoisonError::into_inner);
+            *stall = Some(now.monotonic);
         }
         *last = now;
     }
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -7,10 +7,8 @@
 pub struct PromptPart {
     /// The id of the part in lower case.
     pub id: Box<str>,
-    /// Identifies the part in the requests of all callers.
+    /// Identifies the part.
     pub digest: Digest,
-    /// Identifies the part in the requests of one caller.
-    pub caller_digest: Digest,
 }
 
 /// What a request can be recognized by, whatever its id.
@@ -18,6 +16,8 @@
 pub struct Fingerprint {
     /// Identifies all requests with the same caller, path and body.
     pub request: Digest,
+    /// Identifies its caller.
+    pub caller: Digest,
     /// The parts of the prompt that other requests may have too.
     pub parts: Vec<PromptPart>,
 }
@@ -29,6 +29,7 @@
         caller: &[u8],
         part_ids: impl IntoIterator<Item = &'a str>,
     ) -> Self {
+        let caller = Digest::of(&[b"caller", caller]);
         let mut parts: Vec<PromptPart> = Vec::new();
         for id in part_ids {
             let id = id.to_ascii_lowercase().into_boxed_str();
@@ -36,27 +37,14 @@
                 continue;
             }
             let digest = Digest::of(&[b"part", id.as_bytes()]);
-            let caller_digest = Digest::of(&[b"part of caller", caller, id.as_bytes()]);
-            parts.push(PromptPart { id, digest, caller_digest });
+            parts.push(PromptPart { id, digest });
         }
-        Self { request, parts }
+        Self { request, caller, parts }
     }
 
-    /// The digests of all parts: those for all callers and those for this caller.
-    pub fn part_digests(&self) -> impl Iterator<Item = Digest> {
-        self.parts.iter().flat_map(|part| [part.digest, part.caller_digest])
-    }
-
-    /// All digests of the request: its own and those of its parts.
-    pub fn digests(&self) -> impl Iterator<Item = Digest> {
-        std::iter::once(self.request).chain(self.part_digests())
-    }
-}
-
-impl From<Digest> for Fingerprint {
-    /// The fingerprint of a request whose prompt has no parts that other requests may have.
-    fn from(request: Digest) -> Self {
-        Self { request, parts: Vec::new() }
+    /// Whether a digest is that of the request or of one of its parts.
+    pub fn has(&self, digest: &Digest) -> bool {
+        self.request == *digest || self.parts.iter().any(|part| part.digest == *digest)
     }
 }
 
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -3,13 +3,18 @@
 //! Such a request crashes each endpoint that starts to run it. Its caller sends it again and again, through any router, and
 //! each router sees a new request. The requests that ran on the same endpoint fail together with it and look just like it,
 //! but only once: only the request that was running at each of the crashes is to blame.
+//!
+//! A part of a prompt may do the same in whatever request has it. Most requests share their other parts with such requests;
+//! these parts were at the crashes as well, but requests that have them also run well.
 
+mod blame;
 mod digest;
 mod fingerprint;
+mod proven;
 mod record;
 mod table;
 
 pub use digest::{Digest, ParseDigestError};
 pub use fingerprint::{Fingerprint, PromptPart};
-pub use record::{Crash, QuarantineRecord, Release, Trial, UnixMillis};
-pub use table::{CommonCrashes, CrashTable, Evidence, SuspicionLevel};
+pub use record::{Crash, PartsRelease, QuarantineRecord, Release, Trial, UnixMillis};
+pub use table::{CommonCrashes, CrashTable, Evidence, Suspect, SuspectKind, SuspicionLevel};
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -1,6 +1,6 @@
 //! Records that routers exchange about crashed endpoints and the requests suspected to crash them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -23,6 +23,12 @@
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
+
+    /// The time that is later by this much.
+    #[must_use]
+    pub fn after(self, time: Duration) -> Self {
+        Self(self.0.saturating_add(u64::try_from(time.as_millis()).unwrap_or(u64::MAX)))
+    }
 }
 
 impl fmt::Display for UnixMillis {
@@ -50,9 +56,10 @@
     /// The requests that the router which noticed the crash had running on the endpoint.
     #[serde(rename = "runs")]
     pub requests: BTreeSet<Digest>,
-    /// The parts of the prompts of these requests. Routers of earlier versions don't write them.
-    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
-    pub parts: BTreeSet<Digest>,
+    /// The parts of the prompts of these requests, each with the callers whose requests had it. Routers of earlier versions don't
+    /// write them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub parts: BTreeMap<Digest, BTreeSet<Digest>>,
 }
 
 /// Clears a request: it ran to completion, or an operator released it.
@@ -64,6 +71,20 @@
     pub at: UnixMillis,
 }
 
+/// Clears parts of prompts: requests that had them ran well.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartsRelease {
+    /// The digests of the parts, each with the time up to which crashes don't count against it.
+    pub parts: BTreeMap<Digest, UnixMillis>,
+}
+
+impl PartsRelease {
+    /// The latest of its times.
+    pub fn at(&self) -> UnixMillis {
+        self.parts.values().copied().max().unwrap_or_default()
+    }
+}
+
 /// A suspect is sent to an endpoint once more, to see whether it still crashes endpoints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Trial {
@@ -84,6 +105,8 @@
     Crash(Crash),
     /// A request is cleared.
     Release(Release),
+    /// Parts of prompts are cleared.
+    PartsRelease(PartsRelease),
     /// A suspect is tried again.
     Trial(Trial),
 }
@@ -97,6 +120,7 @@
                 format!("end {endpoint} {} {router}", incarnation.unwrap_or_default())
             }
             Self::Release(Release { digest, .. }) => format!("release {digest}"),
+            Self::PartsRelease(release) => format!("parts {router} {}", release.at()),
             Self::Trial(Trial { digest, number, .. }) => format!("trial {digest} {number}"),
         }
     }
@@ -107,6 +131,7 @@
             Self::Crash(Crash { at, .. })
             | Self::Release(Release { at, .. })
             | Self::Trial(Trial { at, .. }) => *at,
+            Self::PartsRelease(release) => release.at(),
         }
     }
 }
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -6,39 +6,39 @@
 use serde::{Deserialize, Serialize};
 use units::{Domain, EndpointId, EndpointIncarnation};
 
-use crate::{Crash, Digest, QuarantineRecord, UnixMillis};
+use crate::blame::{
+    CrashTime, Culprit, DigestKind, EventNumber, Hypothesis, SUSPECT_CRASHES, Search,
+};
+use crate::proven::ProvenParts;
+use crate::{Crash, Digest, Fingerprint, QuarantineRecord, UnixMillis};
 
-/// A request that was running at this many crashes, none of them explained by another request, is a suspect. With 2, a
-/// request that its caller repeats once would be refused if both attempts ran on the same endpoint as the one to blame.
-const SUSPECT_CRASHES: usize = 3;
 /// If all endpoints of a failure domain crash within this time, their crashes count as one: the domain lost its power. A
 /// request that crashes the endpoints one after the other takes longer for each.
 const DOMAIN_LOSS_WINDOW: Duration = Duration::from_millis(50);
 /// Crashes in a failure domain with fewer endpoints than this always count one by one, since a single request can crash one
 /// or two endpoints at the same time.
 const MIN_DOMAIN_ENDPOINTS: u32 = 3;
-/// For each crash of a suspect, this many unexplained crashes without the suspect are tolerated at about the same time. With
-/// more of them, endpoints crash whatever they run, as after a faulty release, and no request is to blame.
-const OTHERS_PER_CRASH: usize = 2;
-/// This many unexplained crashes without the suspect are tolerated in addition.
-const OTHERS_ALLOWANCE: usize = 2;
-/// Crashes without the suspect are counted from this long before the first crash of the suspect.
-const OTHERS_BEFORE: Duration = Duration::from_secs(10);
-/// Crashes without the suspect are counted until this long after the last crash of the suspect.
-const OTHERS_AFTER: Duration = Duration::from_secs(3);
 /// Records older than this are dropped.
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
 /// The most crashes that the table keeps; the oldest are dropped first.
 const MAX_CRASHES: usize = 256;
 /// The most requests that the table keeps for one crash.
 const MAX_CRASH_REQUESTS: usize = 128;
-/// The most digests of prompt parts that the table keeps for one crash.
-const MAX_CRASH_PARTS: usize = 384;
-/// The most requests for which the table keeps a release, and the most for which it keeps trials.
+/// The most prompt parts that the table keeps for one crash.
+const MAX_CRASH_PARTS: usize = 256;
+/// The most callers that the table keeps for a part at one crash. More than one decide nothing.
+const MAX_PART_CALLERS: usize = 2;
+/// The most requests and parts for which the table keeps a release, and the most for which it keeps trials.
 const MAX_MARKED_REQUESTS: usize = 2_048;
+/// A crash counts against parts of prompts from this long after this router has learned of it. By then it is known which of
+/// them run well: such a run takes half a second, and all routers know of it another half second later.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
 /// How long after its last crash or trial a suspect is tried again; after the last of these trials it isn't tried any more.
-const TRIAL_DELAYS: [Duration; 3] =
+const REQUEST_TRIAL_DELAYS: [Duration; 3] =
     [Duration::from_secs(600), Duration::from_secs(3_600), Duration::from_secs(4 * 3_600)];
+/// The same for parts, which more requests depend on.
+const PART_TRIAL_DELAYS: [Duration; 3] =
+    [Duration::from_secs(60), Duration::from_secs(600), Duration::from_secs(3_600)];
 
 /// An endpoint and its incarnation, which together identify a crash.
 type CrashKey = (EndpointId, Option<EndpointIncarnation>);
@@ -49,8 +49,28 @@
     domain: Domain,
     domain_endpoints: u32,
     at: UnixMillis,
+    /// When this table learned of the crash, by the clock of its router.
+    learned: UnixMillis,
     requests: BTreeSet<Digest>,
-    parts: BTreeSet<Digest>,
+    /// Each with the callers whose requests had it.
+    parts: BTreeMap<Digest, BTreeSet<Digest>>,
+}
+
+impl MergedCrash {
+    fn add_parts(&mut self, parts: &BTreeMap<Digest, BTreeSet<Digest>>) {
+        for (part, callers) in parts {
+            if self.parts.len() < MAX_CRASH_PARTS || self.parts.contains_key(part) {
+                extend_up_to(self.parts.entry(*part).or_default(), callers, MAX_PART_CALLERS);
+            }
+        }
+    }
+
+    /// Whether the crash counts against parts by now.
+    fn has_settled(&self, now: UnixMillis) -> bool {
+        // The clock may have been set back since.
+        let since_learned = Duration::from_millis(now.0.abs_diff(self.learned.0));
+        since_learned >= SETTLING_TIME || now.since(self.at) >= SETTLING_TIME
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,8 +86,31 @@
     Clear,
     /// The request was running at this many crashes, but isn't a suspect.
     Watched(usize),
-    /// The request crashes the endpoints that run it.
-    Suspect,
+    /// The request crashes the endpoints that run it, or all requests with one of its parts do; the digest identifies the suspect.
+    Suspect(Digest),
+}
+
+/// What a suspect is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SuspectKind {
+    /// One request, whoever sends it how often.
+    Request,
+    /// A part of the prompts of any requests.
+    Part,
+}
+
+/// What crashes endpoints: requests that have all of the digests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Whether it is a request or a part of prompts.
+    pub kind: SuspectKind,
+    /// The digests.
+    pub digests: BTreeSet<Digest>,
+    /// The caller, if only requests of this one had the part.
+    pub caller: Option<Digest>,
+    /// The crashes that count against it.
+    pub evidence: Vec<Evidence>,
 }
 
 /// A crash that counts against a request.
@@ -101,7 +144,13 @@
     trials: HashMap<Digest, TrialHistory>,
     /// At how many crashes each request was running.
     watched: HashMap<Digest, usize>,
-    suspects: BTreeMap<Digest, Vec<Evidence>>,
+    suspects: BTreeMap<Digest, Suspect>,
+    /// The earliest crash that counts against each part, settled or not.
+    accused_parts: HashMap<Digest, UnixMillis>,
+    /// Parts that are known to run well, whether they were at crashes or not.
+    proven: ProvenParts,
+    /// When the next crash settles.
+    next_review: Option<UnixMillis>,
 }
 
 impl CrashTable {
@@ -112,24 +161,55 @@
         now: UnixMillis,
     ) -> usize {
         let fresh = records.into_iter().filter(|record| !Self::is_expired(record, now));
-        let new = fresh.filter(|record| self.apply_record(record)).count();
+        let new = fresh.filter(|record| self.apply_record(record, now)).count();
         if new > 0 {
             self.prune(now);
-            self.find_suspects();
+            self.find_suspects(now);
         }
         new
     }
 
-    fn apply_record(&mut self, record: &QuarantineRecord) -> bool {
+    /// Whether a crash has begun to count against parts since the last review.
+    pub fn review_due(&self, now: UnixMillis) -> bool {
+        self.next_review.is_some_and(|review| {
+            now >= review || review.since(now) > SETTLING_TIME // the clock was set back
+        })
+    }
+
+    /// Finds the suspects anew, by the crashes that count now.
+    pub fn review(&mut self, now: UnixMillis) {
+        self.find_suspects(now);
+    }
+
+    /// Records that requests with a part run well: they began an answer at this time, and the endpoint lived on. Returns whether
+    /// that clears the part of a crash.
+    pub fn record_sound(&mut self, part: Digest, began: UnixMillis) -> bool {
+        self.proven.insert(part);
+        self.accused_parts.get(&part).is_some_and(|crashed| *crashed <= began)
+    }
+
+    /// Whether a crash counts against a part that has not been seen to run well.
+    pub fn is_doubtful(&self, part: &Digest) -> bool {
+        self.accused_parts.contains_key(part) && !self.is_proven(part)
+    }
+
+    /// Whether requests with a part have run well, as far as this router has learned.
+    fn is_proven(&self, part: &Digest) -> bool {
+        self.proven.contains(part) || self.released.contains_key(part)
+    }
+
+    /// The time of the latest crash, by the clock of the router that noticed it.
+    pub fn latest_crash(&self) -> UnixMillis {
+        self.crashes.values().map(|crash| crash.at).max().unwrap_or_default()
+    }
+
+    fn apply_record(&mut self, record: &QuarantineRecord, now: UnixMillis) -> bool {
         match record {
-            QuarantineRecord::Crash(crash) => self.apply_crash(crash),
-            QuarantineRecord::Release(release) => {
-                let before = self.released.get(&release.digest);
-                let new = before.is_none_or(|before| *before < release.at);
-                if new {
-                    self.released.insert(release.digest, release.at);
-                }
-                new
+            QuarantineRecord::Crash(crash) => self.apply_crash(crash, now),
+            QuarantineRecord::Release(release) => self.release(release.digest, release.at),
+            QuarantineRecord::PartsRelease(release) => {
+                let released = release.parts.iter().filter(|(part, at)| self.release(**part, **at));
+                released.count() > 0
             }
             QuarantineRecord::Trial(trial) => {
                 let before = self.trials.get(&trial.digest);
@@ -143,21 +223,31 @@
         }
     }
 
-    fn apply_crash(&mut self, crash: &Crash) -> bool {
+    /// Clears a request or a part of crashes up to this time. Returns whether that is new.
+    fn release(&mut self, digest: Digest, at: UnixMillis) -> bool {
+        let new = self.released.get(&digest).is_none_or(|before| *before < at);
+        if new {
+            self.released.insert(digest, at);
+        }
+        new
+    }
+
+    fn apply_crash(&mut self, crash: &Crash, now: UnixMillis) -> bool {
         let key = (crash.endpoint.clone(), crash.incarnation);
         let merged = self.crashes.entry(key).or_insert_with(|| MergedCrash {
             domain: crash.domain.clone(),
             domain_endpoints: crash.domain_endpoints,
             at: crash.at,
+            learned: now,
             requests: BTreeSet::new(),
-            parts: BTreeSet::new(),
+            parts: BTreeMap::new(),
         });
         // Records of several routers about the same incarnation are one crash.
         let before = merged.clone();
         merged.at = merged.at.min(crash.at);
         merged.domain_endpoints = merged.domain_endpoints.max(crash.domain_endpoints);
         extend_up_to(&mut merged.requests, &crash.requests, MAX_CRASH_REQUESTS);
-        extend_up_to(&mut merged.parts, &crash.parts, MAX_CRASH_PARTS);
+        merged.add_parts(&crash.parts);
         before != *merged || before.requests.is_empty()
     }
 
@@ -176,60 +266,76 @@
         drop_oldest(&mut self.trials, |trials| trials.last);
     }
 
-    /// Finds the suspects. The request that was running at most crashes which no other suspect explains comes first; its
-    /// crashes then count against no other request. Of two requests that always ran together neither is a suspect yet.
-    fn find_suspects(&mut self) {
-        let events = self.events();
-        let mut crashes: HashMap<Digest, BTreeSet<usize>> = HashMap::new();
+    fn find_suspects(&mut self, now: UnixMillis) {
         self.watched.clear();
-        for (crash, event) in self.crashes.values().zip(&events) {
-            for digest in
-                crash.requests.iter().filter(|digest| counts(&self.released, digest, crash.at))
-            {
-                crashes.entry(*digest).or_default().insert(*event);
+        self.accused_parts.clear();
+        let times: Vec<CrashTime> = self
+            .crashes
+            .values()
+            .zip(self.events())
+            .map(|(crash, event)| CrashTime { at: crash.at, event })
+            .collect();
+        let mut settled_parts: HashMap<Digest, usize> = HashMap::new();
+        for crash in self.crashes.values() {
+            let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
+            for digest in crash.requests.iter().filter(counted) {
                 *self.watched.entry(*digest).or_default() += 1;
             }
+            for digest in crash.parts.keys().filter(counted) {
+                let first = self.accused_parts.entry(*digest).or_insert(crash.at);
+                *first = crash.at.min(*first);
+                *settled_parts.entry(*digest).or_default() += usize::from(crash.has_settled(now));
+            }
         }
-        crashes.retain(|_, at| at.len() >= SUSPECT_CRASHES);
-        let suspects = self.select_suspects(crashes, &events);
-        self.suspects =
-            suspects.into_iter().map(|digest| (digest, self.evidence_for(&digest))).collect();
-    }
-
-    fn select_suspects(
-        &self,
-        mut open: HashMap<Digest, BTreeSet<usize>>,
-        events: &[usize],
-    ) -> Vec<Digest> {
-        let mut explained: BTreeSet<usize> = BTreeSet::new();
-        let mut skipped: BTreeSet<Digest> = BTreeSet::new();
-        let mut suspects = Vec::new();
-        loop {
-            let found = open
-                .iter()
-                .filter(|(digest, at)| at.len() >= SUSPECT_CRASHES && !skipped.contains(digest))
-                .max_by_key(|(digest, at)| (at.len(), **digest));
-            let Some((digest, at)) = found.map(|(digest, at)| (*digest, at.clone())) else {
-                return suspects;
-            };
-            let ambiguous =
-                open.iter().any(|(other, crashes)| *other != digest && at.is_subset(crashes));
-            if ambiguous || self.too_many_others(&at, events, &explained) {
-                skipped.insert(digest);
-                continue;
+        let mut open: HashMap<Digest, Hypothesis> = HashMap::new();
+        let mut add = |digest: &Digest, kind, proven, event: EventNumber| {
+            let new = || Hypothesis { kind, proven, events: BTreeSet::new() };
+            open.entry(*digest).or_insert_with(new).events.insert(event);
+        };
+        // Most requests and parts were at one crash or two, which is not enough to be blamed.
+        let frequent = |digest: &Digest, crashes: &HashMap<Digest, usize>| {
+            crashes.get(digest).is_some_and(|count| *count >= SUSPECT_CRASHES)
+        };
+        for (crash, time) in self.crashes.values().zip(&times) {
+            let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
+            let requests = crash.requests.iter().filter(counted);
+            for digest in requests.filter(|digest| frequent(digest, &self.watched)) {
+                add(digest, DigestKind::Request, false, time.event);
             }
-            open.remove(&digest);
-            for others in open.values_mut() {
-                others.retain(|event| !at.contains(event));
+            let parts = crash.parts.keys().filter(|_| crash.has_settled(now)).filter(counted);
+            for digest in parts.filter(|digest| frequent(digest, &settled_parts)) {
+                add(digest, DigestKind::Part, self.is_proven(digest), time.event);
             }
-            explained.extend(at);
-            suspects.push(digest);
-            skipped.clear();
         }
+        let culprits = Search::new(&times, open).run();
+        self.suspects = culprits.into_iter().map(|culprit| self.suspect(culprit)).collect();
+        let unsettled = self.crashes.values().filter(|crash| !crash.has_settled(now));
+        self.next_review = unsettled.map(|crash| crash.learned.after(SETTLING_TIME)).min();
+    }
+
+    fn suspect(&self, culprit: Culprit) -> (Digest, Suspect) {
+        let Culprit { name, kind, digests } = culprit;
+        let kind = match kind {
+            DigestKind::Request => SuspectKind::Request,
+            DigestKind::Part => SuspectKind::Part,
+        };
+        let caller = match kind {
+            SuspectKind::Request => None,
+            SuspectKind::Part => self.only_caller(&name),
+        };
+        (name, Suspect { kind, digests, caller, evidence: self.evidence_for(&name) })
+    }
+
+    /// The caller of all requests that had a part at crashes, if it was one only.
+    fn only_caller(&self, part: &Digest) -> Option<Digest> {
+        let crashes = self.crashes.values().filter(|crash| counts(&self.released, part, crash.at));
+        let mut callers = crashes.filter_map(|crash| crash.parts.get(part)).flatten();
+        let first = callers.next()?;
+        callers.all(|caller| caller == first).then_some(*first)
     }
 
     /// The number of the event that each crash belongs to. Crashes that hit a whole failure domain at once are one event.
-    fn events(&self) -> Vec<usize> {
+    fn events(&self) -> Vec<EventNumber> {
         let event = |(number, crash): (usize, &MergedCrash)| {
             if crash.domain_endpoints < MIN_DOMAIN_ENDPOINTS {
                 return number;
@@ -245,29 +351,10 @@
         self.crashes.values().enumerate().map(event).collect()
     }
 
-    /// Whether so many other endpoints crashed at about the same time, for unknown reasons, that no request is to blame.
-    fn too_many_others(
-        &self,
-        at: &BTreeSet<usize>,
-        events: &[usize],
-        explained: &BTreeSet<usize>,
-    ) -> bool {
-        let crashes = || self.crashes.values().zip(events);
-        let own = || crashes().filter(|(_, event)| at.contains(event)).map(|(crash, _)| crash.at);
-        let Some((first, last)) = own().min().zip(own().max()) else { return true };
-        let others: BTreeSet<usize> = crashes()
-            .filter(|(crash, _)| {
-                first.since(crash.at) <= OTHERS_BEFORE && crash.at.since(last) <= OTHERS_AFTER
-            })
-            .map(|(_, event)| *event)
-            .filter(|event| !at.contains(event) && !explained.contains(event))
-            .collect();
-        others.len() > at.len() * OTHERS_PER_CRASH + OTHERS_ALLOWANCE
-    }
-
     fn evidence_for(&self, digest: &Digest) -> Vec<Evidence> {
         let crashes = self.crashes.iter().filter(|(_, crash)| {
-            crash.requests.contains(digest) && counts(&self.released, digest, crash.at)
+            let present = crash.requests.contains(digest) || crash.parts.contains_key(digest);
+            present && counts(&self.released, digest, crash.at)
         });
         crashes
             .map(|((endpoint, incarnation), crash)| Evidence {
@@ -278,52 +365,65 @@
             .collect()
     }
 
-    /// Whether a request is suspected to crash endpoints.
-    pub fn suspicion(&self, digest: &Digest) -> SuspicionLevel {
-        if self.suspects.contains_key(digest) {
-            return SuspicionLevel::Suspect;
+    /// Whether a request is suspected to crash endpoints, for itself or for the parts of its prompt.
+    pub fn suspicion(&self, request: &Fingerprint) -> SuspicionLevel {
+        match self.suspect_of(request) {
+            Some(name) => SuspicionLevel::Suspect(name),
+            None => self.request_suspicion(&request.request),
+        }
+    }
+
+    /// Whether a request is suspected for itself.
+    pub fn request_suspicion(&self, request: &Digest) -> SuspicionLevel {
+        let suspect = self.suspects.get(request).filter(|s| s.kind == SuspectKind::Request);
+        match (suspect, self.watched.get(request)) {
+            (Some(_), _) => SuspicionLevel::Suspect(*request),
+            (None, Some(count)) => SuspicionLevel::Watched(*count),
+            (None, None) => SuspicionLevel::Clear,
         }
-        self.watched
-            .get(digest)
-            .map_or(SuspicionLevel::Clear, |count| SuspicionLevel::Watched(*count))
+    }
+
+    fn suspect_of(&self, request: &Fingerprint) -> Option<Digest> {
+        let mut suspects = self.suspects.iter();
+        let found = suspects.find(|(_, suspect)| {
+            suspect.caller.is_none_or(|caller| caller == request.caller)
+                && suspect.digests.iter().all(|digest| request.has(digest))
+        });
+        found.map(|(name, _)| *name)
     }
 
     /// The number of the trial of a suspect that is due, if there is one.
-    pub fn due_trial(&self, digest: &Digest, now: UnixMillis) -> Option<u32> {
-        let crashes = self.suspects.get(digest)?;
-        let trials = self.trials.get(digest);
+    pub fn due_trial(&self, name: &Digest, now: UnixMillis) -> Option<u32> {
+        let suspect = self.suspects.get(name)?;
+        let delays = match suspect.kind {
+            SuspectKind::Request => REQUEST_TRIAL_DELAYS,
+            SuspectKind::Part => PART_TRIAL_DELAYS,
+        };
+        let trials = self.trials.get(name);
         let count = trials.map_or(0, |trials| trials.count);
-        let last = crashes.iter().map(|crash| crash.at).max().unwrap_or(now);
+        let last = suspect.evidence.iter().map(|crash| crash.at).max().unwrap_or(now);
         let last = trials.map_or(last, |trials| trials.last.max(last));
-        let delay = TRIAL_DELAYS.get(count as usize)?;
+        let delay = delays.get(count as usize)?;
         (now.since(last) >= *delay).then_some(count + 1)
     }
 
     /// At how many crashes the most frequent request and the most frequent prompt part were.
     pub fn most_common(&self) -> CommonCrashes {
-        let most = |counts: HashMap<Digest, usize>| counts.into_values().max().unwrap_or_default();
-        let count = |digests: fn(&MergedCrash) -> &BTreeSet<Digest>| {
-            let mut counts: HashMap<Digest, usize> = HashMap::new();
-            for digest in self.crashes.values().flat_map(digests) {
-                *counts.entry(*digest).or_default() += 1;
-            }
-            most(counts)
-        };
         CommonCrashes {
             crashes: self.crashes.len(),
-            request: count(|crash| &crash.requests),
-            part: count(|crash| &crash.parts),
+            request: most_frequent(self.crashes.values().flat_map(|crash| &crash.requests)),
+            part: most_frequent(self.crashes.values().flat_map(|crash| crash.parts.keys())),
         }
     }
 
-    /// The crashes that count against a suspect; empty for other requests.
-    pub fn evidence(&self, digest: &Digest) -> &[Evidence] {
-        self.suspects.get(digest).map_or(&[], Vec::as_slice)
+    /// The suspect that a digest identifies.
+    pub fn suspect_named(&self, name: &Digest) -> Option<&Suspect> {
+        self.suspects.get(name)
     }
 
-    /// All suspects, with the crashes that count against each.
-    pub fn suspects(&self) -> impl Iterator<Item = (&Digest, &[Evidence])> {
-        self.suspects.iter().map(|(digest, crashes)| (digest, crashes.as_slice()))
+    /// All suspects, by the digests that identify them.
+    pub fn suspects(&self) -> impl Iterator<Item = (&Digest, &Suspect)> {
+        self.suspects.iter()
     }
 
     /// Whether a record is so old that the table doesn't use it any more.
@@ -337,6 +437,15 @@
     released.get(digest).is_none_or(|released| crashed_at > *released)
 }
 
+/// How often the most frequent digest occurs.
+fn most_frequent<'a>(digests: impl Iterator<Item = &'a Digest>) -> usize {
+    let mut counts: HashMap<Digest, usize> = HashMap::new();
+    for digest in digests {
+        *counts.entry(*digest).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or_default()
+}
+
 /// Adds digests to a set until it has `most`.
 fn extend_up_to(set: &mut BTreeSet<Digest>, digests: &BTreeSet<Digest>, most: usize) {
     for digest in digests {
--- a/components/router/src/crash_check.rs
+++ b/components/router/src/crash_check.rs
@@ -6,7 +6,7 @@
 //! answer at all.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,13 +14,14 @@
 
 use events::{Event, emit, millis};
 use platform::Health;
-use quarantine::{Crash, Fingerprint, QuarantineRecord};
+use quarantine::{Crash, Digest, QuarantineRecord};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation};
 
 use crate::guard::wall_clock;
 use crate::pool::ConnectionPool;
+use crate::sent_requests::CrashCandidate;
 use crate::shared::Shared;
 
 /// The timeout of one check. A running endpoint answers within a few milliseconds, a busy one within tens.
@@ -119,8 +120,8 @@
         domain,
         domain_endpoints,
         at,
-        requests: candidates.iter().map(|candidate| candidate.request).collect(),
-        parts: candidates.iter().flat_map(|candidate| candidate.part_digests()).collect(),
+        requests: candidates.iter().map(|candidate| candidate.fingerprint.request).collect(),
+        parts: doubtful_parts(&candidates),
     });
     if ended {
         return shared.guard.finish_examination(&pool, crash);
@@ -135,10 +136,21 @@
     }
 }
 
+/// The parts of the prompts of requests that may have crashed their endpoint by them, each with the callers.
+fn doubtful_parts(candidates: &[CrashCandidate]) -> BTreeMap<Digest, BTreeSet<Digest>> {
+    let mut parts: BTreeMap<Digest, BTreeSet<Digest>> = BTreeMap::new();
+    for candidate in candidates.iter().filter(|candidate| !candidate.is_sound) {
+        for part in &candidate.fingerprint.parts {
+            parts.entry(part.digest).or_default().insert(candidate.fingerprint.caller);
+        }
+    }
+    parts
+}
+
 /// The beginnings of the digests of requests, as text for an event.
-fn format_digests(requests: &[Arc<Fingerprint>]) -> String {
-    let start = |request: &Arc<Fingerprint>| {
-        let mut text = request.request.to_string();
+fn format_digests(requests: &[CrashCandidate]) -> String {
+    let start = |candidate: &CrashCandidate| {
+        let mut text = candidate.fingerprint.request.to_string();
         text.truncate(LOGGED_DIGEST_DIGITS);
         text
     };
@@ -146,9 +158,9 @@
 }
 
 /// The most frequent parts of the prompts of requests, each with the number of requests that have it, as text for an event.
-fn format_parts(requests: &[Arc<Fingerprint>]) -> String {
+fn format_parts(requests: &[CrashCandidate]) -> String {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    for part in requests.iter().flat_map(|request| &request.parts) {
+    for part in requests.iter().flat_map(|candidate| &candidate.fingerprint.parts) {
         *counts.entry(&part.id).or_default() += 1;
     }
     let mut counts: Vec<(&str, usize)> = counts.into_iter().collect();
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -4,20 +4,26 @@
 //! that starts to run it is gone for seconds, with all requests that it had. Until it is known which request is to blame,
 //! requests that an endpoint had when it crashed are sent one at a time, and not at all while a possible crash is being
 //! examined. Requests that two crashed endpoints had are isolated from each other, so that the next crash tells them apart.
+//!
+//! Another load pattern: a part of the prompt crashes endpoints, in requests that differ in everything else. Most requests have
+//! the other parts of such prompts, so none of them is held back for parts that were at crashes. Instead routers tell each
+//! other which of these parts run well.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use control::{KeyedRecord, Suspect};
 use events::{Event, emit};
 use quarantine::{
-    Crash, CrashTable, Digest, Evidence, QuarantineRecord, Release, SuspicionLevel, UnixMillis,
+    Crash, CrashTable, Digest, Evidence, Fingerprint, PartsRelease, QuarantineRecord, Release,
+    SuspectKind, SuspicionLevel, UnixMillis,
 };
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
 use crate::pool::ConnectionPool;
+use crate::sent_requests::SoundRequest;
 
 /// A request that was at this many crashes is kept from sharing an endpoint with others that were at as many.
 const MIN_CRASHES_TO_ISOLATE: usize = 2;
@@ -44,6 +50,8 @@
     /// Connection pools of the incarnations that may have crashed and are being examined.
     examined_pools: Vec<Arc<ConnectionPool>>,
     recent: VecDeque<KeyedRecord>,
+    /// Parts of prompts that run well, with when, of which other routers have not been told yet.
+    sound_parts: HashMap<Digest, UnixMillis>,
     /// When this router last learned of a crash or a possible one.
     last_crash: Option<Instant>,
 }
@@ -54,6 +62,47 @@
         let now = Instant::now();
         self.examined_pools.iter().any(|pool| pool.sent_requests().is_candidate(digest, now))
     }
+
+    /// Keeps records for routers that can't read them in the store.
+    fn remember(&mut self, records: &[KeyedRecord]) {
+        self.recent.extend(records.iter().cloned());
+        let excess = self.recent.len().saturating_sub(MAX_RECENT_RECORDS);
+        self.recent.drain(..excess);
+    }
+
+    /// Changes the table, and logs which suspects that adds and removes.
+    fn update<T>(&mut self, now: UnixMillis, change: impl FnOnce(&mut CrashTable) -> T) -> T {
+        let before: HashSet<Digest> = self.table.suspects().map(|(name, _)| *name).collect();
+        let result = change(&mut self.table);
+        for (name, suspect) in self.table.suspects().filter(|(name, _)| !before.contains(name)) {
+            emit_blamed(name, Some(suspect.kind), &format_evidence(&suspect.evidence, now));
+        }
+        for name in before.iter().filter(|name| self.table.suspect_named(name).is_none()) {
+            emit_blamed(name, None, "");
+        }
+        result
+    }
+
+    /// Records from other routers tell of parts that run well: this router need not tell of them too.
+    fn forget_sound_parts<'a>(&mut self, records: impl Iterator<Item = &'a QuarantineRecord>) {
+        for record in records {
+            let QuarantineRecord::PartsRelease(release) = record else { continue };
+            for (part, at) in &release.parts {
+                if self.sound_parts.get(part).is_some_and(|found| found <= at) {
+                    self.sound_parts.remove(part);
+                }
+            }
+        }
+    }
+
+    /// Whether the request is suspected, by all crashes that count by now.
+    fn suspicion(&mut self, request: &Fingerprint) -> SuspicionLevel {
+        let now = wall_clock();
+        if self.table.review_due(now) {
+            self.update(now, |table| table.review(now));
+        }
+        self.table.suspicion(request)
+    }
 }
 
 /// Decides when a request may be sent, by what is known about crashed endpoints.
@@ -64,6 +113,8 @@
     changed: Notify,
     /// Notified when an endpoint may have crashed: other routers may know more.
     pub(crate) possible_crash: Notify,
+    /// Notified when other routers are to be told of parts that run well.
+    pub(crate) sound_parts_found: Notify,
     /// New crash records of this router, to be written to the store.
     write: mpsc::UnboundedSender<KeyedRecord>,
     router: String,
@@ -72,10 +123,10 @@
 /// Why a request may not be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Rejection {
-    /// The request crashes endpoints.
-    Suspect,
-    /// The request is a suspect, and its trial with this number is due.
-    TrialDue(u32),
+    /// The request, or a part of its prompt, crashes endpoints; the digest identifies the suspect.
+    Suspect(Digest),
+    /// The same, but the trial of the suspect with this number is due.
+    TrialDue(Digest, u32),
     /// A request with the same digest was in flight, or a possible crash was examined, for as long as this one could wait.
     Busy,
 }
@@ -117,8 +168,8 @@
     /// Creates a guard without any crash records. The receiver gets the records that are to be written to the store.
     pub(crate) fn new(router: String) -> (Self, mpsc::UnboundedReceiver<KeyedRecord>) {
         let (write, written) = mpsc::unbounded_channel();
-        let (state, changed, possible_crash) = Default::default();
-        (Self { state, changed, possible_crash, write, router }, written)
+        let (state, changed, possible_crash, sound_parts_found) = Default::default();
+        (Self { state, changed, possible_crash, sound_parts_found, write, router }, written)
     }
 
     fn lock(&self) -> MutexGuard<'_, GuardState> {
@@ -128,7 +179,7 @@
     /// Waits until a request may be sent, at most until `until`. `held` is the permit that the request has already.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
-        digest: &Digest,
+        request: &Fingerprint,
         held: Option<SendPermit>,
         until: Instant,
     ) -> Result<SendPermit, Rejection> {
@@ -138,10 +189,10 @@
         };
         loop {
             let changed = self.changed.notified();
-            match self.decide(digest, turn.is_some()) {
+            match self.decide(request, turn.is_some()) {
                 Decision::Allow => return Ok(SendPermit { turn, isolated: false, trial: false }),
                 Decision::AllowInTurn { isolated } => {
-                    turn.get_or_insert_with(|| self.turn(digest));
+                    turn.get_or_insert_with(|| self.turn(&request.request));
                     return Ok(SendPermit { turn, isolated, trial: false });
                 }
                 Decision::Rejected(rejection) => return Err(rejection),
@@ -158,20 +209,20 @@
         Turn { guard: self.clone(), digest: *digest }
     }
 
-    fn decide(&self, digest: &Digest, has_turn: bool) -> Decision {
+    fn decide(&self, request: &Fingerprint, has_turn: bool) -> Decision {
         let mut state = self.lock();
-        if state.pending(digest) {
+        if state.pending(&request.request) {
             return Decision::Wait;
         }
-        match state.table.suspicion(digest) {
+        match state.suspicion(request) {
             SuspicionLevel::Clear => Decision::Allow,
-            SuspicionLevel::Suspect => {
-                Decision::Rejected(match state.table.due_trial(digest, wall_clock()) {
-                    Some(number) => Rejection::TrialDue(number),
-                    None => Rejection::Suspect,
+            SuspicionLevel::Suspect(name) => {
+                Decision::Rejected(match state.table.due_trial(&name, wall_clock()) {
+                    Some(number) => Rejection::TrialDue(name, number),
+                    None => Rejection::Suspect(name),
                 })
             }
-            SuspicionLevel::Watched(_) if !has_turn && !state.turns.insert(*digest) => {
+            SuspicionLevel::Watched(_) if !has_turn && !state.turns.insert(request.request) => {
                 Decision::Wait
             }
             SuspicionLevel::Watched(crashes) => {
@@ -181,28 +232,28 @@
     }
 
     /// Whether a request with a permit may still be sent, by what has become known since.
-    pub(crate) fn allows(&self, digest: &Digest, permit: &SendPermit) -> bool {
+    pub(crate) fn allows(&self, request: &Fingerprint, permit: &SendPermit) -> bool {
         if permit.trial {
             return true;
         }
-        let state = self.lock();
-        match state.table.suspicion(digest) {
-            SuspicionLevel::Suspect => false,
+        let mut state = self.lock();
+        match state.suspicion(request) {
+            SuspicionLevel::Suspect(_) => false,
             SuspicionLevel::Watched(crashes)
                 if permit.turn.is_none()
                     || (crashes >= MIN_CRASHES_TO_ISOLATE) != permit.isolated =>
             {
                 false
             }
-            SuspicionLevel::Watched(_) | SuspicionLevel::Clear => !state.pending(digest),
+            SuspicionLevel::Watched(_) | SuspicionLevel::Clear => !state.pending(&request.request),
         }
     }
 
-    /// Permission to send a suspect once as a trial, which the caller has agreed on with all routers. `None` if a request with
-    /// its digest is in flight.
-    pub(crate) fn trial_permit(self: &Arc<Self>, digest: &Digest) -> Option<SendPermit> {
-        let first = self.lock().turns.insert(*digest);
-        first.then(|| SendPermit { turn: Some(self.turn(digest)), isolated: true, trial: true })
+    /// Permission to send a request of a suspect once as its trial, which the caller has agreed on with all routers. `None` if one
+    /// is in flight.
+    pub(crate) fn trial_permit(self: &Arc<Self>, suspect: &Digest) -> Option<SendPermit> {
+        let first = self.lock().turns.insert(*suspect);
+        first.then(|| SendPermit { turn: Some(self.turn(suspect)), isolated: true, trial: true })
     }
 
     /// An incarnation of an endpoint may have crashed: requests that it had are not sent until that is known.
@@ -225,12 +276,12 @@
 
     /// A request ran to its end: earlier crashes of endpoints that had it no longer count against it.
     pub(crate) fn record_completion(&self, digest: &Digest) {
-        let suspicion = self.lock().table.suspicion(digest);
+        let suspicion = self.lock().table.request_suspicion(digest);
         // A single crash counts too little for its release to be stored: it is applied at this router only.
         let significant = match suspicion {
             SuspicionLevel::Clear => return,
             SuspicionLevel::Watched(crashes) => crashes >= MIN_CRASHES_TO_ISOLATE,
-            SuspicionLevel::Suspect => true,
+            SuspicionLevel::Suspect(_) => true,
         };
         let record = QuarantineRecord::Release(Release { digest: *digest, at: wall_clock() });
         if significant {
@@ -239,18 +290,72 @@
         self.apply(&[KeyedRecord { key: record.key(&self.router), record }]);
     }
 
-    /// Whether an endpoint has crashed while it had the request.
-    pub(crate) fn is_watched(&self, digest: &Digest) -> bool {
-        self.lock().table.suspicion(digest) != SuspicionLevel::Clear
+    /// The time of an answer that begins now. It is not before any crash that this router knows of, whatever the clocks of the
+    /// routers which noticed these say.
+    pub(crate) fn answer_time(&self) -> UnixMillis {
+        wall_clock().max(self.lock().table.latest_crash())
     }
 
-    /// Releases a suspect on an operator's request. Returns false if the request is no suspect.
-    pub(crate) fn release(&self, digest: &Digest) -> bool {
-        let suspect = self.lock().table.suspicion(digest) == SuspicionLevel::Suspect;
-        if suspect {
-            self.record(QuarantineRecord::Release(Release { digest: *digest, at: wall_clock() }));
+    /// Requests ran well that had begun their answers at these times, so that the parts of their prompts are not to blame for
+    /// crashes before.
+    pub(crate) fn record_sound(&self, requests: &[SoundRequest]) {
+        let now = wall_clock();
+        let mut state = self.lock();
+        let mut cleared: BTreeMap<Digest, UnixMillis> = BTreeMap::new();
+        for request in requests {
+            for part in &request.fingerprint.parts {
+                if state.table.record_sound(part.digest, request.began) {
+                    let at = cleared.entry(part.digest).or_default();
+                    *at = request.began.max(*at);
+                }
+            }
+        }
+        if cleared.is_empty() {
+            return;
         }
-        suspect
+        state.sound_parts.extend(&cleared);
+        let release = QuarantineRecord::PartsRelease(PartsRelease { parts: cleared });
+        state.update(now, |table| table.apply([&release], now));
+        drop(state);
+        self.changed.notify_waiters();
+        self.sound_parts_found.notify_one();
+    }
+
+    /// Tells all routers of the parts that run well and that no other router has told of meanwhile.
+    pub(crate) fn publish_sound_parts(&self) {
+        let mut state = self.lock();
+        let parts: BTreeMap<Digest, UnixMillis> = state.sound_parts.drain().collect();
+        if parts.is_empty() {
+            return;
+        }
+        let record = QuarantineRecord::PartsRelease(PartsRelease { parts });
+        let keyed = KeyedRecord { key: record.key(&self.router), record };
+        state.remember(std::slice::from_ref(&keyed));
+        drop(state);
+        self.queue_write(keyed);
+    }
+
+    /// Whether an endpoint has crashed while it had the request, or another one with a part that has not been seen to run well.
+    pub(crate) fn is_watched(&self, request: &Fingerprint) -> bool {
+        let mut state = self.lock();
+        state.suspicion(request) != SuspicionLevel::Clear
+            || request.parts.iter().any(|part| state.table.is_doubtful(&part.digest))
+    }
+
+    /// Releases a suspect on an operator's request. Returns false if there is no such suspect.
+    pub(crate) fn release(&self, name: &Digest) -> bool {
+        let Some(suspect) = self.lock().table.suspect_named(name).cloned() else { return false };
+        let at = wall_clock();
+        if suspect.kind == SuspectKind::Request {
+            self.record(QuarantineRecord::Release(Release { digest: *name, at }));
+        }
+        let parts = suspect.digests.into_iter().filter(|digest| digest != name);
+        let parts = parts.chain((suspect.kind == SuspectKind::Part).then_some(*name));
+        let parts: BTreeMap<Digest, UnixMillis> = parts.map(|part| (part, at)).collect();
+        if !parts.is_empty() {
+            self.record(QuarantineRecord::PartsRelease(PartsRelease { parts }));
+        }
+        true
     }
 
     /// Applies a record of this router and has it written to the store.
@@ -269,7 +374,6 @@
     pub(crate) fn apply(&self, all: &[KeyedRecord]) -> Vec<KeyedRecord> {
         let now = wall_clock();
         let mut state = self.lock();
-        let before: HashSet<Digest> = state.table.suspects().map(|(digest, _)| *digest).collect();
         let known: HashSet<&String> = state.recent.iter().map(|keyed| &keyed.key).collect();
         let fresh: Vec<KeyedRecord> = all
             .iter()
@@ -278,23 +382,15 @@
             })
             .cloned()
             .collect();
-        if state.table.apply(all.iter().map(|keyed| &keyed.record), now) == 0 {
+        let records = all.iter().map(|keyed| &keyed.record);
+        state.forget_sound_parts(records.clone());
+        if state.update(now, |table| table.apply(records, now)) == 0 {
             return Vec::new();
         }
         if fresh.iter().any(|keyed| matches!(keyed.record, QuarantineRecord::Crash(_))) {
             state.last_crash = Some(Instant::now());
         }
-        state.recent.extend(fresh.iter().cloned());
-        let excess = state.recent.len().saturating_sub(MAX_RECENT_RECORDS);
-        state.recent.drain(..excess);
-        for (digest, crashes) in
-            state.table.suspects().filter(|(digest, _)| !before.contains(digest))
-        {
-            emit_blamed(digest, true, &format_evidence(crashes, now));
-        }
-        for digest in before.iter().filter(|digest| state.table.evidence(digest).is_empty()) {
-            emit_blamed(digest, false, "");
-        }
+        state.remember(&fresh);
         let common = state.table.most_common();
         drop(state);
         events::record_common_crashes(common.crashes, common.request, common.part);
@@ -312,24 +408,44 @@
         self.lock().last_crash.is_some_and(|at| at.elapsed() < CRASH_ALERT_PERIOD)
     }
 
-    /// The crashes that count against a request, as text for an event.
-    pub(crate) fn evidence_text(&self, digest: &Digest) -> String {
-        format_evidence(self.lock().table.evidence(digest), wall_clock())
+    /// The crashes that count against a suspect, as text for an event.
+    pub(crate) fn evidence_text(&self, name: &Digest) -> String {
+        let state = self.lock();
+        let evidence = state.table.suspect_named(name).map(|suspect| &suspect.evidence);
+        evidence.map_or(String::new(), |evidence| format_evidence(evidence, wall_clock()))
     }
 
-    /// All suspected requests.
+    /// The parts of a request's prompt for which it is refused; empty if it is refused for itself.
+    pub(crate) fn suspected_parts(&self, name: &Digest, request: &Fingerprint) -> String {
+        let state = self.lock();
+        let Some(suspect) = state.table.suspect_named(name) else { return String::new() };
+        let parts = request.parts.iter().filter(|part| {
+            suspect.kind == SuspectKind::Part && suspect.digests.contains(&part.digest)
+        });
+        parts.map(|part| part.id.as_ref()).collect::<Vec<_>>().join(" ")
+    }
+
+    /// All suspects.
     pub(crate) fn suspects(&self) -> Vec<Suspect> {
         let state = self.lock();
-        let suspect = |(digest, crashes): (&Digest, &[Evidence])| Suspect {
-            digest: *digest,
-            crashes: crashes.to_vec(),
+        let suspect = |(name, suspect): (&Digest, &quarantine::Suspect)| Suspect {
+            digest: *name,
+            kind: suspect.kind,
+            crashes: suspect.evidence.clone(),
         };
         state.table.suspects().map(suspect).collect()
     }
 }
 
-fn emit_blamed(digest: &Digest, suspect: bool, ends: &str) {
-    emit(&Event::SuspectChanged { digest: &digest.to_string(), suspect, ends });
+/// `kind` is what the suspect is; none if it is no suspect any more.
+fn emit_blamed(name: &Digest, kind: Option<SuspectKind>, ends: &str) {
+    let kind_text = match kind {
+        Some(SuspectKind::Request) => "request",
+        Some(SuspectKind::Part) => "part",
+        None => "",
+    };
+    let digest = &name.to_string();
+    emit(&Event::SuspectChanged { digest, suspect: kind.is_some(), kind: kind_text, ends });
 }
 
 /// The endpoint, incarnation and age of each crash.
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -198,34 +198,35 @@
     /// Waits for the permit of the crash guard, which holds back requests that were at crashed
     /// endpoints.
     async fn acquire_permit(&mut self) -> Result<(), Failure> {
-        let digest = self.outgoing.fingerprint.request;
+        let fingerprint = &self.outgoing.fingerprint;
         let held = self.permit.take();
-        let rejection = match self.shared.guard.acquire(&digest, held, self.send_by).await {
+        let rejection = match self.shared.guard.acquire(fingerprint, held, self.send_by).await {
             Ok(permit) => {
                 self.permit = Some(permit);
                 return Ok(());
             }
             Err(rejection) => rejection,
         };
-        let mut trial = None;
-        if let Rejection::TrialDue(number) = rejection {
-            trial = crash_records::claim_trial(&self.shared, &digest, number).await;
-        }
-        if rejection != Rejection::Busy {
-            emit(&Event::SuspectRequest {
-                request: &self.request_id,
-                digest: &digest.to_string(),
-                tried: trial.is_some(),
-                ends: &self.shared.guard.evidence_text(&digest),
-            });
-        }
-        self.permit = trial;
-        match (&self.permit, rejection) {
-            (Some(_), _) => Ok(()),
-            (None, Rejection::Busy) => Err(self.failure(Refusal::TimedOut, Some(WAIT_RETRY_AFTER))),
-            (None, Rejection::Suspect | Rejection::TrialDue(_)) => {
-                Err(self.failure(Refusal::Crashes, None))
+        let (suspect, trial) = match rejection {
+            Rejection::Busy => {
+                return Err(self.failure(Refusal::TimedOut, Some(WAIT_RETRY_AFTER)));
             }
+            Rejection::Suspect(suspect) => (suspect, None),
+            Rejection::TrialDue(suspect, number) => {
+                (suspect, crash_records::claim_trial(&self.shared, &suspect, number).await)
+            }
+        };
+        emit(&Event::SuspectRequest {
+            request: &self.request_id,
+            digest: &suspect.to_string(),
+            parts: &self.shared.guard.suspected_parts(&suspect, fingerprint),
+            tried: trial.is_some(),
+            ends: &self.shared.guard.evidence_text(&suspect),
+        });
+        self.permit = trial;
+        match self.permit {
+            Some(_) => Ok(()),
+            None => Err(self.failure(Refusal::Crashes, None)),
         }
     }
 
@@ -246,15 +247,14 @@
 
     fn is_permitted(&self) -> bool {
         let permit = self.permit.as_ref();
-        permit.is_some_and(|permit| {
-            self.shared.guard.allows(&self.outgoing.fingerprint.request, permit)
-        })
+        permit.is_some_and(|permit| self.shared.guard.allows(&self.outgoing.fingerprint, permit))
     }
 
     /// Records that a response has been read to its end, and clears the request of suspicion if its
     /// endpoint survived it.
     pub(crate) fn complete(&self, mut response: EndpointResponse) {
-        let (guard, digest) = (&self.shared.guard, &self.outgoing.fingerprint.request);
+        let (guard, fingerprint) = (&self.shared.guard, &self.outgoing.fingerprint);
+        let digest = &fingerprint.request;
         if response.framing() != Framing::Close {
             guard.record_completion(digest);
             return response.release_connection();
@@ -262,7 +262,7 @@
         // The connections of an endpoint that crashes end as well.
         if !response.reservation.end_with_connection() {
             guard.record_completion(digest);
-        } else if guard.is_watched(digest) {
+        } else if guard.is_watched(fingerprint) {
             let Reservation { id, incarnation, pool, .. } = &response.reservation;
             crash_check::start(&self.shared, id, *incarnation, pool);
         }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -99,6 +99,7 @@
         };
         match collected {
             Ok(bytes) => {
+                response.reservation.record_data(Instant::now());
                 let mut headers = platform::passed_headers(&response.head.headers);
                 headers.remove(header::CONTENT_LENGTH);
                 let mut relayed = Response::new(web::full(bytes));
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -42,6 +42,8 @@
     pub(crate) rate_limit: Option<Rate>,
     /// Whether a response has begun.
     response_begun: bool,
+    /// Whether data of the response has arrived.
+    data_begun: bool,
     /// Id of the request among the sent requests of the endpoint, once it has been sent.
     sent_id: Option<SentRequestId>,
     /// Whether the request may not share the endpoint with other requests that were at crashed
@@ -93,6 +95,7 @@
             waited_for_load: false,
             rate_limit,
             response_begun: false,
+            data_begun: false,
             sent_id: None,
             isolated,
             meter: StreamMeter::default(),
@@ -170,6 +173,21 @@
         shared.endpoints.changed.notify_waiters();
     }
 
+    /// Records that data of the answer has arrived.
+    pub(crate) fn record_data(&mut self, now: Instant) {
+        self.pool.liveness().answer_received(now);
+        if let Some(sent_id) = self.sent_id.filter(|_| !self.data_begun) {
+            self.data_begun = true;
+            let began = self.shared.guard.answer_time();
+            self.pool.sent_requests().data_began(sent_id, began, now);
+        }
+        if self.pool.sent_requests().has_survived(now) {
+            let stall = self.shared.stall_detector.last_stall();
+            let survived = self.pool.sent_requests().take_survived(now, stall);
+            self.shared.guard.record_sound(&survived);
+        }
+    }
+
     /// Records that events of a stream have arrived.
     pub(crate) fn record_events(&mut self, data: &[u8], now: Instant) {
         let Some(model) = &self.model else { return };
--- a/components/router/src/sent_requests/tests.rs
+++ b/components/router/src/sent_requests/tests.rs
@@ -12,11 +12,11 @@
 }
 
 fn fingerprint(name: &str) -> Arc<Fingerprint> {
-    Arc::new(digest(name).into())
+    Arc::new(Fingerprint::new(digest(name), b"caller", []))
 }
 
 fn crash_candidates(requests: &SentRequests, now: Instant) -> BTreeSet<Digest> {
-    requests.crash_candidates(now).iter().map(|candidate| candidate.request).collect()
+    requests.crash_candidates(now).iter().map(|candidate| candidate.fingerprint.request).collect()
 }
 
 #[test]
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -126,7 +126,7 @@
     /// stream may have to be resumed.
     fn push(&mut self, data: Bytes, resumable: bool) -> Bytes {
         let now = Instant::now();
-        self.response.reservation.pool.liveness().answer_received(now);
+        self.response.reservation.record_data(now);
         let ready = if resumable && self.has_events {
             self.events.push(data)
         } else {
--- a/src/cmd/suspects.rs
+++ b/src/cmd/suspects.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use control::{RELEASE_PATH, ReleaseRequest, SUSPECTS_PATH, Suspect};
-use quarantine::Digest;
+use quarantine::{Digest, SuspectKind};
 use web::Client;
 
 use crate::error::{CmdError, Exit};
@@ -13,13 +13,17 @@
 /// A router answers within some tens of milliseconds.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Shows the requests that a router refuses, since they crash endpoints.
+/// Shows the requests, and the parts of prompts, that a router refuses, since they crash endpoints.
 pub(crate) async fn list(router: SocketAddr, out: &mut dyn Write) -> Result<Exit, CmdError> {
     let client = Client::default();
     let suspects: Vec<Suspect> = client.get(router, SUSPECTS_PATH, PATIENCE).await?;
     writeln!(out, "suspects: {}", suspects.len())?;
     for suspect in &suspects {
-        writeln!(out, "  {}", suspect.digest)?;
+        let kind = match suspect.kind {
+            SuspectKind::Request => "request",
+            SuspectKind::Part => "part of prompts",
+        };
+        writeln!(out, "  {} ({kind})", suspect.digest)?;
         for end in &suspect.crashes {
             let life = end.incarnation.map_or("unknown".to_owned(), |life| life.to_string());
             writeln!(out, "    endpoint {} ended, life {life}, at {} ms", end.endpoint, end.at)?;
--- a/src/cmd/suspects/tests.rs
+++ b/src/cmd/suspects/tests.rs
@@ -12,7 +12,11 @@
     Digest::of(&[b"shop.example", b"/x", b"body"])
 }
 
-/// A router with one suspect.
+fn part_digest() -> Digest {
+    Digest::of(&[b"part", b"5c1e07a2"])
+}
+
+/// A router with two suspects.
 async fn router() -> (SocketAddr, watch::Sender<bool>) {
     let listener = web::bind(([127, 0, 0, 1], 0).into()).await.expect("a port");
     let addr = listener.local_addr().expect("an address");
@@ -28,8 +32,12 @@
                     at: UnixMillis(1_500),
                 };
                 let unknown = Evidence { incarnation: None, ..end.clone() };
-                let suspect = Suspect { digest: digest(), crashes: vec![end, unknown] };
-                web::json(StatusCode::OK, &vec![suspect])
+                let kind = SuspectKind::Request;
+                let suspect =
+                    Suspect { digest: digest(), kind, crashes: vec![end.clone(), unknown] };
+                let kind = SuspectKind::Part;
+                let part = Suspect { digest: part_digest(), kind, crashes: vec![end] };
+                web::json(StatusCode::OK, &vec![suspect, part])
             }
             (Method::POST, RELEASE_PATH) => match serde_json::from_slice::<ReleaseRequest>(&body) {
                 Ok(let_go) if let_go.digest == digest() => web::json(StatusCode::OK, &let_go),
@@ -48,8 +56,10 @@
     let mut out = Vec::new();
     assert_eq!(list(addr, &mut out).await.expect("an answer"), Exit::Done);
     let expected = format!(
-        "suspects: 1\n  {}\n    endpoint i-1 ended, life 7, at 1500 ms\n    endpoint i-1 ended, life unknown, at 1500 ms\n",
-        digest()
+        "suspects: 2\n  {} (request)\n    endpoint i-1 ended, life 7, at 1500 ms\n    endpoint i-1 ended, life unknown, at 1500 ms\n\
+         \x20 {} (part of prompts)\n    endpoint i-1 ended, life 7, at 1500 ms\n",
+        digest(),
+        part_digest()
     );
     assert_eq!(String::from_utf8(out).expect("text"), expected);
 }
