Quarantine: the clocks of other routers don't decide when a crash counts against parts

In simulated time, 40 routers whose clocks are wrong by up to three seconds refused 1 to 3 of about 4,050 sound requests in 4 of 32 cases: a crash recorded by a clock that was behind counted against parts at once, before other routers could tell which of them run well.

--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -33,6 +33,9 @@
 /// A crash counts against parts of prompts from this long after this router has learned of it. By then it is known which of
 /// them run well: such a run takes half a second, and all routers know of it another half second later.
 const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+/// A crash that was longer ago than this when the router learned of it counts at once, as after a restart of the router. Clocks of
+/// routers differ by less.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(10);
 /// How long after its last crash or trial a suspect is tried again; after the last of these trials it isn't tried any more.
 const REQUEST_TRIAL_DELAYS: [Duration; 3] =
     [Duration::from_secs(600), Duration::from_secs(3_600), Duration::from_secs(4 * 3_600)];
@@ -69,7 +72,7 @@
     fn has_settled(&self, now: UnixMillis) -> bool {
         // The clock may have been set back since.
         let since_learned = Duration::from_millis(now.0.abs_diff(self.learned.0));
-        since_learned >= SETTLING_TIME || now.since(self.at) >= SETTLING_TIME
+        since_learned >= SETTLING_TIME || self.learned.since(self.at) >= MAX_CLOCK_DIFFERENCE
     }
 }
 
