Router: does not carry a doubtful part from one endpoint to the next

A request whose stream may be resumed is sent on by the router itself, so one with a part that crashes endpoints ended two. The router gives up such a request now if one of its parts was at two crashes and has never run well; sound requests of an endpoint that ended go on, since their parts ran well before.

--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -76,6 +76,15 @@
     }
 }
 
+/// The crashes that count against a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Accusation {
+    first: UnixMillis,
+    crashes: usize,
+    /// Those of them that have settled.
+    settled: usize,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct TrialHistory {
     count: u32,
@@ -148,8 +157,8 @@
     /// At how many crashes each request was running.
     watched: HashMap<Digest, usize>,
     suspects: BTreeMap<Digest, Suspect>,
-    /// The earliest crash that counts against each part, settled or not.
-    accused_parts: HashMap<Digest, UnixMillis>,
+    /// The crashes that count against each part, settled or not.
+    accused_parts: HashMap<Digest, Accusation>,
     /// Parts that are known to run well, whether they were at crashes or not.
     proven: ProvenParts,
     /// When the next crash settles.
@@ -188,16 +197,17 @@
     /// that clears the part of a crash.
     pub fn record_sound(&mut self, part: Digest, began: UnixMillis) -> bool {
         self.proven.insert(part);
-        self.accused_parts.get(&part).is_some_and(|crashed| *crashed <= began)
+        self.accused_parts.get(&part).is_some_and(|accusation| accusation.first <= began)
     }
 
-    /// Whether a crash counts against a part that has not been seen to run well.
-    pub fn is_doubtful(&self, part: &Digest) -> bool {
-        self.accused_parts.contains_key(part) && !self.is_proven(part)
+    /// How many crashes count against a part that has not been seen to run well.
+    pub fn doubts(&self, part: &Digest) -> usize {
+        let accusation = self.accused_parts.get(part).filter(|_| !self.is_proven(part));
+        accusation.map_or(0, |accusation| accusation.crashes)
     }
 
     /// Whether requests with a part have run well, as far as this router has learned.
-    fn is_proven(&self, part: &Digest) -> bool {
+    pub fn is_proven(&self, part: &Digest) -> bool {
         self.proven.contains(part) || self.released.contains_key(part)
     }
 
@@ -278,16 +288,17 @@
             .zip(self.events())
             .map(|(crash, event)| CrashTime { at: crash.at, event })
             .collect();
-        let mut settled_parts: HashMap<Digest, usize> = HashMap::new();
         for crash in self.crashes.values() {
             let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
             for digest in crash.requests.iter().filter(counted) {
                 *self.watched.entry(*digest).or_default() += 1;
             }
             for digest in crash.parts.keys().filter(counted) {
-                let first = self.accused_parts.entry(*digest).or_insert(crash.at);
-                *first = crash.at.min(*first);
-                *settled_parts.entry(*digest).or_default() += usize::from(crash.has_settled(now));
+                let new = Accusation { first: crash.at, crashes: 0, settled: 0 };
+                let accusation = self.accused_parts.entry(*digest).or_insert(new);
+                accusation.first = accusation.first.min(crash.at);
+                accusation.crashes += 1;
+                accusation.settled += usize::from(crash.has_settled(now));
             }
         }
         let mut open: HashMap<Digest, Hypothesis> = HashMap::new();
@@ -295,18 +306,17 @@
             let new = || Hypothesis { kind, proven, events: BTreeSet::new() };
             open.entry(*digest).or_insert_with(new).events.insert(event);
         };
-        // Most requests and parts were at one crash or two, which is not enough to be blamed.
-        let frequent = |digest: &Digest, crashes: &HashMap<Digest, usize>| {
-            crashes.get(digest).is_some_and(|count| *count >= SUSPECT_CRASHES)
-        };
         for (crash, time) in self.crashes.values().zip(&times) {
             let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
             let requests = crash.requests.iter().filter(counted);
-            for digest in requests.filter(|digest| frequent(digest, &self.watched)) {
+            // Most requests and parts were at one crash or two, which is not enough to be blamed.
+            for digest in requests.filter(|digest| self.watched[*digest] >= SUSPECT_CRASHES) {
                 add(digest, DigestKind::Request, false, time.event);
             }
             let parts = crash.parts.keys().filter(|_| crash.has_settled(now)).filter(counted);
-            for digest in parts.filter(|digest| frequent(digest, &settled_parts)) {
+            let frequent =
+                |digest: &&Digest| self.accused_parts[*digest].settled >= SUSPECT_CRASHES;
+            for digest in parts.filter(frequent) {
                 add(digest, DigestKind::Part, self.is_proven(digest), time.event);
             }
         }
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -16,8 +16,8 @@
 use control::{KeyedRecord, Suspect};
 use events::{Event, emit};
 use quarantine::{
-    Crash, CrashTable, Digest, Evidence, Fingerprint, PartsRelease, QuarantineRecord, Release,
-    SuspectKind, SuspicionLevel, UnixMillis,
+    Crash, CrashTable, Digest, Evidence, Fingerprint, PartsRelease, PromptPart, QuarantineRecord,
+    Release, SuspectKind, SuspicionLevel, UnixMillis,
 };
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
@@ -27,6 +27,8 @@
 
 /// A request that was at this many crashes is kept from sharing an endpoint with others that were at as many.
 const MIN_CRASHES_TO_ISOLATE: usize = 2;
+/// The router itself does not send a request again that has a part which was at this many crashes and has never run well.
+const MIN_DOUBTS_TO_GIVE_UP: usize = 2;
 /// The most crash records that are kept for routers that can't read them in the store.
 const MAX_RECENT_RECORDS: usize = 64;
 /// How long after a crash, or a possible one, records of other routers are read without delay.
@@ -120,6 +122,14 @@
     router: String,
 }
 
+/// Whether a request may have run before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Attempt {
+    First,
+    /// An endpoint that may have begun to run the request did not finish.
+    Repeated,
+}
+
 /// Why a request may not be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Rejection {
@@ -127,6 +137,8 @@
     Suspect(Digest),
     /// The same, but the trial of the suspect with this number is due.
     TrialDue(Digest, u32),
+    /// The request has been interrupted, and a part of its prompt may be the cause.
+    Doubtful,
     /// A request with the same digest was in flight, or a possible crash was examined, for as long as this one could wait.
     Busy,
 }
@@ -180,6 +192,7 @@
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         request: &Fingerprint,
+        attempt: Attempt,
         held: Option<SendPermit>,
         until: Instant,
     ) -> Result<SendPermit, Rejection> {
@@ -189,7 +202,7 @@
         };
         loop {
             let changed = self.changed.notified();
-            match self.decide(request, turn.is_some()) {
+            match self.decide(request, attempt, turn.is_some()) {
                 Decision::Allow => return Ok(SendPermit { turn, isolated: false, trial: false }),
                 Decision::AllowInTurn { isolated } => {
                     turn.get_or_insert_with(|| self.turn(&request.request));
@@ -209,12 +222,20 @@
         Turn { guard: self.clone(), digest: *digest }
     }
 
-    fn decide(&self, request: &Fingerprint, has_turn: bool) -> Decision {
+    fn decide(&self, request: &Fingerprint, attempt: Attempt, has_turn: bool) -> Decision {
         let mut state = self.lock();
         if state.pending(&request.request) {
             return Decision::Wait;
         }
-        match state.suspicion(request) {
+        let suspicion = state.suspicion(request);
+        let doubts = |part: &PromptPart| state.table.doubts(&part.digest);
+        if attempt == Attempt::Repeated
+            && !matches!(suspicion, SuspicionLevel::Suspect(_))
+            && request.parts.iter().any(|part| doubts(part) >= MIN_DOUBTS_TO_GIVE_UP)
+        {
+            return Decision::Rejected(Rejection::Doubtful);
+        }
+        match suspicion {
             SuspicionLevel::Clear => Decision::Allow,
             SuspicionLevel::Suspect(name) => {
                 Decision::Rejected(match state.table.due_trial(&name, wall_clock()) {
@@ -339,7 +360,7 @@
     pub(crate) fn is_watched(&self, request: &Fingerprint) -> bool {
         let mut state = self.lock();
         state.suspicion(request) != SuspicionLevel::Clear
-            || request.parts.iter().any(|part| state.table.is_doubtful(&part.digest))
+            || request.parts.iter().any(|part| state.table.doubts(&part.digest) > 0)
     }
 
     /// Releases a suspect on an operator's request. Returns false if there is no such suspect.
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -1,13 +1,14 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use quarantine::{Crash, Digest, Fingerprint, QuarantineRecord, UnixMillis};
+use control::KeyedRecord;
+use quarantine::{Crash, Digest, Fingerprint, PartsRelease, QuarantineRecord, UnixMillis};
 use tokio::time::Instant;
 
-use super::{CrashGuard, Rejection, SendPermit, wall_clock};
+use super::{Attempt, CrashGuard, Rejection, SendPermit, wall_clock};
 use crate::pool::ConnectionPool;
-use crate::sent_requests::RunEnd;
+use crate::sent_requests::{RunEnd, SoundRequest};
 
 const LONG_WAIT: Duration = Duration::from_secs(60);
 
@@ -39,7 +40,7 @@
 /// The result for a request, or `None` if it has to wait.
 async fn try_acquire(guard: &Arc<CrashGuard>, name: &str) -> Option<Result<SendPermit, Rejection>> {
     let request = request(name);
-    let acquired = guard.acquire(&request, None, Instant::now() + LONG_WAIT);
+    let acquired = guard.acquire(&request, Attempt::First, None, Instant::now() + LONG_WAIT);
     tokio::time::timeout(Duration::from_millis(1), acquired).await.ok()
 }
 
@@ -76,7 +77,10 @@
     crash(&guard, 1, &["a"]);
     let _first = try_acquire(&guard, "a").await.expect("a turn").expect("a permit");
     let until = Instant::now() + Duration::from_secs(2);
-    assert_eq!(guard.acquire(&request("a"), None, until).await.err(), Some(Rejection::Busy));
+    assert_eq!(
+        guard.acquire(&request("a"), Attempt::First, None, until).await.err(),
+        Some(Rejection::Busy)
+    );
     assert_eq!(Instant::now(), until);
 }
 
@@ -105,7 +109,12 @@
     assert!(first.isolated);
     let waiting = tokio::spawn({
         let guard = guard.clone();
-        async move { guard.acquire(&request("a"), None, Instant::now() + LONG_WAIT).await.err() }
+        async move {
+            guard
+                .acquire(&request("a"), Attempt::First, None, Instant::now() + LONG_WAIT)
+                .await
+                .err()
+        }
     });
     tokio::time::sleep(Duration::from_millis(1)).await;
     crash(&guard, 3, &["a"]);
@@ -137,3 +146,89 @@
     let _first = try_acquire(&guard, "a").await.expect("a turn").expect("a permit");
     assert!(try_acquire(&guard, "a").await.is_none());
 }
+
+/// A request with the part of its prompt.
+fn request_with(name: &str, part: &str) -> Arc<Fingerprint> {
+    Arc::new(Fingerprint::new(digest(name), b"caller", [part]))
+}
+
+/// An endpoint crashed with these requests a moment ago.
+fn crash_by(guard: &CrashGuard, number: u32, requests: &[&Fingerprint]) {
+    let parts = requests.iter().flat_map(|request| &request.parts);
+    guard.record(QuarantineRecord::Crash(Crash {
+        endpoint: format!("i-{number}").parse().expect("an id"),
+        incarnation: None,
+        domain: "near".parse().expect("a domain"),
+        domain_endpoints: 9,
+        at: wall_clock(),
+        requests: requests.iter().map(|request| request.request).collect(),
+        parts: parts.map(|part| (part.digest, BTreeSet::from([requests[0].caller]))).collect(),
+    }));
+}
+
+async fn is_repeated(guard: &Arc<CrashGuard>, request: &Fingerprint) -> bool {
+    let until = Instant::now() + LONG_WAIT;
+    guard.acquire(request, Attempt::Repeated, None, until).await.is_ok()
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_interrupted_request_is_not_repeated_if_a_part_that_never_ran_well_was_at_two_crashes() {
+    let guard = guard();
+    let (one, other) = (request_with("a", "bad0"), request_with("b", "bad0"));
+    crash_by(&guard, 1, &[&one]);
+    assert!(is_repeated(&guard, &one).await);
+    crash_by(&guard, 2, &[&one]);
+    assert!(!is_repeated(&guard, &one).await);
+    assert!(!is_repeated(&guard, &other).await);
+    // Requests that have not run are sent on: the part may be a harmless one.
+    let until = Instant::now() + LONG_WAIT;
+    assert!(guard.acquire(&other, Attempt::First, None, until).await.is_ok());
+    assert!(is_repeated(&guard, &request_with("c", "5c1e")).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_interrupted_request_is_repeated_if_its_parts_are_known_to_run_well() {
+    let guard = guard();
+    let sound = request_with("a", "5c1e");
+    guard.record_sound(&[SoundRequest { fingerprint: sound.clone(), began: guard.answer_time() }]);
+    let interrupted: Vec<_> = ["b", "c", "d"].map(|name| request_with(name, "5c1e")).into();
+    for (number, request) in (1..).zip(&interrupted) {
+        crash_by(&guard, number, &[request]);
+        assert!(is_repeated(&guard, request).await);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_that_run_well_are_told_to_other_routers_once() {
+    let (guard, mut written) = CrashGuard::new("front-1".to_owned());
+    let sound = request_with("a", "5c1e");
+    let run = || SoundRequest { fingerprint: sound.clone(), began: guard.answer_time() };
+    guard.record_sound(&[run()]);
+    guard.publish_sound_parts();
+    assert!(written.try_recv().is_err(), "the part was at no crash");
+    crash_by(&guard, 1, &[&request_with("b", "5c1e")]);
+    assert!(written.try_recv().is_ok());
+    guard.record_sound(&[run()]);
+    guard.record_sound(&[run()]);
+    guard.publish_sound_parts();
+    guard.publish_sound_parts();
+    let told = written.try_recv().expect("a record");
+    assert!(matches!(told.record, QuarantineRecord::PartsRelease(_)));
+    assert!(guard.recent().contains(&told), "routers that can't read the store get it too");
+    assert!(written.try_recv().is_err());
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_that_another_router_has_told_of_are_not_told_again() {
+    let (guard, mut written) = CrashGuard::new("front-1".to_owned());
+    let sound = request_with("a", "5c1e");
+    crash_by(&guard, 1, &[&request_with("b", "5c1e")]);
+    let _crash = written.try_recv().expect("a record");
+    let began = guard.answer_time();
+    guard.record_sound(&[SoundRequest { fingerprint: sound.clone(), began }]);
+    let parts = sound.parts.iter().map(|part| (part.digest, began)).collect();
+    let record = QuarantineRecord::PartsRelease(PartsRelease { parts });
+    guard.apply(&[KeyedRecord { key: record.key("front-2"), record }]);
+    guard.publish_sound_parts();
+    assert!(written.try_recv().is_err());
+}
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -19,7 +19,7 @@
 use crate::crash_records;
 use crate::exchange::{self, EndpointResponse, OutgoingRequest, ResponseDeadlines, SendOutcome};
 use crate::grants;
-use crate::guard::{Rejection, SendPermit};
+use crate::guard::{Attempt, Rejection, SendPermit};
 use crate::pool::ConnectionPool;
 use crate::queued::Waiter;
 use crate::reservation::Reservation;
@@ -200,7 +200,9 @@
     async fn acquire_permit(&mut self) -> Result<(), Failure> {
         let fingerprint = &self.outgoing.fingerprint;
         let held = self.permit.take();
-        let rejection = match self.shared.guard.acquire(fingerprint, held, self.send_by).await {
+        let attempt = if self.runs > 0 { Attempt::Repeated } else { Attempt::First };
+        let acquired = self.shared.guard.acquire(fingerprint, attempt, held, self.send_by).await;
+        let rejection = match acquired {
             Ok(permit) => {
                 self.permit = Some(permit);
                 return Ok(());
@@ -211,6 +213,7 @@
             Rejection::Busy => {
                 return Err(self.failure(Refusal::TimedOut, Some(WAIT_RETRY_AFTER)));
             }
+            Rejection::Doubtful => return Err(self.failure(Refusal::Unknown, None)),
             Rejection::Suspect(suspect) => (suspect, None),
             Rejection::TrialDue(suspect, number) => {
                 (suspect, crash_records::claim_trial(&self.shared, &suspect, number).await)
