Router: a prompt with more than 256 parts is refused with a clear error

Routers keep the parts of each request in flight and record those at a crash. A caller that names parts without end would have made that grow, or hidden the part that crashes endpoints behind others. Such a request gets 400 with the limit and what to do. A record of a crash has 256 parts at most; those that have never run well stay first.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -43,6 +43,8 @@
     NoRoute,
     /// The request can't be parsed or exceeds a limit.
     Malformed,
+    /// The prompt of the request has more parts than are accepted.
+    TooManyParts,
     /// No endpoint of the service can take the request.
     NoEndpoint,
     /// The model can't be loaded in time.
--- a/components/router/src/crash_check.rs
+++ b/components/router/src/crash_check.rs
@@ -121,7 +121,7 @@
         domain_endpoints,
         at,
         requests: candidates.iter().map(|candidate| candidate.fingerprint.request).collect(),
-        parts: doubtful_parts(&candidates),
+        parts: shared.guard.limit_parts(doubtful_parts(&candidates)),
     });
     if ended {
         return shared.guard.finish_examination(&pool, crash);
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -9,7 +9,7 @@
 //! the other parts of such prompts, so none of them is held back for parts that were at crashes. Instead routers tell each
 //! other which of these parts run well.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -31,6 +31,8 @@
 const MIN_DOUBTS_TO_GIVE_UP: usize = 2;
 /// The most crash records that are kept for routers that can't read them in the store.
 const MAX_RECENT_RECORDS: usize = 64;
+/// The most parts of prompts in the record of a crash.
+const MAX_RECORD_PARTS: usize = 256;
 /// How long after a crash, or a possible one, records of other routers are read without delay.
 const CRASH_ALERT_PERIOD: Duration = Duration::from_secs(60);
 
@@ -356,6 +358,20 @@
         self.queue_write(keyed);
     }
 
+    /// Drops parts beyond the most that a record may have; those that have never run well stay.
+    pub(crate) fn limit_parts(
+        &self,
+        parts: BTreeMap<Digest, BTreeSet<Digest>>,
+    ) -> BTreeMap<Digest, BTreeSet<Digest>> {
+        if parts.len() <= MAX_RECORD_PARTS {
+            return parts;
+        }
+        let state = self.lock();
+        let (proven, doubtful): (Vec<_>, Vec<_>) =
+            parts.into_iter().partition(|(part, _)| state.table.is_proven(part));
+        doubtful.into_iter().chain(proven).take(MAX_RECORD_PARTS).collect()
+    }
+
     /// Whether an endpoint has crashed while it had the request, or another one with a part that has not been seen to run well.
     pub(crate) fn is_watched(&self, request: &Fingerprint) -> bool {
         let mut state = self.lock();
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -6,7 +6,7 @@
 use quarantine::{Crash, Digest, Fingerprint, PartsRelease, QuarantineRecord, UnixMillis};
 use tokio::time::Instant;
 
-use super::{Attempt, CrashGuard, Rejection, SendPermit, wall_clock};
+use super::{Attempt, CrashGuard, MAX_RECORD_PARTS, Rejection, SendPermit, wall_clock};
 use crate::pool::ConnectionPool;
 use crate::sent_requests::{RunEnd, SoundRequest};
 
@@ -232,3 +232,20 @@
     guard.publish_sound_parts();
     assert!(written.try_recv().is_err());
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_record_of_a_crash_keeps_the_parts_that_never_ran_well() {
+    let guard = guard();
+    let parts: Vec<String> = (0..2 * MAX_RECORD_PARTS).map(|number| number.to_string()).collect();
+    let (proven, doubtful) = parts.split_at(parts.len() - 5);
+    let prompt = |parts: &[String]| {
+        let ids = parts.iter().map(String::as_str);
+        Arc::new(Fingerprint::new(digest("a"), b"caller", ids))
+    };
+    let sound = prompt(proven);
+    guard.record_sound(&[SoundRequest { fingerprint: sound, began: guard.answer_time() }]);
+    let all = prompt(&parts).parts.iter().map(|part| (part.digest, BTreeSet::new())).collect();
+    let kept = guard.limit_parts(all);
+    assert_eq!(kept.len(), MAX_RECORD_PARTS);
+    assert!(prompt(doubtful).parts.iter().all(|part| kept.contains_key(&part.digest)));
+}
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -10,7 +10,7 @@
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
-use platform::RequestHeaders;
+use platform::{HeaderError, RequestHeaders};
 use process::ShutdownPhase;
 use quarantine::{Digest, Fingerprint};
 use tokio::time::Instant;
@@ -42,8 +42,8 @@
 /// sent at least this long before its caller leaves.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
 /// Response text for a request that is refused because it crashes endpoints.
-const CRASH_REFUSAL_TEXT: &str = "Crashes: endpoints ended while they ran this request, one after the other, so it is refused. Do not send \
-                       it again as it is; an operator can let it go.\n";
+const CRASH_REFUSAL_TEXT: &str = "Crashes: endpoints ended while they ran this request, or others with a part of its prompt, one after the other, \
+                       so it is refused. Do not send it again as it is; an operator can let it go.\n";
 /// Deadline of a request if neither its caller nor its route sets a shorter one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -104,7 +104,10 @@
 ) -> Result<Response<Body>, Failure> {
     let (mut parts, body) = request.into_parts();
     let malformed = || failure(StatusCode::BAD_REQUEST, Refusal::Malformed, None);
-    let call = platform::parse_request_headers(&parts).map_err(|_| malformed())?;
+    let call = platform::parse_request_headers(&parts).map_err(|error| match error {
+        HeaderError::TooManyParts => failure(StatusCode::BAD_REQUEST, Refusal::TooManyParts, None),
+        HeaderError::Header(_) => malformed(),
+    })?;
     let AuthorizedRequest { catalog, route, identity } =
         authorize(shared, &call, &parts, request_log).await?;
     let service = route
@@ -260,6 +263,7 @@
     });
     let text = match failure.cause {
         Refusal::Crashes => CRASH_REFUSAL_TEXT.to_owned(),
+        Refusal::TooManyParts => format!("{:?}: {}\n", failure.cause, HeaderError::TooManyParts),
         cause => format!("{cause:?}\n"),
     };
     let mut response = web::text(failure.status, text);
