Quarantine: a router that has just started refuses a part at once by earlier crashes

What other routers have learned since is read in the same pass, so crashes of a complete read count as if they had been known all the time.

--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -33,9 +33,6 @@
 /// A crash counts against parts of prompts from this long after this router has learned of it. By then it is known which of
 /// them run well: such a run takes half a second, and all routers know of it another half second later.
 const SETTLING_TIME: Duration = Duration::from_millis(1_500);
-/// A crash that was longer ago than this when the router learned of it counts at once, as after a restart of the router. Clocks of
-/// routers differ by less.
-const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(10);
 /// How long after its last crash or trial a suspect is tried again; after the last of these trials it isn't tried any more.
 const REQUEST_TRIAL_DELAYS: [Duration; 3] =
     [Duration::from_secs(600), Duration::from_secs(3_600), Duration::from_secs(4 * 3_600)];
@@ -52,7 +49,7 @@
     domain: Domain,
     domain_endpoints: u32,
     at: UnixMillis,
-    /// When this table learned of the crash, by the clock of its router.
+    /// When this table learned of the crash, or would have, by the clock of its router.
     learned: UnixMillis,
     requests: BTreeSet<Digest>,
     /// Each with the callers whose requests had it.
@@ -71,8 +68,7 @@
     /// Whether the crash counts against parts by now.
     fn has_settled(&self, now: UnixMillis) -> bool {
         // The clock may have been set back since.
-        let since_learned = Duration::from_millis(now.0.abs_diff(self.learned.0));
-        since_learned >= SETTLING_TIME || self.learned.since(self.at) >= MAX_CLOCK_DIFFERENCE
+        Duration::from_millis(now.0.abs_diff(self.learned.0)) >= SETTLING_TIME
     }
 }
 
@@ -172,8 +168,27 @@
         records: impl IntoIterator<Item = &'a QuarantineRecord>,
         now: UnixMillis,
     ) -> usize {
-        let fresh = records.into_iter().filter(|record| !Self::is_expired(record, now));
-        let new = fresh.filter(|record| self.apply_record(record, now)).count();
+        self.apply_all(records.into_iter(), now, |_| now)
+    }
+
+    /// Like [`CrashTable::apply`], for all records of the store at once. What other routers have learned since a crash is among
+    /// them, so that the crash counts against parts as if this router had known of it all the time.
+    pub fn apply_history<'a>(
+        &mut self,
+        records: impl IntoIterator<Item = &'a QuarantineRecord>,
+        now: UnixMillis,
+    ) -> usize {
+        self.apply_all(records.into_iter(), now, |crash| crash.at.min(now))
+    }
+
+    fn apply_all<'a>(
+        &mut self,
+        records: impl Iterator<Item = &'a QuarantineRecord>,
+        now: UnixMillis,
+        learned: impl Fn(&Crash) -> UnixMillis,
+    ) -> usize {
+        let fresh = records.filter(|record| !Self::is_expired(record, now));
+        let new = fresh.filter(|record| self.apply_record(record, &learned)).count();
         if new > 0 {
             self.prune(now);
             self.find_suspects(now);
@@ -216,9 +231,13 @@
         self.crashes.values().map(|crash| crash.at).max().unwrap_or_default()
     }
 
-    fn apply_record(&mut self, record: &QuarantineRecord, now: UnixMillis) -> bool {
+    fn apply_record(
+        &mut self,
+        record: &QuarantineRecord,
+        learned: impl Fn(&Crash) -> UnixMillis,
+    ) -> bool {
         match record {
-            QuarantineRecord::Crash(crash) => self.apply_crash(crash, now),
+            QuarantineRecord::Crash(crash) => self.apply_crash(crash, learned(crash)),
             QuarantineRecord::Release(release) => self.release(release.digest, release.at),
             QuarantineRecord::PartsRelease(release) => {
                 let released = release.parts.iter().filter(|(part, at)| self.release(**part, **at));
@@ -245,13 +264,13 @@
         new
     }
 
-    fn apply_crash(&mut self, crash: &Crash, now: UnixMillis) -> bool {
+    fn apply_crash(&mut self, crash: &Crash, learned: UnixMillis) -> bool {
         let key = (crash.endpoint.clone(), crash.incarnation);
         let merged = self.crashes.entry(key).or_insert_with(|| MergedCrash {
             domain: crash.domain.clone(),
             domain_endpoints: crash.domain_endpoints,
             at: crash.at,
-            learned: now,
+            learned,
             requests: BTreeSet::new(),
             parts: BTreeMap::new(),
         });
--- a/components/quarantine/tests/parts.rs
+++ b/components/quarantine/tests/parts.rs
@@ -133,10 +133,10 @@
 #[test]
 fn a_router_that_has_just_started_refuses_a_part_by_earlier_crashes() {
     let mut table = CrashTable::default();
-    table.apply(&crashes(&[0, 900, 1_800], &[COMMON, CRASHING]), at(60_000));
-    assert!(is_refused(&mut table, "a", &[COMMON, CRASHING], 60_001));
-    assert!(!is_refused(&mut table, "a", &[CRASHING], 60_001), "it may also be the common part");
-    assert!(!is_refused(&mut table, "a", &[COMMON], 60_001), "it may also be the crashing part");
+    table.apply_history(&crashes(&[0, 900, 1_800], &[COMMON, CRASHING]), at(4_000));
+    assert!(is_refused(&mut table, "a", &[COMMON, CRASHING], 4_001));
+    assert!(!is_refused(&mut table, "a", &[CRASHING], 4_001), "it may also be the common part");
+    assert!(!is_refused(&mut table, "a", &[COMMON], 4_001), "it may also be the crashing part");
 }
 
 /// Parts that were at the same crashes are told apart by the next requests that have only one of them.
--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -74,7 +74,7 @@
                 if batch.restored {
                     write_again(&shared, &batch.updates);
                 }
-                let expired = apply_updates(&shared, batch.updates);
+                let expired = apply_updates(&shared, batch.updates, batch.complete);
                 delete_expired(&store, expired).await;
                 if empty && started.elapsed() < MIN_READ_INTERVAL {
                     tokio::time::sleep(MIN_READ_INTERVAL).await;
@@ -118,8 +118,8 @@
     });
 }
 
-/// Applies records from the store. Returns the keys of expired ones.
-fn apply_updates(shared: &Shared, updates: Vec<Update>) -> Vec<String> {
+/// Applies records from the store; `complete` says that they are all there are. Returns the keys of expired ones.
+fn apply_updates(shared: &Shared, updates: Vec<Update>, complete: bool) -> Vec<String> {
     let (mut all, mut expired) = (Vec::new(), Vec::new());
     let now = wall_clock();
     for update in updates {
@@ -137,7 +137,11 @@
             }
         }
     }
-    shared.guard.apply(&all);
+    if complete {
+        shared.guard.apply_history(&all);
+    } else {
+        shared.guard.apply(&all);
+    }
     expired
 }
 
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -88,7 +88,7 @@
     }
 
     /// Records from other routers tell of parts that run well: this router need not tell of them too.
-    fn forget_sound_parts<'a>(&mut self, records: impl Iterator<Item = &'a QuarantineRecord>) {
+    fn forget_sound_parts(&mut self, records: &[&QuarantineRecord]) {
         for record in records {
             let QuarantineRecord::PartsRelease(release) = record else { continue };
             for (part, at) in &release.parts {
@@ -409,6 +409,19 @@
 
     /// Applies crash records, and returns those that are new and not expired.
     pub(crate) fn apply(&self, all: &[KeyedRecord]) -> Vec<KeyedRecord> {
+        self.apply_with(all, |table, records, now| table.apply(records, now))
+    }
+
+    /// Like [`CrashGuard::apply`], for all records of the store.
+    pub(crate) fn apply_history(&self, all: &[KeyedRecord]) {
+        self.apply_with(all, |table, records, now| table.apply_history(records, now));
+    }
+
+    fn apply_with(
+        &self,
+        all: &[KeyedRecord],
+        apply: impl FnOnce(&mut CrashTable, Vec<&QuarantineRecord>, UnixMillis) -> usize,
+    ) -> Vec<KeyedRecord> {
         let now = wall_clock();
         let mut state = self.lock();
         let known: HashSet<&String> = state.recent.iter().map(|keyed| &keyed.key).collect();
@@ -419,9 +432,9 @@
             })
             .cloned()
             .collect();
-        let records = all.iter().map(|keyed| &keyed.record);
-        state.forget_sound_parts(records.clone());
-        if state.update(now, |table| table.apply(records, now)) == 0 {
+        let records: Vec<_> = all.iter().map(|keyed| &keyed.record).collect();
+        state.forget_sound_parts(&records);
+        if state.update(now, |table| apply(table, records, now)) == 0 {
             return Vec::new();
         }
         if fresh.iter().any(|keyed| matches!(keyed.record, QuarantineRecord::Crash(_))) {
