--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -26,10 +26,9 @@
     /// The fingerprint of a request of a caller whose prompt has parts with these ids.
     pub fn new<'a>(
         request: Digest,
-        caller: &[u8],
+        caller: Digest,
         part_ids: impl IntoIterator<Item = &'a str>,
     ) -> Self {
-        let caller = Digest::of(&[b"caller", caller]);
         let mut parts: Vec<PromptPart> = Vec::new();
         for id in part_ids {
             let id = id.to_ascii_lowercase().into_boxed_str();
--- a/components/quarantine/src/fingerprint/tests.rs
+++ b/components/quarantine/src/fingerprint/tests.rs
@@ -2,7 +2,11 @@
 use crate::Digest;
 
 fn fingerprint(caller: &str, parts: &[&str]) -> Fingerprint {
-    Fingerprint::new(Digest::of(&[b"request"]), caller.as_bytes(), parts.iter().copied())
+    Fingerprint::new(
+        Digest::of(&[b"request"]),
+        Digest::of(&[caller.as_bytes()]),
+        parts.iter().copied(),
+    )
 }
 
 #[test]
--- a/components/quarantine/src/table/tests.rs
+++ b/components/quarantine/src/table/tests.rs
@@ -46,7 +46,7 @@
 }
 
 fn suspicion(table: &CrashTable, name: u32) -> SuspicionLevel {
-    table.suspicion(&Fingerprint::new(digest(name), b"caller", []))
+    table.suspicion(&Fingerprint::new(digest(name), Digest::of(&[b"caller"]), []))
 }
 
 fn only(name: u32) -> BTreeSet<Digest> {
--- a/components/quarantine/tests/parts.rs
+++ b/components/quarantine/tests/parts.rs
@@ -26,7 +26,7 @@
 /// A request of a caller, whose prompt has these parts besides its own.
 fn request(name: u32, caller: &str, parts: &[&str]) -> Fingerprint {
     let digest = Digest::of(&[caller.as_bytes(), &name.to_be_bytes()]);
-    Fingerprint::new(digest, caller.as_bytes(), parts.iter().copied())
+    Fingerprint::new(digest, Digest::of(&[caller.as_bytes()]), parts.iter().copied())
 }
 
 /// A crash of an endpoint that ran these requests.
--- a/components/quarantine/tests/routers.rs
+++ b/components/quarantine/tests/routers.rs
@@ -160,7 +160,7 @@
             parts.insert(self.rng.random_range(0..=2), CRASHING);
         }
         let digest = Digest::of(&[&self.requests.to_be_bytes()]);
-        let request = Fingerprint::new(digest, b"caller", parts);
+        let request = Fingerprint::new(digest, Digest::of(&[b"caller"]), parts);
         let index = self.rng.random_range(0..self.routers.len());
         let router = &mut self.routers[index];
         let clock = router.clock(now);
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -17,7 +17,7 @@
 }
 
 fn request(name: &str) -> Fingerprint {
-    Fingerprint::new(digest(name), b"caller", [])
+    Fingerprint::new(digest(name), digest("caller"), [])
 }
 
 fn guard() -> Arc<CrashGuard> {
@@ -149,7 +149,7 @@
 
 /// A request with the part of its prompt.
 fn request_with(name: &str, part: &str) -> Arc<Fingerprint> {
-    Arc::new(Fingerprint::new(digest(name), b"caller", [part]))
+    Arc::new(Fingerprint::new(digest(name), digest("caller"), [part]))
 }
 
 /// An endpoint crashed with these requests a moment ago.
@@ -240,7 +240,7 @@
     let (proven, doubtful) = parts.split_at(parts.len() - 5);
     let prompt = |parts: &[String]| {
         let ids = parts.iter().map(String::as_str);
-        Arc::new(Fingerprint::new(digest("a"), b"caller", ids))
+        Arc::new(Fingerprint::new(digest("a"), digest("caller"), ids))
     };
     let sound = prompt(proven);
     guard.record_sound(&[SoundRequest { fingerprint: sound, began: guard.answer_time() }]);
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -166,7 +166,7 @@
     let (host, method) = (call.host.as_bytes(), parts.method.as_str().as_bytes());
     let digest = Digest::of(&[host, caller_id, method, path.as_bytes(), &body]);
     let part_ids = call.shared_parts.iter().map(AsRef::as_ref);
-    let fingerprint = Arc::new(Fingerprint::new(digest, caller_id, part_ids));
+    let fingerprint = Arc::new(Fingerprint::new(digest, Digest::of(&[host, caller_id]), part_ids));
     if !matches!(identity, Identity::Unmanaged) {
         platform::remove_identity(&mut parts.headers);
     }
--- a/components/router/src/sent_requests/tests.rs
+++ b/components/router/src/sent_requests/tests.rs
@@ -12,7 +12,7 @@
 }
 
 fn fingerprint(name: &str) -> Arc<Fingerprint> {
-    Arc::new(Fingerprint::new(digest(name), b"caller", []))
+    Arc::new(Fingerprint::new(digest(name), digest("caller"), []))
 }
 
 fn crash_candidates(requests: &SentRequests, now: Instant) -> BTreeSet<Digest> {
@@ -77,7 +77,7 @@
 }
 
 fn with_part(name: &str) -> Arc<Fingerprint> {
-    Arc::new(Fingerprint::new(digest(name), b"caller", ["5c1e07a2"]))
+    Arc::new(Fingerprint::new(digest(name), digest("caller"), ["5c1e07a2"]))
 }
 
 fn survived(requests: &mut SentRequests, now: Instant, stall: Option<Instant>) -> Vec<Digest> {
