--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -10,6 +10,7 @@
 mod blame;
 mod digest;
 mod fingerprint;
+mod merged;
 mod proven;
 mod record;
 mod table;
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use units::{Domain, EndpointId, EndpointIncarnation};
+use units::{EndpointId, EndpointIncarnation};
 
 use crate::blame::{
     CrashTime, Culprit, DigestKind, EventNumber, Hypothesis, SUSPECT_CRASHES, Search,
 };
+use crate::merged::{MergedCrash, SETTLING_TIME};
 use crate::proven::ProvenParts;
 use crate::{Crash, Digest, Fingerprint, QuarantineRecord, UnixMillis};
 
@@ -22,17 +23,8 @@
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
 /// The most crashes that the table keeps; the oldest are dropped first.
 const MAX_CRASHES: usize = 256;
-/// The most requests that the table keeps for one crash.
-const MAX_CRASH_REQUESTS: usize = 128;
-/// The most prompt parts that the table keeps for one crash.
-const MAX_CRASH_PARTS: usize = 256;
-/// The most callers that the table keeps for a part at one crash. More than one decide nothing.
-const MAX_PART_CALLERS: usize = 2;
 /// The most requests and parts for which the table keeps a release, and the most for which it keeps trials.
 const MAX_MARKED_REQUESTS: usize = 2_048;
-/// A crash counts against parts of prompts from this long after this router has learned of it. By then it is known which of
-/// them run well: such a run takes half a second, and all routers know of it another half second later.
-const SETTLING_TIME: Duration = Duration::from_millis(1_500);
 /// How long after its last crash or trial a suspect is tried again; after the last of these trials it isn't tried any more.
 const REQUEST_TRIAL_DELAYS: [Duration; 3] =
     [Duration::from_secs(600), Duration::from_secs(3_600), Duration::from_secs(4 * 3_600)];
@@ -43,35 +35,6 @@
 /// An endpoint and its incarnation, which together identify a crash.
 type CrashKey = (EndpointId, Option<EndpointIncarnation>);
 
-/// A crash of an endpoint, merged from the records of all routers that noticed it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct MergedCrash {
-    domain: Domain,
-    domain_endpoints: u32,
-    at: UnixMillis,
-    /// When this table learned of the crash, or would have, by the clock of its router.
-    learned: UnixMillis,
-    requests: BTreeSet<Digest>,
-    /// Each with the callers whose requests had it.
-    parts: BTreeMap<Digest, BTreeSet<Digest>>,
-}
-
-impl MergedCrash {
-    fn add_parts(&mut self, parts: &BTreeMap<Digest, BTreeSet<Digest>>) {
-        for (part, callers) in parts {
-            if self.parts.len() < MAX_CRASH_PARTS || self.parts.contains_key(part) {
-                extend_up_to(self.parts.entry(*part).or_default(), callers, MAX_PART_CALLERS);
-            }
-        }
-    }
-
-    /// Whether the crash counts against parts by now.
-    fn has_settled(&self, now: UnixMillis) -> bool {
-        // The clock may have been set back since.
-        Duration::from_millis(now.0.abs_diff(self.learned.0)) >= SETTLING_TIME
-    }
-}
-
 /// The crashes that count against a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Accusation {
@@ -266,21 +229,9 @@
 
     fn apply_crash(&mut self, crash: &Crash, learned: UnixMillis) -> bool {
         let key = (crash.endpoint.clone(), crash.incarnation);
-        let merged = self.crashes.entry(key).or_insert_with(|| MergedCrash {
-            domain: crash.domain.clone(),
-            domain_endpoints: crash.domain_endpoints,
-            at: crash.at,
-            learned,
-            requests: BTreeSet::new(),
-            parts: BTreeMap::new(),
-        });
+        let new = || MergedCrash::new(crash, learned);
         // Records of several routers about the same incarnation are one crash.
-        let before = merged.clone();
-        merged.at = merged.at.min(crash.at);
-        merged.domain_endpoints = merged.domain_endpoints.max(crash.domain_endpoints);
-        extend_up_to(&mut merged.requests, &crash.requests, MAX_CRASH_REQUESTS);
-        merged.add_parts(&crash.parts);
-        before != *merged || before.requests.is_empty()
+        self.crashes.entry(key).or_insert_with(new).merge(crash)
     }
 
     /// Drops expired entries, and the oldest ones where there are too many.
@@ -299,14 +250,23 @@
     }
 
     fn find_suspects(&mut self, now: UnixMillis) {
-        self.watched.clear();
-        self.accused_parts.clear();
+        self.count_crashes(now);
         let times: Vec<CrashTime> = self
             .crashes
             .values()
             .zip(self.events())
             .map(|(crash, event)| CrashTime { at: crash.at, event })
             .collect();
+        let culprits = Search::new(&times, self.hypotheses(&times, now)).run();
+        self.suspects = culprits.into_iter().map(|culprit| self.suspect(culprit)).collect();
+        let unsettled = self.crashes.values().filter(|crash| !crash.has_settled(now));
+        self.next_review = unsettled.map(|crash| crash.learned.after(SETTLING_TIME)).min();
+    }
+
+    /// Counts the crashes that each request and each part was at.
+    fn count_crashes(&mut self, now: UnixMillis) {
+        self.watched.clear();
+        self.accused_parts.clear();
         for crash in self.crashes.values() {
             let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
             for digest in crash.requests.iter().filter(counted) {
@@ -320,29 +280,28 @@
                 accusation.settled += usize::from(crash.has_settled(now));
             }
         }
+    }
+
+    /// The requests and parts that were at enough crashes to be blamed; most were at one or two.
+    fn hypotheses(&self, times: &[CrashTime], now: UnixMillis) -> HashMap<Digest, Hypothesis> {
         let mut open: HashMap<Digest, Hypothesis> = HashMap::new();
         let mut add = |digest: &Digest, kind, proven, event: EventNumber| {
             let new = || Hypothesis { kind, proven, events: BTreeSet::new() };
             open.entry(*digest).or_insert_with(new).events.insert(event);
         };
-        for (crash, time) in self.crashes.values().zip(&times) {
+        for (crash, time) in self.crashes.values().zip(times) {
             let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
             let requests = crash.requests.iter().filter(counted);
-            // Most requests and parts were at one crash or two, which is not enough to be blamed.
             for digest in requests.filter(|digest| self.watched[*digest] >= SUSPECT_CRASHES) {
                 add(digest, DigestKind::Request, false, time.event);
             }
             let parts = crash.parts.keys().filter(|_| crash.has_settled(now)).filter(counted);
-            let frequent =
-                |digest: &&Digest| self.accused_parts[*digest].settled >= SUSPECT_CRASHES;
-            for digest in parts.filter(frequent) {
-                add(digest, DigestKind::Part, self.is_proven(digest), time.event);
+            let frequent = |part: &&Digest| self.accused_parts[*part].settled >= SUSPECT_CRASHES;
+            for part in parts.filter(frequent) {
+                add(part, DigestKind::Part, self.is_proven(part), time.event);
             }
         }
-        let culprits = Search::new(&times, open).run();
-        self.suspects = culprits.into_iter().map(|culprit| self.suspect(culprit)).collect();
-        let unsettled = self.crashes.values().filter(|crash| !crash.has_settled(now));
-        self.next_review = unsettled.map(|crash| crash.learned.after(SETTLING_TIME)).min();
+        open
     }
 
     fn suspect(&self, culprit: Culprit) -> (Digest, Suspect) {
@@ -478,15 +437,6 @@
     counts.into_values().max().unwrap_or_default()
 }
 
-/// Adds digests to a set until it has `most`.
-fn extend_up_to(set: &mut BTreeSet<Digest>, digests: &BTreeSet<Digest>, most: usize) {
-    for digest in digests {
-        if set.len() < most {
-            set.insert(*digest);
-        }
-    }
-}
-
 /// Drops the oldest entries beyond [`MAX_MARKED_REQUESTS`].
 fn drop_oldest<T>(marks: &mut HashMap<Digest, T>, at: impl Fn(&T) -> UnixMillis) {
     while marks.len() > MAX_MARKED_REQUESTS {
