--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -85,6 +85,8 @@
     NotRun,
     /// The connection or the answer failed.
     Broken,
+    /// The router does not send an interrupted request again, since a part of its prompt may crash endpoints.
+    GivenUp,
     /// The request continues at another endpoint after the last event that arrived.
     Resumed,
     /// The request waits for a model to be loaded.
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -213,7 +213,12 @@
             Rejection::Busy => {
                 return Err(self.failure(Refusal::TimedOut, Some(WAIT_RETRY_AFTER)));
             }
-            Rejection::Doubtful => return Err(self.failure(Refusal::Unknown, None)),
+            Rejection::Doubtful => {
+                if let Some(id) = self.excluded.last() {
+                    self.log_step(Step::GivenUp, id, "a part of its prompt may crash endpoints");
+                }
+                return Err(self.failure(Refusal::Unknown, None));
+            }
             Rejection::Suspect(suspect) => (suspect, None),
             Rejection::TrialDue(suspect, number) => {
                 (suspect, crash_records::claim_trial(&self.shared, &suspect, number).await)
