--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -171,9 +171,9 @@
         self.find_suspects(now);
     }
 
-    /// Records that requests with a part run well: they began an answer at this time, and the endpoint lived on. Returns whether
-    /// that clears the part of a crash.
-    pub fn record_sound(&mut self, part: Digest, began: UnixMillis) -> bool {
+    /// Records that a request with a part ran well: its answer began at this time, and the endpoint lived on. Returns whether that
+    /// clears the part of a crash.
+    pub fn record_success(&mut self, part: Digest, began: UnixMillis) -> bool {
         self.proven.insert(part);
         self.accused_parts.get(&part).is_some_and(|accusation| accusation.first <= began)
     }
--- a/components/quarantine/tests/parts.rs
+++ b/components/quarantine/tests/parts.rs
@@ -69,7 +69,7 @@
 /// Requests with these parts of this caller ran well that had begun at this time.
 fn run_well(table: &mut CrashTable, caller: &str, parts: &[&str], ms: u64) {
     let digests = request(0, caller, parts).parts.into_iter().map(|part| part.digest);
-    let cleared = digests.filter(|part| table.record_sound(*part, at(ms)));
+    let cleared = digests.filter(|part| table.record_success(*part, at(ms)));
     let release = PartsRelease { parts: cleared.map(|part| (part, at(ms))).collect() };
     if !release.parts.is_empty() {
         table.apply(&[QuarantineRecord::PartsRelease(release)], at(ms + 500));
--- a/components/quarantine/tests/routers.rs
+++ b/components/quarantine/tests/routers.rs
@@ -217,7 +217,7 @@
         let began = run.began.expect("its answer began");
         let digests = run.request.parts.iter().map(|part| part.digest);
         let cleared: BTreeMap<Digest, UnixMillis> = digests
-            .filter(|part| router.table.record_sound(*part, began))
+            .filter(|part| router.table.record_success(*part, began))
             .map(|part| (part, began))
             .collect();
         if cleared.is_empty() {
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -23,7 +23,7 @@
 use tokio::time::Instant;
 
 use crate::pool::ConnectionPool;
-use crate::sent_requests::SoundRequest;
+use crate::sent_requests::SurvivedRequest;
 
 /// A request that was at this many crashes is kept from sharing an endpoint with others that were at as many.
 const MIN_CRASHES_TO_ISOLATE: usize = 2;
@@ -54,8 +54,9 @@
     /// Connection pools of the incarnations that may have crashed and are being examined.
     examined_pools: Vec<Arc<ConnectionPool>>,
     recent: VecDeque<KeyedRecord>,
-    /// Parts of prompts that run well, with when, of which other routers have not been told yet.
-    sound_parts: HashMap<Digest, UnixMillis>,
+    /// Parts of prompts that this router has cleared, each with the time up to which, and that other routers have not been told
+    /// of yet.
+    cleared_parts: HashMap<Digest, UnixMillis>,
     /// When this router last learned of a crash or a possible one.
     last_crash: Option<Instant>,
 }
@@ -87,13 +88,13 @@
         result
     }
 
-    /// Records from other routers tell of parts that run well: this router need not tell of them too.
-    fn forget_sound_parts(&mut self, records: &[&QuarantineRecord]) {
+    /// Drops parts that another router has told of.
+    fn forget_published_parts(&mut self, records: &[&QuarantineRecord]) {
         for record in records {
             let QuarantineRecord::PartsRelease(release) = record else { continue };
             for (part, at) in &release.parts {
-                if self.sound_parts.get(part).is_some_and(|found| found <= at) {
-                    self.sound_parts.remove(part);
+                if self.cleared_parts.get(part).is_some_and(|found| found <= at) {
+                    self.cleared_parts.remove(part);
                 }
             }
         }
@@ -117,8 +118,8 @@
     changed: Notify,
     /// Notified when an endpoint may have crashed: other routers may know more.
     pub(crate) possible_crash: Notify,
-    /// Notified when other routers are to be told of parts that run well.
-    pub(crate) sound_parts_found: Notify,
+    /// Notified when other routers are to be told of cleared parts.
+    pub(crate) parts_cleared: Notify,
     /// New crash records of this router, to be written to the store.
     write: mpsc::UnboundedSender<KeyedRecord>,
     router: String,
@@ -182,8 +183,8 @@
     /// Creates a guard without any crash records. The receiver gets the records that are to be written to the store.
     pub(crate) fn new(router: String) -> (Self, mpsc::UnboundedReceiver<KeyedRecord>) {
         let (write, written) = mpsc::unbounded_channel();
-        let (state, changed, possible_crash, sound_parts_found) = Default::default();
-        (Self { state, changed, possible_crash, sound_parts_found, write, router }, written)
+        let (state, changed, possible_crash, parts_cleared) = Default::default();
+        (Self { state, changed, possible_crash, parts_cleared, write, router }, written)
     }
 
     fn lock(&self) -> MutexGuard<'_, GuardState> {
@@ -319,15 +320,14 @@
         wall_clock().max(self.lock().table.latest_crash())
     }
 
-    /// Requests ran well that had begun their answers at these times, so that the parts of their prompts are not to blame for
-    /// crashes before.
-    pub(crate) fn record_sound(&self, requests: &[SoundRequest]) {
+    /// Clears the parts of requests that their endpoints have survived of all crashes before their answers began.
+    pub(crate) fn record_survived(&self, requests: &[SurvivedRequest]) {
         let now = wall_clock();
         let mut state = self.lock();
         let mut cleared: BTreeMap<Digest, UnixMillis> = BTreeMap::new();
         for request in requests {
             for part in &request.fingerprint.parts {
-                if state.table.record_sound(part.digest, request.began) {
+                if state.table.record_success(part.digest, request.began) {
                     let at = cleared.entry(part.digest).or_default();
                     *at = request.began.max(*at);
                 }
@@ -336,18 +336,18 @@
         if cleared.is_empty() {
             return;
         }
-        state.sound_parts.extend(&cleared);
+        state.cleared_parts.extend(&cleared);
         let release = QuarantineRecord::PartsRelease(PartsRelease { parts: cleared });
         state.update(now, |table| table.apply([&release], now));
         drop(state);
         self.changed.notify_waiters();
-        self.sound_parts_found.notify_one();
+        self.parts_cleared.notify_one();
     }
 
-    /// Tells all routers of the parts that run well and that no other router has told of meanwhile.
-    pub(crate) fn publish_sound_parts(&self) {
+    /// Tells all routers of the cleared parts that no other router has told of meanwhile.
+    pub(crate) fn publish_cleared_parts(&self) {
         let mut state = self.lock();
-        let parts: BTreeMap<Digest, UnixMillis> = state.sound_parts.drain().collect();
+        let parts: BTreeMap<Digest, UnixMillis> = state.cleared_parts.drain().collect();
         if parts.is_empty() {
             return;
         }
@@ -433,7 +433,7 @@
             .cloned()
             .collect();
         let records: Vec<_> = all.iter().map(|keyed| &keyed.record).collect();
-        state.forget_sound_parts(&records);
+        state.forget_published_parts(&records);
         if state.update(now, |table| apply(table, records, now)) == 0 {
             return Vec::new();
         }
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -8,7 +8,7 @@
 
 use super::{Attempt, CrashGuard, MAX_RECORD_PARTS, Rejection, SendPermit, wall_clock};
 use crate::pool::ConnectionPool;
-use crate::sent_requests::{RunEnd, SoundRequest};
+use crate::sent_requests::{RunEnd, SurvivedRequest};
 
 const LONG_WAIT: Duration = Duration::from_secs(60);
 
@@ -190,7 +190,10 @@
 async fn an_interrupted_request_is_repeated_if_its_parts_are_known_to_run_well() {
     let guard = guard();
     let sound = request_with("a", "5c1e");
-    guard.record_sound(&[SoundRequest { fingerprint: sound.clone(), began: guard.answer_time() }]);
+    guard.record_survived(&[SurvivedRequest {
+        fingerprint: sound.clone(),
+        began: guard.answer_time(),
+    }]);
     let interrupted: Vec<_> = ["b", "c", "d"].map(|name| request_with(name, "5c1e")).into();
     for (number, request) in (1..).zip(&interrupted) {
         crash_by(&guard, number, &[request]);
@@ -202,16 +205,16 @@
 async fn parts_that_run_well_are_told_to_other_routers_once() {
     let (guard, mut written) = CrashGuard::new("front-1".to_owned());
     let sound = request_with("a", "5c1e");
-    let run = || SoundRequest { fingerprint: sound.clone(), began: guard.answer_time() };
-    guard.record_sound(&[run()]);
-    guard.publish_sound_parts();
+    let run = || SurvivedRequest { fingerprint: sound.clone(), began: guard.answer_time() };
+    guard.record_survived(&[run()]);
+    guard.publish_cleared_parts();
     assert!(written.try_recv().is_err(), "the part was at no crash");
     crash_by(&guard, 1, &[&request_with("b", "5c1e")]);
     assert!(written.try_recv().is_ok());
-    guard.record_sound(&[run()]);
-    guard.record_sound(&[run()]);
-    guard.publish_sound_parts();
-    guard.publish_sound_parts();
+    guard.record_survived(&[run()]);
+    guard.record_survived(&[run()]);
+    guard.publish_cleared_parts();
+    guard.publish_cleared_parts();
     let told = written.try_recv().expect("a record");
     assert!(matches!(told.record, QuarantineRecord::PartsRelease(_)));
     assert!(guard.recent().contains(&told), "routers that can't read the store get it too");
@@ -225,11 +228,11 @@
     crash_by(&guard, 1, &[&request_with("b", "5c1e")]);
     let _crash = written.try_recv().expect("a record");
     let began = guard.answer_time();
-    guard.record_sound(&[SoundRequest { fingerprint: sound.clone(), began }]);
+    guard.record_survived(&[SurvivedRequest { fingerprint: sound.clone(), began }]);
     let parts = sound.parts.iter().map(|part| (part.digest, began)).collect();
     let record = QuarantineRecord::PartsRelease(PartsRelease { parts });
     guard.apply(&[KeyedRecord { key: record.key("front-2"), record }]);
-    guard.publish_sound_parts();
+    guard.publish_cleared_parts();
     assert!(written.try_recv().is_err());
 }
 
@@ -243,7 +246,7 @@
         Arc::new(Fingerprint::new(digest("a"), digest("caller"), ids))
     };
     let sound = prompt(proven);
-    guard.record_sound(&[SoundRequest { fingerprint: sound, began: guard.answer_time() }]);
+    guard.record_survived(&[SurvivedRequest { fingerprint: sound, began: guard.answer_time() }]);
     let all = prompt(&parts).parts.iter().map(|part| (part.digest, BTreeSet::new())).collect();
     let kept = guard.limit_parts(all);
     assert_eq!(kept.len(), MAX_RECORD_PARTS);
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -184,7 +184,7 @@
         if self.pool.sent_requests().has_survived(now) {
             let stall = self.shared.stall_detector.last_stall();
             let survived = self.pool.sent_requests().take_survived(now, stall);
-            self.shared.guard.record_sound(&survived);
+            self.shared.guard.record_survived(&survived);
         }
     }
 
--- a/components/router/src/sent_requests.rs
+++ b/components/router/src/sent_requests.rs
@@ -76,7 +76,7 @@
 #[derive(Debug, Clone)]
 struct BegunRequest {
     id: u64,
-    request: SoundRequest,
+    request: SurvivedRequest,
     since: Instant,
 }
 
@@ -88,7 +88,7 @@
 
 /// A request that its endpoint has survived.
 #[derive(Debug, Clone)]
-pub(crate) struct SoundRequest {
+pub(crate) struct SurvivedRequest {
     pub(crate) fingerprint: Arc<Fingerprint>,
     /// When its answer began.
     pub(crate) began: UnixMillis,
@@ -144,7 +144,7 @@
         if self.begun.len() == MAX_BEGUN_REQUESTS {
             self.begun.pop_front();
         }
-        let request = SoundRequest { fingerprint: request.fingerprint.clone(), began };
+        let request = SurvivedRequest { fingerprint: request.fingerprint.clone(), began };
         self.begun.push_back(BegunRequest { id: id.0, request, since: now });
     }
 
@@ -159,7 +159,7 @@
         &mut self,
         now: Instant,
         stall: Option<Instant>,
-    ) -> Vec<SoundRequest> {
+    ) -> Vec<SurvivedRequest> {
         let survived = self.begun.iter().take_while(|begun| begun.is_survived(now)).count();
         let survived = self.begun.drain(..survived);
         let reliable = survived.filter(|begun| stall.is_none_or(|stall| begun.since > stall));
