--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -102,11 +102,16 @@
 
     /// Whether the request is suspected, by all crashes that count by now.
     fn suspicion(&mut self, request: &Fingerprint) -> SuspicionLevel {
+        self.review();
+        self.table.suspicion(request)
+    }
+
+    /// Finds the suspects by the crashes that count by now.
+    fn review(&mut self) {
         let now = wall_clock();
         if self.table.review_due(now) {
             self.update(now, |table| table.review(now));
         }
-        self.table.suspicion(request)
     }
 }
 
@@ -477,7 +482,8 @@
 
     /// All suspects.
     pub(crate) fn suspects(&self) -> Vec<Suspect> {
-        let state = self.lock();
+        let mut state = self.lock();
+        state.review();
         let suspect = |(name, suspect): (&Digest, &quarantine::Suspect)| Suspect {
             digest: *name,
             kind: suspect.kind,
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -252,3 +252,16 @@
     assert_eq!(kept.len(), MAX_RECORD_PARTS);
     assert!(prompt(doubtful).parts.iter().all(|part| kept.contains_key(&part.digest)));
 }
+
+/// No request asks for a permit meanwhile.
+#[tokio::test]
+async fn suspects_are_listed_by_the_crashes_that_count_by_now() {
+    let guard = guard();
+    for (number, name) in (1..).zip(["a", "b", "c"]) {
+        crash_by(&guard, number, &[&request_with(name, "bad0")]);
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    assert_eq!(guard.suspects(), []);
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    assert_eq!(guard.suspects().len(), 1);
+}
