Quarantine: crashes that have not settled are no sign of another cause

In a dense series of crashes, those of the last 1.5 s counted as crashes without the part, so that it was taken for a bystander of something else until more had settled. The test, 30 crashes in 1.8 s, failed before.

--- a/components/quarantine/src/blame.rs
+++ b/components/quarantine/src/blame.rs
@@ -42,6 +42,8 @@
     pub(crate) proven: bool,
     /// The events that count against it.
     pub(crate) events: BTreeSet<EventNumber>,
+    /// Events that it was at and that don't count yet.
+    pub(crate) unsettled: BTreeSet<EventNumber>,
 }
 
 /// Identifies a crash, or several that count as one, such as the loss of a failure domain: the index of the first of them.
@@ -147,7 +149,8 @@
                 first.since(crash.at) <= OTHERS_BEFORE && crash.at.since(last) <= OTHERS_AFTER
             })
             .map(|crash| crash.event)
-            .filter(|event| !own.contains(event) && !self.explained.contains(event))
+            .filter(|event| !own.contains(event) && !hypothesis.unsettled.contains(event))
+            .filter(|event| !self.explained.contains(event))
             .collect();
         others.len() > own.len() * OTHERS_PER_CRASH + OTHERS_ALLOWANCE
     }
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -285,20 +285,24 @@
     /// The requests and parts that were at enough crashes to be blamed; most were at one or two.
     fn hypotheses(&self, times: &[CrashTime], now: UnixMillis) -> HashMap<Digest, Hypothesis> {
         let mut open: HashMap<Digest, Hypothesis> = HashMap::new();
-        let mut add = |digest: &Digest, kind, proven, event: EventNumber| {
-            let new = || Hypothesis { kind, proven, events: BTreeSet::new() };
-            open.entry(*digest).or_insert_with(new).events.insert(event);
+        let mut add = |digest: &Digest, kind, proven, event: EventNumber, settled: bool| {
+            let (events, unsettled) = Default::default();
+            let new = || Hypothesis { kind, proven, events, unsettled };
+            let hypothesis = open.entry(*digest).or_insert_with(new);
+            let events = if settled { &mut hypothesis.events } else { &mut hypothesis.unsettled };
+            events.insert(event);
         };
         for (crash, time) in self.crashes.values().zip(times) {
             let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
             let requests = crash.requests.iter().filter(counted);
             for digest in requests.filter(|digest| self.watched[*digest] >= SUSPECT_CRASHES) {
-                add(digest, DigestKind::Request, false, time.event);
+                add(digest, DigestKind::Request, false, time.event, true);
             }
-            let parts = crash.parts.keys().filter(|_| crash.has_settled(now)).filter(counted);
+            let parts = crash.parts.keys().filter(counted);
             let frequent = |part: &&Digest| self.accused_parts[*part].settled >= SUSPECT_CRASHES;
             for part in parts.filter(frequent) {
-                add(part, DigestKind::Part, self.is_proven(part), time.event);
+                let settled = crash.has_settled(now);
+                add(part, DigestKind::Part, self.is_proven(part), time.event, settled);
             }
         }
         open
--- a/components/quarantine/tests/parts.rs
+++ b/components/quarantine/tests/parts.rs
@@ -130,6 +130,14 @@
     assert!(is_refused(&mut table, "a", &[COMMON, CRASHING], 1_000 + SETTLED));
 }
 
+/// Crashes that have not settled are no sign of another cause.
+#[test]
+fn a_part_that_crashes_many_endpoints_in_a_second_is_refused_as_soon_as_crashes_settle() {
+    let dense: Vec<u64> = (0..30).map(|number| number * 60).collect();
+    let mut table = table(&crashes(&dense, &[CRASHING]));
+    assert!(is_refused(&mut table, "a", &[CRASHING], 500 + 1_500));
+}
+
 #[test]
 fn a_router_that_has_just_started_refuses_a_part_by_earlier_crashes() {
     let mut table = CrashTable::default();
