--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -9,15 +9,14 @@
 //! the other parts of such prompts, so none of them is held back for parts that were at crashes. Instead routers tell each
 //! other which of these parts run well.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use control::{KeyedRecord, Suspect};
-use events::{Event, emit};
 use quarantine::{
-    Crash, CrashTable, Digest, Evidence, Fingerprint, PartsRelease, PromptPart, QuarantineRecord,
-    Release, SuspectKind, SuspicionLevel, UnixMillis,
+    Crash, CrashTable, Digest, Fingerprint, PartsRelease, PromptPart, QuarantineRecord, Release,
+    SuspectKind, SuspicionLevel, UnixMillis,
 };
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
@@ -25,12 +24,14 @@
 use crate::pool::ConnectionPool;
 use crate::sent_requests::SurvivedRequest;
 
+mod state;
+
+use state::{GuardState, format_evidence};
+
 /// A request that was at this many crashes is kept from sharing an endpoint with others that were at as many.
 const MIN_CRASHES_TO_ISOLATE: usize = 2;
 /// The router itself does not send a request again that has a part which was at this many crashes and has never run well.
 const MIN_DOUBTS_TO_GIVE_UP: usize = 2;
-/// The most crash records that are kept for routers that can't read them in the store.
-const MAX_RECENT_RECORDS: usize = 64;
 /// The most parts of prompts in the record of a crash.
 const MAX_RECORD_PARTS: usize = 256;
 /// How long after a crash, or a possible one, records of other routers are read without delay.
@@ -46,75 +47,6 @@
     UnixMillis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
 
-#[derive(Debug, Default)]
-struct GuardState {
-    table: CrashTable,
-    /// Requests that a crashed endpoint had and that are in flight now: one of each digest at a time.
-    turns: HashSet<Digest>,
-    /// Connection pools of the incarnations that may have crashed and are being examined.
-    examined_pools: Vec<Arc<ConnectionPool>>,
-    recent: VecDeque<KeyedRecord>,
-    /// Parts of prompts that this router has cleared, each with the time up to which, and that other routers have not been told
-    /// of yet.
-    cleared_parts: HashMap<Digest, UnixMillis>,
-    /// When this router last learned of a crash or a possible one.
-    last_crash: Option<Instant>,
-}
-
-impl GuardState {
-    /// Whether the request was at an endpoint that is being examined for a crash.
-    fn pending(&self, digest: &Digest) -> bool {
-        let now = Instant::now();
-        self.examined_pools.iter().any(|pool| pool.sent_requests().is_candidate(digest, now))
-    }
-
-    /// Keeps records for routers that can't read them in the store.
-    fn remember(&mut self, records: &[KeyedRecord]) {
-        self.recent.extend(records.iter().cloned());
-        let excess = self.recent.len().saturating_sub(MAX_RECENT_RECORDS);
-        self.recent.drain(..excess);
-    }
-
-    /// Changes the table, and logs which suspects that adds and removes.
-    fn update<T>(&mut self, now: UnixMillis, change: impl FnOnce(&mut CrashTable) -> T) -> T {
-        let before: HashSet<Digest> = self.table.suspects().map(|(name, _)| *name).collect();
-        let result = change(&mut self.table);
-        for (name, suspect) in self.table.suspects().filter(|(name, _)| !before.contains(name)) {
-            emit_blamed(name, Some(suspect.kind), &format_evidence(&suspect.evidence, now));
-        }
-        for name in before.iter().filter(|name| self.table.suspect_named(name).is_none()) {
-            emit_blamed(name, None, "");
-        }
-        result
-    }
-
-    /// Drops parts that another router has told of.
-    fn forget_published_parts(&mut self, records: &[&QuarantineRecord]) {
-        for record in records {
-            let QuarantineRecord::PartsRelease(release) = record else { continue };
-            for (part, at) in &release.parts {
-                if self.cleared_parts.get(part).is_some_and(|found| found <= at) {
-                    self.cleared_parts.remove(part);
-                }
-            }
-        }
-    }
-
-    /// Whether the request is suspected, by all crashes that count by now.
-    fn suspicion(&mut self, request: &Fingerprint) -> SuspicionLevel {
-        self.review();
-        self.table.suspicion(request)
-    }
-
-    /// Finds the suspects by the crashes that count by now.
-    fn review(&mut self) {
-        let now = wall_clock();
-        if self.table.review_due(now) {
-            self.update(now, |table| table.review(now));
-        }
-    }
-}
-
 /// Decides when a request may be sent, by what is known about crashed endpoints.
 #[derive(Debug)]
 pub(crate) struct CrashGuard {
@@ -493,25 +425,5 @@
     }
 }
 
-/// `kind` is what the suspect is; none if it is no suspect any more.
-fn emit_blamed(name: &Digest, kind: Option<SuspectKind>, ends: &str) {
-    let kind_text = match kind {
-        Some(SuspectKind::Request) => "request",
-        Some(SuspectKind::Part) => "part",
-        None => "",
-    };
-    let digest = &name.to_string();
-    emit(&Event::SuspectChanged { digest, suspect: kind.is_some(), kind: kind_text, ends });
-}
-
-/// The endpoint, incarnation and age of each crash.
-fn format_evidence(crashes: &[Evidence], now: UnixMillis) -> String {
-    let format_one = |crash: &Evidence| {
-        let incarnation = crash.incarnation.unwrap_or_default();
-        format!("{} {incarnation} {}ms", crash.endpoint, now.since(crash.at).as_millis())
-    };
-    crashes.iter().map(format_one).collect::<Vec<_>>().join(", ")
-}
-
 #[cfg(test)]
 mod tests;
