Lines name the software version of endpoints, and the stream that a caller takes up

A router decoded the version of an entry and dropped it, so no line could tell a draw between versions from an endpoint that runs other software than its entry says. `member`, `sent` and `resumed` name the version by the list, `accepted` the request that began the stream (`Resumes`) and the caller's last event. No decision changes.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -234,6 +234,9 @@
         /// The new state: `ready`, `draining` or `gone`, `missing` if the entry in the list may only have lapsed, or
         /// `restarted` if the endpoint has restarted under the same id.
         stage: &'a str,
+        /// The version of its software, if it is known.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        software: &'a str,
         /// Why the state changed; empty if the list says so.
         cause: &'a str,
     },
@@ -287,6 +290,12 @@
         target_ms: u64,
         /// The target for the longest pause in the answer; 0 if there is none.
         pause_ms: u64,
+        /// The request whose stream the caller takes up, if it names one.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        resumes: &'a str,
+        /// The last event that the caller has of that stream.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        last_event: Option<u64>,
     },
     /// A request reached a step.
     Step {
@@ -311,6 +320,9 @@
         /// The digest that identifies the request whatever its id; set if the request was sent.
         #[serde(skip_serializing_if = "str::is_empty")]
         digest: &'a str,
+        /// The version of the endpoint's software, if it is known; set in the steps `sent` and `resumed`.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        software: &'a str,
         /// The class in the `accepted` line.
         #[serde(skip)]
         class: &'a str,
--- a/components/events/src/sink/tests.rs
+++ b/components/events/src/sink/tests.rs
@@ -12,6 +12,8 @@
         left_ms: 0,
         target_ms: 0,
         pause_ms: 0,
+        resumes: "",
+        last_event: None,
     }
 }
 
--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -5,7 +5,9 @@
 
 use catalog::ModelId;
 use serde::{Deserialize, Serialize};
-use units::{AdapterName, Domain, EndpointId, EndpointIncarnation, ModelName, ServiceName};
+use units::{
+    AdapterName, Domain, EndpointId, EndpointIncarnation, ModelName, ServiceName, SoftwareVersion,
+};
 
 /// Whether an endpoint takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +88,9 @@
     #[serde(default)]
     #[serde(rename = "life")]
     pub incarnation: Option<EndpointIncarnation>,
+    /// The version of the software that this incarnation runs, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// The service that the endpoint belongs to.
     pub service: ServiceName,
     /// The address at which the endpoint listens.
--- a/components/loader/src/controller.rs
+++ b/components/loader/src/controller.rs
@@ -328,6 +328,7 @@
             endpoint: self.endpoint.as_ref().map_or("", |id| id.as_str()),
             addr: self.addr.to_string(),
             stage: "restarted",
+            software: "",
             cause: "",
         });
         self.pending = None;
--- a/components/placement/src/fixture.rs
+++ b/components/placement/src/fixture.rs
@@ -33,6 +33,7 @@
         let endpoint = |index: usize| Endpoint {
             id: format!("i-{index}").parse().expect("an id"),
             incarnation: None,
+            software: None,
             service: "llm".parse().expect("a service"),
             addr: ([10, 0, 0, u8::try_from(index).expect("few")], 80).into(),
             domain: domain(),
--- a/components/placement/tests/uneven/servers.rs
+++ b/components/placement/tests/uneven/servers.rs
@@ -73,6 +73,7 @@
         let endpoint = Endpoint {
             id: format!("i-{index}").parse().expect("an id"),
             incarnation: None,
+            software: None,
             service: "llm".parse().expect("a service"),
             addr: ([10, 0, high, low], 80).into(),
             domain: domain(index),
--- a/components/router/src/balance/tests.rs
+++ b/components/router/src/balance/tests.rs
@@ -34,6 +34,7 @@
     let endpoint = Endpoint {
         id: "i-1".parse().expect("an id"),
         incarnation: None,
+        software: None,
         service: "llm".parse().expect("a service"),
         addr: ([10, 0, 0, 1], 80).into(),
         domain: "near".parse().expect("a domain"),
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -173,7 +173,9 @@
             return true;
         }
         let incarnation = endpoint.incarnation.or(self.endpoint.incarnation);
-        self.endpoint = Endpoint { incarnation, ..endpoint };
+        // A router of an earlier release passes entries on without the version.
+        let software = endpoint.software.clone().or(self.endpoint.software.take());
+        self.endpoint = Endpoint { incarnation, software, ..endpoint };
         false
     }
 
@@ -187,7 +189,10 @@
         let incarnation = state.incarnation.or(self.endpoint.incarnation);
         if different {
             let (hints, holdings) = (self.hints_in(incarnation), Some(state.holdings.clone()));
-            self.restart(Endpoint { incarnation, holdings, ..self.endpoint.clone() }, now);
+            // Only the next list entry shows which software the new incarnation runs.
+            let endpoint =
+                Endpoint { incarnation, software: None, holdings, ..self.endpoint.clone() };
+            self.restart(endpoint, now);
             self.hints = hints;
         }
         self.endpoint.incarnation = incarnation;
@@ -264,6 +269,11 @@
         };
     }
 
+    /// The version of the endpoint's software; empty if it is not known.
+    pub(crate) fn software(&self) -> &str {
+        self.endpoint.software.as_ref().map_or("", |software| software.as_str())
+    }
+
     /// Whether the endpoint takes new requests, according to the list, its loader and its own hints.
     pub(crate) fn accepts_work(&self) -> bool {
         self.endpoint.stage == EndpointStage::Ready && !self.hints.draining
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -9,6 +9,7 @@
     Endpoint {
         id: "i-1".parse().expect("an id"),
         incarnation: Some(EndpointIncarnation(incarnation)),
+        software: None,
         service: "llm".parse().expect("a service"),
         addr: ([10, 0, 0, 1], 80).into(),
         domain: "near".parse().expect("a domain"),
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -486,6 +486,15 @@
     }
 
     pub(crate) fn log_step(&self, step: Step, id: &EndpointId, cause: &str) {
+        self.log_step_at(step, id, "", cause);
+    }
+
+    /// Logs that the stream continues at another endpoint.
+    pub(crate) fn log_resumed(&self, reservation: &Reservation) {
+        self.log_step_at(Step::Resumed, &reservation.id, reservation.software_text(), "");
+    }
+
+    fn log_step_at(&self, step: Step, id: &EndpointId, software: &str, cause: &str) {
         emit(&Event::Step {
             request: &self.request_id,
             step,
@@ -497,6 +506,7 @@
             waited_ms: 0,
             cold: false,
             digest: "",
+            software,
             class: &self.class,
             cause,
         });
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -206,7 +206,9 @@
             tracked.list_position = read;
         }
         if before.is_none_or(|before| (before == EndpointStage::Ready) != (stage == "ready")) {
-            emit(&Event::EndpointChanged { endpoint: id.as_str(), addr, stage, cause: "" });
+            let software = self.map.get(&id).map_or("", |tracked| tracked.software());
+            let (endpoint, cause) = (id.as_str(), "");
+            emit(&Event::EndpointChanged { endpoint, addr, stage, software, cause });
         }
     }
 
@@ -218,7 +220,8 @@
         };
         tracked.missing = Some(MissingEntry { until, unhealthy: false });
         let (addr, cause) = (tracked.endpoint.addr.to_string(), "the store was unreachable");
-        emit(&Event::EndpointChanged { endpoint: id.as_str(), addr, stage: "missing", cause });
+        let (endpoint, stage, software) = (id.as_str(), "missing", "");
+        emit(&Event::EndpointChanged { endpoint, addr, stage, software, cause });
         true
     }
 
@@ -230,7 +233,8 @@
             task.abort();
         }
         let addr = tracked.endpoint.addr.to_string();
-        emit(&Event::EndpointChanged { endpoint: id.as_str(), addr, stage: "gone", cause });
+        let (endpoint, stage, software) = (id.as_str(), "gone", "");
+        emit(&Event::EndpointChanged { endpoint, addr, stage, software, cause });
     }
 }
 
--- a/components/router/src/list/tests.rs
+++ b/components/router/src/list/tests.rs
@@ -17,6 +17,7 @@
     Endpoint {
         id: id(number),
         incarnation: None,
+        software: None,
         service: "app".parse().expect("a service"),
         addr: ([10, 0, 0, 1], port).into(),
         domain: "near".parse().expect("a domain"),
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -99,7 +99,13 @@
         {
             let (addr, cause) =
                 (tracked.endpoint.addr.to_string(), "its loader reports it as draining");
-            emit(&Event::EndpointChanged { endpoint: id.as_str(), addr, stage: "draining", cause });
+            emit(&Event::EndpointChanged {
+                endpoint: id.as_str(),
+                addr,
+                stage: "draining",
+                software: "",
+                cause,
+            });
         }
         let table = &mut *table;
         if let Some((state, _)) = table.map.get(id).and_then(|tracked| tracked.state.as_ref()) {
@@ -180,7 +186,13 @@
         if accepted && hints.draining {
             let (addr, cause) =
                 (tracked.endpoint.addr.to_string(), "it announced that it is draining");
-            emit(&Event::EndpointChanged { endpoint: id.as_str(), addr, stage: "draining", cause });
+            emit(&Event::EndpointChanged {
+                endpoint: id.as_str(),
+                addr,
+                stage: "draining",
+                software: "",
+                cause,
+            });
         }
         if let Some(after) = after {
             let (pause_ms, cause) = (millis(after), "it asked for no requests for this time");
@@ -433,6 +445,7 @@
             endpoint: id.as_str(),
             addr,
             stage: "restarted",
+            software: self.map.get(id).map_or("", |tracked| tracked.software()),
             cause: "",
         });
     }
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -10,7 +10,7 @@
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
-use platform::{HeaderError, RequestHeaders};
+use platform::{HeaderError, RequestHeaders, ResumedStream};
 use process::ShutdownPhase;
 use quarantine::{Digest, Fingerprint};
 use tokio::time::Instant;
@@ -129,6 +129,8 @@
         left_ms: millis(time_left),
         target_ms: millis(route.target),
         pause_ms: millis(route.max_pause),
+        resumes: resumed_id(&call),
+        last_event: call.last_event,
     });
     shared.record_request(&service);
     let charge = match identity.workspace() {
@@ -201,6 +203,15 @@
     relay::relay_buffered(&mut in_flight, response, request_log).await
 }
 
+/// The id of the request whose stream the caller takes up, as it is logged.
+fn resumed_id(call: &RequestHeaders) -> &str {
+    match &call.resumes {
+        Some(ResumedStream::Of(id)) => id.to_str().unwrap_or("unprintable"),
+        Some(ResumedStream::Malformed) => "malformed",
+        None => "",
+    }
+}
+
 /// How long a request is held while the router reads the store for the first time.
 fn first_read_wait(call: &RequestHeaders) -> Duration {
     (call.deadline.unwrap_or(DEFAULT_DEADLINE) / FIRST_READ_DIVISOR).min(MAX_FIRST_READ_WAIT)
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, StatusCode};
 use quarantine::Fingerprint;
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, ModelName, Rate};
+use units::{EndpointId, EndpointIncarnation, ModelName, Rate, SoftwareVersion};
 
 use crate::endpoint::TrackedEndpoint;
 use crate::pool::ConnectionPool;
@@ -25,6 +25,8 @@
     pub(crate) id: EndpointId,
     /// The incarnation of the endpoint in which the reservation was made.
     pub(crate) incarnation: Option<EndpointIncarnation>,
+    /// The version of the software that this incarnation runs, if it is known.
+    pub(crate) software: Option<SoftwareVersion>,
     pub(crate) pool: Arc<ConnectionPool>,
     /// Requests of this router at the endpoint, this one included.
     pub(crate) running: u32,
@@ -85,6 +87,7 @@
             shared: shared.clone(),
             id,
             incarnation: tracked.endpoint.incarnation,
+            software: tracked.endpoint.software.clone(),
             pool: tracked.pool.clone(),
             running: tracked.running,
             age: now - heard,
@@ -103,6 +106,11 @@
         })
     }
 
+    /// The version of the endpoint's software, as it is logged; empty if it is not known.
+    pub(crate) fn software_text(&self) -> &str {
+        self.software.as_ref().map_or("", |software| software.as_str())
+    }
+
     /// Whether the endpoint still accepts requests, in the incarnation in which the reservation
     /// was made.
     pub(crate) fn is_open(&self) -> bool {
--- a/components/router/src/send_log.rs
+++ b/components/router/src/send_log.rs
@@ -44,7 +44,13 @@
             running: reservation.running,
             finished: false,
         };
-        log.emit(Step::Sent, reservation.age, waited, reservation.waited_for_load);
+        log.emit(
+            Step::Sent,
+            reservation.software_text(),
+            reservation.age,
+            waited,
+            reservation.waited_for_load,
+        );
         log
     }
 
@@ -53,7 +59,7 @@
         self.finished = true;
     }
 
-    fn emit(&self, step: Step, age: Duration, waited: Duration, cold: bool) {
+    fn emit(&self, step: Step, software: &str, age: Duration, waited: Duration, cold: bool) {
         let digest = match step {
             Step::Sent => self.digest.to_string(),
             _ => String::new(),
@@ -69,6 +75,7 @@
             waited_ms: millis(waited),
             cold,
             digest: &digest,
+            software,
             class: &self.class,
             cause: "",
         });
@@ -78,7 +85,7 @@
 impl Drop for SendLog {
     fn drop(&mut self) {
         if !self.finished {
-            self.emit(Step::Abandoned, Duration::ZERO, Duration::ZERO, false);
+            self.emit(Step::Abandoned, "", Duration::ZERO, Duration::ZERO, false);
         }
     }
 }
--- a/components/router/src/speeds/tests.rs
+++ b/components/router/src/speeds/tests.rs
@@ -25,6 +25,7 @@
     Endpoint {
         id: id(index),
         incarnation: Some(EndpointIncarnation(incarnation)),
+        software: None,
         service: "llm".parse().expect("a service"),
         addr: ([10, 0, 0, 1], 80).into(),
         domain: "near".parse().expect("a domain"),
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -304,7 +304,7 @@
 async fn resume(request: &mut InFlightRequest, last_event: Option<u64>) -> Option<StreamSource> {
     request.send_by = request.deadline.min(Instant::now() + request.route.event_timeout / 2);
     let next = request.fetch_response(last_event).await.ok()?;
-    request.log_step(Step::Resumed, &next.reservation.id, "");
+    request.log_resumed(&next.reservation);
     let has_succeeded = next.head.status.is_success();
     let source = StreamSource::new(next, last_event);
     (has_succeeded && source.has_events).then_some(source)
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -3,6 +3,7 @@
 mod ids;
 mod position;
 mod quantity;
+mod software;
 
 pub use ids::{
     AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath,
@@ -13,3 +14,4 @@
     ReplicaIndex, Revision, StorePosition,
 };
 pub use quantity::{ParseQuantityError, Rate, Size, Span};
+pub use software::{ParseVersionError, SoftwareVersion};
