--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -10,8 +10,9 @@
 use crate::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ENGINE_PATH, ENSURE_PATH, EndpointState,
     EngineUpdate, EnsureRequest, EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse,
-    KeyedRecord, LEASES_PATH, LeaseRelease, POLL_PATH, PollRequest, PollResponse, Position,
-    SNAPSHOT_PATH, Snapshot, TOKENS_PATH, UPDATES_PATH,
+    KeyedRecord, LEASES_PATH, LeaseRelease, ORIGIN_PATH, ORIGINS_PATH, OriginAnswer, OriginQuery,
+    OriginRecord, POLL_PATH, PollRequest, PollResponse, Position, SNAPSHOT_PATH, Snapshot,
+    TOKENS_PATH, UPDATES_PATH,
 };
 
 /// The timeout of asking to send a request to an endpoint with a rate limit, which is answered at once.
@@ -47,6 +48,30 @@
         self.client.post(self.addr, ENGINE_PATH, update, RESPONSE_MARGIN).await
     }
 
+    /// Tells the loader where streams began.
+    pub async fn tell_origins(
+        &self,
+        records: &[OriginRecord],
+        limit: Duration,
+    ) -> Result<(), CallError> {
+        let addr = self.addr;
+        let (status, bytes) = self.client.post_raw(addr, ORIGINS_PATH, &records, limit).await?;
+        if status.is_success() {
+            return Ok(());
+        }
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        Err(CallError::Status { addr, status, text })
+    }
+
+    /// Asks the loader where a stream began.
+    pub async fn find_origin(
+        &self,
+        query: &OriginQuery,
+        limit: Duration,
+    ) -> Result<OriginAnswer, CallError> {
+        self.client.post(self.addr, ORIGIN_PATH, query, limit).await
+    }
+
     /// Asks for the records of a topic of the store; `None` if the loader does not have those that are asked for.
     pub async fn updates(
         &self,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,6 +3,7 @@
 mod client;
 mod demand;
 mod message;
+mod origins;
 mod promise;
 mod speeds;
 mod waiting;
@@ -20,6 +21,7 @@
     ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, UPDATES_PATH,
     WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
+pub use origins::{ORIGIN_PATH, ORIGINS_PATH, OriginAnswer, OriginQuery, OriginRecord};
 pub use promise::{LEASES_PATH, LeaseRelease, LeasedShare, ShareRequest, TokenClaim, TokenRetry};
 pub use speeds::{EndpointSpeedReport, SPEEDS_PATH, ServiceEvenness, SpeedsReport};
 pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -8,7 +8,7 @@
 use fleet::Tier;
 use placement::{Candidate, ChosenEndpoint, ReplicaStatus};
 use tokio::time::Instant;
-use units::{EndpointId, ServiceName};
+use units::{EndpointId, ServiceName, SoftwareVersion};
 
 use crate::balance;
 use crate::endpoint::TrackedEndpoint;
@@ -59,6 +59,8 @@
     pub(crate) search_start: Instant,
     /// Endpoints that the request was already sent to and that it does not go back to.
     pub(crate) excluded: &'a [EndpointId],
+    /// The version of the software that the endpoint must run, if the request continues a stream.
+    pub(crate) software: Option<&'a SoftwareVersion>,
     /// Whether the request may not share an endpoint with other requests that were at crashed
     /// endpoints.
     pub(crate) isolated: bool,
@@ -70,7 +72,12 @@
     /// Whether the request may be served by any endpoint, so that it can wait in the queue for its model. Others search by themselves,
     /// so that they keep no other request waiting.
     fn may_queue(&self) -> bool {
-        self.excluded.is_empty() && !self.isolated
+        self.excluded.is_empty() && !self.isolated && self.software.is_none()
+    }
+
+    /// Whether the software of an endpoint may serve the request.
+    fn allows_software(&self, tracked: &TrackedEndpoint) -> bool {
+        self.software.is_none_or(|wanted| tracked.endpoint.software.as_ref() == Some(wanted))
     }
 
     /// How long an idle endpoint takes to process the prompt.
@@ -225,7 +232,7 @@
     let mut candidates = Vec::new();
     let mut any_left = false;
     for (id, tracked) in &table.map {
-        if tracked.endpoint.service != *needs.service {
+        if tracked.endpoint.service != *needs.service || !needs.allows_software(tracked) {
             continue;
         }
         any_left |= tracked.accepts_work() && !needs.excluded.contains(id);
@@ -400,6 +407,7 @@
     let usable = |tracked: &&TrackedEndpoint| {
         let id = &tracked.endpoint.id;
         tracked.endpoint.service == *needs.service
+            && needs.allows_software(tracked)
             && tracked.usable(now)
             && !needs.excluded.contains(id)
     };
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -8,7 +8,7 @@
 use http::{StatusCode, Version};
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, Rate, ServiceName};
+use units::{EndpointId, EndpointIncarnation, Rate, ServiceName, SoftwareVersion};
 use web::Framing;
 
 use crate::access::{self, Identity};
@@ -66,6 +66,9 @@
     /// `deadline` if no event arrives.
     pub(crate) send_by: Instant,
     pub(crate) excluded: Vec<EndpointId>,
+    /// The version of the software that wrote the events which the caller has, if the request is for a stream. The stream goes on
+    /// only at endpoints of this version.
+    pub(crate) software: Option<SoftwareVersion>,
     /// The incarnation of the endpoint that the request was last sent to.
     pub(crate) incarnation: Option<EndpointIncarnation>,
     /// How often the request was sent.
@@ -288,6 +291,7 @@
             deadline: self.send_by,
             search_start: Instant::now(),
             excluded,
+            software: self.software.as_ref(),
             isolated: self.permit.as_ref().is_some_and(|permit| permit.isolated),
             waiter: self.waiter(),
         }
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -188,6 +188,7 @@
         deadline,
         send_by,
         excluded: Vec::new(),
+        software: None,
         incarnation: None,
         sends: 0,
         runs: 0,
