Router: a stream is continued only at the software version that began it

Callers got events of two versions in one answer: a stream that broke off or stalled was continued at whichever endpoint the choice gave, since nothing in a router knew what software an endpoint runs. The version of the endpoint whose first event reached the caller is now a property of the stream, and a condition of each later choice.

--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -165,6 +165,11 @@
         }
         self.listed_incarnation = endpoint.incarnation;
         self.listed_at = now;
+        // An endpoint that reports no incarnation has restarted if it runs other software.
+        let upgraded = endpoint.software.is_some()
+            && self.endpoint.software.is_some()
+            && endpoint.software != self.endpoint.software;
+        let different = different || upgraded;
         if different || endpoint.addr != self.endpoint.addr {
             // An endpoint that has only moved to another address is still draining if it was before.
             let hints = if different { self.hints_in(endpoint.incarnation) } else { self.hints };
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -8,7 +8,7 @@
 use http::{StatusCode, Version};
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, Rate, ServiceName, SoftwareVersion};
+use units::{EndpointId, EndpointIncarnation, Rate, ServiceName};
 use web::Framing;
 
 use crate::access::{self, Identity};
@@ -25,6 +25,7 @@
 use crate::reservation::Reservation;
 use crate::send_log::SendLog;
 use crate::shared::Shared;
+use crate::software::StreamVersion;
 
 /// How often a request that has not run is sent at most, after refusals by full endpoints and
 /// closed connections.
@@ -66,9 +67,8 @@
     /// `deadline` if no event arrives.
     pub(crate) send_by: Instant,
     pub(crate) excluded: Vec<EndpointId>,
-    /// The version of the software that wrote the events which the caller has, if the request is for a stream. The stream goes on
-    /// only at endpoints of this version.
-    pub(crate) software: Option<SoftwareVersion>,
+    /// The software version to which the request is held, if it is for a stream.
+    pub(crate) stream_version: StreamVersion,
     /// The incarnation of the endpoint that the request was last sent to.
     pub(crate) incarnation: Option<EndpointIncarnation>,
     /// How often the request was sent.
@@ -152,6 +152,14 @@
             send_log.finish();
             match outcome {
                 SendOutcome::Response(response) => match self.classify(*response, &id).await {
+                    Verdict::Done(response)
+                        if !self.answers_with_held_version(&response.reservation).await =>
+                    {
+                        // This run was already counted when its response began.
+                        self.runs -= 1;
+                        drop(response);
+                        self.interrupted(&id, "it runs another software version than listed")?;
+                    }
                     Verdict::Done(response) => return Ok(*response),
                     Verdict::Retry => {}
                     Verdict::Failed(failure) => return Err(failure),
@@ -291,7 +299,7 @@
             deadline: self.send_by,
             search_start: Instant::now(),
             excluded,
-            software: self.software.as_ref(),
+            software: self.stream_version.wanted(),
             isolated: self.permit.as_ref().is_some_and(|permit| permit.isolated),
             waiter: self.waiter(),
         }
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -189,6 +189,7 @@
         let id = endpoint.id.clone();
         let addr = endpoint.addr.to_string();
         let hints = self.past_hints(&id, endpoint.incarnation);
+        self.remember_version(&id, now);
         let before = match self.map.entry(id.clone()) {
             Entry::Vacant(place) => {
                 place.insert(TrackedEndpoint::new(endpoint, now)).hints = hints;
@@ -226,6 +227,7 @@
     }
 
     fn remove(&mut self, id: &EndpointId, cause: &str) {
+        self.remember_version(id, Instant::now());
         let Some(tracked) = self.map.remove(id) else { return };
         self.remember_hints(id, tracked.endpoint.incarnation, tracked.hints);
         self.cold.remove_endpoint(id);
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -1,6 +1,6 @@
 //! What this router knows about each endpoint, and which endpoints may get requests.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,13 +8,16 @@
 use catalog::{Engine, ModelId};
 use control::{EndpointLoad, EndpointState, ModelUse};
 use events::{Event, emit, millis};
-use fleet::Tier;
+use fleet::{Endpoint, Tier};
+use origin::VersionHistory;
 use placement::{Demand, ScalingInputs};
 use platform::EndpointHints;
 use speed::ServiceSpeeds;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, ModelName, ServiceName, StorePosition};
+use units::{
+    EndpointId, EndpointIncarnation, ModelName, ServiceName, SoftwareVersion, StorePosition,
+};
 
 use crate::cold::ColdLoads;
 use crate::endpoint::{ReceivedHints, TrackedEndpoint, Usage};
@@ -61,6 +64,8 @@
     pub(crate) list_loaded: bool,
     /// The position up to which the list has been read, by this router or by the router that it got a snapshot from.
     pub(crate) list_position: StorePosition,
+    /// The software versions that each service has had lately.
+    versions: VersionHistory,
     /// Hints from endpoints that are no longer listed: a list entry that is older than the hints may come back.
     past_hints: VecDeque<(EndpointId, Option<EndpointIncarnation>, ReceivedHints)>,
 }
@@ -88,6 +93,7 @@
         let now = Instant::now();
         let mut table = self.lock();
         let accepted = table.map.get(id).is_some_and(TrackedEndpoint::accepts_work);
+        table.remember_version(id, now);
         if table.map.get_mut(id).is_some_and(|tracked| tracked.apply_state(state, now)) {
             table.forget_incarnation(id);
         }
@@ -247,6 +253,27 @@
 }
 
 impl EndpointTable {
+    /// The software versions that a service has, and has had lately.
+    pub(crate) fn software_versions(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> BTreeSet<SoftwareVersion> {
+        let own = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
+        let listed = own.filter_map(|tracked| tracked.endpoint.software.clone());
+        self.versions.versions(service, now).into_iter().chain(listed).collect()
+    }
+
+    /// Remembers the version of an endpoint that is about to change or to be removed.
+    pub(crate) fn remember_version(&mut self, id: &EndpointId, now: Instant) {
+        let Some(Endpoint { service, software: Some(software), .. }) =
+            self.map.get(id).map(|tracked| &tracked.endpoint)
+        else {
+            return;
+        };
+        self.versions.record(service, software, now);
+    }
+
     /// Whether so many streams stall for too long that prompts are better sent to an endpoint one after another.
     pub(crate) fn serialize_prompts(&self) -> bool {
         self.pause_ratio > SERIALIZE_PAUSE_RATIO
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -23,6 +23,7 @@
 use crate::in_flight::{Failure, InFlightRequest};
 use crate::relay::{self, RequestLog};
 use crate::shared::Shared;
+use crate::software::StreamVersion;
 use crate::stream;
 
 /// A router that has just started holds requests for their deadline divided by this, until its
@@ -188,7 +189,7 @@
         deadline,
         send_by,
         excluded: Vec::new(),
-        software: None,
+        stream_version: StreamVersion::Open,
         incarnation: None,
         sends: 0,
         runs: 0,
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -25,8 +25,8 @@
     pub(crate) id: EndpointId,
     /// The incarnation of the endpoint in which the reservation was made.
     pub(crate) incarnation: Option<EndpointIncarnation>,
-    /// The version of the software that this incarnation runs, if it is known.
-    pub(crate) software: Option<SoftwareVersion>,
+    /// The version of the software that the list named when the reservation was made.
+    listed_software: Option<SoftwareVersion>,
     pub(crate) pool: Arc<ConnectionPool>,
     /// Requests of this router at the endpoint, this one included.
     pub(crate) running: u32,
@@ -87,7 +87,7 @@
             shared: shared.clone(),
             id,
             incarnation: tracked.endpoint.incarnation,
-            software: tracked.endpoint.software.clone(),
+            listed_software: tracked.endpoint.software.clone(),
             pool: tracked.pool.clone(),
             running: tracked.running,
             age: now - heard,
@@ -108,7 +108,21 @@
 
     /// The version of the endpoint's software, as it is logged; empty if it is not known.
     pub(crate) fn software_text(&self) -> &str {
-        self.software.as_ref().map_or("", |software| software.as_str())
+        self.listed_software.as_ref().map_or("", |software| software.as_str())
+    }
+
+    /// The version of the software with which the endpoint answers, if it is known by now. The endpoint may have restarted since
+    /// the reservation was made.
+    pub(crate) fn software(&self) -> Option<SoftwareVersion> {
+        let table = self.shared.endpoints.lock();
+        match table.map.get(&self.id) {
+            Some(tracked) if Arc::ptr_eq(&tracked.pool, &self.pool) => {
+                tracked.endpoint.software.clone()
+            }
+            Some(_) => None,
+            // An endpoint that has left the list finishes its streams.
+            None => self.listed_software.clone(),
+        }
     }
 
     /// Whether the endpoint still accepts requests, in the incarnation in which the reservation
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -280,6 +280,11 @@
         }
     }
 
+    /// Whether a service has had endpoints of several software versions lately.
+    pub(crate) fn has_several_versions(&self, service: &ServiceName) -> bool {
+        self.endpoints.lock().software_versions(service, Instant::now()).len() > 1
+    }
+
     /// Counts a request to a service for its retry budget.
     pub(crate) fn record_request(&self, service: &ServiceName) {
         self.with_retry_budget(service, |budget| budget.record_request(Instant::now()));
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -16,6 +16,7 @@
 use crate::exchange::EndpointResponse;
 use crate::in_flight::InFlightRequest;
 use crate::relay::{RequestLog, ResponseEnd, ResponseTiming};
+use crate::software::StreamVersion;
 
 /// A stream that can be resumed at another endpoint has stalled when nothing came for the event
 /// timeout of its route divided by this.
@@ -61,6 +62,8 @@
     /// Whether the response is a stream of events; any other is relayed as it is.
     has_events: bool,
     events: EventSplitter,
+    /// Whether data of the stream has been passed on.
+    admitted: bool,
 }
 
 impl StreamSource {
@@ -74,6 +77,7 @@
                 .get(header::CONTENT_TYPE)
                 .is_none_or(sse::is_event_stream),
             events: EventSplitter::resuming_after(last_event),
+            admitted: false,
             response,
         }
     }
@@ -87,6 +91,15 @@
         self.has_events && self.events.can_resume()
     }
 
+    /// Whether what was read may reach the caller, who may have events of an earlier endpoint.
+    fn admit(&mut self, version: &mut StreamVersion) -> bool {
+        if !self.has_events || self.admitted {
+            return true;
+        }
+        self.admitted = version.admit(self.response.reservation.software());
+        self.admitted
+    }
+
     /// Reads the next part, until `deadline` and for `time_limit` at most if there is one.
     async fn read(
         &mut self,
@@ -154,7 +167,8 @@
     let mut source = StreamSource::new(response, request.call.last_event);
     let mut timing = ResponseTiming::default();
     let (cause, end) = loop {
-        let elsewhere = resumable && source.can_resume() && request.runs < request.route.attempts;
+        let can_resume = source.can_resume() && request.stream_version.can_resume();
+        let elsewhere = resumable && can_resume && request.runs < request.route.attempts;
         let time_limit = elsewhere.then(|| request.route.event_timeout / STALL_DIVISOR);
         let mut read = source.read(&writer, time_limit, request.deadline).await;
         // A long prompt of another request stalls the stream as well. The search is only worth a
@@ -181,6 +195,10 @@
                 if ready.is_empty() {
                     continue;
                 }
+                if !source.admit(&mut request.stream_version) {
+                    let cause = "the endpoint runs another software version".to_owned();
+                    break (cause, source.response_end(false));
+                }
                 timing.record_chunk();
                 if writer.send(ready).await.is_err() {
                     return request_log.log_caller_left();
@@ -205,7 +223,8 @@
             StreamRead::Interrupted(cause) => cause,
         };
         let end = source.response_end(false);
-        let (id, can_resume) = (source.endpoint().clone(), source.can_resume());
+        let id = source.endpoint().clone();
+        let can_resume = source.can_resume() && request.stream_version.can_resume();
         let last_event = source.events.last_id();
         drop(source);
         let resumed = tokio::select! {
