Origins: decide with all services of a route, restarted endpoints and young evidence

A resumption that asks nobody goes on in a service with one version as before, also while the list is stale. An origin at an endpoint that restarted with other software at about that time is in doubt. A process that has seen the service for a short time does not show by itself that there is one version only. Origins expire in the order of their times; histories, tables and selections are bounded. Keepers: draining ones last, dead ones never, and what must be told again when they change. New versions begin streams once all routers list them.

--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -1,26 +1,39 @@
 //! Decides where a stream may go on that its caller takes up.
+//!
+//! Load pattern: a router or an endpoint dies while a release replaces endpoints, and its callers take up their streams at other
+//! routers within seconds. Evidence that is lost, late or expired leads to a refusal, never to an endpoint of another version.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use units::{ServiceName, SoftwareVersion};
+use tokio::time::Instant;
+use units::{EndpointId, ServiceName, SoftwareVersion};
 
-use crate::{Lookup, StreamOrigin};
+use crate::{LIST_LAG, Lookup, StreamOrigin, VERSION_MEMORY};
 
 /// What a router knows when a caller takes up a stream.
 #[derive(Debug, Clone)]
 pub struct ResumptionFacts<'a> {
-    /// The service that the request goes to.
+    /// The service that the route selects for the request.
     pub service: &'a ServiceName,
+    /// The services that the route may select: one, or several if the route is split.
+    pub allowed: &'a [ServiceName],
     /// Whether the caller has events of the stream.
     pub has_events: bool,
     /// What the router itself knows of the stream.
     pub own: Lookup,
+    /// The number of keepers that were asked. It is 0 if the caller does not name the stream.
+    pub asked: usize,
     /// The answers of the keepers that answered.
     pub answers: Vec<KeeperAnswer>,
-    /// The versions that the service has had lately, as far as the router has seen.
+    /// What the list says of the endpoints in `own` and `answers`. Endpoints that have left the list are missing.
+    pub listed: HashMap<EndpointId, ListedEndpoint>,
+    /// The versions that the selected service has had lately, as far as the router has seen.
     pub versions: BTreeSet<SoftwareVersion>,
-    /// Whether the service has an endpoint whose version is not known.
+    /// For how long the router has seen the versions of the selected service.
+    pub watched: Duration,
+    /// Whether streams may have begun at an endpoint of the selected service whose version is not known.
     pub has_unknown_version: bool,
     /// Whether the router's list of endpoints may be outdated.
     pub list_is_stale: bool,
@@ -31,8 +44,22 @@
 pub struct KeeperAnswer {
     /// Where the stream began.
     pub origin: Lookup,
-    /// The versions of the service in the origins that the keeper knows.
+    /// The versions that the service has had lately: those in the origins that the keeper knows, and those that it has seen listed.
     pub versions: BTreeSet<SoftwareVersion>,
+    /// For how long the keeper has seen the versions of the service. Zero if it does not say.
+    pub watched: Duration,
+}
+
+/// What a router's list says of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedEndpoint {
+    /// The version of the endpoint's software, if it is known.
+    pub software: Option<SoftwareVersion>,
+    /// When the router first saw this incarnation. `None` if it was in the first list that the router read.
+    pub since: Option<Instant>,
+    /// The last time at which this incarnation is known to have been the one that runs: when its loader last said so, or
+    /// [`LIST_LAG`] before the list was read.
+    pub confirmed: Instant,
 }
 
 /// How the version of a stream is known.
@@ -51,59 +78,130 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Doubt {
-    /// Nobody knows where the stream began, and the service has several versions.
+    /// Nobody knows where the stream began, and the service may have had several versions.
     Unknown,
     /// Streams of several versions began under the same id.
     Conflicting,
-    /// The stream began at another service.
+    /// The stream began at a service that the route does not lead to.
     OtherService,
+    /// The endpoint restarted with other software at about the time at which the stream began.
+    Restarted,
+    /// It is not known yet whether the endpoint had restarted when the stream began. The list says so within [`LIST_LAG`].
+    Unconfirmed,
+    /// The service has no endpoint of a known version; the caller is refused like one with a new request.
+    NoEndpoint,
 }
 
 /// Where a stream may go on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
-    /// At any endpoint: its caller has no event of it.
+    /// At any endpoint: its caller has no event of it, or no endpoint states a version.
     Anywhere,
-    /// At endpoints of this version only.
-    At(SoftwareVersion, Source),
+    /// At endpoints of one version in one service only.
+    At {
+        /// The service in which the stream goes on.
+        service: ServiceName,
+        /// The version of the software.
+        software: SoftwareVersion,
+        /// How the version is known.
+        source: Source,
+    },
     /// Nowhere.
     Nowhere(Doubt),
 }
 
 /// Decides where a stream may go on.
 pub fn decide(facts: &ResumptionFacts<'_>) -> Decision {
-    let keepers = facts.answers.iter().map(|answer| (&answer.origin, Source::Keeper));
-    let mut found: Option<(&StreamOrigin, Source)> = None;
-    for (lookup, source) in [(&facts.own, Source::Own)].into_iter().chain(keepers) {
-        match lookup {
-            Lookup::Unknown => {}
-            Lookup::Conflicting => return Decision::Nowhere(Doubt::Conflicting),
-            Lookup::Known(origin) => match found {
-                Some((known, _)) if known.software != origin.software => {
-                    return Decision::Nowhere(Doubt::Conflicting);
-                }
+    // A caller without an event may get the stream from its start, by any version.
+    if !facts.has_events {
+        return Decision::Anywhere;
+    }
+    match facts.known_origin() {
+        Err(doubt) => Decision::Nowhere(doubt),
+        Ok(Some((origin, source))) => facts.at_origin(origin, source),
+        Ok(None) => facts.at_only_version(),
+    }
+}
+
+impl ResumptionFacts<'_> {
+    /// The origin that the router or a keeper knows, if they agree.
+    fn known_origin(&self) -> Result<Option<(&StreamOrigin, Source)>, Doubt> {
+        let mut found: Option<(&StreamOrigin, Source)> = None;
+        for (origin, source) in self.origins() {
+            let origin = match origin {
+                Lookup::Unknown => continue,
+                Lookup::Conflicting => return Err(Doubt::Conflicting),
+                Lookup::Known(origin) => origin,
+            };
+            if let Some(doubt) = self.endpoint_doubt(origin) {
+                return Err(doubt);
+            }
+            match found {
+                Some((known, _)) if !known.same_version(origin) => return Err(Doubt::Conflicting),
                 Some(_) => {}
                 None => found = Some((origin, source)),
-            },
+            }
+        }
+        Ok(found)
+    }
+
+    fn origins(&self) -> impl Iterator<Item = (&Lookup, Source)> {
+        let keepers = self.answers.iter().map(|answer| (&answer.origin, Source::Keeper));
+        std::iter::once((&self.own, Source::Own)).chain(keepers)
+    }
+
+    /// Why the version in an origin may be wrong: the router that recorded it may have read the list before the endpoint's restart.
+    fn endpoint_doubt(&self, origin: &StreamOrigin) -> Option<Doubt> {
+        let listed = self.listed.get(&origin.endpoint)?;
+        if listed.software.as_ref() != Some(&origin.software) {
+            let before = |since: Instant| origin.begun + LIST_LAG <= since;
+            return (!listed.since.is_some_and(before)).then_some(Doubt::Restarted);
+        }
+        let several = self.all_versions().len() > 1;
+        (several && listed.confirmed < origin.begun).then_some(Doubt::Unconfirmed)
+    }
+
+    fn at_origin(&self, origin: &StreamOrigin, source: Source) -> Decision {
+        if !self.allowed.contains(&origin.service) {
+            return Decision::Nowhere(Doubt::OtherService);
         }
+        let (service, software) = (origin.service.clone(), origin.software.clone());
+        Decision::At { service, software, source }
     }
-    if let Some((origin, source)) = found {
-        return if origin.service == *facts.service {
-            Decision::At(origin.software.clone(), source)
-        } else {
-            Decision::Nowhere(Doubt::OtherService)
+
+    /// Where a stream of unknown origin goes on: at the only version of the service, if there has been no other one lately.
+    fn at_only_version(&self) -> Decision {
+        let versions = self.all_versions();
+        let Some(only) = versions.first() else {
+            return match self.has_unknown_version {
+                true => Decision::Anywhere,
+                false => Decision::Nowhere(Doubt::NoEndpoint),
+            };
         };
+        if versions.len() > 1 || self.has_unknown_version || !self.saw_all_versions() {
+            return Decision::Nowhere(Doubt::Unknown);
+        }
+        let (service, software) = (self.service.clone(), (*only).clone());
+        Decision::At { service, software, source: Source::OnlyVersion }
     }
-    if !facts.has_events {
-        return Decision::Anywhere;
+
+    fn all_versions(&self) -> BTreeSet<&SoftwareVersion> {
+        let told = self.answers.iter().flat_map(|answer| &answer.versions);
+        self.versions.iter().chain(told).collect()
     }
-    let mut versions = facts.versions.clone();
-    facts.answers.iter().for_each(|answer| versions.extend(answer.versions.iter().cloned()));
-    let unsure = facts.has_unknown_version || facts.list_is_stale && facts.answers.is_empty();
-    match versions.first() {
-        Some(only) if versions.len() == 1 && !unsure => {
-            Decision::At(only.clone(), Source::OnlyVersion)
+
+    /// Whether another version of the last [`VERSION_MEMORY`] would be known.
+    fn saw_all_versions(&self) -> bool {
+        if self.asked == 0 {
+            return true;
         }
-        _ => Decision::Nowhere(Doubt::Unknown),
+        let own = self.watched >= VERSION_MEMORY && !self.list_is_stale;
+        let kept = self.answers.iter().any(|answer| answer.watched >= VERSION_MEMORY);
+        // After a loss of power nobody has seen the service for long. Most keepers answer then, unlike those of a router that is
+        // cut off.
+        own || kept || 2 * self.answers.len() > self.asked
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/origin/src/decision/tests.rs
@@ -0,0 +1,213 @@
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::Instant;
+
+use super::*;
+
+/// The age of a process that has seen the service for long enough.
+const OLD: Duration = Duration::from_secs(600);
+const YOUNG: Duration = Duration::from_secs(5);
+
+fn name(text: &str) -> ServiceName {
+    text.parse().expect("a service name")
+}
+
+fn version(text: &str) -> SoftwareVersion {
+    text.parse().expect("a version")
+}
+
+fn versions(texts: &[&str]) -> BTreeSet<SoftwareVersion> {
+    texts.iter().copied().map(version).collect()
+}
+
+fn endpoint() -> EndpointId {
+    "e-1".parse().expect("an endpoint id")
+}
+
+fn origin(service: &str, software: &str, begun: Instant) -> StreamOrigin {
+    StreamOrigin {
+        service: name(service),
+        software: version(software),
+        endpoint: endpoint(),
+        begun,
+    }
+}
+
+fn known(software: &str) -> Lookup {
+    Lookup::Known(origin("s", software, Instant::now()))
+}
+
+fn answer(origin: Lookup, seen: &[&str], watched: Duration) -> KeeperAnswer {
+    KeeperAnswer { origin, versions: versions(seen), watched }
+}
+
+/// What an old router with a fresh list knows of a stream that nobody knows.
+fn facts<'a>(services: &'a [ServiceName], seen: &[&str]) -> ResumptionFacts<'a> {
+    ResumptionFacts {
+        service: &services[0],
+        allowed: services,
+        has_events: true,
+        own: Lookup::Unknown,
+        asked: 0,
+        answers: Vec::new(),
+        listed: HashMap::new(),
+        versions: versions(seen),
+        watched: OLD,
+        has_unknown_version: false,
+        list_is_stale: false,
+    }
+}
+
+fn at(software: &str, source: Source) -> Decision {
+    Decision::At { service: name("s"), software: version(software), source }
+}
+
+const UNKNOWN: Decision = Decision::Nowhere(Doubt::Unknown);
+
+#[rstest]
+#[case::one_version(&["v1"], false, at("v1", Source::OnlyVersion))]
+#[case::one_version_without_the_store(&["v1"], true, at("v1", Source::OnlyVersion))]
+#[case::two_versions(&["v1", "v2"], false, UNKNOWN)]
+#[case::no_endpoint_listed(&[], false, Decision::Nowhere(Doubt::NoEndpoint))]
+fn a_caller_that_names_no_stream_goes_on_in_a_service_with_one_version(
+    #[case] seen: &[&str],
+    #[case] list_is_stale: bool,
+    #[case] expected: Decision,
+) {
+    let services = [name("s")];
+    assert_eq!(decide(&ResumptionFacts { list_is_stale, ..facts(&services, seen) }), expected);
+}
+
+#[test]
+fn streams_go_on_where_no_endpoint_states_a_version() {
+    let services = [name("s")];
+    let unversioned = ResumptionFacts { has_unknown_version: true, ..facts(&services, &[]) };
+    assert_eq!(decide(&unversioned), Decision::Anywhere);
+    let partly = ResumptionFacts { has_unknown_version: true, ..facts(&services, &["v1"]) };
+    assert_eq!(decide(&partly), UNKNOWN);
+}
+
+#[test]
+fn a_caller_without_events_gets_the_stream_anywhere() {
+    let services = [name("s")];
+    for own in [Lookup::Unknown, Lookup::Conflicting, known("v1")] {
+        let free = ResumptionFacts { has_events: false, own, ..facts(&services, &["v1", "v2"]) };
+        assert_eq!(decide(&free), Decision::Anywhere);
+    }
+}
+
+#[test]
+fn a_known_stream_goes_on_at_its_version() {
+    let services = [name("s")];
+    let own = ResumptionFacts { own: known("v1"), ..facts(&services, &["v1", "v2"]) };
+    assert_eq!(decide(&own), at("v1", Source::Own));
+    let answers = vec![
+        answer(Lookup::Unknown, &["v2"], OLD),
+        answer(known("v1"), &["v1"], YOUNG),
+        answer(known("v1"), &["v1"], OLD),
+    ];
+    let told = ResumptionFacts { asked: 4, answers, ..facts(&services, &["v2"]) };
+    assert_eq!(decide(&told), at("v1", Source::Keeper));
+}
+
+#[rstest]
+#[case::keepers_disagree(Lookup::Unknown, vec![known("v1"), known("v2")])]
+#[case::keeper_against_own(known("v1"), vec![known("v2")])]
+#[case::keeper_with_both(Lookup::Unknown, vec![known("v1"), Lookup::Conflicting])]
+#[case::own_with_both(Lookup::Conflicting, vec![])]
+fn a_stream_with_conflicting_origins_goes_on_nowhere(
+    #[case] own: Lookup,
+    #[case] told: Vec<Lookup>,
+) {
+    let services = [name("s")];
+    let answers = told.into_iter().map(|origin| answer(origin, &[], OLD)).collect();
+    let facts = ResumptionFacts { own, asked: 2, answers, ..facts(&services, &["v1", "v2"]) };
+    assert_eq!(decide(&facts), Decision::Nowhere(Doubt::Conflicting));
+}
+
+#[test]
+fn a_stream_of_another_service_goes_on_only_where_the_route_leads() {
+    let begun = Instant::now();
+    let own = Lookup::Known(origin("t", "v1", begun));
+    let (one, split) = ([name("s")], [name("s"), name("t")]);
+    // The version of the same name in `s` is other software.
+    let moved = ResumptionFacts { own: own.clone(), ..facts(&one, &["v1"]) };
+    assert_eq!(decide(&moved), Decision::Nowhere(Doubt::OtherService));
+    let (service, software) = (name("t"), version("v1"));
+    assert_eq!(
+        decide(&ResumptionFacts { own, ..facts(&split, &["v2"]) }),
+        Decision::At { service, software, source: Source::Own }
+    );
+}
+
+/// Whether a stream goes on whose first event came 10 s after `start`, with what the list says 20 s after `start`.
+fn after_restart(start: Instant, listed: ListedEndpoint, seen: &[&str]) -> Decision {
+    let services = [name("s")];
+    let own = Lookup::Known(origin("s", "v1", start + Duration::from_secs(10)));
+    let listed = HashMap::from([(endpoint(), listed)]);
+    decide(&ResumptionFacts { own, listed, ..facts(&services, seen) })
+}
+
+#[rstest]
+#[case::long_after_the_event(Some("v2"), Some(14), at("v1", Source::Own))]
+#[case::soon_after_the_event(Some("v2"), Some(12), Decision::Nowhere(Doubt::Restarted))]
+#[case::before_the_event(Some("v2"), Some(9), Decision::Nowhere(Doubt::Restarted))]
+#[case::at_an_unknown_time(Some("v2"), None, Decision::Nowhere(Doubt::Restarted))]
+#[case::version_not_known_yet(None, Some(12), Decision::Nowhere(Doubt::Restarted))]
+#[case::version_not_known_long_after(None, Some(14), at("v1", Source::Own))]
+#[case::with_the_same_version(Some("v1"), Some(12), at("v1", Source::Own))]
+fn an_endpoint_that_restarted_with_other_software_makes_the_origin_doubtful(
+    #[case] software: Option<&str>,
+    #[case] since: Option<u64>,
+    #[case] expected: Decision,
+) {
+    let start = Instant::now();
+    let listed = ListedEndpoint {
+        software: software.map(version),
+        since: since.map(|at| start + Duration::from_secs(at)),
+        confirmed: start + Duration::from_secs(20),
+    };
+    assert_eq!(after_restart(start, listed, &["v1", "v2"]), expected);
+}
+
+#[test]
+fn an_origin_is_unconfirmed_until_a_later_list_names_the_same_incarnation() {
+    let start = Instant::now();
+    let confirmed = |at: u64| ListedEndpoint {
+        software: Some(version("v1")),
+        since: Some(start),
+        confirmed: start + Duration::from_secs(at),
+    };
+    let unconfirmed = Decision::Nowhere(Doubt::Unconfirmed);
+    assert_eq!(after_restart(start, confirmed(9), &["v1", "v2"]), unconfirmed);
+    assert_eq!(after_restart(start, confirmed(10), &["v1", "v2"]), at("v1", Source::Own));
+    assert_eq!(after_restart(start, confirmed(9), &["v1"]), at("v1", Source::Own));
+}
+
+#[rstest]
+#[case::own_history(OLD, false, 4, &[], at("v1", Source::OnlyVersion))]
+#[case::own_history_of_a_stale_list(OLD, true, 4, &[], UNKNOWN)]
+#[case::restarted_and_cut_off(YOUNG, false, 4, &[], UNKNOWN)]
+#[case::restarted(YOUNG, false, 4, &[("v1", OLD)], at("v1", Source::OnlyVersion))]
+#[case::restarted_after_a_release(YOUNG, false, 4, &[("v0 v1", OLD)], UNKNOWN)]
+#[case::restarted_with_some_keepers(YOUNG, false, 4, &[("v1", YOUNG), ("", YOUNG)], UNKNOWN)]
+#[case::after_a_loss_of_power(YOUNG, false, 2, &[("v1", YOUNG), ("", YOUNG)], at("v1", Source::OnlyVersion))]
+#[case::stale_list_and_a_keeper(OLD, true, 4, &[("v1", OLD)], at("v1", Source::OnlyVersion))]
+fn a_stream_that_nobody_knows_goes_on_if_another_version_would_be_known(
+    #[case] watched: Duration,
+    #[case] list_is_stale: bool,
+    #[case] asked: usize,
+    #[case] answers: &[(&str, Duration)],
+    #[case] expected: Decision,
+) {
+    let services = [name("s")];
+    let answers = answers.iter().map(|(seen, watched)| {
+        let seen: Vec<_> = seen.split_whitespace().collect();
+        answer(Lookup::Unknown, &seen, *watched)
+    });
+    let answers = answers.collect();
+    let base = facts(&services, &["v1"]);
+    let facts = ResumptionFacts { watched, list_is_stale, asked, answers, ..base };
+    assert_eq!(decide(&facts), expected);
+}
--- a/components/origin/src/keepers.rs
+++ b/components/origin/src/keepers.rs
@@ -3,6 +3,8 @@
 //! Load pattern: a router dies, and hundreds of its callers take up their streams at other routers within a second. Each of these
 //! finds the keepers of a stream from its key alone.
 
+use std::collections::{HashMap, HashSet};
+
 use units::{Domain, EndpointId};
 
 use crate::StreamKey;
@@ -19,19 +21,122 @@
     pub endpoint: &'a EndpointId,
     /// Its failure domain.
     pub domain: &'a Domain,
+    /// Whether it will answer.
+    pub state: KeeperState,
+}
+
+/// Whether a keeper will answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum KeeperState {
+    /// Its endpoint serves.
+    Serving,
+    /// Its endpoint drains, and the keeper leaves with it. It is chosen only where too few others are there.
+    Leaving,
+    /// It does not answer. It is not chosen.
+    Dead,
 }
 
+/// The rank of a keeper for a stream; the lowest is the best.
+type Rank = (KeeperState, u64);
+
 /// The keepers of a stream, best first, as indices into `keepers`. The first ones are in different failure domains, as far as
 /// there are several.
 pub fn rank_keepers(key: StreamKey, keepers: &[Keeper<'_>], count: usize) -> Vec<usize> {
-    let mut ranked: Vec<usize> = (0..keepers.len()).collect();
-    ranked.sort_by_cached_key(|index| key.mix(keepers[*index].endpoint.as_str().as_bytes()));
-    let mut chosen: Vec<usize> = Vec::with_capacity(count);
-    for _ in 0..count.min(ranked.len()) {
-        let used =
-            |index: &usize| chosen.iter().any(|c| keepers[*c].domain == keepers[*index].domain);
-        let next = ranked.iter().position(|index| !used(index)).unwrap_or(0);
-        chosen.push(ranked.remove(next));
+    let live = |(_, keeper): &(usize, &Keeper<'_>)| keeper.state != KeeperState::Dead;
+    let mut best: Vec<(Rank, usize)> = Vec::with_capacity(count + 1);
+    let mut by_domain: HashMap<&Domain, (Rank, usize)> = HashMap::new();
+    for (index, keeper) in keepers.iter().enumerate().filter(live) {
+        let ranked = (rank(key, keeper), index);
+        insert_best(&mut best, ranked, count);
+        let first = by_domain.entry(keeper.domain).or_insert(ranked);
+        *first = (*first).min(ranked);
+    }
+    let mut chosen: Vec<(Rank, usize)> = by_domain.into_values().collect();
+    chosen.sort_unstable();
+    let mut chosen: Vec<usize> = chosen.into_iter().map(|(_, index)| index).take(count).collect();
+    for (_, index) in best {
+        if chosen.len() < count && !chosen.contains(&index) {
+            chosen.push(index);
+        }
     }
     chosen
 }
+
+/// Adds an element to the `count` lowest ones, in order.
+fn insert_best(best: &mut Vec<(Rank, usize)>, ranked: (Rank, usize), count: usize) {
+    if best.len() == count && best.last().is_none_or(|worst| *worst <= ranked) {
+        return;
+    }
+    let at = best.partition_point(|other| *other < ranked);
+    best.insert(at, ranked);
+    best.truncate(count);
+}
+
+fn rank(key: StreamKey, keeper: &Keeper<'_>) -> Rank {
+    (keeper.state, key.mix(keeper.endpoint.as_str().as_bytes()))
+}
+
+/// A stream whose keepers have been told of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ToldStream {
+    /// The stream.
+    pub key: StreamKey,
+    /// The endpoints of the keepers that have acknowledged it.
+    pub told: Vec<EndpointId>,
+}
+
+/// The keepers that must be told of a stream, since the set of keepers has changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Retelling {
+    /// The index of the stream.
+    pub stream: usize,
+    /// The indices of the keepers.
+    pub keepers: Vec<usize>,
+}
+
+/// What must be told again once the keepers are those of `after`. `before` are the keepers at the last call.
+pub fn retell(
+    streams: &[ToldStream],
+    before: &[Keeper<'_>],
+    after: &[Keeper<'_>],
+) -> Vec<Retelling> {
+    let old: HashMap<&EndpointId, &Keeper<'_>> = before.iter().map(|k| (k.endpoint, k)).collect();
+    let new: HashMap<&EndpointId, &Keeper<'_>> = after.iter().map(|k| (k.endpoint, k)).collect();
+    let improved: Vec<&Keeper<'_>> = after
+        .iter()
+        .filter(|keeper| old.get(keeper.endpoint).is_none_or(|was| was.state > keeper.state))
+        .filter(|keeper| keeper.state != KeeperState::Dead)
+        .collect();
+    let mut retellings = Vec::new();
+    for (stream, told) in streams.iter().enumerate() {
+        if !may_move(told, &improved, &new) {
+            continue;
+        }
+        let ranked = rank_keepers(told.key, after, TOLD_KEEPERS);
+        let untold = |index: &usize| !told.told.contains(after[*index].endpoint);
+        let keepers: Vec<usize> = ranked.into_iter().filter(untold).collect();
+        if !keepers.is_empty() {
+            retellings.push(Retelling { stream, keepers });
+        }
+    }
+    retellings
+}
+
+/// Whether the keepers of a stream may have changed, without ranking all of them.
+fn may_move(
+    stream: &ToldStream,
+    improved: &[&Keeper<'_>],
+    new: &HashMap<&EndpointId, &Keeper<'_>>,
+) -> bool {
+    let told: Vec<_> = stream.told.iter().filter_map(|endpoint| new.get(endpoint)).collect();
+    let mut serving: Vec<_> = told.iter().filter(|k| k.state == KeeperState::Serving).collect();
+    serving.sort_by_key(|keeper| rank(stream.key, keeper));
+    let mut domains = HashSet::new();
+    serving.retain(|keeper| domains.insert(keeper.domain));
+    let Some(worst) = serving.get(TOLD_KEEPERS - 1) else { return true };
+    let worst = rank(stream.key, worst);
+    improved.iter().any(|keeper| rank(stream.key, keeper) < worst)
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/origin/src/key.rs
+++ b/components/origin/src/key.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Identifies a stream by the request that began it. Requests of different callers have different keys, whatever their ids.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -30,10 +30,8 @@
 
     /// A number derived from the key and `salt`, evenly spread over all numbers.
     pub(crate) fn mix(self, salt: &[u8]) -> u64 {
-        let mut hasher = Xxh3::new();
-        hasher.update(&self.0.to_le_bytes());
-        hasher.update(salt);
-        hasher.digest()
+        let [low, high] = [self.0 as u64, (self.0 >> 64) as u64];
+        xxh3_64_with_seed(salt, low ^ high)
     }
 }
 
@@ -66,3 +64,6 @@
         key.to_string()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/origin/src/lib.rs
+++ b/components/origin/src/lib.rs
@@ -10,8 +10,12 @@
 mod table;
 mod versions;
 
-pub use decision::{Decision, Doubt, KeeperAnswer, ResumptionFacts, Source, decide};
-pub use keepers::{Keeper, MAX_ASKED, TOLD_KEEPERS, rank_keepers};
+pub use decision::{
+    Decision, Doubt, KeeperAnswer, ListedEndpoint, ResumptionFacts, Source, decide,
+};
+pub use keepers::{
+    Keeper, KeeperState, MAX_ASKED, Retelling, TOLD_KEEPERS, ToldStream, rank_keepers, retell,
+};
 pub use key::{ParseKeyError, StreamKey};
-pub use table::{Lookup, OriginTable, StreamOrigin};
-pub use versions::{VERSION_MEMORY, VersionHistory};
+pub use table::{Lookup, MAX_KEEP, MAX_ORIGINS, OriginTable, StreamOrigin};
+pub use versions::{LIST_LAG, VERSION_MEMORY, VersionHistory};
--- a/components/origin/src/table.rs
+++ b/components/origin/src/table.rs
@@ -1,6 +1,6 @@
 //! The origins that one process knows.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -9,7 +9,9 @@
 use crate::StreamKey;
 
 /// The most origins that a table holds. The oldest ones are dropped first; their streams are then unknown.
-const MAX_ORIGINS: usize = 16_384;
+pub const MAX_ORIGINS: usize = 16_384;
+/// The longest time for which an origin is kept, whatever a record says.
+pub const MAX_KEEP: Duration = Duration::from_secs(300);
 
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +26,13 @@
     pub begun: Instant,
 }
 
+impl StreamOrigin {
+    /// Whether both streams began at the same version of the same service.
+    pub(crate) fn same_version(&self, other: &Self) -> bool {
+        self.service == other.service && self.software == other.software
+    }
+}
+
 /// What is known of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lookup {
@@ -40,6 +49,8 @@
     /// None if streams of several versions began under the key.
     origin: Option<StreamOrigin>,
     expires: Instant,
+    /// The place in the order in which the keys were added.
+    place: u64,
 }
 
 /// The origins that one process knows, each until it expires.
@@ -47,31 +58,31 @@
 pub struct OriginTable {
     entries: HashMap<StreamKey, Entry>,
     /// The keys in the order in which they were added.
-    order: VecDeque<StreamKey>,
+    added: BTreeMap<u64, StreamKey>,
+    /// The keys in the order in which they expire.
+    expiring: BTreeSet<(Instant, StreamKey)>,
+    next: u64,
 }
 
 impl OriginTable {
     /// Records where a stream began, for the time `keep`. A repeated record prolongs the first one.
     pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, keep: Duration, now: Instant) {
         self.drop_expired(now);
-        let expires = now + keep;
-        if let Some(entry) = self.entries.get_mut(&key) {
-            let same = entry.origin.as_ref().is_some_and(|known| {
-                known.service == origin.service && known.software == origin.software
-            });
-            if !same {
-                entry.origin = None;
-            }
-            entry.expires = entry.expires.max(expires);
+        if keep.is_zero() {
             return;
         }
-        if self.order.len() >= MAX_ORIGINS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.entries.remove(&oldest);
+        let expires = now + keep.min(MAX_KEEP);
+        match self.entries.get_mut(&key) {
+            Some(entry) => {
+                entry.merge(origin);
+                if entry.expires < expires {
+                    self.expiring.remove(&(entry.expires, key));
+                    self.expiring.insert((expires, key));
+                    entry.expires = expires;
+                }
+            }
+            None => self.add(key, origin, expires),
         }
-        self.order.push_back(key);
-        self.entries.insert(key, Entry { origin: Some(origin), expires });
     }
 
     /// What is known of a stream.
@@ -95,7 +106,7 @@
         own.map(|(key, origin, entry)| (*key, origin.clone(), entry.expires - now)).collect()
     }
 
-    /// The number of origins.
+    /// The number of origins, those included that have expired since the last record.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
@@ -105,13 +116,47 @@
         self.entries.is_empty()
     }
 
+    fn add(&mut self, key: StreamKey, origin: StreamOrigin, expires: Instant) {
+        if self.entries.len() >= MAX_ORIGINS
+            && let Some((_, oldest)) = self.added.first_key_value()
+        {
+            self.remove(*oldest);
+        }
+        let place = self.next;
+        self.next += 1;
+        self.added.insert(place, key);
+        self.expiring.insert((expires, key));
+        self.entries.insert(key, Entry { origin: Some(origin), expires, place });
+    }
+
+    fn remove(&mut self, key: StreamKey) {
+        if let Some(entry) = self.entries.remove(&key) {
+            self.added.remove(&entry.place);
+            self.expiring.remove(&(entry.expires, key));
+        }
+    }
+
     fn drop_expired(&mut self, now: Instant) {
-        while let Some(oldest) = self.order.front() {
-            if self.entries.get(oldest).is_some_and(|entry| entry.expires > now) {
+        while let Some((expires, key)) = self.expiring.first().copied() {
+            if expires > now {
                 return;
             }
-            self.entries.remove(oldest);
-            self.order.pop_front();
+            self.remove(key);
         }
     }
 }
+
+impl Entry {
+    /// Adds a record of a stream with the same key. The later one counts if the versions are equal: it may be after a restart of
+    /// its endpoint.
+    fn merge(&mut self, origin: StreamOrigin) {
+        match &self.origin {
+            Some(known) if !known.same_version(&origin) => self.origin = None,
+            Some(known) if known.begun < origin.begun => self.origin = Some(origin),
+            Some(_) | None => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/origin/src/table/tests.rs
@@ -0,0 +1,123 @@
+use proptest::prelude::{ProptestConfig, prop_assert_eq, proptest};
+use proptest::test_runner::RngSeed;
+
+use super::*;
+
+fn key(number: u32) -> StreamKey {
+    StreamKey::new(b"host", b"caller", &number.to_le_bytes())
+}
+
+fn origin(software: &str, begun: Instant) -> StreamOrigin {
+    StreamOrigin {
+        service: "s".parse().expect("a service name"),
+        software: software.parse().expect("a version"),
+        endpoint: "e-1".parse().expect("an endpoint id"),
+        begun,
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// All records in the order in which they arrived.
+#[derive(Default)]
+struct Model(Vec<(StreamKey, Option<StreamOrigin>, Instant)>);
+
+impl Model {
+    fn record(&mut self, key: StreamKey, origin: StreamOrigin, keep: Duration, now: Instant) {
+        self.0.retain(|(_, _, expires)| *expires > now);
+        let expires = now + keep.min(MAX_KEEP);
+        if expires <= now {
+            return;
+        }
+        let Some((_, known, until)) = self.0.iter_mut().find(|(other, _, _)| *other == key) else {
+            self.0.push((key, Some(origin), expires));
+            return;
+        };
+        *until = expires.max(*until);
+        *known = match known.take() {
+            Some(known) if known.software != origin.software => None,
+            Some(known) if known.begun < origin.begun => Some(origin),
+            other => other,
+        };
+    }
+
+    fn get(&self, key: StreamKey, now: Instant) -> Lookup {
+        let entry = self.0.iter().find(|(other, _, expires)| *other == key && *expires > now);
+        match entry {
+            None => Lookup::Unknown,
+            Some((_, Some(origin), _)) => Lookup::Known(origin.clone()),
+            Some((_, None, _)) => Lookup::Conflicting,
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Records are repeated, late and expired, of one or two versions, and kept for differing times.
+    #[test]
+    fn the_table_answers_as_a_list_of_all_records(
+        records in proptest::collection::vec((0_u32..12, 0_u8..8, 0_u64..400, 0_u64..40, 0_u64..20), 0..120),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let (mut table, mut model) = (OriginTable::default(), Model::default());
+        for (number, version, keep, age, wait) in records {
+            now += Duration::from_millis(100 * wait);
+            let software = if version == 0 { "v2" } else { "v1" };
+            let begun = now - Duration::from_millis(100 * age).min(now - start);
+            let keep = Duration::from_secs(keep);
+            table.record(key(number), origin(software, begun), keep, now);
+            model.record(key(number), origin(software, begun), keep, now);
+            for other in 0..12 {
+                prop_assert_eq!(table.get(key(other), now), model.get(key(other), now));
+            }
+            prop_assert_eq!(table.len(), model.0.len());
+            prop_assert_eq!(table.added.len(), model.0.len());
+            prop_assert_eq!(table.expiring.len(), model.0.len());
+        }
+    }
+}
+
+#[test]
+fn an_origin_behind_a_longer_lasting_one_expires_in_time() {
+    let start = Instant::now();
+    let mut table = OriginTable::default();
+    table.record(key(1), origin("v1", start), 60 * SECOND, start);
+    table.record(key(2), origin("v1", start), SECOND, start);
+    table.record(key(3), origin("v1", start), SECOND, start + 2 * SECOND);
+    assert_eq!(table.len(), 2);
+}
+
+#[test]
+fn a_flood_of_streams_drops_the_oldest_ones() {
+    let start = Instant::now();
+    let mut table = OriginTable::default();
+    let count = u32::try_from(MAX_ORIGINS).expect("small");
+    for number in 0..count + 100 {
+        table.record(key(number), origin("v1", start), 60 * SECOND, start);
+    }
+    assert_eq!(table.len(), MAX_ORIGINS);
+    assert_eq!(table.get(key(99), start), Lookup::Unknown);
+    assert_ne!(table.get(key(100), start), Lookup::Unknown);
+}
+
+#[test]
+fn one_id_for_streams_of_two_versions_stays_conflicting() {
+    let start = Instant::now();
+    let mut table = OriginTable::default();
+    for software in ["v1", "v2", "v1", "v1"] {
+        table.record(key(1), origin(software, start), 60 * SECOND, start);
+    }
+    assert_eq!(table.get(key(1), start), Lookup::Conflicting);
+    assert!(table.of_service(&"s".parse().expect("a service name"), start).is_empty());
+    assert_eq!(table.get(key(1), start + 60 * SECOND), Lookup::Unknown);
+}
+
+#[test]
+fn a_record_without_end_does_not_stay_for_ever() {
+    let start = Instant::now();
+    let mut table = OriginTable::default();
+    table.record(key(1), origin("v1", start), Duration::MAX, start);
+    assert_eq!(table.get(key(1), start + MAX_KEEP), Lookup::Unknown);
+}
--- a/components/origin/src/versions.rs
+++ b/components/origin/src/versions.rs
@@ -8,25 +8,121 @@
 
 /// How long a version is remembered after it was last seen: longer than callers wait before they take up a stream.
 pub const VERSION_MEMORY: Duration = Duration::from_secs(60);
+/// The longest time by which a list of endpoints lags behind the endpoints, and by which the lists of two routers differ.
+pub const LIST_LAG: Duration = Duration::from_secs(3);
+
+/// The most services in a history. The one that was seen least recently is dropped first.
+const MAX_SERVICES: usize = 512;
+/// The most versions of a service in a history. The one that was seen least recently is dropped first; the others still show that
+/// there are several.
+const MAX_VERSIONS: usize = 16;
 
 /// The software versions that each service has had lately, as one process has seen them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct VersionHistory {
-    seen: HashMap<ServiceName, HashMap<SoftwareVersion, Instant>>,
+    services: HashMap<ServiceName, ServiceHistory>,
+    /// From when on the versions of services that are not in `services` would have been seen.
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct ServiceHistory {
+    since: Instant,
+    last: Instant,
+    versions: HashMap<SoftwareVersion, Sighting>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sighting {
+    first: Instant,
+    last: Instant,
 }
 
 impl VersionHistory {
-    /// Records that a service has a version now.
+    /// The history of a process that starts to read the list of endpoints now.
+    pub fn new(now: Instant) -> Self {
+        Self { services: HashMap::new(), since: now }
+    }
+
+    /// Records that a service has a version now. This is called for each listed endpoint whenever the list is read or the version
+    /// of an endpoint becomes known.
     pub fn record(&mut self, service: &ServiceName, software: &SoftwareVersion, now: Instant) {
-        let versions = self.seen.entry(service.clone()).or_default();
-        versions.retain(|_, at| now.saturating_duration_since(*at) < VERSION_MEMORY);
-        versions.insert(software.clone(), now);
+        if !self.services.contains_key(service) {
+            self.make_room(now);
+        }
+        let since = self.since;
+        let new = || ServiceHistory { since, last: now, versions: HashMap::new() };
+        self.services.entry(service.clone()).or_insert_with(new).record(software, now);
     }
 
     /// The versions that a service has had lately.
     pub fn versions(&self, service: &ServiceName, now: Instant) -> BTreeSet<SoftwareVersion> {
-        let seen = self.seen.get(service).into_iter().flatten();
-        let recent = seen.filter(|(_, at)| now.saturating_duration_since(**at) < VERSION_MEMORY);
+        let recent = self.services.get(service).into_iter().flat_map(|seen| seen.recent(now));
         recent.map(|(software, _)| software.clone()).collect()
     }
+
+    /// For how long the versions of a service have been seen.
+    pub fn watched(&self, service: &ServiceName, now: Instant) -> Duration {
+        let since = self.services.get(service).map_or(self.since, |seen| seen.since);
+        now.saturating_duration_since(since)
+    }
+
+    /// Whether new streams may begin at an endpoint of this version. A version that appears beside another one waits until all
+    /// routers list it, so that none of them takes the other one for the only version.
+    pub fn may_begin(
+        &self,
+        service: &ServiceName,
+        software: Option<&SoftwareVersion>,
+        now: Instant,
+    ) -> bool {
+        let Some(seen) = self.services.get(service) else { return true };
+        let mut others = seen.recent(now).filter(|(other, _)| Some(*other) != software);
+        if others.next().is_none() {
+            return true;
+        }
+        let sighting = software.and_then(|software| seen.versions.get(software));
+        sighting.is_some_and(|sighting| {
+            sighting.is_recent(now) && now.saturating_duration_since(sighting.first) >= LIST_LAG
+        })
+    }
+
+    /// Drops the history of one service if there are too many. What is seen of it later counts from now.
+    fn make_room(&mut self, now: Instant) {
+        if self.services.len() < MAX_SERVICES {
+            return;
+        }
+        let oldest = self.services.iter().min_by_key(|(name, seen)| (seen.last, *name));
+        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+            self.services.remove(&name);
+            self.since = now;
+        }
+    }
 }
+
+impl ServiceHistory {
+    fn record(&mut self, software: &SoftwareVersion, now: Instant) {
+        self.last = now;
+        self.versions.retain(|_, sighting| sighting.is_recent(now));
+        if !self.versions.contains_key(software) && self.versions.len() >= MAX_VERSIONS {
+            let oldest = self.versions.iter().min_by_key(|(name, seen)| (seen.last, *name));
+            if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+                self.versions.remove(&name);
+            }
+        }
+        let new = Sighting { first: now, last: now };
+        self.versions.entry(software.clone()).or_insert(new).last = now;
+    }
+
+    fn recent(&self, now: Instant) -> impl Iterator<Item = (&SoftwareVersion, &Sighting)> {
+        self.versions.iter().filter(move |(_, sighting)| sighting.is_recent(now))
+    }
+}
+
+impl Sighting {
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last) < VERSION_MEMORY
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/origin/src/versions/tests.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn name(text: &str) -> ServiceName {
+    text.parse().expect("a service name")
+}
+
+fn version(text: &str) -> SoftwareVersion {
+    text.parse().expect("a version")
+}
+
+#[test]
+fn a_version_that_has_left_is_remembered_while_callers_may_come_back() {
+    let start = Instant::now();
+    let mut history = VersionHistory::new(start);
+    history.record(&name("s"), &version("v1"), start);
+    history.record(&name("s"), &version("v2"), start + 10 * SECOND);
+    let at = |seconds: u32| history.versions(&name("s"), start + seconds * SECOND);
+    assert_eq!(at(59), BTreeSet::from([version("v1"), version("v2")]));
+    assert_eq!(at(60), BTreeSet::from([version("v2")]));
+    assert_eq!(at(70), BTreeSet::new());
+}
+
+#[test]
+fn versions_without_end_do_not_fill_the_memory() {
+    let start = Instant::now();
+    let mut history = VersionHistory::new(start);
+    for index in 0..1_000_u32 {
+        let now = start + Duration::from_millis(u64::from(index));
+        history.record(&name("s"), &version(&format!("v{index}")), now);
+    }
+    let left = history.versions(&name("s"), start + SECOND);
+    assert_eq!(left.len(), MAX_VERSIONS);
+    assert!(left.contains(&version("v999")));
+}
+
+#[test]
+fn a_service_whose_history_was_dropped_counts_as_seen_since_then() {
+    let start = Instant::now();
+    let mut history = VersionHistory::new(start);
+    history.record(&name("s"), &version("v1"), start);
+    let later = start + 100 * SECOND;
+    for index in 0..MAX_SERVICES {
+        history.record(&name(&format!("t{index}")), &version("v1"), later);
+    }
+    assert_eq!(history.services.len(), MAX_SERVICES);
+    assert_eq!(history.watched(&name("s"), later + SECOND), SECOND);
+    assert_eq!(history.watched(&name("t0"), later + SECOND), 101 * SECOND);
+}
+
+#[test]
+fn streams_begin_at_a_new_version_once_all_routers_list_it() {
+    let start = Instant::now();
+    let mut history = VersionHistory::new(start);
+    let (service, v1, v2) = (name("s"), version("v1"), version("v2"));
+    assert!(history.may_begin(&service, None, start), "no version is known");
+    history.record(&service, &v1, start);
+    assert!(history.may_begin(&service, Some(&v1), start), "the only version");
+    assert!(!history.may_begin(&service, None, start), "an unknown version beside a known one");
+    let new = start + 30 * SECOND;
+    history.record(&service, &v2, new);
+    assert!(history.may_begin(&service, Some(&v1), new));
+    assert!(!history.may_begin(&service, Some(&v2), new + LIST_LAG - SECOND));
+    assert!(history.may_begin(&service, Some(&v2), new + LIST_LAG));
+    assert!(history.may_begin(&service, Some(&v2), start + 60 * SECOND), "the other one is gone");
+}
