Loaders keep where streams began, and answer routers that ask

`POST /origins` takes a list of at most 512 records, `POST /origin` a query; both held in a `Mutex<Origins>` of the loader around `origin::OriginTable`, nothing in the store. A message that is no list, is too long, or holds no readable record gets 400 and changes nothing; a single unreadable record is left out with a line (`unreadable`, dependency `origins`). `OriginAnswer::versions` outlasts records that the table dropped for want of room: else a flood of the new version's streams would make it the only version that a keeper names. In an answer `keep` is 0.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -21,7 +21,10 @@
     ReleaseRequest, SNAPSHOT_PATH, SUSPECTS_PATH, Snapshot, Suspect, TOKENS_PATH, UPDATES_PATH,
     WORKSPACES_PATH, WorkspaceReport, WorkspacesReport,
 };
-pub use origins::{ORIGIN_PATH, ORIGINS_PATH, OriginAnswer, OriginQuery, OriginRecord};
+pub use origins::{
+    MAX_ORIGIN_AGE, MAX_ORIGIN_KEEP, MAX_ORIGIN_RECORDS, ORIGIN_PATH, ORIGINS_PATH, OriginAnswer,
+    OriginQuery, OriginRecord,
+};
 pub use promise::{LEASES_PATH, LeaseRelease, LeasedShare, ShareRequest, TokenClaim, TokenRetry};
 pub use speeds::{EndpointSpeedReport, SPEEDS_PATH, ServiceEvenness, SpeedsReport};
 pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -1,16 +1,26 @@
 //! Messages about the software versions that began streams.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use origin::StreamKey;
+use origin::{KeeperAnswer, Lookup, StreamKey, StreamOrigin};
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 use units::{EndpointId, ServiceName, SoftwareVersion};
 
-/// The path at which a loader keeps origins: `POST` with a list of [`OriginRecord`], answered without a body.
+/// The path at which a loader keeps origins: `POST` with a list of at most [`MAX_ORIGIN_RECORDS`] [`OriginRecord`]s, answered without a
+/// body.
 pub const ORIGINS_PATH: &str = "/origins";
 /// The path at which a loader says what it knows of a stream: `POST` with [`OriginQuery`], answered with [`OriginAnswer`].
 pub const ORIGIN_PATH: &str = "/origin";
 
+/// The most records in one message. A router sends longer lists in several messages.
+pub const MAX_ORIGIN_RECORDS: usize = 512;
+/// The longest time for which a record is kept; a longer one in a message counts as this.
+pub const MAX_ORIGIN_KEEP: Duration = Duration::from_secs(30 * 60);
+/// The longest age of a record; a longer one in a message counts as this.
+pub const MAX_ORIGIN_AGE: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Where a stream began, as a router tells a loader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginRecord {
@@ -25,11 +35,37 @@
     /// The time since its first event.
     #[serde(with = "fleet::millis")]
     pub age: Duration,
-    /// How long the record is kept.
-    #[serde(with = "fleet::millis")]
+    /// How long the record is kept; 0 in an answer.
+    #[serde(default, with = "fleet::millis")]
     pub keep: Duration,
 }
 
+impl OriginRecord {
+    /// The record of an origin, to be sent at `now`.
+    pub fn new(key: StreamKey, origin: &StreamOrigin, keep: Duration, now: Instant) -> Self {
+        Self {
+            key,
+            service: origin.service.clone(),
+            software: origin.software.clone(),
+            endpoint: origin.endpoint.clone(),
+            age: now.saturating_duration_since(origin.begun),
+            keep,
+        }
+    }
+
+    /// The origin, as it was received at `now`.
+    pub fn into_origin(self, now: Instant) -> StreamOrigin {
+        let begun = now.checked_sub(self.age.min(MAX_ORIGIN_AGE)).unwrap_or(now);
+        let Self { service, software, endpoint, .. } = self;
+        StreamOrigin { service, software, endpoint, begun }
+    }
+
+    /// How long the receiver keeps the record.
+    pub fn bounded_keep(&self) -> Duration {
+        self.keep.min(MAX_ORIGIN_KEEP)
+    }
+}
+
 /// A router asks where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginQuery {
@@ -52,3 +88,34 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub versions: Vec<SoftwareVersion>,
 }
+
+impl OriginAnswer {
+    /// The answer of a loader that knows this of a stream and of the versions of its service, to be sent at `now`.
+    pub fn new(
+        key: StreamKey,
+        lookup: &Lookup,
+        versions: &BTreeSet<SoftwareVersion>,
+        now: Instant,
+    ) -> Self {
+        let origin = match lookup {
+            Lookup::Known(origin) => Some(OriginRecord::new(key, origin, Duration::ZERO, now)),
+            Lookup::Unknown | Lookup::Conflicting => None,
+        };
+        let conflicting = *lookup == Lookup::Conflicting;
+        Self { origin, conflicting, versions: versions.iter().cloned().collect() }
+    }
+
+    /// What the loader knows of the stream `key`, as it was received at `now`. A record of another stream says nothing of it.
+    pub fn into_keeper_answer(self, key: StreamKey, now: Instant) -> KeeperAnswer {
+        let record = self.origin.filter(|record| record.key == key);
+        let origin = match record {
+            _ if self.conflicting => Lookup::Conflicting,
+            Some(record) => Lookup::Known(record.into_origin(now)),
+            None => Lookup::Unknown,
+        };
+        KeeperAnswer { origin, versions: self.versions.into_iter().collect() }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -172,6 +172,11 @@
     set("crashes_with_common_part", part);
 }
 
+/// Records how many origins of streams this process keeps.
+pub fn record_origins(kept: usize) {
+    gauge!("origins_kept").set(f64::from(u32::try_from(kept).unwrap_or(u32::MAX)));
+}
+
 /// Counts a call to the platform's store.
 pub fn count_call(call: &'static str, outcome: String) {
     counter!("store_calls_total", "call" => call, "outcome" => outcome).increment(1);
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -31,6 +31,8 @@
     MirroredTopic,
     /// A loader that mirrors topics of the store for this router.
     Mirror,
+    /// A router that tells a loader where streams began.
+    Origins,
 }
 
 /// Why a request was refused. Most variants go to the caller under their own names.
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -5,7 +5,8 @@
 mod sink;
 
 pub use count::{
-    NO_ROOM, count_call, record_common_crashes, record_reached, update_process_gauges,
+    NO_ROOM, count_call, record_common_crashes, record_origins, record_reached,
+    update_process_gauges,
 };
 pub use event::{Dependency, Event, OrderOutcome, Refusal, RoomCause, Step, millis};
 pub use sink::{emit, install};
--- a/components/loader/src/router_api.rs
+++ b/components/loader/src/router_api.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use control::{
     ENGINE_PATH, ENSURE_PATH, EndpointState, EngineUpdate, EnsureOutcome, EnsureRequest,
-    EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, POLL_PATH, PollRequest, PollResponse,
-    UPDATES_PATH,
+    EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse, ORIGIN_PATH, ORIGINS_PATH,
+    OriginQuery, POLL_PATH, PollRequest, PollResponse, UPDATES_PATH,
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -18,6 +18,8 @@
 use units::{Era, Rate};
 use web::Body;
 
+use crate::origins::Origins;
+
 /// The largest accepted request body; an engine with some thousands of models fits.
 const MAX_BODY_BYTES: usize = 4 << 20;
 /// The longest time that the loader keeps a router waiting for an answer.
@@ -47,6 +49,8 @@
     pub(crate) limiters: Arc<Mutex<Limiters>>,
     /// Mirrors topics of the store for routers.
     pub(crate) mirror: Mirror<Store>,
+    /// Where streams began, as routers have told this loader.
+    pub(crate) origins: Arc<Mutex<Origins>>,
 }
 
 impl RouterApi {
@@ -66,6 +70,8 @@
             ENGINE_PATH => self.engine(&bytes).await,
             GRANT_PATH => self.grant(&bytes),
             UPDATES_PATH => self.updates(&bytes).await,
+            ORIGINS_PATH => return self.keep_origins(&bytes),
+            ORIGIN_PATH => self.find_origin(&bytes),
             _ => return web::text(StatusCode::NOT_FOUND, "no such call\n"),
         };
         response.unwrap_or_else(|error| {
@@ -139,6 +145,20 @@
         })
     }
 
+    fn keep_origins(&self, bytes: &Bytes) -> Response<Body> {
+        let mut origins = self.origins.lock().unwrap_or_else(PoisonError::into_inner);
+        match origins.keep(bytes, Instant::now()) {
+            Ok(()) => web::text(StatusCode::NO_CONTENT, ""),
+            Err(error) => web::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        }
+    }
+
+    fn find_origin(&self, bytes: &Bytes) -> Result<Response<Body>, serde_json::Error> {
+        let query: OriginQuery = serde_json::from_slice(bytes)?;
+        let origins = self.origins.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(web::json(StatusCode::OK, &origins.find(&query, Instant::now())))
+    }
+
     fn current_state(&self) -> Response<Body> {
         web::json(StatusCode::OK, &*self.state.borrow())
     }
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -27,9 +27,9 @@
 }
 
 fn api(commands: mpsc::Sender<Command>, state: watch::Receiver<EndpointState>) -> RouterApi {
-    let (highest_era, limiters) = Default::default();
+    let (highest_era, limiters, origins) = Default::default();
     let mirror = Mirror::new(Store::new(([127, 0, 0, 1], 9).into()));
-    RouterApi { commands, state, highest_era, limiters, mirror }
+    RouterApi { commands, state, highest_era, limiters, mirror, origins }
 }
 
 async fn poll(api: RouterApi, seen: u64) -> (PollResponse, usize) {
@@ -113,3 +113,31 @@
     assert!(!text.contains("steps"), "{text}");
     assert_eq!(serde_json::from_str::<EndpointState>(&text).expect("a message"), state(7));
 }
+
+/// Guards against a loader that is told where a stream began and does not say so to another router.
+#[tokio::test(start_paused = true)]
+async fn a_router_learns_where_a_stream_of_another_router_began() {
+    let (commands, _inbox) = mpsc::channel(8);
+    let (_sender, state_receiver) = watch::channel(state(7));
+    let api = api(commands, state_receiver);
+    let record = r#"{"key":"0000000000000000000000000000002a","service":"llm","software":"v1",
+        "endpoint":"i-1","age":40,"keep":60000}"#;
+    let told = api.keep_origins(&format!("[{record}]").into());
+    assert_eq!(told.status(), StatusCode::NO_CONTENT);
+    let query = r#"{"key":"0000000000000000000000000000002a","service":"llm"}"#;
+    let response = api.clone().find_origin(&query.into()).expect("an answer");
+    let body = response.into_body().collect().await.expect("a body").to_bytes();
+    let answer: control::OriginAnswer = serde_json::from_slice(&body).expect("JSON");
+    assert_eq!(answer.origin.expect("an origin").software.as_str(), "v1");
+}
+
+/// Guards against a router that takes a message for kept that was not.
+#[tokio::test(start_paused = true)]
+async fn a_message_that_is_not_kept_is_refused_with_its_error() {
+    let (commands, _inbox) = mpsc::channel(8);
+    let (_sender, state_receiver) = watch::channel(state(7));
+    let refused = api(commands, state_receiver).keep_origins(&r#"{"key":"x"}"#.into());
+    assert_eq!(refused.status(), StatusCode::BAD_REQUEST);
+    let body = refused.into_body().collect().await.expect("a body").to_bytes();
+    assert!(String::from_utf8_lossy(&body).contains("can't be read"), "{body:?}");
+}
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -69,8 +69,9 @@
     let controller =
         Controller::new(instance, settings.endpoint, token, permit, command_receiver, state);
     let controller = tokio::spawn(controller.run());
-    let limiters = Arc::default();
-    let api = RouterApi { commands, state: state_receiver, highest_era, limiters, mirror };
+    let (limiters, origins) = (Arc::default(), Arc::default());
+    let state = state_receiver;
+    let api = RouterApi { commands, state, highest_era, limiters, mirror, origins };
     let stop = process.shutdown.flag(ShutdownPhase::Drain);
     let handler = move |request, _| api.clone().handle(request);
     tokio::select! {
