Lines and metrics for streams that are taken up

No line said where a stream goes on that a caller takes up, how its version was known or why it was refused. New in `events`: - `Event::StreamResumption { request, at: ResumedAt::{Caller, Router}, resumes, outcome: ResumptionOutcome, software, source: Option<origin::Source>, versions, asked, answered, took_ms }`, line `resumption`.

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -153,6 +153,14 @@
             counter!("mirrors_chosen_total", "topic" => (*topic).to_owned()).increment(1);
         }
         Event::SnapshotReceived { .. } => counter!("routers_told_total").increment(1),
+        Event::StreamResumption { at, outcome, took_ms, .. } => {
+            let (at, outcome) = (name(at), name(outcome));
+            counter!("stream_resumptions_total", "at" => at.clone(), "outcome" => outcome)
+                .increment(1);
+            histogram!("stream_resumption_seconds", "at" => at).record(seconds(*took_ms));
+        }
+        Event::VersionsChanged { .. } => counter!("versions_changed_total").increment(1),
+        Event::OriginsNotTold { streams, .. } => count_origins_told("failed", *streams),
         Event::Started { .. }
         | Event::Stopping { .. }
         | Event::Stopped { .. }
@@ -172,6 +180,16 @@
     set("crashes_with_common_part", part);
 }
 
+/// Counts streams of which a keeper was told where they began. Failures are counted from [`Event::OriginsNotTold`].
+pub fn count_told_origins(streams: usize) {
+    count_origins_told("told", streams);
+}
+
+fn count_origins_told(outcome: &'static str, streams: usize) {
+    let streams = u64::try_from(streams).unwrap_or(u64::MAX);
+    counter!("origins_told_total", "outcome" => outcome).increment(streams);
+}
+
 /// Records how many origins of streams this process keeps.
 pub fn record_origins(kept: usize) {
     gauge!("origins_kept").set(f64::from(u32::try_from(kept).unwrap_or(u32::MAX)));
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fleet::Tier;
+use origin::{Decision, Doubt, Source};
 use serde::Serialize;
 
 /// Something that a process depends on.
@@ -73,6 +74,10 @@
     OverQuota,
     /// This router has no share in the limit of the workspace yet.
     NoShare,
+    /// The request takes up a stream, and it is not known which software version began it.
+    UnknownVersion,
+    /// The request takes up a stream, and no endpoint runs the software version that began it.
+    NoVersion,
 }
 
 /// A step of one request.
@@ -96,6 +101,53 @@
     WaitsForLoad,
 }
 
+/// Where a stream is taken up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ResumedAt {
+    /// At the caller, which sends another request.
+    Caller,
+    /// At the router, since the endpoint failed inside the answer.
+    Router,
+}
+
+/// Where a stream goes on that is taken up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ResumptionOutcome {
+    /// At any endpoint: the caller has no event of it.
+    Anywhere,
+    /// At endpoints of the version that began it.
+    SameVersion,
+    /// Nowhere: nobody knows where it began, and the service has several versions.
+    Unknown,
+    /// Nowhere: streams of several versions began under the same id.
+    Conflicting,
+    /// Nowhere: it began at another service.
+    OtherService,
+    /// Nowhere: no endpoint of the version that began it is left.
+    NoVersion,
+}
+
+impl ResumptionOutcome {
+    /// Whether the stream does not go on.
+    pub(crate) fn is_refusal(self) -> bool {
+        !matches!(self, Self::Anywhere | Self::SameVersion)
+    }
+}
+
+impl From<&Decision> for ResumptionOutcome {
+    fn from(decision: &Decision) -> Self {
+        match decision {
+            Decision::Anywhere => Self::Anywhere,
+            Decision::At(..) => Self::SameVersion,
+            Decision::Nowhere(Doubt::Unknown) => Self::Unknown,
+            Decision::Nowhere(Doubt::Conflicting) => Self::Conflicting,
+            Decision::Nowhere(Doubt::OtherService) => Self::OtherService,
+        }
+    }
+}
+
 /// The result of an order to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -398,6 +450,54 @@
         /// How long the router held the request.
         held_ms: u64,
     },
+    /// It was decided where a stream goes on that is taken up.
+    #[serde(rename = "resumption")]
+    StreamResumption {
+        /// The id of the request.
+        request: &'a str,
+        /// Where the stream is taken up.
+        at: ResumedAt,
+        /// The request that began the stream, if it is known.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        resumes: &'a str,
+        /// Where the stream goes on.
+        outcome: ResumptionOutcome,
+        /// The version that began the stream, if it is known.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        software: &'a str,
+        /// How that version is known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        source: Option<Source>,
+        /// The versions that the service has had lately, separated by commas; set if the version that began the stream is not known.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        versions: &'a str,
+        /// Keepers that were asked.
+        asked: usize,
+        /// Keepers that answered.
+        answered: usize,
+        /// How long the decision took.
+        took_ms: u64,
+    },
+    /// The software versions that a service has had lately, as far as this router has seen, have changed.
+    VersionsChanged {
+        /// The service.
+        service: &'a str,
+        /// The versions, separated by commas.
+        versions: &'a str,
+        /// The versions before.
+        before: &'a str,
+        /// The streams that this router tells keepers of because of the change.
+        told: usize,
+    },
+    /// A keeper could not be told where streams began.
+    OriginsNotTold {
+        /// The endpoint beside which the keeper runs.
+        endpoint: &'a str,
+        /// The number of streams.
+        streams: usize,
+        /// The error.
+        cause: &'a str,
+    },
     /// The caller disconnected.
     #[serde(rename = "left")]
     CallerLeft {
@@ -666,6 +766,7 @@
             | Self::SuspectRequest { request, .. }
             | Self::KeyRejected { request, .. }
             | Self::LimitExceeded { request, .. }
+            | Self::StreamResumption { request, .. }
             | Self::CallerLeft { request, .. } => Some(request),
             _ => None,
         }
@@ -681,7 +782,9 @@
             | Self::SuspectChanged { .. }
             | Self::SuspectRequest { .. }
             | Self::KeyRejected { .. }
-            | Self::LimitExceeded { .. } => true,
+            | Self::LimitExceeded { .. }
+            | Self::OriginsNotTold { .. } => true,
+            Self::StreamResumption { outcome, .. } => outcome.is_refusal(),
             Self::Answered { status, whole, .. } => *status >= 500 || !whole,
             _ => false,
         }
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -130,6 +130,44 @@
             after_ms: 6_000,
             held_ms: 0,
         },
+        Event::StreamResumption {
+            request,
+            at: ResumedAt::Caller,
+            resumes: "r-7",
+            outcome: ResumptionOutcome::SameVersion,
+            software: "v1",
+            source: Some(Source::Keeper),
+            versions: "",
+            asked: 4,
+            answered: 1,
+            took_ms: 6,
+        },
+        Event::StreamResumption {
+            request,
+            at: ResumedAt::Caller,
+            resumes: "",
+            outcome: ResumptionOutcome::Unknown,
+            software: "",
+            source: None,
+            versions: "v1,v2",
+            asked: 4,
+            answered: 4,
+            took_ms: 9,
+        },
+        Event::StreamResumption {
+            request,
+            at: ResumedAt::Router,
+            resumes: "",
+            outcome: ResumptionOutcome::NoVersion,
+            software: "v1",
+            source: Some(Source::Own),
+            versions: "",
+            asked: 0,
+            answered: 0,
+            took_ms: 0,
+        },
+        Event::VersionsChanged { service: "llm", versions: "v1,v2", before: "v1", told: 212 },
+        Event::OriginsNotTold { endpoint, streams: 3, cause: "no answer" },
         Event::CallerLeft { request, held_ms: 400, left_ms: 11_600 },
         Event::Retry { request, service: "llm", allowed: false, spent: 4, limit: 4 },
         Event::LoadRequested { model, endpoint, expect_ms: 350, cause: "request" },
@@ -202,3 +240,31 @@
     assert!(answered(200, false).is_failure());
     assert!(answered(502, true).is_failure());
 }
+
+/// Guards against lines of refused callers that are dropped first when the buffer is full.
+#[test]
+fn a_resumption_is_a_failure_if_the_stream_does_not_go_on() {
+    let version = "v1".parse().expect("a version");
+    let decisions = [
+        (Decision::Anywhere, false),
+        (Decision::At(version, Source::Own), false),
+        (Decision::Nowhere(Doubt::Unknown), true),
+        (Decision::Nowhere(Doubt::Conflicting), true),
+        (Decision::Nowhere(Doubt::OtherService), true),
+    ];
+    for (decision, refused) in decisions {
+        let event = Event::StreamResumption {
+            request: "r",
+            at: ResumedAt::Caller,
+            resumes: "",
+            outcome: (&decision).into(),
+            software: "",
+            source: None,
+            versions: "",
+            asked: 0,
+            answered: 0,
+            took_ms: 0,
+        };
+        assert_eq!(event.is_failure(), refused, "{decision:?}");
+    }
+}
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -5,8 +5,10 @@
 mod sink;
 
 pub use count::{
-    NO_ROOM, count_call, record_common_crashes, record_origins, record_reached,
+    NO_ROOM, count_call, count_told_origins, record_common_crashes, record_origins, record_reached,
     update_process_gauges,
 };
-pub use event::{Dependency, Event, OrderOutcome, Refusal, RoomCause, Step, millis};
+pub use event::{
+    Dependency, Event, OrderOutcome, Refusal, ResumedAt, ResumptionOutcome, RoomCause, Step, millis,
+};
 pub use sink::{emit, install};
--- a/src/cmd/story.rs
+++ b/src/cmd/story.rs
@@ -70,7 +70,7 @@
 fn rank(event: &str) -> u8 {
     match event {
         "accepted" => 0,
-        "wanted" => 1,
+        "wanted" | "resumption" => 1,
         "declined" => 4,
         "order" => 2,
         "holds" => 3,
