Router: a stream that its caller takes up goes on only at the version that began it

Callers that took a broken stream up with another request got events of two versions: each request was a draw between all endpoints. The router that passes a first event on now remembers the origin of the stream (service, version, endpoint). While a service has several versions it tells two loaders, found by rendezvous hashing of a key made of host, caller and request id, at once; when a second version appears it tells of all streams that it remembers. A router that gets a request with `Last-Event-Id` looks in its own table, else asks up to four loaders, and holds the request to the version that they name. Where nobody knows and the service has several versions, the request is refused (503, not run, no time to come back). With one version everything goes on as before, also without `Resumes`.

--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -113,7 +113,9 @@
             Some(record) => Lookup::Known(record.into_origin(now)),
             None => Lookup::Unknown,
         };
-        KeeperAnswer { origin, versions: self.versions.into_iter().collect() }
+        // A loader sees no list, so it can't say whether it would know of other versions.
+        let watched = Duration::ZERO;
+        KeeperAnswer { origin, versions: self.versions.into_iter().collect(), watched }
     }
 }
 
--- a/components/control/src/origins/tests.rs
+++ b/components/control/src/origins/tests.rs
@@ -40,7 +40,7 @@
     let known = answer.clone().into_keeper_answer(key("r2"), now);
     assert_eq!(known.origin, Lookup::Known(origin(now)));
     let other = answer.into_keeper_answer(key("r1"), now);
-    assert_eq!(other, KeeperAnswer { origin: Lookup::Unknown, versions });
+    assert_eq!(other, KeeperAnswer { origin: Lookup::Unknown, versions, watched: Duration::ZERO });
 }
 
 /// Guards against a release that can't read what the next one sends, or the other way round.
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -125,6 +125,10 @@
     Conflicting,
     /// Nowhere: it began at another service.
     OtherService,
+    /// Nowhere: the endpoint that began it restarted at about that time, perhaps with other software.
+    Restarted,
+    /// Nowhere: no endpoint of the service is listed.
+    NoEndpoint,
     /// Nowhere: no endpoint of the version that began it is left.
     NoVersion,
 }
@@ -140,10 +144,12 @@
     fn from(decision: &Decision) -> Self {
         match decision {
             Decision::Anywhere => Self::Anywhere,
-            Decision::At(..) => Self::SameVersion,
+            Decision::At { .. } => Self::SameVersion,
             Decision::Nowhere(Doubt::Unknown) => Self::Unknown,
             Decision::Nowhere(Doubt::Conflicting) => Self::Conflicting,
             Decision::Nowhere(Doubt::OtherService) => Self::OtherService,
+            Decision::Nowhere(Doubt::Restarted | Doubt::Unconfirmed) => Self::Restarted,
+            Decision::Nowhere(Doubt::NoEndpoint) => Self::NoEndpoint,
         }
     }
 }
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -244,13 +244,16 @@
 /// Guards against lines of refused callers that are dropped first when the buffer is full.
 #[test]
 fn a_resumption_is_a_failure_if_the_stream_does_not_go_on() {
-    let version = "v1".parse().expect("a version");
+    let service = "llm".parse().expect("a service");
+    let software = "v1".parse().expect("a version");
     let decisions = [
         (Decision::Anywhere, false),
-        (Decision::At(version, Source::Own), false),
+        (Decision::At { service, software, source: Source::Own }, false),
         (Decision::Nowhere(Doubt::Unknown), true),
         (Decision::Nowhere(Doubt::Conflicting), true),
         (Decision::Nowhere(Doubt::OtherService), true),
+        (Decision::Nowhere(Doubt::Restarted), true),
+        (Decision::Nowhere(Doubt::NoEndpoint), true),
     ];
     for (decision, refused) in decisions {
         let event = Event::StreamResumption {
--- a/components/origin/src/versions.rs
+++ b/components/origin/src/versions.rs
@@ -38,6 +38,12 @@
     last: Instant,
 }
 
+impl Default for VersionHistory {
+    fn default() -> Self {
+        Self::new(Instant::now())
+    }
+}
+
 impl VersionHistory {
     /// The history of a process that starts to read the list of endpoints now.
     pub fn new(now: Instant) -> Self {
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -7,6 +7,7 @@
 use catalog::ModelId;
 use control::{EndpointLoad, EndpointState};
 use fleet::{Endpoint, EndpointStage, Holdings};
+use origin::ListedEndpoint;
 use placement::{Candidate, PromptBacklog, RecentFailures};
 use quarantine::UnixMillis;
 use tokio::task::AbortHandle;
@@ -94,6 +95,8 @@
     listed_incarnation: Option<EndpointIncarnation>,
     pub(crate) pool: Arc<ConnectionPool>,
     pub(crate) listed_at: Instant,
+    /// When this router first saw the incarnation; none if it was in the first list that the router read.
+    pub(crate) incarnation_since: Option<Instant>,
     /// The position in the list of the last update of this endpoint's entry.
     pub(crate) list_position: StorePosition,
     /// How long the loader is asked to hold a poll while there is nothing new.
@@ -133,6 +136,7 @@
             listed_incarnation,
             pool,
             listed_at: now,
+            incarnation_since: Some(now),
             list_position: StorePosition::default(),
             poll_wait: Duration::ZERO,
             missing: None,
@@ -279,6 +283,13 @@
         self.endpoint.software.as_ref().map_or("", |software| software.as_str())
     }
 
+    /// What the list says of the endpoint's software. Whether the endpoint has restarted since the list was read is asked of the
+    /// endpoint itself.
+    pub(crate) fn as_listed(&self, now: Instant) -> ListedEndpoint {
+        let (software, since) = (self.endpoint.software.clone(), self.incarnation_since);
+        ListedEndpoint { software, since, confirmed: now }
+    }
+
     /// Whether the endpoint takes new requests, according to the list, its loader and its own hints.
     pub(crate) fn accepts_work(&self) -> bool {
         self.endpoint.stage == EndpointStage::Ready && !self.hints.draining
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -6,6 +6,7 @@
 use catalog::{Catalog, Route};
 use events::{Event, Refusal, Step, emit};
 use http::{StatusCode, Version};
+use origin::StreamKey;
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, Rate, ServiceName};
@@ -67,6 +68,8 @@
     /// `deadline` if no event arrives.
     pub(crate) send_by: Instant,
     pub(crate) excluded: Vec<EndpointId>,
+    /// Identifies the stream that the request begins or goes on with.
+    pub(crate) stream_key: StreamKey,
     /// The software version to which the request is held, if it is for a stream.
     pub(crate) stream_version: StreamVersion,
     /// The incarnation of the endpoint that the request was last sent to.
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -192,7 +192,9 @@
         self.remember_version(&id, now);
         let before = match self.map.entry(id.clone()) {
             Entry::Vacant(place) => {
-                place.insert(TrackedEndpoint::new(endpoint, now)).hints = hints;
+                let tracked = place.insert(TrackedEndpoint::new(endpoint, now));
+                tracked.hints = hints;
+                tracked.incarnation_since = self.list_loaded.then_some(now);
                 None
             }
             Entry::Occupied(mut place) => {
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -264,6 +264,17 @@
         self.versions.versions(service, now).into_iter().chain(listed).collect()
     }
 
+    /// For how long the versions of a service have been seen.
+    pub(crate) fn versions_watched(&self, service: &ServiceName, now: Instant) -> Duration {
+        self.versions.watched(service, now)
+    }
+
+    /// Whether a service has an endpoint whose version is not known.
+    pub(crate) fn has_unknown_version(&self, service: &ServiceName) -> bool {
+        let mut own = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
+        own.any(|tracked| tracked.endpoint.software.is_none())
+    }
+
     /// Remembers the version of an endpoint that is about to change or to be removed.
     pub(crate) fn remember_version(&mut self, id: &EndpointId, now: Instant) {
         let Some(Endpoint { service, software: Some(software), .. }) =
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -10,7 +10,7 @@
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
-use platform::{HeaderError, RequestHeaders, ResumedStream};
+use platform::{HeaderError, RequestHeaders};
 use process::ShutdownPhase;
 use quarantine::{Digest, Fingerprint};
 use tokio::time::Instant;
@@ -22,8 +22,8 @@
 use crate::exchange::OutgoingRequest;
 use crate::in_flight::{Failure, InFlightRequest};
 use crate::relay::{self, RequestLog};
+use crate::resumption::{self, Placement, ResumptionRequest};
 use crate::shared::Shared;
-use crate::software::StreamVersion;
 use crate::stream;
 
 /// A router that has just started holds requests for their deadline divided by this, until its
@@ -113,7 +113,6 @@
         authorize(shared, &call, &parts, request_log).await?;
     let service = route
         .choose_service(rand::random())
-        .cloned()
         .ok_or_else(|| failure(StatusCode::SERVICE_UNAVAILABLE, Refusal::NoEndpoint, None))?;
     let time_left = call.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = request_log.arrived + time_left.saturating_sub(RESPONSE_MARGIN);
@@ -130,9 +129,19 @@
         left_ms: millis(time_left),
         target_ms: millis(route.target),
         pause_ms: millis(route.max_pause),
-        resumes: resumed_id(&call),
+        resumes: resumption::resumed_id(&call),
         last_event: call.last_event,
     });
+    let caller_id = match identity.workspace() {
+        // The keys of a workspace are rotated; a request that crashes endpoints, and one whose stream is taken up, must be recognized
+        // with the next key too.
+        Some(workspace) => workspace.name.as_str().as_bytes(),
+        None => platform::caller_key(&parts.headers),
+    };
+    let resumption = ResumptionRequest { call: &call, route: &route, service, caller: caller_id };
+    let stream_key = resumption.own_key();
+    let Placement { service, version: stream_version } =
+        resumption::place(shared, resumption).await?;
     shared.record_request(&service);
     let charge = match identity.workspace() {
         Some(workspace) => {
@@ -160,12 +169,6 @@
         Err(BodyError::Truncated(_)) => return Err(malformed()),
     };
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    let caller_id = match identity.workspace() {
-        // The keys of a workspace are rotated; a request that crashes endpoints must be recognized
-        // with the next key too.
-        Some(workspace) => workspace.name.as_str().as_bytes(),
-        None => platform::caller_key(&parts.headers),
-    };
     let (host, method) = (call.host.as_bytes(), parts.method.as_str().as_bytes());
     let digest = Digest::of(&[host, caller_id, method, path.as_bytes(), &body]);
     let part_ids = call.shared_parts.iter().map(AsRef::as_ref);
@@ -189,7 +192,8 @@
         deadline,
         send_by,
         excluded: Vec::new(),
-        stream_version: StreamVersion::Open,
+        stream_key,
+        stream_version,
         incarnation: None,
         sends: 0,
         runs: 0,
@@ -205,15 +209,6 @@
     relay::relay_buffered(&mut in_flight, response, request_log).await
 }
 
-/// The id of the request whose stream the caller takes up, as it is logged.
-fn resumed_id(call: &RequestHeaders) -> &str {
-    match &call.resumes {
-        Some(ResumedStream::Of(id)) => id.to_str().unwrap_or("unprintable"),
-        Some(ResumedStream::Malformed) => "malformed",
-        None => "",
-    }
-}
-
 /// How long a request is held while the router reads the store for the first time.
 fn first_read_wait(call: &RequestHeaders) -> Duration {
     (call.deadline.unwrap_or(DEFAULT_DEADLINE) / FIRST_READ_DIVISOR).min(MAX_FIRST_READ_WAIT)
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::access::KeyState;
 use crate::endpoint::TrackedEndpoint;
 use crate::guard::CrashGuard;
+use crate::origins::Origins;
 use crate::quotas::Quotas;
 use crate::registry::EndpointRegistry;
 use crate::wait_queue::WaitQueues;
@@ -71,6 +72,11 @@
         }
     }
 
+    /// Whether the list of endpoints is stale.
+    pub(crate) fn membership(self) -> bool {
+        self.membership
+    }
+
     /// Whether any feed is stale.
     pub(crate) fn any(self) -> bool {
         self.configuration || self.membership
@@ -108,6 +114,8 @@
     pub(crate) guard: Arc<CrashGuard>,
     /// How far the crash records have been read; none while the store is unreachable.
     pub(crate) crash_records_position: watch::Sender<Option<StorePosition>>,
+    /// Where streams began.
+    pub(crate) origins: Origins,
     retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
 }
 
@@ -139,6 +147,7 @@
             wait_queues: WaitQueues::default(),
             guard: Arc::new(guard),
             crash_records_position: watch::Sender::new(None),
+            origins: Origins::default(),
             retry_budgets: Mutex::default(),
         };
         (shared, records)
--- a/components/router/src/software.rs
+++ b/components/router/src/software.rs
@@ -1,14 +1,13 @@
 //! Holds a stream to the version of the software that began it: what two versions write does not fit together.
 
-use std::time::Duration;
-
+use origin::StreamOrigin;
+use tokio::time::Instant;
 use units::SoftwareVersion;
 
 use crate::in_flight::InFlightRequest;
+use crate::origins;
 use crate::reservation::Reservation;
-
-/// The timeout of asking an endpoint for its incarnation, which it answers without waiting for a slot.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+use crate::resumption::REPORT_TIMEOUT;
 
 /// The software version to which a request for a stream is held.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -50,6 +49,20 @@
 }
 
 impl InFlightRequest {
+    /// Whether events of an endpoint may reach the caller. Records where the stream began.
+    pub(crate) fn admit_events(&mut self, reservation: &Reservation) -> bool {
+        let software = reservation.software();
+        if !self.stream_version.admit(software.clone()) {
+            return false;
+        }
+        if let Some(software) = software.filter(|_| self.route.kind.repeatable()) {
+            let (service, endpoint) = (self.service.clone(), reservation.id.clone());
+            let origin = StreamOrigin { service, software, endpoint, begun: Instant::now() };
+            origins::record(&self.shared, self.stream_key, origin, self.deadline);
+        }
+        true
+    }
+
     /// Whether the endpoint that has begun to answer runs the version to which the stream is held. The list may not show yet
     /// that the endpoint has restarted under its id with other software, so the endpoint is asked for its incarnation where
     /// the service has several versions.
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -16,7 +16,6 @@
 use crate::exchange::EndpointResponse;
 use crate::in_flight::InFlightRequest;
 use crate::relay::{RequestLog, ResponseEnd, ResponseTiming};
-use crate::software::StreamVersion;
 
 /// A stream that can be resumed at another endpoint has stalled when nothing came for the event
 /// timeout of its route divided by this.
@@ -92,11 +91,11 @@
     }
 
     /// Whether what was read may reach the caller, who may have events of an earlier endpoint.
-    fn admit(&mut self, version: &mut StreamVersion) -> bool {
+    fn admit(&mut self, request: &mut InFlightRequest) -> bool {
         if !self.has_events || self.admitted {
             return true;
         }
-        self.admitted = version.admit(self.response.reservation.software());
+        self.admitted = request.admit_events(&self.response.reservation);
         self.admitted
     }
 
@@ -195,7 +194,7 @@
                 if ready.is_empty() {
                     continue;
                 }
-                if !source.admit(&mut request.stream_version) {
+                if !source.admit(&mut request) {
                     let cause = "the endpoint runs another software version".to_owned();
                     break (cause, source.response_end(false));
                 }
