hyssopctl versions: the versions of services, and the streams held to each

An operator could not see which software versions a service has, nor how many streams a router holds to each, so not why a stream is refused. `hyssopctl versions ROUTER...` asks each router (`GET control::VERSIONS_PATH`, `VersionsReport`); a router that doesn't answer is named, exit 5. `VersionsReport::new(endpoints with whether each accepts work, &OriginTable, &VersionHistory, now)` is the router's answer; no router serves the path yet.

`cargo nextest run -p control -p hyssoplock` (the binaries): passed.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,6 +6,7 @@
 mod origins;
 mod promise;
 mod speeds;
+mod versions;
 mod waiting;
 
 pub use client::{
@@ -27,4 +28,5 @@
 };
 pub use promise::{LEASES_PATH, LeaseRelease, LeasedShare, ShareRequest, TokenClaim, TokenRetry};
 pub use speeds::{EndpointSpeedReport, SPEEDS_PATH, ServiceEvenness, SpeedsReport};
+pub use versions::{ServiceVersions, VERSIONS_PATH, VersionUse, VersionsReport};
 pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -96,6 +96,10 @@
     Speeds {
         router: SocketAddr,
     },
+    /// Show the software versions of services, as routers know them.
+    Versions {
+        routers: Vec<SocketAddr>,
+    },
     /// Show the requests that wait for models at a router.
     Waiting {
         router: SocketAddr,
@@ -155,7 +159,7 @@
     Settings(#[from] process::SettingsError),
 }
 
-const COMMANDS: [&str; 18] = [
+const COMMANDS: [&str; 19] = [
     "check",
     "diff",
     "pull",
@@ -171,6 +175,7 @@
     "story",
     "suspects",
     "timeline",
+    "versions",
     "waiting",
     "windows",
     "workspaces",
@@ -288,6 +293,12 @@
         "suspects" => Command::Suspects { router: next("ROUTER", &mut values)?.parse()? },
         "limits" => Command::Limits { router: next("ROUTER", &mut values)?.parse()? },
         "speeds" => Command::Speeds { router: next("ROUTER", &mut values)?.parse()? },
+        "versions" => {
+            let first = next("ROUTER", &mut values)?.parse()?;
+            let others = values.by_ref().map(|word| word.parse());
+            let routers = std::iter::once(Ok(first)).chain(others);
+            Command::Versions { routers: routers.collect::<Result<_, lexopt::Error>>()? }
+        }
         "waiting" => Command::Waiting { router: next("ROUTER", &mut values)?.parse()? },
         "workspaces" => Command::Workspaces { router: next("ROUTER", &mut values)?.parse()? },
         "release" => Command::Release {
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -57,6 +57,8 @@
 #[case("suspects", "ROUTER is missing")]
 #[case("limits", "ROUTER is missing")]
 #[case("speeds", "ROUTER is missing")]
+#[case("versions", "ROUTER is missing")]
+#[case("versions 127.0.0.1:1 here", "here")]
 #[case("waiting", "ROUTER is missing")]
 #[case("release 127.0.0.1:1 12xy", "`12xy` is no digest of a request")]
 #[case("set hall! deadline=9s", "node path")]
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -34,6 +34,8 @@
                            them nothing
   speeds ROUTER            show how fast endpoints are relative to the median one of their service, and the times
                            between events of streams that this was measured from
+  versions ROUTER...       show the software versions of each service at these routers: the endpoints of each
+                           version, the streams that are held to it, and whether keepers are told of them
   waiting ROUTER           show the requests that wait for models at a router, with the expected wait and the
                            workspaces of each queue, and the tokens that each workspace was served lately
   workspaces ROUTER        show workspaces with the digests of their keys, their limits and what they use at a
@@ -59,7 +61,8 @@
   2  the command line or a file is wrong; nothing was published
   3  rejected: another edit won, or the tree would be wrong; nothing was published
   4  not known whether the edit is accepted; publish again to learn it
-  5  accepted, but not seen in force everywhere in time; of status and timeline: a process did not answer
+  5  accepted, but not seen in force everywhere in time; of status, timeline and versions: a process did
+     not answer
 ";
 
 pub(crate) fn run(out: &mut dyn Write) -> Result<Exit, CmdError> {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod story;
 pub(crate) mod suspects;
 pub(crate) mod timeline;
+pub(crate) mod versions;
 pub(crate) mod waiting;
 pub(crate) mod windows;
 pub(crate) mod workspaces;
--- a/src/main.rs
+++ b/src/main.rs
@@ -71,6 +71,7 @@
         Command::Speeds { router } => cmd::speeds::list(*router, out).await,
         Command::Suspects { router } => cmd::suspects::list(*router, out).await,
         Command::Release { router, digest } => cmd::suspects::release(*router, *digest, out).await,
+        Command::Versions { routers } => cmd::versions::list(routers, out).await,
         Command::Waiting { router } => cmd::waiting::list(*router, out).await,
         Command::Workspaces { router } => cmd::workspaces::list(*router, out).await,
         Command::Timeline(filter) => cmd::timeline::run(&connect().await?, filter, out).await,
