--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -141,3 +141,6 @@
 ) -> Result<LeaseRelease, CallError> {
     client.post(router, LEASES_PATH, release, limit).await
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/control/src/message/tests.rs
+++ b/components/control/src/message/tests.rs
@@ -48,3 +48,29 @@
     let asking = serde_json::to_value(poll(true)).expect("a message");
     assert_eq!(serde_json::from_value::<PollRequest>(asking).expect("a poll"), poll(true));
 }
+
+/// Guards against routers of two releases that can't read each other's lists.
+#[rstest::rstest]
+#[case::the_release_before("", None)]
+#[case::this_release(r#""software":"v1","#, Some("v1"))]
+#[case::the_next_release(r#""software":"v1","software_since":7,"#, Some("v1"))]
+fn snapshots_of_other_releases_are_read(#[case] field: &str, #[case] software: Option<&str>) {
+    let text = format!(
+        r#"{{"endpoints":[{{"id":"i-1","life":100,{field}"service":"llm","addr":"10.0.0.1:80","domain":"near",
+            "slots":4,"stage":"Ready","holdings":null}}],"kept":[],"missing":[],"read":{{"era":1,"offset":12}},"shard":3}}"#
+    );
+    let snapshot: Snapshot = serde_json::from_str(&text).expect("a snapshot");
+    let read = snapshot.endpoints[0].software.as_ref().map(units::SoftwareVersion::as_str);
+    assert_eq!(read, software);
+}
+
+/// Guards against a change of the other fields, which a router of the release before reads.
+#[test]
+fn the_version_of_an_endpoint_is_all_that_a_snapshot_adds() {
+    let text = r#"{"id":"i-1","life":100,"software":"v1","service":"llm","addr":"10.0.0.1:80","domain":"near","slots":4,"stage":"Ready","holdings":null}"#;
+    let known: Endpoint = serde_json::from_str(text).expect("an endpoint");
+    assert_eq!(serde_json::to_string(&known).expect("JSON"), text);
+    let unknown = Endpoint { software: None, ..known };
+    let expected = text.replace(r#""software":"v1","#, "");
+    assert_eq!(serde_json::to_string(&unknown).expect("JSON"), expected);
+}
--- a/components/router/src/list/tests.rs
+++ b/components/router/src/list/tests.rs
@@ -209,3 +209,35 @@
         assert_eq!(stages(&registry), BTreeMap::from([(id(0), EndpointStage::Ready)]));
     }
 }
+
+/// A snapshot with one endpoint in this incarnation, as a router sends it; `field` is empty in the release that knows no versions.
+fn snapshot(life: u64, read: u64, field: &str) -> Snapshot {
+    let text = format!(
+        r#"{{"catalog":null,"endpoints":[{{"id":"i-1","life":{life},{field}"service":"app","addr":"10.0.0.1:1",
+            "domain":"near","slots":6,"stage":"Ready","holdings":null}}],"read":{{"era":0,"offset":{read}}}}}"#
+    );
+    serde_json::from_str(&text).expect("a snapshot")
+}
+
+fn software(registry: &EndpointRegistry) -> Option<String> {
+    let table = registry.lock();
+    table.map[&id(1)].endpoint.software.as_ref().map(ToString::to_string)
+}
+
+/// Guards against streams that go on at any version, or nowhere, while routers of two releases run.
+#[tokio::test(start_paused = true)]
+async fn a_router_of_the_release_before_takes_no_known_version_away_and_brings_none_of_another_start()
+ {
+    let registry = EndpointRegistry::default();
+    assert!(registry.apply_snapshot(snapshot(100, 3, r#""software":"v1","#)).is_some());
+    assert_eq!(software(&registry).as_deref(), Some("v1"));
+    assert!(registry.apply_snapshot(snapshot(100, 4, "")).is_some());
+    assert_eq!(software(&registry).as_deref(), Some("v1"), "the same incarnation");
+    assert!(registry.apply_snapshot(snapshot(200, 5, "")).is_some());
+    assert_eq!(software(&registry), None, "a new incarnation");
+    let mut renewed = entry(1, own_port(1), EndpointStage::Ready);
+    renewed.incarnation = Some(units::EndpointIncarnation(200));
+    renewed.software = Some("v2".parse().expect("a version"));
+    let _ = registry.apply_list(update(6, vec![EndpointChange::Listed(Box::new(renewed))]), None);
+    assert_eq!(software(&registry).as_deref(), Some("v2"), "its entry, read from the store");
+}
