Routers tell loaders of any number of streams, in messages that loaders take

A loader refuses a message of more than 512 records, and a router that holds more streams when a second version appears would have had all of them refused. `LoaderClient::tell_origins` splits the list. The test, over real connections to a loader's router API, fails without the split (400, 1,025 records).

--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -10,9 +10,9 @@
 use crate::{
     BorrowRequest, BorrowResponse, CRASHES_PATH, ENGINE_PATH, ENSURE_PATH, EndpointState,
     EngineUpdate, EnsureRequest, EnsureResponse, GRANT_PATH, GrantRequest, GrantResponse,
-    KeyedRecord, LEASES_PATH, LeaseRelease, ORIGIN_PATH, ORIGINS_PATH, OriginAnswer, OriginQuery,
-    OriginRecord, POLL_PATH, PollRequest, PollResponse, Position, SNAPSHOT_PATH, Snapshot,
-    TOKENS_PATH, UPDATES_PATH,
+    KeyedRecord, LEASES_PATH, LeaseRelease, MAX_ORIGIN_RECORDS, ORIGIN_PATH, ORIGINS_PATH,
+    OriginAnswer, OriginQuery, OriginRecord, POLL_PATH, PollRequest, PollResponse, Position,
+    SNAPSHOT_PATH, Snapshot, TOKENS_PATH, UPDATES_PATH,
 };
 
 /// The timeout of asking to send a request to an endpoint with a rate limit, which is answered at once.
@@ -48,19 +48,21 @@
         self.client.post(self.addr, ENGINE_PATH, update, RESPONSE_MARGIN).await
     }
 
-    /// Tells the loader where streams began.
+    /// Tells the loader where streams began, in as many messages as it takes. The timeout `limit` holds for each of them.
     pub async fn tell_origins(
         &self,
         records: &[OriginRecord],
         limit: Duration,
     ) -> Result<(), CallError> {
         let addr = self.addr;
-        let (status, bytes) = self.client.post_raw(addr, ORIGINS_PATH, &records, limit).await?;
-        if status.is_success() {
-            return Ok(());
+        for part in records.chunks(MAX_ORIGIN_RECORDS) {
+            let (status, bytes) = self.client.post_raw(addr, ORIGINS_PATH, &part, limit).await?;
+            if !status.is_success() {
+                let text = String::from_utf8_lossy(&bytes).into_owned();
+                return Err(CallError::Status { addr, status, text });
+            }
         }
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        Err(CallError::Status { addr, status, text })
+        Ok(())
     }
 
     /// Asks the loader where a stream began.
--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -14,7 +14,7 @@
 /// The path at which a loader says what it knows of a stream: `POST` with [`OriginQuery`], answered with [`OriginAnswer`].
 pub const ORIGIN_PATH: &str = "/origin";
 
-/// The most records in one message. A router sends longer lists in several messages.
+/// The most records in one message.
 pub const MAX_ORIGIN_RECORDS: usize = 512;
 /// The longest time for which a record is kept; a longer one in a message counts as this.
 pub const MAX_ORIGIN_KEEP: Duration = Duration::from_secs(30 * 60);
--- a/components/loader/src/router_api/tests.rs
+++ b/components/loader/src/router_api/tests.rs
@@ -141,3 +141,33 @@
     let body = refused.into_body().collect().await.expect("a body").to_bytes();
     assert!(String::from_utf8_lossy(&body).contains("can't be read"), "{body:?}");
 }
+
+/// Guards against a router that holds so many streams when a second version appears that the loader refuses its message.
+#[tokio::test]
+async fn a_router_tells_of_more_streams_than_a_message_holds() {
+    let (commands, _inbox) = mpsc::channel(8);
+    let (_sender, state_receiver) = watch::channel(state(7));
+    let api = api(commands, state_receiver);
+    let listener = web::bind(([127, 0, 0, 1], 0).into()).await.expect("a listener");
+    let addr = listener.local_addr().expect("an address");
+    let (_stop, stopped) = watch::channel(false);
+    let handler = move |request, _| api.clone().handle(request);
+    tokio::spawn(web::serve(listener, web::ServeOptions::default(), stopped, handler));
+    let loader = control::LoaderClient::new(web::Client::default(), addr);
+    let record = |number: usize| control::OriginRecord {
+        key: origin::StreamKey::new(b"host", b"caller", number.to_string().as_bytes()),
+        service: "llm".parse().expect("a name"),
+        software: "v1".parse().expect("a version"),
+        endpoint: "i-1".parse().expect("an id"),
+        age: Duration::ZERO,
+        keep: Duration::from_secs(60),
+    };
+    let records: Vec<_> = (0..control::MAX_ORIGIN_RECORDS * 2 + 1).map(record).collect();
+    let limit = Duration::from_secs(10);
+    loader.tell_origins(&records, limit).await.expect("kept");
+    for record in [&records[0], &records[records.len() - 1]] {
+        let query = OriginQuery { key: record.key, service: record.service.clone() };
+        let answer = loader.find_origin(&query, limit).await.expect("an answer");
+        assert_eq!(answer.origin.expect("an origin").software, record.software);
+    }
+}
