Placement: arrivals are a value beside the latency of a model

The demand of a model held the rate of its requests together with what was learned of its latency. Requests that only one software version may serve have rates of their own, but the latency of the same model: Demand::with_arrivals joins the two.

--- a/components/placement/src/demand.rs
+++ b/components/placement/src/demand.rs
@@ -44,12 +44,38 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Demand {
     latency: LatencyFit,
+    arrivals: Arrivals,
+}
+
+/// The rate at which requests arrive at one router.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Arrivals {
     /// Prompt tokens a second, decaying.
     token_rate: f64,
     /// Requests a second, decaying.
     request_rate: f64,
     /// When the rates were last updated.
-    rates_updated: Option<Instant>,
+    updated: Option<Instant>,
+}
+
+impl Arrivals {
+    /// Counts a request.
+    pub fn record(&mut self, tokens: u32, now: Instant) {
+        let weight = self.weight(now);
+        self.token_rate =
+            self.token_rate * weight + f64::from(tokens) / ARRIVAL_TIME_CONSTANT.as_secs_f64();
+        self.request_rate = self.request_rate * weight + 1.0 / ARRIVAL_TIME_CONSTANT.as_secs_f64();
+        self.updated = Some(now);
+    }
+
+    /// Requests per second.
+    pub fn request_rate(&self, now: Instant) -> f64 {
+        self.request_rate * self.weight(now)
+    }
+
+    fn weight(&self, now: Instant) -> f64 {
+        remaining_weight(self.updated, now, ARRIVAL_TIME_CONSTANT)
+    }
 }
 
 /// A linear fit of the time until the first event (`y`, in milliseconds) over the prompt tokens to be processed before
@@ -136,16 +162,17 @@
 
     /// Counts a request that arrived at this router.
     pub fn record_arrival(&mut self, tokens: u32, now: Instant) {
-        let weight = remaining_weight(self.rates_updated, now, ARRIVAL_TIME_CONSTANT);
-        self.token_rate =
-            self.token_rate * weight + f64::from(tokens) / ARRIVAL_TIME_CONSTANT.as_secs_f64();
-        self.request_rate = self.request_rate * weight + 1.0 / ARRIVAL_TIME_CONSTANT.as_secs_f64();
-        self.rates_updated = Some(now);
+        self.arrivals.record(tokens, now);
+    }
+
+    /// The same model with other arrivals.
+    pub fn with_arrivals(self, arrivals: Arrivals) -> Self {
+        Self { arrivals, ..self }
     }
 
     /// The recent rate of requests that arrived at this router, per second.
     pub fn request_rate(&self, now: Instant) -> f64 {
-        self.request_rate * remaining_weight(self.rates_updated, now, ARRIVAL_TIME_CONSTANT)
+        self.arrivals.request_rate(now)
     }
 
     /// Learns from a first event that came after `took`, where `expected` is the prefill time of the request's own
@@ -163,10 +190,9 @@
 
     /// The prefill time of the requests that arrive through all routers, as a part of one endpoint's time.
     pub fn prefill_load(&self, routers: u32, now: Instant) -> f64 {
-        let load = self.token_rate
-            * remaining_weight(self.rates_updated, now, ARRIVAL_TIME_CONSTANT)
-            * self.latency.ms_per_token()
-            / 1_000.0;
+        let load =
+            self.arrivals.token_rate * self.arrivals.weight(now) * self.latency.ms_per_token()
+                / 1_000.0;
         extrapolate(load, self.request_rate(now) * ARRIVAL_TIME_CONSTANT.as_secs_f64(), routers)
     }
 
@@ -181,8 +207,9 @@
     /// time.
     fn prefill_load_at(&self, rate: f64) -> f64 {
         // Both rates decay alike, so their ratio stays the mean prompt of the last arrivals.
-        let seen = self.request_rate > f64::MIN_POSITIVE;
-        let tokens = if seen { self.token_rate / self.request_rate } else { INITIAL_PROMPT_TOKENS };
+        let Arrivals { token_rate, request_rate, .. } = self.arrivals;
+        let seen = request_rate > f64::MIN_POSITIVE;
+        let tokens = if seen { token_rate / request_rate } else { INITIAL_PROMPT_TOKENS };
         rate * tokens * self.latency.ms_per_token() / 1_000.0
     }
 
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -20,7 +20,7 @@
 pub use candidate::{Candidate, memory_scarce, rank};
 pub use capacity::{by_capacity, needs_fast_endpoint};
 pub use choose::{ChosenEndpoint, choose_endpoint};
-pub use demand::{Demand, MAX_MODEL_SLOT_SHARE, ScalingInputs};
+pub use demand::{Arrivals, Demand, MAX_MODEL_SLOT_SHARE, ScalingInputs};
 pub use failures::RecentFailures;
 pub use load_target::{
     LoadSource, LoadTarget, choose_fast_load_targets, choose_load_targets, has_copy,
