Router: every choice for a begun stream takes its software version as a condition

Cause: only the search and the question for an alternative left out endpoints of another version. The pause of a service, the back-off of a replica, rate limits, room requests, pending loads from the store, the number of replicas, and the waiting requests that loaders are told of were counted over all versions. So a stream could wait for a load, a replica or a pause that it had no use for, not be allowed to ask its version for room, and be counted as demand at an endpoint that can't serve it. If its version was gone, it was searched for.

Change: RequiredSoftware is passed to each of these; the search is split into a decision (values in, values out) and its effects. Requests that only one version may serve are counted apart, by version and model, and loaders hear of the requests that their endpoint may serve. With queues, each version has a queue of its own while another one serves. A version of which no endpoint accepts work is a result of its own (NoVersion). A version that all accepting endpoints run is no condition at all for what is counted, so services with one version do as before.

--- a/components/control/src/waiting.rs
+++ b/components/control/src/waiting.rs
@@ -2,7 +2,7 @@
 
 use catalog::ModelId;
 use serde::{Deserialize, Serialize};
-use units::{ServiceName, WorkspaceName};
+use units::{ServiceName, SoftwareVersion, WorkspaceName};
 
 use crate::QueueSummary;
 
@@ -25,6 +25,9 @@
     pub service: ServiceName,
     /// The model.
     pub model: ModelId,
+    /// The version of the software that the endpoint must run, if not any endpoint may serve the requests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// The requests that wait.
     pub summary: QueueSummary,
     /// The expected wait of a request that would be the last one.
--- a/components/router/src/balance.rs
+++ b/components/router/src/balance.rs
@@ -13,6 +13,7 @@
 use crate::choose::RequestNeeds;
 use crate::endpoint::TrackedEndpoint;
 use crate::registry::EndpointTable;
+use crate::software::RequiredSoftware;
 
 /// Chooses the best endpoint that can serve a request now; `prefill` is the time that the median endpoint takes for its
 /// prompt, `local` the router's failure domain.
@@ -28,7 +29,12 @@
     };
     // Not computed where it has no effect.
     let by_capacity = placement::by_capacity(candidates);
-    let rate = if by_capacity { table.total_request_rate(&id.model, Instant::now()) } else { 0.0 };
+    let required = table.restricting(needs.required_software());
+    let rate = if by_capacity {
+        table.total_request_rate(&id.model, required, Instant::now())
+    } else {
+        0.0
+    };
     let (target, seed) = (needs.first_event_target, rand::random());
     let request = ReplicaRequest { id, prefill, target, rate, seed };
     placement::choose_replica(candidates, &request, local)
@@ -89,10 +95,19 @@
         rates.sum()
     }
 
-    /// The same, or what this router extrapolates from its own requests if that is more.
-    fn total_request_rate(&self, model: &ModelName, now: Instant) -> f64 {
+    /// The same, or what this router extrapolates from its own requests if that is more; with those that only the required
+    /// software may serve, if any is required.
+    fn total_request_rate(
+        &self,
+        model: &ModelName,
+        required: Option<RequiredSoftware<'_>>,
+        now: Instant,
+    ) -> f64 {
         let demand = self.known_demand(model).unwrap_or_default();
-        demand.total_request_rate(self.routers(), self.reported_rate(model, now), now)
+        let rate = demand.total_request_rate(self.routers(), self.reported_rate(model, now), now);
+        let bound = required.map(|required| self.bound_arrivals(model, required));
+        let bound = bound.map(|arrivals| demand.with_arrivals(arrivals));
+        rate + bound.map_or(0.0, |bound| bound.total_request_rate(self.routers(), 0.0, now))
     }
 }
 
--- a/components/router/src/balance/tests.rs
+++ b/components/router/src/balance/tests.rs
@@ -74,5 +74,5 @@
     table.map.insert(tracked.endpoint.id.clone(), tracked);
     assert_eq!(table.reported_rate(&name("a"), now), 0.0);
     let waiting = crate::registry::NO_WAITING_REQUESTS;
-    assert_eq!(table.replicas_needed(&name("a"), 16, waiting, false), 1);
+    assert_eq!(table.replicas_needed(&name("a"), None, 16, waiting, false), 1);
 }
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -8,7 +8,7 @@
 use fleet::Tier;
 use placement::{Candidate, ChosenEndpoint, ReplicaStatus};
 use tokio::time::Instant;
-use units::{EndpointId, ServiceName, SoftwareVersion};
+use units::{Domain, EndpointId, ServiceName, SoftwareVersion};
 
 use crate::balance;
 use crate::endpoint::TrackedEndpoint;
@@ -18,6 +18,7 @@
 use crate::registry::{EndpointTable, NO_WAITING_REQUESTS};
 use crate::reservation::{Reservation, WaitingRequest};
 use crate::shared::Shared;
+use crate::software::{RequiredSoftware, WaitingFor};
 
 /// Interval at which a waiting request searches again: the pause of an endpoint ends without a
 /// notification.
@@ -41,6 +42,8 @@
 const PREFILL_HOLD_DIVISOR: u32 = 4;
 /// `Retry-After` if no endpoint is left that the request could be sent to.
 pub(crate) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// The error if no endpoint runs the software that the request needs.
+pub(crate) const NO_VERSION: ReserveError = ReserveError::NoEndpoint(NO_ENDPOINT_RETRY_AFTER);
 
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -69,15 +72,21 @@
 }
 
 impl RequestNeeds<'_> {
-    /// Whether the request may be served by any endpoint, so that it can wait in the queue for its model. Others search by themselves,
-    /// so that they keep no other request waiting.
+    /// Whether the request may be served by any endpoint of its queue, so that it can wait there for its model. Others search by
+    /// themselves, so that they keep no other request waiting.
     fn may_queue(&self) -> bool {
-        self.excluded.is_empty() && !self.isolated && self.software.is_none()
+        self.excluded.is_empty() && !self.isolated
     }
 
-    /// Whether the software of an endpoint may serve the request.
-    fn allows_software(&self, tracked: &TrackedEndpoint) -> bool {
-        self.software.is_none_or(|wanted| tracked.endpoint.software.as_ref() == Some(wanted))
+    /// The software that the endpoint must run, if the request continues a stream.
+    pub(crate) fn required_software(&self) -> Option<RequiredSoftware<'_>> {
+        let service = self.service;
+        self.software.map(|version| RequiredSoftware { service, version })
+    }
+
+    /// Whether the request may go to an endpoint, whatever its state.
+    fn may_use(&self, tracked: &TrackedEndpoint) -> bool {
+        tracked.endpoint.service == *self.service && tracked.meets(self.required_software())
     }
 
     /// How long an idle endpoint takes to process the prompt.
@@ -108,6 +117,20 @@
     pub(crate) duration: Duration,
     /// Whether the weights come from the weight store.
     from_store: bool,
+    /// Whether only the endpoint's version of the software may serve the requests that wait for the load.
+    bound: bool,
+}
+
+impl PlannedLoad {
+    fn request(&self, urgent: bool, within: Duration) -> LoadRequest {
+        LoadRequest {
+            urgent,
+            within,
+            expected_duration: self.duration,
+            from_store: self.from_store,
+            bound: self.bound,
+        }
+    }
 }
 
 /// The result of one search for an endpoint.
@@ -127,6 +150,8 @@
     Paused(Duration),
     /// No endpoint is left that the request could be sent to.
     NoEndpoint,
+    /// No endpoint accepts work that runs the software which the request needs, and none is about to.
+    NoVersion,
 }
 
 /// Reserves an endpoint for a request, and waits until one can serve it.
@@ -135,8 +160,9 @@
     needs: RequestNeeds<'_>,
 ) -> Result<Reservation, ReserveError> {
     if let Some(model) = needs.model {
-        let now = Instant::now();
-        shared.endpoints.lock().demand(&model.model).record_arrival(needs.prompt_tokens, now);
+        let (required, now) = (needs.required_software(), Instant::now());
+        let mut table = shared.endpoints.lock();
+        table.record_arrival(&model.model, required, needs.prompt_tokens, now);
     }
     match (needs.waiter, needs.model) {
         (Some(waiter), Some(model)) if needs.may_queue() => {
@@ -169,9 +195,10 @@
             SearchResult::NoEndpoint => {
                 return Err(ReserveError::NoEndpoint(NO_ENDPOINT_RETRY_AFTER));
             }
+            SearchResult::NoVersion => return Err(NO_VERSION),
             SearchResult::Load(loads) => {
                 let Some(first) = loads.first() else { continue };
-                waiting.get_or_insert_with(|| WaitingRequest::new(shared, &first.target));
+                waiting.get_or_insert_with(|| count_waiting(shared, &needs, &first.target));
                 let admission = admit(time_left, first.duration);
                 // The model is loaded even if the request is refused: its caller is told to come
                 // back for it.
@@ -200,50 +227,107 @@
 /// Asks loaders for a model. `within` is how long a request waits for it, or none if its caller is
 /// told to come back for it.
 pub(crate) fn request_loads(shared: &Arc<Shared>, loads: &[PlannedLoad], within: Option<Duration>) {
-    for PlannedLoad { id, target, duration, from_store } in loads {
-        let (duration, from_store) = (*duration, *from_store);
-        let within = within.unwrap_or(duration + CALLER_RETURN_TIME);
+    for load in loads {
+        let within = within.unwrap_or(load.duration + CALLER_RETURN_TIME);
         // A loader that may not evict other models still loads the model if there is room for it.
-        let urgent = shared.endpoints.lock().may_request_room(&target.model, id, loads.len());
-        loader_task::request_load(
-            shared,
-            id,
-            target,
-            LoadRequest { urgent, within, expected_duration: duration, from_store },
+        let urgent = shared.endpoints.lock().may_request_room(
+            &load.target.model,
+            &load.id,
+            loads.len(),
+            load.bound,
         );
+        loader_task::request_load(shared, &load.id, &load.target, load.request(urgent, within));
     }
 }
 
+/// Counts a request among those that wait for a model.
+fn count_waiting(
+    shared: &Arc<Shared>,
+    needs: &RequestNeeds<'_>,
+    target: &ModelId,
+) -> WaitingRequest {
+    let restricting = shared.endpoints.lock().restricting(needs.required_software());
+    WaitingRequest::new(shared, WaitingFor::new(&target.model, restricting))
+}
+
 /// How long a request that has waited for this time does not search again, whatever changes.
 pub(crate) fn search_pause(waited: Duration) -> Option<Duration> {
     let pause = (waited / SEARCH_PAUSE_DIVISOR).min(MAX_SEARCH_PAUSE);
     (pause >= MIN_SEARCH_PAUSE).then_some(pause)
 }
 
+/// What a search decides, before anything is reserved.
+enum Plan {
+    /// Send the request to this endpoint.
+    Send {
+        id: EndpointId,
+        /// How long the prompt takes, and how long after now the first event is expected.
+        times: (Duration, Duration),
+        /// A further load of the model, for later requests.
+        extra_load: Option<PlannedLoad>,
+    },
+    /// This endpoint must answer a probe first.
+    Probe(EndpointId),
+    /// Nothing is reserved.
+    Other(SearchResult),
+}
+
 /// Searches once for an endpoint.
 pub(crate) fn search(shared: &Arc<Shared>, needs: &RequestNeeds<'_>) -> SearchResult {
     let now = Instant::now();
     let mut table = shared.endpoints.lock();
-    let prefill_time = needs.prefill_time(&mut table);
+    for id in silent_endpoints(&table, needs, now) {
+        probe::start(shared, &id, &table);
+    }
+    let (id, times, extra_load) = match plan(&mut table, needs, &shared.domain, now) {
+        Plan::Send { id, times, extra_load } => (id, times, extra_load),
+        Plan::Probe(id) => {
+            probe::start(shared, &id, &table);
+            return SearchResult::Wait(Duration::ZERO);
+        }
+        Plan::Other(result) => return result,
+    };
+    let reservation =
+        Reservation::new(shared, &mut table, id, needs.model, times, needs.isolated, now);
+    drop(table);
+    if let Some(load) = extra_load {
+        let request = load.request(true, load.duration + CALLER_RETURN_TIME);
+        loader_task::request_load(shared, &load.id, &load.target, request);
+    }
+    reservation.map_or(SearchResult::NoEndpoint, |one| SearchResult::Reserved(Box::new(one)))
+}
+
+/// The endpoints for a request that only a probe can bring back, since they were silent.
+fn silent_endpoints(
+    table: &EndpointTable,
+    needs: &RequestNeeds<'_>,
+    now: Instant,
+) -> Vec<EndpointId> {
+    let silent = |tracked: &&TrackedEndpoint| {
+        needs.may_use(tracked)
+            && !tracked.usable(now)
+            && tracked.unresponsive(now)
+            && tracked.needs_probe(now)
+    };
+    table.map.values().filter(silent).map(|tracked| tracked.endpoint.id.clone()).collect()
+}
+
+/// Decides where a request is sent, or what it waits for.
+fn plan(table: &mut EndpointTable, needs: &RequestNeeds<'_>, local: &Domain, now: Instant) -> Plan {
+    let prefill_time = needs.prefill_time(table);
+    let table = &*table;
+    let required = needs.required_software();
     // A model is loaded at an endpoint that announces a rate limit only if all of them do.
-    let all_limited = table.all_rate_limited(needs.service, now);
+    let all_limited = table.all_rate_limited(needs.service, required, now);
     // An adapter can't be loaded where its model was refused.
     let refusals: Vec<ModelId> = needs.model.map(with_base_model).unwrap_or_default();
     let mut candidates = Vec::new();
-    let mut any_left = false;
-    for (id, tracked) in &table.map {
-        if tracked.endpoint.service != *needs.service || !needs.allows_software(tracked) {
-            continue;
-        }
+    let (mut any_accepts, mut any_left) = (false, false);
+    for (id, tracked) in table.map.iter().filter(|(_, tracked)| needs.may_use(tracked)) {
+        any_accepts |= tracked.accepts_work();
         any_left |= tracked.accepts_work() && !needs.excluded.contains(id);
-        if !tracked.usable(now) {
-            // A probe can only bring back an endpoint that was silent.
-            if tracked.unresponsive(now) && tracked.needs_probe(now) {
-                probe::start(shared, id, &table);
-            }
-            continue;
-        }
-        if needs.excluded.contains(id)
+        if !tracked.usable(now)
+            || needs.excluded.contains(id)
             || needs.isolated && tracked.pool.sent_requests().isolated > 0
         {
             continue;
@@ -257,99 +341,102 @@
             now,
         ));
     }
-    if let Some(left) = table.service_backoff(needs.service, needs.excluded, now) {
-        return SearchResult::Paused(left);
+    if let Some(left) = table.service_backoff(needs.service, required, needs.excluded, now) {
+        return Plan::Other(SearchResult::Paused(left));
+    }
+    if let Some(required) = required.filter(|_| !any_accepts)
+        && table.list_loaded
+        && !table.may_meet_soon(required)
+    {
+        return Plan::Other(SearchResult::NoVersion);
     }
     if !any_left {
         // Every endpoint has refused the request, or there is none: there is nothing to wait for.
-        return SearchResult::NoEndpoint;
+        return Plan::Other(SearchResult::NoEndpoint);
+    }
+    match balance::choose_endpoint(table, &candidates, needs, prefill_time, local) {
+        Some(chosen) => plan_send(table, &candidates, needs, chosen, (prefill_time, now)),
+        None => Plan::Other(plan_loads(table, &candidates, needs, prefill_time, now)),
     }
-    if let Some(chosen) =
-        balance::choose_endpoint(&table, &candidates, needs, prefill_time, &shared.domain)
+}
+
+/// Decides whether a request is sent to the endpoint that was chosen for it.
+fn plan_send(
+    table: &EndpointTable,
+    candidates: &[Candidate<'_>],
+    needs: &RequestNeeds<'_>,
+    chosen: ChosenEndpoint,
+    (prefill_time, now): (Duration, Instant),
+) -> Plan {
+    if let Some(left) = faster_loading_replica(candidates, needs, chosen) {
+        return Plan::Other(SearchResult::Hold(left));
+    }
+    let id = &candidates[chosen.index].endpoint.id;
+    let prefills = table.map.get(id).map_or(0, |tracked| tracked.backlog.prompts());
+    if table.serialize_prompts()
+        && prefills >= MAX_CONCURRENT_PREFILLS
+        && now - needs.search_start < needs.first_event_target / PREFILL_HOLD_DIVISOR
     {
-        if let Some(left) = faster_loading_replica(&candidates, needs, chosen) {
-            return SearchResult::Hold(left);
-        }
-        let id = &candidates[chosen.index].endpoint.id;
-        let prefills = table.map.get(id).map_or(0, |tracked| tracked.backlog.prompts());
-        if table.serialize_prompts()
-            && prefills >= MAX_CONCURRENT_PREFILLS
-            && now - needs.search_start < needs.first_event_target / PREFILL_HOLD_DIVISOR
-        {
-            return SearchResult::Hold(Duration::ZERO);
-        }
-        let extra_load = plan_extra_load(&table, &candidates, needs, chosen, prefill_time);
-        let id = id.clone();
-        drop(candidates);
-        if needs.model.is_some()
-            && table.map.get(&id).is_some_and(|tracked| tracked.needs_probe(now))
-        {
-            probe::start(shared, &id, &table);
-            return SearchResult::Wait(Duration::ZERO);
-        }
-        let times = (prefill_time, chosen.first_event);
-        let reservation =
-            Reservation::new(shared, &mut table, id, needs.model, times, needs.isolated, now);
-        drop(table);
-        if let Some(PlannedLoad { id, target, duration, from_store }) = extra_load {
-            let wish = LoadRequest {
-                urgent: true,
-                within: duration + CALLER_RETURN_TIME,
-                expected_duration: duration,
-                from_store,
-            };
-            loader_task::request_load(shared, &id, &target, wish);
-        }
-        return reservation
-            .map_or(SearchResult::NoEndpoint, |one| SearchResult::Reserved(Box::new(one)));
+        return Plan::Other(SearchResult::Hold(Duration::ZERO));
     }
+    let needs_probe = || table.map.get(id).is_some_and(|tracked| tracked.needs_probe(now));
+    if needs.model.is_some() && needs_probe() {
+        return Plan::Probe(id.clone());
+    }
+    let extra_load = plan_extra_load(table, candidates, needs, chosen, prefill_time);
+    Plan::Send { id: id.clone(), times: (prefill_time, chosen.first_event), extra_load }
+}
+
+/// Decides where the model of a request is loaded, since no candidate holds it.
+fn plan_loads(
+    table: &EndpointTable,
+    candidates: &[Candidate<'_>],
+    needs: &RequestNeeds<'_>,
+    prefill_time: Duration,
+    now: Instant,
+) -> SearchResult {
     let (Some(model), Some(engine)) = (needs.model, needs.engine) else {
         return SearchResult::Wait(Duration::ZERO);
     };
-    let memory_scarce = placement::memory_scarce(&candidates);
-    let count = table.waiting.get(&model.model).copied().unwrap_or(0);
+    let restricting = table.restricting(needs.required_software());
+    let memory_scarce = placement::memory_scarce(candidates);
+    let count = table.waiting_for(&model.model, restricting);
     let max_loads = table.replicas_needed(
         &model.model,
+        restricting,
         engine.slots,
         (count, prefill_time * count),
         memory_scarce,
     );
     // A load from the weight store is requested at one endpoint only, also while its loader waits
     // for a load permit.
-    let has_copy = placement::has_copy(&candidates, &model.model);
-    let requested = table.pending_cold_load(&model.model).filter(|_| !has_copy);
+    let has_copy = placement::has_copy(candidates, &model.model);
+    let requested = table.pending_cold_load(&model.model, restricting).filter(|_| !has_copy);
     let requested =
         requested.and_then(|id| candidates.iter().position(|one| one.endpoint.id == *id));
     let (first, list) = match requested {
         Some(index) => (index, &candidates[index..=index]),
-        None => (0, &candidates[..]),
+        None => (0, candidates),
     };
-    let loads: Vec<PlannedLoad> = balance::choose_load_targets(
-        list,
-        (model, engine),
-        needs,
-        prefill_time,
-        max_loads as usize,
-    )
-    .into_iter()
-    .map(|load_target| {
+    let max_loads = max_loads as usize;
+    let targets =
+        balance::choose_load_targets(list, (model, engine), needs, prefill_time, max_loads);
+    let loads = targets.into_iter().map(|load_target| {
         // The base model is loaded first; all of its adapters wait for the same load.
         let adapter = model.adapter.clone().filter(|_| load_target.tier == Tier::Adapter);
-        let target = ModelId { model: model.model.clone(), adapter };
-        let from_store = load_target.tier == Tier::Store;
         PlannedLoad {
             id: candidates[first + load_target.index].endpoint.id.clone(),
-            target,
+            target: ModelId { model: model.model.clone(), adapter },
             duration: load_target.ready_in,
-            from_store,
+            from_store: load_target.tier == Tier::Store,
+            bound: restricting.is_some(),
         }
-    })
-    .collect();
+    });
+    let loads: Vec<PlannedLoad> = loads.collect();
     if let Some(first) = loads.first() {
         // Wait for a replica that accepts requests again before a new replica would be ready.
-        let ready_in =
-            table.replica_backoff(&model.model, now).filter(|left| *left <= first.duration);
-        if let Some(left) = ready_in {
+        let backoff = table.replica_backoff(&model.model, restricting, now);
+        if let Some(left) = backoff.filter(|left| *left <= first.duration) {
             return SearchResult::Wait(left);
         }
         return SearchResult::Load(loads);
@@ -374,14 +461,14 @@
     if !load.from_store || table.cold.is_running(&load.id, &load.target.model) {
         return left;
     }
-    let ahead = table.store_loads_ahead(&load.target.model, now);
+    let ahead = table.store_loads_ahead(&load.id, &load.target.model, now);
     left + table.cold.permit_wait(ahead, load.duration, now)
 }
 
 /// The time until the first loader that refused to load a model may be asked again.
 pub(crate) fn loader_pause(shared: &Shared, needs: &RequestNeeds<'_>, now: Instant) -> Duration {
     let table = shared.endpoints.lock();
-    let own = table.map.values().filter(|tracked| tracked.endpoint.service == *needs.service);
+    let own = table.map.values().filter(|tracked| needs.may_use(tracked));
     let same = |id: &ModelId| needs.model.is_some_and(|model| model.model == id.model);
     let refusals = own.flat_map(|tracked| &tracked.refused_until).filter(|(id, _)| same(id));
     let pauses = refusals.filter_map(|(_, until)| until.checked_duration_since(now));
@@ -391,7 +478,8 @@
 /// If all endpoints that may serve a request have asked for a pause: the time until the first of
 /// these pauses ends.
 pub(crate) fn retry_after(shared: &Arc<Shared>, needs: &RequestNeeds<'_>) -> Option<Duration> {
-    shared.endpoints.lock().service_backoff(needs.service, needs.excluded, Instant::now())
+    let (required, now) = (needs.required_software(), Instant::now());
+    shared.endpoints.lock().service_backoff(needs.service, required, needs.excluded, now)
 }
 
 /// Whether an endpoint that is not in `needs.excluded` is expected to send the first event within
@@ -406,10 +494,7 @@
     let prefill_time = needs.prefill_time(&mut table);
     let usable = |tracked: &&TrackedEndpoint| {
         let id = &tracked.endpoint.id;
-        tracked.endpoint.service == *needs.service
-            && needs.allows_software(tracked)
-            && tracked.usable(now)
-            && !needs.excluded.contains(id)
+        needs.may_use(tracked) && tracked.usable(now) && !needs.excluded.contains(id)
     };
     let candidates: Vec<_> =
         table.map.values().filter(usable).map(|tracked| tracked.candidate(false, now)).collect();
@@ -449,9 +534,14 @@
     };
     let requested: Vec<bool> = candidates.iter().map(was_requested).collect();
     let memory_scarce = placement::memory_scarce(candidates);
-    let needed =
-        table.replicas_needed(&base.model, engine.slots, NO_WAITING_REQUESTS, memory_scarce)
-            as usize;
+    let restricting = table.restricting(needs.required_software());
+    let needed = table.replicas_needed(
+        &base.model,
+        restricting,
+        engine.slots,
+        NO_WAITING_REQUESTS,
+        memory_scarce,
+    ) as usize;
     let target = needs.first_event_target;
     let replicas = ReplicaStatus { model: &base, requested: &requested, needed, chosen, target };
     let load_target = balance::scale_out(candidates, engine, &replicas, needs, prefill_time)?;
@@ -461,6 +551,7 @@
         target: base,
         duration: load_target.ready_in,
         from_store: load_target.tier == Tier::Store,
+        bound: restricting.is_some(),
     })
 }
 
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -274,6 +274,12 @@
         self.endpoint.software.as_ref().map_or("", |software| software.as_str())
     }
 
+    /// Whether the list does not show yet which software the endpoint runs since it restarted.
+    pub(crate) fn awaits_software(&self) -> bool {
+        self.endpoint.software.is_none()
+            && EndpointIncarnation::differ(self.endpoint.incarnation, self.listed_incarnation)
+    }
+
     /// Whether the endpoint takes new requests, according to the list, its loader and its own hints.
     pub(crate) fn accepts_work(&self) -> bool {
         self.endpoint.stage == EndpointStage::Ready && !self.hints.draining
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -42,6 +42,7 @@
 mod share_leases;
 mod shared;
 mod snapshot;
+mod software;
 mod speeds;
 mod stream;
 mod topic_source;
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -9,6 +9,7 @@
     EngineUpdate, EnsureOutcome, EnsureRequest, LoaderClient, PollRequest, PollResponse,
 };
 use events::{Dependency, Event, NO_ROOM, emit, millis};
+use fleet::Endpoint;
 use tokio::time::Instant;
 use units::{EndpointId, Revision, ServiceName};
 
@@ -167,9 +168,11 @@
     let mut waiting;
     let queues = shared.settings.borrow().queues();
     let now = Instant::now();
-    let (addr, rate, service) = {
+    let (addr, service, software, rate) = {
         let mut table = shared.endpoints.lock();
-        waiting = table.waiting.get(&target.model).copied().unwrap_or(0);
+        let Some(tracked) = table.map.get(id) else { return };
+        waiting = table.waiting_at(&tracked.endpoint, &target.model);
+        let rate = table.request_rate_at(&tracked.endpoint, &target.model, request.bound, now);
         let Some(tracked) = table.map.get_mut(id) else { return };
         let loads = tracked.open_loads.entry(target.clone()).or_default();
         if request.urgent {
@@ -183,12 +186,12 @@
         loads.asked_at = Some(now);
         loads.waiting = waiting;
         loads.open += 1;
-        let (addr, service) = (tracked.endpoint.addr, tracked.endpoint.service.clone());
-        let rate = table.request_rate(&target.model, now);
+        let Endpoint { addr, service, software, .. } = &tracked.endpoint;
+        let (addr, service, software) = (*addr, service.clone(), software.clone());
         if request.from_store {
             table.cold.add_request(id, &target.model, now);
         }
-        (addr, rate, service)
+        (addr, service, software, rate)
     };
     emit(&Event::LoadRequested {
         model: &target.to_string(),
@@ -197,7 +200,7 @@
         cause: if request.urgent { "request" } else { "prepared" },
     });
     // A loader makes room for a model that requests wait for; a model that may only use free room has no queue there.
-    let summarize = || shared.wait_queues.summary(&service, target, now);
+    let summarize = || shared.wait_queues.summary(&service, software.as_ref(), target, now);
     let queue = (queues && request.urgent).then(summarize).flatten();
     let last_deadline = queue.as_ref().map_or(Duration::ZERO, |queue| queue.last_deadline);
     let ensure = EnsureRequest {
@@ -223,6 +226,8 @@
     pub(crate) expected_duration: Duration,
     /// Whether the model is loaded from the weight store.
     pub(crate) from_store: bool,
+    /// Whether it is loaded for requests that only the endpoint's version of the software may serve.
+    pub(crate) bound: bool,
 }
 
 async fn send_load_request(shared: Arc<Shared>, addr: SocketAddr, ensure: EnsureRequest) {
--- a/components/router/src/prefetch.rs
+++ b/components/router/src/prefetch.rs
@@ -30,6 +30,7 @@
                     within: duration * LOAD_TIMEOUT_FACTOR,
                     expected_duration: duration,
                     from_store: true,
+                    bound: false,
                 };
                 loader_task::request_load(&shared, &id, &ModelId { model, adapter: None }, wish);
             }
--- a/components/router/src/queued.rs
+++ b/components/router/src/queued.rs
@@ -16,6 +16,7 @@
 use waiting::{Arrival, Entry, Rejected, RejectionCause};
 
 use crate::choose::{self, RequestNeeds, ReserveError, SearchResult};
+use crate::registry::EndpointTable;
 use crate::reservation::Reservation;
 use crate::shared::Shared;
 use crate::wait_queue::{QueueKey, QueuePlace, Turn};
@@ -49,7 +50,7 @@
     waiter: Waiter<'_>,
     model: &ModelId,
 ) -> Result<Reservation, ReserveError> {
-    let key = QueueKey { service: needs.service.clone(), model: model.clone() };
+    let key = queue_key(&shared.endpoints.lock(), &needs, model);
     let mut found = None;
     if shared.wait_queues.is_empty(&key) {
         let result = match choose::search(shared, &needs) {
@@ -81,7 +82,7 @@
                 length: entered.length,
                 expect_ms: millis(entered.expected),
             });
-            wait(shared, &needs, &waiter, place).await
+            wait(shared, &needs, &waiter, model, place).await
         }
         Err(rejected) => {
             // The model is loaded all the same: the caller is told to come back for it.
@@ -93,6 +94,13 @@
     }
 }
 
+/// The queue of a request. A version that all endpoints run is no condition.
+fn queue_key(table: &EndpointTable, needs: &RequestNeeds<'_>, model: &ModelId) -> QueueKey {
+    let restricting = table.restricting(needs.required_software());
+    let software = restricting.map(|required| required.version.clone());
+    QueueKey { service: needs.service.clone(), model: model.clone(), software }
+}
+
 /// Whether a request waits for nothing but the answer of an endpoint that has its model, or for a better endpoint.
 fn awaits_endpoint(result: &SearchResult) -> bool {
     match result {
@@ -102,7 +110,8 @@
         | SearchResult::Load(_)
         | SearchResult::NoLoader(_)
         | SearchResult::Paused(_)
-        | SearchResult::NoEndpoint => false,
+        | SearchResult::NoEndpoint
+        | SearchResult::NoVersion => false,
     }
 }
 
@@ -147,6 +156,7 @@
         SearchResult::NoEndpoint => {
             return Err(ReserveError::NoEndpoint(choose::NO_ENDPOINT_RETRY_AFTER));
         }
+        SearchResult::NoVersion => return Err(choose::NO_VERSION),
     };
     Ok(Pending { ready_in, loads, held })
 }
@@ -156,6 +166,7 @@
     shared: &Arc<Shared>,
     needs: &RequestNeeds<'_>,
     waiter: &Waiter<'_>,
+    model: &ModelId,
     mut place: QueuePlace,
 ) -> Result<Reservation, ReserveError> {
     let mut held = false;
@@ -168,6 +179,14 @@
             }
             Turn::Wait | Turn::Search => {}
         }
+        let key = || queue_key(&shared.endpoints.lock(), needs, model);
+        if needs.software.is_some() && *place.key() != key() {
+            // Other versions have begun or ceased to serve since: the requests of this queue wait for other endpoints.
+            drop(place);
+            let reserved = choose::reserve_alone(shared, *needs).await;
+            shared.wait_queues.charge_if_reserved(waiter, &reserved);
+            return reserved;
+        }
         let changed = shared.endpoints.changed.notified();
         let result = match choose::search(shared, needs) {
             SearchResult::Reserved(mut reservation) => {
@@ -203,3 +222,6 @@
         () = place.changed() => {}
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/router/src/rate_limit.rs
+++ b/components/router/src/rate_limit.rs
@@ -9,6 +9,7 @@
 
 use crate::endpoint::TrackedEndpoint;
 use crate::registry::{EndpointRegistry, EndpointTable};
+use crate::software::RequiredSoftware;
 
 /// After this time, the loader's reports show what an answer of the endpoint said: a loader reads one each second.
 const LOADER_LAG: Duration = Duration::from_secs(3);
@@ -164,10 +165,15 @@
 }
 
 impl EndpointTable {
-    /// Whether all endpoints of a service that accept requests announce a rate limit.
-    pub(crate) fn all_rate_limited(&self, service: &ServiceName, now: Instant) -> bool {
+    /// Whether all endpoints of a service that accept requests and run the required software announce a rate limit.
+    pub(crate) fn all_rate_limited(
+        &self,
+        service: &ServiceName,
+        required: Option<RequiredSoftware<'_>>,
+        now: Instant,
+    ) -> bool {
         let all = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
-        let mut accepting = all.filter(|tracked| tracked.accepts_work());
+        let mut accepting = all.filter(|tracked| tracked.accepts_work() && tracked.meets(required));
         accepting.all(|tracked| tracked.rate_limit(now).is_some())
     }
 }
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -20,6 +20,7 @@
 use crate::endpoint::{ReceivedHints, TrackedEndpoint, Usage};
 use crate::guard::wall_clock;
 use crate::pool::ConnectionPool;
+use crate::software::{BoundDemands, RequiredSoftware};
 
 /// Minimum time between requests to different loaders to make room for the same model. Without it, a burst for one model
 /// would evict another model on every endpoint that has a copy of its weights.
@@ -47,10 +48,12 @@
     pub(crate) map: BTreeMap<EndpointId, TrackedEndpoint>,
     /// The loaders that were recently asked to make room for each model, and when.
     room_requests: HashMap<ModelName, Vec<(EndpointId, Instant)>>,
-    /// The number of requests that wait for each model.
+    /// The number of requests that wait for each model and that any endpoint may serve.
     pub(crate) waiting: HashMap<ModelName, u32>,
     /// Loads from the weight store.
     pub(crate) cold: ColdLoads,
+    /// The requests that only endpoints with one version of the software may serve.
+    pub(crate) bound: BoundDemands,
     /// How much work each model's requests cause on its replicas.
     demands: HashMap<ModelName, Demand>,
     /// The speeds of the endpoints of each service.
@@ -265,16 +268,20 @@
     }
 
     /// Whether a loader may be asked now to make room for a model that at most `most` endpoints should hold; if so, records it.
+    /// If only the endpoint's version of the software may serve the requests that wait, loads at other versions don't count.
     pub(crate) fn may_request_room(
         &mut self,
         model: &ModelName,
         id: &EndpointId,
         most: usize,
+        bound: bool,
     ) -> bool {
         let now = Instant::now();
         let asked = self.room_requests.entry(model.clone()).or_default();
         asked.retain(|(other, at)| other != id && now - *at < ROOM_REQUEST_INTERVAL);
-        if asked.len() >= most.max(1) {
+        let software = |id| self.map.get(id).and_then(|one| one.endpoint.software.as_ref());
+        let counts = |other| !bound || software(other) == software(id);
+        if asked.iter().filter(|(other, _)| counts(other)).count() >= most.max(1) {
             return false;
         }
         asked.push((id.clone(), now));
@@ -291,9 +298,15 @@
         self.demands.get(model).copied()
     }
 
-    /// The endpoint whose loader was asked to load a model from the weight store and has not answered yet.
-    pub(crate) fn pending_cold_load(&self, model: &ModelName) -> Option<&EndpointId> {
-        let mut asked = self.map.iter().filter(|(_, tracked)| {
+    /// The endpoint whose loader was asked to load a model from the weight store and has not answered yet; of those with the
+    /// required software, if any is required.
+    pub(crate) fn pending_cold_load(
+        &self,
+        model: &ModelName,
+        required: Option<RequiredSoftware<'_>>,
+    ) -> Option<&EndpointId> {
+        let allowed = self.map.iter().filter(|(_, tracked)| tracked.meets(required));
+        let mut asked = allowed.filter(|(_, tracked)| {
             let open =
                 tracked.open_loads.iter().any(|(id, loads)| id.model == *model && loads.open > 0);
             let now = Instant::now();
@@ -303,19 +316,24 @@
     }
 
     /// How many other models that more requests wait for at this router have been requested from the weight store and are
-    /// not being loaded yet. Permits go to the models with the most demand.
-    pub(crate) fn store_loads_ahead(&self, model: &ModelName, now: Instant) -> usize {
-        let waiting = |model: &ModelName| self.waiting.get(model).copied().unwrap_or(0);
-        let own = waiting(model);
+    /// not being loaded yet, before a load at an endpoint. Permits go to the models with the most demand.
+    pub(crate) fn store_loads_ahead(
+        &self,
+        id: &EndpointId,
+        model: &ModelName,
+        now: Instant,
+    ) -> usize {
+        let own = self.map.get(id).map_or(0, |one| self.waiting_at(&one.endpoint, model));
         let requested = self.map.iter().flat_map(|(id, tracked)| {
             let held = tracked.holdings(now);
             let from_store =
                 move |name: &&ModelName| held.is_some_and(|held| held.tier(name) == Tier::Store);
             let open = tracked.open_loads.keys().map(|target| &target.model);
-            open.filter(from_store).filter(move |name| !self.cold.is_running(id, name))
+            let more = move |name: &&ModelName| self.waiting_at(&tracked.endpoint, name) > own;
+            let requested = open.filter(from_store).filter(more);
+            requested.filter(move |name| !self.cold.is_running(id, name))
         });
-        let ahead: HashSet<&ModelName> =
-            requested.filter(|other| *other != model && waiting(other) > own).collect();
+        let ahead: HashSet<&ModelName> = requested.filter(|other| *other != model).collect();
         ahead.len()
     }
 
@@ -324,22 +342,31 @@
         self.demands.get(model).map_or(0.0, |demand| demand.request_rate(now))
     }
 
-    /// How many replicas a model needs. `waiting` is the number of requests that wait for it at this router and the time their
+    /// How many replicas a model needs for the requests that any endpoint may serve, or for those that only the required
+    /// software may serve. `waiting` is the number of requests that wait for it at this router and the time their
     /// prompts take, `slots` the slots of one endpoint, and `memory_scarce` whether models wait for accelerator memory.
     pub(crate) fn replicas_needed(
         &self,
         model: &ModelName,
+        required: Option<RequiredSoftware<'_>>,
         slots: u32,
         waiting: (u32, Duration),
         memory_scarce: bool,
     ) -> u32 {
-        let uses = self.map.values().filter_map(|tracked| tracked.uses.get(model));
+        let allowed = self.map.values().filter(|tracked| tracked.meets(required));
+        let uses = allowed.filter_map(|tracked| tracked.uses.get(model));
         let running = uses.map(|usage| usage.running).sum();
         let inputs =
             ScalingInputs { routers: self.routers(), running, slots, waiting, memory_scarce };
         let demand = self.known_demand(model).unwrap_or_default();
         let now = Instant::now();
-        demand.replicas_needed_at(&inputs, self.reported_rate(model, now), now)
+        match required {
+            None => demand.replicas_needed_at(&inputs, self.reported_rate(model, now), now),
+            Some(required) => {
+                let demand = demand.with_arrivals(self.bound_arrivals(model, required));
+                demand.replicas_needed(&inputs, now)
+            }
+        }
     }
 
     /// The number of routers that the loaders hear from; at least this one.
@@ -372,16 +399,17 @@
         Some(uses.collect())
     }
 
-    /// The time until the first endpoint of a service takes requests again, if all endpoints that may get one have asked for
-    /// back-off.
+    /// The time until the first endpoint of a service with the required software takes requests again, if all endpoints that may
+    /// get one have asked for back-off.
     pub(crate) fn service_backoff(
         &self,
         service: &ServiceName,
+        required: Option<RequiredSoftware<'_>>,
         tried: &[EndpointId],
         now: Instant,
     ) -> Option<Duration> {
         let all = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
-        let accepting = all.filter(|tracked| tracked.accepts_work());
+        let accepting = all.filter(|tracked| tracked.accepts_work() && tracked.meets(required));
         let mut first = None;
         for tracked in accepting {
             match tracked.pause_left(now) {
@@ -393,12 +421,19 @@
         first
     }
 
-    /// The time until the first replica of a model that has asked for back-off takes requests again.
-    pub(crate) fn replica_backoff(&self, model: &ModelName, now: Instant) -> Option<Duration> {
+    /// The time until the first replica of a model that has asked for back-off takes requests again; of those with the required
+    /// software, if any is required.
+    pub(crate) fn replica_backoff(
+        &self,
+        model: &ModelName,
+        required: Option<RequiredSoftware<'_>>,
+        now: Instant,
+    ) -> Option<Duration> {
         let holds = |tracked: &&TrackedEndpoint| {
             tracked.holdings(now).is_some_and(|held| held.holds(model))
         };
-        let accepting = self.map.values().filter(|tracked| tracked.accepts_work()).filter(holds);
+        let allowed = self.map.values().filter(|tracked| tracked.meets(required));
+        let accepting = allowed.filter(|tracked| tracked.accepts_work()).filter(holds);
         accepting.filter_map(|tracked| tracked.backoff_left(now)).min()
     }
 
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -8,13 +8,14 @@
 use http::{HeaderMap, StatusCode};
 use quarantine::Fingerprint;
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, ModelName, Rate, SoftwareVersion};
+use units::{EndpointId, EndpointIncarnation, Rate, SoftwareVersion};
 
 use crate::endpoint::TrackedEndpoint;
 use crate::pool::ConnectionPool;
 use crate::registry::EndpointTable;
 use crate::sent_requests::{RunEnd, SentRequestId};
 use crate::shared::Shared;
+use crate::software::WaitingFor;
 use crate::speeds::{self, StreamMeter};
 use crate::wait_queue::QueuePlace;
 
@@ -252,24 +253,18 @@
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
     shared: Arc<Shared>,
-    model: ModelName,
+    target: WaitingFor,
 }
 
 impl WaitingRequest {
-    pub(crate) fn new(shared: &Arc<Shared>, target: &ModelId) -> Self {
-        *shared.endpoints.lock().waiting.entry(target.model.clone()).or_default() += 1;
-        Self { shared: shared.clone(), model: target.model.clone() }
+    pub(crate) fn new(shared: &Arc<Shared>, target: WaitingFor) -> Self {
+        shared.endpoints.lock().begin_waiting(&target, Instant::now());
+        Self { shared: shared.clone(), target }
     }
 }
 
 impl Drop for WaitingRequest {
     fn drop(&mut self) {
-        let mut table = self.shared.endpoints.lock();
-        if let Some(count) = table.waiting.get_mut(&self.model) {
-            *count -= 1;
-            if *count == 0 {
-                table.waiting.remove(&self.model);
-            }
-        }
+        self.shared.endpoints.lock().end_waiting(&self.target);
     }
 }
--- a/components/router/src/wait_queue.rs
+++ b/components/router/src/wait_queue.rs
@@ -14,19 +14,37 @@
 use quarantine::Digest;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use units::ServiceName;
+use units::{ServiceName, SoftwareVersion};
 use waiting::{Departure, Entered, Entry, Queues, Rejected, Removed, TicketId};
 
 use crate::choose::ReserveError;
 use crate::queued::Waiter;
 use crate::reservation::{Reservation, WaitingRequest};
 use crate::shared::Shared;
+use crate::software::{RequiredSoftware, WaitingFor};
 
-/// The requests of one service for one model.
+/// The requests of one service for one model. Those that only one version of the software may serve have a queue of their own
+/// while other versions serve: they keep no other request waiting, and none keeps them waiting for an endpoint that it can't use.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct QueueKey {
     pub(crate) service: ServiceName,
     pub(crate) model: ModelId,
+    /// The version of the software that the endpoint must run, if not any endpoint may serve the requests.
+    pub(crate) software: Option<SoftwareVersion>,
+}
+
+impl QueueKey {
+    /// What the requests of the queue wait for.
+    fn waiting_for(&self) -> WaitingFor {
+        let required = self.software.as_ref();
+        let required = required.map(|version| RequiredSoftware { service: &self.service, version });
+        WaitingFor::new(&self.model.model, required)
+    }
+
+    /// Whether an endpoint with this software may serve the requests.
+    fn allows(&self, software: Option<&SoftwareVersion>) -> bool {
+        self.software.is_none() || self.software.as_ref() == software
+    }
 }
 
 /// What a request in a queue does next.
@@ -148,17 +166,19 @@
         }
     }
 
-    /// Summarizes the requests that wait for a load: those for an adapter, or those for a model and all of its adapters.
+    /// Summarizes the requests that wait for a load and that an endpoint with this software may serve: those for an adapter, or
+    /// those for a model and all of its adapters.
     pub(crate) fn summary(
         &self,
         service: &ServiceName,
+        software: Option<&SoftwareVersion>,
         target: &ModelId,
         now: Instant,
     ) -> Option<QueueSummary> {
         let chosen = |key: &QueueKey| {
             let model = key.model.model == target.model;
             let adapter = target.adapter.is_none() || key.model.adapter == target.adapter;
-            key.service == *service && model && adapter
+            key.service == *service && key.allows(software) && model && adapter
         };
         self.lock().queues.summary(chosen, now).map(summary_message)
     }
@@ -209,13 +229,18 @@
             }
             state.enter(entry, ready_in, now)?
         };
-        let waiting = WaitingRequest::new(shared, &key.model);
+        let waiting = WaitingRequest::new(shared, key.waiting_for());
         let (shared, departure) = (shared.clone(), Departure::Lost);
         let id = entered.id;
         let place = Self { shared, key, id, turn, entered_at: now, departure, _waiting: waiting };
         Ok((place, entered))
     }
 
+    /// The queue.
+    pub(crate) fn key(&self) -> &QueueKey {
+        &self.key
+    }
+
     /// What the request does next.
     pub(crate) fn turn(&mut self) -> Turn {
         *self.turn.borrow_and_update()
@@ -281,6 +306,7 @@
     let queues = state.queues.report(now).into_iter().map(|queue| QueueReport {
         service: queue.key.service,
         model: queue.key.model,
+        software: queue.key.software,
         summary: summary_message(queue.summary),
         expect_ms: millis(queue.expected),
         per_s: queue.rate,
--- a/components/router/src/wait_queue/tests.rs
+++ b/components/router/src/wait_queue/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of what the requests of a queue are told.
 
+use rstest::rstest;
 use waiting::{Arrival, RejectionCause};
 
 use super::*;
+use crate::software::fixture::version;
 
 /// A state with three requests in one queue, by deadline.
 struct Fixture {
@@ -15,7 +17,7 @@
 impl Fixture {
     fn new() -> Self {
         let (service, model) = ("llm".parse().expect("a name"), "m".parse().expect("a model"));
-        let key = QueueKey { service, model };
+        let key = QueueKey { service, model, software: None };
         let mut fixture =
             Self { state: State::default(), key, now: Instant::now(), requests: Vec::new() };
         for index in 0..3 {
@@ -87,6 +89,40 @@
     assert_eq!(turns[2], Turn::Search);
 }
 
+/// Begun streams of one version would keep requests waiting that another version could serve, or be kept waiting by these.
+#[test]
+fn requests_that_one_version_may_serve_and_others_do_not_wait_for_each_other() {
+    let mut test = Fixture::new();
+    test.key.software = Some(version("v1"));
+    test.enter(3);
+    test.enter(4);
+    let search = [Turn::Search, Turn::Wait];
+    assert_eq!(test.turns(), [&search[..], &[Turn::Wait], &search].concat());
+    let rejected = test.state.queues.review(&test.key, Duration::from_millis(8_500), test.now);
+    assert_eq!(rejected.len(), 1, "the time until the model is ready is that of one version");
+    assert_eq!(test.turns()[..2], search);
+}
+
+/// Loaders would make room for requests that their endpoints can't serve, or not know of those that they can.
+#[rstest]
+#[case::of_their_version(Some("v1"), 5)]
+#[case::of_another_version(Some("v2"), 3)]
+#[case::of_an_unknown_version(None, 3)]
+fn a_loader_hears_of_the_requests_that_its_endpoint_may_serve(
+    #[case] software: Option<&str>,
+    #[case] waiting: u32,
+) {
+    let mut test = Fixture::new();
+    test.key.software = Some(version("v1"));
+    test.enter(3);
+    test.enter(4);
+    let (service, target) = (test.key.service.clone(), test.key.model.clone());
+    let queues = WaitQueues { state: Mutex::new(test.state) };
+    let software = software.map(version);
+    let summary = queues.summary(&service, software.as_ref(), &target, test.now);
+    assert_eq!(summary.expect("requests wait").waiting, waiting);
+}
+
 /// Requests of a stopping router would wait until their deadline.
 #[test]
 fn a_stop_is_told_to_all_requests_whose_turn_is_not_near() {
--- a/src/cmd/waiting.rs
+++ b/src/cmd/waiting.rs
@@ -34,8 +34,12 @@
 }
 
 fn show_queue(queue: &QueueReport, out: &mut dyn Write) -> std::io::Result<()> {
-    let QueueReport { service, model, summary, expect_ms, per_s } = queue;
-    write!(out, "  {service} {model}: {} waiting, ", summary.waiting)?;
+    let QueueReport { service, model, software, summary, expect_ms, per_s } = queue;
+    write!(out, "  {service} {model}")?;
+    if let Some(software) = software {
+        write!(out, " at version {software}")?;
+    }
+    write!(out, ": {} waiting, ", summary.waiting)?;
     write!(out, "the oldest for {} ms, ", summary.oldest.as_millis())?;
     write!(out, "expected wait {expect_ms} ms, ")?;
     match per_s {
