Router: a begun stream isn't sent to an endpoint that changed its version after the choice

Cause: a request may wait for the grant of a rate limit after its endpoint was chosen. If entries carry no incarnation, an endpoint that restarts with other software keeps its connections in the table, and the request was sent there.

Change: the reservation remembers the version that it needs, and is no longer open if the entry shows another one. The pause of loaders, the back-off and the alternative for a request are decided on a table, so that tests reach them.

--- a/components/router/src/balance/tests.rs
+++ b/components/router/src/balance/tests.rs
@@ -6,6 +6,7 @@
 use units::Revision;
 
 use super::*;
+use crate::software::fixture::Versions;
 
 fn name(text: &str) -> ModelName {
     text.parse().expect("a name")
@@ -76,3 +77,16 @@
     let waiting = crate::registry::NO_WAITING_REQUESTS;
     assert_eq!(table.replicas_needed(&name("a"), None, 16, waiting, false), 1);
 }
+
+/// Hundreds of streams of one version that are taken up again at the same time would all go to the replica that ranks first.
+#[tokio::test(start_paused = true)]
+async fn arrivals_that_only_one_version_may_serve_count_for_the_choice_of_its_replica() {
+    let mut test = Versions::new(&["v1", "v2"]);
+    let (service, version) = (test.service.clone(), test.wanted.clone());
+    let required = Some(RequiredSoftware { service: &service, version: &version });
+    for _ in 0..9 {
+        test.table.record_arrival(&name("a"), required, 100, test.now);
+    }
+    assert_eq!(test.table.total_request_rate(&name("a"), required, test.now), 9.0);
+    assert_eq!(test.table.total_request_rate(&name("a"), None, test.now), 0.0);
+}
--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -287,8 +287,7 @@
         }
         Plan::Other(result) => return result,
     };
-    let reservation =
-        Reservation::new(shared, &mut table, id, needs.model, times, needs.isolated, now);
+    let reservation = Reservation::new(shared, &mut table, id, needs, times, now);
     drop(table);
     if let Some(load) = extra_load {
         let request = load.request(true, load.duration + CALLER_RETURN_TIME);
@@ -341,7 +340,7 @@
             now,
         ));
     }
-    if let Some(left) = table.service_backoff(needs.service, required, needs.excluded, now) {
+    if let Some(left) = backoff(table, needs, now) {
         return Plan::Other(SearchResult::Paused(left));
     }
     if let Some(required) = required.filter(|_| !any_accepts)
@@ -466,8 +465,11 @@
 }
 
 /// The time until the first loader that refused to load a model may be asked again.
-pub(crate) fn loader_pause(shared: &Shared, needs: &RequestNeeds<'_>, now: Instant) -> Duration {
-    let table = shared.endpoints.lock();
+pub(crate) fn loader_pause(
+    table: &EndpointTable,
+    needs: &RequestNeeds<'_>,
+    now: Instant,
+) -> Duration {
     let own = table.map.values().filter(|tracked| needs.may_use(tracked));
     let same = |id: &ModelId| needs.model.is_some_and(|model| model.model == id.model);
     let refusals = own.flat_map(|tracked| &tracked.refused_until).filter(|(id, _)| same(id));
@@ -478,8 +480,11 @@
 /// If all endpoints that may serve a request have asked for a pause: the time until the first of
 /// these pauses ends.
 pub(crate) fn retry_after(shared: &Arc<Shared>, needs: &RequestNeeds<'_>) -> Option<Duration> {
-    let (required, now) = (needs.required_software(), Instant::now());
-    shared.endpoints.lock().service_backoff(needs.service, required, needs.excluded, now)
+    backoff(&shared.endpoints.lock(), needs, Instant::now())
+}
+
+fn backoff(table: &EndpointTable, needs: &RequestNeeds<'_>, now: Instant) -> Option<Duration> {
+    table.service_backoff(needs.service, needs.required_software(), needs.excluded, now)
 }
 
 /// Whether an endpoint that is not in `needs.excluded` is expected to send the first event within
@@ -489,17 +494,28 @@
     needs: &RequestNeeds<'_>,
     within: Duration,
 ) -> bool {
-    let now = Instant::now();
     let mut table = shared.endpoints.lock();
-    let prefill_time = needs.prefill_time(&mut table);
+    let first_event = alternative(&mut table, needs, &shared.domain, Instant::now());
+    first_event.is_some_and(|first_event| first_event < within)
+}
+
+/// How long an endpoint that is not in `needs.excluded` is expected to take for the first event.
+fn alternative(
+    table: &mut EndpointTable,
+    needs: &RequestNeeds<'_>,
+    local: &Domain,
+    now: Instant,
+) -> Option<Duration> {
+    let prefill_time = needs.prefill_time(table);
+    let table = &*table;
     let usable = |tracked: &&TrackedEndpoint| {
         let id = &tracked.endpoint.id;
         needs.may_use(tracked) && tracked.usable(now) && !needs.excluded.contains(id)
     };
     let candidates: Vec<_> =
         table.map.values().filter(usable).map(|tracked| tracked.candidate(false, now)).collect();
-    balance::choose_endpoint(&table, &candidates, needs, prefill_time, &shared.domain)
-        .is_some_and(|chosen| chosen.first_event < within)
+    let chosen = balance::choose_endpoint(table, &candidates, needs, prefill_time, local);
+    chosen.map(|chosen| chosen.first_event)
 }
 
 /// The time until another replica is loaded, if the request would miss its target at the present
--- a/components/router/src/choose/tests.rs
+++ b/components/router/src/choose/tests.rs
@@ -267,3 +267,47 @@
         assert_eq!(test.plan(true), test.plan(false), "a replica that is paused");
     }
 }
+
+/// A stream would leave its endpoint for one that it can't go to.
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_of_another_version_is_no_alternative() {
+    let mut test = Versions::new(&["v1", "v2"]);
+    test.hold("i-1", "a");
+    let mut find = |begun| {
+        let mut table = std::mem::take(&mut test.table);
+        let local = "near".parse().expect("a domain");
+        let found = alternative(&mut table, &test.needs(begun), &local, test.now);
+        test.table = table;
+        found
+    };
+    assert!(find(false).is_some());
+    assert_eq!(find(true), None);
+}
+
+/// A caller would be told to come back when a loader may be asked that can't load for it, or at once while its own can't be asked.
+#[rstest]
+#[case::of_the_version("i-0", PAUSE)]
+#[case::of_another_version("i-1", Duration::ZERO)]
+#[tokio::test(start_paused = true)]
+async fn only_loaders_of_the_version_that_refused_are_waited_for(
+    #[case] endpoint: &str,
+    #[case] expected: Duration,
+) {
+    let mut test = Versions::new(&["v1", "v2"]);
+    let (model, until) = (test.model.clone(), test.now + PAUSE);
+    test.endpoint(endpoint).refused_until.insert(model, until);
+    assert_eq!(loader_pause(&test.table, &test.needs(true), test.now), expected);
+    assert_eq!(loader_pause(&test.table, &test.needs(false), test.now), PAUSE);
+}
+
+/// The replicas that the requests of another version need would be loaded at this one.
+#[tokio::test(start_paused = true)]
+async fn no_further_replica_is_loaded_for_what_runs_at_another_version() {
+    let mut test = Versions::new(&["v1", "v1", "v2"]);
+    test.hold("i-0", "a");
+    test.copy("i-1", "a");
+    let usage = crate::endpoint::Usage { begun: 0, running: 30 };
+    test.endpoint("i-2").uses.insert(name("a"), usage);
+    assert_eq!(test.plan(false), "send to i-0, load at i-1");
+    assert_eq!(test.plan(true), "send to i-0");
+}
--- a/components/router/src/queued.rs
+++ b/components/router/src/queued.rs
@@ -149,7 +149,9 @@
             (first.unwrap_or(Duration::ZERO), loads, false)
         }
         SearchResult::NoLoader(ready_in) => {
-            (ready_in + choose::loader_pause(shared, needs, Instant::now()), Vec::new(), false)
+            let now = Instant::now();
+            let loader_pause = choose::loader_pause(&shared.endpoints.lock(), needs, now);
+            (ready_in + loader_pause, Vec::new(), false)
         }
         SearchResult::Wait(ready_in) => (ready_in, Vec::new(), false),
         SearchResult::Paused(left) => return Err(ReserveError::NoEndpoint(left)),
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, Rate, SoftwareVersion};
 
+use crate::choose::RequestNeeds;
 use crate::endpoint::TrackedEndpoint;
 use crate::pool::ConnectionPool;
 use crate::registry::EndpointTable;
@@ -28,6 +29,8 @@
     pub(crate) incarnation: Option<EndpointIncarnation>,
     /// The version of the software that this incarnation runs, if it is known.
     pub(crate) software: Option<SoftwareVersion>,
+    /// The version that it must run, if the request continues a stream.
+    required: Option<SoftwareVersion>,
     pub(crate) pool: Arc<ConnectionPool>,
     /// Requests of this router at the endpoint, this one included.
     pub(crate) running: u32,
@@ -65,11 +68,11 @@
         shared: &Arc<Shared>,
         table: &mut EndpointTable,
         id: EndpointId,
-        model: Option<&ModelId>,
+        needs: &RequestNeeds<'_>,
         (prefill_time, expected): (Duration, Duration),
-        isolated: bool,
         now: Instant,
     ) -> Option<Self> {
+        let RequestNeeds { model, isolated, software: required, .. } = *needs;
         let tracked = table.map.get_mut(&id)?;
         tracked.pool.sent_requests().isolated += u32::from(isolated);
         let rate_limit = tracked.rate_limit(now);
@@ -89,6 +92,7 @@
             id,
             incarnation: tracked.endpoint.incarnation,
             software: tracked.endpoint.software.clone(),
+            required: required.cloned(),
             pool: tracked.pool.clone(),
             running: tracked.running,
             age: now - heard,
@@ -112,15 +116,13 @@
         self.software.as_ref().map_or("", |software| software.as_str())
     }
 
-    /// Whether the endpoint still accepts requests, in the incarnation in which the reservation
+    /// Whether the endpoint still accepts the request, in the incarnation in which the reservation
     /// was made.
     pub(crate) fn is_open(&self) -> bool {
         let table = self.shared.endpoints.lock();
         let tracked =
             table.map.get(&self.id).filter(|tracked| Arc::ptr_eq(&tracked.pool, &self.pool));
-        tracked.is_some_and(|tracked| {
-            tracked.accepts_work() && tracked.backoff_left(Instant::now()).is_none()
-        })
+        tracked.is_some_and(|tracked| tracked.is_open_for(self.required.as_ref(), Instant::now()))
     }
 
     /// Lets the next request in the queue search, if the request waited in one.
@@ -249,6 +251,16 @@
     }
 }
 
+impl TrackedEndpoint {
+    /// Whether a request may still be sent that was to go to the endpoint. Entries without an incarnation may show that it runs
+    /// other software than at the choice.
+    fn is_open_for(&self, required: Option<&SoftwareVersion>, now: Instant) -> bool {
+        self.accepts_work()
+            && self.backoff_left(now).is_none()
+            && (required.is_none() || self.endpoint.software.as_ref() == required)
+    }
+}
+
 /// Counts a request that waits for a model, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
@@ -268,3 +280,6 @@
         self.shared.endpoints.lock().end_waiting(&self.target);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/router/src/software/tests.rs
+++ b/components/router/src/software/tests.rs
@@ -78,6 +78,15 @@
     assert_eq!(test.rate_at("i-0", true), 8.0);
 }
 
+/// Models of another service that has endpoints with an equally named version would pass for those of this one.
+#[tokio::test(start_paused = true)]
+async fn endpoints_of_another_service_do_not_meet_the_condition() {
+    let mut test = Versions::new(&["v1", "v2"]);
+    test.add("a-1", "other", "v1");
+    test.ask("a-1", "a");
+    assert_eq!(test.table.pending_cold_load(&name("a"), test.required()), None);
+}
+
 /// Callers of a service with one version would notice the condition.
 #[tokio::test(start_paused = true)]
 async fn a_version_that_all_endpoints_run_is_no_condition() {
