--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -26,7 +26,7 @@
 use crate::reservation::Reservation;
 use crate::send_log::SendLog;
 use crate::shared::Shared;
-use crate::software::StreamVersion;
+use crate::stream_version::StreamVersion;
 
 /// How often a request that has not run is sent at most, after refusals by full endpoints and
 /// closed connections.
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -47,6 +47,7 @@
 mod software;
 mod speeds;
 mod stream;
+mod stream_version;
 mod topic_source;
 mod wait_queue;
 
--- a/components/router/src/reservation.rs
+++ b/components/router/src/reservation.rs
@@ -8,13 +8,15 @@
 use http::{HeaderMap, StatusCode};
 use quarantine::Fingerprint;
 use tokio::time::Instant;
-use units::{EndpointId, EndpointIncarnation, ModelName, Rate, SoftwareVersion};
+use units::{EndpointId, EndpointIncarnation, Rate, SoftwareVersion};
 
+use crate::choose::RequestNeeds;
 use crate::endpoint::TrackedEndpoint;
 use crate::pool::ConnectionPool;
 use crate::registry::EndpointTable;
 use crate::sent_requests::{RunEnd, SentRequestId};
 use crate::shared::Shared;
+use crate::software::WaitingFor;
 use crate::speeds::{self, StreamMeter};
 use crate::wait_queue::QueuePlace;
 
@@ -27,6 +29,8 @@
     pub(crate) incarnation: Option<EndpointIncarnation>,
     /// The version of the software that the list named when the reservation was made.
     listed_software: Option<SoftwareVersion>,
+    /// The version that it must run, if the request continues a stream.
+    required: Option<SoftwareVersion>,
     pub(crate) pool: Arc<ConnectionPool>,
     /// Requests of this router at the endpoint, this one included.
     pub(crate) running: u32,
@@ -64,11 +68,11 @@
         shared: &Arc<Shared>,
         table: &mut EndpointTable,
         id: EndpointId,
-        model: Option<&ModelId>,
+        needs: &RequestNeeds<'_>,
         (prefill_time, expected): (Duration, Duration),
-        isolated: bool,
         now: Instant,
     ) -> Option<Self> {
+        let RequestNeeds { model, isolated, software: required, .. } = *needs;
         let tracked = table.map.get_mut(&id)?;
         tracked.pool.sent_requests().isolated += u32::from(isolated);
         let rate_limit = tracked.rate_limit(now);
@@ -88,6 +92,7 @@
             id,
             incarnation: tracked.endpoint.incarnation,
             listed_software: tracked.endpoint.software.clone(),
+            required: required.cloned(),
             pool: tracked.pool.clone(),
             running: tracked.running,
             age: now - heard,
@@ -125,15 +130,13 @@
         }
     }
 
-    /// Whether the endpoint still accepts requests, in the incarnation in which the reservation
+    /// Whether the endpoint still accepts the request, in the incarnation in which the reservation
     /// was made.
     pub(crate) fn is_open(&self) -> bool {
         let table = self.shared.endpoints.lock();
         let tracked =
             table.map.get(&self.id).filter(|tracked| Arc::ptr_eq(&tracked.pool, &self.pool));
-        tracked.is_some_and(|tracked| {
-            tracked.accepts_work() && tracked.backoff_left(Instant::now()).is_none()
-        })
+        tracked.is_some_and(|tracked| tracked.is_open_for(self.required.as_ref(), Instant::now()))
     }
 
     /// Lets the next request in the queue search, if the request waited in one.
@@ -262,28 +265,35 @@
     }
 }
 
+impl TrackedEndpoint {
+    /// Whether a request may still be sent that was to go to the endpoint. Entries without an incarnation may show that it runs
+    /// other software than at the choice.
+    fn is_open_for(&self, required: Option<&SoftwareVersion>, now: Instant) -> bool {
+        self.accepts_work()
+            && self.backoff_left(now).is_none()
+            && (required.is_none() || self.endpoint.software.as_ref() == required)
+    }
+}
+
 /// Counts a request that waits for a model, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
     shared: Arc<Shared>,
-    model: ModelName,
+    target: WaitingFor,
 }
 
 impl WaitingRequest {
-    pub(crate) fn new(shared: &Arc<Shared>, target: &ModelId) -> Self {
-        *shared.endpoints.lock().waiting.entry(target.model.clone()).or_default() += 1;
-        Self { shared: shared.clone(), model: target.model.clone() }
+    pub(crate) fn new(shared: &Arc<Shared>, target: WaitingFor) -> Self {
+        shared.endpoints.lock().begin_waiting(&target, Instant::now());
+        Self { shared: shared.clone(), target }
     }
 }
 
 impl Drop for WaitingRequest {
     fn drop(&mut self) {
-        let mut table = self.shared.endpoints.lock();
-        if let Some(count) = table.waiting.get_mut(&self.model) {
-            *count -= 1;
-            if *count == 0 {
-                table.waiting.remove(&self.model);
-            }
-        }
+        self.shared.endpoints.lock().end_waiting(&self.target);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -18,7 +18,7 @@
 use crate::in_flight::Failure;
 use crate::origins::{self, Answers};
 use crate::shared::Shared;
-use crate::software::StreamVersion;
+use crate::stream_version::StreamVersion;
 
 /// The timeout of asking an endpoint for its incarnation, which it answers without waiting for a slot.
 pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
