--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -23,7 +23,8 @@
     pub has_events: bool,
     /// What the router itself knows of the stream.
     pub own: Lookup,
-    /// The number of keepers that were asked. It is 0 if the caller does not name the stream.
+    /// The number of keepers that were asked, without those that refused the connection: these do not run and know nothing. It is 0
+    /// if the caller does not name the stream.
     pub asked: usize,
     /// The answers of the keepers that answered.
     pub answers: Vec<KeeperAnswer>,
--- a/components/origin/src/keepers.rs
+++ b/components/origin/src/keepers.rs
@@ -94,9 +94,11 @@
     pub keepers: Vec<usize>,
 }
 
-/// What must be told again once the keepers are those of `after`. `before` are the keepers at the last call.
+/// What must be told again, so that `count` keepers know each stream, once the keepers are those of `after`. `before` are the
+/// keepers at the last call.
 pub fn retell(
     streams: &[ToldStream],
+    count: usize,
     before: &[Keeper<'_>],
     after: &[Keeper<'_>],
 ) -> Vec<Retelling> {
@@ -109,10 +111,10 @@
         .collect();
     let mut retellings = Vec::new();
     for (stream, told) in streams.iter().enumerate() {
-        if !may_move(told, &improved, &new) {
+        if !may_move(told, count, &improved, &new) {
             continue;
         }
-        let ranked = rank_keepers(told.key, after, TOLD_KEEPERS);
+        let ranked = rank_keepers(told.key, after, count);
         let untold = |index: &usize| !told.told.contains(after[*index].endpoint);
         let keepers: Vec<usize> = ranked.into_iter().filter(untold).collect();
         if !keepers.is_empty() {
@@ -125,6 +127,7 @@
 /// Whether the keepers of a stream may have changed, without ranking all of them.
 fn may_move(
     stream: &ToldStream,
+    count: usize,
     improved: &[&Keeper<'_>],
     new: &HashMap<&EndpointId, &Keeper<'_>>,
 ) -> bool {
@@ -133,7 +136,7 @@
     serving.sort_by_key(|keeper| rank(stream.key, keeper));
     let mut domains = HashSet::new();
     serving.retain(|keeper| domains.insert(keeper.domain));
-    let Some(worst) = serving.get(TOLD_KEEPERS - 1) else { return true };
+    let Some(worst) = count.checked_sub(1).and_then(|last| serving.get(last)) else { return true };
     let worst = rank(stream.key, worst);
     improved.iter().any(|keeper| rank(stream.key, keeper) < worst)
 }
--- a/components/origin/src/keepers/tests.rs
+++ b/components/origin/src/keepers/tests.rs
@@ -87,7 +87,7 @@
         let chosen = rank_keepers(key, &old, TOLD_KEEPERS);
         let mut told: Vec<_> = ids(&chosen, &old).into_iter().cloned().collect();
         let streams = [ToldStream { key, told: told.clone() }];
-        for retelling in retell(&streams, &old, &new) {
+        for retelling in retell(&streams, TOLD_KEEPERS, &old, &new) {
             prop_assert_eq!(retelling.stream, 0);
             told.extend(ids(&retelling.keepers, &new).into_iter().cloned());
         }
@@ -160,9 +160,9 @@
             ToldStream { key: key(number), told }
         })
         .collect();
-    assert_eq!(retell(&streams, &keepers, &keepers), Vec::new());
+    assert_eq!(retell(&streams, TOLD_KEEPERS, &keepers, &keepers), Vec::new());
     let one_less = &keepers[1..];
-    let moved = retell(&streams, &keepers, one_less);
+    let moved = retell(&streams, TOLD_KEEPERS, &keepers, one_less);
     assert!(moved.iter().all(|moved| moved.keepers.len() == 1));
     assert!(moved.len() < 30, "{}", moved.len());
 }
--- /dev/null
+++ b/components/origin/tests/versions.rs
@@ -0,0 +1,125 @@
+//! Simulates routers that lead streams on while the versions of a service change, and routers, endpoints and keepers fail.
+//!
+//! `VERSIONS_SEEDS=50 VERSIONS_FLEET=1 cargo test --release -p origin --test versions -- --nocapture` plays more seeds, also with
+//! 370 routers, and prints figures. `VERSIONS_COMPARE=1` plays the other ways on the same days.
+
+mod versions {
+    mod plan;
+    mod play;
+    mod view;
+    mod ways;
+    mod world;
+
+    pub(crate) use plan::{Faults, Plan, Release, Report, Way};
+    pub(crate) use play::play;
+}
+
+use rstest::rstest;
+use versions::{Faults, Plan, Release, Report, Way, play};
+
+/// The number of seeds of each case, unless `VERSIONS_SEEDS` is set.
+const DEFAULT_SEEDS: u64 = 2;
+/// The least relative share of resumptions that go on while nothing fails.
+const CALM_SHARE: f64 = 0.9;
+/// The same through the faults.
+const FAULT_SHARE: f64 = 0.7;
+
+fn seeds() -> u64 {
+    let count = std::env::var("VERSIONS_SEEDS").ok().and_then(|text| text.parse().ok());
+    count.unwrap_or(DEFAULT_SEEDS)
+}
+
+fn sizes() -> Vec<usize> {
+    match std::env::var("VERSIONS_FLEET") {
+        Ok(_) => vec![3, 31, 370],
+        Err(_) => vec![3, 31],
+    }
+}
+
+/// Plays all seeds of a plan, and prints their figures.
+fn run(plan: Plan) -> Vec<Report> {
+    let count = if plan.routers > 100 { seeds().div_ceil(10) } else { seeds() };
+    let reports: Vec<Report> = (0..count).map(|seed| play(plan, seed)).collect();
+    let mut sum = Report::default();
+    reports.iter().for_each(|report| sum.add(report));
+    let worst = reports.iter().map(Report::relative_share).fold(f64::INFINITY, f64::min);
+    let seconds = plan.length.as_secs_f64();
+    #[allow(clippy::cast_precision_loss, reason = "small")]
+    let (bytes, most) = (sum.bytes as f64, sum.router_bytes as f64);
+    let runs = f64::from(u32::try_from(count.max(1)).expect("few seeds"));
+    let nodes = f64::from(u32::try_from(plan.routers).expect("few routers"));
+    println!(
+        "{:?} {:?} {} {:3} routers, {count} seeds: mixed {}, begin {:.3} of {}, go on {:.3} of {} (relative {:.3}, worst seed {worst:.3}), \
+         moves {}, bytes/s and router {:.0} (most {:.0}), records {} and {}; {:?}",
+        plan.way,
+        plan.release,
+        if plan.faults == Faults::CALM { "calm" } else { "faults" },
+        plan.routers,
+        sum.mixed,
+        sum.begin_share(),
+        sum.new,
+        f64::from(sum.gone_on) / f64::from(sum.taken_up.max(1)),
+        sum.taken_up,
+        sum.relative_share(),
+        sum.moves,
+        bytes / seconds / runs / nodes,
+        most / seconds,
+        sum.router_records,
+        sum.loader_records,
+        sum.doubts,
+    );
+    reports
+}
+
+#[rstest]
+fn streams_stay_at_their_version(
+    #[values(
+        Release::None,
+        Release::Two,
+        Release::Replace,
+        Release::Rollback,
+        Release::Three,
+        Release::InPlace
+    )]
+    release: Release,
+    #[values(Faults::CALM, Faults::ALL)] faults: Faults,
+) {
+    let least = if faults == Faults::CALM { CALM_SHARE } else { FAULT_SHARE };
+    for routers in sizes() {
+        let reports = run(Plan::new(Way::Keepers, release, faults, routers));
+        let mixed: Vec<u32> = reports.iter().map(|report| report.mixed).collect();
+        assert!(mixed.iter().all(|mixed| *mixed == 0), "mixed streams by seed: {mixed:?}");
+        let mut sum = Report::default();
+        reports.iter().for_each(|report| sum.add(report));
+        assert!(sum.taken_up >= 12, "{sum:?}");
+        assert!(sum.relative_share() >= least, "{:.3}: {sum:?}", sum.relative_share());
+    }
+}
+
+#[test]
+fn streams_of_one_version_go_on_after_a_loss_of_power() {
+    for report in run(Plan::new(Way::Keepers, Release::None, Faults::POWER, 31)) {
+        assert_eq!(report.mixed, 0);
+        assert!(report.relative_share() >= CALM_SHARE, "{report:?}");
+    }
+}
+
+/// Prints the figures of the other ways.
+#[test]
+fn other_ways_are_compared_on_the_same_days() {
+    if std::env::var("VERSIONS_COMPARE").is_err() {
+        return;
+    }
+    for routers in sizes() {
+        for release in [Release::Two, Release::Replace, Release::Rollback, Release::InPlace] {
+            for faults in [Faults::CALM, Faults::ALL] {
+                for way in [Way::Keepers, Way::Derived, Way::AskRouters] {
+                    run(Plan::new(way, release, faults, routers));
+                }
+                let unsettled = Plan::new(Way::Keepers, release, faults, routers);
+                println!("new versions begin streams at once:");
+                run(Plan { settles: false, ..unsettled });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/origin/tests/versions/plan.rs
@@ -0,0 +1,170 @@
+//! What a simulation plays.
+
+use std::time::Duration;
+
+use origin::TOLD_KEEPERS;
+
+/// How routers find the version of a stream that a caller takes up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// Some loaders are told where each stream began.
+    Keepers,
+    /// The version follows from the stream's key and the versions that serve; keepers are told of streams that began elsewhere.
+    Derived,
+    /// All routers are asked.
+    AskRouters,
+}
+
+/// How the versions of the service change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Release {
+    /// One version, no change.
+    None,
+    /// Two versions side by side, no change.
+    Two,
+    /// New endpoints of a second version replace all others.
+    Replace,
+    /// Half of the endpoints are replaced, and then replaced back.
+    Rollback,
+    /// A third version comes while the second one replaces the first.
+    Three,
+    /// Endpoints restart under their ids with the second version.
+    InPlace,
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Faults {
+    /// The share of messages between routers and loaders that are lost, in percent.
+    pub(crate) lost_percent: u32,
+    /// The share that arrives up to a second late, in percent.
+    pub(crate) late_percent: u32,
+    /// Whether routers are killed, one after the other.
+    pub(crate) kills: bool,
+    /// Whether all processes of a failure domain are killed at once.
+    pub(crate) domain: bool,
+    /// Whether one router in ten is cut off from loaders, and later one in ten from the store.
+    pub(crate) cuts: bool,
+    /// Whether loaders restart and lose what they keep.
+    pub(crate) keepers: bool,
+    /// Whether endpoints crash and come back under their ids, with the same or another version.
+    pub(crate) crashes: bool,
+    /// Whether all routers and loaders restart at once.
+    pub(crate) power: bool,
+}
+
+impl Faults {
+    pub(crate) const CALM: Self = Self {
+        lost_percent: 0,
+        late_percent: 0,
+        kills: false,
+        domain: false,
+        cuts: false,
+        keepers: false,
+        crashes: false,
+        power: false,
+    };
+    pub(crate) const ALL: Self = Self {
+        lost_percent: 5,
+        late_percent: 5,
+        kills: true,
+        domain: true,
+        cuts: true,
+        keepers: true,
+        crashes: true,
+        power: false,
+    };
+    pub(crate) const POWER: Self = Self { power: true, ..Self::CALM };
+}
+
+/// The size of a simulation and what it plays.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Plan {
+    pub(crate) way: Way,
+    pub(crate) release: Release,
+    pub(crate) faults: Faults,
+    pub(crate) routers: usize,
+    pub(crate) endpoints: usize,
+    pub(crate) streams_per_s: u32,
+    pub(crate) length: Duration,
+    /// Whether a new version waits until all routers list it.
+    pub(crate) settles: bool,
+    /// How many keepers are told of a stream.
+    pub(crate) told: usize,
+}
+
+impl Plan {
+    pub(crate) fn new(way: Way, release: Release, faults: Faults, routers: usize) -> Self {
+        let (endpoints, streams_per_s) = match routers {
+            ..=3 => (12, 40),
+            4..=31 => (60, 150),
+            _ => (598, 1_400),
+        };
+        let length = Duration::from_secs(60);
+        Self {
+            way,
+            release,
+            faults,
+            routers,
+            endpoints,
+            streams_per_s,
+            length,
+            settles: true,
+            told: TOLD_KEEPERS,
+        }
+    }
+}
+
+/// What a simulation showed.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct Report {
+    /// Streams that their callers began to ask for.
+    pub(crate) new: u32,
+    /// Those whose first event reached the caller.
+    pub(crate) begun: u32,
+    /// First attempts of callers to take up a stream after a break, while two endpoints of its version serve.
+    pub(crate) taken_up: u32,
+    /// Those that went on.
+    pub(crate) gone_on: u32,
+    /// Moves to another endpoint inside an answer.
+    pub(crate) moves: u32,
+    /// Streams with events of two versions.
+    pub(crate) mixed: u32,
+    /// Refusals, by cause.
+    pub(crate) doubts: std::collections::BTreeMap<String, u32>,
+    /// Bytes of records and questions, with answers.
+    pub(crate) bytes: u64,
+    /// Bytes that the router with the most of them sent and received.
+    pub(crate) router_bytes: u64,
+    /// The most origins in the table of a router.
+    pub(crate) router_records: usize,
+    /// The most origins in the table of a loader.
+    pub(crate) loader_records: usize,
+}
+
+impl Report {
+    pub(crate) fn begin_share(&self) -> f64 {
+        f64::from(self.begun) / f64::from(self.new.max(1))
+    }
+
+    /// The share of resumptions that go on, relative to that of new streams that begin.
+    pub(crate) fn relative_share(&self) -> f64 {
+        f64::from(self.gone_on) / f64::from(self.taken_up.max(1)) / self.begin_share().max(0.001)
+    }
+
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.new += other.new;
+        self.begun += other.begun;
+        self.taken_up += other.taken_up;
+        self.gone_on += other.gone_on;
+        self.moves += other.moves;
+        self.mixed += other.mixed;
+        self.bytes += other.bytes;
+        self.router_bytes = self.router_bytes.max(other.router_bytes);
+        self.router_records = self.router_records.max(other.router_records);
+        self.loader_records = self.loader_records.max(other.loader_records);
+        for (doubt, count) in &other.doubts {
+            *self.doubts.entry(doubt.clone()).or_default() += count;
+        }
+    }
+}
--- /dev/null
+++ b/components/origin/tests/versions/ways.rs
@@ -0,0 +1,270 @@
+//! How routers tell and find the version of a stream.
+
+use std::collections::HashMap;
+
+use origin::{
+    Decision, KeeperAnswer, Lookup, MAX_ASKED, ResumptionFacts, StreamKey, ToldStream, decide,
+    rank_keepers, retell,
+};
+
+use super::plan::Way;
+use super::view::List;
+use super::world::{Event, HTTP_BYTES, KEEP, STALE_MS, World, at};
+
+/// How long a router waits for the answer to a record.
+const TELL_TIMEOUT_MS: u64 = 150;
+/// How often a record is sent to a keeper.
+const MAX_TELLS: u32 = 2;
+/// How long a keeper that does not answer is not chosen.
+const DEAD_MS: u64 = 3_000;
+/// The bytes of a question and of its answer.
+const QUESTION_BYTES: usize = 220;
+
+impl World {
+    /// Tells keepers of a stream that has just begun.
+    pub(crate) fn tell_new(&mut self, router: usize, key: StreamKey) {
+        let exception = self.plan.way == Way::Derived
+            && {
+                let origin = self.routers[router].table.get(key, at(self.now));
+                let derived = self.preferred(router, key);
+                matches!(origin, Lookup::Known(origin) if Some(self.names.version(&origin.software)) != derived)
+            };
+        if exception || self.plan.way == Way::Keepers && self.routers[router].tells {
+            self.tell(router, key);
+        }
+    }
+
+    /// Tells what must be told after a read of the list. `before` is the list before it if it has changed.
+    pub(crate) fn tell_after_read(&mut self, router: usize, before: Option<List>) {
+        if self.plan.way != Way::Keepers {
+            return;
+        }
+        let (now, names) = (self.now, self.names.clone());
+        let state = &mut self.routers[router];
+        let tells = state.view.history.versions(&names.service, at(now)).len() > 1;
+        let begins = tells && !std::mem::replace(&mut state.tells, tells);
+        let mut streams: Vec<StreamKey> = state.told.keys().copied().collect();
+        streams.sort_unstable();
+        if begins {
+            streams.into_iter().for_each(|key| self.tell(router, key));
+            return;
+        }
+        if !tells {
+            return;
+        }
+        let after = self.routers[router].keepers(&names, now);
+        let before = match before {
+            None => after.clone(),
+            Some(before) => {
+                let current = std::mem::replace(&mut self.routers[router].view.list, before);
+                let before = self.routers[router].keepers(&names, now);
+                self.routers[router].view.list = current;
+                before
+            }
+        };
+        let told = |key: &StreamKey| {
+            let told = self.routers[router].told[key].iter();
+            ToldStream { key: *key, told: told.map(|one| names.endpoints[*one].clone()).collect() }
+        };
+        let told: Vec<ToldStream> = streams.iter().map(told).collect();
+        for retelling in retell(&told, self.plan.told, &before, &after) {
+            for keeper in retelling.keepers {
+                let loader = names.endpoint(after[keeper].endpoint);
+                self.send_record(router, streams[retelling.stream], loader, 1);
+            }
+        }
+    }
+
+    /// Tells the keepers of a stream that have not acknowledged it.
+    fn tell(&mut self, router: usize, key: StreamKey) {
+        let names = self.names.clone();
+        let keepers = self.routers[router].keepers(&names, self.now);
+        for keeper in rank_keepers(key, &keepers, self.plan.told) {
+            let loader = names.endpoint(keepers[keeper].endpoint);
+            let told = self.routers[router].told.get(&key);
+            if told.is_some_and(|told| !told.contains(&loader)) {
+                self.send_record(router, key, loader, 1);
+            }
+        }
+    }
+
+    fn send_record(&mut self, router: usize, key: StreamKey, loader: usize, tries: u32) {
+        let faults = self.plan.faults;
+        let cut = self.routers[router].cut_since.is_some();
+        let lost = cut || self.percent(faults.lost_percent);
+        let late = self.percent(faults.late_percent);
+        let after = if late { self.random(200, 1_000) } else { self.random(1, 10) };
+        let after = if lost { TELL_TIMEOUT_MS } else { after };
+        let life = self.routers[router].life;
+        let record = format!(
+            r#"[{{"key":"{key}","service":"{}","software":"{}","endpoint":"{}","age":12,"keep":60000}}]"#,
+            self.names.service, self.names.versions[0], self.names.endpoints[loader],
+        );
+        self.count_bytes(router, record.len());
+        self.schedule(after, Event::Told { router, life, loader, key, tries, lost });
+    }
+
+    /// A record has reached its keeper, or the router has waited in vain.
+    pub(crate) fn told(
+        &mut self,
+        router: usize,
+        life: u32,
+        loader: usize,
+        key: StreamKey,
+        tries: u32,
+        lost: bool,
+    ) {
+        let now = at(self.now);
+        let sender = &mut self.routers[router];
+        if sender.life != life {
+            // A message of a process that has ended since may arrive, but what it held is not modelled.
+            return;
+        }
+        if !lost && self.loaders[loader].up {
+            let Lookup::Known(origin) = sender.table.get(key, now) else { return };
+            let keeper = &mut self.loaders[loader];
+            keeper.view.history.record(&origin.service, &origin.software, now);
+            keeper.table.record(key, origin, KEEP, now);
+            if let Some(told) = sender.told.get_mut(&key) {
+                told.push(loader);
+            }
+        } else if sender.up && sender.told.contains_key(&key) {
+            if tries < MAX_TELLS {
+                return self.send_record(router, key, loader, tries + 1);
+            }
+            sender.dead.insert(loader, self.now + DEAD_MS);
+            if sender.cut_since.is_none() {
+                self.tell(router, key);
+            }
+        }
+    }
+
+    fn count_bytes(&mut self, router: usize, json: usize) {
+        let bytes = u64::try_from(json).expect("a short message") + 2 * HTTP_BYTES;
+        self.report.bytes += bytes;
+        self.routers[router].bytes += bytes;
+    }
+
+    /// The version at which a new stream should begin.
+    pub(crate) fn preferred(&self, router: usize, key: StreamKey) -> Option<usize> {
+        (self.plan.way == Way::Derived).then(|| self.derive(router, key)).flatten()
+    }
+
+    /// The version that follows from a key, among those that the router's list shows.
+    fn derive(&self, router: usize, key: StreamKey) -> Option<usize> {
+        let list = &self.routers[router].view.list;
+        let serving = list.iter().filter(|entry| !entry.draining).map(|entry| entry.version);
+        let rank = |version: &usize| {
+            let salt = self.names.versions[*version].as_str().as_bytes();
+            StreamKey::new(b"version", key.to_string().as_bytes(), salt)
+        };
+        serving.max_by_key(rank)
+    }
+
+    /// The version at which a stream goes on, or none if it is refused.
+    pub(crate) fn decide(&mut self, router: usize, key: StreamKey, own: Lookup) -> Option<usize> {
+        let names = self.names.clone();
+        let (asked, answers) = match (&own, self.plan.way) {
+            (Lookup::Unknown, Way::AskRouters) => self.ask_routers(router, key),
+            (Lookup::Unknown, _) => self.ask_keepers(router, key),
+            _ => (0, Vec::new()),
+        };
+        let now = self.now;
+        let state = &self.routers[router];
+        let origins = std::iter::once(&own).chain(answers.iter().map(|answer| &answer.origin));
+        let listed = origins.filter_map(|lookup| {
+            let Lookup::Known(origin) = lookup else { return None };
+            let endpoint = names.endpoint(&origin.endpoint);
+            let hears = self.hears(router, endpoint);
+            let listed = state.view.listed(endpoint, hears, now, &names)?;
+            Some((origin.endpoint.clone(), listed))
+        });
+        let listed: HashMap<_, _> = listed.collect();
+        let services = [names.service.clone()];
+        let facts = ResumptionFacts {
+            service: &services[0],
+            allowed: &services,
+            has_events: true,
+            own,
+            asked,
+            answers,
+            listed,
+            versions: state.view.history.versions(&names.service, at(now)),
+            watched: state.view.history.watched(&names.service, at(now)),
+            has_unknown_version: false,
+            list_is_stale: now > state.view.read_at + STALE_MS,
+        };
+        match (decide(&facts), self.plan.way) {
+            (Decision::At { software, .. }, _) => Some(names.version(&software)),
+            (Decision::Nowhere(origin::Doubt::Unknown), Way::Derived) => self.derive(router, key),
+            (other, _) => {
+                *self.report.doubts.entry(format!("{other:?}")).or_default() += 1;
+                None
+            }
+        }
+    }
+
+    fn ask_keepers(&mut self, router: usize, key: StreamKey) -> (usize, Vec<KeeperAnswer>) {
+        let names = self.names.clone();
+        let keepers = self.routers[router].keepers(&names, self.now);
+        let chosen = rank_keepers(key, &keepers, MAX_ASKED);
+        let loaders = chosen.iter().map(|index| names.endpoint(keepers[*index].endpoint));
+        let loaders: Vec<usize> = loaders.collect();
+        let (mut asked, mut answers) = (0, Vec::new());
+        // The keepers that were told first, and the others if these know nothing.
+        for round in loaders.chunks(self.plan.told) {
+            for loader in round {
+                self.ask_keeper(router, key, *loader, &mut asked, &mut answers);
+            }
+            if answers.iter().any(|answer: &KeeperAnswer| answer.origin != Lookup::Unknown) {
+                break;
+            }
+        }
+        (asked, answers)
+    }
+
+    fn ask_keeper(
+        &mut self,
+        router: usize,
+        key: StreamKey,
+        loader: usize,
+        asked: &mut usize,
+        answers: &mut Vec<KeeperAnswer>,
+    ) {
+        let cut = self.routers[router].cut_since.is_some();
+        self.count_bytes(router, QUESTION_BYTES);
+        if !cut && !self.loaders[loader].up {
+            // The connection is refused.
+            return;
+        }
+        *asked += 1;
+        if cut || self.percent(2 * self.plan.faults.lost_percent) {
+            return;
+        }
+        let (keeper, names, now) = (&self.loaders[loader], &self.names, at(self.now));
+        answers.push(KeeperAnswer {
+            origin: keeper.table.get(key, now),
+            versions: keeper.view.history.versions(&names.service, now),
+            watched: keeper.view.history.watched(&names.service, now),
+        });
+    }
+
+    fn ask_routers(&mut self, router: usize, key: StreamKey) -> (usize, Vec<KeeperAnswer>) {
+        let names = self.names.clone();
+        let mut answers = Vec::new();
+        for other in (0..self.routers.len()).filter(|other| *other != router) {
+            self.count_bytes(router, QUESTION_BYTES);
+            let cut = self.routers[router].cut_since.or(self.routers[other].cut_since).is_some();
+            if cut || self.percent(2 * self.plan.faults.lost_percent) || !self.routers[other].up {
+                continue;
+            }
+            let (other, now) = (&self.routers[other], at(self.now));
+            answers.push(KeeperAnswer {
+                origin: other.table.get(key, now),
+                versions: other.view.history.versions(&names.service, now),
+                watched: other.view.history.watched(&names.service, now),
+            });
+        }
+        (self.routers.len() - 1, answers)
+    }
+}
