--- a/components/origin/src/lib.rs
+++ b/components/origin/src/lib.rs
@@ -7,6 +7,7 @@
 mod decision;
 mod keepers;
 mod key;
+mod restarts;
 mod table;
 mod versions;
 
--- /dev/null
+++ b/components/origin/src/restarts.rs
@@ -0,0 +1,86 @@
+//! Restarts of endpoints with their software, against which recorded origins are checked.
+//!
+//! Load pattern: an endpoint restarts under its id with other software. Routers whose list is older than the restart record its
+//! streams with the version before, and may tell of them after the endpoint has restarted again or left.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::{EndpointId, SoftwareVersion};
+
+use crate::{LIST_LAG, MAX_KEEP, StreamOrigin};
+
+/// The most endpoints whose restarts are remembered. The one that restarted first is dropped first.
+const MAX_ENDPOINTS: usize = 4_096;
+/// The most restarts of an endpoint that are remembered.
+const MAX_RESTARTS: usize = 8;
+/// How long a restart is remembered: as long as any origin that it may contradict.
+const RESTART_MEMORY: Duration = MAX_KEEP;
+
+/// The restarts of endpoints that one process has seen.
+#[derive(Debug, Default)]
+pub(crate) struct Restarts {
+    endpoints: HashMap<EndpointId, Vec<Restart>>,
+    /// The endpoints in the order of their restarts.
+    order: VecDeque<(Instant, EndpointId)>,
+}
+
+#[derive(Debug)]
+struct Restart {
+    since: Instant,
+    software: SoftwareVersion,
+}
+
+impl Restarts {
+    /// Remembers that an incarnation of an endpoint, first seen at `since`, runs this software.
+    pub(crate) fn record(
+        &mut self,
+        endpoint: &EndpointId,
+        software: &SoftwareVersion,
+        since: Instant,
+        now: Instant,
+    ) {
+        self.drop_old(now);
+        let restarts = self.endpoints.entry(endpoint.clone()).or_default();
+        if restarts.iter().any(|known| known.since == since) {
+            return;
+        }
+        let place = restarts.partition_point(|known| known.since < since);
+        restarts.insert(place, Restart { since, software: software.clone() });
+        if restarts.len() > MAX_RESTARTS {
+            restarts.remove(0);
+        }
+        self.order.push_back((now, endpoint.clone()));
+    }
+
+    /// Whether the endpoint may have run other software when the stream began.
+    pub(crate) fn contradict(&self, origin: &StreamOrigin) -> bool {
+        let mut restarts = self.endpoints.get(&origin.endpoint).into_iter().flatten();
+        let last = restarts.rfind(|restart| restart.since < origin.begun + LIST_LAG);
+        last.is_some_and(|restart| restart.software != origin.software)
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        let limit = MAX_ENDPOINTS;
+        while let Some((at, endpoint)) = self.order.front() {
+            let old = now.saturating_duration_since(*at) >= RESTART_MEMORY;
+            if !old && self.order.len() < limit {
+                return;
+            }
+            let endpoint = endpoint.clone();
+            self.order.pop_front();
+            if let Some(restarts) = self.endpoints.get_mut(&endpoint) {
+                if !restarts.is_empty() {
+                    restarts.remove(0);
+                }
+                if restarts.is_empty() {
+                    self.endpoints.remove(&endpoint);
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/origin/src/restarts/tests.rs
@@ -0,0 +1,58 @@
+use rstest::rstest;
+
+use super::*;
+
+fn endpoint(text: &str) -> EndpointId {
+    text.parse().expect("an endpoint id")
+}
+
+fn version(text: &str) -> SoftwareVersion {
+    text.parse().expect("a version")
+}
+
+fn origin(software: &str, begun: Instant) -> StreamOrigin {
+    StreamOrigin {
+        service: "s".parse().expect("a service name"),
+        software: version(software),
+        endpoint: endpoint("e-1"),
+        begun,
+    }
+}
+
+/// The endpoint ran v1, and restarted with v2 at 10 s and with v1 at 30 s.
+#[rstest]
+#[case::long_before_the_restart("v1", 5, false)]
+#[case::recorded_by_an_older_list("v1", 11, true)]
+#[case::shortly_before_it_was_seen("v1", 9, true)]
+#[case::with_the_new_software("v2", 11, false)]
+#[case::after_the_second_restart("v1", 31, false)]
+#[case::recorded_before_the_second_restart_was_listed("v2", 31, true)]
+fn an_origin_from_about_a_restart_is_contradicted_also_after_the_next_one(
+    #[case] software: &str,
+    #[case] begun: u64,
+    #[case] expected: bool,
+) {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut restarts = Restarts::default();
+    restarts.record(&endpoint("e-1"), &version("v1"), at(30), at(31));
+    restarts.record(&endpoint("e-1"), &version("v2"), at(10), at(31));
+    assert_eq!(restarts.contradict(&origin(software, at(begun))), expected);
+}
+
+#[test]
+fn restarts_without_end_do_not_fill_the_memory() {
+    let start = Instant::now();
+    let mut restarts = Restarts::default();
+    for number in 0..20_000_u32 {
+        let now = start + Duration::from_millis(u64::from(number));
+        restarts.record(&endpoint(&format!("e-{number}")), &version("v1"), now, now);
+        restarts.record(&endpoint("e"), &version("v1"), now, now);
+    }
+    assert!(restarts.order.len() <= MAX_ENDPOINTS);
+    assert!(restarts.endpoints.len() <= MAX_ENDPOINTS);
+    assert!(restarts.endpoints.values().all(|known| known.len() <= MAX_RESTARTS));
+    let later = start + 2 * RESTART_MEMORY;
+    restarts.record(&endpoint("e"), &version("v1"), later, later);
+    assert_eq!(restarts.endpoints.len(), 1);
+}
--- a/components/origin/src/table.rs
+++ b/components/origin/src/table.rs
@@ -7,6 +7,7 @@
 use units::{EndpointId, ServiceName, SoftwareVersion};
 
 use crate::StreamKey;
+use crate::restarts::Restarts;
 
 /// The most origins that a table holds. The oldest ones are dropped first; their streams are then unknown.
 pub const MAX_ORIGINS: usize = 16_384;
@@ -62,6 +63,7 @@
     /// The keys in the order in which they expire.
     expiring: BTreeSet<(Instant, StreamKey)>,
     next: u64,
+    restarts: Restarts,
 }
 
 impl OriginTable {
@@ -85,12 +87,26 @@
         }
     }
 
+    /// Remembers which software an incarnation of an endpoint runs that was first seen at `since`. Origins from about that time
+    /// with other software are conflicting: their router may have read the list before the restart.
+    pub fn record_restart(
+        &mut self,
+        endpoint: &EndpointId,
+        software: &SoftwareVersion,
+        since: Instant,
+        now: Instant,
+    ) {
+        self.restarts.record(endpoint, software, since, now);
+    }
+
     /// What is known of a stream.
     pub fn get(&self, key: StreamKey, now: Instant) -> Lookup {
-        match self.entries.get(&key).filter(|entry| entry.expires > now) {
-            None => Lookup::Unknown,
-            Some(Entry { origin: Some(origin), .. }) => Lookup::Known(origin.clone()),
-            Some(Entry { origin: None, .. }) => Lookup::Conflicting,
+        let Some(entry) = self.entries.get(&key).filter(|entry| entry.expires > now) else {
+            return Lookup::Unknown;
+        };
+        match self.sound_origin(entry) {
+            Some(origin) => Lookup::Known(origin.clone()),
+            None => Lookup::Conflicting,
         }
     }
 
@@ -101,7 +117,7 @@
         now: Instant,
     ) -> Vec<(StreamKey, StreamOrigin, Duration)> {
         let live = self.entries.iter().filter(|(_, entry)| entry.expires > now);
-        let known = live.filter_map(|(key, entry)| Some((key, entry.origin.as_ref()?, entry)));
+        let known = live.filter_map(|(key, entry)| Some((key, self.sound_origin(entry)?, entry)));
         let own = known.filter(|(_, origin, _)| origin.service == *service);
         own.map(|(key, origin, entry)| (*key, origin.clone(), entry.expires - now)).collect()
     }
@@ -116,6 +132,10 @@
         self.entries.is_empty()
     }
 
+    fn sound_origin<'a>(&self, entry: &'a Entry) -> Option<&'a StreamOrigin> {
+        entry.origin.as_ref().filter(|origin| !self.restarts.contradict(origin))
+    }
+
     fn add(&mut self, key: StreamKey, origin: StreamOrigin, expires: Instant) {
         if self.entries.len() >= MAX_ORIGINS
             && let Some((_, oldest)) = self.added.first_key_value()
--- a/components/origin/src/table/tests.rs
+++ b/components/origin/src/table/tests.rs
@@ -121,3 +121,17 @@
     table.record(key(1), origin("v1", start), Duration::MAX, start);
     assert_eq!(table.get(key(1), start + MAX_KEEP), Lookup::Unknown);
 }
+
+#[test]
+fn an_origin_told_after_its_endpoint_left_is_conflicting_if_the_endpoint_had_restarted() {
+    let start = Instant::now();
+    let mut table = OriginTable::default();
+    let (first, second) = (origin("v1", start + 2 * SECOND), origin("v2", start + 2 * SECOND));
+    table.record_restart(&first.endpoint, &second.software, start, start + SECOND);
+    table.record(key(1), first, 60 * SECOND, start + 10 * SECOND);
+    table.record(key(2), second.clone(), 60 * SECOND, start + 10 * SECOND);
+    let now = start + 10 * SECOND;
+    assert_eq!(table.get(key(1), now), Lookup::Conflicting);
+    assert_eq!(table.get(key(2), now), Lookup::Known(second));
+    assert_eq!(table.of_service(&"s".parse().expect("a service name"), now).len(), 1);
+}
--- a/components/origin/tests/versions/plan.rs
+++ b/components/origin/tests/versions/plan.rs
@@ -134,6 +134,8 @@
     pub(crate) doubts: std::collections::BTreeMap<String, u32>,
     /// Bytes of records and questions, with answers.
     pub(crate) bytes: u64,
+    /// Questions to keepers or routers.
+    pub(crate) questions: u32,
     /// Bytes that the router with the most of them sent and received.
     pub(crate) router_bytes: u64,
     /// The most origins in the table of a router.
@@ -160,6 +162,7 @@
         self.moves += other.moves;
         self.mixed += other.mixed;
         self.bytes += other.bytes;
+        self.questions += other.questions;
         self.router_bytes = self.router_bytes.max(other.router_bytes);
         self.router_records = self.router_records.max(other.router_records);
         self.loader_records = self.loader_records.max(other.loader_records);
--- a/components/origin/tests/versions/view.rs
+++ b/components/origin/tests/versions/view.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use origin::{Keeper, KeeperState, LIST_LAG, ListedEndpoint, VersionHistory};
+use origin::{Keeper, KeeperState, LIST_LAG, ListedEndpoint, OriginTable, VersionHistory};
 use units::{Domain, EndpointId, ServiceName, SoftwareVersion};
 
 use super::world::at;
@@ -106,6 +106,27 @@
         newest.then_some(entry.version)
     }
 
+    /// Remembers the restarts that the list shows and `before` did not.
+    pub(crate) fn record_restarts(
+        &self,
+        before: &List,
+        table: &mut OriginTable,
+        now: u64,
+        names: &Names,
+    ) {
+        let old: HashMap<usize, u32> =
+            before.iter().map(|entry| (entry.endpoint, entry.incarnation)).collect();
+        for entry in self.list.iter() {
+            let since = self.seen.get(&entry.endpoint).and_then(|seen| seen.1);
+            let (Some(since), Some(version)) = (since, self.version(entry)) else { continue };
+            if old.get(&entry.endpoint) != Some(&entry.incarnation) {
+                let (endpoint, software) =
+                    (&names.endpoints[entry.endpoint], &names.versions[version]);
+                table.record_restart(endpoint, software, at(since), at(now));
+            }
+        }
+    }
+
     /// What is known of an endpoint; `hears` is whether its loader would have told of a restart.
     pub(crate) fn listed(
         &self,
