--- a/components/origin/src/keepers/tests.rs
+++ b/components/origin/src/keepers/tests.rs
@@ -166,3 +166,40 @@
     assert!(moved.iter().all(|moved| moved.keepers.len() == 1));
     assert!(moved.len() < 30, "{}", moved.len());
 }
+
+#[test]
+fn keepers_share_the_streams_evenly() {
+    let fleet = Fleet::new(100, DOMAINS);
+    let keepers = fleet.keepers();
+    let mut counts = [0_u32; 100];
+    for number in 0..10_000 {
+        let chosen = rank_keepers(key(number), &keepers, TOLD_KEEPERS);
+        chosen.into_iter().for_each(|index| counts[index] += 1);
+    }
+    assert!(counts.iter().all(|count| (140..=260).contains(count)), "200 each: {counts:?}");
+}
+
+#[test]
+fn what_is_told_again_is_what_a_ranking_of_all_keepers_shows() {
+    let fleet = Fleet::new(300, DOMAINS);
+    let keepers = fleet.keepers();
+    for joined in [0, 7, 150, 299] {
+        let mut before = keepers.clone();
+        before.remove(joined);
+        let told = |number| {
+            let chosen = rank_keepers(key(number), &before, TOLD_KEEPERS);
+            let told = ids(&chosen, &before).into_iter().cloned().collect();
+            ToldStream { key: key(number), told }
+        };
+        let streams: Vec<_> = (0..1_000).map(told).collect();
+        let moved = retell(&streams, TOLD_KEEPERS, &before, &keepers);
+        let moved: Vec<usize> = moved.into_iter().map(|moved| moved.stream).collect();
+        let ranked = |number| rank_keepers(key(number), &keepers, TOLD_KEEPERS);
+        let expected: Vec<usize> = (0..1_000_u32)
+            .filter(|number| ranked(*number).contains(&joined))
+            .map(|number| usize::try_from(number).expect("small"))
+            .collect();
+        assert_eq!(moved, expected);
+        assert!(!expected.is_empty());
+    }
+}
--- a/components/origin/src/versions.rs
+++ b/components/origin/src/versions.rs
@@ -29,13 +29,8 @@
 struct ServiceHistory {
     since: Instant,
     last: Instant,
-    versions: HashMap<SoftwareVersion, Sighting>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Sighting {
-    first: Instant,
-    last: Instant,
+    /// When each version was last seen.
+    versions: HashMap<SoftwareVersion, Instant>,
 }
 
 impl VersionHistory {
@@ -58,7 +53,7 @@
     /// The versions that a service has had lately.
     pub fn versions(&self, service: &ServiceName, now: Instant) -> BTreeSet<SoftwareVersion> {
         let recent = self.services.get(service).into_iter().flat_map(|seen| seen.recent(now));
-        recent.map(|(software, _)| software.clone()).collect()
+        recent.cloned().collect()
     }
 
     /// For how long the versions of a service have been seen.
@@ -67,25 +62,6 @@
         now.saturating_duration_since(since)
     }
 
-    /// Whether new streams may begin at an endpoint of this version. A version that appears beside another one waits until all
-    /// routers list it, so that none of them takes the other one for the only version.
-    pub fn may_begin(
-        &self,
-        service: &ServiceName,
-        software: Option<&SoftwareVersion>,
-        now: Instant,
-    ) -> bool {
-        let Some(seen) = self.services.get(service) else { return true };
-        let mut others = seen.recent(now).filter(|(other, _)| Some(*other) != software);
-        if others.next().is_none() {
-            return true;
-        }
-        let sighting = software.and_then(|software| seen.versions.get(software));
-        sighting.is_some_and(|sighting| {
-            sighting.is_recent(now) && now.saturating_duration_since(sighting.first) >= LIST_LAG
-        })
-    }
-
     /// Drops the history of one service if there are too many. What is seen of it later counts from now.
     fn make_room(&mut self, now: Instant) {
         if self.services.len() < MAX_SERVICES {
@@ -102,26 +78,24 @@
 impl ServiceHistory {
     fn record(&mut self, software: &SoftwareVersion, now: Instant) {
         self.last = now;
-        self.versions.retain(|_, sighting| sighting.is_recent(now));
+        self.versions.retain(|_, last| is_recent(*last, now));
         if !self.versions.contains_key(software) && self.versions.len() >= MAX_VERSIONS {
-            let oldest = self.versions.iter().min_by_key(|(name, seen)| (seen.last, *name));
+            let oldest = self.versions.iter().min_by_key(|(name, last)| (**last, *name));
             if let Some(name) = oldest.map(|(name, _)| name.clone()) {
                 self.versions.remove(&name);
             }
         }
-        let new = Sighting { first: now, last: now };
-        self.versions.entry(software.clone()).or_insert(new).last = now;
+        self.versions.insert(software.clone(), now);
     }
 
-    fn recent(&self, now: Instant) -> impl Iterator<Item = (&SoftwareVersion, &Sighting)> {
-        self.versions.iter().filter(move |(_, sighting)| sighting.is_recent(now))
+    fn recent(&self, now: Instant) -> impl Iterator<Item = &SoftwareVersion> {
+        let recent = self.versions.iter().filter(move |(_, last)| is_recent(**last, now));
+        recent.map(|(software, _)| software)
     }
 }
 
-impl Sighting {
-    fn is_recent(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last) < VERSION_MEMORY
-    }
+fn is_recent(last: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(last) < VERSION_MEMORY
 }
 
 #[cfg(test)]
