--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -125,6 +125,15 @@
 }
 
 impl ResumptionFacts<'_> {
+    /// Whether the answers so far decide, so that no more keepers need be asked.
+    pub fn is_decided(&self) -> bool {
+        let known =
+            std::iter::once(&self.own).chain(self.answers.iter().map(|answer| &answer.origin));
+        let found = known.into_iter().any(|origin| *origin != Lookup::Unknown);
+        let old = self.answers.iter().any(|answer| answer.watched >= VERSION_MEMORY);
+        found || old && self.all_versions().len() == 1
+    }
+
     /// The origin that the router or a keeper knows, if they agree.
     fn known_origin(&self) -> Result<Option<(&StreamOrigin, Source)>, Doubt> {
         let mut found: Option<(&StreamOrigin, Source)> = None;
--- a/components/origin/src/decision/tests.rs
+++ b/components/origin/src/decision/tests.rs
@@ -211,3 +211,17 @@
     let facts = ResumptionFacts { watched, list_is_stale, asked, answers, ..base };
     assert_eq!(decide(&facts), expected);
 }
+
+#[test]
+fn more_keepers_are_asked_until_the_answers_decide() {
+    let services = [name("s")];
+    let asked = |seen: &[&str], answers| {
+        ResumptionFacts { asked: 1, answers, ..facts(&services, seen) }.is_decided()
+    };
+    assert!(!asked(&["v1"], vec![]));
+    assert!(!asked(&["v1"], vec![answer(Lookup::Unknown, &["v1"], YOUNG)]));
+    assert!(asked(&["v1"], vec![answer(Lookup::Unknown, &["v1"], OLD)]));
+    assert!(!asked(&["v1"], vec![answer(Lookup::Unknown, &["v2"], OLD)]));
+    assert!(asked(&["v1", "v2"], vec![answer(known("v1"), &["v1"], YOUNG)]));
+    assert!(asked(&["v1", "v2"], vec![answer(Lookup::Conflicting, &[], YOUNG)]));
+}
--- a/components/origin/src/keepers.rs
+++ b/components/origin/src/keepers.rs
@@ -9,7 +9,7 @@
 
 use crate::StreamKey;
 
-/// How many keepers are told of a stream.
+/// How many keepers are told of a stream, while [`TellBudget`](crate::TellBudget) allows it.
 pub const TOLD_KEEPERS: usize = 2;
 /// How many keepers are asked for a stream at most: more than are told, since the list may have changed in between.
 pub const MAX_ASKED: usize = 4;
--- a/components/origin/src/lib.rs
+++ b/components/origin/src/lib.rs
@@ -4,6 +4,7 @@
 //! The router that begins a stream remembers its origin, and tells it to some keepers, which answer other routers. A router
 //! that is not sure refuses to send a stream on.
 
+mod budget;
 mod decision;
 mod keepers;
 mod key;
@@ -11,6 +12,7 @@
 mod table;
 mod versions;
 
+pub use budget::TellBudget;
 pub use decision::{
     Decision, Doubt, KeeperAnswer, ListedEndpoint, ResumptionFacts, Source, decide,
 };
--- a/components/origin/tests/versions.rs
+++ b/components/origin/tests/versions.rs
@@ -141,8 +141,9 @@
                     run(Plan::new(way, release, faults, routers));
                 }
                 let keepers = Plan::new(Way::Keepers, release, faults, routers);
-                println!("one keeper:");
-                run(Plan { told: 1, ..keepers });
+                println!("one keeper, and two:");
+                run(Plan { told: Some(1), ..keepers });
+                run(Plan { told: Some(2), ..keepers });
             }
         }
     }
--- a/components/origin/tests/versions/plan.rs
+++ b/components/origin/tests/versions/plan.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use origin::TOLD_KEEPERS;
-
 /// How routers find the version of a stream that a caller takes up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Way {
@@ -87,8 +85,8 @@
     pub(crate) endpoints: usize,
     pub(crate) streams_per_s: u32,
     pub(crate) length: Duration,
-    /// How many keepers are told of a stream.
-    pub(crate) told: usize,
+    /// How many keepers are told of a stream; as the budget allows if none.
+    pub(crate) told: Option<usize>,
     /// The time between the replacements of the first and of the last endpoint.
     pub(crate) release_ms: u64,
 }
@@ -109,7 +107,7 @@
             endpoints,
             streams_per_s,
             length,
-            told: TOLD_KEEPERS,
+            told: None,
             release_ms: 25_000,
         }
     }
--- a/components/origin/tests/versions/ways.rs
+++ b/components/origin/tests/versions/ways.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 
 use origin::{
-    Decision, KeeperAnswer, Lookup, MAX_ASKED, ResumptionFacts, StreamKey, ToldStream, decide,
-    rank_keepers, retell,
+    Decision, KeeperAnswer, Lookup, MAX_ASKED, OriginTable, ResumptionFacts, StreamKey, ToldStream,
+    VersionHistory, decide, rank_keepers, retell,
 };
+use units::ServiceName;
 
 use super::plan::Way;
 use super::view::List;
-use super::world::{Event, HTTP_BYTES, KEEP, STALE_MS, World, at};
+use super::world::{Event, HTTP_BYTES, KEEP, Loader, Router, STALE_MS, World, at};
 
 /// How long a router waits for the answer to a record.
 const TELL_TIMEOUT_MS: u64 = 150;
@@ -30,7 +31,8 @@
                 matches!(origin, Lookup::Known(origin) if Some(self.names.version(&origin.software)) != derived)
             };
         if exception || self.plan.way == Way::Keepers && self.routers[router].tells {
-            self.tell(router, key);
+            let count = self.keepers_to_tell(router);
+            self.tell(router, key, count);
         }
     }
 
@@ -46,7 +48,10 @@
         let mut streams: Vec<StreamKey> = state.told.keys().copied().collect();
         streams.sort_unstable();
         if begins {
-            streams.into_iter().for_each(|key| self.tell(router, key));
+            for key in streams {
+                let count = self.keepers_to_tell(router);
+                self.tell(router, key, count);
+            }
             return;
         }
         if !tells || !self.routers[router].hears(now) {
@@ -54,8 +59,8 @@
             return;
         }
         let Some(before) = before else {
-            streams.retain(|key| self.routers[router].told[key].len() < self.plan.told);
-            streams.into_iter().for_each(|key| self.tell(router, key));
+            streams.retain(|key| self.routers[router].told[key].is_empty());
+            streams.into_iter().for_each(|key| self.tell(router, key, 1));
             return;
         };
         let after = self.routers[router].keepers(&names, now);
@@ -67,7 +72,7 @@
             ToldStream { key: *key, told: told.map(|one| names.endpoints[*one].clone()).collect() }
         };
         let told: Vec<ToldStream> = streams.iter().map(told).collect();
-        for retelling in retell(&told, self.plan.told, &before, &after) {
+        for retelling in retell(&told, self.plan.told.unwrap_or(1), &before, &after) {
             for keeper in retelling.keepers {
                 let loader = names.endpoint(after[keeper].endpoint);
                 self.send_record(router, streams[retelling.stream], loader, 1);
@@ -75,14 +80,19 @@
         }
     }
 
-    /// Tells the keepers of a stream that have not acknowledged it.
-    fn tell(&mut self, router: usize, key: StreamKey) {
+    fn keepers_to_tell(&mut self, router: usize) -> usize {
+        let now = at(self.now);
+        self.plan.told.unwrap_or_else(|| self.routers[router].budget.keepers(now))
+    }
+
+    /// Tells the first keepers of a stream, but for those that have acknowledged it.
+    fn tell(&mut self, router: usize, key: StreamKey, count: usize) {
         if !self.routers[router].hears(self.now) {
             return;
         }
         let names = self.names.clone();
         let keepers = self.routers[router].keepers(&names, self.now);
-        for keeper in rank_keepers(key, &keepers, self.plan.told) {
+        for keeper in rank_keepers(key, &keepers, count) {
             let loader = names.endpoint(keepers[keeper].endpoint);
             let told = self.routers[router].told.get(&key);
             if told.is_some_and(|told| !told.contains(&loader)) {
@@ -137,12 +147,12 @@
             }
             sender.dead.insert(loader, self.now + DEAD_MS);
             if sender.cut_since.is_none() {
-                self.tell(router, key);
+                self.tell(router, key, 1);
             }
         }
     }
 
-    fn count_question(&mut self, router: usize) {
+    pub(crate) fn count_question(&mut self, router: usize) {
         self.count_bytes(router, QUESTION_BYTES);
         self.report.questions += 1;
     }
@@ -172,36 +182,23 @@
     /// The version at which a stream goes on, or none if it is refused.
     pub(crate) fn decide(&mut self, router: usize, key: StreamKey, own: Lookup) -> Option<usize> {
         let names = self.names.clone();
-        let (asked, answers) = match (&own, self.plan.way) {
-            (Lookup::Unknown, Way::AskRouters) => self.ask_routers(router, key),
-            (Lookup::Unknown, _) => self.ask_keepers(router, key),
-            _ => (0, Vec::new()),
-        };
-        let now = self.now;
-        let state = &self.routers[router];
-        let origins = std::iter::once(&own).chain(answers.iter().map(|answer| &answer.origin));
+        let services = [names.service.clone()];
+        let mut facts = self.facts(router, &services, own);
+        match (&facts.own, self.plan.way) {
+            (Lookup::Unknown, Way::AskRouters) => self.ask_routers(router, key, &mut facts),
+            (Lookup::Unknown, _) => self.ask_keepers(router, key, &mut facts),
+            _ => {}
+        }
+        let origins = facts.answers.iter().map(|answer| &answer.origin);
+        let origins = std::iter::once(&facts.own).chain(origins);
         let listed = origins.filter_map(|lookup| {
             let Lookup::Known(origin) = lookup else { return None };
             let endpoint = names.endpoint(&origin.endpoint);
             let hears = self.hears(router, endpoint);
-            let listed = state.view.listed(endpoint, hears, now, &names)?;
+            let listed = self.routers[router].view.listed(endpoint, hears, self.now, &names)?;
             Some((origin.endpoint.clone(), listed))
         });
-        let listed: HashMap<_, _> = listed.collect();
-        let services = [names.service.clone()];
-        let facts = ResumptionFacts {
-            service: &services[0],
-            allowed: &services,
-            has_events: true,
-            own,
-            asked,
-            answers,
-            listed,
-            versions: state.view.history.versions(&names.service, at(now)),
-            watched: state.view.history.watched(&names.service, at(now)),
-            has_unknown_version: false,
-            list_is_stale: now > state.view.read_at + STALE_MS,
-        };
+        facts.listed = listed.collect();
         match (decide(&facts), self.plan.way) {
             (Decision::At { software, .. }, _) => Some(names.version(&software)),
             (Decision::Nowhere(origin::Doubt::Unknown), Way::Derived) => self.derive(router, key),
@@ -212,23 +209,40 @@
         }
     }
 
-    fn ask_keepers(&mut self, router: usize, key: StreamKey) -> (usize, Vec<KeeperAnswer>) {
+    fn facts<'a>(
+        &self,
+        router: usize,
+        services: &'a [ServiceName],
+        own: Lookup,
+    ) -> ResumptionFacts<'a> {
+        let view = &self.routers[router].view;
+        ResumptionFacts {
+            service: &services[0],
+            allowed: services,
+            has_events: true,
+            own,
+            asked: 0,
+            answers: Vec::new(),
+            listed: HashMap::new(),
+            versions: view.history.versions(&services[0], at(self.now)),
+            watched: view.history.watched(&services[0], at(self.now)),
+            has_unknown_version: false,
+            list_is_stale: self.now > view.read_at + STALE_MS,
+        }
+    }
+
+    /// Asks the best keeper, and the others at once if its answer does not decide.
+    fn ask_keepers(&mut self, router: usize, key: StreamKey, facts: &mut ResumptionFacts<'_>) {
         let names = self.names.clone();
         let keepers = self.routers[router].keepers(&names, self.now);
         let chosen = rank_keepers(key, &keepers, MAX_ASKED);
         let loaders = chosen.iter().map(|index| names.endpoint(keepers[*index].endpoint));
-        let loaders: Vec<usize> = loaders.collect();
-        let (mut asked, mut answers) = (0, Vec::new());
-        // The keepers that were told first, and the others if these know nothing.
-        for round in loaders.chunks(self.plan.told) {
-            for loader in round {
-                self.ask_keeper(router, key, *loader, &mut asked, &mut answers);
-            }
-            if answers.iter().any(|answer: &KeeperAnswer| answer.origin != Lookup::Unknown) {
-                break;
+        for (index, loader) in loaders.enumerate() {
+            if index == 1 && facts.is_decided() {
+                return;
             }
+            self.ask_keeper(router, key, loader, facts);
         }
-        (asked, answers)
     }
 
     fn ask_keeper(
@@ -236,8 +250,7 @@
         router: usize,
         key: StreamKey,
         loader: usize,
-        asked: &mut usize,
-        answers: &mut Vec<KeeperAnswer>,
+        facts: &mut ResumptionFacts<'_>,
     ) {
         let cut = self.routers[router].cut_since.is_some();
         self.count_question(router);
@@ -245,34 +258,38 @@
             // The connection is refused.
             return;
         }
-        *asked += 1;
+        facts.asked += 1;
         if cut || self.percent(2 * self.plan.faults.lost_percent) {
             return;
         }
-        let (keeper, names, now) = (&self.loaders[loader], &self.names, at(self.now));
-        answers.push(KeeperAnswer {
-            origin: keeper.table.get(key, now),
-            versions: keeper.view.history.versions(&names.service, now),
-            watched: keeper.view.history.watched(&names.service, now),
-        });
+        let Loader { table, view, .. } = &self.loaders[loader];
+        facts.answers.push(self.answer(key, table, &view.history));
     }
 
-    fn ask_routers(&mut self, router: usize, key: StreamKey) -> (usize, Vec<KeeperAnswer>) {
-        let names = self.names.clone();
-        let mut answers = Vec::new();
+    fn ask_routers(&mut self, router: usize, key: StreamKey, facts: &mut ResumptionFacts<'_>) {
+        facts.asked = self.routers.len() - 1;
         for other in (0..self.routers.len()).filter(|other| *other != router) {
             self.count_question(router);
             let cut = self.routers[router].cut_since.or(self.routers[other].cut_since).is_some();
             if cut || self.percent(2 * self.plan.faults.lost_percent) || !self.routers[other].up {
                 continue;
             }
-            let (other, now) = (&self.routers[other], at(self.now));
-            answers.push(KeeperAnswer {
-                origin: other.table.get(key, now),
-                versions: other.view.history.versions(&names.service, now),
-                watched: other.view.history.watched(&names.service, now),
-            });
+            let Router { table, view, .. } = &self.routers[other];
+            facts.answers.push(self.answer(key, table, &view.history));
+        }
+    }
+
+    fn answer(
+        &self,
+        key: StreamKey,
+        table: &OriginTable,
+        history: &VersionHistory,
+    ) -> KeeperAnswer {
+        let (service, now) = (&self.names.service, at(self.now));
+        KeeperAnswer {
+            origin: table.get(key, now),
+            versions: history.versions(service, now),
+            watched: history.watched(service, now),
         }
-        (self.routers.len() - 1, answers)
     }
 }
--- a/components/origin/tests/versions/world.rs
+++ b/components/origin/tests/versions/world.rs
@@ -6,7 +6,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use origin::{Keeper, Lookup, OriginTable, StreamKey, StreamOrigin};
+use origin::{Keeper, Lookup, OriginTable, StreamKey, StreamOrigin, TellBudget};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -127,6 +127,7 @@
     pub(crate) told: HashMap<StreamKey, Vec<usize>>,
     /// Whether keepers are told, since the service has several versions.
     pub(crate) tells: bool,
+    pub(crate) budget: TellBudget,
     pub(crate) cut_since: Option<u64>,
     store_cut: bool,
     /// Endpoints that are not chosen until a time.
@@ -145,6 +146,7 @@
             table: OriginTable::default(),
             told: HashMap::new(),
             tells: false,
+            budget: TellBudget::new(at(now)),
             cut_since: None,
             store_cut: false,
             avoided: HashMap::new(),
@@ -595,15 +597,14 @@
     }
 
     fn choose(&mut self, stream: usize, router: usize, wanted: Option<usize>) -> Option<Entry> {
-        let (now, names) = (self.now, self.names.clone());
+        let now = self.now;
         let Router { view, avoided, .. } = &self.routers[router];
         let usable = |entry: &&Entry| {
             avoided.get(&entry.endpoint).is_none_or(|until| *until <= now)
                 && view.version(entry).is_some_and(|version| wanted.is_none_or(|w| w == version))
         };
         // Among several versions a stream goes on only at endpoints that are known not to have restarted since they were listed.
-        let free = self.streams[stream].versions.is_empty()
-            || view.history.versions(&names.service, at(now)).len() < 2;
+        let free = self.streams[stream].versions.is_empty() || !self.several_versions(router);
         let sure = |entry: &&Entry| free || self.hears(router, entry.endpoint);
         let usable: Vec<&Entry> = view.list.iter().filter(usable).filter(sure).collect();
         let first = usable.iter().map(|entry| entry.draining).min()?;
@@ -622,14 +623,34 @@
         let still = |entry: Entry| {
             entry.incarnation == believed.incarnation && view.version(&entry).is_some()
         };
-        if entry.is_some_and(|entry| !still(entry)) {
-            // The version of the endpoint is not known any more, so its event is not passed on.
+        if entry.is_some_and(|entry| !still(entry)) || !self.confirms(stream) {
+            // The version of the endpoint is not known for sure, so its event is not passed on.
             self.routers[router].avoided.insert(believed.endpoint, self.now + AVOID_MS);
             return self.move_on(stream);
         }
         self.pass_on(stream);
     }
 
+    /// Whether the loader beside the endpoint of a stream that goes on says, once the request has been sent, that the endpoint has
+    /// not restarted since it was listed. It is asked only among several versions.
+    fn confirms(&mut self, stream: usize) -> bool {
+        let Stream { router, endpoint, believed, .. } = self.streams[stream];
+        if self.streams[stream].versions.is_empty() || !self.several_versions(router) {
+            return true;
+        }
+        self.count_question(router);
+        let lost = 2 * self.plan.faults.lost_percent;
+        let answered = self.routers[router].cut_since.is_none()
+            && self.loaders[endpoint].up
+            && !(self.percent(lost) && self.percent(lost));
+        answered && self.endpoints[endpoint].incarnation == believed.incarnation
+    }
+
+    fn several_versions(&self, router: usize) -> bool {
+        let history = &self.routers[router].view.history;
+        history.versions(&self.names.service, at(self.now)).len() > 1
+    }
+
     fn pass_on(&mut self, stream: usize) {
         let now = self.now;
         let state = &mut self.streams[stream];
