Router: no endpoint of the version left is refused at once; `/versions`, lines and gauges

A stream whose version no endpoint runs any more is refused with a cause of its own and without a time to come back, and one inside an answer is broken off. The router answers `hyssopctl versions`, logs when the versions of a service change, and counts the origins that it keeps. Loaders that refuse the connection don't count as asked.

--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -42,8 +42,6 @@
 const PREFILL_HOLD_DIVISOR: u32 = 4;
 /// `Retry-After` if no endpoint is left that the request could be sent to.
 pub(crate) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// The error if no endpoint runs the software that the request needs.
-pub(crate) const NO_VERSION: ReserveError = ReserveError::NoEndpoint(NO_ENDPOINT_RETRY_AFTER);
 
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -101,6 +99,8 @@
 pub(crate) enum ReserveError {
     /// No endpoint of the service can take the request; it may be retried after this time.
     NoEndpoint(Duration),
+    /// No endpoint runs the software that the request needs, and none is about to.
+    NoVersion,
     /// The model can't be loaded before the deadline; the request may be retried after this time.
     LoadTooSlow(Duration),
     /// Too many requests for the model go first; the request may be retried after this time.
@@ -195,7 +195,7 @@
             SearchResult::NoEndpoint => {
                 return Err(ReserveError::NoEndpoint(NO_ENDPOINT_RETRY_AFTER));
             }
-            SearchResult::NoVersion => return Err(NO_VERSION),
+            SearchResult::NoVersion => return Err(ReserveError::NoVersion),
             SearchResult::Load(loads) => {
                 let Some(first) = loads.first() else { continue };
                 waiting.get_or_insert_with(|| count_waiting(shared, &needs, &first.target));
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -339,6 +339,7 @@
                 let after = self.shared.store_retry_after().unwrap_or(after);
                 Err(self.failure(Refusal::NoEndpoint, Some(after)))
             }
+            Ok(Err(ReserveError::NoVersion)) => Err(self.failure(Refusal::NoVersion, None)),
             Ok(Err(ReserveError::LoadTooSlow(after))) => {
                 Err(self.failure(Refusal::ColdTooLong, Some(after)))
             }
--- a/components/router/src/origins.rs
+++ b/components/router/src/origins.rs
@@ -4,12 +4,12 @@
 //! Load pattern: a router dies, and hundreds of its callers take up their streams at other routers within a second; a release
 //! gives a service a second version, and all routers tell of all their streams at once.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use control::{MAX_ORIGIN_RECORDS, OriginQuery, OriginRecord};
+use control::{MAX_ORIGIN_RECORDS, OriginQuery, OriginRecord, VersionsReport};
 use events::{Event, emit};
 use fleet::EndpointStage;
 use futures_util::StreamExt;
@@ -19,7 +19,8 @@
     TOLD_KEEPERS, ToldStream, rank_keepers, retell,
 };
 use tokio::time::Instant;
-use units::{Domain, EndpointId, ServiceName};
+use units::{Domain, EndpointId, ServiceName, SoftwareVersion};
+use web::CallError;
 
 use crate::endpoint::TrackedEndpoint;
 use crate::registry::EndpointTable;
@@ -51,6 +52,8 @@
     keepers: Vec<KnownKeeper>,
     /// The records that wait to be sent to each keeper. A keeper with an entry has a task that sends them.
     pending: HashMap<EndpointId, Vec<OriginRecord>>,
+    /// The versions of each service when the list was last read.
+    versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
     /// Until when keepers that did not answer are left out.
     dead: HashMap<EndpointId, Instant>,
 }
@@ -216,14 +219,16 @@
                 told: state.told.get(key).cloned().unwrap_or_default(),
             })
             .collect();
-        for retelling in retell(&by_key, &before, &after) {
+        for retelling in retell(&by_key, TOLD_KEEPERS, &before, &after) {
             let (key, origin, keep) = &streams[retelling.stream];
             for keeper in retelling.keepers {
                 let record = OriginRecord::new(*key, origin, *keep, now);
                 messages.push((known[keeper].clone(), record));
             }
         }
+        state.log_versions(&table, &messages, now);
         state.told_services = several;
+        events::record_origins(state.table.len());
         state.keepers = known;
         state.dead.retain(|_, until| *until > now);
     }
@@ -233,6 +238,31 @@
 }
 
 impl State {
+    /// Logs the services whose versions have changed, with the streams that keepers are told of now.
+    fn log_versions(
+        &mut self,
+        table: &EndpointTable,
+        messages: &[(KnownKeeper, OriginRecord)],
+        now: Instant,
+    ) {
+        for service in listed_services(table) {
+            let versions = table.software_versions(service, now);
+            let before = self.versions.entry(service.clone()).or_default();
+            if *before == versions {
+                continue;
+            }
+            let of_service = messages.iter().filter(|(_, record)| record.service == *service);
+            let told: HashSet<StreamKey> = of_service.map(|(_, record)| record.key).collect();
+            emit(&Event::VersionsChanged {
+                service: service.as_str(),
+                versions: &join_versions(&versions),
+                before: &join_versions(before),
+                told: told.len(),
+            });
+            *before = versions;
+        }
+    }
+
     fn streams_of(
         &self,
         services: &HashSet<ServiceName>,
@@ -242,17 +272,33 @@
     }
 }
 
+fn listed_services(table: &EndpointTable) -> BTreeSet<&ServiceName> {
+    table.map.values().map(|tracked| &tracked.endpoint.service).collect()
+}
+
 fn services_with_several_versions(table: &EndpointTable, now: Instant) -> HashSet<ServiceName> {
-    let listed: BTreeSet<&ServiceName> =
-        table.map.values().map(|tracked| &tracked.endpoint.service).collect();
     let several = |service: &&ServiceName| table.software_versions(service, now).len() > 1;
-    listed.into_iter().filter(several).cloned().collect()
+    listed_services(table).into_iter().filter(several).cloned().collect()
+}
+
+/// Versions as they are logged.
+pub(crate) fn join_versions(versions: &BTreeSet<SoftwareVersion>) -> String {
+    let texts: Vec<&str> = versions.iter().map(SoftwareVersion::as_str).collect();
+    texts.join(",")
+}
+
+/// The versions of each service, and the streams that this router holds to them, for an operator.
+pub(crate) fn report(shared: &Shared) -> VersionsReport {
+    let table = shared.endpoints.lock();
+    let state = shared.origins.lock();
+    let endpoints = table.map.values().map(|one| (&one.endpoint, one.accepts_work()));
+    VersionsReport::new(endpoints, &state.table, table.version_history(), Instant::now())
 }
 
 /// What the keepers of a stream answered.
 #[derive(Debug, Default)]
 pub(crate) struct Answers {
-    /// The number of keepers that were asked.
+    /// The number of keepers that were asked, without those that don't run.
     pub(crate) asked: usize,
     /// The answers of those that answered.
     pub(crate) answers: Vec<KeeperAnswer>,
@@ -273,6 +319,7 @@
         })
         .collect();
     let mut answers = Vec::new();
+    let mut asked = ranked.len();
     while let Some((keeper, answer)) = calls.next().await {
         match answer {
             Ok(answer) => {
@@ -286,12 +333,13 @@
             Err(error) => {
                 let id = &keeper.endpoint;
                 log::debug!("router: the loader of {id} was not asked for a stream: {error}");
+                asked -= usize::from(matches!(error, CallError::Connect { .. }));
                 let until = Instant::now() + DEAD_KEEPER_PAUSE;
                 shared.origins.lock().dead.insert(id.clone(), until);
             }
         }
     }
-    Answers { asked: ranked.len(), answers }
+    Answers { asked, answers }
 }
 
 impl Origins {
--- a/components/router/src/queued.rs
+++ b/components/router/src/queued.rs
@@ -158,7 +158,7 @@
         SearchResult::NoEndpoint => {
             return Err(ReserveError::NoEndpoint(choose::NO_ENDPOINT_RETRY_AFTER));
         }
-        SearchResult::NoVersion => return Err(choose::NO_VERSION),
+        SearchResult::NoVersion => return Err(ReserveError::NoVersion),
     };
     Ok(Pending { ready_in, loads, held })
 }
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -267,6 +267,11 @@
         self.versions.versions(service, now).into_iter().chain(listed).collect()
     }
 
+    /// The software versions that services have had lately.
+    pub(crate) fn version_history(&self) -> &VersionHistory {
+        &self.versions
+    }
+
     /// For how long the versions of a service have been seen.
     pub(crate) fn versions_watched(&self, service: &ServiceName, now: Instant) -> Duration {
         self.versions.watched(service, now)
--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -1,6 +1,6 @@
 //! Decides where a stream goes on that its caller takes up.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 };
 use platform::{RequestHeaders, ResumedStream};
 use tokio::time::Instant;
-use units::{EndpointId, ServiceName, SoftwareVersion};
+use units::{EndpointId, ServiceName};
 
 use crate::choose::NO_ENDPOINT_RETRY_AFTER;
 use crate::in_flight::Failure;
@@ -108,7 +108,11 @@
         outcome: ResumptionOutcome::from(&decision),
         software,
         source,
-        versions: &if source.is_none() { join_versions(&facts.versions) } else { String::new() },
+        versions: &if source.is_none() {
+            origins::join_versions(&facts.versions)
+        } else {
+            String::new()
+        },
         asked,
         answered,
         took_ms: millis(started.elapsed()),
@@ -122,11 +126,6 @@
     }
 }
 
-fn join_versions(versions: &BTreeSet<SoftwareVersion>) -> String {
-    let texts: Vec<&str> = versions.iter().map(SoftwareVersion::as_str).collect();
-    texts.join(",")
-}
-
 fn first_known<'a>(own: &'a Lookup, answers: &'a Answers) -> Option<&'a StreamOrigin> {
     let answered = answers.answers.iter().map(|answer| &answer.origin);
     std::iter::once(own).chain(answered).find_map(|lookup| match lookup {
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -5,7 +5,7 @@
 
 use control::{
     CRASHES_PATH, GRANT_PATH, LEASES_PATH, LIMITS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SPEEDS_PATH,
-    SUSPECTS_PATH, TOKENS_PATH, WAITING_PATH, WORKSPACES_PATH,
+    SUSPECTS_PATH, TOKENS_PATH, VERSIONS_PATH, WAITING_PATH, WORKSPACES_PATH,
 };
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
@@ -16,7 +16,7 @@
 
 use crate::shared::Shared;
 use crate::{
-    Settings, borrow, crash_records, feed, grants, prefetch, quotas, ready, roster, serve,
+    Settings, borrow, crash_records, feed, grants, origins, prefetch, quotas, ready, roster, serve,
     share_leases, snapshot, speeds, wait_queue,
 };
 
@@ -83,6 +83,7 @@
         (&Method::GET, LIMITS_PATH) => web::json(StatusCode::OK, &grants::report(shared)),
         (&Method::GET, SPEEDS_PATH) => web::json(StatusCode::OK, &speeds::report(shared)),
         (&Method::GET, WAITING_PATH) => web::json(StatusCode::OK, &wait_queue::report(shared)),
+        (&Method::GET, VERSIONS_PATH) => web::json(StatusCode::OK, &origins::report(shared)),
         (&Method::GET, SUSPECTS_PATH) => web::json(StatusCode::OK, &shared.guard.suspects()),
         (&Method::POST, RELEASE_PATH) => crash_records::release(shared, request).await,
         _ => web::text(StatusCode::NOT_FOUND, "no such path\n"),
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use events::Step;
+use events::{Refusal, ResumptionOutcome, Step};
 use http::{Response, Version, header};
 use http_body_util::BodyExt;
 use sse::EventSplitter;
@@ -320,8 +320,18 @@
 
 /// Sends the request to another endpoint, to continue its stream after an event.
 async fn resume(request: &mut InFlightRequest, last_event: Option<u64>) -> Option<StreamSource> {
-    request.send_by = request.deadline.min(Instant::now() + request.route.event_timeout / 2);
-    let next = request.fetch_response(last_event).await.ok()?;
+    let started = Instant::now();
+    request.send_by = request.deadline.min(started + request.route.event_timeout / 2);
+    let next = match request.fetch_response(last_event).await {
+        Ok(next) => next,
+        Err(failure) => {
+            if failure.cause == Refusal::NoVersion {
+                request.log_resumption(ResumptionOutcome::NoVersion, started);
+            }
+            return None;
+        }
+    };
+    request.log_resumption(ResumptionOutcome::SameVersion, started);
     request.log_resumed(&next.reservation);
     let has_succeeded = next.head.status.is_success();
     let source = StreamSource::new(next, last_event);
--- a/components/router/src/stream_version.rs
+++ b/components/router/src/stream_version.rs
@@ -1,6 +1,7 @@
 //! Holds a stream to the version of the software that began it: what two versions write does not fit together.
 
-use origin::StreamOrigin;
+use events::{Event, ResumedAt, ResumptionOutcome, emit, millis};
+use origin::{Source, StreamOrigin};
 use tokio::time::Instant;
 use units::SoftwareVersion;
 
@@ -63,6 +64,23 @@
         true
     }
 
+    /// Logs whether the stream goes on inside the answer.
+    pub(crate) fn log_resumption(&self, outcome: ResumptionOutcome, started: Instant) {
+        let software = self.stream_version.wanted();
+        emit(&Event::StreamResumption {
+            request: &self.request_id,
+            at: ResumedAt::Router,
+            resumes: "",
+            outcome,
+            software: software.map_or("", SoftwareVersion::as_str),
+            source: software.map(|_| Source::Own),
+            versions: "",
+            asked: 0,
+            answered: 0,
+            took_ms: millis(started.elapsed()),
+        });
+    }
+
     /// Whether the endpoint that has begun to answer runs the version to which the stream is held. The list may not show yet
     /// that the endpoint has restarted under its id with other software, so the endpoint is asked for its incarnation where
     /// the service has several versions.
