Router: an endpoint that runs other software has restarted

Also where its entries state no incarnation: its connections, models and what was known of it belong to the former process. The test of a reservation says so now; before, it took such an entry for the same incarnation.

--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -212,3 +212,19 @@
     tracked.apply_state(state(100, &["a"]), later);
     assert_eq!(tracked.load_progress(later), Duration::ZERO);
 }
+
+/// An endpoint whose entries state no incarnation restarted with other software, and a stream of its former software went on there.
+#[test]
+fn an_endpoint_that_runs_other_software_has_restarted() {
+    let now = Instant::now();
+    let version = |text: &str| Some(text.parse().expect("a version"));
+    let entry = |software| Endpoint { incarnation: None, software, ..entry(0) };
+    let mut tracked = TrackedEndpoint::new(entry(version("v1")), now);
+    let pool = tracked.pool.clone();
+    assert!(!tracked.apply_entry(entry(version("v1")), now));
+    assert!(!tracked.apply_entry(entry(None), now), "a router of an earlier release told of it");
+    assert_eq!(tracked.software(), "v1");
+    assert!(tracked.apply_entry(entry(version("v2")), now));
+    assert_eq!(tracked.software(), "v2");
+    assert!(!std::sync::Arc::ptr_eq(&pool, &tracked.pool));
+}
--- a/components/router/src/reservation/tests.rs
+++ b/components/router/src/reservation/tests.rs
@@ -14,7 +14,7 @@
     assert!(tracked.is_open_for(Some(&wanted), now));
     let entry =
         Endpoint { incarnation: None, software: Some(version("v2")), ..tracked.endpoint.clone() };
-    assert!(!tracked.apply_entry(entry, now), "it may be the same incarnation");
+    assert!(tracked.apply_entry(entry, now), "other software is another incarnation");
     assert!(!tracked.is_open_for(Some(&wanted), now));
     assert!(tracked.is_open_for(None, now), "as before for other requests");
 }
