Process soak: releases with a change of version, and callers that take streams up

Checked: no mixed stream; streams go on at 0.7 or more of the share of new ones, where two engines of the version serve (from 20 such).

--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -25,13 +25,14 @@
        hyssop-load bench [--bin DIR] [--out DIR]
        hyssop-load affinity [--bin DIR] [--out DIR]
        hyssop-load scale [--part real|large|calls] [--bin DIR] [--out DIR]
-       hyssop-load soak [--seeds FROM..TO] [--restores] [--bin DIR] [--out DIR]
+       hyssop-load soak [--seeds FROM..TO] [--restores] [--releases] [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
   --deployment  the sample to start; press unless given
   --bin         the folder with the programs; that of hyssop-load unless given
   --seeds       the seeds of the soak, the last one left out; 1..4 unless given
   --restores    the store comes back from older copies of itself meanwhile
+  --releases    engines change the version of their software meanwhile, and callers take streams up
   --part        the part of the bench to run; the others keep their last results
   --out         the folder for settings files, logs and results; try-logs or results unless given
 
@@ -167,6 +168,7 @@
     let mut job = soak::Job {
         seeds: 1..4,
         restores: false,
+        releases: false,
         bin: trial::own_folder(),
         out: PathBuf::from("soak-logs"),
     };
@@ -174,6 +176,7 @@
         match arg {
             Arg::Long("seeds") => job.seeds = seeds(&parser.value()?.string()?)?,
             Arg::Long("restores") => job.restores = true,
+            Arg::Long("releases") => job.releases = true,
             Arg::Long("bin") => job.bin = parser.value()?.into(),
             Arg::Long("out") => job.out = parser.value()?.into(),
             Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod disturbed;
 mod keys;
+mod releases;
 mod world;
 
 use std::ops::Range;
@@ -34,6 +35,12 @@
 const INSISTING: u64 = 3;
 /// Callers of the workspace that asks for more than it may.
 const HOT: u64 = 2;
+/// Callers that take their streams up again.
+const RESUMING: u64 = 8;
+/// How often an engine changes the version of its software, for each other fault.
+const RELEASED: f64 = 0.2;
+/// Makes the times of releases differ from those of other faults.
+const RELEASE_SEED: u64 = 1 << 40;
 /// How long a server that ended is gone.
 const DOWN: Duration = Duration::from_millis(300);
 /// The longest that a process is paused.
@@ -51,6 +58,8 @@
     pub(crate) seeds: Range<u64>,
     /// Whether the store comes back from older copies of itself.
     pub(crate) restores: bool,
+    /// Whether engines change the version of their software, and callers take streams up.
+    pub(crate) releases: bool,
     /// Where the programs are.
     pub(crate) bin: PathBuf,
     /// Where settings and logs go, a folder for each seed.
@@ -63,16 +72,20 @@
     for seed in job.seeds.clone() {
         let out = job.out.join(format!("seed-{seed}"));
         let start = Instant::now();
-        let (calls, broken) = play(seed, job, out.clone()).await?;
+        let (calls, streams, broken) = play(seed, job, out.clone()).await?;
         println!("seed {seed}: {calls} calls, {} broken, {:.0?}", broken.len(), start.elapsed());
+        if job.releases {
+            println!("  {streams}");
+        }
         for line in broken.iter().take(8) {
             println!("  {line}");
         }
         if !broken.is_empty() {
             println!(
-                "  again: hyssop-load soak --seeds {seed}..{}{}; logs: {}",
+                "  again: hyssop-load soak --seeds {seed}..{}{}{}; logs: {}",
                 seed + 1,
                 if job.restores { " --restores" } else { "" },
+                if job.releases { " --releases" } else { "" },
                 out.display()
             );
             failed.push(seed);
@@ -86,11 +99,17 @@
     Ok(failed.is_empty())
 }
 
-async fn play(seed: u64, job: &Job, out: PathBuf) -> Result<(usize, Vec<String>), ChildError> {
+/// Plays a seed; returns the number of calls, what became of streams, and the promises that were broken.
+async fn play(
+    seed: u64,
+    job: &Job,
+    out: PathBuf,
+) -> Result<(usize, String, Vec<String>), ChildError> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     // The other faults of a seed are the same with and without restores.
     let mut restores = ChaCha8Rng::seed_from_u64(!seed);
-    let mut world = World::start(&job.bin, &out).await?;
+    let mut releases = ChaCha8Rng::seed_from_u64(seed ^ RELEASE_SEED);
+    let mut world = World::start(&job.bin, &out, job.releases).await?;
     let shared = world.shared.clone();
     let until = Instant::now() + PLAYED;
     shared.plain.iter().for_each(|server| server.crash_on(POISON.as_bytes(), DOWN));
@@ -99,6 +118,10 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| tokio::spawn(shared.clone().caller(seed * CALLERS + caller, until)))
         .collect();
+    if job.releases {
+        let seeds = (0..RESUMING).map(|caller| seed * RESUMING + caller);
+        insisting.extend(seeds.map(|seed| tokio::spawn(shared.clone().take_up(seed, until))));
+    }
     insisting.extend((0..HOT).map(|_| tokio::spawn(shared.clone().press(until))));
     while Instant::now() < until {
         // In each second seed all routers reach the store throughout, so that what they share must have been seen.
@@ -107,6 +130,9 @@
         if job.restores && restores.random_bool(RESTORED) {
             world.restore(Duration::from_millis(restores.random_range(0..OLDEST)));
         }
+        if job.releases && releases.random_bool(RELEASED) {
+            world.release(Duration::from_millis(releases.random_range(0..1_200)));
+        }
         sleep(Duration::from_millis(rng.random_range(30..400))).await;
         world.tend()?;
         if rng.random_bool(0.25) {
@@ -129,7 +155,7 @@
     if recovered.is_err() {
         broken.push(format!("not all kinds are served {RECOVERY:?} after the last fault"));
     }
-    Ok((shared.count(), broken))
+    Ok((shared.count(), shared.streams.to_string(), broken))
 }
 
 /// One fault.
--- a/components/load/src/soak/world.rs
+++ b/components/load/src/soak/world.rs
@@ -17,11 +17,14 @@
 use super::callers::name;
 use super::disturbed::Disturbances;
 use super::keys::{Keys, OVERSHOOT, REVOKE, SLACK, WINDOW};
+use super::releases::{self, Releases, StreamLog};
 use crate::children::{ChildError, Launch, Process};
 
 pub(super) const KINDS: [&str; 4] = ["safe", "unsafe", "stream", "resumable"];
-/// Loaders, which are started before the routers.
-const LOADERS: usize = 2;
+/// The models of the engines at the start. Each has a loader; loaders are started before the routers.
+const HOLDINGS: [[&str; 2]; 4] = [["a", "b"], ["b", "c"], ["a", "c"], ["a", "b"]];
+/// How many of them there are without releases.
+const FEW_ENGINES: usize = 2;
 /// The port of all loaders.
 const LOADER: u16 = 7_400;
 /// How long a process may take to end when it is asked to.
@@ -46,6 +49,7 @@
     pub(super) keys: Keys,
     pub(super) next: AtomicU64,
     pub(super) disturbed: Disturbances,
+    pub(super) streams: StreamLog,
 }
 
 /// A process and what is to happen to it.
@@ -63,6 +67,7 @@
     pub(super) links: Vec<Link>,
     children: Vec<Child>,
     version: u64,
+    pub(super) releases: Releases,
 }
 
 /// The addresses of one world.
@@ -94,8 +99,13 @@
 }
 
 impl World {
-    /// Starts three routers, two loaders and what is around them.
-    pub(super) async fn start(bin: &Path, out: &Path) -> Result<Self, ChildError> {
+    /// Starts three routers, the loaders of the engines and what is around them. With releases there are more engines, and
+    /// their streams name versions.
+    pub(super) async fn start(
+        bin: &Path,
+        out: &Path,
+        with_releases: bool,
+    ) -> Result<Self, ChildError> {
         std::fs::create_dir_all(out)
             .map_err(|cause| ChildError::Start { program: out.to_owned(), cause })?;
         let addresses = Addresses::free();
@@ -109,10 +119,14 @@
             store.list_server(&server, "app", Some("ready"));
             plain.push(server);
         }
-        for (index, loaded) in (0_u8..).zip([["a", "b"], ["b", "c"]]) {
+        let engine_count = if with_releases { HOLDINGS.len() } else { FEW_ENGINES };
+        for (index, loaded) in (0_u8..).zip(&HOLDINGS[..engine_count]) {
             let (near, behind) = (addresses.ip(50 + index), addresses.ip(80 + index));
-            let server = Server::engine(&format!("e-{index}"), near, engine(&loaded)).await;
+            let server = Server::engine(&format!("e-{index}"), near, engine(loaded)).await;
             server.set_default_behavior(Behavior::Events(1, 6, true));
+            if with_releases {
+                releases::prepare(&server);
+            }
             store.list_server(&server, "llm", Some("ready"));
             links.push(Link::start((near, LOADER).into(), (behind, LOADER).into()).await);
             let to_store = Link::start((behind, 0).into(), store.addr).await;
@@ -147,8 +161,10 @@
             keys,
             next: AtomicU64::new(1),
             disturbed: Disturbances::default(),
+            streams: StreamLog::default(),
         };
-        let mut world = Self { shared: Arc::new(shared), links, children, version: 1 };
+        let releases = Releases::default();
+        let mut world = Self { shared: Arc::new(shared), links, children, version: 1, releases };
         world.tend()?;
         world.shared.clone().until_served().await;
         while !world.shared.all_share().await {
@@ -167,6 +183,11 @@
         link.checked_sub(self.beside_routers())
     }
 
+    /// How many of the processes are loaders; these come first.
+    fn loaders(&self) -> usize {
+        self.shared.engines.len()
+    }
+
     /// How many processes there are.
     pub(super) fn processes(&self) -> usize {
         self.children.len()
@@ -196,7 +217,7 @@
 
     /// Sends a signal to a process that runs; it is started again once it has ended.
     pub(super) fn signal(&mut self, index: usize, signal: Signal) -> Result<(), ChildError> {
-        self.shared.disturbed.begin(index.checked_sub(LOADERS));
+        self.shared.disturbed.begin(index.checked_sub(self.loaders()));
         let child = &mut self.children[index];
         let Some(process) = child.process.as_ref().filter(|process| process.id().is_some()) else {
             return Ok(());
@@ -227,15 +248,16 @@
                 server.restart();
             }
         }
+        let loaders = self.loaders();
         for (index, child) in self.children.iter_mut().enumerate() {
             if child.wakes.is_some_and(|wakes| wakes <= now) {
                 child.wake()?;
-                self.shared.disturbed.end(index.checked_sub(LOADERS));
+                self.shared.disturbed.end(index.checked_sub(loaders));
             }
             if child.process.as_mut().is_none_or(Process::over) {
                 child.process = Some(child.launch.clone().start()?);
                 (child.wakes, child.ending) = (None, false);
-                self.shared.disturbed.end(index.checked_sub(LOADERS));
+                self.shared.disturbed.end(index.checked_sub(loaders));
             }
         }
         Ok(())
@@ -321,6 +343,7 @@
             self.stopped(router, from, to)
         }));
         all.extend(self.sent_on());
+        all.extend(self.streams.broken());
         all.extend(self.keys.broken(&servers));
         all
     }
