Loader: a model that another version loads is no second copy for begun streams

Cause: a load from the weight store for a model that is being loaded elsewhere goes behind the loads of all models that have none on the way. If the other load is at an endpoint of another version, the streams that the load is for can't be served by it, and they waited for the loads of all other models.

Change: a router says with its request if only the endpoint's version may serve the requests that wait, and the permit record names the version. It counts as a second copy only if a load of the same version is under way. Records without a version are written as before. Loaders of earlier releases don't read the version: while both releases run and a version is named, they may order waiting loads otherwise, which can grant a permit more or fewer until the load ends.

--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -8,7 +8,8 @@
 use quarantine::{Digest, Evidence, QuarantineRecord, SuspectKind};
 use serde::{Deserialize, Serialize};
 use units::{
-    EndpointId, EndpointIncarnation, Era, ModelName, Rate, Revision, StorePosition, WorkspaceName,
+    EndpointId, EndpointIncarnation, Era, ModelName, Rate, Revision, SoftwareVersion,
+    StorePosition, WorkspaceName,
 };
 
 use crate::demand::{ModelRate, QueueSummary, StepTime};
@@ -149,6 +150,9 @@
     /// The requests that wait for the model at the router, if the router has wait queues.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub queue: Option<QueueSummary>,
+    /// The version of the endpoint's software, if endpoints of no other version may serve the requests that wait.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// The result of an [`EnsureRequest`].
--- a/components/loader/src/controller.rs
+++ b/components/loader/src/controller.rs
@@ -248,12 +248,14 @@
                     self.view.requested.entry(ensure.target).or_insert_with(|| RequestedModel {
                         waiting: BTreeMap::new(),
                         request_rates: BTreeMap::new(),
+                        software: None,
                         deadline,
                         since: now,
                         replies: Vec::new(),
                     });
                 requested.waiting.insert(ensure.router.clone(), ensure.waiting);
                 requested.request_rates.insert(ensure.router, ensure.rate);
+                requested.software = ensure.software.or(requested.software.take());
                 requested.deadline = requested.deadline.max(deadline);
                 requested.replies.push(reply);
             }
--- a/components/loader/src/controller/permits.rs
+++ b/components/loader/src/controller/permits.rs
@@ -14,11 +14,13 @@
         let request = plan::next_store_load(&self.view).map(|(model, demand)| {
             let spec = self.view.engine.as_ref().and_then(|engine| engine.model(model));
             let solo_time = spec.map_or(IDLE_INTERVAL, |spec| spec.store_load);
-            PermitRequest { model: model.clone(), demand, solo_time }
+            let software = plan::required_software(&self.view, model).cloned();
+            PermitRequest { model: model.clone(), demand, solo_time, software }
         });
         let same = match (&self.permit_request, &request) {
             (Some(before), Some(request)) => {
                 before.model == request.model
+                    && before.software == request.software
                     && request.demand <= permit::renewal_threshold(before.demand)
             }
             (before, request) => before.is_none() && request.is_none(),
--- a/components/loader/src/controller/rooms/tests.rs
+++ b/components/loader/src/controller/rooms/tests.rs
@@ -64,6 +64,7 @@
         waiting,
         rate: 0.0,
         queue,
+        software: None,
     }
 }
 
--- a/components/loader/src/permit.rs
+++ b/components/loader/src/permit.rs
@@ -6,7 +6,7 @@
 use platform::{Store, StoreError};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
-use units::{Era, ModelName, StorePosition};
+use units::{Era, ModelName, SoftwareVersion, StorePosition};
 
 use crate::fence::TOPIC;
 use crate::queue::{PermitRecord, RENEW_INTERVAL};
@@ -35,6 +35,8 @@
     pub(crate) demand: f64,
     /// How long the load takes alone.
     pub(crate) solo_time: Duration,
+    /// The version of the endpoint's software, if endpoints of no other version may serve requests that wait.
+    pub(crate) software: Option<SoftwareVersion>,
 }
 
 /// A command of the controller.
@@ -192,7 +194,8 @@
             let loading = self.granted.borrow().as_ref() == Some(&request.model);
             let outdated = appended.as_ref().is_none_or(|(before, at)| {
                 let grown = request.demand > renewal_threshold(before.demand);
-                before.model != request.model || grown || at.elapsed() > RENEW_INTERVAL
+                let other = before.model != request.model || before.software != request.software;
+                other || grown || at.elapsed() > RENEW_INTERVAL
             });
             let rewrite = self.rewrite_at.is_some_and(|at| Instant::now() >= at);
             if outdated && !loading || rewrite {
@@ -201,6 +204,7 @@
                     model: request.model.clone(),
                     demand: request.demand,
                     solo_time: request.solo_time,
+                    software: request.software.clone(),
                     loading,
                 };
                 match self.append(&record).await {
--- a/components/loader/src/permit/tests.rs
+++ b/components/loader/src/permit/tests.rs
@@ -50,6 +50,7 @@
                 model,
                 demand: 3.0,
                 solo_time: SOLO_TIME,
+                software: None,
             }))
             .expect("an open channel");
     }
--- a/components/loader/src/plan.rs
+++ b/components/loader/src/plan.rs
@@ -16,7 +16,7 @@
 use fleet::Tier;
 use platform::Operation;
 use tokio::time::Instant;
-use units::{ModelName, Size};
+use units::{ModelName, Size, SoftwareVersion};
 
 use crate::room::{self, Room};
 use crate::view::{EndpointView, RequestedModel};
@@ -142,6 +142,15 @@
     })
 }
 
+/// The version of the endpoint's software, if endpoints of no other version may serve requests that wait for a model.
+pub(crate) fn required_software<'a>(
+    view: &'a EndpointView,
+    model: &ModelName,
+) -> Option<&'a SoftwareVersion> {
+    let mut requested = view.requested.iter().filter(|(id, _)| id.model == *model);
+    requested.find_map(|(_, requested)| requested.software.as_ref())
+}
+
 /// Whether a load of the model would read from the weight store.
 fn needs_store(view: &EndpointView, model: &ModelName) -> bool {
     view.report.as_ref().is_some_and(|report| report.copies.tier(model) == Tier::Store)
--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -61,6 +61,7 @@
     let requested = RequestedModel {
         waiting,
         request_rates: BTreeMap::new(),
+        software: None,
         deadline: since + DRAIN_TIMEOUT,
         since,
         replies: Vec::new(),
@@ -291,3 +292,19 @@
     view.permit = Some(name("c"));
     assert_eq!(next_store_load(&view), Some((&name("c"), 2.0)));
 }
+
+/// The load of a model would go behind all others because another version loads it, though streams of this version wait for an adapter
+/// of it.
+#[tokio::test(start_paused = true)]
+async fn a_model_is_needed_at_the_version_that_requests_for_its_adapters_need() {
+    let now = Instant::now();
+    let mut view = view_with(&[]);
+    for target in ["a", "a/x", "b"] {
+        request(&mut view, target, 1, now);
+    }
+    assert_eq!(required_software(&view, &name("a")), None);
+    let version: units::SoftwareVersion = "v1".parse().expect("a version");
+    view.requested.get_mut(&id("a/x")).expect("a request").software = Some(version.clone());
+    assert_eq!(required_software(&view, &name("a")), Some(&version));
+    assert_eq!(required_software(&view, &name("b")), None);
+}
--- a/components/loader/src/plan/unqueued.rs
+++ b/components/loader/src/plan/unqueued.rs
@@ -87,6 +87,7 @@
     RequestedModel {
         waiting: asking.iter().map(|name| (name.clone(), rng.random_range(0..6))).collect(),
         request_rates: asking.iter().map(|name| (name.clone(), rng.random::<f64>())).collect(),
+        software: None,
         deadline: now + Duration::from_millis(rng.random_range(1..17_000)),
         since: recently(rng, now),
         replies: Vec::new(),
--- a/components/loader/src/queue.rs
+++ b/components/loader/src/queue.rs
@@ -16,7 +16,7 @@
 use admission::{ConcurrentLoads, LoadConcurrency};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use units::ModelName;
+use units::{ModelName, SoftwareVersion};
 
 /// A load that takes this many times as long as it takes alone is considered lost together with its loader; while this
 /// many loads run concurrently, it would still be complete by then.
@@ -44,6 +44,9 @@
         #[serde(rename = "alone")]
         #[serde(with = "fleet::millis")]
         solo_time: Duration,
+        /// The version of the endpoint's software, if endpoints of no other version may serve requests that wait.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        software: Option<SoftwareVersion>,
         /// Whether the loader has a permit already, by records that the store has lost.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         loading: bool,
@@ -65,6 +68,7 @@
     model: ModelName,
     demand: f64,
     solo_time: Duration,
+    software: Option<SoftwareVersion>,
     /// The number of the first record for this model, counted over all records.
     position: u64,
     /// When the loader last requested the permit.
@@ -74,16 +78,33 @@
 }
 
 impl Entry {
-    /// The model that is being loaded, if the loader has a permit.
-    fn loading_model(&self) -> Option<ModelName> {
-        self.permit.map(|_| self.model.clone())
+    /// What is being loaded, if the loader has a permit.
+    fn load(&self) -> Option<GrantedLoad> {
+        self.permit
+            .map(|_| GrantedLoad { model: self.model.clone(), software: self.software.clone() })
+    }
+}
+
+/// A load that has a permit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct GrantedLoad {
+    model: ModelName,
+    /// The version of the endpoint's software, if the load is for requests that only this version may serve.
+    software: Option<SoftwareVersion>,
+}
+
+impl GrantedLoad {
+    /// Whether the load also serves the requests that an entry waits for.
+    fn serves(&self, entry: &Entry) -> bool {
+        let software = entry.software.is_none() || entry.software == self.software;
+        entry.model == self.model && software
     }
 }
 
 /// Compares two waiting entries; the lesser one goes first. A second copy of a model that is being loaded goes behind
-/// all models that have none on the way.
-fn compare_priority(a: &Entry, b: &Entry, loading: &[ModelName]) -> Ordering {
-    let is_second = |entry: &Entry| loading.contains(&entry.model);
+/// all models that have none on the way, unless it is for requests that the first one can't serve.
+fn compare_priority(a: &Entry, b: &Entry, loading: &[GrantedLoad]) -> Ordering {
+    let is_second = |entry: &Entry| loading.iter().any(|load| load.serves(entry));
     let demand = b.demand.total_cmp(&a.demand);
     is_second(a).cmp(&is_second(b)).then(demand).then(a.position.cmp(&b.position))
 }
@@ -126,7 +147,7 @@
     pub(crate) fn apply(&mut self, record: PermitRecord, now: Instant) {
         self.applied += 1;
         match record {
-            PermitRecord::Request { loader, model, demand, solo_time, loading } => {
+            PermitRecord::Request { loader, model, demand, solo_time, software, loading } => {
                 self.loaders.insert(loader.clone());
                 let before = self.entries.get(&loader).filter(|entry| entry.model == model);
                 let (position, mut permit) =
@@ -137,7 +158,8 @@
                     let concurrent = ConcurrentLoads { min: 1, max: self.taken_permits() + 1 };
                     permit = permit.or(Some((now, concurrent)));
                 }
-                let entry = Entry { model, demand, solo_time, position, requested: now, permit };
+                let entry =
+                    Entry { model, demand, solo_time, software, position, requested: now, permit };
                 self.entries.insert(loader, entry);
             }
             PermitRecord::Release { loader, took_ms } => {
@@ -165,8 +187,7 @@
     /// in the order of the records, as if each took as long as it takes alone. Loaders without a request in the records
     /// follow, ordered by name.
     pub(crate) fn offline_delay(&self, loader: &str, solo_time: Duration) -> Duration {
-        let loading: Vec<ModelName> =
-            self.entries.values().filter_map(Entry::loading_model).collect();
+        let loading: Vec<GrantedLoad> = self.entries.values().filter_map(Entry::load).collect();
         let ahead = match self.entries.get(loader) {
             Some(own) if own.permit.is_some() => return Duration::ZERO,
             Some(own) => {
@@ -204,8 +225,7 @@
         let granted = u32::try_from(waiting).unwrap_or(u32::MAX).min(free);
         let running = taken + granted;
         for _ in 0..granted {
-            let loading: Vec<ModelName> =
-                self.entries.values().filter_map(Entry::loading_model).collect();
+            let loading: Vec<GrantedLoad> = self.entries.values().filter_map(Entry::load).collect();
             let waiting = self.entries.values_mut().filter(|entry| entry.permit.is_none());
             let next = waiting.min_by(|a, b| compare_priority(a, b, &loading));
             if let Some(entry) = next {
--- a/components/loader/src/queue/tests.rs
+++ b/components/loader/src/queue/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the permit queue, on a store that slows down beyond some number of concurrent loads.
 
+use rstest::rstest;
+
 use super::*;
 
 const ALONE: Duration = Duration::from_secs(6);
@@ -11,10 +13,20 @@
         model,
         demand,
         solo_time: ALONE,
+        software: None,
         loading: false,
     }
 }
 
+/// A request of a loader for requests that only endpoints of one version may serve.
+fn request_bound(loader: usize, model: &str, demand: f64, version: &str) -> PermitRecord {
+    let mut record = request(loader, model, demand);
+    if let PermitRecord::Request { software, .. } = &mut record {
+        *software = Some(version.parse().expect("a version"));
+    }
+    record
+}
+
 fn release(loader: usize, took: Option<Duration>) -> PermitRecord {
     let took_ms = took.map(|took| u64::try_from(took.as_millis()).expect("short"));
     PermitRecord::Release { loader: format!("side-{loader}"), took_ms }
@@ -55,6 +67,34 @@
     assert_eq!(with_permit(&queue), [0, 2], "no other loader needs the permit");
 }
 
+/// Streams of a version would wait for the loads of all other models, since another version loads theirs.
+#[rstest]
+#[case::for_any_request(None, [0, 3])]
+#[case::of_the_version_that_loads_it(Some("v2"), [0, 3])]
+#[case::of_another_version(Some("v1"), [0, 2])]
+#[tokio::test(start_paused = true)]
+async fn a_model_that_another_version_loads_is_no_second_copy_for_begun_streams(
+    #[case] version: Option<&str>,
+    #[case] expected: [usize; 2],
+) {
+    let now = Instant::now();
+    let mut queue = PermitQueue::default();
+    queue.apply(request_bound(0, "a", 9.0, "v2"), now);
+    queue.apply(request(1, "b", 5.0), now);
+    queue.apply(version.map_or(request(2, "a", 9.0), |v| request_bound(2, "a", 9.0, v)), now);
+    queue.apply(request(3, "c", 1.0), now);
+    queue.apply(release(1, None), now);
+    assert_eq!(with_permit(&queue), expected);
+}
+
+/// Loaders of different releases could not read each other's requests.
+#[test]
+fn a_request_without_a_version_is_the_record_of_earlier_releases() {
+    let text = r#"{"note":"ask","loader":"side-1","model":"a","worth":2.0,"alone":6000}"#;
+    assert_eq!(serde_json::to_string(&request(1, "a", 2.0)).expect("a record"), text);
+    assert_eq!(serde_json::from_str::<PermitRecord>(text).expect("a record"), request(1, "a", 2.0));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_with_more_demand_keeps_its_position_and_one_for_another_model_does_not() {
     let now = Instant::now();
@@ -213,12 +253,15 @@
     let mut queue = PermitQueue::default();
     queue.begin_restore();
     for loader in 0..2 {
-        let PermitRecord::Request { loader, model, demand, solo_time, .. } =
+        let PermitRecord::Request { loader, model, demand, solo_time, software, .. } =
             request(loader, "a", 1.0)
         else {
             continue;
         };
-        queue.apply(PermitRecord::Request { loader, model, demand, solo_time, loading: true }, now);
+        queue.apply(
+            PermitRecord::Request { loader, model, demand, solo_time, software, loading: true },
+            now,
+        );
     }
     queue.apply(release(1, Some(ALONE)), now);
     queue.end_restore();
--- a/components/loader/src/room/simulation.rs
+++ b/components/loader/src/room/simulation.rs
@@ -248,6 +248,7 @@
             let requested = self.view.requested.entry(target).or_insert_with(|| RequestedModel {
                 waiting: BTreeMap::new(),
                 request_rates: BTreeMap::new(),
+                software: None,
                 deadline,
                 since: now,
                 replies: Vec::new(),
--- a/components/loader/src/room/tests.rs
+++ b/components/loader/src/room/tests.rs
@@ -63,6 +63,7 @@
     let requested = view.requested.entry(id(model)).or_insert_with(|| RequestedModel {
         waiting: BTreeMap::new(),
         request_rates: BTreeMap::new(),
+        software: None,
         deadline: now + 17 * SECOND,
         since: now,
         replies: Vec::new(),
--- a/components/loader/src/view.rs
+++ b/components/loader/src/view.rs
@@ -9,7 +9,7 @@
 use speed::SharedSteps;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use units::{ModelName, Size};
+use units::{ModelName, Size, SoftwareVersion};
 
 use crate::room::RoomState;
 
@@ -20,6 +20,8 @@
     pub(crate) waiting: BTreeMap<String, u32>,
     /// Requests a second that arrive for it, by router.
     pub(crate) request_rates: BTreeMap<String, f64>,
+    /// The version of the endpoint's software, if endpoints of no other version may serve requests that wait for it.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Until when routers wait for it.
     pub(crate) deadline: Instant,
     /// When it was first asked for.
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -211,6 +211,7 @@
         waiting: if request.urgent { waiting } else { 0 },
         rate,
         queue,
+        software: software.filter(|_| request.bound),
     };
     tokio::spawn(send_load_request(shared.clone(), addr, ensure));
 }
