Router: one pass over the endpoints a search; a loader hears that streams of its version have come to wait

The split of the search visited all endpoints a second time for those that only a probe brings back, at each search, also in services with one version. They are found in the pass that finds the candidates.

A loader that had been asked for requests that any version may serve wasn't asked again for a begun stream until twice as many requests waited, so its load stayed behind those of other models if another version loaded the model. It is asked again.

--- a/components/router/src/choose.rs
+++ b/components/router/src/choose.rs
@@ -272,14 +272,31 @@
     Other(SearchResult),
 }
 
+/// The endpoints that a request may use, as a search finds them.
+#[derive(Default)]
+struct Considered<'a> {
+    /// Those that may get the request, or load its model, now.
+    candidates: Vec<Candidate<'a>>,
+    /// Those that were silent, so that only a probe can bring them back.
+    silent: Vec<&'a EndpointId>,
+    /// Whether any of them accepts work.
+    any_accepts: bool,
+    /// Whether any of them accepts work that the request was not sent to.
+    any_left: bool,
+}
+
 /// Searches once for an endpoint.
 pub(crate) fn search(shared: &Arc<Shared>, needs: &RequestNeeds<'_>) -> SearchResult {
     let now = Instant::now();
     let mut table = shared.endpoints.lock();
-    for id in silent_endpoints(&table, needs, now) {
-        probe::start(shared, &id, &table);
+    let prefill_time = needs.prefill_time(&mut table);
+    let considered = consider(&table, needs, now);
+    for id in &considered.silent {
+        probe::start(shared, id, &table);
     }
-    let (id, times, extra_load) = match plan(&mut table, needs, &shared.domain, now) {
+    let plan = plan(&table, &considered, needs, (prefill_time, now), &shared.domain);
+    drop(considered);
+    let (id, times, extra_load) = match plan {
         Plan::Send { id, times, extra_load } => (id, times, extra_load),
         Plan::Probe(id) => {
             probe::start(shared, &id, &table);
@@ -296,66 +313,66 @@
     reservation.map_or(SearchResult::NoEndpoint, |one| SearchResult::Reserved(Box::new(one)))
 }
 
-/// The endpoints for a request that only a probe can bring back, since they were silent.
-fn silent_endpoints(
-    table: &EndpointTable,
+fn consider<'a>(
+    table: &'a EndpointTable,
     needs: &RequestNeeds<'_>,
     now: Instant,
-) -> Vec<EndpointId> {
-    let silent = |tracked: &&TrackedEndpoint| {
-        needs.may_use(tracked)
-            && !tracked.usable(now)
-            && tracked.unresponsive(now)
-            && tracked.needs_probe(now)
-    };
-    table.map.values().filter(silent).map(|tracked| tracked.endpoint.id.clone()).collect()
-}
-
-/// Decides where a request is sent, or what it waits for.
-fn plan(table: &mut EndpointTable, needs: &RequestNeeds<'_>, local: &Domain, now: Instant) -> Plan {
-    let prefill_time = needs.prefill_time(table);
-    let table = &*table;
-    let required = needs.required_software();
+) -> Considered<'a> {
     // A model is loaded at an endpoint that announces a rate limit only if all of them do.
-    let all_limited = table.all_rate_limited(needs.service, required, now);
+    let all_limited = table.all_rate_limited(needs.service, needs.required_software(), now);
     // An adapter can't be loaded where its model was refused.
     let refusals: Vec<ModelId> = needs.model.map(with_base_model).unwrap_or_default();
-    let mut candidates = Vec::new();
-    let (mut any_accepts, mut any_left) = (false, false);
+    let mut considered = Considered::default();
     for (id, tracked) in table.map.iter().filter(|(_, tracked)| needs.may_use(tracked)) {
-        any_accepts |= tracked.accepts_work();
-        any_left |= tracked.accepts_work() && !needs.excluded.contains(id);
-        if !tracked.usable(now)
-            || needs.excluded.contains(id)
-            || needs.isolated && tracked.pool.sent_requests().isolated > 0
-        {
+        let excluded = needs.excluded.contains(id);
+        considered.any_accepts |= tracked.accepts_work();
+        considered.any_left |= tracked.accepts_work() && !excluded;
+        if !tracked.usable(now) {
+            if tracked.unresponsive(now) && tracked.needs_probe(now) {
+                considered.silent.push(id);
+            }
+            continue;
+        }
+        if excluded || needs.isolated && tracked.pool.sent_requests().isolated > 0 {
             continue;
         }
         let refused =
             |id: &ModelId| tracked.refused_until.get(id).is_some_and(|until| *until > now);
-        candidates.push(tracked.candidate(
+        considered.candidates.push(tracked.candidate(
             tracked.can_load(now)
                 && (all_limited || tracked.rate_limit(now).is_none())
                 && !refusals.iter().any(refused),
             now,
         ));
     }
+    considered
+}
+
+/// Decides where a request is sent, or what it waits for.
+fn plan(
+    table: &EndpointTable,
+    considered: &Considered<'_>,
+    needs: &RequestNeeds<'_>,
+    (prefill_time, now): (Duration, Instant),
+    local: &Domain,
+) -> Plan {
     if let Some(left) = backoff(table, needs, now) {
         return Plan::Other(SearchResult::Paused(left));
     }
-    if let Some(required) = required.filter(|_| !any_accepts)
+    if let Some(required) = needs.required_software().filter(|_| !considered.any_accepts)
         && table.list_loaded
         && !table.may_meet_soon(required)
     {
         return Plan::Other(SearchResult::NoVersion);
     }
-    if !any_left {
+    if !considered.any_left {
         // Every endpoint has refused the request, or there is none: there is nothing to wait for.
         return Plan::Other(SearchResult::NoEndpoint);
     }
-    match balance::choose_endpoint(table, &candidates, needs, prefill_time, local) {
-        Some(chosen) => plan_send(table, &candidates, needs, chosen, (prefill_time, now)),
-        None => Plan::Other(plan_loads(table, &candidates, needs, prefill_time, now)),
+    let candidates = &considered.candidates;
+    match balance::choose_endpoint(table, candidates, needs, prefill_time, local) {
+        Some(chosen) => plan_send(table, candidates, needs, chosen, (prefill_time, now)),
+        None => Plan::Other(plan_loads(table, candidates, needs, prefill_time, now)),
     }
 }
 
--- a/components/router/src/choose/tests.rs
+++ b/components/router/src/choose/tests.rs
@@ -78,7 +78,10 @@
         let mut table = std::mem::take(&mut self.table);
         let needs = RequestNeeds { excluded, ..self.needs(begun) };
         let local = "near".parse().expect("a domain");
-        let plan = describe(plan(&mut table, &needs, &local, self.now));
+        let times = (needs.prefill_time(&mut table), self.now);
+        let considered = consider(&table, &needs, self.now);
+        let plan = describe(plan(&table, &considered, &needs, times, &local));
+        drop(considered);
         self.table = table;
         plan
     }
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -83,6 +83,15 @@
     pub(crate) waiting: u32,
     /// When the loader was last asked.
     pub(crate) asked_at: Option<Instant>,
+    /// Whether the loader knows that only its endpoint's version of the software may serve requests that wait.
+    pub(crate) bound: bool,
+}
+
+impl OpenLoads {
+    /// Whether the loader need not be told of these requests: it has been asked, and what it knows is about right.
+    pub(crate) fn covers(&self, waiting: u32, bound: bool) -> bool {
+        self.open > 0 && waiting < self.waiting.max(1) * 2 && (self.bound || !bound)
+    }
 }
 
 /// An endpoint and what this router knows about it.
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -158,7 +158,8 @@
 }
 
 /// Asks the loader of an endpoint for a model, unless it is being asked already and fewer than twice as many requests wait
-/// for the model since. With queues, it is asked again after [`SUMMARY_INTERVAL`].
+/// for the model since, and it knows if only its version may serve some of them. With queues, it is asked again after
+/// [`SUMMARY_INTERVAL`].
 pub(crate) fn request_load(
     shared: &Arc<Shared>,
     id: &EndpointId,
@@ -179,10 +180,10 @@
             waiting = waiting.max(1);
         }
         let outdated = loads.asked_at.is_none_or(|asked| now - asked >= SUMMARY_INTERVAL);
-        let ask_again = waiting >= loads.waiting.max(1) * 2 || queues && outdated;
-        if loads.open > 0 && !ask_again {
+        if loads.covers(waiting, request.bound) && !(queues && outdated) {
             return;
         }
+        loads.bound |= request.bound;
         loads.asked_at = Some(now);
         loads.waiting = waiting;
         loads.open += 1;
