--- a/components/origin/src/restarts.rs
+++ b/components/origin/src/restarts.rs
@@ -11,9 +11,9 @@
 
 use crate::{LIST_LAG, MAX_KEEP, StreamOrigin};
 
-/// The most endpoints whose restarts are remembered. The one that restarted first is dropped first.
-const MAX_ENDPOINTS: usize = 4_096;
-/// The most restarts of an endpoint that are remembered.
+/// The most restarts that are remembered, of all endpoints. The oldest one is dropped first.
+const MAX_TOTAL: usize = 4_096;
+/// The most restarts of one endpoint that are remembered.
 const MAX_RESTARTS: usize = 8;
 /// How long a restart is remembered: as long as any origin that it may contradict.
 const RESTART_MEMORY: Duration = MAX_KEEP;
@@ -22,8 +22,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct Restarts {
     endpoints: HashMap<EndpointId, Vec<Restart>>,
-    /// The endpoints in the order of their restarts.
-    order: VecDeque<(Instant, EndpointId)>,
+    /// All of them, in the order in which they became known.
+    order: VecDeque<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    at: Instant,
+    endpoint: EndpointId,
+    since: Instant,
 }
 
 #[derive(Debug)]
@@ -51,7 +58,7 @@
         if restarts.len() > MAX_RESTARTS {
             restarts.remove(0);
         }
-        self.order.push_back((now, endpoint.clone()));
+        self.order.push_back(Known { at: now, endpoint: endpoint.clone(), since });
     }
 
     /// Whether the endpoint may have run other software when the stream began.
@@ -62,20 +69,14 @@
     }
 
     fn drop_old(&mut self, now: Instant) {
-        let limit = MAX_ENDPOINTS;
-        while let Some((at, endpoint)) = self.order.front() {
-            let old = now.saturating_duration_since(*at) >= RESTART_MEMORY;
-            if !old && self.order.len() < limit {
-                return;
-            }
-            let endpoint = endpoint.clone();
-            self.order.pop_front();
-            if let Some(restarts) = self.endpoints.get_mut(&endpoint) {
-                if !restarts.is_empty() {
-                    restarts.remove(0);
-                }
+        let keeps = |known: &Known| now.saturating_duration_since(known.at) < RESTART_MEMORY;
+        while self.order.len() >= MAX_TOTAL || self.order.front().is_some_and(|known| !keeps(known))
+        {
+            let Some(old) = self.order.pop_front() else { return };
+            if let Some(restarts) = self.endpoints.get_mut(&old.endpoint) {
+                restarts.retain(|restart| restart.since != old.since);
                 if restarts.is_empty() {
-                    self.endpoints.remove(&endpoint);
+                    self.endpoints.remove(&old.endpoint);
                 }
             }
         }
--- a/components/origin/src/restarts/tests.rs
+++ b/components/origin/src/restarts/tests.rs
@@ -49,10 +49,23 @@
         restarts.record(&endpoint(&format!("e-{number}")), &version("v1"), now, now);
         restarts.record(&endpoint("e"), &version("v1"), now, now);
     }
-    assert!(restarts.order.len() <= MAX_ENDPOINTS);
-    assert!(restarts.endpoints.len() <= MAX_ENDPOINTS);
+    assert!(restarts.order.len() <= MAX_TOTAL);
+    assert!(restarts.endpoints.len() <= MAX_TOTAL);
     assert!(restarts.endpoints.values().all(|known| known.len() <= MAX_RESTARTS));
     let later = start + 2 * RESTART_MEMORY;
     restarts.record(&endpoint("e"), &version("v1"), later, later);
     assert_eq!(restarts.endpoints.len(), 1);
 }
+
+#[test]
+fn an_endpoint_that_restarts_again_and_again_keeps_its_last_restarts() {
+    let start = Instant::now();
+    let mut restarts = Restarts::default();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    for second in 0..400 {
+        let software = if second % 2 == 0 { "v1" } else { "v2" };
+        restarts.record(&endpoint("e-1"), &version(software), at(second), at(second));
+    }
+    assert_eq!(restarts.endpoints[&endpoint("e-1")].len(), MAX_RESTARTS);
+    assert!(restarts.contradict(&origin("v1", at(399))));
+}
