Router: doubts about where a stream began hold inside answers too; bounded telling; sound endpoints are not punished

Found by a review of the whole change: - A keeper that did not answer was replaced by two others, and these in turn: copies of each record grew without bound where no loader answers. One outbox for each keeper holds each stream once, one keeper replaces one, and a loader of an earlier release is left alone. - A keeper that had timed out once was not asked for two seconds although it knew. - A stream that moves inside one answer was not checked against a restart of the endpoint that began it; the checks were off where the list is stale. - An endpoint that did not say whether it had restarted was taken for a failed one. - One endpoint of unknown version, or one that had just restarted, stopped all resumptions of a service with one version. - A loader that restarted counted as told; the first attempt's record was not prolonged; an unreadable `Last-Event-Id` counted as no event; routes that are not resumable were checked. A stream that no keeper knows is asked for once more before it is refused: the record may be on its way.

--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -96,7 +96,7 @@
 /// Where a stream may go on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
-    /// At any endpoint: its caller has no event of it, or no endpoint states a version.
+    /// At any endpoint: its caller has no event of it.
     Anywhere,
     /// At endpoints of one version in one service only.
     At {
@@ -184,7 +184,7 @@
         let versions = self.all_versions();
         let Some(only) = versions.first() else {
             return match self.has_unknown_version {
-                true => Decision::Anywhere,
+                true => Decision::Nowhere(Doubt::Unknown),
                 false => Decision::Nowhere(Doubt::NoEndpoint),
             };
         };
--- a/components/origin/src/decision/tests.rs
+++ b/components/origin/src/decision/tests.rs
@@ -80,10 +80,10 @@
 }
 
 #[test]
-fn streams_go_on_where_no_endpoint_states_a_version() {
+fn streams_of_unknown_origin_go_on_nowhere_beside_unknown_versions() {
     let services = [name("s")];
     let unversioned = ResumptionFacts { has_unknown_version: true, ..facts(&services, &[]) };
-    assert_eq!(decide(&unversioned), Decision::Anywhere);
+    assert_eq!(decide(&unversioned), UNKNOWN);
     let partly = ResumptionFacts { has_unknown_version: true, ..facts(&services, &["v1"]) };
     assert_eq!(decide(&partly), UNKNOWN);
 }
--- a/components/origin/src/table.rs
+++ b/components/origin/src/table.rs
@@ -83,7 +83,17 @@
                     entry.expires = expires;
                 }
             }
-            None => self.add(key, origin, expires),
+            None => self.add(key, Some(origin), expires),
+        }
+    }
+
+    /// Records that a stream began at a version that is not known, for the time `keep`. It conflicts with any other origin.
+    pub fn record_unknown(&mut self, key: StreamKey, keep: Duration, now: Instant) {
+        self.drop_expired(now);
+        let expires = now + keep.min(MAX_KEEP);
+        match self.entries.get_mut(&key) {
+            Some(entry) => entry.origin = None,
+            None => self.add(key, None, expires),
         }
     }
 
@@ -136,7 +146,7 @@
         entry.origin.as_ref().filter(|origin| !self.restarts.contradict(origin))
     }
 
-    fn add(&mut self, key: StreamKey, origin: StreamOrigin, expires: Instant) {
+    fn add(&mut self, key: StreamKey, origin: Option<StreamOrigin>, expires: Instant) {
         if self.entries.len() >= MAX_ORIGINS
             && let Some((_, oldest)) = self.added.first_key_value()
         {
@@ -146,7 +156,7 @@
         self.next += 1;
         self.added.insert(place, key);
         self.expiring.insert((expires, key));
-        self.entries.insert(key, Entry { origin: Some(origin), expires, place });
+        self.entries.insert(key, Entry { origin, expires, place });
     }
 
     fn remove(&mut self, key: StreamKey) {
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -14,7 +14,9 @@
 use tokio::time::Instant;
 use units::{EndpointIncarnation, ModelName, StorePosition};
 
+use crate::guard::wall_clock;
 use crate::liveness::LivenessState;
+use crate::origins::ServiceSoftware;
 use crate::pool::ConnectionPool;
 use crate::rate_limit::RateLimitState;
 use crate::speeds::EndpointSpeed;
@@ -95,6 +97,12 @@
     }
 }
 
+/// When an incarnation started, by this router's wall clock. It may be off by the difference of the clocks.
+fn started_at(EndpointIncarnation(started): EndpointIncarnation, now: Instant) -> Instant {
+    let age = Duration::from_millis(wall_clock().0.saturating_sub(started));
+    now.checked_sub(age).unwrap_or(now)
+}
+
 /// An endpoint and what this router knows about it.
 #[derive(Debug)]
 pub(crate) struct TrackedEndpoint {
@@ -292,11 +300,23 @@
         self.endpoint.software.as_ref().map_or("", |software| software.as_str())
     }
 
+    /// Adds the endpoint's software to that of its service. An endpoint that has restarted counts once the list shows its software;
+    /// until then this router lets no stream that began there go on elsewhere.
+    pub(crate) fn add_software(&self, service: &mut ServiceSoftware) {
+        match &self.endpoint.software {
+            Some(software) => {
+                service.versions.insert(software.clone());
+            }
+            None => service.unknown |= !self.awaits_software(),
+        }
+    }
+
     /// What the list says of the endpoint's software. Whether the endpoint has restarted since the list was read is asked of the
     /// endpoint itself.
     pub(crate) fn as_listed(&self, now: Instant) -> ListedEndpoint {
-        let (software, since) = (self.endpoint.software.clone(), self.incarnation_since);
-        ListedEndpoint { software, since, confirmed: now }
+        let started = self.endpoint.incarnation.map(|incarnation| started_at(incarnation, now));
+        let since = [self.incarnation_since, started].into_iter().flatten().min();
+        ListedEndpoint { software: self.endpoint.software.clone(), since, confirmed: now }
     }
 
     /// Whether the list does not show yet which software the endpoint runs since it restarted.
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -6,7 +6,7 @@
 use catalog::{Catalog, Route};
 use events::{Event, Refusal, Step, emit};
 use http::{StatusCode, Version};
-use origin::StreamKey;
+use origin::{StreamKey, StreamOrigin};
 use platform::{ForwardOptions, RequestHeaders, ResponseKind};
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation, Rate, ServiceName};
@@ -24,6 +24,7 @@
 use crate::pool::ConnectionPool;
 use crate::queued::Waiter;
 use crate::reservation::Reservation;
+use crate::resumption::AnsweringIncarnation;
 use crate::send_log::SendLog;
 use crate::shared::Shared;
 use crate::stream_version::StreamVersion;
@@ -70,6 +71,10 @@
     pub(crate) excluded: Vec<EndpointId>,
     /// Identifies the stream that the request begins or goes on with.
     pub(crate) stream_key: StreamKey,
+    /// Identifies the stream that the caller takes up, if it names one.
+    pub(crate) resumed_key: Option<StreamKey>,
+    /// Where this router began the stream, once an event has reached the caller.
+    pub(crate) origin: Option<StreamOrigin>,
     /// The software version to which the request is held, if it is for a stream.
     pub(crate) stream_version: StreamVersion,
     /// The incarnation of the endpoint that the request was last sent to.
@@ -155,15 +160,23 @@
             send_log.finish();
             match outcome {
                 SendOutcome::Response(response) => match self.classify(*response, &id).await {
-                    Verdict::Done(response)
-                        if !self.answers_with_held_version(&response.reservation).await =>
-                    {
-                        // This run was already counted when its response began.
-                        self.runs -= 1;
-                        drop(response);
-                        self.interrupted(&id, "it runs another software version than listed")?;
+                    Verdict::Done(response) => {
+                        match self.answering_incarnation(&response.reservation).await {
+                            AnsweringIncarnation::Same => return Ok(*response),
+                            AnsweringIncarnation::Other => {
+                                self.leave_run(
+                                    &id,
+                                    "the endpoint has restarted, perhaps with other software",
+                                )?;
+                            }
+                            AnsweringIncarnation::Unknown => {
+                                self.leave_run(
+                                    &id,
+                                    "the endpoint did not say whether it has restarted",
+                                )?;
+                            }
+                        }
                     }
-                    Verdict::Done(response) => return Ok(*response),
                     Verdict::Retry => {}
                     Verdict::Failed(failure) => return Err(failure),
                 },
@@ -393,6 +406,21 @@
         self.exclude(id);
     }
 
+    /// Leaves an endpoint that has begun to run the request; an error if the request may not run again.
+    fn leave_run(&mut self, id: &EndpointId, cause: &str) -> Result<(), Failure> {
+        self.log_step(Step::Broken, id, cause);
+        self.exclude(id);
+        if self.may_run_again() { Ok(()) } else { Err(self.failure(Refusal::Unknown, None)) }
+    }
+
+    /// Whether the request may run once more. Takes a retry from the budget of its service.
+    fn may_run_again(&self) -> bool {
+        self.route.kind.repeatable()
+            && self.runs < self.route.attempts
+            && self.deadline > Instant::now()
+            && self.shared.try_retry(&self.service, &self.request_id)
+    }
+
     /// The request does not go back to this endpoint.
     pub(crate) fn exclude(&mut self, id: &EndpointId) {
         if !self.excluded.contains(id) {
@@ -481,11 +509,7 @@
             crash_check::start(&self.shared, id, self.incarnation, pool);
         }
         self.exclude(id);
-        let again = self.route.kind.repeatable()
-            && self.runs < self.route.attempts
-            && self.deadline > Instant::now()
-            && self.shared.try_retry(&self.service, &self.request_id);
-        if again { Ok(()) } else { Err(self.failure(Refusal::Unknown, None)) }
+        if self.may_run_again() { Ok(()) } else { Err(self.failure(Refusal::Unknown, None)) }
     }
 
     /// Builds the failure for a cause. The status 503 and `Retry-After` promise that the request
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -86,6 +86,7 @@
         match loader.poll(&poll).await {
             Ok(polled) => {
                 if let Some(since) = lost_since.take() {
+                    shared.origins.forget_told(&id);
                     let after_ms = millis(since.elapsed());
                     let name = id.as_str();
                     emit(&Event::DependencyRegained {
--- a/components/router/src/origins.rs
+++ b/components/router/src/origins.rs
@@ -9,31 +9,38 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use control::{MAX_ORIGIN_RECORDS, OriginQuery, OriginRecord, VersionsReport};
+use control::{OriginRecord, VersionsReport};
 use events::{Event, emit};
-use fleet::EndpointStage;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
 use origin::{
-    Keeper, KeeperAnswer, KeeperState, Lookup, MAX_ASKED, OriginTable, StreamKey, StreamOrigin,
-    TOLD_KEEPERS, ToldStream, rank_keepers, retell,
+    Lookup, OriginTable, StreamKey, StreamOrigin, TOLD_KEEPERS, ToldStream, rank_keepers, retell,
 };
 use tokio::time::Instant;
-use units::{Domain, EndpointId, ServiceName, SoftwareVersion};
+use units::{EndpointId, ServiceName, SoftwareVersion};
 use web::CallError;
 
-use crate::endpoint::TrackedEndpoint;
 use crate::registry::EndpointTable;
 use crate::shared::Shared;
 
+mod ask;
+mod keeper;
+mod outbox;
+
+pub(crate) use ask::{Answers, ask};
+
+use keeper::{KnownKeeper, listed_keepers, told_keepers};
+use outbox::Outbox;
+
 /// How long a stream may be taken up after the deadline of the request that began it.
 const RETURN_TIME: Duration = Duration::from_secs(30);
+/// How long an origin is remembered that another process knew.
+const FOUND_TIME: Duration = Duration::from_secs(30);
 /// The timeout of telling a loader.
 const TELL_TIMEOUT: Duration = Duration::from_millis(400);
-/// The timeout of asking a loader: the caller of the stream waits for the answer.
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long a loader that did not answer is neither told nor asked.
-const DEAD_KEEPER_PAUSE: Duration = Duration::from_secs(2);
+/// How long a loader that did not answer is told of nothing.
+const SILENT_KEEPER_PAUSE: Duration = Duration::from_secs(2);
+/// The same for a loader of a release that keeps no origins.
+const OLD_KEEPER_PAUSE: Duration = Duration::from_secs(60);
 
 /// Where streams began, as one router knows it.
 #[derive(Debug, Default)]
@@ -50,54 +57,14 @@
     told: HashMap<StreamKey, Vec<EndpointId>>,
     /// The keepers when the list was last read.
     keepers: Vec<KnownKeeper>,
-    /// The records that wait to be sent to each keeper. A keeper with an entry has a task that sends them.
-    pending: HashMap<EndpointId, Vec<OriginRecord>>,
+    /// What each keeper is to be told. A keeper with an outbox has a task that sends it.
+    outboxes: HashMap<EndpointId, Outbox>,
+    /// Until when keepers that did not answer are told of nothing.
+    silent_until: HashMap<EndpointId, Instant>,
     /// The versions of each service when the list was last read.
     versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
-    /// Until when keepers that did not answer are left out.
-    dead: HashMap<EndpointId, Instant>,
-}
-
-/// A loader as a keeper of origins.
-#[derive(Debug, Clone)]
-struct KnownKeeper {
-    endpoint: EndpointId,
-    addr: SocketAddr,
-    domain: Domain,
-    state: KeeperState,
-}
-
-impl KnownKeeper {
-    fn new(tracked: &TrackedEndpoint, dead: bool, now: Instant) -> Self {
-        let silent = dead || tracked.unresponsive(now);
-        let leaving = tracked.endpoint.stage != EndpointStage::Ready || tracked.hints.draining;
-        let state = match (silent, leaving) {
-            (true, _) => KeeperState::Dead,
-            (false, true) => KeeperState::Leaving,
-            (false, false) => KeeperState::Serving,
-        };
-        let endpoint = &tracked.endpoint;
-        let (id, domain) = (endpoint.id.clone(), endpoint.domain.clone());
-        Self { endpoint: id, addr: endpoint.addr, domain, state }
-    }
-
-    fn as_keeper(&self) -> Keeper<'_> {
-        Keeper { endpoint: &self.endpoint, domain: &self.domain, state: self.state }
-    }
-}
-
-fn as_keepers(known: &[KnownKeeper]) -> Vec<Keeper<'_>> {
-    known.iter().map(KnownKeeper::as_keeper).collect()
-}
-
-impl State {
-    fn keepers(&self, table: &EndpointTable, now: Instant) -> Vec<KnownKeeper> {
-        let dead = |id: &EndpointId| self.dead.get(id).is_some_and(|until| *until > now);
-        let with_loader = table.map.values().filter(|tracked| tracked.endpoint.holdings.is_some());
-        with_loader
-            .map(|tracked| KnownKeeper::new(tracked, dead(&tracked.endpoint.id), now))
-            .collect()
-    }
+    /// When the list was last read.
+    list_read: Option<Instant>,
 }
 
 impl Origins {
@@ -109,6 +76,31 @@
     pub(crate) fn get(&self, key: StreamKey) -> Lookup {
         self.lock().table.get(key, Instant::now())
     }
+
+    /// Remembers an origin that a keeper knew, and checks it against the restarts of endpoints that this router has seen.
+    pub(crate) fn remember(&self, key: StreamKey, origin: StreamOrigin) -> Lookup {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.table.record(key, origin, FOUND_TIME, now);
+        state.table.get(key, now)
+    }
+
+    /// Records that the version of the endpoint that began a stream is not known. The stream goes on nowhere else.
+    pub(crate) fn record_unknown(&self, key: StreamKey, deadline: Instant) {
+        let now = Instant::now();
+        self.lock().table.record_unknown(key, keep_time(deadline, now), now);
+    }
+
+    /// Forgets what a loader was told, which has perhaps restarted.
+    pub(crate) fn forget_told(&self, keeper: &EndpointId) {
+        for told in self.lock().told.values_mut() {
+            told.retain(|other| other != keeper);
+        }
+    }
+}
+
+fn keep_time(deadline: Instant, now: Instant) -> Duration {
+    deadline.saturating_duration_since(now) + RETURN_TIME
 }
 
 /// Records that this router passes the first event of a stream on, whose request is given up at `deadline`.
@@ -119,7 +111,7 @@
     deadline: Instant,
 ) {
     let now = Instant::now();
-    let keep = deadline.saturating_duration_since(now) + RETURN_TIME;
+    let keep = keep_time(deadline, now);
     let tells = {
         let mut state = shared.origins.lock();
         state.table.record(key, origin.clone(), keep, now);
@@ -130,44 +122,49 @@
     }
 }
 
-/// Tells the keepers of a stream where it began.
+/// Tells the keepers of a stream where it began, but for those that know it or are about to.
 fn tell(shared: &Arc<Shared>, record: OriginRecord) {
     let now = Instant::now();
-    let chosen: Vec<KnownKeeper> = {
-        let table = shared.endpoints.lock();
-        let known = shared.origins.lock().keepers(&table, now);
-        let ranked = rank_keepers(record.key, &as_keepers(&known), TOLD_KEEPERS);
-        ranked.into_iter().map(|index| known[index].clone()).collect()
-    };
+    let mut state = shared.origins.lock();
+    let keepers = told_keepers(&state.keepers, &state.silent_until, now);
+    let ranked = rank_keepers(record.key, &keepers, TOLD_KEEPERS);
+    let chosen: Vec<KnownKeeper> =
+        ranked.into_iter().map(|index| state.keepers[index].clone()).collect();
     for keeper in chosen {
-        send(shared, &keeper, record.clone());
+        state.send(shared, &keeper, record.clone());
     }
 }
 
-/// Sends a record to a keeper, together with those that wait meanwhile.
-fn send(shared: &Arc<Shared>, keeper: &KnownKeeper, record: OriginRecord) {
-    let mut state = shared.origins.lock();
-    if let Some(pending) = state.pending.get_mut(&keeper.endpoint) {
-        pending.push(record);
-        return;
+impl State {
+    /// Sends a record to a keeper, together with those that wait meanwhile.
+    fn send(&mut self, shared: &Arc<Shared>, keeper: &KnownKeeper, record: OriginRecord) {
+        let id = &keeper.endpoint;
+        if self.told.get(&record.key).is_some_and(|told| told.contains(id)) {
+            return;
+        }
+        match self.outboxes.get_mut(id) {
+            Some(outbox) if outbox.holds(record.key) => {}
+            Some(outbox) => outbox.add(record),
+            None => {
+                let mut outbox = Outbox::default();
+                outbox.add(record);
+                self.outboxes.insert(id.clone(), outbox);
+                tokio::spawn(send_all(shared.clone(), id.clone(), keeper.addr));
+            }
+        }
     }
-    state.pending.insert(keeper.endpoint.clone(), vec![record]);
-    drop(state);
-    tokio::spawn(send_pending(shared.clone(), keeper.endpoint.clone(), keeper.addr));
 }
 
 /// Sends the records that wait for a keeper until there are none.
-async fn send_pending(shared: Arc<Shared>, keeper: EndpointId, addr: SocketAddr) {
+async fn send_all(shared: Arc<Shared>, keeper: EndpointId, addr: SocketAddr) {
     let loader = shared.loader_client(addr);
     loop {
         let records = {
             let mut state = shared.origins.lock();
-            let pending = state.pending.get_mut(&keeper);
-            let records: Vec<OriginRecord> = pending
-                .map(|pending| pending.drain(..pending.len().min(MAX_ORIGIN_RECORDS)).collect())
-                .unwrap_or_default();
+            let records =
+                state.outboxes.get_mut(&keeper).map(Outbox::next_message).unwrap_or_default();
             if records.is_empty() {
-                state.pending.remove(&keeper);
+                state.outboxes.remove(&keeper);
                 return;
             }
             records
@@ -180,20 +177,27 @@
                     state.told.entry(record.key).or_default().push(keeper.clone());
                 }
             }
-            Err(error) => {
-                return give_up(&shared, &keeper, records, &error.to_string());
-            }
+            Err(error) => return replace_keeper(&shared, &keeper, records, &error),
         }
     }
 }
 
-/// Leaves out a keeper that did not answer for a while, and tells others in its place.
-fn give_up(shared: &Arc<Shared>, keeper: &EndpointId, mut records: Vec<OriginRecord>, cause: &str) {
+/// Tells another keeper in place of one that did not answer, which is told of nothing for a while.
+fn replace_keeper(
+    shared: &Arc<Shared>,
+    keeper: &EndpointId,
+    mut records: Vec<OriginRecord>,
+    error: &CallError,
+) {
+    let old = matches!(error, CallError::Status { status, .. } if *status == StatusCode::NOT_FOUND);
+    let pause = if old { OLD_KEEPER_PAUSE } else { SILENT_KEEPER_PAUSE };
     {
         let mut state = shared.origins.lock();
-        state.dead.insert(keeper.clone(), Instant::now() + DEAD_KEEPER_PAUSE);
-        records.extend(state.pending.remove(keeper).unwrap_or_default());
+        state.silent_until.insert(keeper.clone(), Instant::now() + pause);
+        let left = state.outboxes.remove(keeper);
+        records.extend(left.into_iter().flat_map(Outbox::into_records));
     }
+    let cause = &error.to_string();
     emit(&Event::OriginsNotTold { endpoint: keeper.as_str(), streams: records.len(), cause });
     records.into_iter().for_each(|record| tell(shared, record));
 }
@@ -202,83 +206,88 @@
 /// list was read.
 pub(crate) fn update_keepers(shared: &Arc<Shared>) {
     let now = Instant::now();
-    let mut messages = Vec::new();
-    {
-        let table = shared.endpoints.lock();
-        let mut state = shared.origins.lock();
-        let several = services_with_several_versions(&table, now);
-        let known = state.keepers(&table, now);
-        let streams = state.streams_of(&several, now);
-        let told: HashSet<StreamKey> = streams.iter().map(|(key, ..)| *key).collect();
-        state.told.retain(|key, _| told.contains(key));
-        let (before, after) = (as_keepers(&state.keepers), as_keepers(&known));
-        let by_key: Vec<ToldStream> = streams
-            .iter()
-            .map(|(key, ..)| ToldStream {
-                key: *key,
-                told: state.told.get(key).cloned().unwrap_or_default(),
-            })
-            .collect();
-        for retelling in retell(&by_key, TOLD_KEEPERS, &before, &after) {
-            let (key, origin, keep) = &streams[retelling.stream];
-            for keeper in retelling.keepers {
-                let record = OriginRecord::new(*key, origin, *keep, now);
-                messages.push((known[keeper].clone(), record));
-            }
+    let table = shared.endpoints.lock();
+    let mut state = shared.origins.lock();
+    state.record_restarts(&table, now);
+    let versions = table.all_software_versions(now);
+    let several: HashSet<ServiceName> = versions
+        .iter()
+        .filter(|(_, versions)| versions.several())
+        .map(|(service, _)| (*service).clone())
+        .collect();
+    let known = listed_keepers(&table, now);
+    let streams: Vec<(StreamKey, StreamOrigin, Duration)> =
+        several.iter().flat_map(|service| state.table.of_service(service, now)).collect();
+    let kept: HashSet<StreamKey> = streams.iter().map(|(key, ..)| *key).collect();
+    state.told.retain(|key, _| kept.contains(key));
+    state.silent_until.retain(|_, until| *until > now);
+    let retellings = {
+        let before = told_keepers(&state.keepers, &HashMap::new(), now);
+        let after = told_keepers(&known, &state.silent_until, now);
+        let told = |key| state.told.get(key).cloned().unwrap_or_default();
+        let told: Vec<ToldStream> =
+            streams.iter().map(|(key, ..)| ToldStream { key: *key, told: told(key) }).collect();
+        retell(&told, TOLD_KEEPERS, &before, &after)
+    };
+    state.log_versions(&versions, retellings.len());
+    for retelling in retellings {
+        let (key, origin, keep) = &streams[retelling.stream];
+        for keeper in retelling.keepers {
+            state.send(shared, &known[keeper], OriginRecord::new(*key, origin, *keep, now));
         }
-        state.log_versions(&table, &messages, now);
-        state.told_services = several;
-        events::record_origins(state.table.len());
-        state.keepers = known;
-        state.dead.retain(|_, until| *until > now);
-    }
-    for (keeper, record) in messages {
-        send(shared, &keeper, record);
     }
+    state.told_services = several;
+    state.keepers = known;
+    state.list_read = Some(now);
+    events::record_origins(state.table.len());
 }
 
 impl State {
-    /// Logs the services whose versions have changed, with the streams that keepers are told of now.
-    fn log_versions(
-        &mut self,
-        table: &EndpointTable,
-        messages: &[(KnownKeeper, OriginRecord)],
-        now: Instant,
-    ) {
-        for service in listed_services(table) {
-            let versions = table.software_versions(service, now);
-            let before = self.versions.entry(service.clone()).or_default();
-            if *before == versions {
+    /// Remembers the endpoints that have restarted since the list was last read, with their software.
+    fn record_restarts(&mut self, table: &EndpointTable, now: Instant) {
+        for tracked in table.map.values() {
+            if let (Some(software), Some(since)) =
+                (&tracked.endpoint.software, tracked.incarnation_since)
+                && self.list_read.is_some_and(|read| since >= read)
+            {
+                self.table.record_restart(&tracked.endpoint.id, software, since, now);
+            }
+        }
+    }
+
+    /// Logs the services whose versions have changed. `told` streams are told to keepers now.
+    fn log_versions(&mut self, versions: &BTreeMap<&ServiceName, ServiceSoftware>, told: usize) {
+        self.versions.retain(|service, _| versions.contains_key(service));
+        for (service, ServiceSoftware { versions, .. }) in versions {
+            let before = self.versions.entry((*service).clone()).or_default();
+            if before == versions {
                 continue;
             }
-            let of_service = messages.iter().filter(|(_, record)| record.service == *service);
-            let told: HashSet<StreamKey> = of_service.map(|(_, record)| record.key).collect();
             emit(&Event::VersionsChanged {
                 service: service.as_str(),
-                versions: &join_versions(&versions),
+                versions: &join_versions(versions),
                 before: &join_versions(before),
-                told: told.len(),
+                told,
             });
-            *before = versions;
+            before.clone_from(versions);
         }
     }
-
-    fn streams_of(
-        &self,
-        services: &HashSet<ServiceName>,
-        now: Instant,
-    ) -> Vec<(StreamKey, StreamOrigin, Duration)> {
-        services.iter().flat_map(|service| self.table.of_service(service, now)).collect()
-    }
 }
 
-fn listed_services(table: &EndpointTable) -> BTreeSet<&ServiceName> {
-    table.map.values().map(|tracked| &tracked.endpoint.service).collect()
+/// The software of the endpoints of a service.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct ServiceSoftware {
+    /// The versions that it has, and has had lately.
+    pub(crate) versions: BTreeSet<SoftwareVersion>,
+    /// Whether it has an endpoint whose version is not known.
+    pub(crate) unknown: bool,
 }
 
-fn services_with_several_versions(table: &EndpointTable, now: Instant) -> HashSet<ServiceName> {
-    let several = |service: &&ServiceName| table.software_versions(service, now).len() > 1;
-    listed_services(table).into_iter().filter(several).cloned().collect()
+impl ServiceSoftware {
+    /// Whether streams of the service may have begun at different software.
+    pub(crate) fn several(&self) -> bool {
+        self.versions.len() + usize::from(self.unknown) > 1
+    }
 }
 
 /// Versions as they are logged.
@@ -294,57 +303,3 @@
     let endpoints = table.map.values().map(|one| (&one.endpoint, one.accepts_work()));
     VersionsReport::new(endpoints, &state.table, table.version_history(), Instant::now())
 }
-
-/// What the keepers of a stream answered.
-#[derive(Debug, Default)]
-pub(crate) struct Answers {
-    /// The number of keepers that were asked, without those that don't run.
-    pub(crate) asked: usize,
-    /// The answers of those that answered.
-    pub(crate) answers: Vec<KeeperAnswer>,
-}
-
-/// Asks the keepers of a stream where it began, until one knows.
-pub(crate) async fn ask(shared: &Arc<Shared>, key: StreamKey, service: &ServiceName) -> Answers {
-    let now = Instant::now();
-    let known = shared.origins.lock_keepers(shared, now);
-    let ranked = rank_keepers(key, &as_keepers(&known), MAX_ASKED);
-    let query = OriginQuery { key, service: service.clone() };
-    let mut calls: FuturesUnordered<_> = ranked
-        .iter()
-        .map(|index| async {
-            let keeper = &known[*index];
-            let loader = shared.loader_client(keeper.addr);
-            (keeper, loader.find_origin(&query, ASK_TIMEOUT).await)
-        })
-        .collect();
-    let mut answers = Vec::new();
-    let mut asked = ranked.len();
-    while let Some((keeper, answer)) = calls.next().await {
-        match answer {
-            Ok(answer) => {
-                let answer = answer.into_keeper_answer(key, Instant::now());
-                let found = answer.origin != Lookup::Unknown;
-                answers.push(answer);
-                if found {
-                    break;
-                }
-            }
-            Err(error) => {
-                let id = &keeper.endpoint;
-                log::debug!("router: the loader of {id} was not asked for a stream: {error}");
-                asked -= usize::from(matches!(error, CallError::Connect { .. }));
-                let until = Instant::now() + DEAD_KEEPER_PAUSE;
-                shared.origins.lock().dead.insert(id.clone(), until);
-            }
-        }
-    }
-    Answers { asked, answers }
-}
-
-impl Origins {
-    fn lock_keepers(&self, shared: &Shared, now: Instant) -> Vec<KnownKeeper> {
-        let table = shared.endpoints.lock();
-        self.lock().keepers(&table, now)
-    }
-}
--- /dev/null
+++ b/components/router/src/origins/ask.rs
@@ -0,0 +1,78 @@
+//! Asks the keepers of a stream where it began.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use control::OriginQuery;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use origin::{KeeperAnswer, Lookup, MAX_ASKED, StreamKey, rank_keepers};
+use tokio::time::Instant;
+use units::ServiceName;
+use web::CallError;
+
+use super::keeper::{KnownKeeper, asked_keepers};
+use crate::shared::Shared;
+
+/// The timeout of asking a loader: the caller of the stream waits for the answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long the others are waited for once most keepers have answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(50);
+
+/// What the keepers of a stream answered.
+#[derive(Debug, Default)]
+pub(crate) struct Answers {
+    /// The number of keepers that were asked, without those that don't run.
+    pub(crate) asked: usize,
+    /// The answers of those that answered.
+    pub(crate) answers: Vec<KeeperAnswer>,
+}
+
+/// Asks the keepers of a stream where it began, until one knows.
+pub(crate) async fn ask(shared: &Arc<Shared>, key: StreamKey, service: &ServiceName) -> Answers {
+    let keepers = ranked_keepers(shared, key);
+    let query = OriginQuery { key, service: service.clone() };
+    let mut calls: FuturesUnordered<_> =
+        keepers.iter().map(|keeper| ask_one(shared, keeper, &query)).collect();
+    let mut all = Answers { asked: keepers.len(), answers: Vec::new() };
+    let mut until = Instant::now() + ASK_TIMEOUT;
+    while let Ok(Some(answer)) = tokio::time::timeout_at(until, calls.next()).await {
+        match answer {
+            Ok(answer) => {
+                let known = answer.origin != Lookup::Unknown;
+                all.answers.push(answer);
+                if known {
+                    break;
+                }
+                if 2 * all.answers.len() > all.asked {
+                    until = until.min(Instant::now() + LAST_ANSWERS_TIME);
+                }
+            }
+            Err(CallError::Connect { .. }) => all.asked -= 1,
+            Err(_) => {}
+        }
+    }
+    all
+}
+
+fn ranked_keepers(shared: &Shared, key: StreamKey) -> Vec<KnownKeeper> {
+    let state = shared.origins.lock();
+    let ranked = rank_keepers(key, &asked_keepers(&state.keepers), MAX_ASKED);
+    ranked.into_iter().map(|index| state.keepers[index].clone()).collect()
+}
+
+async fn ask_one(
+    shared: &Shared,
+    keeper: &KnownKeeper,
+    query: &OriginQuery,
+) -> Result<KeeperAnswer, CallError> {
+    let answer = shared.loader_client(keeper.addr).find_origin(query, ASK_TIMEOUT).await;
+    match answer {
+        Ok(answer) => Ok(answer.into_keeper_answer(query.key, Instant::now())),
+        Err(error) => {
+            let id = &keeper.endpoint;
+            log::debug!("router: the loader of {id} did not say where a stream began: {error}");
+            Err(error)
+        }
+    }
+}
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -1,6 +1,6 @@
 //! What this router knows about each endpoint, and which endpoints may get requests.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,13 +15,12 @@
 use speed::ServiceSpeeds;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use units::{
-    EndpointId, EndpointIncarnation, ModelName, ServiceName, SoftwareVersion, StorePosition,
-};
+use units::{EndpointId, EndpointIncarnation, ModelName, ServiceName, StorePosition};
 
 use crate::cold::ColdLoads;
 use crate::endpoint::{ReceivedHints, TrackedEndpoint, Usage};
 use crate::guard::wall_clock;
+use crate::origins::ServiceSoftware;
 use crate::pool::ConnectionPool;
 use crate::software::{BoundDemands, RequiredSoftware};
 
@@ -256,15 +255,28 @@
 }
 
 impl EndpointTable {
-    /// The software versions that a service has, and has had lately.
-    pub(crate) fn software_versions(
+    /// The software of the endpoints of a service.
+    pub(crate) fn software_of(&self, service: &ServiceName, now: Instant) -> ServiceSoftware {
+        let mut software =
+            ServiceSoftware { versions: self.versions.versions(service, now), unknown: false };
+        let own = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
+        own.for_each(|tracked| tracked.add_software(&mut software));
+        software
+    }
+
+    /// The software of the endpoints of each listed service.
+    pub(crate) fn all_software_versions(
         &self,
-        service: &ServiceName,
         now: Instant,
-    ) -> BTreeSet<SoftwareVersion> {
-        let own = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
-        let listed = own.filter_map(|tracked| tracked.endpoint.software.clone());
-        self.versions.versions(service, now).into_iter().chain(listed).collect()
+    ) -> BTreeMap<&ServiceName, ServiceSoftware> {
+        let mut all: BTreeMap<&ServiceName, ServiceSoftware> = BTreeMap::new();
+        for tracked in self.map.values() {
+            tracked.add_software(all.entry(&tracked.endpoint.service).or_default());
+        }
+        for (service, software) in &mut all {
+            software.versions.extend(self.versions.versions(service, now));
+        }
+        all
     }
 
     /// The software versions that services have had lately.
@@ -277,12 +289,6 @@
         self.versions.watched(service, now)
     }
 
-    /// Whether a service has an endpoint whose version is not known.
-    pub(crate) fn has_unknown_version(&self, service: &ServiceName) -> bool {
-        let mut own = self.map.values().filter(|tracked| tracked.endpoint.service == *service);
-        own.any(|tracked| tracked.endpoint.software.is_none())
-    }
-
     /// Remembers the version of an endpoint that is about to change or to be removed.
     pub(crate) fn remember_version(&mut self, id: &EndpointId, now: Instant) {
         let Some(Endpoint { service, software: Some(software), .. }) =
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -139,7 +139,7 @@
         None => platform::caller_key(&parts.headers),
     };
     let resumption = ResumptionRequest { call: &call, route: &route, service, caller: caller_id };
-    let stream_key = resumption.own_key();
+    let (stream_key, resumed_key) = (resumption.own_key(), resumption.resumed_key());
     let Placement { service, version: stream_version } =
         resumption::place(shared, resumption).await?;
     shared.record_request(&service);
@@ -193,6 +193,8 @@
         send_by,
         excluded: Vec::new(),
         stream_key,
+        resumed_key,
+        origin: None,
         stream_version,
         incarnation: None,
         sends: 0,
--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -1,6 +1,6 @@
 //! Decides where a stream goes on that its caller takes up.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 };
 use platform::{RequestHeaders, ResumedStream};
 use tokio::time::Instant;
-use units::{EndpointId, ServiceName};
+use units::{EndpointId, EndpointIncarnation, ServiceName, SoftwareVersion};
 
 use crate::choose::NO_ENDPOINT_RETRY_AFTER;
 use crate::in_flight::Failure;
@@ -20,8 +20,10 @@
 use crate::shared::Shared;
 use crate::stream_version::StreamVersion;
 
+/// The pause before keepers are asked once more for a stream that none of them knew.
+const SECOND_QUESTION_PAUSE: Duration = Duration::from_millis(100);
 /// The timeout of asking an endpoint for its incarnation, which it answers without waiting for a slot.
-pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A request for a stream, as far as it matters for where the stream goes on.
 #[derive(Debug, Clone, Copy)]
@@ -41,7 +43,7 @@
     }
 
     /// The key of the stream that the caller takes up, if it names one.
-    fn resumed_key(&self) -> Option<StreamKey> {
+    pub(crate) fn resumed_key(&self) -> Option<StreamKey> {
         match self.call.resumes.as_ref()? {
             ResumedStream::Of(id) => Some(self.key(id.as_bytes())),
             ResumedStream::Malformed => None,
@@ -76,27 +78,18 @@
     request: ResumptionRequest<'_>,
 ) -> Result<Placement, Failure> {
     let service = request.service.clone();
-    if request.call.last_event.is_none() || !request.route.kind.streams() {
+    let resumable = request.route.kind.streams() && request.route.kind.repeatable();
+    if !request.call.has_events || !resumable {
         return Ok(Placement { service, version: StreamVersion::Open });
     }
     let started = Instant::now();
-    let key = request.resumed_key();
-    let own = key.map_or(Lookup::Unknown, |key| shared.origins.get(key));
-    let answers = match (key, &own) {
-        (Some(key), Lookup::Unknown) => origins::ask(shared, key, request.service).await,
-        _ => Answers::default(),
-    };
-    let (asked, answered) = (answers.asked, answers.answers.len());
-    let origin = first_known(&own, &answers).cloned();
-    let services = request.route.services.iter().filter(|weighted| weighted.weight > 0);
-    let allowed: Vec<ServiceName> = services.map(|weighted| weighted.service.clone()).collect();
-    let facts = facts(shared, &request, &allowed, own, answers);
-    let mut decision = decide(&facts);
-    if let (Decision::At { .. }, Some(origin)) = (&decision, &origin)
-        && has_restarted(shared, origin).await
-    {
-        decision = Decision::Nowhere(Doubt::Restarted);
+    let mut found = find(shared, &request).await;
+    if found.may_be_known_soon() {
+        // A keeper may be slow, or may hear of the stream only now.
+        tokio::time::sleep(SECOND_QUESTION_PAUSE).await;
+        found = find(shared, &request).await;
     }
+    let Found { decision, asked, answered, versions } = found;
     let (software, source) = match &decision {
         Decision::At { software, source, .. } => (software.as_str(), Some(*source)),
         Decision::Anywhere | Decision::Nowhere(_) => ("", None),
@@ -108,11 +101,7 @@
         outcome: ResumptionOutcome::from(&decision),
         software,
         source,
-        versions: &if source.is_none() {
-            origins::join_versions(&facts.versions)
-        } else {
-            String::new()
-        },
+        versions: &if source.is_none() { origins::join_versions(&versions) } else { String::new() },
         asked,
         answered,
         took_ms: millis(started.elapsed()),
@@ -126,6 +115,54 @@
     }
 }
 
+/// Where a stream goes on, and what that was decided by.
+struct Found {
+    decision: Decision,
+    /// Keepers that were asked, and those of them that answered.
+    asked: usize,
+    answered: usize,
+    /// The versions of the service.
+    versions: BTreeSet<SoftwareVersion>,
+}
+
+impl Found {
+    fn may_be_known_soon(&self) -> bool {
+        self.decision == Decision::Nowhere(Doubt::Unknown) && self.asked > 0
+    }
+}
+
+/// Decides where a stream goes on by what this router and the keepers know of it.
+async fn find(shared: &Arc<Shared>, request: &ResumptionRequest<'_>) -> Found {
+    let key = request.resumed_key();
+    let own = key.map_or(Lookup::Unknown, |key| shared.origins.get(key));
+    let mut answers = match key {
+        // Another caller may have used the same id at another router.
+        Some(key)
+            if own == Lookup::Unknown || shared.may_have_several_versions(request.service) =>
+        {
+            origins::ask(shared, key, request.service).await
+        }
+        _ => Answers::default(),
+    };
+    for answer in &mut answers.answers {
+        if let (Some(key), Lookup::Known(origin)) = (key, &answer.origin) {
+            answer.origin = shared.origins.remember(key, origin.clone());
+        }
+    }
+    let (asked, answered) = (answers.asked, answers.answers.len());
+    let origin = first_known(&own, &answers).cloned();
+    let services = request.route.services.iter().filter(|weighted| weighted.weight > 0);
+    let allowed: Vec<ServiceName> = services.map(|weighted| weighted.service.clone()).collect();
+    let facts = facts(shared, request, &allowed, own, answers);
+    let mut decision = decide(&facts);
+    if let (Decision::At { .. }, Some(origin)) = (&decision, &origin)
+        && doubts_origin(shared, origin).await
+    {
+        decision = Decision::Nowhere(Doubt::Restarted);
+    }
+    Found { decision, asked, answered, versions: facts.versions }
+}
+
 fn first_known<'a>(own: &'a Lookup, answers: &'a Answers) -> Option<&'a StreamOrigin> {
     let answered = answers.answers.iter().map(|answer| &answer.origin);
     std::iter::once(own).chain(answered).find_map(|lookup| match lookup {
@@ -143,8 +180,10 @@
 ) -> ResumptionFacts<'a> {
     let now = Instant::now();
     let table = shared.endpoints.lock();
+    let software = table.software_of(request.service, now);
     let listed: HashMap<EndpointId, ListedEndpoint> = first_known(&own, &answers)
         .and_then(|origin| table.map.get(&origin.endpoint))
+        .filter(|tracked| tracked.endpoint.software.is_some() || software.several())
         .map(|tracked| (tracked.endpoint.id.clone(), tracked.as_listed(now)))
         .into_iter()
         .collect();
@@ -157,29 +196,70 @@
         asked,
         answers,
         listed,
-        versions: table.software_versions(request.service, now),
+        versions: software.versions,
         watched: table.versions_watched(request.service, now),
-        has_unknown_version: table.has_unknown_version(request.service),
+        has_unknown_version: software.unknown,
         list_is_stale: shared.stale_feeds.borrow().membership(),
     }
 }
 
-/// Whether the endpoint that began a stream has restarted under its id since, which the list may not show yet. It may have begun
-/// the stream with other software than the list named then.
-async fn has_restarted(shared: &Shared, origin: &StreamOrigin) -> bool {
-    if !shared.has_several_versions(&origin.service) {
+/// Which incarnation of an endpoint answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnsweringIncarnation {
+    /// The one that the list names.
+    Same,
+    /// Another one, perhaps with other software.
+    Other,
+    /// The endpoint did not say.
+    Unknown,
+}
+
+/// Asks an endpoint whether it is the incarnation that the list names. Endpoints without models can't be asked; they are taken for
+/// the one that the list names.
+pub(crate) async fn ask_incarnation(
+    shared: &Shared,
+    id: &EndpointId,
+    incarnation: EndpointIncarnation,
+) -> AnsweringIncarnation {
+    let addr = {
+        let table = shared.endpoints.lock();
+        let tracked = table.map.get(id).filter(|tracked| tracked.endpoint.holdings.is_some());
+        tracked.map(|tracked| tracked.endpoint.addr)
+    };
+    let Some(addr) = addr else { return AnsweringIncarnation::Same };
+    match platform::fetch_report(&shared.client, addr, REPORT_TIMEOUT).await {
+        Ok(report) if EndpointIncarnation::differ(report.incarnation, Some(incarnation)) => {
+            AnsweringIncarnation::Other
+        }
+        Ok(_) => AnsweringIncarnation::Same,
+        Err(error) => {
+            log::debug!("router: the incarnation of {id} is not known: {error}");
+            AnsweringIncarnation::Unknown
+        }
+    }
+}
+
+/// Whether the endpoint that began a stream perhaps ran other software then than the list named.
+pub(crate) async fn doubts_origin(shared: &Shared, origin: &StreamOrigin) -> bool {
+    let now = Instant::now();
+    let listed = {
+        let table = shared.endpoints.lock();
+        table.map.get(&origin.endpoint).map(|one| (one.as_listed(now), one.endpoint.incarnation))
+    };
+    let Some((listed, incarnation)) = listed else { return false };
+    let several = shared.may_have_several_versions(&origin.service);
+    if listed.software.is_none() && !several {
+        // The list does not show yet what the restarted endpoint runs, and no other version is known.
         return false;
     }
-    let listed = shared.endpoints.lock().map.get(&origin.endpoint).map(|tracked| {
-        let endpoint = &tracked.endpoint;
-        (endpoint.addr, endpoint.incarnation)
-    });
-    let Some((addr, Some(incarnation))) = listed else { return false };
-    match platform::fetch_report(&shared.client, addr, REPORT_TIMEOUT).await {
-        Ok(report) => report.incarnation.is_some_and(|other| other != incarnation),
-        // It has ended, or can't be reached.
-        Err(_) => false,
+    if listed.software.as_ref() != Some(&origin.software) {
+        return listed.since.is_none_or(|since| origin.begun + origin::LIST_LAG > since);
     }
+    let Some(incarnation) = incarnation else { return false };
+    // An endpoint that does not answer has ended, or is about to be found to have ended.
+    several
+        && ask_incarnation(shared, &origin.endpoint, incarnation).await
+            == AnsweringIncarnation::Other
 }
 
 fn refusal(shared: &Shared, doubt: Doubt) -> Failure {
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -289,9 +289,10 @@
         }
     }
 
-    /// Whether a service has had endpoints of several software versions lately.
-    pub(crate) fn has_several_versions(&self, service: &ServiceName) -> bool {
-        self.endpoints.lock().software_versions(service, Instant::now()).len() > 1
+    /// Whether a service may have endpoints of several software versions, or has had them lately. A stale list may lack some.
+    pub(crate) fn may_have_several_versions(&self, service: &ServiceName) -> bool {
+        self.stale_feeds.borrow().membership()
+            || self.endpoints.lock().software_of(service, Instant::now()).several()
     }
 
     /// Counts a request to a service for its retry budget.
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -173,6 +173,7 @@
         // A long prompt of another request stalls the stream as well. The search is only worth a
         // retry if another endpoint can resume the stream before the caller leaves.
         if matches!(read, StreamRead::Stalled)
+            && !request.doubts_origin().await
             && request.may_move(source.endpoint(), request.route.event_timeout / 2)
         {
             match search_elsewhere(&mut request, &mut source, &writer).await {
@@ -312,7 +313,7 @@
     // This run was already counted when its response began.
     request.runs = request.runs.saturating_sub(1);
     request.interrupted(id, cause).ok()?;
-    if !can_resume {
+    if !can_resume || request.doubts_origin().await {
         return None;
     }
     resume(request, last_event).await
--- a/components/router/src/stream_version.rs
+++ b/components/router/src/stream_version.rs
@@ -8,7 +8,7 @@
 use crate::in_flight::InFlightRequest;
 use crate::origins;
 use crate::reservation::Reservation;
-use crate::resumption::REPORT_TIMEOUT;
+use crate::resumption::{self, AnsweringIncarnation};
 
 /// The software version to which a request for a stream is held.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -56,24 +56,41 @@
         if !self.stream_version.admit(software.clone()) {
             return false;
         }
-        if let Some(software) = software.filter(|_| self.route.kind.repeatable()) {
-            let (service, endpoint) = (self.service.clone(), reservation.id.clone());
-            let origin = StreamOrigin { service, software, endpoint, begun: Instant::now() };
-            origins::record(&self.shared, self.stream_key, origin, self.deadline);
+        if !self.route.kind.repeatable() {
+            return true;
         }
+        // Callers go on to name the request that began the stream, so that record is prolonged.
+        let keys = std::iter::once(self.stream_key).chain(self.resumed_key);
+        let Some(software) = software else {
+            keys.for_each(|key| self.shared.origins.record_unknown(key, self.deadline));
+            return true;
+        };
+        let (service, endpoint) = (self.service.clone(), reservation.id.clone());
+        let origin = StreamOrigin { service, software, endpoint, begun: Instant::now() };
+        keys.for_each(|key| origins::record(&self.shared, key, origin.clone(), self.deadline));
+        self.origin.get_or_insert(origin);
         true
     }
 
+    /// Whether the endpoint that began the stream perhaps ran other software than the list named then, so that the stream may go
+    /// on nowhere.
+    pub(crate) async fn doubts_origin(&self) -> bool {
+        match &self.origin {
+            Some(origin) => resumption::doubts_origin(&self.shared, origin).await,
+            None => false,
+        }
+    }
+
     /// Logs whether the stream goes on inside the answer.
     pub(crate) fn log_resumption(&self, outcome: ResumptionOutcome, started: Instant) {
-        let software = self.stream_version.wanted();
+        let Some(software) = self.stream_version.wanted() else { return };
         emit(&Event::StreamResumption {
             request: &self.request_id,
             at: ResumedAt::Router,
             resumes: "",
             outcome,
-            software: software.map_or("", SoftwareVersion::as_str),
-            source: software.map(|_| Source::Own),
+            software: software.as_str(),
+            source: Some(Source::Own),
             versions: "",
             asked: 0,
             answered: 0,
@@ -81,27 +98,22 @@
         });
     }
 
-    /// Whether the endpoint that has begun to answer runs the version to which the stream is held. The list may not show yet
-    /// that the endpoint has restarted under its id with other software, so the endpoint is asked for its incarnation where
-    /// the service has several versions.
-    pub(crate) async fn answers_with_held_version(&self, reservation: &Reservation) -> bool {
-        let Some(wanted) = self.stream_version.wanted() else { return true };
+    /// Finds out whether the endpoint that has begun to answer runs the version to which the stream is held. The list may not show
+    /// yet that the endpoint has restarted under its id with other software, so the endpoint is asked for its incarnation where
+    /// the service may have several versions.
+    pub(crate) async fn answering_incarnation(
+        &self,
+        reservation: &Reservation,
+    ) -> AnsweringIncarnation {
+        let Some(wanted) = self.stream_version.wanted() else { return AnsweringIncarnation::Same };
         if reservation.software().as_ref() != Some(wanted) {
-            return false;
+            return AnsweringIncarnation::Other;
         }
-        let (Some(incarnation), true) =
-            (reservation.incarnation, self.shared.has_several_versions(&self.service))
-        else {
-            return true;
-        };
-        let (client, addr) = (&self.shared.client, reservation.pool.addr());
-        match platform::fetch_report(client, addr, REPORT_TIMEOUT).await {
-            Ok(report) => report.incarnation == Some(incarnation),
-            Err(error) => {
-                log::debug!("router: the incarnation of {} is not known: {error}", reservation.id);
-                false
-            }
+        if !self.shared.may_have_several_versions(&self.service) {
+            return AnsweringIncarnation::Same;
         }
+        let Some(incarnation) = reservation.incarnation else { return AnsweringIncarnation::Same };
+        resumption::ask_incarnation(&self.shared, &reservation.id, incarnation).await
     }
 }
 
