--- a/programs/tests/unread.rs
+++ b/programs/tests/unread.rs
@@ -7,7 +7,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::json;
-use standin_platform::{Connection, Server, Store, exchange};
+use standin_platform::{Connection, Server, Store, address, exchange};
 
 /// So many requests that their log lines exceed several times what the pipe and the buffer of the process hold.
 const REQUEST_COUNT: usize = 4_000;
@@ -40,8 +40,7 @@
     let server = Server::plain("i-1").await;
     store.configure(1, &["unsafe"]);
     store.list_server(&server, "app", Some("ready"));
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = format!("127.{}.{low}.250", 64 + (high & 0x3f));
+    let ip = address().to_string();
     let folder = tempfile::tempdir().expect("a folder");
     let file = folder.path().join("router.jsonc");
     std::fs::write(&file, settings(store.addr, &ip)).expect("settings");
