`make test-repeat` runs tests several times and prints what replays each failure

`make test-repeat N=… TESTS='…'` runs all tests or those of a nextest filter N times, without those in KNOWN-RED.txt, and prints failures by test, and for each the run, the cause and a command with the block of addresses (TEST_ADDRESSES) and the seed of property tests. Logs of all runs stay in `repeat-logs/`.

--- a/Makefile
+++ b/Makefile
@@ -8,16 +8,21 @@
 # How many cases each property gets from `make fuzz`, and the seed they start from.
 CASES ?= 20000
 SEED ?= 1
+# How often `make test-repeat` runs the tests, which ones (a filterset of nextest), and where its logs go.
+N ?= 20
+TESTS ?= all()
+REPEAT_OUT ?= repeat-logs
 # Which seeds `make soak` plays, the last one left out.
 SEEDS ?= 1..4
 
-.PHONY: help setup build try test lint bench bench-affinity scale bench-entry soak fuzz
+.PHONY: help setup build try test test-repeat lint bench bench-affinity scale bench-entry soak fuzz
 
 help:
 	@echo "make setup   install what the build needs (cmake)"
 	@echo "make build   build the programs"
 	@echo "make try     start a sample deployment, send it a burst and check the promises"
 	@echo "make test    run all tests"
+	@echo "make test-repeat   run tests N times (N=20 TESTS='package(router)') and list failures with what replays them"
 	@echo "make lint    check format and lints"
 	@echo "make bench   measure overhead and goodput, beside the last result"
 	@echo "make bench-affinity   measure what cached prompt prefixes save"
@@ -38,6 +43,9 @@
 test: setup
 	@FLAGS="$(FLAGS)" .ci/test
 
+test-repeat: setup
+	@FLAGS="$(FLAGS)" .ci/repeat $(N) "$(TESTS)" $(REPEAT_OUT)
+
 lint: setup
 	$(CARGO) fmt --all -- --check
 	$(CARGO) clippy $(FLAGS) --workspace --all-targets -- -D warnings
