--- a/components/origin/src/restarts.rs
+++ b/components/origin/src/restarts.rs
@@ -61,11 +61,16 @@
         self.order.push_back(Known { at: now, endpoint: endpoint.clone(), since });
     }
 
-    /// Whether the endpoint may have run other software when the stream began.
+    /// Whether the endpoint may have run other software when the stream began: in an incarnation that had started by then, up to
+    /// [`LIST_LAG`] before it was seen, and that the next one had not replaced.
     pub(crate) fn contradict(&self, origin: &StreamOrigin) -> bool {
-        let mut restarts = self.endpoints.get(&origin.endpoint).into_iter().flatten();
-        let last = restarts.rfind(|restart| restart.since < origin.begun + LIST_LAG);
-        last.is_some_and(|restart| restart.software != origin.software)
+        let Some(restarts) = self.endpoints.get(&origin.endpoint) else { return false };
+        let ends = restarts.iter().skip(1).map(|next| Some(next.since)).chain([None]);
+        restarts.iter().zip(ends).any(|(restart, end)| {
+            restart.software != origin.software
+                && restart.since < origin.begun + LIST_LAG
+                && end.is_none_or(|end| end > origin.begun)
+        })
     }
 
     fn drop_old(&mut self, now: Instant) {
--- a/components/origin/src/restarts/tests.rs
+++ b/components/origin/src/restarts/tests.rs
@@ -69,3 +69,15 @@
     assert_eq!(restarts.endpoints[&endpoint("e-1")].len(), MAX_RESTARTS);
     assert!(restarts.contradict(&origin("v1", at(399))));
 }
+
+/// The endpoint ran v1, and restarted with v2 and soon after with v1 again.
+#[test]
+fn an_origin_between_two_restarts_shortly_after_each_other_is_contradicted() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut restarts = Restarts::default();
+    restarts.record(&endpoint("e-1"), &version("v2"), at(10_500), at(10_500));
+    restarts.record(&endpoint("e-1"), &version("v1"), at(12_000), at(12_000));
+    assert!(restarts.contradict(&origin("v1", at(10_200))));
+    assert!(!restarts.contradict(&origin("v1", at(12_100))));
+}
