--- a/components/origin/tests/versions.rs
+++ b/components/origin/tests/versions.rs
@@ -128,6 +128,15 @@
     }
 }
 
+/// A router is cut off and has not noticed while the first endpoint of a service restarts with another version.
+#[rstest]
+#[case(41)]
+#[case(99)]
+fn a_router_that_has_not_noticed_a_cut_takes_no_version_for_the_only_one(#[case] seed: u64) {
+    let report = play(Plan::new(Way::Keepers, Release::InPlace, Faults::ALL, 3), seed);
+    assert_eq!(report.mixed, 0);
+}
+
 /// Prints the figures of the other ways.
 #[test]
 fn other_ways_are_compared_on_the_same_days() {
