--- a/components/origin/src/budget.rs
+++ b/components/origin/src/budget.rs
@@ -21,6 +21,12 @@
     full_at: Instant,
 }
 
+impl Default for TellBudget {
+    fn default() -> Self {
+        Self::new(Instant::now())
+    }
+}
+
 impl TellBudget {
     /// A full budget.
     pub fn new(now: Instant) -> Self {
--- a/components/origin/tests/versions/world.rs
+++ b/components/origin/tests/versions/world.rs
@@ -631,19 +631,19 @@
         self.pass_on(stream);
     }
 
-    /// Whether the loader beside the endpoint of a stream that goes on says, once the request has been sent, that the endpoint has
-    /// not restarted since it was listed. It is asked only among several versions.
+    /// Whether the endpoint of a stream that goes on says, once the request has been sent, that it has not restarted since it was
+    /// listed. Among several versions it must say so.
     fn confirms(&mut self, stream: usize) -> bool {
         let Stream { router, endpoint, believed, .. } = self.streams[stream];
-        if self.streams[stream].versions.is_empty() || !self.several_versions(router) {
+        if self.streams[stream].versions.is_empty() {
             return true;
         }
         self.count_question(router);
         let lost = 2 * self.plan.faults.lost_percent;
-        let answered = self.routers[router].cut_since.is_none()
-            && self.loaders[endpoint].up
-            && !(self.percent(lost) && self.percent(lost));
-        answered && self.endpoints[endpoint].incarnation == believed.incarnation
+        if self.percent(lost) && self.percent(lost) {
+            return !self.several_versions(router);
+        }
+        self.endpoints[endpoint].incarnation == believed.incarnation
     }
 
     fn several_versions(&self, router: usize) -> bool {
--- a/components/router/src/origins.rs
+++ b/components/router/src/origins.rs
@@ -13,7 +13,7 @@
 use events::{Event, emit};
 use http::StatusCode;
 use origin::{
-    Lookup, OriginTable, StreamKey, StreamOrigin, TOLD_KEEPERS, ToldStream, rank_keepers, retell,
+    Lookup, OriginTable, StreamKey, StreamOrigin, TellBudget, ToldStream, rank_keepers, retell,
 };
 use tokio::time::Instant;
 use units::{EndpointId, ServiceName, SoftwareVersion};
@@ -53,6 +53,8 @@
     table: OriginTable,
     /// The services whose streams keepers are told of: those that have several versions.
     told_services: HashSet<ServiceName>,
+    /// Decides how many keepers are told of each stream.
+    budget: TellBudget,
     /// The keepers that have acknowledged each stream.
     told: HashMap<StreamKey, Vec<EndpointId>>,
     /// The keepers when the list was last read.
@@ -118,16 +120,17 @@
         state.told_services.contains(&origin.service)
     };
     if tells {
-        tell(shared, OriginRecord::new(key, &origin, keep, now));
+        let count = shared.origins.lock().budget.keepers(now);
+        tell(shared, OriginRecord::new(key, &origin, keep, now), count);
     }
 }
 
-/// Tells the keepers of a stream where it began, but for those that know it or are about to.
-fn tell(shared: &Arc<Shared>, record: OriginRecord) {
+/// Tells the `count` best keepers of a stream where it began, but for those that know it or are about to.
+fn tell(shared: &Arc<Shared>, record: OriginRecord, count: usize) {
     let now = Instant::now();
     let mut state = shared.origins.lock();
     let keepers = told_keepers(&state.keepers, &state.silent_until, now);
-    let ranked = rank_keepers(record.key, &keepers, TOLD_KEEPERS);
+    let ranked = rank_keepers(record.key, &keepers, count);
     let chosen: Vec<KnownKeeper> =
         ranked.into_iter().map(|index| state.keepers[index].clone()).collect();
     for keeper in chosen {
@@ -199,7 +202,7 @@
     }
     let cause = &error.to_string();
     emit(&Event::OriginsNotTold { endpoint: keeper.as_str(), streams: records.len(), cause });
-    records.into_iter().for_each(|record| tell(shared, record));
+    records.into_iter().for_each(|record| tell(shared, record, 1));
 }
 
 /// Tells keepers of the streams of services that have got a second version, and of streams whose keepers have changed, after the
@@ -227,7 +230,7 @@
         let told = |key| state.told.get(key).cloned().unwrap_or_default();
         let told: Vec<ToldStream> =
             streams.iter().map(|(key, ..)| ToldStream { key: *key, told: told(key) }).collect();
-        retell(&told, TOLD_KEEPERS, &before, &after)
+        retell(&told, 1, &before, &after)
     };
     state.log_versions(&versions, retellings.len());
     for retelling in retellings {
--- a/components/router/src/stream_version.rs
+++ b/components/router/src/stream_version.rs
@@ -99,8 +99,8 @@
     }
 
     /// Finds out whether the endpoint that has begun to answer runs the version to which the stream is held. The list may not show
-    /// yet that the endpoint has restarted under its id with other software, so the endpoint is asked for its incarnation where
-    /// the service may have several versions.
+    /// yet that the endpoint has restarted under its id with other software, so the endpoint is asked for its incarnation. Where
+    /// the service has one version only, as far as is known, it need not answer.
     pub(crate) async fn answering_incarnation(
         &self,
         reservation: &Reservation,
@@ -109,11 +109,15 @@
         if reservation.software().as_ref() != Some(wanted) {
             return AnsweringIncarnation::Other;
         }
-        if !self.shared.may_have_several_versions(&self.service) {
-            return AnsweringIncarnation::Same;
-        }
         let Some(incarnation) = reservation.incarnation else { return AnsweringIncarnation::Same };
-        resumption::ask_incarnation(&self.shared, &reservation.id, incarnation).await
+        match resumption::ask_incarnation(&self.shared, &reservation.id, incarnation).await {
+            AnsweringIncarnation::Unknown
+                if !self.shared.may_have_several_versions(&self.service) =>
+            {
+                AnsweringIncarnation::Same
+            }
+            answering => answering,
+        }
     }
 }
 
