--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -79,7 +79,8 @@
 ) -> Result<Placement, Failure> {
     let service = request.service.clone();
     let resumable = request.route.kind.streams() && request.route.kind.repeatable();
-    if !request.call.has_events || !resumable {
+    let taken_up = request.call.has_events || request.call.resumes.is_some();
+    if !taken_up || !resumable {
         return Ok(Placement { service, version: StreamVersion::Open });
     }
     let started = Instant::now();
@@ -89,7 +90,11 @@
         tokio::time::sleep(SECOND_QUESTION_PAUSE).await;
         found = find(shared, &request).await;
     }
-    let Found { decision, asked, answered, versions } = found;
+    let Found { mut decision, asked, answered, versions } = found;
+    if !request.call.has_events && matches!(decision, Decision::Nowhere(_)) {
+        // The caller gets the stream from its first event.
+        decision = Decision::Anywhere;
+    }
     let (software, source) = match &decision {
         Decision::At { software, source, .. } => (software.as_str(), Some(*source)),
         Decision::Anywhere | Decision::Nowhere(_) => ("", None),
@@ -126,6 +131,7 @@
 }
 
 impl Found {
+    /// Whether a keeper that was asked may know the stream a moment later.
     fn may_be_known_soon(&self) -> bool {
         self.decision == Decision::Nowhere(Doubt::Unknown) && self.asked > 0
     }
