--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -17,7 +17,7 @@
 /// The most records in one message.
 pub const MAX_ORIGIN_RECORDS: usize = 512;
 /// The longest time for which a record is kept; a longer one in a message counts as this.
-pub const MAX_ORIGIN_KEEP: Duration = Duration::from_secs(30 * 60);
+pub const MAX_ORIGIN_KEEP: Duration = origin::MAX_KEEP;
 /// The longest age of a record; a longer one in a message counts as this.
 pub const MAX_ORIGIN_AGE: Duration = Duration::from_secs(24 * 60 * 60);
 
--- a/components/router/src/origins/ask.rs
+++ b/components/router/src/origins/ask.rs
@@ -6,6 +6,7 @@
 use control::OriginQuery;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
 use origin::{KeeperAnswer, Lookup, MAX_ASKED, StreamKey, rank_keepers};
 use tokio::time::Instant;
 use units::ServiceName;
@@ -22,7 +23,7 @@
 /// What the keepers of a stream answered.
 #[derive(Debug, Default)]
 pub(crate) struct Answers {
-    /// The number of keepers that were asked, without those that don't run.
+    /// The number of keepers that were asked, without those that keep no origins.
     pub(crate) asked: usize,
     /// The answers of those that answered.
     pub(crate) answers: Vec<KeeperAnswer>,
@@ -48,13 +49,24 @@
                     until = until.min(Instant::now() + LAST_ANSWERS_TIME);
                 }
             }
-            Err(CallError::Connect { .. }) => all.asked -= 1,
-            Err(_) => {}
+            Err(error) => all.asked -= usize::from(!keeps_origins(&error)),
         }
     }
     all
 }
 
+/// Whether a call may have failed at a loader that keeps origins: one that refuses the connection does not run, and one of an
+/// earlier release has no such path.
+fn keeps_origins(error: &CallError) -> bool {
+    match error {
+        CallError::Connect { .. } => false,
+        CallError::Status { status, .. } => *status != StatusCode::NOT_FOUND,
+        CallError::Timeout { .. }
+        | CallError::Interrupted { .. }
+        | CallError::InvalidResponse { .. } => true,
+    }
+}
+
 fn ranked_keepers(shared: &Shared, key: StreamKey) -> Vec<KnownKeeper> {
     let state = shared.origins.lock();
     let ranked = rank_keepers(key, &asked_keepers(&state.keepers), MAX_ASKED);
