--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -90,7 +90,7 @@
         tokio::time::sleep(SECOND_QUESTION_PAUSE).await;
         found = find(shared, &request).await;
     }
-    let Found { mut decision, asked, answered, versions } = found;
+    let DecidedResumption { mut decision, asked, answered, versions } = found;
     if !request.call.has_events && matches!(decision, Decision::Nowhere(_)) {
         // The caller gets the stream from its first event.
         decision = Decision::Anywhere;
@@ -121,7 +121,7 @@
 }
 
 /// Where a stream goes on, and what that was decided by.
-struct Found {
+struct DecidedResumption {
     decision: Decision,
     /// Keepers that were asked, and those of them that answered.
     asked: usize,
@@ -130,7 +130,7 @@
     versions: BTreeSet<SoftwareVersion>,
 }
 
-impl Found {
+impl DecidedResumption {
     /// Whether a keeper that was asked may know the stream a moment later.
     fn may_be_known_soon(&self) -> bool {
         self.decision == Decision::Nowhere(Doubt::Unknown) && self.asked > 0
@@ -138,7 +138,7 @@
 }
 
 /// Decides where a stream goes on by what this router and the keepers know of it.
-async fn find(shared: &Arc<Shared>, request: &ResumptionRequest<'_>) -> Found {
+async fn find(shared: &Arc<Shared>, request: &ResumptionRequest<'_>) -> DecidedResumption {
     let key = request.resumed_key();
     let own = key.map_or(Lookup::Unknown, |key| shared.origins.get(key));
     let mut answers = match key {
@@ -166,7 +166,7 @@
     {
         decision = Decision::Nowhere(Doubt::Restarted);
     }
-    Found { decision, asked, answered, versions: facts.versions }
+    DecidedResumption { decision, asked, answered, versions: facts.versions }
 }
 
 fn first_known<'a>(own: &'a Lookup, answers: &'a Answers) -> Option<&'a StreamOrigin> {
