Router: lines and metrics tell how busy it is and what waits unread

Lines could not tell apart whether a router that gets most connections lacks processor time, its link or places at endpoints. A second in which it is busy for 60 % or more, or closes connections unread, now has a line: connections accepted and unread, requests read, how busy the thread was, processor time, delays of timers and of accepted connections, bytes to callers; gauges and histograms for each second.

Busy is measured as the time in which the runtime's thread is not parked. With processor time alone a process that has used up its share looks idle. Routers that share a thread with others, as in tests, measure nothing.

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -6,7 +6,7 @@
 use metrics::{counter, gauge, histogram};
 use serde::Serialize;
 
-use crate::{Dependency, Event, Step};
+use crate::{Dependency, Event, RouterLoad, Step};
 
 /// Records the metrics of an event.
 pub(crate) fn count(event: &Event<'_>) {
@@ -161,7 +161,8 @@
         }
         Event::VersionsChanged { .. } => counter!("versions_changed_total").increment(1),
         Event::OriginsNotTold { streams, .. } => count_origins_told("failed", *streams),
-        Event::Started { .. }
+        Event::RouterLoad(_)
+        | Event::Started { .. }
         | Event::Stopping { .. }
         | Event::Stopped { .. }
         | Event::Reloaded { .. }
@@ -195,6 +196,17 @@
     gauge!("origins_kept").set(f64::from(u32::try_from(kept).unwrap_or(u32::MAX)));
 }
 
+/// Records how loaded a router was since the last call.
+pub fn record_router_load(load: &RouterLoad) {
+    counter!("connections_accepted_total").increment(u64::from(load.accepted));
+    counter!("connections_closed_unread_total").increment(u64::from(load.closed_unread));
+    counter!("sent_bytes_total").increment(load.sent_bytes);
+    gauge!("connections_unread").set(f64::from(load.unread));
+    gauge!("busy_ratio").set(f64::from(load.busy_percent) / 100.0);
+    histogram!("attend_delay_seconds").record(seconds(load.attend_delay_ms));
+    histogram!("timer_delay_seconds").record(seconds(load.timer_delay_ms));
+}
+
 /// Counts a call to the platform's store.
 pub fn count_call(call: &'static str, outcome: String) {
     counter!("store_calls_total", "call" => call, "outcome" => outcome).increment(1);
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -184,6 +184,29 @@
     Requests,
 }
 
+/// How loaded a router was during a time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct RouterLoad {
+    /// Connections of callers that were accepted.
+    pub accepted: u32,
+    /// Requests that were read.
+    pub read: u32,
+    /// Connections that were closed although a request had arrived, which was not read.
+    pub closed_unread: u32,
+    /// Connections at the end of the time on which nothing had been read yet.
+    pub unread: u32,
+    /// For how much of the time the router was busy, in percent.
+    pub busy_percent: u32,
+    /// The processor time that the router used.
+    pub processor_ms: u64,
+    /// The longest time between accepting a connection and first attending to it.
+    pub attend_delay_ms: u64,
+    /// The longest time by which a timer was late.
+    pub timer_delay_ms: u64,
+    /// Bytes that were written to callers.
+    pub sent_bytes: u64,
+}
+
 /// An event, logged as one line of JSON. The `event` field has the outer name of the variant.
 #[derive(Debug, Clone, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -495,6 +518,8 @@
         /// The streams that this router tells keepers of because of the change.
         told: usize,
     },
+    /// How loaded a router was since the line before, if it was busy for most of the time or closed connections unread.
+    RouterLoad(RouterLoad),
     /// A keeper could not be told where streams began.
     OriginsNotTold {
         /// The endpoint beside which the keeper runs.
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -6,9 +6,10 @@
 
 pub use count::{
     NO_ROOM, count_call, count_told_origins, record_common_crashes, record_origins, record_reached,
-    update_process_gauges,
+    record_router_load, update_process_gauges,
 };
 pub use event::{
-    Dependency, Event, OrderOutcome, Refusal, ResumedAt, ResumptionOutcome, RoomCause, Step, millis,
+    Dependency, Event, OrderOutcome, Refusal, ResumedAt, ResumptionOutcome, RoomCause, RouterLoad,
+    Step, millis,
 };
 pub use sink::{emit, install};
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -18,8 +18,8 @@
 
 use crate::admin::Admin;
 use crate::{
-    Args, Identity, Shutdown, ShutdownPhase, StallDetector, StatusProvider, load_settings,
-    parse_args, reload,
+    Args, Identity, IdleMeter, Shutdown, ShutdownPhase, StallDetector, StatusProvider,
+    load_settings, parse_args, reload,
 };
 
 /// The exit code of a process that failed while running.
@@ -78,6 +78,8 @@
     pub settings: watch::Receiver<Arc<T>>,
     /// Detects that the machine was suspended or frozen.
     pub stall_detector: Arc<StallDetector>,
+    /// Measures how long the thread of the program is idle; none if the thread also runs other programs.
+    pub idle_meter: Option<Arc<IdleMeter>>,
     /// The shutdown of the process.
     pub shutdown: Shutdown,
 }
@@ -90,7 +92,8 @@
     F: Future<Output = Result<(), StartError>>,
 {
     launch(about, |settings: T, file| {
-        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        let idle_meter = Arc::new(IdleMeter::default());
+        let runtime = match measured_runtime(&idle_meter) {
             Ok(runtime) => runtime,
             Err(error) => return failure(&error),
         };
@@ -104,7 +107,8 @@
             let stall_detector = Arc::new(StallDetector::default());
             let detector = stall_detector.clone();
             tokio::spawn(async move { detector.run().await });
-            body(SingleThreadProcess { settings, stall_detector, shutdown }).await
+            let idle_meter = Some(idle_meter);
+            body(SingleThreadProcess { settings, stall_detector, idle_meter, shutdown }).await
         });
         match result {
             Ok(()) => ExitCode::SUCCESS,
@@ -180,6 +184,16 @@
     }
 }
 
+/// A runtime on this thread whose idle time is measured.
+fn measured_runtime(idle_meter: &Arc<IdleMeter>) -> std::io::Result<Runtime> {
+    let (parked, unparked) = (idle_meter.clone(), idle_meter.clone());
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .on_thread_park(move || parked.begin())
+        .on_thread_unpark(move || unparked.end())
+        .build()
+}
+
 fn runtime(workers: Workers) -> std::io::Result<Runtime> {
     let mut builder = tokio::runtime::Builder::new_multi_thread();
     builder.worker_threads(workers.count()).enable_all().build()
--- a/components/router/src/caller.rs
+++ b/components/router/src/caller.rs
@@ -4,6 +4,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -13,17 +14,32 @@
 
 /// The connection of a caller; its reading and writing halves share the socket.
 #[derive(Debug, Clone)]
-pub(crate) struct CallerConnection(Arc<TcpStream>);
+pub(crate) struct CallerConnection {
+    stream: Arc<TcpStream>,
+    /// Counts the bytes that are written to callers.
+    sent_bytes: Arc<AtomicU64>,
+}
 
 impl CallerConnection {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, sent_bytes: Arc<AtomicU64>) -> Self {
         let _ = stream.set_nodelay(true);
-        Self(Arc::new(stream))
+        Self { stream: Arc::new(stream), sent_bytes }
+    }
+
+    /// Waits until the caller has sent something or has closed the connection.
+    pub(crate) async fn readable(&self) -> io::Result<()> {
+        self.stream.readable().await
+    }
+
+    fn count_sent(&self, written: io::Result<usize>) -> io::Result<usize> {
+        let count = written?;
+        self.sent_bytes.fetch_add(count as u64, Ordering::Relaxed);
+        Ok(count)
     }
 
     /// Has the connection reset when it is closed.
     pub(crate) fn reset_on_close(&self) {
-        if let Err(error) = SockRef::from(&*self.0).set_linger(Some(Duration::ZERO)) {
+        if let Err(error) = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)) {
             log::warn!("router: a connection of a caller is closed and not reset: {error}");
         }
     }
@@ -32,7 +48,7 @@
     /// runtime may know it later: it is notified only once of a request and a close that arrive
     /// together.
     pub(crate) fn is_closed(&self) -> bool {
-        let socket = SockRef::from(&*self.0);
+        let socket = SockRef::from(&*self.stream);
         let mut byte = [MaybeUninit::uninit()];
         match Socket::peek(&socket, &mut byte) {
             Ok(0) => true,
@@ -49,8 +65,8 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(count) => {
                     buf.advance(count);
                     return Poll::Ready(Ok(()));
@@ -69,10 +85,10 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(buf) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => return Poll::Ready(self.count_sent(written)),
             }
         }
     }
@@ -83,10 +99,10 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write_vectored(bufs) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => return Poll::Ready(self.count_sent(written)),
             }
         }
     }
@@ -100,7 +116,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
 
--- a/components/router/src/caller/tests.rs
+++ b/components/router/src/caller/tests.rs
@@ -9,12 +9,15 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let addr = listener.local_addr().expect("an address");
     let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
-    (client.expect("a connection"), CallerConnection::new(accepted.expect("a connection").0))
+    (
+        client.expect("a connection"),
+        CallerConnection::new(accepted.expect("a connection").0, Arc::default()),
+    )
 }
 
 /// Waits until data or a close has arrived, without reading it.
 async fn wait_for_arrival(caller: &CallerConnection) {
-    caller.0.readable().await.expect("readable");
+    caller.readable().await.expect("readable");
 }
 
 #[tokio::test]
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -72,6 +72,7 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let arrived = Instant::now();
+    shared.intake.record_read();
     let id = platform::request_id(request.headers()).cloned();
     let request_id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
     let request_log = RequestLog {
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -16,8 +16,8 @@
 
 use crate::shared::Shared;
 use crate::{
-    Settings, borrow, crash_records, feed, grants, origins, prefetch, quotas, ready, roster, serve,
-    share_leases, snapshot, speeds, wait_queue,
+    Settings, borrow, crash_records, feed, grants, intake, origins, prefetch, quotas, ready,
+    roster, serve, share_leases, snapshot, speeds, wait_queue,
 };
 
 /// Runs the router until the process is asked to end and its requests are done.
@@ -45,6 +45,7 @@
     tokio::spawn(wait_queue::hand_back_at_stop(shared.clone()));
     tokio::spawn(share_leases::run(shared.clone()));
     tokio::spawn(share_leases::reclaim(shared.clone()));
+    tokio::spawn(intake::report(shared.clone()));
     let ready_shared = shared.clone();
     let handler = move |request: http::Request<hyper::body::Incoming>, _| {
         let answer = ready::answer(&ready_shared, request.uri().path());
--- a/components/router/src/serve.rs
+++ b/components/router/src/serve.rs
@@ -41,7 +41,8 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(serve_connection(shared.clone(), stream, stopped.clone()));
+                    let accepted_at = Instant::now();
+                    connections.spawn(serve_connection(shared.clone(), stream, accepted_at, stopped.clone()));
                 }
                 Err(error) => {
                     log::warn!("router: accepting a connection failed: {error}");
@@ -64,8 +65,14 @@
     let _ = tokio::time::timeout(time_left, all).await;
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
-    let caller = CallerConnection::new(stream);
+async fn serve_connection(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    accepted_at: Instant,
+    mut stop: watch::Receiver<bool>,
+) {
+    let unread = shared.intake.accept(accepted_at);
+    let caller = CallerConnection::new(stream, shared.intake.sent_bytes.clone());
     let limits = shared.current().map(|catalog| catalog.limits.clone());
     let idle = limits
         .as_ref()
@@ -73,6 +80,16 @@
     let header = limits
         .as_ref()
         .map_or(MIN_READ_BUFFER_BYTES, |limits| limits.header_bytes.max(MIN_READ_BUFFER_BYTES));
+    tokio::select! {
+        arrived = tokio::time::timeout(idle, caller.readable()) => {
+            if !matches!(arrived, Ok(Ok(()))) {
+                return;
+            }
+        }
+        // A request that has been sent by now is still served.
+        () = web::stopped(&mut stop) => {}
+    }
+    drop(unread);
     let service = service_fn(|request| {
         let answer = request::answer(shared.clone(), caller.clone(), request);
         async move { Ok::<_, Infallible>(answer.await) }
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::access::KeyState;
 use crate::endpoint::TrackedEndpoint;
 use crate::guard::CrashGuard;
+use crate::intake::Intake;
 use crate::origins::Origins;
 use crate::quotas::Quotas;
 use crate::registry::EndpointRegistry;
@@ -100,6 +101,8 @@
     pub(crate) stale_feeds: watch::Sender<StaleFeeds>,
     /// Number of requests in flight.
     pub(crate) in_flight: AtomicUsize,
+    /// The connections of callers that arrive, and how busy the router is with them.
+    pub(crate) intake: Intake,
     pub(crate) client: Client,
     pub(crate) store: Store,
     /// What the router knows of the keys of callers besides the configuration.
@@ -139,6 +142,7 @@
             start_state: watch::Sender::new(StartState::Reading),
             stale_feeds: watch::Sender::new(StaleFeeds::default()),
             in_flight: AtomicUsize::new(0),
+            intake: Intake::new(process.idle_meter.clone()),
             client: Client::default(),
             store: Store::new(settings.store),
             access: KeyState::default(),
