--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -26,6 +26,7 @@
 mod site;
 mod soak;
 mod table;
+mod throttle;
 mod trace;
 mod trial;
 mod truth;
@@ -33,3 +34,4 @@
 mod watch;
 
 pub use cli::main;
+pub use throttle::{Throttle, processor_time};
