Router: read only as many requests as the processor can serve

What callers saw: while the balancer sent most new connections to one router, most requests that it read were late or failed, though the other routers had time. Afterwards the router kept its callers, since they go on using their connections.

Cause: a router read whatever arrived, without regard to what it can serve. Not the link: it sent 0.2 to 0.4 MB/s of 1.25. Not shares or places at endpoints: the median request waits 0 ms for one.

Change: a router measures how long its thread is idle. While it is busy for most of the time, it closes new connections beyond the rate that keeps it busy for three quarters of the time, before their requests are read, and asks callers on open connections to open another one. It reads at least one connection each half a second. Where callers don't try again it can be turned off; routers that share a thread measure nothing and close nothing.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod admit;
 mod load_concurrency;
+mod load_shedder;
 mod permit_wait;
 mod retry_budget;
 
 pub use admit::{Admission, admit};
 pub use load_concurrency::{ConcurrentLoads, LoadConcurrency};
+pub use load_shedder::{BusyReading, LoadShedder};
 pub use permit_wait::permit_wait;
 pub use retry_budget::{RetryBudget, RetryDecision, RetryLimits};
--- a/components/router/src/caller.rs
+++ b/components/router/src/caller.rs
@@ -26,9 +26,10 @@
         Self { stream: Arc::new(stream), sent_bytes }
     }
 
-    /// Waits until the caller has sent something or has closed the connection.
-    pub(crate) async fn readable(&self) -> io::Result<()> {
-        self.stream.readable().await
+    /// Waits until the caller has sent something, which is not read, or has closed the connection; returns whether it has sent
+    /// something.
+    pub(crate) async fn wait_for_request(&self) -> io::Result<bool> {
+        Ok(self.stream.peek(&mut [0]).await? > 0)
     }
 
     fn count_sent(&self, written: io::Result<usize>) -> io::Result<usize> {
--- a/components/router/src/caller/tests.rs
+++ b/components/router/src/caller/tests.rs
@@ -17,7 +17,7 @@
 
 /// Waits until data or a close has arrived, without reading it.
 async fn wait_for_arrival(caller: &CallerConnection) {
-    caller.readable().await.expect("readable");
+    caller.stream.readable().await.expect("readable");
 }
 
 #[tokio::test]
@@ -49,3 +49,17 @@
     .await
     .expect("the close is detected");
 }
+
+#[tokio::test]
+async fn an_idle_connection_is_no_request() {
+    let (mut client, caller) = connect().await;
+    let waited = tokio::time::timeout(Duration::from_millis(50), caller.wait_for_request()).await;
+    assert!(waited.is_err(), "{waited:?}");
+    client.write_all(b"x").await.expect("written");
+    assert!(caller.wait_for_request().await.expect("no error"));
+    // What has arrived can still be read.
+    let (mut caller, mut byte) = (caller, [0]);
+    caller.read_exact(&mut byte).await.expect("read");
+    drop(client);
+    assert!(!caller.wait_for_request().await.expect("no error"));
+}
--- a/components/router/src/intake.rs
+++ b/components/router/src/intake.rs
@@ -1,9 +1,10 @@
-//! Counts the connections and requests of callers, and logs how loaded the router is.
+//! Decides which connections of callers are read, counts them, and logs how loaded the router is.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use admission::{BusyReading, LoadShedder};
 use events::{Event, RouterLoad, emit, millis};
 use process::IdleMeter;
 use tokio::time::Instant;
@@ -24,6 +25,7 @@
     idle_meter: Option<Arc<IdleMeter>>,
     /// The bytes that were written to callers.
     pub(crate) sent_bytes: Arc<AtomicU64>,
+    shedder: Mutex<LoadShedder>,
     counts: Mutex<Counts>,
 }
 
@@ -51,7 +53,8 @@
 
 impl Intake {
     pub(crate) fn new(idle_meter: Option<Arc<IdleMeter>>) -> Self {
-        Self { idle_meter, sent_bytes: Arc::default(), counts: Mutex::default() }
+        let (sent_bytes, shedder, counts) = Default::default();
+        Self { idle_meter, sent_bytes, shedder, counts }
     }
 
     fn lock(&self) -> MutexGuard<'_, Counts> {
@@ -67,10 +70,41 @@
         UnreadConnection(self)
     }
 
+    /// Whether the first request on a connection, which has arrived, may be read. If not, the connection is to be closed.
+    pub(crate) fn admit(&self) -> bool {
+        let admitted = self.shed(LoadShedder::admit).unwrap_or(true);
+        self.lock().closed_unread += u32::from(!admitted);
+        admitted
+    }
+
+    /// Counts a request that was read on a connection after others.
+    pub(crate) fn record_further_read(&self) {
+        self.shed(LoadShedder::record_read);
+    }
+
+    /// Counts an answer that was begun.
+    pub(crate) fn record_answer(&self) {
+        self.shed(|shedder, _| shedder.record_answer());
+    }
+
+    /// Whether more requests arrive than the router can serve.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.shed(|shedder, reading| shedder.is_overloaded(reading)).unwrap_or(false)
+    }
+
     /// Counts a request that was read.
     pub(crate) fn record_read(&self) {
         self.lock().read += 1;
     }
+
+    /// Asks the shedder, if the router measures how busy it is.
+    fn shed<T>(&self, ask: impl FnOnce(&mut LoadShedder, BusyReading) -> T) -> Option<T> {
+        let reading = self.idle_meter.as_ref()?.read();
+        let reading =
+            BusyReading { at: reading.at, idle_total: reading.total, busy_for: reading.busy_for };
+        let mut shedder = self.shedder.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(ask(&mut shedder, reading))
+    }
 }
 
 /// Reports the load until the process ends.
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -59,7 +59,9 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
-        if !self.has_response {
+        if self.has_response {
+            self.shared.intake.record_answer();
+        } else {
             self.request_log.log_caller_left();
         }
     }
@@ -87,7 +89,9 @@
         Ok(response) => response,
         Err(failure) => refusal_response(&guard.request_log, id.as_ref(), failure),
     };
-    if shared.shutdown.phase() != ShutdownPhase::Run {
+    let sheds = || shared.settings.borrow().sheds_connections();
+    // The next connection of the caller may lead to a router that has time.
+    if shared.shutdown.phase() != ShutdownPhase::Run || sheds() && shared.intake.is_overloaded() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     guard.has_response = true;
--- a/components/router/src/serve.rs
+++ b/components/router/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -81,16 +82,23 @@
         .as_ref()
         .map_or(MIN_READ_BUFFER_BYTES, |limits| limits.header_bytes.max(MIN_READ_BUFFER_BYTES));
     tokio::select! {
-        arrived = tokio::time::timeout(idle, caller.readable()) => {
-            if !matches!(arrived, Ok(Ok(()))) {
+        arrived = tokio::time::timeout(idle, caller.wait_for_request()) => {
+            if !matches!(arrived, Ok(Ok(true))) {
                 return;
             }
         }
         // A request that has been sent by now is still served.
         () = web::stopped(&mut stop) => {}
     }
+    if sheds_connections(&shared) && !shared.intake.admit() {
+        return;
+    }
     drop(unread);
+    let first = AtomicBool::new(true);
     let service = service_fn(|request| {
+        if !first.swap(false, Ordering::Relaxed) {
+            shared.intake.record_further_read();
+        }
         let answer = request::answer(shared.clone(), caller.clone(), request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -109,3 +117,8 @@
         log::debug!("router: the connection of a caller failed: {error}");
     }
 }
+
+/// Whether connections are closed unread while this router is overloaded. While it stops, the balancer sends no new ones.
+fn sheds_connections(shared: &Shared) -> bool {
+    shared.settings.borrow().sheds_connections() && shared.shutdown.phase() == ShutdownPhase::Run
+}
--- a/components/router/src/settings.rs
+++ b/components/router/src/settings.rs
@@ -56,9 +56,18 @@
             Switch::Off => false,
         }
     }
+
+    /// Whether an overloaded router closes connections on which it has read nothing.
+    pub fn sheds_connections(&self) -> bool {
+        match self.scheduling.shedding {
+            Switch::Auto => platform::callers_retry(&self.rules),
+            Switch::On => true,
+            Switch::Off => false,
+        }
+    }
 }
 
-/// How requests are scheduled where endpoints are short of room or differ in speed.
+/// How requests are scheduled where endpoints are short of room or differ in speed, or the router is overloaded.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SchedulingSettings {
@@ -69,6 +78,10 @@
     /// Whether endpoints get requests by their speed; automatically where they differ in it.
     #[serde(default)]
     pub speeds: Switch,
+    /// Whether an overloaded router closes connections on which it has read nothing; automatically where callers then reach another
+    /// router.
+    #[serde(default)]
+    pub shedding: Switch,
 }
 
 /// Whether a function is used.
--- a/programs/tests/flood/deployment.rs
+++ b/programs/tests/flood/deployment.rs
@@ -116,6 +116,13 @@
         self.routers.iter().map(|router| router.child.id()).collect()
     }
 
+    /// Prints how loaded the first router was, by its log.
+    pub(crate) fn print_load(&self) {
+        for line in self.routers[0].lines("router-load") {
+            println!("first router: {line}");
+        }
+    }
+
     /// The ids of the requests that routers have read, by their logs.
     pub(crate) fn read_requests(&self) -> HashSet<String> {
         for router in &self.routers {
--- a/programs/tests/flood/main.rs
+++ b/programs/tests/flood/main.rs
@@ -69,6 +69,7 @@
     for (name, results) in names.iter().zip(&results) {
         results.print(name, &read);
     }
+    deployment.print_load();
     let share_of = |index: usize| results[index].served_shares(&read);
     let (calm, flood, after) = (share_of(1), share_of(3), share_of(5));
     assert!(used < share * 1.2, "the throttle works: {used} of a core used");
