Router: the rate of reads is corrected by how busy the thread is now

The rate now follows the busy share of the last second as well, up or down to the target, which is 0.8.

--- a/components/admission/src/load_shedder.rs
+++ b/components/admission/src/load_shedder.rs
@@ -12,9 +12,11 @@
 use tokio::time::Instant;
 
 /// The share of the time for which the thread may be busy.
-const TARGET_BUSY_SHARE: f64 = 0.75;
+const TARGET_BUSY_SHARE: f64 = 0.8;
+/// By how much the rate is corrected at most if the thread is less or more busy than that.
+const MAX_CORRECTION: f64 = 1.5;
 /// The rate of reads is limited while the thread is busy for more than this share of the last seconds.
-const MAX_UNLIMITED_BUSY_SHARE: f64 = 0.55;
+const MAX_UNLIMITED_BUSY_SHARE: f64 = 0.6;
 /// The rate of reads is limited while the thread is busy for more than this share of the last moments.
 const MAX_UNLIMITED_RECENT_SHARE: f64 = 0.8;
 /// The rate is limited in any case once the thread has been busy without a break for this time.
@@ -117,10 +119,15 @@
                 || self.recent_share > MAX_UNLIMITED_RECENT_SHARE)
     }
 
-    /// The reads per second that keep the thread busy for the target share of the time.
+    /// The reads per second that keep the thread busy for the target share of the time. What a request costs is known from seconds
+    /// that differ from the present one, so it is corrected by how busy the thread is now.
     fn rate(&self) -> Option<f64> {
-        (self.answers >= MIN_ANSWERS && self.busy_s > 0.0)
-            .then(|| TARGET_BUSY_SHARE * self.answers / self.busy_s)
+        if self.answers < MIN_ANSWERS || self.busy_s <= 0.0 {
+            return None;
+        }
+        let correction =
+            TARGET_BUSY_SHARE / self.busy_share.max(TARGET_BUSY_SHARE / MAX_CORRECTION);
+        Some(TARGET_BUSY_SHARE * self.answers / self.busy_s * correction)
     }
 
     fn update(&mut self, reading: BusyReading) {
