Router: a retry counts in the window in which it is sent

What callers and endpoints saw: more repeated requests reached a service than the retry budget allows over all routers.

Change: a retry is reserved when it is decided and counts as spent when it is sent; what is not sent is given back. The largest number of routers heard within 30 s divides the fixed part, and a router uses 0.6 of the budget in its first window. In return a router uses 0.8 instead of 0.7 of the proportional part, of the requests that count in every window that can hold the retry, and the fixed part has fewer shares.

--- a/components/admission/src/retry_budget.rs
+++ b/components/admission/src/retry_budget.rs
@@ -5,6 +5,9 @@
 //! which don't coordinate. The part in proportion to the requests needs no coordination, since each router counts its
 //! own requests. Of the fixed part each router takes an equal share: the divisor is the number of routers that loaders
 //! hear from, or [`DEFAULT_SHARES`] while that number is unknown.
+//!
+//! Another load pattern: endpoints are away, and retries that were allowed wait until they are back and arrive together. So a
+//! retry is reserved when it is decided, which counts at any time, and counts in the window in which it is sent.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -15,20 +18,28 @@
 /// service in the largest planned deployment.
 const DEFAULT_SHARES: f64 = 32.0;
 /// Factor on the number of routers heard, for those that have just started or are cut off from the loaders.
-const UNHEARD_ROUTERS_FACTOR: f64 = 1.5;
-/// The part of the proportional budget that is used, since windows slide and clocks differ between routers.
-const PROPORTIONAL_PART: f64 = 0.7;
+const UNHEARD_ROUTERS_FACTOR: f64 = 1.2;
+/// The part of the budget that a router may use in its first window: what ran in its place before may have used its own, and that
+/// is forgotten.
+const START_PART: f64 = 0.6;
+/// How long a number of routers counts after it was heard: loaders that have just restarted hear few.
+const HEARD_TIME: Duration = Duration::from_secs(30);
+/// The part of the proportional budget that is used, since clocks differ between routers and each counts in buckets.
+const PROPORTIONAL_PART: f64 = 0.8;
+/// At so many moments of the next window it is checked which requests will count then.
+const CHECKS_PER_WINDOW: u32 = 20;
 /// Requests and retries are counted in buckets of this length.
 const BUCKET_LENGTH: Duration = Duration::from_millis(500);
 
 /// The limits on retries, over all routers together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
-    /// Retries allowed for each request.
+    /// Retries allowed for each request of a window, of the window before it or of the one half a window earlier, whichever has
+    /// most.
     pub ratio: f64,
     /// Retries allowed per window in addition to those.
     pub slack: f64,
-    /// The length of the window.
+    /// The length of the window. Windows begin at any moment.
     pub window: Duration,
 }
 
@@ -44,7 +55,7 @@
 pub struct RetryDecision {
     /// Whether the budget allowed the retry.
     pub allowed: bool,
-    /// Retries in the window, including this one if it is allowed.
+    /// Retries in the window and reserved ones, including this one if it is allowed.
     pub spent: u32,
     /// Retries allowed in the window.
     pub limit: u32,
@@ -54,13 +65,20 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
+    /// When the router started.
+    started: Instant,
     buckets: VecDeque<Bucket>,
+    /// Retries that are allowed and not sent yet.
+    reserved: u32,
+    /// The numbers of routers that were heard lately, each larger than all that were heard later.
+    heard: VecDeque<(Instant, u32)>,
 }
 
 impl RetryBudget {
-    /// Creates an unused budget with these limits.
-    pub fn new(limits: RetryLimits) -> Self {
-        Self { limits, buckets: VecDeque::new() }
+    /// Creates an unused budget of a router that started at this time.
+    pub fn new(limits: RetryLimits, started: Instant) -> Self {
+        let (buckets, reserved, heard) = Default::default();
+        Self { limits, started, buckets, reserved, heard }
     }
 
     /// Counts a request.
@@ -68,27 +86,83 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Takes one retry from the budget if one is left; `routers` is the number of routers that share the budget, if it
-    /// is known.
-    pub fn try_retry(&mut self, routers: Option<u32>, now: Instant) -> RetryDecision {
+    /// Reserves one retry if one is left; `routers` is the number of routers that share the budget, if it is known. The retry
+    /// stays reserved until [`RetryBudget::record_sent`] or [`RetryBudget::cancel`].
+    pub fn try_reserve(&mut self, routers: Option<u32>, now: Instant) -> RetryDecision {
         self.bucket(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let shares =
-            routers.map_or(DEFAULT_SHARES, |count| f64::from(count + 1) * UNHEARD_ROUTERS_FACTOR);
-        let share = self.limits.slack / shares;
-        let limit =
-            (f64::from(requests) * self.limits.ratio * PROPORTIONAL_PART + share).floor() as u32;
-        let allowed = retries < limit;
-        if allowed {
-            self.bucket(now).retries += 1;
+        let requests = f64::from(self.guaranteed_requests(now));
+        let full = requests * self.limits.ratio * PROPORTIONAL_PART + self.share(routers, now);
+        let is_new = now.duration_since(self.started) < self.limits.window;
+        let limit = (full * if is_new { START_PART } else { 1.0 }).floor() as u32;
+        let spent = self.sent_retries(now) + self.reserved;
+        let allowed = spent < limit;
+        self.reserved += u32::from(allowed);
+        RetryDecision { allowed, spent: spent + u32::from(allowed), limit }
+    }
+
+    /// A reserved retry is sent now.
+    pub fn record_sent(&mut self, now: Instant) {
+        self.reserved = self.reserved.saturating_sub(1);
+        self.bucket(now).retries += 1;
+    }
+
+    /// A reserved retry is not sent.
+    pub fn cancel(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// The retries that were sent in the window that ends now.
+    fn sent_retries(&self, now: Instant) -> u32 {
+        let kept = self.limits.window + BUCKET_LENGTH;
+        let recent = self.buckets.iter().filter(|bucket| now - bucket.start <= kept);
+        recent.map(|bucket| bucket.retries).sum()
+    }
+
+    /// The requests that count at any moment at which a retry that is sent now counts, if no further request arrives.
+    fn guaranteed_requests(&self, now: Instant) -> u32 {
+        let window = self.limits.window;
+        let mut total = 0;
+        let totals: Vec<u32> = std::iter::once(0)
+            .chain(self.buckets.iter().map(|bucket| {
+                total += bucket.requests;
+                total
+            }))
+            .collect();
+        let until = |at: Instant| totals[self.buckets.partition_point(|bucket| bucket.start <= at)];
+        let counted = |check| {
+            let end = now + window * check / CHECKS_PER_WINDOW;
+            let ends = [end, end - window / 2, end - window];
+            ends.into_iter().map(|end| until(end) - until(end - window)).max()
+        };
+        (0..=CHECKS_PER_WINDOW).filter_map(counted).min().unwrap_or(0)
+    }
+
+    /// This router's share of the fixed part.
+    fn share(&mut self, routers: Option<u32>, now: Instant) -> f64 {
+        let shares = self
+            .most_routers(routers, now)
+            .map_or(DEFAULT_SHARES, |count| f64::from(count + 1) * UNHEARD_ROUTERS_FACTOR);
+        self.limits.slack / shares
+    }
+
+    /// The largest number of routers that was heard lately.
+    fn most_routers(&mut self, routers: Option<u32>, now: Instant) -> Option<u32> {
+        while self.heard.front().is_some_and(|(at, _)| now.duration_since(*at) > HEARD_TIME) {
+            self.heard.pop_front();
+        }
+        if let Some(count) = routers {
+            while self.heard.back().is_some_and(|(_, before)| *before <= count) {
+                self.heard.pop_back();
+            }
+            self.heard.push_back((now, count));
         }
-        RetryDecision { allowed, spent: retries + u32::from(allowed), limit }
+        self.heard.front().map(|(_, count)| *count)
     }
 
-    /// Drops buckets that have left the window and returns the current one.
+    /// Drops buckets that count no longer and returns the current one.
     fn bucket(&mut self, now: Instant) -> &mut Bucket {
-        while self.buckets.front().is_some_and(|bucket| now - bucket.start > self.limits.window) {
+        let kept = self.limits.window * 2 + BUCKET_LENGTH;
+        while self.buckets.front().is_some_and(|bucket| now - bucket.start > kept) {
             self.buckets.pop_front();
         }
         if self.buckets.back().is_none_or(|bucket| now - bucket.start > BUCKET_LENGTH) {
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::pool::Connection;
 use crate::reservation::Reservation;
 use crate::reset::UnansweredRequest;
+use crate::retry::RetrySlot;
 
 /// Idle time after which a connection is closed if the server states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -97,6 +98,7 @@
     caller: &CallerConnection,
     outgoing: &OutgoingRequest,
     sending: &ForwardOptions<'_>,
+    retry: &RetrySlot,
     deadlines: ResponseDeadlines,
     alternative: impl Future<Output = Option<Reservation>>,
 ) -> SendOutcome {
@@ -130,6 +132,7 @@
             return SendOutcome::Draining;
         }
         reservation.record_sent(&outgoing.fingerprint);
+        retry.record_sent();
         let unanswered = UnansweredRequest::new(&connection, &reservation.pool);
         match attempt(&mut connection, request, deadlines, alternative.as_mut()).await {
             Attempt::Response(head, body) => {
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -25,6 +25,7 @@
 use crate::queued::Waiter;
 use crate::reservation::Reservation;
 use crate::resumption::AnsweringIncarnation;
+use crate::retry::RetrySlot;
 use crate::send_log::SendLog;
 use crate::shared::Shared;
 use crate::stream_version::StreamVersion;
@@ -79,6 +80,8 @@
     pub(crate) stream_version: StreamVersion,
     /// The incarnation of the endpoint that the request was last sent to.
     pub(crate) incarnation: Option<EndpointIncarnation>,
+    /// The retry that is reserved for the request, if any.
+    pub(crate) retry: RetrySlot,
     /// How often the request was sent.
     pub(crate) sends: u32,
     /// How often the request may have run.
@@ -153,6 +156,7 @@
                 &self.caller,
                 &self.outgoing,
                 &sending,
+                &self.retry,
                 deadlines,
                 self.reserve_elsewhere(&id),
             )
@@ -387,13 +391,13 @@
 
     /// Whether a request without any response leaves its endpoint. It loses its turn there, so
     /// another endpoint must be expected to send the first event within `within`, and a retry is
-    /// taken from the budget. Without these conditions, 38 callers got 502 within four seconds of
+    /// reserved in the budget. Without these conditions, 38 callers got 502 within four seconds of
     /// a loss of power.
     pub(crate) fn may_move(&self, id: &EndpointId, within: Duration) -> bool {
         let mut excluded = self.excluded.clone();
         excluded.push(id.clone());
         choose::has_alternative(&self.shared, &self.needs(&excluded), within)
-            && self.shared.try_retry(&self.service, &self.request_id)
+            && self.retry.try_reserve(&self.request_id)
     }
 
     /// Records that the request leaves its endpoint, which has sent nothing so far, for another
@@ -413,12 +417,12 @@
         if self.may_run_again() { Ok(()) } else { Err(self.failure(Refusal::Unknown, None)) }
     }
 
-    /// Whether the request may run once more. Takes a retry from the budget of its service.
+    /// Whether the request may run once more. Reserves a retry in the budget of its service.
     fn may_run_again(&self) -> bool {
         self.route.kind.repeatable()
             && self.runs < self.route.attempts
             && self.deadline > Instant::now()
-            && self.shared.try_retry(&self.service, &self.request_id)
+            && self.retry.try_reserve(&self.request_id)
     }
 
     /// The request does not go back to this endpoint.
@@ -444,7 +448,7 @@
                 let again = self.route.kind == catalog::CallKind::Safe
                     && status.is_server_error()
                     && self.runs < self.route.attempts
-                    && self.shared.try_retry(&self.service, &self.request_id);
+                    && self.retry.try_reserve(&self.request_id);
                 if !again {
                     return Verdict::Done(Box::new(response));
                 }
@@ -487,7 +491,7 @@
 
     async fn not_executed(&mut self, id: &EndpointId) -> Verdict {
         self.set_spent(false);
-        if self.sends >= MAX_SENDS || !self.shared.try_retry(&self.service, &self.request_id) {
+        if self.sends >= MAX_SENDS || !self.retry.try_reserve(&self.request_id) {
             let after = choose::retry_after(&self.shared, &self.needs(&self.excluded))
                 .unwrap_or(RESEND_DELAY);
             return Verdict::Failed(self.failure(Refusal::NoEndpoint, Some(after)));
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -36,6 +36,7 @@
 mod reservation;
 mod reset;
 mod resumption;
+mod retry;
 mod roster;
 mod run;
 mod send_log;
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -23,6 +23,7 @@
 use crate::in_flight::{Failure, InFlightRequest};
 use crate::relay::{self, RequestLog};
 use crate::resumption::{self, Placement, ResumptionRequest};
+use crate::retry::RetrySlot;
 use crate::shared::Shared;
 use crate::stream;
 
@@ -183,6 +184,7 @@
     }
     let (method, uri, headers, version) = (parts.method, parts.uri, parts.headers, parts.version);
     let outgoing = OutgoingRequest { method, uri, headers, body, fingerprint };
+    let retry = RetrySlot::new(shared.clone(), service.clone());
     let mut in_flight = InFlightRequest {
         shared: shared.clone(),
         caller,
@@ -202,6 +204,7 @@
         origin: None,
         stream_version,
         incarnation: None,
+        retry,
         sends: 0,
         runs: 0,
         pool: None,
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -120,6 +120,7 @@
     /// Where streams began.
     pub(crate) origins: Origins,
     retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    started: Instant,
 }
 
 impl Shared {
@@ -153,6 +154,7 @@
             crash_records_position: watch::Sender::new(None),
             origins: Origins::default(),
             retry_budgets: Mutex::default(),
+            started: Instant::now(),
         };
         (shared, records)
     }
@@ -304,12 +306,12 @@
         self.with_retry_budget(service, |budget| budget.record_request(Instant::now()));
     }
 
-    /// Takes a retry of a request from the budget of its service; false if the budget is
+    /// Reserves a retry of a request in the budget of its service; false if the budget is
     /// exhausted.
-    pub(crate) fn try_retry(&self, service: &ServiceName, request_id: &str) -> bool {
+    pub(crate) fn try_reserve_retry(&self, service: &ServiceName, request_id: &str) -> bool {
         let routers = self.endpoints.lock().reported_routers();
         let decision =
-            self.with_retry_budget(service, |budget| budget.try_retry(routers, Instant::now()));
+            self.with_retry_budget(service, |budget| budget.try_reserve(routers, Instant::now()));
         let RetryDecision { allowed, spent, limit } = decision;
         emit(&Event::Retry {
             request: request_id,
@@ -321,6 +323,16 @@
         allowed
     }
 
+    /// Records that a reserved retry is sent.
+    pub(crate) fn record_sent_retry(&self, service: &ServiceName) {
+        self.with_retry_budget(service, |budget| budget.record_sent(Instant::now()));
+    }
+
+    /// Gives back a reserved retry.
+    pub(crate) fn cancel_retry(&self, service: &ServiceName) {
+        self.with_retry_budget(service, RetryBudget::cancel);
+    }
+
     fn with_retry_budget<T>(
         &self,
         service: &ServiceName,
@@ -330,6 +342,6 @@
         let limits = self.settings.borrow().repeats;
         let Span(window) = limits.window;
         let limits = RetryLimits { ratio: limits.ratio, slack: limits.slack, window };
-        f(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits)))
+        f(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits, self.started)))
     }
 }
