Router: a process that stood still does not count as overloaded

A freeze in the middle of work counted as seconds of work for a few answers, so that the router would have closed most new connections for a moment after it went on. A longer busy time between two measurements is left out now; test.

--- a/components/admission/src/load_shedder.rs
+++ b/components/admission/src/load_shedder.rs
@@ -27,6 +27,8 @@
 const BACKLOG_RATE_PART: f64 = 0.4;
 /// The shortest time between two measurements.
 const MIN_SAMPLE_TIME: Duration = Duration::from_millis(50);
+/// A thread that was busy for longer than this between two measurements has stood still, which tells nothing about its load.
+const MAX_SAMPLE_BUSY_TIME: Duration = Duration::from_millis(500);
 /// The time constants of the mean share of the time for which the thread is busy, over the last seconds and the last moments.
 const BUSY_TIME_CONSTANT: Duration = Duration::from_secs(1);
 const RECENT_TIME_CONSTANT: Duration = Duration::from_millis(200);
@@ -141,6 +143,10 @@
         }
         let idle = reading.idle_total.saturating_sub(last.idle_total);
         let busy = elapsed.saturating_sub(idle);
+        self.last = Some(reading);
+        if busy > MAX_SAMPLE_BUSY_TIME {
+            return;
+        }
         let (elapsed_s, busy_s) = (elapsed.as_secs_f64(), busy.as_secs_f64());
         let kept = |constant: Duration| (-elapsed_s / constant.as_secs_f64()).exp();
         let mean = |before: f64, constant| {
@@ -157,7 +163,6 @@
             let most = (rate * BURST_S).max(MIN_BURST);
             self.tokens = (self.tokens + earned).clamp(-rate * MAX_DEBT_S, most);
         }
-        self.last = Some(reading);
     }
 }
 
--- a/components/admission/src/load_shedder/tests.rs
+++ b/components/admission/src/load_shedder/tests.rs
@@ -213,3 +213,14 @@
     thread.play(4, 80.0, 1.0, SLOW);
     assert!(thread.shedder.is_overloaded(thread.reading()));
 }
+
+#[test]
+fn a_thread_that_stood_still_reads_on_as_before() {
+    let mut thread = Thread::new();
+    thread.play(20, 13.0, 0.5, SLOW);
+    // The process is stopped while it works.
+    thread.arrive(true, SLOW);
+    thread.now_ms += 5_000;
+    let after = thread.play(5, 13.0, 0.5, SLOW);
+    assert_eq!(after.closed, 0, "{} read", after.read);
+}
