Router: the number of routers is remembered whether or not anything is retried

The largest number heard within 30 s was only updated when a retry was decided. After a quiet time the first retries would have gone by what loaders that have just restarted hear, which is the fault that the memory guards against. It is updated with each report of a loader now.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -2,12 +2,14 @@
 //! weight store may run at once, and when a refused caller should come back.
 
 mod admit;
+mod heard_routers;
 mod load_concurrency;
 mod load_shedder;
 mod permit_wait;
 mod retry_budget;
 
 pub use admit::{Admission, admit};
+pub use heard_routers::HeardRouters;
 pub use load_concurrency::{ConcurrentLoads, LoadConcurrency};
 pub use load_shedder::{BusyReading, LoadShedder};
 pub use permit_wait::permit_wait;
--- a/components/admission/src/retry_budget.rs
+++ b/components/admission/src/retry_budget.rs
@@ -3,8 +3,8 @@
 //! Load pattern: endpoints fail or shed requests under overload, and every router retries what failed; without a limit
 //! the retries of all routers together overload the endpoints again. The limit applies to the sum over all routers,
 //! which don't coordinate. The part in proportion to the requests needs no coordination, since each router counts its
-//! own requests. Of the fixed part each router takes an equal share: the divisor is the number of routers that loaders
-//! hear from, or [`DEFAULT_SHARES`] while that number is unknown.
+//! own requests. Of the fixed part each router takes an equal share: the divisor is the largest number of routers that
+//! loaders have heard from lately, or [`DEFAULT_SHARES`] while that number is unknown.
 //!
 //! Another load pattern: endpoints are away, and retries that were allowed wait until they are back and arrive together. So a
 //! retry is reserved when it is decided, which counts at any time, and counts in the window in which it is sent.
@@ -22,8 +22,6 @@
 /// The part of the budget that a router may use in its first window: what ran in its place before may have used its own, and that
 /// is forgotten.
 const START_PART: f64 = 0.6;
-/// How long a number of routers counts after it was heard: loaders that have just restarted hear few.
-const HEARD_TIME: Duration = Duration::from_secs(30);
 /// The part of the proportional budget that is used, since clocks differ between routers and each counts in buckets.
 const PROPORTIONAL_PART: f64 = 0.8;
 /// At so many moments of the next window it is checked which requests will count then.
@@ -70,15 +68,12 @@
     buckets: VecDeque<Bucket>,
     /// Retries that are allowed and not sent yet.
     reserved: u32,
-    /// The numbers of routers that were heard lately, each larger than all that were heard later.
-    heard: VecDeque<(Instant, u32)>,
 }
 
 impl RetryBudget {
     /// Creates an unused budget of a router that started at this time.
     pub fn new(limits: RetryLimits, started: Instant) -> Self {
-        let (buckets, reserved, heard) = Default::default();
-        Self { limits, started, buckets, reserved, heard }
+        Self { limits, started, buckets: VecDeque::new(), reserved: 0 }
     }
 
     /// Counts a request.
@@ -91,7 +86,7 @@
     pub fn try_reserve(&mut self, routers: Option<u32>, now: Instant) -> RetryDecision {
         self.bucket(now);
         let requests = f64::from(self.guaranteed_requests(now));
-        let full = requests * self.limits.ratio * PROPORTIONAL_PART + self.share(routers, now);
+        let full = requests * self.limits.ratio * PROPORTIONAL_PART + self.share(routers);
         let is_new = now.duration_since(self.started) < self.limits.window;
         let limit = (full * if is_new { START_PART } else { 1.0 }).floor() as u32;
         let spent = self.sent_retries(now) + self.reserved;
@@ -138,27 +133,12 @@
     }
 
     /// This router's share of the fixed part.
-    fn share(&mut self, routers: Option<u32>, now: Instant) -> f64 {
-        let shares = self
-            .most_routers(routers, now)
-            .map_or(DEFAULT_SHARES, |count| f64::from(count + 1) * UNHEARD_ROUTERS_FACTOR);
+    fn share(&self, routers: Option<u32>) -> f64 {
+        let shares =
+            routers.map_or(DEFAULT_SHARES, |count| f64::from(count + 1) * UNHEARD_ROUTERS_FACTOR);
         self.limits.slack / shares
     }
 
-    /// The largest number of routers that was heard lately.
-    fn most_routers(&mut self, routers: Option<u32>, now: Instant) -> Option<u32> {
-        while self.heard.front().is_some_and(|(at, _)| now.duration_since(*at) > HEARD_TIME) {
-            self.heard.pop_front();
-        }
-        if let Some(count) = routers {
-            while self.heard.back().is_some_and(|(_, before)| *before <= count) {
-                self.heard.pop_back();
-            }
-            self.heard.push_back((now, count));
-        }
-        self.heard.front().map(|(_, count)| *count)
-    }
-
     /// Drops buckets that count no longer and returns the current one.
     fn bucket(&mut self, now: Instant) -> &mut Bucket {
         let kept = self.limits.window * 2 + BUCKET_LENGTH;
--- a/components/admission/tests/retry_budget/simulation.rs
+++ b/components/admission/tests/retry_budget/simulation.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use admission::{RetryBudget, RetryLimits};
+use admission::{HeardRouters, RetryBudget, RetryLimits};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -69,7 +69,7 @@
     /// Until when the process is gone.
     gone_until_ms: u64,
     /// How many routers it has been told that loaders hear.
-    heard: Option<u32>,
+    heard: HeardRouters,
     next_report_ms: u64,
     /// Retries that are allowed and not yet sent: when each is given up.
     waiting: Vec<u64>,
@@ -109,7 +109,7 @@
         let router = |_| Router {
             budget: RetryBudget::new(limits(), start),
             gone_until_ms: 0,
-            heard: None,
+            heard: HeardRouters::default(),
             next_report_ms: 0,
             waiting: Vec::new(),
         };
@@ -205,7 +205,7 @@
                 self.routers.push(Router {
                     budget: RetryBudget::new(limits(), self.now()),
                     gone_until_ms: 0,
-                    heard: None,
+                    heard: HeardRouters::default(),
                     next_report_ms: self.now_ms,
                     waiting: Vec::new(),
                 });
@@ -220,7 +220,7 @@
         self.routers[index] = Router {
             budget: RetryBudget::new(limits(), started),
             gone_until_ms,
-            heard: None,
+            heard: HeardRouters::default(),
             next_report_ms: gone_until_ms,
             waiting: Vec::new(),
         };
@@ -235,9 +235,10 @@
             None => 1.0,
         };
         let heard = (alive as f64 * caught_up.min(1.0)).ceil().max(1.0) as u32;
+        let at = self.now();
         for router in &mut self.routers {
             if router.gone_until_ms <= now && router.next_report_ms <= now {
-                router.heard = Some(heard);
+                router.heard.record(heard, at);
                 router.next_report_ms = now + REPORT_INTERVAL_MS;
             }
         }
@@ -263,7 +264,7 @@
             router.budget.record_request(now);
             if failed {
                 self.report.failed += 1;
-                if router.budget.try_reserve(router.heard, now).allowed {
+                if router.budget.try_reserve(router.heard.most(now), now).allowed {
                     router.waiting.push(self.now_ms + RETRY_DEADLINE_MS);
                 }
             }
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use admission::HeardRouters;
 use catalog::{Engine, ModelId};
 use control::{EndpointLoad, EndpointState, ModelUse};
 use events::{Event, emit, millis};
@@ -66,6 +67,8 @@
     pub(crate) list_loaded: bool,
     /// The position up to which the list has been read, by this router or by the router that it got a snapshot from.
     pub(crate) list_position: StorePosition,
+    /// How many routers the loaders have heard lately.
+    pub(crate) heard_routers: HeardRouters,
     /// The software versions that each service has had lately.
     versions: VersionHistory,
     /// Hints from endpoints that are no longer listed: a list entry that is older than the hints may come back.
@@ -117,6 +120,7 @@
         }
         let table = &mut *table;
         if let Some((state, _)) = table.map.get(id).and_then(|tracked| tracked.state.as_ref()) {
+            table.heard_routers.record(state.load.routers, now);
             table.cold.update(id, &state.holdings, engine, now);
         }
         self.changed.notify_waiters();
@@ -125,9 +129,11 @@
     /// Applies a loader's response that only the load of its endpoint has changed. Returns false if no earlier state is known
     /// that this could refer to.
     pub(crate) fn refresh_load(&self, id: &EndpointId, load: EndpointLoad) -> bool {
-        let mut table = self.lock();
-        let same =
-            table.map.get_mut(id).is_some_and(|tracked| tracked.refresh_load(load, Instant::now()));
+        let (mut table, now, routers) = (self.lock(), Instant::now(), load.routers);
+        let same = table.map.get_mut(id).is_some_and(|tracked| tracked.refresh_load(load, now));
+        if same {
+            table.heard_routers.record(routers, now);
+        }
         drop(table);
         self.changed.notify_waiters();
         same
@@ -420,16 +426,8 @@
 
     /// The number of routers that the loaders hear from; at least this one.
     pub(crate) fn routers(&self) -> u32 {
-        self.reported_routers().unwrap_or(1)
-    }
-
-    /// The number of routers that the loaders hear from, once a loader has reported it.
-    pub(crate) fn reported_routers(&self) -> Option<u32> {
-        self.map
-            .values()
-            .filter(|tracked| tracked.state.is_some())
-            .map(TrackedEndpoint::routers)
-            .max()
+        let known = self.map.values().filter(|tracked| tracked.state.is_some());
+        known.map(TrackedEndpoint::routers).max().unwrap_or(1)
     }
 
     /// Takes the use of an endpoint's models since the last call, to be reported to its loader.
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -309,7 +309,7 @@
     /// Reserves a retry of a request in the budget of its service; false if the budget is
     /// exhausted.
     pub(crate) fn try_reserve_retry(&self, service: &ServiceName, request_id: &str) -> bool {
-        let routers = self.endpoints.lock().reported_routers();
+        let routers = self.endpoints.lock().heard_routers.most(Instant::now());
         let decision =
             self.with_retry_budget(service, |budget| budget.try_reserve(routers, Instant::now()));
         let RetryDecision { allowed, spent, limit } = decision;
