--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -96,9 +96,9 @@
         }
     }
 
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    /// Whether the process runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
     pub fn log_text(&self) -> String {
