--- a/review/standin/src/bin/release-and-freeze.rs
+++ b/review/standin/src/bin/release-and-freeze.rs
@@ -108,8 +108,10 @@
             others
         })
     };
+    // With KILL_MS the router is killed instead, that long after the release has begun.
+    let kill: Option<u64> = std::env::var("KILL_MS").ok().and_then(|text| text.parse().ok());
     sleep_until(begin + FREEZE).await;
-    if trouble {
+    if trouble && kill.is_none() {
         fronts[0].process.signal(libc::SIGSTOP, record);
     }
     sleep_until(begin + RELEASE).await;
@@ -123,13 +125,17 @@
         store.put("keyed.servers", &server.id, &server.entry("likhari"));
         record.line("release i-new-0 is there");
         new.push(server);
+        if let Some(kill) = kill.filter(|_| trouble) {
+            sleep(Duration::from_millis(kill)).await;
+            fronts[0].process.kill(record);
+        }
         sleep(Duration::from_millis(300)).await;
         old[0].leave();
         store.put("keyed.servers", &old[0].id, &old[0].entry("likhari"));
         record.line("release i-old-0 drains");
     }
     sleep_until(begin + FREEZE + FROZEN).await;
-    if trouble {
+    if trouble && kill.is_none() {
         fronts[0].process.signal(libc::SIGCONT, record);
     }
     let (mut taken_up, mut gone_on, mut mixed, mut complete) = (0, 0, 0, 0);
