--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod http;
+pub mod plain;
 pub mod record;
 pub mod server;
 pub mod site;
