--- a/review/standin/src/plain.rs
+++ b/review/standin/src/plain.rs
@@ -148,7 +148,10 @@
             let head = format!("Request-Id: {id}\r\nInstance-Id: {own}\r\nNot-Executed: 1\r\n");
             return wire.respond("421 Misdirected Request", &head, b"").await;
         }
-        let body = String::from_utf8_lossy(&request.body).into_owned();
+        // The part of the prompt that crashes servers names the request; else its body does.
+        let parts = request.header("prompt-prefix").unwrap_or("").split(',').map(|part| part.split(':').next().unwrap_or(""));
+        let bad = parts.filter(|part| part.starts_with("bad")).map(|part| format!("crash {part}")).next();
+        let body = bad.unwrap_or_else(|| String::from_utf8_lossy(&request.body).into_owned());
         let run = Run { body: body.clone(), at: Instant::now() };
         self.seen.runs.lock().expect("no panic").push(run.clone());
         self.record.line(&format!("run     {id} ({body}) at {own}"));
