--- a/review/standin/src/bin/crashing-parts.rs
+++ b/review/standin/src/bin/crashing-parts.rs
@@ -16,7 +16,7 @@
 
 const ZONES: [&str; 4] = ["saddar-hall", "clifton-hall", "lyari-hall", "korangi-hall"];
 /// How many parts crash servers.
-const CRASHING: usize = 8;
+const CRASHING: usize = 10;
 /// How long only sound requests come.
 const CALM: Duration = Duration::from_secs(12);
 /// How long clients send.
