--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -105,6 +105,9 @@
     /// The versions of the service in the records that the loader keeps.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub versions: Vec<SoftwareVersion>,
+    /// For how long the loader has kept records.
+    #[serde(default, with = "fleet::millis")]
+    pub kept: Duration,
 }
 
 impl OriginAnswer {
@@ -113,6 +116,7 @@
         key: StreamKey,
         lookup: &Lookup,
         versions: &BTreeSet<SoftwareVersion>,
+        kept: Duration,
         now: Instant,
     ) -> Self {
         let origin = match lookup {
@@ -120,7 +124,7 @@
             Lookup::Unknown | Lookup::Conflicting => None,
         };
         let conflicting = *lookup == Lookup::Conflicting;
-        Self { origin, conflicting, versions: versions.iter().cloned().collect() }
+        Self { origin, conflicting, versions: versions.iter().cloned().collect(), kept }
     }
 
     /// What the loader knows of the stream `key`, as it was received at `now`. A record of another stream says nothing of it.
@@ -133,7 +137,12 @@
         };
         // A loader sees no list, so it can't say whether it would know of other versions.
         let watched = Duration::ZERO;
-        KeeperAnswer { origin, versions: self.versions.into_iter().collect(), watched }
+        KeeperAnswer {
+            origin,
+            versions: self.versions.into_iter().collect(),
+            watched,
+            kept: self.kept,
+        }
     }
 }
 
--- a/components/control/src/origins/tests.rs
+++ b/components/control/src/origins/tests.rs
@@ -39,11 +39,20 @@
 async fn an_answer_about_another_stream_says_only_which_versions_there_are() {
     let now = Instant::now();
     let versions: BTreeSet<_> = ["v1".parse().expect("a version")].into();
-    let answer = OriginAnswer::new(key("r2"), &Lookup::Known(origin(now)), &versions, now);
+    let answer =
+        OriginAnswer::new(key("r2"), &Lookup::Known(origin(now)), &versions, Duration::ZERO, now);
     let known = answer.clone().into_keeper_answer(key("r2"), now);
     assert_eq!(known.origin, Lookup::Known(origin(now)));
     let other = answer.into_keeper_answer(key("r1"), now);
-    assert_eq!(other, KeeperAnswer { origin: Lookup::Unknown, versions, watched: Duration::ZERO });
+    assert_eq!(
+        other,
+        KeeperAnswer {
+            origin: Lookup::Unknown,
+            versions,
+            watched: Duration::ZERO,
+            kept: Duration::ZERO
+        }
+    );
 }
 
 /// Guards against a release that can't read what the next one sends, or the other way round.
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -162,7 +162,9 @@
             }
             histogram!("stream_resumption_seconds", "at" => at).record(seconds(*took_ms));
         }
-        Event::VersionsChanged { .. } => counter!("versions_changed_total").increment(1),
+        Event::VersionsRecorded { .. } | Event::VersionsChanged { .. } => {
+            counter!("versions_changed_total").increment(1)
+        }
         Event::OriginsNotTold { streams, .. } => count_origins_told("failed", *streams),
         Event::RouterLoad(_)
         | Event::Started { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -34,6 +34,8 @@
     Mirror,
     /// A router that tells a loader where streams began.
     Origins,
+    /// The platform's store, in which routers record the versions of services and where streams began.
+    StreamRecords,
 }
 
 /// Why a request was refused. Most variants go to the caller under their own names.
@@ -121,6 +123,8 @@
     SameVersion,
     /// Nowhere: nobody knows where it began, and the service has several versions.
     Unknown,
+    /// Nowhere yet: nobody knows where it began, and the store has not told yet which versions the service has had.
+    Unread,
     /// Nowhere: streams of several versions began under the same id.
     Conflicting,
     /// Nowhere: it began at another service.
@@ -150,6 +154,7 @@
             Decision::Anywhere => Self::Anywhere,
             Decision::At { .. } => Self::SameVersion,
             Decision::Nowhere(Doubt::Unknown) => Self::Unknown,
+            Decision::Nowhere(Doubt::Unread) => Self::Unread,
             Decision::Nowhere(Doubt::Conflicting) => Self::Conflicting,
             Decision::Nowhere(Doubt::OtherService) => Self::OtherService,
             Decision::Nowhere(Doubt::Restarted) => Self::Restarted,
@@ -538,6 +543,13 @@
         /// The streams that this router tells keepers of because of the change.
         told: usize,
     },
+    /// This router has written to the store which software versions a service has had lately.
+    VersionsRecorded {
+        /// The service.
+        service: &'a str,
+        /// The versions, separated by commas.
+        versions: &'a str,
+    },
     /// How loaded a router was since the line before, if it was busy for most of the time or closed connections unread.
     RouterLoad(RouterLoad),
     /// A keeper could not be told where streams began.
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -293,6 +293,7 @@
         (Decision::Anywhere, false),
         (Decision::At { service, software, source: Source::Own }, false),
         (Decision::Nowhere(Doubt::Unknown), true),
+        (Decision::Nowhere(Doubt::Unread), true),
         (Decision::Nowhere(Doubt::Conflicting), true),
         (Decision::Nowhere(Doubt::OtherService), true),
         (Decision::Nowhere(Doubt::Restarted), true),
--- a/components/loader/src/origins.rs
+++ b/components/loader/src/origins.rs
@@ -31,12 +31,21 @@
 }
 
 /// Where streams began, as routers have told this loader.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Origins {
+    /// When this loader started to keep records.
+    since: Instant,
     table: OriginTable,
     versions: ToldVersions,
 }
 
+impl Default for Origins {
+    fn default() -> Self {
+        let (table, versions) = Default::default();
+        Self { since: Instant::now(), table, versions }
+    }
+}
+
 impl Origins {
     /// Keeps the records of a message. Records that can't be read are left out, unless there are no others.
     pub(crate) fn keep(&mut self, message: &[u8], now: Instant) -> Result<(), KeepError> {
@@ -61,7 +70,8 @@
     /// What is known of a stream, and the versions of the service that routers have told of.
     pub(crate) fn find(&self, query: &OriginQuery, now: Instant) -> OriginAnswer {
         let versions = self.versions.of_service(&query.service, now);
-        OriginAnswer::new(query.key, &self.table.get(query.key, now), &versions, now)
+        let kept = now.saturating_duration_since(self.since);
+        OriginAnswer::new(query.key, &self.table.get(query.key, now), &versions, kept, now)
     }
 
     fn record(&mut self, record: OriginRecord, now: Instant) {
--- a/components/loader/src/origins/tests.rs
+++ b/components/loader/src/origins/tests.rs
@@ -26,6 +26,11 @@
     origins.keep(message.to_string().as_bytes(), Instant::now())
 }
 
+/// The answer of a loader that knows nothing and has kept records for this time.
+fn nothing_after(kept: Duration) -> OriginAnswer {
+    OriginAnswer { kept, ..OriginAnswer::default() }
+}
+
 fn find(origins: &Origins, id: &str) -> OriginAnswer {
     let service = "llm".parse().expect("a name");
     origins.find(&OriginQuery { key: key(id), service }, Instant::now())
@@ -52,7 +57,7 @@
     assert_eq!(versions(&find(&origins, "never")), ["v1", "v2"]);
     assert_eq!(software(&find(&origins, "never")), None);
     tokio::time::advance(Duration::from_secs(58)).await;
-    assert_eq!(find(&origins, "r1"), OriginAnswer::default());
+    assert_eq!(find(&origins, "r1"), nothing_after(Duration::from_secs(60)));
 }
 
 /// Guards against taking either of two streams that began under one id for the other.
@@ -105,7 +110,7 @@
     keep(&mut origins, &json!([endless])).expect("a message");
     assert_eq!(software(&find(&origins, "r1")), Some("v1"));
     tokio::time::advance(control::MAX_ORIGIN_KEEP).await;
-    assert_eq!(find(&origins, "r1"), OriginAnswer::default());
+    assert_eq!(find(&origins, "r1"), nothing_after(control::MAX_ORIGIN_KEEP));
 }
 
 /// Guards against a flood of streams of a new version, after which a stream of the old one would be led to the only version left.
--- a/components/mirror/src/server.rs
+++ b/components/mirror/src/server.rs
@@ -29,7 +29,7 @@
 fn lookback(topic: Topic) -> u64 {
     match topic {
         Topic::Config => 0,
-        Topic::Endpoints | Topic::CrashRecords | Topic::Routers => 1_000,
+        Topic::Endpoints | Topic::CrashRecords | Topic::Routers | Topic::Streams => 1_000,
     }
 }
 
--- a/components/mirror/src/topic.rs
+++ b/components/mirror/src/topic.rs
@@ -14,6 +14,8 @@
     CrashRecords,
     /// The list of routers, written by themselves.
     Routers,
+    /// The software versions of services and where streams began, written by the routers.
+    Streams,
 }
 
 impl Topic {
@@ -24,6 +26,7 @@
             Self::Endpoints => "endpoints",
             Self::CrashRecords => "crash-records",
             Self::Routers => "routers",
+            Self::Streams => "streams",
         }
     }
 }
--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -36,6 +36,8 @@
     pub watched: Duration,
     /// Whether streams may have begun at an endpoint of the selected service whose version is not known.
     pub has_unknown_version: bool,
+    /// Whether the router has read, since it started, which versions the service had before; these are in `versions`.
+    pub has_read_records: bool,
     /// Whether the router's list of endpoints may be outdated.
     pub list_is_stale: bool,
 }
@@ -49,6 +51,8 @@
     pub versions: BTreeSet<SoftwareVersion>,
     /// For how long the keeper has seen the versions of the service. Zero if it does not say.
     pub watched: Duration,
+    /// For how long it has kept what it is told. Zero if it does not say.
+    pub kept: Duration,
 }
 
 /// What a router's list says of an endpoint.
@@ -81,6 +85,8 @@
 pub enum Doubt {
     /// Nobody knows where the stream began, and the service may have had several versions.
     Unknown,
+    /// Nobody knows where the stream began, and which versions the service has had is not known yet.
+    Unread,
     /// Streams of several versions began under the same id.
     Conflicting,
     /// The stream began at a service that the route does not lead to.
@@ -232,9 +238,12 @@
                 false => Decision::Nowhere(Doubt::NoEndpoint),
             };
         };
-        if versions.len() > 1 || self.has_unknown_version || !self.saw_all_versions() {
+        if versions.len() > 1 || self.has_unknown_version {
             return Decision::Nowhere(Doubt::Unknown);
         }
+        if !self.saw_all_versions() {
+            return Decision::Nowhere(Doubt::Unread);
+        }
         let (service, software) = (self.service.clone(), (*only).clone());
         Decision::At { service, software, source: Source::OnlyVersion }
     }
@@ -246,14 +255,13 @@
 
     /// Whether another version of the last [`VERSION_MEMORY`] would be known.
     fn saw_all_versions(&self) -> bool {
-        if self.asked == 0 {
-            return true;
-        }
-        let own = self.watched >= VERSION_MEMORY && !self.list_is_stale;
+        // A caller that names no stream is none that takes one up by the rules, so nobody is asked.
+        let is_current = !self.list_is_stale || self.asked == 0;
+        let own = is_current && (self.has_read_records || self.watched >= VERSION_MEMORY);
         let kept = self.answers.iter().any(|answer| answer.watched >= VERSION_MEMORY);
-        // After a loss of power nobody has seen the service for long. Most keepers answer then, unlike those of a router that is
-        // cut off.
-        own || kept || 2 * self.answers.len() > self.asked
+        // Keepers are told of streams at other versions, unless they have just started themselves.
+        let old = self.answers.iter().filter(|answer| answer.kept >= VERSION_MEMORY);
+        own || kept || 2 * old.count() > self.asked
     }
 }
 
--- a/components/origin/src/decision/tests.rs
+++ b/components/origin/src/decision/tests.rs
@@ -42,7 +42,7 @@
 }
 
 fn answer(origin: Lookup, seen: &[&str], watched: Duration) -> KeeperAnswer {
-    KeeperAnswer { origin, versions: versions(seen), watched }
+    KeeperAnswer { origin, versions: versions(seen), watched, kept: watched }
 }
 
 /// What an old router with a fresh list knows of a stream that nobody knows.
@@ -58,6 +58,7 @@
         versions: versions(seen),
         watched: OLD,
         has_unknown_version: false,
+        has_read_records: false,
         list_is_stale: false,
     }
 }
@@ -67,6 +68,7 @@
 }
 
 const UNKNOWN: Decision = Decision::Nowhere(Doubt::Unknown);
+const UNREAD: Decision = Decision::Nowhere(Doubt::Unread);
 
 #[rstest]
 #[case::one_version(&["v1"], false, at("v1", Source::OnlyVersion))]
@@ -190,12 +192,13 @@
 
 #[rstest]
 #[case::own_history(OLD, false, 4, &[], at("v1", Source::OnlyVersion))]
-#[case::own_history_of_a_stale_list(OLD, true, 4, &[], UNKNOWN)]
-#[case::restarted_and_cut_off(YOUNG, false, 4, &[], UNKNOWN)]
+#[case::own_history_of_a_stale_list(OLD, true, 4, &[], UNREAD)]
+#[case::restarted_and_cut_off(YOUNG, false, 4, &[], UNREAD)]
 #[case::restarted(YOUNG, false, 4, &[("v1", OLD)], at("v1", Source::OnlyVersion))]
 #[case::restarted_after_a_release(YOUNG, false, 4, &[("v0 v1", OLD)], UNKNOWN)]
-#[case::restarted_with_some_keepers(YOUNG, false, 4, &[("v1", YOUNG), ("", YOUNG)], UNKNOWN)]
-#[case::after_a_loss_of_power(YOUNG, false, 2, &[("v1", YOUNG), ("", YOUNG)], at("v1", Source::OnlyVersion))]
+#[case::restarted_with_some_keepers(YOUNG, false, 4, &[("v1", YOUNG), ("", YOUNG)], UNREAD)]
+#[case::restarted_with_all_keepers(YOUNG, false, 2, &[("v1", YOUNG), ("", YOUNG)], UNREAD)]
+#[case::restarted_without_keepers(YOUNG, false, 0, &[], UNREAD)]
 #[case::stale_list_and_a_keeper(OLD, true, 4, &[("v1", OLD)], at("v1", Source::OnlyVersion))]
 fn a_stream_that_nobody_knows_goes_on_if_another_version_would_be_known(
     #[case] watched: Duration,
@@ -215,6 +218,47 @@
     assert_eq!(decide(&facts), expected);
 }
 
+/// After a loss of power nobody has seen the service for long, and what the store says decides.
+#[rstest]
+#[case::one_version(&["v1"], false, 2, at("v1", Source::OnlyVersion))]
+#[case::one_version_without_keepers(&["v1"], false, 0, at("v1", Source::OnlyVersion))]
+#[case::another_version_before(&["v1", "v2"], false, 2, UNKNOWN)]
+#[case::read_long_ago(&["v1"], true, 2, UNREAD)]
+fn a_router_that_has_read_the_records_knows_other_versions(
+    #[case] versions: &[&str],
+    #[case] list_is_stale: bool,
+    #[case] asked: usize,
+    #[case] expected: Decision,
+) {
+    let services = [name("s")];
+    let base = facts(&services, versions);
+    let answers = (0..asked).map(|_| answer(Lookup::Unknown, &[], YOUNG)).collect();
+    let facts = ResumptionFacts {
+        watched: YOUNG,
+        has_read_records: true,
+        list_is_stale,
+        asked,
+        answers,
+        ..base
+    };
+    assert_eq!(decide(&facts), expected);
+}
+
+/// The keepers of a router that could read nothing since it started know what other routers told them.
+#[test]
+fn most_keepers_that_have_kept_records_for_long_know_other_versions() {
+    let services = [name("s")];
+    let kept = |kept| KeeperAnswer { kept, ..answer(Lookup::Unknown, &[], Duration::ZERO) };
+    for (answers, expected) in [
+        (vec![kept(OLD), kept(OLD), kept(YOUNG)], at("v1", Source::OnlyVersion)),
+        (vec![kept(OLD), kept(YOUNG), kept(YOUNG)], UNREAD),
+    ] {
+        let base = facts(&services, &["v1"]);
+        let facts = ResumptionFacts { watched: YOUNG, asked: 3, answers, ..base };
+        assert_eq!(decide(&facts), expected);
+    }
+}
+
 #[test]
 fn more_keepers_are_asked_until_the_answers_decide() {
     let services = [name("s")];
--- a/components/origin/src/lib.rs
+++ b/components/origin/src/lib.rs
@@ -11,6 +11,7 @@
 mod keepers;
 mod key;
 mod restarts;
+mod service_record;
 mod table;
 mod versions;
 
@@ -26,5 +27,6 @@
     retell,
 };
 pub use key::{ParseKeyError, StreamKey};
+pub use service_record::{SeenVersions, ServiceRecord};
 pub use table::{Lookup, MAX_KEEP, MAX_ORIGINS, OriginTable, StreamOrigin};
 pub use versions::{LIST_LAG, VERSION_MEMORY, VersionHistory};
--- /dev/null
+++ b/components/origin/src/service_record.rs
@@ -0,0 +1,102 @@
+//! The software versions that a service has had, as they are kept outside of the processes that saw them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use units::{SoftwareVersion, UnixMillis};
+
+use crate::VERSION_MEMORY;
+
+/// By how much the clocks of two processes may differ.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(10);
+/// The most versions in a record. Those that left the list first are dropped first.
+const MAX_VERSIONS: usize = 16;
+
+/// The software versions that a service has had. A process that has just started would else take the only version that it sees for
+/// the only one that there was.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRecord {
+    versions: BTreeMap<SoftwareVersion, RecordedVersion>,
+}
+
+/// When a service had a software version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct RecordedVersion {
+    /// When an endpoint with this version was first listed.
+    since: UnixMillis,
+    /// When the last one had left the list; none while one is listed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    until: Option<UnixMillis>,
+}
+
+impl RecordedVersion {
+    /// Whether streams of this version may still be taken up.
+    fn is_recent(self, now: UnixMillis) -> bool {
+        self.until.is_none_or(|until| now.since(until) < VERSION_MEMORY + CLOCK_TOLERANCE)
+    }
+}
+
+/// What a process sees of the versions of a service.
+#[derive(Debug, Clone, Copy)]
+pub struct SeenVersions<'a> {
+    /// Those of listed endpoints.
+    pub listed: &'a BTreeSet<SoftwareVersion>,
+    /// Those that it has seen lately, also in a list.
+    pub recent: &'a BTreeSet<SoftwareVersion>,
+    /// Whether a version that is not listed has left: the list is up to date, and no entry is awaited.
+    pub is_complete: bool,
+}
+
+impl ServiceRecord {
+    /// The record after a process has seen these versions; `None` if that changes nothing.
+    pub fn updated(&self, seen: SeenVersions<'_>, now: UnixMillis) -> Option<Self> {
+        let mut next = self.clone();
+        for software in seen.listed {
+            let listed = RecordedVersion { since: now, until: None };
+            let known = next.versions.entry(software.clone()).or_insert(listed);
+            if !known.is_recent(now) {
+                *known = listed;
+            }
+            known.until = None;
+        }
+        for software in seen.recent.difference(seen.listed) {
+            let left = RecordedVersion { since: now, until: Some(now) };
+            next.versions.entry(software.clone()).or_insert(left);
+        }
+        if seen.is_complete {
+            let unlisted = |software: &SoftwareVersion| !seen.listed.contains(software);
+            for (_, left) in next.versions.iter_mut().filter(|(software, _)| unlisted(software)) {
+                left.until.get_or_insert(now);
+            }
+        }
+        (next != *self).then(|| {
+            next.drop_old(now);
+            next
+        })
+    }
+
+    /// The versions of which streams may still be taken up, each with the time since it left the list.
+    pub fn recent(
+        &self,
+        now: UnixMillis,
+    ) -> impl Iterator<Item = (&SoftwareVersion, Duration)> + Clone {
+        let recent = self.versions.iter().filter(move |(_, version)| version.is_recent(now));
+        recent.map(move |(software, version)| {
+            (software, version.until.map_or(Duration::ZERO, |until| now.since(until)))
+        })
+    }
+
+    fn drop_old(&mut self, now: UnixMillis) {
+        self.versions.retain(|_, version| version.is_recent(now));
+        while self.versions.len() > MAX_VERSIONS {
+            let left =
+                self.versions.iter().filter_map(|(software, one)| Some((one.until?, software)));
+            let Some(first) = left.min().map(|(_, software)| software.clone()) else { return };
+            self.versions.remove(&first);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/origin/src/service_record/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+const NOW: UnixMillis = UnixMillis(1_000_000_000);
+
+fn versions(texts: &[&str]) -> BTreeSet<SoftwareVersion> {
+    texts.iter().map(|text| text.parse().expect("a version")).collect()
+}
+
+fn update(
+    record: &ServiceRecord,
+    listed: &[&str],
+    recent: &[&str],
+    is_complete: bool,
+    now: UnixMillis,
+) -> Option<ServiceRecord> {
+    let (listed, recent) = (versions(listed), versions(recent));
+    record.updated(SeenVersions { listed: &listed, recent: &recent, is_complete }, now)
+}
+
+fn recent(record: &ServiceRecord, now: UnixMillis) -> Vec<(&str, Duration)> {
+    record.recent(now).map(|(software, ago)| (software.as_str(), ago)).collect()
+}
+
+fn after(seconds: u64) -> UnixMillis {
+    NOW.after(Duration::from_secs(seconds))
+}
+
+#[test]
+fn a_version_that_has_left_is_remembered_until_its_streams_have_ended() {
+    let first = update(&ServiceRecord::default(), &["v1"], &["v1"], true, NOW).expect("new");
+    assert_eq!(update(&first, &["v1"], &["v1"], true, after(9)), None, "nothing to write");
+    let both = update(&first, &["v1", "v2"], &["v1", "v2"], true, after(10)).expect("a version");
+    let left = update(&both, &["v2"], &["v1", "v2"], true, after(20)).expect("v1 has left");
+    assert_eq!(update(&left, &["v2"], &["v1", "v2"], true, after(21)), None);
+    let ago = Duration::from_secs(30);
+    assert_eq!(recent(&left, after(50)), [("v1", ago), ("v2", Duration::ZERO)]);
+    assert_eq!(recent(&left, after(100)), [("v2", Duration::ZERO)]);
+}
+
+#[test]
+fn a_version_that_is_missing_from_an_incomplete_list_has_not_left() {
+    let both = update(&ServiceRecord::default(), &["v1", "v2"], &[], true, NOW).expect("new");
+    assert_eq!(update(&both, &["v2"], &["v1", "v2"], false, after(1)), None);
+    assert_eq!(update(&both, &[], &[], false, after(1)), None);
+}
+
+#[test]
+fn a_version_that_only_a_process_remembers_is_written_again() {
+    let restored = update(&ServiceRecord::default(), &["v2"], &["v2"], true, NOW).expect("new");
+    let both = update(&restored, &["v2"], &["v1", "v2"], true, NOW).expect("v1 is missing");
+    assert_eq!(recent(&both, NOW), [("v1", Duration::ZERO), ("v2", Duration::ZERO)]);
+}
+
+#[test]
+fn a_version_that_returns_is_listed_again() {
+    let both = update(&ServiceRecord::default(), &["v1", "v2"], &[], true, NOW).expect("new");
+    let left = update(&both, &["v1"], &[], true, after(1)).expect("v2 has left");
+    let back = update(&left, &["v1", "v2"], &[], true, after(2)).expect("v2 is back");
+    assert_eq!(back, both);
+}
+
+#[test]
+fn a_record_does_not_grow_with_releases() {
+    let mut record = ServiceRecord::default();
+    for release in 0..200 {
+        let software = format!("v{release}");
+        let next = update(&record, &[&software], &[], true, after(release));
+        record = next.expect("a new version");
+    }
+    assert!(record.versions.len() <= MAX_VERSIONS, "{record:?}");
+    let year = after(365 * 24 * 3_600);
+    let next = update(&record, &["next"], &[], true, year).expect("a new version");
+    assert_eq!(recent(&next, year).len(), 2, "the last one left just now");
+}
--- a/components/origin/src/versions.rs
+++ b/components/origin/src/versions.rs
@@ -48,12 +48,23 @@
     /// Records that a service has a version now. This is called for each listed endpoint whenever the list is read or the version
     /// of an endpoint becomes known.
     pub fn record(&mut self, service: &ServiceName, software: &SoftwareVersion, now: Instant) {
+        self.record_past(service, software, now, now);
+    }
+
+    /// Records that a service had a version at `seen`, as another process has found.
+    pub fn record_past(
+        &mut self,
+        service: &ServiceName,
+        software: &SoftwareVersion,
+        seen: Instant,
+        now: Instant,
+    ) {
         if !self.services.contains_key(service) {
             self.make_room(now);
         }
         let since = self.since;
-        let new = || ServiceHistory { since, last: now, versions: HashMap::new() };
-        self.services.entry(service.clone()).or_insert_with(new).record(software, now);
+        let new = || ServiceHistory { since, last: seen, versions: HashMap::new() };
+        self.services.entry(service.clone()).or_insert_with(new).record(software, seen, now);
     }
 
     /// The versions that a service has had lately.
@@ -82,8 +93,8 @@
 }
 
 impl ServiceHistory {
-    fn record(&mut self, software: &SoftwareVersion, now: Instant) {
-        self.last = now;
+    fn record(&mut self, software: &SoftwareVersion, seen: Instant, now: Instant) {
+        self.last = self.last.max(seen);
         self.versions.retain(|_, last| is_recent(*last, now));
         if !self.versions.contains_key(software) && self.versions.len() >= MAX_VERSIONS {
             let oldest = self.versions.iter().min_by_key(|(name, last)| (**last, *name));
@@ -91,7 +102,8 @@
                 self.versions.remove(&name);
             }
         }
-        self.versions.insert(software.clone(), now);
+        let last = self.versions.entry(software.clone()).or_insert(seen);
+        *last = seen.max(*last);
     }
 
     fn recent(&self, now: Instant) -> impl Iterator<Item = &SoftwareVersion> {
--- a/components/origin/tests/versions/processes.rs
+++ b/components/origin/tests/versions/processes.rs
@@ -1,10 +1,13 @@
 //! Routers and loaders that start, stop and read the list.
 
+use std::collections::HashMap;
+
 use rand::RngExt;
 
 use super::event::Event;
 use super::reports::{POLL_MS, REPORT_MS, REPORT_RETRY_MS};
 use super::state::{Loader, Router};
+use super::time::at;
 use super::view::View;
 use super::world::World;
 
@@ -27,6 +30,9 @@
         let read_at = self.now - self.random(0, self.plan.list_delay_ms);
         let read_at = read_at.max(self.routers[router].view.read_at);
         let (list, names, now) = (self.list_at(read_at), self.names.clone(), self.now);
+        if self.routers[router].view.read_at == 0 {
+            self.read_recorded_versions(router);
+        }
         let before = self.routers[router].view.list.clone();
         let changed = self.routers[router].view.read(list.clone(), read_at, now, &names);
         if changed {
@@ -39,6 +45,21 @@
         self.report.router_records = self.report.router_records.max(records);
     }
 
+    /// Takes the versions that endpoints had lately, which the store keeps, into the history of a router that has just started.
+    fn read_recorded_versions(&mut self, router: usize) {
+        let names = self.names.clone();
+        let mut until: HashMap<usize, u64> = HashMap::new();
+        for (index, (_, list)) in self.lists.iter().enumerate() {
+            let ended = self.lists.get(index + 1).map_or(self.now, |(since, _)| *since);
+            until.extend(list.iter().map(|entry| (entry.version, ended)));
+        }
+        let history = &mut self.routers[router].view.history;
+        for (version, until) in until {
+            let software = &names.versions[version];
+            history.record_past(&names.service, software, at(until), at(self.now));
+        }
+    }
+
     pub(crate) fn read_list_loader(&mut self, loader: usize, life: u32) {
         if self.loaders[loader].life != life || !self.loaders[loader].up {
             return;
--- a/components/origin/tests/versions/ways.rs
+++ b/components/origin/tests/versions/ways.rs
@@ -375,6 +375,8 @@
             versions: view.history.versions(&services[0], at(self.now)),
             watched: view.history.watched(&services[0], at(self.now)),
             has_unknown_version: false,
+            // In the simulation routers read the store at their start, unless they are cut off.
+            has_read_records: view.read_at > 0,
             list_is_stale: self.now > view.read_at + STALE_MS,
         }
     }
@@ -438,6 +440,7 @@
             origin: table.get(key, now),
             versions: history.versions(service, now),
             watched: history.watched(service, now),
+            kept: history.watched(service, now),
         }
     }
 }
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -17,5 +17,6 @@
 
 pub use digest::{Digest, ParseDigestError};
 pub use fingerprint::{Fingerprint, PromptPart};
-pub use record::{Crash, PartsRelease, QuarantineRecord, Release, Trial, UnixMillis};
+pub use record::{Crash, PartsRelease, QuarantineRecord, Release, Trial};
 pub use table::{CommonCrashes, CrashTable, Evidence, Suspect, SuspectKind, SuspicionLevel};
+pub use units::UnixMillis;
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -1,42 +1,12 @@
 //! Records that routers exchange about crashed endpoints and the requests suspected to crash them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use units::{Domain, EndpointId, EndpointIncarnation};
+use units::{Domain, EndpointId, EndpointIncarnation, UnixMillis};
 
 use crate::Digest;
 
-/// A time in Unix milliseconds by the clock of the router that writes it. Times of different routers are compared with each
-/// other, on the assumption that their clocks differ by little; delays of trials and the retention are minutes or hours long.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct UnixMillis(pub u64);
-
-impl UnixMillis {
-    /// The time since `earlier`; zero if `earlier` is later than this time.
-    #[must_use]
-    pub fn since(self, earlier: Self) -> Duration {
-        Duration::from_millis(self.0.saturating_sub(earlier.0))
-    }
-
-    /// The time that is later by this much.
-    #[must_use]
-    pub fn after(self, time: Duration) -> Self {
-        Self(self.0.saturating_add(u64::try_from(time.as_millis()).unwrap_or(u64::MAX)))
-    }
-}
-
-impl fmt::Display for UnixMillis {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
 /// An endpoint stopped while it ran requests, and not because of a planned shutdown.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -53,6 +53,7 @@
 mod software;
 mod speeds;
 mod stream;
+mod stream_records;
 mod stream_version;
 mod topic_source;
 mod wait_queue;
--- a/components/router/src/origins.rs
+++ b/components/router/src/origins.rs
@@ -392,6 +392,7 @@
     state.told_services = several;
     state.keepers = known;
     events::record_origins(state.table.len());
+    shared.stream_records.note_change();
 }
 
 impl State {
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -314,6 +314,17 @@
         &self.versions
     }
 
+    /// Records that a service had a version at `seen`, as another process has found.
+    pub(crate) fn record_past_version(
+        &mut self,
+        service: &ServiceName,
+        software: &SoftwareVersion,
+        seen: Instant,
+        now: Instant,
+    ) {
+        self.versions.record_past(service, software, seen, now);
+    }
+
     /// For how long the versions of a service have been seen.
     pub(crate) fn versions_watched(&self, service: &ServiceName, now: Instant) -> Duration {
         self.versions.watched(service, now)
--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -22,6 +22,7 @@
 use crate::origins::{self, Answers};
 use crate::pause::pause;
 use crate::shared::Shared;
+use crate::stream_records;
 use crate::stream_version::StreamVersion;
 
 /// The pause before keepers are asked once more for a stream that none of them knew.
@@ -32,6 +33,8 @@
 const LOADER_QUESTION_PAUSE: Duration = Duration::from_millis(200);
 /// `Retry-After` of a stream whose loader has not answered: cut connections are opened again after about a second.
 const LOADER_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` of a stream while the store has not told yet which versions its service has had.
+const RECORDS_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Fraction of the time to send a request that each of its questions to keepers may take.
 const KEEPER_QUESTION_DIVISOR: u32 = 4;
 
@@ -238,7 +241,7 @@
 impl DecidedResumption {
     /// Whether a keeper that was asked may know the stream a moment later.
     fn may_be_known_soon(&self) -> bool {
-        self.decision == Decision::Nowhere(Doubt::Unknown) && self.asked > 0
+        matches!(self.decision, Decision::Nowhere(Doubt::Unknown | Doubt::Unread)) && self.asked > 0
     }
 }
 
@@ -255,6 +258,11 @@
         }
         _ => Answers::default(),
     };
+    let nobody_knows = own == Lookup::Unknown
+        && answers.answers.iter().all(|answer| answer.origin == Lookup::Unknown);
+    if nobody_knows && !shared.stream_records.are_read() {
+        stream_records::refresh(shared, request.keepers_end()).await;
+    }
     for answer in &answers.answers {
         if let (Some(key), Lookup::Known(origin)) = (key, &answer.origin) {
             shared.origins.remember(key, origin.clone());
@@ -348,6 +356,7 @@
         versions: software.versions,
         watched: table.versions_watched(request.service, now),
         has_unknown_version: software.unknown,
+        has_read_records: shared.stream_records.are_read(),
         list_is_stale: shared.stale_feeds.borrow().membership(),
     }
 }
@@ -449,6 +458,7 @@
     let after = match doubt {
         Doubt::NoEndpoint => Some(shared.store_retry_after().unwrap_or(NO_ENDPOINT_RETRY_AFTER)),
         Doubt::Unconfirmed => Some(LOADER_RETRY_AFTER),
+        Doubt::Unread => Some(RECORDS_RETRY_AFTER),
         Doubt::Unlisted => Some(shared.store_retry_after().unwrap_or(origin::LIST_LAG)),
         // No later time is known at which more would be known.
         Doubt::Unknown | Doubt::Conflicting | Doubt::OtherService | Doubt::Restarted => None,
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -17,7 +17,7 @@
 use crate::shared::Shared;
 use crate::{
     Settings, borrow, crash_records, feed, grants, intake, origins, prefetch, quotas, ready,
-    roster, serve, share_leases, snapshot, speeds, wait_queue,
+    roster, serve, share_leases, snapshot, speeds, stream_records, wait_queue,
 };
 
 /// Runs the router until the process is asked to end and its requests are done.
@@ -40,6 +40,7 @@
     tokio::spawn(feed::follow_members(shared.clone()));
     tokio::spawn(roster::follow(shared.clone(), store));
     tokio::spawn(snapshot::follow(shared.clone()));
+    tokio::spawn(stream_records::maintain(shared.clone()));
     tokio::spawn(prefetch::run(shared.clone()));
     tokio::spawn(speeds::run(shared.clone()));
     tokio::spawn(wait_queue::hand_back_at_stop(shared.clone()));
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::origins::Origins;
 use crate::quotas::Quotas;
 use crate::registry::EndpointRegistry;
+use crate::stream_records::StreamRecords;
 use crate::wait_queue::WaitQueues;
 
 /// Minimum `Retry-After` of a router that waits for the store, which it asks several times a
@@ -131,6 +132,8 @@
     pub(crate) crash_records_position: watch::Sender<Option<StorePosition>>,
     /// Where streams began.
     pub(crate) origins: Origins,
+    /// What the store keeps of versions and streams.
+    pub(crate) stream_records: StreamRecords,
     /// Questions to loaders that wait for further requests.
     pub(crate) waiting_checks: WaitingChecks,
     retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
@@ -146,6 +149,7 @@
         let settings = process.settings.borrow().clone();
         let (guard, records) = CrashGuard::new(settings.instance.to_string());
         let client = Client::default();
+        let store = Store::new(settings.store);
         let shared = Self {
             settings: process.settings.clone(),
             instance: settings.instance.to_string(),
@@ -163,7 +167,8 @@
             client,
             held_responses: ByteBudget::new(MAX_HELD_BYTES),
             passed_responses: ByteBudget::new(MAX_PASSED_BYTES),
-            store: Store::new(settings.store),
+            stream_records: StreamRecords::new(store.clone()),
+            store,
             access: KeyState::default(),
             quotas: Quotas::new(settings.control, settings.domain.clone(), settings.queues()),
             limiters: Mutex::default(),
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -4,6 +4,7 @@
 mod position;
 mod quantity;
 mod software;
+mod unix_millis;
 
 pub use ids::{
     AdapterName, CallerGroup, Domain, EditId, EndpointId, InstanceId, KeyHash, ModelName, NodePath,
@@ -15,3 +16,4 @@
 };
 pub use quantity::{ParseQuantityError, Rate, Size, Span};
 pub use software::{ParseVersionError, SoftwareVersion};
+pub use unix_millis::UnixMillis;
