--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod origins;
 mod promise;
 mod speeds;
+mod stored_streams;
 mod versions;
 mod waiting;
 
@@ -30,5 +31,6 @@
 };
 pub use promise::{LEASES_PATH, LeaseRelease, LeasedShare, ShareRequest, TokenClaim, TokenRetry};
 pub use speeds::{EndpointSpeedReport, SPEEDS_PATH, ServiceEvenness, SpeedsReport};
+pub use stored_streams::{MAX_STORED_STREAMS, StoredStream, StoredStreams};
 pub use versions::{ServiceVersions, VERSIONS_PATH, VersionUse, VersionsReport};
 pub use waiting::{QueueReport, WAITING_PATH, WaitingReport, WorkspaceCounter};
--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -162,11 +162,15 @@
             }
             histogram!("stream_resumption_seconds", "at" => at).record(seconds(*took_ms));
         }
-        Event::VersionsRecorded { .. } | Event::VersionsChanged { .. } => {
-            counter!("versions_changed_total").increment(1)
+        Event::VersionsRecorded { .. } => counter!("versions_recorded_total").increment(1),
+        Event::StreamsRecorded { bytes, .. } => {
+            counter!("stream_records_total").increment(1);
+            counter!("stream_record_bytes_total").increment(*bytes as u64);
         }
+        Event::VersionsChanged { .. } => counter!("versions_changed_total").increment(1),
         Event::OriginsNotTold { streams, .. } => count_origins_told("failed", *streams),
-        Event::RouterLoad(_)
+        Event::StreamsRemembered { .. }
+        | Event::RouterLoad(_)
         | Event::Started { .. }
         | Event::Stopping { .. }
         | Event::Stopped { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -550,6 +550,18 @@
         /// The versions, separated by commas.
         versions: &'a str,
     },
+    /// This router has recorded in the store where the streams began that it serves.
+    StreamsRecorded {
+        /// The number of streams.
+        streams: usize,
+        /// The size of the record.
+        bytes: usize,
+    },
+    /// This router has read in the store where streams began that it served before it was restarted.
+    StreamsRemembered {
+        /// The number of streams.
+        streams: usize,
+    },
     /// How loaded a router was since the line before, if it was busy for most of the time or closed connections unread.
     RouterLoad(RouterLoad),
     /// A keeper could not be told where streams began.
--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -23,6 +23,8 @@
     pub has_events: bool,
     /// What the router itself knows of the stream.
     pub own: Lookup,
+    /// What routers have recorded of the stream in the store, as far as this router has read it.
+    pub stored: Lookup,
     /// The number of keepers that were asked, without those that refused the connection: these do not run and know nothing. It is 0
     /// if the caller does not name the stream.
     pub asked: usize,
@@ -75,6 +77,8 @@
     Own,
     /// A keeper was told.
     Keeper,
+    /// A router recorded it in the store.
+    Store,
     /// The service has had no other version lately.
     OnlyVersion,
 }
@@ -199,7 +203,7 @@
 
     fn origins(&self) -> impl Iterator<Item = (&Lookup, Source)> {
         let keepers = self.answers.iter().map(|answer| (&answer.origin, Source::Keeper));
-        std::iter::once((&self.own, Source::Own)).chain(keepers)
+        [(&self.own, Source::Own), (&self.stored, Source::Store)].into_iter().chain(keepers)
     }
 
     /// Why the version in an origin may be wrong: the router that recorded it may have read the list before the endpoint's restart.
--- a/components/origin/src/decision/tests.rs
+++ b/components/origin/src/decision/tests.rs
@@ -52,6 +52,7 @@
         allowed: services,
         has_events: true,
         own: Lookup::Unknown,
+        stored: Lookup::Unknown,
         asked: 0,
         answers: Vec::new(),
         listed: HashMap::new(),
@@ -116,6 +117,17 @@
     assert_eq!(decide(&told), at("v1", Source::Keeper));
 }
 
+/// Streams were unknown after all routers and keepers had ended.
+#[test]
+fn a_stream_that_only_the_store_knows_goes_on_at_its_version() {
+    let services = [name("s")];
+    let stored = ResumptionFacts { stored: known("v1"), ..facts(&services, &["v1", "v2"]) };
+    assert_eq!(decide(&stored), at("v1", Source::Store));
+    let answers = vec![answer(known("v2"), &[], OLD)];
+    let contradicted = ResumptionFacts { asked: 1, answers, ..stored };
+    assert_eq!(decide(&contradicted), Decision::Nowhere(Doubt::Conflicting));
+}
+
 #[rstest]
 #[case::keepers_disagree(Lookup::Unknown, vec![known("v1"), known("v2")])]
 #[case::keeper_against_own(known("v1"), vec![known("v2")])]
--- a/components/origin/src/table.rs
+++ b/components/origin/src/table.rs
@@ -13,6 +13,8 @@
 pub const MAX_ORIGINS: usize = 16_384;
 /// The longest time by which a record of a stream says that it began later than it did, since the record was on its way.
 const MAX_RECORD_DELAY: Duration = Duration::from_secs(2);
+/// How long the last event of a stream may be on its way to the caller.
+const LAST_EVENT_TIME: Duration = Duration::from_secs(1);
 /// The longest time for which an origin is kept, whatever a record says.
 pub const MAX_KEEP: Duration = Duration::from_secs(300);
 
@@ -82,6 +84,8 @@
     /// None if streams of several versions began under the key.
     origin: Option<StreamOrigin>,
     expires: Instant,
+    /// When the caller had got the whole stream, as far as the process knows.
+    finished: Option<Instant>,
     /// The place in the order in which the keys were added.
     place: u64,
 }
@@ -143,6 +147,13 @@
         self.restarts.record(endpoint, software, since, now)
     }
 
+    /// Records that the last event of a stream was passed on.
+    pub fn finish(&mut self, key: StreamKey, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.finished.get_or_insert(now);
+        }
+    }
+
     /// What is known of a stream.
     pub fn get(&self, key: StreamKey, now: Instant) -> Lookup {
         let Some(entry) = self.entries.get(&key).filter(|entry| entry.expires > now) else {
@@ -198,6 +209,21 @@
         own.map(|(key, origin, entry)| (*key, origin.clone(), entry.expires - now)).collect()
     }
 
+    /// The same, without the streams whose callers have got their last event.
+    pub fn unfinished_of_service(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Vec<(StreamKey, StreamOrigin, Duration)> {
+        let has_arrived = |finished: Instant| now >= finished + LAST_EVENT_TIME;
+        let mut streams = self.of_service(service, now);
+        streams.retain(|(key, ..)| {
+            let finished = self.entries.get(key).and_then(|entry| entry.finished);
+            !finished.is_some_and(has_arrived)
+        });
+        streams
+    }
+
     /// The streams that began at an endpoint in an incarnation that is not confirmed, with the time for which they are kept.
     pub fn unconfirmed_at(
         &self,
@@ -237,7 +263,7 @@
         self.next += 1;
         self.added.insert(place, key);
         self.expiring.insert((expires, key));
-        self.entries.insert(key, Entry { origin, expires, place });
+        self.entries.insert(key, Entry { origin, expires, finished: None, place });
     }
 
     fn remove(&mut self, key: StreamKey) {
--- a/components/origin/tests/versions/ways.rs
+++ b/components/origin/tests/versions/ways.rs
@@ -369,6 +369,7 @@
             allowed: services,
             has_events: true,
             own,
+            stored: Lookup::Unknown,
             asked: 0,
             answers: Vec::new(),
             listed: HashMap::new(),
--- a/components/router/src/origins.rs
+++ b/components/router/src/origins.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use control::{OriginRecord, VersionsReport};
+use control::{OriginRecord, StoredStream, VersionsReport};
 use events::{Event, emit};
 use http::StatusCode;
 use origin::{
@@ -134,6 +134,37 @@
     deadline.saturating_duration_since(now) + RETURN_TIME
 }
 
+/// Records that callers have got the last event of these streams.
+pub(crate) fn finish(shared: &Shared, keys: impl IntoIterator<Item = StreamKey>) {
+    let now = Instant::now();
+    let mut state = shared.origins.lock();
+    keys.into_iter().for_each(|key| state.table.finish(key, now));
+}
+
+/// The streams of services with several versions that callers may have to take up, the latest last.
+pub(crate) fn unfinished(shared: &Shared) -> Vec<OriginRecord> {
+    let now = Instant::now();
+    let state = shared.origins.lock();
+    let services = state.told_services.iter();
+    let streams = services.flat_map(|service| state.table.unfinished_of_service(service, now));
+    let records = streams.map(|(key, origin, keep)| OriginRecord::new(key, &origin, keep, now));
+    let mut records: Vec<OriginRecord> = records.collect();
+    records.sort_by_key(|record| (std::cmp::Reverse(record.age), record.key));
+    records
+}
+
+/// Remembers a stream that this router knew before it was restarted.
+pub(crate) fn remember_stored(shared: &Shared, stream: StoredStream) {
+    let now = Instant::now();
+    let keep = stream.expires.saturating_duration_since(now);
+    shared.origins.lock().table.record(stream.key, stream.origin, keep, now);
+}
+
+/// Whether any service has several versions.
+pub(crate) fn tells_any(shared: &Shared) -> bool {
+    !shared.origins.lock().told_services.is_empty()
+}
+
 /// Records for the time `keep` that this router passes the first event of a stream on.
 pub(crate) fn record(shared: &Arc<Shared>, key: StreamKey, origin: StreamOrigin, keep: Duration) {
     let now = Instant::now();
@@ -144,6 +175,7 @@
         state.told_services.contains(&origin.service) || origin.software.is_none()
     };
     if tells {
+        shared.stream_records.note_stream();
         let count = shared.origins.lock().budget.keepers(now);
         tell(shared, OriginRecord::new(key, &origin, keep, now), count);
     }
@@ -389,6 +421,9 @@
             tokio::spawn(confirm_origins(shared.clone(), id.clone()));
         }
     }
+    if !new.is_empty() {
+        shared.stream_records.note_stream();
+    }
     state.told_services = several;
     state.keepers = known;
     events::record_origins(state.table.len());
--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -260,8 +260,15 @@
     };
     let nobody_knows = own == Lookup::Unknown
         && answers.answers.iter().all(|answer| answer.origin == Lookup::Unknown);
-    if nobody_knows && !shared.stream_records.are_read() {
+    let mut stored = Lookup::Unknown;
+    if nobody_knows
+        && (!shared.stream_records.are_read() || shared.may_have_several_versions(request.service))
+    {
         stream_records::refresh(shared, request.keepers_end()).await;
+        stored = key.map_or(Lookup::Unknown, |key| shared.stream_records.find(key));
+    }
+    if let (Some(key), Lookup::Known(origin)) = (key, &stored) {
+        shared.origins.remember(key, origin.clone());
     }
     for answer in &answers.answers {
         if let (Some(key), Lookup::Known(origin)) = (key, &answer.origin) {
@@ -290,6 +297,9 @@
         if own != Lookup::Unknown {
             own = found.clone();
         }
+        if stored != Lookup::Unknown {
+            stored = found.clone();
+        }
         for answer in &mut answers.answers {
             if matches!(answer.origin, Lookup::Known(_)) {
                 answer.origin = found.clone();
@@ -299,7 +309,7 @@
     let (asked, answered) = (answers.asked, answers.answers.len());
     let services = request.route.services.iter().filter(|weighted| weighted.weight > 0);
     let allowed: Vec<ServiceName> = services.map(|weighted| weighted.service.clone()).collect();
-    let facts = facts(shared, request, &allowed, own, answers);
+    let facts = facts(shared, request, &allowed, Known { own, stored, answers });
     let decision = match check.restrict(decide(&facts)) {
         Decision::Nowhere(Doubt::Unlisted) if !may_be_listed(shared, origin.as_ref()) => {
             Decision::Nowhere(Doubt::Unknown)
@@ -320,9 +330,20 @@
     if listed.software.is_some() { Evidence::OtherListed } else { Evidence::NoneListed }
 }
 
-fn first_known<'a>(own: &'a Lookup, answers: &'a Answers) -> Option<&'a StreamOrigin> {
+/// What is known of a stream, by who knows it.
+struct Known {
+    own: Lookup,
+    stored: Lookup,
+    answers: Answers,
+}
+
+fn first_known<'a>(
+    own: &'a Lookup,
+    stored: &'a Lookup,
+    answers: &'a Answers,
+) -> Option<&'a StreamOrigin> {
     let answered = answers.answers.iter().map(|answer| &answer.origin);
-    std::iter::once(own).chain(answered).find_map(|lookup| match lookup {
+    [own, stored].into_iter().chain(answered).find_map(|lookup| match lookup {
         Lookup::Known(origin) => Some(origin),
         Lookup::Unknown | Lookup::Conflicting => None,
     })
@@ -332,13 +353,13 @@
     shared: &Shared,
     request: &ResumptionRequest<'a>,
     allowed: &'a [ServiceName],
-    own: Lookup,
-    answers: Answers,
+    known: Known,
 ) -> ResumptionFacts<'a> {
+    let Known { own, stored, answers } = known;
     let now = Instant::now();
     let table = shared.endpoints.lock();
     let software = table.software_of(request.service, now);
-    let listed: HashMap<EndpointId, ListedEndpoint> = first_known(&own, &answers)
+    let listed: HashMap<EndpointId, ListedEndpoint> = first_known(&own, &stored, &answers)
         .and_then(|origin| table.map.get(&origin.endpoint))
         .filter(|tracked| tracked.endpoint.software.is_some() || software.several())
         .map(|tracked| (tracked.endpoint.id.clone(), tracked.as_listed(now)))
@@ -350,6 +371,7 @@
         allowed,
         has_events: true,
         own,
+        stored,
         asked,
         answers,
         listed,
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -215,6 +215,7 @@
                     let _ = writer.send(rest).await;
                 }
                 let _ = writer.finish().await;
+                request.finish_stream();
                 request_log.log_response(status, &timing, source.response_end(true));
                 request
                     .shared
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -3,16 +3,18 @@
 //! Load pattern: all routers and loaders lose power during a release of endpoints, or at its end, and start again. Their callers
 //! take up hundreds of streams within seconds, and neither routers nor loaders remember anything.
 //!
-//! The store is read at the start, before a write, and when nothing else tells where a stream began; it is written when the
-//! versions of a service change. A service with one version costs one read of each router and one write.
+//! The store is read at the start, before a write, and when nothing else tells where a stream began. It is written when the
+//! versions of a service change, and, while a service has several versions, at most some times a second when streams have begun. A
+//! service with one version costs one read of each router and one write.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use catalog::Catalog;
+use control::{StoredStream, StoredStreams};
 use events::{Dependency, Event, emit, millis};
-use origin::{SeenVersions, ServiceRecord};
+use origin::{Lookup, OriginTable, SeenVersions, ServiceRecord, StreamKey};
 use platform::{Batch, Follower, PutOutcome, Store, StoreError, Topic, Update};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -24,6 +26,18 @@
 
 /// The prefix of the keys of services.
 const SERVICE_PREFIX: &str = "service/";
+/// The prefix of the keys of routers, under which each records its streams.
+const ROUTER_PREFIX: &str = "router/";
+/// How long streams that begin together are waited for before they are recorded.
+const BATCH_TIME: Duration = Duration::from_millis(20);
+/// The shortest time between two records of a router's streams.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// The most records of streams that all routers together write in a second.
+const MAX_WRITES_PER_SECOND: u32 = 80;
+/// How long after its last stream the record of a router that has not deleted it is deleted by another one.
+const ABANDONED_AFTER: Duration = Duration::from_secs(600);
+/// The most abandoned records that are deleted after one read.
+const MAX_DELETES_PER_READ: usize = 4;
 /// The longest delay before a change of the versions is written: all routers see it at about the same time, and most find it
 /// written by then.
 const MAX_WRITE_DELAY: Duration = Duration::from_millis(200);
@@ -50,6 +64,16 @@
     position: Option<StorePosition>,
     /// The versions of each service.
     services: BTreeMap<ServiceName, ServiceRecord>,
+    /// The streams of each router, by the key of its record.
+    streams: BTreeMap<String, HashMap<StreamKey, StoredStream>>,
+    /// The keys of the records of routers that have long ended.
+    abandoned: Vec<String>,
+    /// Since when streams have begun that are not recorded yet.
+    unrecorded_since: Option<Instant>,
+    /// When this router last recorded its streams.
+    recorded_at: Option<Instant>,
+    /// Whether the store has a record of this router's streams.
+    has_record: bool,
 }
 
 impl StreamRecords {
@@ -68,16 +92,35 @@
         self.lock().read.is_some()
     }
 
-    /// Notes that the list of endpoints or a stream may have to be recorded.
+    /// Notes that the versions of services may have to be recorded.
     pub(crate) fn note_change(&self) {
         self.changed.notify_one();
     }
+
+    /// Notes that streams have to be recorded.
+    pub(crate) fn note_stream(&self) {
+        self.lock().unrecorded_since.get_or_insert_with(Instant::now);
+        self.changed.notify_one();
+    }
+
+    /// What routers have recorded of a stream.
+    pub(crate) fn find(&self, key: StreamKey) -> Lookup {
+        let now = Instant::now();
+        let mut found = OriginTable::default();
+        for stream in self.lock().streams.values().filter_map(|streams| streams.get(&key)) {
+            let keep = stream.expires.saturating_duration_since(now);
+            found.record(key, stream.origin.clone(), keep, now);
+        }
+        found.get(key, now)
+    }
 }
 
 impl State {
     fn apply(&mut self, batch: Batch, sent: Instant) {
         if batch.complete {
             self.services.clear();
+            self.streams.clear();
+            self.abandoned.clear();
         }
         for update in batch.updates {
             let Update::Record(key, value) = update else { continue };
@@ -91,16 +134,43 @@
     }
 
     fn apply_record(&mut self, key: &str, value: &[u8]) -> Result<(), serde_json::Error> {
-        let service = key.strip_prefix(SERVICE_PREFIX).and_then(|name| name.parse().ok());
-        let Some(service) = service else { return Ok(()) };
-        if value.is_empty() {
-            self.services.remove(&service);
-        } else {
-            self.services.insert(service, serde_json::from_slice(value)?);
+        if let Some(service) = key.strip_prefix(SERVICE_PREFIX).and_then(|name| name.parse().ok()) {
+            if value.is_empty() {
+                self.services.remove(&service);
+            } else {
+                self.services.insert(service, serde_json::from_slice(value)?);
+            }
+        }
+        if key.starts_with(ROUTER_PREFIX) {
+            self.streams.remove(key);
+            self.abandoned.retain(|other| other != key);
+            if !value.is_empty() {
+                self.apply_streams(key, serde_json::from_slice(value)?);
+            }
         }
         Ok(())
     }
 
+    fn apply_streams(&mut self, key: &str, stored: StoredStreams) {
+        let (now, wall_now) = (Instant::now(), wall_clock());
+        let is_old = wall_now.since(stored.at) > ABANDONED_AFTER;
+        let streams = stored.into_records(wall_now);
+        let streams = streams.map(|record| (record.key, StoredStream::new(record, now)));
+        let streams: HashMap<_, _> = streams.collect();
+        if streams.is_empty() && is_old {
+            self.abandoned.push(key.to_owned());
+        }
+        self.streams.insert(key.to_owned(), streams);
+    }
+
+    /// When the streams of this router are to be recorded, if any have begun since the last time.
+    fn next_record(&self, routers: u32) -> Option<Instant> {
+        let interval =
+            (Duration::from_secs(1) * routers / MAX_WRITES_PER_SECOND).max(MIN_WRITE_INTERVAL);
+        let batched = self.unrecorded_since? + BATCH_TIME;
+        Some(self.recorded_at.map_or(batched, |at| batched.max(at + interval)))
+    }
+
     /// The services whose records have to be written, with the new ones.
     fn due(&self, seen: &[ServiceVersions], now: UnixMillis) -> Vec<(ServiceName, ServiceRecord)> {
         let none = ServiceRecord::default();
@@ -167,7 +237,11 @@
                     emit(&Event::DependencyRegained { dependency, name: "store", after_ms });
                 }
                 pause = RETRY_PAUSE;
-                shared.stream_records.changed.notified().await;
+                let next = next_record(&shared);
+                tokio::select! {
+                    () = shared.stream_records.changed.notified() => {}
+                    () = tokio::time::sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
+                }
             }
             Err(error) => {
                 if lost_since.is_none() {
@@ -187,7 +261,13 @@
     let records = &shared.stream_records;
     let outdated = records.lock().is_outdated(shared.store.era());
     if outdated {
+        let restored = records.are_read();
         read(shared).await?;
+        if restored {
+            // What was written since the copy was made is gone.
+            records.note_stream();
+        }
+        delete_abandoned(shared).await?;
     }
     while !records.lock().due(&seen_versions(shared), wall_clock()).is_empty() {
         // All routers see a change at about the same time.
@@ -197,10 +277,10 @@
             let state = records.lock();
             (state.position, state.due(&seen_versions(shared), wall_clock()))
         };
-        let Some((service, record)) = due.into_iter().next() else { return Ok(()) };
+        let Some((service, record)) = due.into_iter().next() else { break };
         write_service(shared, &service, &record, position).await?;
     }
-    Ok(())
+    write_streams(shared).await
 }
 
 /// Writes the record of a service if no other router has written since it was read.
@@ -223,6 +303,46 @@
     Ok(())
 }
 
+/// When the streams of this router are to be recorded, if they are.
+fn next_record(shared: &Shared) -> Option<Instant> {
+    let routers = shared.endpoints.lock().routers();
+    shared.stream_records.lock().next_record(routers)
+}
+
+/// Records the streams of this router if that is due, and deletes the record once no service has several versions.
+async fn write_streams(shared: &Arc<Shared>) -> Result<(), StoreError> {
+    let records = &shared.stream_records;
+    let streams = origins::unfinished(shared);
+    let ends = records.lock().has_record && !origins::tells_any(shared);
+    if !ends && next_record(shared).is_none_or(|next| next > Instant::now()) {
+        return Ok(());
+    }
+    let noted = {
+        let mut state = records.lock();
+        state.recorded_at = Some(Instant::now());
+        state.unrecorded_since.take()
+    };
+    let count = streams.len();
+    let value = match count {
+        0 if !records.lock().has_record => return Ok(()),
+        0 => Vec::new(),
+        _ => serde_json::to_vec(&StoredStreams::new(streams, wall_clock())).unwrap_or_default(),
+    };
+    let key = format!("{ROUTER_PREFIX}{}", shared.instance);
+    match shared.store.put(Topic::Streams, &key, &value, None).await {
+        Ok(_) => {
+            records.lock().has_record = count > 0;
+            emit(&Event::StreamsRecorded { streams: count, bytes: value.len() });
+            Ok(())
+        }
+        Err(error) => {
+            let mut state = records.lock();
+            state.unrecorded_since = noted.or(state.unrecorded_since);
+            Err(error)
+        }
+    }
+}
+
 /// Reads the records as they are now, until `end` at most. Returns whether that was possible.
 pub(crate) async fn refresh(shared: &Arc<Shared>, end: Instant) -> bool {
     match tokio::time::timeout_at(end, read(shared)).await {
@@ -247,16 +367,47 @@
     loop {
         let batch = reader.next(Duration::ZERO).await?;
         let (complete, more) = (batch.complete, batch.has_more);
+        let is_first = !records.are_read();
         records.lock().apply(batch, sent);
         if complete {
             remember_versions(shared);
         }
+        if is_first {
+            remember_own_streams(shared);
+        }
         if !more {
             return Ok(());
         }
     }
 }
 
+/// Takes up what this router recorded before it was restarted, so that its next record has these streams, too.
+fn remember_own_streams(shared: &Arc<Shared>) {
+    let key = format!("{ROUTER_PREFIX}{}", shared.instance);
+    let own: Vec<StoredStream> = {
+        let mut state = shared.stream_records.lock();
+        state.has_record = state.streams.contains_key(&key);
+        state.streams.get(&key).into_iter().flat_map(HashMap::values).cloned().collect()
+    };
+    if !own.is_empty() {
+        emit(&Event::StreamsRemembered { streams: own.len() });
+    }
+    own.into_iter().for_each(|stream| origins::remember_stored(shared, stream));
+}
+
+/// Deletes records of routers that have long ended, so that they don't accumulate.
+async fn delete_abandoned(shared: &Shared) -> Result<(), StoreError> {
+    let abandoned: Vec<String> = {
+        let mut state = shared.stream_records.lock();
+        let count = state.abandoned.len().min(MAX_DELETES_PER_READ);
+        state.abandoned.drain(..count).collect()
+    };
+    for key in abandoned {
+        shared.store.put(Topic::Streams, &key, &[], None).await?;
+    }
+    Ok(())
+}
+
 /// Takes the versions that services have had into the history of this router.
 fn remember_versions(shared: &Arc<Shared>) {
     let (now, wall_now) = (Instant::now(), wall_clock());
--- a/components/router/src/stream_version.rs
+++ b/components/router/src/stream_version.rs
@@ -104,6 +104,12 @@
         true
     }
 
+    /// Records that the caller has got the last event of its stream.
+    pub(crate) fn finish_stream(&self) {
+        let keys = std::iter::once(self.stream_key).chain(self.resumed_key);
+        origins::finish(&self.shared, keys);
+    }
+
     /// Holds the first event of a stream back until its origin is known elsewhere, too: the caller may have to take the stream up
     /// at another router by the next one.
     pub(crate) async fn wait_until_told(&self) {
