--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -127,8 +127,14 @@
         Self { origin, conflicting, versions: versions.iter().cloned().collect(), kept }
     }
 
-    /// What the loader knows of the stream `key`, as it was received at `now`. A record of another stream says nothing of it.
-    pub fn into_keeper_answer(self, key: StreamKey, now: Instant) -> KeeperAnswer {
+    /// What the loader knows of the stream `key`, as it was received at `now`; its endpoint has been listed for the time `listed`. A
+    /// record of another stream says nothing of it.
+    pub fn into_keeper_answer(
+        self,
+        key: StreamKey,
+        listed: Duration,
+        now: Instant,
+    ) -> KeeperAnswer {
         let record = self.origin.filter(|record| record.key == key);
         let origin = match record {
             _ if self.conflicting => Lookup::Conflicting,
@@ -142,6 +148,7 @@
             versions: self.versions.into_iter().collect(),
             watched,
             kept: self.kept,
+            listed,
         }
     }
 }
--- a/components/control/src/origins/tests.rs
+++ b/components/control/src/origins/tests.rs
@@ -41,16 +41,17 @@
     let versions: BTreeSet<_> = ["v1".parse().expect("a version")].into();
     let answer =
         OriginAnswer::new(key("r2"), &Lookup::Known(origin(now)), &versions, Duration::ZERO, now);
-    let known = answer.clone().into_keeper_answer(key("r2"), now);
+    let known = answer.clone().into_keeper_answer(key("r2"), Duration::ZERO, now);
     assert_eq!(known.origin, Lookup::Known(origin(now)));
-    let other = answer.into_keeper_answer(key("r1"), now);
+    let other = answer.into_keeper_answer(key("r1"), Duration::ZERO, now);
     assert_eq!(
         other,
         KeeperAnswer {
             origin: Lookup::Unknown,
             versions,
             watched: Duration::ZERO,
-            kept: Duration::ZERO
+            kept: Duration::ZERO,
+            listed: Duration::ZERO,
         }
     );
 }
--- a/components/loader/src/origins/tests.rs
+++ b/components/loader/src/origins/tests.rs
@@ -68,7 +68,10 @@
     keep(&mut origins, &json!([record("r1", "llm", "v2")])).expect("a message");
     let answer = find(&origins, "r1");
     assert!(answer.conflicting && answer.origin.is_none(), "{answer:?}");
-    assert_eq!(answer.into_keeper_answer(key("r1"), Instant::now()).origin, Lookup::Conflicting);
+    assert_eq!(
+        answer.into_keeper_answer(key("r1"), Duration::ZERO, Instant::now()).origin,
+        Lookup::Conflicting
+    );
 }
 
 /// Guards against a router that loses all records of a message because of one that a router of another release wrote.
--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -30,6 +30,10 @@
     pub asked: usize,
     /// The answers of the keepers that answered.
     pub answers: Vec<KeeperAnswer>,
+    /// The number of serving keepers that did not answer, for whatever reason.
+    pub unheard: usize,
+    /// The version that began the streams that nobody knows, if the records have been read after the stream was taken up.
+    pub established: Option<Established>,
     /// What the list says of the endpoints in `own` and `answers`. Endpoints that have left the list are missing.
     pub listed: HashMap<EndpointId, ListedEndpoint>,
     /// The versions that the selected service has had lately, as far as the router has seen.
@@ -55,6 +59,20 @@
     pub watched: Duration,
     /// For how long it has kept what it is told. Zero if it does not say.
     pub kept: Duration,
+    /// For how long its endpoint has been listed, as far as the router that asks has seen.
+    pub listed: Duration,
+}
+
+/// The version that a service had before its other ones came. Streams of the others are recorded in the store, or known to a keeper,
+/// before their first event is passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Established {
+    /// The version.
+    pub software: SoftwareVersion,
+    /// All versions that the service has had lately, as they are recorded.
+    pub versions: BTreeSet<SoftwareVersion>,
+    /// For how long the service may have had others.
+    pub others_for: Duration,
 }
 
 /// What a router's list says of an endpoint.
@@ -81,6 +99,8 @@
     Store,
     /// The service has had no other version lately.
     OnlyVersion,
+    /// Streams of the other versions that the service has had lately are known.
+    EstablishedVersion,
 }
 
 /// Why a stream is not sent on.
@@ -242,7 +262,10 @@
                 false => Decision::Nowhere(Doubt::NoEndpoint),
             };
         };
-        if versions.len() > 1 || self.has_unknown_version {
+        if versions.len() > 1 && !self.has_unknown_version {
+            return self.at_established_version(&versions);
+        }
+        if self.has_unknown_version {
             return Decision::Nowhere(Doubt::Unknown);
         }
         if !self.saw_all_versions() {
@@ -252,6 +275,25 @@
         Decision::At { service, software, source: Source::OnlyVersion }
     }
 
+    /// Where a stream goes on that neither the store nor any keeper knows: at the version from before the others, if no keeper can
+    /// have forgotten the stream since the others came.
+    fn at_established_version(&self, versions: &BTreeSet<&SoftwareVersion>) -> Decision {
+        let Some(established) = &self.established else {
+            return Decision::Nowhere(Doubt::Unknown);
+        };
+        // The loader of a new endpoint may start a moment after the endpoint is listed.
+        let has_kept_all = |answer: &KeeperAnswer| {
+            answer.kept >= established.others_for || answer.kept + LIST_LAG >= answer.listed
+        };
+        let all_answered = self.unheard == 0 && !self.answers.is_empty();
+        let are_recorded = versions.iter().all(|version| established.versions.contains(version));
+        if !all_answered || !are_recorded || !self.answers.iter().all(has_kept_all) {
+            return Decision::Nowhere(Doubt::Unknown);
+        }
+        let (service, software) = (self.service.clone(), established.software.clone());
+        Decision::At { service, software, source: Source::EstablishedVersion }
+    }
+
     fn all_versions(&self) -> BTreeSet<&SoftwareVersion> {
         let told = self.answers.iter().flat_map(|answer| &answer.versions);
         self.versions.iter().chain(told).collect()
--- a/components/origin/src/decision/tests.rs
+++ b/components/origin/src/decision/tests.rs
@@ -42,7 +42,7 @@
 }
 
 fn answer(origin: Lookup, seen: &[&str], watched: Duration) -> KeeperAnswer {
-    KeeperAnswer { origin, versions: versions(seen), watched, kept: watched }
+    KeeperAnswer { origin, versions: versions(seen), watched, kept: watched, listed: Duration::MAX }
 }
 
 /// What an old router with a fresh list knows of a stream that nobody knows.
@@ -55,6 +55,8 @@
         stored: Lookup::Unknown,
         asked: 0,
         answers: Vec::new(),
+        unheard: 0,
+        established: None,
         listed: HashMap::new(),
         versions: versions(seen),
         watched: OLD,
@@ -128,6 +130,42 @@
     assert_eq!(decide(&contradicted), Decision::Nowhere(Doubt::Conflicting));
 }
 
+/// Streams from before a release were unknown once the only router that knew them had ended. Others must stay unknown: those that a
+/// keeper may have forgotten, or that began at a version which is not recorded yet.
+#[rstest]
+#[case::all_have_kept(&[(10, u64::MAX), (10, u64::MAX)], 0, &["v1", "v2"], Some("v1"))]
+#[case::one_has_restarted(&[(10, u64::MAX), (2, u64::MAX)], 0, &["v1", "v2"], None)]
+#[case::one_has_joined(&[(10, u64::MAX), (2, 2)], 0, &["v1", "v2"], Some("v1"))]
+#[case::one_has_joined_and_restarted(&[(10, u64::MAX), (1, 5)], 0, &["v1", "v2"], None)]
+#[case::one_does_not_answer(&[(10, u64::MAX)], 1, &["v1", "v2"], None)]
+#[case::no_keeper(&[], 0, &["v1", "v2"], None)]
+#[case::a_version_is_not_recorded(&[(10, u64::MAX)], 0, &["v1", "v2", "v3"], None)]
+fn a_stream_that_nobody_can_have_forgotten_goes_on_at_the_established_version(
+    #[case] keepers: &[(u64, u64)],
+    #[case] unheard: usize,
+    #[case] seen: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let services = [name("s")];
+    let answers = keepers.iter().map(|(kept, listed)| KeeperAnswer {
+        kept: Duration::from_secs(*kept),
+        listed: Duration::from_secs(*listed),
+        ..answer(Lookup::Unknown, &[], Duration::ZERO)
+    });
+    let established = Some(Established {
+        software: version("v1"),
+        versions: versions(&["v1", "v2"]),
+        others_for: Duration::from_secs(5),
+    });
+    let (asked, answers) = (keepers.len() + unheard, answers.collect());
+    let base = facts(&services, seen);
+    let facts = ResumptionFacts { asked, answers, unheard, established, ..base };
+    let expected = expected.map_or(UNKNOWN, |software| at(software, Source::EstablishedVersion));
+    assert_eq!(decide(&facts), expected);
+    let unread = ResumptionFacts { established: None, ..facts };
+    assert_eq!(decide(&unread), UNKNOWN);
+}
+
 #[rstest]
 #[case::keepers_disagree(Lookup::Unknown, vec![known("v1"), known("v2")])]
 #[case::keeper_against_own(known("v1"), vec![known("v2")])]
--- a/components/origin/src/lib.rs
+++ b/components/origin/src/lib.rs
@@ -18,8 +18,8 @@
 pub use budget::TellBudget;
 pub use check::{LoaderAnswer, OriginCheck};
 pub use decision::{
-    Confirmation, Decision, Doubt, Evidence, KeeperAnswer, ListedEndpoint, ResumptionFacts, Source,
-    decide,
+    Confirmation, Decision, Doubt, Established, Evidence, KeeperAnswer, ListedEndpoint,
+    ResumptionFacts, Source, decide,
 };
 pub use incarnations::{Attribution, IncarnationLog, SeenIncarnation, StreamNeeds};
 pub use keepers::{
@@ -27,6 +27,6 @@
     retell,
 };
 pub use key::{ParseKeyError, StreamKey};
-pub use service_record::{SeenVersions, ServiceRecord};
+pub use service_record::{EstablishedVersion, SeenVersions, ServiceRecord};
 pub use table::{Lookup, MAX_KEEP, MAX_ORIGINS, OriginTable, StreamOrigin};
 pub use versions::{LIST_LAG, VERSION_MEMORY, VersionHistory};
--- a/components/origin/src/service_record.rs
+++ b/components/origin/src/service_record.rs
@@ -48,7 +48,37 @@
     pub is_complete: bool,
 }
 
+/// The version that a service had before its other ones came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EstablishedVersion {
+    /// The version.
+    pub software: SoftwareVersion,
+    /// All versions of which streams may still be taken up.
+    pub versions: BTreeSet<SoftwareVersion>,
+}
+
 impl ServiceRecord {
+    /// The version that the service had before its other ones came, if it has others and this one is still listed.
+    pub fn established(&self, now: UnixMillis) -> Option<EstablishedVersion> {
+        let recent = self.versions.iter().filter(|(_, version)| version.is_recent(now));
+        let mut recent: Vec<_> = recent.collect();
+        recent.sort_by_key(|(software, version)| (version.since, *software));
+        let [(software, first), (_, second), ..] = recent.as_slice() else { return None };
+        if first.until.is_some() || first.since >= second.since {
+            return None;
+        }
+        let versions = recent.iter().map(|(software, _)| (*software).clone()).collect();
+        Some(EstablishedVersion { software: (*software).clone(), versions })
+    }
+
+    /// Whether streams at a version must be known elsewhere before their first event is passed on, since those that nobody knows
+    /// count as streams of the established one.
+    pub fn is_established(&self, software: &SoftwareVersion, now: UnixMillis) -> bool {
+        let recent = self.versions.iter().filter(|(_, version)| version.is_recent(now));
+        let first = recent.min_by_key(|(software, version)| (version.since, *software));
+        first.is_some_and(|(first, _)| first == software)
+    }
+
     /// The record after a process has seen these versions; `None` if that changes nothing.
     pub fn updated(&self, seen: SeenVersions<'_>, now: UnixMillis) -> Option<Self> {
         let mut next = self.clone();
--- a/components/origin/src/service_record/tests.rs
+++ b/components/origin/src/service_record/tests.rs
@@ -72,3 +72,24 @@
     let next = update(&record, &["next"], &[], true, year).expect("a new version");
     assert_eq!(recent(&next, year).len(), 2, "the last one left just now");
 }
+
+#[test]
+fn the_version_from_before_the_others_is_established_while_it_is_listed() {
+    let established = |record: &ServiceRecord, now| {
+        record.established(now).map(|version| version.software.as_str().to_owned())
+    };
+    let at_once = update(&ServiceRecord::default(), &["v1", "v2"], &[], true, NOW).expect("new");
+    assert_eq!(established(&at_once, NOW), None, "it is not known which one was there first");
+    let first = update(&ServiceRecord::default(), &["v2"], &["v2"], true, NOW).expect("new");
+    assert_eq!(established(&first, NOW), None, "there is no other one");
+    let both = update(&first, &["v1", "v2"], &[], true, after(5)).expect("a version");
+    assert_eq!(established(&both, after(6)).as_deref(), Some("v2"));
+    let v1 = "v1".parse().expect("a version");
+    assert!(!both.is_established(&v1, after(6)));
+    let left = update(&both, &["v1"], &[], true, after(10)).expect("v2 has left");
+    assert_eq!(established(&left, after(11)), None, "its streams can't go on anywhere");
+    assert!(!left.is_established(&v1, after(11)), "its streams may still be taken up");
+    assert!(left.is_established(&v1, after(100)));
+    let third = update(&left, &["v1", "v3"], &[], true, after(100)).expect("a version");
+    assert_eq!(established(&third, after(101)).as_deref(), Some("v1"));
+}
--- a/components/origin/src/versions.rs
+++ b/components/origin/src/versions.rs
@@ -28,9 +28,17 @@
 #[derive(Debug)]
 struct ServiceHistory {
     since: Instant,
+    /// When anything was first recorded of the service.
+    first: Instant,
     last: Instant,
-    /// When each version was last seen.
-    versions: HashMap<SoftwareVersion, Instant>,
+    versions: HashMap<SoftwareVersion, SeenVersion>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SeenVersion {
+    last: Instant,
+    /// When the version appeared in the list, if this process had read the list before.
+    appeared: Option<Instant>,
 }
 
 impl Default for VersionHistory {
@@ -63,7 +71,7 @@
             self.make_room(now);
         }
         let since = self.since;
-        let new = || ServiceHistory { since, last: seen, versions: HashMap::new() };
+        let new = || ServiceHistory { since, first: now, last: seen, versions: HashMap::new() };
         self.services.entry(service.clone()).or_insert_with(new).record(software, seen, now);
     }
 
@@ -73,6 +81,11 @@
         recent.cloned().collect()
     }
 
+    /// When a version appeared in the list, if this process had read the list before.
+    pub fn appeared(&self, service: &ServiceName, software: &SoftwareVersion) -> Option<Instant> {
+        self.services.get(service)?.versions.get(software)?.appeared
+    }
+
     /// For how long the versions of a service have been seen.
     pub fn watched(&self, service: &ServiceName, now: Instant) -> Duration {
         let since = self.services.get(service).map_or(self.since, |seen| seen.since);
@@ -95,19 +108,22 @@
 impl ServiceHistory {
     fn record(&mut self, software: &SoftwareVersion, seen: Instant, now: Instant) {
         self.last = self.last.max(seen);
-        self.versions.retain(|_, last| is_recent(*last, now));
+        self.versions.retain(|_, seen| is_recent(seen.last, now));
         if !self.versions.contains_key(software) && self.versions.len() >= MAX_VERSIONS {
-            let oldest = self.versions.iter().min_by_key(|(name, last)| (**last, *name));
+            let oldest = self.versions.iter().min_by_key(|(name, seen)| (seen.last, *name));
             if let Some(name) = oldest.map(|(name, _)| name.clone()) {
                 self.versions.remove(&name);
             }
         }
-        let last = self.versions.entry(software.clone()).or_insert(seen);
-        *last = seen.max(*last);
+        // The first lists of a process don't show when a version appeared.
+        let appeared = (seen == now && now >= self.first + LIST_LAG).then_some(now);
+        let new = SeenVersion { last: seen, appeared };
+        let known = self.versions.entry(software.clone()).or_insert(new);
+        known.last = seen.max(known.last);
     }
 
     fn recent(&self, now: Instant) -> impl Iterator<Item = &SoftwareVersion> {
-        let recent = self.versions.iter().filter(move |(_, last)| is_recent(**last, now));
+        let recent = self.versions.iter().filter(move |(_, seen)| is_recent(seen.last, now));
         recent.map(|(software, _)| software)
     }
 }
--- a/components/origin/tests/versions/ways.rs
+++ b/components/origin/tests/versions/ways.rs
@@ -1,6 +1,7 @@
 //! How routers tell and find the version of a stream.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use origin::{
     Attribution, Decision, Doubt, KeeperAnswer, LIST_LAG, Lookup, MAX_ASKED, OriginTable,
@@ -372,6 +373,8 @@
             stored: Lookup::Unknown,
             asked: 0,
             answers: Vec::new(),
+            unheard: 0,
+            established: None,
             listed: HashMap::new(),
             versions: view.history.versions(&services[0], at(self.now)),
             watched: view.history.watched(&services[0], at(self.now)),
@@ -442,6 +445,7 @@
             versions: history.versions(service, now),
             watched: history.watched(service, now),
             kept: history.watched(service, now),
+            listed: Duration::MAX,
         }
     }
 }
--- a/components/router/src/origins.rs
+++ b/components/router/src/origins.rs
@@ -21,6 +21,7 @@
 use units::{EndpointId, ServiceName, SoftwareVersion};
 use web::CallError;
 
+use crate::endpoint::TrackedEndpoint;
 use crate::incarnations;
 use crate::registry::EndpointTable;
 use crate::shared::Shared;
@@ -42,10 +43,17 @@
 const TELL_TIMEOUT: Duration = Duration::from_millis(400);
 /// The longest time for which a first event is held back until a keeper knows where its stream began.
 const MAX_HOLD: Duration = Duration::from_millis(25);
+/// The same for a version that is not the established one of its service, of which each stream must be known: a keeper that does not
+/// answer is replaced within this time.
+const MAX_STRICT_HOLD: Duration = Duration::from_millis(1_000);
 /// How long a loader that did not answer is told of nothing.
 const SILENT_KEEPER_PAUSE: Duration = Duration::from_secs(2);
 /// The same for a loader of a release that keeps no origins.
 const OLD_KEEPER_PAUSE: Duration = Duration::from_secs(60);
+/// The most endpoints whose first listing is remembered, besides those that are listed.
+const MAX_KNOWN_ENDPOINTS: usize = 8_192;
+/// By how much the times may differ at which an endpoint and its incarnation are first seen.
+const FIRST_SEEN_TOLERANCE: Duration = Duration::from_millis(100);
 /// How long keepers that answer again together are waited for before they are told of streams that none of them knows.
 const RETELL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -68,6 +76,8 @@
     told: HashMap<StreamKey, Vec<EndpointId>>,
     /// The keepers when the list was last read.
     keepers: Vec<KnownKeeper>,
+    /// When the endpoint of each keeper was first listed; none if it was in the first list that had any.
+    first_listed: HashMap<EndpointId, Option<Instant>>,
     /// What each keeper is to be told. A keeper with an outbox has a task that sends it.
     outboxes: HashMap<EndpointId, Outbox>,
     /// Until when keepers that did not answer are told of nothing.
@@ -103,6 +113,19 @@
         self.lock().table.contradicts(origin)
     }
 
+    /// For how long an endpoint has been listed, as far as this router has seen.
+    fn listed_for(&self, endpoint: &EndpointId) -> Duration {
+        let since = self.lock().first_listed.get(endpoint).copied().flatten();
+        since.map_or(Duration::MAX, |since| since.elapsed())
+    }
+
+    /// Whether an endpoint has been seen in another incarnation before.
+    pub(crate) fn has_restarted(&self, tracked: &TrackedEndpoint) -> bool {
+        let listed = self.listed_for(&tracked.endpoint.id);
+        let seen = tracked.incarnation_since.map_or(Duration::MAX, |since| since.elapsed());
+        seen.saturating_add(FIRST_SEEN_TOLERANCE) < listed
+    }
+
     /// Remembers what has been found out of an origin.
     pub(crate) fn remember(&self, key: StreamKey, origin: StreamOrigin) {
         self.lock().table.record(key, origin, FOUND_TIME, Instant::now());
@@ -115,16 +138,27 @@
     }
 
     /// Waits until a keeper knows where a stream began, if any is being told, for [`MAX_HOLD`] at most. Callers can take up what
-    /// they have seen begin even if this router ends at once.
-    pub(crate) async fn wait_until_told(&self, key: StreamKey) {
+    /// they have seen begin even if this router ends at once. Returns whether a keeper knows it.
+    pub(crate) async fn wait_until_told(&self, key: StreamKey) -> bool {
         let until = Instant::now() + MAX_HOLD;
         loop {
             let answered = self.answered.notified();
             if !self.lock().awaits_keeper(key)
                 || tokio::time::timeout_at(until, answered).await.is_err()
             {
+                return self.lock().is_told(key);
+            }
+        }
+    }
+
+    /// Waits until a keeper knows where a stream began.
+    async fn told(&self, key: StreamKey) {
+        loop {
+            let answered = self.answered.notified();
+            if self.lock().is_told(key) {
                 return;
             }
+            answered.await;
         }
     }
 }
@@ -134,6 +168,18 @@
     deadline.saturating_duration_since(now) + RETURN_TIME
 }
 
+/// Waits until a keeper or the store knows where a stream began, for [`MAX_STRICT_HOLD`] at most. Returns whether one does.
+pub(crate) async fn wait_until_known(shared: &Shared, key: StreamKey) -> bool {
+    shared.stream_records.request_record();
+    let known = async {
+        tokio::select! {
+            () = shared.origins.told(key) => {}
+            () = shared.stream_records.recorded(key) => {}
+        }
+    };
+    tokio::time::timeout(MAX_STRICT_HOLD, known).await.is_ok()
+}
+
 /// Records that callers have got the last event of these streams.
 pub(crate) fn finish(shared: &Shared, keys: impl IntoIterator<Item = StreamKey>) {
     let now = Instant::now();
@@ -171,8 +217,10 @@
     let tells = {
         let mut state = shared.origins.lock();
         state.table.record(key, origin.clone(), keep, now);
-        // A version that the list does not show yet may be a second one.
-        state.told_services.contains(&origin.service) || origin.software.is_none()
+        // A version that the list does not show yet may be a second one, and so may any until it is known which ones there were.
+        state.told_services.contains(&origin.service)
+            || origin.software.is_none()
+            || !shared.stream_records.are_read()
     };
     if tells {
         shared.stream_records.note_stream();
@@ -288,10 +336,14 @@
         unknown
     }
 
+    /// Whether a keeper knows of a stream.
+    fn is_told(&self, key: StreamKey) -> bool {
+        self.told.get(&key).is_some_and(|told| !told.is_empty())
+    }
+
     /// Whether no keeper knows of a stream yet, and one is being told.
     fn awaits_keeper(&self, key: StreamKey) -> bool {
-        self.told.get(&key).is_none_or(Vec::is_empty)
-            && self.outboxes.values().any(|outbox| outbox.contains(key))
+        !self.is_told(key) && self.outboxes.values().any(|outbox| outbox.contains(key))
     }
 
     /// Sends a record to a keeper, together with those that wait meanwhile.
@@ -426,6 +478,7 @@
     }
     state.told_services = several;
     state.keepers = known;
+    state.note_listed(now);
     events::record_origins(state.table.len());
     shared.stream_records.note_change();
 }
@@ -447,6 +500,19 @@
         restarted
     }
 
+    /// Notes when endpoints are first listed. An endpoint that has left is remembered, since its loader may have restarted with it.
+    fn note_listed(&mut self, now: Instant) {
+        let since = (!self.first_listed.is_empty()).then_some(now);
+        if self.first_listed.len() > MAX_KNOWN_ENDPOINTS {
+            let listed: HashSet<&EndpointId> =
+                self.keepers.iter().map(|one| &one.endpoint).collect();
+            self.first_listed.retain(|endpoint, _| listed.contains(endpoint));
+        }
+        for keeper in &self.keepers {
+            self.first_listed.entry(keeper.endpoint.clone()).or_insert(since);
+        }
+    }
+
     /// Logs the services whose versions have changed. `told` streams are told to keepers now.
     fn log_versions(&mut self, versions: &BTreeMap<&ServiceName, ServiceSoftware>, told: usize) {
         self.versions.retain(|service, _| versions.contains_key(service));
--- a/components/router/src/origins/ask.rs
+++ b/components/router/src/origins/ask.rs
@@ -27,6 +27,8 @@
     pub(crate) asked: usize,
     /// The answers of those that answered.
     pub(crate) answers: Vec<KeeperAnswer>,
+    /// The number of serving keepers that did not answer, for whatever reason.
+    pub(crate) unheard: usize,
 }
 
 /// Asks the keepers of a stream where it began, until one knows, and until `end` at most.
@@ -38,13 +40,15 @@
 ) -> Answers {
     let keepers = ranked_keepers(shared, key);
     let query = OriginQuery { key, service: service.clone() };
-    let mut calls: FuturesUnordered<_> =
-        keepers.iter().map(|keeper| ask_one(shared, keeper, &query)).collect();
-    let mut all = Answers { asked: keepers.len(), answers: Vec::new() };
+    let ask = async |keeper: &KnownKeeper| (keeper.serves(), ask_one(shared, keeper, &query).await);
+    let mut calls: FuturesUnordered<_> = keepers.iter().map(ask).collect();
+    let unheard = keepers.iter().filter(|keeper| keeper.serves()).count();
+    let mut all = Answers { asked: keepers.len(), answers: Vec::new(), unheard };
     let mut until = end.min(Instant::now() + ASK_TIMEOUT);
-    while let Ok(Some(answer)) = tokio::time::timeout_at(until, calls.next()).await {
+    while let Ok(Some((serves, answer))) = tokio::time::timeout_at(until, calls.next()).await {
         match answer {
             Ok(answer) => {
+                all.unheard -= usize::from(serves);
                 let known = answer.origin != Lookup::Unknown;
                 all.answers.push(answer);
                 if known {
@@ -85,7 +89,10 @@
 ) -> Result<KeeperAnswer, CallError> {
     let answer = shared.loader_client(keeper.addr).find_origin(query, ASK_TIMEOUT).await;
     match answer {
-        Ok(answer) => Ok(answer.into_keeper_answer(query.key, Instant::now())),
+        Ok(answer) => {
+            let listed = shared.origins.listed_for(&keeper.endpoint);
+            Ok(answer.into_keeper_answer(query.key, listed, Instant::now()))
+        }
         Err(error) => {
             let id = &keeper.endpoint;
             log::debug!("router: the loader of {id} did not say where a stream began: {error}");
--- a/components/router/src/origins/keeper.rs
+++ b/components/router/src/origins/keeper.rs
@@ -33,6 +33,11 @@
         Self { endpoint: id, addr: endpoint.addr, domain, state }
     }
 
+    /// Whether its endpoint serves, so that it may have been told of streams.
+    pub(super) fn serves(&self) -> bool {
+        self.state != KeeperState::Leaving
+    }
+
     fn as_keeper(&self, state: KeeperState) -> Keeper<'_> {
         Keeper { endpoint: &self.endpoint, domain: &self.domain, state }
     }
--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -8,8 +8,8 @@
 use events::{Event, Refusal, ResumedAt, ResumptionOutcome, emit, millis};
 use http::StatusCode;
 use origin::{
-    Confirmation, Decision, Doubt, Evidence, ListedEndpoint, Lookup, OriginCheck, ResumptionFacts,
-    StreamKey, StreamOrigin, decide,
+    Confirmation, Decision, Doubt, Established, EstablishedVersion, Evidence, ListedEndpoint,
+    Lookup, OriginCheck, ResumptionFacts, StreamKey, StreamOrigin, decide,
 };
 use platform::{RequestHeaders, ResumedStream};
 use tokio::time::Instant;
@@ -260,11 +260,13 @@
     };
     let nobody_knows = own == Lookup::Unknown
         && answers.answers.iter().all(|answer| answer.origin == Lookup::Unknown);
-    let mut stored = Lookup::Unknown;
+    let (mut stored, mut established) = (Lookup::Unknown, None);
     if nobody_knows
         && (!shared.stream_records.are_read() || shared.may_have_several_versions(request.service))
     {
+        let asked = Instant::now();
         stream_records::refresh(shared, request.keepers_end()).await;
+        established = key.and_then(|_| established_version(shared, request.service, asked));
         stored = key.map_or(Lookup::Unknown, |key| shared.stream_records.find(key));
     }
     if let (Some(key), Lookup::Known(origin)) = (key, &stored) {
@@ -309,7 +311,7 @@
     let (asked, answered) = (answers.asked, answers.answers.len());
     let services = request.route.services.iter().filter(|weighted| weighted.weight > 0);
     let allowed: Vec<ServiceName> = services.map(|weighted| weighted.service.clone()).collect();
-    let facts = facts(shared, request, &allowed, Known { own, stored, answers });
+    let facts = facts(shared, request, &allowed, Known { own, stored, answers, established });
     let decision = match check.restrict(decide(&facts)) {
         Decision::Nowhere(Doubt::Unlisted) if !may_be_listed(shared, origin.as_ref()) => {
             Decision::Nowhere(Doubt::Unknown)
@@ -319,6 +321,32 @@
     DecidedResumption { decision, asked, answered, versions: facts.versions, origin, check }
 }
 
+/// The version that began the streams of a service that nobody knows, if the records were read after `asked` and this router has seen
+/// the other versions come with new endpoints.
+fn established_version(
+    shared: &Shared,
+    service: &ServiceName,
+    asked: Instant,
+) -> Option<Established> {
+    let EstablishedVersion { software, versions } =
+        shared.stream_records.established(service, asked)?;
+    let table = shared.endpoints.lock();
+    // An endpoint that restarts with other software may have begun streams before the list showed it.
+    let others = table.map.values().filter(|tracked| {
+        tracked.endpoint.service == *service
+            && tracked.endpoint.software.as_ref() != Some(&software)
+    });
+    let is_stale = shared.stale_feeds.borrow().membership();
+    if is_stale || others.into_iter().any(|tracked| shared.origins.has_restarted(tracked)) {
+        return None;
+    }
+    let others = versions.iter().filter(|version| **version != software);
+    let appeared: Option<Vec<Instant>> =
+        others.map(|version| table.version_history().appeared(service, version)).collect();
+    let others_for = appeared?.into_iter().min()?.elapsed() + origin::LIST_LAG;
+    Some(Established { software, versions, others_for })
+}
+
 /// Whether the list may come to show which version began a stream.
 fn may_be_listed(shared: &Shared, origin: Option<&StreamOrigin>) -> bool {
     let table = shared.endpoints.lock();
@@ -335,6 +363,7 @@
     own: Lookup,
     stored: Lookup,
     answers: Answers,
+    established: Option<Established>,
 }
 
 fn first_known<'a>(
@@ -355,7 +384,7 @@
     allowed: &'a [ServiceName],
     known: Known,
 ) -> ResumptionFacts<'a> {
-    let Known { own, stored, answers } = known;
+    let Known { own, stored, answers, established } = known;
     let now = Instant::now();
     let table = shared.endpoints.lock();
     let software = table.software_of(request.service, now);
@@ -365,7 +394,7 @@
         .map(|tracked| (tracked.endpoint.id.clone(), tracked.as_listed(now)))
         .into_iter()
         .collect();
-    let Answers { asked, answers } = answers;
+    let Answers { asked, answers, unheard } = answers;
     ResumptionFacts {
         service: request.service,
         allowed,
@@ -374,6 +403,8 @@
         stored,
         asked,
         answers,
+        unheard,
+        established,
         listed,
         versions: software.versions,
         watched: table.versions_watched(request.service, now),
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -89,16 +89,19 @@
         self.has_events && self.events.splitter.can_resume()
     }
 
-    /// Whether what was read may reach the caller, who may have events of an earlier endpoint.
-    async fn admit(&mut self, request: &mut InFlightRequest) -> bool {
+    /// Whether what was read may reach the caller, who may have events of an earlier endpoint; else the reason why not.
+    async fn admit(&mut self, request: &mut InFlightRequest) -> Result<(), &'static str> {
         if !self.has_events || self.admitted {
-            return true;
+            return Ok(());
         }
-        self.admitted = request.admit_events(&self.response.reservation);
-        if self.admitted {
-            request.wait_until_told().await;
+        if !request.admit_events(&self.response.reservation) {
+            return Err("the endpoint runs another software version");
         }
-        self.admitted
+        if !request.wait_until_told().await {
+            return Err("neither a loader nor the store could be told where the stream began");
+        }
+        self.admitted = true;
+        Ok(())
     }
 
     /// Reads the next part, until `deadline` and for `time_limit` at most if there is one.
@@ -198,9 +201,8 @@
                 if ready.is_empty() {
                     continue;
                 }
-                if !source.admit(&mut request).await {
-                    let cause = "the endpoint runs another software version".to_owned();
-                    break (cause, source.response_end(false));
+                if let Err(cause) = source.admit(&mut request).await {
+                    break (cause.to_owned(), source.response_end(false));
                 }
                 timing.record_chunk();
                 if writer.send(ready).await.is_err() {
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -7,18 +7,18 @@
 //! versions of a service change, and, while a service has several versions, at most some times a second when streams have begun. A
 //! service with one version costs one read of each router and one write.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use catalog::Catalog;
 use control::{StoredStream, StoredStreams};
 use events::{Dependency, Event, emit, millis};
-use origin::{Lookup, OriginTable, SeenVersions, ServiceRecord, StreamKey};
+use origin::{EstablishedVersion, Lookup, OriginTable, SeenVersions, ServiceRecord, StreamKey};
 use platform::{Batch, Follower, PutOutcome, Store, StoreError, Topic, Update};
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use units::{Era, ServiceName, StorePosition, UnixMillis};
+use units::{Era, ServiceName, SoftwareVersion, StorePosition, UnixMillis};
 
 use crate::guard::wall_clock;
 use crate::origins;
@@ -54,6 +54,8 @@
     reader: tokio::sync::Mutex<Follower>,
     /// Notified when something may have to be written.
     changed: Notify,
+    /// Notified when the streams of this router have been recorded.
+    written: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -72,6 +74,10 @@
     unrecorded_since: Option<Instant>,
     /// When this router last recorded its streams.
     recorded_at: Option<Instant>,
+    /// Whether the streams are to be recorded without a pause after the last time.
+    urgent: bool,
+    /// The streams in the record of this router.
+    recorded: HashSet<StreamKey>,
     /// Whether the store has a record of this router's streams.
     has_record: bool,
 }
@@ -80,7 +86,7 @@
     /// Knows nothing until the first read.
     pub(crate) fn new(store: Store) -> Self {
         let reader = tokio::sync::Mutex::new(Follower::new(store, Topic::Streams));
-        Self { state: Mutex::default(), reader, changed: Notify::new() }
+        Self { state: Mutex::default(), reader, changed: Notify::new(), written: Notify::new() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -103,6 +109,42 @@
         self.changed.notify_one();
     }
 
+    /// Has the streams recorded that have begun, without a pause.
+    pub(crate) fn request_record(&self) {
+        self.lock().urgent = true;
+        self.note_stream();
+    }
+
+    /// Waits until a stream is recorded.
+    pub(crate) async fn recorded(&self, key: StreamKey) {
+        loop {
+            let written = self.written.notified();
+            if self.lock().recorded.contains(&key) {
+                return;
+            }
+            written.await;
+        }
+    }
+
+    /// Whether streams that nobody knows may count as streams of another version than this one.
+    pub(crate) fn must_be_known(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
+        let state = self.lock();
+        let record = state.services.get(service);
+        state.read.is_none()
+            || record.is_some_and(|record| !record.is_established(software, wall_clock()))
+    }
+
+    /// The version that began the streams of a service that nobody knows, if there is one and the records were read after `asked`.
+    pub(crate) fn established(
+        &self,
+        service: &ServiceName,
+        asked: Instant,
+    ) -> Option<EstablishedVersion> {
+        let state = self.lock();
+        state.read.filter(|read| *read >= asked)?;
+        state.services.get(service)?.established(wall_clock())
+    }
+
     /// What routers have recorded of a stream.
     pub(crate) fn find(&self, key: StreamKey) -> Lookup {
         let now = Instant::now();
@@ -168,7 +210,8 @@
         let interval =
             (Duration::from_secs(1) * routers / MAX_WRITES_PER_SECOND).max(MIN_WRITE_INTERVAL);
         let batched = self.unrecorded_since? + BATCH_TIME;
-        Some(self.recorded_at.map_or(batched, |at| batched.max(at + interval)))
+        let paused = self.recorded_at.filter(|_| !self.urgent);
+        Some(paused.map_or(batched, |at| batched.max(at + interval)))
     }
 
     /// The services whose records have to be written, with the new ones.
@@ -192,8 +235,8 @@
 /// The versions of a service as this router sees them.
 struct ServiceVersions {
     service: ServiceName,
-    listed: BTreeSet<units::SoftwareVersion>,
-    recent: BTreeSet<units::SoftwareVersion>,
+    listed: BTreeSet<SoftwareVersion>,
+    recent: BTreeSet<SoftwareVersion>,
     is_complete: bool,
 }
 
@@ -320,9 +363,11 @@
     let noted = {
         let mut state = records.lock();
         state.recorded_at = Some(Instant::now());
+        state.urgent = false;
         state.unrecorded_since.take()
     };
     let count = streams.len();
+    let keys = streams.iter().map(|record| record.key).collect();
     let value = match count {
         0 if !records.lock().has_record => return Ok(()),
         0 => Vec::new(),
@@ -331,7 +376,11 @@
     let key = format!("{ROUTER_PREFIX}{}", shared.instance);
     match shared.store.put(Topic::Streams, &key, &value, None).await {
         Ok(_) => {
-            records.lock().has_record = count > 0;
+            {
+                let mut state = records.lock();
+                (state.has_record, state.recorded) = (count > 0, keys);
+            }
+            records.written.notify_waiters();
             emit(&Event::StreamsRecorded { streams: count, bytes: value.len() });
             Ok(())
         }
--- a/components/router/src/stream_version.rs
+++ b/components/router/src/stream_version.rs
@@ -111,10 +111,23 @@
     }
 
     /// Holds the first event of a stream back until its origin is known elsewhere, too: the caller may have to take the stream up
-    /// at another router by the next one.
-    pub(crate) async fn wait_until_told(&self) {
-        if self.depends_on_version() {
-            self.shared.origins.wait_until_told(self.stream_key).await;
+    /// at another router by the next one. Returns false if that was not possible, and the stream would count as one of another
+    /// version.
+    pub(crate) async fn wait_until_told(&self) -> bool {
+        if !self.depends_on_version() || self.shared.origins.wait_until_told(self.stream_key).await
+        {
+            return true;
+        }
+        // Of a stream that is taken up its first request is known.
+        if self.resumed_key.is_some() {
+            return true;
+        }
+        let records = &self.shared.stream_records;
+        match self.stream_version.wanted() {
+            Some(software) if records.must_be_known(&self.service, software) => {
+                origins::wait_until_known(&self.shared, self.stream_key).await
+            }
+            Some(_) | None => true,
         }
     }
 
