Records of versions: compare them only after a read of the list, and not with an older list

A router whose list is older than the one from which another recorded a new version would have recorded that this version has left, and the other one that it is back: two writes more for each release. The versions of services were compared with the records at each stream that begins; only a read of the list can change them.

--- a/components/origin/src/service_record.rs
+++ b/components/origin/src/service_record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use units::{SoftwareVersion, UnixMillis};
 
-use crate::VERSION_MEMORY;
+use crate::{LIST_LAG, VERSION_MEMORY};
 
 /// By how much the clocks of two processes may differ.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(10);
@@ -95,9 +95,12 @@
             next.versions.entry(software.clone()).or_insert(left);
         }
         if seen.is_complete {
-            let unlisted = |software: &SoftwareVersion| !seen.listed.contains(software);
-            for (_, left) in next.versions.iter_mut().filter(|(software, _)| unlisted(software)) {
-                left.until.get_or_insert(now);
+            for (software, version) in &mut next.versions {
+                // The list of this process may be older than the one from which a new version was recorded.
+                let may_be_new = now.since(version.since) < LIST_LAG;
+                if !seen.listed.contains(software) && !may_be_new {
+                    version.until.get_or_insert(now);
+                }
             }
         }
         (next != *self).then(|| {
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -70,6 +70,8 @@
     streams: BTreeMap<String, HashMap<StreamKey, StoredStream>>,
     /// The keys of the records of routers that have long ended.
     abandoned: Vec<String>,
+    /// Whether the versions of services may have changed since they were last compared with the records.
+    may_have_changed: bool,
     /// Since when streams have begun that are not recorded yet.
     unrecorded_since: Option<Instant>,
     /// When this router last recorded its streams.
@@ -100,6 +102,7 @@
 
     /// Notes that the versions of services may have to be recorded.
     pub(crate) fn note_change(&self) {
+        self.lock().may_have_changed = true;
         self.changed.notify_one();
     }
 
@@ -312,6 +315,17 @@
         }
         delete_abandoned(shared).await?;
     }
+    if std::mem::take(&mut records.lock().may_have_changed) {
+        let written = write_services(shared).await;
+        records.lock().may_have_changed |= written.is_err();
+        written?;
+    }
+    write_streams(shared).await
+}
+
+/// Writes the records of the services whose versions have changed.
+async fn write_services(shared: &Arc<Shared>) -> Result<(), StoreError> {
+    let records = &shared.stream_records;
     while !records.lock().due(&seen_versions(shared), wall_clock()).is_empty() {
         // All routers see a change at about the same time.
         tokio::time::sleep(MAX_WRITE_DELAY.mul_f64(rand::random())).await;
@@ -323,7 +337,7 @@
         let Some((service, record)) = due.into_iter().next() else { break };
         write_service(shared, &service, &record, position).await?;
     }
-    write_streams(shared).await
+    Ok(())
 }
 
 /// Writes the record of a service if no other router has written since it was read.
@@ -355,7 +369,6 @@
 /// Records the streams of this router if that is due, and deletes the record once no service has several versions.
 async fn write_streams(shared: &Arc<Shared>) -> Result<(), StoreError> {
     let records = &shared.stream_records;
-    let streams = origins::unfinished(shared);
     let ends = records.lock().has_record && !origins::tells_any(shared);
     if !ends && next_record(shared).is_none_or(|next| next > Instant::now()) {
         return Ok(());
@@ -366,12 +379,13 @@
         state.urgent = false;
         state.unrecorded_since.take()
     };
-    let count = streams.len();
-    let keys = streams.iter().map(|record| record.key).collect();
+    let stored = StoredStreams::new(origins::unfinished(shared), wall_clock());
+    let count = stored.streams.len();
+    let keys = stored.streams.iter().map(|record| record.key).collect();
     let value = match count {
         0 if !records.lock().has_record => return Ok(()),
         0 => Vec::new(),
-        _ => serde_json::to_vec(&StoredStreams::new(streams, wall_clock())).unwrap_or_default(),
+        _ => serde_json::to_vec(&stored).unwrap_or_default(),
     };
     let key = format!("{ROUTER_PREFIX}{}", shared.instance);
     match shared.store.put(Topic::Streams, &key, &value, None).await {
