--- a/components/edge/src/streaming.rs
+++ b/components/edge/src/streaming.rs
@@ -127,3 +127,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
