--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of log lines and metrics against snapshots.
 
+use origin::{Decision, Doubt};
+
 use super::*;
 
 /// Examples of events.
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -3,13 +3,14 @@
 mod count;
 mod event;
 mod sink;
+mod values;
 
 pub use count::{
     NO_ROOM, count_call, count_told_origins, record_common_crashes, record_origins, record_reached,
     record_router_load, update_process_gauges,
 };
-pub use event::{
-    Dependency, Event, OrderOutcome, Refusal, ResumedAt, ResumptionOutcome, RoomCause, RouterLoad,
-    Step, millis,
-};
+pub use event::{Event, millis};
 pub use sink::{emit, install};
+pub use values::{
+    Dependency, OrderOutcome, Refusal, ResumedAt, ResumptionOutcome, RoomCause, RouterLoad, Step,
+};
