Records of streams: nothing is concluded from the absence of a stream if a record was left out

By reading: a stream that neither the records nor a keeper knows counts as one of the established version, also if the record of a router could not be parsed or the records were too many. Such records are now noted by their keys, and no stream is led on by the absence of its record then. What routers read is bounded by the size of the table of origins. A version that a router learned from the records no longer counts as one that it saw appear. Unit tests for each; examples of the new events.

--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -200,6 +200,9 @@
             answered: 0,
             took_ms: 2,
         },
+        Event::VersionsRecorded { service: "llm", versions: "v1,v2" },
+        Event::StreamsRecorded { streams: 24, bytes: 3_912 },
+        Event::StreamsRemembered { streams: 18 },
         Event::VersionsChanged { service: "llm", versions: "v1,v2", before: "v1", told: 212 },
         Event::RouterLoad(RouterLoad {
             accepted: 210,
--- a/components/origin/src/versions.rs
+++ b/components/origin/src/versions.rs
@@ -56,7 +56,10 @@
     /// Records that a service has a version now. This is called for each listed endpoint whenever the list is read or the version
     /// of an endpoint becomes known.
     pub fn record(&mut self, service: &ServiceName, software: &SoftwareVersion, now: Instant) {
-        self.record_past(service, software, now, now);
+        // The first lists of a process don't show when a version appeared.
+        let history = self.history(service, now, now);
+        let appeared = (now >= history.first + LIST_LAG).then_some(now);
+        history.record(software, SeenVersion { last: now, appeared }, now);
     }
 
     /// Records that a service had a version at `seen`, as another process has found.
@@ -67,12 +70,22 @@
         seen: Instant,
         now: Instant,
     ) {
+        let history = self.history(service, seen, now);
+        history.record(software, SeenVersion { last: seen, appeared: None }, now);
+    }
+
+    fn history(
+        &mut self,
+        service: &ServiceName,
+        seen: Instant,
+        now: Instant,
+    ) -> &mut ServiceHistory {
         if !self.services.contains_key(service) {
             self.make_room(now);
         }
         let since = self.since;
         let new = || ServiceHistory { since, first: now, last: seen, versions: HashMap::new() };
-        self.services.entry(service.clone()).or_insert_with(new).record(software, seen, now);
+        self.services.entry(service.clone()).or_insert_with(new)
     }
 
     /// The versions that a service has had lately.
@@ -119,8 +132,8 @@
 }
 
 impl ServiceHistory {
-    fn record(&mut self, software: &SoftwareVersion, seen: Instant, now: Instant) {
-        self.last = self.last.max(seen);
+    fn record(&mut self, software: &SoftwareVersion, seen: SeenVersion, now: Instant) {
+        self.last = self.last.max(seen.last);
         self.versions.retain(|_, seen| is_recent(seen.last, now));
         if !self.versions.contains_key(software) && self.versions.len() >= MAX_VERSIONS {
             let oldest = self.versions.iter().min_by_key(|(name, seen)| (seen.last, *name));
@@ -128,11 +141,8 @@
                 self.versions.remove(&name);
             }
         }
-        // The first lists of a process don't show when a version appeared.
-        let appeared = (seen == now && now >= self.first + LIST_LAG).then_some(now);
-        let new = SeenVersion { last: seen, appeared };
-        let known = self.versions.entry(software.clone()).or_insert(new);
-        known.last = seen.max(known.last);
+        let known = self.versions.entry(software.clone()).or_insert(seen);
+        known.last = seen.last.max(known.last);
     }
 
     fn recent(&self, now: Instant) -> impl Iterator<Item = &SoftwareVersion> {
--- a/components/origin/src/versions/tests.rs
+++ b/components/origin/src/versions/tests.rs
@@ -48,3 +48,19 @@
     assert_eq!(history.watched(&name("s"), later + SECOND), SECOND);
     assert_eq!(history.watched(&name("t0"), later + SECOND), 101 * SECOND);
 }
+
+#[test]
+fn only_a_list_that_differs_from_the_first_ones_shows_when_a_version_appeared() {
+    let start = Instant::now();
+    let (service, at) = (name("s"), |seconds: u32| start + seconds * SECOND);
+    let mut history = VersionHistory::new(start);
+    history.record(&service, &version("first"), at(0));
+    history.record(&service, &version("soon"), at(2));
+    history.record_past(&service, &version("told"), at(10), at(10));
+    history.record(&service, &version("later"), at(10));
+    let appeared = |software| history.appeared(&service, &version(software));
+    assert_eq!(appeared("later"), Some(at(10)));
+    for software in ["first", "soon", "told", "never"] {
+        assert_eq!(appeared(software), None, "{software}");
+    }
+}
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -237,7 +237,8 @@
                 if !batch.has_more {
                     // A mirror may not have read the store for as long as the bound allows.
                     let age = if source.is_mirrored() { bounds.drain.0 } else { Duration::ZERO };
-                    shared.endpoints.lock().list_confirmed = sent.checked_sub(age);
+                    let confirmed = &mut shared.endpoints.lock().list_confirmed;
+                    *confirmed = sent.checked_sub(age).max(*confirmed);
                 }
                 contact.returned_at = contact.returned_at.max(source.regained());
                 if batch.restored {
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -14,7 +14,9 @@
 use catalog::Catalog;
 use control::{StoredStream, StoredStreams};
 use events::{Dependency, Event, emit, millis};
-use origin::{EstablishedVersion, Lookup, OriginTable, SeenVersions, ServiceRecord, StreamKey};
+use origin::{
+    EstablishedVersion, Lookup, MAX_ORIGINS, OriginTable, SeenVersions, ServiceRecord, StreamKey,
+};
 use platform::{Batch, Follower, PutOutcome, Store, StoreError, Topic, Update};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -76,6 +78,8 @@
     services: BTreeMap<ServiceName, ServiceRecord>,
     /// The streams of each router, by the key of its record.
     streams: BTreeMap<String, HashMap<StreamKey, StoredStream>>,
+    /// The keys of the records of routers that are not in `streams`, since they can't be read or there is no room for them.
+    left_out: BTreeSet<String>,
     /// The keys of the records of routers that have long ended.
     abandoned: Vec<String>,
     /// Whether the versions of services may have changed since they were last compared with the records.
@@ -141,7 +145,9 @@
 
     /// The version that began the streams of a service that nobody knows, if there is one.
     pub(crate) fn established(&self, service: &ServiceName) -> Option<EstablishedVersion> {
-        self.lock().services.get(service)?.established(wall_clock())
+        let state = self.lock();
+        let record = state.services.get(service).filter(|_| state.left_out.is_empty())?;
+        record.established(wall_clock())
     }
 
     /// What routers have recorded of a stream.
@@ -161,6 +167,7 @@
         if batch.complete {
             self.services.clear();
             self.streams.clear();
+            self.left_out.clear();
             self.abandoned.clear();
         }
         for update in batch.updates {
@@ -187,8 +194,11 @@
         if key.starts_with(ROUTER_PREFIX) {
             self.streams.remove(key);
             self.abandoned.retain(|other| other != key);
+            self.left_out.remove(key);
             if !value.is_empty() {
-                self.apply_streams(key, serde_json::from_slice(value)?);
+                let stored = serde_json::from_slice(value);
+                let stored = stored.inspect_err(|_| drop(self.left_out.insert(key.to_owned())))?;
+                self.apply_streams(key, stored);
             }
         }
         Ok(())
@@ -203,6 +213,11 @@
         if streams.is_empty() && is_old {
             self.abandoned.push(key.to_owned());
         }
+        let known: usize = self.streams.values().map(HashMap::len).sum();
+        if known + streams.len() > MAX_ORIGINS {
+            self.left_out.insert(key.to_owned());
+            return;
+        }
         self.streams.insert(key.to_owned(), streams);
     }
 
@@ -504,3 +519,6 @@
     }
     origins::update_keepers(shared);
 }
+
+#[cfg(test)]
+mod tests;
