--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -196,9 +196,8 @@
             self.abandoned.retain(|other| other != key);
             self.left_out.remove(key);
             if !value.is_empty() {
-                let stored = serde_json::from_slice(value);
-                let stored = stored.inspect_err(|_| drop(self.left_out.insert(key.to_owned())))?;
-                self.apply_streams(key, stored);
+                self.left_out.insert(key.to_owned());
+                self.apply_streams(key, serde_json::from_slice(value)?);
             }
         }
         Ok(())
@@ -215,9 +214,9 @@
         }
         let known: usize = self.streams.values().map(HashMap::len).sum();
         if known + streams.len() > MAX_ORIGINS {
-            self.left_out.insert(key.to_owned());
             return;
         }
+        self.left_out.remove(key);
         self.streams.insert(key.to_owned(), streams);
     }
 
