--- a/review/standin-2/src/popular.rs
+++ b/review/standin-2/src/popular.rs
@@ -24,7 +24,7 @@
 /// The work of a request at a server.
 const WORK: Duration = Duration::from_millis(15);
 /// How many clients send the popular request through each router, and their pause after an answer.
-const CLIENTS: usize = 16;
+const CLIENTS: usize = 24;
 const PAUSE: Duration = Duration::from_millis(5);
 
 fn request(id: &str) -> String {
@@ -36,7 +36,7 @@
 pub async fn play(record: &Record, trouble: bool) -> Outcome {
     let mut world = World::start().await?;
     let mut servers = Vec::new();
-    for number in 1..=4 {
+    for number in 1..=7 {
         let server = Server::plain(&format!("i-{number}")).await;
         server.set_domain(&format!("hall-{number}"));
         server.set_default_behavior(Behavior::Slow(WORK));
