Review: clients with many parts fill a router's memory

Cause: router::sent_requests keeps up to 512 fingerprints for each server, each with the ids of all parts of a prompt, and nothing bounds their bytes. Clients that we don't control may send heads of 31 KB with 256 parts, which the router accepts. Change: the case review/9 (labels) with its stand-ins.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 mod keep_alive;
+mod labels;
 mod late_order;
 mod parts;
 mod poison;
@@ -31,6 +32,7 @@
         "popular" => popular::play(record, trouble).await,
         "promise" => promise::play(record, trouble).await,
         "late-order" => late_order::play(record, trouble).await,
+        "labels" => labels::play(record, trouble).await,
         "parts" => parts::play(record, trouble).await,
         "poison" => poison::play(record, trouble).await,
         "revoked" => revoked::play(record, trouble).await,
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -92,7 +92,7 @@
 #[derive(Debug)]
 pub struct Router {
     pub name: String,
-    _process: Process,
+    process: Process,
     /// Where clients reach it.
     pub front: SocketAddr,
     ready: SocketAddr,
@@ -105,6 +105,14 @@
         exchange(self.ready, request.as_bytes()).await.is_some_and(|answer| answer.status == 200)
     }
 
+    /// The memory that the process holds, in kilobytes.
+    pub fn resident_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.child.id()));
+        let status = status.ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
+    }
+
     async fn wait_until_ready(&self) -> Result<(), Failed> {
         let start = Instant::now();
         while !self.is_ready().await {
@@ -207,7 +215,7 @@
             }
             let process = Process::start("hyssop-router", &self.folder, &name, &settings)?;
             let (front, ready) = (at(ip, 8_000), at(ip, 8_001));
-            self.routers.push(Router { name, _process: process, front, ready });
+            self.routers.push(Router { name, process, front, ready });
         }
         for router in &self.routers {
             router.wait_until_ready().await?;
