--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 case=review/standin-2/target/release/review-cases-2
 [ -x "$case" ] || exit 2
 [ -x target/release/hyssop-router ] && [ -x target/release/hyssop-loader ] || exit 2
-exec "$case" poison review/10/record.txt
+exec "$case" promise review/10/record.txt
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,14 +7,10 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-mod keep_alive;
 mod labels;
-mod late_order;
-mod parts;
 mod poison;
 mod popular;
 mod promise;
-mod proxy;
 mod revoked;
 mod world;
 
@@ -28,12 +24,9 @@
 
 async fn play(case: &str, record: &Record, trouble: bool) -> Outcome {
     match case {
-        "keep-alive" => keep_alive::play(record, trouble).await,
         "popular" => popular::play(record, trouble).await,
         "promise" => promise::play(record, trouble).await,
-        "late-order" => late_order::play(record, trouble).await,
         "labels" => labels::play(record, trouble).await,
-        "parts" => parts::play(record, trouble).await,
         "poison" => poison::play(record, trouble).await,
         "revoked" => revoked::play(record, trouble).await,
         other => Err(format!("there is no case `{other}`")),
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -168,16 +168,11 @@
 
     /// Starts the loader beside a model server.
     pub fn start_loader(&mut self, server: &Server) -> Result<(), Failed> {
-        self.start_loader_of(server, server.addr)
-    }
-
-    /// Starts the loader of a model server that it reaches at this address.
-    pub fn start_loader_of(&mut self, server: &Server, endpoint: SocketAddr) -> Result<(), Failed> {
         let name = format!("side-{}", server.id);
         let settings = json!({
             "instance": name,
             "listen": SocketAddr::new(server.addr.ip(), LOADER_PORT),
-            "endpoint": endpoint,
+            "endpoint": server.addr,
             "store": self.store.addr,
         });
         let process = Process::start("hyssop-loader", &self.folder, &name, &settings)?;
