A status that promises that a request has not run is not passed on after a run

Cause: the router takes such an answer, which lacks `Not-Executed`, for that of a run and doesn't send the request again, but it passed the status on all the same. The same went for 429 and 408. 421 was taken for a request at the wrong endpoint even if the answer is signed, so that the request was sent again.

Such an answer can't keep its status, so it can't keep its signature either: what may run twice is sent to another endpoint while attempts and the budget allow, anything else gets 502. A 421 without a signature is still a request at the wrong endpoint. What the answer says of its endpoint holds as before, and it is read for the sake of its connection.

--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -452,11 +452,10 @@
             ResponseKind::Executed => {
                 self.shared.endpoints.record_success(id, self.incarnation);
                 self.runs += 1;
-                let again = self.route.kind == catalog::CallKind::Safe
-                    && status.is_server_error()
-                    && self.runs < self.route.attempts
-                    && self.retry.try_reserve(&self.request_id);
-                if !again {
+                let fails = self.route.kind == catalog::CallKind::Safe && status.is_server_error();
+                // The caller can't be given a response that promises what is not certain.
+                let withheld = platform::promises_not_executed(status);
+                if !(fails || withheld) || !self.may_run_again() {
                     return Verdict::Done(Box::new(response));
                 }
                 self.log_step(Step::Broken, id, status.as_str());
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -15,6 +15,9 @@
 /// retried if the response breaks off.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
+/// The longest body of a response that is not passed on but read, for the sake of its connection.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+
 /// What is logged of a request.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestLog {
@@ -89,6 +92,11 @@
     let mut timing = ResponseTiming::default();
     timing.record_chunk();
     loop {
+        if platform::promises_not_executed(response.head.status) {
+            let failure = request.failure(Refusal::UnconfirmedRefusal, None);
+            tokio::spawn(discard(request, response));
+            return Err(failure);
+        }
         let budget = &request.shared.held_responses;
         let collected =
             tokio::time::timeout_at(request.deadline, collect(&mut response, budget)).await;
@@ -124,6 +132,22 @@
     }
 }
 
+/// Reads a short response that is not passed on, so that its connection can be used again.
+async fn discard(request: InFlightRequest, mut response: EndpointResponse) {
+    let mut bytes_left = MAX_DISCARDED_BYTES;
+    let read = tokio::time::timeout_at(request.deadline, async {
+        while let Some(part) = response.next_part().await {
+            bytes_left = bytes_left.checked_sub(part?.len()).ok_or("the response is too long")?;
+        }
+        Ok::<(), String>(())
+    });
+    match read.await {
+        Ok(Ok(())) => request.complete(response),
+        Ok(Err(cause)) => request.record_interruption(&response.reservation.id, &cause),
+        Err(_) => {}
+    }
+}
+
 fn relayed_head(response: &EndpointResponse, body: Body) -> Response<Body> {
     let mut relayed = Response::new(body);
     *relayed.status_mut() = response.head.status;
