A popular request that was at crashes for other causes is no longer refused

Callers don't repeat a 400.

Cause: a router cleared a request of a single crash for itself only, while the crash stayed in the store as evidence; and three crashes that become known together make a suspect before the others have read that the request runs well.

A router remembers what ran to its end with success and a marked end. That clears a request of crashes within two seconds after it and of all before, at all routers: it is told as cleared parts of prompts are, by a few routers and up to the same crash, so that few records are written. A suspect by crashes that became known less than four seconds ago is refused with 503 and a time, since the others may still tell.

`a_request_that_ran_to_its_end_is_not_cleared_up_to_a_crash_of_other_requests` named the kind of refusal; its crashes have just become known, so it now accepts either refusal of the suspect. What it guards against, that the request is sent, fails as before.

--- a/components/events/src/values.rs
+++ b/components/events/src/values.rs
@@ -67,6 +67,8 @@
     Left,
     /// The request crashes the endpoints that run it.
     Crashes,
+    /// The request was running on several endpoints that crashed a moment ago, and other routers may still tell that it runs well.
+    MayCrash,
     /// The request has no key, or a key of no workspace.
     Unauthorized,
     /// The router can't tell whether the key is still valid, because it hasn't read the store for too long.
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -41,10 +41,10 @@
     pub at: UnixMillis,
 }
 
-/// Clears parts of prompts: requests that had them ran well.
+/// Clears parts of prompts, or whole requests: requests that had these parts ran well, or these requests did.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartsRelease {
-    /// The digests of the parts, each with the time up to which crashes don't count against it.
+    /// The digests, each with the time up to which crashes don't count against it.
     pub parts: BTreeMap<Digest, UnixMillis>,
 }
 
@@ -75,7 +75,7 @@
     Crash(Crash),
     /// A request is cleared.
     Release(Release),
-    /// Parts of prompts are cleared.
+    /// Parts of prompts or requests are cleared.
     PartsRelease(PartsRelease),
     /// A suspect is tried again.
     Trial(Trial),
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -9,6 +9,7 @@
 use crate::blame::{
     CrashTime, Culprit, DigestKind, EventNumber, Hypothesis, SUSPECT_CRASHES, Search,
 };
+use crate::completions::RecentCompletions;
 use crate::merged::{MergedCrash, SETTLING_TIME};
 use crate::proven::ProvenParts;
 use crate::{Crash, Digest, Fingerprint, QuarantineRecord, UnixMillis};
@@ -21,6 +22,14 @@
 const MIN_DOMAIN_ENDPOINTS: u32 = 3;
 /// Records older than this are dropped.
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
+/// A request that ran to its end within this time before a crash is cleared of it: a request that crashes each endpoint does not run
+/// to its end between two crashes.
+const COMPLETION_VALIDITY: Duration = Duration::from_secs(2);
+/// A request is refused for good only this long after the last crash that counts against it. By then all routers that have seen it
+/// run to its end have told the others.
+const REQUEST_SETTLING_TIME: Duration = Duration::from_secs(4);
+/// A crash that was noticed longer ago than this has been known to other routers for long.
+const MAX_CRASH_DELAY: Duration = Duration::from_secs(8);
 /// The most crashes that the table keeps; the oldest are dropped first.
 const MAX_CRASHES: usize = 256;
 /// The most requests and parts for which the table keeps a release, and the most for which it keeps trials.
@@ -120,6 +129,8 @@
     accused_parts: HashMap<Digest, Accusation>,
     /// Parts that are known to run well, whether they were at crashes or not.
     proven: ProvenParts,
+    /// Requests that ran to their end at this router.
+    completions: RecentCompletions,
     /// When the next crash settles.
     next_review: Option<UnixMillis>,
 }
@@ -178,6 +189,49 @@
         self.accused_parts.get(&part).is_some_and(|accusation| accusation.first <= began)
     }
 
+    /// Records that a request ran to its end, with success, and that its endpoint lived on.
+    pub fn record_completion(&mut self, request: Digest, at: UnixMillis) {
+        self.completions.insert(request, at);
+    }
+
+    /// Whether a request ran to its end so recently that it is cleared of a crash that happens now.
+    pub fn has_completed_recently(&self, request: &Digest, now: UnixMillis) -> bool {
+        self.completions.last(request).is_some_and(|at| now.since(at) <= COMPLETION_VALIDITY)
+    }
+
+    /// The requests that ran to their end after this router learned of all crashes that count against them, or shortly before; each
+    /// with the time up to which that clears it.
+    pub fn recently_completed(&self) -> BTreeMap<Digest, UnixMillis> {
+        let mut cleared: BTreeMap<Digest, UnixMillis> = BTreeMap::new();
+        let mut accused: BTreeSet<Digest> = BTreeSet::new();
+        for crash in self.crashes.values() {
+            let counted = |digest: &&Digest| counts(&self.released, digest, crash.at);
+            for digest in crash.requests.iter().filter(counted) {
+                let Some(completed) = self.completions.last(digest) else { continue };
+                if crash.learned.since(completed) > COMPLETION_VALIDITY {
+                    accused.insert(*digest);
+                }
+                let at = cleared.entry(*digest).or_default();
+                *at = crash.at.max(*at);
+            }
+        }
+        cleared.retain(|digest, _| !accused.contains(digest));
+        cleared
+    }
+
+    /// How long it may take until it is known whether a suspected request also runs well; `None` if it would be known by now.
+    pub fn settles_in(&self, suspect: &Digest, now: UnixMillis) -> Option<Duration> {
+        let own = self.crashes.values().filter(|crash| {
+            crash.requests.contains(suspect) && counts(&self.released, suspect, crash.at)
+        });
+        let left = own.filter_map(|crash| {
+            let elapsed = Duration::from_millis(now.0.abs_diff(crash.learned.0));
+            let left = REQUEST_SETTLING_TIME.checked_sub(elapsed);
+            left.filter(|left| !left.is_zero() && now.since(crash.at) < MAX_CRASH_DELAY)
+        });
+        left.max()
+    }
+
     /// How many crashes count against a part that has not been seen to run well.
     pub fn doubts(&self, part: &Digest) -> usize {
         let accusation = self.accused_parts.get(part).filter(|_| !self.is_proven(part));
--- a/components/router/src/crash_check.rs
+++ b/components/router/src/crash_check.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 use units::{EndpointId, EndpointIncarnation};
 
-use crate::guard::wall_clock;
+use crate::guard::{Completion, wall_clock};
 use crate::pool::ConnectionPool;
 use crate::registry::EndpointTable;
 use crate::sent_requests::{CUT_WINDOW, CrashCandidate};
@@ -175,7 +175,8 @@
         return;
     };
     if !watch_list(&shared, crash, &subject.pool, since + LIST_DELAY).await {
-        complete.iter().for_each(|digest| shared.guard.record_completion(digest));
+        let presumed = |digest| shared.guard.record_completion(digest, Completion::Presumed);
+        complete.iter().for_each(presumed);
     }
 }
 
--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -35,11 +35,11 @@
 const MAX_DELETES_PER_READ: usize = 16;
 /// Records that were lost when the store was restored from a copy are written again within this time.
 const MAX_REWRITE_DELAY: Duration = Duration::from_millis(2_000);
-/// About this many routers, of all, tell of cleared parts without much delay.
+/// About this many routers, of all, tell of cleared requests and parts without much delay.
 const FIRST_PUBLISHERS: f64 = 6.0;
-/// The longest delay of these routers, in which they collect parts.
+/// The longest delay of these routers, in which they collect more.
 const FIRST_PUBLISH_DELAY: Duration = Duration::from_millis(300);
-/// The longest delay of all others, which tell only of parts that no other router has told of.
+/// The longest delay of all others, which tell only of what no other router has told of.
 const PUBLISH_DELAY: Duration = Duration::from_secs(3);
 /// The largest request to release a suspect, in bytes.
 const MAX_RELEASE_BYTES: usize = 1 << 20;
@@ -186,17 +186,17 @@
     }
 }
 
-/// Tells other routers of parts of prompts that are cleared of crashes.
-pub(crate) async fn publish_cleared_parts(shared: Arc<Shared>) {
+/// Tells other routers of requests and parts of prompts that are cleared of crashes.
+pub(crate) async fn publish_cleared(shared: Arc<Shared>) {
     loop {
-        shared.guard.parts_cleared.notified().await;
-        // Most parts that are at crashes are run by many routers, and one of them is enough.
+        shared.guard.cleared.notified().await;
+        // Most parts, and popular requests, that are at crashes are run by many routers, and one of them is enough.
         let routers =
             f64::from(u32::try_from(shared.other_routers().len() + 1).unwrap_or(u32::MAX));
         let is_first = rand::random::<f64>() < FIRST_PUBLISHERS / routers;
         let delay = if is_first { FIRST_PUBLISH_DELAY } else { PUBLISH_DELAY };
         tokio::time::sleep(delay.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
-        shared.guard.publish_cleared_parts();
+        shared.guard.publish_cleared();
     }
 }
 
--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -8,6 +8,9 @@
 //! Another load pattern: a part of the prompt crashes endpoints, in requests that differ in everything else. Most requests have
 //! the other parts of such prompts, so none of them is held back for parts that were at crashes. Instead routers tell each
 //! other which of these parts run well.
+//!
+//! A third one: many callers send the same sound request, which is therefore at most crashes. Routers that have seen it run to its
+//! end around a crash tell the others, also those that start later.
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -55,8 +58,8 @@
     changed: Notify,
     /// Notified when an endpoint may have crashed: other routers may know more.
     pub(crate) possible_crash: Notify,
-    /// Notified when other routers are to be told of cleared parts.
-    pub(crate) parts_cleared: Notify,
+    /// Notified when other routers are to be told of cleared requests and parts.
+    pub(crate) cleared: Notify,
     /// New crash records of this router, to be written to the store.
     write: mpsc::UnboundedSender<KeyedRecord>,
     router: String,
@@ -77,12 +80,23 @@
     Suspect(Digest),
     /// The same, but the trial of the suspect with this number is due.
     TrialDue(Digest, u32),
+    /// The request may crash endpoints; whether it also runs well is known after this time at the latest.
+    Unsettled(Digest, Duration),
     /// The request has been interrupted, and a part of its prompt may be the cause.
     Doubtful,
     /// A request with the same digest was in flight, or a possible crash was examined, for as long as this one could wait.
     Busy,
 }
 
+/// How a request came to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Completion {
+    /// With success, and its endpoint marked the end of the answer.
+    Certain,
+    /// With a failure, or with the end of its connection by an endpoint that seems to run on.
+    Presumed,
+}
+
 /// The right to be the only request in flight with its digest; given back when dropped.
 #[derive(Debug)]
 struct Turn {
@@ -120,8 +134,8 @@
     /// Creates a guard without any crash records. The receiver gets the records that are to be written to the store.
     pub(crate) fn new(router: String) -> (Self, mpsc::UnboundedReceiver<KeyedRecord>) {
         let (write, written) = mpsc::unbounded_channel();
-        let (state, changed, possible_crash, parts_cleared) = Default::default();
-        (Self { state, changed, possible_crash, parts_cleared, write, router }, written)
+        let (state, changed, possible_crash, cleared) = Default::default();
+        (Self { state, changed, possible_crash, cleared, write, router }, written)
     }
 
     fn lock(&self) -> MutexGuard<'_, GuardState> {
@@ -164,7 +178,7 @@
 
     fn decide(&self, request: &Fingerprint, attempt: Attempt, has_turn: bool) -> Decision {
         let mut state = self.lock();
-        if state.pending(&request.request) {
+        if state.is_held(&request.request) {
             return Decision::Wait;
         }
         let suspicion = state.suspicion(request);
@@ -178,9 +192,12 @@
         match suspicion {
             SuspicionLevel::Clear => Decision::Allow,
             SuspicionLevel::Suspect(name) => {
-                Decision::Rejected(match state.table.due_trial(&name, wall_clock()) {
-                    Some(number) => Rejection::TrialDue(name, number),
-                    None => Rejection::Suspect(name),
+                let now = wall_clock();
+                let settles_in = state.table.settles_in(&name, now);
+                Decision::Rejected(match (state.table.due_trial(&name, now), settles_in) {
+                    (Some(number), _) => Rejection::TrialDue(name, number),
+                    (None, Some(time)) => Rejection::Unsettled(name, time),
+                    (None, None) => Rejection::Suspect(name),
                 })
             }
             SuspicionLevel::Watched(_) if !has_turn && !state.turns.insert(request.request) => {
@@ -206,7 +223,7 @@
             {
                 false
             }
-            SuspicionLevel::Watched(_) | SuspicionLevel::Clear => !state.pending(&request.request),
+            SuspicionLevel::Watched(_) | SuspicionLevel::Clear => !state.is_held(&request.request),
         }
     }
 
@@ -236,20 +253,41 @@
     }
 
     /// A request ran to its end: earlier crashes of endpoints that had it no longer count against it.
-    pub(crate) fn record_completion(&self, digest: &Digest) {
-        let suspicion = self.lock().table.request_suspicion(digest);
-        // A single crash counts too little for its release to be stored: it is applied at this router only.
-        let significant = match suspicion {
-            SuspicionLevel::Clear => return,
-            SuspicionLevel::Watched(crashes) => crashes >= MIN_CRASHES_TO_ISOLATE,
-            SuspicionLevel::Suspect(_) => true,
+    pub(crate) fn record_completion(&self, digest: &Digest, completion: Completion) {
+        let now = wall_clock();
+        let mut state = self.lock();
+        if completion == Completion::Certain {
+            state.table.record_completion(*digest, now);
+        }
+        let suspicion = state.table.request_suspicion(digest);
+        let at = match (suspicion, completion) {
+            (SuspicionLevel::Clear, _) => return,
+            (SuspicionLevel::Watched(_), Completion::Certain) => {
+                // Up to the crashes that are known, so that the records of all routers are the same, and one of them is enough.
+                let at = state.table.latest_crash_of(digest);
+                state.clear(BTreeMap::from([(*digest, at)]), now);
+                drop(state);
+                return self.notify_cleared();
+            }
+            (SuspicionLevel::Suspect(_), _) | (_, Completion::Presumed) => {
+                state.time_after_crashes_of(digest)
+            }
         };
-        let at = self.lock().time_after_crashes_of(digest);
+        drop(state);
         let record = QuarantineRecord::Release(Release { digest: *digest, at });
-        if significant {
-            return self.record(record);
+        if matches!(suspicion, SuspicionLevel::Watched(crashes) if crashes < MIN_CRASHES_TO_ISOLATE)
+        {
+            // What is not certain counts too little to be told to other routers.
+            self.apply(&[KeyedRecord { key: record.key(&self.router), record }]);
+            return;
         }
-        self.apply(&[KeyedRecord { key: record.key(&self.router), record }]);
+        self.record(record);
+    }
+
+    /// Requests that were held back may go on, and other routers are to be told why.
+    fn notify_cleared(&self) {
+        self.changed.notify_waiters();
+        self.cleared.notify_one();
     }
 
     /// The time of what happens now. It is not before any crash that this router knows of, whatever the clocks of the routers which
@@ -274,18 +312,15 @@
         if cleared.is_empty() {
             return;
         }
-        state.cleared_parts.extend(&cleared);
-        let release = QuarantineRecord::PartsRelease(PartsRelease { parts: cleared });
-        state.update(now, |table| table.apply([&release], now));
+        state.clear(cleared, now);
         drop(state);
-        self.changed.notify_waiters();
-        self.parts_cleared.notify_one();
+        self.notify_cleared();
     }
 
-    /// Tells all routers of the cleared parts that no other router has told of meanwhile.
-    pub(crate) fn publish_cleared_parts(&self) {
+    /// Tells all routers of the cleared requests and parts that no other router has told of meanwhile.
+    pub(crate) fn publish_cleared(&self) {
         let mut state = self.lock();
-        let parts: BTreeMap<Digest, UnixMillis> = state.cleared_parts.drain().collect();
+        let parts: BTreeMap<Digest, UnixMillis> = state.cleared.drain().collect();
         if parts.is_empty() {
             return;
         }
@@ -376,7 +411,7 @@
             .cloned()
             .collect();
         let records: Vec<_> = all.iter().map(|keyed| &keyed.record).collect();
-        state.forget_published_parts(&records);
+        state.forget_published(&records);
         if state.update(now, |table| apply(table, records, now)) == 0 {
             return Vec::new();
         }
@@ -384,6 +419,11 @@
             state.last_crash = Some(Instant::now());
         }
         state.remember(&fresh);
+        let completed = state.table.recently_completed();
+        if !completed.is_empty() {
+            state.clear(completed, now);
+            self.cleared.notify_one();
+        }
         let common = state.table.most_common();
         drop(state);
         events::record_common_crashes(common.crashes, common.request, common.part);
--- a/components/router/src/guard/state.rs
+++ b/components/router/src/guard/state.rs
@@ -1,13 +1,13 @@
 //! What a router knows about crashed endpoints, and what it has to tell others.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use control::KeyedRecord;
 use events::{Event, emit};
 use quarantine::{
-    CrashTable, Digest, Evidence, Fingerprint, QuarantineRecord, SuspectKind, SuspicionLevel,
-    UnixMillis,
+    CrashTable, Digest, Evidence, Fingerprint, PartsRelease, QuarantineRecord, SuspectKind,
+    SuspicionLevel, UnixMillis,
 };
 use tokio::time::Instant;
 
@@ -25,16 +25,21 @@
     /// Connection pools of the incarnations that may have crashed and are being examined.
     pub(super) examined_pools: Vec<Arc<ConnectionPool>>,
     pub(super) recent: VecDeque<KeyedRecord>,
-    /// Parts of prompts that this router has cleared, each with the time up to which, and that other routers have not been told
-    /// of yet.
-    pub(super) cleared_parts: HashMap<Digest, UnixMillis>,
+    /// Requests and parts of prompts that this router has cleared, each with the time up to which, and that other routers have not
+    /// been told of yet.
+    pub(super) cleared: HashMap<Digest, UnixMillis>,
     /// When this router last learned of a crash or a possible one.
     pub(super) last_crash: Option<Instant>,
 }
 
 impl GuardState {
-    /// Whether the request was at an endpoint that is being examined for a crash.
-    pub(super) fn pending(&self, digest: &Digest) -> bool {
+    /// Whether the request must wait, since it was at an endpoint that is being examined for a crash. One that runs well elsewhere need
+    /// not.
+    pub(super) fn is_held(&self, digest: &Digest) -> bool {
+        if self.examined_pools.is_empty() || self.table.has_completed_recently(digest, wall_clock())
+        {
+            return false;
+        }
         let now = Instant::now();
         self.examined_pools.iter().any(|pool| pool.sent_requests().is_candidate(digest, now))
     }
@@ -70,13 +75,20 @@
         result
     }
 
-    /// Drops parts that another router has told of.
-    pub(super) fn forget_published_parts(&mut self, records: &[&QuarantineRecord]) {
+    /// Clears requests and parts, each up to a time, of which other routers are to be told.
+    pub(super) fn clear(&mut self, cleared: BTreeMap<Digest, UnixMillis>, now: UnixMillis) {
+        self.cleared.extend(&cleared);
+        let release = QuarantineRecord::PartsRelease(PartsRelease { parts: cleared });
+        self.update(now, |table| table.apply([&release], now));
+    }
+
+    /// Drops requests and parts that another router has told of.
+    pub(super) fn forget_published(&mut self, records: &[&QuarantineRecord]) {
         for record in records {
             let QuarantineRecord::PartsRelease(release) = record else { continue };
             for (part, at) in &release.parts {
-                if self.cleared_parts.get(part).is_some_and(|found| found <= at) {
-                    self.cleared_parts.remove(part);
+                if self.cleared.get(part).is_some_and(|found| found <= at) {
+                    self.cleared.remove(part);
                 }
             }
         }
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -6,7 +6,7 @@
 use quarantine::{Crash, Digest, Fingerprint, PartsRelease, QuarantineRecord, UnixMillis};
 use tokio::time::Instant;
 
-use super::{Attempt, CrashGuard, MAX_RECORD_PARTS, Rejection, SendPermit, wall_clock};
+use super::{Attempt, Completion, CrashGuard, MAX_RECORD_PARTS, Rejection, SendPermit, wall_clock};
 use crate::pool::ConnectionPool;
 use crate::sent_requests::{RunEnd, SurvivedRequest};
 
@@ -129,13 +129,79 @@
     let guard = guard();
     crash(&guard, 1, &["a"]);
     crash(&guard, 2, &["a"]);
-    guard.record_completion(&digest("a"));
+    guard.record_completion(&digest("a"), Completion::Presumed);
     let _all = (
         try_acquire(&guard, "a").await.expect("no wait"),
         try_acquire(&guard, "a").await.expect("no wait"),
     );
 }
 
+/// The same where the end is certain, which other routers are told of.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_certainly_ran_to_its_end_is_cleared_of_all_crashes_before() {
+    let (guard, mut written) = CrashGuard::new("front-1".to_owned());
+    let guard = Arc::new(guard);
+    crash(&guard, 1, &["a"]);
+    crash(&guard, 2, &["a"]);
+    (0..2).for_each(|_| drop(written.try_recv().expect("a crash")));
+    guard.record_completion(&digest("a"), Completion::Certain);
+    let both = (
+        try_acquire(&guard, "a").await.expect("no wait"),
+        try_acquire(&guard, "a").await.expect("no wait"),
+    );
+    assert!(both.0.is_ok() && both.1.is_ok());
+    guard.publish_cleared();
+    let record = written.try_recv().expect("a release").record;
+    let QuarantineRecord::PartsRelease(release) = record else { panic!("{record:?}") };
+    assert_eq!(release.parts.keys().collect::<Vec<_>>(), [&digest("a")]);
+}
+
+/// Three endpoints of a failing rack crashed at once, each with a request that had just run well elsewhere.
+#[tokio::test(start_paused = true)]
+async fn crashes_do_not_count_against_a_request_that_has_just_run_to_its_end() {
+    let guard = guard();
+    guard.record_completion(&digest("a"), Completion::Certain);
+    guard.record_completion(&digest("b"), Completion::Presumed);
+    (1..4).for_each(|number| crash(&guard, number, &["a", "b"]));
+    assert!(try_acquire(&guard, "a").await.expect("no wait").is_ok());
+    assert!(try_acquire(&guard, "b").await.expect("no wait").is_err());
+}
+
+/// A request that ran well long ago may crash endpoints now.
+#[tokio::test]
+async fn crashes_count_against_a_request_that_ran_to_its_end_some_time_ago() {
+    let guard = guard();
+    guard.record_completion(&digest("a"), Completion::Certain);
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    (1..4).for_each(|number| crash(&guard, number, &["a"]));
+    let result = try_acquire(&guard, "a").await.expect("no wait");
+    assert_eq!(result.err(), Some(Rejection::Suspect(digest("a"))));
+}
+
+/// Another router may be about to tell that the request runs well.
+#[tokio::test(start_paused = true)]
+async fn a_request_at_crashes_that_have_just_become_known_is_not_refused_for_good() {
+    let guard = guard();
+    (14..17).for_each(|number| crash(&guard, number, &["a"]));
+    let result = try_acquire(&guard, "a").await.expect("no wait");
+    let Err(Rejection::Unsettled(suspect, time)) = result else { panic!("{result:?}") };
+    assert_eq!(suspect, digest("a"));
+    assert!(time <= Duration::from_secs(4), "{time:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_runs_well_elsewhere_is_not_held_while_an_endpoint_is_examined() {
+    let guard = guard();
+    let pool = Arc::new(ConnectionPool::new(([127, 0, 0, 1], 9).into()));
+    let ticket = pool.sent_requests().begin(Arc::new(request("a")));
+    pool.sent_requests().end(ticket, RunEnd::Cut, Instant::now());
+    guard.begin_examination(&pool);
+    assert!(try_acquire(&guard, "a").await.is_none());
+    guard.record_completion(&digest("a"), Completion::Certain);
+    let permit = try_acquire(&guard, "a").await.expect("no wait").expect("a permit");
+    assert!(guard.allows(&request("a"), &permit));
+}
+
 /// A crash of other requests that was noticed by a clock far ahead cleared a request of its own crashes to come.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_ran_to_its_end_is_not_cleared_up_to_a_crash_of_other_requests() {
@@ -143,10 +209,13 @@
     crash(&guard, 1, &["a"]);
     crash(&guard, 2, &["a"]);
     crash(&guard, 1_000, &["b"]);
-    guard.record_completion(&digest("a"));
+    guard.record_completion(&digest("a"), Completion::Presumed);
     (30..33).for_each(|number| crash(&guard, number, &["a"]));
     let result = try_acquire(&guard, "a").await.expect("no wait");
-    assert_eq!(result.err(), Some(Rejection::Suspect(digest("a"))));
+    let Err(Rejection::Suspect(suspect) | Rejection::Unsettled(suspect, _)) = result else {
+        panic!("{result:?}")
+    };
+    assert_eq!(suspect, digest("a"));
 }
 
 #[tokio::test(start_paused = true)]
@@ -220,14 +289,14 @@
     let sound = request_with("a", "5c1e");
     let run = || SurvivedRequest { fingerprint: sound.clone(), began: guard.time_after_crashes() };
     guard.record_survived(&[run()]);
-    guard.publish_cleared_parts();
+    guard.publish_cleared();
     assert!(written.try_recv().is_err(), "the part was at no crash");
     crash_by(&guard, 1, &[&request_with("b", "5c1e")]);
     assert!(written.try_recv().is_ok());
     guard.record_survived(&[run()]);
     guard.record_survived(&[run()]);
-    guard.publish_cleared_parts();
-    guard.publish_cleared_parts();
+    guard.publish_cleared();
+    guard.publish_cleared();
     let told = written.try_recv().expect("a record");
     assert!(matches!(told.record, QuarantineRecord::PartsRelease(_)));
     assert!(guard.recent().contains(&told), "routers that can't read the store get it too");
@@ -245,7 +314,7 @@
     let parts = sound.parts.iter().map(|part| (part.digest, began)).collect();
     let record = QuarantineRecord::PartsRelease(PartsRelease { parts });
     guard.apply(&[KeyedRecord { key: record.key("front-2"), record }]);
-    guard.publish_cleared_parts();
+    guard.publish_cleared();
     assert!(written.try_recv().is_err());
 }
 
@@ -299,6 +368,6 @@
         }));
     }
     assert!(guard.is_watched(&request("a")));
-    guard.record_completion(&digest("a"));
+    guard.record_completion(&digest("a"), Completion::Presumed);
     assert!(!guard.is_watched(&request("a")));
 }
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -20,7 +20,7 @@
 use crate::crash_records;
 use crate::exchange::{self, EndpointResponse, OutgoingRequest, ResponseDeadlines, SendOutcome};
 use crate::grants;
-use crate::guard::{Attempt, Rejection, SendPermit};
+use crate::guard::{Attempt, Completion, Rejection, SendPermit};
 use crate::incarnations::IncarnationCheck;
 use crate::pool::ConnectionPool;
 use crate::queued::Waiter;
@@ -40,6 +40,8 @@
 /// `Retry-After` of a request that timed out while waiting, or was waiting when the router stopped:
 /// by then the model load that it waited for has probably finished.
 pub(crate) const WAIT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` of a request that may crash endpoints: by then other routers have probably told whether it also runs well.
+const UNSETTLED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// A request that may run twice considers another endpoint when no response has arrived within
 /// this many times its target time.
 const RECONSIDER_TARGET_MULTIPLE: u32 = 3;
@@ -247,7 +249,7 @@
             }
             Err(rejection) => rejection,
         };
-        let (suspect, trial) = match rejection {
+        let (suspect, trial, cause, after) = match rejection {
             Rejection::Busy => {
                 return Err(self.failure(Refusal::TimedOut, Some(WAIT_RETRY_AFTER)));
             }
@@ -257,9 +259,14 @@
                 }
                 return Err(self.failure(Refusal::Unknown, None));
             }
-            Rejection::Suspect(suspect) => (suspect, None),
+            Rejection::Suspect(suspect) => (suspect, None, Refusal::Crashes, None),
             Rejection::TrialDue(suspect, number) => {
-                (suspect, crash_records::claim_trial(&self.shared, &suspect, number).await)
+                let trial = crash_records::claim_trial(&self.shared, &suspect, number).await;
+                (suspect, trial, Refusal::Crashes, None)
+            }
+            Rejection::Unsettled(suspect, time) => {
+                let after = time.min(UNSETTLED_RETRY_AFTER);
+                (suspect, None, Refusal::MayCrash, Some(after))
             }
         };
         emit(&Event::SuspectRequest {
@@ -272,7 +279,7 @@
         self.permit = trial;
         match self.permit {
             Some(_) => Ok(()),
-            None => Err(self.failure(Refusal::Crashes, None)),
+            None => Err(self.failure(cause, after)),
         }
     }
 
@@ -302,12 +309,16 @@
         let (guard, fingerprint) = (&self.shared.guard, &self.outgoing.fingerprint);
         let digest = &fingerprint.request;
         if response.framing() != Framing::Close {
-            guard.record_completion(digest);
+            let completion = match response.head.status.is_success() {
+                true => Completion::Certain,
+                false => Completion::Presumed,
+            };
+            guard.record_completion(digest, completion);
             return response.release_connection();
         }
         // The connections of an endpoint that crashes end as well.
         if !response.reservation.end_with_connection() {
-            guard.record_completion(digest);
+            guard.record_completion(digest, Completion::Presumed);
         } else if guard.is_watched(fingerprint) {
             let Reservation { id, incarnation, pool, .. } = &response.reservation;
             crash_check::start(&self.shared, id, *incarnation, pool);
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -35,7 +35,7 @@
     let shared = Arc::new(shared);
     tokio::spawn(crash_records::read(shared.clone(), store.clone()));
     tokio::spawn(crash_records::write(shared.clone(), store.clone(), records));
-    tokio::spawn(crash_records::publish_cleared_parts(shared.clone()));
+    tokio::spawn(crash_records::publish_cleared(shared.clone()));
     tokio::spawn(feed::follow_config(shared.clone()));
     tokio::spawn(feed::follow_members(shared.clone()));
     tokio::spawn(roster::follow(shared.clone(), store));
