A SIGHUP while a process starts no longer ends it

Cause: the signal ends a process that has no handler, and the handler was registered by a task that ran after the settings had been read and the listeners opened.

The handler is registered before the settings are read, and the signal then has them read again. The time of the file's last change is taken before the first read, so that no change is missed in between.

--- a/components/process/src/reload.rs
+++ b/components/process/src/reload.rs
@@ -6,7 +6,7 @@
 
 use events::{Event, emit};
 use serde::de::DeserializeOwned;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
 use crate::load_settings;
@@ -15,18 +15,18 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Reloads the settings file until every receiver of the settings is dropped. A file that can't be read or is invalid
-/// leaves the settings as they are.
+/// leaves the settings as they are. `last_modified` is from before the settings were read first.
 pub(crate) async fn follow<T: DeserializeOwned>(
     file: PathBuf,
+    mut last_modified: Option<SystemTime>,
+    mut hangup: Signal,
     settings: watch::Sender<Arc<T>>,
-) -> std::io::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
-    let mut last_modified = modified_at(&file);
+) {
     loop {
         let requested = tokio::select! {
             _ = hangup.recv() => true,
             () = tokio::time::sleep(POLL_INTERVAL) => false,
-            () = settings.closed() => return Ok(()),
+            () = settings.closed() => return,
         };
         let modified = modified_at(&file);
         if requested || modified != last_modified {
@@ -46,7 +46,8 @@
     }
 }
 
-fn modified_at(file: &Path) -> Option<SystemTime> {
+/// When the file was last changed, if it is there.
+pub(crate) fn modified_at(file: &Path) -> Option<SystemTime> {
     std::fs::metadata(file).and_then(|data| data.modified()).ok()
 }
 
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -1,6 +1,8 @@
 //! Starts a program: arguments, logs, metrics, signals and admin server.
 
+use std::fmt::Display;
 use std::future::Future;
+use std::io::Write;
 use std::num::NonZero;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -13,13 +15,14 @@
 use thiserror::Error;
 use timeline::{Kind, Recorder};
 use tokio::runtime::Runtime;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::admin::Admin;
 use crate::{
-    Args, Identity, IdleMeter, Shutdown, ShutdownPhase, StallDetector, StatusProvider,
-    load_settings, parse_args, reload,
+    Args, Identity, IdleMeter, Shutdown, ShutdownPhase, StallDetector,
+    StatusProvider, load_settings, parse_args, reload,
 };
 
 /// The exit code of a process that failed while running.
@@ -91,26 +94,41 @@
     B: FnOnce(SingleThreadProcess<T>) -> F,
     F: Future<Output = Result<(), StartError>>,
 {
-    launch(about, |settings: T, file| {
-        let idle_meter = Arc::new(IdleMeter::default());
-        let runtime = match measured_runtime(&idle_meter) {
-            Ok(runtime) => runtime,
+    let file = match settings_file::<T>(about) {
+        Ok(file) => file,
+        Err(code) => return code,
+    };
+    let idle_meter = Arc::new(IdleMeter::default());
+    let runtime = match measured_runtime(&idle_meter) {
+        Ok(runtime) => runtime,
+        Err(error) => return failure(&error),
+    };
+    runtime.block_on(async {
+        // Without a handler the signal ends the process, also while it starts.
+        let hangup = match signal(SignalKind::hangup()) {
+            Ok(hangup) => hangup,
             Err(error) => return failure(&error),
         };
-        let result = runtime.block_on(async {
+        let version = reload::modified_at(&file);
+        let settings: T = match load_settings(&file) {
+            Ok(settings) => settings,
+            Err(error) => return usage(&error),
+        };
+        let result = async {
             let program = about.split(':').next().unwrap_or(about);
             events::install(instance(&settings)).map_err(StartError::new)?;
             let shutdown = Shutdown::on_signals().map_err(StartError::new)?;
             events::emit(&Event::Started { program, version: env!("CARGO_PKG_VERSION") });
             let (sender, settings) = watch::channel(Arc::new(settings));
-            tokio::spawn(reload::follow(file, sender));
+            tokio::spawn(reload::follow(file, version, hangup, sender));
             let stall_detector = Arc::new(StallDetector::default());
             let detector = stall_detector.clone();
             tokio::spawn(async move { detector.run().await });
             let idle_meter = Some(idle_meter);
-            body(SingleThreadProcess { settings, stall_detector, idle_meter, shutdown }).await
-        });
-        match result {
+            let process = SingleThreadProcess { settings, stall_detector, idle_meter, shutdown };
+            body(process).await
+        };
+        match result.await {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => failure(&error),
         }
@@ -129,34 +147,33 @@
     B: FnOnce(T, Process) -> F,
     F: Future<Output = Result<(), StartError>>,
 {
-    launch(about, |settings: T, _| serve(settings, workers, identity, body))
+    let file = match settings_file::<T>(about) {
+        Ok(file) => file,
+        Err(code) => return code,
+    };
+    match load_settings(&file) {
+        Ok(settings) => serve(settings, workers, identity, body),
+        Err(error) => usage(&error),
+    }
 }
 
-/// Reads the arguments and the settings file, then calls `start` with the settings; other actions end here.
-fn launch<T: DeserializeOwned>(
-    about: &str,
-    start: impl FnOnce(T, PathBuf) -> ExitCode,
-) -> ExitCode {
-    let file = match parse_args(std::env::args_os()) {
+/// Reads the arguments, and returns the settings file that they name; other actions end here.
+fn settings_file<T: DeserializeOwned>(about: &str) -> Result<PathBuf, ExitCode> {
+    match parse_args(std::env::args_os()) {
         Ok(Args::Help) => {
             println!(
                 "{about}\n\nUsage: PROGRAM [--check-config] FILE\n       PROGRAM --help | --version"
             );
-            return ExitCode::SUCCESS;
+            Err(ExitCode::SUCCESS)
         }
         Ok(Args::Version) => {
             println!("hyssoplock {}", env!("CARGO_PKG_VERSION"));
-            return ExitCode::SUCCESS;
+            Err(ExitCode::SUCCESS)
         }
-        Ok(Args::Check(file)) => return check::<T>(&file),
-        Ok(Args::Run(file)) => file,
-        Err(error) => return usage(&error),
-    };
-    let settings: T = match load_settings(&file) {
-        Ok(settings) => settings,
-        Err(error) => return usage(&error),
-    };
-    start(settings, file)
+        Ok(Args::Check(file)) => Err(check::<T>(&file)),
+        Ok(Args::Run(file)) => Ok(file),
+        Err(error) => Err(usage(&error)),
+    }
 }
 
 fn serve<T, B, F>(settings: T, workers: Workers, identity: fn(&T) -> &Identity, body: B) -> ExitCode
@@ -242,15 +259,20 @@
 }
 
 fn usage(error: &dyn std::error::Error) -> ExitCode {
-    eprintln!("error: {error}");
+    print_error(error);
     ExitCode::from(EXIT_USAGE)
 }
 
 fn failure(error: &dyn std::error::Error) -> ExitCode {
-    eprintln!("error: {error}");
+    print_error(error);
     ExitCode::from(EXIT_FAILURE)
 }
 
+/// Prints an error where that is possible.
+fn print_error(error: impl Display) {
+    let _ = writeln!(std::io::stderr(), "error: {error}");
+}
+
 fn init_logs(identity: &Identity) {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
