A process whose settings file is not written yet waits for it

A router or loader that started while its settings file was empty, half written or not there ended with status 2.

Cause: any error of the file ended the process, also one that passes within moments. A file that can't be read, or whose syntax is not whole, is read again for ten seconds, with one line on standard error. A file that is whole and wrong ends the process at once, as before.

--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -6,6 +6,7 @@
 mod machine;
 mod metrics_server;
 mod reload;
+mod retry;
 mod settings;
 mod shutdown;
 mod stall;
--- a/components/process/src/settings.rs
+++ b/components/process/src/settings.rs
@@ -40,6 +40,13 @@
     },
 }
 
+impl SettingsError {
+    /// Whether the file may be valid in a moment, since it is still being written.
+    pub(crate) fn is_temporary(&self) -> bool {
+        matches!(self, Self::Unreadable { .. } | Self::Syntax { .. })
+    }
+}
+
 /// The settings that identify a process, and the address of its admin server.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -98,6 +105,9 @@
         Ok(value) => value,
         Err(cause) => return Err(SettingsError::Syntax { file, cause: cause.to_string() }),
     };
+    if value.is_null() {
+        return Err(SettingsError::Syntax { file, cause: "the file has no settings".to_owned() });
+    }
     serde_path_to_error::deserialize(value).map_err(|error| {
         let key = error.path().to_string();
         SettingsError::Value { file, key, cause: error.into_inner().to_string() }
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use events::Event;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -20,8 +21,9 @@
 use tokio::task::JoinHandle;
 
 use crate::admin::Admin;
+use crate::retry::retry;
 use crate::{
-    Args, Identity, IdleMeter, Shutdown, ShutdownPhase, StallDetector,
+    Args, Identity, IdleMeter, SettingsError, Shutdown, ShutdownPhase, StallDetector,
     StatusProvider, load_settings, parse_args, reload,
 };
 
@@ -30,6 +32,9 @@
 /// The exit code of a process whose command line or settings file is invalid.
 pub const EXIT_USAGE: u8 = 2;
 
+/// How long a process waits at its start for a settings file that is not there or not whole.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What a multi-threaded program shares with its tasks.
 #[derive(Debug, Clone)]
 pub struct Process {
@@ -110,7 +115,7 @@
             Err(error) => return failure(&error),
         };
         let version = reload::modified_at(&file);
-        let settings: T = match load_settings(&file) {
+        let settings: T = match wait_for_settings(&file).await {
             Ok(settings) => settings,
             Err(error) => return usage(&error),
         };
@@ -135,6 +140,15 @@
     })
 }
 
+/// Reads the settings file, and waits while it is not there or not whole: it may be written at this moment.
+async fn wait_for_settings<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsError> {
+    let report = |error: &SettingsError| {
+        print_error(format!("{error}; waiting for the file for {SETTINGS_TIMEOUT:?}"));
+    };
+    let read = async || load_settings(file);
+    retry(SETTINGS_TIMEOUT, read, SettingsError::is_temporary, report).await
+}
+
 /// Runs a multi-threaded server program: reads its arguments and settings file, starts the runtime, and runs the body.
 pub fn run<T, B, F>(
     about: &str,
--- a/programs/tests/start.rs
+++ b/programs/tests/start.rs
@@ -167,6 +167,24 @@
     process.wait_until_ready().await;
 }
 
+/// The platform writes the settings file while the process starts.
+#[rstest]
+#[tokio::test]
+async fn a_process_whose_settings_are_not_written_yet_waits_for_them(
+    #[values(Program::Router, Program::Loader)] program: Program,
+    #[values(None, Some(0), Some(40))] written_bytes: Option<usize>,
+) {
+    let mut process = Process::new(program).await;
+    if let Some(bytes) = written_bytes {
+        process.write_settings(&process.settings()[..bytes]);
+    }
+    process.start();
+    tokio::time::sleep(DELAY).await;
+    process.assert_runs();
+    process.write_settings(&process.settings());
+    process.wait_until_ready().await;
+}
+
 /// Settings that are whole and wrong don't become right by themselves.
 #[rstest]
 #[tokio::test]
