A process whose address is in use or not there yet waits for it

A router or loader ended with status 1 if one of its ports was in use when it started, for instance by a predecessor that had not ended yet, or if its address was not there yet.

Cause: a failure to bind ended the process. It ends as planned if it is asked to end while it waits.

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -175,6 +175,7 @@
         | Event::AcceptFailing { .. }
         | Event::AcceptRecovered
         | Event::Started { .. }
+        | Event::StartDelayed { .. }
         | Event::Stopping { .. }
         | Event::Stopped { .. }
         | Event::Reloaded { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -21,6 +21,11 @@
         /// The version of the program.
         version: &'a str,
     },
+    /// The process can't listen yet and waits, for example because another process has the address.
+    StartDelayed {
+        /// The error.
+        cause: &'a str,
+    },
     /// The process was asked to shut down.
     Stopping {
         /// Requests in flight.
@@ -658,6 +663,7 @@
         match self {
             Self::Refused { .. }
             | Self::BodiesTooLarge { .. }
+            | Self::StartDelayed { .. }
             | Self::AcceptFailing { .. }
             | Self::DependencyLost { .. }
             | Self::EndpointPaused { .. }
--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod args;
 mod idle;
+mod listen;
 mod machine;
 mod metrics_server;
 mod reload;
@@ -15,6 +16,7 @@
 pub use admin::StatusProvider;
 pub use args::{Args, ArgsError, parse_args};
 pub use idle::{IdleMeter, IdleReading, processor_time};
+pub use listen::listen;
 pub use machine::MachineLimits;
 pub use metrics_server::serve_metrics;
 pub use settings::{Identity, SettingsError, load_settings, parse_settings};
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -124,6 +124,7 @@
             events::install(instance(&settings)).map_err(StartError::new)?;
             let shutdown = Shutdown::on_signals().map_err(StartError::new)?;
             events::emit(&Event::Started { program, version: env!("CARGO_PKG_VERSION") });
+            let stopping = shutdown.clone();
             let (sender, settings) = watch::channel(Arc::new(settings));
             tokio::spawn(reload::follow(file, version, hangup, sender));
             let stall_detector = Arc::new(StallDetector::default());
@@ -131,7 +132,11 @@
             tokio::spawn(async move { detector.run().await });
             let idle_meter = Some(idle_meter);
             let process = SingleThreadProcess { settings, stall_detector, idle_meter, shutdown };
-            body(process).await
+            match body(process).await {
+                // What could not be started need not be.
+                Err(_) if stopping.phase() != ShutdownPhase::Run => Ok(()),
+                result => result,
+            }
         };
         match result.await {
             Ok(()) => ExitCode::SUCCESS,
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -22,10 +22,11 @@
 /// Runs the router until the process is asked to end and its requests are done.
 pub async fn run(process: SingleThreadProcess<Settings>) -> Result<(), StartError> {
     let settings = process.settings.borrow().clone();
-    let callers = web::bind_public(settings.callers, capacity::RECEIVE_BUFFER_BYTES)
-        .map_err(StartError::new)?;
-    let readiness = web::bind(settings.ready).await.map_err(StartError::new)?;
-    let control = web::bind(settings.control).await.map_err(StartError::new)?;
+    let bind_callers = async || web::bind_public(settings.callers, capacity::RECEIVE_BUFFER_BYTES);
+    let shutdown = &process.shutdown;
+    let callers = process::listen(shutdown, bind_callers).await?;
+    let readiness = process::listen(shutdown, async || web::bind(settings.ready).await).await?;
+    let control = process::listen(shutdown, async || web::bind(settings.control).await).await?;
     if let Some(addr) = settings.metrics {
         process::serve_metrics(addr).await?;
     }
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +31,13 @@
     cause: std::io::Error,
 }
 
+impl BindError {
+    /// Whether the address may be free in a moment: a process that has just ended had it, or the network is not up yet.
+    pub fn is_temporary(&self) -> bool {
+        matches!(self.cause.kind(), ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable)
+    }
+}
+
 /// The version of HTTP that a server speaks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Protocol {
--- a/programs/tests/start.rs
+++ b/programs/tests/start.rs
@@ -198,3 +198,40 @@
     assert_eq!(process.wait_for_exit().await.code(), Some(2));
     assert!(start.elapsed() < Duration::from_secs(3));
 }
+
+/// A process that has just been ended, or another program, still has the port.
+#[rstest]
+#[case::callers(Program::Router, 8000)]
+#[case::ready(Program::Router, 8001)]
+#[case::control(Program::Router, 8002)]
+#[case::loader(Program::Loader, 8001)]
+#[tokio::test]
+async fn a_process_whose_port_is_in_use_for_a_moment_waits_for_it(
+    #[case] program: Program,
+    #[case] port: u16,
+) {
+    let mut process = Process::new(program).await;
+    process.write_settings(&process.settings());
+    let holder = TcpListener::bind(process.addr(port)).expect("a free port");
+    process.start();
+    tokio::time::sleep(DELAY).await;
+    process.assert_runs();
+    drop(holder);
+    process.wait_until_ready().await;
+    assert!(process.stop().await.success());
+}
+
+/// The network of the machine is not up yet.
+#[rstest]
+#[tokio::test]
+async fn a_process_whose_address_is_not_there_yet_waits_for_it_until_it_is_stopped(
+    #[values(Program::Router, Program::Loader)] program: Program,
+) {
+    let mut process = Process::new(program).await;
+    // An address for documentation, which no machine has.
+    process.write_settings(&process.settings().replace(&process.ip, "192.0.2.1"));
+    process.start();
+    tokio::time::sleep(DELAY).await;
+    process.assert_runs();
+    assert!(process.stop().await.success());
+}
