A port for metrics that is in use no longer ends a process

A router or loader ended with status 1 if another program had its port for metrics. The templates have fixed ports, which exporters of other tools use too.

Cause: a failure to serve metrics was a failure to start. The process now runs without metrics, says so in one line (`metrics-unavailable`) and tries again each second.

The test holds the port: router and loader ended before; now they serve, and the metrics are there once the port is free.

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -176,6 +176,7 @@
         | Event::AcceptRecovered
         | Event::Started { .. }
         | Event::StartDelayed { .. }
+        | Event::MetricsUnavailable { .. }
         | Event::Stopping { .. }
         | Event::Stopped { .. }
         | Event::Reloaded { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -26,6 +26,11 @@
         /// The error.
         cause: &'a str,
     },
+    /// Metrics can't be served yet; the process runs without them.
+    MetricsUnavailable {
+        /// The error.
+        cause: &'a str,
+    },
     /// The process was asked to shut down.
     Stopping {
         /// Requests in flight.
@@ -664,6 +669,7 @@
             Self::Refused { .. }
             | Self::BodiesTooLarge { .. }
             | Self::StartDelayed { .. }
+            | Self::MetricsUnavailable { .. }
             | Self::AcceptFailing { .. }
             | Self::DependencyLost { .. }
             | Self::EndpointPaused { .. }
--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -26,7 +26,7 @@
     let bind = async || web::bind(settings.listen).await;
     let listener = process::listen(&process.shutdown, bind).await?;
     if let Some(addr) = settings.metrics {
-        process::serve_metrics(addr).await?;
+        process::serve_metrics(addr);
     }
     let (commands, command_receiver) = mpsc::channel(COMMAND_QUEUE_LENGTH);
     let (state, state_receiver) = watch::channel(EndpointState {
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -28,7 +28,7 @@
     let readiness = process::listen(shutdown, async || web::bind(settings.ready).await).await?;
     let control = process::listen(shutdown, async || web::bind(settings.control).await).await?;
     if let Some(addr) = settings.metrics {
-        process::serve_metrics(addr).await?;
+        process::serve_metrics(addr);
     }
     let (shared, records) = Shared::new(&process);
     // All tasks share one client, since it tracks the era of the store on behalf of all calls.
--- a/programs/tests/start.rs
+++ b/programs/tests/start.rs
@@ -235,3 +235,23 @@
     process.assert_runs();
     assert!(process.stop().await.success());
 }
+
+/// Exporters of other programs use the same port for metrics.
+#[rstest]
+#[tokio::test]
+async fn a_process_whose_port_for_metrics_is_in_use_serves_without_metrics(
+    #[values(Program::Router, Program::Loader)] program: Program,
+) {
+    let mut process = Process::new(program).await;
+    process.write_settings(&process.settings());
+    let holder = TcpListener::bind(process.addr(9464)).expect("a free port");
+    process.start();
+    process.wait_until_ready().await;
+    drop(holder);
+    let start = Instant::now();
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    while exchange(process.addr(9464), text.as_bytes()).await.is_none() {
+        assert!(start.elapsed() < TIMEOUT, "metrics are not served once the port is free");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
