--- a/components/loader/src/run.rs
+++ b/components/loader/src/run.rs
@@ -23,8 +23,7 @@
 /// Runs a loader until the process is asked to shut down.
 pub async fn run(process: SingleThreadProcess<Settings>) -> Result<(), StartError> {
     let settings = process.settings.borrow().clone();
-    let bind = async || web::bind(settings.listen).await;
-    let listener = process::listen(&process.shutdown, bind).await?;
+    let listener = process::listen(&process.shutdown, || web::bind(settings.listen)).await?;
     if let Some(addr) = settings.metrics {
         process::serve_metrics(addr);
     }
--- a/components/process/src/listen.rs
+++ b/components/process/src/listen.rs
@@ -12,10 +12,10 @@
 const ADDRESS_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Opens a listener. Waits while its address is in use or not there yet, unless the process is asked to end.
-pub async fn listen(
-    shutdown: &Shutdown,
-    bind: impl AsyncFnMut() -> Result<Listener, BindError>,
-) -> Result<Listener, StartError> {
+pub async fn listen<F>(shutdown: &Shutdown, bind: impl FnMut() -> F) -> Result<Listener, StartError>
+where
+    F: Future<Output = Result<Listener, BindError>>,
+{
     let report = |error: &BindError| emit(&Event::StartDelayed { cause: &error.to_string() });
     tokio::select! {
         listener = retry(ADDRESS_TIMEOUT, bind, BindError::is_temporary, report) => {
--- a/components/process/src/retry.rs
+++ b/components/process/src/retry.rs
@@ -9,12 +9,15 @@
 
 /// Attempts something until it succeeds, fails with an error that is not temporary, or has failed for as long as `timeout`. The first
 /// temporary error is reported.
-pub(crate) async fn retry<T, E>(
+pub(crate) async fn retry<T, E, F>(
     timeout: Duration,
-    mut attempt: impl AsyncFnMut() -> Result<T, E>,
+    mut attempt: impl FnMut() -> F,
     is_temporary: impl Fn(&E) -> bool,
     report: impl FnOnce(&E),
-) -> Result<T, E> {
+) -> Result<T, E>
+where
+    F: Future<Output = Result<T, E>>,
+{
     let start = Instant::now();
     let mut report = Some(report);
     loop {
--- a/components/process/src/retry/tests.rs
+++ b/components/process/src/retry/tests.rs
@@ -10,7 +10,7 @@
 async fn fail(errors: impl IntoIterator<Item = u32>) -> (Result<(), u32>, Vec<u32>) {
     let mut errors = errors.into_iter();
     let mut reported = Vec::new();
-    let attempt = async || errors.next().map_or(Ok(()), Err);
+    let attempt = || std::future::ready(errors.next().map_or(Ok(()), Err));
     let result = retry(TIMEOUT, attempt, |error| *error > 0, |error| reported.push(*error)).await;
     (result, reported)
 }
--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -150,7 +150,7 @@
     let report = |error: &SettingsError| {
         print_error(format!("{error}; waiting for the file for {SETTINGS_TIMEOUT:?}"));
     };
-    let read = async || load_settings(file);
+    let read = || std::future::ready(load_settings(file));
     retry(SETTINGS_TIMEOUT, read, SettingsError::is_temporary, report).await
 }
 
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -25,8 +25,8 @@
     let bind_callers = async || web::bind_public(settings.callers, capacity::RECEIVE_BUFFER_BYTES);
     let shutdown = &process.shutdown;
     let callers = process::listen(shutdown, bind_callers).await?;
-    let readiness = process::listen(shutdown, async || web::bind(settings.ready).await).await?;
-    let control = process::listen(shutdown, async || web::bind(settings.control).await).await?;
+    let readiness = process::listen(shutdown, || web::bind(settings.ready)).await?;
+    let control = process::listen(shutdown, || web::bind(settings.control)).await?;
     if let Some(addr) = settings.metrics {
         process::serve_metrics(addr);
     }
