An answer whose status ends no exchange is no answer

Callers got an endpoint's 101, 600, 700, 799 and 999 as its answer, with its signature; with `Not-Executed` an unsafe request was sent on after one. An order with such an answer counted as refused. (000, 099, 1000, letters and the like are refused by the client library.)

Cause: the library that reads HTTP accepts any three digits, and 101 as the end of an exchange, and nothing behind it asked whether the status can be one. One function does now, for the answers to callers' requests, to all calls between processes, endpoints and store, and to those of the agent.

--- a/components/edge/src/streaming.rs
+++ b/components/edge/src/streaming.rs
@@ -59,6 +59,10 @@
     address(addr, &mut request);
     let answer = timeout(idle, sender.send_request(request)).await;
     let response = answer.map_err(|_| StreamError::Silent { addr, idle })?.map_err(broken)?;
+    if !web::is_final_status(response.status()) {
+        let cause = format!("{} is no status that ends a call", response.status());
+        return Err(StreamError::Broken { addr, cause });
+    }
     allowance.renew();
     Ok(response.map(|body| watched(addr, body, idle, allowance)))
 }
--- a/components/edge/tests/garbage.rs
+++ b/components/edge/tests/garbage.rs
@@ -95,6 +95,20 @@
     wait_closed(closed).await;
 }
 
+/// An endpoint's answer with such a status was passed on as its own.
+#[rstest]
+#[tokio::test]
+async fn an_answer_whose_status_ends_no_call_fails_the_call(
+    #[values("000", "101", "600", "999")] status: &str,
+    #[values("/badges", "/v1/completions")] path: &str,
+) {
+    let start = format!("HTTP/1.1 {status} Own\r\nContent-Length: 0\r\n\r\n");
+    let (addr, _) = peer(start, " ", true).await;
+    let request = Request::post(path).body(web::full("{}")).expect("a request");
+    let answer = HttpEndpoint::new(addr).with_idle(IDLE).call(&id(), request).await;
+    assert!(matches!(answer, Err(EndpointError::Unknown(_))), "{answer:?}");
+}
+
 /// Reads the answer until it ends or breaks off.
 async fn read_answer(addr: SocketAddr) -> (StatusCode, bool) {
     let request = Request::post("/badges").body(web::full("{}")).expect("a request");
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -498,7 +498,7 @@
             }
             ResponseKind::Untrusted => {
                 drop(response);
-                match self.interrupted(id, "the response belongs to another request") {
+                match self.interrupted(id, "the response does not answer the request") {
                     Ok(()) => Verdict::Retry,
                     Err(failure) => Verdict::Failed(failure),
                 }
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -131,6 +131,10 @@
             let response =
                 self.inner.request(request).await.map_err(|error| transport_error(addr, &error))?;
             let (head, body) = response.into_parts();
+            if !is_final_status(head.status) {
+                let cause = format!("{} is no status that ends a call", head.status);
+                return Err(CallError::InvalidResponse { addr, cause });
+            }
             let allowance = head.extensions.get::<ReadAllowance>();
             let renew = || allowance.into_iter().for_each(ReadAllowance::renew);
             renew();
@@ -212,6 +216,12 @@
     }
 }
 
+/// Whether a response with this status is the answer to its request. Interim statuses are not, among them one that switches protocols,
+/// which nobody asks for; HTTP defines none from 600 on.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn build(
     addr: SocketAddr,
     method: Method,
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -15,7 +15,7 @@
 pub use body::{Body, BodyError, empty, full, json, read, read_within, text};
 pub use budget::{BodyBuffer, BufferFull, ByteBudget, ReservedBytes};
 pub use channel::{BodyWriter, Closed, channel, channel_within};
-pub use client::{CallError, Client};
+pub use client::{CallError, Client, is_final_status};
 pub use connector::LimitedConnector;
 pub use framing::Framing;
 pub use limit::{LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
