Requests that can't be finished before a planned stop are refused, and the rest is answered

In a planned stop requests that arrived whole late in the grace were passed on and cut without an answer when the process ended, also requests that may run once only. A stream to a caller without chunks ended like a complete one.

Cause: requests were accepted by when their connection was, and the end of the process cut what was left.

Once the router accepts no connections, a request is sent only if its caller doesn't wait beyond the end; else 503, and it may come back at once, to another router. Half a second before the end of the grace what is left gets 504 if it may have run and 503 if not, and streams are broken off so that callers see it.

--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -1,6 +1,7 @@
 //! A request that is being served: to which endpoint it is sent, and whether it may be retried.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use catalog::{Catalog, Route};
@@ -99,6 +100,8 @@
     pub(crate) charge: Option<Charge>,
     /// The permit of the crash guard to send the request.
     pub(crate) permit: Option<SendPermit>,
+    /// Whether the request is at an endpoint or may have run, for whoever ends its handling.
+    pub(crate) may_have_run: Arc<AtomicBool>,
 }
 
 impl InFlightRequest {
@@ -137,6 +140,9 @@
                 // The key may have been revoked while the request waited.
                 return Err(access::stale_keys_failure(&self.shared));
             }
+            if self.runs == 0 && self.shared.ends_before(self.deadline) {
+                return Err(self.failure(Refusal::Stopping, Some(Duration::ZERO)));
+            }
             reservation.release_place();
             let id = reservation.id.clone();
             self.incarnation = reservation.incarnation;
@@ -287,6 +293,7 @@
     /// have run are never refunded.
     fn set_spent(&mut self, sent: bool) {
         let spent = sent || self.runs > 0;
+        self.may_have_run.store(spent, Ordering::Relaxed);
         if let Some(charge) = &mut self.charge {
             charge.spent = spent;
         }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -18,6 +18,9 @@
 /// The longest body of a response that is not passed on but read, for the sake of its connection.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
+/// Why a response is broken off that is not complete when the process ends.
+pub(crate) const STOP_CAUSE: &str = "the router must end";
+
 /// What is logged of a request.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestLog {
@@ -189,16 +192,23 @@
     /// Passes on the parts that were read and those that follow, as fast as the caller takes them
     /// and until the deadline of the request.
     async fn pass_on(mut self, request: InFlightRequest, start: [Bytes; 2]) {
-        let passed = tokio::time::timeout_at(request.deadline, self.pass_parts(start)).await;
-        let whole = matches!(passed, Ok(Ok(PassedOn::Whole)));
+        let passed = tokio::select! {
+            biased;
+            passed = self.pass_parts(start) => passed,
+            () = tokio::time::sleep_until(request.deadline) => {
+                Ok(PassedOn::Ended("the deadline of the request has passed"))
+            }
+            () = request.shared.answers_due() => Ok(PassedOn::Ended(STOP_CAUSE))
+        };
+        let whole = matches!(passed, Ok(PassedOn::Whole));
         let cause = match passed {
-            Ok(Ok(PassedOn::CallerLeft)) => return self.log.log_caller_left(),
-            Ok(Ok(PassedOn::Whole)) => None,
-            Ok(Err(cause)) => {
+            Ok(PassedOn::CallerLeft) => return self.log.log_caller_left(),
+            Ok(PassedOn::Whole) => None,
+            Ok(PassedOn::Ended(cause)) => Some(cause.to_owned()),
+            Err(cause) => {
                 request.record_interruption(&self.response.reservation.id, &cause);
                 Some(cause)
             }
-            Err(_) => Some("the deadline of the request has passed".to_owned()),
         };
         let framing = self.response.framing();
         let end = ResponseEnd { framing, tail_bytes: 0, whole };
@@ -241,4 +251,6 @@
 enum PassedOn {
     Whole,
     CallerLeft,
+    /// The router ended it, for this cause.
+    Ended(&'static str),
 }
--- a/components/router/src/request.rs
+++ b/components/router/src/request.rs
@@ -1,7 +1,7 @@
 //! Handles one request of a caller.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use admission::ConnectionId;
@@ -98,15 +98,22 @@
     let (parts, mut body) = request.into_parts();
     // Such a caller sends the body only once it is asked for it.
     let is_sent = !parts.headers.contains_key(header::EXPECT);
-    let received = receive(&shared, connection, parts, &mut body, &mut guard.request_log).await;
+    let received = receive(&shared, connection, parts, &mut body, &mut guard.request_log);
+    let received = until_answers_due(&shared, received, || failure_at_stop(false)).await;
     let mut closes = false;
     let response = match received {
         // Most of the memory of a request is needed only once its body has arrived.
-        Ok(received) => Box::pin(received.serve(&shared, caller, &guard.request_log)).await,
+        Ok(received) => {
+            let may_have_run = Arc::new(AtomicBool::new(false));
+            let log = &guard.request_log;
+            let served = Box::pin(received.serve(&shared, caller, log, may_have_run.clone()));
+            let ran = || may_have_run.load(Ordering::Relaxed);
+            until_answers_due(&shared, served, || failure_at_stop(ran())).await
+        }
         Err(failure) => {
             closes = is_body_cut(&failure);
             // What has stalled is not waited for.
-            if is_sent && !matches!(failure.cause, Refusal::Stalled | Refusal::TimedOut) {
+            if is_sent && !is_stalled(failure.cause) {
                 discard_rest(&shared, body);
             }
             Err(failure)
@@ -124,10 +131,38 @@
     response
 }
 
+/// Ends the handling of a request when all answers are due, since the process is about to end.
+async fn until_answers_due<T>(
+    shared: &Shared,
+    handled: impl Future<Output = Result<T, Failure>>,
+    at_stop: impl FnOnce() -> Failure,
+) -> Result<T, Failure> {
+    tokio::select! {
+        biased;
+        result = handled => result,
+        () = shared.answers_due() => Err(at_stop())
+    }
+}
+
+/// What the caller of a request gets that is not done when the process ends.
+fn failure_at_stop(may_have_run: bool) -> Failure {
+    if may_have_run {
+        return failure(StatusCode::GATEWAY_TIMEOUT, Refusal::Stopping, None);
+    }
+    failure(StatusCode::SERVICE_UNAVAILABLE, Refusal::Stopping, Some(Duration::ZERO))
+}
+
 /// Whether a request was refused while its body arrived.
 fn is_body_cut(failure: &Failure) -> bool {
-    matches!(failure.cause, Refusal::NoMemory | Refusal::Stalled | Refusal::TimedOut)
-        || failure.status == StatusCode::PAYLOAD_TOO_LARGE
+    matches!(
+        failure.cause,
+        Refusal::NoMemory | Refusal::Stalled | Refusal::TimedOut | Refusal::Stopping
+    ) || failure.status == StatusCode::PAYLOAD_TOO_LARGE
+}
+
+/// Whether a body that was cut for this cause arrives too slowly to be waited for.
+fn is_stalled(cause: Refusal) -> bool {
+    matches!(cause, Refusal::Stalled | Refusal::TimedOut | Refusal::Stopping)
 }
 
 /// Reads what is left of a body, so that its caller gets the response: closing a connection on which bytes are unread resets it.
@@ -225,6 +260,7 @@
         shared: &Arc<Shared>,
         caller: CallerConnection,
         request_log: &RequestLog,
+        may_have_run: Arc<AtomicBool>,
     ) -> Result<Response<Body>, Failure> {
         let Self { mut parts, call, body, catalog, route, identity, .. } = self;
         let (service, deadline, send_by) = (&self.service, self.deadline, self.send_by);
@@ -301,6 +337,7 @@
             identity,
             charge,
             permit: None,
+            may_have_run,
         };
         let response = in_flight.fetch_response(None).await?;
         if in_flight.route.kind.streams() && response.head.status.is_success() {
--- a/components/router/src/serve.rs
+++ b/components/router/src/serve.rs
@@ -33,6 +33,8 @@
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2_700);
 /// How long before it would be killed the process ends.
 const KILL_MARGIN: Duration = Duration::from_millis(250);
+/// How long before the process ends the requests that are left are answered, so that the answers are written by then.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
 /// Serves callers until the process is asked to end and its requests are done.
 pub(crate) async fn run(shared: Arc<Shared>, mut listener: Acceptor) {
@@ -58,7 +60,11 @@
             }
             Some(_) = connections.join_next() => {}
             () = &mut drain, if accept_deadline.is_none() => {
-                accept_deadline = Some(Instant::now() + BALANCER_DRAIN_TIME);
+                let now = Instant::now();
+                let Span(grace) = shared.settings.borrow().grace;
+                let time_left = grace.saturating_sub(KILL_MARGIN + ANSWER_MARGIN);
+                shared.answers_due.send_replace(Some(now + time_left));
+                accept_deadline = Some(now + BALANCER_DRAIN_TIME);
             }
             () = tokio::time::sleep_until(deadline), if accept_deadline.is_some() => break
         }
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -108,6 +108,8 @@
     /// Whether the router is ending and accepts no connections any more: requests that have no
     /// endpoint by then are refused.
     pub(crate) closing: watch::Sender<bool>,
+    /// When all callers must have their answers, once the router is ending: the process ends shortly after.
+    pub(crate) answers_due: watch::Sender<Option<Instant>>,
     start_state: watch::Sender<StartState>,
     pub(crate) stale_feeds: watch::Sender<StaleFeeds>,
     /// Number of requests in flight.
@@ -149,6 +151,21 @@
 }
 
 impl Shared {
+    /// Waits until all callers must have their answers, since the process is about to end.
+    pub(crate) async fn answers_due(&self) {
+        let mut due = self.answers_due.subscribe();
+        let at = due.wait_for(Option::is_some).await.ok().and_then(|due| *due);
+        match at {
+            Some(at) => tokio::time::sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Whether the router accepts no connections any more, and callers must have their answers before this time.
+    pub(crate) fn ends_before(&self, time: Instant) -> bool {
+        *self.closing.borrow() && self.answers_due.borrow().is_some_and(|due| due < time)
+    }
+
     /// Creates the shared state, and the queue of records that the crash guard wants written to
     /// the store.
     pub(crate) fn new(
@@ -167,6 +184,7 @@
             endpoints: EndpointRegistry::default(),
             shutdown: process.shutdown.clone(),
             closing: watch::Sender::new(false),
+            answers_due: watch::Sender::new(None),
             start_state: watch::Sender::new(StartState::Reading),
             stale_feeds: watch::Sender::new(StaleFeeds::default()),
             in_flight: AtomicUsize::new(0),
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -14,7 +14,7 @@
 use crate::exchange::EndpointResponse;
 use crate::held_events::HeldEvents;
 use crate::in_flight::InFlightRequest;
-use crate::relay::{RequestLog, ResponseEnd, ResponseTiming};
+use crate::relay::{RequestLog, ResponseEnd, ResponseTiming, STOP_CAUSE};
 
 /// A stream that can be resumed at another endpoint has stalled when nothing came for the event
 /// timeout of its route divided by this.
@@ -167,22 +167,65 @@
     request_log: RequestLog,
 ) {
     let status = response.head.status.as_u16();
+    let shared = request.shared.clone();
+    let at_stop = ResponseEnd { framing: response.framing(), tail_bytes: 0, whole: false };
+    let mut timing = ResponseTiming::default();
+    let ended = tokio::select! {
+        biased;
+        ended = forward_events(&mut request, response, &writer, &mut timing) => ended,
+        () = shared.answers_due() => StreamEnd::BrokenOff(STOP_CAUSE.to_owned(), at_stop)
+    };
+    let (cause, end) = match ended {
+        StreamEnd::CallerLeft => return request_log.log_caller_left(),
+        StreamEnd::Complete(source) => {
+            let _ = writer.finish().await;
+            request.finish_stream();
+            request_log.log_response(status, &timing, source.response_end(true));
+            let paused = timing.longest_gap > request.route.max_pause;
+            shared.endpoints.record_stream(paused);
+            return request.complete(source.response);
+        }
+        StreamEnd::BrokenOff(cause, end) => (cause, end),
+    };
+    request_log.log_response(status, &timing, end);
+    if request.version < Version::HTTP_11 {
+        // Without chunks, only a reset tells the caller that the response is cut.
+        request.caller.reset_on_close();
+    }
+    writer.abort(std::io::Error::other(cause)).await;
+}
+
+/// How a stream ended.
+enum StreamEnd {
+    /// All that its last response has was passed on.
+    Complete(Box<StreamSource>),
+    CallerLeft,
+    /// It was broken off for this cause; its last response ended like this.
+    BrokenOff(String, ResponseEnd),
+}
+
+/// Passes events on until the stream ends.
+async fn forward_events(
+    request: &mut InFlightRequest,
+    response: EndpointResponse,
+    writer: &BodyWriter,
+    timing: &mut ResponseTiming,
+) -> StreamEnd {
     let resumable = request.route.kind.repeatable();
     let mut source =
         StreamSource::new(response, request.call.last_event, &request.shared.held_responses);
-    let mut timing = ResponseTiming::default();
-    let (cause, end) = loop {
+    loop {
         let can_resume = source.can_resume() && request.version_is_known();
         let elsewhere = resumable && can_resume && request.runs < request.route.attempts;
         let time_limit = elsewhere.then(|| request.route.event_timeout / STALL_DIVISOR);
-        let mut read = source.read(&writer, time_limit, request.deadline).await;
+        let mut read = source.read(writer, time_limit, request.deadline).await;
         // A long prompt of another request stalls the stream as well. The search is only worth a
         // retry if another endpoint can resume the stream before the caller leaves.
         if matches!(read, StreamRead::Stalled)
             && !request.doubts_origin().await
             && request.may_move(source.endpoint(), request.route.event_timeout / 2)
         {
-            match search_elsewhere(&mut request, &mut source, &writer).await {
+            match search_elsewhere(request, &mut source, writer).await {
                 Search::Resumed(next) => {
                     source = *next;
                     continue;
@@ -191,22 +234,22 @@
             }
         }
         let cause = match read {
-            StreamRead::CallerLeft => return request_log.log_caller_left(),
+            StreamRead::CallerLeft => return StreamEnd::CallerLeft,
             StreamRead::DeadlinePassed => {
                 let cause = "the deadline of the request has passed".to_owned();
-                break (cause, source.response_end(false));
+                return StreamEnd::BrokenOff(cause, source.response_end(false));
             }
             StreamRead::Data(data) => {
                 let ready = source.push(data, resumable);
                 if ready.is_empty() {
                     continue;
                 }
-                if let Err(cause) = source.admit(&mut request).await {
-                    break (cause.to_owned(), source.response_end(false));
+                if let Err(cause) = source.admit(request).await {
+                    return StreamEnd::BrokenOff(cause.to_owned(), source.response_end(false));
                 }
                 timing.record_chunk();
                 if writer.send(ready).await.is_err() {
-                    return request_log.log_caller_left();
+                    return StreamEnd::CallerLeft;
                 }
                 continue;
             }
@@ -216,14 +259,7 @@
                 if !rest.is_empty() {
                     let _ = writer.send(rest).await;
                 }
-                let _ = writer.finish().await;
-                request.finish_stream();
-                request_log.log_response(status, &timing, source.response_end(true));
-                request
-                    .shared
-                    .endpoints
-                    .record_stream(timing.longest_gap > request.route.max_pause);
-                return request.complete(source.response);
+                return StreamEnd::Complete(Box::new(source));
             }
             StreamRead::Stalled => continue,
             StreamRead::Interrupted(cause) => cause,
@@ -234,20 +270,14 @@
         let last_event = source.events.splitter.last_id();
         drop(source);
         let resumed = tokio::select! {
-            resumed = resume_interrupted(&mut request, &id, &cause, can_resume, last_event) => resumed,
-            () = writer.closed() => return request_log.log_caller_left()
+            resumed = resume_interrupted(request, &id, &cause, can_resume, last_event) => resumed,
+            () = writer.closed() => return StreamEnd::CallerLeft
         };
         match resumed {
             Some(next) => source = next,
-            None => break (cause, end),
+            None => return StreamEnd::BrokenOff(cause, end),
         }
-    };
-    request_log.log_response(status, &timing, end);
-    if request.version < Version::HTTP_11 {
-        // Without chunks, only a reset tells the caller that the response is cut.
-        request.caller.reset_on_close();
     }
-    writer.abort(std::io::Error::other(cause)).await;
 }
 
 /// Result of the search for another endpoint while a stream stalls.
