A router that nobody answers does not take its list for current

During a release a router was cut off from the store and from the loaders at the moment at which endpoints of a new version were listed.

Cause: no keeper answered, and the router decided by its list, which showed one version. That the list was cut off as well shows only after the time-out of a read.

If keepers were asked and none answered, the records in the store are read, and the list decides only if the store answers; else the request is refused with 503 and a time.

--- a/components/origin/src/decision.rs
+++ b/components/origin/src/decision.rs
@@ -312,12 +312,14 @@
     fn saw_all_versions(&self) -> bool {
         // Without a keeper to ask, a stale list is the best evidence that there is.
         let is_current = !self.list_is_stale || self.asked == 0;
+        // What cuts the router off from the keepers may cut it off from the store, which takes a moment to show.
+        let in_touch = self.asked == 0 || !self.answers.is_empty() || self.records.is_some();
         let past = self.knows_past_versions || self.watched >= VERSION_MEMORY;
         let kept = self.answers.iter().any(|answer| answer.watched >= VERSION_MEMORY);
         // A keeper has been told of streams at versions that appeared while it ran.
         let unknown = if past { self.list_age.min(VERSION_MEMORY) } else { VERSION_MEMORY };
         let told = self.answers.iter().filter(|answer| answer.kept >= unknown);
-        past && is_current || kept || 2 * told.count() > self.asked
+        past && is_current && in_touch || kept || 2 * told.count() > self.asked
     }
 }
 
--- a/components/origin/src/decision/tests.rs
+++ b/components/origin/src/decision/tests.rs
@@ -88,6 +88,29 @@
     assert_eq!(decide(&ResumptionFacts { list_is_stale, ..facts(&services, seen) }), expected);
 }
 
+/// What cuts a router off from the keepers may have cut it off from the store as well, a moment ago.
+#[rstest]
+#[case::no_keeper_answers(2, 0, None, UNREAD)]
+#[case::no_keeper_answers_and_the_store_does(
+    2,
+    0,
+    Some(ReadRecords::default()),
+    at("v1", Source::OnlyVersion)
+)]
+#[case::a_keeper_answers(2, 1, None, at("v1", Source::OnlyVersion))]
+#[case::there_are_no_keepers(0, 0, None, at("v1", Source::OnlyVersion))]
+fn one_listed_version_is_the_only_one_while_somebody_answers(
+    #[case] asked: usize,
+    #[case] answered: usize,
+    #[case] records: Option<ReadRecords>,
+    #[case] expected: Decision,
+) {
+    let services = [name("s")];
+    let answers = vec![answer(Lookup::Unknown, &["v1"], YOUNG); answered];
+    let facts = ResumptionFacts { asked, answers, records, ..facts(&services, &["v1"]) };
+    assert_eq!(decide(&facts), expected);
+}
+
 #[test]
 fn streams_of_unknown_origin_go_on_nowhere_beside_unknown_versions() {
     let services = [name("s")];
--- a/components/router/src/resumption.rs
+++ b/components/router/src/resumption.rs
@@ -326,7 +326,8 @@
     let mut software = table.software_of(service, Instant::now());
     let told = answers.answers.iter().flat_map(|answer| &answer.versions);
     software.versions.extend(told.cloned());
-    !table.knows_past_versions || software.several()
+    let unheard = answers.asked > 0 && answers.answers.is_empty();
+    !table.knows_past_versions || software.several() || unheard
 }
 
 /// The version that began the streams of a service that nobody knows, if this router has seen the other versions appear with new
