A server's idle time that can't be computed no longer ends its request

Cause: the time at which the connection expires is later than a time can be. An idle time over an hour counts as an hour.

--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -24,6 +24,8 @@
 
 /// Idle time after which a connection is closed if the server states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest stated idle time that is believed; no time can be computed that is much later.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Fraction of the stated idle time that is used, since the server counts from another moment.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.75;
 
@@ -255,7 +257,7 @@
         seconds.parse::<u64>().ok()
     });
     stated.map_or(DEFAULT_IDLE_TIMEOUT, |seconds| {
-        Duration::from_secs(seconds).mul_f64(IDLE_TIMEOUT_FRACTION)
+        Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_FRACTION)
     })
 }
 
