--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -316,10 +316,8 @@
         let (guard, fingerprint) = (&self.shared.guard, &self.outgoing.fingerprint);
         let digest = &fingerprint.request;
         if response.framing() != Framing::Close {
-            let completion = match response.head.status.is_success() {
-                true => Completion::Certain,
-                false => Completion::Presumed,
-            };
+            let succeeds = response.head.status.is_success();
+            let completion = if succeeds { Completion::Certain } else { Completion::Presumed };
             guard.record_completion(digest, completion);
             return response.release_connection();
         }
