--- a/components/events/src/values.rs
+++ b/components/events/src/values.rs
@@ -55,7 +55,7 @@
     TimedOut,
     /// The request may have been executed and can't be sent again.
     Unknown,
-    /// The status of the endpoint's response promises that the request was not executed, but the response doesn't state it.
+    /// The status of the endpoint's response indicates that the request was not executed, but the response doesn't state it.
     UnconfirmedRefusal,
     /// The router is shutting down.
     Stopping,
--- a/components/router/src/in_flight.rs
+++ b/components/router/src/in_flight.rs
@@ -469,8 +469,8 @@
                 self.shared.endpoints.record_success(id, self.incarnation);
                 self.runs += 1;
                 let fails = self.route.kind == catalog::CallKind::Safe && status.is_server_error();
-                // The caller can't be given a response that promises what is not certain.
-                let withheld = platform::promises_not_executed(status);
+                // Callers would take the status for a statement that the endpoint has not made.
+                let withheld = platform::indicates_not_executed(status);
                 if !(fails || withheld) || !self.may_run_again() {
                     return Verdict::Done(Box::new(response));
                 }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -95,7 +95,7 @@
     let mut timing = ResponseTiming::default();
     timing.record_chunk();
     loop {
-        if platform::promises_not_executed(response.head.status) {
+        if platform::indicates_not_executed(response.head.status) {
             let failure = request.failure(Refusal::UnconfirmedRefusal, None);
             tokio::spawn(discard(request, response));
             return Err(failure);
