--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -15,7 +15,7 @@
 /// retried if the response breaks off.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
-/// The longest body of a response that is not passed on but read, for the sake of its connection.
+/// The longest body of a response that is read although it is not passed on.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
 /// Why a response is broken off that is not complete when the process ends.
@@ -135,19 +135,20 @@
     }
 }
 
-/// Reads a short response that is not passed on, so that its connection can be used again.
+/// Reads a response that is not passed on, so that its connection can be used again. A long one isn't worth that.
 async fn discard(request: InFlightRequest, mut response: EndpointResponse) {
     let mut bytes_left = MAX_DISCARDED_BYTES;
-    let read = tokio::time::timeout_at(request.deadline, async {
+    let read = async {
         while let Some(part) = response.next_part().await {
-            bytes_left = bytes_left.checked_sub(part?.len()).ok_or("the response is too long")?;
+            let Some(left) = bytes_left.checked_sub(part?.len()) else { return Ok(false) };
+            bytes_left = left;
         }
-        Ok::<(), String>(())
-    });
-    match read.await {
-        Ok(Ok(())) => request.complete(response),
+        Ok::<bool, String>(true)
+    };
+    match tokio::time::timeout_at(request.deadline, read).await {
+        Ok(Ok(true)) => request.complete(response),
         Ok(Err(cause)) => request.record_interruption(&response.reservation.id, &cause),
-        Err(_) => {}
+        Ok(Ok(false)) | Err(_) => {}
     }
 }
 
