The settings file of a process is one type; names of a test

What registers for the signal, reads the file first and follows it belonged together and was spread over the start of a program. No change of behavior: the 18 tests of the start and those of the crate pass.

--- a/components/process/src/start.rs
+++ b/components/process/src/start.rs
@@ -7,7 +7,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::Duration;
 
 use events::Event;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -16,15 +15,14 @@
 use thiserror::Error;
 use timeline::{Kind, Recorder};
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::admin::Admin;
-use crate::retry::retry;
+use crate::reload::SettingsFile;
 use crate::{
-    Args, Identity, IdleMeter, SettingsError, Shutdown, ShutdownPhase, StallDetector,
-    StatusProvider, load_settings, parse_args, reload,
+    Args, Identity, IdleMeter, Shutdown, ShutdownPhase, StallDetector, StatusProvider,
+    load_settings, parse_args,
 };
 
 /// The exit code of a process that failed while running.
@@ -32,9 +30,6 @@
 /// The exit code of a process whose command line or settings file is invalid.
 pub const EXIT_USAGE: u8 = 2;
 
-/// How long a process waits at its start for a settings file that is not there or not whole.
-const SETTINGS_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// What a multi-threaded program shares with its tasks.
 #[derive(Debug, Clone)]
 pub struct Process {
@@ -109,49 +104,51 @@
         Err(error) => return failure(&error),
     };
     runtime.block_on(async {
-        // Without a handler the signal ends the process, also while it starts.
-        let hangup = match signal(SignalKind::hangup()) {
-            Ok(hangup) => hangup,
+        let file = match SettingsFile::new(file) {
+            Ok(file) => file,
             Err(error) => return failure(&error),
         };
-        let version = reload::modified_at(&file);
-        let settings: T = match wait_for_settings(&file).await {
+        let settings: T = match file.read().await {
             Ok(settings) => settings,
             Err(error) => return usage(&error),
         };
-        let result = async {
-            let program = about.split(':').next().unwrap_or(about);
-            events::install(instance(&settings)).map_err(StartError::new)?;
-            let shutdown = Shutdown::on_signals().map_err(StartError::new)?;
-            events::emit(&Event::Started { program, version: env!("CARGO_PKG_VERSION") });
-            let stopping = shutdown.clone();
-            let (sender, settings) = watch::channel(Arc::new(settings));
-            tokio::spawn(reload::follow(file, version, hangup, sender));
-            let stall_detector = Arc::new(StallDetector::default());
-            let detector = stall_detector.clone();
-            tokio::spawn(async move { detector.run().await });
-            let idle_meter = Some(idle_meter);
-            let process = SingleThreadProcess { settings, stall_detector, idle_meter, shutdown };
-            match body(process).await {
-                // What could not be started need not be.
-                Err(_) if stopping.phase() != ShutdownPhase::Run => Ok(()),
-                result => result,
-            }
-        };
-        match result.await {
+        let program = about.split(':').next().unwrap_or(about);
+        match serve_single_threaded(program, instance, settings, file, idle_meter, body).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => failure(&error),
         }
     })
 }
 
-/// Reads the settings file, and waits while it is not there or not whole: it may be written at this moment.
-async fn wait_for_settings<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsError> {
-    let report = |error: &SettingsError| {
-        print_error(format!("{error}; waiting for the file for {SETTINGS_TIMEOUT:?}"));
-    };
-    let read = || std::future::ready(load_settings(file));
-    retry(SETTINGS_TIMEOUT, read, SettingsError::is_temporary, report).await
+async fn serve_single_threaded<T, B, F>(
+    program: &str,
+    instance: fn(&T) -> &str,
+    settings: T,
+    file: SettingsFile,
+    idle_meter: Arc<IdleMeter>,
+    body: B,
+) -> Result<(), StartError>
+where
+    T: DeserializeOwned + Send + Sync + 'static,
+    B: FnOnce(SingleThreadProcess<T>) -> F,
+    F: Future<Output = Result<(), StartError>>,
+{
+    events::install(instance(&settings)).map_err(StartError::new)?;
+    let shutdown = Shutdown::on_signals().map_err(StartError::new)?;
+    events::emit(&Event::Started { program, version: env!("CARGO_PKG_VERSION") });
+    let stopping = shutdown.clone();
+    let (sender, settings) = watch::channel(Arc::new(settings));
+    tokio::spawn(file.follow(sender));
+    let stall_detector = Arc::new(StallDetector::default());
+    let detector = stall_detector.clone();
+    tokio::spawn(async move { detector.run().await });
+    let idle_meter = Some(idle_meter);
+    let process = SingleThreadProcess { settings, stall_detector, idle_meter, shutdown };
+    match body(process).await {
+        // What could not be started need not be.
+        Err(_) if stopping.phase() != ShutdownPhase::Run => Ok(()),
+        result => result,
+    }
 }
 
 /// Runs a multi-threaded server program: reads its arguments and settings file, starts the runtime, and runs the body.
@@ -288,7 +285,7 @@
 }
 
 /// Prints an error where that is possible.
-fn print_error(error: impl Display) {
+pub(crate) fn print_error(error: impl Display) {
     let _ = writeln!(std::io::stderr(), "error: {error}");
 }
 
--- a/components/quarantine/tests/popular.rs
+++ b/components/quarantine/tests/popular.rs
@@ -55,7 +55,7 @@
     /// The longest time that one takes.
     popular_ms: u64,
     /// Requests in a second that crash endpoints, over all routers.
-    deadly_per_s: f64,
+    poison_per_s: f64,
     /// Endpoints that crash together, whatever they run, every six seconds.
     crashes: usize,
 }
@@ -65,7 +65,7 @@
     router: usize,
     start: u64,
     end: u64,
-    deadly: bool,
+    poison: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -92,16 +92,16 @@
     denied: usize,
     deferred: usize,
     crashes: usize,
-    deadly_crash_times: Vec<u64>,
-    deadly_sent: Vec<u64>,
+    poison_crash_times: Vec<u64>,
+    poison_sent: Vec<u64>,
     releases: usize,
 }
 
 impl Outcome {
     /// The requests that reached endpoints too late after the third crash.
     fn late(&self) -> usize {
-        let third = self.deadly_crash_times.get(2).copied().unwrap_or(END_MS);
-        self.deadly_sent.iter().filter(|sent| **sent > third + REACTION_MS).count()
+        let third = self.poison_crash_times.get(2).copied().unwrap_or(END_MS);
+        self.poison_sent.iter().filter(|sent| **sent > third + REACTION_MS).count()
     }
 }
 
@@ -113,7 +113,7 @@
     routers: Vec<Router>,
     stored: Vec<QuarantineRecord>,
     popular: Fingerprint,
-    deadly: Fingerprint,
+    poison: Fingerprint,
     outcome: Outcome,
 }
 
@@ -139,7 +139,7 @@
             routers: (0..scenario.routers).map(|_| Router::default()).collect(),
             stored: Vec::new(),
             popular: request("popular"),
-            deadly: request("deadly"),
+            poison: request("poison"),
             outcome: Outcome::default(),
         };
         for now in (0..END_MS).step_by(usize::try_from(STEP_MS).expect("small")) {
@@ -160,7 +160,7 @@
         self.publish_cleared(now);
         self.send_all(now, self.scenario.popular_per_s, false);
         if now >= 2_000 {
-            self.send_all(now, self.scenario.deadly_per_s, true);
+            self.send_all(now, self.scenario.poison_per_s, true);
         }
         for index in 0..self.endpoints.len() {
             self.advance(index, now);
@@ -235,24 +235,24 @@
         }
     }
 
-    fn send_all(&mut self, now: u64, per_s: f64, deadly: bool) {
+    fn send_all(&mut self, now: u64, per_s: f64, poison: bool) {
         let mut expected = per_step(per_s);
         while self.rng.random::<f64>() < expected {
             expected -= 1.0;
-            self.send(now, deadly);
+            self.send(now, poison);
         }
     }
 
     /// Sends a request through a random router to a random endpoint, unless it is refused.
-    fn send(&mut self, now: u64, deadly: bool) {
+    fn send(&mut self, now: u64, poison: bool) {
         let index = self.rng.random_range(0..self.routers.len());
-        let request = if deadly { &self.deadly } else { &self.popular };
+        let request = if poison { &self.poison } else { &self.popular };
         let table = &self.routers[index].table;
         let suspicion = table.suspicion(request);
         let settles_in = table.settles_in(&request.request, clock(now));
         let in_flight = self.endpoints.iter().flat_map(|endpoint| &endpoint.runs);
         let turn_taken = || {
-            let mut own = in_flight.filter(|run| run.router == index && run.deadly == deadly);
+            let mut own = in_flight.filter(|run| run.router == index && run.poison == poison);
             own.next().is_some()
         };
         let refused = match suspicion {
@@ -260,7 +260,7 @@
             SuspicionLevel::Watched(_) => turn_taken(),
             SuspicionLevel::Clear => false,
         };
-        if !deadly {
+        if !poison {
             self.outcome.popular += 1;
             let for_good = matches!(suspicion, SuspicionLevel::Suspect(_)) && settles_in.is_none();
             self.outcome.denied += usize::from(for_good);
@@ -271,22 +271,22 @@
         if refused || up.is_empty() {
             return;
         }
-        if deadly {
-            self.outcome.deadly_sent.push(now);
+        if poison {
+            self.outcome.poison_sent.push(now);
         }
         let endpoint = up[self.rng.random_range(0..up.len())];
         let end = now + self.rng.random_range(STEP_MS..=self.scenario.popular_ms);
-        self.endpoints[endpoint].runs.push(Run { router: index, start: now, end, deadly });
+        self.endpoints[endpoint].runs.push(Run { router: index, start: now, end, poison });
     }
 
     /// Advances the runs of an endpoint.
     fn advance(&mut self, index: usize, now: u64) {
         let runs = &mut self.endpoints[index].runs;
-        if runs.iter().any(|run| run.deadly && now >= run.start + CRASH_AFTER_MS) {
-            self.outcome.deadly_crash_times.push(now);
+        if runs.iter().any(|run| run.poison && now >= run.start + CRASH_AFTER_MS) {
+            self.outcome.poison_crash_times.push(now);
             return self.crash(index, now);
         }
-        let done: Vec<Run> = runs.extract_if(.., |run| !run.deadly && run.end <= now).collect();
+        let done: Vec<Run> = runs.extract_if(.., |run| !run.poison && run.end <= now).collect();
         let popular = self.popular.request;
         for run in done {
             let table = &mut self.routers[run.router].table;
@@ -313,7 +313,7 @@
         for router in routers {
             let own = runs.iter().filter(|run| run.router == router);
             let mut requests: BTreeSet<Digest> = own
-                .map(|run| if run.deadly { self.deadly.request } else { self.popular.request })
+                .map(|run| if run.poison { self.poison.request } else { self.popular.request })
                 .collect();
             if self.way == Way::LeftOut {
                 let table = &self.routers[router].table;
@@ -340,7 +340,7 @@
     endpoints: 6,
     popular_per_s: 400.0,
     popular_ms: 30,
-    deadly_per_s: 0.0,
+    poison_per_s: 0.0,
     crashes: 1,
 };
 /// Streams of up to four seconds.
@@ -354,9 +354,9 @@
 #[case::sparse(SPARSE)]
 fn a_popular_request_is_not_refused_for_good_and_few_records_are_written(
     #[case] scenario: Scenario,
-    #[values(0.0, 20.0)] deadly_per_s: f64,
+    #[values(0.0, 20.0)] poison_per_s: f64,
 ) {
-    let scenario = Scenario { deadly_per_s, ..scenario };
+    let scenario = Scenario { poison_per_s, ..scenario };
     for seed in 1..=3 {
         let outcome = Simulation::run(Way::Told, scenario, seed);
         print(Way::Told, &outcome);
@@ -370,14 +370,14 @@
 /// A request that crashes endpoints never runs to its end, however many send it.
 #[rstest]
 fn a_request_that_crashes_endpoints_is_refused_however_popular_it_is(
-    #[values(2.0, 20.0, 400.0)] deadly_per_s: f64,
+    #[values(2.0, 20.0, 400.0)] poison_per_s: f64,
     #[values(40, 370)] routers: usize,
 ) {
-    let scenario = Scenario { routers, deadly_per_s, crashes: 0, ..SHORT };
+    let scenario = Scenario { routers, poison_per_s, crashes: 0, ..SHORT };
     for seed in 1..=3 {
         let outcome = Simulation::run(Way::Told, scenario, seed);
         print(Way::Told, &outcome);
-        assert!(outcome.deadly_crash_times.len() >= 3, "seed {seed}");
+        assert!(outcome.poison_crash_times.len() >= 3, "seed {seed}");
         assert!(outcome.late() <= MAX_REQUESTS_AFTER_CRASHES, "seed {seed}: {}", outcome.late());
     }
 }
@@ -390,9 +390,9 @@
         outcome.popular,
         outcome.deferred,
         outcome.crashes,
-        outcome.deadly_crash_times.len(),
+        outcome.poison_crash_times.len(),
         outcome.late(),
-        outcome.deadly_sent.len(),
+        outcome.poison_sent.len(),
         outcome.releases
     );
 }
@@ -402,10 +402,10 @@
 #[ignore = "prints figures"]
 fn prints_how_the_ways_compare() {
     for (name, scenario) in [("short", SHORT), ("streams", STREAMS), ("sparse", SPARSE)] {
-        for deadly_per_s in [0.0, 20.0] {
-            println!("{name}, {deadly_per_s} requests a second that crash endpoints");
+        for poison_per_s in [0.0, 20.0] {
+            println!("{name}, {poison_per_s} requests a second that crash endpoints");
             for way in [Way::Alone, Way::LeftOut, Way::ToldAfterwards, Way::Told] {
-                print(way, &Simulation::run(way, Scenario { deadly_per_s, ..scenario }, 1));
+                print(way, &Simulation::run(way, Scenario { poison_per_s, ..scenario }, 1));
             }
         }
     }
