A request that was interrupted waits while its endpoint is examined, also if it runs well elsewhere

Cause: a request that has just run well was no longer held while an endpoint that had it is examined. The one that was interrupted there then looked for another endpoint in the moment after a stall in which none was known to answer, and was given up.

Only first attempts skip the examination now; the one that was interrupted may be the cause, and waits as before. The unit test says both.

--- a/components/router/src/guard.rs
+++ b/components/router/src/guard.rs
@@ -120,6 +120,7 @@
     pub(crate) isolated: bool,
     /// Whether the request is sent as the trial of a suspect.
     trial: bool,
+    attempt: Attempt,
 }
 
 /// Whether a request may be sent now.
@@ -157,10 +158,12 @@
         loop {
             let changed = self.changed.notified();
             match self.decide(request, attempt, turn.is_some()) {
-                Decision::Allow => return Ok(SendPermit { turn, isolated: false, trial: false }),
+                Decision::Allow => {
+                    return Ok(SendPermit { turn, isolated: false, trial: false, attempt });
+                }
                 Decision::AllowInTurn { isolated } => {
                     turn.get_or_insert_with(|| self.turn(&request.request));
-                    return Ok(SendPermit { turn, isolated, trial: false });
+                    return Ok(SendPermit { turn, isolated, trial: false, attempt });
                 }
                 Decision::Rejected(rejection) => return Err(rejection),
                 Decision::Wait => {}
@@ -178,7 +181,7 @@
 
     fn decide(&self, request: &Fingerprint, attempt: Attempt, has_turn: bool) -> Decision {
         let mut state = self.lock();
-        if state.is_held(&request.request) {
+        if state.is_held(&request.request, attempt) {
             return Decision::Wait;
         }
         let suspicion = state.suspicion(request);
@@ -223,7 +226,9 @@
             {
                 false
             }
-            SuspicionLevel::Watched(_) | SuspicionLevel::Clear => !state.is_held(&request.request),
+            SuspicionLevel::Watched(_) | SuspicionLevel::Clear => {
+                !state.is_held(&request.request, permit.attempt)
+            }
         }
     }
 
@@ -231,7 +236,9 @@
     /// is in flight.
     pub(crate) fn trial_permit(self: &Arc<Self>, suspect: &Digest) -> Option<SendPermit> {
         let first = self.lock().turns.insert(*suspect);
-        first.then(|| SendPermit { turn: Some(self.turn(suspect)), isolated: true, trial: true })
+        let attempt = Attempt::First;
+        let turn = || Some(self.turn(suspect));
+        first.then(|| SendPermit { turn: turn(), isolated: true, trial: true, attempt })
     }
 
     /// An incarnation of an endpoint may have crashed: requests that it had are not sent until that is known.
--- a/components/router/src/guard/state.rs
+++ b/components/router/src/guard/state.rs
@@ -11,7 +11,7 @@
 };
 use tokio::time::Instant;
 
-use super::wall_clock;
+use super::{Attempt, wall_clock};
 use crate::pool::ConnectionPool;
 
 /// The most crash records that are kept for routers that can't read them in the store.
@@ -33,11 +33,11 @@
 }
 
 impl GuardState {
-    /// Whether the request must wait, since it was at an endpoint that is being examined for a crash. One that runs well elsewhere need
-    /// not.
-    pub(super) fn is_held(&self, digest: &Digest) -> bool {
-        if self.examined_pools.is_empty() || self.table.has_completed_recently(digest, wall_clock())
-        {
+    /// Whether the request must wait, since it was at an endpoint that is being examined for a crash. One that other callers send
+    /// need not, if it runs well elsewhere.
+    pub(super) fn is_held(&self, digest: &Digest, attempt: Attempt) -> bool {
+        let runs_well = || self.table.has_completed_recently(digest, wall_clock());
+        if self.examined_pools.is_empty() || attempt == Attempt::First && runs_well() {
             return false;
         }
         let now = Instant::now();
--- a/components/router/src/guard/tests.rs
+++ b/components/router/src/guard/tests.rs
@@ -200,6 +200,11 @@
     guard.record_completion(&digest("a"), Completion::Certain);
     let permit = try_acquire(&guard, "a").await.expect("no wait").expect("a permit");
     assert!(guard.allows(&request("a"), &permit));
+    // The one that was interrupted there waits: it may be the cause.
+    let interrupted = request("a");
+    let until = Instant::now() + LONG_WAIT;
+    let acquired = guard.acquire(&interrupted, Attempt::Repeated, None, until);
+    assert!(tokio::time::timeout(Duration::from_millis(1), acquired).await.is_err());
 }
 
 /// A crash of other requests that was noticed by a clock far ahead cleared a request of its own crashes to come.
