--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -149,6 +149,12 @@
         Event::StoreRestored { dependency, .. } => {
             counter!("store_restores_total", "dependency" => name(dependency)).increment(1);
         }
+        Event::NewestRead { topic, pages, bytes, more: false, .. } => {
+            let topic = (*topic).to_owned();
+            counter!("newest_read_pages_total", "topic" => topic.clone())
+                .increment(u64::from(*pages));
+            counter!("newest_read_bytes_total", "topic" => topic).increment(*bytes as u64);
+        }
         Event::MirrorChosen { topic, .. } => {
             counter!("mirrors_chosen_total", "topic" => (*topic).to_owned()).increment(1);
         }
@@ -183,7 +189,8 @@
         | Event::TokenAcquired { .. }
         | Event::SuspectChanged { .. }
         | Event::EndpointsUneven { .. }
-        | Event::LoadPermit { .. } => {}
+        | Event::LoadPermit { .. }
+        | Event::NewestRead { more: true, .. } => {}
     }
 }
 
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -63,6 +63,21 @@
         /// How far it has been read now: era and offset.
         read: &'a str,
     },
+    /// The newest records of a topic were read page by page, or many pages have been read and there are more.
+    NewestRead {
+        /// The topic.
+        topic: &'a str,
+        /// The pages so far.
+        pages: u32,
+        /// The records on these pages.
+        records: usize,
+        /// The size of these pages, in bytes.
+        bytes: usize,
+        /// The time since the first page was asked for.
+        took_ms: u64,
+        /// Whether there are more pages.
+        more: bool,
+    },
     /// A router follows a topic of the store through another mirror than before, or through none.
     MirrorChosen {
         /// The topic.
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -18,6 +18,14 @@
             read: "1.90",
         },
         Event::StoreRestored { dependency: Dependency::Membership, before: "0.90", read: "1.70" },
+        Event::NewestRead {
+            topic: "keyed.servers",
+            pages: 2,
+            records: 612,
+            bytes: 480_310,
+            took_ms: 23,
+            more: false,
+        },
         Event::MirrorChosen { topic: "endpoints", mirror: "i-1", before: "" },
         Event::KeyRejected {
             request,
