Test of SIGHUP at the start: the settings file is there before the pipe is gone

The test failed once in a run of all tests on the code before this work: "Loader does not become ready". Cause, in the test: the SIGHUP makes the process read its settings again right after the first read. The file now takes the pipe's place first, while the process still reads the pipe; the signal comes at the same moment as before and the checks are the same.

--- a/programs/tests/start.rs
+++ b/programs/tests/start.rs
@@ -159,11 +159,12 @@
     let mut pipe = open.await.expect("no panic").expect("the process reads its settings");
     process.send(Signal::SIGHUP);
     tokio::time::sleep(Duration::from_millis(50)).await;
+    // The next read must not find the pipe, which nobody writes then.
+    std::fs::remove_file(process.file()).expect("the pipe is removed");
+    process.write_settings(&process.settings());
     let _ = pipe.write_all(process.settings().as_bytes());
     drop(pipe);
     process.assert_runs();
-    std::fs::remove_file(process.file()).expect("the pipe is removed");
-    process.write_settings(&process.settings());
     process.wait_until_ready().await;
 }
 
