--- a/programs/tests/garbage.rs
+++ b/programs/tests/garbage.rs
@@ -1,11 +1,12 @@
 //! Guards against routers and loaders that run out of memory when servers, other processes or the store send bytes without an
 //! end in place of answers.
 
+mod processes;
+
 use std::net::SocketAddr;
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use processes::{MAX_GROWTH_KB, Process, RouterProcess, START_TIMEOUT};
 use rstest::rstest;
 use serde_json::json;
 use standin_platform::{
@@ -17,10 +18,6 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// What a process may need beyond what it needs when it is idle.
-const MAX_GROWTH_KB: u64 = 32 << 10;
-/// How long processes may take to become ready.
-const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// How many endpoints send garbage at once, and how many requests there are at once.
 const ENDPOINTS: usize = 50;
 const CALLERS: usize = 100;
@@ -46,41 +43,6 @@
 /// How long loaders, health checks and the store are kept busy with garbage of one kind.
 const GARBAGE_TIME: Duration = Duration::from_millis(600);
 
-/// A process that is killed when the test ends.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Process {
-    fn start(program: &str, folder: &Path, settings: &serde_json::Value) -> Self {
-        let file = folder.join("settings.jsonc");
-        std::fs::write(&file, settings.to_string()).expect("settings");
-        let child = Command::new(program).arg(&file).stdout(Stdio::null()).spawn();
-        Self(child.expect("the process starts"))
-    }
-
-    /// The value of a line of the process's status, in kilobytes.
-    fn memory_kb(&self, line: &str) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
-        let status = status.expect("the process runs");
-        let value = status.lines().find_map(|other| other.strip_prefix(line)).expect("the line");
-        value.trim().trim_end_matches("kB").trim().parse().expect("a number")
-    }
-
-    fn resident_kb(&self) -> u64 {
-        self.memory_kb("VmRSS:")
-    }
-
-    fn peak_kb(&self) -> u64 {
-        self.memory_kb("VmHWM:")
-    }
-}
-
 /// A router process with its store behind a link.
 struct Router {
     process: Process,
@@ -110,23 +72,14 @@
             store.list_server(server, service, Some("ready"));
         }
         let link = Link::start((address(), 0).into(), store.addr).await;
-        let folder = tempfile::tempdir().expect("a folder");
-        let ip = address();
-        let at = |port| SocketAddr::from((ip, port));
-        // All requests are read, however busy a debug build is with garbage.
-        let settings = json!({"instance": "front-1", "domain": "hall", "callers": at(8_000),
-            "ready": at(8_001), "control": at(8_002), "peers": [], "store": link.addr, "loader-port": 7_400,
-            "grace": "4s", "bounds": {"apply": "2s", "drain": "2s"}, "rules": ["base", "retry", "recover"],
-            "repeats": {"ratio": 0.2, "slack": 320.0, "window": "10s"},
-            "scheduling": {"shedding": "off"}});
-        let process = Process::start(env!("CARGO_BIN_EXE_hyssop-router"), folder.path(), &settings);
-        let request = "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let router = RouterProcess::start("front-1", link.addr);
         let start = Instant::now();
-        while exchange(at(8_001), request.as_bytes()).await.is_none_or(|a| a.status != 200) {
+        while !router.is_ready().await {
             assert!(start.elapsed() < START_TIMEOUT, "the router did not become ready");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        Self { process, callers: at(8_000), ready: at(8_001), store, link, _folder: folder }
+        let RouterProcess { process, callers, ready, _folder } = router;
+        Self { process, callers, ready, store, link, _folder }
     }
 }
 
