A response whose head does not state the end of its body is no response

Callers saw: an endpoint in trouble sent an answer whose Transfer-Encoding was unknown, not only "chunked", beside a Content-Length, or in a field with a misspelled name. They got it with the signature of the endpoint and status 200, with the framing of the chunks in the body, or with all bytes until the connection closed.

Cause: hyper reads a response with a transfer coding that it doesn't know until the connection closes, takes the last of several codings, and prefers chunks to a length. Nothing behind it asked whether the framing is valid. The class of fault is that of statuses that answer nothing: what parses is taken for what is valid.

Why this works: one decision (web::CheckedResponse, by RFC 9112, section 6) is the only way from a response of hyper to its head and body in all clients: of requests and streams, of control calls, of hyssop-agent, and of hyssop-load. A refused head is an interruption of its request, so that the request may have run and is only sent again where that is allowed; what its fields say of the endpoint is not believed, and its connection is not used again.

--- a/components/edge/src/streaming.rs
+++ b/components/edge/src/streaming.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use web::{Body, LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
+use web::{Body, CheckedResponse, FramingError, LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
 
 /// How long a connection may take to be made.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -57,14 +57,18 @@
         }
     });
     address(addr, &mut request);
+    let method = request.method().clone();
     let answer = timeout(idle, sender.send_request(request)).await;
     let response = answer.map_err(|_| StreamError::Silent { addr, idle })?.map_err(broken)?;
     if !web::is_final_status(response.status()) {
         let cause = format!("{} is no status that ends a call", response.status());
         return Err(StreamError::Broken { addr, cause });
     }
+    let broken = |error: FramingError| StreamError::Broken { addr, cause: error.to_string() };
+    let CheckedResponse { head, body, .. } =
+        CheckedResponse::new(&method, response).map_err(broken)?;
     allowance.renew();
-    Ok(response.map(|body| watched(addr, body, idle, allowance)))
+    Ok(Response::from_parts(head, watched(addr, body, idle, allowance)))
 }
 
 /// The text of a short answer, or why it can't be read within `limit`.
--- a/components/edge/tests/garbage.rs
+++ b/components/edge/tests/garbage.rs
@@ -109,6 +109,27 @@
     assert!(matches!(answer, Err(EndpointError::Unknown(_))), "{answer:?}");
 }
 
+/// An endpoint's answer was passed on with a body that was not its own.
+#[rstest]
+#[case::unknown_coding("Transfer-Encoding: xchunked\r\n")]
+#[case::coding_after_chunks("Transfer-Encoding: chunked, gzip\r\n")]
+#[case::no_coding("Transfer-Encoding: \r\n")]
+#[case::coding_and_length("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n")]
+#[case::misspelled_name("Content-Lengtx: 5\r\n")]
+#[tokio::test]
+async fn an_answer_with_a_broken_head_fails_the_call(
+    #[case] lines: &str,
+    #[values("/badges", "/v1/completions")] path: &str,
+    #[values("200 OK", "503 Service Unavailable")] status: &str,
+) {
+    let start = format!("HTTP/1.1 {status}\r\n{lines}\r\n5\r\nhello\r\n0\r\n\r\n");
+    let (addr, closed) = peer(start, " ", true).await;
+    let request = Request::post(path).body(web::full("{}")).expect("a request");
+    let answer = HttpEndpoint::new(addr).with_idle(IDLE).call(&id(), request).await;
+    assert!(matches!(answer, Err(EndpointError::Unknown(_))), "{answer:?}");
+    wait_closed(closed).await;
+}
+
 /// Reads the answer until it ends or breaks off.
 async fn read_answer(addr: SocketAddr) -> (StatusCode, bool) {
     let request = Request::post("/badges").body(web::full("{}")).expect("a request");
--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http::{HeaderMap, Method, Request, Uri, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper_util::client::legacy;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 use tree::Class;
 use units::{RequestId, Span};
-use web::{Body, BodyBuffer, LimitedConnector, MAX_HEAD_BYTES, ReadAllowance};
+use web::{Body, BodyBuffer, CheckedResponse, LimitedConnector, MAX_HEAD_BYTES, ReadAllowance};
 
 use crate::answer::{Answer, Expected};
 use crate::clock::Clock;
@@ -111,8 +110,16 @@
                     return;
                 }
             };
+            let method = request.method().clone();
             match self.client.request(request).await {
-                Ok(response) => return self.read(response, ask, call).await,
+                Ok(response) => match CheckedResponse::new(&method, response) {
+                    Ok(response) => return self.read(response, ask, call).await,
+                    Err(error) => {
+                        call.ending = Ending::Cut;
+                        call.text = error.to_string();
+                        return;
+                    }
+                },
                 Err(error) if error.is_connect() => call.text = error.to_string(),
                 Err(error) => {
                     call.ending = Ending::Cut;
@@ -123,12 +130,12 @@
         }
     }
 
-    async fn read(&self, response: Response<Incoming>, ask: &Ask, call: &mut Call) {
-        call.status = response.status().as_u16();
-        call.request = text_of(response.headers(), "hyssop-request").and_then(|id| id.parse().ok());
-        let outcome = text_of(response.headers(), "hyssop-outcome").unwrap_or_default().to_owned();
-        let allowance = response.extensions().get::<ReadAllowance>().cloned().unwrap_or_default();
-        let mut body = response.into_body();
+    async fn read(&self, response: CheckedResponse, ask: &Ask, call: &mut Call) {
+        let CheckedResponse { head, mut body, .. } = response;
+        call.status = head.status.as_u16();
+        call.request = text_of(&head.headers, "hyssop-request").and_then(|id| id.parse().ok());
+        let outcome = text_of(&head.headers, "hyssop-outcome").unwrap_or_default().to_owned();
+        let allowance = head.extensions.get::<ReadAllowance>().cloned().unwrap_or_default();
         let mut buffer = BodyBuffer::new(MAX_ANSWER_BYTES, None);
         let mut cut = false;
         while let Some(frame) = body.frame().await {
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -14,7 +14,7 @@
 use platform::ForwardOptions;
 use quarantine::Fingerprint;
 use tokio::time::Instant;
-use web::{Body, Framing, SegmentedBytes};
+use web::{Body, CheckedResponse, Framing, SegmentedBytes};
 
 use crate::caller::CallerConnection;
 use crate::pool::Connection;
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct EndpointResponse {
     pub(crate) head: response::Parts,
+    framing: Framing,
     body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) reservation: Reservation,
@@ -54,7 +55,7 @@
 
     /// What marks the end of the body.
     pub(crate) fn framing(&self) -> Framing {
-        Framing::of(&self.head)
+        self.framing
     }
 
     /// Clears the request of suspicion and returns the connection to the pool; the body must have
@@ -152,13 +153,15 @@
         retry.record_sent();
         let unanswered = UnansweredRequest::new(&connection, &reservation.pool);
         match attempt(&mut connection, request, deadlines, alternative.as_mut()).await {
-            Attempt::Response(head, body) => {
+            Attempt::Response(response) => {
+                let CheckedResponse { head, framing, body } = *response;
                 unanswered.finish();
                 connection.allowance.renew();
                 reservation.apply_headers(head.status, &head.headers);
                 reservation.record_begun();
                 return SendOutcome::Response(Box::new(EndpointResponse {
                     head,
+                    framing,
                     body,
                     connection,
                     reservation,
@@ -186,7 +189,7 @@
 
 /// Outcome of sending a request on one connection, as in [`SendOutcome`].
 enum Attempt {
-    Response(response::Parts, Incoming),
+    Response(Box<CheckedResponse>),
     /// The request was not sent.
     NotSent(Box<Request<Body>>),
     Interrupted(String),
@@ -200,18 +203,19 @@
     deadlines: ResponseDeadlines,
     alternative: Pin<&mut impl Future<Output = Option<Reservation>>>,
 ) -> Attempt {
+    let method = request.method().clone();
     let mut response = std::pin::pin!(connection.sender.try_send_request(request));
     if let Some(reconsider_at) = deadlines.reconsider_at
         && let Ok(response) = tokio::time::timeout_at(reconsider_at, response.as_mut()).await
     {
-        return classify(response);
+        return classify(&method, response);
     }
     if deadlines.reconsider_at.is_some_and(|reconsider_at| reconsider_at < deadlines.deadline) {
         // The endpoint may be working on the request, so it is only left for another one that is
         // free.
         let other = tokio::select! {
             biased;
-            response = response.as_mut() => return classify(response),
+            response = response.as_mut() => return classify(&method, response),
             other = alternative => other,
             () = tokio::time::sleep_until(deadlines.deadline) => return Attempt::TimedOut
         };
@@ -221,16 +225,19 @@
     }
     match tokio::time::timeout_at(deadlines.deadline, response).await {
         Err(_) => Attempt::TimedOut,
-        Ok(response) => classify(response),
+        Ok(response) => classify(&method, response),
     }
 }
 
-fn classify(response: Result<Response<Incoming>, TrySendError<Request<Body>>>) -> Attempt {
+fn classify(
+    method: &Method,
+    response: Result<Response<Incoming>, TrySendError<Request<Body>>>,
+) -> Attempt {
     match response {
-        Ok(response) => {
-            let (head, body) = response.into_parts();
-            Attempt::Response(head, body)
-        }
+        Ok(response) => match CheckedResponse::new(method, response) {
+            Ok(response) => Attempt::Response(Box::new(response)),
+            Err(error) => Attempt::Interrupted(error.to_string()),
+        },
         Err(mut error) => match error.take_message() {
             Some(request) => Attempt::NotSent(Box::new(request)),
             None => Attempt::Interrupted(with_source(&error.into_error())),
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -14,7 +15,7 @@
 use crate::budget::{BodyBuffer, ByteBudget};
 use crate::connector::LimitedConnector;
 use crate::limit::{MAX_HEAD_BYTES, ReadAllowance};
-use crate::{Body, body};
+use crate::{Body, CheckedResponse, body};
 
 /// The largest response that a control call accepts, in bytes, unless its client has a lower limit.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -124,13 +125,21 @@
     pub async fn call_with_headers(
         &self,
         addr: SocketAddr,
-        request: Request<Body>,
+        mut request: Request<Body>,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes, HeaderMap), CallError> {
+        let method = request.method().clone();
+        let connection = capture_connection(&mut request);
         let call = async {
             let response =
                 self.inner.request(request).await.map_err(|error| transport_error(addr, &error))?;
-            let (head, body) = response.into_parts();
+            let checked = CheckedResponse::new(&method, response).map_err(|error| {
+                if let Some(connection) = &*connection.connection_metadata() {
+                    connection.poison();
+                }
+                CallError::InvalidResponse { addr, cause: error.to_string() }
+            })?;
+            let CheckedResponse { head, body, .. } = checked;
             if !is_final_status(head.status) {
                 let cause = format!("{} is no status that ends a call", head.status);
                 return Err(CallError::InvalidResponse { addr, cause });
--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -2,13 +2,23 @@
 
 use std::fmt;
 
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{StatusCode, response};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use http::{Method, StatusCode, Version, response};
+use thiserror::Error;
+
+/// The fields of a head that state the framing of the body.
+const FRAMING_FIELDS: [HeaderName; 2] = [CONTENT_LENGTH, TRANSFER_ENCODING];
+
+/// How many edits turn the name of a framing field into one that is taken for a misspelling of it. No registered field is that close.
+const MAX_MISSPELLING: usize = 2;
+
+/// Names of private fields, such as `X-Content-Length`, begin with this.
+const PRIVATE_PREFIX: &str = "x-";
 
 /// What marks the end of the body of an HTTP/1.1 response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
-    /// A stated length.
+    /// A stated length, or none because such a response has no body.
     Length,
     /// A final chunk.
     Chunked,
@@ -16,17 +26,47 @@
     Close,
 }
 
+/// Why the end of a response's body can't be told.
+#[derive(Debug, Error, Clone, Copy, PartialEq, Eq)]
+pub enum FramingError {
+    /// RFC 9112, section 6.1: a client that accepts no transfer codings gets none but `chunked`.
+    #[error("the transfer coding of the response is not chunked, or not only")]
+    Coding,
+    /// RFC 9112, section 6.3: such a response may be part of another one.
+    #[error("the response states both a transfer coding and a length")]
+    CodingAndLength,
+    /// RFC 9112, section 6.1: HTTP/1.0 has no transfer codings.
+    #[error("the response states a transfer coding, which its version of HTTP does not have")]
+    CodingInOldVersion,
+    /// The field that states the framing is not recognized.
+    #[error("the response has a field whose name resembles that of a framing field")]
+    MisspelledField,
+}
+
 impl Framing {
-    /// The framing of a response with this head.
-    pub fn of(head: &response::Parts) -> Self {
+    /// The framing of the response with this head to a request with this method.
+    pub fn of(method: &Method, head: &response::Parts) -> Result<Self, FramingError> {
         let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        if has_no_body || method == Method::HEAD {
+            // RFC 9112, section 6.3: it ends with its head, whatever the fields are.
+            return Ok(Self::Length);
+        }
+        let has_length = head.headers.contains_key(CONTENT_LENGTH);
         if head.headers.contains_key(TRANSFER_ENCODING) {
-            Self::Chunked
-        } else if has_no_body || head.headers.contains_key(CONTENT_LENGTH) {
-            Self::Length
-        } else {
-            Self::Close
+            return match () {
+                () if !is_only_chunked(&head.headers) => Err(FramingError::Coding),
+                () if has_length => Err(FramingError::CodingAndLength),
+                () if head.version < Version::HTTP_11 => Err(FramingError::CodingInOldVersion),
+                () => Ok(Self::Chunked),
+            };
         }
+        if has_length {
+            return Ok(Self::Length);
+        }
+        if head.headers.keys().any(|name| resembles_framing_field(name.as_str())) {
+            return Err(FramingError::MisspelledField);
+        }
+        Ok(Self::Close)
     }
 
     /// The name in log lines and metrics.
@@ -45,5 +85,21 @@
     }
 }
 
+fn is_only_chunked(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let first = codings.next().map(|coding| coding.as_bytes().trim_ascii());
+    first.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
+}
+
+/// Whether a field, by its name in lower case, is probably a misspelled framing field.
+fn resembles_framing_field(name: &str) -> bool {
+    let is_close = |field: &HeaderName| {
+        let field = field.as_str();
+        name.len().abs_diff(field.len()) <= MAX_MISSPELLING
+            && strsim::osa_distance(name, field) <= MAX_MISSPELLING
+    };
+    !name.starts_with(PRIVATE_PREFIX) && FRAMING_FIELDS.iter().any(is_close)
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -8,6 +8,7 @@
 mod connector;
 mod framing;
 mod limit;
+mod response;
 mod segments;
 mod server;
 
@@ -17,7 +18,8 @@
 pub use channel::{BodyWriter, Closed, channel, channel_within};
 pub use client::{CallError, Client, is_final_status};
 pub use connector::LimitedConnector;
-pub use framing::Framing;
+pub use framing::{Framing, FramingError};
 pub use limit::{LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
+pub use response::CheckedResponse;
 pub use segments::SegmentedBytes;
 pub use server::{BindError, Listener, Protocol, ServeOptions, bind, bind_public, serve, stopped};
