A body that shows that its head was cut or lost a field is broken off

Callers saw: an endpoint in trouble sent an answer whose head was cut by an empty line, or that lacked the field which states its chunks. They got the rest of the head, or the framing of the chunks, as the beginning of the body.

Cause: such a head has no framing field, so the body ends with its connection, which is legal, and nobody looked at the body.

Why this works: only bodies that end with their connection are checked, as they are read. Bodies that begin with field lines are held back for up to 4 KiB until a line shows that they are no rest of a head; a framing field among them breaks the body off. Bodies are followed as if they were in chunks; one that is in chunks from its first to its last byte ends as broken off. A stream of events is broken off at the first size of a chunk, before any of it is passed on. The request is an interrupted one, as with other bodies that break off.

A sound body is taken for broken if it begins with field lines of which one is Content-Length or Transfer-Encoding, as a printed head does, or is a complete chunked message as text, and has neither a length nor chunks of its own.

--- a/components/edge/src/streaming.rs
+++ b/components/edge/src/streaming.rs
@@ -8,13 +8,14 @@
 
 use http::{HeaderValue, Request, Response, Uri, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use web::{Body, CheckedResponse, FramingError, LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
+use web::{
+    Body, CheckedBody, CheckedResponse, FramingError, LimitedStream, MAX_HEAD_BYTES, ReadAllowance,
+};
 
 /// How long a connection may take to be made.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -65,8 +66,11 @@
         return Err(StreamError::Broken { addr, cause });
     }
     let broken = |error: FramingError| StreamError::Broken { addr, cause: error.to_string() };
-    let CheckedResponse { head, body, .. } =
+    let CheckedResponse { head, mut body, .. } =
         CheckedResponse::new(&method, response).map_err(broken)?;
+    if head.headers.get(header::CONTENT_TYPE).is_some_and(sse::is_event_stream) {
+        body.expect_events();
+    }
     allowance.renew();
     Ok(Response::from_parts(head, watched(addr, body, idle, allowance)))
 }
@@ -100,7 +104,7 @@
 }
 
 /// A body that fails once `idle` passes without a byte.
-fn watched(addr: SocketAddr, body: Incoming, idle: Duration, allowance: ReadAllowance) -> Body {
+fn watched(addr: SocketAddr, body: CheckedBody, idle: Duration, allowance: ReadAllowance) -> Body {
     let (writer, watched) = web::channel();
     tokio::spawn(relay(addr, body, writer, idle, allowance));
     watched
@@ -108,7 +112,7 @@
 
 async fn relay(
     addr: SocketAddr,
-    mut body: Incoming,
+    mut body: CheckedBody,
     writer: web::BodyWriter,
     idle: Duration,
     allowance: ReadAllowance,
--- a/components/edge/tests/garbage.rs
+++ b/components/edge/tests/garbage.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::{Instant, timeout};
 use units::RequestId;
@@ -130,6 +130,29 @@
     wait_closed(closed).await;
 }
 
+/// A peer that sends these bytes on each connection and then closes it.
+async fn closing_peer(bytes: String) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1_024];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(bytes.as_bytes()).await;
+        }
+    });
+    addr
+}
+
+#[rstest]
+#[case::rest_of_a_head("Connection: close\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::chunks("5\r\nhello\r\n0\r\n\r\n")]
+#[tokio::test]
+async fn a_body_that_shows_a_broken_head_is_broken_off(#[case] body: &str) {
+    let addr = closing_peer(format!("HTTP/1.1 200 OK\r\n\r\n{body}")).await;
+    assert_eq!(read_answer(addr).await, (StatusCode::OK, false));
+}
+
 /// Reads the answer until it ends or breaks off.
 async fn read_answer(addr: SocketAddr) -> (StatusCode, bool) {
     let request = Request::post("/badges").body(web::full("{}")).expect("a request");
--- a/components/router/src/exchange.rs
+++ b/components/router/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one endpoint.
 
-use std::error::Error as _;
+use std::error::Error;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use platform::ForwardOptions;
 use quarantine::Fingerprint;
 use tokio::time::Instant;
-use web::{Body, CheckedResponse, Framing, SegmentedBytes};
+use web::{Body, CheckedBody, CheckedResponse, Framing, SegmentedBytes};
 
 use crate::caller::CallerConnection;
 use crate::pool::Connection;
@@ -34,7 +34,7 @@
 pub(crate) struct EndpointResponse {
     pub(crate) head: response::Parts,
     framing: Framing,
-    body: Incoming,
+    body: CheckedBody,
     pub(crate) connection: Connection,
     pub(crate) reservation: Reservation,
 }
@@ -58,6 +58,11 @@
         self.framing
     }
 
+    /// Sets that the body is a stream of events.
+    pub(crate) fn expect_events(&mut self) {
+        self.body.expect_events();
+    }
+
     /// Clears the request of suspicion and returns the connection to the pool; the body must have
     /// been read to its marked end.
     pub(crate) fn release_connection(mut self) {
@@ -246,7 +251,7 @@
 }
 
 /// The text of an error, and of what caused it.
-fn with_source(error: &hyper::Error) -> String {
+fn with_source(error: &dyn Error) -> String {
     match error.source() {
         Some(source) => format!("{error}: {source}"),
         None => error.to_string(),
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -66,14 +66,15 @@
 
 impl StreamSource {
     /// A stream that begins after the event with this id, or at its first event.
-    fn new(response: EndpointResponse, last_event: Option<u64>, budget: &ByteBudget) -> Self {
+    fn new(mut response: EndpointResponse, last_event: Option<u64>, budget: &ByteBudget) -> Self {
+        let content_type = response.head.headers.get(header::CONTENT_TYPE);
+        let has_events = content_type.is_none_or(sse::is_event_stream);
+        if has_events {
+            response.expect_events();
+        }
         Self {
             framing: response.framing(),
-            has_events: response
-                .head
-                .headers
-                .get(header::CONTENT_TYPE)
-                .is_none_or(sse::is_event_stream),
+            has_events,
             events: HeldEvents::new(last_event, budget),
             admitted: false,
             response,
--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -1,11 +1,15 @@
 //! How the receiver of a response finds the end of its body.
 
+mod close_delimited;
+
 use std::fmt;
 
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use http::{Method, StatusCode, Version, response};
 use thiserror::Error;
 
+pub(crate) use close_delimited::{CloseDelimitedCheck, Progress};
+
 /// The fields of a head that state the framing of the body.
 const FRAMING_FIELDS: [HeaderName; 2] = [CONTENT_LENGTH, TRANSFER_ENCODING];
 
@@ -41,6 +45,12 @@
     /// The field that states the framing is not recognized.
     #[error("the response has a field whose name resembles that of a framing field")]
     MisspelledField,
+    /// The head was cut by an empty line.
+    #[error("the body of the response begins with the rest of its head")]
+    FieldInBody,
+    /// The field that states the chunks is missing.
+    #[error("the body of the response is in chunks that its head does not state")]
+    UnstatedChunks,
 }
 
 impl Framing {
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -20,6 +20,6 @@
 pub use connector::LimitedConnector;
 pub use framing::{Framing, FramingError};
 pub use limit::{LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
-pub use response::CheckedResponse;
+pub use response::{BrokenBody, CheckedBody, CheckedResponse};
 pub use segments::SegmentedBytes;
 pub use server::{BindError, Listener, Protocol, ServeOptions, bind, bind_public, serve, stopped};
