Repeated lengths of a response become one before it is relayed

Callers saw: a stream of a route whose requests run once, answered with `Content-Length: 27, 27`, ended with a closed connection and no answer.

Cause: the endpoint's field was passed on as it is, and hyper's server sends no response with such a length. Other kinds of requests lose the field on the way.

Why this works: RFC 9110, section 8.6, has a recipient replace repeated lengths by a single one, which the one check of all responses does now.

--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -4,7 +4,7 @@
 
 use std::fmt;
 
-use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{Method, StatusCode, Version, response};
 use thiserror::Error;
 
@@ -101,6 +101,26 @@
     first.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
 }
 
+/// Replaces repeated lengths by a single one, without which a server that relays the response does not send it. Lengths that differ or
+/// are no numbers remain only where there is no body, and are dropped.
+pub(crate) fn merge_lengths(headers: &mut HeaderMap) {
+    let values = headers.get_all(CONTENT_LENGTH).iter();
+    let texts = values.map(|value| value.to_str().unwrap_or_default());
+    let mut lengths = texts.flat_map(|text| text.split(',')).map(parse_length);
+    let Some(first) = lengths.next() else { return };
+    let merged = first.filter(|_| lengths.all(|length| length == first));
+    match merged {
+        Some(length) => drop(headers.insert(CONTENT_LENGTH, HeaderValue::from(length))),
+        None => drop(headers.remove(CONTENT_LENGTH)),
+    }
+}
+
+fn parse_length(text: &str) -> Option<u64> {
+    let digits = text.trim();
+    // The number may not have a sign.
+    digits.bytes().all(|byte| byte.is_ascii_digit()).then(|| digits.parse().ok())?
+}
+
 /// Whether a field, by its name in lower case, is probably a misspelled framing field.
 fn resembles_framing_field(name: &str) -> bool {
     let is_close = |field: &HeaderName| {
--- a/components/web/src/framing/tests.rs
+++ b/components/web/src/framing/tests.rs
@@ -92,3 +92,20 @@
 ) {
     assert!(!resembles_framing_field(name));
 }
+
+#[rstest]
+#[case::one(&["5"], Some("5"))]
+#[case::repeated(&["5", "5"], Some("5"))]
+#[case::list(&["5, 05"], Some("5"))]
+#[case::different(&["5, 6"], None)]
+#[case::no_number(&["+5"], None)]
+#[case::empty(&[""], None)]
+fn repeated_lengths_become_one(#[case] values: &[&'static str], #[case] expected: Option<&str>) {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append(CONTENT_LENGTH, HeaderValue::from_static(value));
+    }
+    merge_lengths(&mut headers);
+    let merged: Vec<&HeaderValue> = headers.get_all(CONTENT_LENGTH).iter().collect();
+    assert_eq!(merged, Vec::from_iter(expected));
+}
--- a/components/web/src/response.rs
+++ b/components/web/src/response.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use thiserror::Error;
 
-use crate::framing::{CloseDelimitedCheck, Framing, FramingError, Progress};
+use crate::framing::{self, CloseDelimitedCheck, Framing, FramingError, Progress};
 
 /// A response whose head states the framing of its body.
 #[derive(Debug)]
@@ -24,8 +24,9 @@
 impl CheckedResponse {
     /// Checks the response to a request with this method. After an error its connection must not be used again.
     pub fn new(method: &Method, response: Response<Incoming>) -> Result<Self, FramingError> {
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
         let framing = Framing::of(method, &head)?;
+        framing::merge_lengths(&mut head.headers);
         let check = (framing == Framing::Close).then(CloseDelimitedCheck::default);
         Ok(Self { head, framing, body: CheckedBody { body, check, held: BytesMut::new() } })
     }
