The weights of a route may have any size

Callers of a route whose weights add up to more than 32 bits got no answer, or all reached one service: the sum was made in 32 bits. A build with overflow checks ended the connection of each caller; one without chose by a sum that had wrapped around.

The sum is made in floating point, in which the choice is made anyway.

--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -89,8 +89,8 @@
 
     /// Chooses the service for a request by weight. `random` is a random number from 0 to 1.
     pub fn choose_service(&self, random: f64) -> Option<&ServiceName> {
-        let total: u32 = self.services.iter().map(|service| service.weight).sum();
-        let mut left = random * f64::from(total);
+        let total: f64 = self.services.iter().map(|service| f64::from(service.weight)).sum();
+        let mut left = random * total;
         for weighted in &self.services {
             left -= f64::from(weighted.weight);
             if left < 0.0 {
