--- a/components/router/src/serve.rs
+++ b/components/router/src/serve.rs
@@ -118,7 +118,8 @@
         Box::pin(answer(shared.clone(), caller.clone(), slot.clone(), request))
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(header * 2);
+    let buffer = header.saturating_mul(2);
+    builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(buffer);
     let connection = builder.serve_connection(TokioIo::new(caller.clone()), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
