Records of other writers in the routers' topics are not kept while they are read

Routers that started beside 60 MB of records which no router wrote, in a topic of crash records or of streams, needed 87 to 95 MB where 18 MB are needed without: all values of a read were kept until its last page, and parsed only then. Others may write there, far more than that.

The reader of each topic checks a record when its page arrives. Of one that has the key of a router and a bad value, the key and a short reason are kept, so that a stream is still taken as one that may be recorded; of the others the first one is told in a line. What can be parsed is kept as before, whatever its size: our own records never fail the check.

--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -81,7 +81,15 @@
     Trial(Trial),
 }
 
+/// How the keys of records begin.
+const KEY_PREFIXES: [&str; 4] = ["end ", "release ", "parts ", "trial "];
+
 impl QuarantineRecord {
+    /// Whether a router may have written a record with this key.
+    pub fn is_key(key: &str) -> bool {
+        KEY_PREFIXES.iter().any(|prefix| key.starts_with(prefix))
+    }
+
     /// The key under which the store keeps this record of a router. A record replaces another one with the same key only if
     /// it contains everything that the other one says.
     pub fn key(&self, router: &str) -> String {
--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -6,7 +6,7 @@
 use control::{KeyedRecord, ReleaseRequest};
 use events::{Dependency, Event, emit, millis};
 use http::{Response, StatusCode};
-use platform::{Follower, PutOutcome, Store, StoreError, Topic, Update};
+use platform::{Follower, PutOutcome, RecordKind, Store, StoreError, Topic, Update};
 use quarantine::{CrashTable, Digest, QuarantineRecord, Trial, UnixMillis};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -44,9 +44,26 @@
 /// The largest request to release a suspect, in bytes.
 const MAX_RELEASE_BYTES: usize = 1 << 20;
 
+/// Checks a record of the store before it is kept.
+fn check_record(key: &str, value: &[u8]) -> RecordKind {
+    // The record was deleted.
+    if value.is_empty() {
+        return RecordKind::Valid;
+    }
+    match serde_json::from_slice::<QuarantineRecord>(value) {
+        Ok(_) => RecordKind::Valid,
+        Err(error) if QuarantineRecord::is_key(key) => RecordKind::Invalid(error.to_string()),
+        Err(_) => RecordKind::Foreign,
+    }
+}
+
+fn follower(store: &Store) -> Follower {
+    Follower::with_check(store.clone(), Topic::CrashRecords, check_record)
+}
+
 /// Reads the records that other routers have written until the process ends.
 pub(crate) async fn read(shared: Arc<Shared>, store: Store) {
-    let mut source = TopicSource::new(shared.clone(), Topic::CrashRecords);
+    let mut source = TopicSource::with_follower(shared.clone(), follower(&store));
     let mut lost_since: Option<Instant> = None;
     loop {
         let started = Instant::now();
@@ -106,8 +123,7 @@
     let shared = shared.clone();
     tokio::spawn(async move {
         tokio::time::sleep(MAX_REWRITE_DELAY.mul_f64(rand::random())).await;
-        let all =
-            Follower::new(shared.store.clone(), Topic::CrashRecords).next(Duration::ZERO).await;
+        let all = follower(&shared.store).next(Duration::ZERO).await;
         let written: Vec<Update> = all.map(|batch| batch.updates).unwrap_or_default();
         let exists = |key: &String| {
             written.iter().any(|update| matches!(update, Update::Record(other, _) if other == key))
@@ -123,7 +139,14 @@
     let (mut all, mut expired) = (Vec::new(), Vec::new());
     let now = wall_clock();
     for update in updates {
-        let Update::Record(key, value) = update else { continue };
+        let (key, value) = match update {
+            Update::Record(key, value) => (key, value),
+            Update::InvalidRecord(key, cause) => {
+                log_invalid(&key, &cause);
+                continue;
+            }
+            _ => continue,
+        };
         // The record was deleted because it had expired.
         if value.is_empty() {
             continue;
@@ -131,10 +154,7 @@
         match serde_json::from_slice(&value) {
             Ok(record) if CrashTable::is_expired(&record, now) => expired.push(key),
             Ok(record) => all.push(KeyedRecord { key, record }),
-            Err(error) => {
-                let cause = format!("the record `{key}` can't be parsed: {error}");
-                emit(&Event::Unreadable { dependency: Dependency::CrashRecords, cause: &cause });
-            }
+            Err(error) => log_invalid(&key, &error.to_string()),
         }
     }
     if complete {
@@ -145,6 +165,11 @@
     expired
 }
 
+fn log_invalid(key: &str, cause: &str) {
+    let cause = format!("the record `{key}` can't be parsed: {cause}");
+    emit(&Event::Unreadable { dependency: Dependency::CrashRecords, cause: &cause });
+}
+
 /// Deletes some expired records, so that they don't accumulate. Several routers may delete the same ones, which does no harm.
 async fn delete_expired(store: &Store, expired: Vec<String>) {
     for key in expired.into_iter().take(MAX_DELETES_PER_READ) {
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -194,7 +194,10 @@
                 *newest = None;
                 emit(&Event::Unreadable { dependency: Dependency::Configuration, cause: &cause });
             }
-            Update::Endpoint(_) | Update::InvalidEndpoint(..) | Update::Record(..) => {}
+            Update::Endpoint(_)
+            | Update::InvalidEndpoint(..)
+            | Update::Record(..)
+            | Update::InvalidRecord(..) => {}
         }
     }
     fresh
@@ -300,7 +303,10 @@
                     emit(&Event::Unreadable { dependency: Dependency::Membership, cause: &cause });
                 }
             }
-            Update::Config(_) | Update::InvalidConfig(_) | Update::Record(..) => {}
+            Update::Config(_)
+            | Update::InvalidConfig(_)
+            | Update::Record(..)
+            | Update::InvalidRecord(..) => {}
         }
     }
     let update = ListUpdate { changes, complete: batch.complete, position: batch.position };
--- a/components/router/src/roster.rs
+++ b/components/router/src/roster.rs
@@ -1,12 +1,13 @@
 //! Follows in the platform's store which routers share the limits of workspaces, and records that this router does.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use catalog::Catalog;
 use clock::Moment;
 use events::{Dependency, Event, emit, millis};
-use platform::{Follower, Store, StoreError, Topic, Update};
+use platform::{Follower, RecordKind, Store, StoreError, Topic, Update};
 use quota::{RosterWrite, RouterRecord};
 use tokio::time::Instant;
 
@@ -25,7 +26,7 @@
     let limited = |catalog: &Option<Arc<Catalog>>| catalog.as_deref().is_some_and(has_limits);
     // If the settings have a section on limits, the first read does not wait for the configuration: requests wait for both.
     let mut wait_for_limits = shared.settings.borrow().quota.is_none();
-    let mut follower = Follower::new(store.clone(), Topic::Routers);
+    let mut follower = Follower::with_check(store.clone(), Topic::Routers, check_record);
     let mut lost_since: Option<Instant> = None;
     loop {
         if wait_for_limits && catalog.wait_for(limited).await.is_err() {
@@ -92,13 +93,37 @@
     Ok(())
 }
 
+/// Checks a record of the store before it is kept.
+fn check_record(key: &str, value: &[u8]) -> RecordKind {
+    if key.parse::<SocketAddr>().is_err() {
+        return RecordKind::Foreign;
+    }
+    // The record was deleted.
+    if value.is_empty() {
+        return RecordKind::Valid;
+    }
+    match serde_json::from_slice::<RouterRecord>(value) {
+        Ok(_) => RecordKind::Valid,
+        Err(error) => RecordKind::Invalid(error.to_string()),
+    }
+}
+
+fn log_invalid(key: &str, cause: &str) {
+    let cause = format!("the record `{key}` can't be parsed: {cause}");
+    emit(&Event::Unreadable { dependency: Dependency::Roster, cause: &cause });
+}
+
 /// Parses one record; the record is `None` if it was deleted.
-fn decode(update: Update) -> Option<(std::net::SocketAddr, Option<RouterRecord>)> {
-    let Update::Record(key, value) = update else { return None };
-    let bad = |cause: String| {
-        let cause = format!("the record `{key}` can't be parsed: {cause}");
-        emit(&Event::Unreadable { dependency: Dependency::Roster, cause: &cause });
+fn decode(update: Update) -> Option<(SocketAddr, Option<RouterRecord>)> {
+    let (key, value) = match update {
+        Update::Record(key, value) => (key, value),
+        Update::InvalidRecord(key, cause) => {
+            log_invalid(&key, &cause);
+            return None;
+        }
+        _ => return None,
     };
+    let bad = |cause: String| log_invalid(&key, &cause);
     let addr =
         key.parse().map_err(|error: std::net::AddrParseError| bad(error.to_string())).ok()?;
     if value.is_empty() {
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -8,6 +8,7 @@
 //! service with one version costs one read of each router and one write.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::str::FromStr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,7 +18,8 @@
 use origin::{
     EstablishedVersion, Lookup, MAX_ORIGINS, OriginTable, SeenVersions, ServiceRecord, StreamKey,
 };
-use platform::{Batch, Follower, PutOutcome, Store, StoreError, Topic, Update};
+use platform::{Batch, Follower, PutOutcome, RecordKind, Store, StoreError, Topic, Update};
+use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use units::{Era, ServiceName, SoftwareVersion, StorePosition, UnixMillis};
@@ -99,7 +101,8 @@
 impl StreamRecords {
     /// Knows nothing until the first read.
     pub(crate) fn new(store: Store) -> Self {
-        let reader = tokio::sync::Mutex::new(Follower::new(store, Topic::Streams));
+        let reader =
+            tokio::sync::Mutex::new(Follower::with_check(store, Topic::Streams, check_record));
         Self { state: Mutex::default(), reader, changed: Notify::new(), written: Notify::new() }
     }
 
@@ -162,6 +165,31 @@
     }
 }
 
+/// Checks a record of the store before it is kept.
+fn check_record(key: &str, value: &[u8]) -> RecordKind {
+    let parsed = if key.starts_with(ROUTER_PREFIX) {
+        parse_if_present::<StoredStreams>(value)
+    } else if key
+        .strip_prefix(SERVICE_PREFIX)
+        .is_some_and(|name| ServiceName::from_str(name).is_ok())
+    {
+        parse_if_present::<ServiceRecord>(value)
+    } else {
+        return RecordKind::Foreign;
+    };
+    parsed.map_or_else(|error| RecordKind::Invalid(error.to_string()), |()| RecordKind::Valid)
+}
+
+/// Checks that a value can be parsed, unless the record was deleted.
+fn parse_if_present<T: DeserializeOwned>(value: &[u8]) -> Result<(), serde_json::Error> {
+    if value.is_empty() { Ok(()) } else { serde_json::from_slice::<T>(value).map(drop) }
+}
+
+fn log_invalid(key: &str, cause: &str) {
+    let cause = format!("the record `{key}` can't be parsed: {cause}");
+    emit(&Event::Unreadable { dependency: Dependency::StreamRecords, cause: &cause });
+}
+
 impl State {
     fn apply(&mut self, batch: Batch, sent: Instant) {
         if batch.complete {
@@ -171,10 +199,17 @@
             self.abandoned.clear();
         }
         for update in batch.updates {
-            let Update::Record(key, value) = update else { continue };
-            if let Err(error) = self.apply_record(&key, &value) {
-                let cause = format!("the record `{key}` can't be parsed: {error}");
-                emit(&Event::Unreadable { dependency: Dependency::StreamRecords, cause: &cause });
+            match update {
+                Update::Record(key, value) => {
+                    if let Err(error) = self.apply_record(&key, &value) {
+                        log_invalid(&key, &error.to_string());
+                    }
+                }
+                Update::InvalidRecord(key, cause) => {
+                    self.leave_out(&key);
+                    log_invalid(&key, &cause);
+                }
+                _ => {}
             }
         }
         self.position = Some(batch.position);
@@ -192,17 +227,25 @@
             }
         }
         if key.starts_with(ROUTER_PREFIX) {
-            self.streams.remove(key);
-            self.abandoned.retain(|other| other != key);
-            self.left_out.remove(key);
-            if !value.is_empty() {
-                self.left_out.insert(key.to_owned());
+            self.leave_out(key);
+            if value.is_empty() {
+                self.left_out.remove(key);
+            } else {
                 self.apply_streams(key, serde_json::from_slice(value)?);
             }
         }
         Ok(())
     }
 
+    /// Drops what the record of a router said.
+    fn leave_out(&mut self, key: &str) {
+        if key.starts_with(ROUTER_PREFIX) {
+            self.streams.remove(key);
+            self.abandoned.retain(|other| other != key);
+            self.left_out.insert(key.to_owned());
+        }
+    }
+
     fn apply_streams(&mut self, key: &str, stored: StoredStreams) {
         let (now, wall_now) = (Instant::now(), wall_clock());
         let is_old = wall_now.since(stored.at) > ABANDONED_AFTER;
--- a/components/router/src/stream_records/tests.rs
+++ b/components/router/src/stream_records/tests.rs
@@ -80,6 +80,27 @@
     assert!(partly.established(&llm).is_none(), "the record may name the stream");
 }
 
+#[tokio::test]
+async fn a_record_of_a_router_that_was_left_out_may_name_any_stream() {
+    let left_out = Update::InvalidRecord(format!("{ROUTER_PREFIX}front-1"), "bad".to_owned());
+    let foreign = Update::InvalidRecord("other".to_owned(), "bad".to_owned());
+    let llm = "llm".parse().expect("a service");
+    assert!(records(vec![foreign, two_versions()]).established(&llm).is_some());
+    assert!(records(vec![left_out, two_versions()]).established(&llm).is_none());
+}
+
+#[test]
+fn records_are_checked_by_their_keys_and_values() {
+    let valid = [streams(0..1, "v1"), service(&["v1"])];
+    for update in valid {
+        let Update::Record(key, value) = update else { unreachable!("a record") };
+        assert_eq!(check_record(&key, &value), RecordKind::Valid);
+        assert_eq!(check_record(&key, b""), RecordKind::Valid, "the record was deleted");
+        assert!(matches!(check_record(&key, b"{"), RecordKind::Invalid(_)));
+        assert_eq!(check_record("other", &value), RecordKind::Foreign);
+    }
+}
+
 /// Guards against memory that grows with what others write, and against taking a stream that was left out for one that is not
 /// recorded.
 #[tokio::test]
--- a/components/router/src/topic_source.rs
+++ b/components/router/src/topic_source.rs
@@ -37,6 +37,11 @@
     /// Creates a source that starts with the newest record of each key.
     pub(crate) fn new(shared: Arc<Shared>, topic: Topic) -> Self {
         let follower = Follower::new(shared.store.clone(), topic);
+        Self::with_follower(shared, follower)
+    }
+
+    /// Creates a source that goes on with a follower.
+    pub(crate) fn with_follower(shared: Arc<Shared>, follower: Follower) -> Self {
         let (schedule, mirror) = (Schedule::default(), String::new());
         let started = Instant::now();
         Self { shared, started, follower, schedule, mirror, regained: None }
--- a/programs/tests/garbage.rs
+++ b/programs/tests/garbage.rs
@@ -95,7 +95,15 @@
     /// Starts a router; its services are `app` with routes `safe` and `unsafe`, and `feed` or, with models, `llm`, whose
     /// routes stream.
     async fn start(servers: &[(Server, &str)]) -> Self {
-        let store = Store::start().await;
+        Self::start_with_store(servers, Store::start().await, json!(null)).await
+    }
+
+    /// Like [`Router::start`], with a store that has records already, and this section on quotas.
+    async fn start_with_store(
+        servers: &[(Server, &str)],
+        store: Store,
+        quota: serde_json::Value,
+    ) -> Self {
         let mut config = config(1, &["safe", "unsafe", "stream", "resumable"]);
         if servers.iter().all(|(_, service)| *service != "llm") {
             for route in 2..4 {
@@ -118,6 +126,7 @@
             "ready": at(8_001), "control": at(8_002), "peers": [], "store": link.addr, "loader-port": 7_400,
             "grace": "4s", "bounds": {"apply": "2s", "drain": "2s"}, "rules": ["base", "retry", "recover"],
             "repeats": {"ratio": 0.2, "slack": 320.0, "window": "10s"},
+            "quota": quota,
             "scheduling": {"shedding": "off"}});
         let process = Process::start(env!("CARGO_BIN_EXE_hyssop-router"), folder.path(), &settings);
         let request = "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
@@ -430,3 +439,44 @@
         check_process(&process, idle_kb, (ip, 7_400).into(), &format!("{kind:?}")).await;
     }
 }
+
+/// How much other writers leave in one topic, in bytes.
+const FOREIGN_BYTES: usize = 60 << 20;
+
+/// Records of other writers in a topic of the routers take no memory, whether they have keys of their own or such as routers write.
+#[rstest]
+#[case::crash_records("keyed.ends", "end i-N 7 front-2")]
+#[case::streams("keyed.streams", "router/front-N")]
+#[case::versions("keyed.streams", "service/app-N")]
+#[case::roster("keyed.routers", "10.0.0.1:N")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_starts_beside_records_of_other_writers_needs_little_memory(
+    #[case] topic: &str,
+    #[case] own_key: &str,
+    #[values("a-N", "")] foreign_key: &str,
+    #[values(250 << 10, 3 << 10)] bytes: usize,
+) {
+    let sound = Server::plain("i-sound").await;
+    let quota = json!({"window": "8s", "overshoot": 0.1, "slack": 17_000.0});
+    let alone = [(sound.clone(), "app")];
+    let alone = Router::start_with_store(&alone, Store::start().await, quota.clone()).await;
+    tokio::time::sleep(GARBAGE_TIME).await;
+    let alone_kb = alone.process.peak_kb();
+    drop(alone);
+    let store = Store::start().await;
+    let key = if foreign_key.is_empty() { own_key } else { foreign_key };
+    for number in 0..FOREIGN_BYTES / bytes {
+        let key = key.replace('N', &number.to_string());
+        store.put_raw(topic, key.as_bytes(), vec![b'x'; bytes]);
+    }
+    let router = Router::start_with_store(&[(sound, "app")], store, quota).await;
+    let start = Instant::now();
+    let pages = || router.store.newest_pages(topic);
+    while pages() < u32::try_from(FOREIGN_BYTES >> 20).expect("few") {
+        assert!(start.elapsed() < START_TIMEOUT, "only {} pages are read", pages());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(GARBAGE_TIME).await;
+    let what = format!("{topic}, {} pages of {key}", pages());
+    check_process(&router.process, alone_kb, router.ready, &what).await;
+}
