--- a/programs/tests/odd_entries.rs
+++ b/programs/tests/odd_entries.rs
@@ -242,7 +242,7 @@
     let loader = Process::start(env!("CARGO_BIN_EXE_hyssop-loader"), folder.path(), &settings);
     let mut routers = Vec::new();
     for number in 0..ROUTERS {
-        let router = RouterProcess::start(&format!("front-{number}"), store.addr);
+        let router = RouterProcess::start(&format!("front-{number}"), store.addr, &json!(null));
         routers.push(Router { router, idle_kb: u64::MAX / 2 });
     }
     for router in &routers {
--- a/programs/tests/processes/mod.rs
+++ b/programs/tests/processes/mod.rs
@@ -58,8 +58,8 @@
 }
 
 impl RouterProcess {
-    /// Starts a router that may not be ready yet.
-    pub(crate) fn start(instance: &str, store: SocketAddr) -> Self {
+    /// Starts a router that may not be ready yet, with this section on quotas.
+    pub(crate) fn start(instance: &str, store: SocketAddr, quota: &serde_json::Value) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let ip = address();
         let at = |port| SocketAddr::from((ip, port));
@@ -68,6 +68,7 @@
             "ready": at(8_001), "control": at(8_002), "peers": [], "store": store, "loader-port": 7_400,
             "grace": "4s", "bounds": {"apply": "2s", "drain": "2s"}, "rules": ["base", "retry", "recover"],
             "repeats": {"ratio": 0.2, "slack": 320.0, "window": "10s"},
+            "quota": quota,
             "scheduling": {"shedding": "off"}});
         let process = Process::start(env!("CARGO_BIN_EXE_hyssop-router"), folder.path(), &settings);
         Self { process, callers: at(8_000), ready: at(8_001), _folder: folder }
