Soaks write and remove records of other writers among their faults

No soak wrote anything but what servers, routers and the operator write. Both now have a writer of its own in the topics of the list and of the routers: keys of any bytes, before, between and after those of servers, values of up to 400 KB that name no server to use (nested lists, fields out of range or of another type, bytes that are no text, services and models with long names), removed again in random order. They meet lost history, a store that is away, and routers and loaders that are killed and started again. The records have a random sequence of their own, so the other faults of a seed stay as they were.

--- a/components/load/src/cli.rs
+++ b/components/load/src/cli.rs
@@ -25,7 +25,7 @@
        hyssop-load bench [--bin DIR] [--out DIR]
        hyssop-load affinity [--bin DIR] [--out DIR]
        hyssop-load scale [--part real|large|calls] [--bin DIR] [--out DIR]
-       hyssop-load soak [--seeds FROM..TO] [--restores] [--releases] [--bin DIR] [--out DIR]
+       hyssop-load soak [--seeds FROM..TO] [--restores] [--releases] [--odd-records] [--bin DIR] [--out DIR]
        hyssop-load --help | --version
 
   --deployment  the sample to start; press unless given
@@ -33,6 +33,7 @@
   --seeds       the seeds of the soak, the last one left out; 1..4 unless given
   --restores    the store comes back from older copies of itself meanwhile
   --releases    engines change the version of their software meanwhile, and callers take streams up
+  --odd-records other writers write records of any bytes into the topics of the system meanwhile
   --part        the part of the bench to run; the others keep their last results
   --out         the folder for settings files, logs and results; try-logs or results unless given
 
@@ -169,6 +170,7 @@
         seeds: 1..4,
         restores: false,
         releases: false,
+        odd_records: false,
         bin: trial::own_folder(),
         out: PathBuf::from("soak-logs"),
     };
@@ -177,6 +179,7 @@
             Arg::Long("seeds") => job.seeds = seeds(&parser.value()?.string()?)?,
             Arg::Long("restores") => job.restores = true,
             Arg::Long("releases") => job.releases = true,
+            Arg::Long("odd-records") => job.odd_records = true,
             Arg::Long("bin") => job.bin = parser.value()?.into(),
             Arg::Long("out") => job.out = parser.value()?.into(),
             Arg::Short('h') | Arg::Long("help") => return Ok(Task::Help),
--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -1,8 +1,8 @@
 //! A soak: routers and loaders as processes before the stand-ins, seeded faults from outside, promises checked.
 //!
 //! Faults come in series and overlap: links that are cut, slow, lossy or silent, processes that are stopped, paused,
-//! killed and started again, servers and a store that misbehave, versions of the configuration in a row, each of which takes a
-//! key away. Callers go on
+//! killed and started again, servers and a store that misbehave, other writers of its topics, versions of the configuration in a row,
+//! each of which takes a key away. Callers go on
 //! using their connections until the process behind them is gone.
 
 mod callers;
@@ -19,7 +19,7 @@
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use standin_platform::{Behavior, LinkFault, StoreFault};
+use standin_platform::{Behavior, LinkFault, OddRecords, StoreFault};
 use tokio::time::{Instant, sleep};
 
 use crate::children::ChildError;
@@ -41,6 +41,8 @@
 const RELEASED: f64 = 0.2;
 /// Makes the times of releases differ from those of other faults.
 const RELEASE_SEED: u64 = 1 << 40;
+/// Makes the records of other writers differ from other faults.
+const ODD_SEED: u64 = 1 << 41;
 /// How long a server that ended is gone.
 const DOWN: Duration = Duration::from_millis(300);
 /// The longest that a process is paused.
@@ -60,6 +62,8 @@
     pub(crate) restores: bool,
     /// Whether engines change the version of their software, and callers take streams up.
     pub(crate) releases: bool,
+    /// Whether other writers write records of any bytes into the topics of the system.
+    pub(crate) odd_records: bool,
     /// Where the programs are.
     pub(crate) bin: PathBuf,
     /// Where settings and logs go, a folder for each seed.
@@ -82,10 +86,11 @@
         }
         if !broken.is_empty() {
             println!(
-                "  again: hyssop-load soak --seeds {seed}..{}{}{}; logs: {}",
+                "  again: hyssop-load soak --seeds {seed}..{}{}{}{}; logs: {}",
                 seed + 1,
                 if job.restores { " --restores" } else { "" },
                 if job.releases { " --releases" } else { "" },
+                if job.odd_records { " --odd-records" } else { "" },
                 out.display()
             );
             failed.push(seed);
@@ -109,8 +114,10 @@
     // The other faults of a seed are the same with and without restores.
     let mut restores = ChaCha8Rng::seed_from_u64(!seed);
     let mut releases = ChaCha8Rng::seed_from_u64(seed ^ RELEASE_SEED);
+    let mut odd_rng = ChaCha8Rng::seed_from_u64(seed ^ ODD_SEED);
     let mut world = World::start(&job.bin, &out, job.releases).await?;
     let shared = world.shared.clone();
+    let mut odd = job.odd_records.then(|| OddRecords::write(&shared.store, &mut odd_rng));
     let until = Instant::now() + PLAYED;
     shared.plain.iter().for_each(|server| server.crash_on(POISON.as_bytes(), DOWN));
     let mut insisting: Vec<_> =
@@ -133,6 +140,9 @@
         if job.releases && releases.random_bool(RELEASED) {
             world.release(Duration::from_millis(releases.random_range(0..1_200)));
         }
+        if let Some(odd) = &mut odd {
+            odd.change(&shared.store, &mut odd_rng);
+        }
         sleep(Duration::from_millis(rng.random_range(30..400))).await;
         world.tend()?;
         if rng.random_bool(0.25) {
--- a/programs/tests/soak.rs
+++ b/programs/tests/soak.rs
@@ -15,6 +15,11 @@
     run_soak(&["--seeds", "1..4", "--restores"]);
 }
 
+#[test]
+fn processes_keep_all_guarantees_beside_records_of_other_writers() {
+    run_soak(&["--seeds", "6..8", "--restores", "--odd-records"]);
+}
+
 fn run_soak(options: &[&str]) {
     // Cargo builds both programs before the test, into the same folder.
     let bin = Path::new(env!("CARGO_BIN_EXE_hyssop-router")).parent().expect("a folder");
