--- a/programs/tests/odd_entries.rs
+++ b/programs/tests/odd_entries.rs
@@ -154,8 +154,10 @@
 
 /// A router that serves, beside no odd entries.
 async fn start_router(store: &Store, server: &Server) -> Router {
-    let mut router =
-        Router { router: RouterProcess::start("front-1", store.addr), idle_kb: u64::MAX / 2 };
+    let mut router = Router {
+        router: RouterProcess::start("front-1", store.addr, &json!(null)),
+        idle_kb: u64::MAX / 2,
+    };
     router.wait_until_ready().await;
     router.check_serves(&server.id).await;
     router.idle_kb = router.router.process.resident_kb();
@@ -177,7 +179,8 @@
     let Router { idle_kb, .. } = start_router(&store, &server).await;
     odd.write(&store);
     let before = store.newest_pages(SERVERS);
-    let router = Router { router: RouterProcess::start("front-2", store.addr), idle_kb };
+    let router =
+        Router { router: RouterProcess::start("front-2", store.addr, &json!(null)), idle_kb };
     router.wait_until_ready().await;
     router.check_serves(&server.id).await;
     router.check(&store, before, &odd);
