--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -126,10 +126,30 @@
     let is_close = |field: &HeaderName| {
         let field = field.as_str();
         name.len().abs_diff(field.len()) <= MAX_MISSPELLING
-            && strsim::osa_distance(name, field) <= MAX_MISSPELLING
+            && edit_distance(name, field) <= MAX_MISSPELLING
     };
     !name.starts_with(PRIVATE_PREFIX) && FRAMING_FIELDS.iter().any(is_close)
 }
 
+/// How many insertions, deletions, substitutions and swaps of neighbors turn one text into the other.
+fn edit_distance(from: &str, to: &str) -> usize {
+    let (from, to) = (from.as_bytes(), to.as_bytes());
+    let mut two_before = Vec::new();
+    let mut before: Vec<usize> = (0..=to.len()).collect();
+    for (i, a) in from.iter().enumerate() {
+        let mut row = vec![i + 1];
+        for (j, b) in to.iter().enumerate() {
+            let substituted = before[j] + usize::from(a != b);
+            let mut least = substituted.min(before[j + 1] + 1).min(row[j] + 1);
+            if i > 0 && j > 0 && *a == to[j - 1] && from[i - 1] == *b {
+                least = least.min(two_before[j - 1] + 1);
+            }
+            row.push(least);
+        }
+        two_before = std::mem::replace(&mut before, row);
+    }
+    before[to.len()]
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/web/src/framing/tests.rs
+++ b/components/web/src/framing/tests.rs
@@ -109,3 +109,16 @@
     let merged: Vec<&HeaderValue> = headers.get_all(CONTENT_LENGTH).iter().collect();
     assert_eq!(merged, Vec::from_iter(expected));
 }
+
+#[rstest]
+#[case("abc", "abc", 0)]
+#[case("abc", "abd", 1)]
+#[case("abc", "acb", 1)]
+#[case("abc", "ab", 1)]
+#[case("", "abc", 3)]
+#[case("contnet-lenght", "content-length", 2)]
+#[case("content-language", "content-length", 5)]
+fn counts_edits(#[case] from: &str, #[case] to: &str, #[case] expected: usize) {
+    assert_eq!(edit_distance(from, to), expected);
+    assert_eq!(edit_distance(to, from), expected);
+}
