--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -19,7 +19,7 @@
         },
         Event::StoreRestored { dependency: Dependency::Membership, before: "0.90", read: "1.70" },
         Event::NewestRead {
-            topic: "keyed.servers",
+            topic: "endpoints",
             pages: 2,
             records: 612,
             bytes: 480_310,
