--- a/components/load/src/soak.rs
+++ b/components/load/src/soak.rs
@@ -117,7 +117,10 @@
     let mut odd_rng = ChaCha8Rng::seed_from_u64(seed ^ ODD_SEED);
     let mut world = World::start(&job.bin, &out, job.releases).await?;
     let shared = world.shared.clone();
-    let mut odd = job.odd_records.then(|| OddRecords::write(&shared.store, &mut odd_rng));
+    let mut odd = job.odd_records.then(|| {
+        OddRecords::shorten_pages(&shared.store, seed);
+        OddRecords::write(&shared.store, &mut odd_rng)
+    });
     let until = Instant::now() + PLAYED;
     shared.plain.iter().for_each(|server| server.crash_on(POISON.as_bytes(), DOWN));
     let mut insisting: Vec<_> =
