A task that panics is started again

A panic ends its task alone: a router whose follower of the list panicked would have gone on with the list that it had, without a line, and said that it is ready. No value that does this is known.

The tasks that a router runs beside its requests are started again a second after a panic, with a line and a counter.

--- a/components/events/src/count.rs
+++ b/components/events/src/count.rs
@@ -173,6 +173,7 @@
             counter!("stream_records_total").increment(1);
             counter!("stream_record_bytes_total").increment(*bytes as u64);
         }
+        Event::TaskPanicked { .. } => counter!("task_panics_total").increment(1),
         Event::VersionsChanged { .. } => counter!("versions_changed_total").increment(1),
         Event::OriginsNotTold { streams, .. } => count_origins_told("failed", *streams),
         Event::StreamsRemembered { .. }
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -106,6 +106,13 @@
     },
     /// Connections of callers are accepted again.
     AcceptRecovered,
+    /// A task of the process panicked; it is started again.
+    TaskPanicked {
+        /// The task.
+        task: &'a str,
+        /// The message of the panic.
+        cause: &'a str,
+    },
     /// A dependency became unreachable.
     #[serde(rename = "lost")]
     DependencyLost {
@@ -686,6 +693,7 @@
             | Self::StartDelayed { .. }
             | Self::MetricsUnavailable { .. }
             | Self::AcceptFailing { .. }
+            | Self::TaskPanicked { .. }
             | Self::DependencyLost { .. }
             | Self::EndpointPaused { .. }
             | Self::CrashChecked { .. }
--- a/components/events/src/event/tests.rs
+++ b/components/events/src/event/tests.rs
@@ -66,6 +66,7 @@
         Event::BodiesTooLarge { limit_bytes: 4 << 20, memory_bytes: 2 << 20 },
         Event::AcceptFailing { cause: "Too many open files (os error 24)" },
         Event::AcceptRecovered,
+        Event::TaskPanicked { task: "membership", cause: "index out of bounds" },
         Event::Outdated { version: 3, current: 7 },
         Event::EndpointChanged {
             endpoint,
--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -8,7 +8,7 @@
 use http::{Response, StatusCode};
 use platform::{Follower, PutOutcome, RecordKind, Store, StoreError, Topic, Update};
 use quarantine::{CrashTable, Digest, QuarantineRecord, Trial, UnixMillis};
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use tokio::time::Instant;
 use units::StorePosition;
 use web::Body;
@@ -192,8 +192,9 @@
 pub(crate) async fn write(
     shared: Arc<Shared>,
     store: Store,
-    mut records: mpsc::UnboundedReceiver<KeyedRecord>,
+    records: Arc<Mutex<mpsc::UnboundedReceiver<KeyedRecord>>>,
 ) {
+    let mut records = records.lock().await;
     while let Some(keyed) = records.recv().await {
         let value = serde_json::to_vec(&keyed.record).unwrap_or_default();
         while let Err(error) = store.put(Topic::CrashRecords, &keyed.key, &value, None).await {
--- a/components/router/src/run.rs
+++ b/components/router/src/run.rs
@@ -4,13 +4,15 @@
 use std::sync::atomic::Ordering;
 
 use control::{
-    CRASHES_PATH, GRANT_PATH, LEASES_PATH, LIMITS_PATH, RELEASE_PATH, SNAPSHOT_PATH, SPEEDS_PATH,
-    SUSPECTS_PATH, TOKENS_PATH, VERSIONS_PATH, WAITING_PATH, WORKSPACES_PATH,
+    CRASHES_PATH, GRANT_PATH, KeyedRecord, LEASES_PATH, LIMITS_PATH, RELEASE_PATH, SNAPSHOT_PATH,
+    SPEEDS_PATH, SUSPECTS_PATH, TOKENS_PATH, VERSIONS_PATH, WAITING_PATH, WORKSPACES_PATH,
 };
 use events::{Event, emit};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use platform::Store;
 use process::{ShutdownPhase, SingleThreadProcess, StartError};
+use tokio::sync::{Mutex, mpsc};
 use web::{Acceptor, Body, ServeOptions};
 
 use crate::shared::Shared;
@@ -34,20 +36,7 @@
     // All tasks share one client, since it tracks the era of the store on behalf of all calls.
     let store = shared.store.clone();
     let shared = Arc::new(shared);
-    tokio::spawn(crash_records::read(shared.clone(), store.clone()));
-    tokio::spawn(crash_records::write(shared.clone(), store.clone(), records));
-    tokio::spawn(crash_records::publish_cleared(shared.clone()));
-    tokio::spawn(feed::follow_config(shared.clone()));
-    tokio::spawn(feed::follow_members(shared.clone()));
-    tokio::spawn(roster::follow(shared.clone(), store));
-    tokio::spawn(snapshot::follow(shared.clone()));
-    tokio::spawn(stream_records::maintain(shared.clone()));
-    tokio::spawn(prefetch::run(shared.clone()));
-    tokio::spawn(speeds::run(shared.clone()));
-    tokio::spawn(wait_queue::hand_back_at_stop(shared.clone()));
-    tokio::spawn(share_leases::run(shared.clone()));
-    tokio::spawn(share_leases::reclaim(shared.clone()));
-    tokio::spawn(intake::report(shared.clone()));
+    spawn_tasks(&shared, &store, records);
     let ready_shared = shared.clone();
     let handler = move |request: http::Request<hyper::body::Incoming>, _| {
         let answer = ready::answer(&ready_shared, request.uri().path());
@@ -75,6 +64,41 @@
     Ok(())
 }
 
+/// Spawns what the router does beside the requests. A panic in one of these tasks must not leave a router that serves requests by what it
+/// knew then.
+fn spawn_tasks(shared: &Arc<Shared>, store: &Store, records: mpsc::UnboundedReceiver<KeyedRecord>) {
+    fn spawn<F>(
+        shared: &Arc<Shared>,
+        task: &'static str,
+        run: impl Fn(Arc<Shared>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let shared = shared.clone();
+        process::spawn_restarting(task, move || run(shared.clone()));
+    }
+
+    let reading = store.clone();
+    spawn(shared, "crash-records", move |shared| crash_records::read(shared, reading.clone()));
+    let (writing, records) = (store.clone(), Arc::new(Mutex::new(records)));
+    spawn(shared, "crash-writes", move |shared| {
+        crash_records::write(shared, writing.clone(), records.clone())
+    });
+    spawn(shared, "cleared", crash_records::publish_cleared);
+    spawn(shared, "configuration", feed::follow_config);
+    spawn(shared, "membership", feed::follow_members);
+    let following = store.clone();
+    spawn(shared, "roster", move |shared| roster::follow(shared, following.clone()));
+    spawn(shared, "snapshots", snapshot::follow);
+    spawn(shared, "stream-records", stream_records::maintain);
+    spawn(shared, "prefetch", prefetch::run);
+    spawn(shared, "speeds", speeds::run);
+    spawn(shared, "leases", share_leases::run);
+    spawn(shared, "lease-returns", share_leases::reclaim);
+    spawn(shared, "load-report", intake::report);
+    tokio::spawn(wait_queue::hand_back_at_stop(shared.clone()));
+}
+
 /// Answers requests of other routers and of operators.
 async fn answer_control(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
