--- a/components/edge/tests/garbage.rs
+++ b/components/edge/tests/garbage.rs
@@ -3,15 +3,18 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use edge::{Endpoint, EndpointError, HttpEndpoint};
-use http::{Request, StatusCode};
+use edge::{
+    Endpoint, EndpointError, HttpEndpoint, HttpList, HttpLog, InstanceList, LogError, LogService,
+    Order, OrderKind, Stream,
+};
+use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::{Instant, timeout};
-use units::RequestId;
+use units::{Incarnation, Offset, RequestId};
 
 /// How long a call may stay without a byte.
 const IDLE: Duration = Duration::from_millis(500);
@@ -206,3 +209,145 @@
     assert!(matches!(answer, Err(EndpointError::Refused(_))), "{answer:?}");
     wait_closed(closed).await;
 }
+
+/// What a process asks of another one.
+#[derive(Debug, Clone, Copy)]
+enum Ask {
+    Append,
+    Read,
+    /// A read of records that are no longer kept.
+    ExpiredRead,
+    List,
+    Order,
+    /// An order of an outdated sender.
+    OutdatedOrder,
+    Inventory,
+    Usage,
+    CacheEvents,
+    Cancel,
+    /// A completion for which the engine has no room.
+    RefusedCompletion,
+    Call,
+    Resume,
+}
+
+impl Ask {
+    /// The status line and the body of the answer.
+    fn answer(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Append => ("200 OK", r#"{"first":7}"#),
+            Self::Read => ("200 OK", r#"{"first":1,"last":0,"records":[]}"#),
+            Self::ExpiredRead => ("410 Gone", r#"{"first":7}"#),
+            Self::List => ("200 OK", r#"{"instances":[]}"#),
+            Self::Order => ("202 Accepted", "{}"),
+            Self::OutdatedOrder => ("409 Conflict", r#"{"seen":9}"#),
+            Self::Inventory => {
+                ("200 OK", r#"{"version":1,"memory":"1GiB","fence":1,"loaded":[],"cached":[]}"#)
+            }
+            Self::Usage => ("200 OK", r#"{"running":0,"waiting":0,"age":"1s"}"#),
+            Self::CacheEvents => ("200 OK", r#"{"next":1,"events":[]}"#),
+            Self::Cancel => ("404 Not Found", "no such request"),
+            Self::RefusedCompletion => ("503 Service Unavailable", "no room"),
+            Self::Call | Self::Resume => ("200 OK", "a whole body"),
+        }
+    }
+
+    /// Whether the answer at this address is believed.
+    async fn is_believed(self, addr: SocketAddr) -> bool {
+        let (log, list) = (HttpLog::new(addr), HttpList::new(addr));
+        let endpoint = HttpEndpoint::new(addr).with_idle(IDLE);
+        match self {
+            Self::Append => log.append(Stream::Control, vec!["a".into()]).await.is_ok(),
+            Self::Read => log.read(Stream::Control, Offset(1), Duration::ZERO).await.is_ok(),
+            Self::ExpiredRead => {
+                let read = log.read(Stream::Control, Offset(1), Duration::ZERO).await;
+                matches!(read, Err(LogError::Expired { .. }))
+            }
+            Self::List => list.instances().await.is_ok(),
+            Self::Order => endpoint.order(order()).await.is_ok(),
+            Self::OutdatedOrder => {
+                matches!(endpoint.order(order()).await, Err(EndpointError::Fenced { .. }))
+            }
+            Self::Inventory => endpoint.inventory(0, Duration::ZERO).await.is_ok(),
+            Self::Usage => endpoint.usage().await.is_ok(),
+            Self::CacheEvents => endpoint.cache_events(1).await.is_ok(),
+            Self::Cancel => endpoint.cancel(&id()).await.is_ok(),
+            Self::RefusedCompletion => {
+                let request = Request::post("/v1/completions").body(web::full("{}"));
+                let answer = endpoint.call(&id(), request.expect("a request")).await;
+                matches!(answer, Err(EndpointError::Refused(_)))
+            }
+            Self::Call => {
+                let request = Request::post("/badges").body(web::full("{}")).expect("a request");
+                is_whole(endpoint.call(&id(), request).await).await
+            }
+            Self::Resume => is_whole(endpoint.resume(&id(), 0).await).await,
+        }
+    }
+}
+
+fn order() -> Order {
+    let order = OrderKind::Role { role: "decode".to_owned() };
+    Order { id: "o1".to_owned(), fence: Incarnation(3), urgent: false, order }
+}
+
+/// Whether a whole answer has arrived.
+async fn is_whole(answer: Result<Response<web::Body>, EndpointError>) -> bool {
+    match answer {
+        Ok(answer) => answer.into_body().collect().await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Processes acted on bodies that were not those of the answers, since they parse.
+#[rstest]
+#[tokio::test]
+async fn an_answer_with_a_broken_head_is_not_believed_though_its_body_parses(
+    #[values(
+        Ask::Append,
+        Ask::Read,
+        Ask::ExpiredRead,
+        Ask::List,
+        Ask::Order,
+        Ask::OutdatedOrder,
+        Ask::Inventory,
+        Ask::Usage,
+        Ask::CacheEvents,
+        Ask::Cancel,
+        Ask::RefusedCompletion,
+        Ask::Call,
+        Ask::Resume
+    )]
+    ask: Ask,
+) {
+    let (status, body) = ask.answer();
+    let length = body.len();
+    let chunks = format!("{length:x}\r\n{body}\r\n0\r\n\r\n");
+    let answer = |lines: &str, body: &str| format!("HTTP/1.1 {status}\r\n{lines}\r\n{body}");
+    let sound = [
+        answer(&format!("Content-Length: {length}\r\n"), body),
+        answer("Transfer-Encoding: chunked\r\n", &chunks),
+        answer("", body),
+    ];
+    for bytes in sound {
+        assert!(ask.is_believed(closing_peer(bytes.clone()).await).await, "{bytes}");
+    }
+    let broken = [
+        answer("Transfer-Encoding: xchunked\r\n", body),
+        answer("Transfer-Encoding: gzip\r\n", body),
+        answer("Transfer-Encoding: \r\n", body),
+        answer("Transfer_Encoding: chunked\r\n", body),
+        answer(&format!("Content-Lengtx: {length}\r\n"), body),
+        answer(&format!("Content-Length: {length}\r\nTransfer-Encoding: xchunked\r\n"), body),
+        answer("Transfer-Encoding: gzip, chunked\r\n", &chunks),
+        answer("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", &chunks),
+        answer(&format!("Content-Length: {length}\r\nTransfer-Encoding: chunked\r\n"), &chunks),
+    ];
+    let mut believed = Vec::new();
+    for bytes in broken {
+        if ask.is_believed(closing_peer(bytes.clone()).await).await {
+            believed.push(bytes);
+        }
+    }
+    assert!(believed.is_empty(), "{} were believed: {believed:#?}", believed.len());
+}
--- a/components/web/tests/client.rs
+++ b/components/web/tests/client.rs
@@ -53,3 +53,65 @@
         assert_eq!(accepted.load(Ordering::Relaxed), calls);
     }
 }
+
+/// Answers each request with the same bytes and ends its connection.
+async fn serve_once(bytes: String) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4 << 10];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(bytes.as_bytes()).await;
+        }
+    });
+    addr
+}
+
+/// Tools showed numbers and lists that were parts of the server's.
+#[rstest]
+#[case::number("1234", "12")]
+#[case::list("[]\n", "[]")]
+#[tokio::test]
+async fn a_part_of_a_body_is_not_taken_for_the_body(
+    #[case] body: &str,
+    #[case] part: &str,
+    #[values("get", "get_if_any", "get_text", "post", "post_raw")] call: &str,
+    #[values(
+        "Content-Lengtx: {length}\r\n",
+        "Content_Length: {length}\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: identity\r\nContent-Length: {length}\r\n",
+        "Transfer-Encoding: \r\n"
+    )]
+    lines: &str,
+) {
+    let answer = |lines: &str, length: usize| {
+        let lines = lines.replace("{length}", &length.to_string());
+        format!("HTTP/1.1 200 OK\r\n{lines}\r\n{part}")
+    };
+    let sound = serve_once(answer("Content-Length: {length}\r\n", part.len())).await;
+    assert_eq!(result_of(call, sound).await.expect("an answer"), part);
+    let broken = serve_once(answer(lines, body.len())).await;
+    let called = result_of(call, broken).await;
+    assert!(matches!(called, Err(CallError::InvalidResponse { .. })), "{called:?}");
+}
+
+/// What a call of this kind returns.
+async fn result_of(call: &str, addr: SocketAddr) -> Result<String, CallError> {
+    let client = Client::default();
+    let text = |value: serde_json::Value| value.to_string();
+    match call {
+        "get" => client.get(addr, "/", LIMIT).await.map(text),
+        "get_if_any" => {
+            let value: Option<serde_json::Value> = client.get_if_any(addr, "/", LIMIT).await?;
+            Ok(value.map_or_else(String::new, text))
+        }
+        "get_text" => client.get_text(addr, "/", LIMIT).await,
+        "post" => client.post(addr, "/", &(), LIMIT).await.map(text),
+        _ => {
+            let (_, bytes) = client.post_raw(addr, "/", &(), LIMIT).await?;
+            Ok(String::from_utf8_lossy(&bytes).into_owned())
+        }
+    }
+}
