A framing field with a colon in its name is a misspelled one

`Content:Length: 27` or `Co:ntent-Length: 27`, one byte away from the field, is a field `Content` with the value `Length: 27` to the library. The response then ended with its connection, and callers got a part of a body as the whole one, with the signature, if the endpoint's connection ended early.

A name that is followed by the rest of a framing field's name and another colon now counts as misspelled. The coding whose body is whole was found by its chunks already; cut short it was delivered too.

--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -73,7 +73,7 @@
         if has_length {
             return Ok(Self::Length);
         }
-        if head.headers.keys().any(|name| resembles_framing_field(name.as_str())) {
+        if head.headers.iter().any(|(name, value)| is_misspelled_field(name, value)) {
             return Err(FramingError::MisspelledField);
         }
         Ok(Self::Close)
@@ -121,6 +121,17 @@
     digits.bytes().all(|byte| byte.is_ascii_digit()).then(|| digits.parse().ok())?
 }
 
+/// Whether a field is probably a misspelled framing field. After a colon in its name the rest of the name is a part of the value.
+fn is_misspelled_field(name: &HeaderName, value: &HeaderValue) -> bool {
+    if resembles_framing_field(name.as_str()) {
+        return true;
+    }
+    let Some((rest, _)) = value.to_str().ok().and_then(|text| text.split_once(':')) else {
+        return false;
+    };
+    resembles_framing_field(&format!("{name}:{}", rest.to_ascii_lowercase()))
+}
+
 /// Whether a field, by its name in lower case, is probably a misspelled framing field.
 fn resembles_framing_field(name: &str) -> bool {
     let is_close = |field: &HeaderName| {
--- a/components/web/src/framing/tests.rs
+++ b/components/web/src/framing/tests.rs
@@ -30,6 +30,7 @@
 #[case::not_modified(304, &[], Framing::Length)]
 #[case::no_content_with_a_coding(204, &[("transfer-encoding", "gzip")], Framing::Length)]
 #[case::private_field(200, &[("x-content-length", "5")], Framing::Close)]
+#[case::colon_in_a_value(200, &[("content-type", "a:b"), ("location", "http://content-length/")], Framing::Close)]
 #[case::misspelled_beside_the_field(200, &[("content_length", "5"), ("content-length", "5")], Framing::Length)]
 fn the_framing_follows_from_the_head(
     #[case] status: u16,
@@ -49,6 +50,8 @@
 #[case::chunks_and_length(&[("content-length", "5"), ("transfer-encoding", "chunked")], FramingError::CodingAndLength)]
 #[case::misspelled_length(&[("content-lengtx", "5")], FramingError::MisspelledField)]
 #[case::misspelled_coding(&[("transfer_encoding", "chunked")], FramingError::MisspelledField)]
+#[case::colon_in_the_length(&[("content", "Length: 5")], FramingError::MisspelledField)]
+#[case::colon_in_the_coding(&[("transfer-enc", "oding: chunked")], FramingError::MisspelledField)]
 #[case::swapped_letters(&[("Contnet-Lenght", "5")], FramingError::MisspelledField)]
 fn a_head_with_broken_framing_is_refused(
     #[case] headers: &[(&str, &str)],
