A framing field in the line of another one makes a head invalid

When the end of a line is lost, `X: a` and `Content-Length: 27` are one field, or the status line has the length in its reason. The response then ended with its connection: callers got a part of a body, or chunks that are cut, as the whole body.

A response that would end with its connection must not have the name of a framing field with its colon within a value or the reason. Lists of names, as in `Vary`, have no colon.

--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -6,6 +6,7 @@
 
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{Method, StatusCode, Version, response};
+use hyper::ext::ReasonPhrase;
 use thiserror::Error;
 
 pub(crate) use close_delimited::{CloseDelimitedCheck, Progress};
@@ -45,6 +46,9 @@
     /// The field that states the framing is not recognized.
     #[error("the response has a field whose name resembles that of a framing field")]
     MisspelledField,
+    /// The end of a line was lost before a field that states the framing.
+    #[error("a line of the response's head holds a framing field beside something else")]
+    FieldInLine,
     /// The head was cut by an empty line.
     #[error("the body of the response begins with the rest of its head")]
     FieldInBody,
@@ -76,6 +80,11 @@
         if head.headers.iter().any(|(name, value)| is_misspelled_field(name, value)) {
             return Err(FramingError::MisspelledField);
         }
+        let reason = head.extensions.get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+        let values = head.headers.values().map(HeaderValue::as_bytes);
+        if reason.into_iter().chain(values).any(contains_framing_field) {
+            return Err(FramingError::FieldInLine);
+        }
         Ok(Self::Close)
     }
 
@@ -142,6 +151,15 @@
     !name.starts_with(PRIVATE_PREFIX) && FRAMING_FIELDS.iter().any(is_close)
 }
 
+/// Whether the rest of a line contains a framing field, as that of a line whose end was lost does.
+fn contains_framing_field(text: &[u8]) -> bool {
+    FRAMING_FIELDS.iter().any(|field| {
+        let name = field.as_str().as_bytes();
+        let mut parts = text.windows(name.len() + 1);
+        parts.any(|part| part.ends_with(b":") && part[..name.len()].eq_ignore_ascii_case(name))
+    })
+}
+
 /// How many insertions, deletions, substitutions and swaps of neighbors turn one text into the other.
 fn edit_distance(from: &str, to: &str) -> usize {
     let (from, to) = (from.as_bytes(), to.as_bytes());
--- a/components/web/src/framing/tests.rs
+++ b/components/web/src/framing/tests.rs
@@ -30,7 +30,9 @@
 #[case::not_modified(304, &[], Framing::Length)]
 #[case::no_content_with_a_coding(204, &[("transfer-encoding", "gzip")], Framing::Length)]
 #[case::private_field(200, &[("x-content-length", "5")], Framing::Close)]
+#[case::fields_that_are_named(200, &[("access-control-expose-headers", "Content-Length, Transfer-Encoding"), ("vary", "Transfer-Encoding")], Framing::Close)]
 #[case::colon_in_a_value(200, &[("content-type", "a:b"), ("location", "http://content-length/")], Framing::Close)]
+#[case::named_beside_the_field(200, &[("x", "a Content-Length: 7"), ("content-length", "5")], Framing::Length)]
 #[case::misspelled_beside_the_field(200, &[("content_length", "5"), ("content-length", "5")], Framing::Length)]
 fn the_framing_follows_from_the_head(
     #[case] status: u16,
@@ -52,6 +54,8 @@
 #[case::misspelled_coding(&[("transfer_encoding", "chunked")], FramingError::MisspelledField)]
 #[case::colon_in_the_length(&[("content", "Length: 5")], FramingError::MisspelledField)]
 #[case::colon_in_the_coding(&[("transfer-enc", "oding: chunked")], FramingError::MisspelledField)]
+#[case::length_in_a_value(&[("x", "aContent-Length: 5")], FramingError::FieldInLine)]
+#[case::coding_in_a_value(&[("x", "a  transfer-encoding:chunked")], FramingError::FieldInLine)]
 #[case::swapped_letters(&[("Contnet-Lenght", "5")], FramingError::MisspelledField)]
 fn a_head_with_broken_framing_is_refused(
     #[case] headers: &[(&str, &str)],
