The rest of a head after several empty lines is found

A head that is cut by one empty line was found by the fields that its body begins with; after two empty lines, or a stray line feed, the search ended at the second one. Callers got the rest of the head and the body, with the signature.

The search skips empty lines before the first field.

--- a/components/web/src/framing/close_delimited.rs
+++ b/components/web/src/framing/close_delimited.rs
@@ -56,7 +56,7 @@
     }
 }
 
-/// Finds a framing field in the field lines that a body begins with.
+/// Finds a framing field in the field lines that a body begins with, after empty lines if there are any.
 #[derive(Debug, Default)]
 struct FieldScan {
     state: FieldState,
@@ -66,7 +66,9 @@
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 enum FieldState {
+    /// In empty lines before the first field.
     #[default]
+    Start,
     Name,
     Value,
     /// After the carriage return at the end of a line.
@@ -87,6 +89,7 @@
     fn push_byte(&mut self, byte: u8) -> Result<(), FramingError> {
         self.state = match (self.state, byte) {
             (FieldState::Done, _) => FieldState::Done,
+            (FieldState::Start, b'\r' | b'\n') => FieldState::Start,
             (FieldState::Value, b'\r') => FieldState::LineEnd,
             (FieldState::Value | FieldState::LineEnd, b'\n') => FieldState::Name,
             (FieldState::Value, _) => FieldState::Value,
@@ -97,11 +100,13 @@
                 self.name.clear();
                 FieldState::Value
             }
-            (FieldState::Name | FieldState::LineEnd, byte) if is_token_byte(byte) => {
+            (FieldState::Start | FieldState::Name | FieldState::LineEnd, byte)
+                if is_token_byte(byte) =>
+            {
                 self.name.push(byte);
                 FieldState::Name
             }
-            (FieldState::Name | FieldState::LineEnd, _) => FieldState::Done,
+            (FieldState::Start | FieldState::Name | FieldState::LineEnd, _) => FieldState::Done,
         };
         Ok(())
     }
--- a/components/web/src/framing/close_delimited/tests.rs
+++ b/components/web/src/framing/close_delimited/tests.rs
@@ -21,6 +21,7 @@
 #[case::coding("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")]
 #[case::later_field("Date: a\r\nX-B: \r\nCONTENT-LENGTH:5\r\n\r\nhello")]
 #[case::line_feeds("Date: a\nContent-Length: 5\n\nhello")]
+#[case::empty_lines_first("\r\n\n\r\nDate: a\r\nContent-Length: 5\r\n\r\nhello")]
 #[case::no_end_of_the_head("Date: a\r\nContent-Length: 5")]
 fn a_body_that_begins_with_the_rest_of_a_head_is_found(
     #[case] body: &str,
@@ -51,6 +52,7 @@
 #[case::similar_name("Content-Lengths: 5\r\n\r\n")]
 #[case::numbers("2\r\n10\r\n20\r\n")]
 #[case::number("0\r\n")]
+#[case::empty_lines("\r\n\n\r\na text\r\nContent-Length: 5\r\n\r\n")]
 #[case::cut_chunk("5\r\nhel")]
 #[case::cut_chunks("5\r\nhello\r\n")]
 #[case::chunks_and_more("5\r\nhello\r\n0\r\n\r\nx")]
