Unstated chunks with trailers, or spaces after a size, are found

A body in chunks that no field states was found only in its plainest form. With fields after the last chunk, or with spaces after a size, which readers of chunks accept, callers got the chunks as the body, with the signature.

--- a/components/web/src/framing/close_delimited.rs
+++ b/components/web/src/framing/close_delimited.rs
@@ -132,12 +132,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChunkState {
     Size { size: u64, digits: u32 },
+    SizeSpaces { size: u64 },
     Extension { size: u64 },
     SizeLineEnd { size: u64 },
     Data { bytes_left: u64 },
     DataEnd,
     DataLineEnd,
     LastChunk,
+    TrailerName,
+    TrailerValue,
+    TrailerLineEnd,
     LastLineEnd,
     End,
     NoChunks,
@@ -194,10 +198,18 @@
                 let digit = char::from(byte).to_digit(16).unwrap_or_default();
                 Self::Size { size: size << 4 | u64::from(digit), digits: digits + 1 }
             }
-            (Self::Size { size, digits: 1.. } | Self::Extension { size }, b'\r') => {
-                Self::SizeLineEnd { size }
+            (
+                Self::Size { size, digits: 1.. }
+                | Self::SizeSpaces { size }
+                | Self::Extension { size },
+                b'\r',
+            ) => Self::SizeLineEnd { size },
+            (Self::Size { size, digits: 1.. } | Self::SizeSpaces { size }, b' ' | b'\t') => {
+                Self::SizeSpaces { size }
+            }
+            (Self::Size { size, digits: 1.. } | Self::SizeSpaces { size }, b';') => {
+                Self::Extension { size }
             }
-            (Self::Size { size, digits: 1.. }, b';') => Self::Extension { size },
             (Self::Extension { size }, byte) if byte != b'\n' => Self::Extension { size },
             (Self::SizeLineEnd { size: 0 }, b'\n') => Self::LastChunk,
             (Self::SizeLineEnd { size }, b'\n') => Self::Data { bytes_left: size },
@@ -205,6 +217,11 @@
             (Self::DataLineEnd, b'\n') => Self::default(),
             (Self::LastChunk, b'\r') => Self::LastLineEnd,
             (Self::LastLineEnd, b'\n') => Self::End,
+            (Self::LastChunk | Self::TrailerName, byte) if is_token_byte(byte) => Self::TrailerName,
+            (Self::TrailerName, b':') => Self::TrailerValue,
+            (Self::TrailerValue, b'\r') => Self::TrailerLineEnd,
+            (Self::TrailerValue, byte) if byte != b'\n' => Self::TrailerValue,
+            (Self::TrailerLineEnd, b'\n') => Self::LastChunk,
             _ => Self::NoChunks,
         }
     }
--- a/components/web/src/framing/close_delimited/tests.rs
+++ b/components/web/src/framing/close_delimited/tests.rs
@@ -35,6 +35,8 @@
 #[case::one("5\r\nhello\r\n0\r\n\r\n")]
 #[case::two("5\r\nhello\r\n0A;name=value\r\n0123456789\r\n000\r\n\r\n")]
 #[case::empty("0\r\n\r\n")]
+#[case::spaces_after_sizes("5 \r\nhello\r\n1 \t;name=value\r\n.\r\n0\t\r\n\r\n")]
+#[case::trailers("5\r\nhello\r\n0\r\nX-A: b\r\nX-C:\r\n\r\n")]
 fn a_body_in_chunks_is_found(
     #[case] body: &str,
     #[values(1, 3, 4_096)] part_bytes: usize,
@@ -53,6 +55,9 @@
 #[case::numbers("2\r\n10\r\n20\r\n")]
 #[case::number("0\r\n")]
 #[case::empty_lines("\r\n\n\r\na text\r\nContent-Length: 5\r\n\r\n")]
+#[case::number_and_text("0\r\na text\r\n\r\n")]
+#[case::number_and_fields("0\r\nX-A: b\r\n\r\nx")]
+#[case::numbers_in_a_line("5 5\r\nhello\r\n0\r\n\r\n")]
 #[case::cut_chunk("5\r\nhel")]
 #[case::cut_chunks("5\r\nhello\r\n")]
 #[case::chunks_and_more("5\r\nhello\r\n0\r\n\r\nx")]
