A stream whose head has no end is not passed on without its first event

When the empty line after the head is lost, the first event is read as fields, since its lines look like them. Callers got the stream from its second event on, as a whole one, with the signature; where the head states a length, a part of that.

A stream's head with the field `data` is invalid: `data` is no field of HTTP, and each event has it. Without a media type it must stand beside `id`.

--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -4,7 +4,9 @@
 
 use std::fmt;
 
-use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::{
+    CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use http::{Method, StatusCode, Version, response};
 use hyper::ext::ReasonPhrase;
 use thiserror::Error;
@@ -14,6 +16,13 @@
 /// The fields of a head that state the framing of the body.
 const FRAMING_FIELDS: [HeaderName; 2] = [CONTENT_LENGTH, TRANSFER_ENCODING];
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// The field of an event with its data, which each event has.
+const EVENT_DATA_FIELD: &str = "data";
+/// The field of an event with its id.
+const EVENT_ID_FIELD: &str = "id";
+
 /// How many edits turn the name of a framing field into one that is taken for a misspelling of it. No registered field is that close.
 const MAX_MISSPELLING: usize = 2;
 
@@ -49,6 +58,9 @@
     /// The end of a line was lost before a field that states the framing.
     #[error("a line of the response's head holds a framing field beside something else")]
     FieldInLine,
+    /// The empty line after the head was lost.
+    #[error("the head of the response goes on in its events")]
+    EventInHead,
     /// The head was cut by an empty line.
     #[error("the body of the response begins with the rest of its head")]
     FieldInBody,
@@ -65,6 +77,9 @@
             // RFC 9112, section 6.3: it ends with its head, whatever the fields are.
             return Ok(Self::Length);
         }
+        if has_event(&head.headers) {
+            return Err(FramingError::EventInHead);
+        }
         let has_length = head.headers.contains_key(CONTENT_LENGTH);
         if head.headers.contains_key(TRANSFER_ENCODING) {
             return match () {
@@ -110,6 +125,15 @@
     first.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
 }
 
+/// Whether the fields of a stream's head include those of an event. They are no fields of HTTP.
+fn has_event(headers: &HeaderMap) -> bool {
+    let is_stream = match headers.get(CONTENT_TYPE) {
+        Some(media_type) => media_type.as_bytes().starts_with(EVENT_STREAM),
+        None => headers.contains_key(EVENT_ID_FIELD),
+    };
+    is_stream && headers.contains_key(EVENT_DATA_FIELD)
+}
+
 /// Replaces repeated lengths by a single one, without which a server that relays the response does not send it. Lengths that differ or
 /// are no numbers remain only where there is no body, and are dropped.
 pub(crate) fn merge_lengths(headers: &mut HeaderMap) {
--- a/components/web/src/framing/tests.rs
+++ b/components/web/src/framing/tests.rs
@@ -33,6 +33,7 @@
 #[case::fields_that_are_named(200, &[("access-control-expose-headers", "Content-Length, Transfer-Encoding"), ("vary", "Transfer-Encoding")], Framing::Close)]
 #[case::colon_in_a_value(200, &[("content-type", "a:b"), ("location", "http://content-length/")], Framing::Close)]
 #[case::named_beside_the_field(200, &[("x", "a Content-Length: 7"), ("content-length", "5")], Framing::Length)]
+#[case::private_data(200, &[("data", "a"), ("content-type", "text/plain")], Framing::Close)]
 #[case::misspelled_beside_the_field(200, &[("content_length", "5"), ("content-length", "5")], Framing::Length)]
 fn the_framing_follows_from_the_head(
     #[case] status: u16,
@@ -56,6 +57,8 @@
 #[case::colon_in_the_coding(&[("transfer-enc", "oding: chunked")], FramingError::MisspelledField)]
 #[case::length_in_a_value(&[("x", "aContent-Length: 5")], FramingError::FieldInLine)]
 #[case::coding_in_a_value(&[("x", "a  transfer-encoding:chunked")], FramingError::FieldInLine)]
+#[case::event(&[("content-type", "text/event-stream"), ("data", "a")], FramingError::EventInHead)]
+#[case::event_with_id(&[("content-length", "5"), ("id", "1"), ("data", "a")], FramingError::EventInHead)]
 #[case::swapped_letters(&[("Contnet-Lenght", "5")], FramingError::MisspelledField)]
 fn a_head_with_broken_framing_is_refused(
     #[case] headers: &[(&str, &str)],
