Tests of what clients make of invalid and of unusual framing

Heads with spoilt versions and statuses, folded lines, bare carriage returns and cut ends; chunk sizes with signs, prefixes, spaces and overflows, missing line ends, invalid trailers and extensions of a megabyte; interim responses; answers without a body; bytes after an answer, also those that come later on a kept connection. All passed on the code as it was: none is delivered as whole with another body, and unusual but legal answers arrive whole.

--- a/components/edge/tests/garbage.rs
+++ b/components/edge/tests/garbage.rs
@@ -351,3 +351,134 @@
     }
     assert!(believed.is_empty(), "{} were believed: {believed:#?}", believed.len());
 }
+
+/// Calls an address that sends these bytes and closes the connection; none if no whole answer came.
+async fn whole_answer(bytes: String) -> Option<(StatusCode, String)> {
+    let addr = closing_peer(bytes).await;
+    let request = Request::post("/badges").body(web::full("{}")).expect("a request");
+    let answer = HttpEndpoint::new(addr).with_idle(IDLE).call(&id(), request).await.ok()?;
+    let status = answer.status();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_answer_with_an_invalid_head_fails_the_call(
+    #[values(
+        "HTTP/1.2 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/2 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "http/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/11 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 20\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 2000\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 +200\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1  200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 O\rK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n 0\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nX: a\rb\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551621\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5,\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding\t: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked ; q=1\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding:\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    )]
+    bytes: &str,
+) {
+    assert_eq!(whole_answer(bytes.to_owned()).await, None);
+}
+
+#[rstest]
+#[tokio::test]
+async fn invalid_chunks_break_the_body_off(
+    #[values(
+        "+5\r\nhello\r\n0\r\n\r\n",
+        "-5\r\nhello\r\n0\r\n\r\n",
+        "0x5\r\nhello\r\n0\r\n\r\n",
+        " 5\r\nhello\r\n0\r\n\r\n",
+        "5 5\r\nhello\r\n0\r\n\r\n",
+        "\r\nhello\r\n0\r\n\r\n",
+        ";a\r\nhello\r\n0\r\n\r\n",
+        "10000000000000005\r\nhello\r\n0\r\n\r\n",
+        "ffffffffffffffff\r\nhello\r\n0\r\n\r\n",
+        "5\nhello\r\n0\r\n\r\n",
+        "5;a\nhello\r\n0\r\n\r\n",
+        "5;a\rb\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello0\r\n\r\n",
+        "5\r\nhello\n0\r\n\r\n",
+        "5\r\nhello!\r\n0\r\n\r\n",
+        "5\r\nhell\r\n0\r\n\r\n",
+        "5\r\nhello\r\n",
+        "5\r\nhello\r\n0\r\n",
+        "5\r\nhello\r\n0\r\nX-A: b\r\n",
+        "5\r\nhello\r\n0\r\nno field\r\n\r\n",
+        "5\r\nhello\r\n0\r\nX-A: b\r\n c\r\n\r\n",
+        "5\r\nhello\r\n0\r\nX-A: b\rc\r\n\r\n"
+    )]
+    chunks: &str,
+) {
+    let bytes = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
+    assert_eq!(whole_answer(bytes).await, None);
+}
+
+/// Extensions of a chunk without a bound would take memory or time.
+#[tokio::test]
+async fn long_chunk_extensions_break_the_body_off() {
+    let extension = "x".repeat(MAX_SENT_BYTES);
+    let chunks = format!("5;{extension}\r\nhello\r\n0\r\n\r\n");
+    let bytes = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
+    assert_eq!(whole_answer(bytes).await, None);
+}
+
+#[rstest]
+#[case::http_1_0("HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::http_1_0_until_the_end("HTTP/1.0 200 OK\r\n\r\nhello")]
+#[case::until_the_end("HTTP/1.1 200 OK\r\n\r\nhello")]
+#[case::line_feeds("HTTP/1.1 200 OK\nContent-Length: 5\n\nhello")]
+#[case::repeated_length(
+    "HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\nContent-Length: 05\r\n\r\nhello"
+)]
+#[case::tabs("HTTP/1.1 200 OK\r\nContent-Length:\t5\t\r\n\r\nhello")]
+#[case::coding_with_a_tab(
+    "HTTP/1.1 200 OK\r\nTRANSFER-encoding:\tChUnKeD\t\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+)]
+#[case::sizes(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0004 \t;a=b\r\nhell\r\n1;c\r\no\r\n000\r\n\r\n"
+)]
+#[case::length_in_trailers(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nContent-Length: 3\r\n\r\n"
+)]
+#[case::interim_responses(
+    &("HTTP/1.1 100 Continue\r\n\r\n".repeat(500) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+)]
+#[case::more_bytes("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello and more")]
+#[tokio::test]
+async fn an_unusual_answer_arrives_whole(#[case] bytes: &str) {
+    let expected = (StatusCode::OK, "hello".to_owned());
+    assert_eq!(whole_answer(bytes.to_owned()).await, Some(expected));
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_answer_without_a_body_ends_with_its_head(
+    #[values("204 No Content", "304 Not Modified")] status: &str,
+    #[values(
+        "Content-Length: 5\r\n\r\nhello",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+    )]
+    rest: &str,
+) {
+    let answer = whole_answer(format!("HTTP/1.1 {status}\r\n{rest}")).await;
+    let (answered, body) = answer.expect("an answer");
+    assert!(status.starts_with(answered.as_str()), "{answered}");
+    assert_eq!(body, "");
+}
--- a/components/web/tests/client.rs
+++ b/components/web/tests/client.rs
@@ -115,3 +115,39 @@
         }
     }
 }
+
+/// Bytes after an answer belong to no call.
+#[rstest]
+#[case::another_answer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")]
+#[case::an_answer_without_a_body("HTTP/1.1 204 No Content\r\nContent-Length: 1\r\n\r\n")]
+#[tokio::test]
+async fn what_follows_an_answer_does_not_answer_the_next_call(
+    #[case] answer: &'static str,
+    #[values(Duration::ZERO, Duration::from_millis(50))] pause: Duration,
+) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 4 << 10];
+                while matches!(stream.read(&mut request).await, Ok(1..)) {
+                    let rest = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+                    let first =
+                        if pause.is_zero() { answer.to_owned() + rest } else { answer.to_owned() };
+                    let _ = stream.write_all(first.as_bytes()).await;
+                    tokio::time::sleep(pause).await;
+                    if !pause.is_zero() {
+                        let _ = stream.write_all(rest.as_bytes()).await;
+                    }
+                }
+            });
+        }
+    });
+    let client = Client::default();
+    for _ in 0..3 {
+        let called: Option<u32> = client.get_if_any(addr, "/", LIMIT).await.expect("an answer");
+        assert!(called.is_none_or(|value| value == 1), "{called:?}");
+        tokio::time::sleep(2 * pause).await;
+    }
+}
