The rest of a head is found where the empty line replaced the first letters of its field

A line feed in place of the first letter of `Content-Length` ends the head, and the body begins with `ontent-Length: 27`: callers got that line and what follows as the body of a response that ends with its connection.

A name that lacks up to two letters at its start counts as that of a framing field there. Other similar names in a body stay sound.

--- a/components/web/src/framing/close_delimited.rs
+++ b/components/web/src/framing/close_delimited.rs
@@ -5,6 +5,9 @@
 /// How much of a body is searched for the rest of a head or the size of a first chunk before it is passed on, in bytes.
 const MAX_SEARCHED_BYTES: usize = 4 << 10;
 
+/// How many letters of a framing field's name an empty line that cuts a head may replace.
+const MAX_LOST_LETTERS: usize = 2;
+
 /// The most digits of a chunk's size, which a `u64` can hold.
 const MAX_SIZE_DIGITS: u32 = 15;
 
@@ -112,8 +115,13 @@
     }
 }
 
+/// Whether this is the name of a framing field, or the end of one whose first letters the empty line has replaced.
 fn is_framing_field(name: &[u8]) -> bool {
-    FRAMING_FIELDS.iter().any(|field| name.eq_ignore_ascii_case(field.as_str().as_bytes()))
+    FRAMING_FIELDS.iter().any(|field| {
+        let field = field.as_str().as_bytes();
+        let lost = field.len().checked_sub(name.len()).filter(|lost| *lost <= MAX_LOST_LETTERS);
+        lost.is_some_and(|lost| name.eq_ignore_ascii_case(&field[lost..]))
+    })
 }
 
 /// Whether a byte may be part of a field's name.
--- a/components/web/src/framing/close_delimited/tests.rs
+++ b/components/web/src/framing/close_delimited/tests.rs
@@ -22,6 +22,8 @@
 #[case::later_field("Date: a\r\nX-B: \r\nCONTENT-LENGTH:5\r\n\r\nhello")]
 #[case::line_feeds("Date: a\nContent-Length: 5\n\nhello")]
 #[case::empty_lines_first("\r\n\n\r\nDate: a\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::name_without_its_first_letter("ontent-Length: 5\r\n\r\nhello")]
+#[case::name_without_two_letters("ansfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")]
 #[case::no_end_of_the_head("Date: a\r\nContent-Length: 5")]
 fn a_body_that_begins_with_the_rest_of_a_head_is_found(
     #[case] body: &str,
@@ -51,6 +53,7 @@
 #[case::fields_of_others("Date: a\r\n\r\nContent-Length: 5\r\n\r\n")]
 #[case::folded("Date: a\r\n b\r\nContent-Length: 5\r\n\r\n")]
 #[case::json("{\"Content-Length\": 5}")]
+#[case::end_of_a_name("length: 5\r\nEncoding: a\r\n\r\n")]
 #[case::similar_name("Content-Lengths: 5\r\n\r\n")]
 #[case::numbers("2\r\n10\r\n20\r\n")]
 #[case::number("0\r\n")]
