--- a/components/web/src/framing.rs
+++ b/components/web/src/framing.rs
@@ -4,8 +4,11 @@
 
 use std::fmt;
 
-use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::{
+    CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use http::{Method, StatusCode, Version, response};
+use hyper::ext::ReasonPhrase;
 use thiserror::Error;
 
 pub(crate) use close_delimited::{CloseDelimitedCheck, Progress};
@@ -13,6 +16,13 @@
 /// The fields of a head that state the framing of the body.
 const FRAMING_FIELDS: [HeaderName; 2] = [CONTENT_LENGTH, TRANSFER_ENCODING];
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// The field of an event with its data, which each event has.
+const EVENT_DATA_FIELD: &str = "data";
+/// The field of an event with its id.
+const EVENT_ID_FIELD: &str = "id";
+
 /// How many edits turn the name of a framing field into one that is taken for a misspelling of it. No registered field is that close.
 const MAX_MISSPELLING: usize = 2;
 
@@ -45,6 +55,12 @@
     /// The field that states the framing is not recognized.
     #[error("the response has a field whose name resembles that of a framing field")]
     MisspelledField,
+    /// The end of a line was lost before a field that states the framing.
+    #[error("a line of the response's head holds a framing field beside something else")]
+    FieldInLine,
+    /// The empty line after the head was lost.
+    #[error("the head of the response goes on in its events")]
+    EventInHead,
     /// The head was cut by an empty line.
     #[error("the body of the response begins with the rest of its head")]
     FieldInBody,
@@ -61,6 +77,9 @@
             // RFC 9112, section 6.3: it ends with its head, whatever the fields are.
             return Ok(Self::Length);
         }
+        if has_event(&head.headers) {
+            return Err(FramingError::EventInHead);
+        }
         let has_length = head.headers.contains_key(CONTENT_LENGTH);
         if head.headers.contains_key(TRANSFER_ENCODING) {
             return match () {
@@ -73,9 +92,14 @@
         if has_length {
             return Ok(Self::Length);
         }
-        if head.headers.keys().any(|name| resembles_framing_field(name.as_str())) {
+        if head.headers.iter().any(|(name, value)| is_misspelled_field(name, value)) {
             return Err(FramingError::MisspelledField);
         }
+        let reason = head.extensions.get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+        let values = head.headers.values().map(HeaderValue::as_bytes);
+        if reason.into_iter().chain(values).any(contains_framing_field) {
+            return Err(FramingError::FieldInLine);
+        }
         Ok(Self::Close)
     }
 
@@ -101,6 +125,15 @@
     first.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
 }
 
+/// Whether the fields of a stream's head include those of an event. They are no fields of HTTP.
+fn has_event(headers: &HeaderMap) -> bool {
+    let is_stream = match headers.get(CONTENT_TYPE) {
+        Some(media_type) => media_type.as_bytes().starts_with(EVENT_STREAM),
+        None => headers.contains_key(EVENT_ID_FIELD),
+    };
+    is_stream && headers.contains_key(EVENT_DATA_FIELD)
+}
+
 /// Replaces repeated lengths by a single one, without which a server that relays the response does not send it. Lengths that differ or
 /// are no numbers remain only where there is no body, and are dropped.
 pub(crate) fn merge_lengths(headers: &mut HeaderMap) {
@@ -121,6 +154,17 @@
     digits.bytes().all(|byte| byte.is_ascii_digit()).then(|| digits.parse().ok())?
 }
 
+/// Whether a field is probably a misspelled framing field. After a colon in its name the rest of the name is a part of the value.
+fn is_misspelled_field(name: &HeaderName, value: &HeaderValue) -> bool {
+    if resembles_framing_field(name.as_str()) {
+        return true;
+    }
+    let Some((rest, _)) = value.to_str().ok().and_then(|text| text.split_once(':')) else {
+        return false;
+    };
+    resembles_framing_field(&format!("{name}:{}", rest.to_ascii_lowercase()))
+}
+
 /// Whether a field, by its name in lower case, is probably a misspelled framing field.
 fn resembles_framing_field(name: &str) -> bool {
     let is_close = |field: &HeaderName| {
@@ -131,6 +175,15 @@
     !name.starts_with(PRIVATE_PREFIX) && FRAMING_FIELDS.iter().any(is_close)
 }
 
+/// Whether the rest of a line contains a framing field, as that of a line whose end was lost does.
+fn contains_framing_field(text: &[u8]) -> bool {
+    FRAMING_FIELDS.iter().any(|field| {
+        let name = field.as_str().as_bytes();
+        let mut parts = text.windows(name.len() + 1);
+        parts.any(|part| part.ends_with(b":") && part[..name.len()].eq_ignore_ascii_case(name))
+    })
+}
+
 /// How many insertions, deletions, substitutions and swaps of neighbors turn one text into the other.
 fn edit_distance(from: &str, to: &str) -> usize {
     let (from, to) = (from.as_bytes(), to.as_bytes());
--- a/components/web/src/framing/close_delimited.rs
+++ b/components/web/src/framing/close_delimited.rs
@@ -5,6 +5,9 @@
 /// How much of a body is searched for the rest of a head or the size of a first chunk before it is passed on, in bytes.
 const MAX_SEARCHED_BYTES: usize = 4 << 10;
 
+/// How many letters of a framing field's name an empty line that cuts a head may replace.
+const MAX_LOST_LETTERS: usize = 2;
+
 /// The most digits of a chunk's size, which a `u64` can hold.
 const MAX_SIZE_DIGITS: u32 = 15;
 
@@ -56,7 +59,7 @@
     }
 }
 
-/// Finds a framing field in the field lines that a body begins with.
+/// Finds a framing field in the field lines that a body begins with, after empty lines if there are any.
 #[derive(Debug, Default)]
 struct FieldScan {
     state: FieldState,
@@ -66,7 +69,9 @@
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 enum FieldState {
+    /// In empty lines before the first field.
     #[default]
+    Start,
     Name,
     Value,
     /// After the carriage return at the end of a line.
@@ -87,6 +92,7 @@
     fn push_byte(&mut self, byte: u8) -> Result<(), FramingError> {
         self.state = match (self.state, byte) {
             (FieldState::Done, _) => FieldState::Done,
+            (FieldState::Start, b'\r' | b'\n') => FieldState::Start,
             (FieldState::Value, b'\r') => FieldState::LineEnd,
             (FieldState::Value | FieldState::LineEnd, b'\n') => FieldState::Name,
             (FieldState::Value, _) => FieldState::Value,
@@ -97,18 +103,25 @@
                 self.name.clear();
                 FieldState::Value
             }
-            (FieldState::Name | FieldState::LineEnd, byte) if is_token_byte(byte) => {
+            (FieldState::Start | FieldState::Name | FieldState::LineEnd, byte)
+                if is_token_byte(byte) =>
+            {
                 self.name.push(byte);
                 FieldState::Name
             }
-            (FieldState::Name | FieldState::LineEnd, _) => FieldState::Done,
+            (FieldState::Start | FieldState::Name | FieldState::LineEnd, _) => FieldState::Done,
         };
         Ok(())
     }
 }
 
+/// Whether this is the name of a framing field, or the end of one whose first letters the empty line has replaced.
 fn is_framing_field(name: &[u8]) -> bool {
-    FRAMING_FIELDS.iter().any(|field| name.eq_ignore_ascii_case(field.as_str().as_bytes()))
+    FRAMING_FIELDS.iter().any(|field| {
+        let field = field.as_str().as_bytes();
+        let lost = field.len().checked_sub(name.len()).filter(|lost| *lost <= MAX_LOST_LETTERS);
+        lost.is_some_and(|lost| name.eq_ignore_ascii_case(&field[lost..]))
+    })
 }
 
 /// Whether a byte may be part of a field's name.
@@ -127,12 +140,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChunkState {
     Size { size: u64, digits: u32 },
+    SizeSpaces { size: u64 },
     Extension { size: u64 },
     SizeLineEnd { size: u64 },
     Data { bytes_left: u64 },
     DataEnd,
     DataLineEnd,
     LastChunk,
+    TrailerName,
+    TrailerValue,
+    TrailerLineEnd,
     LastLineEnd,
     End,
     NoChunks,
@@ -189,10 +206,18 @@
                 let digit = char::from(byte).to_digit(16).unwrap_or_default();
                 Self::Size { size: size << 4 | u64::from(digit), digits: digits + 1 }
             }
-            (Self::Size { size, digits: 1.. } | Self::Extension { size }, b'\r') => {
-                Self::SizeLineEnd { size }
+            (
+                Self::Size { size, digits: 1.. }
+                | Self::SizeSpaces { size }
+                | Self::Extension { size },
+                b'\r',
+            ) => Self::SizeLineEnd { size },
+            (Self::Size { size, digits: 1.. } | Self::SizeSpaces { size }, b' ' | b'\t') => {
+                Self::SizeSpaces { size }
+            }
+            (Self::Size { size, digits: 1.. } | Self::SizeSpaces { size }, b';') => {
+                Self::Extension { size }
             }
-            (Self::Size { size, digits: 1.. }, b';') => Self::Extension { size },
             (Self::Extension { size }, byte) if byte != b'\n' => Self::Extension { size },
             (Self::SizeLineEnd { size: 0 }, b'\n') => Self::LastChunk,
             (Self::SizeLineEnd { size }, b'\n') => Self::Data { bytes_left: size },
@@ -200,6 +225,11 @@
             (Self::DataLineEnd, b'\n') => Self::default(),
             (Self::LastChunk, b'\r') => Self::LastLineEnd,
             (Self::LastLineEnd, b'\n') => Self::End,
+            (Self::LastChunk | Self::TrailerName, byte) if is_token_byte(byte) => Self::TrailerName,
+            (Self::TrailerName, b':') => Self::TrailerValue,
+            (Self::TrailerValue, b'\r') => Self::TrailerLineEnd,
+            (Self::TrailerValue, byte) if byte != b'\n' => Self::TrailerValue,
+            (Self::TrailerLineEnd, b'\n') => Self::LastChunk,
             _ => Self::NoChunks,
         }
     }
--- a/components/web/src/framing/close_delimited/tests.rs
+++ b/components/web/src/framing/close_delimited/tests.rs
@@ -21,6 +21,9 @@
 #[case::coding("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")]
 #[case::later_field("Date: a\r\nX-B: \r\nCONTENT-LENGTH:5\r\n\r\nhello")]
 #[case::line_feeds("Date: a\nContent-Length: 5\n\nhello")]
+#[case::empty_lines_first("\r\n\n\r\nDate: a\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::name_without_its_first_letter("ontent-Length: 5\r\n\r\nhello")]
+#[case::name_without_two_letters("ansfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")]
 #[case::no_end_of_the_head("Date: a\r\nContent-Length: 5")]
 fn a_body_that_begins_with_the_rest_of_a_head_is_found(
     #[case] body: &str,
@@ -34,6 +37,8 @@
 #[case::one("5\r\nhello\r\n0\r\n\r\n")]
 #[case::two("5\r\nhello\r\n0A;name=value\r\n0123456789\r\n000\r\n\r\n")]
 #[case::empty("0\r\n\r\n")]
+#[case::spaces_after_sizes("5 \r\nhello\r\n1 \t;name=value\r\n.\r\n0\t\r\n\r\n")]
+#[case::trailers("5\r\nhello\r\n0\r\nX-A: b\r\nX-C:\r\n\r\n")]
 fn a_body_in_chunks_is_found(
     #[case] body: &str,
     #[values(1, 3, 4_096)] part_bytes: usize,
@@ -48,9 +53,14 @@
 #[case::fields_of_others("Date: a\r\n\r\nContent-Length: 5\r\n\r\n")]
 #[case::folded("Date: a\r\n b\r\nContent-Length: 5\r\n\r\n")]
 #[case::json("{\"Content-Length\": 5}")]
+#[case::end_of_a_name("length: 5\r\nEncoding: a\r\n\r\n")]
 #[case::similar_name("Content-Lengths: 5\r\n\r\n")]
 #[case::numbers("2\r\n10\r\n20\r\n")]
 #[case::number("0\r\n")]
+#[case::empty_lines("\r\n\n\r\na text\r\nContent-Length: 5\r\n\r\n")]
+#[case::number_and_text("0\r\na text\r\n\r\n")]
+#[case::number_and_fields("0\r\nX-A: b\r\n\r\nx")]
+#[case::numbers_in_a_line("5 5\r\nhello\r\n0\r\n\r\n")]
 #[case::cut_chunk("5\r\nhel")]
 #[case::cut_chunks("5\r\nhello\r\n")]
 #[case::chunks_and_more("5\r\nhello\r\n0\r\n\r\nx")]
