--- a/components/mirror/src/tail.rs
+++ b/components/mirror/src/tail.rs
@@ -7,6 +7,8 @@
 
 /// The most bytes of records that are kept, unless a single record is larger. A follower that is further behind reads the store.
 const MAX_BYTES: usize = 512 << 10;
+/// The most records that are kept: empty ones need memory too.
+const MAX_RECORDS: usize = 8_192;
 
 /// The newest records of a topic, up to the position to which it has been read.
 #[derive(Debug, Clone)]
@@ -34,7 +36,10 @@
             self.records.push_back(record);
             self.end.offset = Offset(self.end.offset.0 + 1);
         }
-        while self.bytes > MAX_BYTES && self.records.len() > 1 {
+        let is_full = |records: usize, bytes: usize| {
+            records > MAX_RECORDS || (bytes > MAX_BYTES && records > 1)
+        };
+        while is_full(self.records.len(), self.bytes) {
             let dropped = self.records.pop_front().map_or(0, |record| record.len());
             self.bytes -= dropped;
         }
--- a/components/mirror/src/tail/tests.rs
+++ b/components/mirror/src/tail/tests.rs
@@ -45,3 +45,16 @@
     assert_eq!(tail.since(at(0, 1)), None);
     assert_eq!(tail.since(at(0, 2)).map(|records| records.len()), Some(1));
 }
+
+/// Records without a byte count nothing in the size, so that a tail kept all that were ever written.
+#[test]
+fn keeps_a_limited_number_of_empty_records() {
+    let mut tail = Tail::new(at(0, 0));
+    tail.append(vec![Bytes::new(); MAX_RECORDS + 1]);
+    tail.append(vec![Bytes::new(); MAX_RECORDS]);
+    let end = 2 * MAX_RECORDS as u64 + 1;
+    assert_eq!(tail.end(), at(0, end));
+    assert!(tail.since(at(0, end - MAX_RECORDS as u64 - 1)).is_none());
+    let kept = tail.since(at(0, end - MAX_RECORDS as u64)).map(|records| records.len());
+    assert_eq!(kept, Some(MAX_RECORDS));
+}
