The configuration is read at a bounded pace while nothing new comes

Each foreign record in `keyed.op` cost each router a read: 400 for 400 records in two seconds. The other followers of the store have a pause between reads.

A read that brought no new version and was over before its wait is now repeated 200 ms after it was sent, at the earliest, and no later than its wait would have ended. A read that waits as it should is followed at once, as before, and so are a new version, left records, and reads that are not to wait: after a key that may be newer, and while the store does not answer. Followers of a mirror, which has a pause of its own, are left alone. A read confirms keys as of the time at which it was sent, and the pause ends within the wait that the bound on revoked keys allows.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -32,6 +32,8 @@
 const MIN_READ_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a new version of the configuration, so that versions in quick succession are read together.
 const CONFIG_READ_INTERVAL: Duration = Duration::from_millis(150);
+/// A read of the configuration that brought no new version before its wait was over is not repeated sooner than this.
+const MIN_IDLE_INTERVAL: Duration = Duration::from_millis(200);
 /// The first pause after a failed call.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause between failed calls, a part of the two seconds within which lapsed entries come back.
@@ -123,6 +125,7 @@
         match next {
             Ok(batch) => {
                 contact.record_success();
+                let more = batch.has_more;
                 let fresh = apply_config(&shared, batch, &mut newest);
                 // A store whose newest version is not the one in force, or can't be read, confirms nothing. A mirror confirms only
                 // what was written before its own last read.
@@ -133,7 +136,15 @@
                     shared.access.record_read(sent);
                 }
                 shared.record_store_read(Feed::Configuration, true);
-                tokio::time::sleep(if fresh { CONFIG_READ_INTERVAL } else { Duration::ZERO }).await;
+                let pause = if fresh {
+                    CONFIG_READ_INTERVAL
+                } else if more || source.is_mirrored() {
+                    Duration::ZERO
+                } else {
+                    // Other writers may leave records of their own, and a store may answer without the wait.
+                    wait.min(MIN_IDLE_INTERVAL).saturating_sub(sent.elapsed())
+                };
+                tokio::time::sleep(pause).await;
             }
             Err(error) => {
                 shared.record_store_read(Feed::Configuration, false);
