A wrong position of the list is replaced by a later whole read

It said that it was ready, and sent requests to endpoints that were gone.

So the time is kept at which the position was set. The store never tells an earlier end later, unless the position was wrong: a whole read that was sent after that time is applied whatever its position is, and sets it. Reads that were under way are thrown away as before. Records read on from somewhere else can't continue such a list; they lead to a whole read. In ordinary operation nothing is read more often.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -274,9 +274,13 @@
                         read,
                     });
                 }
+                if !batch.complete && shared.endpoints.has_wrong_position(batch.position, sent) {
+                    // Records can't continue what is known up to a wrong position.
+                    source.follower().read_anew();
+                }
                 let until = contact.returned_at.map(|returned| returned + LAPSED_ENTRY_GRACE);
                 let more = batch.has_more;
-                apply_members(&shared, batch, until, &mut invalid_keys);
+                apply_members(&shared, batch, (sent, until), &mut invalid_keys);
                 shared.record_store_read(Feed::Membership, true);
                 // Changes that are left after a long time without the store are read without a pause.
                 let at_once = more || source.is_mirrored();
@@ -295,7 +299,7 @@
 fn apply_members(
     shared: &Arc<Shared>,
     batch: Batch,
-    until: Option<Instant>,
+    (sent, until): (Instant, Option<Instant>),
     invalid_keys: &mut BTreeSet<String>,
 ) {
     let mut changes = Vec::new();
@@ -320,7 +324,8 @@
             | Update::InvalidRecord(..) => {}
         }
     }
-    let update = ListUpdate { changes, complete: batch.complete, position: batch.position };
+    let Batch { complete, position, .. } = batch;
+    let update = ListUpdate { changes, complete, position, sent };
     let missing = shared.endpoints.apply_list(update, until);
     missing::watch(shared, missing);
     hints::settle_all(shared);
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -26,6 +26,8 @@
     pub(crate) complete: bool,
     /// The position up to which the list has been read.
     pub(crate) position: StorePosition,
+    /// When the read was sent.
+    pub(crate) sent: Instant,
 }
 
 /// Drops entries whose address a later entry has: their endpoints are gone, but stay listed until their entries lapse.
@@ -51,8 +53,14 @@
         let now = Instant::now();
         let mut table = self.lock();
         if table.list_loaded && update.position < table.list_position {
-            // Later changes have been received from another router meanwhile.
-            return Vec::new();
+            if !(update.complete && table.was_positioned_before(update.sent)) {
+                // Later changes have been received from another router meanwhile.
+                return Vec::new();
+            }
+            let (before, read) = (table.list_position, update.position);
+            log::warn!(
+                "router: the list ends at {read}, before the known position {before}, which was wrong"
+            );
         }
         let changes = newest_at_each_address(update.changes);
         let mut gone = BTreeSet::new();
@@ -82,13 +90,18 @@
                 _ => table.remove(&id, "its entry was removed"),
             }
         }
-        table.list_loaded = true;
-        table.list_position = update.position;
+        table.set_list_position(update.position);
         drop(table);
         self.changed.notify_waiters();
         missing
     }
 
+    /// Whether the known position of the list can't be right: a read that was sent after it was set has not reached it.
+    pub(crate) fn has_wrong_position(&self, read: StorePosition, sent: Instant) -> bool {
+        let table = self.lock();
+        table.list_loaded && read < table.list_position && table.was_positioned_before(sent)
+    }
+
     /// Applies what another router knows of the list, unless this one has read further. Returns the endpoints whose entries are
     /// missing; their health is to be checked.
     pub(crate) fn apply_snapshot(&self, snapshot: Snapshot) -> Option<Vec<EndpointId>> {
@@ -115,8 +128,7 @@
             .into_iter()
             .filter(|id| table.mark_missing(id, now + LAPSED_ENTRY_GRACE))
             .collect();
-        table.list_loaded = true;
-        table.list_position = read;
+        table.set_list_position(read);
         drop(table);
         self.changed.notify_waiters();
         Some(to_check)
@@ -176,6 +188,18 @@
 }
 
 impl EndpointTable {
+    fn set_list_position(&mut self, position: StorePosition) {
+        self.list_loaded = true;
+        self.list_position = position;
+        self.positioned_at = Some(Instant::now());
+    }
+
+    /// Whether the position of the list was set before `sent`. The end of the list that the store tells later is not before it, unless
+    /// the position was wrong.
+    fn was_positioned_before(&self, sent: Instant) -> bool {
+        self.positioned_at.is_some_and(|at| at < sent)
+    }
+
     fn upsert(&mut self, endpoint: Endpoint, read: StorePosition, now: Instant) {
         let same_addr: Vec<EndpointId> = self
             .map
--- a/components/router/src/list/tests.rs
+++ b/components/router/src/list/tests.rs
@@ -40,7 +40,7 @@
 }
 
 fn update(read: u64, changes: Vec<EndpointChange>) -> ListUpdate {
-    ListUpdate { changes, complete: false, position: at(read) }
+    ListUpdate { changes, complete: false, position: at(read), sent: Instant::now() }
 }
 
 fn whole(read: u64, changes: Vec<EndpointChange>) -> ListUpdate {
@@ -108,6 +108,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
         let _entered = runtime.enter();
         let routers = [EndpointRegistry::default(), EndpointRegistry::default()];
+        let begun = Instant::now();
         for registry in &routers {
             let _ = registry.apply_list(whole(0, Vec::new()), None);
         }
@@ -129,7 +130,8 @@
                     let registry = &routers[usize::from(router)];
                     let read = usize::try_from(registry.lock().list_position.offset.0).expect("short");
                     let end = end.min(read.saturating_sub(1));
-                    let _ = registry.apply_list(whole(end as u64, records[..end].to_vec()), None);
+                    let delayed = ListUpdate { sent: begun, ..whole(end as u64, records[..end].to_vec()) };
+                    let _ = registry.apply_list(delayed, None);
                 }
             }
             for registry in &routers {
@@ -140,6 +142,39 @@
     }
 }
 
+/// The store told a wrong end once, or another router did: each later read was taken for an older one, for good.
+#[tokio::test(start_paused = true)]
+async fn a_wrong_position_is_replaced_by_that_of_a_whole_read_that_was_sent_later() {
+    let ready = |number| vec![listed(number, EndpointStage::Ready)];
+    let far = StorePosition { era: units::Era(7), offset: Offset(1 << 60) };
+    let mut from_router = snapshot(100, 1 << 60, "");
+    from_router.read = far;
+    let wrong: [&dyn Fn(&EndpointRegistry); 2] = [
+        &|registry| {
+            drop(registry.apply_list(ListUpdate { position: far, ..whole(0, ready(1)) }, None))
+        },
+        &|registry| assert!(registry.apply_snapshot(from_router.clone()).is_some()),
+    ];
+    for set_wrong in wrong {
+        let registry = EndpointRegistry::default();
+        let under_way = whole(5, ready(0));
+        tokio::time::advance(Duration::from_millis(1)).await;
+        set_wrong(&registry);
+        tokio::time::advance(Duration::from_millis(1)).await;
+        let known = BTreeMap::from([(id(1), EndpointStage::Ready)]);
+        assert!(!registry.has_wrong_position(at(5), under_way.sent));
+        let _ = registry.apply_list(under_way, None);
+        assert_eq!(stages(&registry), known, "the read was under way");
+        let continued = update(6, ready(2));
+        assert!(registry.has_wrong_position(at(6), continued.sent));
+        let _ = registry.apply_list(continued, None);
+        assert_eq!(stages(&registry), known, "these records continue another list");
+        let _ = registry.apply_list(whole(6, ready(3)), None);
+        assert_eq!(stages(&registry), BTreeMap::from([(id(3), EndpointStage::Ready)]));
+        assert_eq!(registry.lock().list_position, at(6));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_may_only_have_lapsed_is_missing_at_other_routers_too() {
     let (registry, other) = (EndpointRegistry::default(), EndpointRegistry::default());
--- a/components/router/src/registry.rs
+++ b/components/router/src/registry.rs
@@ -70,6 +70,8 @@
     pub(crate) list_loaded: bool,
     /// The position up to which the list has been read, by this router or by the router that it got a snapshot from.
     pub(crate) list_position: StorePosition,
+    /// When that position was set.
+    pub(crate) positioned_at: Option<Instant>,
     /// How many routers the loaders have heard lately.
     pub(crate) heard_routers: HeardRouters,
     /// The software versions that each service has had lately.
