Crash records whose time is far ahead are invalid

A record of a crash, a release or a trial in `keyed.ends` with a time far ahead never expired: 256 such crashes pushed those of routers out of the table, and one release at the end of time cleared its request for good.

Such a record is now left out where records of the store are checked, with a line as for one that can't be parsed.

`records_whose_time_is_far_ahead_are_invalid` failed before: a crash two minutes ahead was valid.

--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -51,6 +51,9 @@
         return RecordKind::Valid;
     }
     match serde_json::from_slice::<QuarantineRecord>(value) {
+        Ok(record) if record.at().is_too_far_ahead(wall_clock()) => {
+            RecordKind::Invalid(format!("its time {} is too far ahead", record.at()))
+        }
         Ok(_) => RecordKind::Valid,
         Err(error) if QuarantineRecord::is_key(key) => RecordKind::Invalid(error.to_string()),
         Err(_) => RecordKind::Foreign,
@@ -306,3 +309,6 @@
     shared.guard.apply(&[KeyedRecord { key, record }]);
     shared.guard.trial_permit(digest)
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/units/src/unix_millis.rs
+++ b/components/units/src/unix_millis.rs
@@ -12,7 +12,15 @@
 #[serde(transparent)]
 pub struct UnixMillis(pub u64);
 
+/// By how much the clock of another process may be ahead. A record with a later time would outlast all others.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
+
 impl UnixMillis {
+    /// Whether this time is so far ahead of `now` that no process of the deployment can have written it.
+    pub fn is_too_far_ahead(self, now: Self) -> bool {
+        self.since(now) > MAX_CLOCK_LEAD
+    }
+
     /// The time since `earlier`; zero if `earlier` is later than this time.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
