Records of a service whose times are far ahead are invalid

A record such as `{"versions":{"odd":{"since":}}}` under a service's key in `keyed.streams` kept its version for good, and no version of the service was the established one any more, so that streams nobody knows were refused.

Such a record is now invalid: the one that was known before stays, and a router that knows none writes its own.

`versions_whose_times_are_far_ahead_make_a_record_invalid` and `a_service_record_with_a_time_far_ahead_is_invalid` failed before: these records were valid.

--- a/components/origin/src/service_record.rs
+++ b/components/origin/src/service_record.rs
@@ -112,6 +112,12 @@
         })
     }
 
+    /// Whether a time in the record is so far ahead that no process can have written it. Such a version would stay for good.
+    pub fn is_too_far_ahead(&self, now: UnixMillis) -> bool {
+        let times = self.versions.values().flat_map(|one| [Some(one.since), one.until]);
+        times.flatten().any(|at| at.is_too_far_ahead(now))
+    }
+
     /// The versions of which streams may still be taken up, each with the time since it left the list.
     pub fn recent(
         &self,
--- a/components/origin/src/service_record/tests.rs
+++ b/components/origin/src/service_record/tests.rs
@@ -111,3 +111,19 @@
     let third = update(&left, &["v1", "v3"], &[], true, after(100)).expect("a version");
     assert_eq!(established(&third, after(101)).as_deref(), Some("v1"));
 }
+
+/// Such a version was never dropped, and hid which one was established.
+#[test]
+fn versions_whose_times_are_far_ahead_make_a_record_invalid() {
+    let record = |since: u64, until: u64| {
+        let text = format!(r#"{{"versions":{{"v1":{{"since":{since},"until":{until}}}}}}}"#);
+        serde_json::from_str::<ServiceRecord>(&text).expect("a record")
+    };
+    let soon = after(20).0;
+    assert!(!record(NOW.0, NOW.0).is_too_far_ahead(NOW));
+    assert!(!record(soon, soon).is_too_far_ahead(NOW), "clocks differ by seconds");
+    for far in [after(120).0, u64::MAX] {
+        assert!(record(far, NOW.0).is_too_far_ahead(NOW));
+        assert!(record(NOW.0, far).is_too_far_ahead(NOW));
+    }
+}
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -167,22 +167,34 @@
 
 /// Checks a record of the store before it is kept.
 fn check_record(key: &str, value: &[u8]) -> RecordKind {
-    let parsed = if key.starts_with(ROUTER_PREFIX) {
-        parse_if_present::<StoredStreams>(value)
+    let checked = if key.starts_with(ROUTER_PREFIX) {
+        parse_if_present::<StoredStreams>(value).map(drop)
     } else if key
         .strip_prefix(SERVICE_PREFIX)
         .is_some_and(|name| ServiceName::from_str(name).is_ok())
     {
-        parse_if_present::<ServiceRecord>(value)
+        check_service(value)
     } else {
         return RecordKind::Foreign;
     };
-    parsed.map_or_else(|error| RecordKind::Invalid(error.to_string()), |()| RecordKind::Valid)
+    checked.map_or_else(RecordKind::Invalid, |()| RecordKind::Valid)
 }
 
-/// Checks that a value can be parsed, unless the record was deleted.
-fn parse_if_present<T: DeserializeOwned>(value: &[u8]) -> Result<(), serde_json::Error> {
-    if value.is_empty() { Ok(()) } else { serde_json::from_slice::<T>(value).map(drop) }
+fn check_service(value: &[u8]) -> Result<(), String> {
+    match parse_if_present::<ServiceRecord>(value)? {
+        Some(record) if record.is_too_far_ahead(wall_clock()) => {
+            Err("a time in it is too far ahead".to_owned())
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Parses a value; `None` if the record was deleted.
+fn parse_if_present<T: DeserializeOwned>(value: &[u8]) -> Result<Option<T>, String> {
+    if value.is_empty() {
+        return Ok(None);
+    }
+    serde_json::from_slice(value).map(Some).map_err(|error| error.to_string())
 }
 
 fn log_invalid(key: &str, cause: &str) {
--- a/components/router/src/stream_records/tests.rs
+++ b/components/router/src/stream_records/tests.rs
@@ -112,3 +112,18 @@
     assert_eq!(software(&many.find(key(0))), Some("v1"));
     assert!(many.established(&llm).is_none());
 }
+
+/// A version with such a time hid the established one for good.
+#[test]
+fn a_service_record_with_a_time_far_ahead_is_invalid() {
+    let check = |since: u64| {
+        let value = format!(r#"{{"versions":{{"odd":{{"since":{since}}}}}}}"#);
+        check_record("service/llm", value.as_bytes())
+    };
+    let now = wall_clock();
+    assert_eq!(check(now.after(Duration::from_secs(20)).0), RecordKind::Valid);
+    for far in [now.after(Duration::from_secs(120)).0, u64::MAX] {
+        assert!(matches!(check(far), RecordKind::Invalid(_)), "{far}");
+    }
+    assert_eq!(check_record("service/llm", b""), RecordKind::Valid);
+}
