No request for a load keeps its permit for good

A request in the loaders' topic with a time of 2^64-1 milliseconds got a permit that never expired, and with a demand of 1e308 it went first: a few held all permits, and no model was loaded from the weight store any more.

A load is now expected to take an hour alone at most, and a demand that isn't finite is ignored.

`a_permit_of_a_request_without_a_sound_time_expires` failed before, since the sound request got no permit, and `a_request_whose_demand_is_no_number_or_infinite_is_ignored`, since the other ones had both.

--- a/components/loader/src/queue.rs
+++ b/components/loader/src/queue.rs
@@ -21,6 +21,8 @@
 /// A load that takes this many times as long as it takes alone is considered lost together with its loader; while this
 /// many loads run concurrently, it would still be complete by then.
 const LOST_LOAD_FACTOR: u32 = 4;
+/// The longest that a load is expected to take alone. Another writer's request with any time would keep its permit for good.
+const MAX_SOLO_TIME: Duration = Duration::from_secs(3_600);
 /// A loader without a permit renews its request within this time. A request that isn't renewed for twice this time is
 /// dropped; before that, a request of a loader that is gone costs the others nothing until a permit is granted to it.
 /// Requests are renewed no more often, since each record is read by all loaders that wait.
@@ -147,7 +149,10 @@
     pub(crate) fn apply(&mut self, record: PermitRecord, now: Instant) {
         self.applied += 1;
         match record {
+            // No loader writes such a demand, which would go before all others.
+            PermitRecord::Request { demand, .. } if !demand.is_finite() => {}
             PermitRecord::Request { loader, model, demand, solo_time, software, loading } => {
+                let solo_time = solo_time.min(MAX_SOLO_TIME);
                 self.loaders.insert(loader.clone());
                 let before = self.entries.get(&loader).filter(|entry| entry.model == model);
                 let (position, mut permit) =
--- a/components/loader/src/queue/tests.rs
+++ b/components/loader/src/queue/tests.rs
@@ -268,3 +268,33 @@
     (2..6).for_each(|loader| queue.apply(request(loader, "b", 1.0), now));
     assert_eq!(with_permit(&queue).len(), 2);
 }
+
+/// Requests that no loader wrote held all permits for good.
+#[rstest]
+#[case::waiting("")]
+#[case::loading(r#","loading":true"#)]
+#[tokio::test(start_paused = true)]
+async fn a_permit_of_a_request_without_a_sound_time_expires(#[case] loading: &str) {
+    let now = Instant::now();
+    let mut queue = PermitQueue::default();
+    for number in 0..8 {
+        let text = format!(
+            r#"{{"note":"ask","loader":"x{number}","model":"m","worth":1e308,"alone":18446744073709551615{loading}}}"#
+        );
+        queue.apply(serde_json::from_str(&text).expect("a record"), now);
+    }
+    let later = now + MAX_SOLO_TIME * LOST_LOAD_FACTOR;
+    queue.apply(request(1, "a", 1.0), later);
+    assert_eq!(with_permit(&queue), [1]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_demand_is_no_number_or_infinite_is_ignored() {
+    let now = Instant::now();
+    let mut queue = PermitQueue::default();
+    for (loader, demand) in [(2, f64::INFINITY), (3, f64::NAN)] {
+        queue.apply(request(loader, "b", demand), now);
+    }
+    queue.apply(request(1, "a", 1.0), now);
+    assert_eq!(with_permit(&queue), [1]);
+}
