--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -178,7 +178,9 @@
     for key in expired.into_iter().take(MAX_DELETES_PER_READ) {
         if let Err(error) = store.put(Topic::CrashRecords, &key, &[], None).await {
             log::debug!("router: an expired crash record was not deleted: {error}");
-            return;
+            if !error.is_permanent() {
+                return;
+            }
         }
     }
 }
--- a/components/router/src/crash_records/tests.rs
+++ b/components/router/src/crash_records/tests.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use quarantine::{Crash, PartsRelease, Release};
 
@@ -44,3 +45,22 @@
         }
     }
 }
+
+/// A key that the store does not take kept all after it from being deleted.
+#[tokio::test]
+async fn expired_records_are_deleted_beside_one_that_can_not_be() {
+    let listener = web::bind(([127, 0, 0, 1], 0).into()).await.expect("a port");
+    let store = Store::new(listener.local_addr().expect("an address"));
+    let appends = Arc::new(AtomicU32::new(0));
+    let counter = appends.clone();
+    let (_keep, never) = tokio::sync::watch::channel(false);
+    tokio::spawn(async move {
+        let handler = move |_, _| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            async { web::json(StatusCode::OK, &serde_json::json!({"offset": 0, "endOffset": 1})) }
+        };
+        web::serve(listener, web::ServeOptions::default(), never, handler).await;
+    });
+    delete_expired(&store, vec!["x".repeat(256), "end i-1 7 front-1".to_owned()]).await;
+    assert_eq!(appends.load(Ordering::Relaxed), 1);
+}
