--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -51,6 +51,9 @@
         return RecordKind::Valid;
     }
     match serde_json::from_slice::<QuarantineRecord>(value) {
+        Ok(record) if record.at().is_too_far_ahead(wall_clock()) => {
+            RecordKind::Invalid(format!("its time {} is too far ahead", record.at()))
+        }
         Ok(_) => RecordKind::Valid,
         Err(error) if QuarantineRecord::is_key(key) => RecordKind::Invalid(error.to_string()),
         Err(_) => RecordKind::Foreign,
@@ -175,7 +178,9 @@
     for key in expired.into_iter().take(MAX_DELETES_PER_READ) {
         if let Err(error) = store.put(Topic::CrashRecords, &key, &[], None).await {
             log::debug!("router: an expired crash record was not deleted: {error}");
-            return;
+            if !error.is_permanent() {
+                return;
+            }
         }
     }
 }
@@ -307,3 +312,6 @@
     shared.guard.apply(&[KeyedRecord { key, record }]);
     shared.guard.trial_permit(digest)
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -32,6 +32,8 @@
 const MIN_READ_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a new version of the configuration, so that versions in quick succession are read together.
 const CONFIG_READ_INTERVAL: Duration = Duration::from_millis(150);
+/// A read of the configuration that brought no new version before its wait was over is not repeated sooner than this.
+const MIN_IDLE_INTERVAL: Duration = Duration::from_millis(200);
 /// The first pause after a failed call.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause between failed calls, a part of the two seconds within which lapsed entries come back.
@@ -123,6 +125,7 @@
         match next {
             Ok(batch) => {
                 contact.record_success();
+                let more = batch.has_more;
                 let fresh = apply_config(&shared, batch, &mut newest);
                 // A store whose newest version is not the one in force, or can't be read, confirms nothing. A mirror confirms only
                 // what was written before its own last read.
@@ -133,7 +136,15 @@
                     shared.access.record_read(sent);
                 }
                 shared.record_store_read(Feed::Configuration, true);
-                tokio::time::sleep(if fresh { CONFIG_READ_INTERVAL } else { Duration::ZERO }).await;
+                let pause = if fresh {
+                    CONFIG_READ_INTERVAL
+                } else if more || source.is_mirrored() {
+                    Duration::ZERO
+                } else {
+                    // Other writers may leave records of their own, and a store may answer without the wait.
+                    wait.min(MIN_IDLE_INTERVAL).saturating_sub(sent.elapsed())
+                };
+                tokio::time::sleep(pause).await;
             }
             Err(error) => {
                 shared.record_store_read(Feed::Configuration, false);
@@ -263,9 +274,13 @@
                         read,
                     });
                 }
+                if !batch.complete && shared.endpoints.has_wrong_position(batch.position, sent) {
+                    // Records can't continue what is known up to a wrong position.
+                    source.follower().read_anew();
+                }
                 let until = contact.returned_at.map(|returned| returned + LAPSED_ENTRY_GRACE);
                 let more = batch.has_more;
-                apply_members(&shared, batch, until, &mut invalid_keys);
+                apply_members(&shared, batch, (sent, until), &mut invalid_keys);
                 shared.record_store_read(Feed::Membership, true);
                 // Changes that are left after a long time without the store are read without a pause.
                 let at_once = more || source.is_mirrored();
@@ -284,7 +299,7 @@
 fn apply_members(
     shared: &Arc<Shared>,
     batch: Batch,
-    until: Option<Instant>,
+    (sent, until): (Instant, Option<Instant>),
     invalid_keys: &mut BTreeSet<String>,
 ) {
     let mut changes = Vec::new();
@@ -309,7 +324,8 @@
             | Update::InvalidRecord(..) => {}
         }
     }
-    let update = ListUpdate { changes, complete: batch.complete, position: batch.position };
+    let Batch { complete, position, .. } = batch;
+    let update = ListUpdate { changes, complete, position, sent };
     let missing = shared.endpoints.apply_list(update, until);
     missing::watch(shared, missing);
     hints::settle_all(shared);
