Invalid entries of the list are reported however many there have been before

A router remembered the keys of the first 4,096 invalid entries of the list for ever, also of those that were removed, and reported no other one after them: a server whose entry can't be read showed in no line and no metric. Until then it wrote a line for each, thousands in a second, more than the buffer of lines holds, so that other lines were dropped.

Up to 512 are reported at once now, more than a deployment has endpoints, and then ten a second; a line says how many were left out before it. A removed entry is forgotten, and the keys are forgotten together when there are 4,096.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -10,7 +10,7 @@
 use fleet::EndpointChange;
 use platform::{Batch, StoreError, Topic, Update};
 use tokio::time::Instant;
-use units::{Revision, Span};
+use units::{EndpointId, Revision, Span};
 
 use crate::access::MIN_READ_INTERVAL;
 use crate::list::{LAPSED_ENTRY_GRACE, ListUpdate};
@@ -39,8 +39,13 @@
 /// The same for a router that has no configuration or list yet: every moment costs all requests that arrive.
 const MAX_START_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// The most remembered keys of invalid list entries, which no endpoint wrote: more than a deployment has endpoints.
-const MAX_INVALID_KEYS: usize = 4_096;
+/// How many invalid list entries are reported at once: more than a deployment has endpoints. Other writers may leave thousands a second,
+/// whose lines would displace others.
+const MAX_REPORTS: u32 = 512;
+/// After how long another one is reported if there are more.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// The most remembered keys of reported entries.
+const MAX_REPORTED_KEYS: usize = 4_096;
 
 /// Whether the store answers one feed's calls, and since when it does or does not.
 #[derive(Debug)]
@@ -86,6 +91,46 @@
     }
 }
 
+/// The invalid list entries that have been reported, so that each is reported when it appears and not each time that it is read.
+#[derive(Debug)]
+struct InvalidEntries {
+    reported: BTreeSet<String>,
+    /// When the reports so far no longer count against the limit.
+    all_possible_at: Instant,
+    /// How many have not been reported since the last report.
+    skipped: u64,
+}
+
+impl InvalidEntries {
+    fn new(now: Instant) -> Self {
+        Self { reported: BTreeSet::new(), all_possible_at: now, skipped: 0 }
+    }
+
+    /// Returns whether an entry is to be reported, and if so, how many others have not been before it.
+    fn add(&mut self, key: String, now: Instant) -> Option<u64> {
+        if self.reported.contains(&key) {
+            return None;
+        }
+        let next = self.all_possible_at.max(now) + REPORT_INTERVAL;
+        if next > now + REPORT_INTERVAL * MAX_REPORTS {
+            self.skipped += 1;
+            return None;
+        }
+        self.all_possible_at = next;
+        if self.reported.len() == MAX_REPORTED_KEYS {
+            // Entries that are still there are reported again, within the same limit.
+            self.reported.clear();
+        }
+        self.reported.insert(key);
+        Some(std::mem::take(&mut self.skipped))
+    }
+
+    /// Forgets an entry that is valid or removed.
+    fn remove(&mut self, id: &EndpointId) {
+        self.reported.remove(id.as_str());
+    }
+}
+
 /// The longest pause between failed calls. A call that begins right before an unresponsive store returns fails only at the
 /// client's timeout, and the next call still has to deliver the changes within `bound`.
 fn max_retry_pause(shared: &Shared, bound: Span) -> Duration {
@@ -232,7 +277,7 @@
 pub(crate) async fn follow_members(shared: Arc<Shared>) {
     let mut source = TopicSource::new(shared.clone(), Topic::Endpoints);
     let mut contact = StoreContact::new(Dependency::Membership);
-    let mut invalid_keys = BTreeSet::new();
+    let mut invalid = InvalidEntries::new(Instant::now());
     loop {
         let bounds = shared.settings.borrow().bounds;
         let known = shared.endpoints.lock().list_position;
@@ -265,7 +310,7 @@
                 }
                 let until = contact.returned_at.map(|returned| returned + LAPSED_ENTRY_GRACE);
                 let more = batch.has_more;
-                apply_members(&shared, batch, until, &mut invalid_keys);
+                apply_members(&shared, batch, until, &mut invalid);
                 shared.record_store_read(Feed::Membership, true);
                 // Changes that are left after a long time without the store are read without a pause.
                 let at_once = more || source.is_mirrored();
@@ -279,29 +324,32 @@
     }
 }
 
-/// Applies a read of the list. `invalid_keys` holds the keys of invalid entries, so that each is reported when it appears and not
-/// with each read of the whole list.
+/// Applies a read of the list.
 fn apply_members(
     shared: &Arc<Shared>,
     batch: Batch,
     until: Option<Instant>,
-    invalid_keys: &mut BTreeSet<String>,
+    invalid: &mut InvalidEntries,
 ) {
     let mut changes = Vec::new();
     for update in batch.updates {
         match update {
             Update::Endpoint(change) => {
-                if let EndpointChange::Listed(endpoint) = &change {
-                    invalid_keys.remove(endpoint.id.as_str());
+                match &change {
+                    EndpointChange::Listed(endpoint) => invalid.remove(&endpoint.id),
+                    EndpointChange::Removed(id) => invalid.remove(id),
                 }
                 changes.push(change);
             }
             Update::InvalidEndpoint(key, cause) => {
                 // The invalid entry may have replaced that of an endpoint.
                 changes.extend(key.parse().map(EndpointChange::Removed));
-                if invalid_keys.len() < MAX_INVALID_KEYS && invalid_keys.insert(key) {
-                    emit(&Event::Unreadable { dependency: Dependency::Membership, cause: &cause });
-                }
+                let Some(skipped) = invalid.add(key, Instant::now()) else { continue };
+                let cause = match skipped {
+                    0 => cause,
+                    _ => format!("{cause}; {skipped} others before it were not reported"),
+                };
+                emit(&Event::Unreadable { dependency: Dependency::Membership, cause: &cause });
             }
             Update::Config(_)
             | Update::InvalidConfig(_)
@@ -316,3 +364,6 @@
     loader_task::start_new(shared);
     origins::update_keepers(shared);
 }
+
+#[cfg(test)]
+mod tests;
--- a/programs/tests/odd_entries.rs
+++ b/programs/tests/odd_entries.rs
@@ -17,6 +17,13 @@
 const REQUESTS: usize = 10;
 /// How long a store that answers no requests is away, so that its history is lost to all routers.
 const OUTAGE: Duration = Duration::from_millis(500);
+/// How many entries come in a tenth of a second, and go in the next one.
+const SHORT_LIVED_ENTRIES: usize = 500;
+/// For how long they do.
+const SHORT_LIVED_TIME: Duration = Duration::from_secs(6);
+/// The most lines about invalid entries at once, and in each second beyond.
+const MAX_LINES: usize = 512;
+const MAX_LINES_PER_SECOND: usize = 10;
 /// Enough routers in one failure domain for a mirror.
 const ROUTERS: usize = 14;
 /// How long routers may take to follow a mirror.
@@ -219,6 +226,70 @@
     router.check(&store, before, &odd);
 }
 
+impl Process {
+    /// The lines that the process has logged and that contain a text.
+    fn lines_with(&self, text: &str) -> usize {
+        let log = std::fs::read_to_string(format!("/proc/{}/fd/1", self.0.id())).expect("a log");
+        log.lines().filter(|line| line.contains(text)).count()
+    }
+
+    /// The processor time of the process, in clock ticks.
+    fn cpu_ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).expect("a state");
+        let (_, fields) = stat.rsplit_once(") ").expect("the name of the program");
+        let times = fields.split(' ').skip(11).take(2);
+        times.map(|ticks| ticks.parse::<u64>().expect("a number")).sum()
+    }
+}
+
+/// Writes other entries of other writers all the time, and removes each after a while.
+async fn write_short_lived(store: Store) {
+    let keys = |tick: usize| {
+        let first = tick * SHORT_LIVED_ENTRIES;
+        let numbers = first..first + SHORT_LIVED_ENTRIES;
+        numbers.map(|number| format!("odd{}{number}", [" ", "-"][number % 2]))
+    };
+    let mut ticks = tokio::time::interval(Duration::from_millis(100));
+    for tick in 1.. {
+        ticks.tick().await;
+        keys(tick).for_each(|key| store.put_raw(SERVERS, key.as_bytes(), "{}"));
+        keys(tick - 1).for_each(|key| store.put_raw(SERVERS, key.as_bytes(), ""));
+    }
+}
+
+/// The first 4,096 keys were remembered for ever, and invalid entries of others were never reported.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_follows_the_list_and_reports_entries_beside_thousands_that_come_and_go() {
+    let (old, new) = (Server::plain("i-1").await, Server::plain("i-2").await);
+    let store = store_with(&old).await;
+    let router = start_router(&store, &old).await;
+    let process = &router.router.process;
+    let (start, ticks) = (Instant::now(), process.cpu_ticks());
+    let writer = tokio::spawn(write_short_lived(store.clone()));
+    tokio::time::sleep(SHORT_LIVED_TIME / 2).await;
+    store.list_server(&new, "app", Some("ready"));
+    store.list_server(&old, "app", None);
+    let listed = Instant::now();
+    router.check_serves(&new.id).await;
+    let followed = listed.elapsed();
+    tokio::time::sleep_until(start + SHORT_LIVED_TIME).await;
+    writer.abort();
+    let ticks = process.cpu_ticks() - ticks;
+    let lines = process.lines_with("can't be read");
+    println!("followed after {followed:?}, {ticks} ticks of processor time, {lines} lines");
+    println!("{} kB idle, {} kB at most", router.idle_kb, process.peak_kb());
+    router.check_memory();
+    // Each second, as a server whose entry is invalid.
+    while process.lines_with("`i-9`") == 0 {
+        assert!(start.elapsed() < START_TIMEOUT, "an invalid entry is not reported");
+        store.put(SERVERS, "i-9", &json!({}));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let seconds = usize::try_from(start.elapsed().as_secs()).expect("a short test") + 1;
+    let lines = process.lines_with("can't be read");
+    assert!(lines <= MAX_LINES + MAX_LINES_PER_SECOND * seconds, "{lines} lines");
+}
+
 /// Waits until routers read the store no more often than their mirror.
 async fn wait_for_mirror(store: &Store) {
     let start = Instant::now();
--- a/programs/tests/processes/mod.rs
+++ b/programs/tests/processes/mod.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::Duration;
 
 use serde_json::json;
@@ -15,7 +15,7 @@
 pub(crate) const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A process that is killed when the test ends.
-pub(crate) struct Process(Child);
+pub(crate) struct Process(pub(crate) Child);
 
 impl Drop for Process {
     fn drop(&mut self) {
@@ -28,7 +28,8 @@
     pub(crate) fn start(program: &str, folder: &Path, settings: &serde_json::Value) -> Self {
         let file = folder.join("settings.jsonc");
         std::fs::write(&file, settings.to_string()).expect("settings");
-        let child = Command::new(program).arg(&file).stdout(Stdio::null()).spawn();
+        let log = std::fs::File::create(folder.join("log.jsonl")).expect("a log");
+        let child = Command::new(program).arg(&file).stdout(log).spawn();
         Self(child.expect("the process starts"))
     }
 
