A mirror keeps a limited number of records, however small they are

The tail of a topic counted the bytes of its records only, so that empty records of another writer were kept without end, at 32 bytes each, and given to each router that asked. The place of a record counts as well now.

--- a/components/mirror/src/tail.rs
+++ b/components/mirror/src/tail.rs
@@ -5,9 +5,12 @@
 use bytes::Bytes;
 use units::{Offset, StorePosition};
 
-/// The most bytes of records that are kept, unless a single record is larger. A follower that is further behind reads the store.
+/// The most bytes that the kept records need, unless a single record is larger. A follower that is further behind reads the store.
 const MAX_BYTES: usize = 512 << 10;
 
+/// What a record needs beyond its content.
+const RECORD_OVERHEAD: usize = size_of::<Bytes>();
+
 /// The newest records of a topic, up to the position to which it has been read.
 #[derive(Debug, Clone)]
 pub struct Tail {
@@ -30,13 +33,13 @@
     /// Appends the records that were read from the end on.
     pub fn append(&mut self, records: Vec<Bytes>) {
         for record in records {
-            self.bytes += record.len();
+            self.bytes += record.len() + RECORD_OVERHEAD;
             self.records.push_back(record);
             self.end.offset = Offset(self.end.offset.0 + 1);
         }
         while self.bytes > MAX_BYTES && self.records.len() > 1 {
-            let dropped = self.records.pop_front().map_or(0, |record| record.len());
-            self.bytes -= dropped;
+            let dropped = self.records.pop_front();
+            self.bytes -= dropped.map_or(0, |record| record.len() + RECORD_OVERHEAD);
         }
     }
 
--- a/components/mirror/src/tail/tests.rs
+++ b/components/mirror/src/tail/tests.rs
@@ -45,3 +45,16 @@
     assert_eq!(tail.since(at(0, 1)), None);
     assert_eq!(tail.since(at(0, 2)).map(|records| records.len()), Some(1));
 }
+
+/// Only the bytes of the records were counted, and empty ones were kept without end.
+#[test]
+fn keeps_a_limited_number_of_empty_records() {
+    let mut tail = Tail::new(at(0, 0));
+    for _ in 0..100 {
+        tail.append(vec![Bytes::new(); 1_000]);
+    }
+    let most = MAX_BYTES / size_of::<Bytes>();
+    assert!(tail.records.len() <= most, "{} records are kept", tail.records.len());
+    assert_eq!(tail.end(), at(0, 100_000));
+    assert!(tail.since(at(0, 99_000)).is_some_and(|records| records.len() == 1_000));
+}
