Loaders remember a limited number of names, and only those that may be loaders'

Whatever was written to the topic of the loaders' starts was remembered as the name of a loader for ever. Without the store a loader that waits begins its load after those whose names come before its own: names of other writers made it wait for hours.

Names that no instance can have are left out, and 4,096 are remembered at most. Names of other writers that an instance might have still count.

--- a/components/loader/src/queue.rs
+++ b/components/loader/src/queue.rs
@@ -16,7 +16,7 @@
 use admission::{ConcurrentLoads, LoadConcurrency};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use units::{ModelName, SoftwareVersion};
+use units::{InstanceId, ModelName, SoftwareVersion};
 
 /// A load that takes this many times as long as it takes alone is considered lost together with its loader; while this
 /// many loads run concurrently, it would still be complete by then.
@@ -26,6 +26,9 @@
 /// Requests are renewed no more often, since each record is read by all loaders that wait.
 pub(crate) const RENEW_INTERVAL: Duration = Duration::from_secs(20);
 
+/// The most loaders that are remembered without a request: more than a deployment has. Other writers may leave any names.
+const MAX_LOADERS: usize = 4_096;
+
 /// A record of the topic.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "note", rename_all = "kebab-case")]
@@ -113,7 +116,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PermitQueue {
     entries: BTreeMap<String, Entry>,
-    /// All loaders that appear in the records.
+    /// The loaders that appear in the records.
     loaders: BTreeSet<String>,
     concurrency: LoadConcurrency,
     /// The number of records applied.
@@ -125,11 +128,17 @@
 impl PermitQueue {
     /// Applies a start record: the loader has restarted and loads nothing.
     pub(crate) fn record_start(&mut self, loader: &str, now: Instant) {
-        self.loaders.insert(loader.to_owned());
+        self.remember(loader);
         self.entries.remove(loader);
         self.grant_permits(now);
     }
 
+    fn remember(&mut self, loader: &str) {
+        if self.loaders.len() < MAX_LOADERS && loader.parse::<InstanceId>().is_ok() {
+            self.loaders.insert(loader.to_owned());
+        }
+    }
+
     /// Drops requests after the store was restored from an older copy. Loads in progress go on and keep their permits,
     /// even if their loaders can't reach the store. Waiting loaders request again, and get no permit before
     /// [`Self::end_restore`].
@@ -148,7 +157,7 @@
         self.applied += 1;
         match record {
             PermitRecord::Request { loader, model, demand, solo_time, software, loading } => {
-                self.loaders.insert(loader.clone());
+                self.remember(&loader);
                 let before = self.entries.get(&loader).filter(|entry| entry.model == model);
                 let (position, mut permit) =
                     before.map_or((self.applied, None), |entry| (entry.position, entry.permit));
--- a/components/loader/src/queue/tests.rs
+++ b/components/loader/src/queue/tests.rs
@@ -154,6 +154,22 @@
     assert_eq!(rounds, [1, 1, 2, 2, 3, 0, 0, 3]);
 }
 
+/// All names in the records were remembered, and each loader waited for them.
+#[tokio::test(start_paused = true)]
+async fn without_the_store_no_loader_waits_for_names_that_are_no_loaders() {
+    let now = Instant::now();
+    let mut queue = PermitQueue::default();
+    queue.record_start("side-0", now);
+    for number in 0..10_000 {
+        queue.record_start(&format!("no loader {number}"), now);
+    }
+    assert_eq!(offline_delays(&queue, 0..1), [Duration::ZERO]);
+    for number in 0..10_000 {
+        queue.record_start(&format!("side-{number}"), now);
+    }
+    assert!(queue.loaders.len() <= MAX_LOADERS, "{} loaders", queue.loaders.len());
+}
+
 /// Simulates a weight store that serves `capacity` loads at full speed, and more of them slower in proportion, while
 /// each loader loads one model after another. Returns when each load was complete, with its model, in order.
 fn simulate(capacity: u32, models: usize, loaders: usize) -> Vec<(Duration, usize)> {
