--- a/components/mirror/src/tail/tests.rs
+++ b/components/mirror/src/tail/tests.rs
@@ -58,3 +58,16 @@
     let kept = tail.since(at(0, end - MAX_RECORDS as u64)).map(|records| records.len());
     assert_eq!(kept, Some(MAX_RECORDS));
 }
+
+/// Only the bytes of the records were counted, and empty ones were kept without end.
+#[test]
+fn keeps_the_newest_of_many_empty_records() {
+    let mut tail = Tail::new(at(0, 0));
+    for _ in 0..100 {
+        tail.append(vec![Bytes::new(); 1_000]);
+    }
+    let most = MAX_BYTES / size_of::<Bytes>();
+    assert!(tail.records.len() <= most, "{} records are kept", tail.records.len());
+    assert_eq!(tail.end(), at(0, 100_000));
+    assert!(tail.since(at(0, 99_000)).is_some_and(|records| records.len() == 1_000));
+}
