A moment after any time is at most the latest one that can be represented

A caller that returned for promised tokens lost its connection without an answer if the limit of its workspace had been set to next to nothing meanwhile. `Moment + Duration` panicked: the time until the bucket holds the tokens is then the longest one.

The tests failed before, both with "overflow when adding durations". The sum saturates where it is computed, so that no number of a configuration or of another router can reach the panic.

--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -58,8 +58,9 @@
 impl Add<Duration> for Moment {
     type Output = Self;
 
+    /// The moment that lies `span` after this one, or the latest one that can be represented.
     fn add(self, span: Duration) -> Self {
-        Self(self.0 + span)
+        Self(self.0.saturating_add(span))
     }
 }
 
--- a/components/clock/src/tests.rs
+++ b/components/clock/src/tests.rs
@@ -19,3 +19,12 @@
     assert_eq!((now + span).since(now), span);
     assert_eq!(now.since(now + span), Duration::ZERO);
 }
+
+/// A time that was computed from a number of another process may be the longest one.
+#[test]
+fn a_moment_after_the_longest_time_is_the_latest_one() {
+    let now = Moment::now();
+    let latest = now + Duration::MAX;
+    assert!(latest > now + Duration::from_secs(u64::MAX / 2));
+    assert_eq!(latest + Duration::from_secs(1), latest);
+}
--- a/components/quota/src/pool/tests.rs
+++ b/components/quota/src/pool/tests.rs
@@ -74,6 +74,20 @@
     assert!((pool.unpromised_level(OWN, expired) - 3_100.0).abs() < 1.0);
 }
 
+/// A limit that falls to next to nothing while a caller waits for its turn.
+#[test]
+fn a_promise_that_no_refill_can_keep_is_postponed_without_an_end() {
+    let (mut pool, now) = empty();
+    let back = now + promised(pool.claim(OWN, claim(1), now));
+    pool.take_part(OWN, 10_000.0, back);
+    while pool.bucket.take(OWN.total, 10_000.0, back).tokens > 0.0 {}
+    let total = BucketSpec { refill_rate: 1e-300, ..OWN.total };
+    let after = promised(pool.claim(ShareTerms { total, ..OWN }, claim(1), back));
+    assert_eq!(after, Duration::MAX);
+    let early = pool.claim(ShareTerms { total, ..OWN }, claim(1), back + secs(1.0));
+    assert!(promised(early) > Duration::from_secs(1 << 60), "{early:?}");
+}
+
 #[test]
 fn a_request_larger_than_the_bucket_gets_no_promise() {
     let (mut pool, now) = empty();
