Times in a configuration are limited when routers and loaders hand it over

The end of such a time can't be represented: the task of the loader that computed it would panic, and the loader ends with it; a router would close connections without answers.

They are limited where they are decoded, to the same time.

--- a/components/catalog/src/catalog.rs
+++ b/components/catalog/src/catalog.rs
@@ -19,9 +19,11 @@
     pub body_bytes: usize,
     /// The longest time that a header may take to arrive.
     #[serde(rename = "patience")]
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub header_timeout: Duration,
     /// How long a connection is kept open without a request.
     #[serde(rename = "idle")]
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub idle_timeout: Duration,
 }
 
--- a/components/catalog/src/model.rs
+++ b/components/catalog/src/model.rs
@@ -72,12 +72,15 @@
     pub adapter: Size,
     /// How long a load from the weight store takes if no other load slows it down.
     #[serde(rename = "cold")]
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub store_load: Duration,
     /// How long a load from the endpoint's disk takes.
     #[serde(rename = "disk")]
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub disk_load: Duration,
     /// How long a load from the endpoint's host memory takes.
     #[serde(rename = "warm")]
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub memory_load: Duration,
 }
 
--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -53,14 +53,18 @@
     /// Whether requests may be executed more than once, and whether answers are streams.
     pub kind: CallKind,
     /// The longest time that a caller waits for the answer.
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub timeout: Duration,
     /// The target time for the answer, or for the first event of a stream; a later one is worth less.
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub target: Duration,
     /// The target for the longest pause between two events of a stream; zero for other answers.
     #[serde(rename = "pause")]
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub max_pause: Duration,
     /// The longest time that callers wait for the first event of a stream, or for the next event.
     #[serde(rename = "patience")]
+    #[serde(deserialize_with = "crate::time::deserialize")]
     pub event_timeout: Duration,
     /// The priority of the requests; 0 is the most urgent.
     pub priority: u8,
