--- a/components/placement/src/backlog.rs
+++ b/components/placement/src/backlog.rs
@@ -18,6 +18,9 @@
 /// The number of prompts that make a burst; fewer say nothing about other routers.
 const MIN_BURST_PROMPTS: u32 = 3;
 
+/// A longer time than any prompt waits. Prompts and the number of routers are as large as others state them.
+const MAX_TOTAL: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// The prompts that one router has sent to an endpoint and that the endpoint has yet to process.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PromptBacklog {
@@ -60,7 +63,8 @@
             0.0
         };
         let other = self.mean_at(now).max(burst);
-        Duration::from_secs_f64(self.seconds + others * other)
+        let total = (self.seconds + others * other).min(MAX_TOTAL.as_secs_f64());
+        Duration::from_secs_f64(total)
     }
 
     fn mean_at(&self, now: Instant) -> f64 {
