Sums of counts and sizes that others report are at most the largest number

A loader that reports 2^32 - 1 running requests, or as many routers, made its endpoint look idle, so that it got the requests of all routers; the same happened to the sums of waiting and running requests at a loader, and to the memory that adapters of a huge size take. With overflow checks, the sums panic, and a loader ends with its controller.

The tests failed before with "attempt to add with overflow" and "attempt to multiply with overflow". The sums saturate.

--- a/components/loader/src/plan/tests.rs
+++ b/components/loader/src/plan/tests.rs
@@ -308,3 +308,43 @@
     assert_eq!(required_software(&view, &name("a")), Some(&version));
     assert_eq!(required_software(&view, &name("b")), None);
 }
+
+/// Counts of routers and sizes of the configuration go up to the largest numbers, and their sums ended the loader or looked small.
+#[tokio::test(start_paused = true)]
+async fn sums_of_the_largest_counts_and_sizes_are_the_largest_ones() {
+    let mut view = view_with(&[("a", &["x", "y", "z"]), ("b", &["x"])]);
+    let (now, most) = (Instant::now(), Size(u64::MAX));
+    let engine = view.engine.as_mut().expect("an engine");
+    let spec = ModelSpec {
+        weights: most,
+        adapter: Size(u64::MAX / 2),
+        store_load: Duration::from_secs(6),
+        disk_load: Duration::from_millis(500),
+        memory_load: Duration::from_millis(300),
+    };
+    engine.memory = most;
+    engine.models = ["a", "b", "c"].map(|text| (name(text), spec.clone())).into_iter().collect();
+    for router in ["1", "2"] {
+        let poll = LastPoll { at: now, wait: Duration::ZERO };
+        for model in ["a", "b"] {
+            let usage = view.usage.entry(name(model)).or_default();
+            usage.running.insert(router.to_owned(), (u32::MAX, poll));
+        }
+        let queue = control::QueueSummary {
+            waiting: u32::MAX,
+            workspaces: Vec::new(),
+            first_deadline: Duration::MAX,
+            last_deadline: Duration::MAX,
+            oldest: Duration::MAX,
+            priority: 0,
+        };
+        view.rooms.queues.record(&id("c"), router, queue, now);
+    }
+    request(&mut view, "c", u32::MAX, now);
+    let requested = view.requested.get_mut(&id("c")).expect("a request");
+    requested.waiting.insert("router-2".to_owned(), u32::MAX);
+    assert_eq!(requested.total_waiting(), u32::MAX);
+    assert_eq!((view.used_memory(), view.total_running()), (most, u32::MAX));
+    assert_eq!(view.running(&name("a")), u32::MAX);
+    assert!(matches!(next_action(&view, now), Action::Refuse(..) | Action::Evict(_)));
+}
--- a/components/loader/src/room.rs
+++ b/components/loader/src/room.rs
@@ -112,7 +112,7 @@
     now: Instant,
 ) -> u32 {
     let summaries = view.rooms.queues.summaries(model, now);
-    let queued: u32 = summaries.map(|received| received.in_time(end)).sum();
+    let queued = summaries.map(|received| received.in_time(end));
     // Both are in the order of the routers.
     let mut routers = view.rooms.queues.routers(model, now).peekable();
     let others = requested.into_iter().flat_map(|requested| &requested.waiting);
@@ -120,7 +120,7 @@
         while routers.next_if(|queued| *queued < router.as_str()).is_some() {}
         routers.peek() != Some(&router.as_str())
     });
-    queued.saturating_add(unqueued.map(|(_, waiting)| waiting).sum())
+    queued.chain(unqueued.map(|(_, waiting)| *waiting)).fold(0, u32::saturating_add)
 }
 
 /// The workspaces whose requests wait for a model.
--- a/components/loader/src/room/openings.rs
+++ b/components/loader/src/room/openings.rs
@@ -171,11 +171,11 @@
 ) -> Option<Instant> {
     let available = |at: Instant| {
         let open = openings.iter().filter(|opening| opening.at <= at);
-        free.0 + open.map(|opening| opening.size.0).sum::<u64>()
+        free + open.map(|opening| opening.size).sum()
     };
     let needed = |at: Instant| {
         let due = needs.iter().filter(|need| need.at <= at);
-        size.0 + due.map(|need| need.size.0).sum::<u64>()
+        size + due.map(|need| need.size).sum()
     };
     let fits = |at: Instant| {
         let later = needs.iter().map(|need| need.at).filter(|need| *need > at);
--- a/components/loader/src/view.rs
+++ b/components/loader/src/view.rs
@@ -33,7 +33,7 @@
 impl RequestedModel {
     /// Requests that wait for the model at all routers.
     pub(crate) fn total_waiting(&self) -> u32 {
-        self.waiting.values().sum()
+        self.waiting.values().copied().fold(0, u32::saturating_add)
     }
 }
 
@@ -75,7 +75,7 @@
     /// Requests that run, as reported by routers that have polled recently.
     fn running_at(&self, now: Instant) -> u32 {
         let recent = self.running.values().filter(|(_, poll)| poll.is_recent(now));
-        recent.map(|(count, _)| count).sum()
+        recent.map(|(count, _)| *count).fold(0, u32::saturating_add)
     }
 
     fn rate_at(&self, now: Instant) -> f64 {
@@ -214,7 +214,8 @@
     /// Requests that run with any model.
     pub(crate) fn total_running(&self) -> u32 {
         let now = Instant::now();
-        self.usage.values().map(|usage| usage.running_at(now)).sum()
+        let running = self.usage.values().map(|usage| usage.running_at(now));
+        running.fold(0, u32::saturating_add)
     }
 
     /// When a model was last used.
@@ -233,8 +234,9 @@
         let weights = |model: &ModelName| engine.model(model).map_or(Size(0), |spec| spec.weights);
         let adapter = |model: &ModelName| engine.model(model).map_or(Size(0), |spec| spec.adapter);
         let models: Size = report.models.iter().map(|held| weights(&held.model)).sum();
+        let adapters = report.models.iter();
         let adapters =
-            report.models.iter().map(|h| Size(adapter(&h.model).0 * h.adapters.len() as u64));
+            adapters.map(|held| adapter(&held.model).saturating_mul(held.adapters.len()));
         let loading = report.loading_adapters.iter().map(|id| adapter(&id.model));
         models + adapters.sum() + loading.sum()
     }
--- a/components/placement/src/candidate.rs
+++ b/components/placement/src/candidate.rs
@@ -70,7 +70,7 @@
         let Some(holdings) = self.holdings else { return Size(0) };
         let size = |name: &ModelName, adapters: usize| {
             let spec = engine.model(name);
-            spec.map_or(Size(0), |spec| spec.weights + Size(spec.adapter.0 * adapters as u64))
+            spec.map_or(Size(0), |spec| spec.weights + spec.adapter.saturating_mul(adapters))
         };
         let held = holdings.models.iter().map(|held| size(&held.model, held.adapters.len())).sum();
         let loading = holdings.loading.as_ref().map_or(Size(0), |loading| size(&loading.model, 0));
--- a/components/placement/src/load_target/tests.rs
+++ b/components/placement/src/load_target/tests.rs
@@ -145,3 +145,18 @@
         choose_load_target(&candidates, &id("a"), &engine(), LoadSource::CopiesOnly).expect("one");
     assert_eq!(any.index, 1, "the slow one has room at once");
 }
+
+/// The configuration may state any size of an adapter.
+#[test]
+fn adapters_that_are_larger_than_any_memory_leave_no_room() {
+    let mut endpoints = TestEndpoints::new(1);
+    endpoints.hold(0, "a", &["x", "y", "z"]);
+    endpoints.copy(0, "b");
+    let mut engine = engine();
+    let mut spec = engine.model(&name("a")).expect("a model").clone();
+    spec.adapter = units::Size(u64::MAX / 2);
+    engine.models = ["a", "b"].map(|text| (name(text), spec.clone())).into_iter().collect();
+    let candidates = endpoints.candidates();
+    let target = choose_load_target(&candidates, &id("b"), &engine, LoadSource::CopiesOnly);
+    assert_eq!(target.expect("a target").ready_in, spec.disk_load + EVICTION_ORDER_DELAY);
+}
--- a/components/router/src/endpoint.rs
+++ b/components/router/src/endpoint.rs
@@ -406,11 +406,11 @@
         let others = state.load.running.saturating_sub(self.running_baseline);
         let new = self.running.saturating_sub(self.running_baseline);
         let assumed = if new >= MIN_BURST {
-            new * state.load.routers.saturating_sub(1) / OTHER_ROUTER_BURST_DIVISOR
+            new.saturating_mul(state.load.routers.saturating_sub(1)) / OTHER_ROUTER_BURST_DIVISOR
         } else {
             0
         };
-        others + self.running + assumed
+        others.saturating_add(self.running).saturating_add(assumed)
     }
 
     /// The number of routers that send requests to the endpoint, this one included.
--- a/components/router/src/endpoint/tests.rs
+++ b/components/router/src/endpoint/tests.rs
@@ -316,3 +316,16 @@
     assert_eq!(tracked.software(), "v2");
     assert!(!std::sync::Arc::ptr_eq(&pool, &tracked.pool));
 }
+
+/// A loader reports numbers of any size, and their sum ended the request that was to be sent, or made a full endpoint look idle.
+#[rstest::rstest]
+#[case::running(EndpointLoad { waiting: 0, running: u32::MAX, routers: 2 })]
+#[case::routers(EndpointLoad { waiting: 0, running: 0, routers: u32::MAX })]
+#[case::all(EndpointLoad { waiting: u32::MAX, running: u32::MAX, routers: u32::MAX })]
+fn an_endpoint_with_the_largest_load_is_taken_for_full(#[case] load: EndpointLoad) {
+    let now = Instant::now();
+    let mut tracked = TrackedEndpoint::new(entry(100), now);
+    tracked.apply_state(EndpointState { load, ..state(100, &["a"]) }, now);
+    tracked.running = 20;
+    assert!(tracked.total_running() > u32::MAX / 8, "{}", tracked.total_running());
+}
--- a/components/units/src/quantity.rs
+++ b/components/units/src/quantity.rs
@@ -42,6 +42,12 @@
     pub fn saturating_sub(self, other: Self) -> Self {
         Self(self.0.saturating_sub(other.0))
     }
+
+    /// The size of so many things of this size; the largest one if it exceeds that.
+    #[must_use]
+    pub fn saturating_mul(self, count: usize) -> Self {
+        Self(self.0.saturating_mul(u64::try_from(count).unwrap_or(u64::MAX)))
+    }
 }
 
 impl std::ops::Add for Size {
