Errors about calls quote the start of an answer only

`CallError::Status` held the body of an answer of up to some megabytes, and errors of the JSON parser quote a wrong value whole. Both went into log lines, one for each lost dependency.

--- a/components/control/src/client.rs
+++ b/components/control/src/client.rs
@@ -68,8 +68,7 @@
         for part in records.chunks(MAX_ORIGIN_RECORDS) {
             let (status, bytes) = self.client.post_raw(addr, ORIGINS_PATH, &part, limit).await?;
             if !status.is_success() {
-                let text = String::from_utf8_lossy(&bytes).into_owned();
-                return Err(CallError::Status { addr, status, text });
+                return Err(CallError::status(addr, status, &bytes));
             }
         }
         Ok(())
@@ -103,14 +102,11 @@
         let client = self.client.with_max_response(MAX_UPDATES_BYTES);
         let (status, bytes) = client.post_raw(addr, UPDATES_PATH, request, limit).await?;
         match status {
-            StatusCode::OK => Updates::decode(bytes)
-                .map(Some)
-                .map_err(|error| CallError::InvalidResponse { addr, cause: error.to_string() }),
-            StatusCode::GONE => Ok(None),
-            status => {
-                let text = String::from_utf8_lossy(&bytes).into_owned();
-                Err(CallError::Status { addr, status, text })
+            StatusCode::OK => {
+                Updates::decode(bytes).map(Some).map_err(|error| CallError::invalid(addr, &error))
             }
+            StatusCode::GONE => Ok(None),
+            status => Err(CallError::status(addr, status, &bytes)),
         }
     }
 }
--- a/components/edge/src/link.rs
+++ b/components/edge/src/link.rs
@@ -65,10 +65,8 @@
         value: &impl Serialize,
         limit: Duration,
     ) -> Result<Answer, CallError> {
-        let bytes = serde_json::to_vec(value).map_err(|error| CallError::InvalidResponse {
-            addr: self.addr,
-            cause: error.to_string(),
-        })?;
+        let bytes =
+            serde_json::to_vec(value).map_err(|error| CallError::invalid(self.addr, &error))?;
         self.send(Method::POST, path, web::full(bytes), limit).await
     }
 
@@ -84,10 +82,7 @@
             .uri(format!("http://{}{path}", self.addr))
             .header("content-type", "application/json")
             .body(body)
-            .map_err(|error| CallError::InvalidResponse {
-                addr: self.addr,
-                cause: error.to_string(),
-            })?;
+            .map_err(|error| CallError::invalid(self.addr, &error))?;
         let client = self.client.lock().unwrap_or_else(PoisonError::into_inner).clone();
         match client.call(self.addr, request, limit).await {
             Ok((status, body)) => Ok(Answer { status, body }),
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -1,5 +1,6 @@
 //! A pooled HTTP/1.1 client for control calls, each of which has a timeout.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use thiserror::Error;
 
 use crate::budget::{BodyBuffer, ByteBudget};
+use crate::cause::{limited_cause, limited_text};
 use crate::connector::LimitedConnector;
 use crate::limit::{MAX_HEAD_BYTES, ReadAllowance};
 use crate::{Body, CheckedResponse, body};
@@ -63,7 +65,7 @@
         addr: SocketAddr,
         /// The status of the response.
         status: StatusCode,
-        /// The body of the response.
+        /// The start of the body of the response.
         text: String,
     },
     /// The response is not what was expected.
@@ -76,6 +78,18 @@
     },
 }
 
+impl CallError {
+    /// The server answered with an error status and this body, of which the start is kept.
+    pub fn status(addr: SocketAddr, status: StatusCode, body: &[u8]) -> Self {
+        Self::Status { addr, status, text: limited_text(body) }
+    }
+
+    /// The response, or the call itself, is invalid for this reason, of which the start is kept.
+    pub fn invalid(addr: SocketAddr, cause: &impl Display) -> Self {
+        Self::InvalidResponse { addr, cause: limited_cause(cause) }
+    }
+}
+
 /// A client for control calls; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -137,12 +151,12 @@
                 if let Some(connection) = &*connection.connection_metadata() {
                     connection.poison();
                 }
-                CallError::InvalidResponse { addr, cause: error.to_string() }
+                CallError::invalid(addr, &error)
             })?;
             let CheckedResponse { head, body, .. } = checked;
             if !is_final_status(head.status) {
                 let cause = format!("{} is no status that ends a call", head.status);
-                return Err(CallError::InvalidResponse { addr, cause });
+                return Err(CallError::invalid(addr, &cause));
             }
             let allowance = head.extensions.get::<ReadAllowance>();
             let renew = || allowance.into_iter().for_each(ReadAllowance::renew);
@@ -195,8 +209,10 @@
         let request = build(addr, Method::GET, path, body::empty())?;
         let client = Self { max_bytes: MAX_TEXT_BYTES, budget: None, ..self.clone() };
         let (status, bytes) = client.call(addr, request, limit).await?;
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if status.is_success() { Ok(text) } else { Err(CallError::Status { addr, status, text }) }
+        if !status.is_success() {
+            return Err(CallError::status(addr, status, &bytes));
+        }
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
     }
 
     /// Sends `POST path` with a JSON body and parses the JSON response.
@@ -218,8 +234,7 @@
         value: &impl Serialize,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        let bytes = serde_json::to_vec(value)
-            .map_err(|error| CallError::InvalidResponse { addr, cause: error.to_string() })?;
+        let bytes = serde_json::to_vec(value).map_err(|error| CallError::invalid(addr, &error))?;
         let request = build(addr, Method::POST, path, body::full(bytes))?;
         self.call(addr, request, limit).await
     }
@@ -237,8 +252,7 @@
     path: &str,
     body: Body,
 ) -> Result<Request<Body>, CallError> {
-    let invalid =
-        |error: http::Error| CallError::InvalidResponse { addr, cause: error.to_string() };
+    let invalid = |error: http::Error| CallError::invalid(addr, &error);
     let uri = Uri::builder()
         .scheme("http")
         .authority(addr.to_string())
@@ -259,11 +273,9 @@
 ) -> Result<T, CallError> {
     let (status, bytes) = response;
     if !status.is_success() {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        return Err(CallError::Status { addr, status, text });
+        return Err(CallError::status(addr, status, &bytes));
     }
-    serde_json::from_slice(&bytes)
-        .map_err(|error| CallError::InvalidResponse { addr, cause: error.to_string() })
+    serde_json::from_slice(&bytes).map_err(|error| CallError::invalid(addr, &error))
 }
 
 fn transport_error(addr: SocketAddr, error: &legacy::Error) -> CallError {
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod body;
 mod budget;
+mod cause;
 mod channel;
 mod client;
 mod connector;
@@ -15,6 +16,7 @@
 pub use accept::Acceptor;
 pub use body::{Body, BodyError, empty, full, json, read, read_within, text};
 pub use budget::{BodyBuffer, BufferFull, ByteBudget, ReservedBytes};
+pub use cause::limited_cause;
 pub use channel::{BodyWriter, Closed, channel, channel_within};
 pub use client::{CallError, Client, is_final_status};
 pub use connector::LimitedConnector;
