A request waits for the grant of a loader no longer than it asked for

A request to an endpoint with a rate limit slept for as long as the loader's answer said, beyond the deadline of its caller, who got no answer: in the test a caller with a deadline of 1 s had none after 10 s. A refusal could keep a router from an endpoint for as long as it ran, and so could the refusal of a load.

An answer beyond the time that was asked for counts as a refusal; loaders give none. Pauses are limited to the one for `Retry-After`.

--- a/components/router/src/grants.rs
+++ b/components/router/src/grants.rs
@@ -20,6 +20,7 @@
 use web::{Body, CallError};
 
 use crate::rate_limit;
+use crate::registry::MAX_BACKOFF;
 use crate::reservation::Reservation;
 use crate::shared::Shared;
 
@@ -47,12 +48,14 @@
         None => ask_routers(shared, &request).await,
     };
     let (pause, cause) = match granted {
-        Ok(GrantResponse::After(wait)) => {
+        // No longer than was asked for, whatever the answer says.
+        Ok(GrantResponse::After(wait)) if wait <= max_wait => {
             tokio::time::sleep(wait).await;
             return true;
         }
-        Ok(GrantResponse::Refused(after)) => {
-            (after.max(MIN_PAUSE), "the endpoint's rate limit is used up".to_owned())
+        Ok(GrantResponse::After(after) | GrantResponse::Refused(after)) => {
+            let pause = after.clamp(MIN_PAUSE, MAX_BACKOFF);
+            (pause, "the endpoint's rate limit is used up".to_owned())
         }
         Err(error) => (UNREACHABLE_PAUSE, error.to_string()),
     };
--- a/components/router/src/loader_task.rs
+++ b/components/router/src/loader_task.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use units::{EndpointId, Revision, ServiceName};
 
+use crate::registry::MAX_BACKOFF;
 use crate::shared::Shared;
 use crate::{hints, origins};
 
@@ -240,7 +241,7 @@
     let (pause, cause) = match &response {
         Ok(response) => match response.outcome {
             EnsureOutcome::Ready => (Duration::ZERO, String::new()),
-            EnsureOutcome::Refused(after) => (after, NO_ROOM.to_owned()),
+            EnsureOutcome::Refused(after) => (after.min(MAX_BACKOFF), NO_ROOM.to_owned()),
         },
         Err(error) => (UNREACHABLE_PAUSE, error.to_string()),
     };
