The first streams of a version are known to a keeper that was listed before it

During a release, a router that was cut off from the store but reached the loaders of the old endpoints sent streams on to the old version that had begun at the new one through another router: callers got events of both.

Cause: each stream of the new version was told to the keepers that rank first, or to one of them once the budget for second ones was used up. Where all of these came with the version, a router whose list is older doesn't ask them. Those that it asks answered, and knew of one version only, so it took that one for the only one.

While a version is new (it appeared less than LIST_LAG ago), each of its streams is told besides to the best keeper that was listed before it, which is the one that a router without the new list asks first; it knows the stream, and names the version for others. The first event waits until all that are being told have answered, for the second for which it is held at most. A service with one version sends and waits as before.

--- a/components/origin/src/lib.rs
+++ b/components/origin/src/lib.rs
@@ -29,4 +29,4 @@
 pub use key::{ParseKeyError, StreamKey};
 pub use service_record::{EstablishedVersion, SeenVersions, ServiceRecord};
 pub use table::{Lookup, MAX_KEEP, MAX_ORIGINS, OriginTable, StreamOrigin};
-pub use versions::{LIST_LAG, VERSION_MEMORY, VersionHistory};
+pub use versions::{LIST_LAG, NewVersion, VERSION_MEMORY, VersionHistory};
--- a/components/origin/src/versions.rs
+++ b/components/origin/src/versions.rs
@@ -41,6 +41,13 @@
     appeared: Option<Instant>,
 }
 
+/// A version that has just come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewVersion {
+    /// When it appeared in the list, if this process had read the list before.
+    pub appeared: Option<Instant>,
+}
+
 impl Default for VersionHistory {
     fn default() -> Self {
         Self::new(Instant::now())
@@ -112,6 +119,22 @@
         self.services.get(service)?.versions.get(software)?.appeared
     }
 
+    /// A version of several, if it has just come, so that the lists of other processes may not have it yet.
+    pub fn new_version(
+        &self,
+        service: &ServiceName,
+        software: &SoftwareVersion,
+        now: Instant,
+    ) -> Option<NewVersion> {
+        let history = self.services.get(service)?;
+        if history.recent(now).count() < 2 {
+            return None;
+        }
+        let appeared = history.versions.get(software)?.appeared;
+        let latest = appeared.unwrap_or(history.first + LIST_LAG);
+        (now < latest + LIST_LAG).then_some(NewVersion { appeared })
+    }
+
     /// For how long the versions of a service have been seen.
     pub fn watched(&self, service: &ServiceName, now: Instant) -> Duration {
         let since = self.services.get(service).map_or(self.since, |seen| seen.since);
--- a/components/origin/src/versions/tests.rs
+++ b/components/origin/src/versions/tests.rs
@@ -64,3 +64,21 @@
         assert_eq!(appeared(software), None, "{software}");
     }
 }
+
+/// Keepers were told of the first streams of a version that routers with an older list do not ask.
+#[test]
+fn a_version_is_new_while_the_lists_of_others_may_not_have_it() {
+    let start = Instant::now();
+    let (service, at) = (name("s"), |millis: u64| start + Duration::from_millis(millis));
+    let mut history = VersionHistory::new(start);
+    history.record(&service, &version("first"), at(0));
+    assert_eq!(history.new_version(&service, &version("first"), at(0)), None, "the only version");
+    history.record(&service, &version("soon"), at(1_000));
+    history.record(&service, &version("later"), at(10_000));
+    let new = |software: &str, now| history.new_version(&service, &version(software), now);
+    assert_eq!(new("soon", at(5_999)), Some(NewVersion { appeared: None }));
+    assert_eq!(new("soon", at(6_000)), None);
+    assert_eq!(new("later", at(12_999)), Some(NewVersion { appeared: Some(at(10_000)) }));
+    assert_eq!(new("later", at(13_000)), None);
+    assert_eq!(new("never", at(10_000)), None);
+}
--- a/components/router/src/origins.rs
+++ b/components/router/src/origins.rs
@@ -13,8 +13,8 @@
 use events::{Event, emit};
 use http::StatusCode;
 use origin::{
-    Attribution, Lookup, MAX_ASKED, OriginTable, StreamKey, StreamOrigin, TellBudget, ToldStream,
-    choose_told, rank_keepers, retell,
+    Attribution, Keeper, KeeperState, Lookup, MAX_ASKED, NewVersion, OriginTable, StreamKey,
+    StreamOrigin, TellBudget, ToldStream, choose_told, rank_keepers, retell,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -158,9 +158,18 @@
 
     /// Waits until a keeper knows where a stream began.
     async fn told(&self, key: StreamKey) {
+        self.wait_for_answers(|state| state.is_told(key)).await;
+    }
+
+    /// Waits until each keeper that is being told where a stream began knows it, or is given up.
+    async fn told_by_all(&self, key: StreamKey) {
+        self.wait_for_answers(|state| !state.is_being_told(key)).await;
+    }
+
+    async fn wait_for_answers(&self, holds: impl Fn(&State) -> bool) {
         loop {
             let answered = self.answered.notified();
-            if self.lock().is_told(key) {
+            if holds(&self.lock()) {
                 return;
             }
             answered.await;
@@ -173,16 +182,35 @@
     deadline.saturating_duration_since(now) + RETURN_TIME
 }
 
-/// Waits until a keeper or the store knows where a stream began, for [`MAX_STRICT_HOLD`] at most. Returns whether one does.
-pub(crate) async fn wait_until_known(shared: &Shared, key: StreamKey) -> bool {
-    shared.stream_records.request_record();
-    let known = async {
-        tokio::select! {
-            () = shared.origins.told(key) => {}
-            () = shared.stream_records.recorded(key) => {}
+/// Waits until a keeper or the store knows where a stream of this version began, for [`MAX_STRICT_HOLD`] at most. Returns whether
+/// one does. If other routers may not have read of the version yet, all keepers that are being told are waited for, so that those
+/// routers find one among the keepers that they know.
+pub(crate) async fn wait_until_known(
+    shared: &Shared,
+    key: StreamKey,
+    service: &ServiceName,
+    software: &SoftwareVersion,
+) -> bool {
+    let until = Instant::now() + MAX_STRICT_HOLD;
+    let is_told = shared.origins.lock().is_told(key);
+    if !is_told {
+        shared.stream_records.request_record();
+        let known = async {
+            tokio::select! {
+                () = shared.origins.told(key) => {}
+                () = shared.stream_records.recorded(key) => {}
+            }
+        };
+        if tokio::time::timeout_at(until, known).await.is_err() {
+            return false;
         }
-    };
-    tokio::time::timeout(MAX_STRICT_HOLD, known).await.is_ok()
+    }
+    let now = Instant::now();
+    let new = shared.endpoints.lock().version_history().new_version(service, software, now);
+    if new.is_some() {
+        let _ = tokio::time::timeout_at(until, shared.origins.told_by_all(key)).await;
+    }
+    true
 }
 
 /// Records that callers have got the last event of these streams.
@@ -261,12 +289,18 @@
     }
 }
 
-/// Tells the `count` best keepers of a stream where it began, but for those that know it or are about to.
+/// Tells the `count` best keepers of a stream where it began, but for those that know it or are about to. If its version has just
+/// come, one of them is the best keeper of a router whose list does not have the version yet, besides the others if necessary.
 fn tell(shared: &Arc<Shared>, record: OriginRecord, count: usize) {
     let now = Instant::now();
+    let new_version = record.software.as_ref().and_then(|software| {
+        shared.endpoints.lock().version_history().new_version(&record.service, software, now)
+    });
     let mut state = shared.origins.lock();
     let keepers = told_keepers(&state.keepers, &state.silent_until, now);
-    let ranked = choose_told(record.key, &keepers, count, &shared.domain);
+    let mut ranked = choose_told(record.key, &keepers, count, &shared.domain);
+    let earlier = new_version.and_then(|new| state.earlier_keeper(&record, keepers, new));
+    ranked.extend(earlier.filter(|index| !ranked.contains(index)));
     let chosen: Vec<KnownKeeper> =
         ranked.into_iter().map(|index| state.keepers[index].clone()).collect();
     for keeper in chosen {
@@ -349,7 +383,30 @@
 
     /// Whether no keeper knows of a stream yet, and one is being told.
     fn awaits_keeper(&self, key: StreamKey) -> bool {
-        !self.is_told(key) && self.outboxes.values().any(|outbox| outbox.contains(key))
+        !self.is_told(key) && self.is_being_told(key)
+    }
+
+    /// Whether a keeper is being told of a stream, and does not know it yet.
+    fn is_being_told(&self, key: StreamKey) -> bool {
+        let told = self.told.get(&key).map(Vec::as_slice).unwrap_or_default();
+        self.outboxes.iter().any(|(keeper, outbox)| outbox.contains(key) && !told.contains(keeper))
+    }
+
+    /// The best of the keepers that were listed before the version of a stream.
+    fn earlier_keeper(
+        &self,
+        record: &OriginRecord,
+        mut keepers: Vec<Keeper<'_>>,
+        version: NewVersion,
+    ) -> Option<usize> {
+        for (known, keeper) in self.keepers.iter().zip(&mut keepers) {
+            let listed = self.first_listed.get(&known.endpoint).copied().flatten();
+            let came_along = listed.zip(version.appeared).is_some_and(|(one, other)| one >= other);
+            if came_along || known.runs(&record.service, record.software.as_ref()) {
+                keeper.state = KeeperState::Dead;
+            }
+        }
+        rank_keepers(record.key, &keepers, 1).first().copied()
     }
 
     /// Sends a record to a keeper, together with those that wait meanwhile.
--- a/components/router/src/origins/keeper.rs
+++ b/components/router/src/origins/keeper.rs
@@ -6,7 +6,7 @@
 use fleet::EndpointStage;
 use origin::{Keeper, KeeperState};
 use tokio::time::Instant;
-use units::{Domain, EndpointId};
+use units::{Domain, EndpointId, ServiceName, SoftwareVersion};
 
 use crate::endpoint::TrackedEndpoint;
 use crate::registry::EndpointTable;
@@ -18,6 +18,9 @@
     pub(super) addr: SocketAddr,
     domain: Domain,
     state: KeeperState,
+    /// The service of its endpoint, and the version of its software.
+    service: ServiceName,
+    software: Option<SoftwareVersion>,
 }
 
 impl KnownKeeper {
@@ -30,7 +33,13 @@
         };
         let endpoint = &tracked.endpoint;
         let (id, domain) = (endpoint.id.clone(), endpoint.domain.clone());
-        Self { endpoint: id, addr: endpoint.addr, domain, state }
+        let (service, software) = (endpoint.service.clone(), endpoint.software.clone());
+        Self { endpoint: id, addr: endpoint.addr, domain, state, service, software }
+    }
+
+    /// Whether its endpoint runs this version of a service, if it is one.
+    pub(super) fn runs(&self, service: &ServiceName, software: Option<&SoftwareVersion>) -> bool {
+        self.service == *service && self.software.as_ref() == software
     }
 
     /// Whether its endpoint serves, so that it may have been told of streams.
--- a/components/router/src/stream_version.rs
+++ b/components/router/src/stream_version.rs
@@ -114,10 +114,10 @@
     /// at another router by the next one. Returns false if that was not possible, and the stream would count as one of another
     /// version.
     pub(crate) async fn wait_until_told(&self) -> bool {
-        if !self.depends_on_version() || self.shared.origins.wait_until_told(self.stream_key).await
-        {
+        if !self.depends_on_version() {
             return true;
         }
+        self.shared.origins.wait_until_told(self.stream_key).await;
         // Of a stream that is taken up its first request is known.
         if self.resumed_key.is_some() {
             return true;
@@ -128,7 +128,8 @@
                 if self.shared.origins.has_keepers()
                     && records.must_be_known(&self.service, software) =>
             {
-                origins::wait_until_known(&self.shared, self.stream_key).await
+                origins::wait_until_known(&self.shared, self.stream_key, &self.service, software)
+                    .await
             }
             Some(_) | None => true,
         }
