--- a/components/router/src/origins/tests.rs
+++ b/components/router/src/origins/tests.rs
@@ -58,3 +58,22 @@
 async fn a_first_event_does_not_wait_if_no_keeper_is_told() {
     assert_eq!(hold_time(&telling(), key(2)).await, Duration::ZERO);
 }
+
+/// A router whose list is older than a version asked a keeper that had not heard of the stream yet.
+#[tokio::test(start_paused = true)]
+async fn all_keepers_that_are_told_are_waited_for() {
+    const SECOND_ANSWER_TIME: Duration = Duration::from_millis(10);
+    let origins = telling();
+    let answer = async {
+        origins.lock().told.insert(key(1), vec!["i-3".parse().expect("an id")]);
+        origins.answered.notify_waiters();
+        tokio::time::sleep(SECOND_ANSWER_TIME).await;
+        origins.lock().told.entry(key(1)).or_default().push("i-2".parse().expect("an id"));
+        origins.answered.notify_waiters();
+    };
+    let started = Instant::now();
+    tokio::join!(origins.told_by_all(key(1)), answer);
+    assert_eq!(started.elapsed(), SECOND_ANSWER_TIME);
+    origins.told_by_all(key(2)).await;
+    assert_eq!(started.elapsed(), SECOND_ANSWER_TIME, "no keeper is told of this one");
+}
