A read that is continued does not replace a later list

Where a read of the list failed between two pages, and another router told a later list meanwhile, the continued read counted as sent after that list, so that its older position counted as a correction: endpoints that had come since were marked missing until the next read. Such a read tells the end of the list as of its first page; it leaves a later list alone now, and the follower goes on from that. The test fails without the condition (i-3 at offset 5 instead of i-1 at 9).

Beside it: the log is read without a wait after a read that was continued, and crash records without a pause while there are more.

--- a/components/router/src/crash_records.rs
+++ b/components/router/src/crash_records.rs
@@ -90,7 +90,7 @@
                     emit(&Event::DependencyRegained { dependency, name: "store", after_ms });
                 }
                 shared.crash_records_position.send_replace(Some(batch.position));
-                let empty = batch.updates.is_empty() && !batch.complete;
+                let empty = batch.updates.is_empty() && !batch.complete && !batch.has_more;
                 if batch.restored {
                     write_again(&shared, &batch.updates);
                 }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -289,11 +289,13 @@
     let mut source = TopicSource::new(shared.clone(), Topic::Endpoints);
     let mut contact = StoreContact::new(Dependency::Membership);
     let mut invalid = InvalidEntries::new(Instant::now());
+    let mut more = false;
     loop {
         let bounds = shared.settings.borrow().bounds;
         let known = shared.endpoints.lock().list_position;
         source.follower().skip_to(known);
-        let wait = contact.read_wait(bounds.drain, LIST_READ_INTERVAL);
+        let wait =
+            if more { Duration::ZERO } else { contact.read_wait(bounds.drain, LIST_READ_INTERVAL) };
         let sent = Instant::now();
         match source.next(bounds.drain.0, wait).await {
             Ok(batch) => {
@@ -324,8 +326,8 @@
                     source.follower().read_anew();
                 }
                 let until = contact.returned_at.map(|returned| returned + LAPSED_ENTRY_GRACE);
-                let more = batch.has_more;
-                apply_members(&shared, batch, (sent, until), &mut invalid);
+                more = batch.has_more;
+                apply_members(&shared, batch, sent, until, &mut invalid);
                 shared.record_store_read(Feed::Membership, true);
                 // Changes that are left after a long time without the store are read without a pause.
                 let at_once = more || source.is_mirrored();
@@ -343,7 +345,8 @@
 fn apply_members(
     shared: &Arc<Shared>,
     batch: Batch,
-    (sent, until): (Instant, Option<Instant>),
+    sent: Instant,
+    until: Option<Instant>,
     invalid: &mut InvalidEntries,
 ) {
     let mut changes = Vec::new();
@@ -372,8 +375,9 @@
             | Update::InvalidRecord(..) => {}
         }
     }
-    let Batch { complete, position, .. } = batch;
-    let update = ListUpdate { changes, complete, position, sent };
+    let Batch { complete, has_more, position, .. } = batch;
+    let continued = complete && has_more;
+    let update = ListUpdate { changes, complete, position, sent, continued };
     let missing = shared.endpoints.apply_list(update, until);
     missing::watch(shared, missing);
     hints::settle_all(shared);
--- a/components/router/src/list.rs
+++ b/components/router/src/list.rs
@@ -28,6 +28,8 @@
     pub(crate) position: StorePosition,
     /// When the read was sent.
     pub(crate) sent: Instant,
+    /// Whether it continues a read that was sent earlier, which tells an earlier end of the list.
+    pub(crate) continued: bool,
 }
 
 /// Drops entries whose address a later entry has: their endpoints are gone, but stay listed until their entries lapse.
@@ -53,7 +55,8 @@
         let now = Instant::now();
         let mut table = self.lock();
         if table.list_loaded && update.position < table.list_position {
-            if !(update.complete && table.was_positioned_before(update.sent)) {
+            let is_newer = !update.continued && table.was_positioned_before(update.sent);
+            if !(update.complete && is_newer) {
                 // Later changes have been received from another router meanwhile.
                 return Vec::new();
             }
--- a/components/router/src/list/tests.rs
+++ b/components/router/src/list/tests.rs
@@ -40,7 +40,13 @@
 }
 
 fn update(read: u64, changes: Vec<EndpointChange>) -> ListUpdate {
-    ListUpdate { changes, complete: false, position: at(read), sent: Instant::now() }
+    ListUpdate {
+        changes,
+        complete: false,
+        position: at(read),
+        sent: Instant::now(),
+        continued: false,
+    }
 }
 
 fn whole(read: u64, changes: Vec<EndpointChange>) -> ListUpdate {
@@ -175,6 +181,18 @@
     }
 }
 
+/// The list that another router told while a read failed between two pages gave way to what the read had found before that.
+#[tokio::test(start_paused = true)]
+async fn a_read_that_is_continued_does_not_replace_a_later_list() {
+    let registry = EndpointRegistry::default();
+    assert!(registry.apply_snapshot(snapshot(2, 9, "")).is_some());
+    let known = stages(&registry);
+    tokio::time::advance(Duration::from_millis(1)).await;
+    let older = vec![listed(3, EndpointStage::Ready)];
+    let _ = registry.apply_list(ListUpdate { continued: true, ..whole(5, older) }, None);
+    assert_eq!((stages(&registry), registry.lock().list_position), (known, at(9)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_may_only_have_lapsed_is_missing_at_other_routers_too() {
     let (registry, other) = (EndpointRegistry::default(), EndpointRegistry::default());
