--- a/components/mirror/src/tail/tests.rs
+++ b/components/mirror/src/tail/tests.rs
@@ -66,8 +66,7 @@
     for _ in 0..100 {
         tail.append(vec![Bytes::new(); 1_000]);
     }
-    let most = MAX_BYTES / size_of::<Bytes>();
-    assert!(tail.records.len() <= most, "{} records are kept", tail.records.len());
+    assert_eq!(tail.records.len(), MAX_RECORDS);
     assert_eq!(tail.end(), at(0, 100_000));
     assert!(tail.since(at(0, 99_000)).is_some_and(|records| records.len() == 1_000));
 }
